Set down the workspace, the core types and the design of ownership

Cause: an empty repository. Everything that follows needs the folders, the checked types and the rule by which a daemon may use what another held.

Before: nothing.

--- /dev/null
+++ b/crates/cells/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ownership of cells of workers: journal, tasks, recovery.
--- /dev/null
+++ b/crates/command/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command-line tool sapphirestile.
--- /dev/null
+++ b/crates/core/src/customer_name.rs
@@ -0,0 +1,8 @@
+//! The name of a customer: a team with a quota.
+
+use crate::checked_name::checked_name;
+
+checked_name! {
+    /// The name of a customer: a team with a quota.
+    CustomerName
+}
--- /dev/null
+++ b/crates/core/src/document.rs
@@ -0,0 +1,27 @@
+//! The operators' document: zones, regions, services and customers.
+//!
+//! Raw INI text becomes an [`OperatorDocument`] by `TryFrom`, which checks it as
+//! a whole and names every fault in a [`DocumentFault`]. The life of one change
+//! is a [`DocumentCycle`]: a draft is checked, and a checked document comes into
+//! force at the revision that the store gave to its write.
+
+mod customer_entry;
+mod document_cycle;
+mod document_fault;
+mod operator_document;
+mod region_entry;
+mod service_entry;
+mod zone_entry;
+mod zone_state;
+
+pub use customer_entry::CustomerEntry;
+pub use document_cycle::CheckedPhase;
+pub use document_cycle::DocumentCycle;
+pub use document_cycle::DraftPhase;
+pub use document_cycle::InForcePhase;
+pub use document_fault::DocumentFault;
+pub use operator_document::OperatorDocument;
+pub use region_entry::RegionEntry;
+pub use service_entry::ServiceEntry;
+pub use zone_entry::ZoneEntry;
+pub use zone_state::ZoneState;
--- /dev/null
+++ b/crates/core/src/document/zone_state.rs
@@ -0,0 +1,31 @@
+//! Whether a zone takes work.
+
+/// Whether operators have taken a zone out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ZoneState {
+    /// The zone takes work.
+    In,
+    /// The zone was taken out: nothing starts there, and what runs there leaves.
+    Out,
+}
+
+impl TryFrom<&str> for ZoneState {
+    type Error = &'static str;
+
+    fn try_from(text: &str) -> Result<Self, Self::Error> {
+        match text {
+            "in" => Ok(Self::In),
+            "out" => Ok(Self::Out),
+            _ => Err("neither in nor out"),
+        }
+    }
+}
+
+impl std::fmt::Display for ZoneState {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            Self::In => "in",
+            Self::Out => "out",
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,71 @@
+//! Checked names, sizes, tables and the operators' document.
+//!
+//! Everything here is plain data without I/O, clock or randomness. Raw text
+//! becomes a checked type by `TryFrom`: names such as [`ZoneName`], and the
+//! operators' whole [`OperatorDocument`], whose life is a [`DocumentCycle`].
+//! Tables are [`SortedTable`]s. Time comes in as [`MonoTime`]. Failed steps
+//! carry a [`StepError`].
+
+mod attempt_number;
+mod cell_epoch;
+mod cell_number;
+mod checked_name;
+mod config_revision;
+mod counted_number;
+mod customer_name;
+mod daemon_name;
+mod document;
+mod incarnation_number;
+mod ini_text;
+mod job_name;
+mod journal_sequence;
+mod mono_time;
+mod name_fault;
+mod rack_name;
+mod region_name;
+mod resource_size;
+mod runner_name;
+mod service_name;
+mod sorted_table;
+mod step_error;
+mod task_index;
+mod task_name;
+mod worker_name;
+mod zone_name;
+
+pub use attempt_number::AttemptNumber;
+pub use cell_epoch::CellEpoch;
+pub use cell_number::CellNumber;
+pub use config_revision::ConfigRevision;
+pub use customer_name::CustomerName;
+pub use daemon_name::DaemonName;
+pub use document::CheckedPhase;
+pub use document::CustomerEntry;
+pub use document::DocumentCycle;
+pub use document::DocumentFault;
+pub use document::DraftPhase;
+pub use document::InForcePhase;
+pub use document::OperatorDocument;
+pub use document::RegionEntry;
+pub use document::ServiceEntry;
+pub use document::ZoneEntry;
+pub use document::ZoneState;
+pub use incarnation_number::IncarnationNumber;
+pub use ini_text::IniFault;
+pub use ini_text::SectionReader;
+pub use job_name::JobName;
+pub use journal_sequence::JournalSequence;
+pub use mono_time::MonoTime;
+pub use name_fault::NAME_LENGTH_MAX;
+pub use name_fault::NameFault;
+pub use rack_name::RackName;
+pub use region_name::RegionName;
+pub use resource_size::ResourceSize;
+pub use runner_name::RunnerName;
+pub use service_name::ServiceName;
+pub use sorted_table::SortedTable;
+pub use step_error::StepError;
+pub use task_index::TaskIndex;
+pub use task_name::TaskName;
+pub use worker_name::WorkerName;
+pub use zone_name::ZoneName;
--- /dev/null
+++ b/crates/core/src/name_fault.rs
@@ -0,0 +1,41 @@
+//! Why a text is not a name.
+
+/// The longest name, in characters.
+pub const NAME_LENGTH_MAX: usize = 63;
+
+/// A text that is not a checked name, with the rule it breaks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NameFault {
+    kind: &'static str,
+    text: Box<str>,
+}
+
+impl std::fmt::Display for NameFault {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            formatter,
+            "{:?} is not a {}: use 1 to {NAME_LENGTH_MAX} of a-z, 0-9, '-' and '.', \
+             beginning with a letter or a digit",
+            self.text, self.kind
+        )
+    }
+}
+
+impl std::error::Error for NameFault {}
+
+pub(crate) fn check_name(kind: &'static str, text: &str) -> Result<(), NameFault> {
+    let fits = !text.is_empty() && text.len() <= NAME_LENGTH_MAX;
+    let begins = text.starts_with(|c: char| c.is_ascii_lowercase() || c.is_ascii_digit());
+    if fits && begins && text.chars().all(is_name_character) {
+        return Ok(());
+    }
+    let shown = text.chars().take(NAME_LENGTH_MAX + 1).collect::<String>();
+    Err(NameFault {
+        kind,
+        text: shown.into(),
+    })
+}
+
+fn is_name_character(character: char) -> bool {
+    character.is_ascii_lowercase() || character.is_ascii_digit() || matches!(character, '-' | '.')
+}
--- /dev/null
+++ b/crates/core/src/resource_size.rs
@@ -0,0 +1,56 @@
+//! Room on a worker, or the room that a task needs.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Processors, memory and accelerators.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_core::ResourceSize;
+///
+/// let worker = ResourceSize { cpu_milli: 4_000, memory_mb: 8_192, accelerators: 1 };
+/// let task = ResourceSize { cpu_milli: 500, memory_mb: 1_024, accelerators: 0 };
+/// assert!(task.fits_in(&worker));
+/// assert_eq!(worker.minus(&task).cpu_milli, 3_500);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResourceSize {
+    /// Processor time, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory, in mebibytes.
+    pub memory_mb: u64,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+impl ResourceSize {
+    /// Whether this size is within `room` in every dimension.
+    #[must_use]
+    pub const fn fits_in(&self, room: &Self) -> bool {
+        self.cpu_milli <= room.cpu_milli
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// The sum of both sizes, at most the largest number of each dimension.
+    #[must_use]
+    pub const fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// What is left of this size without `other`, at least zero in each dimension.
+    #[must_use]
+    pub const fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/zone_name.rs
@@ -0,0 +1,8 @@
+//! The name of an availability zone.
+
+use crate::checked_name::checked_name;
+
+checked_name! {
+    /// The name of an availability zone.
+    ZoneName
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon sapphirestiled and the operations it runs.
--- /dev/null
+++ b/crates/experiment/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tool: decisions in virtual time against baselines.
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a worker for each batch task.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform: store, VM list, workers and runners.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a runner for each request, admission and retries.
--- /dev/null
+++ b/crates/specification/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small specification of the core protocol, searched exhaustively.
--- /dev/null
+++ b/crates/test-support/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scenes for tests: processes, ports, fakes.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between daemons and bodies of HTTP calls, with their codecs.
