Add the contract of workers, VM list and store

Cause: clients, stand-ins and decisions have to be built side by side, so the bodies and the store's calls come first.

Ruled out: a start without a permit (a delayed start could then land after a renewal that did not show it).

Before: no contract. After: worker and VM bodies, a store trait that tells "not run" from "unknown".

Conclusion: both sides can be written against the same types.

--- /dev/null
+++ b/crates/platform/src/store.rs
@@ -0,0 +1,25 @@
+//! The platform's store as the daemons see it.
+//!
+//! A [`StoreClient`] reads, commits a [`StoreCommit`] of guards and writes as a
+//! whole, keeps leases and waits on a [`StoreWatch`]. A failed call is a
+//! [`StoreError`], which says whether the call may have taken effect.
+
+mod commit_answer;
+mod store_client;
+mod store_commit;
+mod store_error;
+mod store_guard;
+mod store_watch;
+mod store_write;
+mod stored_range;
+mod stored_row;
+
+pub use commit_answer::CommitAnswer;
+pub use store_client::StoreClient;
+pub use store_commit::StoreCommit;
+pub use store_error::StoreError;
+pub use store_guard::StoreGuard;
+pub use store_watch::StoreWatch;
+pub use store_write::StoreWrite;
+pub use stored_range::StoredRange;
+pub use stored_row::StoredRow;
--- /dev/null
+++ b/crates/platform/src/store/store_error.rs
@@ -0,0 +1,21 @@
+//! Why a call to the store failed.
+
+/// A failed call, by what is known of its effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreError {
+    /// The call was not carried out.
+    NotRun,
+    /// The answer was lost: the call may have taken effect.
+    Unknown,
+}
+
+impl std::fmt::Display for StoreError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            Self::NotRun => "the store did not carry out the call",
+            Self::Unknown => "the store's answer was lost",
+        })
+    }
+}
+
+impl std::error::Error for StoreError {}
--- /dev/null
+++ b/crates/platform/src/store/stored_row.rs
@@ -0,0 +1,12 @@
+//! A row of the store.
+
+/// A key, its value and the revision of its last write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRow {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The revision of the last write.
+    pub revision: u64,
+}
--- /dev/null
+++ b/crates/wire/src/worker/session_request.rs
@@ -0,0 +1,21 @@
+//! Opens or renews the session of a cell's owner with a worker.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::worker::TaskSettled;
+use sapphirestile_core::CellEpoch;
+use sapphirestile_core::CellNumber;
+
+/// Opens or renews a session, and with it the leases of the cell's tasks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SessionRequest {
+    /// The cell that the worker belongs to.
+    pub cell: CellNumber,
+    /// The fencing token of the owner's claim.
+    pub epoch: CellEpoch,
+    /// How long the tasks may run without another renewal, in milliseconds.
+    pub lease_ms: u64,
+    /// Ended tasks whose reports the owner has recorded.
+    pub settled: Vec<TaskSettled>,
+}
--- /dev/null
+++ b/crates/wire/src/worker/task_start.rs
@@ -0,0 +1,31 @@
+//! Starts a task on a worker.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use sapphirestile_core::AttemptNumber;
+use sapphirestile_core::CellEpoch;
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::ResourceSize;
+use sapphirestile_core::TaskName;
+
+/// Starts one attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskStart {
+    /// The cell that the worker belongs to.
+    pub cell: CellNumber,
+    /// The fencing token of the owner's claim.
+    pub epoch: CellEpoch,
+    /// The permit of the latest session report.
+    pub permit: u64,
+    /// The task.
+    pub task: TaskName,
+    /// The attempt.
+    pub attempt: AttemptNumber,
+    /// The room that the task takes.
+    pub size: ResourceSize,
+    /// The run time of the whole task, in milliseconds.
+    pub run_ms: u64,
+    /// Work already covered by a checkpoint, in milliseconds of run time.
+    pub checkpoint_ms: u64,
+}
