Add the bodies of the operator port

Cause: daemon and command-line tool need one contract for the operator port.

ZoneState gains serde derives for ZoneStatus and ZoneChange.

--- a/crates/core/src/document/zone_state.rs
+++ b/crates/core/src/document/zone_state.rs
@@ -1,7 +1,11 @@
 //! Whether a zone takes work.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Whether operators have taken a zone out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum ZoneState {
     /// The zone takes work.
     In,
--- /dev/null
+++ b/crates/wire/src/api/document_refused.rs
@@ -0,0 +1,13 @@
+//! A change that is not valid.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::api::EntryFault;
+
+/// Status 422 for a change: nothing was written.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentRefused {
+    /// Every fault, in the order of the text.
+    pub faults: Vec<EntryFault>,
+}
--- /dev/null
+++ b/crates/wire/src/api/owned_cell.rs
@@ -0,0 +1,16 @@
+//! A cell that a daemon owns.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use sapphirestile_core::CellEpoch;
+use sapphirestile_core::CellNumber;
+
+/// A cell and the epoch of its owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnedCell {
+    /// The cell.
+    pub cell: CellNumber,
+    /// The fencing token of the owner's claim.
+    pub epoch: CellEpoch,
+}
