--- /dev/null
+++ b/crates/placement/src/choice/size_text.rs
@@ -0,0 +1,16 @@
+//! A size as text for users.
+
+use sapphirestile_core::ResourceSize;
+
+/// Writes a size with its units.
+pub(crate) struct SizeText<'a>(pub(crate) &'a ResourceSize);
+
+impl std::fmt::Display for SizeText<'_> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            formatter,
+            "{} thousandths of a core, {} MiB, {} accelerators",
+            self.0.cpu_milli, self.0.memory_mb, self.0.accelerators
+        )
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/placement/main.rs
@@ -0,0 +1,4 @@
+//! Scenes of placement.
+
+mod choice;
+mod scene;
