--- /dev/null
+++ b/crates/cells/src/journal.rs
@@ -0,0 +1,18 @@
+//! The journal of a cell.
+//!
+//! A [`JournalEntry`] names its writer by [`OwnerMark`] and a nonce, so that a
+//! writer whose answer was lost finds out by reading whether the entry is its
+//! own. Its [`EntryBody`] is a claim, a release or a batch of
+//! [`CellTransition`]s.
+
+mod cell_transition;
+mod entry_body;
+mod job_order;
+mod journal_entry;
+mod owner_mark;
+
+pub use cell_transition::CellTransition;
+pub use entry_body::EntryBody;
+pub use job_order::JobOrder;
+pub use journal_entry::JournalEntry;
+pub use owner_mark::OwnerMark;
--- /dev/null
+++ b/crates/cells/src/journal/cell_transition.rs
@@ -0,0 +1,67 @@
+//! One change of a cell's state.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::journal::JobOrder;
+use crate::state::RequestKey;
+use crate::state::RequestRecord;
+use crate::state::TaskOutcome;
+use sapphirestile_core::AttemptNumber;
+use sapphirestile_core::JobName;
+use sapphirestile_core::TaskName;
+use sapphirestile_core::WorkerName;
+
+/// One change of a cell's state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CellTransition {
+    /// A job was submitted.
+    JobSubmitted(JobOrder),
+    /// A job was cancelled: what waits ends, what runs is stopped.
+    JobCancelled(JobName),
+    /// A task was assigned to a worker as a new attempt.
+    TaskAssigned {
+        /// The task.
+        task: TaskName,
+        /// The new attempt.
+        attempt: AttemptNumber,
+        /// The worker.
+        worker: WorkerName,
+    },
+    /// An attempt took a checkpoint.
+    TaskCheckpointed {
+        /// The task.
+        task: TaskName,
+        /// The attempt.
+        attempt: AttemptNumber,
+        /// Work covered by the checkpoint, in milliseconds of run time.
+        checkpoint_ms: u64,
+    },
+    /// An attempt is proven not to run, and the task waits again.
+    TaskReturned {
+        /// The task.
+        task: TaskName,
+        /// The attempt.
+        attempt: AttemptNumber,
+        /// Work covered by the latest checkpoint, in milliseconds of run time.
+        checkpoint_ms: u64,
+        /// Whether the attempt ended by an error of its own.
+        failed: bool,
+    },
+    /// An attempt ended for good.
+    TaskEnded {
+        /// The task.
+        task: TaskName,
+        /// The attempt.
+        attempt: AttemptNumber,
+        /// How it ended.
+        outcome: TaskOutcome,
+    },
+    /// A request that must not run twice is about to be sent.
+    RequestRecorded {
+        /// The key that the caller gave.
+        key: RequestKey,
+        /// Who sends it, and when it was recorded.
+        record: RequestRecord,
+    },
+}
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -1,1 +1,45 @@
 //! Ownership of cells of workers: journal, tasks, recovery.
+//!
+//! A cell is a set of workers and the jobs that run on them. What lasts of a
+//! cell is its [`CellState`]: the fold of its journal of [`JournalEntry`]s, each
+//! a claim, a release or a batch of [`CellTransition`]s. One daemon owns a cell
+//! at a time. Its [`CellOwner`] begins in [`ClaimingPhase`]; once its claim is
+//! in the journal it is in [`OpenPhase`], takes reports of workers, proposes
+//! transitions, and lets an effect out only after the batch that it belongs to
+//! is in the journal. Whatever beats it to the journal's head deposes it.
+//!
+//! Nothing here does I/O or reads a clock: the caller commits the entries and
+//! carries out the [`CellEffect`]s.
+
+mod journal;
+mod owner;
+mod state;
+
+pub use journal::CellTransition;
+pub use journal::EntryBody;
+pub use journal::JobOrder;
+pub use journal::JournalEntry;
+pub use journal::OwnerMark;
+pub use owner::CellEffect;
+pub use owner::CellOwner;
+pub use owner::ClaimingPhase;
+pub use owner::CommitOutcome;
+pub use owner::OpenPhase;
+pub use owner::ReportView;
+pub use owner::SessionOrder;
+pub use owner::SightedPhase;
+pub use owner::StartOrder;
+pub use owner::StopOrder;
+pub use owner::TaskSighting;
+pub use owner::WorkerFacts;
+pub use state::AssignedPhase;
+pub use state::CellState;
+pub use state::EndedPhase;
+pub use state::JobRecord;
+pub use state::RequestKey;
+pub use state::RequestRecord;
+pub use state::TaskCycle;
+pub use state::TaskEntry;
+pub use state::TaskOutcome;
+pub use state::TransitionFault;
+pub use state::WaitingPhase;
--- /dev/null
+++ b/crates/cells/src/owner.rs
@@ -0,0 +1,39 @@
+//! The owner of a cell.
+//!
+//! A [`CellOwner`] in [`ClaimingPhase`] has a claim to commit; in [`OpenPhase`]
+//! it takes [`WorkerFacts`] and [`ReportView`]s in, proposes transitions, and
+//! hands out one batch at a time. [`CommitOutcome`] says what became of the
+//! batch. What the workers are asked to do comes out as [`CellEffect`]s: a
+//! [`StartOrder`] only after its assignment is in the journal.
+
+mod cell_effect;
+mod cell_owner;
+mod claiming_phase;
+mod commit_outcome;
+mod open_phase;
+mod report_view;
+mod session_order;
+mod settling_attempt;
+mod sighted_phase;
+mod start_order;
+mod stop_order;
+mod task_sighting;
+mod worker_choice;
+mod worker_facts;
+mod worker_view;
+
+use settling_attempt::SettlingAttempt;
+
+pub use cell_effect::CellEffect;
+pub use cell_owner::CellOwner;
+pub use claiming_phase::ClaimingPhase;
+pub use commit_outcome::CommitOutcome;
+pub use open_phase::OpenPhase;
+pub use report_view::ReportView;
+
+pub use session_order::SessionOrder;
+pub use sighted_phase::SightedPhase;
+pub use start_order::StartOrder;
+pub use stop_order::StopOrder;
+pub use task_sighting::TaskSighting;
+pub use worker_facts::WorkerFacts;
--- /dev/null
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -0,0 +1,254 @@
+//! The owner of a cell, in each phase of its ownership.
+
+use crate::journal::CellTransition;
+use crate::journal::EntryBody;
+use crate::journal::JobOrder;
+use crate::journal::JournalEntry;
+use crate::journal::OwnerMark;
+use crate::owner::ClaimingPhase;
+use crate::owner::OpenPhase;
+use crate::state::AssignedPhase;
+use crate::state::CellState;
+use crate::state::RequestKey;
+use crate::state::RequestRecord;
+use crate::state::TaskEntry;
+use crate::state::TaskOutcome;
+use crate::state::TransitionFault;
+mod batch_commits;
+mod start_planning;
+mod worker_list;
+mod worker_reports;
+
+use sapphirestile_core::CellEpoch;
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::JobName;
+use sapphirestile_core::JournalSequence;
+use sapphirestile_core::TaskName;
+
+/// The owner of a cell in one phase of its ownership.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_cells::CellOwner;
+/// use sapphirestile_cells::CellState;
+/// use sapphirestile_cells::OwnerMark;
+/// use sapphirestile_core::CellNumber;
+/// use sapphirestile_core::DaemonName;
+/// use sapphirestile_core::IncarnationNumber;
+///
+/// let daemon = DaemonName::try_from("entry-1").unwrap();
+/// let mark = OwnerMark { daemon, incarnation: IncarnationNumber::new(1) };
+/// let claiming = CellOwner::claim(CellNumber::new(0), mark, CellState::default(), 77);
+/// assert_eq!(claiming.entry().sequence.get(), 1);
+/// let open = claiming.claimed();
+/// assert_eq!(open.state().epoch().get(), 1);
+/// ```
+#[derive(Debug)]
+pub struct CellOwner<Phase> {
+    cell: CellNumber,
+    mark: OwnerMark,
+    state: CellState,
+    phase: Phase,
+}
+
+impl<Phase> CellOwner<Phase> {
+    /// The cell.
+    #[must_use]
+    pub const fn cell(&self) -> CellNumber {
+        self.cell
+    }
+
+    /// The cell's state, with changes that are not in the journal yet.
+    #[must_use]
+    pub const fn state(&self) -> &CellState {
+        &self.state
+    }
+}
+
+impl CellOwner<ClaimingPhase> {
+    /// Claims a cell whose journal folds to `state`.
+    #[must_use]
+    pub fn claim(cell: CellNumber, mark: OwnerMark, state: CellState, nonce: u64) -> Self {
+        let sequence = state.sequence().next();
+        let body = EntryBody::Claim;
+        let entry = JournalEntry {
+            sequence,
+            writer: mark.clone(),
+            nonce,
+            body,
+        };
+        Self {
+            cell,
+            mark,
+            state,
+            phase: ClaimingPhase { entry },
+        }
+    }
+
+    /// The claim to commit.
+    #[must_use]
+    pub const fn entry(&self) -> &JournalEntry {
+        &self.phase.entry
+    }
+
+    /// Takes note that the claim is in the journal.
+    #[must_use]
+    pub fn claimed(mut self) -> CellOwner<OpenPhase> {
+        self.state.fold(&self.phase.entry);
+        let Self {
+            cell, mark, state, ..
+        } = self;
+        CellOwner {
+            cell,
+            mark,
+            state,
+            phase: OpenPhase::default(),
+        }
+    }
+}
+
+impl CellOwner<OpenPhase> {
+    /// The fencing token of this claim.
+    #[must_use]
+    pub const fn epoch(&self) -> CellEpoch {
+        self.state.epoch()
+    }
+
+    /// How many running attempts were asked to stop for the worker's sake.
+    #[must_use]
+    pub const fn evictions(&self) -> u64 {
+        self.phase.evictions
+    }
+
+    /// Submits a job.
+    ///
+    /// # Errors
+    ///
+    /// [`TransitionFault::AlreadySubmitted`] when it is known already, and the
+    /// reason when it cannot be taken.
+    pub fn submit_job(&mut self, order: &JobOrder) -> Result<(), TransitionFault> {
+        self.propose(CellTransition::JobSubmitted(order.clone()))
+    }
+
+    /// Cancels a job.
+    ///
+    /// # Errors
+    ///
+    /// When the job is unknown or was cancelled before.
+    pub fn cancel_job(&mut self, job: &JobName) -> Result<(), TransitionFault> {
+        self.propose(CellTransition::JobCancelled(job.clone()))
+    }
+
+    /// Records a request that must not run twice.
+    ///
+    /// # Errors
+    ///
+    /// [`TransitionFault::AlreadyRecorded`] when its key was recorded before.
+    pub fn record_request(
+        &mut self,
+        key: &RequestKey,
+        record: &RequestRecord,
+    ) -> Result<(), TransitionFault> {
+        let (key, record) = (key.clone(), record.clone());
+        self.propose(CellTransition::RequestRecorded { key, record })
+    }
+
+    /// Whether every change is in the journal and no call is on its way.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        let calling = self
+            .phase
+            .workers
+            .values()
+            .any(|view| view.asking || view.starts > 0);
+        self.phase.flight.is_none() && self.phase.pending.is_empty() && !calling
+    }
+
+    /// The entry that gives the cell up.
+    ///
+    /// # Panics
+    ///
+    /// When the owner is not quiet.
+    #[must_use]
+    pub fn release(self, nonce: u64) -> JournalEntry {
+        assert!(
+            self.is_quiet(),
+            "a cell was released with changes in flight"
+        );
+        let sequence = self.state.sequence().next();
+        JournalEntry {
+            sequence,
+            writer: self.mark,
+            nonce,
+            body: EntryBody::Release,
+        }
+    }
+
+    /// Whether the journal's next entry is to carry a snapshot.
+    #[must_use]
+    pub const fn snapshot_due(&self, entries: u64) -> bool {
+        self.state.sequence().get().is_multiple_of(entries)
+    }
+
+    /// The place of the latest entry in the journal.
+    #[must_use]
+    pub const fn sequence(&self) -> JournalSequence {
+        self.state.sequence()
+    }
+
+    fn propose(&mut self, transition: CellTransition) -> Result<(), TransitionFault> {
+        self.state.apply(&transition)?;
+        self.phase.pending.push(transition);
+        Ok(())
+    }
+
+    fn propose_sure(&mut self, transition: CellTransition) {
+        let proposed = self.propose(transition);
+        assert!(
+            proposed.is_ok(),
+            "a change that was just checked does not fit: {proposed:?}"
+        );
+    }
+
+    fn assigned_to(&self, worker: &str) -> Vec<(TaskName, AssignedPhase)> {
+        let mut found = Vec::new();
+        for (task, entry) in self.state.tasks().iter() {
+            if let TaskEntry::Assigned(cycle) = entry
+                && cycle.phase().worker.as_str() == worker
+            {
+                found.push((task.clone(), cycle.phase().clone()));
+            }
+        }
+        found
+    }
+
+    fn is_withheld(&self, task: &TaskName) -> bool {
+        self.phase.withheld.iter().any(|start| start.task == *task)
+    }
+
+    fn return_task(
+        &mut self,
+        task: &TaskName,
+        cycle: &AssignedPhase,
+        checkpoint_ms: u64,
+        failed: bool,
+    ) {
+        let (task, attempt) = (task.clone(), cycle.attempt);
+        self.propose_sure(CellTransition::TaskReturned {
+            task,
+            attempt,
+            checkpoint_ms,
+            failed,
+        });
+    }
+
+    fn end_task(&mut self, task: &TaskName, cycle: &AssignedPhase, outcome: TaskOutcome) {
+        let (task, attempt) = (task.clone(), cycle.attempt);
+        self.propose_sure(CellTransition::TaskEnded {
+            task,
+            attempt,
+            outcome,
+        });
+    }
+}
--- /dev/null
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -0,0 +1,184 @@
+//! What an owner learns from reports of workers.
+
+use crate::journal::CellTransition;
+use crate::owner::CellOwner;
+use crate::owner::OpenPhase;
+use crate::owner::ReportView;
+use crate::owner::SettlingAttempt;
+use crate::owner::SightedPhase;
+use crate::owner::StopOrder;
+use crate::owner::TaskSighting;
+use crate::state::AssignedPhase;
+use crate::state::TaskEntry;
+use crate::state::TaskOutcome;
+use sapphirestile_core::AttemptNumber;
+use sapphirestile_core::JournalSequence;
+use sapphirestile_core::TaskName;
+
+const FAILURES_MAX: u32 = 3;
+const CHECKPOINT_STEP_MS: u64 = 60_000;
+
+impl CellOwner<OpenPhase> {
+    /// Takes a worker's report in.
+    ///
+    /// A report of any session but the latest asked for is dropped.
+    pub fn observe_report(&mut self, report: &ReportView<'_>) {
+        let Some(view) = self.phase.workers.get_mut(report.worker) else {
+            return;
+        };
+        if !view.asking || view.ordinal != report.ordinal {
+            return;
+        }
+        view.asking = false;
+        view.permit = Some(report.permit);
+        for sighting in report.tasks {
+            self.observe_sighting(report.worker, sighting);
+        }
+        self.return_missing(report);
+    }
+
+    fn observe_sighting(&mut self, worker: &str, sighting: &TaskSighting) {
+        let Some(cycle) = self.current_cycle(worker, sighting) else {
+            self.settle_stray(worker, sighting);
+            return;
+        };
+        let TaskSighting {
+            task,
+            attempt,
+            checkpoint_ms,
+            ..
+        } = sighting;
+        match sighting.phase {
+            SightedPhase::Running => self.observe_running(worker, sighting, &cycle),
+            SightedPhase::Finished => {
+                self.end_task(task, &cycle, TaskOutcome::Finished);
+                self.settle(worker, task, *attempt);
+            }
+            SightedPhase::Failed if cycle.failures + 1 >= FAILURES_MAX => {
+                self.end_task(task, &cycle, TaskOutcome::Failed);
+                self.settle(worker, task, *attempt);
+            }
+            SightedPhase::Failed => {
+                self.return_task(task, &cycle, *checkpoint_ms, true);
+                self.settle(worker, task, *attempt);
+            }
+            SightedPhase::Stopped => {
+                self.return_task(task, &cycle, *checkpoint_ms, false);
+                self.settle(worker, task, *attempt);
+            }
+        }
+    }
+
+    fn observe_running(&mut self, worker: &str, sighting: &TaskSighting, cycle: &AssignedPhase) {
+        let TaskSighting {
+            task,
+            attempt,
+            checkpoint_ms,
+            ..
+        } = sighting;
+        if *checkpoint_ms >= cycle.checkpoint_ms + CHECKPOINT_STEP_MS {
+            let (task, attempt, checkpoint_ms) = (task.clone(), *attempt, *checkpoint_ms);
+            self.propose_sure(CellTransition::TaskCheckpointed {
+                task,
+                attempt,
+                checkpoint_ms,
+            });
+        }
+        let cancelled = self
+            .state
+            .jobs()
+            .get(&task.job)
+            .is_some_and(|job| job.cancelled);
+        let leaves = self
+            .phase
+            .workers
+            .get(worker)
+            .is_some_and(|view| !view.facts.takes_work);
+        if cancelled || leaves {
+            self.phase.evictions += u64::from(leaves);
+            self.stop_attempt(worker, sighting, !cancelled);
+        }
+    }
+
+    /// An attempt that is not the task's current one on this worker: it must not
+    /// run on, and nothing that it reports counts.
+    fn settle_stray(&mut self, worker: &str, sighting: &TaskSighting) {
+        if sighting.phase == SightedPhase::Running {
+            self.stop_attempt(worker, sighting, false);
+        } else {
+            self.settle(worker, &sighting.task, sighting.attempt);
+        }
+    }
+
+    fn stop_attempt(&mut self, worker: &str, sighting: &TaskSighting, checkpoint: bool) {
+        let Some(view) = self.phase.workers.get(worker) else {
+            return;
+        };
+        self.phase.stops.push(StopOrder {
+            worker: view.facts.worker.clone(),
+            epoch: self.state.epoch(),
+            task: sighting.task.clone(),
+            attempt: sighting.attempt,
+            checkpoint,
+        });
+    }
+
+    /// Returns the worker's tasks that its report does not show. The session
+    /// voided the permits of all starts sent before it, so they cannot take
+    /// effect any more.
+    fn return_missing(&mut self, report: &ReportView<'_>) {
+        for (task, cycle) in self.assigned_to(report.worker) {
+            let shown = report
+                .tasks
+                .iter()
+                .any(|sighting| sighting.task == task && sighting.attempt == cycle.attempt);
+            if !shown && !self.is_withheld(&task) {
+                self.return_task(&task, &cycle, 0, false);
+            }
+        }
+    }
+
+    fn current_cycle(&self, worker: &str, sighting: &TaskSighting) -> Option<AssignedPhase> {
+        match self.state.tasks().get(&sighting.task)? {
+            TaskEntry::Assigned(cycle)
+                if cycle.phase().attempt == sighting.attempt
+                    && cycle.phase().worker.as_str() == worker =>
+            {
+                Some(cycle.phase().clone())
+            }
+            _ => None,
+        }
+    }
+
+    /// Lets the worker forget an ended attempt, but only once all that was
+    /// proposed so far is in the journal: until then the report is still needed.
+    fn settle(&mut self, worker: &str, task: &TaskName, attempt: AttemptNumber) {
+        let Some(view) = self.phase.workers.get(worker) else {
+            return;
+        };
+        let worker = view.facts.worker.clone();
+        let sequence = self.last_proposed();
+        let task = task.clone();
+        self.phase.settling.push(SettlingAttempt {
+            worker,
+            task,
+            attempt,
+            sequence,
+        });
+        if sequence == self.state.sequence() {
+            self.release_settled();
+        }
+    }
+
+    /// The place of the entry that will hold the latest proposed change.
+    fn last_proposed(&self) -> JournalSequence {
+        let mut sequence = self.state.sequence();
+        if self.phase.flight.is_some() {
+            sequence = sequence.next();
+        }
+        if !self.phase.pending.is_empty() {
+            sequence = sequence.next();
+        }
+        sequence
+    }
+}
--- /dev/null
+++ b/crates/cells/src/owner/open_phase.rs
@@ -0,0 +1,29 @@
+//! The phase of an owner whose claim is in the journal.
+
+use crate::journal::CellTransition;
+use crate::journal::JournalEntry;
+use crate::owner::SettlingAttempt;
+use crate::owner::StartOrder;
+use crate::owner::StopOrder;
+use crate::owner::worker_view::WorkerView;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::SortedTable;
+use sapphirestile_core::WorkerName;
+
+/// The cell is owned, as far as the owner knows.
+#[derive(Debug, Default)]
+pub struct OpenPhase {
+    pub(super) workers: SortedTable<WorkerName, WorkerView>,
+    /// Applied to the state, not yet handed out in a batch.
+    pub(super) pending: Vec<CellTransition>,
+    /// Handed out, with no outcome yet.
+    pub(super) flight: Option<JournalEntry>,
+    /// Starts whose assignments are not in the journal yet.
+    pub(super) withheld: Vec<StartOrder>,
+    /// Ended attempts that workers may forget once their ends are in the journal.
+    pub(super) settling: Vec<SettlingAttempt>,
+    /// Since when a known worker has not been on the VM list.
+    pub(super) unlisted: SortedTable<WorkerName, MonoTime>,
+    pub(super) stops: Vec<StopOrder>,
+    pub(super) evictions: u64,
+}
--- /dev/null
+++ b/crates/cells/src/owner/worker_view.rs
@@ -0,0 +1,58 @@
+//! An owner's view of a worker.
+
+use crate::owner::WorkerFacts;
+use sapphirestile_core::AttemptNumber;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::TaskName;
+
+/// What the owner knows of a worker; none of it lasts.
+#[derive(Clone, Debug)]
+pub struct WorkerView {
+    pub facts: WorkerFacts,
+    /// How many sessions were asked for.
+    pub ordinal: u64,
+    /// Whether a session was asked for and has not been answered.
+    pub asking: bool,
+    /// When the latest session was asked for.
+    pub asked: Option<MonoTime>,
+    /// The permit, from the report until the next session is asked for.
+    pub permit: Option<u64>,
+    /// How many starts are on their way, from their proposal to their answer.
+    pub starts: u32,
+    /// Ended attempts that the worker may forget.
+    pub settled: Vec<(TaskName, AttemptNumber)>,
+}
+
+impl WorkerView {
+    pub const fn new(facts: WorkerFacts) -> Self {
+        Self {
+            facts,
+            ordinal: 0,
+            asking: false,
+            asked: None,
+            permit: None,
+            starts: 0,
+            settled: Vec::new(),
+        }
+    }
+
+    /// Whether nothing is on its way to the worker and `now` is time to renew.
+    pub fn session_due(&self, now: MonoTime, interval_ms: u64) -> bool {
+        let rested = self
+            .asked
+            .is_none_or(|asked| now.millis_since(asked) >= interval_ms);
+        rested && !self.asking && self.starts == 0
+    }
+
+    /// The permit, while it is fresh enough to commit against.
+    pub fn usable_permit(&self, now: MonoTime, fresh_ms: u64) -> Option<u64> {
+        let fresh = self
+            .asked
+            .is_some_and(|asked| now.millis_since(asked) <= fresh_ms);
+        if fresh && !self.asking {
+            self.permit
+        } else {
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/cells/src/state.rs
@@ -0,0 +1,27 @@
+//! What lasts of a cell.
+//!
+//! [`CellState`] is the fold of the journal. Its tasks are [`TaskCycle`]s in one
+//! of the phases [`WaitingPhase`], [`AssignedPhase`] and [`EndedPhase`], stored
+//! as [`TaskEntry`]s. A change that does not fit is a [`TransitionFault`] and
+//! leaves the state as it was.
+
+mod cell_state;
+mod job_record;
+mod request_key;
+mod request_record;
+mod task_cycle;
+mod task_entry;
+mod task_outcome;
+mod transition_fault;
+
+pub use cell_state::CellState;
+pub use job_record::JobRecord;
+pub use request_key::RequestKey;
+pub use request_record::RequestRecord;
+pub use task_cycle::AssignedPhase;
+pub use task_cycle::EndedPhase;
+pub use task_cycle::TaskCycle;
+pub use task_cycle::WaitingPhase;
+pub use task_entry::TaskEntry;
+pub use task_outcome::TaskOutcome;
+pub use transition_fault::TransitionFault;
--- /dev/null
+++ b/crates/cells/src/state/cell_state.rs
@@ -0,0 +1,342 @@
+//! The lasting state of a cell.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::journal::CellTransition;
+use crate::journal::EntryBody;
+use crate::journal::JobOrder;
+use crate::journal::JournalEntry;
+use crate::journal::OwnerMark;
+use crate::state::AssignedPhase;
+use crate::state::JobRecord;
+use crate::state::RequestKey;
+use crate::state::RequestRecord;
+use crate::state::TaskCycle;
+use crate::state::TaskEntry;
+use crate::state::TaskOutcome;
+use crate::state::TransitionFault;
+use sapphirestile_core::AttemptNumber;
+use sapphirestile_core::CellEpoch;
+use sapphirestile_core::JobName;
+use sapphirestile_core::JournalSequence;
+use sapphirestile_core::SortedTable;
+use sapphirestile_core::TaskIndex;
+use sapphirestile_core::TaskName;
+
+/// The most tasks of one job.
+pub const TASKS_MAX: u32 = 10_000;
+
+/// The fold of a cell's journal.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_cells::CellState;
+///
+/// let state = CellState::default();
+/// assert_eq!(state.sequence().get(), 0);
+/// assert!(state.owner().is_none());
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CellState {
+    sequence: JournalSequence,
+    epoch: CellEpoch,
+    owner: Option<OwnerMark>,
+    jobs: SortedTable<JobName, JobRecord>,
+    tasks: SortedTable<TaskName, TaskEntry>,
+    records: SortedTable<RequestKey, RequestRecord>,
+}
+
+impl CellState {
+    /// The place of the latest entry folded in.
+    #[must_use]
+    pub const fn sequence(&self) -> JournalSequence {
+        self.sequence
+    }
+
+    /// The epoch of the latest claim.
+    #[must_use]
+    pub const fn epoch(&self) -> CellEpoch {
+        self.epoch
+    }
+
+    /// Who owns the cell; nobody after a release.
+    #[must_use]
+    pub const fn owner(&self) -> Option<&OwnerMark> {
+        self.owner.as_ref()
+    }
+
+    /// The jobs by name.
+    #[must_use]
+    pub const fn jobs(&self) -> &SortedTable<JobName, JobRecord> {
+        &self.jobs
+    }
+
+    /// The tasks by name.
+    #[must_use]
+    pub const fn tasks(&self) -> &SortedTable<TaskName, TaskEntry> {
+        &self.tasks
+    }
+
+    /// The requests that must not run twice, by key.
+    #[must_use]
+    pub const fn records(&self) -> &SortedTable<RequestKey, RequestRecord> {
+        &self.records
+    }
+
+    /// Folds the next entry in.
+    ///
+    /// # Panics
+    ///
+    /// When the entry is not the next one, or was not written by the owner: a
+    /// journal cannot hold such an entry.
+    pub fn fold(&mut self, entry: &JournalEntry) {
+        self.check_place(entry);
+        match &entry.body {
+            EntryBody::Claim => {
+                self.owner = Some(entry.writer.clone());
+                self.epoch = CellEpoch::new(entry.sequence.get());
+            }
+            EntryBody::Release => self.owner = None,
+            EntryBody::Batch(transitions) => self.fold_batch(transitions),
+        }
+        self.sequence = entry.sequence;
+    }
+
+    /// Takes note of an entry whose transitions were already applied one by one.
+    pub(crate) fn note_applied(&mut self, entry: &JournalEntry) {
+        self.check_place(entry);
+        self.sequence = entry.sequence;
+    }
+
+    /// Applies one change.
+    ///
+    /// # Errors
+    ///
+    /// The reason when the change does not fit; the state then stays as it was.
+    pub fn apply(&mut self, transition: &CellTransition) -> Result<(), TransitionFault> {
+        match transition {
+            CellTransition::JobSubmitted(order) => self.submit_job(order),
+            CellTransition::JobCancelled(job) => self.cancel_job(job),
+            CellTransition::TaskAssigned {
+                task,
+                attempt,
+                worker,
+            } => {
+                self.check_assignable(task, *attempt)?;
+                self.replace(task, |entry| match entry {
+                    TaskEntry::Waiting(cycle) => {
+                        TaskEntry::Assigned(cycle.assign(*attempt, worker))
+                    }
+                    other => other,
+                });
+                Ok(())
+            }
+            CellTransition::TaskCheckpointed {
+                task,
+                attempt,
+                checkpoint_ms,
+            } => self.move_assigned(task, *attempt, |cycle| {
+                TaskEntry::Assigned(cycle.checkpoint(*checkpoint_ms))
+            }),
+            CellTransition::TaskReturned {
+                task,
+                attempt,
+                checkpoint_ms,
+                failed,
+            } => self.give_task_back(task, *attempt, *checkpoint_ms, *failed),
+            CellTransition::TaskEnded {
+                task,
+                attempt,
+                outcome,
+            } => {
+                self.move_assigned(task, *attempt, |cycle| {
+                    TaskEntry::Ended(cycle.end(*outcome))
+                })?;
+                self.count_ended(&task.job, 1);
+                Ok(())
+            }
+            CellTransition::RequestRecorded { key, record } => self.record_request(key, record),
+        }
+    }
+
+    /// Takes an assignment back that never reached the journal.
+    pub(crate) fn withdraw(&mut self, task: &TaskName, attempt: AttemptNumber) {
+        let checked = self.give_task_back(task, attempt, 0, false);
+        assert!(
+            checked.is_ok(),
+            "an assignment in flight was changed before its commit"
+        );
+    }
+
+    /// Forgets jobs that have ended, and requests recorded before `unix_s`.
+    pub(crate) fn forget(&mut self, keep_job: impl Fn(&JobName) -> bool, unix_s: u64) {
+        self.jobs
+            .retain(|job, record| record.open_tasks > 0 || keep_job(job));
+        let jobs = &self.jobs;
+        self.tasks.retain(|task, _| jobs.contains(&task.job));
+        self.records
+            .retain(|_, record| record.recorded_unix_s >= unix_s);
+    }
+
+    fn check_place(&self, entry: &JournalEntry) {
+        assert_eq!(
+            entry.sequence,
+            self.sequence.next(),
+            "a journal entry is out of place"
+        );
+        let claims = matches!(entry.body, EntryBody::Claim);
+        let owns = self.owner.as_ref() == Some(&entry.writer);
+        assert!(
+            claims || owns,
+            "a journal entry was not written by the owner"
+        );
+    }
+
+    fn fold_batch(&mut self, transitions: &[CellTransition]) {
+        for transition in transitions {
+            let applied = self.apply(transition);
+            assert!(
+                applied.is_ok(),
+                "a journal holds a change that does not fit: {applied:?}"
+            );
+        }
+    }
+
+    fn submit_job(&mut self, order: &JobOrder) -> Result<(), TransitionFault> {
+        if let Some(known) = self.jobs.get(&order.job) {
+            let same = known.order == *order;
+            let fault = if same {
+                TransitionFault::AlreadySubmitted
+            } else {
+                TransitionFault::NameTaken
+            };
+            return Err(fault);
+        }
+        if !(1..=TASKS_MAX).contains(&order.tasks) {
+            return Err(TransitionFault::TaskCount);
+        }
+        let open_tasks = order.tasks;
+        let record = JobRecord {
+            order: order.clone(),
+            cancelled: false,
+            open_tasks,
+        };
+        self.jobs.insert(order.job.clone(), record);
+        for index in 0..order.tasks {
+            let task = TaskName {
+                job: order.job.clone(),
+                index: TaskIndex::new(index),
+            };
+            self.tasks
+                .insert(task, TaskEntry::Waiting(TaskCycle::submitted()));
+        }
+        Ok(())
+    }
+
+    fn cancel_job(&mut self, job: &JobName) -> Result<(), TransitionFault> {
+        let record = self.jobs.get_mut(job).ok_or(TransitionFault::UnknownJob)?;
+        if record.cancelled {
+            return Err(TransitionFault::Cancelled);
+        }
+        record.cancelled = true;
+        let mut ended = 0;
+        for (task, entry) in self.tasks.iter_mut() {
+            if task.job == *job
+                && let TaskEntry::Waiting(cycle) = entry
+            {
+                *entry = TaskEntry::Ended(cycle.clone().end(TaskOutcome::Cancelled));
+                ended += 1;
+            }
+        }
+        self.count_ended(job, ended);
+        Ok(())
+    }
+
+    fn give_task_back(
+        &mut self,
+        task: &TaskName,
+        attempt: AttemptNumber,
+        checkpoint_ms: u64,
+        failed: bool,
+    ) -> Result<(), TransitionFault> {
+        let cancelled = self
+            .jobs
+            .get(&task.job)
+            .is_some_and(|record| record.cancelled);
+        self.move_assigned(task, attempt, |cycle| {
+            let waiting = cycle.give_back(checkpoint_ms, failed);
+            if cancelled {
+                TaskEntry::Ended(waiting.end(TaskOutcome::Cancelled))
+            } else {
+                TaskEntry::Waiting(waiting)
+            }
+        })?;
+        if cancelled {
+            self.count_ended(&task.job, 1);
+        }
+        Ok(())
+    }
+
+    fn record_request(
+        &mut self,
+        key: &RequestKey,
+        record: &RequestRecord,
+    ) -> Result<(), TransitionFault> {
+        if self.records.contains(key) {
+            return Err(TransitionFault::AlreadyRecorded);
+        }
+        self.records.insert(key.clone(), record.clone());
+        Ok(())
+    }
+
+    fn check_assignable(
+        &self,
+        task: &TaskName,
+        attempt: AttemptNumber,
+    ) -> Result<(), TransitionFault> {
+        match self.tasks.get(task) {
+            Some(TaskEntry::Waiting(cycle)) if attempt > cycle.phase().attempt => Ok(()),
+            Some(TaskEntry::Waiting(_)) => Err(TransitionFault::OldAttempt),
+            Some(_) => Err(TransitionFault::WrongPhase),
+            None => Err(TransitionFault::UnknownTask),
+        }
+    }
+
+    fn move_assigned(
+        &mut self,
+        task: &TaskName,
+        attempt: AttemptNumber,
+        change: impl FnOnce(TaskCycle<AssignedPhase>) -> TaskEntry,
+    ) -> Result<(), TransitionFault> {
+        match self.tasks.get(task) {
+            Some(TaskEntry::Assigned(cycle)) if cycle.phase().attempt == attempt => {}
+            Some(TaskEntry::Assigned(_)) => return Err(TransitionFault::OldAttempt),
+            Some(_) => return Err(TransitionFault::WrongPhase),
+            None => return Err(TransitionFault::UnknownTask),
+        }
+        self.replace(task, |entry| match entry {
+            TaskEntry::Assigned(cycle) => change(cycle),
+            other => other,
+        });
+        Ok(())
+    }
+
+    fn replace(&mut self, task: &TaskName, change: impl FnOnce(TaskEntry) -> TaskEntry) {
+        if let Some(place) = self.tasks.get_mut(task) {
+            let entry = std::mem::replace(place, TaskEntry::Waiting(TaskCycle::submitted()));
+            *place = change(entry);
+        }
+    }
+
+    fn count_ended(&mut self, job: &JobName, tasks: u32) {
+        if let Some(record) = self.jobs.get_mut(job) {
+            assert!(
+                record.open_tasks >= tasks,
+                "a job ended more tasks than it has"
+            );
+            record.open_tasks -= tasks;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cells/src/state/request_record.rs
@@ -0,0 +1,15 @@
+//! The record of a request that must not run twice.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::journal::OwnerMark;
+
+/// The record of a request, made before its first byte leaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestRecord {
+    /// The daemon that sends it.
+    pub sender: OwnerMark,
+    /// When it was recorded, in seconds of the Unix epoch.
+    pub recorded_unix_s: u64,
+}
