Add messages between daemons with a keyed hash

Cause: daemons forward submissions to a cell's owner and tell each other what they own; nothing on their ports may be taken from a stranger.

Ruled out: TLS between daemons (certificates to hand out to diskless VMs that are replaced at any time); a shared secret with a keyed hash needs one setting. It hides nothing, which is said in the design.

Before: no messages.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,5 +4,6 @@
 //! Messages between daemons are `postcard` frames with a keyed hash.
 
 pub mod api;
+pub mod peer;
 pub mod vms;
 pub mod worker;
--- /dev/null
+++ b/crates/wire/src/peer/peer_answer.rs
@@ -0,0 +1,32 @@
+//! What a peer answers.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::api::JobSubmission;
+use crate::api::JobSummary;
+use crate::api::JobView;
+use crate::api::StoredDocument;
+use crate::peer::PeerFault;
+use sapphirestile_core::ConfigRevision;
+
+/// A peer's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerAnswer {
+    /// The peer is there.
+    Pong,
+    /// The configuration that is in force at the peer, if it is newer.
+    Document(Option<(ConfigRevision, StoredDocument)>),
+    /// The job as it stands.
+    Job(JobView),
+    /// The jobs of a cell.
+    Jobs(Vec<JobSummary>),
+    /// A different job has the name.
+    NameTaken(JobSubmission),
+    /// The request was recorded and may be sent.
+    Recorded,
+    /// The request was recorded before and must not be sent again.
+    AlreadyRecorded,
+    /// The call failed.
+    Fault(PeerFault),
+}
