Add the bodies of the store's JSON gateway

Cause: the client of the store and its stand-in need the same bodies, and bodies of HTTP calls live in crates/wire. Ruled out: bodies of their own in the client and in the stand-in, which would stand twice. Conclusion: wire gains the module store, with numbers and bytes read by visitors that bound them before they are decoded.

--- /dev/null
+++ b/crates/wire/src/store/base64_bytes.rs
@@ -0,0 +1,89 @@
+//! Bytes in JSON text.
+
+use std::borrow::Cow;
+
+use base64::Engine;
+use base64::display::Base64Display;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+use serde::Serializer;
+use serde::de::Error;
+use serde::de::Visitor;
+
+use crate::store::VALUE_MAX_BYTES;
+
+/// The longest base64 text that is read, in characters.
+const TEXT_MAX_CHARS: usize = VALUE_MAX_BYTES.div_ceil(3) * 4;
+
+/// Bytes, written as base64 text. Text for more than [`VALUE_MAX_BYTES`] is refused.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_wire::store::Base64Bytes;
+///
+/// let bytes = Base64Bytes::from(b"foo".as_slice());
+/// assert_eq!(serde_json::to_string(&bytes).unwrap(), "\"Zm9v\"");
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Base64Bytes<'a>(Cow<'a, [u8]>);
+
+impl Base64Bytes<'_> {
+    /// The bytes.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// The bytes, owned.
+    #[must_use]
+    pub fn into_vec(self) -> Vec<u8> {
+        self.0.into_owned()
+    }
+}
+
+impl<'a> From<&'a [u8]> for Base64Bytes<'a> {
+    fn from(bytes: &'a [u8]) -> Self {
+        Self(Cow::Borrowed(bytes))
+    }
+}
+
+impl From<Vec<u8>> for Base64Bytes<'_> {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self(Cow::Owned(bytes))
+    }
+}
+
+impl Serialize for Base64Bytes<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&Base64Display::new(&self.0, &STANDARD))
+    }
+}
+
+impl<'de> Deserialize<'de> for Base64Bytes<'_> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_str(BytesVisitor)
+    }
+}
+
+struct BytesVisitor;
+
+impl Visitor<'_> for BytesVisitor {
+    type Value = Base64Bytes<'static>;
+
+    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("base64 text of at most a megabyte of bytes")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<Self::Value, E> {
+        if text.len() > TEXT_MAX_CHARS {
+            return Err(E::invalid_length(text.len(), &self));
+        }
+        STANDARD
+            .decode(text)
+            .map(|bytes| Base64Bytes(Cow::Owned(bytes)))
+            .map_err(E::custom)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/store/decimal_number.rs
@@ -0,0 +1,88 @@
+//! A whole number in JSON text.
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+use serde::Serializer;
+use serde::de::Error;
+use serde::de::Visitor;
+
+/// A whole number, written as JSON text and read from text or number.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_wire::store::DecimalNumber;
+///
+/// assert_eq!(serde_json::to_string(&DecimalNumber::new(7)).unwrap(), "\"7\"");
+/// let number: DecimalNumber = serde_json::from_str("7").unwrap();
+/// assert_eq!(number.get(), 7);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct DecimalNumber(i64);
+
+impl DecimalNumber {
+    /// Wraps a plain number.
+    #[must_use]
+    pub const fn new(number: i64) -> Self {
+        Self(number)
+    }
+
+    /// The plain number.
+    #[must_use]
+    pub const fn get(self) -> i64 {
+        self.0
+    }
+
+    /// The number as a revision; none when it is negative.
+    #[must_use]
+    pub const fn revision(self) -> Option<u64> {
+        if self.0 < 0 {
+            None
+        } else {
+            Some(self.0.cast_unsigned())
+        }
+    }
+}
+
+impl TryFrom<u64> for DecimalNumber {
+    type Error = std::num::TryFromIntError;
+
+    fn try_from(number: u64) -> Result<Self, Self::Error> {
+        i64::try_from(number).map(Self)
+    }
+}
+
+impl Serialize for DecimalNumber {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for DecimalNumber {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(DecimalVisitor)
+    }
+}
+
+struct DecimalVisitor;
+
+impl Visitor<'_> for DecimalVisitor {
+    type Value = DecimalNumber;
+
+    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("a whole number or its decimal text")
+    }
+
+    fn visit_i64<E: Error>(self, number: i64) -> Result<Self::Value, E> {
+        Ok(DecimalNumber(number))
+    }
+
+    fn visit_u64<E: Error>(self, number: u64) -> Result<Self::Value, E> {
+        DecimalNumber::try_from(number).map_err(E::custom)
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<Self::Value, E> {
+        text.parse().map(DecimalNumber).map_err(E::custom)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/store/range_call.rs
@@ -0,0 +1,16 @@
+//! Reads rows.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::store::Base64Bytes;
+
+/// Reads the rows from `key` up to, and not including, `range_end`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RangeCall<'a> {
+    /// The first key.
+    pub key: Base64Bytes<'a>,
+    /// The first key left out; empty for `key` alone, a zero byte for no end.
+    #[serde(default, alias = "rangeEnd")]
+    pub range_end: Base64Bytes<'a>,
+}
