Add the clients of store, VM list, workers and runners

Cause: daemons reach the platform over HTTP and decide on what is known of a call: done, not run, or unknown. Ruled out: taking status 503 of the store as proof that nothing ran, since the published API answers it as well when a call that it had begun timed out; only 'no leader' beside it counts. Taking a connection's time-out as proof, since oxhttp reports it with the same kind of error as some later ones. Conclusion: one HttpClient over oxhttp, four clients above it.

--- /dev/null
+++ b/crates/platform/src/http/call_limits.rs
@@ -0,0 +1,12 @@
+//! How long and how large a call may be.
+
+use std::time::Duration;
+
+/// Bounds of one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallLimits {
+    /// The longest wait for the connection, and again for each part of the answer.
+    pub timeout: Duration,
+    /// The largest body of an answer, in bytes.
+    pub answer_max_bytes: usize,
+}
--- /dev/null
+++ b/crates/platform/src/http/call_request.rs
@@ -0,0 +1,61 @@
+//! What a call sends.
+
+use crate::http::HeaderView;
+
+/// A request, borrowed from whoever sends it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallRequest<'a> {
+    /// The method, such as `POST`.
+    pub method: &'a str,
+    /// The path, with its query if any, beginning with `/`.
+    pub path: &'a str,
+    /// The headers, without those that frame the body.
+    pub headers: &'a [HeaderView<'a>],
+    /// The body.
+    pub body: &'a [u8],
+}
+
+impl<'a> CallRequest<'a> {
+    /// Posts a JSON body.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_platform::http::CallRequest;
+    ///
+    /// let request = CallRequest::post_json("/v3/kv/range", b"{}");
+    /// assert_eq!(request.method, "POST");
+    /// assert_eq!(request.headers[0].name, "content-type");
+    /// ```
+    #[must_use]
+    pub const fn post_json(path: &'a str, body: &'a [u8]) -> Self {
+        Self {
+            method: "POST",
+            path,
+            headers: &[HeaderView {
+                name: "content-type",
+                value: b"application/json",
+            }],
+            body,
+        }
+    }
+
+    /// Gets a path.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_platform::http::CallRequest;
+    ///
+    /// assert_eq!(CallRequest::get("/v1/vms").method, "GET");
+    /// ```
+    #[must_use]
+    pub const fn get(path: &'a str) -> Self {
+        Self {
+            method: "GET",
+            path,
+            headers: &[],
+            body: b"",
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/line_reader.rs
@@ -0,0 +1,71 @@
+//! Reads an answer line by line.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::ErrorKind;
+use std::io::Read;
+
+use error_stack::Report;
+
+use crate::http::CallError;
+
+/// Reads lines of bounded length.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_platform::http::LineReader;
+///
+/// let mut reader = LineReader::new(b"one\ntwo".as_slice(), 8);
+/// assert_eq!(reader.next_line().unwrap().unwrap(), b"one");
+/// assert_eq!(reader.next_line().unwrap().unwrap(), b"two");
+/// assert!(reader.next_line().unwrap().is_none());
+/// ```
+pub struct LineReader {
+    source: BufReader<Box<dyn Read>>,
+    line: Vec<u8>,
+    max_bytes: usize,
+}
+
+impl LineReader {
+    /// Reads lines of at most `max_bytes` bytes.
+    #[must_use]
+    pub fn new(source: impl Read + 'static, max_bytes: usize) -> Self {
+        Self {
+            source: BufReader::new(Box::new(source)),
+            line: Vec::new(),
+            max_bytes,
+        }
+    }
+
+    /// The next line without its line end; none at the end of the answer, or
+    /// when no further line came in time.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::Unknown`] when the answer broke off or the line is too long.
+    pub fn next_line(&mut self) -> Result<Option<&[u8]>, Report<CallError>> {
+        self.line.clear();
+        let limit = self.max_bytes as u64 + 1;
+        let mut source = self.source.by_ref().take(limit);
+        match source.read_until(b'\n', &mut self.line) {
+            Ok(0) => return Ok(None),
+            Ok(_) => {}
+            Err(error) if is_read_timeout(&error) => return Ok(None),
+            Err(error) => return Err(Report::new(error).change_context(CallError::Unknown)),
+        }
+        if self.line.last() == Some(&b'\n') {
+            self.line.pop();
+        }
+        if self.line.len() > self.max_bytes {
+            return Err(Report::new(CallError::Unknown));
+        }
+        Ok(Some(&self.line))
+    }
+}
+
+/// Whether nothing arrived on an open connection within the wait.
+pub(crate) fn is_read_timeout(error: &std::io::Error) -> bool {
+    // A connection that could not be made in time is `TimedOut` instead.
+    error.kind() == ErrorKind::WouldBlock
+}
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -2,9 +2,14 @@
 //!
 //! A [`StoreClient`] reads, commits a [`StoreCommit`] of guards and writes as a
 //! whole, keeps leases and waits on a [`StoreWatch`]. A failed call is a
-//! [`StoreError`], which says whether the call may have taken effect.
+//! [`StoreError`], which says whether the call may have taken effect. The
+//! [`EtcdClient`] speaks to the JSON gateway of the published etcd v3 API.
 
 mod commit_answer;
+mod etcd_calls;
+mod etcd_client;
+mod etcd_failure;
+mod key_range;
 mod store_client;
 mod store_commit;
 mod store_error;
@@ -15,6 +20,8 @@
 mod stored_row;
 
 pub use commit_answer::CommitAnswer;
+pub use etcd_client::EtcdClient;
+pub use key_range::KeyRange;
 pub use store_client::StoreClient;
 pub use store_commit::StoreCommit;
 pub use store_error::StoreError;
