--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,9 +1,11 @@
 //! Messages between daemons and bodies of HTTP calls, with their codecs.
 //!
-//! [`api`], [`worker`] and [`vms`] hold the outward bodies, JSON over HTTP.
-//! Messages between daemons are `postcard` frames with a keyed hash.
+//! [`api`], [`worker`], [`vms`] and [`etcd`] hold the outward bodies, JSON over
+//! HTTP. Messages between daemons, [`peer`], are `postcard` frames with a keyed
+//! hash.
 
 pub mod api;
+pub mod etcd;
 pub mod peer;
 pub mod vms;
 pub mod worker;
