Add the routing table, slots as atomics and the cycle of a request

Cause: the path of a request needs a choice of a runner without a lock, a call or an allocation, and a life cycle in which "not run" is only said when it is true.

Tokens held and requests in flight share one atomic word. Two separate counters were ruled out: between reading the tokens and raising the count in flight a token could be handed over, and the runner would get one request too many. A removal of tokens takes free ones only, by the same compare-exchange.

A choice draws the first of two runners from the own zone and the second from the own region, ranks them by requests in flight when crowded and else by observed latency, and goes over the link only when a bounded scan of the own region finds no free slot. A bitmap of free runners was ruled out: with one or two tokens a runner a bounded scan of 64 rows gives the same answer without writes that all threads share.

A request whose answer is lost keeps its slot parked until the longest request has passed, since its runner may still be working; a sent request dropped by a panic never gives its slot back.

--- /dev/null
+++ b/crates/routing/src/request_key.rs
@@ -0,0 +1,42 @@
+//! The key of an at-most-once request.
+
+mod key_fault;
+
+pub use key_fault::KeyFault;
+
+/// The longest key, in characters.
+pub const KEY_LENGTH_MAX: usize = 128;
+
+/// The caller's key of a request: the same key means the same request.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_routing::RequestKey;
+///
+/// let key = RequestKey::try_from("order-17/plot").unwrap();
+/// assert_eq!(key.as_str(), "order-17/plot");
+/// assert!(RequestKey::try_from("two words").is_err());
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestKey(Box<str>);
+
+impl RequestKey {
+    /// The key as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<&str> for RequestKey {
+    type Error = KeyFault;
+
+    fn try_from(text: &str) -> Result<Self, Self::Error> {
+        let fits = !text.is_empty() && text.len() <= KEY_LENGTH_MAX;
+        if fits && text.chars().all(|character| character.is_ascii_graphic()) {
+            return Ok(Self(text.into()));
+        }
+        Err(KeyFault)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/request_key/key_fault.rs
@@ -0,0 +1,18 @@
+//! Why a text is not a request key.
+
+use super::KEY_LENGTH_MAX;
+
+/// A text that is not a request key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyFault;
+
+impl std::fmt::Display for KeyFault {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            formatter,
+            "a request key has 1 to {KEY_LENGTH_MAX} visible ASCII characters"
+        )
+    }
+}
+
+impl std::error::Error for KeyFault {}
--- /dev/null
+++ b/crates/routing/src/service_pool.rs
@@ -0,0 +1,128 @@
+//! The runners of one service that take work.
+
+use std::sync::Arc;
+
+use crate::RouteChoice;
+use crate::RouteQuery;
+use crate::RouteReach;
+use crate::RouteRefusal;
+use crate::RunnerGauge;
+use crate::RunnerRow;
+use crate::SlotGuard;
+use crate::random_draw::RandomDraw;
+
+const PAIRS_MAX: usize = 3;
+const SCAN_ROWS_MAX: usize = 64;
+const HOT_NUMERATOR: u32 = 3;
+const HOT_DENOMINATOR: u32 = 4;
+
+/// The runners of one service that take work, by distance.
+#[derive(Debug, Default)]
+pub struct ServicePool {
+    zone: Vec<Arc<RunnerRow>>,
+    region: Vec<Arc<RunnerRow>>,
+    remote: Vec<Arc<RunnerRow>>,
+}
+
+impl ServicePool {
+    /// Adds a runner at its distance. The own region holds the own zone.
+    pub fn add(&mut self, row: Arc<RunnerRow>, reach: RouteReach) {
+        match reach {
+            RouteReach::Zone => {
+                self.region.push(Arc::clone(&row));
+                self.zone.push(row);
+            }
+            RouteReach::Region => self.region.push(row),
+            RouteReach::Remote => self.remote.push(row),
+        }
+    }
+
+    /// Chooses a runner and takes a slot on it.
+    pub fn choose(&self, query: &RouteQuery<'_>) -> Result<RouteChoice, RouteRefusal> {
+        if self.region.is_empty() && self.remote.is_empty() {
+            return Err(RouteRefusal::NoRunner);
+        }
+        let mut draw = RandomDraw::new(query.random);
+        let near = if self.zone.is_empty() {
+            &self.region
+        } else {
+            &self.zone
+        };
+        if let Some(slot) = take_from(near, &self.region, query, &mut draw) {
+            let reach = self.near_reach(&slot);
+            return Ok(RouteChoice::new(slot, reach));
+        }
+        take_from(&self.remote, &self.remote, query, &mut draw)
+            .map(|slot| RouteChoice::new(slot, RouteReach::Remote))
+            .ok_or(RouteRefusal::NoSlot)
+    }
+
+    fn near_reach(&self, slot: &SlotGuard) -> RouteReach {
+        let in_zone = |row: &Arc<RunnerRow>| row.zone == slot.row().zone;
+        if self.zone.first().is_some_and(in_zone) {
+            RouteReach::Zone
+        } else {
+            RouteReach::Region
+        }
+    }
+}
+
+/// Takes a slot on the better of two drawn runners, the first of them from
+/// `near`; when all drawn are full, on the first free one of a bounded scan.
+fn take_from(
+    near: &[Arc<RunnerRow>],
+    all: &[Arc<RunnerRow>],
+    query: &RouteQuery<'_>,
+    draw: &mut RandomDraw,
+) -> Option<SlotGuard> {
+    if all.is_empty() {
+        return None;
+    }
+    for _ in 0..PAIRS_MAX {
+        let first = &near[draw.below(near.len())];
+        let second = &all[draw.below(all.len())];
+        let best = better_of(usable(first, query), usable(second, query));
+        if let Some(slot) = best.and_then(SlotGuard::take) {
+            return Some(slot);
+        }
+    }
+    scan(all, query, draw.below(all.len()))
+}
+
+fn scan(rows: &[Arc<RunnerRow>], query: &RouteQuery<'_>, start: usize) -> Option<SlotGuard> {
+    let (head, tail) = rows.split_at(start);
+    tail.iter()
+        .chain(head)
+        .take(SCAN_ROWS_MAX)
+        .filter_map(|row| usable(row, query))
+        .find_map(SlotGuard::take)
+}
+
+fn usable<'t>(row: &'t Arc<RunnerRow>, query: &RouteQuery<'_>) -> Option<&'t Arc<RunnerRow>> {
+    let (tokens, in_flight) = row.gauge.occupancy();
+    let avoided = query.avoid == Some(row.runner.as_str());
+    (in_flight < tokens && !avoided && !row.gauge.is_ejected()).then_some(row)
+}
+
+fn better_of<'t>(
+    first: Option<&'t Arc<RunnerRow>>,
+    second: Option<&'t Arc<RunnerRow>>,
+) -> Option<&'t Arc<RunnerRow>> {
+    let (Some(one), Some(other)) = (first, second) else {
+        return first.or(second);
+    };
+    if rank(&other.gauge) < rank(&one.gauge) {
+        second
+    } else {
+        first
+    }
+}
+
+/// Runners with few requests in flight are ranked by latency, others by
+/// requests in flight, as in Prequal.
+fn rank(gauge: &RunnerGauge) -> (bool, u32, u64) {
+    let (tokens, in_flight) = gauge.occupancy();
+    let hot = in_flight * HOT_DENOMINATOR >= tokens * HOT_NUMERATOR;
+    let crowd = if hot { in_flight } else { 0 };
+    (hot, crowd, gauge.latency_us())
+}
--- /dev/null
+++ b/crates/routing/tests/request_cycle.rs
@@ -0,0 +1,126 @@
+//! Scenes of the life of a request.
+
+use std::sync::Arc;
+
+use sapphirestile_core::CellEpoch;
+use sapphirestile_core::JournalSequence;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::OperatorDocument;
+use sapphirestile_core::RunnerName;
+use sapphirestile_core::ServiceName;
+use sapphirestile_core::ZoneName;
+use sapphirestile_routing::ParkedSlots;
+use sapphirestile_routing::RecordProof;
+use sapphirestile_routing::RequestCycle;
+use sapphirestile_routing::RequestFacts;
+use sapphirestile_routing::RequestKey;
+use sapphirestile_routing::RouteChoice;
+use sapphirestile_routing::RouteQuery;
+use sapphirestile_routing::RouteRefusal;
+use sapphirestile_routing::RoutingTable;
+use sapphirestile_routing::RunnerGauge;
+use sapphirestile_routing::RunnerRow;
+
+fn table(gauge: &Arc<RunnerGauge>) -> RoutingTable {
+    let text = "[region r]\ncells = 1\n[zone a]\nregion = r\nstate = in\n";
+    let document = OperatorDocument::try_from(text).unwrap();
+    let row = RunnerRow {
+        runner: RunnerName::try_from("runner-1").unwrap(),
+        zone: ZoneName::try_from("a").unwrap(),
+        address: "127.0.0.1:8080".parse().unwrap(),
+        service: ServiceName::try_from("permits").unwrap(),
+        leaving: false,
+        gauge: Arc::clone(gauge),
+    };
+    RoutingTable::new(&document, "a", vec![row])
+}
+
+fn choice(gauge: &Arc<RunnerGauge>) -> RouteChoice {
+    let query = RouteQuery {
+        service: "permits",
+        avoid: None,
+        now: MonoTime::from_millis(0),
+        deadline: MonoTime::from_millis(100),
+        random: 1,
+    };
+    table(gauge).choose(&query).unwrap()
+}
+
+fn gauge() -> Arc<RunnerGauge> {
+    let gauge = Arc::new(RunnerGauge::new());
+    gauge.add_tokens(1);
+    gauge
+}
+
+fn facts(idempotent: bool) -> RequestFacts {
+    RequestFacts {
+        idempotent,
+        key: Some(RequestKey::try_from("permit-9").unwrap()),
+        deadline: MonoTime::from_millis(100),
+    }
+}
+
+fn proof(key: &str) -> RecordProof {
+    let key = RequestKey::try_from(key).unwrap();
+    RecordProof::committed(key, CellEpoch::new(1), JournalSequence::new(2))
+}
+
+#[test]
+fn an_idempotent_request_is_answered_and_gives_its_slot_back() {
+    let gauge = gauge();
+    let admitted = RequestCycle::receive(facts(true)).admit(choice(&gauge));
+    let sent = admitted.send().unwrap();
+    assert_eq!(gauge.in_flight(), 1);
+    let answered = sent.answer(1_500);
+    assert_eq!(answered.attempts(), 1);
+    assert_eq!((gauge.in_flight(), gauge.latency_us()), (0, 1_500));
+}
+
+#[test]
+fn a_request_that_must_run_once_is_not_sent_without_its_record() {
+    let gauge = gauge();
+    let admitted = RequestCycle::receive(facts(false)).admit(choice(&gauge));
+    let held = admitted.send().unwrap_err();
+    assert!(held.needs_record());
+    let sent = held.with_record(proof("permit-9")).send().unwrap();
+    assert_eq!(sent.row().runner.as_str(), "runner-1");
+}
+
+#[test]
+#[should_panic(expected = "the record is of another request")]
+fn the_record_of_another_request_is_no_proof() {
+    let gauge = gauge();
+    let admitted = RequestCycle::receive(facts(false)).admit(choice(&gauge));
+    drop(admitted.with_record(proof("permit-8")));
+}
+
+#[test]
+fn a_refusal_before_the_first_byte_gives_the_slot_back() {
+    let gauge = gauge();
+    let admitted = RequestCycle::receive(facts(false)).admit(choice(&gauge));
+    let not_run = admitted.refuse(RouteRefusal::NoRecord);
+    assert_eq!(not_run.refusal(), RouteRefusal::NoRecord);
+    assert_eq!(gauge.in_flight(), 0);
+}
+
+#[test]
+fn a_lost_answer_keeps_the_slot_taken_until_the_longest_request_has_passed() {
+    let gauge = gauge();
+    let admitted = RequestCycle::receive(facts(true)).admit(choice(&gauge));
+    let lost = admitted.send().unwrap().lose();
+    let mut slots = ParkedSlots::default();
+    slots.park(lost.park(MonoTime::from_millis(500)));
+    assert_eq!((gauge.in_flight(), gauge.failures()), (1, 1));
+    assert_eq!(slots.release_due(MonoTime::from_millis(499)), 0);
+    assert_eq!(gauge.in_flight(), 1);
+    assert_eq!(slots.release_due(MonoTime::from_millis(500)), 1);
+    assert_eq!(gauge.in_flight(), 0);
+}
+
+#[test]
+fn a_sent_request_that_is_dropped_keeps_its_slot_taken() {
+    let gauge = gauge();
+    let admitted = RequestCycle::receive(facts(true)).admit(choice(&gauge));
+    drop(admitted.send().unwrap());
+    assert_eq!(gauge.in_flight(), 1);
+}
