Check limits of the document, render it, edit it and tell two apart

Cause: the document took any number, counted cells in u16 so that 70 regions of 1024 cells panicked the check, named a region as missing when only its own section was at fault, joined indented lines with the next one and passed over an indented last line without a value. Forms and the zone call need to change one section of the text in force.

ParsedIni now reads the lines before the INI parser does: every line is a comment, a header or an entry, at most 409,600 bytes, without quotes, backslashes or control characters, so that the row stays under the store's megabyte after JSON escaping. Sections are checked for ranges; OperatorDocument displays as text that reads back as itself, regions in the order of their cells, since their order numbers the cells.

DocumentEdit rewrites the text line by line, which keeps the operators' comments, and falls back to the rendered document when the result does not read back as the document wanted. Ruled out: rendering always, which drops comments at the first form. DocumentDifference compares keys, not lines, so that order and comments do not count.

--- a/crates/core/src/document/operator_document.rs
+++ b/crates/core/src/document/operator_document.rs
@@ -1,15 +1,15 @@
 //! The checked document of the operators.
 
-use ini::Ini;
 use ini::Properties;
 
 use crate::CustomerEntry;
 use crate::CustomerName;
 use crate::DocumentFault;
 use crate::IniFault;
+use crate::NameFault;
+use crate::ParsedIni;
 use crate::RegionEntry;
 use crate::RegionName;
-use crate::ResourceSize;
 use crate::SectionReader;
 use crate::ServiceEntry;
 use crate::ServiceName;
@@ -20,12 +20,16 @@
 
 /// The most cells of all regions together.
 pub const CELLS_MAX: u16 = 1_024;
-const CELLS_EXPECTED: &str = "a number of cells from 1 to 1024";
-const DEADLINE_DEFAULT_MS: u64 = 2_000;
-const PRIORITY_DEFAULT: u32 = 100;
+const KIND_EXPECTED: &str =
+    "a section [zone NAME], [region NAME], [service NAME] or [customer NAME]";
+const ONCE_EXPECTED: &str = "each section once";
+const REGION_EXPECTED: &str = "a region that has a section of its own";
+const CELLS_SUM_EXPECTED: &str = "at most 1024 cells in all regions together";
 
 /// Zones, regions, services and customers, checked as a whole.
 ///
+/// It is displayed as INI text that reads back as the same document.
+///
 /// # Examples
 ///
 /// ```
@@ -34,6 +38,7 @@
 /// let text = "[region r]\ncells = 2\n[zone a]\nregion = r\nstate = in\n";
 /// let document = OperatorDocument::try_from(text).unwrap();
 /// assert_eq!(document.zones.len(), 1);
+/// assert_eq!(OperatorDocument::try_from(document.to_string().as_str()), Ok(document));
 ///
 /// let fault = OperatorDocument::try_from("[zone a]\nregion = r\nstate = up\n").unwrap_err();
 /// assert_eq!(fault.faults.len(), 1);
@@ -54,13 +59,14 @@
     type Error = DocumentFault;
 
     fn try_from(text: &str) -> Result<Self, Self::Error> {
-        let ini = Ini::load_from_str(text).map_err(|error| syntax_fault(&error))?;
+        let ini = ParsedIni::try_from(text).map_err(|faults| DocumentFault { faults })?;
         let mut document = Self::default();
         let mut faults = Vec::new();
-        for (section, properties) in &ini {
-            document.read_section(section.unwrap_or(""), properties, &mut faults);
+        for (section, keys) in ini.sections() {
+            document.read_section(section, keys, &mut faults);
         }
-        document.check_references(&mut faults);
+        document.check_regions(&ini, &mut faults);
+        document.check_cells(&mut faults);
         if faults.is_empty() {
             Ok(document)
         } else {
@@ -78,118 +84,108 @@
             .is_some_and(|entry| entry.state == ZoneState::In)
     }
 
+    /// The regions in the order of their cells, which is their order in the text.
+    #[must_use]
+    pub fn regions_by_cell(&self) -> Vec<(&RegionName, &RegionEntry)> {
+        let mut regions = self.regions.iter().collect::<Vec<_>>();
+        regions.sort_by_key(|(_, entry)| entry.first_cell);
+        regions
+    }
+
     fn read_section(&mut self, section: &str, keys: &Properties, faults: &mut Vec<IniFault>) {
-        if section.is_empty() && keys.is_empty() {
-            return;
-        }
         let (kind, name) = section.split_once(' ').unwrap_or((section, ""));
+        let first_cell = self.cells();
         let reader = SectionReader::new(section, keys, faults);
-        let fresh = match kind {
-            "zone" => read_zone(reader).is_none_or(|entry| add(&mut self.zones, name, entry)),
+        let added = match kind {
+            "zone" => add(&mut self.zones, name, ZoneEntry::read(reader)),
             "region" => {
-                let first_cell = self.regions.values().map(|entry| entry.cells).sum();
-                read_region(reader, first_cell)
-                    .is_none_or(|entry| add(&mut self.regions, name, entry))
+                let entry = RegionEntry::read(reader, first_cell);
+                add(&mut self.regions, name, entry)
             }
-            "service" => {
-                read_service(reader).is_none_or(|entry| add(&mut self.services, name, entry))
-            }
-            "customer" => {
-                read_customer(reader).is_none_or(|entry| add(&mut self.customers, name, entry))
-            }
-            _ => false,
+            "service" => add(&mut self.services, name, ServiceEntry::read(reader)),
+            "customer" => add(&mut self.customers, name, CustomerEntry::read(reader)),
+            _ => Err(KIND_EXPECTED.to_owned()),
         };
-        if !fresh {
-            let expected = "a section zone, region, service or customer with a new, valid name";
-            faults.push(section_fault(section, expected));
+        if let Err(expected) = added {
+            faults.push(section_fault(section, &expected));
         }
     }
 
-    fn check_references(&self, faults: &mut Vec<IniFault>) {
+    fn cells(&self) -> u16 {
+        self.regions
+            .values()
+            .fold(0, |sum, entry| sum.saturating_add(entry.cells))
+    }
+
+    fn check_regions(&self, ini: &ParsedIni, faults: &mut Vec<IniFault>) {
         for (name, entry) in self.zones.iter() {
-            if !self.regions.contains(&entry.region) {
+            let header = format!("region {}", entry.region);
+            if !ini.sections().any(|(section, _)| section == header) {
                 faults.push(IniFault {
                     section: format!("zone {name}"),
                     key: "region".to_owned(),
                     value: entry.region.to_string(),
-                    expected: "a region that has a section of its own".to_owned(),
+                    expected: REGION_EXPECTED.to_owned(),
                 });
             }
         }
-        let cells = self
-            .regions
-            .values()
-            .map(|entry| u32::from(entry.cells))
-            .sum::<u32>();
-        if cells > u32::from(CELLS_MAX) {
-            faults.push(section_fault(
-                "region",
-                "at most 1024 cells in all regions together",
-            ));
-        }
     }
-}
-
-fn add<'t, N, E>(table: &mut SortedTable<N, E>, name: &'t str, entry: E) -> bool
-where
-    N: Ord + TryFrom<&'t str>,
-{
-    N::try_from(name).is_ok_and(|name| table.insert(name, entry).is_none())
-}
 
-fn read_zone(mut reader: SectionReader<'_>) -> Option<ZoneEntry> {
-    let region = reader.checked("region", "the name of a region");
-    let state = reader.checked("state", "in or out");
-    reader.finish();
-    Some(ZoneEntry {
-        region: region?,
-        state: state?,
-    })
-}
-
-fn read_region(mut reader: SectionReader<'_>, first_cell: u16) -> Option<RegionEntry> {
-    let cells = reader.number::<u16>("cells", CELLS_EXPECTED);
-    if let Some(number) = cells
-        && !(1..=CELLS_MAX).contains(&number)
-    {
-        reader.fault("cells", &number.to_string(), CELLS_EXPECTED);
+    fn check_cells(&self, faults: &mut Vec<IniFault>) {
+        let cells = self.cells();
+        if cells > CELLS_MAX {
+            faults.push(IniFault {
+                section: "region".to_owned(),
+                key: "cells".to_owned(),
+                value: cells.to_string(),
+                expected: CELLS_SUM_EXPECTED.to_owned(),
+            });
+        }
     }
-    reader.finish();
-    Some(RegionEntry {
-        first_cell,
-        cells: cells?,
-    })
 }
 
-fn read_service(mut reader: SectionReader<'_>) -> Option<ServiceEntry> {
-    let slots = reader.number("slots", "how many requests a runner works on at a time");
-    let connections = reader.number("connections", "how many connections a runner accepts");
-    let deadline_ms = reader.number_or("deadline_ms", DEADLINE_DEFAULT_MS, "milliseconds");
-    let idempotent = reader.number_or("idempotent", false, "true or false");
-    reader.finish();
-    Some(ServiceEntry {
-        slots: slots?,
-        connections: connections?,
-        deadline_ms: deadline_ms?,
-        idempotent: idempotent?,
-    })
+impl std::fmt::Display for OperatorDocument {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let mut sections = Vec::new();
+        for (name, entry) in self.regions_by_cell() {
+            sections.push((format!("region {name}"), entry.pairs()));
+        }
+        for (name, entry) in self.zones.iter() {
+            sections.push((format!("zone {name}"), entry.pairs()));
+        }
+        for (name, entry) in self.services.iter() {
+            sections.push((format!("service {name}"), entry.pairs()));
+        }
+        for (name, entry) in self.customers.iter() {
+            sections.push((format!("customer {name}"), entry.pairs()));
+        }
+        for (place, (section, pairs)) in sections.iter().enumerate() {
+            let gap = if place == 0 { "" } else { "\n" };
+            writeln!(formatter, "{gap}[{section}]")?;
+            for (key, value) in pairs {
+                writeln!(formatter, "{key} = {value}")?;
+            }
+        }
+        Ok(())
+    }
 }
 
-fn read_customer(mut reader: SectionReader<'_>) -> Option<CustomerEntry> {
-    let cpu_milli = reader.number("cpu_milli", "thousandths of a core");
-    let memory_mb = reader.number("memory_mb", "mebibytes");
-    let accelerators = reader.number_or("accelerators", 0, "a whole number of accelerators");
-    let priority = reader.number_or("priority", PRIORITY_DEFAULT, "a whole number");
-    reader.finish();
-    let quota = ResourceSize {
-        cpu_milli: cpu_milli?,
-        memory_mb: memory_mb?,
-        accelerators: accelerators?,
+fn add<'t, N, E>(
+    table: &mut SortedTable<N, E>,
+    name: &'t str,
+    entry: Option<E>,
+) -> Result<(), String>
+where
+    N: Ord + TryFrom<&'t str, Error = NameFault>,
+{
+    let name = N::try_from(name).map_err(|fault| format!("a valid name ({fault})"))?;
+    let Some(entry) = entry else {
+        return Ok(());
     };
-    Some(CustomerEntry {
-        quota,
-        priority: priority?,
-    })
+    match table.insert(name, entry) {
+        None => Ok(()),
+        Some(_) => Err(ONCE_EXPECTED.to_owned()),
+    }
 }
 
 fn section_fault(section: &str, expected: &str) -> IniFault {
@@ -200,10 +196,3 @@
         expected: expected.to_owned(),
     }
 }
-
-fn syntax_fault(error: &ini::ParseError) -> DocumentFault {
-    let expected = format!("INI text, but {error}");
-    DocumentFault {
-        faults: vec![section_fault("", &expected)],
-    }
-}
--- a/crates/core/src/ini_text/ini_fault.rs
+++ b/crates/core/src/ini_text/ini_fault.rs
@@ -15,9 +15,12 @@
 
 impl std::fmt::Display for IniFault {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(formatter, "[{}]", self.section)?;
-        if !self.key.is_empty() {
-            write!(formatter, " {} = {:?}", self.key, self.value)?;
+        let section = &self.section;
+        let key = &self.key;
+        match (section.is_empty(), key.is_empty()) {
+            (true, false) => write!(formatter, "{key} {:?}", self.value)?,
+            (_, true) => write!(formatter, "[{section}]")?,
+            (false, false) => write!(formatter, "[{section}] {key} = {:?}", self.value)?,
         }
         write!(formatter, ": expected {}", self.expected)
     }
--- a/crates/core/src/ini_text/section_reader.rs
+++ b/crates/core/src/ini_text/section_reader.rs
@@ -82,6 +82,31 @@
         }
     }
 
+    /// The number at `key` within `range`; `default` when the key is missing and
+    /// there is one.
+    pub fn ranged<N: FromStr + PartialOrd>(
+        &mut self,
+        key: &'static str,
+        default: Option<N>,
+        range: std::ops::RangeInclusive<N>,
+        expected: &str,
+    ) -> Option<N> {
+        let text = match (self.optional_text(key), default) {
+            (Some(text), _) => text,
+            (None, Some(default)) => return Some(default),
+            (None, None) => {
+                self.fault(key, "", expected);
+                return None;
+            }
+        };
+        let number = self.parse(key, text, expected)?;
+        if range.contains(&number) {
+            return Some(number);
+        }
+        self.fault(key, text, expected);
+        None
+    }
+
     /// The checked value at `key`, or a fault when it is missing or refused.
     pub fn checked<'t, T>(&mut self, key: &'static str, expected: &str) -> Option<T>
     where
--- /dev/null
+++ b/crates/core/tests/document.rs
@@ -0,0 +1,267 @@
+//! The operators' document: checks, rendering, edits and differences.
+
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop_assert;
+use proptest::prelude::prop_assert_eq;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+use test_case::test_case;
+
+use sapphirestile_core::CustomerEntry;
+use sapphirestile_core::CustomerName;
+use sapphirestile_core::DocumentDifference;
+use sapphirestile_core::DocumentEdit;
+use sapphirestile_core::INI_BYTES_MAX;
+use sapphirestile_core::OperatorDocument;
+use sapphirestile_core::ResourceSize;
+use sapphirestile_core::ServiceEntry;
+use sapphirestile_core::ServiceName;
+use sapphirestile_core::ZoneName;
+use sapphirestile_core::ZoneState;
+
+const PROPERTY_SEED: u64 = 0x5a17;
+const TEXT: &str = "\
+; the coast
+[region rannikko]
+cells = 4
+
+[region pohjois-suomi]
+cells = 2
+
+# storm plan: take these out first
+[zone rannikko-hki]
+region = rannikko
+state = in
+
+[service koon-mitoitus]
+slots = 8
+connections = 64
+
+[customer tailors]
+cpu_milli = 64000
+memory_mb = 250000
+; reviewed in May
+";
+
+#[test_case("[region r]\ncells = 0\n", "[region r] cells = \"0\": expected a number of cells from 1 to 1024"; "no cells")]
+#[test_case("[region r]\ncells = 65535\n[region s]\ncells = 65535\n", "[region r] cells = \"65535\": expected a number of cells from 1 to 1024"; "cells past the largest number")]
+#[test_case("[region r]\ncells = 600\n[region s]\ncells = 600\n", "[region] cells = \"1200\": expected at most 1024 cells in all regions together"; "cells of all regions")]
+#[test_case("[region r]\ncells = 1\n[region r]\ncells = 2\n", "[region r]: expected each section once"; "a region twice")]
+#[test_case("[region r]\ncells = 1\ncells = 2\n", "[region r] cells = \"2\": expected each key once in a section"; "a key twice")]
+#[test_case("[region R]\ncells = 1\n", "[region R]: expected a valid name (\"R\" is not a RegionName: use 1 to 63 of a-z, 0-9, '-' and '.', beginning with a letter or a digit)"; "an invalid name")]
+#[test_case("[weather]\nwind = 9\n", "[weather]: expected a section [zone NAME], [region NAME], [service NAME] or [customer NAME]"; "an unknown section")]
+#[test_case("cells = 1\n", "[]: expected a section [zone NAME], [region NAME], [service NAME] or [customer NAME]"; "keys before a section")]
+#[test_case("[zone a]\nregion = r\nstate = in\n", "[zone a] region = \"r\": expected a region that has a section of its own"; "a region that is missing")]
+#[test_case("[region r]\ncells = 1\n[zone a]\nregion = r\nstate = up\n", "[zone a] state = \"up\": expected in or out (neither in nor out)"; "an unknown state")]
+#[test_case("[service s]\nslots = 0\nconnections = 64\n", "[service s] slots = \"0\": expected how many requests a runner works on at a time, from 1 to 4096"; "no slots")]
+#[test_case("[service s]\nslots = 8\nconnections = 4\n", "[service s] connections = \"4\": expected at least as many connections as slots"; "fewer connections than slots")]
+#[test_case("[service s]\nslots = 8\nconnections = 64\ndeadline_ms = 700000\n", "[service s] deadline_ms = \"700000\": expected milliseconds from 1 to 600000"; "a long deadline")]
+#[test_case("[service s]\nslots = 8\nconnections = 64\nidempotent = yes\n", "[service s] idempotent = \"yes\": expected true or false"; "neither true nor false")]
+#[test_case("[customer c]\ncpu_milli = 10000000001\nmemory_mb = 1\n", "[customer c] cpu_milli = \"10000000001\": expected thousandths of a core from 0 to 10000000000"; "a quota past all workers")]
+#[test_case("[customer c]\ncpu_milli = 1\nmemory_mb = 1\npriority = 0\n", "[customer c] priority = \"0\": expected a whole number from 1 to 10000"; "no priority")]
+#[test_case("[customer c]\ncpu_milli = 1\nmemory_mb = 1\ncpu = 2\n", "[customer c] cpu = \"2\": expected one of the keys cpu_milli, memory_mb, accelerators, priority"; "an unknown key")]
+#[test_case("[customer c]\ncpu_milli = 1\n  memory_mb\n", "line 3 \"memory_mb\": expected a comment, a [section] or `key = value`, without quotes, backslashes or control characters"; "a line without a value")]
+fn names_the_fault(text: &str, expected: &str) {
+    let fault = OperatorDocument::try_from(text).unwrap_err();
+    let lines = fault.faults.iter().map(ToString::to_string);
+    assert!(lines.into_iter().any(|line| line == expected), "{fault}");
+}
+
+#[test]
+fn names_every_fault_at_once() {
+    let text = "[region r]\ncells = x\n[zone a]\nregion = r\nstate = up\n[zone B]\nregion = q\n";
+    let fault = OperatorDocument::try_from(text).unwrap_err();
+    let places = fault
+        .faults
+        .iter()
+        .map(|fault| format!("{}/{}", fault.section, fault.key));
+    assert_eq!(
+        places.collect::<Vec<_>>(),
+        ["region r/cells", "zone a/state", "zone B/state", "zone B/"]
+    );
+}
+
+#[test]
+fn refuses_a_text_that_the_store_could_not_hold() {
+    let text = "#".repeat(INI_BYTES_MAX + 1);
+    let fault = OperatorDocument::try_from(text.as_str()).unwrap_err();
+    assert_eq!(fault.faults[0].value, "409601 bytes");
+}
+
+#[test]
+fn counts_cells_past_the_largest_number() {
+    let regions = (0..70).map(|place| format!("[region r{place}]\ncells = 1024\n"));
+    let fault = OperatorDocument::try_from(regions.collect::<String>().as_str()).unwrap_err();
+    assert_eq!(fault.faults.len(), 1);
+    assert_eq!(fault.faults[0].value, "65535");
+}
+
+#[test]
+fn reads_indented_lines_and_comments() {
+    let text = "[region r]\r\n  ; half\r\n\tcells = 2\r\n  # end";
+    let document = OperatorDocument::try_from(text).unwrap();
+    assert_eq!(document.to_string(), "[region r]\ncells = 2\n");
+}
+
+#[test]
+fn renders_regions_in_the_order_of_their_cells() {
+    let document = OperatorDocument::try_from(TEXT).unwrap();
+    let rendered = document.to_string();
+    assert!(rendered.starts_with("[region rannikko]\ncells = 4\n\n[region pohjois-suomi]\n"));
+    assert_eq!(
+        OperatorDocument::try_from(rendered.as_str()),
+        Ok(document),
+        "{rendered}"
+    );
+}
+
+#[test]
+fn an_edit_keeps_comments_and_order() {
+    let zone = ZoneName::try_from("rannikko-hki").unwrap();
+    let state = ZoneState::Out;
+    let edited = DocumentEdit::SetZone { zone, state }.rewrite(TEXT).unwrap();
+    assert_eq!(edited, TEXT.replace("state = in", "state = out"));
+    let difference = DocumentDifference::between(TEXT, &edited);
+    assert_eq!(difference.lines(), ["[zone rannikko-hki] state: in -> out"]);
+}
+
+#[test]
+fn an_edit_adds_keys_before_the_comment_below() {
+    let customer = CustomerName::try_from("tailors").unwrap();
+    let entry = CustomerEntry {
+        quota: ResourceSize {
+            cpu_milli: 1,
+            memory_mb: 2,
+            accelerators: 3,
+        },
+        priority: 4,
+    };
+    let edit = DocumentEdit::PutCustomer { customer, entry };
+    let edited = edit.rewrite(TEXT).unwrap();
+    assert!(edited.ends_with(
+        "[customer tailors]\ncpu_milli = 1\nmemory_mb = 2\naccelerators = 3\npriority = 4\n\
+         ; reviewed in May\n"
+    ));
+}
+
+#[test]
+fn an_edit_of_a_missing_section_is_refused() {
+    let service = ServiceName::try_from("entry-desk").unwrap();
+    let fault = DocumentEdit::RemoveService { service }
+        .rewrite(TEXT)
+        .unwrap_err();
+    assert_eq!(
+        fault.faults[0].to_string(),
+        "[service entry-desk]: expected a service that has a section of its own"
+    );
+}
+
+#[test]
+fn an_edit_with_a_value_out_of_range_is_refused() {
+    let service = ServiceName::try_from("entry-desk").unwrap();
+    let entry = ServiceEntry {
+        slots: 8,
+        connections: 4,
+        deadline_ms: 2_000,
+        idempotent: true,
+    };
+    let fault = DocumentEdit::PutService { service, entry }
+        .rewrite(TEXT)
+        .unwrap_err();
+    assert_eq!(fault.faults[0].key, "connections");
+}
+
+fn document_line() -> impl Strategy<Value = String> {
+    proptest::string::string_regex(
+        "(\\[(region|zone|service|customer) [a-c]?\\]|(cells|slots|connections|priority) = \
+         [0-9]{1,6}|region = [a-c]|state = (in|out)|(cpu_milli|memory_mb) = [0-9]{1,3}|; .{0,6}|\
+         .{0,9})",
+    )
+    .unwrap()
+}
+
+fn document_text() -> impl Strategy<Value = String> {
+    proptest::collection::vec(document_line(), 0..24).prop_map(|lines| lines.join("\n"))
+}
+
+fn valid_document() -> impl Strategy<Value = OperatorDocument> {
+    let region = (1_u16..300).prop_map(|cells| format!("cells = {cells}"));
+    let regions = proptest::collection::vec(region, 1..4);
+    let zones = proptest::collection::vec((any::<u8>(), any::<bool>()), 0..5);
+    let services = proptest::collection::vec((1_u32..4_097, 0_u32..60_000, any::<bool>()), 0..4);
+    let customers = proptest::collection::vec((0_u64..1_000_000, 1_u32..10_001), 0..4);
+    (regions, zones, services, customers).prop_map(|(regions, zones, services, customers)| {
+        let mut lines = Vec::new();
+        for (place, cells) in regions.iter().enumerate().rev() {
+            lines.push(format!("[region r{place}]\n{cells}"));
+        }
+        for (place, (region, leaves)) in zones.iter().enumerate() {
+            let region = usize::from(*region) % regions.len();
+            let state = if *leaves { "out" } else { "in" };
+            lines.push(format!(
+                "[zone z{place}]\nregion = r{region}\nstate = {state}"
+            ));
+        }
+        for (place, (slots, more, idempotent)) in services.iter().enumerate() {
+            let connections = slots + more;
+            lines.push(format!("[service s{place}]\nslots = {slots}"));
+            lines.push(format!(
+                "connections = {connections}\nidempotent = {idempotent}"
+            ));
+        }
+        for (place, (quota, priority)) in customers.iter().enumerate() {
+            lines.push(format!("[customer c{place}]\ncpu_milli = {quota}"));
+            lines.push(format!("memory_mb = {quota}\npriority = {priority}"));
+        }
+        OperatorDocument::try_from(lines.join("\n").as_str()).unwrap()
+    })
+}
+
+fn fixed_seed() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(PROPERTY_SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_seed())]
+
+    #[test]
+    fn no_text_panics_the_check(text in ".{0,200}") {
+        let _ = OperatorDocument::try_from(text.as_str());
+    }
+
+    #[test]
+    fn every_fault_says_where_and_what(text in document_text()) {
+        if let Err(fault) = OperatorDocument::try_from(text.as_str()) {
+            prop_assert!(!fault.faults.is_empty());
+            prop_assert!(fault.faults.iter().all(|fault| !fault.expected.is_empty()));
+        }
+    }
+
+    #[test]
+    fn text_and_document_are_each_other(document in valid_document()) {
+        let text = document.to_string();
+        let again = OperatorDocument::try_from(text.as_str());
+        prop_assert_eq!(again.as_ref(), Ok(&document));
+        prop_assert_eq!(document.to_string(), text);
+    }
+
+    #[test]
+    fn an_edit_changes_its_own_section_only(document in valid_document(), out in any::<bool>()) {
+        let text = document.to_string();
+        let state = if out { ZoneState::Out } else { ZoneState::In };
+        if let Some(zone) = document.zones.keys().next() {
+            let edit = DocumentEdit::SetZone { zone: zone.clone(), state };
+            let mut expected = document.clone();
+            expected.zones.get_mut(zone).unwrap().state = state;
+            let edited = edit.rewrite(&text).unwrap();
+            prop_assert_eq!(OperatorDocument::try_from(edited.as_str()), Ok(expected));
+        }
+    }
+}
