Keep who changed the document beside it, and check authors and tokens

Cause: the store row has to say who changed what and when, outside the operators' text. StoredDocument is that row as JSON: author, time, text and the latest 20 changes, each with what differs key by key, cut after 20 lines, so that every daemon shows the same history and a restart loses none. Ruled out: a row for each change, which costs the store a second write and a range read.

Authors are checked names now (DocumentChange and ZoneChange decode to AuthorName).

--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -22,8 +22,12 @@
 //! whether the call was not run (400, 401, 404, 413, 503) or its outcome is
 //! unknown (504).
 //!
-//! [`StoredDocument`] is what the store holds of the document.
+//! Calls that change state (`PUT` and `POST`) carry the [`OperatorToken`] as
+//! `Authorization: Bearer TOKEN`; without it they are answered 401.
+//! [`StoredDocument`] is what the store holds of the document, with the latest
+//! [`RecordedChange`]s.
 
+mod author_name;
 mod call_refusal;
 mod daemon_phase;
 mod daemon_status;
@@ -40,8 +44,10 @@
 mod job_summary;
 mod job_view;
 mod member_status;
+mod operator_token;
 mod owned_cell;
 mod queue_status;
+mod recorded_change;
 mod service_status;
 mod stored_document;
 mod task_state;
@@ -50,6 +56,8 @@
 mod zone_change;
 mod zone_status;
 
+pub use author_name::AUTHOR_BYTES_MAX;
+pub use author_name::AuthorName;
 pub use call_refusal::CallRefusal;
 pub use daemon_phase::DaemonPhase;
 pub use daemon_status::DaemonStatus;
@@ -66,9 +74,13 @@
 pub use job_summary::JobSummary;
 pub use job_view::JobView;
 pub use member_status::MemberStatus;
+pub use operator_token::OperatorToken;
+pub use operator_token::TOKEN_BYTES_MIN;
 pub use owned_cell::OwnedCell;
 pub use queue_status::QueueStatus;
+pub use recorded_change::RecordedChange;
 pub use service_status::ServiceStatus;
+pub use stored_document::RECENT_CHANGES_MAX;
 pub use stored_document::StoredDocument;
 pub use task_state::TaskState;
 pub use task_view::TaskView;
--- a/crates/wire/src/api/document_change.rs
+++ b/crates/wire/src/api/document_change.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::api::AuthorName;
 use sapphirestile_core::ConfigRevision;
 
 /// Body of `PUT /v1/document`.
@@ -14,7 +15,7 @@
     /// The whole new INI text.
     pub text: String,
     /// Who asks for the change.
-    pub author: String,
+    pub author: AuthorName,
     /// Whether to check only and write nothing.
     #[serde(default)]
     pub dry_run: bool,
--- a/crates/wire/src/api/stored_document.rs
+++ b/crates/wire/src/api/stored_document.rs
@@ -1,15 +1,118 @@
 //! The store row of the operators' document.
 
+use error_stack::Report;
+use error_stack::ResultExt;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::api::AuthorName;
+use crate::api::DocumentChange;
+use crate::api::DocumentView;
+use crate::api::RecordedChange;
+use sapphirestile_core::ConfigRevision;
+use sapphirestile_core::DocumentDifference;
+use sapphirestile_core::StepError;
+
+/// How many changes the row remembers.
+pub const RECENT_CHANGES_MAX: usize = 20;
+const LINES_MAX: usize = 20;
+const LINE_CHARACTERS_MAX: usize = 200;
+
 /// The value of the store row that holds the operators' document, as JSON.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_core::ConfigRevision;
+/// use sapphirestile_wire::api::AuthorName;
+/// use sapphirestile_wire::api::DocumentChange;
+/// use sapphirestile_wire::api::StoredDocument;
+///
+/// let author = AuthorName::try_from("maija").unwrap();
+/// let text = "[region r]\ncells = 1\n".to_owned();
+/// let based_on = ConfigRevision::new(0);
+/// let change = DocumentChange { based_on, text, author, dry_run: false };
+/// let document = StoredDocument::successor(None, &change, 1_000);
+/// let bytes = document.to_bytes();
+/// assert_eq!(StoredDocument::try_from(bytes.as_slice()).unwrap(), document);
+/// assert_eq!(document.recent[0].lines, ["[region r] cells: 1 added"]);
+/// ```
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredDocument {
     /// Who wrote it.
-    pub author: String,
+    pub author: AuthorName,
     /// When it was written, in milliseconds since 1970 UTC.
     pub changed_unix_ms: u64,
     /// Its INI text.
     pub text: String,
+    /// The latest changes, this one first.
+    #[serde(default)]
+    pub recent: Vec<RecordedChange>,
+}
+
+impl StoredDocument {
+    /// The row that `change` puts in place of `current`, at `now_unix_ms`.
+    #[must_use]
+    pub fn successor(current: Option<&Self>, change: &DocumentChange, now_unix_ms: u64) -> Self {
+        let before = current.map_or("", |document| &document.text);
+        let newest = RecordedChange {
+            replaced: change.based_on,
+            author: change.author.clone(),
+            changed_unix_ms: now_unix_ms,
+            lines: short_lines(before, &change.text),
+        };
+        let earlier = current.map_or(&[][..], |document| &document.recent);
+        let recent = std::iter::once(newest)
+            .chain(earlier.iter().cloned())
+            .take(RECENT_CHANGES_MAX)
+            .collect();
+        Self {
+            author: change.author.clone(),
+            changed_unix_ms: now_unix_ms,
+            text: change.text.clone(),
+            recent,
+        }
+    }
+
+    /// The value to write into the store.
+    ///
+    /// # Panics
+    ///
+    /// Never: texts and numbers always encode.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("texts and numbers always encode")
+    }
+
+    /// What operators are shown of the row, whose last write has `revision`.
+    #[must_use]
+    pub fn view(&self, revision: ConfigRevision) -> DocumentView {
+        DocumentView {
+            revision,
+            text: self.text.clone(),
+            author: self.author.to_string(),
+            changed_unix_ms: self.changed_unix_ms,
+        }
+    }
+}
+
+impl TryFrom<&[u8]> for StoredDocument {
+    type Error = Report<StepError>;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, Self::Error> {
+        serde_json::from_slice(bytes).change_context(StepError::new("decode document", "store"))
+    }
+}
+
+fn short_lines(before: &str, after: &str) -> Vec<String> {
+    let mut lines = DocumentDifference::between(before, after).lines();
+    let left = lines.len().saturating_sub(LINES_MAX);
+    lines.truncate(LINES_MAX);
+    for line in &mut lines {
+        *line = line.chars().take(LINE_CHARACTERS_MAX).collect();
+    }
+    if left > 0 {
+        lines.push(format!("and {left} more"));
+    }
+    lines
 }
--- a/crates/wire/src/api/zone_change.rs
+++ b/crates/wire/src/api/zone_change.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::api::AuthorName;
 use sapphirestile_core::ZoneState;
 
 /// Body of `POST /v1/zones/{zone}`.
@@ -12,5 +13,5 @@
     /// What the zone shall be.
     pub state: ZoneState,
     /// Who asks for the change.
-    pub author: String,
+    pub author: AuthorName,
 }
--- /dev/null
+++ b/crates/wire/tests/api_bodies.rs
@@ -0,0 +1,102 @@
+//! Bodies of the operator port.
+
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+use test_case::test_case;
+
+use sapphirestile_core::ConfigRevision;
+use sapphirestile_wire::api::AuthorName;
+use sapphirestile_wire::api::DocumentChange;
+use sapphirestile_wire::api::JobSubmission;
+use sapphirestile_wire::api::OperatorToken;
+use sapphirestile_wire::api::RECENT_CHANGES_MAX;
+use sapphirestile_wire::api::StoredDocument;
+use sapphirestile_wire::api::ZoneChange;
+
+const PROPERTY_SEED: u64 = 0x0a91;
+
+fn change(based_on: u64, text: &str) -> DocumentChange {
+    DocumentChange {
+        based_on: ConfigRevision::new(based_on),
+        text: text.to_owned(),
+        author: AuthorName::try_from("maija").unwrap(),
+        dry_run: false,
+    }
+}
+
+#[test]
+fn a_row_remembers_the_latest_changes_only() {
+    let mut row = StoredDocument::successor(None, &change(0, "[region r]\ncells = 1\n"), 0);
+    for cells in 2..40 {
+        let text = format!("[region r]\ncells = {cells}\n");
+        row = StoredDocument::successor(Some(&row), &change(cells, &text), cells * 1_000);
+    }
+    assert_eq!(row.recent.len(), RECENT_CHANGES_MAX);
+    assert_eq!(row.recent[0].lines, ["[region r] cells: 38 -> 39"]);
+    assert_eq!(row.recent[19].replaced, ConfigRevision::new(20));
+    assert_eq!(row.changed_unix_ms, 39_000);
+}
+
+#[test]
+fn a_row_bounds_what_it_says_of_a_large_change() {
+    let regions = (0..30).map(|place| format!("[region r{place}]\ncells = 1\n"));
+    let text = regions.collect::<String>();
+    let row = StoredDocument::successor(None, &change(0, &text), 0);
+    assert_eq!(row.recent[0].lines.len(), 21);
+    assert_eq!(row.recent[0].lines[20], "and 10 more");
+}
+
+#[test_case(r#"{"state":"out","author":"maija","why":"storm"}"#; "an unknown field")]
+#[test_case(r#"{"state":"up","author":"maija"}"#; "an unknown state")]
+#[test_case(r#"{"state":"out","author":"a\nb"}"#; "an author of two lines")]
+#[test_case(r#"{"state":"out","author":""}"#; "no author")]
+fn a_zone_change_is_checked_when_decoded(body: &str) {
+    assert!(serde_json::from_str::<ZoneChange>(body).is_err());
+}
+
+#[test]
+fn a_submission_needs_neither_zones_nor_urgency() {
+    let body = r#"{"job":"patterns","customer":"tailors","tasks":2,
+        "size":{"cpu_milli":1,"memory_mb":2,"accelerators":0},"run_ms":3}"#;
+    let submission = serde_json::from_str::<JobSubmission>(body).unwrap();
+    assert_eq!((submission.urgent, submission.zones), (false, None));
+}
+
+#[test]
+fn a_seal_holds_for_one_purpose_and_one_message() {
+    let token = OperatorToken::try_from("0123456789abcdef").unwrap();
+    let other = OperatorToken::try_from("0123456789abcdeg").unwrap();
+    let seal = token.seal("session", "maija");
+    assert!(token.is_seal("session", "maija", &seal));
+    assert!(!token.is_seal("sessiom", "maija", &seal));
+    assert!(!token.is_seal("session", "maijb", &seal));
+    assert!(!token.is_seal("sessionm", "aija", &seal));
+    assert!(!other.is_seal("session", "maija", &seal));
+    assert!(!token.is_seal("session", "maija", "not hex"));
+}
+
+#[test_case(None, false; "no header")]
+#[test_case(Some("Bearer 0123456789abcdef"), true; "the token")]
+#[test_case(Some("Bearer 0123456789abcdeX"), false; "another token")]
+#[test_case(Some("Bearer 0123456789abcde"), false; "a part of the token")]
+#[test_case(Some("0123456789abcdef"), false; "no scheme")]
+fn a_token_admits_itself_only(authorization: Option<&str>, admitted: bool) {
+    let token = OperatorToken::try_from("0123456789abcdef").unwrap();
+    assert_eq!(token.admits(authorization), admitted);
+    assert_eq!(format!("{token:?}"), "OperatorToken(..)");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(PROPERTY_SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_bytes_panic_the_row(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = StoredDocument::try_from(bytes.as_slice());
+    }
+}
