Add the checked settings of the daemon

Cause: the daemon needs its own addresses, its zone, the platform's endpoints, peers and bounds from INI, every fault named at once. Sections that hold a secret never show a value in a fault, not even of a misspelled key; a line that is no INI shows what stands before the equals sign only.

A section [operators] with a token is required: what changes state needs it. Ruled out: an optional token, which leaves a daemon open when it is forgotten.

--- a/crates/core/src/ini_text/parsed_ini.rs
+++ b/crates/core/src/ini_text/parsed_ini.rs
@@ -81,7 +81,11 @@
         .map(content_of)
         .enumerate()
         .filter(|(_, content)| !is_ini_line(content))
-        .map(|(place, content)| text_fault(&format!("line {}", place + 1), content, LINE_EXPECTED))
+        .map(|(place, content)| {
+            // What follows the key may be a secret.
+            let shown = content.split(['=', ':']).next().unwrap_or("");
+            text_fault(&format!("line {}", place + 1), shown.trim(), LINE_EXPECTED)
+        })
         .collect()
 }
 
--- a/crates/core/src/ini_text/section_reader.rs
+++ b/crates/core/src/ini_text/section_reader.rs
@@ -6,6 +6,8 @@
 
 use crate::IniFault;
 
+const HIDDEN_VALUE: &str = "(not shown)";
+
 /// Reads the keys of one section and adds each fault to a list.
 ///
 /// Call [`SectionReader::finish`] last: it refuses keys that nothing has read.
@@ -30,6 +32,7 @@
     properties: &'a Properties,
     faults: &'a mut Vec<IniFault>,
     read: Vec<&'static str>,
+    holds_secret: bool,
 }
 
 impl<'a> SectionReader<'a> {
@@ -45,6 +48,7 @@
             properties,
             faults,
             read: Vec::new(),
+            holds_secret: false,
         }
     }
 
@@ -124,8 +128,25 @@
         }
     }
 
+    /// The checked value at `key`; from here on no fault shows a value.
+    pub fn secret<'t, T>(&mut self, key: &'static str, expected: &str) -> Option<T>
+    where
+        T: TryFrom<&'t str>,
+        'a: 't,
+    {
+        self.holds_secret = true;
+        let text = self.text(key, expected)?;
+        let value = T::try_from(text).ok();
+        if value.is_none() {
+            self.fault(key, text, expected);
+        }
+        value
+    }
+
     /// Adds a fault at `key`.
     pub fn fault(&mut self, key: &str, value: &str, expected: &str) {
+        let hidden = self.holds_secret && !value.is_empty();
+        let value = if hidden { HIDDEN_VALUE } else { value };
         self.faults.push(IniFault {
             section: self.section.to_owned(),
             key: key.to_owned(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,3 @@
 //! The daemon sapphirestiled and the operations it runs.
+
+pub mod settings;
--- /dev/null
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -0,0 +1,138 @@
+//! The settings of a daemon.
+
+use std::net::SocketAddr;
+
+use ini::Properties;
+
+use sapphirestile_core::IniFault;
+use sapphirestile_core::ParsedIni;
+use sapphirestile_core::SectionReader;
+
+use crate::settings::LimitSettings;
+use crate::settings::NodeSettings;
+use crate::settings::OperatorSettings;
+use crate::settings::PeerSettings;
+use crate::settings::PlatformSettings;
+use crate::settings::SettingsFault;
+
+const SECTIONS: [&str; 5] = ["daemon", "platform", "peers", "operators", "limits"];
+const SECTIONS_EXPECTED: &str = "one of the sections daemon, platform, peers, operators, limits";
+const ONCE_EXPECTED: &str = "each section once";
+const TARGET_EXPECTED: &str = "an IP number and a port";
+
+/// The settings of a daemon, checked as a whole.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_daemon::settings::DaemonSettings;
+///
+/// let text = "
+/// [daemon]
+/// name = hki-1
+/// zone = rannikko-hki
+/// region = rannikko
+/// callers = 127.0.0.1:0
+/// operators = 127.0.0.1:0
+/// peers = 127.0.0.1:0
+/// [platform]
+/// store = 127.0.0.1:2379
+/// vms = 127.0.0.1:8000
+/// [peers]
+/// key = 0123456789abcdef
+/// [operators]
+/// token = fedcba9876543210
+/// ";
+/// let settings = DaemonSettings::try_from(text).unwrap();
+/// assert_eq!(settings.node.name.as_str(), "hki-1");
+/// assert_eq!(settings.limits.lease_ms, 10_000);
+///
+/// let fault = DaemonSettings::try_from("[limits]\nlease_ms = 5 s\n").unwrap_err();
+/// assert_eq!(
+///     fault.faults.last().unwrap().to_string(),
+///     "[limits] lease_ms = \"5 s\": expected milliseconds from 2000 to 600000"
+/// );
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DaemonSettings {
+    /// Who and where the daemon is.
+    pub node: NodeSettings,
+    /// Where the platform answers.
+    pub platform: PlatformSettings,
+    /// How other daemons are found and trusted.
+    pub peering: PeerSettings,
+    /// How operators prove themselves.
+    pub operators: OperatorSettings,
+    /// The daemon's bounds.
+    pub limits: LimitSettings,
+}
+
+impl TryFrom<&str> for DaemonSettings {
+    type Error = SettingsFault;
+
+    fn try_from(text: &str) -> Result<Self, Self::Error> {
+        let ini = ParsedIni::try_from(text).map_err(|faults| SettingsFault { faults })?;
+        let mut faults = Vec::new();
+        check_sections(&ini, &mut faults);
+        match Self::read(&ini, &mut faults) {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(SettingsFault { faults }),
+        }
+    }
+}
+
+impl DaemonSettings {
+    fn read(ini: &ParsedIni, faults: &mut Vec<IniFault>) -> Option<Self> {
+        let missing = Properties::new();
+        let section = |name: &'static str| {
+            let found = ini.sections().find(|(section, _)| *section == name);
+            found.map_or(&missing, |(_, keys)| keys)
+        };
+        let node = NodeSettings::read(SectionReader::new("daemon", section("daemon"), faults));
+        let platform =
+            PlatformSettings::read(SectionReader::new("platform", section("platform"), faults));
+        let peering = PeerSettings::read(SectionReader::new("peers", section("peers"), faults));
+        let operators = OperatorSettings::read(SectionReader::new(
+            "operators",
+            section("operators"),
+            faults,
+        ));
+        let limits = LimitSettings::read(SectionReader::new("limits", section("limits"), faults));
+        Some(Self {
+            node: node?,
+            platform: platform?,
+            peering: peering?,
+            operators: operators?,
+            limits: limits?,
+        })
+    }
+}
+
+pub(super) fn read_target(reader: &mut SectionReader<'_>, key: &'static str) -> Option<SocketAddr> {
+    let address = reader.number::<SocketAddr>(key, TARGET_EXPECTED)?;
+    if address.port() == 0 || address.ip().is_unspecified() {
+        reader.fault(key, &address.to_string(), TARGET_EXPECTED);
+    }
+    Some(address)
+}
+
+fn check_sections(ini: &ParsedIni, faults: &mut Vec<IniFault>) {
+    let mut seen = Vec::new();
+    for (section, _) in ini.sections() {
+        if !SECTIONS.contains(&section) {
+            faults.push(section_fault(section, SECTIONS_EXPECTED));
+        } else if seen.contains(&section) {
+            faults.push(section_fault(section, ONCE_EXPECTED));
+        }
+        seen.push(section);
+    }
+}
+
+fn section_fault(section: &str, expected: &str) -> IniFault {
+    IniFault {
+        section: section.to_owned(),
+        key: String::new(),
+        value: String::new(),
+        expected: expected.to_owned(),
+    }
+}
