--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -12,6 +12,7 @@
 //! carries out the [`CellEffect`]s.
 
 mod journal;
+mod map;
 mod owner;
 mod state;
 
@@ -20,6 +21,7 @@
 pub use journal::JobOrder;
 pub use journal::JournalEntry;
 pub use journal::OwnerMark;
+pub use map::CellMap;
 pub use owner::CellEffect;
 pub use owner::CellOwner;
 pub use owner::ClaimingPhase;
--- /dev/null
+++ b/crates/cells/src/map/cell_map.rs
@@ -0,0 +1,85 @@
+//! The map of names to cells.
+
+use sapphirestile_core::CellNumber;
+
+/// Spreads names over a fixed number of cells.
+///
+/// A cell holds workers of every zone, so that its jobs go on elsewhere when a
+/// zone is taken out.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_cells::CellMap;
+///
+/// let map = CellMap::new(4);
+/// assert_eq!(map.cell_of_job("patterns"), map.cell_of_job("patterns"));
+/// assert!(map.cell_of_worker("worker-1").get() < 4);
+/// assert_eq!(map.preferred_owner(map.cells().next().unwrap(), &[]), None);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CellMap {
+    count: u16,
+}
+
+impl CellMap {
+    /// A map of `count` cells.
+    ///
+    /// # Panics
+    ///
+    /// When `count` is zero.
+    #[must_use]
+    pub const fn new(count: u16) -> Self {
+        assert!(count > 0, "there is at least one cell");
+        Self { count }
+    }
+
+    /// Every cell.
+    pub fn cells(self) -> impl Iterator<Item = CellNumber> {
+        (0..self.count).map(CellNumber::new)
+    }
+
+    /// The cell that a worker belongs to.
+    #[must_use]
+    pub fn cell_of_worker(self, worker: &str) -> CellNumber {
+        self.cell_of("worker", worker)
+    }
+
+    /// The cell that a job belongs to.
+    #[must_use]
+    pub fn cell_of_job(self, job: &str) -> CellNumber {
+        self.cell_of("job", job)
+    }
+
+    /// The cell that records requests with this key.
+    #[must_use]
+    pub fn cell_of_key(self, key: &str) -> CellNumber {
+        self.cell_of("key", key)
+    }
+
+    /// The daemon that comes first in the cell's rendezvous order.
+    #[must_use]
+    pub fn preferred_owner<'d>(self, cell: CellNumber, daemons: &[&'d str]) -> Option<&'d str> {
+        let weight = |daemon: &&str| hash_of(&["owner", daemon, &cell.to_string()]);
+        daemons.iter().copied().max_by_key(weight)
+    }
+
+    fn cell_of(self, kind: &str, name: &str) -> CellNumber {
+        let place = hash_of(&[kind, name]) % u64::from(self.count);
+        CellNumber::new(u16::try_from(place).expect("a place is below the count of cells"))
+    }
+}
+
+fn hash_of(parts: &[&str]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(part.as_bytes());
+        hasher.update(b"\0");
+    }
+    let hash = hasher.finalize();
+    let (first, _) = hash
+        .as_bytes()
+        .split_first_chunk::<8>()
+        .expect("a hash has 32 bytes");
+    u64::from_le_bytes(*first)
+}
--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -191,6 +191,25 @@
         self.state.sequence().get().is_multiple_of(entries)
     }
 
+    /// The place of the entry that will hold the latest proposed change.
+    #[must_use]
+    pub fn last_proposed(&self) -> JournalSequence {
+        let mut sequence = self.state.sequence();
+        if self.phase.flight.is_some() {
+            sequence = sequence.next();
+        }
+        if !self.phase.pending.is_empty() {
+            sequence = sequence.next();
+        }
+        sequence
+    }
+
+    /// Whether an entry was taken whose outcome is not known yet.
+    #[must_use]
+    pub const fn has_flight(&self) -> bool {
+        self.phase.flight.is_some()
+    }
+
     /// The place of the latest entry in the journal.
     #[must_use]
     pub const fn sequence(&self) -> JournalSequence {
--- a/crates/cells/src/owner/cell_owner/worker_reports.rs
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -12,7 +12,6 @@
 use crate::state::TaskEntry;
 use crate::state::TaskOutcome;
 use sapphirestile_core::AttemptNumber;
-use sapphirestile_core::JournalSequence;
 use sapphirestile_core::TaskName;
 
 const FAILURES_MAX: u32 = 3;
@@ -169,16 +168,4 @@
             self.release_settled();
         }
     }
-
-    /// The place of the entry that will hold the latest proposed change.
-    fn last_proposed(&self) -> JournalSequence {
-        let mut sequence = self.state.sequence();
-        if self.phase.flight.is_some() {
-            sequence = sequence.next();
-        }
-        if !self.phase.pending.is_empty() {
-            sequence = sequence.next();
-        }
-        sequence
-    }
 }
--- a/crates/core/src/document/operator_document.rs
+++ b/crates/core/src/document/operator_document.rs
@@ -111,7 +111,9 @@
         }
     }
 
-    fn cells(&self) -> u16 {
+    /// How many cells all regions have together.
+    #[must_use]
+    pub fn cells(&self) -> u16 {
         self.regions
             .values()
             .fold(0, |sum, entry| sum.saturating_add(entry.cells))
--- /dev/null
+++ b/crates/daemon/src/callers/caller_reply.rs
@@ -0,0 +1,68 @@
+//! What a caller is answered.
+
+use crate::serving::HttpReply;
+use sapphirestile_platform::http::HttpAnswer;
+use sapphirestile_routing::RouteRefusal;
+
+const OUTCOME_HEADER: &str = "x-outcome";
+const CONNECTION_HEADERS: [&str; 4] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "transfer-encoding",
+];
+
+/// What a caller is answered.
+#[derive(Debug)]
+pub enum CallerReply {
+    /// The runner's whole answer.
+    Answered(Box<HttpAnswer>),
+    /// The request was not run, for certain.
+    NotRun(RouteRefusal),
+    /// The request has the key of one that was sent before; it was not sent again.
+    AlreadySent,
+    /// The request may have run; it is not tried again.
+    Unknown,
+    /// The request was not understood, and not run.
+    BadRequest(&'static str),
+    /// The request is larger than allowed, and was not run.
+    TooLarge,
+}
+
+impl CallerReply {
+    /// The reply over HTTP.
+    #[must_use]
+    pub fn into_http(self) -> HttpReply {
+        match self {
+            Self::Answered(answer) => answer_reply(*answer),
+            Self::NotRun(RouteRefusal::NoService) => refusal(404, "not-run", "no such service"),
+            Self::NotRun(reason) => {
+                refusal(503, "not-run", &reason.to_string()).with_header("retry-after", "1")
+            }
+            Self::AlreadySent => refusal(409, "unknown", "a request with this key was sent before"),
+            Self::Unknown => refusal(504, "unknown", "the runner's answer did not arrive"),
+            Self::BadRequest(reason) => refusal(400, "not-run", reason),
+            Self::TooLarge => refusal(413, "not-run", "the request is larger than allowed"),
+        }
+    }
+}
+
+fn refusal(status: u16, outcome: &str, reason: &str) -> HttpReply {
+    let body = serde_json::json!({ "outcome": outcome, "reason": reason });
+    HttpReply::json(status, &body).with_header(OUTCOME_HEADER, outcome)
+}
+
+fn answer_reply(answer: HttpAnswer) -> HttpReply {
+    let kept = |name: &str| !CONNECTION_HEADERS.contains(&name);
+    let headers = answer
+        .headers
+        .iter()
+        .filter(|(name, _)| kept(name.as_str()))
+        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+        .collect();
+    HttpReply {
+        status: answer.status,
+        headers,
+        body: answer.body,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/callers/caller_request.rs
@@ -0,0 +1,122 @@
+//! A caller's request, checked.
+
+use std::io::Read;
+
+use oxhttp::model::Body;
+use oxhttp::model::Request;
+
+use crate::callers::CallerReply;
+use sapphirestile_platform::http::HeaderView;
+
+const KEY_HEADER: &str = "idempotency-key";
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+
+/// A caller's request with its whole body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerRequest {
+    method: String,
+    target: String,
+    service: String,
+    headers: Vec<(String, Vec<u8>)>,
+    body: Vec<u8>,
+}
+
+impl CallerRequest {
+    /// Reads a request, whose body may have up to `body_max` bytes.
+    ///
+    /// # Errors
+    ///
+    /// The reply that refuses it.
+    pub fn read(request: &mut Request<Body>, body_max: usize) -> Result<Self, CallerReply> {
+        let target = request
+            .uri()
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
+        let (method, target) = (request.method().to_string(), target.to_owned());
+        let path = request.uri().path();
+        let service = path
+            .trim_start_matches('/')
+            .split('/')
+            .next()
+            .unwrap_or("")
+            .to_owned();
+        let headers = request
+            .headers()
+            .iter()
+            .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+            .collect();
+        let body = read_body(request, body_max)?;
+        Ok(Self {
+            method,
+            target,
+            service,
+            headers,
+            body,
+        })
+    }
+
+    /// The method.
+    #[must_use]
+    pub fn method(&self) -> &str {
+        &self.method
+    }
+
+    /// The path and query.
+    #[must_use]
+    pub fn target(&self) -> &str {
+        &self.target
+    }
+
+    /// The service: the first segment of the path.
+    #[must_use]
+    pub fn service(&self) -> &str {
+        &self.service
+    }
+
+    /// The headers.
+    #[must_use]
+    pub fn headers(&self) -> Vec<HeaderView<'_>> {
+        let views = self.headers.iter();
+        views
+            .map(|(name, value)| HeaderView { name, value })
+            .collect()
+    }
+
+    /// The body.
+    #[must_use]
+    pub fn body(&self) -> &[u8] {
+        &self.body
+    }
+
+    /// The caller's idempotency key.
+    #[must_use]
+    pub fn key(&self) -> Option<&str> {
+        self.header(KEY_HEADER)
+    }
+
+    /// How long the caller waits at most, in milliseconds, if it says so.
+    #[must_use]
+    pub fn deadline_ms(&self) -> Option<u64> {
+        self.header(DEADLINE_HEADER)?.parse().ok()
+    }
+
+    fn header(&self, wanted: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(name, _)| name == wanted);
+        found.and_then(|(_, value)| std::str::from_utf8(value).ok())
+    }
+}
+
+fn read_body(request: &mut Request<Body>, body_max: usize) -> Result<Vec<u8>, CallerReply> {
+    let limit = u64::try_from(body_max)
+        .unwrap_or(u64::MAX)
+        .saturating_add(1);
+    let mut body = Vec::new();
+    let read = request.body_mut().take(limit).read_to_end(&mut body);
+    if read.is_err() {
+        return Err(CallerReply::BadRequest("the body did not arrive whole"));
+    }
+    if body.len() > body_max {
+        return Err(CallerReply::TooLarge);
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/crates/daemon/src/cells.rs
@@ -0,0 +1,47 @@
+//! The cells that this daemon owns.
+//!
+//! A [`CellDirector`] looks several times a second for cells that nobody owns
+//! and that are this daemon's to claim. Claiming loads the cell as a
+//! [`LoadedCell`] from its [`CellJournal`], commits the claim and starts a
+//! [`CellKeeper`], a thread with an open [`sapphirestile_cells::CellOwner`]. The
+//! keeper takes [`KeeperEvent`]s: calls of operators and peers, answers of
+//! workers from the [`WorkerPool`], and outcomes of commits from its
+//! [`JournalWriter`]. The [`KeeperDirectory`] lists the keepers; a [`CellDesk`]
+//! brings a call to the keeper of its cell, here or at a peer.
+
+mod cell_desk;
+mod cell_director;
+mod cell_journal;
+mod cell_keeper;
+mod head_record;
+mod job_render;
+mod journal_batch;
+mod journal_outcome;
+mod journal_writer;
+mod keeper_call;
+mod keeper_directory;
+mod keeper_dump;
+mod keeper_event;
+mod keeper_handle;
+mod loaded_cell;
+mod waiting_reply;
+mod worker_call;
+mod worker_pool;
+
+pub use cell_desk::CellDesk;
+pub use cell_director::CellDirector;
+pub use cell_journal::CellJournal;
+pub use cell_keeper::CellKeeper;
+pub use head_record::HeadRecord;
+pub use journal_batch::JournalBatch;
+pub use journal_outcome::JournalOutcome;
+pub use journal_writer::JournalWriter;
+pub use keeper_call::KeeperCall;
+pub use keeper_directory::KeeperDirectory;
+pub use keeper_dump::KeeperDump;
+pub use keeper_event::KeeperEvent;
+pub use keeper_handle::KeeperHandle;
+pub use loaded_cell::LoadedCell;
+pub use waiting_reply::WaitingReply;
+pub use worker_call::WorkerCall;
+pub use worker_pool::WorkerPool;
--- /dev/null
+++ b/crates/daemon/src/cells/cell_keeper.rs
@@ -0,0 +1,213 @@
+//! The thread that owns a cell.
+
+mod keeper_calls;
+mod keeper_steps;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
+use crossbeam::channel::Sender;
+use tracing::info;
+
+use crate::cells::JournalBatch;
+use crate::cells::JournalOutcome;
+use crate::cells::KeeperDump;
+use crate::cells::KeeperEvent;
+use crate::cells::WaitingReply;
+use crate::cells::WorkerPool;
+use crate::context::DaemonContext;
+use sapphirestile_cells::CellOwner;
+use sapphirestile_cells::CommitOutcome;
+use sapphirestile_cells::OpenPhase;
+use sapphirestile_cells::ReportView;
+use sapphirestile_core::ConfigRevision;
+use sapphirestile_core::MonoTime;
+use sapphirestile_wire::peer::PeerAnswer;
+use sapphirestile_wire::peer::PeerFault;
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// Owns a cell until it is deposed or told to stop.
+///
+/// The thread never waits for a worker or the store: calls go to the
+/// [`WorkerPool`], entries to the [`crate::cells::JournalWriter`], and both
+/// answer with events.
+pub struct CellKeeper {
+    context: Arc<DaemonContext>,
+    owner: CellOwner<OpenPhase>,
+    pool: WorkerPool,
+    batches: Sender<JournalBatch>,
+    events: Receiver<KeeperEvent>,
+    /// Where the pool and the writer answer.
+    answers: Sender<KeeperEvent>,
+    replies: Vec<WaitingReply>,
+    /// The configuration that the list of workers was made with.
+    revision: ConfigRevision,
+    /// The configuration that a commit found to be no longer the latest.
+    beaten: Option<ConfigRevision>,
+    committed: MonoTime,
+    stopping: bool,
+    deposed: bool,
+}
+
+impl CellKeeper {
+    /// A keeper for an owner whose claim is in the journal.
+    #[must_use]
+    pub fn new(
+        context: Arc<DaemonContext>,
+        owner: CellOwner<OpenPhase>,
+        pool: WorkerPool,
+        batches: Sender<JournalBatch>,
+        (answers, events): (Sender<KeeperEvent>, Receiver<KeeperEvent>),
+    ) -> Self {
+        let committed = context.clock.now();
+        Self {
+            context,
+            owner,
+            pool,
+            batches,
+            events,
+            answers,
+            replies: Vec::new(),
+            revision: ConfigRevision::default(),
+            beaten: None,
+            committed,
+            stopping: false,
+            deposed: false,
+        }
+    }
+
+    /// Owns the cell until it is deposed or has given the cell up.
+    pub fn run(mut self) {
+        let (cell, epoch) = (self.owner.cell(), self.owner.epoch());
+        info!(step = "own cell", %cell, %epoch, "claimed");
+        while !self.has_ended() {
+            match self.events.recv_timeout(TICK) {
+                Ok(event) => self.take_all(event),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => break,
+            }
+            if !self.deposed {
+                self.step();
+            }
+        }
+        self.refuse_replies();
+        info!(step = "own cell", %cell, %epoch, deposed = self.deposed, "given up");
+        if !self.deposed {
+            self.release();
+        }
+    }
+
+    fn has_ended(&self) -> bool {
+        self.deposed || (self.stopping && self.owner.is_quiet())
+    }
+
+    fn take_all(&mut self, first: KeeperEvent) {
+        self.take(first);
+        while let Ok(event) = self.events.try_recv() {
+            self.take(event);
+        }
+    }
+
+    fn take(&mut self, event: KeeperEvent) {
+        match event {
+            KeeperEvent::Called(call) => self.answer(&call),
+            KeeperEvent::Reported {
+                worker,
+                ordinal,
+                asked,
+                permit,
+                tasks,
+            } => {
+                let worker = worker.as_str();
+                let tasks = &tasks;
+                self.owner.observe_report(&ReportView {
+                    worker,
+                    ordinal,
+                    asked,
+                    permit,
+                    tasks,
+                });
+            }
+            KeeperEvent::SessionLost {
+                worker, ordinal, ..
+            } => {
+                self.owner.session_lost(worker.as_str(), ordinal);
+            }
+            KeeperEvent::StartAnswered(worker) => self.owner.start_answered(worker.as_str()),
+            KeeperEvent::Committed(outcome) => self.take_outcome(outcome),
+            KeeperEvent::Deposed => self.deposed = true,
+            KeeperEvent::Dump(reply) => {
+                let _given = reply.send(self.dump());
+            }
+            KeeperEvent::Stop => self.stopping = true,
+        }
+    }
+
+    fn take_outcome(&mut self, outcome: JournalOutcome) {
+        let outcome = match outcome {
+            JournalOutcome::Done => CommitOutcome::Done,
+            JournalOutcome::ConfigMoved => {
+                self.beaten = Some(self.revision);
+                CommitOutcome::ConfigMoved
+            }
+            JournalOutcome::Deposed => {
+                self.deposed = true;
+                return;
+            }
+        };
+        let effects = self.owner.settle_batch(outcome);
+        self.committed = self.context.clock.now();
+        for effect in effects {
+            self.call_worker(effect);
+        }
+        self.give_replies();
+    }
+
+    fn dump(&self) -> KeeperDump {
+        KeeperDump {
+            cell: self.owner.cell(),
+            state: self.owner.state().clone(),
+            committing: self.owner.has_flight(),
+            evictions: self.owner.evictions(),
+        }
+    }
+
+    fn give_replies(&mut self) {
+        let reached = self.owner.sequence();
+        let (due, rest) = std::mem::take(&mut self.replies)
+            .into_iter()
+            .partition::<Vec<_>, _>(|waiting| waiting.sequence <= reached);
+        self.replies = rest;
+        for waiting in due {
+            // The caller may have stopped waiting.
+            let _given = waiting.reply.send(waiting.answer);
+        }
+    }
+
+    /// None of the waiting changes is in the journal, nor will be.
+    fn refuse_replies(&mut self) {
+        for waiting in self.replies.drain(..) {
+            let fault = PeerFault::NotRun("the cell has moved to another daemon".to_owned());
+            let _given = waiting.reply.send(PeerAnswer::Fault(fault));
+        }
+    }
+
+    fn release(self) {
+        let entry = self.owner.release(rand::random());
+        let batch = JournalBatch {
+            entry,
+            revision: None,
+            snapshot: None,
+        };
+        if self.batches.send(batch).is_ok() {
+            let outcome = self
+                .events
+                .iter()
+                .find(|event| matches!(event, KeeperEvent::Committed(_)));
+            info!(step = "release cell", ?outcome, "released");
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
@@ -0,0 +1,128 @@
+//! What a keeper answers to operators and peers.
+
+use crate::cells::CellKeeper;
+use crate::cells::KeeperCall;
+use crate::cells::WaitingReply;
+use crate::cells::job_render;
+use crate::context::MonoClock;
+use sapphirestile_cells::RequestKey;
+use sapphirestile_cells::RequestRecord;
+use sapphirestile_cells::TransitionFault;
+use sapphirestile_core::JobName;
+use sapphirestile_core::TaskIndex;
+use sapphirestile_wire::api::JobSubmission;
+use sapphirestile_wire::peer::PeerAnswer;
+use sapphirestile_wire::peer::PeerFault;
+use sapphirestile_wire::peer::PeerRequest;
+
+const MILLIS_PER_SECOND: u64 = 1_000;
+
+impl CellKeeper {
+    pub(super) fn answer(&mut self, call: &KeeperCall) {
+        if self.stopping {
+            let reason = "the daemon is stopping".to_owned();
+            let _given = call
+                .reply
+                .send(PeerAnswer::Fault(PeerFault::NotRun(reason)));
+            return;
+        }
+        let answer = match &call.request {
+            PeerRequest::SubmitJob(_, submission) => self.submit(submission),
+            PeerRequest::CancelJob(_, job) => self.cancel(job),
+            PeerRequest::ViewJob(_, job) => self.view(job),
+            PeerRequest::Explain(_, job, index) => self.explain(job, *index),
+            PeerRequest::ListJobs(_) => self.list(),
+            PeerRequest::RecordRequest(_, key) => self.record(key, call),
+            PeerRequest::Ping | PeerRequest::Document(_) => PeerAnswer::Pong,
+        };
+        self.reply_when_committed(call, answer);
+    }
+
+    /// Gives an answer once all that it rests on is in the journal.
+    fn reply_when_committed(&mut self, call: &KeeperCall, answer: PeerAnswer) {
+        let sequence = self.owner.last_proposed();
+        let reply = call.reply.clone();
+        if matches!(answer, PeerAnswer::Fault(_)) || sequence == self.owner.sequence() {
+            let _given = reply.send(answer);
+            return;
+        }
+        self.replies.push(WaitingReply {
+            sequence,
+            answer,
+            reply,
+        });
+    }
+
+    fn submit(&mut self, submission: &JobSubmission) -> PeerAnswer {
+        let order = job_render::order_of(submission);
+        match self.owner.submit_job(&order) {
+            Ok(()) | Err(TransitionFault::AlreadySubmitted) => self.view(&submission.job),
+            Err(TransitionFault::NameTaken) => self.name_taken(&submission.job),
+            Err(fault) => not_run(fault),
+        }
+    }
+
+    fn name_taken(&self, job: &JobName) -> PeerAnswer {
+        match self.owner.state().jobs().get(job) {
+            Some(record) => PeerAnswer::NameTaken(job_render::submission_of(&record.order)),
+            None => PeerAnswer::Fault(PeerFault::UnknownJob),
+        }
+    }
+
+    fn cancel(&mut self, job: &JobName) -> PeerAnswer {
+        match self.owner.cancel_job(job) {
+            Ok(()) | Err(TransitionFault::Cancelled) => self.view(job),
+            Err(TransitionFault::UnknownJob) => PeerAnswer::Fault(PeerFault::UnknownJob),
+            Err(fault) => not_run(fault),
+        }
+    }
+
+    fn view(&self, job: &JobName) -> PeerAnswer {
+        let state = self.owner.state();
+        match state.jobs().get(job) {
+            Some(record) => PeerAnswer::Job(job_render::view_of(self.owner.cell(), state, record)),
+            None => PeerAnswer::Fault(PeerFault::UnknownJob),
+        }
+    }
+
+    fn list(&self) -> PeerAnswer {
+        let (cell, state) = (self.owner.cell(), self.owner.state());
+        let jobs = state.jobs().values();
+        PeerAnswer::Jobs(
+            jobs.map(|record| job_render::summary_of(cell, state, record))
+                .collect(),
+        )
+    }
+
+    fn explain(&self, job: &JobName, index: Option<TaskIndex>) -> PeerAnswer {
+        let state = self.owner.state();
+        let Some(record) = state.jobs().get(job) else {
+            return PeerAnswer::Fault(PeerFault::UnknownJob);
+        };
+        let view = job_render::view_of(self.owner.cell(), state, record);
+        let subject = index.map_or(job.to_string(), |index| format!("{job}/{index}"));
+        PeerAnswer::Explained(subject, job_render::explain(&view, index))
+    }
+
+    fn record(&mut self, key: &str, call: &KeeperCall) -> PeerAnswer {
+        let key = match RequestKey::try_from(key) {
+            Ok(key) => key,
+            Err(fault) => return PeerAnswer::Fault(PeerFault::NotRun(fault.to_owned())),
+        };
+        let record = RequestRecord {
+            sender: call.caller.clone(),
+            recorded_unix_s: MonoClock::unix_millis() / MILLIS_PER_SECOND,
+        };
+        match self.owner.record_request(&key, &record) {
+            Ok(()) => PeerAnswer::Recorded {
+                epoch: self.owner.epoch(),
+                sequence: self.owner.last_proposed(),
+            },
+            Err(_) => PeerAnswer::AlreadyRecorded,
+        }
+    }
+}
+
+fn not_run(fault: TransitionFault) -> PeerAnswer {
+    PeerAnswer::Fault(PeerFault::NotRun(fault.to_string()))
+}
--- /dev/null
+++ b/crates/daemon/src/cells/job_render.rs
@@ -0,0 +1,186 @@
+//! Jobs as operators see them.
+
+use sapphirestile_cells::CellState;
+use sapphirestile_cells::JobOrder;
+use sapphirestile_cells::JobRecord;
+use sapphirestile_cells::TaskEntry;
+use sapphirestile_cells::TaskOutcome;
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::TaskIndex;
+use sapphirestile_core::TaskName;
+use sapphirestile_wire::api::JobState;
+use sapphirestile_wire::api::JobSubmission;
+use sapphirestile_wire::api::JobSummary;
+use sapphirestile_wire::api::JobView;
+use sapphirestile_wire::api::TaskState;
+use sapphirestile_wire::api::TaskView;
+
+/// The order that a submission makes.
+pub fn order_of(submission: &JobSubmission) -> JobOrder {
+    let mut zones = submission.zones.clone().unwrap_or_default();
+    zones.sort();
+    zones.dedup();
+    JobOrder {
+        job: submission.job.clone(),
+        customer: submission.customer.clone(),
+        tasks: submission.tasks,
+        size: submission.size,
+        run_ms: submission.run_ms,
+        urgent: submission.urgent,
+        zones,
+    }
+}
+
+/// The submission that an order came from.
+pub fn submission_of(order: &JobOrder) -> JobSubmission {
+    let zones = if order.zones.is_empty() {
+        None
+    } else {
+        Some(order.zones.clone())
+    };
+    JobSubmission {
+        job: order.job.clone(),
+        customer: order.customer.clone(),
+        tasks: order.tasks,
+        size: order.size,
+        run_ms: order.run_ms,
+        urgent: order.urgent,
+        zones,
+    }
+}
+
+/// A job with its tasks.
+pub fn view_of(cell: CellNumber, state: &CellState, record: &JobRecord) -> JobView {
+    let tasks: Vec<TaskView> = tasks_of(state, record).map(render_task).collect();
+    JobView {
+        submission: submission_of(&record.order),
+        cell,
+        state: state_of(record, &tasks),
+        tasks,
+    }
+}
+
+/// A job in one line.
+pub fn summary_of(cell: CellNumber, state: &CellState, record: &JobRecord) -> JobSummary {
+    let tasks: Vec<TaskView> = tasks_of(state, record).map(render_task).collect();
+    JobSummary {
+        job: record.order.job.clone(),
+        customer: record.order.customer.clone(),
+        cell,
+        state: state_of(record, &tasks),
+        urgent: record.order.urgent,
+        tasks: record.order.tasks,
+        running: count(&tasks, TaskState::Running),
+        finished: count(&tasks, TaskState::Finished),
+        failed: count(&tasks, TaskState::Failed),
+    }
+}
+
+/// Why a job, or one of its tasks, is as it is, a line each.
+pub fn explain(view: &JobView, index: Option<TaskIndex>) -> Vec<String> {
+    let mut lines = vec![format!(
+        "job {} of {} is {}",
+        view.submission.job, view.submission.customer, view.state
+    )];
+    lines.push(format!("its cell is {}", view.cell));
+    for task in view
+        .tasks
+        .iter()
+        .filter(|task| index.is_none_or(|index| task.index == index))
+    {
+        lines.push(explain_task(task));
+    }
+    lines
+}
+
+fn explain_task(task: &TaskView) -> String {
+    let place = task
+        .worker
+        .as_ref()
+        .map_or(String::new(), |worker| format!(" on {worker}"));
+    let reason = task
+        .reason
+        .as_ref()
+        .map_or(String::new(), |reason| format!(": {reason}"));
+    let TaskView {
+        index,
+        state,
+        attempt,
+        checkpoint_ms,
+        ..
+    } = task;
+    format!(
+        "task {index} is {state}{place}, attempt {attempt}, checkpoint {checkpoint_ms} ms{reason}"
+    )
+}
+
+fn tasks_of<'s>(
+    state: &'s CellState,
+    record: &'s JobRecord,
+) -> impl Iterator<Item = (&'s TaskName, &'s TaskEntry)> {
+    state
+        .tasks()
+        .iter()
+        .filter(|(task, _)| task.job == record.order.job)
+}
+
+fn render_task((task, entry): (&TaskName, &TaskEntry)) -> TaskView {
+    let index = task.index;
+    match entry {
+        TaskEntry::Waiting(cycle) => TaskView {
+            index,
+            state: TaskState::Waiting,
+            attempt: cycle.phase().attempt,
+            worker: None,
+            checkpoint_ms: cycle.phase().checkpoint_ms,
+            reason: None,
+        },
+        TaskEntry::Assigned(cycle) => TaskView {
+            index,
+            state: TaskState::Running,
+            attempt: cycle.phase().attempt,
+            worker: Some(cycle.phase().worker.clone()),
+            checkpoint_ms: cycle.phase().checkpoint_ms,
+            reason: None,
+        },
+        TaskEntry::Ended(cycle) => TaskView {
+            index,
+            state: ended_state(cycle.phase().outcome),
+            attempt: cycle.phase().attempt,
+            worker: None,
+            checkpoint_ms: 0,
+            reason: None,
+        },
+    }
+}
+
+const fn ended_state(outcome: TaskOutcome) -> TaskState {
+    match outcome {
+        TaskOutcome::Finished => TaskState::Finished,
+        TaskOutcome::Failed => TaskState::Failed,
+        TaskOutcome::Cancelled => TaskState::Cancelled,
+    }
+}
+
+fn state_of(record: &JobRecord, tasks: &[TaskView]) -> JobState {
+    let any = |state: TaskState| tasks.iter().any(|task| task.state == state);
+    if record.open_tasks > 0 {
+        return if any(TaskState::Running) {
+            JobState::Running
+        } else {
+            JobState::Waiting
+        };
+    }
+    if any(TaskState::Failed) {
+        JobState::Failed
+    } else if any(TaskState::Cancelled) {
+        JobState::Cancelled
+    } else {
+        JobState::Finished
+    }
+}
+
+fn count(tasks: &[TaskView], state: TaskState) -> u32 {
+    let found = tasks.iter().filter(|task| task.state == state).count();
+    u32::try_from(found).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/daemon/src/cells/keeper_event.rs
@@ -0,0 +1,49 @@
+//! What a keeper takes in.
+
+use crossbeam::channel::Sender;
+
+use crate::cells::JournalOutcome;
+use crate::cells::KeeperCall;
+use crate::cells::KeeperDump;
+use sapphirestile_cells::TaskSighting;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::WorkerName;
+
+/// Something that a keeper has to take in.
+#[derive(Debug)]
+pub enum KeeperEvent {
+    /// A call of an operator or a peer.
+    Called(KeeperCall),
+    /// A worker answered a session.
+    Reported {
+        /// The worker.
+        worker: WorkerName,
+        /// Which session it answers.
+        ordinal: u64,
+        /// When the session was asked for.
+        asked: MonoTime,
+        /// What a start has to quote.
+        permit: u64,
+        /// Every attempt on the worker.
+        tasks: Vec<TaskSighting>,
+    },
+    /// A session was not answered.
+    SessionLost {
+        /// The worker.
+        worker: WorkerName,
+        /// Which session it was.
+        ordinal: u64,
+        /// Whether the worker knows a later epoch.
+        deposed: bool,
+    },
+    /// A start was answered, or its answer was lost.
+    StartAnswered(WorkerName),
+    /// The outcome of the entry in flight.
+    Committed(JournalOutcome),
+    /// Another daemon has claimed the cell.
+    Deposed,
+    /// Show the state.
+    Dump(Sender<KeeperDump>),
+    /// Give the cell up.
+    Stop,
+}
--- /dev/null
+++ b/crates/daemon/src/cells/worker_pool.rs
@@ -0,0 +1,186 @@
+//! Threads that call workers.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use crossbeam::channel::unbounded;
+use error_stack::Report;
+use tracing::debug;
+
+use crate::cells::KeeperEvent;
+use crate::cells::WorkerCall;
+use crate::context::DaemonContext;
+use sapphirestile_cells::CellEffect;
+use sapphirestile_cells::SessionOrder;
+use sapphirestile_cells::SightedPhase;
+use sapphirestile_cells::StartOrder;
+use sapphirestile_cells::StopOrder;
+use sapphirestile_cells::TaskSighting;
+use sapphirestile_core::CellNumber;
+use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_platform::worker::WorkerClient;
+use sapphirestile_platform::worker::WorkerError;
+use sapphirestile_wire::worker::SessionReport;
+use sapphirestile_wire::worker::SessionRequest;
+use sapphirestile_wire::worker::TaskPhase;
+use sapphirestile_wire::worker::TaskReport;
+use sapphirestile_wire::worker::TaskSettled;
+use sapphirestile_wire::worker::TaskStart;
+use sapphirestile_wire::worker::TaskStop;
+use sapphirestile_wire::worker::WorkerRefusal;
+
+const POOL_THREADS: usize = 16;
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Calls workers beside the keepers' threads, so that a silent worker delays no
+/// other.
+#[derive(Clone)]
+pub struct WorkerPool {
+    calls: Sender<WorkerCall>,
+}
+
+impl WorkerPool {
+    /// Starts the pool's threads. They end when the last handle is dropped.
+    #[must_use]
+    pub fn start(context: &Arc<DaemonContext>) -> Self {
+        let (calls, queue) = unbounded();
+        for _ in 0..POOL_THREADS {
+            let context = Arc::clone(context);
+            let queue = queue.clone();
+            thread::spawn(move || serve(&context, &queue));
+        }
+        Self { calls }
+    }
+
+    /// Queues a call.
+    pub fn call(&self, call: WorkerCall) {
+        // The pool's threads outlive every handle, so the queue is never closed.
+        let _queued = self.calls.send(call);
+    }
+}
+
+fn serve(context: &DaemonContext, queue: &Receiver<WorkerCall>) {
+    for call in queue {
+        let Ok(address) = PeerAddress::try_from(call.address) else {
+            continue;
+        };
+        let client = WorkerClient::new(address, CALL_TIMEOUT);
+        let event = match &call.effect {
+            CellEffect::Session(order) => Some(open_session(context, &client, &call, order)),
+            CellEffect::Start(order) => Some(start_task(&client, call.cell, order)),
+            CellEffect::Stop(order) => {
+                stop_task(&client, call.cell, order);
+                None
+            }
+        };
+        if let Some(event) = event {
+            // The keeper may have ended meanwhile.
+            let _taken = call.events.send(event);
+        }
+    }
+}
+
+fn open_session(
+    context: &DaemonContext,
+    client: &WorkerClient,
+    call: &WorkerCall,
+    order: &SessionOrder,
+) -> KeeperEvent {
+    let asked = context.clock.now();
+    let settled = order.settled.iter().map(|(task, attempt)| TaskSettled {
+        task: task.clone(),
+        attempt: *attempt,
+    });
+    let request = SessionRequest {
+        cell: call.cell,
+        epoch: order.epoch,
+        lease_ms: context.settings.limits.lease_ms,
+        settled: settled.collect(),
+    };
+    let worker = order.worker.clone();
+    let ordinal = order.ordinal;
+    match client.session(&request) {
+        Ok(SessionReport { permit, tasks, .. }) => {
+            let tasks = tasks.into_iter().map(sighting_of).collect();
+            KeeperEvent::Reported {
+                worker,
+                ordinal,
+                asked,
+                permit,
+                tasks,
+            }
+        }
+        Err(error) => {
+            let deposed = is_stale(&error);
+            debug!(step = "open session", peer = %worker, ?error, "session lost");
+            KeeperEvent::SessionLost {
+                worker,
+                ordinal,
+                deposed,
+            }
+        }
+    }
+}
+
+fn start_task(client: &WorkerClient, cell: CellNumber, order: &StartOrder) -> KeeperEvent {
+    let start = TaskStart {
+        cell,
+        epoch: order.epoch,
+        permit: order.permit,
+        task: order.task.clone(),
+        attempt: order.attempt,
+        size: order.size,
+        run_ms: order.run_ms,
+        checkpoint_ms: order.checkpoint_ms,
+    };
+    if let Err(error) = client.start(&start) {
+        debug!(step = "start task", peer = %order.worker, task = %order.task, ?error, "not started");
+    }
+    KeeperEvent::StartAnswered(order.worker.clone())
+}
+
+fn stop_task(client: &WorkerClient, cell: CellNumber, order: &StopOrder) {
+    let stop = TaskStop {
+        cell,
+        epoch: order.epoch,
+        task: order.task.clone(),
+        attempt: order.attempt,
+        checkpoint: order.checkpoint,
+    };
+    if let Err(error) = client.stop(&stop) {
+        debug!(step = "stop task", peer = %order.worker, task = %order.task, ?error, "not stopped");
+    }
+}
+
+fn is_stale(error: &Report<WorkerError>) -> bool {
+    matches!(
+        error.current_context(),
+        WorkerError::Refused(WorkerRefusal::StaleEpoch { .. })
+    )
+}
+
+fn sighting_of(report: TaskReport) -> TaskSighting {
+    let phase = match report.phase {
+        TaskPhase::Running => SightedPhase::Running,
+        TaskPhase::Finished => SightedPhase::Finished,
+        TaskPhase::Failed => SightedPhase::Failed,
+        TaskPhase::Stopped => SightedPhase::Stopped,
+    };
+    let TaskReport {
+        task,
+        attempt,
+        checkpoint_ms,
+        usage,
+        ..
+    } = report;
+    TaskSighting {
+        task,
+        attempt,
+        phase,
+        checkpoint_ms,
+        usage,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/context.rs
@@ -0,0 +1,19 @@
+//! What all operations of a daemon share.
+//!
+//! A [`DaemonContext`] is made once at the start and passed to every operation.
+//! Tables that requests read are [`SwapHolder`]s; time comes from one
+//! [`MonoClock`].
+
+mod daemon_context;
+mod mono_clock;
+mod phase_gauge;
+mod store_keys;
+mod store_pulse;
+mod swap_holder;
+
+pub use daemon_context::DaemonContext;
+pub use mono_clock::MonoClock;
+pub use phase_gauge::PhaseGauge;
+pub use store_keys::StoreKeys;
+pub use store_pulse::StorePulse;
+pub use swap_holder::SwapHolder;
--- /dev/null
+++ b/crates/daemon/src/cycle/house_keeper.rs
@@ -0,0 +1,62 @@
+//! Small tasks that come back several times a second.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
+
+use crate::callers::ParkingLot;
+use crate::context::DaemonContext;
+use crate::document;
+use crate::peers::PeerClient;
+use sapphirestile_wire::peer::PeerAnswer;
+use sapphirestile_wire::peer::PeerRequest;
+
+const TICK: Duration = Duration::from_millis(250);
+
+/// Gives parked slots back and catches up with later configurations of peers.
+pub struct HouseKeeper {
+    context: Arc<DaemonContext>,
+    lot: Arc<ParkingLot>,
+}
+
+impl HouseKeeper {
+    /// A housekeeper for one daemon.
+    #[must_use]
+    pub const fn new(context: Arc<DaemonContext>, lot: Arc<ParkingLot>) -> Self {
+        Self { context, lot }
+    }
+
+    /// Works until `stop` is closed.
+    pub fn run(&self, stop: &Receiver<()>) {
+        while stop.recv_timeout(TICK) == Err(RecvTimeoutError::Timeout) {
+            self.lot.release_due(self.context.clock.now());
+            self.catch_up();
+        }
+    }
+
+    /// A daemon that the store does not reach learns the configuration from a peer.
+    fn catch_up(&self) {
+        let Some(address) = self.peer_ahead() else {
+            return;
+        };
+        let known = self.context.document.load().revision();
+        let answer = PeerClient::new(&self.context).call(address, &PeerRequest::Document(known));
+        if let PeerAnswer::Document(Some((revision, stored))) = answer {
+            document::publish(&self.context, stored, revision);
+        }
+    }
+
+    fn peer_ahead(&self) -> Option<SocketAddr> {
+        let known = self.context.document.load().revision();
+        let members = self.context.members.load();
+        let ahead = members.rows().find(|(_, row)| {
+            row.heartbeat
+                .as_ref()
+                .is_some_and(|(_, _, beat)| beat.revision > known)
+        });
+        ahead.map(|(_, row)| row.address)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cycle/serving_phase.rs
@@ -0,0 +1,19 @@
+//! The phase of a daemon that serves.
+
+use std::sync::Arc;
+
+use crossbeam::channel::Sender;
+
+use crate::context::DaemonContext;
+use crate::cycle::DaemonAddresses;
+use crate::serving::HttpPort;
+use crate::serving::RequestGate;
+
+/// The daemon serves. Dropping `stop` ends its threads.
+pub struct ServingPhase {
+    pub(super) context: Arc<DaemonContext>,
+    pub(super) addresses: DaemonAddresses,
+    pub(super) gate: Arc<RequestGate>,
+    pub(super) ports: [HttpPort; 2],
+    pub(super) stop: Sender<()>,
+}
--- /dev/null
+++ b/crates/daemon/src/cycle/starting_phase.rs
@@ -0,0 +1,20 @@
+//! The phase of a daemon that does not serve yet.
+
+use std::sync::Arc;
+
+use crate::callers::ParkingLot;
+use crate::context::DaemonContext;
+use crate::cycle::DaemonAddresses;
+use crate::cycle::PeerPorts;
+use crate::serving::HttpPort;
+use crate::serving::RequestGate;
+
+/// The daemon is registered and its ports are bound.
+pub struct StartingPhase {
+    pub(super) context: Arc<DaemonContext>,
+    pub(super) addresses: DaemonAddresses,
+    pub(super) gate: Arc<RequestGate>,
+    pub(super) lot: Arc<ParkingLot>,
+    pub(super) peers: PeerPorts,
+    pub(super) ports: [HttpPort; 2],
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,3 +1,30 @@
-//! The daemon sapphirestiled and the operations it runs.
+//! The daemon `sapphirestiled` and the operations it runs.
+//!
+//! A [`cycle::DaemonCycle`] takes a daemon from its settings to serving and
+//! through a planned stop. All operations share one [`context::DaemonContext`],
+//! passed explicitly:
+//!
+//! - [`document`] keeps the configuration in force and changes it;
+//! - [`members`] registers the daemon and exchanges heartbeats with its peers;
+//! - [`vms`] polls the platform's list of VMs;
+//! - [`routes`] publishes the routing table that [`callers`] reads;
+//! - [`cells`] owns cells: it claims them, keeps their journals, calls workers;
+//! - [`peers`] carries calls to the owner of a cell;
+//! - [`operators`] answers the command-line tool;
+//! - [`metrics`] counts what happens;
+//! - [`serving`] holds the HTTP ports and the gate of a planned stop;
+//! - [`settings`] checks what the daemon is told at its start.
 
+pub mod callers;
+pub mod cells;
+pub mod context;
+pub mod cycle;
+pub mod document;
+pub mod members;
+pub mod metrics;
+pub mod operators;
+pub mod peers;
+pub mod routes;
+pub mod serving;
 pub mod settings;
+pub mod vms;
--- /dev/null
+++ b/crates/daemon/src/members/member_registration.rs
@@ -0,0 +1,89 @@
+//! The registration of a daemon.
+
+use std::thread;
+use std::time::Duration;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use tracing::warn;
+
+use crate::context::StoreKeys;
+use crate::members::MemberRecord;
+use sapphirestile_core::IncarnationNumber;
+use sapphirestile_core::StepError;
+use sapphirestile_platform::store::CommitAnswer;
+use sapphirestile_platform::store::StoreClient;
+use sapphirestile_platform::store::StoreCommit;
+use sapphirestile_platform::store::StoreError;
+use sapphirestile_platform::store::StoreGuard;
+use sapphirestile_platform::store::StoreWrite;
+use sapphirestile_platform::store::StoredRow;
+
+const STEP: &str = "register daemon";
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Registers a daemon in the store.
+///
+/// The revision of the write is the incarnation: the store never gives one
+/// twice, so a daemon that comes back at the same address has a later one.
+pub struct MemberRegistration<'a> {
+    store: &'a dyn StoreClient,
+    daemon: &'a str,
+}
+
+impl<'a> MemberRegistration<'a> {
+    /// A registration of `daemon`.
+    #[must_use]
+    pub const fn new(store: &'a dyn StoreClient, daemon: &'a str) -> Self {
+        Self { store, daemon }
+    }
+
+    /// Writes the record, and tries again for as long as the store is away.
+    #[must_use]
+    pub fn register(&self, record: &MemberRecord) -> IncarnationNumber {
+        loop {
+            match self.try_register(record) {
+                Ok(incarnation) => return incarnation,
+                Err(error) => warn!(step = STEP, daemon = self.daemon, ?error, "trying again"),
+            }
+            thread::sleep(RETRY_PAUSE);
+        }
+    }
+
+    fn try_register(&self, record: &MemberRecord) -> Result<IncarnationNumber, Report<StepError>> {
+        let failed = || StepError::new(STEP, "store");
+        let value = serde_json::to_vec(record).change_context_lazy(failed)?;
+        let known = self.read().change_context_lazy(failed)?;
+        if let Some(row) = &known
+            && row.value == value
+        {
+            // An earlier try took effect and its answer was lost.
+            return Ok(IncarnationNumber::new(row.revision));
+        }
+        let revision = known.map_or(0, |row| row.revision);
+        let key = StoreKeys::member(self.daemon);
+        let guards = [StoreGuard {
+            key: &key,
+            revision,
+        }];
+        let writes = [StoreWrite::Put {
+            key: &key,
+            value: &value,
+            lease: None,
+        }];
+        let commit = StoreCommit {
+            guards: &guards,
+            writes: &writes,
+        };
+        match self.store.commit(&commit).change_context_lazy(failed)? {
+            CommitAnswer::Done(revision) => Ok(IncarnationNumber::new(revision)),
+            CommitAnswer::Beaten => Err(Report::new(failed())),
+        }
+    }
+
+    fn read(&self) -> Result<Option<StoredRow>, Report<StoreError>> {
+        let key = StoreKeys::member(self.daemon);
+        let range = self.store.read(&key)?;
+        Ok(range.rows.into_iter().find(|row| row.key == key))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/members/shared_watch.rs
@@ -0,0 +1,160 @@
+//! Follows the rows that every daemon watches.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::TryRecvError;
+use error_stack::Report;
+use tracing::error;
+use tracing::warn;
+
+use crate::context::DaemonContext;
+use crate::context::StoreKeys;
+use crate::document;
+use crate::members::MemberRecord;
+use crate::members::MemberTable;
+use sapphirestile_core::ConfigRevision;
+use sapphirestile_core::DaemonName;
+use sapphirestile_core::IncarnationNumber;
+use sapphirestile_platform::store::StoreError;
+use sapphirestile_platform::store::StoreWatch;
+use sapphirestile_platform::store::StoredRange;
+use sapphirestile_platform::store::StoredRow;
+use sapphirestile_wire::api::StoredDocument;
+
+/// How long a watch waits for a change, in milliseconds.
+pub const WATCH_WAIT_MS: u64 = 5_000;
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Keeps the document and the registrations as the store has them.
+///
+/// One watch waits for all of them together, so that a daemon costs the store
+/// one waiting call.
+pub struct SharedWatch {
+    context: Arc<DaemonContext>,
+}
+
+impl SharedWatch {
+    /// A watch for one daemon.
+    #[must_use]
+    pub const fn new(context: Arc<DaemonContext>) -> Self {
+        Self { context }
+    }
+
+    /// Reads everything once.
+    ///
+    /// # Errors
+    ///
+    /// When the store was not reached.
+    pub fn read(&self) -> Result<u64, Report<StoreError>> {
+        let asked = self.context.clock.now();
+        let range = self.context.store.read(StoreKeys::SHARED)?;
+        self.context.pulse.note(asked);
+        self.take(&range);
+        Ok(range.revision)
+    }
+
+    /// Follows changes until `stop` is closed.
+    pub fn run(&self, stop: &Receiver<()>) {
+        let mut after = None;
+        while stop.try_recv() != Err(TryRecvError::Disconnected) {
+            match self.step(after) {
+                Ok(revision) => after = Some(revision),
+                Err(error) => {
+                    after = None;
+                    warn!(
+                        step = "watch shared rows",
+                        peer = "store",
+                        ?error,
+                        "trying again"
+                    );
+                    thread::sleep(RETRY_PAUSE);
+                }
+            }
+        }
+    }
+
+    fn step(&self, after: Option<u64>) -> Result<u64, Report<StoreError>> {
+        let Some(after) = after else {
+            return self.read();
+        };
+        let asked = self.context.clock.now();
+        let watch = StoreWatch {
+            prefix: StoreKeys::SHARED,
+            after,
+        };
+        let changed = self
+            .context
+            .store
+            .watch(&watch, Duration::from_millis(WATCH_WAIT_MS))?;
+        let Some(range) = changed else {
+            self.context.pulse.note(asked);
+            return Ok(after);
+        };
+        self.context.pulse.note(asked);
+        self.take(&range);
+        Ok(range.revision)
+    }
+
+    fn take(&self, range: &StoredRange) {
+        for row in &range.rows {
+            if row.key == StoreKeys::DOCUMENT {
+                self.take_document(row);
+            }
+        }
+        self.take_members(range);
+    }
+
+    fn take_document(&self, row: &StoredRow) {
+        match StoredDocument::try_from(row.value.as_slice()) {
+            Ok(stored) => {
+                document::publish(&self.context, stored, ConfigRevision::new(row.revision));
+            }
+            Err(error) => error!(step = "read configuration", ?error, "row not understood"),
+        }
+    }
+
+    fn take_members(&self, range: &StoredRange) {
+        let rows: Vec<&StoredRow> = range
+            .rows
+            .iter()
+            .filter(|row| row.key.starts_with(StoreKeys::MEMBERS))
+            .collect();
+        self.context.members.update(|table| {
+            let mut table = table.clone();
+            for row in &rows {
+                register_row(&mut table, row);
+            }
+            remove_unregistered(&mut table, &rows, range.revision);
+            table
+        });
+    }
+}
+
+fn register_row(table: &mut MemberTable, row: &StoredRow) {
+    let name = row.key.trim_start_matches(StoreKeys::MEMBERS);
+    let record = serde_json::from_slice::<MemberRecord>(&row.value);
+    if let (Ok(daemon), Ok(record)) = (DaemonName::try_from(name), record) {
+        table.register(
+            &daemon,
+            IncarnationNumber::new(row.revision),
+            record.address,
+        );
+    }
+}
+
+/// Removes daemons without a registration. One that registered after the rows
+/// were read has a later incarnation than their revision, and stays.
+fn remove_unregistered(table: &mut MemberTable, rows: &[&StoredRow], revision: u64) {
+    let registered = |daemon: &str| rows.iter().any(|row| row.key == StoreKeys::member(daemon));
+    let removed: Vec<DaemonName> = table
+        .rows()
+        .filter(|(daemon, _)| !registered(daemon.as_str()))
+        .map(|(daemon, _)| daemon.clone())
+        .collect();
+    for daemon in &removed {
+        table.remove(daemon.as_str(), IncarnationNumber::new(revision));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metrics/daemon_metrics.rs
@@ -0,0 +1,94 @@
+//! The metrics that a daemon shows.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+use crate::context::DaemonContext;
+
+const LATENCY_FIRST_BUCKET_S: f64 = 0.001;
+const LATENCY_BUCKETS: u16 = 14;
+
+/// Counters and histograms of one daemon.
+pub struct DaemonMetrics {
+    registry: Registry,
+    /// How long answered requests took, in seconds.
+    pub request_seconds: Histogram,
+    /// Requests answered by runners.
+    pub answered: Counter,
+    /// Requests refused and not run.
+    pub not_run: Counter,
+    /// Requests without a known outcome.
+    pub unknown: Counter,
+    owned_cells: Gauge,
+    revision: Gauge<u64, AtomicU64>,
+    store_silent_ms: Gauge<u64, AtomicU64>,
+}
+
+impl Default for DaemonMetrics {
+    fn default() -> Self {
+        let buckets = exponential_buckets(LATENCY_FIRST_BUCKET_S, 2.0, LATENCY_BUCKETS);
+        let mut metrics = Self {
+            registry: Registry::with_prefix("sapphirestile"),
+            request_seconds: Histogram::new(buckets),
+            answered: Counter::default(),
+            not_run: Counter::default(),
+            unknown: Counter::default(),
+            owned_cells: Gauge::default(),
+            revision: Gauge::default(),
+            store_silent_ms: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl DaemonMetrics {
+    /// The metrics as text.
+    #[must_use]
+    pub fn encode(&self, context: &DaemonContext) -> String {
+        let owned = context.keepers.load().owned().len();
+        self.owned_cells
+            .set(i64::try_from(owned).unwrap_or(i64::MAX));
+        self.revision.set(context.document.load().revision().get());
+        self.store_silent_ms
+            .set(context.pulse.silent_ms(context.clock.now()));
+        let mut text = String::new();
+        // Writing into a text cannot fail.
+        let _written = encode(&mut text, &self.registry);
+        text
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "request_seconds",
+            "Answered requests",
+            self.request_seconds.clone(),
+        );
+        registry.register(
+            "requests_answered",
+            "Requests answered",
+            self.answered.clone(),
+        );
+        registry.register("requests_not_run", "Requests not run", self.not_run.clone());
+        registry.register(
+            "requests_unknown",
+            "Requests without outcome",
+            self.unknown.clone(),
+        );
+        registry.register("owned_cells", "Cells owned", self.owned_cells.clone());
+        registry.register(
+            "config_revision",
+            "Revision in force",
+            self.revision.clone(),
+        );
+        let silent = self.store_silent_ms.clone();
+        registry.register("store_silent_ms", "Silence of the store", silent);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operators/job_calls.rs
@@ -0,0 +1,94 @@
+//! Calls about jobs.
+
+use crate::cells::CellDesk;
+use crate::context::DaemonContext;
+use crate::operators::document_calls::decode;
+use crate::operators::operator_service::refusal;
+use crate::serving::HttpReply;
+use sapphirestile_cells::CellMap;
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::JobName;
+use sapphirestile_core::TaskIndex;
+use sapphirestile_wire::api::Explanation;
+use sapphirestile_wire::api::JobConflict;
+use sapphirestile_wire::api::JobSubmission;
+use sapphirestile_wire::peer::PeerAnswer;
+use sapphirestile_wire::peer::PeerFault;
+use sapphirestile_wire::peer::PeerRequest;
+
+/// Answers calls about jobs.
+pub struct JobCalls<'c> {
+    context: &'c DaemonContext,
+}
+
+impl<'c> JobCalls<'c> {
+    pub const fn new(context: &'c DaemonContext) -> Self {
+        Self { context }
+    }
+
+    pub fn submit(&self, body: &[u8]) -> HttpReply {
+        let submission: JobSubmission = match decode(body) {
+            Ok(submission) => submission,
+            Err(reply) => return reply,
+        };
+        let job = submission.job.clone();
+        self.call(&job, |cell| PeerRequest::SubmitJob(cell, submission))
+    }
+
+    pub fn show(&self, job: &JobName) -> HttpReply {
+        self.call(job, |cell| PeerRequest::ViewJob(cell, job.clone()))
+    }
+
+    pub fn cancel(&self, job: &JobName) -> HttpReply {
+        self.call(job, |cell| PeerRequest::CancelJob(cell, job.clone()))
+    }
+
+    pub fn explain(&self, job: &JobName, index: Option<TaskIndex>) -> HttpReply {
+        self.call(job, |cell| PeerRequest::Explain(cell, job.clone(), index))
+    }
+
+    /// Lists the jobs of every cell; a cell without an owner makes it incomplete,
+    /// which is refused rather than shown as a whole.
+    pub fn list(&self) -> HttpReply {
+        let Some(map) = self.context.map() else {
+            return no_document();
+        };
+        let mut jobs = Vec::new();
+        for cell in map.cells() {
+            match CellDesk::new(self.context).call(cell, PeerRequest::ListJobs(cell)) {
+                PeerAnswer::Jobs(listed) => jobs.extend(listed),
+                other => return reply(other),
+            }
+        }
+        jobs.sort_by(|left, right| left.job.cmp(&right.job));
+        HttpReply::json(200, &jobs)
+    }
+
+    fn call(&self, job: &JobName, request: impl FnOnce(CellNumber) -> PeerRequest) -> HttpReply {
+        let Some(map) = self.context.map() else {
+            return no_document();
+        };
+        let cell = CellMap::cell_of_job(map, job.as_str());
+        reply(CellDesk::new(self.context).call(cell, request(cell)))
+    }
+}
+
+fn no_document() -> HttpReply {
+    refusal(503, true, "no configuration is in force yet")
+}
+
+fn reply(answer: PeerAnswer) -> HttpReply {
+    match answer {
+        PeerAnswer::Job(view) => HttpReply::json(200, &view),
+        PeerAnswer::Explained(subject, lines) => {
+            HttpReply::json(200, &Explanation { subject, lines })
+        }
+        PeerAnswer::NameTaken(current) => HttpReply::json(409, &JobConflict { current }),
+        PeerAnswer::Fault(PeerFault::UnknownJob) => refusal(404, true, "there is no such job"),
+        PeerAnswer::Fault(PeerFault::NotRun(reason)) => refusal(503, true, &reason),
+        PeerAnswer::Fault(PeerFault::NotOwner) => {
+            refusal(503, true, "the cell is moving to another daemon")
+        }
+        _ => refusal(504, false, "the owner's answer was lost"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operators/operator_service.rs
@@ -0,0 +1,128 @@
+//! Answers calls of operators.
+
+use std::io::Read;
+use std::sync::Arc;
+
+use oxhttp::model::Body;
+use oxhttp::model::Request;
+use oxhttp::model::header::AUTHORIZATION;
+
+use crate::context::DaemonContext;
+use crate::operators::OperatorCall;
+use crate::operators::document_calls::DocumentCalls;
+use crate::operators::job_calls::JobCalls;
+use crate::operators::status_calls::StatusCalls;
+use crate::serving::HttpReply;
+use crate::serving::HttpService;
+use sapphirestile_wire::api::CallRefusal;
+use sapphirestile_wire::peer::MemberState;
+
+const BODY_MAX_BYTES: u64 = 2 * 1_024 * 1_024;
+
+/// Answers calls of operators.
+pub struct OperatorService {
+    context: Arc<DaemonContext>,
+}
+
+impl OperatorService {
+    /// A service for one daemon.
+    #[must_use]
+    pub const fn new(context: Arc<DaemonContext>) -> Self {
+        Self { context }
+    }
+
+    fn serve(&self, request: &mut Request<Body>) -> HttpReply {
+        let method = request.method().as_str();
+        let Some(call) = OperatorCall::find(method, request.uri().path()) else {
+            return refusal(404, true, "there is no such call");
+        };
+        if call.changes_state() && !self.is_operator(request) {
+            return refusal(401, true, "the operators' token is missing or wrong");
+        }
+        let body = match read_body(request) {
+            Ok(body) => body,
+            Err(reply) => return reply,
+        };
+        self.dispatch(&call, &body)
+    }
+
+    fn dispatch(&self, call: &OperatorCall, body: &[u8]) -> HttpReply {
+        let context = &self.context;
+        let (documents, jobs) = (DocumentCalls::new(context), JobCalls::new(context));
+        let status = StatusCalls::new(context);
+        match call {
+            OperatorCall::Status => status.status(),
+            OperatorCall::Vms => status.vms(),
+            OperatorCall::Dump => status.dump(),
+            OperatorCall::Metrics => status.metrics(),
+            OperatorCall::Health => text(200, "ok"),
+            OperatorCall::Ready => self.ready(),
+            OperatorCall::ShowDocument => documents.show(),
+            OperatorCall::ChangeDocument => documents.change(body),
+            OperatorCall::ChangeZone(zone) => documents.change_zone(zone, body),
+            OperatorCall::SubmitJob => jobs.submit(body),
+            OperatorCall::ListJobs => jobs.list(),
+            OperatorCall::ShowJob(job) => jobs.show(job),
+            OperatorCall::CancelJob(job) => jobs.cancel(job),
+            OperatorCall::Explain(job, index) => jobs.explain(job, *index),
+        }
+    }
+
+    fn ready(&self) -> HttpReply {
+        match self.context.phase.get() {
+            MemberState::Serving => text(200, "ready"),
+            MemberState::Starting => text(503, "starting"),
+            MemberState::Draining => text(503, "draining"),
+        }
+    }
+
+    fn is_operator(&self, request: &Request<Body>) -> bool {
+        let header = request.headers().get(AUTHORIZATION);
+        let offered = header.and_then(|value| value.to_str().ok());
+        self.context.settings.operators.token.admits(offered)
+    }
+}
+
+impl HttpService for OperatorService {
+    fn answer(&self, request: &mut Request<Body>) -> HttpReply {
+        self.serve(request)
+    }
+
+    fn refuse(&self) -> HttpReply {
+        refusal(503, true, "the daemon is stopping")
+    }
+}
+
+/// A refusal as the operators' tools read it.
+pub(super) fn refusal(status: u16, not_run: bool, reason: &str) -> HttpReply {
+    HttpReply::json(
+        status,
+        &CallRefusal {
+            not_run,
+            reason: reason.to_owned(),
+        },
+    )
+}
+
+fn text(status: u16, line: &str) -> HttpReply {
+    HttpReply::new(
+        status,
+        "text/plain; charset=utf-8",
+        format!("{line}\n").into_bytes(),
+    )
+}
+
+fn read_body(request: &mut Request<Body>) -> Result<Vec<u8>, HttpReply> {
+    let mut body = Vec::new();
+    let read = request
+        .body_mut()
+        .take(BODY_MAX_BYTES + 1)
+        .read_to_end(&mut body);
+    match read {
+        Ok(length) if length as u64 > BODY_MAX_BYTES => {
+            Err(refusal(413, true, "the body is larger than 2 MiB"))
+        }
+        Ok(_) => Ok(body),
+        Err(_) => Err(refusal(400, true, "the body did not arrive whole")),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,13 @@
+//! Calls between daemons.
+//!
+//! A [`PeerServer`] takes calls on the daemon's peer port and brings each to the
+//! keeper of its cell; a [`PeerClient`] makes them. Frames travel through a
+//! [`FrameStream`], which bounds their size before it reads them.
+
+mod frame_stream;
+mod peer_client;
+mod peer_server;
+
+pub use frame_stream::FrameStream;
+pub use peer_client::PeerClient;
+pub use peer_server::PeerServer;
--- /dev/null
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -0,0 +1,88 @@
+//! Takes calls of peers.
+
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use tracing::debug;
+
+use crate::cells::CellDesk;
+use crate::context::DaemonContext;
+use crate::peers::FrameStream;
+use sapphirestile_cells::OwnerMark;
+use sapphirestile_wire::peer::PeerAnswer;
+use sapphirestile_wire::peer::PeerFrame;
+use sapphirestile_wire::peer::PeerRequest;
+
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Takes calls of peers, a thread a connection.
+pub struct PeerServer {
+    context: Arc<DaemonContext>,
+    listener: TcpListener,
+}
+
+impl PeerServer {
+    /// A server on `listener`.
+    #[must_use]
+    pub const fn new(context: Arc<DaemonContext>, listener: TcpListener) -> Self {
+        Self { context, listener }
+    }
+
+    /// Takes connections until the process ends.
+    pub fn run(&self) {
+        for stream in self.listener.incoming() {
+            let Ok(stream) = stream else { continue };
+            let context = Arc::clone(&self.context);
+            thread::spawn(move || {
+                if let Err(error) = serve(&context, stream) {
+                    debug!(step = "serve peer", %error, "connection ended");
+                }
+            });
+        }
+    }
+}
+
+fn serve(context: &DaemonContext, stream: TcpStream) -> std::io::Result<()> {
+    let mut stream = FrameStream::new(stream, IDLE_TIMEOUT)?;
+    loop {
+        let sealed = stream.read()?;
+        let call = context
+            .key
+            .open::<PeerRequest>(&sealed)
+            .map_err(std::io::Error::other)?;
+        let answer = PeerFrame {
+            sender: context.mark.daemon.clone(),
+            incarnation: context.mark.incarnation,
+            call: frame.call,
+            body: answer(context, frame),
+        };
+        let sealed = context.key.seal(&answer).map_err(std::io::Error::other)?;
+        stream.write(&sealed)?;
+    }
+}
+
+fn answer(context: &DaemonContext, frame: PeerFrame<PeerRequest>) -> PeerAnswer {
+    let sender = OwnerMark {
+        daemon: call.sender,
+        incarnation: call.incarnation,
+    };
+    let cell = match &frame.body {
+        PeerRequest::Ping => return PeerAnswer::Pong,
+        PeerRequest::Document(known) => {
+            let document = context.document.load();
+            let newer = document.stored().filter(|_| document.revision() > *known);
+            let found = newer.map(|stored| (document.revision(), stored.clone()));
+            return PeerAnswer::Document(found);
+        }
+        PeerRequest::SubmitJob(cell, _)
+        | PeerRequest::CancelJob(cell, _)
+        | PeerRequest::ViewJob(cell, _)
+        | PeerRequest::Explain(cell, _, _)
+        | PeerRequest::ListJobs(cell)
+        | PeerRequest::RecordRequest(cell, _) => *cell,
+    };
+    CellDesk::new(context).call_here(cell, &sender, frame.body)
+}
--- /dev/null
+++ b/crates/daemon/src/serving/http_port.rs
@@ -0,0 +1,94 @@
+//! A port that serves HTTP.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use oxhttp::ListeningServer;
+use oxhttp::Server;
+
+use crate::serving::HttpService;
+use crate::serving::RequestGate;
+use sapphirestile_core::StepError;
+
+const STEP: &str = "bind port";
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const BIND_TRIES: u32 = 20;
+
+/// A port that serves HTTP, a thread a connection.
+pub struct HttpPort {
+    address: SocketAddr,
+    _server: ListeningServer,
+}
+
+impl HttpPort {
+    /// Binds `address` and serves from then on. Port 0 lets the operating system
+    /// choose.
+    ///
+    /// # Errors
+    ///
+    /// When the port cannot be bound.
+    pub fn open(
+        address: SocketAddr,
+        connections: usize,
+        service: Arc<dyn HttpService>,
+        gate: &Arc<RequestGate>,
+    ) -> Result<Self, Report<StepError>> {
+        let failed = || StepError::new(STEP, &address.to_string());
+        let mut tried = 0;
+        loop {
+            tried += 1;
+            let wanted = choose_port(address).change_context_lazy(failed)?;
+            match spawn(wanted, connections, Arc::clone(&service), gate) {
+                Ok(server) => {
+                    return Ok(Self {
+                        address: wanted,
+                        _server: server,
+                    });
+                }
+                // Another process may take a port between its choice and its use.
+                Err(_) if address.port() == 0 && tried < BIND_TRIES => {}
+                Err(error) => return Err(Report::new(error).change_context(failed())),
+            }
+        }
+    }
+
+    /// Where the port is.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// The library does not tell which port it was given, so one is chosen first.
+fn choose_port(address: SocketAddr) -> std::io::Result<SocketAddr> {
+    if address.port() != 0 {
+        return Ok(address);
+    }
+    TcpListener::bind(address)?.local_addr()
+}
+
+fn spawn(
+    address: SocketAddr,
+    connections: usize,
+    service: Arc<dyn HttpService>,
+    gate: &Arc<RequestGate>,
+) -> std::io::Result<ListeningServer> {
+    let gate = Arc::clone(gate);
+    Server::new(move |request| {
+        let Some(pass) = gate.enter() else {
+            return service.refuse().into_response();
+        };
+        let mut response = service.answer(request).into_response();
+        // The library drops the response once it is written, and the pass with it.
+        response.extensions_mut().insert(Arc::new(pass));
+        response
+    })
+    .bind(address)
+    .with_global_timeout(IDLE_TIMEOUT)
+    .with_max_concurrent_connections(connections)
+    .spawn()
+}
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -4,16 +4,15 @@
 
 use ini::Properties;
 
-use sapphirestile_core::IniFault;
-use sapphirestile_core::ParsedIni;
-use sapphirestile_core::SectionReader;
-
 use crate::settings::LimitSettings;
 use crate::settings::NodeSettings;
 use crate::settings::OperatorSettings;
 use crate::settings::PeerSettings;
 use crate::settings::PlatformSettings;
 use crate::settings::SettingsFault;
+use sapphirestile_core::IniFault;
+use sapphirestile_core::ParsedIni;
+use sapphirestile_core::SectionReader;
 
 const SECTIONS: [&str; 5] = ["daemon", "platform", "peers", "operators", "limits"];
 const SECTIONS_EXPECTED: &str = "one of the sections daemon, platform, peers, operators, limits";
--- a/crates/daemon/src/settings/peer_settings.rs
+++ b/crates/daemon/src/settings/peer_settings.rs
@@ -2,9 +2,8 @@
 
 use std::net::SocketAddr;
 
-use sapphirestile_core::SectionReader;
-
 use crate::settings::SharedKey;
+use sapphirestile_core::SectionReader;
 
 const SEEDS_EXPECTED: &str = "IP numbers with ports, with commas between them, or nothing";
 const ONCE_EXPECTED: &str = "each seed once";
--- a/crates/daemon/src/settings/platform_settings.rs
+++ b/crates/daemon/src/settings/platform_settings.rs
@@ -2,9 +2,8 @@
 
 use std::net::SocketAddr;
 
-use sapphirestile_core::SectionReader;
-
 use crate::settings::daemon_settings::read_target;
+use sapphirestile_core::SectionReader;
 
 /// The `[platform]` section.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/daemon/src/vms/vm_poller.rs
@@ -0,0 +1,49 @@
+//! Polls the platform's list of VMs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
+use tracing::warn;
+
+use crate::context::DaemonContext;
+use crate::routes::RoutePublisher;
+use crate::vms::VmTable;
+use sapphirestile_platform::vms::VmClient;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Reads the list of VMs and publishes what follows from it.
+pub struct VmPoller {
+    context: Arc<DaemonContext>,
+    client: VmClient,
+}
+
+impl VmPoller {
+    /// A poller for one daemon.
+    #[must_use]
+    pub const fn new(context: Arc<DaemonContext>, client: VmClient) -> Self {
+        Self { context, client }
+    }
+
+    /// Polls until `stop` is closed.
+    pub fn run(&self, publisher: &mut RoutePublisher, stop: &Receiver<()>) {
+        loop {
+            self.poll();
+            publisher.publish();
+            if stop.recv_timeout(POLL_INTERVAL) != Err(RecvTimeoutError::Timeout) {
+                return;
+            }
+        }
+    }
+
+    /// Reads the list once; when it cannot be read, the one before stays.
+    pub fn poll(&self) {
+        let asked = self.context.clock.now();
+        match self.client.list() {
+            Ok(records) => self.context.vms.update(|_| VmTable::new(records, asked)),
+            Err(error) => warn!(step = "read VM list", ?error, "the list before stays"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/vms/vm_table.rs
@@ -0,0 +1,80 @@
+//! The VMs by name.
+
+use std::net::SocketAddr;
+
+use sapphirestile_cells::WorkerFacts;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::OperatorDocument;
+use sapphirestile_core::ResourceSize;
+use sapphirestile_core::SortedTable;
+use sapphirestile_core::WorkerName;
+use sapphirestile_wire::vms::VmKind;
+use sapphirestile_wire::vms::VmRecord;
+use sapphirestile_wire::vms::VmState;
+
+/// The platform's list of VMs, as last read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VmTable {
+    rows: SortedTable<String, VmRecord>,
+    read: Option<MonoTime>,
+}
+
+impl VmTable {
+    /// The list as read at `read`.
+    #[must_use]
+    pub fn new(records: Vec<VmRecord>, read: MonoTime) -> Self {
+        let rows = records
+            .into_iter()
+            .map(|record| (record.name.clone(), record))
+            .collect();
+        Self {
+            rows,
+            read: Some(read),
+        }
+    }
+
+    /// When the list was read; nothing before the first time.
+    #[must_use]
+    pub const fn read(&self) -> Option<MonoTime> {
+        self.read
+    }
+
+    /// The VMs in the order of their names.
+    pub fn records(&self) -> impl ExactSizeIterator<Item = &VmRecord> {
+        self.rows.values()
+    }
+
+    /// Where a VM is reached.
+    #[must_use]
+    pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
+        self.rows.get(name)?.address.parse().ok()
+    }
+
+    /// The workers for which `belongs` holds, with whether each takes work.
+    #[must_use]
+    pub fn workers(
+        &self,
+        document: &OperatorDocument,
+        belongs: impl Fn(&str) -> bool,
+    ) -> Vec<WorkerFacts> {
+        let workers = self
+            .rows
+            .values()
+            .filter(|record| record.kind == VmKind::Worker);
+        workers
+            .filter(|record| belongs(&record.name))
+            .filter_map(|record| facts_of(record, document))
+            .collect()
+    }
+}
+
+fn facts_of(record: &VmRecord, document: &OperatorDocument) -> Option<WorkerFacts> {
+    let stays = record.state == VmState::Live;
+    Some(WorkerFacts {
+        worker: WorkerName::try_from(record.name.as_str()).ok()?,
+        zone: record.zone.clone(),
+        rack: record.rack.clone(),
+        size: record.size.unwrap_or(ResourceSize::default()),
+        takes_work: stays && document.zone_takes_work(record.zone.as_str()),
+    })
+}
--- a/crates/routing/src/gauge_registry.rs
+++ b/crates/routing/src/gauge_registry.rs
@@ -2,11 +2,10 @@
 
 use std::sync::Arc;
 
+use crate::RunnerGauge;
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::SortedTable;
 
-use crate::RunnerGauge;
-
 /// The gauges of all runners, owned by the thread that publishes tables.
 ///
 /// # Examples
--- a/crates/routing/src/parked_slot.rs
+++ b/crates/routing/src/parked_slot.rs
@@ -2,9 +2,8 @@
 
 use std::mem::ManuallyDrop;
 
-use sapphirestile_core::MonoTime;
-
 use crate::SlotGuard;
+use sapphirestile_core::MonoTime;
 
 /// A slot whose request had no whole answer.
 ///
--- a/crates/routing/src/parked_slots.rs
+++ b/crates/routing/src/parked_slots.rs
@@ -1,8 +1,7 @@
 //! Slots that may still be in use by their runners.
 
-use sapphirestile_core::MonoTime;
-
 use crate::ParkedSlot;
+use sapphirestile_core::MonoTime;
 
 /// Parked slots in the order of the times at which they are given back.
 ///
--- a/crates/routing/src/record_proof.rs
+++ b/crates/routing/src/record_proof.rs
@@ -1,10 +1,9 @@
 //! The proof that a request is recorded.
 
+use crate::RequestKey;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::JournalSequence;
 
-use crate::RequestKey;
-
 /// Proof that the at-most-once record of a request is in a cell's journal.
 ///
 /// Only the code that saw the journal entry committed makes one.
--- a/crates/routing/src/request_cycle/unknown_phase.rs
+++ b/crates/routing/src/request_cycle/unknown_phase.rs
@@ -2,11 +2,10 @@
 
 use std::mem::ManuallyDrop;
 
-use sapphirestile_core::MonoTime;
-
 use crate::ParkedSlot;
 use crate::RequestCycle;
 use crate::SlotGuard;
+use sapphirestile_core::MonoTime;
 
 /// A request that may have run, may be running, or may not have run.
 #[derive(Debug)]
--- a/crates/routing/src/request_facts.rs
+++ b/crates/routing/src/request_facts.rs
@@ -1,8 +1,7 @@
 //! What is known of a request when it is received.
 
-use sapphirestile_core::MonoTime;
-
 use crate::RequestKey;
+use sapphirestile_core::MonoTime;
 
 /// What is known of a request when it is received.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/routing/src/routing_table.rs
+++ b/crates/routing/src/routing_table.rs
@@ -2,17 +2,16 @@
 
 use std::sync::Arc;
 
-use sapphirestile_core::OperatorDocument;
-use sapphirestile_core::RunnerName;
-use sapphirestile_core::ServiceName;
-use sapphirestile_core::SortedTable;
-
 use crate::RouteChoice;
 use crate::RouteQuery;
 use crate::RouteReach;
 use crate::RouteRefusal;
 use crate::RunnerRow;
 use crate::service_pool::ServicePool;
+use sapphirestile_core::OperatorDocument;
+use sapphirestile_core::RunnerName;
+use sapphirestile_core::ServiceName;
+use sapphirestile_core::SortedTable;
 
 /// All runners, and for each service those that take work, by distance.
 ///
--- a/crates/routing/src/runner_row.rs
+++ b/crates/routing/src/runner_row.rs
@@ -3,12 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::RunnerGauge;
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::ZoneName;
 
-use crate::RunnerGauge;
-
 /// One runner of a service.
 #[derive(Clone, Debug)]
 pub struct RunnerRow {
--- a/crates/wire/src/peer/frame_key.rs
+++ b/crates/wire/src/peer/frame_key.rs
@@ -27,11 +27,11 @@
 /// let sender = DaemonName::try_from("entry-1").unwrap();
 /// let incarnation = IncarnationNumber::new(1);
 /// let frame = PeerFrame { sender, incarnation, call: 7, body: PeerRequest::Ping };
-/// let key = FrameKey::new("a secret of all daemons");
+/// let key = FrameKey::new(b"a secret of all daemons");
 /// let sealed = key.seal(&frame).unwrap();
 /// assert_eq!(key.open::<PeerRequest>(&sealed), Ok(frame));
 ///
-/// let other = FrameKey::new("another secret");
+/// let other = FrameKey::new(b"another secret");
 /// assert_eq!(other.open::<PeerRequest>(&sealed), Err(FrameFault::WrongSeal));
 /// ```
 #[derive(Clone)]
@@ -40,8 +40,8 @@
 impl FrameKey {
     /// Derives the key from the daemons' shared secret.
     #[must_use]
-    pub fn new(secret: &str) -> Self {
-        Self(blake3::derive_key(KEY_CONTEXT, secret.as_bytes()))
+    pub fn new(secret: &[u8]) -> Self {
+        Self(blake3::derive_key(KEY_CONTEXT, secret))
     }
 
     /// Encodes a frame and puts its seal before it.
--- a/crates/wire/src/peer/peer_answer.rs
+++ b/crates/wire/src/peer/peer_answer.rs
@@ -8,7 +8,9 @@
 use crate::api::JobView;
 use crate::api::StoredDocument;
 use crate::peer::PeerFault;
+use sapphirestile_core::CellEpoch;
 use sapphirestile_core::ConfigRevision;
+use sapphirestile_core::JournalSequence;
 
 /// A peer's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,12 +21,19 @@
     Document(Option<(ConfigRevision, StoredDocument)>),
     /// The job as it stands.
     Job(JobView),
+    /// Why a subject is as it is.
+    Explained(String, Vec<String>),
     /// The jobs of a cell.
     Jobs(Vec<JobSummary>),
     /// A different job has the name.
     NameTaken(JobSubmission),
     /// The request was recorded and may be sent.
-    Recorded,
+    Recorded {
+        /// The epoch of the cell's owner.
+        epoch: CellEpoch,
+        /// The entry that holds the record.
+        sequence: JournalSequence,
+    },
     /// The request was recorded before and must not be sent again.
     AlreadyRecorded,
     /// The call failed.
--- a/crates/wire/src/peer/peer_request.rs
+++ b/crates/wire/src/peer/peer_request.rs
@@ -7,6 +7,7 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::JobName;
+use sapphirestile_core::TaskIndex;
 
 /// A call to a peer. All but the first two go to the owner of a cell.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,6 +22,8 @@
     CancelJob(CellNumber, JobName),
     /// Shows a job.
     ViewJob(CellNumber, JobName),
+    /// Explains why a job, or one of its tasks, is as it is.
+    Explain(CellNumber, JobName, Option<TaskIndex>),
     /// Lists the jobs of a cell.
     ListJobs(CellNumber),
     /// Records a request that must not run twice.
