Add the stand-ins of store, VM list, workers and runners

Cause: tests and trying out need the platform in small, with its faults on request, in one process or several. Ruled out: a body with an announced length that breaks off, since the server library keeps its constructor to itself; a stand-in breaks off a chunked body instead. Closing the port when a stand-in stops: the library cannot, so a stopped one closes each connection without an answer. Timer threads for tasks: the state works out finishes and lapses exactly when it is next asked. Conclusion: four states without clock or I/O, four services over oxhttp, the binary sapphirestile-standin. Tried by hand with one commit and one read of the store; no test yet besides the examples of the documentation.

--- /dev/null
+++ b/crates/standins/src/bin/sapphirestile-standin.rs
@@ -0,0 +1,16 @@
+//! Serves a small stand-in of the platform.
+
+use std::process::ExitCode;
+
+use sapphirestile_standins::command::StandinCommand;
+
+fn main() -> ExitCode {
+    let command = StandinCommand::options().run();
+    match command.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/vms.rs
@@ -0,0 +1,17 @@
+//! The stand-in of the platform's list of VMs.
+//!
+//! `GET /v1/vms` answers the list as it stood a lag ago, `PUT /v1/vms` replaces
+//! it, `POST /faults` sets [`VmFaults`] and `GET /counts` answers how often the
+//! list was read. [`VmState`] decides, [`VmStandin`] serves.
+
+mod vm_counts;
+mod vm_faults;
+mod vm_service;
+mod vm_standin;
+mod vm_state;
+
+pub use vm_counts::VmCounts;
+pub use vm_faults::VmFaults;
+pub use vm_service::VmService;
+pub use vm_standin::VmStandin;
+pub use vm_state::VmState;
--- /dev/null
+++ b/crates/standins/src/worker/worker_faults.rs
@@ -0,0 +1,18 @@
+//! Faults of a worker.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Faults, on request. Fields left out are set back to no fault.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WorkerFaults {
+    /// Whether every task that is started fails at once.
+    pub fail_all: bool,
+    /// Whether every start is refused, as by a worker that is leaving.
+    pub refuse: bool,
+    /// How long each call waits before it does anything, in milliseconds.
+    pub slow_ms: u64,
+    /// How many of the next calls take effect without an answer.
+    pub lose_answers: u64,
+}
--- /dev/null
+++ b/crates/standins/src/worker/worker_service.rs
@@ -0,0 +1,131 @@
+//! Answers calls to a worker.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::clock::StandinClock;
+use crate::serving::ReplyEnding;
+use crate::serving::StandinCall;
+use crate::serving::StandinReply;
+use crate::serving::StandinService;
+use crate::worker::HistoryRow;
+use crate::worker::WorkerFaults;
+use crate::worker::WorkerSettings;
+use crate::worker::WorkerState;
+use sapphirestile_core::MonoTime;
+use sapphirestile_wire::worker::TaskStart;
+use sapphirestile_wire::worker::WorkerRefusal;
+
+/// A worker behind HTTP.
+#[derive(Debug)]
+pub struct WorkerService {
+    clock: StandinClock,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    state: WorkerState,
+    faults: WorkerFaults,
+}
+
+impl WorkerService {
+    /// A worker that runs nothing.
+    #[must_use]
+    pub fn new(settings: WorkerSettings) -> Self {
+        let inner = Inner {
+            state: WorkerState::new(settings),
+            faults: WorkerFaults::default(),
+        };
+        Self {
+            clock: StandinClock::start(),
+            inner: Mutex::new(inner),
+        }
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: WorkerFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// What the worker has run up to now, in the order of the starts.
+    #[must_use]
+    pub fn history(&self) -> Vec<HistoryRow> {
+        let now = self.clock.now();
+        let origin_ms = self.clock.origin_unix_ms();
+        let mut inner = self.lock();
+        inner.state.advance(now);
+        let entries = inner.state.history().iter();
+        let unix_ms = |time: MonoTime| origin_ms + time.as_millis();
+        entries
+            .map(|entry| HistoryRow {
+                task: entry.task.clone(),
+                attempt: entry.attempt,
+                started_ms: unix_ms(entry.started),
+                ended_ms: entry.ended.map(unix_ms),
+                phase: entry.phase,
+            })
+            .collect()
+    }
+
+    fn start(&self, now: MonoTime, start: &TaskStart) -> Result<(), WorkerRefusal> {
+        let mut inner = self.lock();
+        if inner.faults.refuse {
+            return Err(WorkerRefusal::Leaving);
+        }
+        let fails = inner.faults.fail_all;
+        inner.state.start(now, start, fails)
+    }
+
+    /// Carries out a call after the delay and loses its answer when asked to.
+    fn carry_out(&self, work: impl FnOnce(MonoTime) -> StandinReply) -> StandinReply {
+        let slow_ms = self.lock().faults.slow_ms;
+        if slow_ms > 0 {
+            std::thread::sleep(Duration::from_millis(slow_ms));
+        }
+        let reply = work(self.clock.now());
+        let mut inner = self.lock();
+        if inner.faults.lose_answers == 0 {
+            return reply;
+        }
+        inner.faults.lose_answers -= 1;
+        reply.with_ending(ReplyEnding::Dropped)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl StandinService for WorkerService {
+    fn answer(&self, call: &StandinCall<'_>) -> StandinReply {
+        match (call.method, call.path) {
+            ("POST", "/v1/session") => call.answer_json(|request| {
+                self.carry_out(|now| reply(self.lock().state.renew(now, &request)))
+            }),
+            ("POST", "/v1/start") => {
+                call.answer_json(|start| self.carry_out(|now| reply(self.start(now, &start))))
+            }
+            ("POST", "/v1/stop") => call.answer_json(|stop| {
+                self.carry_out(|now| reply(self.lock().state.stop(now, &stop)))
+            }),
+            ("POST", "/v1/throttle") => call.answer_json(|throttle| {
+                self.carry_out(|now| reply(self.lock().state.throttle(now, &throttle)))
+            }),
+            ("POST", "/faults") => call.take_json(|faults| self.set_faults(faults)),
+            ("GET", "/history") => StandinReply::json(200, &self.history()),
+            _ => StandinReply::plain(404, b""),
+        }
+    }
+}
+
+fn reply(result: Result<impl Serialize, WorkerRefusal>) -> StandinReply {
+    match result {
+        Ok(body) => StandinReply::json(200, &body),
+        Err(refusal) => StandinReply::json(409, &refusal),
+    }
+}
