Order the queue, judge failures, estimate sizes, weigh disturbance, drain zones

Cause: placing one task is not enough; the cell's owner also has to decide which task is next, how large it really is, whom a failure speaks against, what to do on a disturbed worker and in what order to empty a zone.

Queue: urgent jobs, then the customer with the smallest weighted dominant share, then age. A refused job is passed over, and sizes that found no room are remembered for the pass. A job that waits long gets one worker held. A burst of cancellations is one pass over the table. Failures: three different jobs that fail only on one worker set it aside; one job that fails on four workers is given up; probation with one task. Sizes: histograms of used to declared, by job, else by customer. Disturbance: an error-correcting estimate for each job from late samples; throttle, then stop, each only after a measurement taken after the last action. Drain: unsaved work for each byte sent, urgent tasks first.

Mutations tried, each seen to fail and restored: urgency, priority, held worker and refused sizes left out; jobs that fail elsewhere counted against a worker; outgrown sizes ignored; measurements from before the last action taken; urgency in the drain order and the pacer's cost left out.

--- a/crates/placement/src/choice/placement_request.rs
+++ b/crates/placement/src/choice/placement_request.rs
@@ -2,12 +2,15 @@
 
 use crate::CustomerRoom;
 use crate::PlacedTasks;
+use sapphirestile_core::JobName;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_core::ZoneName;
 
 /// A borrowed view of a waiting task.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
+    /// The task's job, when a worker may be held for it.
+    pub job: Option<&'a JobName>,
     /// The size that the task will be given.
     pub size: ResourceSize,
     /// The task's customer.
@@ -31,6 +34,7 @@
         placed: &'a PlacedTasks,
     ) -> Self {
         Self {
+            job: None,
             size,
             customer,
             urgent: false,
--- a/crates/placement/src/choice/worker_choice.rs
+++ b/crates/placement/src/choice/worker_choice.rs
@@ -106,6 +106,7 @@
 fn can_take(room: &WorkerRoom, request: &PlacementRequest<'_>, policy: &RoomPolicy) -> bool {
     room.has_room(policy, &request.size)
         && room.takes_work()
+        && !room.is_held_from(request.job)
         && !room.is_hot(policy)
         && request.allows(&room.zone)
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,9 +7,21 @@
 //! have room, and answers with a [`PlacementChoice`] or a
 //! [`PlacementRefusal`]. Both explain themselves. The caller then calls
 //! [`WorkerRoom::give`], which asserts that the room is there.
+//!
+//! Around that one choice: a [`QueuePass`] over the [`TaskQueue`] says which
+//! task is next; a [`SizeBook`] turns declared sizes into estimates; a
+//! [`NoiseBook`] and a [`PressureState`] for each worker deal with tasks that
+//! disturb each other; a [`FailureBook`] and a [`WorkerStanding`] tell bad
+//! workers from bad jobs; and [`drain_order`], [`LinkPacer`] and
+//! [`RefillRamp`] serve a zone that leaves and returns.
 
 mod choice;
+mod colocation;
+mod drain;
+mod estimate;
+mod queue;
 mod room;
+mod standing;
 
 pub use choice::ChoiceReason;
 pub use choice::CustomerRoom;
@@ -18,7 +30,40 @@
 pub use choice::PlacementRefusal;
 pub use choice::PlacementRequest;
 pub use choice::choose_worker;
+pub use colocation::CalmPhase;
+pub use colocation::NoiseBook;
+pub use colocation::PressureAction;
+pub use colocation::PressureCycle;
+pub use colocation::PressurePolicy;
+pub use colocation::PressureState;
+pub use colocation::SlowdownSample;
+pub use colocation::ThrottledPhase;
+pub use drain::DrainStep;
+pub use drain::DrainTask;
+pub use drain::LinkPacer;
+pub use drain::RefillRamp;
+pub use drain::drain_order;
+pub use estimate::EstimatePolicy;
+pub use estimate::RatioHistogram;
+pub use estimate::SizeBasis;
+pub use estimate::SizeBook;
+pub use estimate::SizeEstimate;
+pub use queue::HOLD_AFTER_MS;
+pub use queue::OrderKey;
+pub use queue::QueuePass;
+pub use queue::TaskQueue;
+pub use queue::WaitingJob;
+pub use queue::choose_held_worker;
 pub use room::RoomPolicy;
 pub use room::SizeDimension;
 pub use room::UsageMeasure;
 pub use room::WorkerRoom;
+pub use standing::FailureBook;
+pub use standing::FailureNote;
+pub use standing::FailureVerdict;
+pub use standing::ProbationPhase;
+pub use standing::SetAsidePhase;
+pub use standing::StandingCycle;
+pub use standing::TrustedPhase;
+pub use standing::WorkerStanding;
+pub use standing::retry_delay_ms;
--- a/crates/placement/src/room/worker_room.rs
+++ b/crates/placement/src/room/worker_room.rs
@@ -3,6 +3,7 @@
 use crate::RoomPolicy;
 use crate::UsageMeasure;
 use crate::room::WHOLE_PERMILLE;
+use sapphirestile_core::JobName;
 use sapphirestile_core::RackName;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_core::WorkerName;
@@ -52,6 +53,8 @@
     pub measured: Option<UsageMeasure>,
     /// How much the tasks there disturb each other and services, in thousandths.
     pub noise_permille: u64,
+    /// The job that it is kept for.
+    pub held_for: Option<JobName>,
     /// Whether it leaves.
     pub leaving: bool,
     /// Whether operators have taken its zone out.
@@ -76,6 +79,7 @@
             },
             measured: None,
             noise_permille: 0,
+            held_for: None,
             leaving: false,
             zone_out: false,
             set_aside: false,
@@ -88,6 +92,12 @@
         !self.leaving && !self.zone_out && !self.set_aside
     }
 
+    /// Whether the worker is kept for a job other than `job`.
+    #[must_use]
+    pub fn is_held_from(&self, job: Option<&JobName>) -> bool {
+        self.held_for.is_some() && self.held_for.as_ref() != job
+    }
+
     /// What may still be given away.
     #[must_use]
     pub const fn left(&self, policy: &RoomPolicy) -> ResourceSize {
--- /dev/null
+++ b/crates/placement/src/standing/trusted_phase.rs
@@ -0,0 +1,5 @@
+//! A worker that takes work.
+
+/// The worker takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TrustedPhase;
--- /dev/null
+++ b/crates/placement/tests/placement/colocation.rs
@@ -0,0 +1,91 @@
+//! Scenes of tasks that disturb each other.
+
+use crate::scene::job_name;
+
+use sapphirestile_core::MonoTime;
+use sapphirestile_placement::NoiseBook;
+use sapphirestile_placement::PressureAction;
+use sapphirestile_placement::PressurePolicy;
+use sapphirestile_placement::PressureState;
+use sapphirestile_placement::SlowdownSample;
+
+const LAG_MS: u64 = 30_000;
+
+/// Feeds slowdowns measured every 15 s that arrive 30 s late.
+fn actions(slowdowns: &[u64]) -> Vec<PressureAction> {
+    let policy = PressurePolicy::default();
+    let mut state = PressureState::default();
+    let decide = |(step, slowdown): (usize, &u64)| {
+        let measured = MonoTime::from_millis(15_000 * u64::try_from(step).unwrap());
+        state.decide(*slowdown, measured, measured.plus_millis(LAG_MS), &policy)
+    };
+    slowdowns.iter().enumerate().map(decide).collect()
+}
+
+#[test]
+fn throttle_comes_before_stop_and_waits_for_its_effect() {
+    use PressureAction::Leave;
+    use PressureAction::StopOne;
+    use PressureAction::ThrottleOne;
+    assert_eq!(
+        actions(&[500; 10]),
+        [
+            ThrottleOne,
+            Leave,
+            Leave,
+            ThrottleOne,
+            Leave,
+            Leave,
+            ThrottleOne,
+            Leave,
+            Leave,
+            StopOne
+        ]
+    );
+}
+
+#[test]
+fn a_throttle_is_lifted_only_after_a_long_calm() {
+    let mut slowdowns = vec![500, 500, 500];
+    slowdowns.extend([50; 12]);
+    let actions = actions(&slowdowns);
+    let released = actions
+        .iter()
+        .position(|action| *action == PressureAction::ReleaseOne);
+    assert_eq!(released, Some(11));
+}
+
+#[test]
+fn between_the_bounds_nothing_moves() {
+    let mut slowdowns = vec![500, 500, 500];
+    slowdowns.extend([180; 30]);
+    let moved = actions(&slowdowns)
+        .into_iter()
+        .filter(|action| *action != PressureAction::Leave)
+        .count();
+    assert_eq!(moved, 1);
+}
+
+#[test]
+fn the_loud_job_is_found_among_quiet_ones() {
+    let names = ["a", "b", "c", "loud"].map(job_name);
+    let mut book = NoiseBook::default();
+    for round in 0..60 {
+        let left_out = round % 4;
+        let jobs = names
+            .iter()
+            .enumerate()
+            .filter(|(place, _)| *place != left_out)
+            .map(|(_, name)| name)
+            .collect::<Vec<_>>();
+        let slowdown_permille = if left_out == 3 { 0 } else { 600 };
+        book.learn(&SlowdownSample {
+            measured: MonoTime::from_millis(0),
+            slowdown_permille,
+            jobs: &jobs,
+        });
+    }
+    let noise = names.each_ref().map(|name| book.noise_of(name));
+    assert!(noise[3] > 400, "{noise:?}");
+    assert!(noise[..3].iter().all(|noise| *noise < 120), "{noise:?}");
+}
--- /dev/null
+++ b/crates/placement/tests/placement/estimate.rs
@@ -0,0 +1,64 @@
+//! Scenes of estimated sizes.
+
+use crate::scene::job_name;
+use crate::scene::size;
+
+use sapphirestile_core::CustomerName;
+use sapphirestile_core::ResourceSize;
+use sapphirestile_placement::EstimatePolicy;
+use sapphirestile_placement::SizeBasis;
+use sapphirestile_placement::SizeBook;
+use sapphirestile_placement::SizeEstimate;
+
+const DECLARED: (u64, u64) = (4_000, 8_000);
+
+fn estimate(book: &SizeBook, job: &str) -> SizeEstimate {
+    let customer = CustomerName::try_from("tailors").unwrap();
+    let policy = EstimatePolicy::default();
+    book.estimate(&job_name(job), &customer, &declared(), &policy)
+}
+
+fn note(book: &mut SizeBook, job: &str, cpu_milli: u64, memory_mb: u64, times: u32) {
+    let customer = CustomerName::try_from("tailors").unwrap();
+    for _ in 0..times {
+        let used = size(cpu_milli, memory_mb, 0);
+        book.note_usage(&job_name(job), &customer, &used, &declared());
+    }
+}
+
+fn declared() -> ResourceSize {
+    size(DECLARED.0, DECLARED.1, 0)
+}
+
+#[test]
+fn an_estimate_rests_on_the_nearest_evidence() {
+    let mut book = SizeBook::default();
+    assert_eq!(estimate(&book, "a").basis, SizeBasis::Declared);
+    note(&mut book, "b", 1_000, 2_000, 40);
+    assert_eq!(estimate(&book, "a").basis, SizeBasis::Customer);
+    note(&mut book, "a", 2_000, 4_000, 8);
+    let of_job = estimate(&book, "a");
+    assert_eq!(of_job.basis, SizeBasis::Job);
+    // Half of the declared size, to the end of its bucket, with the margin.
+    assert_eq!(of_job.size, size(2_252, 4_710, 0));
+}
+
+#[test]
+fn memory_covers_the_largest_task_seen() {
+    let mut book = SizeBook::default();
+    note(&mut book, "a", 1_000, 1_000, 30);
+    note(&mut book, "a", 1_000, 7_000, 1);
+    assert!(estimate(&book, "a").size.memory_mb >= 7_000);
+    assert!(estimate(&book, "a").size.cpu_milli < 1_500);
+}
+
+#[test]
+fn an_outgrown_size_is_raised_beyond_what_was_declared() {
+    let mut book = SizeBook::default();
+    book.note_outgrown(&job_name("a"), &declared());
+    let raised = estimate(&book, "a");
+    assert_eq!(raised.basis, SizeBasis::Outgrown);
+    assert_eq!(raised.size, size(4_000, 12_000, 0));
+    book.forget_job(&job_name("a"));
+    assert_eq!(estimate(&book, "a").basis, SizeBasis::Declared);
+}
--- a/crates/placement/tests/placement/scene.rs
+++ b/crates/placement/tests/placement/scene.rs
@@ -1,8 +1,11 @@
 //! A few workers and one customer.
 
 use sapphirestile_core::CustomerName;
+use sapphirestile_core::JobName;
+use sapphirestile_core::MonoTime;
 use sapphirestile_core::RackName;
 use sapphirestile_core::ResourceSize;
+use sapphirestile_core::TaskIndex;
 use sapphirestile_core::WorkerName;
 use sapphirestile_core::ZoneName;
 use sapphirestile_placement::CustomerRoom;
@@ -11,6 +14,7 @@
 use sapphirestile_placement::PlacementRequest;
 use sapphirestile_placement::RoomPolicy;
 use sapphirestile_placement::UsageMeasure;
+use sapphirestile_placement::WaitingJob;
 use sapphirestile_placement::WorkerRoom;
 use sapphirestile_placement::choose_worker;
 
@@ -70,3 +74,33 @@
     let name = WorkerName::try_from(parts.next().unwrap()).unwrap();
     WorkerRoom::new(name, zone, rack, size(4_000, 8_000, 0))
 }
+
+pub fn job_name(text: &str) -> JobName {
+    JobName::try_from(text).unwrap()
+}
+
+pub fn worker_name(text: &str) -> WorkerName {
+    WorkerName::try_from(text).unwrap()
+}
+
+pub fn customer(name: &str, priority: u32) -> CustomerRoom {
+    CustomerRoom {
+        name: CustomerName::try_from(name).unwrap(),
+        quota: size(1_000_000, 1_000_000, 100),
+        given: ResourceSize::default(),
+        priority,
+    }
+}
+
+pub fn waiting(name: &str, customer: &str, declared: ResourceSize, tasks: u32) -> WaitingJob {
+    WaitingJob {
+        name: job_name(name),
+        customer: CustomerName::try_from(customer).unwrap(),
+        urgent: false,
+        declared,
+        zones: Vec::new(),
+        submitted: MonoTime::from_millis(0),
+        not_before: MonoTime::from_millis(0),
+        tasks: (0..tasks).rev().map(TaskIndex::new).collect(),
+    }
+}
