Serve a request and run a job on the embedded default

Cause: nothing had been seen end to end.

Ruled out: cells of a few workers each (with three workers spread by a hash over three cells one cell had none, and its job waited for ever); dropping the platform's stand-ins before the daemon (its release could not be committed and the drain ran into its limit).

Before: the job waited until the try-out gave up after 30 s.

Conclusion: the path from a caller and from a job to their ends holds in one process; three processes come next.

--- a/crates/daemon/src/bin/sapphirestiled.rs
+++ b/crates/daemon/src/bin/sapphirestiled.rs
@@ -1,5 +1,6 @@
 //! The daemon of sapphirestile.
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -17,47 +18,80 @@
 use sapphirestile_core::StepError;
 use sapphirestile_daemon::cycle::DaemonCycle;
 use sapphirestile_daemon::settings::DaemonSettings;
+use sapphirestile_daemon::tryout::TryoutRun;
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_INCOMPLETE: u8 = 3;
 
 /// What the command line asks for.
-struct DaemonArguments {
-    check: bool,
-    settings: PathBuf,
+#[derive(Clone)]
+enum DaemonArguments {
+    /// Serve with the settings of a file.
+    Serve(PathBuf),
+    /// Check the settings of a file and end.
+    Check(PathBuf),
+    /// Serve one request and run one job on embedded stand-ins.
+    Try {
+        /// Whether to go on serving afterwards.
+        stay: bool,
+    },
 }
 
 fn main() -> ExitCode {
-    let arguments = arguments().run();
-    let settings = match read_settings(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(report) => {
-            eprintln!("{report:?}");
-            return ExitCode::from(2);
-        }
+    let result = match arguments().run() {
+        DaemonArguments::Check(path) => check(&path),
+        DaemonArguments::Serve(path) => read_settings(&path).and_then(serve),
+        DaemonArguments::Try { stay } => try_out(stay),
     };
-    if arguments.check {
-        println!("the settings are valid");
-        return ExitCode::SUCCESS;
-    }
-    start_log();
-    match run(settings) {
+    match result {
         Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(1),
+        Ok(false) => ExitCode::from(EXIT_INCOMPLETE),
         Err(report) => {
             eprintln!("{report:?}");
-            ExitCode::from(1)
+            ExitCode::from(EXIT_FAILED)
         }
     }
 }
 
 fn arguments() -> OptionParser<DaemonArguments> {
-    let check = long("check").help("check the settings and end").switch();
-    let settings = positional::<PathBuf>("SETTINGS").help("the INI file of settings");
-    construct!(DaemonArguments { check, settings })
+    let path = || positional::<PathBuf>("SETTINGS").help("the INI file of settings");
+    let stay = long("stay")
+        .help("go on serving until interrupted")
+        .switch();
+    let try_out = long("try")
+        .help("try out: platform stand-ins inside this process, one request, one job")
+        .req_flag(());
+    let try_out = construct!(try_out, stay).map(|((), stay)| DaemonArguments::Try { stay });
+    let check = long("check")
+        .help("check the settings and end")
+        .req_flag(());
+    let check = construct!(check, path()).map(|((), path)| DaemonArguments::Check(path));
+    let serve = path().map(DaemonArguments::Serve);
+    construct!([try_out, check, serve])
         .to_options()
         .descr("The daemon of sapphirestile")
-        .footer("Example: sapphirestiled --check entry-1.ini")
+        .footer("Examples: sapphirestiled --try, sapphirestiled --check entry-1.ini")
 }
 
-fn read_settings(path: &PathBuf) -> Result<DaemonSettings, Report<StepError>> {
+fn check(path: &Path) -> Result<bool, Report<StepError>> {
+    read_settings(path)?;
+    println!("the settings are valid");
+    Ok(true)
+}
+
+fn try_out(stay: bool) -> Result<bool, Report<StepError>> {
+    let tryout = TryoutRun::start()?;
+    for line in tryout.show()? {
+        println!("{line}");
+    }
+    if stay {
+        println!("serving until interrupted");
+        wait_for_signal()?;
+    }
+    Ok(tryout.finish())
+}
+
+fn read_settings(path: &Path) -> Result<DaemonSettings, Report<StepError>> {
     let failed = || StepError::new("read settings", &path.display().to_string());
     let text = std::fs::read_to_string(path).change_context_lazy(failed)?;
     DaemonSettings::try_from(text.as_str()).change_context_lazy(failed)
@@ -74,12 +108,19 @@
         .init();
 }
 
-fn run(settings: DaemonSettings) -> Result<bool, Report<StepError>> {
-    let failed = || StepError::new("wait for signals", "own process");
-    let mut signals = Signals::new([SIGTERM, SIGINT]).change_context_lazy(failed)?;
+fn serve(settings: DaemonSettings) -> Result<bool, Report<StepError>> {
+    start_log();
+    let failed = || StepError::new("print addresses", "standard output");
     let serving = DaemonCycle::start(settings)?.serve()?;
     let addresses = serde_json::to_string(&serving.addresses()).change_context_lazy(failed)?;
     println!("{addresses}");
-    signals.forever().next();
+    wait_for_signal()?;
     Ok(serving.drain().finish())
 }
+
+fn wait_for_signal() -> Result<(), Report<StepError>> {
+    let failed = || StepError::new("wait for signals", "own process");
+    let mut signals = Signals::new([SIGTERM, SIGINT]).change_context_lazy(failed)?;
+    signals.forever().next();
+    Ok(())
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,7 +13,8 @@
 //! - [`operators`] answers the command-line tool;
 //! - [`metrics`] counts what happens;
 //! - [`serving`] holds the HTTP ports and the gate of a planned stop;
-//! - [`settings`] checks what the daemon is told at its start.
+//! - [`settings`] checks what the daemon is told at its start;
+//! - [`tryout`] runs a daemon on stand-ins inside one process.
 
 pub mod callers;
 pub mod cells;
@@ -27,4 +28,5 @@
 pub mod routes;
 pub mod serving;
 pub mod settings;
+pub mod tryout;
 pub mod vms;
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -49,7 +49,7 @@
     let mut stream = FrameStream::new(stream, IDLE_TIMEOUT)?;
     loop {
         let sealed = stream.read()?;
-        let call = context
+        let frame = context
             .key
             .open::<PeerRequest>(&sealed)
             .map_err(std::io::Error::other)?;
@@ -66,8 +66,8 @@
 
 fn answer(context: &DaemonContext, frame: PeerFrame<PeerRequest>) -> PeerAnswer {
     let sender = OwnerMark {
-        daemon: call.sender,
-        incarnation: call.incarnation,
+        daemon: frame.sender,
+        incarnation: frame.incarnation,
     };
     let cell = match &frame.body {
         PeerRequest::Ping => return PeerAnswer::Pong,
--- a/crates/placement/tests/placement/colocation.rs
+++ b/crates/placement/tests/placement/colocation.rs
@@ -1,7 +1,6 @@
 //! Scenes of tasks that disturb each other.
 
 use crate::scene::job_name;
-
 use sapphirestile_core::MonoTime;
 use sapphirestile_placement::NoiseBook;
 use sapphirestile_placement::PressureAction;
--- a/crates/placement/tests/placement/estimate.rs
+++ b/crates/placement/tests/placement/estimate.rs
@@ -2,7 +2,6 @@
 
 use crate::scene::job_name;
 use crate::scene::size;
-
 use sapphirestile_core::CustomerName;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_placement::EstimatePolicy;
--- a/crates/placement/tests/placement/queue.rs
+++ b/crates/placement/tests/placement/queue.rs
@@ -5,7 +5,6 @@
 use crate::scene::job_name;
 use crate::scene::size;
 use crate::scene::waiting;
-
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_placement::CustomerRoom;
--- a/crates/placement/tests/placement/standing.rs
+++ b/crates/placement/tests/placement/standing.rs
@@ -2,7 +2,6 @@
 
 use crate::scene::job_name;
 use crate::scene::worker_name;
-
 use sapphirestile_core::MonoTime;
 use sapphirestile_placement::FailureBook;
 use sapphirestile_placement::FailureVerdict;
