Drive a request, a job and a change through three daemons as processes

Cause: one process proves neither forwarding nor a configuration in force at every daemon.

Before: no test with processes.

--- a/crates/cells/src/journal/cell_transition.rs
+++ b/crates/cells/src/journal/cell_transition.rs
@@ -64,4 +64,11 @@
         /// Who sends it, and when it was recorded.
         record: RequestRecord,
     },
+    /// A job that has ended is shown no more, and its name is free again.
+    JobForgotten(JobName),
+    /// Requests recorded before this second of the Unix epoch may be sent again.
+    RecordsForgotten {
+        /// The second.
+        before_unix_s: u64,
+    },
 }
--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -15,6 +15,7 @@
 use crate::state::TaskOutcome;
 use crate::state::TransitionFault;
 mod batch_commits;
+mod forgetting;
 mod start_planning;
 mod worker_list;
 mod worker_reports;
--- a/crates/cells/src/owner/cell_owner/worker_list.rs
+++ b/crates/cells/src/owner/cell_owner/worker_list.rs
@@ -11,6 +11,7 @@
 use sapphirestile_core::WorkerName;
 
 const SESSION_INTERVAL_MS: u64 = 1_000;
+const PERMIT_AGE_MAX_MS: u64 = 3_000;
 
 /// A VM that the list has not shown for this long is gone.
 pub const LIST_LAG_MAX_MS: u64 = 30_000;
@@ -55,7 +56,7 @@
         let epoch = self.state.epoch();
         let mut orders = Vec::new();
         for (worker, view) in self.phase.workers.iter_mut() {
-            if !view.session_due(now, SESSION_INTERVAL_MS) {
+            if !view.session_due(now, SESSION_INTERVAL_MS, PERMIT_AGE_MAX_MS) {
                 continue;
             }
             view.ordinal += 1;
--- a/crates/cells/src/owner/open_phase.rs
+++ b/crates/cells/src/owner/open_phase.rs
@@ -6,6 +6,7 @@
 use crate::owner::StartOrder;
 use crate::owner::StopOrder;
 use crate::owner::worker_view::WorkerView;
+use sapphirestile_core::JobName;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
 use sapphirestile_core::WorkerName;
@@ -24,6 +25,8 @@
     pub(super) settling: Vec<SettlingAttempt>,
     /// Since when a known worker has not been on the VM list.
     pub(super) unlisted: SortedTable<WorkerName, MonoTime>,
+    /// When the owner first saw that a job had ended.
+    pub(super) ended: SortedTable<JobName, MonoTime>,
     pub(super) stops: Vec<StopOrder>,
     pub(super) evictions: u64,
 }
--- a/crates/cells/src/owner/worker_view.rs
+++ b/crates/cells/src/owner/worker_view.rs
@@ -36,12 +36,20 @@
         }
     }
 
-    /// Whether nothing is on its way to the worker and `now` is time to renew.
-    pub fn session_due(&self, now: MonoTime, interval_ms: u64) -> bool {
+    /// Whether `now` is time to renew the session.
+    ///
+    /// A renewal voids the permit of starts that are on their way, so it waits for
+    /// them, but no longer than their permit is good for.
+    pub fn session_due(&self, now: MonoTime, interval_ms: u64, permit_ms: u64) -> bool {
+        let wait_ms = if self.starts == 0 {
+            interval_ms
+        } else {
+            permit_ms
+        };
         let rested = self
             .asked
-            .is_none_or(|asked| now.millis_since(asked) >= interval_ms);
-        rested && !self.asking && self.starts == 0
+            .is_none_or(|asked| now.millis_since(asked) >= wait_ms);
+        rested && !self.asking
     }
 
     /// The permit, while it is fresh enough to commit against.
--- a/crates/cells/src/state/cell_state.rs
+++ b/crates/cells/src/state/cell_state.rs
@@ -158,6 +158,12 @@
                 Ok(())
             }
             CellTransition::RequestRecorded { key, record } => self.record_request(key, record),
+            CellTransition::JobForgotten(job) => self.forget_job(job),
+            CellTransition::RecordsForgotten { before_unix_s } => {
+                self.records
+                    .retain(|_, record| record.recorded_unix_s >= *before_unix_s);
+                Ok(())
+            }
         }
     }
 
@@ -170,16 +176,6 @@
         );
     }
 
-    /// Forgets jobs that have ended, and requests recorded before `unix_s`.
-    pub(crate) fn forget(&mut self, keep_job: impl Fn(&JobName) -> bool, unix_s: u64) {
-        self.jobs
-            .retain(|job, record| record.open_tasks > 0 || keep_job(job));
-        let jobs = &self.jobs;
-        self.tasks.retain(|task, _| jobs.contains(&task.job));
-        self.records
-            .retain(|_, record| record.recorded_unix_s >= unix_s);
-    }
-
     fn check_place(&self, entry: &JournalEntry) {
         assert_eq!(
             entry.sequence,
@@ -254,6 +250,16 @@
         Ok(())
     }
 
+    fn forget_job(&mut self, job: &JobName) -> Result<(), TransitionFault> {
+        let record = self.jobs.get(job).ok_or(TransitionFault::UnknownJob)?;
+        if record.open_tasks > 0 {
+            return Err(TransitionFault::WrongPhase);
+        }
+        self.jobs.remove(job);
+        self.tasks.retain(|task, _| task.job != *job);
+        Ok(())
+    }
+
     fn give_task_back(
         &mut self,
         task: &TaskName,
--- a/crates/daemon/src/callers/caller_reply.rs
+++ b/crates/daemon/src/callers/caller_reply.rs
@@ -36,6 +36,12 @@
         match self {
             Self::Answered(answer) => answer_reply(*answer),
             Self::NotRun(RouteRefusal::NoService) => refusal(404, "not-run", "no such service"),
+            Self::NotRun(RouteRefusal::NoRecord) => {
+                // Without the record nothing is known of earlier tries with its key.
+                let reason = "this try was not sent; its key could not be recorded, \
+                              and earlier tries with the key are not known of";
+                refusal(503, "not-run", reason).with_header("retry-after", "1")
+            }
             Self::NotRun(reason) => {
                 refusal(503, "not-run", &reason.to_string()).with_header("retry-after", "1")
             }
--- a/crates/daemon/src/cells/cell_keeper/keeper_steps.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_steps.rs
@@ -3,6 +3,7 @@
 use crate::cells::CellKeeper;
 use crate::cells::JournalBatch;
 use crate::cells::WorkerCall;
+use crate::context::MonoClock;
 use sapphirestile_cells::CellEffect;
 use sapphirestile_cells::CellTransition;
 use sapphirestile_cells::EntryBody;
@@ -11,6 +12,7 @@
 
 const COMMIT_INTERVAL_MS: u64 = 250;
 const SNAPSHOT_ENTRIES: u64 = 64;
+const MILLIS_PER_SECOND: u64 = 1_000;
 const STARTS_MAX: usize = 200;
 
 impl CellKeeper {
@@ -71,6 +73,8 @@
 
     fn commit(&mut self) {
         let revision = self.revision;
+        let unix_s = MonoClock::unix_millis() / MILLIS_PER_SECOND;
+        self.owner.forget_old(self.context.clock.now(), unix_s);
         let snapshot_due = self.owner.snapshot_due(SNAPSHOT_ENTRIES);
         let Some(entry) = self.owner.take_batch(rand::random()).cloned() else {
             return;
--- a/crates/daemon/src/cycle/daemon_cycle.rs
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -37,6 +37,7 @@
 use crate::peers::PeerServer;
 use crate::routes::RoutePublisher;
 use crate::serving::HttpPort;
+use crate::serving::HttpService;
 use crate::serving::RequestGate;
 use crate::settings::DaemonSettings;
 use crate::vms::VmPoller;
@@ -249,23 +250,24 @@
     gate: &Arc<RequestGate>,
     lot: &Arc<ParkingLot>,
 ) -> Result<HttpPort, Report<StepError>> {
-    let service = Arc::new(CallerService::new(Arc::clone(context), Arc::clone(lot)));
+    let service = CallerService::new(Arc::clone(context), Arc::clone(lot));
+    let service: Arc<dyn HttpService> = Arc::new(service);
     HttpPort::open(
         context.settings.node.callers,
         CALLER_CONNECTIONS,
-        service,
+        &service,
         gate,
     )
 }
 
 /// The operators' port stays open while the daemon drains.
 fn open_operators(context: &Arc<DaemonContext>) -> Result<HttpPort, Report<StepError>> {
-    let service = Arc::new(OperatorService::new(Arc::clone(context)));
+    let service: Arc<dyn HttpService> = Arc::new(OperatorService::new(Arc::clone(context)));
     let gate = Arc::new(RequestGate::default());
     HttpPort::open(
         context.settings.node.operators,
         OPERATOR_CONNECTIONS,
-        service,
+        &service,
         &gate,
     )
 }
--- a/crates/daemon/src/members/member_table.rs
+++ b/crates/daemon/src/members/member_table.rs
@@ -41,6 +41,7 @@
     }
 
     /// The rows by name.
+    #[must_use]
     pub fn rows(&self) -> impl ExactSizeIterator<Item = (&DaemonName, &MemberRow)> {
         self.rows.iter()
     }
--- a/crates/daemon/src/serving/http_port.rs
+++ b/crates/daemon/src/serving/http_port.rs
@@ -34,7 +34,7 @@
     pub fn open(
         address: SocketAddr,
         connections: usize,
-        service: Arc<dyn HttpService>,
+        service: &Arc<dyn HttpService>,
         gate: &Arc<RequestGate>,
     ) -> Result<Self, Report<StepError>> {
         let failed = || StepError::new(STEP, &address.to_string());
@@ -42,7 +42,7 @@
         loop {
             tried += 1;
             let wanted = choose_port(address).change_context_lazy(failed)?;
-            match spawn(wanted, connections, Arc::clone(&service), gate) {
+            match spawn(wanted, connections, Arc::clone(service), gate) {
                 Ok(server) => {
                     return Ok(Self {
                         address: wanted,
--- a/crates/daemon/src/tryout/tryout_run.rs
+++ b/crates/daemon/src/tryout/tryout_run.rs
@@ -12,7 +12,6 @@
 use crate::document::ChangeOutcome;
 use crate::document::DocumentWriter;
 use crate::settings::DaemonSettings;
-use crate::tryout::TryoutPlatform;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::StepError;
 use sapphirestile_platform::http::CallLimits;
@@ -20,6 +19,8 @@
 use sapphirestile_platform::http::HttpAnswer;
 use sapphirestile_platform::http::HttpClient;
 use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_standins::fleet::StandinFleet;
 use sapphirestile_wire::api::AuthorName;
 use sapphirestile_wire::api::DocumentChange;
 use sapphirestile_wire::api::JobState;
@@ -38,7 +39,7 @@
 
 /// A daemon on the embedded default.
 pub struct TryoutRun {
-    platform: TryoutPlatform,
+    platform: StandinFleet,
     daemon: DaemonCycle<ServingPhase>,
 }
 
@@ -51,13 +52,18 @@
     /// When a port cannot be bound or the configuration is not accepted.
     pub fn start() -> Result<Self, Report<StepError>> {
         let failed = || StepError::new("start try-out", "embedded platform");
-        let platform = TryoutPlatform::start()?;
+        let zones = vec![("near-a", "near"), ("near-b", "near"), ("near-c", "near")];
+        let plan = FleetPlan {
+            zones,
+            ..FleetPlan::default()
+        };
+        let platform = StandinFleet::start(plan)?;
         let text = settings_text(&platform);
         let settings = DaemonSettings::try_from(text.as_str()).change_context_lazy(failed)?;
         let daemon = DaemonCycle::start(settings)?.serve()?;
         let change = DocumentChange {
             based_on: ConfigRevision::new(0),
-            text: TryoutPlatform::document(),
+            text: platform.document(),
             author: AuthorName::try_from("try-out").map_err(|_| Report::new(failed()))?,
             dry_run: false,
         };
@@ -98,15 +104,15 @@
     }
 }
 
-fn settings_text(platform: &TryoutPlatform) -> String {
+fn settings_text(platform: &StandinFleet) -> String {
     format!(
         "[daemon]\nname = try-1\nzone = near-a\nregion = near\ncallers = 127.0.0.1:0\n\
          operators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
          [platform]\nstore = {}\nvms = {}\n\
          [peers]\nkey = {TOKEN}\n[operators]\ntoken = {TOKEN}\n\
          [limits]\nheartbeat_ms = 100\nsuspect_ms = 500\n",
-        platform.store(),
-        platform.vms()
+        platform.store().address(),
+        platform.vms().address()
     )
 }
 
--- a/crates/daemon/src/vms/vm_poller.rs
+++ b/crates/daemon/src/vms/vm_poller.rs
@@ -12,7 +12,7 @@
 use crate::vms::VmTable;
 use sapphirestile_platform::vms::VmClient;
 
-const POLL_INTERVAL: Duration = Duration::from_millis(1_000);
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reads the list of VMs and publishes what follows from it.
 pub struct VmPoller {
--- a/crates/daemon/src/vms/vm_table.rs
+++ b/crates/daemon/src/vms/vm_table.rs
@@ -5,7 +5,6 @@
 use sapphirestile_cells::WorkerFacts;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::OperatorDocument;
-use sapphirestile_core::ResourceSize;
 use sapphirestile_core::SortedTable;
 use sapphirestile_core::WorkerName;
 use sapphirestile_wire::vms::VmKind;
@@ -40,6 +39,7 @@
     }
 
     /// The VMs in the order of their names.
+    #[must_use]
     pub fn records(&self) -> impl ExactSizeIterator<Item = &VmRecord> {
         self.rows.values()
     }
@@ -74,7 +74,7 @@
         worker: WorkerName::try_from(record.name.as_str()).ok()?,
         zone: record.zone.clone(),
         rack: record.rack.clone(),
-        size: record.size.unwrap_or(ResourceSize::default()),
+        size: record.size.unwrap_or_default(),
         takes_work: stays && document.zone_takes_work(record.zone.as_str()),
     })
 }
--- /dev/null
+++ b/crates/daemon/tests/whole_path.rs
@@ -0,0 +1,84 @@
+//! Three daemons as real processes: a request, a job and a change of the
+//! configuration, each from start to end.
+
+use serde_json::Value;
+use serde_json::json;
+
+use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_test_support::SceneFleet;
+use sapphirestile_test_support::call;
+use sapphirestile_test_support::call_json;
+use sapphirestile_test_support::wait_until;
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_sapphirestiled");
+const FOLDER: &str = concat!(env!("CARGO_TARGET_TMPDIR"), "/whole_path");
+
+#[test]
+fn a_request_a_job_and_a_change_reach_their_ends() {
+    let plan = FleetPlan {
+        runners: 2,
+        workers: 4,
+        ..FleetPlan::default()
+    };
+    let scene = SceneFleet::start(DAEMON, FOLDER, plan);
+    let first = scene.daemon("entry-1", "near-a", &[]);
+    let second = scene.daemon("entry-2", "near-b", &[first.peers()]);
+    let third = scene.daemon("entry-3", "far-c", &[first.peers()]);
+    let operators = [first.operators(), second.operators(), third.operators()];
+
+    // A change made at one daemon is in force at each of them.
+    let revision = scene.put_document(operators[0]);
+    for address in operators {
+        wait_until("the revision is in force", || {
+            let (_, status) = call_json(address, "GET", "/v1/status", &Value::Null)?;
+            (status["revision"] == revision).then_some(())
+        });
+    }
+    scene.wait_owned(&operators, 2);
+
+    // Each daemon gives each caller the whole answer to its own request.
+    for (place, daemon) in [&first, &second, &third].into_iter().enumerate() {
+        let body = format!("chest {place} cm");
+        let answer = wait_until("a request is answered", || {
+            call(
+                daemon.callers(),
+                "POST",
+                "/sizing/fit",
+                &[],
+                body.as_bytes(),
+            )
+            .filter(|answer| answer.status == 200)
+        });
+        assert_eq!(String::from_utf8_lossy(&answer.body), body);
+    }
+
+    // A job submitted at one daemon is seen finished from another.
+    let job = json!({
+        "job": "patterns", "customer": "kennels", "tasks": 5, "run_ms": 300,
+        "size": { "cpu_milli": 1000, "memory_mb": 512, "accelerators": 0 },
+    });
+    wait_until("the job is accepted", || {
+        call_json(operators[1], "POST", "/v1/jobs", &job).filter(|(status, _)| *status == 200)
+    });
+    let view = wait_until("the job is finished", || {
+        let (_, view) = call_json(operators[2], "GET", "/v1/jobs/patterns", &Value::Null)?;
+        (view["state"] == "finished").then_some(view)
+    });
+    let attempts: Vec<u64> = view["tasks"]
+        .as_array()
+        .expect("a view has tasks")
+        .iter()
+        .filter_map(|task| task["attempt"].as_u64())
+        .collect();
+    assert_eq!(attempts, [1, 1, 1, 1, 1]);
+    let history = scene
+        .platform()
+        .workers()
+        .iter()
+        .map(|worker| worker.service().history().len());
+    assert_eq!(history.sum::<usize>(), 5, "each task ran once");
+
+    for daemon in [first, second, third] {
+        assert!(daemon.stop().success(), "a planned stop ends in time");
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet/fleet_plan.rs
@@ -0,0 +1,34 @@
+//! What a fleet of stand-ins consists of.
+
+use crate::runner::RunnerSettings;
+use crate::worker::WorkerSettings;
+
+/// What a fleet of stand-ins consists of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetPlan {
+    /// The zones, each with the region that it lies in.
+    pub zones: Vec<(&'static str, &'static str)>,
+    /// How many runners each zone has.
+    pub runners: usize,
+    /// How many workers each zone has.
+    pub workers: usize,
+    /// How each runner is built.
+    pub runner: RunnerSettings,
+    /// How each worker is built.
+    pub worker: WorkerSettings,
+    /// Whether requests of the service may run twice.
+    pub idempotent: bool,
+}
+
+impl Default for FleetPlan {
+    fn default() -> Self {
+        Self {
+            zones: vec![("near-a", "near"), ("near-b", "near"), ("far-c", "far")],
+            runners: 1,
+            workers: 1,
+            runner: RunnerSettings::default(),
+            worker: WorkerSettings::default(),
+            idempotent: true,
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod clock;
 pub mod command;
+pub mod fleet;
 pub mod runner;
 pub mod serving;
 pub mod store;
--- /dev/null
+++ b/crates/test-support/src/http_calls.rs
@@ -0,0 +1,67 @@
+//! Calls to the ports of daemons.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::TOKEN;
+use sapphirestile_platform::http::CallLimits;
+use sapphirestile_platform::http::CallRequest;
+use sapphirestile_platform::http::HeaderView;
+use sapphirestile_platform::http::HttpAnswer;
+use sapphirestile_platform::http::HttpClient;
+use sapphirestile_platform::http::PeerAddress;
+
+const LIMITS: CallLimits = CallLimits {
+    timeout: Duration::from_secs(20),
+    answer_max_bytes: 8 * 1_024 * 1_024,
+};
+
+/// Calls a port; nothing when no whole answer came.
+#[must_use]
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<HttpAnswer> {
+    let views: Vec<HeaderView<'_>> = headers
+        .iter()
+        .map(|(name, value)| HeaderView {
+            name,
+            value: value.as_bytes(),
+        })
+        .collect();
+    let peer = PeerAddress::try_from(address).ok()?;
+    let request = CallRequest {
+        method,
+        path,
+        headers: &views,
+        body,
+    };
+    HttpClient::new(peer, LIMITS)
+        .call("call of a test", &request)
+        .ok()
+}
+
+/// Calls an operators' port with the token; the status and the JSON answer.
+#[must_use]
+pub fn call_json(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &Value,
+) -> Option<(u16, Value)> {
+    let authorization = format!("Bearer {TOKEN}");
+    let headers = [("authorization", authorization.as_str())];
+    let body = if body.is_null() {
+        Vec::new()
+    } else {
+        body.to_string().into_bytes()
+    };
+    let answer = call(address, method, path, &headers, &body)?;
+    let value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+    Some((answer.status, value))
+}
