Call the platform over pooled connections, and test what calls prove

Cause: oxhttp's client opens a connection for each request, has no limit for a whole call, reports a connection that was not made in time like some later failures, and takes an answer that ends with its connection for an empty one. Ruled out: a connector of our own, to prove more errors of connecting, since that part of ureq is not stable; answers that end with their connection, that announce two lengths or two framings: whether they are whole cannot be known. Conclusion: HttpClient uses ureq, which follows no redirect, takes each status as an answer and sends nothing twice. oxhttp stays as the server. Headers that a Connection header names are no longer forwarded.

Tests: 90 scenes in crates/platform/tests/calls, random bytes with fixed. Each was seen to fail with its mechanism taken out: refused and late connections as unknown, every error as not sent, every framing as announced, no size limit, a second send, redirects followed, status as error, no pool, no check of the number, any 503 of a runner or of the store as not run, a stray x-not-run header, headers named by Connection kept, large values sent, a cancelled watch ignored, a beaten commit as done, a watch without its start, base64 unbounded, refusals as unknown, status of the list ignored; in the stand-ins: guards ignored, watches not woken by commits, lapses or faults, slots unlimited, permits kept over a renewal. Two of these were not caught at first, because the watch outwaited the stand-in's own limit: the scenes now wait for less than that.

--- /dev/null
+++ b/crates/platform/examples/client_towards_runners/call_summary.rs
@@ -0,0 +1,40 @@
+//! What the calls of one client took.
+
+use crate::byte_relay::ByteRelay;
+
+/// Latency, connections and bytes of one client's calls.
+pub struct CallSummary {
+    latencies_us: Vec<u64>,
+    connections: u64,
+    bytes: u64,
+}
+
+impl CallSummary {
+    /// Sums up the calls that went through `relay`.
+    pub fn new(mut latencies_us: Vec<u64>, relay: &ByteRelay) -> Self {
+        latencies_us.sort_unstable();
+        Self {
+            latencies_us,
+            connections: relay.connections(),
+            bytes: relay.bytes(),
+        }
+    }
+
+    fn percentile(&self, percent: usize) -> u64 {
+        let last = self.latencies_us.len() - 1;
+        self.latencies_us[last * percent / 100]
+    }
+}
+
+impl std::fmt::Display for CallSummary {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            formatter,
+            "{} connections, p50 {} us, p99 {} us, {} bytes a request",
+            self.connections,
+            self.percentile(50),
+            self.percentile(99),
+            self.bytes / self.latencies_us.len() as u64
+        )
+    }
+}
--- /dev/null
+++ b/crates/platform/examples/client_towards_runners/client_kind.rs
@@ -0,0 +1,34 @@
+//! The clients that are compared.
+
+use std::net::SocketAddr;
+
+use sapphirestile_platform::http::CallLimits;
+use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_platform::runner::RunnerClient;
+
+use crate::runner_caller::RunnerCaller;
+
+/// A way to call a runner.
+#[derive(Clone, Copy, Debug)]
+pub enum ClientKind {
+    /// oxhttp, a connection for each request.
+    Oxhttp,
+    /// [`RunnerClient`], over ureq with a pool of connections.
+    RunnerClient,
+}
+
+impl ClientKind {
+    /// A caller of the runner at `address`.
+    pub fn connect(self, address: SocketAddr, limits: CallLimits) -> RunnerCaller {
+        match self {
+            Self::Oxhttp => {
+                let client = oxhttp::Client::new().with_global_timeout(limits.timeout);
+                RunnerCaller::Oxhttp(client, format!("http://{address}/fit-check"))
+            }
+            Self::RunnerClient => {
+                let peer = PeerAddress::try_from(address).expect("a port other than 0");
+                RunnerCaller::RunnerClient(RunnerClient::new(peer, limits))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/examples/client_towards_runners/main.rs
@@ -0,0 +1,83 @@
+//! Measures two HTTP clients towards a runner across a long link.
+//!
+//! A stand-in of a runner waits as long as the round trips of a link with 8 ms
+//! one way would take: once more for each new connection and once for each
+//! request. A relay before it counts connections and the bytes of both
+//! directions, without those of TCP and IP. Run it with
+//! `cargo run --release -p sapphirestile-platform --example client_towards_runners`.
+
+mod byte_relay;
+mod call_summary;
+mod client_kind;
+mod runner_caller;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::byte_relay::ByteRelay;
+use crate::call_summary::CallSummary;
+use crate::client_kind::ClientKind;
+use crate::runner_caller::RunnerCaller;
+use sapphirestile_platform::http::CallLimits;
+use sapphirestile_standins::runner::RunnerSettings;
+use sapphirestile_standins::runner::RunnerStandin;
+
+const THREADS: usize = 8;
+const REQUESTS_PER_THREAD: usize = 125;
+const ROUND_TRIP_MS: u64 = 16;
+const SERVICE_MS: u64 = 5;
+const BODY_BYTES: usize = 256;
+const LIMITS: CallLimits = CallLimits {
+    timeout: Duration::from_secs(10),
+    answer_max_bytes: 4_096,
+};
+
+fn main() {
+    println!(
+        "{} requests, {THREADS} at a time, bodies of {BODY_BYTES} bytes, service time \
+         {SERVICE_MS} ms, round trip {ROUND_TRIP_MS} ms",
+        THREADS * REQUESTS_PER_THREAD
+    );
+    for kind in [ClientKind::Oxhttp, ClientKind::RunnerClient] {
+        println!("{kind:?}: {}", measure(kind));
+    }
+}
+
+fn measure(kind: ClientKind) -> CallSummary {
+    let settings = RunnerSettings {
+        slots: 64,
+        service_ms: SERVICE_MS,
+        connect_delay_ms: ROUND_TRIP_MS,
+        request_delay_ms: ROUND_TRIP_MS,
+    };
+    let any_port = ([127, 0, 0, 1], 0).into();
+    let runner = RunnerStandin::start(any_port, settings).expect("the runner listens");
+    let relay = ByteRelay::start(runner.address()).expect("the relay listens");
+    let client = kind.connect(relay.address(), LIMITS);
+    let mut latencies = Vec::new();
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS)
+            .map(|thread| {
+                let client = &client;
+                scope.spawn(move || call_in_turn(client, thread))
+            })
+            .collect();
+        for thread in threads {
+            latencies.extend(thread.join().expect("a caller ends"));
+        }
+    });
+    assert_eq!(runner.service().counts().runs, latencies.len() as u64);
+    CallSummary::new(latencies, &relay)
+}
+
+fn call_in_turn(client: &RunnerCaller, thread: usize) -> Vec<u64> {
+    let body = [b'x'; BODY_BYTES];
+    (0..REQUESTS_PER_THREAD)
+        .map(|turn| {
+            let id = format!("request-{thread}-{turn}");
+            let began = Instant::now();
+            client.call(&id, &body);
+            u64::try_from(began.elapsed().as_micros()).expect("a call is short")
+        })
+        .collect()
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -6,6 +6,7 @@
 //! reached the peer, `Unknown` otherwise.
 
 mod address_fault;
+mod answer_framing;
 mod call_error;
 mod call_limits;
 mod call_request;
@@ -14,6 +15,7 @@
 mod http_client;
 mod line_reader;
 mod peer_address;
+mod request_sender;
 
 pub use address_fault::AddressFault;
 pub use call_error::CallError;
--- a/crates/platform/src/http/http_answer.rs
+++ b/crates/platform/src/http/http_answer.rs
@@ -1,6 +1,6 @@
 //! A whole answer.
 
-use oxhttp::model::HeaderMap;
+use ureq::http::HeaderMap;
 
 /// An answer whose body arrived as long as it was announced.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,7 +19,7 @@
     /// # Examples
     ///
     /// ```
-    /// use oxhttp::model::HeaderMap;
+    /// use ureq::http::HeaderMap;
     /// use sapphirestile_platform::http::HttpAnswer;
     ///
     /// let mut headers = HeaderMap::new();
--- a/crates/platform/src/http/http_client.rs
+++ b/crates/platform/src/http/http_client.rs
@@ -1,17 +1,16 @@
 //! Sends requests to one peer.
 
 use std::io::ErrorKind;
-use std::io::Read;
 use std::time::Duration;
 
 use error_stack::Report;
-use oxhttp::Client;
-use oxhttp::model::Body;
-use oxhttp::model::Request;
-use oxhttp::model::Response;
-use oxhttp::model::StatusCode;
-use oxhttp::model::header::CONTENT_LENGTH;
-use oxhttp::model::header::TRANSFER_ENCODING;
+use ureq::Agent;
+use ureq::Body;
+use ureq::Timeout;
+use ureq::config::AutoHeaderValue;
+use ureq::http::Method;
+use ureq::http::Response;
+use ureq::http::StatusCode;
 
 use crate::http::CallError;
 use crate::http::CallLimits;
@@ -19,14 +18,29 @@
 use crate::http::HttpAnswer;
 use crate::http::LineReader;
 use crate::http::PeerAddress;
-use crate::http::line_reader::is_read_timeout;
+use crate::http::answer_framing::AnswerFraming;
+use crate::http::request_sender::RequestSender;
 use sapphirestile_core::StepError;
 
-/// Sends requests to one peer and follows no redirect.
+/// The most idle connections to a peer.
+const IDLE_CONNECTIONS_MAX: usize = 64;
+
+/// How long a connection may be idle before it is closed rather than used again.
+const IDLE_AGE_MAX: Duration = Duration::from_secs(10);
+
+/// The largest head of an answer, in bytes.
+const ANSWER_HEAD_MAX_BYTES: usize = 16 * 1024;
+
+/// Sends requests to one peer over connections that are kept open.
+///
+/// It follows no redirect, takes every status as an answer and sends no request
+/// a second time: a connection that the peer has closed in the meantime makes
+/// the call [`CallError::Unknown`]. Clones share their connections.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     peer: PeerAddress,
     limits: CallLimits,
+    agent: Agent,
 }
 
 impl HttpClient {
@@ -47,8 +61,31 @@
     /// assert_eq!(client.peer(), peer);
     /// ```
     #[must_use]
-    pub const fn new(peer: PeerAddress, limits: CallLimits) -> Self {
-        Self { peer, limits }
+    pub fn new(peer: PeerAddress, limits: CallLimits) -> Self {
+        // Connecting has a shorter limit of its own, since a call that could
+        // not connect is known not to be sent.
+        let agent = Agent::config_builder()
+            .proxy(None)
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .max_redirects_will_error(false)
+            .allow_non_standard_methods(true)
+            .user_agent(AutoHeaderValue::None)
+            .accept(AutoHeaderValue::None)
+            .accept_encoding(AutoHeaderValue::None)
+            .max_response_header_size(ANSWER_HEAD_MAX_BYTES)
+            .max_idle_connections(IDLE_CONNECTIONS_MAX)
+            .max_idle_connections_per_host(IDLE_CONNECTIONS_MAX)
+            .max_idle_age(IDLE_AGE_MAX)
+            .timeout_connect(Some(limits.timeout / 2))
+            .timeout_global(Some(limits.timeout))
+            .build()
+            .new_agent();
+        Self {
+            peer,
+            limits,
+            agent,
+        }
     }
 
     /// The peer.
@@ -68,27 +105,12 @@
         step: &'static str,
         request: &CallRequest<'_>,
     ) -> Result<HttpAnswer, Report<CallError>> {
-        let response = self.send(step, request)?;
-        let (parts, body) = response.into_parts();
-        if parts.status.is_informational() {
-            return Err(self.lost(step, "the answer is not a final one"));
-        }
-        let framed = parts.headers.contains_key(CONTENT_LENGTH)
-            || parts.headers.contains_key(TRANSFER_ENCODING);
-        let bodyless = request.method == "HEAD" || has_no_body(parts.status);
-        if !framed && !bodyless {
-            return Err(self.lost(step, "the answer does not say where it ends"));
-        }
-        let body = if bodyless {
-            Vec::new()
-        } else {
-            self.read_whole(step, body)?
-        };
-        Ok(HttpAnswer {
-            status: parts.status.as_u16(),
-            headers: parts.headers,
-            body,
-        })
+        let sender = self.prepare(step, request)?;
+        let method = sender.method().clone();
+        let response = sender
+            .send()
+            .map_err(|error| self.unsent_or_lost(step, error))?;
+        self.read_whole(step, &method, response)
     }
 
     /// Sends a request and returns the lines of the answer as they arrive; none
@@ -103,76 +125,71 @@
         request: &CallRequest<'_>,
         wait: Duration,
     ) -> Result<Option<LineReader>, Report<CallError>> {
-        let response = match self.open(step, request, wait)? {
+        let sender = self.prepare(step, request)?;
+        let response = match sender.send_and_wait(wait) {
             Ok(response) => response,
-            Err(error) if is_read_timeout(&error) => return Ok(None),
+            Err(ureq::Error::Timeout(Timeout::RecvResponse)) => return Ok(None),
             Err(error) => return Err(self.unsent_or_lost(step, error)),
         };
         if response.status() != StatusCode::OK {
             return Err(self.lost(step, "the peer refused to stream"));
         }
+        let lines = response.into_body().into_reader();
         let max = self.limits.answer_max_bytes;
-        Ok(Some(LineReader::new(response.into_body(), max)))
+        Ok(Some(LineReader::new(lines, max)))
     }
 
-    fn send(
-        &self,
+    fn prepare<'a>(
+        &'a self,
         step: &'static str,
-        request: &CallRequest<'_>,
-    ) -> Result<Response<Body>, Report<CallError>> {
-        self.open(step, request, self.limits.timeout)?
-            .map_err(|error| self.unsent_or_lost(step, error))
+        request: &CallRequest<'a>,
+    ) -> Result<RequestSender<'a>, Report<CallError>> {
+        RequestSender::build(&self.agent, self.peer, request)
+            .map_err(|error| self.failed(step, Report::new(error), CallError::NotSent))
     }
 
-    fn open(
+    fn read_whole(
         &self,
         step: &'static str,
-        request: &CallRequest<'_>,
-        timeout: Duration,
-    ) -> Result<std::io::Result<Response<Body>>, Report<CallError>> {
-        let request = self.build(step, request)?;
-        let client = Client::new().with_global_timeout(timeout);
-        Ok(client.request(request))
-    }
-
-    fn unsent_or_lost(&self, step: &'static str, error: std::io::Error) -> Report<CallError> {
-        let outcome = match error.kind() {
-            ErrorKind::ConnectionRefused => CallError::NotSent,
-            _ => CallError::Unknown,
+        method: &Method,
+        response: Response<Body>,
+    ) -> Result<HttpAnswer, Report<CallError>> {
+        let (parts, body) = response.into_parts();
+        if parts.status.is_informational() {
+            return Err(self.lost(step, "the answer is not a final one"));
+        }
+        let body = match AnswerFraming::of(method, &parts) {
+            AnswerFraming::Unclear => {
+                return Err(self.lost(step, "the answer does not say where it ends"));
+            }
+            AnswerFraming::Bodyless => Vec::new(),
+            AnswerFraming::Announced | AnswerFraming::Chunked => self.read_body(step, body)?,
         };
-        self.failed(step, Report::new(error), outcome)
+        Ok(HttpAnswer {
+            status: parts.status.as_u16(),
+            headers: parts.headers,
+            body,
+        })
     }
 
-    fn build(
-        &self,
-        step: &'static str,
-        request: &CallRequest<'_>,
-    ) -> Result<Request<Body>, Report<CallError>> {
-        let mut builder = Request::builder()
-            .method(request.method)
-            .uri(format!("http://{}{}", self.peer, request.path));
-        for header in request.headers {
-            builder = builder.header(header.name, header.value);
+    fn read_body(&self, step: &'static str, body: Body) -> Result<Vec<u8>, Report<CallError>> {
+        let max = self.limits.answer_max_bytes as u64;
+        if body.content_length().is_some_and(|length| length > max) {
+            return Err(self.lost(step, "the answer is too large"));
         }
-        builder
-            .body(Body::from(request.body.to_vec()))
-            .map_err(|error| self.failed(step, Report::new(error), CallError::NotSent))
+        body.into_with_config()
+            .limit(max)
+            .read_to_vec()
+            .map_err(|error| self.failed(step, Report::new(error), CallError::Unknown))
     }
 
-    fn read_whole(&self, step: &'static str, body: Body) -> Result<Vec<u8>, Report<CallError>> {
-        let max = self.limits.answer_max_bytes;
-        let announced = body.len().map_or(Ok(0), usize::try_from);
-        if announced.is_err() || announced.is_ok_and(|length| length > max) {
-            return Err(self.lost(step, "the answer is too large"));
-        }
-        let mut bytes = Vec::new();
-        body.take(max as u64 + 1)
-            .read_to_end(&mut bytes)
-            .map_err(|error| self.failed(step, Report::new(error), CallError::Unknown))?;
-        if bytes.len() > max {
-            return Err(self.lost(step, "the answer is too large"));
-        }
-        Ok(bytes)
+    fn unsent_or_lost(&self, step: &'static str, error: ureq::Error) -> Report<CallError> {
+        let outcome = if is_unsent(&error) {
+            CallError::NotSent
+        } else {
+            CallError::Unknown
+        };
+        self.failed(step, Report::new(error), outcome)
     }
 
     fn lost(&self, step: &'static str, reason: &'static str) -> Report<CallError> {
@@ -195,6 +212,12 @@
     }
 }
 
-fn has_no_body(status: StatusCode) -> bool {
-    status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED
+/// Whether an error proves that there was never a connection for the request.
+fn is_unsent(error: &ureq::Error) -> bool {
+    match error {
+        ureq::Error::Timeout(Timeout::Connect) | ureq::Error::ConnectionFailed => true,
+        // An open connection is never refused, so this kind comes from connecting.
+        ureq::Error::Io(error) => error.kind() == ErrorKind::ConnectionRefused,
+        _ => false,
+    }
 }
--- a/crates/platform/src/http/line_reader.rs
+++ b/crates/platform/src/http/line_reader.rs
@@ -2,10 +2,10 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
-use std::io::ErrorKind;
 use std::io::Read;
 
 use error_stack::Report;
+use ureq::Timeout;
 
 use crate::http::CallError;
 
@@ -65,7 +65,7 @@
 }
 
 /// Whether nothing arrived on an open connection within the wait.
-pub(crate) fn is_read_timeout(error: &std::io::Error) -> bool {
-    // A connection that could not be made in time is `TimedOut` instead.
-    error.kind() == ErrorKind::WouldBlock
+fn is_read_timeout(error: &std::io::Error) -> bool {
+    let inner = error.get_ref().and_then(|inner| inner.downcast_ref());
+    matches!(inner, Some(ureq::Error::Timeout(Timeout::RecvBody)))
 }
--- a/crates/platform/src/runner.rs
+++ b/crates/platform/src/runner.rs
@@ -4,6 +4,7 @@
 //! [`RunnerOutcome`]: a whole [`HttpAnswer`](crate::http::HttpAnswer) to this
 //! very request, a proof that it was not run, or neither.
 
+mod forwarded_headers;
 mod runner_client;
 mod runner_outcome;
 mod runner_request;
--- a/crates/platform/src/runner/runner_client.rs
+++ b/crates/platform/src/runner/runner_client.rs
@@ -5,12 +5,12 @@
 use crate::http::CallError;
 use crate::http::CallLimits;
 use crate::http::CallRequest;
-use crate::http::HeaderView;
 use crate::http::HttpAnswer;
 use crate::http::HttpClient;
 use crate::http::PeerAddress;
 use crate::runner::RunnerOutcome;
 use crate::runner::RunnerRequest;
+use crate::runner::forwarded_headers::forwarded_headers;
 use sapphirestile_core::StepError;
 
 /// The header with which a runner echoes the number of the request.
@@ -22,20 +22,6 @@
 const STEP: &str = "forward request";
 const STATUS_UNAVAILABLE: u16 = 503;
 
-/// Headers that concern one connection, or that the client writes itself.
-const CONNECTION_HEADERS: [&str; 10] = [
-    "connection",
-    "content-length",
-    "expect",
-    "host",
-    "keep-alive",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    REQUEST_ID_HEADER,
-];
-
 /// A client of one runner. It sends each request once at the most.
 #[derive(Clone, Debug)]
 pub struct RunnerClient {
@@ -45,15 +31,20 @@
 impl RunnerClient {
     /// A client of the runner at `peer`. Nothing is sent yet.
     #[must_use]
-    pub const fn new(peer: PeerAddress, limits: CallLimits) -> Self {
+    pub fn new(peer: PeerAddress, limits: CallLimits) -> Self {
         Self {
             client: HttpClient::new(peer, limits),
         }
     }
 
     /// Forwards a request and waits for the whole answer.
+    ///
+    /// # Panics
+    ///
+    /// When the request has no number: any answer without one would be its own.
     #[must_use]
     pub fn forward(&self, request: &RunnerRequest<'_>) -> RunnerOutcome {
+        assert!(!request.id.is_empty(), "a forwarded request has a number");
         let headers = forwarded_headers(request);
         let call = CallRequest {
             method: request.method,
@@ -86,16 +77,3 @@
         Report::new(StepError::new(STEP, &peer)).change_context(error)
     }
 }
-
-fn forwarded_headers<'a>(request: &RunnerRequest<'a>) -> Vec<HeaderView<'a>> {
-    let id = HeaderView {
-        name: REQUEST_ID_HEADER,
-        value: request.id.as_bytes(),
-    };
-    let kept = request.headers.iter().filter(|header| {
-        !CONNECTION_HEADERS
-            .iter()
-            .any(|name| header.name.eq_ignore_ascii_case(name))
-    });
-    std::iter::once(id).chain(kept.copied()).collect()
-}
--- a/crates/platform/src/store/etcd_client.rs
+++ b/crates/platform/src/store/etcd_client.rs
@@ -66,7 +66,7 @@
     /// # let _ = client;
     /// ```
     #[must_use]
-    pub const fn new(peer: PeerAddress, timeout: Duration) -> Self {
+    pub fn new(peer: PeerAddress, timeout: Duration) -> Self {
         let limits = CallLimits {
             timeout,
             answer_max_bytes: ANSWER_MAX_BYTES,
--- a/crates/platform/src/vms/vm_client.rs
+++ b/crates/platform/src/vms/vm_client.rs
@@ -27,7 +27,7 @@
 impl VmClient {
     /// A client of the list at `peer`. Nothing is sent yet.
     #[must_use]
-    pub const fn new(peer: PeerAddress, timeout: Duration) -> Self {
+    pub fn new(peer: PeerAddress, timeout: Duration) -> Self {
         let limits = CallLimits {
             timeout,
             answer_max_bytes: VM_LIST_MAX_BYTES,
--- a/crates/platform/src/worker/worker_client.rs
+++ b/crates/platform/src/worker/worker_client.rs
@@ -35,7 +35,7 @@
 impl WorkerClient {
     /// A client of the worker at `peer`. Nothing is sent yet.
     #[must_use]
-    pub const fn new(peer: PeerAddress, timeout: Duration) -> Self {
+    pub fn new(peer: PeerAddress, timeout: Duration) -> Self {
         let limits = CallLimits {
             timeout,
             answer_max_bytes: WORKER_ANSWER_MAX_BYTES,
--- /dev/null
+++ b/crates/platform/tests/calls/http_scenes.rs
@@ -0,0 +1,146 @@
+//! Whole, broken and missing answers.
+
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+
+use sapphirestile_platform::http::CallError;
+use sapphirestile_platform::http::CallLimits;
+use sapphirestile_platform::http::CallRequest;
+use sapphirestile_platform::http::HttpAnswer;
+use sapphirestile_platform::http::HttpClient;
+use sapphirestile_platform::http::PeerAddress;
+use test_case::test_case;
+
+use crate::peer_script::PeerScript;
+use crate::scripted_peer::ScriptedPeer;
+use crate::scripted_peer::silent_address;
+
+const ANSWER_MAX_BYTES: usize = 64;
+
+/// How long a call waits that is expected to be answered.
+const LONG: Duration = Duration::from_secs(20);
+
+/// How long a call waits that is expected not to be answered.
+const SHORT: Duration = Duration::from_millis(200);
+
+fn call(peer: PeerAddress, timeout: Duration) -> Result<HttpAnswer, CallError> {
+    let limits = CallLimits {
+        timeout,
+        answer_max_bytes: ANSWER_MAX_BYTES,
+    };
+    let request = CallRequest::post_json("/path?query=1", b"{}");
+    let answer = HttpClient::new(peer, limits).call("test", &request);
+    answer.map_err(|report| *report.current_context())
+}
+
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole", 200, b"whole"; "announced")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n", 200, b"whole"; "chunked")]
+#[test_case("HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n", 404, b""; "client error")]
+#[test_case("HTTP/1.1 500 Oops\r\ncontent-length: 2\r\n\r\nno", 500, b"no"; "server error")]
+#[test_case("HTTP/1.1 302 Found\r\nlocation: /other\r\ncontent-length: 0\r\n\r\n", 302, b""; "redirect")]
+#[test_case("HTTP/1.1 204 No Content\r\n\r\n", 204, b""; "no content")]
+fn whole_answers_are_answers(text: &str, status: u16, body: &[u8]) {
+    let peer = ScriptedPeer::once(text);
+    let answer = call(peer.address(), LONG).unwrap();
+    assert_eq!((answer.status, answer.body.as_slice()), (status, body));
+    let sent = format!(
+        "POST /path?query=1 HTTP/1.1\r\ncontent-length: 2\r\nhost: {}\r\n\
+         content-type: application/json\r\n\r\n{{}}",
+        peer.address()
+    );
+    assert_eq!(peer.requests(), [sent]);
+}
+
+#[test_case(""; "nothing")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-"; "half a head")]
+#[test_case("garbage\r\n\r\n"; "garbage")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nwhole"; "shorter than announced")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n"; "last chunk missing")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n6\r\nwhole"; "half a chunk")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\nwhole"; "ends with the connection")]
+#[test_case("HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"; "chunked before 1.1")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 3\r\n\r\nwhole"; "two lengths")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"; "two framings")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 65\r\n\r\n"; "announced too large")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 99999999999999999999\r\n\r\n"; "announced beyond numbers")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n41\r\nxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n0\r\n\r\n"; "chunks too large")]
+fn broken_answers_are_unknown(text: &str) {
+    let peer = ScriptedPeer::once(text);
+    assert_eq!(call(peer.address(), LONG), Err(CallError::Unknown));
+    assert_eq!(peer.requests().len(), 1);
+}
+
+#[test]
+fn an_answer_of_the_largest_size_is_whole() {
+    let body = "x".repeat(ANSWER_MAX_BYTES);
+    let text = format!("HTTP/1.1 200 OK\r\ncontent-length: {ANSWER_MAX_BYTES}\r\n\r\n{body}");
+    let peer = ScriptedPeer::once(&text);
+    assert_eq!(call(peer.address(), LONG).unwrap().body, body.as_bytes());
+}
+
+#[test]
+fn a_missing_answer_is_unknown() {
+    let (hold, signal) = channel();
+    let peer = ScriptedPeer::start(vec![vec![PeerScript::AnswerLate(signal, Vec::new())]]);
+    assert_eq!(call(peer.address(), SHORT), Err(CallError::Unknown));
+    assert_eq!(peer.requests().len(), 1);
+    drop(hold);
+}
+
+#[test]
+fn a_refused_connection_is_not_sent() {
+    assert_eq!(call(silent_address(), LONG), Err(CallError::NotSent));
+}
+
+#[test]
+fn a_connection_that_is_not_made_in_time_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    // Nobody accepts: the backlog fills up until connections are not made.
+    let backlog: Vec<TcpStream> = (0..8_192)
+        .map_while(|_| TcpStream::connect_timeout(&address, SHORT).ok())
+        .collect();
+    let peer = PeerAddress::try_from(address).unwrap();
+    assert_eq!(call(peer, SHORT), Err(CallError::NotSent));
+    drop(backlog);
+}
+
+#[test]
+fn a_request_that_cannot_be_written_is_not_sent() {
+    let limits = CallLimits {
+        timeout: LONG,
+        answer_max_bytes: ANSWER_MAX_BYTES,
+    };
+    let client = HttpClient::new(silent_address(), limits);
+    let report = client
+        .call("test", &CallRequest::get("/a path"))
+        .unwrap_err();
+    assert_eq!(*report.current_context(), CallError::NotSent);
+    assert!(format!("{report:?}").contains(&format!("test at {}", client.peer())));
+}
+
+#[test_case("GET"; "get")]
+#[test_case("DELETE"; "delete")]
+#[test_case("PURGE"; "of its own")]
+fn methods_pass_with_a_body_and_without(method: &str) {
+    for body in ["", "body"] {
+        let peer = ScriptedPeer::once("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        let limits = CallLimits {
+            timeout: LONG,
+            answer_max_bytes: ANSWER_MAX_BYTES,
+        };
+        let request = CallRequest {
+            method,
+            path: "/",
+            headers: &[],
+            body: body.as_bytes(),
+        };
+        let answer = HttpClient::new(peer.address(), limits).call("test", &request);
+        assert_eq!(answer.unwrap().body, b"ok");
+        let requests = peer.requests();
+        assert!(requests[0].starts_with(&format!("{method} / HTTP/1.1\r\n")));
+        assert!(requests[0].ends_with(&format!("\r\n\r\n{body}")));
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/calls/vm_scenes.rs
@@ -0,0 +1,53 @@
+//! Reads of the list of VMs.
+
+use std::time::Duration;
+
+use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_platform::vms::VmClient;
+use sapphirestile_platform::vms::VmError;
+use sapphirestile_standins::vms::VmFaults;
+use sapphirestile_standins::vms::VmStandin;
+use sapphirestile_wire::vms::VmRecord;
+use test_case::test_case;
+
+use crate::scripted_peer::ScriptedPeer;
+use crate::scripted_peer::silent_address;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+const RECORDS: &str = r#"[{"name":"vm-1","kind":"worker","address":"127.0.0.2:9000","zone":"oulu",
+    "size":{"cpu_milli":4000,"memory_mb":8192,"accelerators":0},"state":"leaving"}]"#;
+
+#[test]
+fn the_list_is_read_as_it_was_put() {
+    let standin = VmStandin::start(([127, 0, 0, 1], 0).into(), VmFaults::default()).unwrap();
+    let client = VmClient::new(PeerAddress::try_from(standin.address()).unwrap(), TIMEOUT);
+    assert_eq!(client.list().unwrap(), []);
+    let records: Vec<VmRecord> = serde_json::from_str(RECORDS).unwrap();
+    standin.service().replace(records.clone());
+    assert_eq!(client.list().unwrap(), records);
+    standin.service().set_faults(VmFaults {
+        down: true,
+        ..VmFaults::default()
+    });
+    let report = client.list().unwrap_err();
+    assert_eq!(*report.current_context(), VmError::NoAnswer);
+}
+
+#[test]
+fn a_list_that_nobody_serves_is_not_answered() {
+    let report = VmClient::new(silent_address(), TIMEOUT).list().unwrap_err();
+    assert_eq!(*report.current_context(), VmError::NoAnswer);
+}
+
+#[test_case("[]x"; "more than a list")]
+#[test_case("{}"; "no list")]
+#[test_case(r#"[{"name":"vm-1"}]"#; "half a row")]
+#[test_case(r#"[{"name":"vm-1","kind":"worker","address":"","zone":"Not A Zone","state":"live"}]"#; "a bad name")]
+fn a_list_with_a_bad_row_is_no_list(body: &str) {
+    let length = body.len();
+    let text = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+    let peer = ScriptedPeer::once(&text);
+    let report = VmClient::new(peer.address(), TIMEOUT).list().unwrap_err();
+    assert_eq!(*report.current_context(), VmError::BadAnswer);
+}
