Add the command-line tool

Cause: operators need jobs, zones, VMs, services, queues, the document, dumps and explanations from a shell, with exit codes that tell refused, not run, unknown outcome and unreachable apart.

One file a command; each parses its arguments and calls one operation. The client connects before it hands the call to oxhttp, since oxhttp does not say whether a failed call had been sent: a change goes on to the next daemon only while nothing was sent, a read after any failure. A lost answer to a change is settled by reading back: a document by revision and text, a zone by its state, a job by its submission, a cancellation by the job's state; else the outcome is unknown (4). A document may still be written while the revision that it was based on is in force, so that counts as unknown too.

`document show` puts the revision in its first line and `apply` reads it there, so that a file is only ever applied over the revision it was made from. Ruled out: reading the revision just before the write, which would overwrite a colleague's change unseen.

Control characters of daemons' answers are escaped.

Known limits of oxhttp's client: no IPv6 addresses in URLs, and ports that browsers block (6000, 10080 and such) are refused.

Mutations seen to fail: revision not compared on reading back, reading back left out, any job or zone or cancellation taken as ours, 503 taken as the answer to a read, a change sent to a second daemon or never to the second, unknown outcome taken as not run, control characters let through, exit code of a failed job, failures of a watch never forgotten. The last of these passed at first; the test was made to fail for it.

--- /dev/null
+++ b/crates/command/src/commands/arguments.rs
@@ -0,0 +1,44 @@
+//! Arguments that several commands take.
+
+use bpaf::Parser;
+use bpaf::long;
+use bpaf::positional;
+
+use sapphirestile_core::JobName;
+use sapphirestile_core::NameFault;
+use sapphirestile_wire::api::AuthorName;
+
+const AUTHOR_VARIABLE: &str = "SAPPHIRESTILE_AUTHOR";
+
+pub(super) fn job_argument() -> impl Parser<JobName> {
+    name_argument("JOB", "Name of the job")
+}
+
+pub(super) fn name_argument<N>(metavar: &'static str, help: &'static str) -> impl Parser<N>
+where
+    N: TryFrom<String, Error = NameFault> + 'static,
+{
+    positional::<String>(metavar).help(help).parse(N::try_from)
+}
+
+pub(super) fn named_option<N>(
+    name: &'static str,
+    metavar: &'static str,
+    help: &'static str,
+) -> impl Parser<N>
+where
+    N: TryFrom<String, Error = NameFault> + 'static,
+{
+    long(name)
+        .help(help)
+        .argument::<String>(metavar)
+        .parse(N::try_from)
+}
+
+pub(super) fn author_option() -> impl Parser<AuthorName> {
+    long("author")
+        .env(AUTHOR_VARIABLE)
+        .help("Your name, kept with the change")
+        .argument::<String>("NAME")
+        .parse(|text| AuthorName::try_from(text.as_str()))
+}
--- /dev/null
+++ b/crates/command/src/commands/document_command.rs
@@ -0,0 +1,46 @@
+//! Shows, compares and changes the document.
+
+use bpaf::Parser;
+use bpaf::construct;
+
+use crate::ExitKind;
+use crate::client::OperatorClient;
+use crate::commands::DocumentApply;
+use crate::commands::DocumentDiff;
+use crate::commands::DocumentShow;
+use crate::output::CommandOutput;
+
+/// A command on the document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DocumentCommand {
+    /// `document show`.
+    Show(DocumentShow),
+    /// `document diff`.
+    Diff(DocumentDiff),
+    /// `document apply`.
+    Apply(DocumentApply),
+}
+
+impl DocumentCommand {
+    pub(crate) fn parser() -> impl Parser<Self> {
+        let show = DocumentShow::parser().map(Self::Show);
+        let diff = DocumentDiff::parser().map(Self::Diff);
+        let apply = DocumentApply::parser().map(Self::Apply);
+        construct!([show, diff, apply])
+            .to_options()
+            .descr("Shows, compares and changes the document: zones, services, limits, priorities")
+            .command("document")
+    }
+
+    pub(crate) fn run(
+        &self,
+        client: &OperatorClient<'_>,
+        output: &mut CommandOutput<'_>,
+    ) -> ExitKind {
+        match self {
+            Self::Show(command) => command.run(client, output),
+            Self::Diff(command) => command.run(client, output),
+            Self::Apply(command) => command.run(client, output),
+        }
+    }
+}
--- /dev/null
+++ b/crates/command/src/commands/explain_command.rs
@@ -0,0 +1,62 @@
+//! Says why a job or a task is as it is.
+
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::positional;
+
+use crate::ExitKind;
+use crate::client::OperatorClient;
+use crate::commands::arguments::job_argument;
+use crate::operations::read_view;
+use crate::output::CommandOutput;
+use crate::output::TextTable;
+use sapphirestile_core::JobName;
+use sapphirestile_core::TaskIndex;
+use sapphirestile_wire::api::Explanation;
+
+/// Says why a job or a task is as it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExplainCommand {
+    /// The job.
+    pub job: JobName,
+    /// The task of the job, if only one is asked for.
+    pub index: Option<TaskIndex>,
+}
+
+impl ExplainCommand {
+    pub(crate) fn parser() -> impl Parser<Self> {
+        let index = positional::<u32>("INDEX")
+            .help("Place of the task in the job")
+            .map(TaskIndex::new)
+            .optional();
+        let job = job_argument();
+        construct!(Self { job, index })
+            .to_options()
+            .descr(
+                "Says why a job or a task is as it is: the decisions behind it, the oldest first",
+            )
+            .footer("Example: sapphirestile --daemon 10.0.1.4:7070 explain patterns 3")
+            .command("explain")
+    }
+
+    pub(crate) fn run(
+        &self,
+        client: &OperatorClient<'_>,
+        output: &mut CommandOutput<'_>,
+    ) -> ExitKind {
+        let path = match self.index {
+            Some(index) => format!("/v1/explain/{}/{index}", self.job),
+            None => format!("/v1/explain/{}", self.job),
+        };
+        output.finish(read_view(client, &path), explanation_text)
+    }
+}
+
+fn explanation_text(explanation: &Explanation) -> String {
+    let mut table = TextTable::default();
+    table.push([explanation.subject.clone()]);
+    for line in &explanation.lines {
+        table.push([format!("  {line}")]);
+    }
+    table.to_string()
+}
--- /dev/null
+++ b/crates/command/src/commands/list_command.rs
@@ -0,0 +1,55 @@
+//! Lists the jobs.
+
+use bpaf::Parser;
+
+use crate::ExitKind;
+use crate::client::OperatorClient;
+use crate::operations::read_view;
+use crate::output::CommandOutput;
+use crate::output::TextTable;
+use sapphirestile_wire::api::JobSummary;
+
+/// Lists the jobs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListCommand;
+
+impl ListCommand {
+    pub(crate) fn parser() -> impl Parser<Self> {
+        bpaf::pure(Self)
+            .to_options()
+            .descr("Lists the jobs")
+            .footer("Example: sapphirestile --daemon 10.0.1.4:7070 list")
+            .command("list")
+    }
+
+    #[expect(clippy::unused_self, reason = "every command runs alike")]
+    pub(crate) fn run(
+        &self,
+        client: &OperatorClient<'_>,
+        output: &mut CommandOutput<'_>,
+    ) -> ExitKind {
+        let outcome = read_view::<Vec<JobSummary>>(client, "/v1/jobs");
+        output.finish(outcome, |jobs| jobs_text(jobs))
+    }
+}
+
+fn jobs_text(jobs: &[JobSummary]) -> String {
+    let mut table = TextTable::new(&[
+        "JOB", "CUSTOMER", "CELL", "STATE", "URGENT", "TASKS", "RUNNING", "FINISHED", "FAILED",
+    ]);
+    for job in jobs {
+        let urgent = if job.urgent { "yes" } else { "no" };
+        table.push([
+            job.job.to_string(),
+            job.customer.to_string(),
+            job.cell.to_string(),
+            job.state.to_string(),
+            urgent.to_owned(),
+            job.tasks.to_string(),
+            job.running.to_string(),
+            job.finished.to_string(),
+            job.failed.to_string(),
+        ]);
+    }
+    table.to_string()
+}
--- /dev/null
+++ b/crates/command/src/commands/status_command.rs
@@ -0,0 +1,69 @@
+//! Shows the state of a daemon.
+
+use bpaf::Parser;
+
+use crate::ExitKind;
+use crate::client::OperatorClient;
+use crate::operations::read_view;
+use crate::output::CommandOutput;
+use crate::output::TextTable;
+use sapphirestile_wire::api::DaemonStatus;
+
+/// Shows the state of a daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatusCommand;
+
+impl StatusCommand {
+    pub(crate) fn parser() -> impl Parser<Self> {
+        bpaf::pure(Self)
+            .to_options()
+            .descr("Shows the state of a daemon")
+            .footer("Example: sapphirestile --daemon 10.0.1.4:7070 status")
+            .command("status")
+    }
+
+    #[expect(clippy::unused_self, reason = "every command runs alike")]
+    pub(crate) fn run(
+        &self,
+        client: &OperatorClient<'_>,
+        output: &mut CommandOutput<'_>,
+    ) -> ExitKind {
+        let outcome = read_view::<DaemonStatus>(client, "/v1/status");
+        output.finish(outcome, status_text)
+    }
+}
+
+fn status_text(status: &DaemonStatus) -> String {
+    let cells = status
+        .cells
+        .iter()
+        .map(|owned| format!("{} (epoch {})", owned.cell, owned.epoch));
+    let cells = cells.collect::<Vec<_>>().join(", ");
+    let store = if status.store_reachable {
+        "reachable"
+    } else {
+        "unreachable"
+    };
+    let mut table = TextTable::default();
+    for (name, value) in [
+        ("daemon", status.daemon.to_string()),
+        ("incarnation", status.incarnation.to_string()),
+        ("zone", status.zone.to_string()),
+        ("phase", status.phase.to_string()),
+        ("revision", status.revision.to_string()),
+        ("store", store.to_owned()),
+        ("cells", cells),
+    ] {
+        table.push([name.to_owned(), value]);
+    }
+    let mut members = TextTable::new(&["MEMBER", "INCARNATION", "ADDRESS", "SILENT"]);
+    for member in &status.members {
+        members.push([
+            member.daemon.to_string(),
+            member.incarnation.to_string(),
+            member.address.to_string(),
+            format!("{} ms", member.silent_ms),
+        ]);
+    }
+    format!("{table}\n{members}")
+}
--- /dev/null
+++ b/crates/command/src/commands/tool_command.rs
@@ -0,0 +1,98 @@
+//! The choice of a command.
+
+use bpaf::Parser;
+use bpaf::construct;
+
+use crate::ExitKind;
+use crate::client::OperatorClient;
+use crate::commands::CancelCommand;
+use crate::commands::DocumentCommand;
+use crate::commands::DumpCommand;
+use crate::commands::ExplainCommand;
+use crate::commands::ListCommand;
+use crate::commands::QueuesCommand;
+use crate::commands::ServicesCommand;
+use crate::commands::ShowCommand;
+use crate::commands::StatusCommand;
+use crate::commands::SubmitCommand;
+use crate::commands::VmsCommand;
+use crate::commands::WatchCommand;
+use crate::commands::ZoneCommand;
+use crate::commands::ZonesCommand;
+use crate::output::CommandOutput;
+
+/// One command of the tool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ToolCommand {
+    /// `submit`.
+    Submit(SubmitCommand),
+    /// `cancel`.
+    Cancel(CancelCommand),
+    /// `list`.
+    List(ListCommand),
+    /// `show`.
+    Show(ShowCommand),
+    /// `watch`.
+    Watch(WatchCommand),
+    /// `status`.
+    Status(StatusCommand),
+    /// `zones`.
+    Zones(ZonesCommand),
+    /// `vms`.
+    Vms(VmsCommand),
+    /// `services`.
+    Services(ServicesCommand),
+    /// `queues`.
+    Queues(QueuesCommand),
+    /// `document`.
+    Document(DocumentCommand),
+    /// `zone`.
+    Zone(ZoneCommand),
+    /// `dump`.
+    Dump(DumpCommand),
+    /// `explain`.
+    Explain(ExplainCommand),
+}
+
+impl ToolCommand {
+    pub(crate) fn parser() -> impl Parser<Self> {
+        let submit = SubmitCommand::parser().map(Self::Submit);
+        let cancel = CancelCommand::parser().map(Self::Cancel);
+        let list = ListCommand::parser().map(Self::List);
+        let show = ShowCommand::parser().map(Self::Show);
+        let watch = WatchCommand::parser().map(Self::Watch);
+        let status = StatusCommand::parser().map(Self::Status);
+        let zones = ZonesCommand::parser().map(Self::Zones);
+        let vms = VmsCommand::parser().map(Self::Vms);
+        let services = ServicesCommand::parser().map(Self::Services);
+        let queues = QueuesCommand::parser().map(Self::Queues);
+        let document = DocumentCommand::parser().map(Self::Document);
+        let zone = ZoneCommand::parser().map(Self::Zone);
+        let dump = DumpCommand::parser().map(Self::Dump);
+        let explain = ExplainCommand::parser().map(Self::Explain);
+        construct!([
+            submit, cancel, list, show, watch, status, zones, vms, services, queues, document,
+            zone, dump, explain
+        ])
+    }
+
+    /// Runs the command.
+    pub fn run(&self, client: &OperatorClient<'_>, output: &mut CommandOutput<'_>) -> ExitKind {
+        match self {
+            Self::Submit(command) => command.run(client, output),
+            Self::Cancel(command) => command.run(client, output),
+            Self::List(command) => command.run(client, output),
+            Self::Show(command) => command.run(client, output),
+            Self::Watch(command) => command.run(client, output),
+            Self::Status(command) => command.run(client, output),
+            Self::Zones(command) => command.run(client, output),
+            Self::Vms(command) => command.run(client, output),
+            Self::Services(command) => command.run(client, output),
+            Self::Queues(command) => command.run(client, output),
+            Self::Document(command) => command.run(client, output),
+            Self::Zone(command) => command.run(client, output),
+            Self::Dump(command) => command.run(client, output),
+            Self::Explain(command) => command.run(client, output),
+        }
+    }
+}
--- /dev/null
+++ b/crates/command/src/commands/vms_command.rs
@@ -0,0 +1,69 @@
+//! Shows the VMs as the daemon last read them.
+
+use bpaf::Parser;
+
+use crate::ExitKind;
+use crate::client::OperatorClient;
+use crate::operations::read_view;
+use crate::output::CommandOutput;
+use crate::output::TextTable;
+use sapphirestile_wire::api::VmListing;
+use sapphirestile_wire::vms::VmKind;
+use sapphirestile_wire::vms::VmState;
+
+/// Shows the VMs as the daemon last read them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VmsCommand;
+
+impl VmsCommand {
+    pub(crate) fn parser() -> impl Parser<Self> {
+        bpaf::pure(Self)
+            .to_options()
+            .descr("Shows the VMs as the daemon last read them")
+            .footer("Example: sapphirestile --daemon 10.0.1.4:7070 vms")
+            .command("vms")
+    }
+
+    #[expect(clippy::unused_self, reason = "every command runs alike")]
+    pub(crate) fn run(
+        &self,
+        client: &OperatorClient<'_>,
+        output: &mut CommandOutput<'_>,
+    ) -> ExitKind {
+        let outcome = read_view::<VmListing>(client, "/v1/vms");
+        output.finish(outcome, vms_text)
+    }
+}
+
+fn vms_text(listing: &VmListing) -> String {
+    let mut table = TextTable::new(&["VM", "KIND", "ADDRESS", "ZONE", "RACK", "SERVICE", "STATE"]);
+    for vm in &listing.vms {
+        table.push([
+            vm.name.clone(),
+            kind_text(vm.kind).to_owned(),
+            vm.address.clone(),
+            vm.zone.to_string(),
+            vm.rack.as_ref().map_or("-".to_owned(), ToString::to_string),
+            vm.service
+                .as_ref()
+                .map_or("-".to_owned(), ToString::to_string),
+            state_text(vm.state).to_owned(),
+        ]);
+    }
+    format!("{table}read {} ms ago\n", listing.age_ms)
+}
+
+const fn kind_text(kind: VmKind) -> &'static str {
+    match kind {
+        VmKind::Entry => "entry",
+        VmKind::Worker => "worker",
+        VmKind::Runner => "runner",
+    }
+}
+
+const fn state_text(state: VmState) -> &'static str {
+    match state {
+        VmState::Live => "live",
+        VmState::Leaving => "leaving",
+    }
+}
--- /dev/null
+++ b/crates/command/tests/tool/main.rs
@@ -0,0 +1,8 @@
+//! The tool against small fake daemons.
+
+mod changes;
+mod fake_daemon;
+mod jobs;
+mod tool_scene;
+mod usage;
+mod views;
--- a/crates/wire/src/api/document_refused.rs
+++ b/crates/wire/src/api/document_refused.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::api::EntryFault;
+use sapphirestile_core::DocumentFault;
 
 /// Status 422 for a change: nothing was written.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,3 +12,10 @@
     /// Every fault, in the order of the text.
     pub faults: Vec<EntryFault>,
 }
+
+impl From<&DocumentFault> for DocumentRefused {
+    fn from(fault: &DocumentFault) -> Self {
+        let faults = fault.faults.iter().map(EntryFault::from).collect();
+        Self { faults }
+    }
+}
--- a/crates/wire/src/api/entry_fault.rs
+++ b/crates/wire/src/api/entry_fault.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use sapphirestile_core::IniFault;
+
 /// Where a document is wrong and what would be right.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryFault {
@@ -15,3 +17,31 @@
     /// What would be right.
     pub expected: String,
 }
+
+impl From<&IniFault> for EntryFault {
+    fn from(fault: &IniFault) -> Self {
+        Self {
+            section: fault.section.clone(),
+            key: fault.key.clone(),
+            value: fault.value.clone(),
+            expected: fault.expected.clone(),
+        }
+    }
+}
+
+impl From<&EntryFault> for IniFault {
+    fn from(fault: &EntryFault) -> Self {
+        Self {
+            section: fault.section.clone(),
+            key: fault.key.clone(),
+            value: fault.value.clone(),
+            expected: fault.expected.clone(),
+        }
+    }
+}
+
+impl std::fmt::Display for EntryFault {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        IniFault::from(self).fmt(formatter)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/api/unix_time.rs
@@ -0,0 +1,55 @@
+//! A point in time as operators read it.
+
+const DAY_MS: u64 = 86_400_000;
+const SECOND_MS: u64 = 1_000;
+const ERA_DAYS: u64 = 146_097;
+const DAYS_BEFORE_1970: u64 = 719_468;
+
+/// Milliseconds since 1970 UTC, displayed as date and time in UTC.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_wire::api::UnixTime;
+///
+/// assert_eq!(UnixTime::new(951_782_400_000).to_string(), "2000-02-29 00:00:00 UTC");
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UnixTime(u64);
+
+impl UnixTime {
+    /// The point `unix_ms` milliseconds after the beginning of 1970 UTC.
+    #[must_use]
+    pub const fn new(unix_ms: u64) -> Self {
+        Self(unix_ms)
+    }
+
+    // Days are counted in eras of 400 years that begin in March.
+    fn date(self) -> (u64, u64, u64) {
+        let days = self.0 / DAY_MS + DAYS_BEFORE_1970;
+        let era = days / ERA_DAYS;
+        let day_of_era = days % ERA_DAYS;
+        let leap_days = day_of_era / 1_460 - day_of_era / 36_524 + day_of_era / 146_096;
+        let year_of_era = (day_of_era - leap_days) / 365;
+        let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+        let month_from_march = (5 * day_of_year + 2) / 153;
+        let day = day_of_year - (153 * month_from_march + 2) / 5 + 1;
+        let month = (month_from_march + 2) % 12 + 1;
+        let year = year_of_era + era * 400 + u64::from(month <= 2);
+        (year, month, day)
+    }
+}
+
+impl std::fmt::Display for UnixTime {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (year, month, day) = self.date();
+        let second_of_day = self.0 % DAY_MS / SECOND_MS;
+        let hour = second_of_day / 3_600;
+        let minute = second_of_day / 60 % 60;
+        let second = second_of_day % 60;
+        write!(
+            formatter,
+            "{year:04}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02} UTC"
+        )
+    }
+}
--- a/crates/wire/tests/api_bodies.rs
+++ b/crates/wire/tests/api_bodies.rs
@@ -13,6 +13,7 @@
 use sapphirestile_wire::api::OperatorToken;
 use sapphirestile_wire::api::RECENT_CHANGES_MAX;
 use sapphirestile_wire::api::StoredDocument;
+use sapphirestile_wire::api::UnixTime;
 use sapphirestile_wire::api::ZoneChange;
 
 const PROPERTY_SEED: u64 = 0x0a91;
@@ -88,6 +89,17 @@
     assert_eq!(format!("{token:?}"), "OperatorToken(..)");
 }
 
+#[test_case(0, "1970-01-01 00:00:00 UTC"; "the beginning")]
+#[test_case(1_077_926_400_000, "2004-02-28 00:00:00 UTC"; "before a leap day")]
+#[test_case(1_078_012_800_000, "2004-02-29 00:00:00 UTC"; "a leap day")]
+#[test_case(1_078_099_200_000, "2004-03-01 00:00:00 UTC"; "after a leap day")]
+#[test_case(4_107_542_399_999, "2100-02-28 23:59:59 UTC"; "no leap day in 2100")]
+#[test_case(4_107_542_400_000, "2100-03-01 00:00:00 UTC"; "after February 2100")]
+#[test_case(1_796_379_780_000, "2026-12-04 10:23:00 UTC"; "a day of today")]
+fn a_time_is_shown_in_utc(unix_ms: u64, expected: &str) {
+    assert_eq!(UnixTime::new(unix_ms).to_string(), expected);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(PROPERTY_SEED),
