Add the operators' console of forms

Cause: operators drive the system from forms, and each submit has to make one validated document. handle_request turns a request and the state into a page or one change of the whole document; the caller writes the change as it does for the command-line tool and answer_change makes the page of its outcome. Nothing here reads, writes or knows an HTTP library.

A submit edits the text in force (comments stay). A form that was made for an older revision, or that loses the race at the store, is answered with both sides: what others changed since, and what the form would change over what is in force now, with a button that asks for just that. Ruled out: showing the text that lost, which would offer to undo the winner.

HtmlText takes markup as 'static str only, so that values from outside can reach a page through the escaping call alone. Pages forbid scripts and framing by header. Signing in needs the operators' token; the session is a sealed cookie of eight hours that every daemon with the token honours, so that it holds behind the platform's balancer, and each form carries a seal of its session. Bodies are bounded before they are read, fields to 32.

form_urlencoded becomes a dependency of the daemon for the decoding of forms; it is in the lock file already, through oxhttp.

--- a/crates/command/src/command_line.rs
+++ b/crates/command/src/command_line.rs
@@ -15,7 +15,7 @@
  2  wrong arguments; nothing was sent
  3  not run for a reason that may pass; nothing was done
  4  unknown outcome: it may or may not have been done
- 5  no daemon could be reached; nothing was sent
+ 5  no daemon answered; nothing was changed
 
 Examples:
  sapphirestile --daemon 10.0.1.4:7070 status
--- a/crates/command/src/exit_kind.rs
+++ b/crates/command/src/exit_kind.rs
@@ -16,7 +16,7 @@
     NotRun = 3,
     /// It may or may not have been done.
     Unknown = 4,
-    /// No daemon could be reached; nothing was sent.
+    /// No daemon answered; nothing was changed.
     Unreachable = 5,
 }
 
--- a/crates/command/src/operations/operation_fault.rs
+++ b/crates/command/src/operations/operation_fault.rs
@@ -46,7 +46,7 @@
         /// What is known.
         reason: String,
     },
-    /// No daemon could be reached; nothing was sent.
+    /// No daemon answered; nothing was changed.
     Unreachable,
 }
 
@@ -81,7 +81,7 @@
             Self::Faults { faults } => show_faults(formatter, faults),
             Self::NotRun { reason } => write!(formatter, "not run: {}", printable(reason)),
             Self::Unknown { reason } => write!(formatter, "unknown outcome: {}", printable(reason)),
-            Self::Unreachable => formatter.write_str("unreachable: nothing was sent"),
+            Self::Unreachable => formatter.write_str("unreachable: nothing was changed"),
         }
     }
 }
--- a/crates/command/tests/tool/views.rs
+++ b/crates/command/tests/tool/views.rs
@@ -132,7 +132,7 @@
     assert_eq!(
         run.err,
         format!(
-            "unreachable: nothing was sent\n  connect at {address}\n  \
+            "unreachable: nothing was changed\n  connect at {address}\n  \
              Connection refused (os error 111)\n"
         )
     );
--- /dev/null
+++ b/crates/daemon/src/console/form_wish.rs
@@ -0,0 +1,37 @@
+//! What a form asks for.
+
+use sapphirestile_core::DocumentEdit;
+use sapphirestile_core::DocumentFault;
+use sapphirestile_core::OperatorDocument;
+
+/// What a form asks for, before it is tried on the document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FormWish {
+    /// Changes one section.
+    Edit(DocumentEdit),
+    /// Checks a whole text and shows what it would change.
+    Check(String),
+    /// Writes a whole text.
+    Write(String),
+}
+
+impl FormWish {
+    /// The valid text that takes the place of `current`.
+    pub(super) fn text_over(&self, current: &str) -> Result<String, DocumentFault> {
+        match self {
+            Self::Edit(edit) => edit.rewrite(current),
+            Self::Check(text) | Self::Write(text) => {
+                OperatorDocument::try_from(text.as_str())?;
+                Ok(text.clone())
+            }
+        }
+    }
+
+    /// The whole text, if the form has one.
+    pub(super) fn whole_text(&self) -> Option<&str> {
+        match self {
+            Self::Edit(_) => None,
+            Self::Check(text) | Self::Write(text) => Some(text),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/console/handle_request.rs
@@ -0,0 +1,177 @@
+//! Handles a request.
+
+use crate::console::ConsoleChange;
+use crate::console::ConsoleMethod;
+use crate::console::ConsolePage;
+use crate::console::ConsolePart;
+use crate::console::ConsoleRequest;
+use crate::console::ConsoleSession;
+use crate::console::ConsoleState;
+use crate::console::ConsoleStep;
+use crate::console::FormFields;
+use crate::console::FormWish;
+use crate::console::pages::PageFrame;
+use crate::console::pages::change_notice;
+use crate::console::pages::conflict_notice;
+use crate::console::pages::fault_notice;
+use crate::console::pages::message_notice;
+use crate::console::pages::part_body;
+use crate::console::pages::sign_in_body;
+use crate::console::pages::text_body;
+use crate::console::read_wish::read_wish;
+use sapphirestile_core::ConfigRevision;
+use sapphirestile_core::DocumentDifference;
+use sapphirestile_core::IniFault;
+use sapphirestile_wire::api::AuthorName;
+use sapphirestile_wire::api::DocumentChange;
+
+pub(super) const SIGN_IN_PATH: &str = "/console/sign-in";
+pub(super) const SIGN_OUT_PATH: &str = "/console/sign-out";
+pub(super) const STYLE_PATH: &str = "/console/style.css";
+const OK_STATUS: u16 = 200;
+const BAD_REQUEST_STATUS: u16 = 400;
+const UNAUTHORIZED_STATUS: u16 = 401;
+const FORBIDDEN_STATUS: u16 = 403;
+const NOT_FOUND_STATUS: u16 = 404;
+const NOT_ALLOWED_STATUS: u16 = 405;
+const CONFLICT_STATUS: u16 = 409;
+const TOO_LARGE_STATUS: u16 = 413;
+const INVALID_STATUS: u16 = 422;
+
+/// What to do with a request to the console.
+#[must_use]
+pub fn handle_request(request: &ConsoleRequest<'_>, state: &ConsoleState<'_>) -> ConsoleStep {
+    let session = ConsoleSession::from_cookie(request.cookie, state.token, state.now_unix_ms);
+    let frame = PageFrame::new(state, session.as_ref());
+    if request.body.len() > ConsoleRequest::body_bytes_max(request.path) {
+        return refuse(
+            &frame,
+            TOO_LARGE_STATUS,
+            "The form is too large. Nothing was done.",
+        );
+    }
+    match (request.method, request.path) {
+        (ConsoleMethod::Get, STYLE_PATH) => ConsoleStep::Page(ConsolePage::style()),
+        (ConsoleMethod::Get, SIGN_IN_PATH) => {
+            let html = frame.page("Sign in", &sign_in_body());
+            ConsoleStep::Page(ConsolePage::html(OK_STATUS, html))
+        }
+        (ConsoleMethod::Get, path) => show_part(&frame, path),
+        (ConsoleMethod::Post, path) => match FormFields::try_from(request.body) {
+            Ok(fields) if path == SIGN_IN_PATH => sign_in(&frame, &fields),
+            Ok(fields) => post_form(&frame, path, fields),
+            Err(message) => refuse(&frame, BAD_REQUEST_STATUS, message),
+        },
+    }
+}
+
+fn show_part(frame: &PageFrame<'_>, path: &str) -> ConsoleStep {
+    let Some(part) = ConsolePart::at(path) else {
+        return refuse(frame, NOT_FOUND_STATUS, "There is no such page.");
+    };
+    let html = frame.part(part, &part_body(part, frame));
+    ConsoleStep::Page(ConsolePage::html(OK_STATUS, html))
+}
+
+fn sign_in(frame: &PageFrame<'_>, fields: &FormFields) -> ConsoleStep {
+    let state = frame.state;
+    if !state.token.matches(fields.get("token")) {
+        return refuse(frame, UNAUTHORIZED_STATUS, "The token is not right.");
+    }
+    let author = match AuthorName::try_from(fields.get("author").trim()) {
+        Ok(author) => author,
+        Err(message) => return refuse(frame, INVALID_STATUS, message),
+    };
+    let session = ConsoleSession::begin(author, state.now_unix_ms);
+    let mut page = ConsolePage::redirect(ConsolePart::Overview.path());
+    page.set_cookie = Some(session.cookie(state.token));
+    ConsoleStep::Page(page)
+}
+
+fn post_form(frame: &PageFrame<'_>, path: &str, fields: FormFields) -> ConsoleStep {
+    let state = frame.state;
+    let Some(session) = frame.session else {
+        let message = "Nothing was done. Sign in first, with the operators' token.";
+        return refuse(frame, UNAUTHORIZED_STATUS, message);
+    };
+    if !session.is_form_token(state.token, fields.get("form_token")) {
+        let message = "Nothing was done. The form is not one of your session; open it again.";
+        return refuse(frame, FORBIDDEN_STATUS, message);
+    }
+    if path == SIGN_OUT_PATH {
+        let mut page = ConsolePage::redirect(ConsolePart::Overview.path());
+        page.set_cookie = Some(ConsoleSession::end_cookie());
+        return ConsoleStep::Page(page);
+    }
+    match ConsolePart::at(path) {
+        None => refuse(frame, NOT_FOUND_STATUS, "There is no such form."),
+        Some(ConsolePart::Overview | ConsolePart::Changes) => {
+            refuse(frame, NOT_ALLOWED_STATUS, "This page has no form.")
+        }
+        Some(part) => change(frame, session, part, fields),
+    }
+}
+
+fn change(
+    frame: &PageFrame<'_>,
+    session: &ConsoleSession,
+    part: ConsolePart,
+    fields: FormFields,
+) -> ConsoleStep {
+    let current = frame.state.view;
+    let Ok(based_on) = fields.get("based_on").parse::<u64>() else {
+        return refuse(frame, BAD_REQUEST_STATUS, "The form names no revision.");
+    };
+    let based_on = ConfigRevision::new(based_on);
+    let wish = match read_wish(part, &fields) {
+        Ok(wish) => wish,
+        Err(faults) => return invalid(frame, part, &faults, None),
+    };
+    let text = match wish.text_over(&current.text) {
+        Ok(text) => text,
+        Err(fault) => return invalid(frame, part, &fault.faults, wish.whole_text()),
+    };
+    if let FormWish::Check(_) = wish {
+        let lines = DocumentDifference::between(&current.text, &text).lines();
+        let mut body = change_notice(&lines);
+        body.append(&text_body(frame, &text, based_on));
+        return ConsoleStep::Page(ConsolePage::html(OK_STATUS, frame.part(part, &body)));
+    }
+    if based_on != current.revision {
+        let body = conflict_notice(frame, part, &fields, &text, based_on);
+        return ConsoleStep::Page(ConsolePage::html(CONFLICT_STATUS, frame.part(part, &body)));
+    }
+    ConsoleStep::Change(Box::new(ConsoleChange {
+        change: DocumentChange {
+            based_on,
+            text,
+            author: session.author.clone(),
+            dry_run: false,
+        },
+        part,
+        session: session.clone(),
+        fields,
+    }))
+}
+
+fn invalid(
+    frame: &PageFrame<'_>,
+    part: ConsolePart,
+    faults: &[IniFault],
+    text: Option<&str>,
+) -> ConsoleStep {
+    let mut body = fault_notice(faults);
+    match text {
+        Some(text) => body.append(&text_body(frame, text, frame.state.view.revision)),
+        None => body.append(&part_body(part, frame)),
+    };
+    ConsoleStep::Page(ConsolePage::html(INVALID_STATUS, frame.part(part, &body)))
+}
+
+fn refuse(frame: &PageFrame<'_>, status: u16, message: &str) -> ConsoleStep {
+    let mut body = message_notice(message);
+    if status == UNAUTHORIZED_STATUS {
+        body.append(&sign_in_body());
+    }
+    ConsoleStep::Page(ConsolePage::html(status, frame.page("Not done", &body)))
+}
--- /dev/null
+++ b/crates/daemon/src/console/pages/change_notice.rs
@@ -0,0 +1,17 @@
+//! What a checked text would change.
+
+use crate::console::HtmlText;
+use crate::console::pages::changes_body::line_list;
+
+/// What a valid text would change.
+pub(in crate::console) fn change_notice(lines: &[String]) -> HtmlText {
+    let mut html = HtmlText::default();
+    html.raw("<div class=\"notice calm\" role=\"status\"><p>Valid; nothing was written yet. ");
+    if lines.is_empty() {
+        html.raw("It would change no key.</p>");
+    } else {
+        html.raw("It would change:</p>").append(&line_list(lines));
+    }
+    html.raw("</div>\n");
+    html
+}
--- /dev/null
+++ b/crates/daemon/src/console/pages/conflict_notice.rs
@@ -0,0 +1,84 @@
+//! Both sides of a conflict.
+
+use crate::console::ConsolePart;
+use crate::console::FormFields;
+use crate::console::HtmlText;
+use crate::console::pages::PageFrame;
+use crate::console::pages::changes_body::changes_body;
+use crate::console::pages::changes_body::line_list;
+use crate::console::pages::form_parts::hidden_field;
+use crate::console::pages::form_parts::hidden_fields;
+use crate::console::pages::text_body;
+use sapphirestile_core::ConfigRevision;
+use sapphirestile_core::DocumentDifference;
+use sapphirestile_wire::api::RecordedChange;
+
+const RENEWED_FIELDS: [&str; 2] = ["form_token", "based_on"];
+
+/// What others changed since `based_on`, what the form would change now, and the
+/// form once more for the revision in force.
+pub(in crate::console) fn conflict_notice(
+    frame: &PageFrame<'_>,
+    part: ConsolePart,
+    fields: &FormFields,
+    text: &str,
+    based_on: ConfigRevision,
+) -> HtmlText {
+    let view = frame.state.view;
+    let mut html = HtmlText::default();
+    html.raw("<div class=\"notice\" role=\"alert\"><p>Nothing was changed: your form is based on revision ")
+        .text(based_on)
+        .raw(", but revision ")
+        .text(view.revision)
+        .raw(" by ")
+        .text(&view.author)
+        .raw(" is in force.</p></div>\n<div class=\"sides\"><section><h2>Theirs</h2>\n");
+    let theirs = changes_since(frame.state.recent, based_on);
+    if theirs.is_empty() {
+        html.raw("<p>The changes since then are not remembered.</p>");
+    } else {
+        html.append(&changes_body(theirs));
+    }
+    html.raw("</section><section><h2>Yours, over what is in force now</h2>\n");
+    let yours = DocumentDifference::between(&view.text, text).lines();
+    if yours.is_empty() {
+        html.raw("<p>No difference is left.</p>");
+    } else {
+        html.append(&line_list(&yours));
+        match part {
+            ConsolePart::Document => html.append(&text_body(frame, text, view.revision)),
+            _ => html.append(&again_form(frame, part, fields)),
+        };
+    }
+    html.raw("</section></div>\n");
+    html
+}
+
+// The newest stands first.
+fn changes_since(recent: &[RecordedChange], based_on: ConfigRevision) -> &[RecordedChange] {
+    let count = recent
+        .iter()
+        .take_while(|change| change.replaced >= based_on)
+        .count();
+    &recent[..count]
+}
+
+fn again_form(frame: &PageFrame<'_>, part: ConsolePart, fields: &FormFields) -> HtmlText {
+    let mut html = HtmlText::default();
+    let Some(session) = frame.session else {
+        return html;
+    };
+    html.raw("<form method=\"post\" action=\"")
+        .text(part.path())
+        .raw("\">")
+        .append(&hidden_fields(frame, session));
+    for (name, value) in fields.iter() {
+        if !RENEWED_FIELDS.contains(&name) {
+            html.append(&hidden_field(name, value));
+        }
+    }
+    html.raw("<button>Change all the same, over revision ")
+        .text(frame.state.view.revision)
+        .raw("</button></form>");
+    html
+}
--- /dev/null
+++ b/crates/daemon/src/console/pages/message_notice.rs
@@ -0,0 +1,12 @@
+//! A message above a page.
+
+use crate::console::HtmlText;
+
+/// A message.
+pub(in crate::console) fn message_notice(message: &str) -> HtmlText {
+    let mut html = HtmlText::default();
+    html.raw("<div class=\"notice\" role=\"alert\"><p>")
+        .text(message)
+        .raw("</p></div>\n");
+    html
+}
