Add the experiment tool: decisions in virtual time against baselines

Cause: no decision can be kept or reverted without a measurement beside its baselines.

The tool drives placement and routing as they are, second by second, with small fakes: 48 workers and as many runners beside them, three zones, a 30 Mbit/s link shared by requests and bulk, disturbance that depends on what shares a machine, reports 30 s late, declared sizes off by factors of 0.7 to 5, waves of noisy tasks, workers that fail everything, jobs that can never run, a burst of cancellations, and a zone that leaves with 180 s notice and returns. Three tables: baselines, the chosen policy without each decision, and other routings.

The fakes keep their own random sequences, so every policy meets the same workload. Threads only carry runs out; outcomes are put in their place by number.

--- /dev/null
+++ b/crates/experiment/src/batch/owner_setup.rs
@@ -0,0 +1,65 @@
+//! What an owner begins with.
+
+use crate::DeploymentPlan;
+use crate::plan::CUSTOMERS;
+use crate::plan::WORKERS_PER_RACK;
+use sapphirestile_core::CustomerName;
+use sapphirestile_core::RackName;
+use sapphirestile_core::ResourceSize;
+use sapphirestile_core::WorkerName;
+use sapphirestile_core::ZoneName;
+use sapphirestile_placement::CustomerRoom;
+use sapphirestile_placement::EstimatePolicy;
+use sapphirestile_placement::WorkerRoom;
+
+const QUOTA_PART: u64 = 2;
+
+/// An estimate that takes declared sizes as true.
+pub(super) const fn as_declared() -> EstimatePolicy {
+    EstimatePolicy {
+        cpu_share_permille: 1_000,
+        cpu_margin_permille: 1_000,
+        job_memory_margin_permille: 1_000,
+        customer_memory_share_permille: 1_000,
+        customer_memory_margin_permille: 1_000,
+        job_reports_min: u32::MAX,
+        customer_reports_min: u32::MAX,
+    }
+}
+
+/// An empty worker.
+pub(super) fn room_of(plan: &DeploymentPlan, worker: usize) -> WorkerRoom {
+    let zone = plan.zones[DeploymentPlan::zone_of(worker)];
+    let rack = format!("rack-{}", worker / WORKERS_PER_RACK);
+    WorkerRoom::new(
+        WorkerName::try_from(format!("worker-{worker:02}")).expect("the name is valid"),
+        ZoneName::try_from(zone).expect("the name is valid"),
+        RackName::try_from(rack).expect("the name is valid"),
+        plan.batch_size(),
+    )
+}
+
+/// The customers, each with half of all workers as its quota.
+pub(super) fn customers_of(whole: &ResourceSize) -> Vec<CustomerRoom> {
+    let quota = ResourceSize {
+        cpu_milli: whole.cpu_milli / QUOTA_PART,
+        memory_mb: whole.memory_mb / QUOTA_PART,
+        accelerators: 0,
+    };
+    let room = |(name, priority, _, _): &(&str, u32, f64, f64)| CustomerRoom {
+        name: CustomerName::try_from(*name).expect("the name is valid"),
+        quota,
+        given: ResourceSize::default(),
+        priority: *priority,
+    };
+    CUSTOMERS.iter().map(room).collect()
+}
+
+/// The room of the customer `name`.
+pub(super) fn customer_mut<'c>(
+    customers: &'c mut [CustomerRoom],
+    name: &CustomerName,
+) -> &'c mut CustomerRoom {
+    let row = customers.iter_mut().find(|customer| customer.name == *name);
+    row.expect("every job has a customer")
+}
--- /dev/null
+++ b/crates/experiment/src/main.rs
@@ -0,0 +1,9 @@
+//! The experiment tool.
+
+use sapphirestile_experiment::ExperimentOptions;
+use sapphirestile_experiment::run_experiment;
+
+fn main() {
+    let options = ExperimentOptions::parser().run();
+    print!("{}", run_experiment(&options));
+}
--- /dev/null
+++ b/crates/experiment/src/plan/policy_feature.rs
@@ -0,0 +1,51 @@
+//! One decision that can be left out.
+
+/// A decision that a run can leave out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PolicyFeature {
+    /// Sizes are estimated from usage instead of taken as declared.
+    MeasuredSizes,
+    /// The choice of a worker weighs disturbance.
+    NoiseChoice,
+    /// Disturbing tasks are throttled and stopped.
+    Pressure,
+    /// Workers that fail different jobs are set aside.
+    Standing,
+    /// A leaving zone is emptied in order, paced over the link.
+    DrainOrder,
+    /// A returned zone is filled step by step.
+    RefillRamp,
+    /// A worker is held for a job that waits long.
+    HeldWorker,
+    /// Batch tasks and runners share machines.
+    Colocation,
+}
+
+impl PolicyFeature {
+    /// Every feature.
+    pub const ALL: [Self; 8] = [
+        Self::MeasuredSizes,
+        Self::NoiseChoice,
+        Self::Pressure,
+        Self::Standing,
+        Self::DrainOrder,
+        Self::RefillRamp,
+        Self::HeldWorker,
+        Self::Colocation,
+    ];
+}
+
+impl std::fmt::Display for PolicyFeature {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            Self::MeasuredSizes => "measured sizes",
+            Self::NoiseChoice => "noise in the choice",
+            Self::Pressure => "throttling",
+            Self::Standing => "setting workers aside",
+            Self::DrainOrder => "drain order",
+            Self::RefillRamp => "refill ramp",
+            Self::HeldWorker => "held workers",
+            Self::Colocation => "colocation",
+        })
+    }
+}
