Plan starts by quota, priority, estimate and standing

Cause: the owner placed by processor time alone: no quota, no fairness, no reason for a task that waits, and a worker that fails everything used up the tries of every task it was given.

Ruled out: a queue kept beside the state (two places to keep the same); it is gathered for each plan from the state. Quotas across cells would need a call for each start; each cell has an even part, since names spread jobs evenly.

Before: first worker with most processor time.

Conclusion: every waiting task can be asked why.

--- a/crates/cells/src/journal/cell_transition.rs
+++ b/crates/cells/src/journal/cell_transition.rs
@@ -9,6 +9,7 @@
 use crate::state::TaskOutcome;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::JobName;
+use sapphirestile_core::ResourceSize;
 use sapphirestile_core::TaskName;
 use sapphirestile_core::WorkerName;
 
@@ -27,6 +28,8 @@
         attempt: AttemptNumber,
         /// The worker.
         worker: WorkerName,
+        /// The room that it is given there.
+        size: ResourceSize,
     },
     /// An attempt took a checkpoint.
     TaskCheckpointed {
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -14,6 +14,7 @@
 mod journal;
 mod map;
 mod owner;
+mod planner;
 mod state;
 
 pub use journal::CellTransition;
@@ -34,6 +35,10 @@
 pub use owner::StopOrder;
 pub use owner::TaskSighting;
 pub use owner::WorkerFacts;
+pub use owner::WorkerView;
+pub use planner::PlanView;
+pub use planner::PlannedStart;
+pub use planner::StartPlanner;
 pub use state::AssignedPhase;
 pub use state::CellState;
 pub use state::EndedPhase;
--- a/crates/cells/src/map/cell_map.rs
+++ b/crates/cells/src/map/cell_map.rs
@@ -34,6 +34,12 @@
         Self { count }
     }
 
+    /// How many cells there are.
+    #[must_use]
+    pub const fn count(self) -> u16 {
+        self.count
+    }
+
     /// Every cell.
     pub fn cells(self) -> impl Iterator<Item = CellNumber> {
         (0..self.count).map(CellNumber::new)
--- a/crates/cells/src/owner.rs
+++ b/crates/cells/src/owner.rs
@@ -18,12 +18,13 @@
 mod start_order;
 mod stop_order;
 mod task_sighting;
-mod worker_choice;
 mod worker_facts;
 mod worker_view;
 
 use settling_attempt::SettlingAttempt;
 
+pub use worker_view::WorkerView;
+
 pub use cell_effect::CellEffect;
 pub use cell_owner::CellOwner;
 pub use claiming_phase::ClaimingPhase;
--- a/crates/cells/src/owner/cell_owner/forgetting.rs
+++ b/crates/cells/src/owner/cell_owner/forgetting.rs
@@ -1,11 +1,10 @@
 //! What an owner forgets.
 
-use sapphirestile_core::JobName;
-use sapphirestile_core::MonoTime;
-
 use crate::journal::CellTransition;
 use crate::owner::CellOwner;
 use crate::owner::OpenPhase;
+use sapphirestile_core::JobName;
+use sapphirestile_core::MonoTime;
 
 const JOB_RETENTION_MS: u64 = 3_600_000;
 const RECORD_RETENTION_S: u64 = 86_400;
@@ -20,6 +19,7 @@
             self.phase.ended.remove(&job);
             self.propose_sure(CellTransition::JobForgotten(job));
         }
+        self.phase.planner.forget_jobs(&self.state);
         let before_unix_s = unix_s.saturating_sub(RECORD_RETENTION_S);
         let records = self.state.records().values();
         if records
--- a/crates/cells/src/owner/cell_owner/worker_reports.rs
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -13,8 +13,9 @@
 use crate::state::TaskOutcome;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::TaskName;
+use sapphirestile_placement::FailureVerdict;
 
-const FAILURES_MAX: u32 = 3;
+const FAILURES_MAX: u32 = 8;
 const CHECKPOINT_STEP_MS: u64 = 60_000;
 
 impl CellOwner<OpenPhase> {
@@ -31,41 +32,61 @@
         view.asking = false;
         view.permit = Some(report.permit);
         for sighting in report.tasks {
-            self.observe_sighting(report.worker, sighting);
+            self.observe_sighting(report, sighting);
         }
         self.return_missing(report);
     }
 
-    fn observe_sighting(&mut self, worker: &str, sighting: &TaskSighting) {
+    fn observe_sighting(&mut self, report: &ReportView<'_>, sighting: &TaskSighting) {
+        let worker = report.worker;
         let Some(cycle) = self.current_cycle(worker, sighting) else {
             self.settle_stray(worker, sighting);
             return;
         };
-        let TaskSighting {
-            task,
-            attempt,
-            checkpoint_ms,
-            ..
-        } = sighting;
+        let task = &sighting.task;
         match sighting.phase {
-            SightedPhase::Running => self.observe_running(worker, sighting, &cycle),
+            SightedPhase::Running => {
+                self.observe_running(worker, sighting, &cycle);
+                return;
+            }
             SightedPhase::Finished => {
+                self.phase.planner.note_success(&cycle.worker, &task.job);
                 self.end_task(task, &cycle, TaskOutcome::Finished);
-                self.settle(worker, task, *attempt);
-            }
-            SightedPhase::Failed if cycle.failures + 1 >= FAILURES_MAX => {
-                self.end_task(task, &cycle, TaskOutcome::Failed);
-                self.settle(worker, task, *attempt);
-            }
-            SightedPhase::Failed => {
-                self.return_task(task, &cycle, *checkpoint_ms, true);
-                self.settle(worker, task, *attempt);
             }
+            SightedPhase::Failed => self.observe_failure(report, sighting, &cycle),
             SightedPhase::Stopped => {
-                self.return_task(task, &cycle, *checkpoint_ms, false);
-                self.settle(worker, task, *attempt);
+                self.return_task(task, &cycle, sighting.checkpoint_ms, false);
             }
         }
+        self.phase.stopping.remove(task);
+        self.settle(worker, task, sighting.attempt);
+    }
+
+    /// A failure that speaks against the worker costs the task nothing; one that
+    /// speaks against the job ends the task.
+    fn observe_failure(
+        &mut self,
+        report: &ReportView<'_>,
+        sighting: &TaskSighting,
+        cycle: &AssignedPhase,
+    ) {
+        let task = &sighting.task;
+        let verdict = self
+            .phase
+            .planner
+            .note_failure(&cycle.worker, &task.job, report.asked);
+        let given_up = match verdict {
+            FailureVerdict::BadJob { .. } => true,
+            FailureVerdict::BadWorker | FailureVerdict::Retry { .. } => {
+                cycle.failures + 1 >= FAILURES_MAX
+            }
+        };
+        if given_up {
+            self.end_task(task, cycle, TaskOutcome::Failed);
+            return;
+        }
+        let counts = verdict != FailureVerdict::BadWorker;
+        self.return_task(task, cycle, sighting.checkpoint_ms, counts);
     }
 
     fn observe_running(&mut self, worker: &str, sighting: &TaskSighting, cycle: &AssignedPhase) {
@@ -83,18 +104,16 @@
                 checkpoint_ms,
             });
         }
-        let cancelled = self
-            .state
-            .jobs()
-            .get(&task.job)
-            .is_some_and(|job| job.cancelled);
-        let leaves = self
-            .phase
-            .workers
-            .get(worker)
-            .is_some_and(|view| !view.facts.takes_work);
+        let Some(record) = self.state.jobs().get(&task.job) else {
+            return;
+        };
+        self.phase.planner.note_usage(record, &sighting.usage);
+        let cancelled = record.cancelled;
+        let view = self.phase.workers.get(worker);
+        let leaves = view.is_some_and(|view| !view.facts.takes_work);
         if cancelled || leaves {
-            self.phase.evictions += u64::from(leaves);
+            let known = self.phase.stopping.insert(task.clone(), *attempt);
+            self.phase.evictions += u64::from(leaves && known != Some(*attempt));
             self.stop_attempt(worker, sighting, !cancelled);
         }
     }
--- a/crates/cells/src/owner/open_phase.rs
+++ b/crates/cells/src/owner/open_phase.rs
@@ -6,9 +6,12 @@
 use crate::owner::StartOrder;
 use crate::owner::StopOrder;
 use crate::owner::worker_view::WorkerView;
+use crate::planner::StartPlanner;
+use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::JobName;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
+use sapphirestile_core::TaskName;
 use sapphirestile_core::WorkerName;
 
 /// The cell is owned, as far as the owner knows.
@@ -27,6 +30,9 @@
     pub(super) unlisted: SortedTable<WorkerName, MonoTime>,
     /// When the owner first saw that a job had ended.
     pub(super) ended: SortedTable<JobName, MonoTime>,
+    pub(super) planner: StartPlanner,
+    /// Attempts that were asked to stop.
+    pub(super) stopping: SortedTable<TaskName, AttemptNumber>,
     pub(super) stops: Vec<StopOrder>,
     pub(super) evictions: u64,
 }
--- a/crates/cells/src/owner/worker_view.rs
+++ b/crates/cells/src/owner/worker_view.rs
@@ -8,6 +8,7 @@
 /// What the owner knows of a worker; none of it lasts.
 #[derive(Clone, Debug)]
 pub struct WorkerView {
+    /// What is known from outside.
     pub facts: WorkerFacts,
     /// How many sessions were asked for.
     pub ordinal: u64,
@@ -24,6 +25,8 @@
 }
 
 impl WorkerView {
+    /// A worker of which nothing but the facts is known.
+    #[must_use]
     pub const fn new(facts: WorkerFacts) -> Self {
         Self {
             facts,
@@ -40,6 +43,7 @@
     ///
     /// A renewal voids the permit of starts that are on their way, so it waits for
     /// them, but no longer than their permit is good for.
+    #[must_use]
     pub fn session_due(&self, now: MonoTime, interval_ms: u64, permit_ms: u64) -> bool {
         let wait_ms = if self.starts == 0 {
             interval_ms
@@ -53,6 +57,7 @@
     }
 
     /// The permit, while it is fresh enough to commit against.
+    #[must_use]
     pub fn usable_permit(&self, now: MonoTime, fresh_ms: u64) -> Option<u64> {
         let fresh = self
             .asked
--- /dev/null
+++ b/crates/cells/src/planner.rs
@@ -0,0 +1,17 @@
+//! Which waiting tasks start, and where.
+//!
+//! A [`StartPlanner`] walks the queue of a cell by the rules of
+//! `sapphirestile_placement` and returns [`PlannedStart`]s. It looks at the cell
+//! through a [`PlanView`]. What it has learnt of sizes, failures and workers is
+//! not lasting: a new owner begins with what was declared.
+
+mod plan_view;
+mod planned_start;
+mod room_book;
+mod start_planner;
+
+pub use plan_view::PlanView;
+pub use planned_start::PlannedStart;
+pub use start_planner::StartPlanner;
+
+use room_book::RoomBook;
--- /dev/null
+++ b/crates/cells/src/planner/room_book.rs
@@ -0,0 +1,152 @@
+//! The rooms and the queue of one plan.
+
+use crate::owner::WorkerView;
+use crate::planner::PlanView;
+use crate::state::JobRecord;
+use crate::state::TaskEntry;
+use sapphirestile_core::CustomerEntry;
+use sapphirestile_core::CustomerName;
+use sapphirestile_core::JobName;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::RackName;
+use sapphirestile_core::ResourceSize;
+use sapphirestile_core::SortedTable;
+use sapphirestile_core::TaskName;
+use sapphirestile_core::WorkerName;
+use sapphirestile_placement::CustomerRoom;
+use sapphirestile_placement::PlacedTasks;
+use sapphirestile_placement::TaskQueue;
+use sapphirestile_placement::WaitingJob;
+use sapphirestile_placement::WorkerRoom;
+use sapphirestile_placement::WorkerStanding;
+
+/// What one plan is made from, gathered in one walk over the tasks.
+pub struct RoomBook {
+    pub queue: TaskQueue,
+    /// In the order of the workers' names.
+    pub rooms: Vec<WorkerRoom>,
+    /// In the order of the customers' names.
+    pub customers: Vec<CustomerRoom>,
+    pub placed: SortedTable<JobName, PlacedTasks>,
+}
+
+impl RoomBook {
+    pub fn gather(
+        view: &PlanView<'_>,
+        customers: &SortedTable<CustomerName, CustomerEntry>,
+        submitted: &SortedTable<JobName, MonoTime>,
+        not_before: &SortedTable<JobName, MonoTime>,
+    ) -> Self {
+        let mut book = Self {
+            queue: TaskQueue::default(),
+            rooms: view
+                .workers
+                .values()
+                .map(|worker| room_of(worker, view))
+                .collect(),
+            customers: customers
+                .iter()
+                .map(|(name, entry)| customer_of(name, entry))
+                .collect(),
+            placed: SortedTable::new(),
+        };
+        for (task, entry) in view.state.tasks().iter() {
+            let Some(record) = view.state.jobs().get(&task.job) else {
+                continue;
+            };
+            match entry {
+                TaskEntry::Waiting(_) => {
+                    let since = |table: &SortedTable<JobName, MonoTime>| {
+                        table.get(&task.job).copied().unwrap_or_default()
+                    };
+                    book.wait(task, record, since(submitted), since(not_before));
+                }
+                TaskEntry::Assigned(cycle) => {
+                    let phase = cycle.phase();
+                    book.occupy(record, &phase.worker, &phase.size);
+                }
+                TaskEntry::Ended(_) => {}
+            }
+        }
+        book
+    }
+
+    /// Sets workers aside by their standing and by how many tasks they run.
+    pub fn judge(
+        &mut self,
+        standings: &SortedTable<WorkerName, WorkerStanding>,
+        running: impl Fn(&WorkerName) -> usize,
+    ) {
+        for room in &mut self.rooms {
+            if let Some(standing) = standings.get(&room.name) {
+                room.set_aside = !standing.takes_work(running(&room.name));
+            }
+        }
+    }
+
+    /// Marks a worker that was given a task.
+    pub fn occupy(&mut self, record: &JobRecord, worker: &WorkerName, size: &ResourceSize) {
+        let customer = &record.order.customer;
+        if let Ok(place) = self
+            .customers
+            .binary_search_by(|room| room.name.cmp(customer))
+        {
+            let given = &mut self.customers[place].given;
+            *given = given.plus(size);
+        }
+        let Ok(place) = self.rooms.binary_search_by(|room| room.name.cmp(worker)) else {
+            return;
+        };
+        let room = &mut self.rooms[place];
+        room.given = room.given.plus(size);
+        let job = record.order.job.clone();
+        let placed = self.placed.get_or_insert_with(job, PlacedTasks::default);
+        placed.add(&room.rack, &room.zone);
+    }
+
+    fn wait(
+        &mut self,
+        task: &TaskName,
+        record: &JobRecord,
+        submitted: MonoTime,
+        not_before: MonoTime,
+    ) {
+        self.queue.add(WaitingJob {
+            name: task.job.clone(),
+            customer: record.order.customer.clone(),
+            urgent: record.order.urgent,
+            declared: record.order.size,
+            zones: record.order.zones.clone(),
+            submitted,
+            not_before,
+            tasks: vec![task.index],
+        });
+    }
+}
+
+fn room_of(worker: &WorkerView, view: &PlanView<'_>) -> WorkerRoom {
+    let facts = &worker.facts;
+    let rack = facts
+        .rack
+        .clone()
+        .unwrap_or_else(|| rack_of_its_own(&facts.worker));
+    let mut room = WorkerRoom::new(facts.worker.clone(), facts.zone.clone(), rack, facts.size);
+    let permit = worker.usable_permit(view.now, view.permit_fresh_ms);
+    room.zone_out = !facts.takes_work;
+    room.leaving = permit.is_none();
+    room
+}
+
+/// A worker without a rack shares none.
+fn rack_of_its_own(worker: &WorkerName) -> RackName {
+    RackName::try_from(worker.as_str()).expect("names of workers and racks have one form")
+}
+
+fn customer_of(name: &CustomerName, entry: &CustomerEntry) -> CustomerRoom {
+    CustomerRoom {
+        name: name.clone(),
+        quota: entry.quota,
+        given: ResourceSize::default(),
+        priority: entry.priority,
+    }
+}
--- /dev/null
+++ b/crates/cells/src/planner/start_planner.rs
@@ -0,0 +1,260 @@
+//! Plans starts.
+
+use crate::planner::PlanView;
+use crate::planner::PlannedStart;
+use crate::planner::RoomBook;
+use crate::state::CellState;
+use crate::state::JobRecord;
+use crate::state::TaskEntry;
+use sapphirestile_core::CustomerEntry;
+use sapphirestile_core::CustomerName;
+use sapphirestile_core::JobName;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::ResourceSize;
+use sapphirestile_core::SortedTable;
+use sapphirestile_core::TaskName;
+use sapphirestile_core::WorkerName;
+use sapphirestile_placement::CustomerRoom;
+use sapphirestile_placement::EstimatePolicy;
+use sapphirestile_placement::FailureBook;
+use sapphirestile_placement::FailureVerdict;
+use sapphirestile_placement::PlacedTasks;
+use sapphirestile_placement::PlacementChoice;
+use sapphirestile_placement::PlacementRefusal;
+use sapphirestile_placement::PlacementRequest;
+use sapphirestile_placement::QueuePass;
+use sapphirestile_placement::RoomPolicy;
+use sapphirestile_placement::SizeBook;
+use sapphirestile_placement::TaskQueue;
+use sapphirestile_placement::WaitingJob;
+use sapphirestile_placement::WorkerStanding;
+use sapphirestile_placement::choose_worker;
+
+/// Plans starts, and learns from what becomes of them.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_cells::StartPlanner;
+/// use sapphirestile_core::JobName;
+///
+/// let planner = StartPlanner::default();
+/// assert_eq!(planner.reason(&JobName::try_from("patterns").unwrap()), None);
+/// ```
+#[derive(Debug, Default)]
+pub struct StartPlanner {
+    customers: SortedTable<CustomerName, CustomerEntry>,
+    policy: RoomPolicy,
+    estimates: EstimatePolicy,
+    sizes: SizeBook,
+    failures: FailureBook,
+    standings: SortedTable<WorkerName, WorkerStanding>,
+    submitted: SortedTable<JobName, MonoTime>,
+    not_before: SortedTable<JobName, MonoTime>,
+    /// Why the tasks of a job wait, as of the latest plan.
+    reasons: SortedTable<JobName, String>,
+}
+
+impl StartPlanner {
+    /// Takes the customers with this cell's part of their quotas.
+    pub fn set_customers(&mut self, customers: &SortedTable<CustomerName, CustomerEntry>) {
+        self.customers = customers.clone();
+    }
+
+    /// Why the waiting tasks of a job were not started by the latest plan.
+    #[must_use]
+    pub fn reason(&self, job: &JobName) -> Option<&str> {
+        self.reasons.get(job).map(String::as_str)
+    }
+
+    /// Workers that are set aside or on probation, with what is said of them.
+    pub fn standings(&self) -> impl Iterator<Item = (&WorkerName, &WorkerStanding)> {
+        self.standings.iter()
+    }
+
+    /// Takes note of what a running task uses.
+    pub fn note_usage(&mut self, record: &JobRecord, used: &ResourceSize) {
+        let order = &record.order;
+        if *used != ResourceSize::default() {
+            self.sizes
+                .note_usage(&order.job, &order.customer, used, &order.size);
+        }
+    }
+
+    /// Takes note of a task that did its work.
+    pub fn note_success(&mut self, worker: &WorkerName, job: &JobName) {
+        self.failures.note_success(worker, job);
+        if let Some(standing) = self.standings.get_mut(worker) {
+            standing.praise();
+        }
+    }
+
+    /// Takes note of a task that failed, and says what that speaks against.
+    pub fn note_failure(
+        &mut self,
+        worker: &WorkerName,
+        job: &JobName,
+        now: MonoTime,
+    ) -> FailureVerdict {
+        let verdict = self.failures.note_failure(worker, job, now);
+        match verdict {
+            FailureVerdict::BadWorker => {
+                let standing = self
+                    .standings
+                    .get_or_insert_with(worker.clone(), Default::default);
+                standing.blame(now);
+            }
+            FailureVerdict::Retry { delay_ms } => {
+                self.not_before
+                    .insert(job.clone(), now.plus_millis(delay_ms));
+            }
+            FailureVerdict::BadJob { .. } => {}
+        }
+        verdict
+    }
+
+    /// Forgets what was learnt of jobs that the cell no longer has.
+    pub fn forget_jobs(&mut self, state: &CellState) {
+        self.submitted.retain(|job, _| state.jobs().contains(job));
+        self.not_before.retain(|job, _| state.jobs().contains(job));
+    }
+
+    /// Plans starts, at most as many as the view allows.
+    pub fn plan(&mut self, view: &PlanView<'_>) -> Vec<PlannedStart> {
+        self.note_submitted(view);
+        self.pass_time(view.now);
+        let mut book = RoomBook::gather(view, &self.customers, &self.submitted, &self.not_before);
+        book.judge(&self.standings, |worker| running_on(view.state, worker));
+        self.reasons = SortedTable::new();
+        self.walk(view, &mut book)
+    }
+
+    fn walk(&mut self, view: &PlanView<'_>, book: &mut RoomBook) -> Vec<PlannedStart> {
+        let queue: TaskQueue = std::mem::take(&mut book.queue);
+        let whole = book
+            .rooms
+            .iter()
+            .fold(ResourceSize::default(), |sum, room| sum.plus(&room.size));
+        let mut pass = QueuePass::new(&queue, whole, view.now);
+        let mut starts = Vec::new();
+        let mut taken: SortedTable<JobName, usize> = SortedTable::new();
+        while starts.len() < view.limit
+            && let Some(job) = pass.next_job(&book.customers)
+        {
+            let size = self.size_of(job);
+            if pass.found_no_room(&size) {
+                self.reasons.insert(
+                    job.name.clone(),
+                    "no room now: as large a task found none".into(),
+                );
+                pass.pass_over();
+                continue;
+            }
+            match self.choose(job, size, book) {
+                Ok(choice) => {
+                    starts.push(start_of(job, size, &choice, book, &mut taken));
+                    let record = view.state.jobs().get(&job.name);
+                    let record = record.expect("a waiting task belongs to a job");
+                    let worker = starts
+                        .last()
+                        .expect("a start was just added")
+                        .worker
+                        .clone();
+                    book.occupy(record, &worker, &size);
+                    pass.placed();
+                }
+                Err(refusal) => {
+                    self.reasons.insert(job.name.clone(), refusal.to_string());
+                    pass.refused(&size, &refusal);
+                }
+            }
+        }
+        self.explain_left_out(&queue, view.now);
+        starts
+    }
+
+    fn choose(
+        &self,
+        job: &WaitingJob,
+        size: ResourceSize,
+        book: &RoomBook,
+    ) -> Result<PlacementChoice, PlacementRefusal> {
+        let nothing = PlacedTasks::default();
+        let customer = customer_of(job, &book.customers);
+        let placed = book.placed.get(&job.name).unwrap_or(&nothing);
+        let mut request = PlacementRequest::new(size, customer, placed);
+        request.job = Some(&job.name);
+        request.urgent = job.urgent;
+        request.zones = &job.zones;
+        choose_worker(&book.rooms, &request, &self.policy)
+    }
+
+    fn size_of(&self, job: &WaitingJob) -> ResourceSize {
+        let estimate =
+            self.sizes
+                .estimate(&job.name, &job.customer, &job.declared, &self.estimates);
+        estimate.size
+    }
+
+    fn note_submitted(&mut self, view: &PlanView<'_>) {
+        for job in view.state.jobs().keys() {
+            if !self.submitted.contains(job) {
+                self.submitted.insert(job.clone(), view.now);
+            }
+        }
+    }
+
+    fn pass_time(&mut self, now: MonoTime) {
+        for (_, standing) in self.standings.iter_mut() {
+            standing.pass_time(now);
+        }
+    }
+
+    fn explain_left_out(&mut self, queue: &TaskQueue, now: MonoTime) {
+        for job in queue.jobs() {
+            if job.not_before > now {
+                let wait_ms = job.not_before.millis_since(now);
+                let reason = format!("tried again in {wait_ms} ms after a failure");
+                self.reasons.insert(job.name.clone(), reason);
+            } else if !self.customers.contains(&job.customer) {
+                let reason = format!("the document has no customer {}", job.customer);
+                self.reasons.insert(job.name.clone(), reason);
+            }
+        }
+    }
+}
+
+/// The next task of a job, on the chosen worker.
+fn start_of(
+    job: &WaitingJob,
+    size: ResourceSize,
+    choice: &PlacementChoice,
+    book: &RoomBook,
+    taken: &mut SortedTable<JobName, usize>,
+) -> PlannedStart {
+    let count = taken.get_or_insert_with(job.name.clone(), || 0);
+    let index = job.tasks[*count];
+    *count += 1;
+    PlannedStart {
+        task: TaskName {
+            job: job.name.clone(),
+            index,
+        },
+        worker: book.rooms[choice.place].name.clone(),
+        size,
+        reason: choice.reason.to_string(),
+    }
+}
+
+fn customer_of<'b>(job: &WaitingJob, customers: &'b [CustomerRoom]) -> &'b CustomerRoom {
+    let place = customers.binary_search_by(|customer| customer.name.cmp(&job.customer));
+    &customers[place.expect("the queue passes jobs of unknown customers over")]
+}
+
+fn running_on(state: &CellState, worker: &WorkerName) -> usize {
+    let on_worker = |entry: &&TaskEntry| match entry {
+        TaskEntry::Assigned(cycle) => cycle.phase().worker == *worker,
+        TaskEntry::Waiting(_) | TaskEntry::Ended(_) => false,
+    };
+    state.tasks().values().filter(on_worker).count()
+}
--- a/crates/cells/src/state/cell_state.rs
+++ b/crates/cells/src/state/cell_state.rs
@@ -123,11 +123,12 @@
                 task,
                 attempt,
                 worker,
+                size,
             } => {
                 self.check_assignable(task, *attempt)?;
                 self.replace(task, |entry| match entry {
                     TaskEntry::Waiting(cycle) => {
-                        TaskEntry::Assigned(cycle.assign(*attempt, worker))
+                        TaskEntry::Assigned(cycle.assign(*attempt, worker, *size))
                     }
                     other => other,
                 });
--- a/crates/cells/src/state/task_cycle.rs
+++ b/crates/cells/src/state/task_cycle.rs
@@ -9,6 +9,7 @@
 
 use crate::state::TaskOutcome;
 use sapphirestile_core::AttemptNumber;
+use sapphirestile_core::ResourceSize;
 use sapphirestile_core::WorkerName;
 
 pub use assigned_phase::AssignedPhase;
@@ -22,10 +23,11 @@
 /// ```
 /// use sapphirestile_cells::TaskCycle;
 /// use sapphirestile_core::AttemptNumber;
+/// use sapphirestile_core::ResourceSize;
 /// use sapphirestile_core::WorkerName;
 ///
 /// let worker = WorkerName::try_from("worker-1").unwrap();
-/// let assigned = TaskCycle::submitted().assign(AttemptNumber::new(1), &worker);
+/// let assigned = TaskCycle::submitted().assign(AttemptNumber::new(1), &worker, ResourceSize::default());
 /// let waiting = assigned.give_back(400, false);
 /// assert_eq!(waiting.phase().checkpoint_ms, 400);
 /// assert_eq!(waiting.phase().attempt.get(), 1);
@@ -58,7 +60,12 @@
     ///
     /// When `attempt` is not later than every attempt before.
     #[must_use]
-    pub fn assign(self, attempt: AttemptNumber, worker: &WorkerName) -> TaskCycle<AssignedPhase> {
+    pub fn assign(
+        self,
+        attempt: AttemptNumber,
+        worker: &WorkerName,
+        size: ResourceSize,
+    ) -> TaskCycle<AssignedPhase> {
         assert!(
             attempt > self.phase.attempt,
             "an attempt number was used twice"
@@ -73,6 +80,7 @@
             phase: AssignedPhase {
                 attempt,
                 worker,
+                size,
                 checkpoint_ms,
                 failures,
             },
--- a/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
@@ -5,12 +5,15 @@
 use crate::cells::WaitingReply;
 use crate::cells::job_render;
 use crate::context::MonoClock;
+use sapphirestile_cells::JobRecord;
 use sapphirestile_cells::RequestKey;
 use sapphirestile_cells::RequestRecord;
 use sapphirestile_cells::TransitionFault;
 use sapphirestile_core::JobName;
 use sapphirestile_core::TaskIndex;
 use sapphirestile_wire::api::JobSubmission;
+use sapphirestile_wire::api::JobView;
+use sapphirestile_wire::api::TaskState;
 use sapphirestile_wire::peer::PeerAnswer;
 use sapphirestile_wire::peer::PeerFault;
 use sapphirestile_wire::peer::PeerRequest;
@@ -80,11 +83,24 @@
     fn view(&self, job: &JobName) -> PeerAnswer {
         let state = self.owner.state();
         match state.jobs().get(job) {
-            Some(record) => PeerAnswer::Job(job_render::view_of(self.owner.cell(), state, record)),
+            Some(record) => PeerAnswer::Job(self.render(record)),
             None => PeerAnswer::Fault(PeerFault::UnknownJob),
         }
     }
 
+    fn render(&self, record: &JobRecord) -> JobView {
+        let mut view = job_render::view_of(self.owner.cell(), self.owner.state(), record);
+        let reason = self.owner.waiting_reason(&record.order.job);
+        for task in view
+            .tasks
+            .iter_mut()
+            .filter(|task| task.state == TaskState::Waiting)
+        {
+            task.reason = reason.map(str::to_owned);
+        }
+        view
+    }
+
     fn list(&self) -> PeerAnswer {
         let (cell, state) = (self.owner.cell(), self.owner.state());
         let jobs = state.jobs().values();
@@ -99,7 +115,7 @@
         let Some(record) = state.jobs().get(job) else {
             return PeerAnswer::Fault(PeerFault::UnknownJob);
         };
-        let view = job_render::view_of(self.owner.cell(), state, record);
+        let view = self.render(record);
         let subject = index.map_or(job.to_string(), |index| format!("{job}/{index}"));
         PeerAnswer::Explained(subject, job_render::explain(&view, index))
     }
