Share connections among clients, and test the states of the stand-ins

Cause: a daemon makes a client for each request, and connections that a client keeps for itself are lost with it: the pool would not have helped. Two sets of scenes were still missing for the stand-ins. Ruled out: one pool for all peers, which the library searches as a whole under one lock at each call. Conclusion: PeerConnections are shared by clones, a ConnectionTable holds those of many peers and is read without a lock; time limits belong to each call.

--- a/crates/platform/examples/client_towards_runners/client_kind.rs
+++ b/crates/platform/examples/client_towards_runners/client_kind.rs
@@ -2,18 +2,17 @@
 
 use std::net::SocketAddr;
 
+use crate::runner_caller::RunnerCaller;
 use sapphirestile_platform::http::CallLimits;
+use sapphirestile_platform::http::ConnectionTable;
 use sapphirestile_platform::http::PeerAddress;
-use sapphirestile_platform::runner::RunnerClient;
-
-use crate::runner_caller::RunnerCaller;
 
 /// A way to call a runner.
 #[derive(Clone, Copy, Debug)]
 pub enum ClientKind {
     /// oxhttp, a connection for each request.
     Oxhttp,
-    /// [`RunnerClient`], over ureq with a pool of connections.
+    /// A runner client for each request, over the connections of a table.
     RunnerClient,
 }
 
@@ -27,7 +26,7 @@
             }
             Self::RunnerClient => {
                 let peer = PeerAddress::try_from(address).expect("a port other than 0");
-                RunnerCaller::RunnerClient(RunnerClient::new(peer, limits))
+                RunnerCaller::RunnerClient(ConnectionTable::new(), peer, limits)
             }
         }
     }
--- a/crates/platform/examples/client_towards_runners/runner_caller.rs
+++ b/crates/platform/examples/client_towards_runners/runner_caller.rs
@@ -2,6 +2,9 @@
 
 use oxhttp::model::Request;
 
+use sapphirestile_platform::http::CallLimits;
+use sapphirestile_platform::http::ConnectionTable;
+use sapphirestile_platform::http::PeerAddress;
 use sapphirestile_platform::runner::RunnerClient;
 use sapphirestile_platform::runner::RunnerOutcome;
 use sapphirestile_platform::runner::RunnerRequest;
@@ -10,8 +13,8 @@
 pub enum RunnerCaller {
     /// With oxhttp, towards this URI.
     Oxhttp(oxhttp::Client, String),
-    /// With the client of the daemons.
-    RunnerClient(RunnerClient),
+    /// With the client of the daemons, made anew for each request.
+    RunnerClient(ConnectionTable, PeerAddress, CallLimits),
 }
 
 impl RunnerCaller {
@@ -26,7 +29,10 @@
                 let response = client.request(request).expect("the runner answers");
                 response.into_body().to_vec().expect("the answer is whole")
             }
-            Self::RunnerClient(client) => forward(client, id, body),
+            Self::RunnerClient(table, peer, limits) => {
+                let client = RunnerClient::over(table.connections(*peer), *limits);
+                forward(&client, id, body)
+            }
         };
         assert_eq!(answer, body);
     }
--- a/crates/platform/src/http/http_client.rs
+++ b/crates/platform/src/http/http_client.rs
@@ -4,10 +4,8 @@
 use std::time::Duration;
 
 use error_stack::Report;
-use ureq::Agent;
 use ureq::Body;
 use ureq::Timeout;
-use ureq::config::AutoHeaderValue;
 use ureq::http::Method;
 use ureq::http::Response;
 use ureq::http::StatusCode;
@@ -18,33 +16,25 @@
 use crate::http::HttpAnswer;
 use crate::http::LineReader;
 use crate::http::PeerAddress;
+use crate::http::PeerConnections;
 use crate::http::answer_framing::AnswerFraming;
 use crate::http::request_sender::RequestSender;
 use sapphirestile_core::StepError;
 
-/// The most idle connections to a peer.
-const IDLE_CONNECTIONS_MAX: usize = 64;
-
-/// How long a connection may be idle before it is closed rather than used again.
-const IDLE_AGE_MAX: Duration = Duration::from_secs(10);
-
-/// The largest head of an answer, in bytes.
-const ANSWER_HEAD_MAX_BYTES: usize = 16 * 1024;
-
 /// Sends requests to one peer over connections that are kept open.
 ///
 /// It follows no redirect, takes every status as an answer and sends no request
 /// a second time: a connection that the peer has closed in the meantime makes
-/// the call [`CallError::Unknown`]. Clones share their connections.
+/// the call [`CallError::Unknown`]. Clones share their connections, and so do
+/// clients made [`over`](Self::over) the same [`PeerConnections`].
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    peer: PeerAddress,
+    connections: PeerConnections,
     limits: CallLimits,
-    agent: Agent,
 }
 
 impl HttpClient {
-    /// A client of `peer`, within `limits`. Nothing is sent yet.
+    /// A client of `peer` with connections of its own. Nothing is sent yet.
     ///
     /// # Examples
     ///
@@ -62,36 +52,39 @@
     /// ```
     #[must_use]
     pub fn new(peer: PeerAddress, limits: CallLimits) -> Self {
-        // Connecting has a shorter limit of its own, since a call that could
-        // not connect is known not to be sent.
-        let agent = Agent::config_builder()
-            .proxy(None)
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .max_redirects_will_error(false)
-            .allow_non_standard_methods(true)
-            .user_agent(AutoHeaderValue::None)
-            .accept(AutoHeaderValue::None)
-            .accept_encoding(AutoHeaderValue::None)
-            .max_response_header_size(ANSWER_HEAD_MAX_BYTES)
-            .max_idle_connections(IDLE_CONNECTIONS_MAX)
-            .max_idle_connections_per_host(IDLE_CONNECTIONS_MAX)
-            .max_idle_age(IDLE_AGE_MAX)
-            .timeout_connect(Some(limits.timeout / 2))
-            .timeout_global(Some(limits.timeout))
-            .build()
-            .new_agent();
+        Self::over(PeerConnections::new(peer), limits)
+    }
+
+    /// A client over connections that it shares. Nothing is sent yet.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use sapphirestile_platform::http::CallLimits;
+    /// use sapphirestile_platform::http::ConnectionTable;
+    /// use sapphirestile_platform::http::HttpClient;
+    /// use sapphirestile_platform::http::PeerAddress;
+    ///
+    /// let table = ConnectionTable::new();
+    /// let peer = PeerAddress::try_from("127.0.0.1:8080").unwrap();
+    /// let limits = CallLimits { timeout: Duration::from_secs(2), answer_max_bytes: 4_096 };
+    /// let client = HttpClient::over(table.connections(peer), limits);
+    /// assert_eq!(client.peer(), peer);
+    /// ```
+    #[must_use]
+    pub const fn over(connections: PeerConnections, limits: CallLimits) -> Self {
         Self {
-            peer,
+            connections,
             limits,
-            agent,
         }
     }
 
     /// The peer.
     #[must_use]
     pub const fn peer(&self) -> PeerAddress {
-        self.peer
+        self.connections.peer()
     }
 
     /// Sends a request and reads the whole answer, whatever its status.
@@ -108,7 +101,7 @@
         let sender = self.prepare(step, request)?;
         let method = sender.method().clone();
         let response = sender
-            .send()
+            .send(self.limits.timeout)
             .map_err(|error| self.unsent_or_lost(step, error))?;
         self.read_whole(step, &method, response)
     }
@@ -126,7 +119,7 @@
         wait: Duration,
     ) -> Result<Option<LineReader>, Report<CallError>> {
         let sender = self.prepare(step, request)?;
-        let response = match sender.send_and_wait(wait) {
+        let response = match sender.send_and_wait(self.limits.timeout, wait) {
             Ok(response) => response,
             Err(ureq::Error::Timeout(Timeout::RecvResponse)) => return Ok(None),
             Err(error) => return Err(self.unsent_or_lost(step, error)),
@@ -144,7 +137,7 @@
         step: &'static str,
         request: &CallRequest<'a>,
     ) -> Result<RequestSender<'a>, Report<CallError>> {
-        RequestSender::build(&self.agent, self.peer, request)
+        RequestSender::build(&self.connections, request)
             .map_err(|error| self.failed(step, Report::new(error), CallError::NotSent))
     }
 
@@ -207,7 +200,7 @@
         E: std::error::Error + Send + Sync + 'static,
     {
         report
-            .change_context(StepError::new(step, &self.peer.to_string()))
+            .change_context(StepError::new(step, &self.peer().to_string()))
             .change_context(outcome)
     }
 }
--- /dev/null
+++ b/crates/platform/src/http/peer_connections.rs
@@ -0,0 +1,67 @@
+//! The connections that are kept open to one peer.
+
+use std::time::Duration;
+
+use ureq::Agent;
+use ureq::config::AutoHeaderValue;
+
+use crate::http::PeerAddress;
+
+/// The most idle connections to a peer.
+const IDLE_CONNECTIONS_MAX: usize = 64;
+
+/// How long a connection may be idle before it is closed rather than used again.
+const IDLE_AGE_MAX: Duration = Duration::from_secs(10);
+
+/// The largest head of an answer, in bytes.
+const ANSWER_HEAD_MAX_BYTES: usize = 16 * 1024;
+
+/// The connections that are kept open to one peer. Clones share them.
+#[derive(Clone, Debug)]
+pub struct PeerConnections {
+    peer: PeerAddress,
+    agent: Agent,
+}
+
+impl PeerConnections {
+    /// No connection to `peer` yet; calls open them.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_platform::http::PeerAddress;
+    /// use sapphirestile_platform::http::PeerConnections;
+    ///
+    /// let peer = PeerAddress::try_from("127.0.0.1:2379").unwrap();
+    /// assert_eq!(PeerConnections::new(peer).peer(), peer);
+    /// ```
+    #[must_use]
+    pub fn new(peer: PeerAddress) -> Self {
+        let agent = Agent::config_builder()
+            .proxy(None)
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .max_redirects_will_error(false)
+            .allow_non_standard_methods(true)
+            .user_agent(AutoHeaderValue::None)
+            .accept(AutoHeaderValue::None)
+            .accept_encoding(AutoHeaderValue::None)
+            .max_response_header_size(ANSWER_HEAD_MAX_BYTES)
+            .max_idle_connections(IDLE_CONNECTIONS_MAX)
+            .max_idle_connections_per_host(IDLE_CONNECTIONS_MAX)
+            .max_idle_age(IDLE_AGE_MAX)
+            .build()
+            .new_agent();
+        Self { peer, agent }
+    }
+
+    /// The peer.
+    #[must_use]
+    pub const fn peer(&self) -> PeerAddress {
+        self.peer
+    }
+
+    pub(crate) const fn agent(&self) -> &Agent {
+        &self.agent
+    }
+}
--- a/crates/platform/src/runner/runner_client.rs
+++ b/crates/platform/src/runner/runner_client.rs
@@ -8,6 +8,7 @@
 use crate::http::HttpAnswer;
 use crate::http::HttpClient;
 use crate::http::PeerAddress;
+use crate::http::PeerConnections;
 use crate::runner::RunnerOutcome;
 use crate::runner::RunnerRequest;
 use crate::runner::forwarded_headers::forwarded_headers;
@@ -29,7 +30,8 @@
 }
 
 impl RunnerClient {
-    /// A client of the runner at `peer`. Nothing is sent yet.
+    /// A client of the runner at `peer` with connections of its own. Nothing is
+    /// sent yet.
     #[must_use]
     pub fn new(peer: PeerAddress, limits: CallLimits) -> Self {
         Self {
@@ -37,6 +39,14 @@
         }
     }
 
+    /// A client over connections that it shares. Nothing is sent yet.
+    #[must_use]
+    pub const fn over(connections: PeerConnections, limits: CallLimits) -> Self {
+        Self {
+            client: HttpClient::over(connections, limits),
+        }
+    }
+
     /// Forwards a request and waits for the whole answer.
     ///
     /// # Panics
--- a/crates/platform/src/worker/worker_client.rs
+++ b/crates/platform/src/worker/worker_client.rs
@@ -11,6 +11,7 @@
 use crate::http::HttpAnswer;
 use crate::http::HttpClient;
 use crate::http::PeerAddress;
+use crate::http::PeerConnections;
 use crate::worker::WorkerError;
 use sapphirestile_core::StepError;
 use sapphirestile_wire::worker::SessionReport;
@@ -33,15 +34,22 @@
 }
 
 impl WorkerClient {
-    /// A client of the worker at `peer`. Nothing is sent yet.
+    /// A client of the worker at `peer` with connections of its own. Nothing is
+    /// sent yet.
     #[must_use]
     pub fn new(peer: PeerAddress, timeout: Duration) -> Self {
+        Self::over(PeerConnections::new(peer), timeout)
+    }
+
+    /// A client over connections that it shares. Nothing is sent yet.
+    #[must_use]
+    pub const fn over(connections: PeerConnections, timeout: Duration) -> Self {
         let limits = CallLimits {
             timeout,
             answer_max_bytes: WORKER_ANSWER_MAX_BYTES,
         };
         Self {
-            client: HttpClient::new(peer, limits),
+            client: HttpClient::over(connections, limits),
         }
     }
 
--- a/crates/platform/tests/calls/pool_scenes.rs
+++ b/crates/platform/tests/calls/pool_scenes.rs
@@ -6,6 +6,7 @@
 use sapphirestile_platform::http::CallError;
 use sapphirestile_platform::http::CallLimits;
 use sapphirestile_platform::http::CallRequest;
+use sapphirestile_platform::http::ConnectionTable;
 use sapphirestile_platform::http::HttpClient;
 
 use crate::peer_script::PeerScript;
@@ -48,6 +49,26 @@
     assert_eq!(bodies(&peer), ["1", "2"]);
 }
 
+#[test]
+fn clients_made_for_each_call_share_the_connections_of_a_table() {
+    let first = vec![PeerScript::answer(FIRST), PeerScript::answer(SECOND)];
+    let peer = ScriptedPeer::start(vec![first, vec![PeerScript::answer(FIRST)]]);
+    let table = ConnectionTable::new();
+    let client = |seconds| {
+        let limits = CallLimits {
+            timeout: Duration::from_secs(seconds),
+            answer_max_bytes: 64,
+        };
+        HttpClient::over(table.connections(peer.address()), limits)
+    };
+    assert_eq!(post(&client(20), "1"), Ok(b"first".to_vec()));
+    assert_eq!(post(&client(21), "2"), Ok(b"second".to_vec()));
+    table.keep(&[]);
+    assert!(table.is_empty());
+    assert_eq!(post(&client(20), "3"), Ok(b"first".to_vec()));
+    assert_eq!(bodies(&peer), ["1", "2", "3"]);
+}
+
 /// The peer takes the second request on the shared connection and closes it.
 #[test]
 fn a_call_on_a_connection_that_closes_is_unknown_and_not_sent_again() {
--- /dev/null
+++ b/crates/standins/tests/states/store_scenes.rs
@@ -0,0 +1,171 @@
+//! Rows, revisions and leases of the store.
+
+use sapphirestile_core::MonoTime;
+use sapphirestile_standins::store::ChangeEntry;
+use sapphirestile_standins::store::KeySpan;
+use sapphirestile_standins::store::StoreState;
+use sapphirestile_standins::store::TxnFault;
+use sapphirestile_standins::store::WatchOutcome;
+use sapphirestile_wire::store::Base64Bytes;
+use sapphirestile_wire::store::CompareClause;
+use sapphirestile_wire::store::CompareResult;
+use sapphirestile_wire::store::CompareTarget;
+use sapphirestile_wire::store::DecimalNumber;
+use sapphirestile_wire::store::DeleteCall;
+use sapphirestile_wire::store::PutCall;
+use sapphirestile_wire::store::TxnCall;
+use sapphirestile_wire::store::TxnWrite;
+
+const EVERYTHING: KeySpan<'static> = KeySpan {
+    first: b"\0",
+    end: b"\0",
+};
+
+const fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn put(key: &str, lease: i64) -> TxnWrite<'_> {
+    TxnWrite::Put(PutCall {
+        key: Base64Bytes::from(key.as_bytes()),
+        value: Base64Bytes::from(b"v".as_slice()),
+        lease: DecimalNumber::new(lease),
+    })
+}
+
+fn delete<'a>(first: &'a str, end: &'a str) -> TxnWrite<'a> {
+    TxnWrite::Delete(DeleteCall {
+        key: Base64Bytes::from(first.as_bytes()),
+        range_end: Base64Bytes::from(end.as_bytes()),
+    })
+}
+
+fn clause(key: &str, revision: i64) -> CompareClause<'_> {
+    CompareClause {
+        key: Base64Bytes::from(key.as_bytes()),
+        target: CompareTarget::Mod,
+        result: CompareResult::Equal,
+        mod_revision: DecimalNumber::new(revision),
+    }
+}
+
+fn write(state: &mut StoreState, now: u64, success: Vec<TxnWrite<'_>>) -> Result<bool, TxnFault> {
+    let compare = Vec::new();
+    state.commit(at(now), &TxnCall { compare, success })
+}
+
+fn rows(state: &StoreState) -> Vec<(&str, u64, u64)> {
+    let rows = state.range(EVERYTHING);
+    rows.map(|(key, entry)| {
+        let key = std::str::from_utf8(key).unwrap();
+        (key, entry.create_revision, entry.mod_revision)
+    })
+    .collect()
+}
+
+#[test]
+fn revisions_follow_writes() {
+    let mut state = StoreState::new();
+    assert_eq!(
+        write(&mut state, 0, vec![put("b", 0), put("a", 0)]),
+        Ok(true)
+    );
+    assert_eq!(write(&mut state, 0, vec![put("a", 0)]), Ok(true));
+    assert_eq!(rows(&state), [("a", 2, 3), ("b", 2, 2)]);
+    assert_eq!(write(&mut state, 0, vec![delete("x", "z")]), Ok(true));
+    assert_eq!(state.revision(), 3);
+    assert_eq!(write(&mut state, 0, vec![delete("a", "b")]), Ok(true));
+    assert_eq!(write(&mut state, 0, vec![put("a", 0)]), Ok(true));
+    assert_eq!(rows(&state), [("a", 5, 5), ("b", 2, 2)]);
+}
+
+#[test]
+fn every_clause_has_to_hold() {
+    let mut state = StoreState::new();
+    write(&mut state, 0, vec![put("a", 0)]).unwrap();
+    let mut commit = |compare| {
+        let success = vec![put("b", 0)];
+        state.commit(at(0), &TxnCall { compare, success })
+    };
+    assert_eq!(commit(vec![clause("a", 1)]), Ok(false));
+    assert_eq!(commit(vec![clause("a", 2), clause("b", 2)]), Ok(false));
+    assert_eq!(commit(vec![clause("a", 0)]), Ok(false));
+    assert_eq!(commit(vec![clause("a", -2)]), Ok(false));
+    assert_eq!(commit(vec![clause("a", 2), clause("b", 0)]), Ok(true));
+    assert_eq!(rows(&state), [("a", 2, 2), ("b", 3, 3)]);
+}
+
+#[test]
+fn a_key_is_written_once_in_a_transaction() {
+    let mut state = StoreState::new();
+    let twice = write(&mut state, 0, vec![put("a", 0), put("a", 0)]);
+    assert_eq!(twice, Err(TxnFault::DuplicateKey));
+    let deleted = write(&mut state, 0, vec![delete("a", "b"), put("a", 0)]);
+    assert_eq!(deleted, Err(TxnFault::DuplicateKey));
+    assert_eq!(rows(&state), []);
+}
+
+#[test]
+fn rows_go_when_their_lease_lapses() {
+    let mut state = StoreState::new();
+    let lease = state.grant(at(0), 1_000);
+    write(&mut state, 0, vec![put("leased", lease), put("kept", 0)]).unwrap();
+    assert_eq!(state.keep(at(999), lease), Some(1_000));
+    state.lapse(at(1_998));
+    assert_eq!(rows(&state).len(), 2);
+    assert_eq!(state.next_lapse(), Some(at(1_999)));
+    state.lapse(at(1_999));
+    assert_eq!(rows(&state), [("kept", 2, 2)]);
+    assert_eq!(state.revision(), 3);
+    assert_eq!(state.keep(at(1_999), lease), None);
+    let late = write(&mut state, 1_999, vec![put("leased", lease)]);
+    assert_eq!(late, Err(TxnFault::LeaseNotFound));
+}
+
+#[test]
+fn a_row_written_without_the_lease_outlives_it() {
+    let mut state = StoreState::new();
+    let lease = state.grant(at(0), 1_000);
+    write(&mut state, 0, vec![put("a", lease)]).unwrap();
+    write(&mut state, 0, vec![put("a", 0)]).unwrap();
+    state.lapse(at(5_000));
+    assert_eq!(rows(&state), [("a", 2, 3)]);
+}
+
+#[test]
+fn watches_are_told_of_writes_and_deletions_from_their_start() {
+    let mut state = StoreState::new();
+    let span = KeySpan {
+        first: b"a",
+        end: b"b",
+    };
+    write(&mut state, 0, vec![put("a1", 0), put("b1", 0)]).unwrap();
+    write(&mut state, 0, vec![delete("a1", "")]).unwrap();
+    let change = |revision| ChangeEntry {
+        revision,
+        key: b"a1".to_vec(),
+    };
+    let all = WatchOutcome::Changed(vec![change(2), change(3)]);
+    assert_eq!(state.changes_from(span, 2), all);
+    assert_eq!(
+        state.changes_from(span, 3),
+        WatchOutcome::Changed(vec![change(3)])
+    );
+    assert_eq!(state.changes_from(span, 4), WatchOutcome::Quiet);
+}
+
+#[test]
+fn watches_of_forgotten_changes_are_told_so() {
+    let mut state = StoreState::new();
+    for _ in 0..100_001 {
+        write(&mut state, 0, vec![put("a", 0)]).unwrap();
+    }
+    assert_eq!(
+        state.changes_from(EVERYTHING, 2),
+        WatchOutcome::Compacted(3)
+    );
+    assert!(matches!(
+        state.changes_from(EVERYTHING, 3),
+        WatchOutcome::Changed(_)
+    ));
+}
