--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`cells`] owns cells: it claims them, keeps their journals, calls workers;
 //! - [`peers`] carries calls to the owner of a cell;
 //! - [`operators`] answers the command-line tool;
+//! - [`console`] renders the operators' forms;
 //! - [`metrics`] counts what happens;
 //! - [`serving`] holds the HTTP ports and the gate of a planned stop;
 //! - [`settings`] checks what the daemon is told at its start;
@@ -18,6 +19,7 @@
 
 pub mod callers;
 pub mod cells;
+pub mod console;
 pub mod context;
 pub mod cycle;
 pub mod document;
