Compare closed reports only for runners that the ledger still has

The reporter had sent three tokens to the closed member, they came back through another, all were retired, and the runner was forgotten: the holder rightly dropped the runner's counters. The ledger has no such birth any more, so neither report counts.

The check was wrong, not the holder. It still compares every total of a runner whose birth the reporter's ledger has, in both directions; the doc comment of TokenHolder::close now says so.

Ruled out: keeping the counters of forgotten runners; no plan would read them.

--- a/crates/slots/src/held_tokens.rs
+++ b/crates/slots/src/held_tokens.rs
@@ -30,6 +30,12 @@
         }
     }
 
+    /// The generation that added the runner.
+    #[must_use]
+    pub const fn birth(&self) -> LedgerGeneration {
+        self.birth
+    }
+
     /// All tokens held: granted and received, less sent and retired.
     ///
     /// # Panics
--- a/crates/slots/src/token_holder.rs
+++ b/crates/slots/src/token_holder.rs
@@ -175,7 +175,8 @@
 
     /// Closes the counters with a member that is proven gone, and every earlier
     /// life of it. Nothing is accepted from it, and nothing handed to it, ever
-    /// after; the same call always returns the same report.
+    /// after; the same call always returns the same totals of a runner, for as
+    /// long as the ledger has the runner.
     pub fn close(&mut self, gone: &DaemonIdentity) -> ClosedReport {
         let known = self
             .closed
