Tell the fate of a write whose answer was lost from the history

Cause: a write of the document that took effect and was replaced before its answer was read back looked like a lost race, and the operator would be told that nothing was written. Every row lists the revisions that the latest changes replaced, and writes are guarded by that revision, so the row tells exactly: StoredDocument::fate_of answers written, beaten or unknown. Ruled out: comparing text or time alone.

The tool orders them before it sends.

Mutations seen to fail: zones neither ordered nor made single, text compared in place of the change, unlisted revisions taken as beaten.

--- a/crates/command/src/commands/submit_command.rs
+++ b/crates/command/src/commands/submit_command.rs
@@ -14,6 +14,7 @@
 use crate::operations::submit_job;
 use crate::output::CommandOutput;
 use sapphirestile_core::ResourceSize;
+use sapphirestile_core::ZoneName;
 use sapphirestile_wire::api::JobSubmission;
 
 const EXAMPLE: &str = "Example: sapphirestile --daemon 10.0.1.4:7070 submit patterns --customer tailors \
@@ -58,6 +59,7 @@
         "Zone that it may run in; give more to allow more",
     )
     .some("a zone")
+    .map(in_order)
     .optional();
     let job = job_argument();
     construct!(JobSubmission {
@@ -90,3 +92,10 @@
 {
     long(name).help(help).argument::<N>(metavar)
 }
+
+// The daemon keeps the zones in order, and a submission is told by comparing it.
+fn in_order(mut zones: Vec<ZoneName>) -> Vec<ZoneName> {
+    zones.sort();
+    zones.dedup();
+    zones
+}
--- a/crates/command/src/operations/operation_fault.rs
+++ b/crates/command/src/operations/operation_fault.rs
@@ -114,7 +114,9 @@
 }
 
 fn show_faults(formatter: &mut std::fmt::Formatter<'_>, faults: &[EntryFault]) -> std::fmt::Result {
-    write!(formatter, "refused: {} faults", faults.len())?;
+    let count = faults.len();
+    let plural = if count == 1 { "" } else { "s" };
+    write!(formatter, "refused: {count} fault{plural}")?;
     for fault in faults {
         write!(formatter, "\n  {fault}")?;
     }
--- a/crates/command/tests/tool/changes.rs
+++ b/crates/command/tests/tool/changes.rs
@@ -133,7 +133,7 @@
     assert_eq!(run.exit, ExitKind::Refused);
     assert_eq!(
         run.err,
-        "refused: 1 faults\n  [zone a] region = \"\": expected the name of a region\n"
+        "refused: 1 fault\n  [zone a] region = \"\": expected the name of a region\n"
     );
 }
 
--- a/crates/command/tests/tool/jobs.rs
+++ b/crates/command/tests/tool/jobs.rs
@@ -11,7 +11,7 @@
 use crate::tool_scene::run_against;
 use sapphirestile_command::ExitKind;
 
-const SUBMIT: [&str; 10] = [
+const SUBMIT: [&str; 11] = [
     "submit",
     "patterns",
     "--customer=tailors",
@@ -19,6 +19,7 @@
     "--cpu-milli=500",
     "--memory-mb=1024",
     "--run-ms=60000",
+    "--zone=rannikko-tku",
     "--zone=rannikko-hki",
     "--zone=rannikko-tku",
     "--urgent",
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -25,7 +25,8 @@
 //! Calls that change state (`PUT` and `POST`) carry the [`OperatorToken`] as
 //! `Authorization: Bearer TOKEN`; without it they are answered 401.
 //! [`StoredDocument`] is what the store holds of the document, with the latest
-//! [`RecordedChange`]s.
+//! [`RecordedChange`]s, which tell the [`WriteFate`] of a write whose answer was
+//! lost.
 
 mod author_name;
 mod call_refusal;
@@ -54,6 +55,7 @@
 mod task_view;
 mod unix_time;
 mod vm_listing;
+mod write_fate;
 mod zone_change;
 mod zone_status;
 
@@ -87,5 +89,6 @@
 pub use task_view::TaskView;
 pub use unix_time::UnixTime;
 pub use vm_listing::VmListing;
+pub use write_fate::WriteFate;
 pub use zone_change::ZoneChange;
 pub use zone_status::ZoneStatus;
--- a/crates/wire/src/api/stored_document.rs
+++ b/crates/wire/src/api/stored_document.rs
@@ -9,6 +9,7 @@
 use crate::api::DocumentChange;
 use crate::api::DocumentView;
 use crate::api::RecordedChange;
+use crate::api::WriteFate;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::DocumentDifference;
 use sapphirestile_core::StepError;
@@ -74,6 +75,26 @@
         }
     }
 
+    /// What this row, read back from the store, says of `write`.
+    ///
+    /// Writes are guarded by the revision that they replace, so at most one write
+    /// replaces a given revision.
+    #[must_use]
+    pub fn fate_of(&self, write: &Self) -> WriteFate {
+        let Some(change) = write.recent.first() else {
+            return WriteFate::Unknown;
+        };
+        let rival = self
+            .recent
+            .iter()
+            .find(|recent| recent.replaced == change.replaced);
+        match rival {
+            Some(rival) if rival == change => WriteFate::Written,
+            Some(_) => WriteFate::Beaten,
+            None => WriteFate::Unknown,
+        }
+    }
+
     /// The value to write into the store.
     ///
     /// # Panics
--- a/crates/wire/tests/api_bodies.rs
+++ b/crates/wire/tests/api_bodies.rs
@@ -14,6 +14,7 @@
 use sapphirestile_wire::api::RECENT_CHANGES_MAX;
 use sapphirestile_wire::api::StoredDocument;
 use sapphirestile_wire::api::UnixTime;
+use sapphirestile_wire::api::WriteFate;
 use sapphirestile_wire::api::ZoneChange;
 
 const PROPERTY_SEED: u64 = 0x0a91;
@@ -49,6 +50,24 @@
     assert_eq!(row.recent[0].lines[20], "and 10 more");
 }
 
+#[test]
+fn a_later_row_tells_the_fate_of_a_write() {
+    let base = StoredDocument::successor(None, &change(0, "[region r]\ncells = 1\n"), 0);
+    let ours = StoredDocument::successor(Some(&base), &change(5, "[region r]\ncells = 2\n"), 1);
+    let rival = StoredDocument::successor(Some(&base), &change(5, "[region r]\ncells = 3\n"), 1);
+    assert_eq!(base.fate_of(&ours), WriteFate::Unknown);
+    assert_eq!(ours.fate_of(&ours), WriteFate::Written);
+    assert_eq!(rival.fate_of(&ours), WriteFate::Beaten);
+    let mut later = ours.clone();
+    for revision in 6..25 {
+        later = StoredDocument::successor(Some(&later), &change(revision, ""), revision);
+        assert_eq!(later.fate_of(&ours), WriteFate::Written);
+        assert_eq!(later.fate_of(&rival), WriteFate::Beaten);
+    }
+    later = StoredDocument::successor(Some(&later), &change(25, ""), 25);
+    assert_eq!(later.fate_of(&ours), WriteFate::Unknown);
+}
+
 #[test_case(r#"{"state":"out","author":"maija","why":"storm"}"#; "an unknown field")]
 #[test_case(r#"{"state":"up","author":"maija"}"#; "an unknown state")]
 #[test_case(r#"{"state":"out","author":"a\nb"}"#; "an author of two lines")]
