--- a/crates/experiment/src/batch/batch_owner.rs
+++ b/crates/experiment/src/batch/batch_owner.rs
@@ -80,9 +80,10 @@
             TaskEvent::Outgrown { task } => {
                 let job = world.tasks[task].job;
                 if let Some(row) = self.placer.release(job, task) {
-                    self.placer
-                        .sizes
-                        .note_outgrown(&self.jobs[job].name, &row.given);
+                    let known = &self.jobs[job];
+                    let (name, customer) = (&known.name, &known.customer);
+                    let sizes = &mut self.placer.sizes;
+                    sizes.note_outgrown(name, customer, &row.given, &known.declared);
                     self.placer.requeue(job, task, now);
                 }
             }
@@ -109,6 +110,12 @@
         let job = world.tasks[task].job;
         if let Some(row) = self.placer.release(job, task) {
             self.placer.runs[job].add(now.millis_since(row.started));
+            if row.memory_mb > 0 {
+                let known = &self.jobs[job];
+                let (name, customer) = (&known.name, &known.customer);
+                let sizes = &mut self.placer.sizes;
+                sizes.note_end(name, customer, row.memory_mb, &known.declared);
+            }
             self.failures
                 .finished(job, row.worker, self.jobs, &self.placer);
         }
--- a/crates/experiment/src/batch/owner_setup.rs
+++ b/crates/experiment/src/batch/owner_setup.rs
@@ -9,24 +9,10 @@
 use sapphirestile_core::WorkerName;
 use sapphirestile_core::ZoneName;
 use sapphirestile_placement::CustomerRoom;
-use sapphirestile_placement::EstimatePolicy;
 use sapphirestile_placement::WorkerRoom;
 
 const QUOTA_PART: u64 = 2;
 
-/// An estimate that takes declared sizes as true.
-pub(super) const fn as_declared() -> EstimatePolicy {
-    EstimatePolicy {
-        cpu_share_permille: 1_000,
-        cpu_margin_permille: 1_000,
-        job_memory_margin_permille: 1_000,
-        customer_memory_share_permille: 1_000,
-        customer_memory_margin_permille: 1_000,
-        job_reports_min: u32::MAX,
-        customer_reports_min: u32::MAX,
-    }
-}
-
 /// An empty worker.
 pub(super) fn room_of(plan: &DeploymentPlan, worker: usize) -> WorkerRoom {
     let zone = plan.zones[DeploymentPlan::zone_of(worker)];
--- a/crates/experiment/src/batch/task_placer.rs
+++ b/crates/experiment/src/batch/task_placer.rs
@@ -11,7 +11,6 @@
 use crate::batch::BatchWorld;
 use crate::batch::baseline_choice::first_with_room;
 use crate::batch::baseline_choice::least_loaded;
-use crate::batch::owner_setup::as_declared;
 use crate::batch::owner_setup::customer_mut;
 use crate::batch::owner_setup::customers_of;
 use crate::batch::owner_setup::room_of;
@@ -90,7 +89,7 @@
             estimate_policy: if measured {
                 EstimatePolicy::default()
             } else {
-                as_declared()
+                EstimatePolicy::as_declared()
             },
             first_task,
             whole,
--- a/crates/experiment/src/experiment_options.rs
+++ b/crates/experiment/src/experiment_options.rs
@@ -18,6 +18,8 @@
     pub table: TableKind,
     /// The deployment's name; both when absent.
     pub deployment: Option<String>,
+    /// The one row to run; all when absent.
+    pub only: Option<String>,
     /// The first seed.
     pub first_seed: u64,
     /// How many seeds, one run each.
@@ -43,6 +45,10 @@
             .help("association or sand-works; both when absent")
             .argument::<String>("NAME")
             .optional();
+        let only = long("only")
+            .help("The one row to run; all when absent")
+            .argument::<String>("POLICY")
+            .optional();
         let first_seed = long("first-seed")
             .help("The first seed")
             .argument::<u64>("SEED")
@@ -66,6 +72,7 @@
         construct!(Self {
             table,
             deployment,
+            only,
             first_seed,
             seeds,
             minutes,
--- a/crates/experiment/src/experiment_run.rs
+++ b/crates/experiment/src/experiment_run.rs
@@ -35,7 +35,10 @@
 }
 
 fn table_of(plan: &DeploymentPlan, options: &ExperimentOptions) -> OutcomeTable {
-    let policies = PolicySet::rows_of(options.table);
+    let mut policies = PolicySet::rows_of(options.table);
+    if let Some(only) = &options.only {
+        policies.retain(|policy| policy.name == *only);
+    }
     let seeds = (options.first_seed..options.first_seed + options.seeds).collect::<Vec<_>>();
     let runs = policies.len() * seeds.len();
     let mut outcomes = vec![RunOutcome::default(); runs];
--- a/crates/experiment/tests/experiment.rs
+++ b/crates/experiment/tests/experiment.rs
@@ -10,6 +10,7 @@
     ExperimentOptions {
         table,
         deployment: Some("sand-works".to_owned()),
+        only: None,
         first_seed,
         seeds: 2,
         minutes: 3,
--- a/crates/placement/src/estimate/size_book.rs
+++ b/crates/placement/src/estimate/size_book.rs
@@ -34,14 +34,17 @@
 /// let policy = EstimatePolicy::default();
 ///
 /// let mut book = SizeBook::default();
-/// assert_eq!(book.estimate(&job, &customer, &declared, &policy).size, declared);
+/// let unknown = book.estimate(&job, &customer, &declared, &policy);
+/// assert_eq!(unknown.size.cpu_milli, declared.cpu_milli);
 /// for _ in 0..8 {
 ///     book.note_usage(&job, &customer, &used, &declared);
+///     book.note_end(&job, &customer, used.memory_mb, &declared);
 /// }
-/// let estimate = book.estimate(&job, &customer, &declared, &policy);
-/// assert_eq!(estimate.basis, SizeBasis::Job);
-/// assert!(estimate.size.cpu_milli < 1_500);
-/// assert_eq!(estimate.size.accelerators, 1);
+/// let known = book.estimate(&job, &customer, &declared, &policy);
+/// assert_eq!(known.cpu_basis, SizeBasis::Job);
+/// assert!(known.size.cpu_milli < 1_500);
+/// assert!(known.size.memory_mb < 3_000);
+/// assert_eq!(known.size.accelerators, 1);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SizeBook {
@@ -50,7 +53,7 @@
 }
 
 impl SizeBook {
-    /// Counts the usage of one task that declared `declared`.
+    /// Counts the usage of one running task that declared `declared`.
     pub fn note_usage(
         &mut self,
         job: &JobName,
@@ -58,15 +61,36 @@
         used: &ResourceSize,
         declared: &ResourceSize,
     ) {
-        history(&mut self.jobs, job).add(used, declared);
-        history(&mut self.customers, customer).add(used, declared);
+        history(&mut self.jobs, job).add_usage(used, declared);
+        history(&mut self.customers, customer).add_usage(used, declared);
+    }
+
+    /// Counts the most memory that a task used until it ended, in mebibytes.
+    ///
+    /// Running tasks may still grow, so only ended ones make memory known.
+    pub fn note_end(
+        &mut self,
+        job: &JobName,
+        customer: &CustomerName,
+        most_mb: u64,
+        declared: &ResourceSize,
+    ) {
+        history(&mut self.jobs, job).add_end(most_mb, declared);
+        history(&mut self.customers, customer).add_end(most_mb, declared);
     }
 
     /// A task of `job` was stopped by the worker's guard since it outgrew `given`.
-    pub fn note_outgrown(&mut self, job: &JobName, given: &ResourceSize) {
-        let row = history(&mut self.jobs, job);
+    pub fn note_outgrown(
+        &mut self,
+        job: &JobName,
+        customer: &CustomerName,
+        given: &ResourceSize,
+        declared: &ResourceSize,
+    ) {
         let grown = given.memory_mb * OUTGROWN_GROWTH_PERMILLE / WHOLE_PERMILLE;
+        let row = history(&mut self.jobs, job);
         row.outgrown_mb = row.outgrown_mb.max(grown);
+        history(&mut self.customers, customer).add_end(grown, declared);
     }
 
     /// Forgets a job that has ended.
@@ -86,24 +110,18 @@
         policy: &EstimatePolicy,
     ) -> SizeEstimate {
         let of_job = self.jobs.get(job);
-        let (mut size, mut basis) = match of_job {
-            Some(row) if row.cpu.total() >= policy.job_reports_min => {
-                (size_from_job(row, declared, policy), SizeBasis::Job)
-            }
-            _ => match self.customers.get(customer) {
-                Some(row) if row.cpu.total() >= policy.customer_reports_min => (
-                    size_from_customer(row, declared, policy),
-                    SizeBasis::Customer,
-                ),
-                _ => (*declared, SizeBasis::Declared),
+        let of_customer = self.customers.get(customer);
+        let (cpu_milli, cpu_basis) = cpu_of(of_job, of_customer, declared, policy);
+        let (memory_mb, memory_basis) = memory_of(of_job, of_customer, declared, policy);
+        SizeEstimate {
+            size: ResourceSize {
+                cpu_milli,
+                memory_mb,
+                accelerators: declared.accelerators,
             },
-        };
-        let outgrown_mb = of_job.map_or(0, |row| row.outgrown_mb);
-        if outgrown_mb > size.memory_mb {
-            size.memory_mb = outgrown_mb;
-            basis = SizeBasis::Outgrown;
+            cpu_basis,
+            memory_basis,
         }
-        SizeEstimate { size, basis }
     }
 }
 
@@ -114,53 +132,60 @@
     table.get_or_insert_with(key.clone(), UsageHistory::default)
 }
 
-fn size_from_job(
-    row: &UsageHistory,
+fn cpu_of(
+    of_job: Option<&UsageHistory>,
+    of_customer: Option<&UsageHistory>,
     declared: &ResourceSize,
     policy: &EstimatePolicy,
-) -> ResourceSize {
-    ResourceSize {
-        cpu_milli: cpu_from(&row.cpu, declared, policy),
-        memory_mb: memory_from(
-            &row.memory,
-            declared,
-            WHOLE_PERMILLE,
-            policy.job_memory_margin_permille,
-        ),
-        accelerators: declared.accelerators,
-    }
+) -> (u64, SizeBasis) {
+    let known = |row: &&UsageHistory, least| row.cpu.total() >= least;
+    let job = of_job.filter(|row| known(row, policy.job_reports_min));
+    let customer = of_customer.filter(|row| known(row, policy.customer_reports_min));
+    let (row, basis) = match (job, customer) {
+        (Some(row), _) => (row, SizeBasis::Job),
+        (None, Some(row)) => (row, SizeBasis::Customer),
+        (None, None) => return (declared.cpu_milli, SizeBasis::Declared),
+    };
+    let share = policy.cpu_share_permille;
+    let margin = policy.cpu_margin_permille;
+    let cpu_milli = scaled(declared.cpu_milli, &row.cpu, share, margin);
+    (cpu_milli.max(CPU_MIN_MILLI), basis)
 }
 
-fn size_from_customer(
-    row: &UsageHistory,
+fn memory_of(
+    of_job: Option<&UsageHistory>,
+    of_customer: Option<&UsageHistory>,
     declared: &ResourceSize,
     policy: &EstimatePolicy,
-) -> ResourceSize {
-    ResourceSize {
-        cpu_milli: cpu_from(&row.cpu, declared, policy),
-        memory_mb: memory_from(
-            &row.memory,
-            declared,
-            policy.customer_memory_share_permille,
-            policy.customer_memory_margin_permille,
-        ),
-        accelerators: declared.accelerators,
+) -> (u64, SizeBasis) {
+    let known = |row: &&UsageHistory, least| row.memory.total() >= least;
+    let job = of_job.filter(|row| known(row, policy.job_ends_min));
+    let customer = of_customer.filter(|row| known(row, policy.customer_ends_min));
+    let margin = policy.job_memory_margin_permille;
+    let (memory_mb, basis) = if let Some(row) = job {
+        let most = scaled(declared.memory_mb, &row.memory, WHOLE_PERMILLE, margin);
+        (most, SizeBasis::Job)
+    } else if let Some(row) = customer {
+        let share = policy.customer_memory_share_permille;
+        let margin = policy.customer_memory_margin_permille;
+        let most = scaled(declared.memory_mb, &row.memory, share, margin);
+        (most, SizeBasis::Customer)
+    } else {
+        let margin = policy.declared_memory_margin_permille;
+        let most = declared.memory_mb.saturating_mul(margin) / WHOLE_PERMILLE;
+        (most, SizeBasis::Declared)
+    };
+    let seen_mb = of_job.map_or(0, |row| row.seen_mb) * margin / WHOLE_PERMILLE;
+    let outgrown_mb = of_job.map_or(0, |row| row.outgrown_mb);
+    if outgrown_mb > memory_mb.max(seen_mb) {
+        return (outgrown_mb, SizeBasis::Outgrown);
     }
+    (memory_mb.max(seen_mb).max(MEMORY_MIN_MB), basis)
 }
 
-fn cpu_from(seen: &RatioHistogram, declared: &ResourceSize, policy: &EstimatePolicy) -> u64 {
-    let share = policy.cpu_share_permille;
-    let margin = policy.cpu_margin_permille;
-    scaled(declared.cpu_milli, seen.percentile(share), margin).max(CPU_MIN_MILLI)
-}
-
-fn memory_from(seen: &RatioHistogram, declared: &ResourceSize, share: u64, margin: u64) -> u64 {
-    scaled(declared.memory_mb, seen.percentile(share), margin).max(MEMORY_MIN_MB)
-}
-
-fn scaled(declared: u64, ratio_permille: Option<u64>, margin_permille: u64) -> u64 {
-    let Some(ratio) = ratio_permille else {
+fn scaled(declared: u64, seen: &RatioHistogram, share: u64, margin: u64) -> u64 {
+    let Some(ratio) = seen.percentile(share) else {
         return declared;
     };
-    declared.saturating_mul(ratio) / WHOLE_PERMILLE * margin_permille / WHOLE_PERMILLE
+    declared.saturating_mul(ratio) / WHOLE_PERMILLE * margin / WHOLE_PERMILLE
 }
--- a/crates/placement/tests/placement/estimate.rs
+++ b/crates/placement/tests/placement/estimate.rs
@@ -23,24 +23,49 @@
     for _ in 0..times {
         let used = size(cpu_milli, memory_mb, 0);
         book.note_usage(&job_name(job), &customer, &used, &declared());
+        book.note_end(&job_name(job), &customer, memory_mb, &declared());
     }
 }
 
+fn outgrow(book: &mut SizeBook, job: &str) {
+    let customer = CustomerName::try_from("tailors").unwrap();
+    book.note_outgrown(&job_name(job), &customer, &declared(), &declared());
+}
+
 fn declared() -> ResourceSize {
     size(DECLARED.0, DECLARED.1, 0)
 }
 
+fn bases(estimate: &SizeEstimate) -> [SizeBasis; 2] {
+    [estimate.cpu_basis, estimate.memory_basis]
+}
+
 #[test]
 fn an_estimate_rests_on_the_nearest_evidence() {
     let mut book = SizeBook::default();
-    assert_eq!(estimate(&book, "a").basis, SizeBasis::Declared);
+    assert_eq!(bases(&estimate(&book, "a")), [SizeBasis::Declared; 2]);
     note(&mut book, "b", 1_000, 2_000, 40);
-    assert_eq!(estimate(&book, "a").basis, SizeBasis::Customer);
+    assert_eq!(bases(&estimate(&book, "a")), [SizeBasis::Customer; 2]);
     note(&mut book, "a", 2_000, 4_000, 8);
     let of_job = estimate(&book, "a");
-    assert_eq!(of_job.basis, SizeBasis::Job);
-    // Half of the declared size, to the end of its bucket, with the margin.
-    assert_eq!(of_job.size, size(2_252, 4_710, 0));
+    assert_eq!(
+        of_job.to_string(),
+        "2252 thousandths of a core from what the job's tasks used, \
+         4710 MiB from what the job's tasks used"
+    );
+}
+
+#[test]
+fn a_running_task_may_still_grow() {
+    let customer = CustomerName::try_from("tailors").unwrap();
+    let mut book = SizeBook::default();
+    for _ in 0..100 {
+        let young = size(1_000, 500, 0);
+        book.note_usage(&job_name("a"), &customer, &young, &declared());
+    }
+    let young = estimate(&book, "a");
+    assert_eq!(bases(&young), [SizeBasis::Job, SizeBasis::Declared]);
+    assert_eq!(young.size.memory_mb, 12_000);
 }
 
 #[test]
@@ -55,10 +80,13 @@
 #[test]
 fn an_outgrown_size_is_raised_beyond_what_was_declared() {
     let mut book = SizeBook::default();
-    book.note_outgrown(&job_name("a"), &declared());
-    let raised = estimate(&book, "a");
-    assert_eq!(raised.basis, SizeBasis::Outgrown);
+    let policy = EstimatePolicy::as_declared();
+    let customer = CustomerName::try_from("tailors").unwrap();
+    outgrow(&mut book, "a");
+    let raised = book.estimate(&job_name("a"), &customer, &declared(), &policy);
+    assert_eq!(bases(&raised), [SizeBasis::Declared, SizeBasis::Outgrown]);
     assert_eq!(raised.size, size(4_000, 12_000, 0));
     book.forget_job(&job_name("a"));
-    assert_eq!(estimate(&book, "a").basis, SizeBasis::Declared);
+    let forgotten = book.estimate(&job_name("a"), &customer, &declared(), &policy);
+    assert_eq!(bases(&forgotten), [SizeBasis::Declared; 2]);
 }
