--- a/crates/placement/src/estimate/estimate_policy.rs
+++ b/crates/placement/src/estimate/estimate_policy.rs
@@ -30,9 +30,9 @@
         Self {
             cpu_share_permille: 500,
             cpu_margin_permille: 1_000,
-            job_memory_margin_permille: 1_150,
+            job_memory_margin_permille: 1_050,
             customer_memory_share_permille: 980,
-            customer_memory_margin_permille: 1_100,
+            customer_memory_margin_permille: 1_000,
             declared_memory_margin_permille: 1_500,
             job_reports_min: 8,
             customer_reports_min: 40,
--- a/crates/placement/src/estimate/ratio_histogram.rs
+++ b/crates/placement/src/estimate/ratio_histogram.rs
@@ -1,14 +1,15 @@
 //! How often each ratio of used to declared was seen.
 
-const BUCKETS: usize = 40;
-/// Upper ends of the buckets grow by a quarter of an octave each.
-const BUCKETS_PER_OCTAVE: usize = 4;
-const QUARTERS_PERMILLE: [u64; BUCKETS_PER_OCTAVE] = [1_000, 1_189, 1_414, 1_682];
+const BUCKETS: usize = 80;
+/// Upper ends of the buckets grow by an eighth of an octave each.
+const BUCKETS_PER_OCTAVE: usize = 8;
+const EIGHTHS_PERMILLE: [u64; BUCKETS_PER_OCTAVE] =
+    [1_000, 1_091, 1_189, 1_297, 1_414, 1_542, 1_682, 1_834];
 const LOWEST_PERMILLE: u64 = 16;
 const WEIGHT_MAX: u32 = 4_000;
 const WHOLE_PERMILLE: u64 = 1_000;
 
-/// Counts of ratios in thousandths, in buckets of a quarter of an octave.
+/// Counts of ratios in thousandths, in buckets of an eighth of an octave.
 ///
 /// # Examples
 ///
@@ -79,5 +80,5 @@
 
 const fn upper_end(bucket: usize) -> u64 {
     let octave = LOWEST_PERMILLE << (bucket / BUCKETS_PER_OCTAVE);
-    octave * QUARTERS_PERMILLE[bucket % BUCKETS_PER_OCTAVE] / WHOLE_PERMILLE
+    octave * EIGHTHS_PERMILLE[bucket % BUCKETS_PER_OCTAVE] / WHOLE_PERMILLE
 }
