Keep one identity of a daemon and one request key, in core

Cause: the same two types stood in cells, slots and routing.

Ruled out: conversions between them.

Before: two pairs of types and a text in the peers' messages. After: one pair, checked on both ends.

Conclusion: nothing else changes.

--- a/crates/cells/src/journal.rs
+++ b/crates/cells/src/journal.rs
@@ -1,6 +1,6 @@
 //! The journal of a cell.
 //!
-//! A [`JournalEntry`] names its writer by [`OwnerMark`] and a nonce, so that a
+//! A [`JournalEntry`] names its writer by [`sapphirestile_core::DaemonIdentity`] and a nonce, so that a
 //! writer whose answer was lost finds out by reading whether the entry is its
 //! own. Its [`EntryBody`] is a claim, a release or a batch of
 //! [`CellTransition`]s.
@@ -9,10 +9,8 @@
 mod entry_body;
 mod job_order;
 mod journal_entry;
-mod owner_mark;
 
 pub use cell_transition::CellTransition;
 pub use entry_body::EntryBody;
 pub use job_order::JobOrder;
 pub use journal_entry::JournalEntry;
-pub use owner_mark::OwnerMark;
--- a/crates/cells/src/journal/cell_transition.rs
+++ b/crates/cells/src/journal/cell_transition.rs
@@ -4,11 +4,11 @@
 use serde::Serialize;
 
 use crate::journal::JobOrder;
-use crate::state::RequestKey;
 use crate::state::RequestRecord;
 use crate::state::TaskOutcome;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::JobName;
+use sapphirestile_core::RequestKey;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_core::TaskName;
 use sapphirestile_core::WorkerName;
--- a/crates/cells/src/journal/journal_entry.rs
+++ b/crates/cells/src/journal/journal_entry.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 use crate::journal::EntryBody;
-use crate::journal::OwnerMark;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::JournalSequence;
 
 /// One entry of a journal.
@@ -13,7 +13,7 @@
     /// The entry's place in the journal.
     pub sequence: JournalSequence,
     /// Who wrote it.
-    pub writer: OwnerMark,
+    pub writer: DaemonIdentity,
     /// Tells this write from every other of the same writer.
     pub nonce: u64,
     /// What it says.
--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -4,16 +4,16 @@
 use crate::journal::EntryBody;
 use crate::journal::JobOrder;
 use crate::journal::JournalEntry;
-use crate::journal::OwnerMark;
 use crate::owner::ClaimingPhase;
 use crate::owner::OpenPhase;
 use crate::state::AssignedPhase;
 use crate::state::CellState;
-use crate::state::RequestKey;
 use crate::state::RequestRecord;
 use crate::state::TaskEntry;
 use crate::state::TaskOutcome;
 use crate::state::TransitionFault;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::RequestKey;
 mod batch_commits;
 mod forgetting;
 mod start_planning;
@@ -33,14 +33,14 @@
 /// ```
 /// use sapphirestile_cells::CellOwner;
 /// use sapphirestile_cells::CellState;
-/// use sapphirestile_cells::OwnerMark;
+/// use sapphirestile_core::DaemonIdentity;
 /// use sapphirestile_core::CellNumber;
 /// use sapphirestile_core::DaemonName;
 /// use sapphirestile_core::IncarnationNumber;
 ///
 /// let daemon = DaemonName::try_from("entry-1").unwrap();
-/// let mark = OwnerMark { daemon, incarnation: IncarnationNumber::new(1) };
-/// let claiming = CellOwner::claim(CellNumber::new(0), mark, CellState::default(), 77);
+/// let identity = DaemonIdentity { daemon, incarnation: IncarnationNumber::new(1) };
+/// let claiming = CellOwner::claim(CellNumber::new(0), identity, CellState::default(), 77);
 /// assert_eq!(claiming.entry().sequence.get(), 1);
 /// let open = claiming.claimed();
 /// assert_eq!(open.state().epoch().get(), 1);
@@ -48,7 +48,7 @@
 #[derive(Debug)]
 pub struct CellOwner<Phase> {
     cell: CellNumber,
-    mark: OwnerMark,
+    identity: DaemonIdentity,
     state: CellState,
     phase: Phase,
 }
@@ -70,18 +70,18 @@
 impl CellOwner<ClaimingPhase> {
     /// Claims a cell whose journal folds to `state`.
     #[must_use]
-    pub fn claim(cell: CellNumber, mark: OwnerMark, state: CellState, nonce: u64) -> Self {
+    pub fn claim(cell: CellNumber, identity: DaemonIdentity, state: CellState, nonce: u64) -> Self {
         let sequence = state.sequence().next();
         let body = EntryBody::Claim;
         let entry = JournalEntry {
             sequence,
-            writer: mark.clone(),
+            writer: identity.clone(),
             nonce,
             body,
         };
         Self {
             cell,
-            mark,
+            identity,
             state,
             phase: ClaimingPhase { entry },
         }
@@ -98,11 +98,14 @@
     pub fn claimed(mut self) -> CellOwner<OpenPhase> {
         self.state.fold(&self.phase.entry);
         let Self {
-            cell, mark, state, ..
+            cell,
+            identity,
+            state,
+            ..
         } = self;
         CellOwner {
             cell,
-            mark,
+            identity,
             state,
             phase: OpenPhase::default(),
         }
@@ -180,7 +183,7 @@
         let sequence = self.state.sequence().next();
         JournalEntry {
             sequence,
-            writer: self.mark,
+            writer: self.identity,
             nonce,
             body: EntryBody::Release,
         }
--- a/crates/cells/src/owner/cell_owner/batch_commits.rs
+++ b/crates/cells/src/owner/cell_owner/batch_commits.rs
@@ -19,7 +19,7 @@
         let transitions = std::mem::take(&mut self.phase.pending);
         self.phase.flight = Some(JournalEntry {
             sequence: self.state.sequence().next(),
-            writer: self.mark.clone(),
+            writer: self.identity.clone(),
             nonce,
             body: EntryBody::Batch(transitions),
         });
--- a/crates/cells/src/state.rs
+++ b/crates/cells/src/state.rs
@@ -7,7 +7,6 @@
 
 mod cell_state;
 mod job_record;
-mod request_key;
 mod request_record;
 mod task_cycle;
 mod task_entry;
@@ -16,7 +15,6 @@
 
 pub use cell_state::CellState;
 pub use job_record::JobRecord;
-pub use request_key::RequestKey;
 pub use request_record::RequestRecord;
 pub use task_cycle::AssignedPhase;
 pub use task_cycle::EndedPhase;
--- a/crates/cells/src/state/cell_state.rs
+++ b/crates/cells/src/state/cell_state.rs
@@ -7,10 +7,8 @@
 use crate::journal::EntryBody;
 use crate::journal::JobOrder;
 use crate::journal::JournalEntry;
-use crate::journal::OwnerMark;
 use crate::state::AssignedPhase;
 use crate::state::JobRecord;
-use crate::state::RequestKey;
 use crate::state::RequestRecord;
 use crate::state::TaskCycle;
 use crate::state::TaskEntry;
@@ -18,8 +16,10 @@
 use crate::state::TransitionFault;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellEpoch;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::JobName;
 use sapphirestile_core::JournalSequence;
+use sapphirestile_core::RequestKey;
 use sapphirestile_core::SortedTable;
 use sapphirestile_core::TaskIndex;
 use sapphirestile_core::TaskName;
@@ -42,7 +42,7 @@
 pub struct CellState {
     sequence: JournalSequence,
     epoch: CellEpoch,
-    owner: Option<OwnerMark>,
+    owner: Option<DaemonIdentity>,
     jobs: SortedTable<JobName, JobRecord>,
     tasks: SortedTable<TaskName, TaskEntry>,
     records: SortedTable<RequestKey, RequestRecord>,
@@ -63,7 +63,7 @@
 
     /// Who owns the cell; nobody after a release.
     #[must_use]
-    pub const fn owner(&self) -> Option<&OwnerMark> {
+    pub const fn owner(&self) -> Option<&DaemonIdentity> {
         self.owner.as_ref()
     }
 
--- a/crates/cells/src/state/request_record.rs
+++ b/crates/cells/src/state/request_record.rs
@@ -3,13 +3,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::journal::OwnerMark;
+use sapphirestile_core::DaemonIdentity;
 
 /// The record of a request, made before its first byte leaves.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestRecord {
     /// The daemon that sends it.
-    pub sender: OwnerMark,
+    pub sender: DaemonIdentity,
     /// When it was recorded, in seconds of the Unix epoch.
     pub recorded_unix_s: u64,
 }
--- a/crates/routing/src/request_key.rs
+++ b/crates/core/src/request_key.rs
@@ -2,6 +2,12 @@
 
 mod key_fault;
 
+use std::borrow::Cow;
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+
 pub use key_fault::KeyFault;
 
 /// The longest key, in characters.
@@ -12,13 +18,14 @@
 /// # Examples
 ///
 /// ```
-/// use sapphirestile_routing::RequestKey;
+/// use sapphirestile_core::RequestKey;
 ///
 /// let key = RequestKey::try_from("order-17/plot").unwrap();
 /// assert_eq!(key.as_str(), "order-17/plot");
 /// assert!(RequestKey::try_from("two words").is_err());
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(transparent)]
 pub struct RequestKey(Box<str>);
 
 impl RequestKey {
@@ -40,3 +47,16 @@
         Err(KeyFault)
     }
 }
+
+impl<'de> Deserialize<'de> for RequestKey {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = <Cow<'de, str>>::deserialize(deserializer)?;
+        Self::try_from(text.as_ref()).map_err(serde::de::Error::custom)
+    }
+}
+
+impl std::borrow::Borrow<str> for RequestKey {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
--- a/crates/daemon/src/callers/caller_service.rs
+++ b/crates/daemon/src/callers/caller_service.rs
@@ -14,6 +14,7 @@
 use crate::serving::HttpReply;
 use crate::serving::HttpService;
 use sapphirestile_core::MonoTime;
+use sapphirestile_core::RequestKey;
 use sapphirestile_core::ServiceEntry;
 use sapphirestile_platform::http::CallLimits;
 use sapphirestile_platform::http::PeerAddress;
@@ -25,7 +26,6 @@
 use sapphirestile_routing::RecordProof;
 use sapphirestile_routing::RequestCycle;
 use sapphirestile_routing::RequestFacts;
-use sapphirestile_routing::RequestKey;
 use sapphirestile_routing::RouteQuery;
 use sapphirestile_routing::RouteRefusal;
 use sapphirestile_wire::peer::PeerAnswer;
@@ -129,7 +129,7 @@
             .map()
             .ok_or_else(not_run)?
             .cell_of_key(key.as_str());
-        let record = PeerRequest::RecordRequest(cell, key.as_str().to_owned());
+        let record = PeerRequest::RecordRequest(cell, key.clone());
         match CellDesk::new(&self.context).call(cell, record) {
             PeerAnswer::Recorded { epoch, sequence } => {
                 Ok(RecordProof::committed(key, epoch, sequence))
--- a/crates/daemon/src/cells/cell_desk.rs
+++ b/crates/daemon/src/cells/cell_desk.rs
@@ -9,8 +9,8 @@
 use crate::cells::KeeperHandle;
 use crate::context::DaemonContext;
 use crate::peers::PeerClient;
-use sapphirestile_cells::OwnerMark;
 use sapphirestile_core::CellNumber;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_wire::peer::PeerAnswer;
 use sapphirestile_wire::peer::PeerFault;
 use sapphirestile_wire::peer::PeerRequest;
@@ -33,7 +33,7 @@
     #[must_use]
     pub fn call(&self, cell: CellNumber, request: PeerRequest) -> PeerAnswer {
         if self.context.keepers.load().keeper(cell).is_some() {
-            return self.call_here(cell, &self.context.mark, request);
+            return self.call_here(cell, &self.context.identity, request);
         }
         let now = self.context.clock.now();
         let suspect_ms = self.context.settings.limits.suspect_ms;
@@ -53,7 +53,7 @@
     pub fn call_here(
         &self,
         cell: CellNumber,
-        caller: &OwnerMark,
+        caller: &DaemonIdentity,
         request: PeerRequest,
     ) -> PeerAnswer {
         let keepers = self.context.keepers.load();
@@ -64,7 +64,7 @@
     }
 }
 
-fn call_keeper(handle: &KeeperHandle, caller: &OwnerMark, request: PeerRequest) -> PeerAnswer {
+fn call_keeper(handle: &KeeperHandle, caller: &DaemonIdentity, request: PeerRequest) -> PeerAnswer {
     let (reply, answers) = bounded(1);
     let call = KeeperCall {
         caller: caller.clone(),
--- a/crates/daemon/src/cells/cell_director.rs
+++ b/crates/daemon/src/cells/cell_director.rs
@@ -113,7 +113,7 @@
 
     fn is_preferred(&self, map: CellMap, cell: CellNumber, now: MonoTime) -> bool {
         let suspect_ms = self.context.settings.limits.suspect_ms;
-        let own = self.context.mark.daemon.as_str();
+        let own = self.context.identity.daemon.as_str();
         let members = self.context.members.load();
         let mut serving: Vec<&str> = members
             .rows()
@@ -140,8 +140,8 @@
     ) -> Result<Option<(CellOwner<OpenPhase>, CellJournal)>, Report<StepError>> {
         let store = &self.context.store;
         let loaded = CellJournal::load(store.as_ref(), cell)?;
-        let mark = self.context.mark.clone();
-        let claiming = CellOwner::claim(cell, mark, loaded.state, rand::random());
+        let identity = self.context.identity.clone();
+        let claiming = CellOwner::claim(cell, identity, loaded.state, rand::random());
         let mut journal = CellJournal::new(Arc::clone(store), cell, loaded.head);
         let entry = claiming.entry().clone();
         let batch = JournalBatch {
--- a/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
@@ -6,10 +6,10 @@
 use crate::cells::job_render;
 use crate::context::MonoClock;
 use sapphirestile_cells::JobRecord;
-use sapphirestile_cells::RequestKey;
 use sapphirestile_cells::RequestRecord;
 use sapphirestile_cells::TransitionFault;
 use sapphirestile_core::JobName;
+use sapphirestile_core::RequestKey;
 use sapphirestile_core::TaskIndex;
 use sapphirestile_wire::api::JobSubmission;
 use sapphirestile_wire::api::JobView;
@@ -120,16 +120,12 @@
         PeerAnswer::Explained(subject, job_render::explain(&view, index))
     }
 
-    fn record(&mut self, key: &str, call: &KeeperCall) -> PeerAnswer {
-        let key = match RequestKey::try_from(key) {
-            Ok(key) => key,
-            Err(fault) => return PeerAnswer::Fault(PeerFault::NotRun(fault.to_owned())),
-        };
+    fn record(&mut self, key: &RequestKey, call: &KeeperCall) -> PeerAnswer {
         let record = RequestRecord {
             sender: call.caller.clone(),
             recorded_unix_s: MonoClock::unix_millis() / MILLIS_PER_SECOND,
         };
-        match self.owner.record_request(&key, &record) {
+        match self.owner.record_request(key, &record) {
             Ok(()) => PeerAnswer::Recorded {
                 epoch: self.owner.epoch(),
                 sequence: self.owner.last_proposed(),
--- a/crates/daemon/src/cells/head_record.rs
+++ b/crates/daemon/src/cells/head_record.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 use sapphirestile_cells::JournalEntry;
-use sapphirestile_cells::OwnerMark;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::JournalSequence;
 
 /// Which entry of a journal is the latest.
@@ -13,7 +13,7 @@
     /// Its place.
     pub sequence: JournalSequence,
     /// Who wrote it.
-    pub writer: OwnerMark,
+    pub writer: DaemonIdentity,
     /// Tells its write from every other of the same writer.
     pub nonce: u64,
 }
--- a/crates/daemon/src/cells/keeper_call.rs
+++ b/crates/daemon/src/cells/keeper_call.rs
@@ -2,7 +2,7 @@
 
 use crossbeam::channel::Sender;
 
-use sapphirestile_cells::OwnerMark;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_wire::peer::PeerAnswer;
 use sapphirestile_wire::peer::PeerRequest;
 
@@ -10,7 +10,7 @@
 #[derive(Debug)]
 pub struct KeeperCall {
     /// Who calls.
-    pub caller: OwnerMark,
+    pub caller: DaemonIdentity,
     /// What is asked.
     pub request: PeerRequest,
     /// Where the answer goes.
--- a/crates/daemon/src/context/daemon_context.rs
+++ b/crates/daemon/src/context/daemon_context.rs
@@ -14,7 +14,7 @@
 use crate::settings::DaemonSettings;
 use crate::vms::VmTable;
 use sapphirestile_cells::CellMap;
-use sapphirestile_cells::OwnerMark;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::MonoTime;
 use sapphirestile_platform::store::StoreClient;
 use sapphirestile_routing::TableCell;
@@ -25,7 +25,7 @@
     /// The checked settings.
     pub settings: DaemonSettings,
     /// This life of the daemon.
-    pub mark: OwnerMark,
+    pub identity: DaemonIdentity,
     /// The process's clock.
     pub clock: MonoClock,
     /// The platform's store.
--- a/crates/daemon/src/cycle/daemon_cycle.rs
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -41,7 +41,7 @@
 use crate::serving::RequestGate;
 use crate::settings::DaemonSettings;
 use crate::vms::VmPoller;
-use sapphirestile_cells::OwnerMark;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::StepError;
 use sapphirestile_platform::http::PeerAddress;
 use sapphirestile_platform::store::EtcdClient;
@@ -73,9 +73,9 @@
         let peers = PeerPorts::bind(settings.node.peers)?;
         settings.node.peers = peers.address;
         let store = open_store(&settings)?;
-        let mark = register(store.as_ref(), &settings);
-        info!(step = "register daemon", daemon = %mark, "registered");
-        let context = Arc::new(new_context(settings, mark, store));
+        let identity = register(store.as_ref(), &settings);
+        info!(step = "register daemon", daemon = %identity, "registered");
+        let context = Arc::new(new_context(settings, identity, store));
         let gate = Arc::new(RequestGate::default());
         let lot = Arc::new(ParkingLot::default());
         let callers = open_callers(&context, &gate, &lot)?;
@@ -204,13 +204,13 @@
 
 fn new_context(
     settings: DaemonSettings,
-    mark: OwnerMark,
+    identity: DaemonIdentity,
     store: Arc<dyn StoreClient>,
 ) -> DaemonContext {
     let key = FrameKey::new(settings.peering.key.as_bytes());
     DaemonContext {
         settings,
-        mark,
+        identity,
         clock: MonoClock::start(),
         store,
         pulse: StorePulse::default(),
@@ -231,7 +231,7 @@
     Ok(Arc::new(EtcdClient::new(peer, timeout)))
 }
 
-fn register(store: &dyn StoreClient, settings: &DaemonSettings) -> OwnerMark {
+fn register(store: &dyn StoreClient, settings: &DaemonSettings) -> DaemonIdentity {
     let daemon = settings.node.name.clone();
     let record = MemberRecord {
         zone: settings.node.zone.clone(),
@@ -239,7 +239,7 @@
         nonce: rand::random(),
     };
     let incarnation = MemberRegistration::new(store, daemon.as_str()).register(&record);
-    OwnerMark {
+    DaemonIdentity {
         daemon,
         incarnation,
     }
--- a/crates/daemon/src/members/heartbeat_receiver.rs
+++ b/crates/daemon/src/members/heartbeat_receiver.rs
@@ -51,9 +51,9 @@
     }
 
     fn note(&self, frame: &PeerFrame<PeerHeartbeat>) {
-        let mark = &self.context.mark;
-        if frame.sender == mark.daemon {
-            if frame.incarnation > mark.incarnation {
+        let identity = &self.context.identity;
+        if frame.sender == identity.daemon {
+            if frame.incarnation > identity.incarnation {
                 error!(
                     step = "receive heartbeat",
                     "replaced by a later incarnation"
--- a/crates/daemon/src/members/heartbeat_sender.rs
+++ b/crates/daemon/src/members/heartbeat_sender.rs
@@ -47,8 +47,8 @@
     fn send_round(&self) {
         let call = self.sent.fetch_add(1, Ordering::Relaxed) + 1;
         let frame = PeerFrame {
-            sender: self.context.mark.daemon.clone(),
-            incarnation: self.context.mark.incarnation,
+            sender: self.context.identity.daemon.clone(),
+            incarnation: self.context.identity.incarnation,
             call,
             body: self.heartbeat(),
         };
@@ -74,7 +74,7 @@
     }
 
     fn targets(&self) -> Vec<SocketAddr> {
-        let own = self.context.mark.daemon.as_str();
+        let own = self.context.identity.daemon.as_str();
         let members = self.context.members.load();
         let others = members.rows().filter(|(daemon, _)| daemon.as_str() != own);
         let mut targets: Vec<SocketAddr> = others.map(|(_, row)| row.address).collect();
--- a/crates/daemon/src/operators/status_calls.rs
+++ b/crates/daemon/src/operators/status_calls.rs
@@ -74,8 +74,8 @@
         let now = context.clock.now();
         let owned = context.keepers.load().owned();
         DaemonStatus {
-            daemon: context.mark.daemon.clone(),
-            incarnation: context.mark.incarnation,
+            daemon: context.identity.daemon.clone(),
+            incarnation: context.identity.incarnation,
             zone: context.settings.node.zone.clone(),
             phase: phase_of(context.phase.get()),
             revision: document.revision(),
--- a/crates/daemon/src/peers/peer_client.rs
+++ b/crates/daemon/src/peers/peer_client.rs
@@ -53,8 +53,8 @@
     ) -> std::io::Result<PeerAnswer> {
         let call = rand::random();
         let frame = PeerFrame {
-            sender: self.context.mark.daemon.clone(),
-            incarnation: self.context.mark.incarnation,
+            sender: self.context.identity.daemon.clone(),
+            incarnation: self.context.identity.incarnation,
             call,
             body: request,
         };
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -11,7 +11,7 @@
 use crate::cells::CellDesk;
 use crate::context::DaemonContext;
 use crate::peers::FrameStream;
-use sapphirestile_cells::OwnerMark;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_wire::peer::PeerAnswer;
 use sapphirestile_wire::peer::PeerFrame;
 use sapphirestile_wire::peer::PeerRequest;
@@ -54,8 +54,8 @@
             .open::<PeerRequest>(&sealed)
             .map_err(std::io::Error::other)?;
         let answer = PeerFrame {
-            sender: context.mark.daemon.clone(),
-            incarnation: context.mark.incarnation,
+            sender: context.identity.daemon.clone(),
+            incarnation: context.identity.incarnation,
             call: frame.call,
             body: answer(context, frame),
         };
@@ -65,7 +65,7 @@
 }
 
 fn answer(context: &DaemonContext, frame: PeerFrame<PeerRequest>) -> PeerAnswer {
-    let sender = OwnerMark {
+    let sender = DaemonIdentity {
         daemon: frame.sender,
         incarnation: frame.incarnation,
     };
--- a/crates/daemon/src/routes/route_publisher.rs
+++ b/crates/daemon/src/routes/route_publisher.rs
@@ -70,7 +70,7 @@
     /// This daemon's part of a runner's slots.
     fn share_of(&self, slots: u32, runner: &RunnerName) -> u32 {
         let members = self.context.members.load();
-        let own = self.context.mark.daemon.as_str();
+        let own = self.context.identity.daemon.as_str();
         let count = u32::try_from(members.rows().len())
             .unwrap_or(u32::MAX)
             .max(1);
--- a/crates/routing/src/record_proof.rs
+++ b/crates/routing/src/record_proof.rs
@@ -1,8 +1,8 @@
 //! The proof that a request is recorded.
 
-use crate::RequestKey;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::JournalSequence;
+use sapphirestile_core::RequestKey;
 
 /// Proof that the at-most-once record of a request is in a cell's journal.
 ///
--- a/crates/routing/src/request_facts.rs
+++ b/crates/routing/src/request_facts.rs
@@ -1,7 +1,7 @@
 //! What is known of a request when it is received.
 
-use crate::RequestKey;
 use sapphirestile_core::MonoTime;
+use sapphirestile_core::RequestKey;
 
 /// What is known of a request when it is received.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/routing/tests/loom_gauge.rs
+++ b/crates/routing/tests/loom_gauge.rs
@@ -5,6 +5,7 @@
 use loom::sync::atomic::AtomicU32;
 use loom::sync::atomic::Ordering;
 use loom::thread;
+
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::ZoneName;
--- a/crates/slots/src/closed_report.rs
+++ b/crates/slots/src/closed_report.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 use crate::ClosedTotal;
-use crate::DaemonIdentity;
+use sapphirestile_core::DaemonIdentity;
 
 /// The final counters between a member and one that is proven gone. The
 /// reporter accepts nothing more from the closed member.
--- a/crates/slots/src/closed_total.rs
+++ b/crates/slots/src/closed_total.rs
@@ -1,10 +1,10 @@
 //! One runner of a closed report.
 
-use sapphirestile_core::RunnerName;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::LedgerGeneration;
+use sapphirestile_core::RunnerName;
 
 /// The last counters between the reporter and the closed member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/slots/src/handover_counters.rs
+++ b/crates/slots/src/handover_counters.rs
@@ -1,9 +1,8 @@
 //! The counters between one member and the others.
 
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::SortedTable;
 
-use crate::DaemonIdentity;
-
 /// How many tokens of one runner a member ever sent to and received from each
 /// other member. The numbers only grow.
 ///
@@ -12,7 +11,7 @@
 /// ```
 /// use sapphirestile_core::DaemonName;
 /// use sapphirestile_core::IncarnationNumber;
-/// use sapphirestile_slots::DaemonIdentity;
+/// use sapphirestile_core::DaemonIdentity;
 /// use sapphirestile_slots::HandoverCounters;
 ///
 /// let peer = DaemonIdentity {
--- a/crates/slots/src/handover_message.rs
+++ b/crates/slots/src/handover_message.rs
@@ -3,8 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::DaemonIdentity;
 use crate::HandoverTotal;
+use sapphirestile_core::DaemonIdentity;
 
 /// Counters of one member towards another. It may be lost, repeated and
 /// reordered; a later one says all that an earlier one said.
--- a/crates/slots/src/handover_order.rs
+++ b/crates/slots/src/handover_order.rs
@@ -1,6 +1,6 @@
 //! Who gives tokens to whom.
 
-use crate::DaemonIdentity;
+use sapphirestile_core::DaemonIdentity;
 
 /// Tokens that one member is to hand to another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/slots/src/handover_plan.rs
+++ b/crates/slots/src/handover_plan.rs
@@ -1,8 +1,8 @@
 //! Which member gives tokens of a runner to which.
 
-use crate::DaemonIdentity;
 use crate::HandoverOrder;
 use crate::TokenDemand;
+use sapphirestile_core::DaemonIdentity;
 
 const MILLI: i64 = 1_000;
 const HYSTERESIS_MILLI: i64 = 750;
@@ -22,7 +22,7 @@
 /// ```
 /// use sapphirestile_core::DaemonName;
 /// use sapphirestile_core::IncarnationNumber;
-/// use sapphirestile_slots::DaemonIdentity;
+/// use sapphirestile_core::DaemonIdentity;
 /// use sapphirestile_slots::HandoverPlan;
 /// use sapphirestile_slots::TokenDemand;
 ///
--- a/crates/slots/src/handover_total.rs
+++ b/crates/slots/src/handover_total.rs
@@ -1,10 +1,10 @@
 //! One counter of a hand-over message.
 
-use sapphirestile_core::RunnerName;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::LedgerGeneration;
+use sapphirestile_core::RunnerName;
 
 /// How many tokens of one runner the sender ever handed to the receiver.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/slots/src/held_tokens.rs
+++ b/crates/slots/src/held_tokens.rs
@@ -1,11 +1,10 @@
 //! What one member holds of one runner.
 
-use sapphirestile_core::MonoTime;
-
 use crate::HandoverCounters;
 use crate::LedgerGeneration;
 use crate::MemberGrant;
 use crate::embargoed_tokens::EmbargoedTokens;
+use sapphirestile_core::MonoTime;
 
 /// The tokens of one runner that one member holds.
 #[derive(Clone, Debug)]
--- a/crates/slots/src/ledger_draft.rs
+++ b/crates/slots/src/ledger_draft.rs
@@ -1,13 +1,12 @@
 //! A ledger that is being changed.
 
-use sapphirestile_core::RunnerName;
-use sapphirestile_core::SortedTable;
-
-use crate::DaemonIdentity;
 use crate::LedgerGeneration;
 use crate::RunnerGrant;
 use crate::TokenLedger;
 use crate::token_split::split_tokens;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::RunnerName;
+use sapphirestile_core::SortedTable;
 
 /// The next ledger, before it is written by compare-and-swap.
 #[derive(Clone, Debug)]
--- a/crates/slots/src/ledger_fault.rs
+++ b/crates/slots/src/ledger_fault.rs
@@ -1,9 +1,8 @@
 //! Why a ledger is not valid.
 
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::RunnerName;
 
-use crate::DaemonIdentity;
-
 /// A rule that a ledger breaks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LedgerFault {
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -21,7 +21,6 @@
 mod apply_outcome;
 mod closed_report;
 mod closed_total;
-mod daemon_identity;
 mod demand_meter;
 mod embargoed_tokens;
 mod handover_counters;
@@ -46,7 +45,6 @@
 pub use apply_outcome::ApplyOutcome;
 pub use closed_report::ClosedReport;
 pub use closed_total::ClosedTotal;
-pub use daemon_identity::DaemonIdentity;
 pub use demand_meter::DemandMeter;
 pub use handover_counters::HandoverCounters;
 pub use handover_message::HandoverMessage;
--- a/crates/slots/src/reclaim_fault.rs
+++ b/crates/slots/src/reclaim_fault.rs
@@ -1,6 +1,6 @@
 //! Why tokens cannot be reclaimed yet.
 
-use crate::DaemonIdentity;
+use sapphirestile_core::DaemonIdentity;
 
 /// What a reclaim still lacks.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/slots/src/reclaim_plan.rs
+++ b/crates/slots/src/reclaim_plan.rs
@@ -1,16 +1,15 @@
 //! Granting the tokens of members that are gone to those that stay.
 
-use sapphirestile_core::RunnerName;
-
 use crate::ClosedReport;
 use crate::ClosedTotal;
-use crate::DaemonIdentity;
 use crate::LedgerDraft;
 use crate::ReclaimFault;
 use crate::RunnerGrant;
 use crate::TokenLedger;
 use crate::handover_counters::signed;
 use crate::ledger_draft::spread;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::RunnerName;
 
 /// The removal of one or several members at once.
 ///
--- a/crates/slots/src/runner_grant.rs
+++ b/crates/slots/src/runner_grant.rs
@@ -1,12 +1,12 @@
 //! The tokens of one runner.
 
-use sapphirestile_core::SortedTable;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::DaemonIdentity;
 use crate::LedgerGeneration;
 use crate::MemberGrant;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::SortedTable;
 
 /// The tokens of one runner and how they were split among the members.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/slots/src/token_demand.rs
+++ b/crates/slots/src/token_demand.rs
@@ -1,6 +1,6 @@
 //! What one member wants of one runner.
 
-use crate::DaemonIdentity;
+use sapphirestile_core::DaemonIdentity;
 
 /// The tokens that one member has of a runner, and how much it needs them.
 #[derive(Clone, Copy, Debug)]
--- a/crates/slots/src/token_holder.rs
+++ b/crates/slots/src/token_holder.rs
@@ -3,21 +3,20 @@
 mod ledger_step;
 mod retire_step;
 
-use sapphirestile_core::DaemonName;
-use sapphirestile_core::IncarnationNumber;
-use sapphirestile_core::MonoTime;
-use sapphirestile_core::RunnerName;
-use sapphirestile_core::SortedTable;
-
 use crate::ClosedReport;
 use crate::ClosedTotal;
-use crate::DaemonIdentity;
 use crate::HandoverMessage;
 use crate::HandoverTotal;
 use crate::HeldTokens;
 use crate::LedgerGeneration;
 use crate::TokenGauges;
 use crate::TokenLedger;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::DaemonName;
+use sapphirestile_core::IncarnationNumber;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::RunnerName;
+use sapphirestile_core::SortedTable;
 
 /// The tokens that one daemon holds, owned by one of its threads.
 #[derive(Clone, Debug)]
--- a/crates/slots/src/token_holder/ledger_step.rs
+++ b/crates/slots/src/token_holder/ledger_step.rs
@@ -1,14 +1,13 @@
 //! How a holder goes from one ledger to the next.
 
-use sapphirestile_core::MonoTime;
-
 use crate::ApplyOutcome;
-use crate::DaemonIdentity;
 use crate::HeldTokens;
 use crate::RunnerGrant;
 use crate::TokenGauges;
 use crate::TokenHolder;
 use crate::TokenLedger;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::MonoTime;
 
 impl TokenHolder {
     /// Goes on with `ledger` when it is newer than the holder's.
--- a/crates/slots/src/token_holder/retire_step.rs
+++ b/crates/slots/src/token_holder/retire_step.rs
@@ -1,11 +1,10 @@
 //! How a holder gives tokens up when a runner's slots shrink.
 
-use sapphirestile_core::RunnerName;
-
 use crate::LedgerDraft;
 use crate::TokenGauges;
 use crate::TokenHolder;
 use crate::TokenLedger;
+use sapphirestile_core::RunnerName;
 
 impl TokenHolder {
     /// Reserves up to `most` free tokens of `runner` to be retired by the next
--- a/crates/slots/src/token_ledger.rs
+++ b/crates/slots/src/token_ledger.rs
@@ -1,15 +1,15 @@
 //! What the store holds of the tokens.
 
-use sapphirestile_core::RunnerName;
-use sapphirestile_core::SortedTable;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::DaemonIdentity;
 use crate::LedgerDraft;
 use crate::LedgerFault;
 use crate::LedgerGeneration;
 use crate::RunnerGrant;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::RunnerName;
+use sapphirestile_core::SortedTable;
 
 /// The members and, for each runner, the tokens that each began with.
 ///
@@ -19,7 +19,7 @@
 /// use sapphirestile_core::DaemonName;
 /// use sapphirestile_core::IncarnationNumber;
 /// use sapphirestile_core::RunnerName;
-/// use sapphirestile_slots::DaemonIdentity;
+/// use sapphirestile_core::DaemonIdentity;
 /// use sapphirestile_slots::TokenLedger;
 ///
 /// let member = DaemonIdentity {
--- a/crates/slots/tests/holder_rounds/holder_life.rs
+++ b/crates/slots/tests/holder_rounds/holder_life.rs
@@ -1,8 +1,7 @@
 //! One life of a daemon in the rounds.
 
-use sapphirestile_slots::TokenHolder;
-
 use crate::gauge_set::GaugeSet;
+use sapphirestile_slots::TokenHolder;
 
 pub struct HolderLife {
     pub holder: TokenHolder,
--- a/crates/slots/tests/holder_rounds/round_world.rs
+++ b/crates/slots/tests/holder_rounds/round_world.rs
@@ -3,21 +3,21 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+
+use crate::event_counts::EventCounts;
+use crate::gauge_set::GaugeSet;
+use crate::holder_life::HolderLife;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::DaemonName;
 use sapphirestile_core::IncarnationNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::RunnerName;
 use sapphirestile_slots::ClosedReport;
-use sapphirestile_slots::DaemonIdentity;
 use sapphirestile_slots::HandoverMessage;
 use sapphirestile_slots::LedgerDraft;
 use sapphirestile_slots::TokenHolder;
 use sapphirestile_slots::TokenLedger;
 
-use crate::event_counts::EventCounts;
-use crate::gauge_set::GaugeSet;
-use crate::holder_life::HolderLife;
-
 pub const LONGEST_REQUEST_MS: u64 = 1_000;
 const SHORT_REQUEST_MS: u64 = 20;
 const SLOTS: u32 = 8;
--- a/crates/slots/tests/holder_rounds/world_faults.rs
+++ b/crates/slots/tests/holder_rounds/world_faults.rs
@@ -1,14 +1,14 @@
 //! Faults and what follows from them.
 
 use rand::Rng;
+
+use crate::round_world::RoundWorld;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_slots::ClosedReport;
 use sapphirestile_slots::ClosedTotal;
-use sapphirestile_slots::DaemonIdentity;
 use sapphirestile_slots::ReclaimPlan;
 use sapphirestile_slots::TokenLedger;
 
-use crate::round_world::RoundWorld;
-
 impl RoundWorld {
     pub fn fault(&mut self, place: usize) {
         let peer = self.random.random_range(0..self.lives.len());
--- a/crates/slots/tests/holder_rounds/world_healing.rs
+++ b/crates/slots/tests/holder_rounds/world_healing.rs
@@ -1,10 +1,9 @@
 //! The end of all faults.
 
-use sapphirestile_core::SortedTable;
-use sapphirestile_slots::HeldTokens;
-
 use crate::round_world::LONGEST_REQUEST_MS;
 use crate::round_world::RoundWorld;
+use sapphirestile_core::SortedTable;
+use sapphirestile_slots::HeldTokens;
 
 const HEALING_ROUNDS: usize = 60;
 
--- a/crates/slots/tests/token_holder.rs
+++ b/crates/slots/tests/token_holder.rs
@@ -2,13 +2,15 @@
 
 use std::cell::Cell;
 
+use test_case::test_case;
+
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::DaemonName;
 use sapphirestile_core::IncarnationNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::SortedTable;
 use sapphirestile_slots::ApplyOutcome;
-use sapphirestile_slots::DaemonIdentity;
 use sapphirestile_slots::DemandMeter;
 use sapphirestile_slots::HandoverPlan;
 use sapphirestile_slots::LedgerFault;
@@ -18,7 +20,6 @@
 use sapphirestile_slots::TokenGauges;
 use sapphirestile_slots::TokenHolder;
 use sapphirestile_slots::TokenLedger;
-use test_case::test_case;
 
 const LONGEST_REQUEST_MS: u64 = 1_000;
 
--- a/crates/standins/tests/states/random_calls.rs
+++ b/crates/standins/tests/states/random_calls.rs
@@ -7,6 +7,7 @@
 use proptest::proptest;
 use proptest::sample::select;
 use proptest::test_runner::RngSeed;
+
 use sapphirestile_standins::serving::StandinCall;
 use sapphirestile_standins::serving::StandinService;
 use sapphirestile_standins::store::StoreFaults;
--- a/crates/standins/tests/states/random_workers.rs
+++ b/crates/standins/tests/states/random_workers.rs
@@ -7,12 +7,12 @@
 use proptest::prop_oneof;
 use proptest::proptest;
 use proptest::test_runner::RngSeed;
-use sapphirestile_core::MonoTime;
-use sapphirestile_standins::worker::HistoryEntry;
-use sapphirestile_wire::worker::TaskStart;
 
 use crate::worker_bench::LEASE_MS;
 use crate::worker_bench::WorkerBench;
+use sapphirestile_core::MonoTime;
+use sapphirestile_standins::worker::HistoryEntry;
+use sapphirestile_wire::worker::TaskStart;
 
 const SEED: u64 = 20_261_204;
 
--- a/crates/standins/tests/states/vm_scenes.rs
+++ b/crates/standins/tests/states/vm_scenes.rs
@@ -1,9 +1,10 @@
 //! The list of VMs and its lag.
 
+use test_case::test_case;
+
 use sapphirestile_core::MonoTime;
 use sapphirestile_standins::vms::VmState;
 use sapphirestile_wire::vms::VmRecord;
-use test_case::test_case;
 
 fn records(name: &str) -> Vec<VmRecord> {
     let text = format!(
--- a/crates/standins/tests/states/worker_scenes.rs
+++ b/crates/standins/tests/states/worker_scenes.rs
@@ -1,14 +1,14 @@
 //! Sessions, permits, leases and tasks of a worker.
 
-use sapphirestile_core::MonoTime;
-use sapphirestile_core::ResourceSize;
-use sapphirestile_wire::worker::TaskPhase;
-use sapphirestile_wire::worker::WorkerRefusal;
 use test_case::test_case;
 
 use crate::worker_bench::LEASE_MS;
 use crate::worker_bench::WorkerBench;
 use crate::worker_bench::size;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::ResourceSize;
+use sapphirestile_wire::worker::TaskPhase;
+use sapphirestile_wire::worker::WorkerRefusal;
 
 #[test]
 fn a_permit_has_an_age() {
--- a/crates/wire/src/peer/peer_request.rs
+++ b/crates/wire/src/peer/peer_request.rs
@@ -7,6 +7,7 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::JobName;
+use sapphirestile_core::RequestKey;
 use sapphirestile_core::TaskIndex;
 
 /// A call to a peer. All but the first two go to the owner of a cell.
@@ -27,5 +28,5 @@
     /// Lists the jobs of a cell.
     ListJobs(CellNumber),
     /// Records a request that must not run twice.
-    RecordRequest(CellNumber, String),
+    RecordRequest(CellNumber, RequestKey),
 }
