--- a/crates/daemon/src/callers/caller_service.rs
+++ b/crates/daemon/src/callers/caller_service.rs
@@ -1,6 +1,7 @@
 //! Takes requests of callers to runners.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use oxhttp::model::Body;
@@ -99,7 +100,12 @@
         };
         match self.context.routes.load().choose(&query) {
             Ok(choice) => self.record_and_send(request, cycle.admit(choice)),
-            Err(refusal) => refuse(cycle, refusal),
+            Err(refusal) => {
+                if refusal == RouteRefusal::NoSlot {
+                    self.context.wanting.fetch_add(1, Ordering::Relaxed);
+                }
+                refuse(cycle, refusal)
+            }
         }
     }
 
@@ -151,7 +157,7 @@
         };
         let sent = self.context.clock.now();
         let outcome = match PeerAddress::try_from(cycle.row().address) {
-            Ok(address) => forward(request, address, Duration::from_millis(wait_ms)),
+            Ok(address) => self.forward(request, address, Duration::from_millis(wait_ms)),
             Err(_) => return decline(cycle.decline().refusal()),
         };
         match outcome {
@@ -168,6 +174,27 @@
         }
     }
 
+    fn forward(
+        &self,
+        request: &CallerRequest,
+        address: PeerAddress,
+        timeout: Duration,
+    ) -> RunnerOutcome {
+        let limits = CallLimits {
+            timeout,
+            answer_max_bytes: ANSWER_MAX_BYTES,
+        };
+        let connections = self.context.connections.connections(address);
+        let id = format!("{:032x}", rand::random::<u128>());
+        RunnerClient::over(connections, limits).forward(&RunnerRequest {
+            id: &id,
+            method: request.method(),
+            path: request.target(),
+            headers: &request.headers(),
+            body: request.body(),
+        })
+    }
+
     /// When a request sent by now has ended at its runner, whatever it does.
     fn last_moment(&self) -> MonoTime {
         self.context
@@ -187,21 +214,6 @@
     }
 }
 
-fn forward(request: &CallerRequest, address: PeerAddress, timeout: Duration) -> RunnerOutcome {
-    let limits = CallLimits {
-        timeout,
-        answer_max_bytes: ANSWER_MAX_BYTES,
-    };
-    let id = format!("{:032x}", rand::random::<u128>());
-    RunnerClient::new(address, limits).forward(&RunnerRequest {
-        id: &id,
-        method: request.method(),
-        path: request.target(),
-        headers: &request.headers(),
-        body: request.body(),
-    })
-}
-
 fn checked_key(text: &str) -> Result<RequestKey, CallerReply> {
     let fault = "an idempotency key has 1 to 128 visible ASCII characters";
     RequestKey::try_from(text).map_err(|_| CallerReply::BadRequest(fault))
--- a/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
@@ -36,7 +36,9 @@
             PeerRequest::Explain(_, job, index) => self.explain(job, *index),
             PeerRequest::ListJobs(_) => self.list(),
             PeerRequest::RecordRequest(_, key) => self.record(key, call),
-            PeerRequest::Ping | PeerRequest::Document(_) => PeerAnswer::Pong,
+            PeerRequest::Ping | PeerRequest::Document(_) | PeerRequest::CloseMember(_) => {
+                PeerAnswer::Pong
+            }
         };
         self.reply_when_committed(call, answer);
     }
--- a/crates/daemon/src/cells/worker_pool.rs
+++ b/crates/daemon/src/cells/worker_pool.rs
@@ -67,7 +67,8 @@
         let Ok(address) = PeerAddress::try_from(call.address) else {
             continue;
         };
-        let client = WorkerClient::new(address, CALL_TIMEOUT);
+        let connections = context.connections.connections(address);
+        let client = WorkerClient::over(connections, CALL_TIMEOUT);
         let event = match &call.effect {
             CellEffect::Session(order) => Some(open_session(context, &client, &call, order)),
             CellEffect::Start(order) => Some(start_task(&client, call.cell, order)),
--- a/crates/daemon/src/context/daemon_context.rs
+++ b/crates/daemon/src/context/daemon_context.rs
@@ -1,6 +1,9 @@
 //! The context of a daemon.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+
+use crossbeam::channel::Sender;
 
 use crate::cells::KeeperDirectory;
 use crate::context::MonoClock;
@@ -12,10 +15,14 @@
 use crate::members::WATCH_WAIT_MS;
 use crate::metrics::DaemonMetrics;
 use crate::settings::DaemonSettings;
+use crate::tokens::GaugeTable;
+use crate::tokens::LedgerRow;
+use crate::tokens::TokenEvent;
 use crate::vms::VmTable;
 use sapphirestile_cells::CellMap;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::MonoTime;
+use sapphirestile_platform::http::ConnectionTable;
 use sapphirestile_platform::store::StoreClient;
 use sapphirestile_routing::TableCell;
 use sapphirestile_wire::peer::FrameKey;
@@ -44,6 +51,16 @@
     pub vms: SwapHolder<VmTable>,
     /// The cells owned here.
     pub keepers: SwapHolder<KeeperDirectory>,
+    /// The ledger of tokens.
+    pub ledger: SwapHolder<LedgerRow>,
+    /// The gauges of runners.
+    pub gauges: GaugeTable,
+    /// Requests refused for want of a slot since the demand was last measured.
+    pub wanting: AtomicU32,
+    /// Events of the thread that owns the tokens.
+    pub token_events: Sender<TokenEvent>,
+    /// Connections to runners and workers.
+    pub connections: ConnectionTable,
     /// Counters and histograms.
     pub metrics: DaemonMetrics,
     /// The runners of each service.
--- a/crates/daemon/src/context/store_keys.rs
+++ b/crates/daemon/src/context/store_keys.rs
@@ -21,6 +21,8 @@
     pub const SHARED: &'static str = "sapphirestile/shared/";
     /// The operators' document.
     pub const DOCUMENT: &'static str = "sapphirestile/shared/document";
+    /// The ledger of tokens.
+    pub const LEDGER: &'static str = "sapphirestile/shared/tokens";
     /// The registrations of daemons.
     pub const MEMBERS: &'static str = "sapphirestile/shared/members/";
 
--- a/crates/daemon/src/cycle.rs
+++ b/crates/daemon/src/cycle.rs
@@ -7,6 +7,7 @@
 
 mod daemon_addresses;
 mod daemon_cycle;
+mod daemon_threads;
 mod draining_phase;
 mod house_keeper;
 mod peer_ports;
--- a/crates/daemon/src/cycle/daemon_cycle.rs
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -1,21 +1,18 @@
 //! A daemon, in each phase of its life.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::thread;
 use std::time::Duration;
 
-use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
 use crossbeam::channel::bounded;
+use crossbeam::channel::unbounded;
 use error_stack::Report;
-use error_stack::ResultExt;
 use tracing::info;
-use tracing::warn;
 
 use crate::callers::CallerService;
 use crate::callers::ParkingLot;
-use crate::cells::CellDirector;
-use crate::cells::WorkerPool;
 use crate::context::DaemonContext;
 use crate::context::MonoClock;
 use crate::context::PhaseGauge;
@@ -27,31 +24,32 @@
 use crate::cycle::PeerPorts;
 use crate::cycle::ServingPhase;
 use crate::cycle::StartingPhase;
-use crate::members::HeartbeatReceiver;
-use crate::members::HeartbeatSender;
+use crate::cycle::daemon_threads::start_cells;
+use crate::cycle::daemon_threads::start_heartbeats;
+use crate::cycle::daemon_threads::start_tokens;
+use crate::cycle::daemon_threads::start_vm_poller;
+use crate::cycle::daemon_threads::start_watch;
+use crate::cycle::daemon_threads::target;
 use crate::members::MemberRecord;
 use crate::members::MemberRegistration;
-use crate::members::SharedWatch;
 use crate::metrics::DaemonMetrics;
 use crate::operators::OperatorService;
 use crate::peers::PeerServer;
-use crate::routes::RoutePublisher;
 use crate::serving::HttpPort;
 use crate::serving::HttpService;
 use crate::serving::RequestGate;
 use crate::settings::DaemonSettings;
-use crate::vms::VmPoller;
+use crate::tokens::GaugeTable;
+use crate::tokens::TokenEvent;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::StepError;
-use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_platform::http::ConnectionTable;
 use sapphirestile_platform::store::EtcdClient;
 use sapphirestile_platform::store::StoreClient;
-use sapphirestile_platform::vms::VmClient;
 use sapphirestile_routing::TableCell;
 use sapphirestile_wire::peer::FrameKey;
 use sapphirestile_wire::peer::MemberState;
 
-const VM_LIST_TIMEOUT: Duration = Duration::from_secs(2);
 const CALLER_CONNECTIONS: usize = 1_024;
 const OPERATOR_CONNECTIONS: usize = 64;
 const DRAIN_TICK: Duration = Duration::from_millis(50);
@@ -75,7 +73,8 @@
         let store = open_store(&settings)?;
         let identity = register(store.as_ref(), &settings);
         info!(step = "register daemon", daemon = %identity, "registered");
-        let context = Arc::new(new_context(settings, identity, store));
+        let (token_events, tokens) = unbounded();
+        let context = Arc::new(new_context(settings, identity, store, token_events));
         let gate = Arc::new(RequestGate::default());
         let lot = Arc::new(ParkingLot::default());
         let callers = open_callers(&context, &gate, &lot)?;
@@ -93,6 +92,7 @@
                 gate,
                 lot,
                 peers,
+                tokens,
                 ports,
             },
         })
@@ -111,6 +111,7 @@
             gate,
             lot,
             peers,
+            tokens,
             ports,
         } = self.phase;
         let (stop, stopped) = bounded::<()>(0);
@@ -118,6 +119,7 @@
         start_watch(&context, &stopped);
         start_vm_poller(&context, &stopped)?;
         start_cells(&context, &stopped);
+        start_tokens(&context, &peers, tokens, &stopped)?;
         let server = PeerServer::new(Arc::clone(&context), peers.calls);
         thread::spawn(move || server.run());
         let keeper = HouseKeeper::new(Arc::clone(&context), lot);
@@ -206,6 +208,7 @@
     settings: DaemonSettings,
     identity: DaemonIdentity,
     store: Arc<dyn StoreClient>,
+    token_events: Sender<TokenEvent>,
 ) -> DaemonContext {
     let key = FrameKey::new(settings.peering.key.as_bytes());
     DaemonContext {
@@ -220,6 +223,11 @@
         members: SwapHolder::default(),
         vms: SwapHolder::default(),
         keepers: SwapHolder::default(),
+        ledger: SwapHolder::default(),
+        gauges: GaugeTable::default(),
+        wanting: AtomicU32::new(0),
+        token_events,
+        connections: ConnectionTable::new(),
         metrics: DaemonMetrics::default(),
         routes: TableCell::default(),
     }
@@ -271,62 +279,3 @@
         &gate,
     )
 }
-
-fn start_heartbeats(
-    context: &Arc<DaemonContext>,
-    peers: &PeerPorts,
-    stopped: &Receiver<()>,
-) -> Result<(), Report<StepError>> {
-    let failed = || StepError::new("share heartbeat socket", "own port");
-    let socket = peers.heartbeats.try_clone().change_context_lazy(failed)?;
-    let sender = HeartbeatSender::new(Arc::clone(context), socket);
-    let socket = peers.heartbeats.try_clone().change_context_lazy(failed)?;
-    let receiver =
-        HeartbeatReceiver::new(Arc::clone(context), socket).change_context_lazy(failed)?;
-    let stop = stopped.clone();
-    thread::spawn(move || sender.run(&stop));
-    let stop = stopped.clone();
-    thread::spawn(move || receiver.run(&stop));
-    Ok(())
-}
-
-fn start_watch(context: &Arc<DaemonContext>, stopped: &Receiver<()>) {
-    let watch = SharedWatch::new(Arc::clone(context));
-    if let Err(error) = watch.read() {
-        warn!(
-            step = "read shared rows",
-            peer = "store",
-            ?error,
-            "the watch tries again"
-        );
-    }
-    let stop = stopped.clone();
-    thread::spawn(move || watch.run(&stop));
-}
-
-fn start_vm_poller(
-    context: &Arc<DaemonContext>,
-    stopped: &Receiver<()>,
-) -> Result<(), Report<StepError>> {
-    let peer = target(context.settings.platform.vms, "find VM list")?;
-    let client = VmClient::new(peer, VM_LIST_TIMEOUT);
-    let poller = VmPoller::new(Arc::clone(context), client);
-    let mut publisher = RoutePublisher::new(Arc::clone(context));
-    poller.poll();
-    publisher.publish();
-    let stop = stopped.clone();
-    thread::spawn(move || poller.run(&mut publisher, &stop));
-    Ok(())
-}
-
-fn start_cells(context: &Arc<DaemonContext>, stopped: &Receiver<()>) {
-    let pool = WorkerPool::start(context);
-    let director = CellDirector::new(Arc::clone(context), pool);
-    let stop = stopped.clone();
-    thread::spawn(move || director.run(&stop));
-}
-
-fn target(address: SocketAddr, step: &'static str) -> Result<PeerAddress, Report<StepError>> {
-    PeerAddress::try_from(address)
-        .change_context_lazy(|| StepError::new(step, &address.to_string()))
-}
--- /dev/null
+++ b/crates/daemon/src/cycle/daemon_threads.rs
@@ -0,0 +1,104 @@
+//! The threads of a daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use error_stack::Report;
+use error_stack::ResultExt;
+use tracing::warn;
+
+use crate::cells::CellDirector;
+use crate::cells::WorkerPool;
+use crate::context::DaemonContext;
+use crate::cycle::PeerPorts;
+use crate::members::DatagramReceiver;
+use crate::members::HeartbeatSender;
+use crate::members::SharedWatch;
+use crate::routes::RoutePublisher;
+use crate::tokens::TokenEvent;
+use crate::tokens::TokenKeeper;
+use crate::vms::VmPoller;
+use sapphirestile_core::StepError;
+use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_platform::vms::VmClient;
+
+const VM_LIST_TIMEOUT: Duration = Duration::from_secs(2);
+
+pub(super) fn start_heartbeats(
+    context: &Arc<DaemonContext>,
+    peers: &PeerPorts,
+    stopped: &Receiver<()>,
+) -> Result<(), Report<StepError>> {
+    let failed = || StepError::new("share heartbeat socket", "own port");
+    let socket = peers.heartbeats.try_clone().change_context_lazy(failed)?;
+    let sender = HeartbeatSender::new(Arc::clone(context), socket);
+    let socket = peers.heartbeats.try_clone().change_context_lazy(failed)?;
+    let receiver =
+        DatagramReceiver::new(Arc::clone(context), socket).change_context_lazy(failed)?;
+    let stop = stopped.clone();
+    thread::spawn(move || sender.run(&stop));
+    let stop = stopped.clone();
+    thread::spawn(move || receiver.run(&stop));
+    Ok(())
+}
+
+pub(super) fn start_watch(context: &Arc<DaemonContext>, stopped: &Receiver<()>) {
+    let watch = SharedWatch::new(Arc::clone(context));
+    if let Err(error) = watch.read() {
+        warn!(
+            step = "read shared rows",
+            peer = "store",
+            ?error,
+            "the watch tries again"
+        );
+    }
+    let stop = stopped.clone();
+    thread::spawn(move || watch.run(&stop));
+}
+
+pub(super) fn start_vm_poller(
+    context: &Arc<DaemonContext>,
+    stopped: &Receiver<()>,
+) -> Result<(), Report<StepError>> {
+    let peer = target(context.settings.platform.vms, "find VM list")?;
+    let client = VmClient::new(peer, VM_LIST_TIMEOUT);
+    let poller = VmPoller::new(Arc::clone(context), client);
+    let publisher = RoutePublisher::new(Arc::clone(context));
+    poller.poll();
+    publisher.publish();
+    let stop = stopped.clone();
+    thread::spawn(move || poller.run(&publisher, &stop));
+    Ok(())
+}
+
+pub(super) fn start_cells(context: &Arc<DaemonContext>, stopped: &Receiver<()>) {
+    let pool = WorkerPool::start(context);
+    let director = CellDirector::new(Arc::clone(context), pool);
+    let stop = stopped.clone();
+    thread::spawn(move || director.run(&stop));
+}
+
+pub(super) fn start_tokens(
+    context: &Arc<DaemonContext>,
+    peers: &PeerPorts,
+    events: Receiver<TokenEvent>,
+    stopped: &Receiver<()>,
+) -> Result<(), Report<StepError>> {
+    let failed = || StepError::new("share heartbeat socket", "own port");
+    let socket = peers.heartbeats.try_clone().change_context_lazy(failed)?;
+    let keeper = TokenKeeper::new(Arc::clone(context), socket);
+    let stop = stopped.clone();
+    thread::spawn(move || keeper.run(&events, &stop));
+    Ok(())
+}
+
+pub(super) fn target(
+    address: SocketAddr,
+    step: &'static str,
+) -> Result<PeerAddress, Report<StepError>> {
+    PeerAddress::try_from(address)
+        .change_context_lazy(|| StepError::new(step, &address.to_string()))
+}
--- a/crates/daemon/src/cycle/starting_phase.rs
+++ b/crates/daemon/src/cycle/starting_phase.rs
@@ -2,12 +2,15 @@
 
 use std::sync::Arc;
 
+use crossbeam::channel::Receiver;
+
 use crate::callers::ParkingLot;
 use crate::context::DaemonContext;
 use crate::cycle::DaemonAddresses;
 use crate::cycle::PeerPorts;
 use crate::serving::HttpPort;
 use crate::serving::RequestGate;
+use crate::tokens::TokenEvent;
 
 /// The daemon is registered and its ports are bound.
 pub struct StartingPhase {
@@ -16,5 +19,6 @@
     pub(super) gate: Arc<RequestGate>,
     pub(super) lot: Arc<ParkingLot>,
     pub(super) peers: PeerPorts,
+    pub(super) tokens: Receiver<TokenEvent>,
     pub(super) ports: [HttpPort; 2],
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`document`] keeps the configuration in force and changes it;
 //! - [`members`] registers the daemon and exchanges heartbeats with its peers;
 //! - [`vms`] polls the platform's list of VMs;
+//! - [`tokens`] holds the tokens of runners' slots;
 //! - [`routes`] publishes the routing table that [`callers`] reads;
 //! - [`cells`] owns cells: it claims them, keeps their journals, calls workers;
 //! - [`peers`] carries calls to the owner of a cell;
@@ -30,5 +31,6 @@
 pub mod routes;
 pub mod serving;
 pub mod settings;
+pub mod tokens;
 pub mod tryout;
 pub mod vms;
--- /dev/null
+++ b/crates/daemon/src/members/datagram_receiver.rs
@@ -0,0 +1,101 @@
+//! Receives datagrams of peers.
+
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::TryRecvError;
+use tracing::debug;
+use tracing::error;
+
+use crate::context::DaemonContext;
+use crate::tokens::TokenEvent;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_wire::peer::PeerDatagram;
+use sapphirestile_wire::peer::PeerFrame;
+use sapphirestile_wire::peer::PeerHeartbeat;
+
+const DATAGRAM_BYTES_MAX: usize = 64 * 1_024;
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Takes datagrams of peers: heartbeats go into the table of members, what
+/// concerns tokens to the thread that owns them.
+pub struct DatagramReceiver {
+    context: Arc<DaemonContext>,
+    socket: UdpSocket,
+}
+
+impl DatagramReceiver {
+    /// A receiver on `socket`.
+    ///
+    /// # Errors
+    ///
+    /// When the socket takes no time-out.
+    pub fn new(context: Arc<DaemonContext>, socket: UdpSocket) -> std::io::Result<Self> {
+        socket.set_read_timeout(Some(RECEIVE_TIMEOUT))?;
+        Ok(Self { context, socket })
+    }
+
+    /// Receives until `stop` is closed.
+    pub fn run(&self, stop: &Receiver<()>) {
+        let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
+        while stop.try_recv() != Err(TryRecvError::Disconnected) {
+            if let Ok((length, _)) = self.socket.recv_from(&mut buffer) {
+                self.receive(&buffer[..length]);
+            }
+        }
+    }
+
+    fn receive(&self, sealed: &[u8]) {
+        match self.context.key.open::<PeerDatagram>(sealed) {
+            Ok(frame) => self.take(frame),
+            Err(fault) => debug!(step = "receive datagram", %fault, "dropped"),
+        }
+    }
+
+    fn take(&self, frame: PeerFrame<PeerDatagram>) {
+        let PeerFrame {
+            sender,
+            incarnation,
+            call,
+            body,
+        } = frame;
+        let peer = DaemonIdentity {
+            daemon: sender,
+            incarnation,
+        };
+        if peer.daemon == self.context.identity.daemon {
+            self.check_replaced(&peer);
+            return;
+        }
+        // The thread that owns the tokens ends with the process.
+        let events = &self.context.token_events;
+        match body {
+            PeerDatagram::Heartbeat(body) => self.note(&peer, call, &body),
+            PeerDatagram::Handover(message) if message.from == peer => {
+                let _taken = events.send(TokenEvent::Handover(message));
+            }
+            PeerDatagram::Handover(_) => {}
+            PeerDatagram::Tokens(report) => {
+                let _taken = events.send(TokenEvent::Reported(peer, report));
+            }
+        }
+    }
+
+    fn note(&self, peer: &DaemonIdentity, call: u64, heartbeat: &PeerHeartbeat) {
+        let now = self.context.clock.now();
+        self.context.members.update(|table| {
+            let mut table = table.clone();
+            table.note_heartbeat(peer, call, heartbeat, now);
+            table
+        });
+    }
+
+    fn check_replaced(&self, peer: &DaemonIdentity) {
+        if peer.incarnation > self.context.identity.incarnation {
+            error!(step = "receive datagram", "replaced by a later incarnation");
+            std::process::exit(1);
+        }
+    }
+}
--- a/crates/daemon/src/members/heartbeat_sender.rs
+++ b/crates/daemon/src/members/heartbeat_sender.rs
@@ -12,6 +12,7 @@
 use tracing::debug;
 
 use crate::context::DaemonContext;
+use sapphirestile_wire::peer::PeerDatagram;
 use sapphirestile_wire::peer::PeerFrame;
 use sapphirestile_wire::peer::PeerHeartbeat;
 
@@ -50,7 +51,7 @@
             sender: self.context.identity.daemon.clone(),
             incarnation: self.context.identity.incarnation,
             call,
-            body: self.heartbeat(),
+            body: PeerDatagram::Heartbeat(self.heartbeat()),
         };
         let Ok(sealed) = self.context.key.seal(&frame) else {
             return;
--- a/crates/daemon/src/members/member_table.rs
+++ b/crates/daemon/src/members/member_table.rs
@@ -5,11 +5,11 @@
 use crate::members::MemberRow;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::DaemonName;
 use sapphirestile_core::IncarnationNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
-use sapphirestile_wire::peer::PeerFrame;
 use sapphirestile_wire::peer::PeerHeartbeat;
 
 /// The daemons that the store or a heartbeat has named.
@@ -76,19 +76,23 @@
     }
 
     /// Takes a heartbeat in, unless a later one of the sender is known.
-    pub fn note_heartbeat(&mut self, frame: &PeerFrame<PeerHeartbeat>, now: MonoTime) -> bool {
-        self.register(&frame.sender, frame.incarnation, frame.body.address);
-        let Some(row) = self.rows.get_mut(frame.sender.as_str()) else {
+    pub fn note_heartbeat(
+        &mut self,
+        peer: &DaemonIdentity,
+        call: u64,
+        heartbeat: &PeerHeartbeat,
+        now: MonoTime,
+    ) -> bool {
+        self.register(&peer.daemon, peer.incarnation, heartbeat.address);
+        let Some(row) = self.rows.get_mut(peer.daemon.as_str()) else {
             return false;
         };
-        let later = row
-            .heartbeat
-            .as_ref()
-            .is_none_or(|(call, _, _)| *call < frame.call);
-        if row.incarnation != frame.incarnation || !later {
+        let known = row.heartbeat.as_ref();
+        let later = known.is_none_or(|(latest, _, _)| *latest < call);
+        if row.incarnation != peer.incarnation || !later {
             return false;
         }
-        row.heartbeat = Some((frame.call, now, frame.body.clone()));
+        row.heartbeat = Some((call, now, heartbeat.clone()));
         true
     }
 
--- a/crates/daemon/src/members/shared_watch.rs
+++ b/crates/daemon/src/members/shared_watch.rs
@@ -15,6 +15,7 @@
 use crate::document;
 use crate::members::MemberRecord;
 use crate::members::MemberTable;
+use crate::tokens;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::DaemonName;
 use sapphirestile_core::IncarnationNumber;
@@ -22,6 +23,7 @@
 use sapphirestile_platform::store::StoreWatch;
 use sapphirestile_platform::store::StoredRange;
 use sapphirestile_platform::store::StoredRow;
+use sapphirestile_slots::TokenLedger;
 use sapphirestile_wire::api::StoredDocument;
 
 /// How long a watch waits for a change, in milliseconds.
@@ -100,8 +102,10 @@
 
     fn take(&self, range: &StoredRange) {
         for row in &range.rows {
-            if row.key == StoreKeys::DOCUMENT {
-                self.take_document(row);
+            match row.key.as_str() {
+                StoreKeys::DOCUMENT => self.take_document(row),
+                StoreKeys::LEDGER => self.take_ledger(row),
+                _ => {}
             }
         }
         self.take_members(range);
@@ -116,6 +120,13 @@
         }
     }
 
+    fn take_ledger(&self, row: &StoredRow) {
+        match postcard::from_bytes::<TokenLedger>(&row.value) {
+            Ok(ledger) => tokens::take_ledger(&self.context, ledger, row.revision),
+            Err(error) => error!(step = "read ledger", %error, "row not understood"),
+        }
+    }
+
     fn take_members(&self, range: &StoredRange) {
         let rows: Vec<&StoredRow> = range
             .rows
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -6,16 +6,20 @@
 use std::thread;
 use std::time::Duration;
 
+use crossbeam::channel::bounded;
 use tracing::debug;
 
 use crate::cells::CellDesk;
 use crate::context::DaemonContext;
 use crate::peers::FrameStream;
+use crate::tokens::TokenEvent;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_wire::peer::PeerAnswer;
+use sapphirestile_wire::peer::PeerFault;
 use sapphirestile_wire::peer::PeerFrame;
 use sapphirestile_wire::peer::PeerRequest;
 
+const CLOSE_WAIT: Duration = Duration::from_secs(2);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Takes calls of peers, a thread a connection.
@@ -71,6 +75,7 @@
     };
     let cell = match &frame.body {
         PeerRequest::Ping => return PeerAnswer::Pong,
+        PeerRequest::CloseMember(gone) => return close(context, gone),
         PeerRequest::Document(known) => {
             let document = context.document.load();
             let newer = document.stored().filter(|_| document.revision() > *known);
@@ -86,3 +91,15 @@
     };
     CellDesk::new(context).call_here(cell, &sender, frame.body)
 }
+
+fn close(context: &DaemonContext, gone: &DaemonIdentity) -> PeerAnswer {
+    let (reply, answers) = bounded(1);
+    let event = TokenEvent::Close(gone.clone(), reply);
+    if context.token_events.send(event).is_err() {
+        return PeerAnswer::Fault(PeerFault::Unknown);
+    }
+    match answers.recv_timeout(CLOSE_WAIT) {
+        Ok(report) => PeerAnswer::Closed(report),
+        Err(_) => PeerAnswer::Fault(PeerFault::Unknown),
+    }
+}
--- a/crates/daemon/src/routes/route_publisher.rs
+++ b/crates/daemon/src/routes/route_publisher.rs
@@ -6,9 +6,7 @@
 use sapphirestile_core::OperatorDocument;
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::ServiceName;
-use sapphirestile_routing::GaugeRegistry;
 use sapphirestile_routing::RoutingTable;
-use sapphirestile_routing::RunnerGauge;
 use sapphirestile_routing::RunnerRow;
 use sapphirestile_wire::vms::VmKind;
 use sapphirestile_wire::vms::VmRecord;
@@ -17,21 +15,17 @@
 /// Makes and publishes routing tables; the only writer of a daemon.
 pub struct RoutePublisher {
     context: Arc<DaemonContext>,
-    gauges: GaugeRegistry,
 }
 
 impl RoutePublisher {
     /// A publisher for one daemon.
     #[must_use]
-    pub fn new(context: Arc<DaemonContext>) -> Self {
-        Self {
-            context,
-            gauges: GaugeRegistry::default(),
-        }
+    pub const fn new(context: Arc<DaemonContext>) -> Self {
+        Self { context }
     }
 
     /// Publishes the table that follows from what is known now.
-    pub fn publish(&mut self) {
+    pub fn publish(&self) {
         let context = Arc::clone(&self.context);
         let document = context.document.load();
         let document = document.document();
@@ -41,20 +35,19 @@
             rows.extend(self.row_of(record, document));
         }
         let kept = |runner: &RunnerName| rows.iter().any(|row| row.runner == *runner);
-        self.gauges.retain(kept);
+        context.gauges.retain(kept);
         let home = context.settings.node.zone.as_str();
         context
             .routes
             .publish(RoutingTable::new(document, home, rows));
     }
 
-    fn row_of(&mut self, record: &VmRecord, document: &OperatorDocument) -> Option<RunnerRow> {
+    fn row_of(&self, record: &VmRecord, document: &OperatorDocument) -> Option<RunnerRow> {
         let runner = RunnerName::try_from(record.name.as_str()).ok()?;
         let service: ServiceName = record.service.clone()?;
         let address = record.address.parse().ok()?;
-        let slots = document.services.get(service.as_str())?.slots;
-        let gauge = self.gauges.gauge_of(&runner);
-        hold_tokens(&gauge, self.share_of(slots, &runner));
+        document.services.get(service.as_str())?;
+        let gauge = self.context.gauges.gauge_of(&runner);
         let zone = record.zone.clone();
         let leaving = record.state == VmState::Leaving;
         Some(RunnerRow {
@@ -66,34 +59,4 @@
             gauge,
         })
     }
-
-    /// This daemon's part of a runner's slots.
-    fn share_of(&self, slots: u32, runner: &RunnerName) -> u32 {
-        let members = self.context.members.load();
-        let own = self.context.identity.daemon.as_str();
-        let count = u32::try_from(members.rows().len())
-            .unwrap_or(u32::MAX)
-            .max(1);
-        let place = members
-            .rows()
-            .position(|(daemon, _)| daemon.as_str() == own);
-        let Some(place) = place.and_then(|place| u32::try_from(place).ok()) else {
-            return 0;
-        };
-        let turn = runner
-            .as_str()
-            .bytes()
-            .fold(0, |sum, byte| sum + u32::from(byte));
-        let extra = (place + turn) % count < slots % count;
-        slots / count + u32::from(extra)
-    }
-}
-
-fn hold_tokens(gauge: &RunnerGauge, share: u32) {
-    let held = gauge.tokens();
-    if share > held {
-        gauge.add_tokens(share - held);
-    } else {
-        let _removed = gauge.remove_free_tokens(held - share);
-    }
 }
--- /dev/null
+++ b/crates/daemon/src/tokens.rs
@@ -0,0 +1,26 @@
+//! The tokens of runners that this daemon holds.
+//!
+//! A [`TokenKeeper`] is the thread that owns the daemon's
+//! [`sapphirestile_slots::TokenHolder`]. It takes [`TokenEvent`]s from the port
+//! for datagrams and from peers, follows the [`LedgerRow`] that the shared watch
+//! reads, and puts tokens into the gauges of the request's path through
+//! [`GaugeTable`]. Whatever changes the ledger goes through a [`LedgerWriter`].
+//! [`MemberProofs`] says which members are proven gone.
+
+mod gauge_table;
+mod ledger_row;
+mod ledger_writer;
+mod member_proofs;
+mod peer_reports;
+mod token_event;
+mod token_keeper;
+
+pub use gauge_table::GaugeTable;
+pub use ledger_row::LedgerRow;
+pub use ledger_writer::LedgerWriter;
+pub use member_proofs::MemberProofs;
+pub use peer_reports::PeerReports;
+pub use token_event::TokenEvent;
+pub use token_keeper::TokenKeeper;
+
+pub(crate) use ledger_writer::take_ledger;
--- /dev/null
+++ b/crates/daemon/src/tokens/token_keeper/trade_steps.rs
@@ -0,0 +1,170 @@
+//! Tokens handed from peer to peer.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use tracing::debug;
+
+use crate::tokens::TokenKeeper;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::RunnerName;
+use sapphirestile_core::ServiceName;
+use sapphirestile_core::SortedTable;
+use sapphirestile_slots::HandoverPlan;
+use sapphirestile_slots::TokenDemand;
+use sapphirestile_slots::TokenLedger;
+use sapphirestile_wire::peer::PeerDatagram;
+use sapphirestile_wire::peer::PeerFrame;
+use sapphirestile_wire::peer::TokenReport;
+use sapphirestile_wire::vms::VmKind;
+
+const REPORT_AGE_MAX_MS: u64 = 2_000;
+const TOTALS_MAX: usize = 200;
+
+impl TokenKeeper {
+    /// Measures the demand, tells the peers, and hands over what the plan asks.
+    pub(super) fn trade(&mut self) {
+        let row = self.context.ledger.load_full();
+        let generation = self
+            .holder
+            .as_ref()
+            .map(sapphirestile_slots::TokenHolder::generation);
+        if generation != Some(row.ledger.generation) {
+            return;
+        }
+        self.measure_demand();
+        let report = self.own_report(&row.ledger);
+        self.hand_over(&row.ledger, &report);
+        self.reports.retain(|peer| row.ledger.has_member(peer));
+        for peer in &row.ledger.members {
+            self.tell(peer, &report);
+        }
+    }
+
+    fn measure_demand(&mut self) {
+        let wanting = self.context.wanting.swap(0, Ordering::Relaxed);
+        let mut in_flight: SortedTable<ServiceName, u32> = SortedTable::new();
+        for row in self.context.routes.load().rows() {
+            *in_flight.get_or_insert_with(row.service.clone(), || 0) += row.gauge.in_flight();
+        }
+        for (service, count) in in_flight.iter() {
+            let meter = self
+                .demand
+                .get_or_insert_with(service.clone(), Default::default);
+            meter.observe(*count, wanting);
+        }
+    }
+
+    fn own_report(&self, ledger: &TokenLedger) -> TokenReport {
+        let held = |runner: &RunnerName| {
+            let row = self
+                .holder
+                .as_ref()
+                .and_then(|holder| holder.rows().get(runner));
+            row.map_or(0, sapphirestile_slots::HeldTokens::published)
+        };
+        let weights = self
+            .demand
+            .iter()
+            .map(|(service, meter)| (service.clone(), meter.weight()));
+        TokenReport {
+            generation: ledger.generation.get(),
+            weights: weights.collect(),
+            tokens: ledger.runners.keys().map(held).collect(),
+        }
+    }
+
+    /// Every member makes the plan from what all last reported, and carries out
+    /// its own part. A member that has not reported lately takes no part.
+    fn hand_over(&mut self, ledger: &TokenLedger, own: &TokenReport) {
+        let context = Arc::clone(&self.context);
+        let now = context.clock.now();
+        let generation = ledger.generation.get();
+        let fresh = self.reports.fresh(generation, now, REPORT_AGE_MAX_MS);
+        let mut reports: Vec<(DaemonIdentity, TokenReport)> = fresh
+            .map(|(peer, report)| (peer.clone(), report.clone()))
+            .collect();
+        reports.push((context.identity.clone(), own.clone()));
+        reports.sort_by(|(left, _), (right, _)| left.cmp(right));
+        let services = self.services();
+        let Some(holder) = &mut self.holder else {
+            return;
+        };
+        for (place, runner) in ledger.runners.keys().enumerate() {
+            let Some(service) = services.get(runner) else {
+                continue;
+            };
+            let demands: Vec<TokenDemand<'_>> = reports
+                .iter()
+                .map(|(member, report)| demand_of(member, report, place, service))
+                .collect();
+            for order in HandoverPlan::new(&demands).orders_of(&context.identity) {
+                holder.hand_over(order.to, runner, order.count, &context.gauges);
+            }
+        }
+    }
+
+    fn services(&self) -> SortedTable<RunnerName, ServiceName> {
+        let vms = self.context.vms.load();
+        let runners = vms.records().filter(|record| record.kind == VmKind::Runner);
+        runners
+            .filter_map(|record| {
+                let runner = RunnerName::try_from(record.name.as_str()).ok()?;
+                Some((runner, record.service.clone()?))
+            })
+            .collect()
+    }
+
+    /// Tells a peer what is held and wanted here, and all that was ever handed to
+    /// it: whatever was lost comes again.
+    fn tell(&mut self, peer: &DaemonIdentity, report: &TokenReport) {
+        if *peer == self.context.identity {
+            return;
+        }
+        self.send(peer, PeerDatagram::Tokens(report.clone()));
+        let mut after: Option<RunnerName> = None;
+        while let Some(holder) = &self.holder {
+            let message = holder.message_to(peer, after.as_ref(), TOTALS_MAX);
+            let Some(last) = message.totals.last() else {
+                return;
+            };
+            after = Some(last.runner.clone());
+            self.send(peer, PeerDatagram::Handover(message));
+        }
+    }
+
+    fn send(&mut self, peer: &DaemonIdentity, body: PeerDatagram) {
+        let members = self.context.members.load();
+        let Some(row) = members.row(peer.daemon.as_str()) else {
+            return;
+        };
+        self.sent += 1;
+        let frame = PeerFrame {
+            sender: self.context.identity.daemon.clone(),
+            incarnation: self.context.identity.incarnation,
+            call: self.sent,
+            body,
+        };
+        let Ok(sealed) = self.context.key.seal(&frame) else {
+            return;
+        };
+        if let Err(error) = self.socket.send_to(&sealed, row.address) {
+            debug!(step = "send tokens", peer = %row.address, %error, "not sent");
+        }
+    }
+}
+
+fn demand_of<'r>(
+    member: &'r DaemonIdentity,
+    report: &TokenReport,
+    place: usize,
+    service: &ServiceName,
+) -> TokenDemand<'r> {
+    let weights = &report.weights;
+    let found = weights.binary_search_by(|(name, _)| name.cmp(service));
+    TokenDemand {
+        member,
+        tokens: report.tokens.get(place).copied().unwrap_or(0),
+        weight: found.map_or(1, |place| weights[place].1),
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/failures/support.rs
@@ -0,0 +1,130 @@
+//! What the scenes share.
+
+use std::net::SocketAddr;
+
+use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_standins::worker::HistoryRow;
+use sapphirestile_test_support::DaemonProcess;
+use sapphirestile_test_support::SceneFleet;
+use sapphirestile_test_support::call_json;
+use sapphirestile_test_support::wait_until;
+use serde_json::Value;
+use serde_json::json;
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_sapphirestiled");
+const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
+/// The cells of the fleet's document.
+pub const CELLS: usize = 2;
+
+/// A platform, and three daemons that own every cell.
+pub struct Stage {
+    pub scene: SceneFleet,
+    pub daemons: Vec<DaemonProcess>,
+}
+
+impl Stage {
+    pub fn set(name: &str, plan: FleetPlan) -> Self {
+        let scene = SceneFleet::start(DAEMON, &format!("{FOLDER}/{name}"), plan);
+        let first = scene.daemon("entry-1", "near-a", &[]);
+        let second = scene.daemon("entry-2", "near-b", &[first.peers()]);
+        let third = scene.daemon("entry-3", "far-c", &[first.peers()]);
+        let stage = Self {
+            scene,
+            daemons: vec![first, second, third],
+        };
+        stage.scene.put_document(stage.daemons[0].operators());
+        stage.scene.wait_owned(&stage.operators(), CELLS);
+        stage
+    }
+
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(DaemonProcess::operators).collect()
+    }
+
+    /// Takes the daemon out that owns the cell of `job`.
+    pub fn take_owner(&mut self, job: &str) -> DaemonProcess {
+        let cell = show_job(self.daemons[0].operators(), job).expect("the job is known")["cell"]
+            .as_u64()
+            .expect("a cell is a number");
+        let place = wait_until("the owner is known", || {
+            self.daemons
+                .iter()
+                .position(|daemon| owns(daemon.operators(), cell))
+        });
+        self.daemons.remove(place)
+    }
+
+    /// Every attempt that any worker has run.
+    pub fn history(&self) -> Vec<HistoryRow> {
+        let workers = self.scene.platform().workers().iter();
+        workers
+            .flat_map(|worker| worker.service().history())
+            .collect()
+    }
+
+    /// No task ran in two places at once.
+    pub fn assert_never_twice(&self) {
+        let history = self.history();
+        for (place, row) in history.iter().enumerate() {
+            for other in &history[place + 1..] {
+                assert!(
+                    row.task != other.task || apart(row, other),
+                    "{} ran in two places at once: {row:?} and {other:?}",
+                    row.task
+                );
+            }
+        }
+    }
+}
+
+fn apart(row: &HistoryRow, other: &HistoryRow) -> bool {
+    let before = |left: &HistoryRow, right: &HistoryRow| {
+        left.ended_ms.is_some_and(|ended| ended <= right.started_ms)
+    };
+    before(row, other) || before(other, row)
+}
+
+fn owns(operators: SocketAddr, cell: u64) -> bool {
+    let status = call_json(operators, "GET", "/v1/status", &Value::Null);
+    let cells = status.and_then(|(_, status)| status["cells"].as_array().cloned());
+    cells
+        .unwrap_or_default()
+        .iter()
+        .any(|owned| owned["cell"] == cell)
+}
+
+/// Submits a job until it is accepted.
+pub fn submit(operators: SocketAddr, job: &str, tasks: u32, run_ms: u64) {
+    let body = json!({
+        "job": job, "customer": "kennels", "tasks": tasks, "run_ms": run_ms,
+        "size": { "cpu_milli": 1000, "memory_mb": 512, "accelerators": 0 },
+    });
+    wait_until("the job is accepted", || {
+        call_json(operators, "POST", "/v1/jobs", &body).filter(|(status, _)| *status == 200)
+    });
+}
+
+/// The job as a daemon shows it, when it can.
+pub fn show_job(operators: SocketAddr, job: &str) -> Option<Value> {
+    let (status, view) = call_json(operators, "GET", &format!("/v1/jobs/{job}"), &Value::Null)?;
+    (status == 200).then_some(view)
+}
+
+/// Waits until a job has come to a state, and returns it.
+pub fn wait_job(operators: SocketAddr, job: &str, state: &str) -> Value {
+    wait_until(&format!("job {job} is {state}"), || {
+        show_job(operators, job).filter(|view| view["state"] == state)
+    })
+}
+
+/// Waits until every task of a job runs.
+pub fn wait_running(operators: SocketAddr, job: &str) {
+    wait_until("every task runs", || {
+        let view = show_job(operators, job)?;
+        let tasks = view["tasks"].as_array()?;
+        tasks
+            .iter()
+            .all(|task| task["state"] == "running")
+            .then_some(())
+    });
+}
--- a/crates/wire/src/peer/peer_answer.rs
+++ b/crates/wire/src/peer/peer_answer.rs
@@ -11,6 +11,7 @@
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::JournalSequence;
+use sapphirestile_slots::ClosedReport;
 
 /// A peer's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +20,8 @@
     Pong,
     /// The configuration that is in force at the peer, if it is newer.
     Document(Option<(ConfigRevision, StoredDocument)>),
+    /// The counters, closed.
+    Closed(ClosedReport),
     /// The job as it stands.
     Job(JobView),
     /// Why a subject is as it is.
--- a/crates/wire/src/peer/peer_request.rs
+++ b/crates/wire/src/peer/peer_request.rs
@@ -6,15 +6,18 @@
 use crate::api::JobSubmission;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::ConfigRevision;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::JobName;
 use sapphirestile_core::RequestKey;
 use sapphirestile_core::TaskIndex;
 
-/// A call to a peer. All but the first two go to the owner of a cell.
+/// A call to a peer. All but the first three go to the owner of a cell.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerRequest {
     /// Whether the peer is there.
     Ping,
+    /// Closes the counters of tokens with a member that is proven gone.
+    CloseMember(DaemonIdentity),
     /// The configuration, when it is newer than this revision.
     Document(ConfigRevision),
     /// Submits a job.
--- /dev/null
+++ b/crates/wire/src/peer/token_report.rs
@@ -0,0 +1,17 @@
+//! What a member holds and wants of the runners.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use sapphirestile_core::ServiceName;
+
+/// The tokens that a member holds, and its demand.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenReport {
+    /// The generation of the ledger that the member goes by.
+    pub generation: u64,
+    /// The member's demand for each service, in thousandths of a request.
+    pub weights: Vec<(ServiceName, u32)>,
+    /// Its tokens of each runner, in the order of the ledger.
+    pub tokens: Vec<u32>,
+}
