Prove more failed calls unsent, and start no thread for a call

Cause: an unreachable host was taken for a lost answer, since the same kind of error can come from an open connection (seen failing first: a call to the broadcast address of the loopback gave unknown). And the resolver of ureq starts a thread for each call with a time limit, pooled or not. Ruled out: judging by the kind of the error. Conclusion: PeerConnector marks each failure to connect with a ConnectFault and PeerResolver knows the address; only marked failures are NotSent.

Seen to fail with the mechanism taken out: failures unmarked, any error as unsent. No test sees the thread; the measurement does.

--- a/crates/platform/examples/client_towards_runners/main.rs
+++ b/crates/platform/examples/client_towards_runners/main.rs
@@ -2,7 +2,8 @@
 //!
 //! A stand-in of a runner waits as long as the round trips of a link with 8 ms
 //! one way would take: once more for each new connection and once for each
-//! request. A relay before it counts connections and the bytes of both
+//! request; then again without a link, to show what the clients themselves take.
+//! A relay before it counts connections and the bytes of both
 //! directions, without those of TCP and IP. Run it with
 //! `cargo run --release -p sapphirestile-platform --example client_towards_runners`.
 
@@ -24,8 +25,6 @@
 
 const THREADS: usize = 8;
 const REQUESTS_PER_THREAD: usize = 125;
-const ROUND_TRIP_MS: u64 = 16;
-const SERVICE_MS: u64 = 5;
 const BODY_BYTES: usize = 256;
 const LIMITS: CallLimits = CallLimits {
     timeout: Duration::from_secs(10),
@@ -34,22 +33,24 @@
 
 fn main() {
     println!(
-        "{} requests, {THREADS} at a time, bodies of {BODY_BYTES} bytes, service time \
-         {SERVICE_MS} ms, round trip {ROUND_TRIP_MS} ms",
+        "{} requests, {THREADS} at a time, bodies of {BODY_BYTES} bytes",
         THREADS * REQUESTS_PER_THREAD
     );
-    for kind in [ClientKind::Oxhttp, ClientKind::RunnerClient] {
-        println!("{kind:?}: {}", measure(kind));
+    for (round_trip_ms, service_ms) in [(16, 5), (0, 0)] {
+        println!("round trip {round_trip_ms} ms, service time {service_ms} ms");
+        let settings = RunnerSettings {
+            slots: 64,
+            service_ms,
+            connect_delay_ms: round_trip_ms,
+            request_delay_ms: round_trip_ms,
+        };
+        for kind in [ClientKind::Oxhttp, ClientKind::RunnerClient] {
+            println!("  {kind:?}: {}", measure(kind, settings));
+        }
     }
 }
 
-fn measure(kind: ClientKind) -> CallSummary {
-    let settings = RunnerSettings {
-        slots: 64,
-        service_ms: SERVICE_MS,
-        connect_delay_ms: ROUND_TRIP_MS,
-        request_delay_ms: ROUND_TRIP_MS,
-    };
+fn measure(kind: ClientKind, settings: RunnerSettings) -> CallSummary {
     let any_port = ([127, 0, 0, 1], 0).into();
     let runner = RunnerStandin::start(any_port, settings).expect("the runner listens");
     let relay = ByteRelay::start(runner.address()).expect("the relay listens");
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -11,6 +11,7 @@
 mod call_error;
 mod call_limits;
 mod call_request;
+mod connect_fault;
 mod connection_table;
 mod header_view;
 mod http_answer;
@@ -18,6 +19,8 @@
 mod line_reader;
 mod peer_address;
 mod peer_connections;
+mod peer_connector;
+mod peer_resolver;
 mod request_sender;
 
 pub use address_fault::AddressFault;
--- a/crates/platform/src/http/http_client.rs
+++ b/crates/platform/src/http/http_client.rs
@@ -1,6 +1,5 @@
 //! Sends requests to one peer.
 
-use std::io::ErrorKind;
 use std::time::Duration;
 
 use error_stack::Report;
@@ -18,6 +17,7 @@
 use crate::http::PeerAddress;
 use crate::http::PeerConnections;
 use crate::http::answer_framing::AnswerFraming;
+use crate::http::connect_fault::ConnectFault;
 use crate::http::request_sender::RequestSender;
 use sapphirestile_core::StepError;
 
@@ -177,7 +177,7 @@
     }
 
     fn unsent_or_lost(&self, step: &'static str, error: ureq::Error) -> Report<CallError> {
-        let outcome = if is_unsent(&error) {
+        let outcome = if ConnectFault::is_behind(&error) {
             CallError::NotSent
         } else {
             CallError::Unknown
@@ -204,13 +204,3 @@
             .change_context(outcome)
     }
 }
-
-/// Whether an error proves that there was never a connection for the request.
-fn is_unsent(error: &ureq::Error) -> bool {
-    match error {
-        ureq::Error::Timeout(Timeout::Connect) | ureq::Error::ConnectionFailed => true,
-        // An open connection is never refused, so this kind comes from connecting.
-        ureq::Error::Io(error) => error.kind() == ErrorKind::ConnectionRefused,
-        _ => false,
-    }
-}
--- a/crates/platform/src/http/peer_connections.rs
+++ b/crates/platform/src/http/peer_connections.rs
@@ -6,6 +6,8 @@
 use ureq::config::AutoHeaderValue;
 
 use crate::http::PeerAddress;
+use crate::http::peer_connector::PeerConnector;
+use crate::http::peer_resolver::PeerResolver;
 
 /// The most idle connections to a peer.
 const IDLE_CONNECTIONS_MAX: usize = 64;
@@ -37,7 +39,7 @@
     /// ```
     #[must_use]
     pub fn new(peer: PeerAddress) -> Self {
-        let agent = Agent::config_builder()
+        let config = Agent::config_builder()
             .proxy(None)
             .http_status_as_error(false)
             .max_redirects(0)
@@ -50,8 +52,9 @@
             .max_idle_connections(IDLE_CONNECTIONS_MAX)
             .max_idle_connections_per_host(IDLE_CONNECTIONS_MAX)
             .max_idle_age(IDLE_AGE_MAX)
-            .build()
-            .new_agent();
+            .build();
+        let connector = PeerConnector::default();
+        let agent = Agent::with_parts(config, connector, PeerResolver::new(peer));
         Self { peer, agent }
     }
 
--- a/crates/platform/tests/calls/http_scenes.rs
+++ b/crates/platform/tests/calls/http_scenes.rs
@@ -94,6 +94,13 @@
     assert_eq!(call(silent_address(), LONG), Err(CallError::NotSent));
 }
 
+/// The broadcast address of the loopback cannot be connected to.
+#[test]
+fn a_peer_that_cannot_be_reached_is_not_sent() {
+    let peer = PeerAddress::try_from("127.255.255.255:9000").unwrap();
+    assert_eq!(call(peer, LONG), Err(CallError::NotSent));
+}
+
 #[test]
 fn a_connection_that_is_not_made_in_time_is_not_sent() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
