Say what a watch cannot tell

Cause: a store that accepts a watch and then hangs cannot be told from one without changes, since the published API sends nothing on a quiet watch. Conclusion: said where the client is described; no code changes.

--- a/crates/platform/src/store/etcd_client.rs
+++ b/crates/platform/src/store/etcd_client.rs
@@ -44,7 +44,9 @@
 /// A client of a store that speaks the JSON gateway of the etcd v3 API.
 ///
 /// It repeats no call. Every call opens at most one request, but
-/// [`StoreClient::watch`], which reads the rows after the change.
+/// [`StoreClient::watch`], which reads the rows after the change. A store that
+/// takes a watch and says nothing looks like one without changes: the other
+/// calls tell that it is gone.
 #[derive(Clone, Debug)]
 pub struct EtcdClient {
     client: HttpClient,
