Let cells go to daemons that reach the store, and spread out again

Cause: a daemon cut off from the store kept its cells, which then committed nothing, and one that was first in a cell's order could be one that cannot claim. After restarts all cells stayed where they had gone.

Before: cells of a daemon cut off from the store stood still. After: heartbeats say how long the store has been silent, and others claim. Leases last an hour by default, since they only bound what an owner that is gone leaves behind.

Conclusion: the scene of a daemon cut off from the store alone is not written.

--- a/crates/daemon/src/callers/caller_service.rs
+++ b/crates/daemon/src/callers/caller_service.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use oxhttp::model::Body;
 use oxhttp::model::Request;
@@ -65,6 +66,22 @@
         }
     }
 
+    fn count(&self, reply: &CallerReply, elapsed: Duration) {
+        let metrics = &self.context.metrics;
+        match reply {
+            CallerReply::Answered(_) => {
+                metrics.answered.inc();
+                metrics.request_seconds.observe(elapsed.as_secs_f64());
+            }
+            CallerReply::Unknown | CallerReply::AlreadySent => {
+                metrics.unknown.inc();
+            }
+            CallerReply::NotRun(_) | CallerReply::BadRequest(_) | CallerReply::TooLarge => {
+                metrics.not_run.inc();
+            }
+        }
+    }
+
     fn facts_of(
         &self,
         request: &CallerRequest,
@@ -206,7 +223,10 @@
 
 impl HttpService for CallerService {
     fn answer(&self, request: &mut Request<Body>) -> HttpReply {
-        self.serve(request).into_http()
+        let received = Instant::now();
+        let reply = self.serve(request);
+        self.count(&reply, received.elapsed());
+        reply.into_http()
     }
 
     fn refuse(&self) -> HttpReply {
--- a/crates/daemon/src/cells/cell_director.rs
+++ b/crates/daemon/src/cells/cell_director.rs
@@ -32,12 +32,15 @@
 
 const TICK: Duration = Duration::from_millis(200);
 const CLAIM_TRIES: u32 = 3;
+const BALANCE_INTERVAL_MS: u64 = 5_000;
 
 /// Claims cells that nobody owns, and gives cells up at a planned stop.
 pub struct CellDirector {
     context: Arc<DaemonContext>,
     pool: WorkerPool,
     started: MonoTime,
+    /// When a cell was last given up for the sake of balance.
+    balanced: MonoTime,
 }
 
 impl CellDirector {
@@ -49,22 +52,26 @@
             context,
             pool,
             started,
+            balanced: started,
         }
     }
 
     /// Directs until `stop` is closed.
-    pub fn run(&self, stop: &Receiver<()>) {
+    pub fn run(&mut self, stop: &Receiver<()>) {
         while stop.recv_timeout(TICK) == Err(RecvTimeoutError::Timeout) {
             self.step();
         }
     }
 
-    fn step(&self) {
+    fn step(&mut self) {
         let now = self.context.clock.now();
         self.depose_beaten(now);
         match self.context.phase.get() {
             MemberState::Starting => {}
-            MemberState::Serving => self.claim_unowned(now),
+            MemberState::Serving => {
+                self.claim_unowned(now);
+                self.balance(now);
+            }
             MemberState::Draining => self.give_up_all(),
         }
     }
@@ -104,24 +111,54 @@
         }
     }
 
+    /// Gives one cell up, now and then, when another daemon comes before this one
+    /// in the cell's order: after restarts the cells spread out again.
+    fn balance(&mut self, now: MonoTime) {
+        if now.millis_since(self.balanced) < BALANCE_INTERVAL_MS {
+            return;
+        }
+        self.balanced = now;
+        let Some(map) = self.context.map() else {
+            return;
+        };
+        let keepers = self.context.keepers.load();
+        let strange = keepers
+            .iter()
+            .find(|(cell, _)| !self.is_preferred(map, **cell, now));
+        if let Some((cell, handle)) = strange {
+            info!(step = "balance cells", %cell, "given up for another daemon");
+            let _told = handle.events.send(KeeperEvent::Stop);
+        }
+    }
+
+    /// Whether nobody owns the cell, or only a daemon that the store has not
+    /// answered for so long that it can commit nothing.
     fn is_unowned(&self, cell: CellNumber, now: MonoTime) -> bool {
+        if self.context.keepers.load().keeper(cell).is_some() {
+            return false;
+        }
         let suspect_ms = self.context.settings.limits.suspect_ms;
-        let here = self.context.keepers.load().keeper(cell).is_some();
         let members = self.context.members.load();
-        !here && members.owner_of(cell, now, suspect_ms).is_none()
+        let Some((owner, _)) = members.owner_of(cell, now, suspect_ms) else {
+            return true;
+        };
+        let row = members.row(owner.as_str());
+        !row.is_some_and(|row| row.reaches_store(self.context.store_patience_ms()))
     }
 
     fn is_preferred(&self, map: CellMap, cell: CellNumber, now: MonoTime) -> bool {
         let suspect_ms = self.context.settings.limits.suspect_ms;
+        let patience_ms = self.context.store_patience_ms();
         let own = self.context.identity.daemon.as_str();
         let members = self.context.members.load();
-        let mut serving: Vec<&str> = members
+        let mut able: Vec<&str> = members
             .rows()
-            .filter(|(daemon, row)| daemon.as_str() != own && row.serves(now, suspect_ms))
+            .filter(|(daemon, _)| daemon.as_str() != own)
+            .filter(|(_, row)| row.serves(now, suspect_ms) && row.reaches_store(patience_ms))
             .map(|(daemon, _)| daemon.as_str())
             .collect();
-        serving.push(own);
-        map.preferred_owner(cell, &serving) == Some(own)
+        able.push(own);
+        map.preferred_owner(cell, &able) == Some(own)
     }
 
     fn claim(&self, cell: CellNumber) {
--- a/crates/daemon/src/context/daemon_context.rs
+++ b/crates/daemon/src/context/daemon_context.rs
@@ -75,11 +75,16 @@
         (cells > 0).then(|| CellMap::new(cells))
     }
 
-    /// Whether the store has answered lately. The shared watch, when nothing
-    /// changes, hears from it once every [`crate::members::WATCH_WAIT_MS`].
+    /// Whether the store has answered lately.
     #[must_use]
     pub fn store_reachable(&self, now: MonoTime) -> bool {
-        let patience_ms = self.settings.limits.suspect_ms + WATCH_WAIT_MS;
-        self.pulse.silent_ms(now) < patience_ms
+        self.pulse.silent_ms(now) < self.store_patience_ms()
+    }
+
+    /// How long the store may be silent before it counts as away. The shared
+    /// watch, when nothing changes, hears from it every [`WATCH_WAIT_MS`].
+    #[must_use]
+    pub const fn store_patience_ms(&self) -> u64 {
+        self.settings.limits.suspect_ms + WATCH_WAIT_MS
     }
 }
--- a/crates/daemon/src/cycle/daemon_threads.rs
+++ b/crates/daemon/src/cycle/daemon_threads.rs
@@ -76,7 +76,7 @@
 
 pub(super) fn start_cells(context: &Arc<DaemonContext>, stopped: &Receiver<()>) {
     let pool = WorkerPool::start(context);
-    let director = CellDirector::new(Arc::clone(context), pool);
+    let mut director = CellDirector::new(Arc::clone(context), pool);
     let stop = stopped.clone();
     thread::spawn(move || director.run(&stop));
 }
--- a/crates/daemon/src/members/member_row.rs
+++ b/crates/daemon/src/members/member_row.rs
@@ -28,6 +28,13 @@
         }
     }
 
+    /// Whether the store had answered it within `patience_ms` when it was last heard.
+    #[must_use]
+    pub fn reaches_store(&self, patience_ms: u64) -> bool {
+        let heartbeat = self.heartbeat.as_ref();
+        heartbeat.is_some_and(|(_, _, beat)| beat.store_silent_ms < patience_ms)
+    }
+
     /// Whether it was heard within `suspect_ms` and takes cells.
     #[must_use]
     pub fn serves(&self, now: MonoTime, suspect_ms: u64) -> bool {
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -44,12 +44,12 @@
 /// ";
 /// let settings = DaemonSettings::try_from(text).unwrap();
 /// assert_eq!(settings.node.name.as_str(), "hki-1");
-/// assert_eq!(settings.limits.lease_ms, 10_000);
+/// assert_eq!(settings.limits.lease_ms, 3_600_000);
 ///
 /// let fault = DaemonSettings::try_from("[limits]\nlease_ms = 5 s\n").unwrap_err();
 /// assert_eq!(
 ///     fault.faults.last().unwrap().to_string(),
-///     "[limits] lease_ms = \"5 s\": expected milliseconds from 2000 to 600000"
+///     "[limits] lease_ms = \"5 s\": expected milliseconds from 2000 to 86400000"
 /// );
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/daemon/src/settings/limit_settings.rs
+++ b/crates/daemon/src/settings/limit_settings.rs
@@ -7,16 +7,17 @@
 const STORE_TIMEOUT_DEFAULT_MS: u64 = 2_000;
 const HEARTBEAT_DEFAULT_MS: u64 = 500;
 const SUSPECT_DEFAULT_MS: u64 = 5_000;
-const LEASE_DEFAULT_MS: u64 = 10_000;
+const LEASE_DEFAULT_MS: u64 = HOUR_MS;
 const REQUEST_MAX_DEFAULT_MS: u64 = 30_000;
 const DRAIN_MAX_DEFAULT_MS: u64 = 60_000;
+const DAY_MS: u64 = 86_400_000;
 const HOUR_MS: u64 = 3_600_000;
 const HEARTBEATS_BEFORE_SUSPECT: u64 = 2;
 const BODY_EXPECTED: &str = "bytes from 1 to 67108864";
 const STORE_TIMEOUT_EXPECTED: &str = "milliseconds from 10 to 60000";
 const HEARTBEAT_EXPECTED: &str = "milliseconds from 10 to 60000";
 const SUSPECT_EXPECTED: &str = "milliseconds from 20 to 3600000";
-const LEASE_EXPECTED: &str = "milliseconds from 2000 to 600000";
+const LEASE_EXPECTED: &str = "milliseconds from 2000 to 86400000";
 const HOUR_EXPECTED: &str = "milliseconds from 1 to 3600000";
 const SUSPECT_LATER_EXPECTED: &str = "at least twice heartbeat_ms";
 const DRAIN_LONGER_EXPECTED: &str = "at least request_max_ms, so that a stop cuts off no request";
@@ -69,12 +70,7 @@
             20..=HOUR_MS,
             SUSPECT_EXPECTED,
         );
-        let lease_ms = millis(
-            "lease_ms",
-            LEASE_DEFAULT_MS,
-            2_000..=600_000,
-            LEASE_EXPECTED,
-        );
+        let lease_ms = millis("lease_ms", LEASE_DEFAULT_MS, 2_000..=DAY_MS, LEASE_EXPECTED);
         let request_max_ms = millis(
             "request_max_ms",
             REQUEST_MAX_DEFAULT_MS,
--- a/crates/daemon/tests/failures/slot_bound.rs
+++ b/crates/daemon/tests/failures/slot_bound.rs
@@ -3,6 +3,7 @@
 
 use sapphirestile_standins::fleet::FleetPlan;
 use sapphirestile_standins::runner::RunnerSettings;
+use sapphirestile_test_support::DaemonProcess;
 use sapphirestile_test_support::call;
 use sapphirestile_test_support::wait_until;
 
@@ -35,11 +36,7 @@
                 .filter(|answer| answer.status == 200)
         });
     }
-    let flooded: Vec<SocketAddr> = stage
-        .daemons
-        .iter()
-        .map(|daemon| daemon.callers())
-        .collect();
+    let flooded: Vec<SocketAddr> = stage.daemons.iter().map(DaemonProcess::callers).collect();
     let killed = stage.daemons.remove(1);
     thread::scope(|scope| {
         for callers in &flooded {
