--- /dev/null
+++ b/crates/routing/src/ejection_policy.rs
@@ -0,0 +1,148 @@
+//! Which runners of a service get no requests for a while.
+
+mod ejection_record;
+mod ejection_state;
+
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::RunnerName;
+use sapphirestile_core::SortedTable;
+
+use crate::RunnerRow;
+use crate::RunnerStanding;
+
+use ejection_record::EjectionRecord;
+use ejection_state::EjectionState;
+
+const FAILURES_MAX: u32 = 5;
+const SLOW_FACTOR: u64 = 3;
+const SLOW_EXCESS_US: u64 = 10_000;
+const EJECTED_PERCENT_MAX: usize = 30;
+const EJECTION_MS: u64 = 5_000;
+const EJECTION_DOUBLINGS_MAX: u32 = 5;
+const TRIAL_ANSWERS: u64 = 5;
+const PERCENT: usize = 100;
+
+/// Ejects slow and failing runners of one service, and lets them back.
+///
+/// A runner is slow when its latency is several times the median of its zone,
+/// so that the link to another region makes none slow. Ejected runners and those
+/// on trial are at most [three in ten](Self::judge). After its time, which
+/// doubles with each ejection in a row, a runner is on trial.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_core::MonoTime;
+/// use sapphirestile_routing::EjectionPolicy;
+///
+/// let mut policy = EjectionPolicy::default();
+/// policy.judge(&[], MonoTime::from_millis(0));
+/// assert_eq!(policy.ejected(), 0);
+/// ```
+#[derive(Debug, Default)]
+pub struct EjectionPolicy {
+    records: SortedTable<RunnerName, EjectionRecord>,
+}
+
+impl EjectionPolicy {
+    /// Judges all runners of the service by their gauges and sets the standing of
+    /// each. At most three in ten, rounded down, are ejected or on trial.
+    pub fn judge(&mut self, rows: &[&RunnerRow], now: MonoTime) {
+        let known = |runner: &RunnerName| rows.iter().any(|row| row.runner == *runner);
+        self.records.retain(|runner, _| known(runner));
+        let medians = zone_medians(rows);
+        let median = |row: &RunnerRow| medians.get(row.zone.as_str()).copied().unwrap_or(0);
+        for row in rows {
+            if let Some(record) = self.records.get_mut(row.runner.as_str()) {
+                follow_up(record, row, median(row), now);
+            }
+        }
+        self.records
+            .retain(|_, record| record.state != EjectionState::Recovered);
+        let most = rows.len() * EJECTED_PERCENT_MAX / PERCENT;
+        for row in worst_first(rows, &median) {
+            if self.records.len() >= most {
+                return;
+            }
+            let record = EjectionRecord::new(now.plus_millis(EJECTION_MS));
+            row.gauge.set_standing(RunnerStanding::Ejected);
+            self.records.insert(row.runner.clone(), record);
+        }
+    }
+
+    /// How many runners are ejected or on trial.
+    #[must_use]
+    pub fn ejected(&self) -> usize {
+        self.records.len()
+    }
+}
+
+fn follow_up(record: &mut EjectionRecord, row: &RunnerRow, median: u64, now: MonoTime) {
+    match record.state {
+        EjectionState::Ejected { until } if now >= until => {
+            row.gauge.reset_observations(median);
+            row.gauge.set_standing(RunnerStanding::Trial);
+            let answers = row.gauge.answers();
+            record.state = EjectionState::Trial { answers };
+        }
+        EjectionState::Trial { answers } => {
+            let answered = row.gauge.answers() - answers;
+            if row.gauge.failures() > 0 || answered >= TRIAL_ANSWERS && is_slow(row, median) {
+                eject_again(record, row, now);
+            } else if answered >= TRIAL_ANSWERS {
+                row.gauge.set_standing(RunnerStanding::Open);
+                record.state = EjectionState::Recovered;
+            }
+        }
+        EjectionState::Ejected { .. } | EjectionState::Recovered => {}
+    }
+}
+
+fn eject_again(record: &mut EjectionRecord, row: &RunnerRow, now: MonoTime) {
+    record.doublings = (record.doublings + 1).min(EJECTION_DOUBLINGS_MAX);
+    let until = now.plus_millis(EJECTION_MS << record.doublings);
+    record.state = EjectionState::Ejected { until };
+    row.gauge.set_standing(RunnerStanding::Ejected);
+}
+
+/// The open runners that should be ejected, those that fail before those that
+/// are slow.
+fn worst_first<'t>(
+    rows: &[&'t RunnerRow],
+    median: &impl Fn(&RunnerRow) -> u64,
+) -> Vec<&'t RunnerRow> {
+    let bad = |row: &&&RunnerRow| {
+        let open = row.gauge.standing() == RunnerStanding::Open;
+        open && (is_failing(row) || is_slow(row, median(row)))
+    };
+    let mut worst = rows.iter().filter(bad).copied().collect::<Vec<_>>();
+    worst.sort_by_key(|row| (is_failing(row), row.gauge.latency_us()));
+    worst.reverse();
+    worst
+}
+
+fn is_failing(row: &RunnerRow) -> bool {
+    row.gauge.failures() >= FAILURES_MAX
+}
+
+fn is_slow(row: &RunnerRow, median: u64) -> bool {
+    let latency = row.gauge.latency_us();
+    median > 0 && latency > median * SLOW_FACTOR && latency > median + SLOW_EXCESS_US
+}
+
+/// The median latency of the open runners of each zone, in microseconds.
+fn zone_medians<'t>(rows: &[&'t RunnerRow]) -> SortedTable<&'t str, u64> {
+    let mut latencies = SortedTable::<&str, Vec<u64>>::new();
+    for row in rows {
+        let observed = row.gauge.latency_us() > 0;
+        if observed && row.gauge.standing() == RunnerStanding::Open {
+            let zone = latencies.get_or_insert_with(row.zone.as_str(), Vec::new);
+            zone.push(row.gauge.latency_us());
+        }
+    }
+    let medians = latencies.iter_mut().map(|(zone, latencies)| {
+        latencies.sort_unstable();
+        (*zone, latencies[latencies.len() / 2])
+    });
+    medians.collect()
+}
--- a/crates/routing/src/request_cycle/sent_phase.rs
+++ b/crates/routing/src/request_cycle/sent_phase.rs
@@ -3,7 +3,9 @@
 use std::mem::ManuallyDrop;
 
 use crate::NotRunPhase;
+use crate::ReceivedPhase;
 use crate::RequestCycle;
+use crate::RetryBudget;
 use crate::RouteReach;
 use crate::RouteRefusal;
 use crate::RunnerRow;
@@ -11,6 +13,9 @@
 use crate::request_cycle::AnsweredPhase;
 use crate::request_cycle::UnknownPhase;
 
+const HEDGE_LATENCY_FACTOR: u64 = 3;
+const HEDGE_AFTER_US_MIN: u64 = 2_000;
+
 /// A request that the runner may be working on.
 ///
 /// A cycle dropped in this phase, as by a panic, never gives its slot back: the
@@ -34,6 +39,27 @@
         self.phase.reach
     }
 
+    /// The time after sending at which a second attempt may be worth it, in
+    /// microseconds.
+    #[must_use]
+    pub fn hedge_after_us(&self) -> u64 {
+        let latency = self.row().gauge.latency_us();
+        (latency * HEDGE_LATENCY_FACTOR).max(HEDGE_AFTER_US_MIN)
+    }
+
+    /// A second attempt of an idempotent request, within `budget`, to run beside
+    /// this one; nothing when the request may run only once.
+    #[must_use]
+    pub fn hedge(&self, budget: &RetryBudget) -> Option<RequestCycle<ReceivedPhase>> {
+        let hedged = self.facts.idempotent && budget.spend();
+        hedged.then(|| RequestCycle {
+            facts: self.facts.clone(),
+            record: None,
+            attempts: self.attempts,
+            phase: ReceivedPhase,
+        })
+    }
+
     /// The whole answer has arrived after `latency_us` microseconds; the slot
     /// is given back.
     #[must_use]
--- a/crates/routing/src/request_cycle/unknown_phase.rs
+++ b/crates/routing/src/request_cycle/unknown_phase.rs
@@ -5,7 +5,10 @@
 use sapphirestile_core::MonoTime;
 
 use crate::ParkedSlot;
+use crate::ReceivedPhase;
 use crate::RequestCycle;
+use crate::RetriedRequest;
+use crate::RetryBudget;
 use crate::SlotGuard;
 
 /// A request that may have run, may be running, or may not have run.
@@ -21,4 +24,24 @@
     pub fn park(self, until: MonoTime) -> ParkedSlot {
         ParkedSlot::new(self.phase.slot, until)
     }
+
+    /// Begins an idempotent request again, within `budget`, and parks the slot of
+    /// the lost attempt until `until`.
+    ///
+    /// # Errors
+    ///
+    /// The request itself, when it is not idempotent or the budget is spent.
+    pub fn retry(self, budget: &RetryBudget, until: MonoTime) -> Result<RetriedRequest, Box<Self>> {
+        if !self.facts.idempotent || !budget.spend() {
+            return Err(Box::new(self));
+        }
+        let cycle = RequestCycle {
+            facts: self.facts,
+            record: None,
+            attempts: self.attempts,
+            phase: ReceivedPhase,
+        };
+        let slot = ParkedSlot::new(self.phase.slot, until);
+        Ok(RetriedRequest { cycle, slot })
+    }
 }
--- a/crates/routing/src/runner_gauge.rs
+++ b/crates/routing/src/runner_gauge.rs
@@ -1,5 +1,6 @@
 //! What a daemon counts and observes of one runner.
 
+use crate::RunnerStanding;
 use crate::sync::AtomicU32;
 use crate::sync::AtomicU64;
 use crate::sync::Ordering;
@@ -34,7 +35,7 @@
     latency_us: AtomicU64,
     failures: AtomicU32,
     answers: AtomicU64,
-    ejected: AtomicU32,
+    standing: AtomicU32,
 }
 
 impl Default for RunnerGauge {
@@ -52,7 +53,7 @@
             latency_us: AtomicU64::new(0),
             failures: AtomicU32::new(0),
             answers: AtomicU64::new(0),
-            ejected: AtomicU32::new(0),
+            standing: AtomicU32::new(RunnerStanding::Open as u32),
         }
     }
 
@@ -184,15 +185,22 @@
         self.answers.load(Ordering::Relaxed)
     }
 
-    /// Sets whether the runner is left out of choices for its slowness or failures.
-    pub fn set_ejected(&self, ejected: bool) {
-        self.ejected.store(u32::from(ejected), Ordering::Relaxed);
+    /// Begins the observations anew, with `latency_us` microseconds as the
+    /// smoothed latency.
+    pub fn reset_observations(&self, latency_us: u64) {
+        self.failures.store(0, Ordering::Relaxed);
+        self.latency_us.store(latency_us, Ordering::Relaxed);
+    }
+
+    /// Sets whether the runner gets requests.
+    pub fn set_standing(&self, standing: RunnerStanding) {
+        self.standing.store(standing as u32, Ordering::Relaxed);
     }
 
-    /// Whether the runner is left out of choices for its slowness or failures.
+    /// Whether the runner gets requests.
     #[must_use]
-    pub fn is_ejected(&self) -> bool {
-        self.ejected.load(Ordering::Relaxed) != 0
+    pub fn standing(&self) -> RunnerStanding {
+        RunnerStanding::from(self.standing.load(Ordering::Relaxed))
     }
 }
 
--- a/crates/routing/src/service_pool.rs
+++ b/crates/routing/src/service_pool.rs
@@ -8,11 +8,13 @@
 use crate::RouteRefusal;
 use crate::RunnerGauge;
 use crate::RunnerRow;
+use crate::RunnerStanding;
 use crate::SlotGuard;
 use crate::random_draw::RandomDraw;
 
 const PAIRS_MAX: usize = 3;
 const SCAN_ROWS_MAX: usize = 64;
+const TRIAL_IN_FLIGHT_MAX: u32 = 1;
 const HOT_NUMERATOR: u32 = 3;
 const HOT_DENOMINATOR: u32 = 4;
 
@@ -100,8 +102,13 @@
 
 fn usable<'t>(row: &'t Arc<RunnerRow>, query: &RouteQuery<'_>) -> Option<&'t Arc<RunnerRow>> {
     let (tokens, in_flight) = row.gauge.occupancy();
+    let limit = match row.gauge.standing() {
+        RunnerStanding::Open => tokens,
+        RunnerStanding::Trial => tokens.min(TRIAL_IN_FLIGHT_MAX),
+        RunnerStanding::Ejected => 0,
+    };
     let avoided = query.avoid == Some(row.runner.as_str());
-    (in_flight < tokens && !avoided && !row.gauge.is_ejected()).then_some(row)
+    (in_flight < limit && !avoided).then_some(row)
 }
 
 fn better_of<'t>(
--- a/crates/routing/tests/request_cycle.rs
+++ b/crates/routing/tests/request_cycle.rs
@@ -14,6 +14,7 @@
 use sapphirestile_routing::RequestCycle;
 use sapphirestile_routing::RequestFacts;
 use sapphirestile_routing::RequestKey;
+use sapphirestile_routing::RetryBudget;
 use sapphirestile_routing::RouteChoice;
 use sapphirestile_routing::RouteQuery;
 use sapphirestile_routing::RouteRefusal;
@@ -124,3 +125,63 @@
     drop(admitted.send().unwrap());
     assert_eq!(gauge.in_flight(), 1);
 }
+
+fn budget() -> RetryBudget {
+    let budget = RetryBudget::new(1_000, 1);
+    budget.earn();
+    budget
+}
+
+#[test]
+fn a_lost_idempotent_request_is_retried_within_the_budget() {
+    let gauge = gauge();
+    let budget = budget();
+    let lost = |gauge| {
+        let admitted = RequestCycle::receive(facts(true)).admit(choice(gauge));
+        admitted.send().unwrap().lose()
+    };
+    let retried = lost(&gauge).retry(&budget, MonoTime::from_millis(500));
+    let retried = retried.unwrap();
+    assert_eq!(retried.cycle.attempts(), 1);
+    assert_eq!(gauge.in_flight(), 1);
+    assert!(retried.slot.release(MonoTime::from_millis(500)).is_ok());
+    assert!(
+        lost(&gauge)
+            .retry(&budget, MonoTime::from_millis(500))
+            .is_err()
+    );
+}
+
+#[test]
+fn a_lost_request_that_must_run_once_is_never_retried_or_hedged() {
+    let gauge = gauge();
+    let budget = budget();
+    let admitted = RequestCycle::receive(facts(false)).admit(choice(&gauge));
+    let sent = admitted.with_record(proof("permit-9")).send().unwrap();
+    assert!(sent.hedge(&budget).is_none());
+    let lost = sent.lose().retry(&budget, MonoTime::from_millis(500));
+    assert!(lost.is_err());
+    assert!(budget.spend());
+}
+
+#[test]
+fn a_declined_request_is_sent_again_with_the_same_record() {
+    let gauge = gauge();
+    let admitted = RequestCycle::receive(facts(false)).admit(choice(&gauge));
+    let sent = admitted.with_record(proof("permit-9")).send().unwrap();
+    let declined = sent.decline();
+    assert_eq!(gauge.in_flight(), 0);
+    let again = declined.retry(&budget()).unwrap().admit(choice(&gauge));
+    assert_eq!(again.send().unwrap().attempts(), 2);
+}
+
+#[test]
+fn an_idempotent_request_is_hedged_within_the_budget() {
+    let gauge = gauge();
+    let budget = budget();
+    let admitted = RequestCycle::receive(facts(true)).admit(choice(&gauge));
+    let sent = admitted.send().unwrap();
+    assert_eq!(sent.hedge_after_us(), 2_000);
+    assert!(sent.hedge(&budget).is_some());
+    assert!(sent.hedge(&budget).is_none());
+}
--- a/crates/routing/tests/routing_table.rs
+++ b/crates/routing/tests/routing_table.rs
@@ -13,6 +13,7 @@
 use sapphirestile_routing::RouteRefusal;
 use sapphirestile_routing::RoutingTable;
 use sapphirestile_routing::RunnerRow;
+use sapphirestile_routing::RunnerStanding;
 use sapphirestile_routing::TableCell;
 
 const DOCUMENT: &str = "[region near]\ncells = 1\n[region far]\ncells = 1\n\
@@ -108,7 +109,7 @@
         row_with(&mut registry, "a-2", "a", 8),
         row_with(&mut registry, "a-3", "a", 8),
     ];
-    rows[0].gauge.set_ejected(true);
+    rows[0].gauge.set_standing(RunnerStanding::Ejected);
     let table = RoutingTable::new(&document(), "a", rows);
     for random in 0..64 {
         let query = RouteQuery {
@@ -120,6 +121,18 @@
     }
 }
 
+#[test]
+fn a_runner_on_trial_gets_one_request_at_a_time() {
+    let mut registry = GaugeRegistry::default();
+    let rows = vec![row_with(&mut registry, "a-1", "a", 8)];
+    rows[0].gauge.set_standing(RunnerStanding::Trial);
+    let table = RoutingTable::new(&document(), "a", rows);
+    let first = table.choose(&query(1)).unwrap();
+    assert_eq!(table.choose(&query(2)).unwrap_err(), RouteRefusal::NoSlot);
+    drop(first);
+    assert!(table.choose(&query(3)).is_ok());
+}
+
 #[test]
 fn a_slow_or_crowded_runner_gets_less() {
     let mut registry = GaugeRegistry::default();
