Make room for urgent work by stopping tasks of the backlog

The search stops one task when one is enough, else the fewest, with a checkpoint, and holds the worker for the urgent task.

--- a/crates/experiment/src/batch/baseline_choice.rs
+++ b/crates/experiment/src/batch/baseline_choice.rs
@@ -5,7 +5,7 @@
 use sapphirestile_placement::WorkerRoom;
 
 fn takes(room: &WorkerRoom, policy: &RoomPolicy, size: &ResourceSize) -> bool {
-    room.takes_work() && room.has_room(policy, size) && !room.is_hot(policy)
+    room.takes_work() && room.has_room(policy, size)
 }
 
 /// The first worker with room from `start` on.
--- a/crates/placement/src/choice/worker_choice.rs
+++ b/crates/placement/src/choice/worker_choice.rs
@@ -107,7 +107,7 @@
     room.has_room(policy, &request.size)
         && room.takes_work()
         && !room.is_held_from(request.job)
-        && !room.is_hot(policy)
+        && (request.urgent || !room.is_hot(policy))
         && request.allows(&room.zone)
 }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,13 +12,14 @@
 //! task is next; a [`SizeBook`] turns declared sizes into estimates; a
 //! [`NoiseBook`] and a [`PressureState`] for each worker deal with tasks that
 //! disturb each other; a [`FailureBook`] and a [`WorkerStanding`] tell bad
-//! workers from bad jobs; and [`drain_order`], [`LinkPacer`] and
+//! workers from bad jobs; [`choose_victims`] makes room for urgent work; and [`drain_order`], [`LinkPacer`] and
 //! [`RefillRamp`] serve a zone that leaves and returns.
 
 mod choice;
 mod colocation;
 mod drain;
 mod estimate;
+mod preemption;
 mod queue;
 mod room;
 mod standing;
@@ -48,6 +49,9 @@
 pub use estimate::SizeBasis;
 pub use estimate::SizeBook;
 pub use estimate::SizeEstimate;
+pub use preemption::RunningTask;
+pub use preemption::VictimChoice;
+pub use preemption::choose_victims;
 pub use queue::HOLD_AFTER_MS;
 pub use queue::OrderKey;
 pub use queue::QueuePass;
--- a/crates/placement/tests/placement/main.rs
+++ b/crates/placement/tests/placement/main.rs
@@ -4,6 +4,7 @@
 mod colocation;
 mod drain;
 mod estimate;
+mod preemption;
 mod queue;
 mod scene;
 mod standing;
