Bound the disturbance that tasks on a worker add up to

Change: a task that is known to disturb goes only where the sum stays within a bound, or to a quiet worker, and waits otherwise; the queue is deep enough that others take the room.

--- a/crates/placement/src/choice/worker_choice.rs
+++ b/crates/placement/src/choice/worker_choice.rs
@@ -10,6 +10,9 @@
 use crate::room::WHOLE_PERMILLE;
 use sapphirestile_core::ResourceSize;
 
+/// Disturbance below this is not told from none, in thousandths.
+const NOISE_MIN_PERMILLE: u64 = 40;
+
 /// Chooses the worker with the lowest cost among those with room.
 ///
 /// The cost adds the share of the worker given away, tasks of the same job in
@@ -109,6 +112,20 @@
         && !room.is_held_from(request.job)
         && (request.urgent || !room.is_hot(policy))
         && request.allows(&room.zone)
+        && is_quiet_enough(room, request, policy)
+}
+
+/// Disturbance is bounded; a task too loud for any bound goes to a quiet worker.
+const fn is_quiet_enough(
+    room: &WorkerRoom,
+    request: &PlacementRequest<'_>,
+    policy: &RoomPolicy,
+) -> bool {
+    let sum = room.noise_permille + request.noise_permille;
+    request.urgent
+        || request.noise_permille < NOISE_MIN_PERMILLE
+        || room.noise_permille < NOISE_MIN_PERMILLE
+        || sum <= policy.noise_bound_permille
 }
 
 fn reason_for(room: &WorkerRoom, request: &PlacementRequest<'_>) -> ChoiceReason {
--- a/crates/placement/src/room/room_policy.rs
+++ b/crates/placement/src/room/room_policy.rs
@@ -29,6 +29,9 @@
     pub usage_bound_permille: u64,
     /// A report older than this says nothing, in milliseconds.
     pub usage_age_max_ms: u64,
+    /// The most disturbance that the tasks on a worker may add up to, in
+    /// thousandths. A task that disturbs more goes only where nothing else does.
+    pub noise_bound_permille: u64,
     /// The cost of a worker's share given away, per thousandth.
     pub load_weight: u64,
     /// The cost of each task of the same job in the rack.
@@ -47,6 +50,7 @@
             cpu_bound_permille: WHOLE_PERMILLE,
             usage_bound_permille: 900,
             usage_age_max_ms: 120_000,
+            noise_bound_permille: 150,
             load_weight: 1,
             rack_weight: 40,
             zone_weight: 10,
