Retry, wait for a slot, eject runners, take unused records back

Cause: a request without a free slot was refused at once, one that a runner declined was not tried elsewhere, and the key of a request that was never sent stayed used up.

Ruled out: "not run" for a request of which an attempt was lost, whatever its later attempts meet; a lock on the path while nobody waits.

Before: one attempt. After: second attempts within a tenth of the traffic, waiting by priority and deadline, slow runners ejected with a floor, a record taken back by its own sender only.

--- a/crates/cells/src/journal/cell_transition.rs
+++ b/crates/cells/src/journal/cell_transition.rs
@@ -67,6 +67,8 @@
         /// Who sends it, and when it was recorded.
         record: RequestRecord,
     },
+    /// A recorded request was not sent after all, or not run; its key is free.
+    RequestWithdrawn(RequestKey),
     /// A job that has ended is shown no more, and its name is free again.
     JobForgotten(JobName),
     /// Requests recorded before this second of the Unix epoch may be sent again.
--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -144,6 +144,23 @@
         self.propose(CellTransition::JobCancelled(job.clone()))
     }
 
+    /// Takes the record of a request back that `sender` did not have run.
+    ///
+    /// # Errors
+    ///
+    /// [`TransitionFault::UnknownRequest`] when `sender` has not recorded it.
+    pub fn withdraw_request(
+        &mut self,
+        key: &RequestKey,
+        sender: &DaemonIdentity,
+    ) -> Result<(), TransitionFault> {
+        let record = self.state.records().get(key);
+        if record.is_none_or(|record| record.sender != *sender) {
+            return Err(TransitionFault::UnknownRequest);
+        }
+        self.propose(CellTransition::RequestWithdrawn(key.clone()))
+    }
+
     /// Records a request that must not run twice.
     ///
     /// # Errors
--- a/crates/cells/src/state/cell_state.rs
+++ b/crates/cells/src/state/cell_state.rs
@@ -159,6 +159,10 @@
                 Ok(())
             }
             CellTransition::RequestRecorded { key, record } => self.record_request(key, record),
+            CellTransition::RequestWithdrawn(key) => {
+                let known = self.records.remove(key);
+                known.map(|_| ()).ok_or(TransitionFault::UnknownRequest)
+            }
             CellTransition::JobForgotten(job) => self.forget_job(job),
             CellTransition::RecordsForgotten { before_unix_s } => {
                 self.records
--- a/crates/cells/src/state/transition_fault.rs
+++ b/crates/cells/src/state/transition_fault.rs
@@ -19,6 +19,8 @@
     OldAttempt,
     /// The request was recorded before.
     AlreadyRecorded,
+    /// The request is not recorded, or by another daemon.
+    UnknownRequest,
     /// A job has no tasks, or too many.
     TaskCount,
 }
@@ -34,6 +36,7 @@
             Self::WrongPhase => "the task is in another phase",
             Self::OldAttempt => "the attempt is not the current one",
             Self::AlreadyRecorded => "the request was recorded before",
+            Self::UnknownRequest => "the request is not recorded by this daemon",
             Self::TaskCount => "a job has from 1 to 10000 tasks",
         })
     }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -1,18 +1,28 @@
 //! The callers' port.
 //!
-//! A [`CallerService`] takes a request through its
-//! [`sapphirestile_routing::RequestCycle`]: it is received, admitted to a runner
-//! with a free slot, recorded when it must not run twice, sent, and answered. A
-//! refusal that says "not run" comes only from the phases in which that is
-//! certain. Slots of requests without an answer wait in the [`ParkingLot`] for
-//! the longest time that the runner could still be working.
+//! A [`CallerService`] reads a [`CallerRequest`] and has a [`RequestRunner`] take
+//! it through its [`sapphirestile_routing::RequestCycle`]: it is received,
+//! admitted to a runner with a free slot, recorded when it must not run twice,
+//! sent, and answered. Without a free slot it waits in the [`WaitingRoom`] while
+//! its deadline can still be met. A refusal that says "not run" comes only from
+//! the phases in which that is certain, and from no request of which an attempt
+//! was lost. Slots of lost attempts wait in the [`ParkingLot`] for the longest
+//! time that the runner could still be working. All share one [`CallerDesk`].
 
+mod attempt_outcome;
+mod caller_desk;
 mod caller_reply;
 mod caller_request;
 mod caller_service;
 mod parking_lot;
+mod request_runner;
+mod waiting_room;
 
+pub use attempt_outcome::AttemptOutcome;
+pub use caller_desk::CallerDesk;
 pub use caller_reply::CallerReply;
 pub use caller_request::CallerRequest;
 pub use caller_service::CallerService;
 pub use parking_lot::ParkingLot;
+pub use request_runner::RequestRunner;
+pub use waiting_room::WaitingRoom;
--- a/crates/daemon/src/callers/caller_request.rs
+++ b/crates/daemon/src/callers/caller_request.rs
@@ -7,8 +7,10 @@
 
 use crate::callers::CallerReply;
 use sapphirestile_platform::http::HeaderView;
+use sapphirestile_routing::RequestPriority;
 
 const KEY_HEADER: &str = "idempotency-key";
+const PRIORITY_HEADER: &str = "x-priority";
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 
 /// A caller's request with its whole body.
@@ -100,6 +102,16 @@
         self.header(DEADLINE_HEADER)?.parse().ok()
     }
 
+    /// How important the caller says that the request is.
+    #[must_use]
+    pub fn priority(&self) -> RequestPriority {
+        match self.header(PRIORITY_HEADER) {
+            Some("interactive") => RequestPriority::Interactive,
+            Some("bulk") => RequestPriority::Bulk,
+            _ => RequestPriority::Standard,
+        }
+    }
+
     fn header(&self, wanted: &str) -> Option<&str> {
         let found = self.headers.iter().find(|(name, _)| name == wanted);
         found.and_then(|(_, value)| std::str::from_utf8(value).ok())
--- /dev/null
+++ b/crates/daemon/src/callers/request_runner.rs
@@ -0,0 +1,293 @@
+//! Takes one request through its cycle.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::RequestKey;
+use sapphirestile_core::RunnerName;
+use sapphirestile_platform::http::CallLimits;
+use sapphirestile_platform::http::HttpAnswer;
+use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_platform::runner::RunnerClient;
+use sapphirestile_platform::runner::RunnerOutcome;
+use sapphirestile_platform::runner::RunnerRequest;
+use sapphirestile_routing::AdmittedPhase;
+use sapphirestile_routing::NotRunPhase;
+use sapphirestile_routing::ReceivedPhase;
+use sapphirestile_routing::RecordProof;
+use sapphirestile_routing::RequestCycle;
+use sapphirestile_routing::RequestFacts;
+use sapphirestile_routing::RouteChoice;
+use sapphirestile_routing::RouteQuery;
+use sapphirestile_routing::RouteReach;
+use sapphirestile_routing::RouteRefusal;
+use sapphirestile_routing::SentPhase;
+use sapphirestile_routing::WaitEstimate;
+use sapphirestile_wire::peer::PeerAnswer;
+use sapphirestile_wire::peer::PeerRequest;
+
+use crate::callers::AttemptOutcome;
+use crate::callers::CallerDesk;
+use crate::callers::CallerReply;
+use crate::callers::CallerRequest;
+use crate::cells::CellDesk;
+use crate::context::DaemonContext;
+
+const ANSWER_MAX_BYTES: usize = 64 * 1_024 * 1_024;
+const HEAD_BYTES: u64 = 400;
+
+/// Takes one request through its cycle, attempt by attempt.
+pub struct RequestRunner<'r> {
+    context: &'r DaemonContext,
+    desk: &'r CallerDesk,
+    request: &'r CallerRequest,
+}
+
+impl<'r> RequestRunner<'r> {
+    /// A runner of `request`.
+    #[must_use]
+    pub const fn new(
+        context: &'r DaemonContext,
+        desk: &'r CallerDesk,
+        request: &'r CallerRequest,
+    ) -> Self {
+        Self {
+            context,
+            desk,
+            request,
+        }
+    }
+
+    /// Takes the request to its reply.
+    #[must_use]
+    pub fn run(&self, facts: RequestFacts) -> CallerReply {
+        self.desk.retries.earn();
+        let mut cycle = RequestCycle::receive(facts);
+        let mut avoid: Option<RunnerName> = None;
+        let mut lost = false;
+        loop {
+            let outcome = match self.choose(cycle.facts().deadline, avoid.as_ref()) {
+                Ok(choice) => self.attempt(cycle.admit(choice)),
+                Err(refusal) => self.refuse(cycle, refusal),
+            };
+            match outcome {
+                AttemptOutcome::Ended(CallerReply::NotRun(_)) if lost => {
+                    return CallerReply::Unknown;
+                }
+                AttemptOutcome::Ended(reply) => return reply,
+                AttemptOutcome::Again {
+                    cycle: again,
+                    avoid: runner,
+                    lost: may_run,
+                } => {
+                    cycle = *again;
+                    avoid = Some(runner);
+                    lost |= may_run;
+                }
+            }
+        }
+    }
+
+    /// Chooses a runner, and waits for a slot while the deadline can be met.
+    fn choose(
+        &self,
+        deadline: MonoTime,
+        avoid: Option<&RunnerName>,
+    ) -> Result<RouteChoice, RouteRefusal> {
+        loop {
+            let now = self.context.clock.now();
+            let query = RouteQuery {
+                service: self.request.service(),
+                avoid: avoid.map(RunnerName::as_str),
+                now,
+                deadline,
+                random: rand::random(),
+            };
+            match self.context.routes.load().choose(&query) {
+                Ok(choice) => return self.check_link(choice),
+                Err(RouteRefusal::NoSlot) => {}
+                Err(refusal) => return Err(refusal),
+            }
+            self.context.wanting.fetch_add(1, Ordering::Relaxed);
+            let priority = self.request.priority();
+            self.desk
+                .room
+                .wait(priority, deadline, &self.estimate(), now)?;
+        }
+    }
+
+    /// The link between regions takes a request of low importance only while it
+    /// has little to carry.
+    fn check_link(&self, choice: RouteChoice) -> Result<RouteChoice, RouteRefusal> {
+        if choice.reach() != RouteReach::Remote {
+            return Ok(choice);
+        }
+        let bytes = self.request.body().len() as u64 + HEAD_BYTES;
+        let now = self.context.clock.now();
+        if self.desk.link.admit(bytes, self.request.priority(), now) {
+            Ok(choice)
+        } else {
+            Err(RouteRefusal::Shed)
+        }
+    }
+
+    fn estimate(&self) -> WaitEstimate {
+        let routes = self.context.routes.load();
+        let (mut slots, mut latency_us, mut seen) = (0, 0, 0);
+        for row in routes
+            .rows()
+            .filter(|row| row.service.as_str() == self.request.service())
+        {
+            slots += row.gauge.tokens();
+            latency_us += row.gauge.latency_us();
+            seen += u64::from(row.gauge.latency_us() > 0);
+        }
+        WaitEstimate {
+            slots: slots.max(1),
+            service_us: latency_us / seen.max(1),
+        }
+    }
+
+    fn attempt(&self, cycle: RequestCycle<AdmittedPhase>) -> AttemptOutcome {
+        if !cycle.needs_record() {
+            return self.send(cycle);
+        }
+        match self.record(&cycle) {
+            Ok(proof) => self.send(cycle.with_record(proof)),
+            Err(reply) => {
+                drop(cycle.refuse(RouteRefusal::NoRecord));
+                AttemptOutcome::Ended(reply)
+            }
+        }
+    }
+
+    /// Has the request recorded. Whatever goes wrong here, it is not sent.
+    fn record(&self, cycle: &RequestCycle<AdmittedPhase>) -> Result<RecordProof, CallerReply> {
+        let not_run = || CallerReply::NotRun(RouteRefusal::NoRecord);
+        let key = cycle.facts().key.clone().ok_or_else(not_run)?;
+        let map = self.context.map().ok_or_else(not_run)?;
+        let cell = map.cell_of_key(key.as_str());
+        let record = PeerRequest::RecordRequest(cell, key.clone());
+        match CellDesk::new(self.context).call(cell, record) {
+            PeerAnswer::Recorded { epoch, sequence } => {
+                Ok(RecordProof::committed(key, epoch, sequence))
+            }
+            PeerAnswer::AlreadyRecorded => Err(CallerReply::AlreadySent),
+            _ => Err(not_run()),
+        }
+    }
+
+    fn send(&self, cycle: RequestCycle<AdmittedPhase>) -> AttemptOutcome {
+        let wait_ms = cycle
+            .facts()
+            .deadline
+            .millis_since(self.context.clock.now());
+        if wait_ms == 0 {
+            return self.end_not_run(&cycle.refuse(RouteRefusal::DeadlinePassed));
+        }
+        let cycle = match cycle.send() {
+            Ok(cycle) => cycle,
+            Err(cycle) => return self.end_not_run(&cycle.refuse(RouteRefusal::NoRecord)),
+        };
+        let sent = Instant::now();
+        let outcome = self.forward(&cycle, Duration::from_millis(wait_ms));
+        match outcome {
+            RunnerOutcome::Answered(answer) => {
+                self.count_bytes(&cycle, &answer);
+                let latency_us = u64::try_from(sent.elapsed().as_micros()).unwrap_or(u64::MAX);
+                drop(cycle.answer(latency_us));
+                AttemptOutcome::Ended(CallerReply::Answered(Box::new(answer)))
+            }
+            RunnerOutcome::NotRun(_) => self.decline(cycle),
+            RunnerOutcome::Unknown(_) => self.lose(cycle),
+        }
+    }
+
+    fn forward(&self, cycle: &RequestCycle<SentPhase>, timeout: Duration) -> RunnerOutcome {
+        let address = PeerAddress::try_from(cycle.row().address);
+        let address = address.expect("a routing table holds addresses that can be called");
+        let limits = CallLimits {
+            timeout,
+            answer_max_bytes: ANSWER_MAX_BYTES,
+        };
+        let connections = self.context.connections.connections(address);
+        let id = format!("{:032x}", rand::random::<u128>());
+        RunnerClient::over(connections, limits).forward(&RunnerRequest {
+            id: &id,
+            method: self.request.method(),
+            path: self.request.target(),
+            headers: &self.request.headers(),
+            body: self.request.body(),
+        })
+    }
+
+    fn count_bytes(&self, cycle: &RequestCycle<SentPhase>, answer: &HttpAnswer) {
+        let bytes = self.request.body().len() + answer.body.len();
+        self.desk
+            .meter
+            .count(cycle.reach(), bytes as u64 + 2 * HEAD_BYTES);
+    }
+
+    /// The runner did not run the request, so another may.
+    fn decline(&self, cycle: RequestCycle<SentPhase>) -> AttemptOutcome {
+        let avoid = cycle.row().runner.clone();
+        match cycle.decline().retry(&self.desk.retries) {
+            Ok(cycle) => AttemptOutcome::Again {
+                cycle: Box::new(cycle),
+                avoid,
+                lost: false,
+            },
+            Err(cycle) => self.end_not_run(&cycle),
+        }
+    }
+
+    /// The runner may have run the request, so another may only when that does no
+    /// harm.
+    fn lose(&self, cycle: RequestCycle<SentPhase>) -> AttemptOutcome {
+        let avoid = cycle.row().runner.clone();
+        let longest_ms = self.context.settings.limits.request_max_ms;
+        let until = self.context.clock.now().plus_millis(longest_ms);
+        match cycle.lose().retry(&self.desk.retries, until) {
+            Ok(retried) => {
+                self.desk.lot.park(retried.slot);
+                AttemptOutcome::Again {
+                    cycle: Box::new(retried.cycle),
+                    avoid,
+                    lost: true,
+                }
+            }
+            Err(cycle) => {
+                self.desk.lot.park(cycle.park(until));
+                AttemptOutcome::Ended(CallerReply::Unknown)
+            }
+        }
+    }
+
+    fn refuse(&self, cycle: RequestCycle<ReceivedPhase>, refusal: RouteRefusal) -> AttemptOutcome {
+        self.end_not_run(&cycle.refuse(refusal))
+    }
+
+    /// Ends a request that was not run, and takes its record back, so that the
+    /// caller may try again with the same key.
+    fn end_not_run(&self, cycle: &RequestCycle<NotRunPhase>) -> AttemptOutcome {
+        if cycle.has_record()
+            && let Some(key) = &cycle.facts().key
+        {
+            self.withdraw_record(key);
+        }
+        AttemptOutcome::Ended(CallerReply::NotRun(cycle.refusal()))
+    }
+
+    /// A record that cannot be taken back stays: the key is then refused, which
+    /// is safe.
+    fn withdraw_record(&self, key: &RequestKey) {
+        let Some(map) = self.context.map() else {
+            return;
+        };
+        let cell = map.cell_of_key(key.as_str());
+        let withdraw = PeerRequest::WithdrawRequest(cell, key.clone());
+        let _answer = CellDesk::new(self.context).call(cell, withdraw);
+    }
+}
--- a/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
@@ -36,6 +36,12 @@
             PeerRequest::Explain(_, job, index) => self.explain(job, *index),
             PeerRequest::ListJobs(_) => self.list(),
             PeerRequest::RecordRequest(_, key) => self.record(key, call),
+            PeerRequest::WithdrawRequest(_, key) => {
+                match self.owner.withdraw_request(key, &call.caller) {
+                    Ok(()) => PeerAnswer::Withdrawn,
+                    Err(fault) => not_run(fault),
+                }
+            }
             PeerRequest::Ping | PeerRequest::Document(_) | PeerRequest::CloseMember(_) => {
                 PeerAnswer::Pong
             }
--- a/crates/daemon/src/cycle/daemon_cycle.rs
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -11,8 +11,8 @@
 use error_stack::Report;
 use tracing::info;
 
+use crate::callers::CallerDesk;
 use crate::callers::CallerService;
-use crate::callers::ParkingLot;
 use crate::context::DaemonContext;
 use crate::context::MonoClock;
 use crate::context::PhaseGauge;
@@ -76,8 +76,8 @@
         let (token_events, tokens) = unbounded();
         let context = Arc::new(new_context(settings, identity, store, token_events));
         let gate = Arc::new(RequestGate::default());
-        let lot = Arc::new(ParkingLot::default());
-        let callers = open_callers(&context, &gate, &lot)?;
+        let desk = Arc::new(CallerDesk::default());
+        let callers = open_callers(&context, &gate, &desk)?;
         let operators = open_operators(&context)?;
         let addresses = DaemonAddresses {
             callers: callers.address(),
@@ -90,7 +90,7 @@
                 context,
                 addresses,
                 gate,
-                lot,
+                desk,
                 peers,
                 tokens,
                 ports,
@@ -109,7 +109,7 @@
             context,
             addresses,
             gate,
-            lot,
+            desk,
             peers,
             tokens,
             ports,
@@ -122,7 +122,7 @@
         start_tokens(&context, &peers, tokens, &stopped)?;
         let server = PeerServer::new(Arc::clone(&context), peers.calls);
         thread::spawn(move || server.run());
-        let keeper = HouseKeeper::new(Arc::clone(&context), lot);
+        let keeper = HouseKeeper::new(Arc::clone(&context), desk);
         thread::spawn(move || keeper.run(&stopped));
         context.phase.set(MemberState::Serving);
         info!(step = "serve", ?addresses, "serving");
@@ -256,9 +256,9 @@
 fn open_callers(
     context: &Arc<DaemonContext>,
     gate: &Arc<RequestGate>,
-    lot: &Arc<ParkingLot>,
+    desk: &Arc<CallerDesk>,
 ) -> Result<HttpPort, Report<StepError>> {
-    let service = CallerService::new(Arc::clone(context), Arc::clone(lot));
+    let service = CallerService::new(Arc::clone(context), Arc::clone(desk));
     let service: Arc<dyn HttpService> = Arc::new(service);
     HttpPort::open(
         context.settings.node.callers,
--- a/crates/daemon/src/cycle/daemon_threads.rs
+++ b/crates/daemon/src/cycle/daemon_threads.rs
@@ -66,11 +66,11 @@
     let peer = target(context.settings.platform.vms, "find VM list")?;
     let client = VmClient::new(peer, VM_LIST_TIMEOUT);
     let poller = VmPoller::new(Arc::clone(context), client);
-    let publisher = RoutePublisher::new(Arc::clone(context));
+    let mut publisher = RoutePublisher::new(Arc::clone(context));
     poller.poll();
     publisher.publish();
     let stop = stopped.clone();
-    thread::spawn(move || poller.run(&publisher, &stop));
+    thread::spawn(move || poller.run(&mut publisher, &stop));
     Ok(())
 }
 
--- a/crates/daemon/src/cycle/house_keeper.rs
+++ b/crates/daemon/src/cycle/house_keeper.rs
@@ -7,7 +7,7 @@
 use crossbeam::channel::Receiver;
 use crossbeam::channel::RecvTimeoutError;
 
-use crate::callers::ParkingLot;
+use crate::callers::CallerDesk;
 use crate::context::DaemonContext;
 use crate::document;
 use crate::peers::PeerClient;
@@ -19,20 +19,22 @@
 /// Gives parked slots back and catches up with later configurations of peers.
 pub struct HouseKeeper {
     context: Arc<DaemonContext>,
-    lot: Arc<ParkingLot>,
+    desk: Arc<CallerDesk>,
 }
 
 impl HouseKeeper {
     /// A housekeeper for one daemon.
     #[must_use]
-    pub const fn new(context: Arc<DaemonContext>, lot: Arc<ParkingLot>) -> Self {
-        Self { context, lot }
+    pub const fn new(context: Arc<DaemonContext>, desk: Arc<CallerDesk>) -> Self {
+        Self { context, desk }
     }
 
     /// Works until `stop` is closed.
     pub fn run(&self, stop: &Receiver<()>) {
         while stop.recv_timeout(TICK) == Err(RecvTimeoutError::Timeout) {
-            self.lot.release_due(self.context.clock.now());
+            self.desk.lot.release_due(self.context.clock.now());
+            // Tokens may have been handed over.
+            self.desk.room.wake_one();
             self.catch_up();
         }
     }
--- a/crates/daemon/src/operators/status_calls.rs
+++ b/crates/daemon/src/operators/status_calls.rs
@@ -133,7 +133,7 @@
                 "service": row.service,
                 "zone": row.zone,
                 "leaving": row.leaving,
-                "ejected": row.gauge.is_ejected(),
+                "standing": format!("{:?}", row.gauge.standing()),
                 "tokens": row.gauge.tokens(),
                 "in_flight": row.gauge.in_flight(),
                 "latency_us": row.gauge.latency_us(),
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -87,7 +87,8 @@
         | PeerRequest::ViewJob(cell, _)
         | PeerRequest::Explain(cell, _, _)
         | PeerRequest::ListJobs(cell)
-        | PeerRequest::RecordRequest(cell, _) => *cell,
+        | PeerRequest::RecordRequest(cell, _)
+        | PeerRequest::WithdrawRequest(cell, _) => *cell,
     };
     CellDesk::new(context).call_here(cell, &sender, frame.body)
 }
--- a/crates/daemon/src/routes/route_publisher.rs
+++ b/crates/daemon/src/routes/route_publisher.rs
@@ -6,6 +6,8 @@
 use sapphirestile_core::OperatorDocument;
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::ServiceName;
+use sapphirestile_core::SortedTable;
+use sapphirestile_routing::EjectionPolicy;
 use sapphirestile_routing::RoutingTable;
 use sapphirestile_routing::RunnerRow;
 use sapphirestile_wire::vms::VmKind;
@@ -15,17 +17,21 @@
 /// Makes and publishes routing tables; the only writer of a daemon.
 pub struct RoutePublisher {
     context: Arc<DaemonContext>,
+    ejection: SortedTable<ServiceName, EjectionPolicy>,
 }
 
 impl RoutePublisher {
     /// A publisher for one daemon.
     #[must_use]
     pub const fn new(context: Arc<DaemonContext>) -> Self {
-        Self { context }
+        Self {
+            context,
+            ejection: SortedTable::new(),
+        }
     }
 
     /// Publishes the table that follows from what is known now.
-    pub fn publish(&self) {
+    pub fn publish(&mut self) {
         let context = Arc::clone(&self.context);
         let document = context.document.load();
         let document = document.document();
@@ -34,6 +40,7 @@
         for record in vms.records().filter(|record| record.kind == VmKind::Runner) {
             rows.extend(self.row_of(record, document));
         }
+        self.judge(&rows);
         let kept = |runner: &RunnerName| rows.iter().any(|row| row.runner == *runner);
         context.gauges.retain(kept);
         let home = context.settings.node.zone.as_str();
@@ -42,6 +49,21 @@
             .publish(RoutingTable::new(document, home, rows));
     }
 
+    /// Ejects slow and failing runners, and lets them back.
+    fn judge(&mut self, rows: &[RunnerRow]) {
+        let now = self.context.clock.now();
+        let mut services: Vec<&ServiceName> = rows.iter().map(|row| &row.service).collect();
+        services.sort();
+        services.dedup();
+        for service in services {
+            let of_service = rows.iter().filter(|row| row.service == *service);
+            let policy = self
+                .ejection
+                .get_or_insert_with(service.clone(), Default::default);
+            policy.judge(&of_service.collect::<Vec<_>>(), now);
+        }
+    }
+
     fn row_of(&self, record: &VmRecord, document: &OperatorDocument) -> Option<RunnerRow> {
         let runner = RunnerName::try_from(record.name.as_str()).ok()?;
         let service: ServiceName = record.service.clone()?;
--- a/crates/daemon/src/vms/vm_poller.rs
+++ b/crates/daemon/src/vms/vm_poller.rs
@@ -28,7 +28,7 @@
     }
 
     /// Polls until `stop` is closed.
-    pub fn run(&self, publisher: &RoutePublisher, stop: &Receiver<()>) {
+    pub fn run(&self, publisher: &mut RoutePublisher, stop: &Receiver<()>) {
         loop {
             self.poll();
             publisher.publish();
--- a/crates/routing/src/request_cycle.rs
+++ b/crates/routing/src/request_cycle.rs
@@ -69,6 +69,12 @@
         &self.facts
     }
 
+    /// Whether the request is recorded.
+    #[must_use]
+    pub const fn has_record(&self) -> bool {
+        self.record.is_some()
+    }
+
     /// How many times the request was sent to a runner.
     #[must_use]
     pub const fn attempts(&self) -> u32 {
--- a/crates/wire/src/peer/peer_answer.rs
+++ b/crates/wire/src/peer/peer_answer.rs
@@ -37,6 +37,8 @@
         /// The entry that holds the record.
         sequence: JournalSequence,
     },
+    /// The record was taken back.
+    Withdrawn,
     /// The request was recorded before and must not be sent again.
     AlreadyRecorded,
     /// The call failed.
--- a/crates/wire/src/peer/peer_request.rs
+++ b/crates/wire/src/peer/peer_request.rs
@@ -32,4 +32,6 @@
     ListJobs(CellNumber),
     /// Records a request that must not run twice.
     RecordRequest(CellNumber, RequestKey),
+    /// Takes the record of a request back that was not run.
+    WithdrawRequest(CellNumber, RequestKey),
 }
