Share what commands without arguments repeat, and garble answers in tests

Cause: seven commands repeated the parser of a command without arguments and the loop that fills a table; a search for repeated lines showed them. bare_command and TextTable::of hold these once, and the exceptions for an unused self are gone.

--- a/crates/command/src/commands/arguments.rs
+++ b/crates/command/src/commands/arguments.rs
@@ -42,3 +42,17 @@
         .argument::<String>("NAME")
         .parse(|text| AuthorName::try_from(text.as_str()))
 }
+
+/// The parser of a command that takes no arguments.
+pub(super) fn bare_command<C: Clone + 'static>(
+    command: C,
+    name: &'static str,
+    description: &'static str,
+    example: &'static str,
+) -> impl Parser<C> {
+    bpaf::pure(command)
+        .to_options()
+        .descr(description)
+        .footer(example)
+        .command(name)
+}
--- a/crates/command/src/commands/document_command.rs
+++ b/crates/command/src/commands/document_command.rs
@@ -38,7 +38,7 @@
         output: &mut CommandOutput<'_>,
     ) -> ExitKind {
         match self {
-            Self::Show(command) => command.run(client, output),
+            Self::Show(DocumentShow) => DocumentShow::run(client, output),
             Self::Diff(command) => command.run(client, output),
             Self::Apply(command) => command.run(client, output),
         }
--- a/crates/command/src/commands/document_show.rs
+++ b/crates/command/src/commands/document_show.rs
@@ -4,6 +4,7 @@
 
 use crate::ExitKind;
 use crate::client::OperatorClient;
+use crate::commands::arguments::bare_command;
 use crate::operations::read_view;
 use crate::output::CommandOutput;
 use sapphirestile_wire::api::DocumentView;
@@ -18,19 +19,15 @@
 
 impl DocumentShow {
     pub(crate) fn parser() -> impl Parser<Self> {
-        bpaf::pure(Self)
-            .to_options()
-            .descr("Shows the document in force, below a line with its revision for `apply`")
-            .footer("Example: sapphirestile --daemon 10.0.1.4:7070 document show > coast.ini")
-            .command("show")
+        bare_command(
+            Self,
+            "show",
+            "Shows the document in force, below a line with its revision for `apply`",
+            "Example: sapphirestile --daemon 10.0.1.4:7070 document show > coast.ini",
+        )
     }
 
-    #[expect(clippy::unused_self, reason = "every command runs alike")]
-    pub(crate) fn run(
-        &self,
-        client: &OperatorClient<'_>,
-        output: &mut CommandOutput<'_>,
-    ) -> ExitKind {
+    pub(crate) fn run(client: &OperatorClient<'_>, output: &mut CommandOutput<'_>) -> ExitKind {
         let outcome = read_view::<DocumentView>(client, "/v1/document");
         if let Ok(view) = &outcome
             && view.revision.get() > 0
--- a/crates/command/src/commands/dump_command.rs
+++ b/crates/command/src/commands/dump_command.rs
@@ -5,6 +5,7 @@
 
 use crate::ExitKind;
 use crate::client::OperatorClient;
+use crate::commands::arguments::bare_command;
 use crate::operations::read_view;
 use crate::output::CommandOutput;
 
@@ -14,19 +15,15 @@
 
 impl DumpCommand {
     pub(crate) fn parser() -> impl Parser<Self> {
-        bpaf::pure(Self)
-            .to_options()
-            .descr("Writes the whole state of a daemon, always as JSON")
-            .footer("Example: sapphirestile --daemon 10.0.1.4:7070 dump")
-            .command("dump")
+        bare_command(
+            Self,
+            "dump",
+            "Writes the whole state of a daemon, always as JSON",
+            "Example: sapphirestile --daemon 10.0.1.4:7070 dump",
+        )
     }
 
-    #[expect(clippy::unused_self, reason = "every command runs alike")]
-    pub(crate) fn run(
-        &self,
-        client: &OperatorClient<'_>,
-        output: &mut CommandOutput<'_>,
-    ) -> ExitKind {
+    pub(crate) fn run(client: &OperatorClient<'_>, output: &mut CommandOutput<'_>) -> ExitKind {
         let outcome = read_view::<Value>(client, "/v1/dump");
         output.finish(outcome, |value| format!("{value:#}\n"))
     }
--- a/crates/command/src/commands/list_command.rs
+++ b/crates/command/src/commands/list_command.rs
@@ -4,6 +4,7 @@
 
 use crate::ExitKind;
 use crate::client::OperatorClient;
+use crate::commands::arguments::bare_command;
 use crate::operations::read_view;
 use crate::output::CommandOutput;
 use crate::output::TextTable;
@@ -15,31 +16,27 @@
 
 impl ListCommand {
     pub(crate) fn parser() -> impl Parser<Self> {
-        bpaf::pure(Self)
-            .to_options()
-            .descr("Lists the jobs")
-            .footer("Example: sapphirestile --daemon 10.0.1.4:7070 list")
-            .command("list")
+        bare_command(
+            Self,
+            "list",
+            "Lists the jobs",
+            "Example: sapphirestile --daemon 10.0.1.4:7070 list",
+        )
     }
 
-    #[expect(clippy::unused_self, reason = "every command runs alike")]
-    pub(crate) fn run(
-        &self,
-        client: &OperatorClient<'_>,
-        output: &mut CommandOutput<'_>,
-    ) -> ExitKind {
+    pub(crate) fn run(client: &OperatorClient<'_>, output: &mut CommandOutput<'_>) -> ExitKind {
         let outcome = read_view::<Vec<JobSummary>>(client, "/v1/jobs");
         output.finish(outcome, |jobs| jobs_text(jobs))
     }
 }
 
 fn jobs_text(jobs: &[JobSummary]) -> String {
-    let mut table = TextTable::new(&[
+    let heads = [
         "JOB", "CUSTOMER", "CELL", "STATE", "URGENT", "TASKS", "RUNNING", "FINISHED", "FAILED",
-    ]);
-    for job in jobs {
+    ];
+    let table = TextTable::of(&heads, jobs, |job| {
         let urgent = if job.urgent { "yes" } else { "no" };
-        table.push([
+        vec![
             job.job.to_string(),
             job.customer.to_string(),
             job.cell.to_string(),
@@ -49,7 +46,7 @@
             job.running.to_string(),
             job.finished.to_string(),
             job.failed.to_string(),
-        ]);
-    }
+        ]
+    });
     table.to_string()
 }
--- a/crates/command/src/commands/queues_command.rs
+++ b/crates/command/src/commands/queues_command.rs
@@ -4,6 +4,7 @@
 
 use crate::ExitKind;
 use crate::client::OperatorClient;
+use crate::commands::arguments::bare_command;
 use crate::operations::read_view;
 use crate::output::CommandOutput;
 use crate::output::TextTable;
@@ -16,19 +17,15 @@
 
 impl QueuesCommand {
     pub(crate) fn parser() -> impl Parser<Self> {
-        bpaf::pure(Self)
-            .to_options()
-            .descr("Shows the queues of the daemon's cells")
-            .footer("Example: sapphirestile --daemon 10.0.1.4:7070 queues")
-            .command("queues")
+        bare_command(
+            Self,
+            "queues",
+            "Shows the queues of the daemon's cells",
+            "Example: sapphirestile --daemon 10.0.1.4:7070 queues",
+        )
     }
 
-    #[expect(clippy::unused_self, reason = "every command runs alike")]
-    pub(crate) fn run(
-        &self,
-        client: &OperatorClient<'_>,
-        output: &mut CommandOutput<'_>,
-    ) -> ExitKind {
+    pub(crate) fn run(client: &OperatorClient<'_>, output: &mut CommandOutput<'_>) -> ExitKind {
         let outcome = read_view::<DaemonStatus>(client, "/v1/status");
         let outcome = outcome.map(|status| status.queues);
         output.finish(outcome, |queues| queues_text(queues))
@@ -36,13 +33,13 @@
 }
 
 fn queues_text(queues: &[QueueStatus]) -> String {
-    let mut table = TextTable::new(&["CELL", "WAITING", "RUNNING"]);
-    for entry in queues {
-        table.push([
+    let heads = ["CELL", "WAITING", "RUNNING"];
+    let table = TextTable::of(&heads, queues, |entry| {
+        vec![
             entry.cell.to_string(),
             entry.waiting.to_string(),
             entry.running.to_string(),
-        ]);
-    }
+        ]
+    });
     table.to_string()
 }
--- a/crates/command/src/commands/services_command.rs
+++ b/crates/command/src/commands/services_command.rs
@@ -4,6 +4,7 @@
 
 use crate::ExitKind;
 use crate::client::OperatorClient;
+use crate::commands::arguments::bare_command;
 use crate::operations::read_view;
 use crate::output::CommandOutput;
 use crate::output::TextTable;
@@ -16,19 +17,15 @@
 
 impl ServicesCommand {
     pub(crate) fn parser() -> impl Parser<Self> {
-        bpaf::pure(Self)
-            .to_options()
-            .descr("Shows the services as the daemon sees them")
-            .footer("Example: sapphirestile --daemon 10.0.1.4:7070 services")
-            .command("services")
+        bare_command(
+            Self,
+            "services",
+            "Shows the services as the daemon sees them",
+            "Example: sapphirestile --daemon 10.0.1.4:7070 services",
+        )
     }
 
-    #[expect(clippy::unused_self, reason = "every command runs alike")]
-    pub(crate) fn run(
-        &self,
-        client: &OperatorClient<'_>,
-        output: &mut CommandOutput<'_>,
-    ) -> ExitKind {
+    pub(crate) fn run(client: &OperatorClient<'_>, output: &mut CommandOutput<'_>) -> ExitKind {
         let outcome = read_view::<DaemonStatus>(client, "/v1/status");
         let outcome = outcome.map(|status| status.services);
         output.finish(outcome, |services| services_text(services))
@@ -36,14 +33,14 @@
 }
 
 fn services_text(services: &[ServiceStatus]) -> String {
-    let mut table = TextTable::new(&["SERVICE", "RUNNERS", "TOKENS", "IN FLIGHT"]);
-    for entry in services {
-        table.push([
+    let heads = ["SERVICE", "RUNNERS", "TOKENS", "IN FLIGHT"];
+    let table = TextTable::of(&heads, services, |entry| {
+        vec![
             entry.service.to_string(),
             entry.runners.to_string(),
             entry.tokens.to_string(),
             entry.in_flight.to_string(),
-        ]);
-    }
+        ]
+    });
     table.to_string()
 }
--- a/crates/command/src/commands/status_command.rs
+++ b/crates/command/src/commands/status_command.rs
@@ -4,6 +4,7 @@
 
 use crate::ExitKind;
 use crate::client::OperatorClient;
+use crate::commands::arguments::bare_command;
 use crate::operations::read_view;
 use crate::output::CommandOutput;
 use crate::output::TextTable;
@@ -15,19 +16,15 @@
 
 impl StatusCommand {
     pub(crate) fn parser() -> impl Parser<Self> {
-        bpaf::pure(Self)
-            .to_options()
-            .descr("Shows the state of a daemon")
-            .footer("Example: sapphirestile --daemon 10.0.1.4:7070 status")
-            .command("status")
+        bare_command(
+            Self,
+            "status",
+            "Shows the state of a daemon",
+            "Example: sapphirestile --daemon 10.0.1.4:7070 status",
+        )
     }
 
-    #[expect(clippy::unused_self, reason = "every command runs alike")]
-    pub(crate) fn run(
-        &self,
-        client: &OperatorClient<'_>,
-        output: &mut CommandOutput<'_>,
-    ) -> ExitKind {
+    pub(crate) fn run(client: &OperatorClient<'_>, output: &mut CommandOutput<'_>) -> ExitKind {
         let outcome = read_view::<DaemonStatus>(client, "/v1/status");
         output.finish(outcome, status_text)
     }
--- a/crates/command/src/commands/vms_command.rs
+++ b/crates/command/src/commands/vms_command.rs
@@ -4,6 +4,7 @@
 
 use crate::ExitKind;
 use crate::client::OperatorClient;
+use crate::commands::arguments::bare_command;
 use crate::operations::read_view;
 use crate::output::CommandOutput;
 use crate::output::TextTable;
@@ -17,28 +18,24 @@
 
 impl VmsCommand {
     pub(crate) fn parser() -> impl Parser<Self> {
-        bpaf::pure(Self)
-            .to_options()
-            .descr("Shows the VMs as the daemon last read them")
-            .footer("Example: sapphirestile --daemon 10.0.1.4:7070 vms")
-            .command("vms")
+        bare_command(
+            Self,
+            "vms",
+            "Shows the VMs as the daemon last read them",
+            "Example: sapphirestile --daemon 10.0.1.4:7070 vms",
+        )
     }
 
-    #[expect(clippy::unused_self, reason = "every command runs alike")]
-    pub(crate) fn run(
-        &self,
-        client: &OperatorClient<'_>,
-        output: &mut CommandOutput<'_>,
-    ) -> ExitKind {
+    pub(crate) fn run(client: &OperatorClient<'_>, output: &mut CommandOutput<'_>) -> ExitKind {
         let outcome = read_view::<VmListing>(client, "/v1/vms");
         output.finish(outcome, vms_text)
     }
 }
 
 fn vms_text(listing: &VmListing) -> String {
-    let mut table = TextTable::new(&["VM", "KIND", "ADDRESS", "ZONE", "RACK", "SERVICE", "STATE"]);
-    for vm in &listing.vms {
-        table.push([
+    let heads = ["VM", "KIND", "ADDRESS", "ZONE", "RACK", "SERVICE", "STATE"];
+    let table = TextTable::of(&heads, &listing.vms, |vm| {
+        vec![
             vm.name.clone(),
             kind_text(vm.kind).to_owned(),
             vm.address.clone(),
@@ -48,8 +45,8 @@
                 .as_ref()
                 .map_or("-".to_owned(), ToString::to_string),
             state_text(vm.state).to_owned(),
-        ]);
-    }
+        ]
+    });
     format!("{table}read {} ms ago\n", listing.age_ms)
 }
 
--- a/crates/command/src/commands/zones_command.rs
+++ b/crates/command/src/commands/zones_command.rs
@@ -4,6 +4,7 @@
 
 use crate::ExitKind;
 use crate::client::OperatorClient;
+use crate::commands::arguments::bare_command;
 use crate::operations::read_view;
 use crate::output::CommandOutput;
 use crate::output::TextTable;
@@ -16,19 +17,15 @@
 
 impl ZonesCommand {
     pub(crate) fn parser() -> impl Parser<Self> {
-        bpaf::pure(Self)
-            .to_options()
-            .descr("Shows the zones of the document in force")
-            .footer("Example: sapphirestile --daemon 10.0.1.4:7070 zones")
-            .command("zones")
+        bare_command(
+            Self,
+            "zones",
+            "Shows the zones of the document in force",
+            "Example: sapphirestile --daemon 10.0.1.4:7070 zones",
+        )
     }
 
-    #[expect(clippy::unused_self, reason = "every command runs alike")]
-    pub(crate) fn run(
-        &self,
-        client: &OperatorClient<'_>,
-        output: &mut CommandOutput<'_>,
-    ) -> ExitKind {
+    pub(crate) fn run(client: &OperatorClient<'_>, output: &mut CommandOutput<'_>) -> ExitKind {
         let outcome = read_view::<DaemonStatus>(client, "/v1/status");
         let outcome = outcome.map(|status| status.zones);
         output.finish(outcome, |zones| zones_text(zones))
@@ -36,13 +33,13 @@
 }
 
 fn zones_text(zones: &[ZoneStatus]) -> String {
-    let mut table = TextTable::new(&["ZONE", "REGION", "STATE"]);
-    for entry in zones {
-        table.push([
+    let heads = ["ZONE", "REGION", "STATE"];
+    let table = TextTable::of(&heads, zones, |entry| {
+        vec![
             entry.zone.to_string(),
             entry.region.to_string(),
             entry.state.to_string(),
-        ]);
-    }
+        ]
+    });
     table.to_string()
 }
--- a/crates/command/src/output/text_table.rs
+++ b/crates/command/src/output/text_table.rs
@@ -36,6 +36,16 @@
         table
     }
 
+    /// A table with these column heads and a row of cells for each entry.
+    #[must_use]
+    pub fn of<T>(heads: &[&str], entries: &[T], cells: impl Fn(&T) -> Vec<String>) -> Self {
+        let mut table = Self::new(heads);
+        for entry in entries {
+            table.push(cells(entry));
+        }
+        table
+    }
+
     /// Adds a row.
     pub fn push(&mut self, cells: impl IntoIterator<Item = String>) {
         self.rows
--- a/crates/command/tests/tool/fake_daemon.rs
+++ b/crates/command/tests/tool/fake_daemon.rs
@@ -20,6 +20,8 @@
 pub enum FakeAnswer {
     /// A status and a body.
     Whole(u16, Value),
+    /// A status and a body that need not be JSON.
+    Raw(u16, Vec<u8>),
     /// A body that breaks off.
     Broken,
 }
@@ -84,6 +86,7 @@
 fn respond(answer: FakeAnswer) -> Response<Body> {
     let (status, body) = match answer {
         FakeAnswer::Whole(status, value) => (status, Body::from(value.to_string())),
+        FakeAnswer::Raw(status, bytes) => (status, Body::from(bytes)),
         FakeAnswer::Broken => (200, Body::from_read(BrokenReader)),
     };
     Response::builder().status(status).body(body).unwrap()
--- a/crates/command/tests/tool/main.rs
+++ b/crates/command/tests/tool/main.rs
@@ -1,5 +1,6 @@
 //! The tool against small fake daemons.
 
+mod answers;
 mod changes;
 mod fake_daemon;
 mod jobs;
