Check texts where they are written, and keep a refused text and its base

Cause: "Check only" judged a text in the console alone, while the writer also refuses another number of cells, so that a valid check could be followed by a refused write. It is a dry run of the writer now.

A text with faults came back in a form for the revision in force instead of the one it was made for, and would have been written over changes that its author had not seen; it keeps its revision now.

--- a/crates/daemon/src/console/handle_request.rs
+++ b/crates/daemon/src/console/handle_request.rs
@@ -10,8 +10,8 @@
 use crate::console::ConsoleStep;
 use crate::console::FormFields;
 use crate::console::FormWish;
+use crate::console::HtmlText;
 use crate::console::pages::PageFrame;
-use crate::console::pages::change_notice;
 use crate::console::pages::conflict_notice;
 use crate::console::pages::fault_notice;
 use crate::console::pages::message_notice;
@@ -20,7 +20,6 @@
 use crate::console::pages::text_body;
 use crate::console::read_wish::read_wish;
 use sapphirestile_core::ConfigRevision;
-use sapphirestile_core::DocumentDifference;
 use sapphirestile_core::IniFault;
 use sapphirestile_wire::api::AuthorName;
 use sapphirestile_wire::api::DocumentChange;
@@ -125,19 +124,22 @@
     let based_on = ConfigRevision::new(based_on);
     let wish = match read_wish(part, &fields) {
         Ok(wish) => wish,
-        Err(faults) => return invalid(frame, part, &faults, None),
+        Err(faults) => return invalid(frame, part, &faults, &part_body(part, frame)),
     };
     let text = match wish.text_over(&current.text) {
         Ok(text) => text,
-        Err(fault) => return invalid(frame, part, &fault.faults, wish.whole_text()),
+        Err(fault) => {
+            // A text keeps the revision that it was made for, else it would be
+            // written over changes that its author has not seen.
+            let form = wish.whole_text().map_or_else(
+                || part_body(part, frame),
+                |text| text_body(frame, text, based_on),
+            );
+            return invalid(frame, part, &fault.faults, &form);
+        }
     };
-    if let FormWish::Check(_) = wish {
-        let lines = DocumentDifference::between(&current.text, &text).lines();
-        let mut body = change_notice(&lines);
-        body.append(&text_body(frame, &text, based_on));
-        return ConsoleStep::Page(ConsolePage::html(OK_STATUS, frame.part(part, &body)));
-    }
-    if based_on != current.revision {
+    let dry_run = matches!(wish, FormWish::Check(_));
+    if based_on != current.revision && !dry_run {
         let body = conflict_notice(frame, part, &fields, &text, based_on);
         return ConsoleStep::Page(ConsolePage::html(CONFLICT_STATUS, frame.part(part, &body)));
     }
@@ -146,7 +148,7 @@
             based_on,
             text,
             author: session.author.clone(),
-            dry_run: false,
+            dry_run,
         },
         part,
         session: session.clone(),
@@ -158,13 +160,10 @@
     frame: &PageFrame<'_>,
     part: ConsolePart,
     faults: &[IniFault],
-    text: Option<&str>,
+    form: &HtmlText,
 ) -> ConsoleStep {
     let mut body = fault_notice(faults);
-    match text {
-        Some(text) => body.append(&text_body(frame, text, frame.state.view.revision)),
-        None => body.append(&part_body(part, frame)),
-    };
+    body.append(form);
     ConsoleStep::Page(ConsolePage::html(INVALID_STATUS, frame.part(part, &body)))
 }
 
--- a/crates/daemon/tests/console.rs
+++ b/crates/daemon/tests/console.rs
@@ -175,15 +175,31 @@
 fn a_whole_text_is_checked_before_it_is_written() {
     let scene = ConsoleScene::new();
     let text = "text=%5Bregion+r%5D%0D%0Acells+%3D+1%0D%0A";
-    let checked = page_of(scene.post("/console/document", 7, &format!("{text}&action=check")));
+    let check = change_of(scene.post("/console/document", 6, &format!("{text}&action=check")));
+    assert!(check.change.dry_run);
+    let revision = ConfigRevision::new(7);
+    let outcome = ChangeOutcome::Accepted(DocumentAccepted { revision });
+    let checked = answer_change(&check, &outcome, &scene.state());
     assert_eq!(checked.status, 200);
     assert!(
         checked.body.contains("<li>[region r] cells: 1 added"),
         "{}",
         checked.body
     );
+    assert!(checked.body.contains("name=\"based_on\" value=\"6\""));
     let written = change_of(scene.post("/console/document", 7, &format!("{text}&action=write")));
     assert_eq!(written.change.text, "[region r]\ncells = 1\n");
+    assert!(!written.change.dry_run);
+}
+
+#[test]
+fn a_text_with_faults_keeps_the_revision_it_was_made_for() {
+    let page = page_of(ConsoleScene::new().post("/console/document", 6, "text=x&action=write"));
+    assert_eq!(page.status, 422);
+    assert!(
+        page.body
+            .contains("name=\"based_on\" value=\"6\"><textarea")
+    );
 }
 
 #[test_case("/console/zones", "zone=rannikko-hki&state=out"; "zones")]
@@ -310,12 +326,14 @@
 #[test_case(false, 504, "Unknown outcome: the store is out"; "unknown")]
 fn a_change_that_failed_says_what_is_known(not_run: bool, status: u16, expected: &str) {
     let scene = ConsoleScene::new();
-    let change = change_of(scene.post("/console/zones", 7, "zone=rannikko-hki&state=out"));
+    let body = "text=%5Bregion+kurzeme%5D%0D%0Acells+%3D+4%0D%0A&action=write";
+    let change = change_of(scene.post("/console/document", 7, body));
     let reason = "the store is out".to_owned();
     let outcome = ChangeOutcome::Failed(CallRefusal { not_run, reason });
     let page = answer_change(&change, &outcome, &scene.state());
     assert_eq!(page.status, status);
     assert!(page.body.contains(expected), "{}", page.body);
+    assert!(page.body.contains("[region kurzeme]"), "the text is lost");
 }
 
 #[test]
