Tell the revision of a write that was found in the history

Cause: a write that took effect and was replaced since has to be answered with the revision it took effect at, and the next change in the history names it as the revision that it replaced.

Mutations seen to fail: the revision of the row given for every write, any change of the same base taken as ours.

--- a/crates/wire/src/api/stored_document.rs
+++ b/crates/wire/src/api/stored_document.rs
@@ -75,24 +75,27 @@
         }
     }
 
-    /// What this row, read back from the store, says of `write`.
+    /// What this row, read back from the store at `revision`, says of `write`.
     ///
     /// Writes are guarded by the revision that they replace, so at most one write
     /// replaces a given revision.
     #[must_use]
-    pub fn fate_of(&self, write: &Self) -> WriteFate {
+    pub fn fate_of(&self, write: &Self, revision: ConfigRevision) -> WriteFate {
         let Some(change) = write.recent.first() else {
             return WriteFate::Unknown;
         };
-        let rival = self
-            .recent
-            .iter()
-            .find(|recent| recent.replaced == change.replaced);
-        match rival {
-            Some(rival) if rival == change => WriteFate::Written,
-            Some(_) => WriteFate::Beaten,
-            None => WriteFate::Unknown,
+        let mut written_at = revision;
+        for recent in &self.recent {
+            if recent.replaced == change.replaced {
+                return if recent == change {
+                    WriteFate::Written(written_at)
+                } else {
+                    WriteFate::Beaten
+                };
+            }
+            written_at = recent.replaced;
         }
+        WriteFate::Unknown
     }
 
     /// The value to write into the store.
--- a/crates/wire/tests/api_bodies.rs
+++ b/crates/wire/tests/api_bodies.rs
@@ -55,17 +55,22 @@
     let base = StoredDocument::successor(None, &change(0, "[region r]\ncells = 1\n"), 0);
     let ours = StoredDocument::successor(Some(&base), &change(5, "[region r]\ncells = 2\n"), 1);
     let rival = StoredDocument::successor(Some(&base), &change(5, "[region r]\ncells = 3\n"), 1);
-    assert_eq!(base.fate_of(&ours), WriteFate::Unknown);
-    assert_eq!(ours.fate_of(&ours), WriteFate::Written);
-    assert_eq!(rival.fate_of(&ours), WriteFate::Beaten);
+    let written = WriteFate::Written(ConfigRevision::new(8));
+    let fate = |row: &StoredDocument, write, revision| {
+        let revision = ConfigRevision::new(revision);
+        row.fate_of(write, revision)
+    };
+    assert_eq!(fate(&base, &ours, 5), WriteFate::Unknown);
+    assert_eq!(fate(&ours, &ours, 8), written);
+    assert_eq!(fate(&rival, &ours, 8), WriteFate::Beaten);
     let mut later = ours.clone();
-    for revision in 6..25 {
-        later = StoredDocument::successor(Some(&later), &change(revision, ""), revision);
-        assert_eq!(later.fate_of(&ours), WriteFate::Written);
-        assert_eq!(later.fate_of(&rival), WriteFate::Beaten);
+    for replaced in 8..27 {
+        later = StoredDocument::successor(Some(&later), &change(replaced, ""), replaced);
+        assert_eq!(fate(&later, &ours, replaced + 1), written);
+        assert_eq!(fate(&later, &rival, replaced + 1), WriteFate::Beaten);
     }
-    later = StoredDocument::successor(Some(&later), &change(25, ""), 25);
-    assert_eq!(later.fate_of(&ours), WriteFate::Unknown);
+    later = StoredDocument::successor(Some(&later), &change(27, ""), 27);
+    assert_eq!(fate(&later, &ours, 28), WriteFate::Unknown);
 }
 
 #[test_case(r#"{"state":"out","author":"maija","why":"storm"}"#; "an unknown field")]
