Ask once more before a service or a customer is taken out

Cause: one click on a page took a service out of the document, and with it its route on every daemon. The form is answered with what it would take out and a button that confirms it; a zone is still taken out by one click, since that is done in a hurry and undone by another.

--- a/crates/daemon/src/console/form_wish.rs
+++ b/crates/daemon/src/console/form_wish.rs
@@ -27,6 +27,14 @@
         }
     }
 
+    /// Whether the operator is asked once more before it is done.
+    pub(super) const fn needs_confirmation(&self) -> bool {
+        matches!(
+            self,
+            Self::Edit(DocumentEdit::RemoveService { .. } | DocumentEdit::RemoveCustomer { .. })
+        )
+    }
+
     /// The whole text, if the form has one.
     pub(super) fn whole_text(&self) -> Option<&str> {
         match self {
--- a/crates/daemon/src/console/handle_request.rs
+++ b/crates/daemon/src/console/handle_request.rs
@@ -12,14 +12,18 @@
 use crate::console::FormWish;
 use crate::console::HtmlText;
 use crate::console::pages::PageFrame;
+use crate::console::pages::confirm_notice;
 use crate::console::pages::conflict_notice;
 use crate::console::pages::fault_notice;
 use crate::console::pages::message_notice;
 use crate::console::pages::part_body;
 use crate::console::pages::sign_in_body;
 use crate::console::pages::text_body;
+use crate::console::read_wish::CONFIRM_FIELD;
+use crate::console::read_wish::CONFIRM_VALUE;
 use crate::console::read_wish::read_wish;
 use sapphirestile_core::ConfigRevision;
+use sapphirestile_core::DocumentDifference;
 use sapphirestile_core::IniFault;
 use sapphirestile_wire::api::AuthorName;
 use sapphirestile_wire::api::DocumentChange;
@@ -38,6 +42,39 @@
 const INVALID_STATUS: u16 = 422;
 
 /// What to do with a request to the console.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_daemon::console::ConsoleMethod;
+/// use sapphirestile_daemon::console::ConsoleRequest;
+/// use sapphirestile_daemon::console::ConsoleState;
+/// use sapphirestile_daemon::console::ConsoleStep;
+/// use sapphirestile_daemon::console::handle_request;
+/// use sapphirestile_wire::api::OperatorToken;
+///
+/// let view = r#"{"revision": 0, "text": "", "author": "", "changed_unix_ms": 0}"#;
+/// let status = r#"{"daemon": "hki-1", "incarnation": 1, "zone": "rannikko-hki",
+///     "phase": "serving", "revision": 0, "store_reachable": true, "cells": [],
+///     "members": [], "zones": [], "services": [], "queues": []}"#;
+/// let state = ConsoleState {
+///     view: &serde_json::from_str(view).unwrap(),
+///     recent: &[],
+///     status: &serde_json::from_str(status).unwrap(),
+///     token: &OperatorToken::try_from("0123456789abcdef").unwrap(),
+///     now_unix_ms: 0,
+/// };
+/// let request = ConsoleRequest {
+///     method: ConsoleMethod::Post,
+///     path: "/console/zones",
+///     cookie: None,
+///     body: b"zone=rannikko-hki&state=out",
+/// };
+/// let ConsoleStep::Page(page) = handle_request(&request, &state) else {
+///     panic!("a change without a session");
+/// };
+/// assert_eq!(page.status, 401);
+/// ```
 #[must_use]
 pub fn handle_request(request: &ConsoleRequest<'_>, state: &ConsoleState<'_>) -> ConsoleStep {
     let session = ConsoleSession::from_cookie(request.cookie, state.token, state.now_unix_ms);
@@ -143,6 +180,11 @@
         let body = conflict_notice(frame, part, &fields, &text, based_on);
         return ConsoleStep::Page(ConsolePage::html(CONFLICT_STATUS, frame.part(part, &body)));
     }
+    if wish.needs_confirmation() && fields.get(CONFIRM_FIELD) != CONFIRM_VALUE {
+        let lines = DocumentDifference::between(&current.text, &text).lines();
+        let body = confirm_notice(frame, part, &fields, &lines);
+        return ConsoleStep::Page(ConsolePage::html(OK_STATUS, frame.part(part, &body)));
+    }
     ConsoleStep::Change(Box::new(ConsoleChange {
         change: DocumentChange {
             based_on,
--- a/crates/daemon/src/console/pages.rs
+++ b/crates/daemon/src/console/pages.rs
@@ -5,6 +5,7 @@
 
 mod change_notice;
 mod changes_body;
+mod confirm_notice;
 mod conflict_notice;
 mod customers_body;
 mod fault_notice;
@@ -19,6 +20,7 @@
 mod zones_body;
 
 pub(super) use change_notice::change_notice;
+pub(super) use confirm_notice::confirm_notice;
 pub(super) use conflict_notice::conflict_notice;
 pub(super) use fault_notice::fault_notice;
 pub(super) use message_notice::message_notice;
--- a/crates/daemon/src/console/pages/conflict_notice.rs
+++ b/crates/daemon/src/console/pages/conflict_notice.rs
@@ -6,15 +6,12 @@
 use crate::console::pages::PageFrame;
 use crate::console::pages::changes_body::changes_body;
 use crate::console::pages::changes_body::line_list;
-use crate::console::pages::form_parts::hidden_field;
-use crate::console::pages::form_parts::hidden_fields;
+use crate::console::pages::form_parts::again_form;
 use crate::console::pages::text_body;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::DocumentDifference;
 use sapphirestile_wire::api::RecordedChange;
 
-const RENEWED_FIELDS: [&str; 2] = ["form_token", "based_on"];
-
 /// What others changed since `based_on`, what the form would change now, and the
 /// form once more for the revision in force.
 pub(in crate::console) fn conflict_notice(
@@ -47,7 +44,7 @@
         html.append(&line_list(&yours));
         match part {
             ConsolePart::Document => html.append(&text_body(frame, text, view.revision)),
-            _ => html.append(&again_form(frame, part, fields)),
+            _ => html.append(&again_form(frame, part, fields, &again_label(frame))),
         };
     }
     html.raw("</section></div>\n");
@@ -63,22 +60,7 @@
     &recent[..count]
 }
 
-fn again_form(frame: &PageFrame<'_>, part: ConsolePart, fields: &FormFields) -> HtmlText {
-    let mut html = HtmlText::default();
-    let Some(session) = frame.session else {
-        return html;
-    };
-    html.raw("<form method=\"post\" action=\"")
-        .text(part.path())
-        .raw("\">")
-        .append(&hidden_fields(frame, session));
-    for (name, value) in fields.iter() {
-        if !RENEWED_FIELDS.contains(&name) {
-            html.append(&hidden_field(name, value));
-        }
-    }
-    html.raw("<button>Change all the same, over revision ")
-        .text(frame.state.view.revision)
-        .raw("</button></form>");
-    html
+fn again_label(frame: &PageFrame<'_>) -> String {
+    let revision = frame.state.view.revision;
+    format!("Change all the same, over revision {revision}")
 }
--- a/crates/daemon/src/console/pages/form_parts.rs
+++ b/crates/daemon/src/console/pages/form_parts.rs
@@ -1,8 +1,14 @@
 //! Parts of forms.
 
+use crate::console::ConsolePart;
 use crate::console::ConsoleSession;
+use crate::console::FormFields;
 use crate::console::HtmlText;
 use crate::console::pages::PageFrame;
+use crate::console::read_wish::CONFIRM_FIELD;
+use crate::console::read_wish::CONFIRM_VALUE;
+
+const RENEWED_FIELDS: [&str; 3] = ["form_token", "based_on", CONFIRM_FIELD];
 
 /// The hidden fields that every form carries: its seal and the revision shown.
 pub(super) fn hidden_fields(frame: &PageFrame<'_>, session: &ConsoleSession) -> HtmlText {
@@ -89,3 +95,30 @@
         .append(&hidden_fields(frame, session));
     html
 }
+
+/// A form once more, for the revision in force, as one button.
+pub(super) fn again_form(
+    frame: &PageFrame<'_>,
+    part: ConsolePart,
+    fields: &FormFields,
+    label: &str,
+) -> HtmlText {
+    let mut html = HtmlText::default();
+    let Some(session) = frame.session else {
+        return html;
+    };
+    html.raw("<form method=\"post\" action=\"")
+        .text(part.path())
+        .raw("\">")
+        .append(&hidden_fields(frame, session));
+    for (name, value) in fields.iter() {
+        if !RENEWED_FIELDS.contains(&name) {
+            html.append(&hidden_field(name, value));
+        }
+    }
+    html.append(&hidden_field(CONFIRM_FIELD, CONFIRM_VALUE))
+        .raw("<button>")
+        .text(label)
+        .raw("</button></form>");
+    html
+}
--- a/crates/daemon/src/console/read_wish.rs
+++ b/crates/daemon/src/console/read_wish.rs
@@ -20,6 +20,10 @@
 
 /// The value of the action field that takes a section out.
 pub(super) const REMOVE_ACTION: &str = "remove";
+/// The field that confirms what a form asks for.
+pub(super) const CONFIRM_FIELD: &str = "confirm";
+/// The value of the field that confirms.
+pub(super) const CONFIRM_VALUE: &str = "yes";
 /// The value of the action field that checks a text only.
 pub(super) const CHECK_ACTION: &str = "check";
 
--- a/crates/daemon/tests/console.rs
+++ b/crates/daemon/tests/console.rs
@@ -153,10 +153,19 @@
 }
 
 #[test]
-fn a_service_is_removed() {
+fn a_service_is_removed_once_it_is_confirmed() {
     let scene = ConsoleScene::new();
     let body = "service=koon-mitoitus&slots=x&action=remove";
-    let change = change_of(scene.post("/console/services", 7, body)).change;
+    let asked = page_of(scene.post("/console/services", 7, body));
+    assert_eq!(asked.status, 200);
+    assert!(
+        asked
+            .body
+            .contains("<li>[service koon-mitoitus] slots: 8 removed")
+    );
+    assert!(asked.body.contains("name=\"confirm\" value=\"yes\""));
+    let confirmed = format!("{body}&confirm=yes");
+    let change = change_of(scene.post("/console/services", 7, &confirmed)).change;
     assert!(!change.text.contains("koon-mitoitus"));
 }
 
