--- /dev/null
+++ b/crates/cells/src/owner/cell_owner/start_planning.rs
@@ -0,0 +1,77 @@
+//! Which tasks an owner starts, and where.
+
+use crate::journal::CellTransition;
+use crate::owner::CellOwner;
+use crate::owner::OpenPhase;
+use crate::owner::StartOrder;
+use crate::planner::PlanView;
+use crate::planner::PlannedStart;
+use crate::state::TaskEntry;
+use sapphirestile_core::CustomerEntry;
+use sapphirestile_core::CustomerName;
+use sapphirestile_core::JobName;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::SortedTable;
+
+const PERMIT_FRESH_MS: u64 = 1_500;
+
+impl CellOwner<OpenPhase> {
+    /// Takes the customers, with this cell's part of their quotas.
+    pub fn set_customers(&mut self, customers: &SortedTable<CustomerName, CustomerEntry>) {
+        self.phase.planner.set_customers(customers);
+    }
+
+    /// Assigns waiting tasks to workers, at most `limit`.
+    pub fn plan_starts(&mut self, now: MonoTime, limit: usize) {
+        let view = PlanView {
+            state: &self.state,
+            workers: &self.phase.workers,
+            now,
+            permit_fresh_ms: PERMIT_FRESH_MS,
+            limit,
+        };
+        for planned in self.phase.planner.plan(&view) {
+            self.assign(&planned, now);
+        }
+    }
+
+    /// Why the waiting tasks of a job were not started by the latest plan.
+    #[must_use]
+    pub fn waiting_reason(&self, job: &JobName) -> Option<&str> {
+        self.phase.planner.reason(job)
+    }
+
+    fn assign(&mut self, planned: &PlannedStart, now: MonoTime) {
+        let Some(start) = self.start_order(planned, now) else {
+            return;
+        };
+        self.propose_sure(CellTransition::TaskAssigned {
+            task: start.task.clone(),
+            attempt: start.attempt,
+            worker: start.worker.clone(),
+            size: start.size,
+        });
+        if let Some(view) = self.phase.workers.get_mut(&start.worker) {
+            view.starts += 1;
+        }
+        self.phase.withheld.push(start);
+    }
+
+    fn start_order(&self, planned: &PlannedStart, now: MonoTime) -> Option<StartOrder> {
+        let Some(TaskEntry::Waiting(cycle)) = self.state.tasks().get(&planned.task) else {
+            return None;
+        };
+        let job = self.state.jobs().get(&planned.task.job)?;
+        let view = self.phase.workers.get(&planned.worker)?;
+        Some(StartOrder {
+            worker: planned.worker.clone(),
+            epoch: self.state.epoch(),
+            permit: view.usable_permit(now, PERMIT_FRESH_MS)?,
+            task: planned.task.clone(),
+            attempt: cycle.phase().attempt.next(),
+            size: planned.size,
+            run_ms: job.order.run_ms,
+            checkpoint_ms: cycle.phase().checkpoint_ms,
+        })
+    }
+}
--- /dev/null
+++ b/crates/cells/src/owner/worker_view.rs
@@ -0,0 +1,71 @@
+//! An owner's view of a worker.
+
+use crate::owner::WorkerFacts;
+use sapphirestile_core::AttemptNumber;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::TaskName;
+
+/// What the owner knows of a worker; none of it lasts.
+#[derive(Clone, Debug)]
+pub struct WorkerView {
+    /// What is known from outside.
+    pub facts: WorkerFacts,
+    /// How many sessions were asked for.
+    pub ordinal: u64,
+    /// Whether a session was asked for and has not been answered.
+    pub asking: bool,
+    /// When the latest session was asked for.
+    pub asked: Option<MonoTime>,
+    /// The permit, from the report until the next session is asked for.
+    pub permit: Option<u64>,
+    /// How many starts are on their way, from their proposal to their answer.
+    pub starts: u32,
+    /// Ended attempts that the worker may forget.
+    pub settled: Vec<(TaskName, AttemptNumber)>,
+}
+
+impl WorkerView {
+    /// A worker of which nothing but the facts is known.
+    #[must_use]
+    pub const fn new(facts: WorkerFacts) -> Self {
+        Self {
+            facts,
+            ordinal: 0,
+            asking: false,
+            asked: None,
+            permit: None,
+            starts: 0,
+            settled: Vec::new(),
+        }
+    }
+
+    /// Whether `now` is time to renew the session.
+    ///
+    /// A renewal voids the permit of starts that are on their way, so it waits for
+    /// them, but no longer than their permit is good for.
+    #[must_use]
+    pub fn session_due(&self, now: MonoTime, interval_ms: u64, permit_ms: u64) -> bool {
+        let wait_ms = if self.starts == 0 {
+            interval_ms
+        } else {
+            permit_ms
+        };
+        let rested = self
+            .asked
+            .is_none_or(|asked| now.millis_since(asked) >= wait_ms);
+        rested && !self.asking
+    }
+
+    /// The permit, while it is fresh enough to commit against.
+    #[must_use]
+    pub fn usable_permit(&self, now: MonoTime, fresh_ms: u64) -> Option<u64> {
+        let fresh = self
+            .asked
+            .is_some_and(|asked| now.millis_since(asked) <= fresh_ms);
+        if fresh && !self.asking {
+            self.permit
+        } else {
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/context/daemon_context.rs
@@ -0,0 +1,90 @@
+//! The context of a daemon.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+
+use crossbeam::channel::Sender;
+
+use crate::cells::KeeperDirectory;
+use crate::context::MonoClock;
+use crate::context::PhaseGauge;
+use crate::context::StorePulse;
+use crate::context::SwapHolder;
+use crate::document::InForceDocument;
+use crate::members::MemberTable;
+use crate::members::WATCH_WAIT_MS;
+use crate::metrics::DaemonMetrics;
+use crate::settings::DaemonSettings;
+use crate::tokens::GaugeTable;
+use crate::tokens::LedgerRow;
+use crate::tokens::TokenEvent;
+use crate::vms::VmTable;
+use sapphirestile_cells::CellMap;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::MonoTime;
+use sapphirestile_platform::http::ConnectionTable;
+use sapphirestile_platform::store::StoreClient;
+use sapphirestile_routing::TableCell;
+use sapphirestile_wire::peer::FrameKey;
+
+/// What all operations of one daemon share.
+pub struct DaemonContext {
+    /// The checked settings.
+    pub settings: DaemonSettings,
+    /// This life of the daemon.
+    pub identity: DaemonIdentity,
+    /// The process's clock.
+    pub clock: MonoClock,
+    /// The platform's store.
+    pub store: Arc<dyn StoreClient>,
+    /// When the store last answered.
+    pub pulse: StorePulse,
+    /// The key of frames between daemons.
+    pub key: FrameKey,
+    /// How far the daemon's life has come.
+    pub phase: PhaseGauge,
+    /// The configuration in force.
+    pub document: SwapHolder<InForceDocument>,
+    /// The daemons.
+    pub members: SwapHolder<MemberTable>,
+    /// The platform's VMs.
+    pub vms: SwapHolder<VmTable>,
+    /// The cells owned here.
+    pub keepers: SwapHolder<KeeperDirectory>,
+    /// The ledger of tokens.
+    pub ledger: SwapHolder<LedgerRow>,
+    /// The gauges of runners.
+    pub gauges: GaugeTable,
+    /// Requests refused for want of a slot since the demand was last measured.
+    pub wanting: AtomicU32,
+    /// Events of the thread that owns the tokens.
+    pub token_events: Sender<TokenEvent>,
+    /// Connections to runners and workers.
+    pub connections: ConnectionTable,
+    /// Counters and histograms.
+    pub metrics: DaemonMetrics,
+    /// The runners of each service.
+    pub routes: TableCell,
+}
+
+impl DaemonContext {
+    /// Which cell is whose; nothing before the first document.
+    #[must_use]
+    pub fn map(&self) -> Option<CellMap> {
+        let cells = self.document.load().document().cells();
+        (cells > 0).then(|| CellMap::new(cells))
+    }
+
+    /// Whether the store has answered lately.
+    #[must_use]
+    pub fn store_reachable(&self, now: MonoTime) -> bool {
+        self.pulse.silent_ms(now) < self.store_patience_ms()
+    }
+
+    /// How long the store may be silent before it counts as away. The shared
+    /// watch, when nothing changes, hears from it every [`WATCH_WAIT_MS`].
+    #[must_use]
+    pub const fn store_patience_ms(&self) -> u64 {
+        self.settings.limits.suspect_ms + WATCH_WAIT_MS
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -0,0 +1,281 @@
+//! A daemon, in each phase of its life.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::Sender;
+use crossbeam::channel::bounded;
+use crossbeam::channel::unbounded;
+use error_stack::Report;
+use tracing::info;
+
+use crate::callers::CallerService;
+use crate::callers::ParkingLot;
+use crate::context::DaemonContext;
+use crate::context::MonoClock;
+use crate::context::PhaseGauge;
+use crate::context::StorePulse;
+use crate::context::SwapHolder;
+use crate::cycle::DaemonAddresses;
+use crate::cycle::DrainingPhase;
+use crate::cycle::HouseKeeper;
+use crate::cycle::PeerPorts;
+use crate::cycle::ServingPhase;
+use crate::cycle::StartingPhase;
+use crate::cycle::daemon_threads::start_cells;
+use crate::cycle::daemon_threads::start_heartbeats;
+use crate::cycle::daemon_threads::start_tokens;
+use crate::cycle::daemon_threads::start_vm_poller;
+use crate::cycle::daemon_threads::start_watch;
+use crate::cycle::daemon_threads::target;
+use crate::members::MemberRecord;
+use crate::members::MemberRegistration;
+use crate::metrics::DaemonMetrics;
+use crate::operators::OperatorService;
+use crate::peers::PeerServer;
+use crate::serving::HttpPort;
+use crate::serving::HttpService;
+use crate::serving::RequestGate;
+use crate::settings::DaemonSettings;
+use crate::tokens::GaugeTable;
+use crate::tokens::TokenEvent;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::StepError;
+use sapphirestile_platform::http::ConnectionTable;
+use sapphirestile_platform::store::EtcdClient;
+use sapphirestile_platform::store::StoreClient;
+use sapphirestile_routing::TableCell;
+use sapphirestile_wire::peer::FrameKey;
+use sapphirestile_wire::peer::MemberState;
+
+const CALLER_CONNECTIONS: usize = 1_024;
+const OPERATOR_CONNECTIONS: usize = 64;
+const DRAIN_TICK: Duration = Duration::from_millis(50);
+const UNREADY_LINGER: Duration = Duration::from_millis(1_500);
+
+/// A daemon in one phase of its life.
+pub struct DaemonCycle<Phase> {
+    phase: Phase,
+}
+
+impl DaemonCycle<StartingPhase> {
+    /// Binds the ports, registers in the store and reads what it holds. Waits for
+    /// the store for as long as it is away.
+    ///
+    /// # Errors
+    ///
+    /// When a port cannot be bound, or an address of the settings is no target.
+    pub fn start(mut settings: DaemonSettings) -> Result<Self, Report<StepError>> {
+        let peers = PeerPorts::bind(settings.node.peers)?;
+        settings.node.peers = peers.address;
+        let store = open_store(&settings)?;
+        let identity = register(store.as_ref(), &settings);
+        info!(step = "register daemon", daemon = %identity, "registered");
+        let (token_events, tokens) = unbounded();
+        let context = Arc::new(new_context(settings, identity, store, token_events));
+        let gate = Arc::new(RequestGate::default());
+        let lot = Arc::new(ParkingLot::default());
+        let callers = open_callers(&context, &gate, &lot)?;
+        let operators = open_operators(&context)?;
+        let addresses = DaemonAddresses {
+            callers: callers.address(),
+            operators: operators.address(),
+            peers: peers.address,
+        };
+        let ports = [callers, operators];
+        Ok(Self {
+            phase: StartingPhase {
+                context,
+                addresses,
+                gate,
+                lot,
+                peers,
+                tokens,
+                ports,
+            },
+        })
+    }
+
+    /// Starts the daemon's threads and serves.
+    ///
+    /// # Errors
+    ///
+    /// When a socket cannot be shared among threads, or an address of the
+    /// settings is no target.
+    pub fn serve(self) -> Result<DaemonCycle<ServingPhase>, Report<StepError>> {
+        let StartingPhase {
+            context,
+            addresses,
+            gate,
+            lot,
+            peers,
+            tokens,
+            ports,
+        } = self.phase;
+        let (stop, stopped) = bounded::<()>(0);
+        start_heartbeats(&context, &peers, &stopped)?;
+        start_watch(&context, &stopped);
+        start_vm_poller(&context, &stopped)?;
+        start_cells(&context, &stopped);
+        start_tokens(&context, &peers, tokens, &stopped)?;
+        let server = PeerServer::new(Arc::clone(&context), peers.calls);
+        thread::spawn(move || server.run());
+        let keeper = HouseKeeper::new(Arc::clone(&context), lot);
+        thread::spawn(move || keeper.run(&stopped));
+        context.phase.set(MemberState::Serving);
+        info!(step = "serve", ?addresses, "serving");
+        Ok(DaemonCycle {
+            phase: ServingPhase {
+                context,
+                addresses,
+                gate,
+                ports,
+                stop,
+            },
+        })
+    }
+}
+
+impl DaemonCycle<ServingPhase> {
+    /// Where the daemon is reached.
+    #[must_use]
+    pub const fn addresses(&self) -> DaemonAddresses {
+        self.phase.addresses
+    }
+
+    /// What the daemon's operations share.
+    #[must_use]
+    pub const fn context(&self) -> &Arc<DaemonContext> {
+        &self.phase.context
+    }
+
+    /// Begins a planned stop: the daemon turns unready and gives its cells up,
+    /// while it still answers callers that the balancer has not yet moved.
+    #[must_use]
+    pub fn drain(self) -> DaemonCycle<DrainingPhase> {
+        let ServingPhase {
+            context,
+            gate,
+            ports,
+            stop,
+            ..
+        } = self.phase;
+        context.phase.set(MemberState::Draining);
+        info!(step = "drain", "draining");
+        DaemonCycle {
+            phase: DrainingPhase {
+                context,
+                gate,
+                ports,
+                stop,
+            },
+        }
+    }
+}
+
+impl DaemonCycle<DrainingPhase> {
+    /// Waits for the last cell and the last answer, then ends. Returns whether
+    /// both came within the limit.
+    #[must_use]
+    pub fn finish(self) -> bool {
+        let DrainingPhase {
+            context,
+            gate,
+            ports,
+            stop,
+        } = self.phase;
+        let limit_ms = context.settings.limits.drain_max_ms;
+        let began = context.clock.now();
+        thread::sleep(UNREADY_LINGER);
+        let spent = || context.clock.now().millis_since(began);
+        while !context.keepers.load().is_empty() && spent() < limit_ms {
+            thread::sleep(DRAIN_TICK);
+        }
+        gate.close();
+        let rest = Duration::from_millis(limit_ms.saturating_sub(spent()));
+        let emptied = gate.wait_empty(rest);
+        let released = context.keepers.load().is_empty();
+        info!(step = "drain", emptied, released, "ended");
+        drop(stop);
+        drop(ports);
+        emptied && released
+    }
+}
+
+fn new_context(
+    settings: DaemonSettings,
+    identity: DaemonIdentity,
+    store: Arc<dyn StoreClient>,
+    token_events: Sender<TokenEvent>,
+) -> DaemonContext {
+    let key = FrameKey::new(settings.peering.key.as_bytes());
+    DaemonContext {
+        settings,
+        identity,
+        clock: MonoClock::start(),
+        store,
+        pulse: StorePulse::default(),
+        key,
+        phase: PhaseGauge::default(),
+        document: SwapHolder::default(),
+        members: SwapHolder::default(),
+        vms: SwapHolder::default(),
+        keepers: SwapHolder::default(),
+        ledger: SwapHolder::default(),
+        gauges: GaugeTable::default(),
+        wanting: AtomicU32::new(0),
+        token_events,
+        connections: ConnectionTable::new(),
+        metrics: DaemonMetrics::default(),
+        routes: TableCell::default(),
+    }
+}
+
+fn open_store(settings: &DaemonSettings) -> Result<Arc<dyn StoreClient>, Report<StepError>> {
+    let peer = target(settings.platform.store, "find store")?;
+    let timeout = Duration::from_millis(settings.limits.store_timeout_ms);
+    Ok(Arc::new(EtcdClient::new(peer, timeout)))
+}
+
+fn register(store: &dyn StoreClient, settings: &DaemonSettings) -> DaemonIdentity {
+    let daemon = settings.node.name.clone();
+    let record = MemberRecord {
+        zone: settings.node.zone.clone(),
+        address: settings.node.peers,
+        nonce: rand::random(),
+    };
+    let incarnation = MemberRegistration::new(store, daemon.as_str()).register(&record);
+    DaemonIdentity {
+        daemon,
+        incarnation,
+    }
+}
+
+fn open_callers(
+    context: &Arc<DaemonContext>,
+    gate: &Arc<RequestGate>,
+    lot: &Arc<ParkingLot>,
+) -> Result<HttpPort, Report<StepError>> {
+    let service = CallerService::new(Arc::clone(context), Arc::clone(lot));
+    let service: Arc<dyn HttpService> = Arc::new(service);
+    HttpPort::open(
+        context.settings.node.callers,
+        CALLER_CONNECTIONS,
+        &service,
+        gate,
+    )
+}
+
+/// The operators' port stays open while the daemon drains.
+fn open_operators(context: &Arc<DaemonContext>) -> Result<HttpPort, Report<StepError>> {
+    let service: Arc<dyn HttpService> = Arc::new(OperatorService::new(Arc::clone(context)));
+    let gate = Arc::new(RequestGate::default());
+    HttpPort::open(
+        context.settings.node.operators,
+        OPERATOR_CONNECTIONS,
+        &service,
+        &gate,
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/routes/route_publisher.rs
@@ -0,0 +1,62 @@
+//! Publishes the routing table.
+
+use std::sync::Arc;
+
+use crate::context::DaemonContext;
+use sapphirestile_core::OperatorDocument;
+use sapphirestile_core::RunnerName;
+use sapphirestile_core::ServiceName;
+use sapphirestile_routing::RoutingTable;
+use sapphirestile_routing::RunnerRow;
+use sapphirestile_wire::vms::VmKind;
+use sapphirestile_wire::vms::VmRecord;
+use sapphirestile_wire::vms::VmState;
+
+/// Makes and publishes routing tables; the only writer of a daemon.
+pub struct RoutePublisher {
+    context: Arc<DaemonContext>,
+}
+
+impl RoutePublisher {
+    /// A publisher for one daemon.
+    #[must_use]
+    pub const fn new(context: Arc<DaemonContext>) -> Self {
+        Self { context }
+    }
+
+    /// Publishes the table that follows from what is known now.
+    pub fn publish(&self) {
+        let context = Arc::clone(&self.context);
+        let document = context.document.load();
+        let document = document.document();
+        let vms = context.vms.load();
+        let mut rows = Vec::new();
+        for record in vms.records().filter(|record| record.kind == VmKind::Runner) {
+            rows.extend(self.row_of(record, document));
+        }
+        let kept = |runner: &RunnerName| rows.iter().any(|row| row.runner == *runner);
+        context.gauges.retain(kept);
+        let home = context.settings.node.zone.as_str();
+        context
+            .routes
+            .publish(RoutingTable::new(document, home, rows));
+    }
+
+    fn row_of(&self, record: &VmRecord, document: &OperatorDocument) -> Option<RunnerRow> {
+        let runner = RunnerName::try_from(record.name.as_str()).ok()?;
+        let service: ServiceName = record.service.clone()?;
+        let address = record.address.parse().ok()?;
+        document.services.get(service.as_str())?;
+        let gauge = self.context.gauges.gauge_of(&runner);
+        let zone = record.zone.clone();
+        let leaving = record.state == VmState::Leaving;
+        Some(RunnerRow {
+            runner,
+            zone,
+            address,
+            service,
+            leaving,
+            gauge,
+        })
+    }
+}
--- a/crates/routing/src/record_proof.rs
+++ b/crates/routing/src/record_proof.rs
@@ -2,8 +2,7 @@
 
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::JournalSequence;
-
-use crate::RequestKey;
+use sapphirestile_core::RequestKey;
 
 /// Proof that the at-most-once record of a request is in a cell's journal.
 ///
--- a/crates/routing/src/request_cycle/unknown_phase.rs
+++ b/crates/routing/src/request_cycle/unknown_phase.rs
@@ -2,14 +2,13 @@
 
 use std::mem::ManuallyDrop;
 
-use sapphirestile_core::MonoTime;
-
 use crate::ParkedSlot;
 use crate::ReceivedPhase;
 use crate::RequestCycle;
 use crate::RetriedRequest;
 use crate::RetryBudget;
 use crate::SlotGuard;
+use sapphirestile_core::MonoTime;
 
 /// A request that may have run, may be running, or may not have run.
 #[derive(Debug)]
