Give back RunnerGauge::is_ejected, which the status page reads

Cause: the standing of a runner replaced the plain flag and its reader went with it, while the daemon's status page had begun to call it; the daemon did not build with both. It now answers from the standing.

--- a/crates/routing/src/runner_gauge.rs
+++ b/crates/routing/src/runner_gauge.rs
@@ -198,6 +198,12 @@
         self.standing.store(standing as u32, Ordering::Relaxed);
     }
 
+    /// Whether the runner is ejected and gets no requests.
+    #[must_use]
+    pub fn is_ejected(&self) -> bool {
+        self.standing() == RunnerStanding::Ejected
+    }
+
     /// Whether the runner gets requests.
     #[must_use]
     pub fn standing(&self) -> RunnerStanding {
--- a/crates/routing/tests/load_policy.rs
+++ b/crates/routing/tests/load_policy.rs
@@ -72,6 +72,7 @@
     let mut policy = EjectionPolicy::default();
     judge(&mut policy, &rows, 0);
     assert_eq!(standings(&rows, RunnerStanding::Ejected), ["a-1", "c-1"]);
+    assert!(rows[1].gauge.is_ejected() && !rows[2].gauge.is_ejected());
 }
 
 #[test]
