Put reserved tokens back when a newer ledger did not retire them

Cause: tokens reserved for retiring stayed reserved until somebody called cancel_retired; the token keeper of the daemon never did. When two members reserved for the same surplus, the loser of the race kept its tokens reserved and retired them with its next draft, below the slots that operators asked for; when operators took the change back, the tokens were stranded.

A draft is made from the holder's own ledger, so once the holder goes by a newer one the draft cannot be written any more. TokenHolder::apply now puts back what the new ledger did not retire, and cancel_retired is no longer public. Ruled out: leaving it to the caller, who has nothing to decide there.

--- a/crates/slots/src/token_holder/ledger_step.rs
+++ b/crates/slots/src/token_holder/ledger_step.rs
@@ -13,7 +13,8 @@
     /// Goes on with `ledger` when it is newer than the holder's.
     ///
     /// Tokens of removed members granted to this holder stay unused until the
-    /// longest request has passed; other new tokens are published at once.
+    /// longest request has passed; other new tokens are published at once, and so
+    /// are reserved ones that the ledger did not retire.
     ///
     /// # Panics
     ///
@@ -36,6 +37,7 @@
             return ApplyOutcome::Removed;
         }
         self.take_ledger(ledger, now, gauges);
+        self.cancel_retired(gauges);
         ApplyOutcome::Applied
     }
 
--- a/crates/slots/src/token_holder/retire_step.rs
+++ b/crates/slots/src/token_holder/retire_step.rs
@@ -27,7 +27,7 @@
     }
 
     /// The next ledger with the reserved tokens retired; nothing when none is
-    /// reserved. They stay reserved until a ledger settles them.
+    /// reserved. They stay reserved until the holder goes by a newer ledger.
     ///
     /// # Panics
     ///
@@ -48,21 +48,21 @@
         Some(draft)
     }
 
-    /// Publishes reserved tokens again that no ledger retired. Returns false, and
-    /// changes nothing, while the last draft may still be written, which is
-    /// until the holder goes by a newer ledger.
-    pub fn cancel_retired(&mut self, gauges: &impl TokenGauges) -> bool {
-        if self.generation <= self.retire_drafted {
-            return false;
-        }
+    /// Publishes the reserved tokens again that the ledger did not retire. The
+    /// last draft was made from an earlier ledger, so it cannot be written any
+    /// more.
+    pub(super) fn cancel_retired(&mut self, gauges: &impl TokenGauges) {
+        assert!(
+            self.generation > self.retire_drafted,
+            "reserved tokens were put back while their draft may be written"
+        );
         for (runner, row) in self.rows.iter_mut() {
             let count = std::mem::take(&mut row.retiring);
-            row.published += count;
-            row.assert_adds_up();
             if count > 0 {
+                row.published += count;
+                row.assert_adds_up();
                 gauges.add(runner, count);
             }
         }
-        true
     }
 }
--- a/crates/slots/tests/holder_rounds/round_world.rs
+++ b/crates/slots/tests/holder_rounds/round_world.rs
@@ -306,7 +306,6 @@
         if let Some(life) = self.awake(place) {
             if !out {
                 life.holder.apply(&store, now, &life.gauges);
-                life.holder.cancel_retired(&life.gauges);
             }
             let lifted = life.holder.lift_embargoes(now, &life.gauges);
             self.counts.embargoes_lifted += lifted;
--- a/crates/slots/tests/token_holder.rs
+++ b/crates/slots/tests/token_holder.rs
@@ -195,17 +195,34 @@
     let Member { holder, free } = &mut members[0];
     assert_eq!(holder.reserve_retired(&runner(), 3, free), 3);
     let lost = holder.draft_retired(&ledger).unwrap();
-    assert!(!holder.cancel_retired(free));
+    assert_eq!(holder.apply(&ledger, at(0), free), ApplyOutcome::Known);
     assert_eq!(free.0.get(), 1);
     let mut draft = ledger.draft();
     draft.add_member(&identity("vm-9"));
     let ledger = draft.finish();
     assert_ne!(lost.former(), ledger.generation);
-    holder.apply(&ledger, at(0), free);
-    assert!(holder.cancel_retired(free));
+    assert_eq!(holder.apply(&ledger, at(0), free), ApplyOutcome::Applied);
     assert_eq!(free.0.get(), 4);
 }
 
+#[test]
+fn two_members_that_retire_at_once_do_not_retire_too_much() {
+    let (ledger, mut members) = scene(2, 8);
+    let mut drafts = Vec::new();
+    for Member { holder, free } in &mut members {
+        assert_eq!(holder.reserve_retired(&runner(), 4, free), 4);
+        drafts.extend(holder.draft_retired(&ledger));
+    }
+    let ledger = drafts.swap_remove(0).finish();
+    assert_ne!(drafts[0].former(), ledger.generation);
+    for Member { holder, free } in &mut members {
+        holder.apply(&ledger, at(0), free);
+    }
+    assert_eq!(free_tokens(&members), [0, 4]);
+    let runners = ledger.runners.values().map(|grant| grant.slots);
+    assert_eq!(runners.collect::<Vec<_>>(), [4]);
+}
+
 #[test]
 fn a_removed_member_gives_up_what_is_free() {
     let (ledger, mut members) = scene(2, 8);
