--- a/crates/routing/src/runner_gauge.rs
+++ b/crates/routing/src/runner_gauge.rs
@@ -29,6 +29,7 @@
 /// assert_eq!((gauge.tokens(), gauge.in_flight()), (1, 0));
 /// ```
 #[derive(Debug)]
+#[repr(align(128))]
 pub struct RunnerGauge {
     /// Tokens in the upper half, requests in flight in the lower half.
     slots: AtomicU64,
@@ -197,6 +198,12 @@
         self.standing.store(standing as u32, Ordering::Relaxed);
     }
 
+    /// Whether the runner is ejected and gets no requests.
+    #[must_use]
+    pub fn is_ejected(&self) -> bool {
+        self.standing() == RunnerStanding::Ejected
+    }
+
     /// Whether the runner gets requests.
     #[must_use]
     pub fn standing(&self) -> RunnerStanding {
