--- /dev/null
+++ b/crates/specification/src/check_run/list_cases.rs
@@ -0,0 +1,106 @@
+//! The list of searches.
+
+use crate::cell_ownership::OwnershipModel;
+use crate::cell_ownership::OwnershipMutation;
+use crate::cell_ownership::OwnershipScenario;
+use crate::check_run::BoundsName;
+use crate::check_run::CheckCase;
+use crate::request_record::RecordModel;
+use crate::request_record::RecordMutation;
+use crate::token_handover::TokenModel;
+use crate::token_handover::TokenMutation;
+use crate::zone_out::ZoneOutModel;
+use crate::zone_out::ZoneOutMutation;
+
+/// The searches of `bounds`, in a fixed order.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_specification::BoundsName;
+/// use sapphirestile_specification::list_cases;
+///
+/// let cases = list_cases(BoundsName::Small);
+/// assert_eq!(cases[0].name(), "cell-ownership/handover");
+/// ```
+#[must_use]
+pub fn list_cases(bounds: BoundsName) -> Vec<CheckCase> {
+    match bounds {
+        BoundsName::Small => {
+            let mut cases = ownership_cases(&OwnershipScenario::SMALL);
+            cases.push(CheckCase::new(
+                "zone-out",
+                "small",
+                ZoneOutModel::small(None),
+            ));
+            cases.push(CheckCase::new(
+                "token-handover",
+                "small",
+                TokenModel::small(None),
+            ));
+            let model = TokenModel::incarnations(None);
+            cases.push(CheckCase::new("token-handover", "incarnations", model));
+            cases.push(CheckCase::new(
+                "request-record",
+                "small",
+                RecordModel::small(None),
+            ));
+            cases
+        }
+        BoundsName::Large => {
+            let mut cases = ownership_cases(&OwnershipScenario::LARGE);
+            cases.push(CheckCase::new(
+                "zone-out",
+                "large",
+                ZoneOutModel::large(None),
+            ));
+            cases.push(CheckCase::new(
+                "token-handover",
+                "large",
+                TokenModel::large(None),
+            ));
+            cases.push(CheckCase::new(
+                "request-record",
+                "large",
+                RecordModel::large(None),
+            ));
+            cases
+        }
+        BoundsName::Mutations => mutation_cases(),
+    }
+}
+
+fn ownership_cases(scenarios: &[OwnershipScenario]) -> Vec<CheckCase> {
+    let cases = scenarios.iter().map(|scenario| {
+        let model = OwnershipModel {
+            bounds: scenario.bounds,
+            mutation: None,
+        };
+        CheckCase::new("cell-ownership", scenario.name, model)
+    });
+    cases.collect()
+}
+
+fn mutation_cases() -> Vec<CheckCase> {
+    let mut cases = Vec::new();
+    for (name, mutation) in OwnershipMutation::ALL {
+        let model = OwnershipModel {
+            bounds: OwnershipScenario::breaking(mutation),
+            mutation: Some(mutation),
+        };
+        cases.push(CheckCase::new("cell-ownership", name, model));
+    }
+    for (name, mutation) in ZoneOutMutation::ALL {
+        let model = ZoneOutModel::small(Some(mutation));
+        cases.push(CheckCase::new("zone-out", name, model));
+    }
+    for (name, mutation) in TokenMutation::ALL {
+        let model = TokenModel::small(Some(mutation));
+        cases.push(CheckCase::new("token-handover", name, model));
+    }
+    for (name, mutation) in RecordMutation::ALL {
+        let model = RecordModel::small(Some(mutation));
+        cases.push(CheckCase::new("request-record", name, model));
+    }
+    cases
+}
