Spread workers over cells by the document's own number, wire the console

Cause: the number of cells stood with the regions, though a cell has workers of every zone; two regions forced two cells, and six workers in two cells left one with a single zone. Taking that zone out stopped its jobs.

Ruled out: cells by region, whose jobs would stand still whenever the region's only zone is out. The test that summed cells of all regions past the largest number went with the sum; a count past the largest and a section given twice are refused instead.

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -9,6 +9,7 @@
 //! rewrites the text in force. A [`DocumentDifference`] tells two texts apart,
 //! one [`EntryChange`] for each key.
 
+mod cells_entry;
 mod customer_entry;
 mod document_cycle;
 mod document_difference;
@@ -22,6 +23,7 @@
 mod zone_entry;
 mod zone_state;
 
+pub use cells_entry::CellsEntry;
 pub use customer_entry::CustomerEntry;
 pub use document_cycle::CheckedPhase;
 pub use document_cycle::DocumentCycle;
@@ -31,7 +33,6 @@
 pub use document_edit::DocumentEdit;
 pub use document_fault::DocumentFault;
 pub use entry_change::EntryChange;
-pub use operator_document::CELLS_MAX;
 pub use operator_document::OperatorDocument;
 pub use region_entry::RegionEntry;
 pub use service_entry::ServiceEntry;
--- a/crates/core/src/document/document_cycle.rs
+++ b/crates/core/src/document/document_cycle.rs
@@ -20,7 +20,7 @@
 /// use sapphirestile_core::ConfigRevision;
 /// use sapphirestile_core::DocumentCycle;
 ///
-/// let text = "[region r]\ncells = 1\n[zone a]\nregion = r\nstate = in\n";
+/// let text = "[region r]\nlink_mbit = 1\n[zone a]\nregion = r\nstate = in\n";
 /// let checked = DocumentCycle::draft(text).check().unwrap();
 /// let in_force = checked.commit(ConfigRevision::new(7));
 /// assert_eq!(in_force.revision().get(), 7);
--- a/crates/core/src/document/document_edit.rs
+++ b/crates/core/src/document/document_edit.rs
@@ -24,13 +24,13 @@
 /// use sapphirestile_core::ZoneName;
 /// use sapphirestile_core::ZoneState;
 ///
-/// let text = "; coast\n[region r]\ncells = 2\n[zone a]\nregion = r\nstate = in ; no\n";
+/// let text = "; coast\n[region r]\nlink_mbit = 2\n[zone a]\nregion = r\nstate = in ; no\n";
 /// let zone = ZoneName::try_from("a").unwrap();
 /// let edit = DocumentEdit::SetZone { zone, state: ZoneState::Out };
 /// assert!(edit.rewrite(text).is_err());
 ///
-/// let text = "; coast\n[region r]\ncells = 2\n[zone a]\nregion = r\nstate = in\n";
-/// let after = "; coast\n[region r]\ncells = 2\n[zone a]\nregion = r\nstate = out\n";
+/// let text = "; coast\n[region r]\nlink_mbit = 2\n[zone a]\nregion = r\nstate = in\n";
+/// let after = "; coast\n[region r]\nlink_mbit = 2\n[zone a]\nregion = r\nstate = out\n";
 /// assert_eq!(edit.rewrite(text).unwrap(), after);
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/core/src/document/operator_document.rs
+++ b/crates/core/src/document/operator_document.rs
@@ -2,6 +2,7 @@
 
 use ini::Properties;
 
+use crate::CellsEntry;
 use crate::CustomerEntry;
 use crate::CustomerName;
 use crate::DocumentFault;
@@ -18,13 +19,10 @@
 use crate::ZoneName;
 use crate::ZoneState;
 
-/// The most cells of all regions together.
-pub const CELLS_MAX: u16 = 1_024;
 const KIND_EXPECTED: &str =
-    "a section [zone NAME], [region NAME], [service NAME] or [customer NAME]";
+    "a section [cells], [zone NAME], [region NAME], [service NAME] or [customer NAME]";
 const ONCE_EXPECTED: &str = "each section once";
 const REGION_EXPECTED: &str = "a region that has a section of its own";
-const CELLS_SUM_EXPECTED: &str = "at most 1024 cells in all regions together";
 
 /// Zones, regions, services and customers, checked as a whole.
 ///
@@ -35,7 +33,7 @@
 /// ```
 /// use sapphirestile_core::OperatorDocument;
 ///
-/// let text = "[region r]\ncells = 2\n[zone a]\nregion = r\nstate = in\n";
+/// let text = "[region r]\nlink_mbit = 2\n[zone a]\nregion = r\nstate = in\n";
 /// let document = OperatorDocument::try_from(text).unwrap();
 /// assert_eq!(document.zones.len(), 1);
 /// assert_eq!(OperatorDocument::try_from(document.to_string().as_str()), Ok(document));
@@ -45,6 +43,8 @@
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OperatorDocument {
+    /// Into how many cells workers and jobs are spread.
+    pub cells: CellsEntry,
     /// The zones by name.
     pub zones: SortedTable<ZoneName, ZoneEntry>,
     /// The regions by name.
@@ -65,8 +65,8 @@
         for (section, keys) in ini.sections() {
             document.read_section(section, keys, &mut faults);
         }
+        check_once(&ini, "cells", &mut faults);
         document.check_regions(&ini, &mut faults);
-        document.check_cells(&mut faults);
         if faults.is_empty() {
             Ok(document)
         } else {
@@ -84,23 +84,15 @@
             .is_some_and(|entry| entry.state == ZoneState::In)
     }
 
-    /// The regions in the order of their cells, which is their order in the text.
-    #[must_use]
-    pub fn regions_by_cell(&self) -> Vec<(&RegionName, &RegionEntry)> {
-        let mut regions = self.regions.iter().collect::<Vec<_>>();
-        regions.sort_by_key(|(_, entry)| entry.first_cell);
-        regions
-    }
-
     fn read_section(&mut self, section: &str, keys: &Properties, faults: &mut Vec<IniFault>) {
         let (kind, name) = section.split_once(' ').unwrap_or((section, ""));
-        let first_cell = self.cells();
         let reader = SectionReader::new(section, keys, faults);
         let added = match kind {
             "zone" => add(&mut self.zones, name, ZoneEntry::read(reader)),
-            "region" => {
-                let entry = RegionEntry::read(reader, first_cell);
-                add(&mut self.regions, name, entry)
+            "region" => add(&mut self.regions, name, RegionEntry::read(reader)),
+            "cells" if section == "cells" => {
+                self.cells = CellsEntry::read(reader).unwrap_or_default();
+                Ok(())
             }
             "service" => add(&mut self.services, name, ServiceEntry::read(reader)),
             "customer" => add(&mut self.customers, name, CustomerEntry::read(reader)),
@@ -111,14 +103,6 @@
         }
     }
 
-    /// How many cells all regions have together.
-    #[must_use]
-    pub fn cells(&self) -> u16 {
-        self.regions
-            .values()
-            .fold(0, |sum, entry| sum.saturating_add(entry.cells))
-    }
-
     fn check_regions(&self, ini: &ParsedIni, faults: &mut Vec<IniFault>) {
         for (name, entry) in self.zones.iter() {
             let header = format!("region {}", entry.region);
@@ -132,24 +116,12 @@
             }
         }
     }
-
-    fn check_cells(&self, faults: &mut Vec<IniFault>) {
-        let cells = self.cells();
-        if cells > CELLS_MAX {
-            faults.push(IniFault {
-                section: "region".to_owned(),
-                key: "cells".to_owned(),
-                value: cells.to_string(),
-                expected: CELLS_SUM_EXPECTED.to_owned(),
-            });
-        }
-    }
 }
 
 impl std::fmt::Display for OperatorDocument {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let mut sections = Vec::new();
-        for (name, entry) in self.regions_by_cell() {
+        let mut sections = vec![("cells".to_owned(), self.cells.pairs())];
+        for (name, entry) in self.regions.iter() {
             sections.push((format!("region {name}"), entry.pairs()));
         }
         for (name, entry) in self.zones.iter() {
@@ -172,6 +144,14 @@
     }
 }
 
+/// Names keep other sections apart; this one has none.
+fn check_once(ini: &ParsedIni, wanted: &str, faults: &mut Vec<IniFault>) {
+    let found = ini.sections().filter(|(section, _)| *section == wanted);
+    if found.count() > 1 {
+        faults.push(section_fault(wanted, ONCE_EXPECTED));
+    }
+}
+
 fn add<'t, N, E>(
     table: &mut SortedTable<N, E>,
     name: &'t str,
--- a/crates/core/src/document/region_entry.rs
+++ b/crates/core/src/document/region_entry.rs
@@ -1,32 +1,31 @@
 //! What operators say of a region.
 
 use crate::SectionReader;
-use crate::document::CELLS_MAX;
 
-const CELLS_EXPECTED: &str = "a number of cells from 1 to 1024";
+const LINK_DEFAULT_MBIT: u32 = 30;
+const LINK_MAX_MBIT: u32 = 100_000;
+const LINK_EXPECTED: &str = "megabits a second from 1 to 100000";
 
 /// One `[region NAME]` section.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RegionEntry {
-    /// The number of the region's first cell.
-    pub first_cell: u16,
-    /// Into how many cells the region's workers are split.
-    pub cells: u16,
+    /// What the link to other regions carries, in megabits a second.
+    pub link_mbit: u32,
 }
 
 impl RegionEntry {
-    pub(super) fn read(mut reader: SectionReader<'_>, first_cell: u16) -> Option<Self> {
-        let cells = reader.ranged("cells", None, 1..=CELLS_MAX, CELLS_EXPECTED);
+    pub(super) fn read(mut reader: SectionReader<'_>) -> Option<Self> {
+        let default = Some(LINK_DEFAULT_MBIT);
+        let link_mbit = reader.ranged("link_mbit", default, 1..=LINK_MAX_MBIT, LINK_EXPECTED);
         reader.finish();
         Some(Self {
-            first_cell,
-            cells: cells?,
+            link_mbit: link_mbit?,
         })
     }
 
     /// The keys and values of the section.
     #[must_use]
     pub fn pairs(&self) -> Vec<(&'static str, String)> {
-        vec![("cells", self.cells.to_string())]
+        vec![("link_mbit", self.link_mbit.to_string())]
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,7 +42,7 @@
 pub use customer_name::CustomerName;
 pub use daemon_identity::DaemonIdentity;
 pub use daemon_name::DaemonName;
-pub use document::CELLS_MAX;
+pub use document::CellsEntry;
 pub use document::CheckedPhase;
 pub use document::CustomerEntry;
 pub use document::DocumentCycle;
--- a/crates/daemon/src/context/daemon_context.rs
+++ b/crates/daemon/src/context/daemon_context.rs
@@ -71,8 +71,9 @@
     /// Which cell is whose; nothing before the first document.
     #[must_use]
     pub fn map(&self) -> Option<CellMap> {
-        let cells = self.document.load().document().cells();
-        (cells > 0).then(|| CellMap::new(cells))
+        let document = self.document.load();
+        let known = document.stored().is_some();
+        known.then(|| CellMap::new(document.document().cells.count))
     }
 
     /// Whether the store has answered lately.
--- a/crates/daemon/src/document/document_writer.rs
+++ b/crates/daemon/src/document/document_writer.rs
@@ -27,6 +27,7 @@
 use sapphirestile_wire::api::AuthorName;
 use sapphirestile_wire::api::DocumentChange;
 use sapphirestile_wire::api::StoredDocument;
+use sapphirestile_wire::api::WriteFate;
 use sapphirestile_wire::api::ZoneChange;
 
 const READ_BACK_TRIES: u32 = 5;
@@ -56,7 +57,7 @@
             Ok(current) => current,
             Err(error) => return ChangeOutcome::NotRun(error.to_string()),
         };
-        if let Err(fault) = check_cells(current.document(), checked.document()) {
+        if let Err(fault) = check_cells(&current, checked.document()) {
             return ChangeOutcome::Refused(fault);
         }
         if change.dry_run {
@@ -123,9 +124,7 @@
             Err(StoreError::NotRun) => {
                 ChangeOutcome::NotRun("the store was not reached".to_owned())
             }
-            Ok(CommitAnswer::Beaten) | Err(StoreError::Unknown) => {
-                self.read_back(stored, &value, based_on)
-            }
+            Ok(CommitAnswer::Beaten) | Err(StoreError::Unknown) => self.read_back(stored),
         }
     }
 
@@ -135,28 +134,18 @@
         ChangeOutcome::Accepted(revision)
     }
 
-    /// Finds out what became of a write that was beaten, or whose answer was lost.
-    fn read_back(
-        &self,
-        stored: &StoredDocument,
-        value: &[u8],
-        based_on: ConfigRevision,
-    ) -> ChangeOutcome {
+    /// Finds out what became of a write that was beaten, or whose answer was
+    /// lost. It may have taken effect and have been replaced since.
+    fn read_back(&self, stored: &StoredDocument) -> ChangeOutcome {
         for _ in 0..READ_BACK_TRIES {
-            let Ok(row) = self.read_row() else {
-                thread::sleep(READ_BACK_PAUSE);
-                continue;
-            };
-            let Some(row) = row else {
-                return ChangeOutcome::Unknown;
-            };
-            if row.value == value {
-                return self.accept(stored, row.revision);
-            }
-            if row.revision != based_on.get() {
-                return conflict_with(&row);
+            if let Ok(Some(row)) = self.read_row() {
+                match fate_in(&row, stored) {
+                    WriteFate::Written(revision) => return self.accept(stored, revision.get()),
+                    WriteFate::Beaten => return conflict_with(&row),
+                    // The write may be on its way.
+                    WriteFate::Unknown => {}
+                }
             }
-            // The row is still the old one, but the write may be on its way.
             thread::sleep(READ_BACK_PAUSE);
         }
         ChangeOutcome::Unknown
@@ -194,6 +183,13 @@
     InForceDocument::read(stored, ConfigRevision::new(row.revision)).ok()
 }
 
+fn fate_in(row: &StoredRow, write: &StoredDocument) -> WriteFate {
+    let Ok(known) = StoredDocument::try_from(row.value.as_slice()) else {
+        return WriteFate::Unknown;
+    };
+    known.fate_of(write, ConfigRevision::new(row.revision))
+}
+
 fn conflict_with(row: &StoredRow) -> ChangeOutcome {
     read_document(row).map_or(ChangeOutcome::Unknown, |current| {
         ChangeOutcome::Conflict(current.view())
@@ -202,16 +198,16 @@
 
 /// Workers and jobs are spread over the cells by a hash, so that another number
 /// of cells would put them elsewhere while they run.
-fn check_cells(current: &OperatorDocument, next: &OperatorDocument) -> Result<(), DocumentFault> {
-    let (known, wanted) = (current.cells(), next.cells());
-    if known == 0 || known == wanted {
+fn check_cells(current: &InForceDocument, next: &OperatorDocument) -> Result<(), DocumentFault> {
+    let (known, wanted) = (current.document().cells.count, next.cells.count);
+    if current.stored().is_none() || known == wanted {
         return Ok(());
     }
     let fault = IniFault {
-        section: "region".to_owned(),
-        key: "cells".to_owned(),
+        section: "cells".to_owned(),
+        key: "count".to_owned(),
         value: wanted.to_string(),
-        expected: format!("{known} cells in all regions together, as in force"),
+        expected: format!("{known}, as in force"),
     };
     Err(DocumentFault {
         faults: vec![fault],
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -4,6 +4,7 @@
 //! of [`sapphirestile_wire::api`]. Whatever changes state needs the operators'
 //! token.
 
+mod console_calls;
 mod document_calls;
 mod job_calls;
 mod operator_call;
--- /dev/null
+++ b/crates/daemon/src/operators/console_calls.rs
@@ -0,0 +1,130 @@
+//! Calls of the console.
+
+use std::io::Read;
+
+use oxhttp::model::Body;
+use oxhttp::model::Method;
+use oxhttp::model::Request;
+use oxhttp::model::header::COOKIE;
+
+use crate::console::ChangeOutcome as ConsoleOutcome;
+use crate::console::ConsoleMethod;
+use crate::console::ConsolePage;
+use crate::console::ConsoleRequest;
+use crate::console::ConsoleState;
+use crate::console::ConsoleStep;
+use crate::console::answer_change;
+use crate::console::handle_request;
+use crate::context::DaemonContext;
+use crate::context::MonoClock;
+use crate::document::ChangeOutcome;
+use crate::document::DocumentWriter;
+use crate::operators::operator_service::refusal;
+use crate::operators::status_calls::StatusCalls;
+use crate::serving::HttpReply;
+use sapphirestile_core::ConfigRevision;
+use sapphirestile_wire::api::CallRefusal;
+use sapphirestile_wire::api::DocumentAccepted;
+use sapphirestile_wire::api::DocumentConflict;
+use sapphirestile_wire::api::DocumentRefused;
+
+/// Answers calls of the console.
+pub struct ConsoleCalls<'c> {
+    context: &'c DaemonContext,
+}
+
+impl<'c> ConsoleCalls<'c> {
+    pub const fn new(context: &'c DaemonContext) -> Self {
+        Self { context }
+    }
+
+    /// Answers one request.
+    pub fn answer(&self, request: &mut Request<Body>) -> HttpReply {
+        let method = match *request.method() {
+            Method::GET => ConsoleMethod::Get,
+            Method::POST => ConsoleMethod::Post,
+            _ => return refusal(405, true, "the console takes GET and POST"),
+        };
+        let path = request.uri().path().to_owned();
+        let cookie = request.headers().get(COOKIE);
+        let cookie = cookie
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
+        let Ok(body) = read_body(request, ConsoleRequest::body_bytes_max(&path)) else {
+            return refusal(400, true, "the form did not arrive whole");
+        };
+        let request = ConsoleRequest {
+            method,
+            path: &path,
+            cookie: cookie.as_deref(),
+            body: &body,
+        };
+        match self.with_state(|state| handle_request(&request, state)) {
+            ConsoleStep::Page(page) => reply(page),
+            ConsoleStep::Change(change) => {
+                let written = DocumentWriter::new(self.context).change(&change.change);
+                let outcome = self.outcome_of(written, change.change.based_on);
+                reply(self.with_state(|state| answer_change(&change, &outcome, state)))
+            }
+        }
+    }
+
+    fn with_state<T>(&self, show: impl FnOnce(&ConsoleState<'_>) -> T) -> T {
+        let document = self.context.document.load();
+        let view = document.view();
+        let recent = document.stored().map_or(&[][..], |stored| &stored.recent);
+        let status = StatusCalls::new(self.context).daemon_status();
+        show(&ConsoleState {
+            view: &view,
+            recent,
+            status: &status,
+            token: &self.context.settings.operators.token,
+            now_unix_ms: MonoClock::unix_millis(),
+        })
+    }
+
+    fn outcome_of(&self, outcome: ChangeOutcome, based_on: ConfigRevision) -> ConsoleOutcome {
+        match outcome {
+            ChangeOutcome::Checked => {
+                let revision = self.context.document.load().revision();
+                ConsoleOutcome::Accepted(DocumentAccepted { revision })
+            }
+            ChangeOutcome::Accepted(revision) => {
+                ConsoleOutcome::Accepted(DocumentAccepted { revision })
+            }
+            ChangeOutcome::Refused(fault) => ConsoleOutcome::Refused(DocumentRefused::from(&fault)),
+            ChangeOutcome::Conflict(current) => {
+                ConsoleOutcome::Conflict(DocumentConflict { based_on, current })
+            }
+            ChangeOutcome::NotRun(reason) => ConsoleOutcome::Failed(CallRefusal {
+                not_run: true,
+                reason,
+            }),
+            ChangeOutcome::Unknown => ConsoleOutcome::Failed(CallRefusal {
+                not_run: false,
+                reason: "the store's answer was lost".to_owned(),
+            }),
+        }
+    }
+}
+
+fn read_body(request: &mut Request<Body>, limit: usize) -> std::io::Result<Vec<u8>> {
+    let limit = u64::try_from(limit).unwrap_or(u64::MAX).saturating_add(1);
+    let mut body = Vec::new();
+    request.body_mut().take(limit).read_to_end(&mut body)?;
+    Ok(body)
+}
+
+fn reply(page: ConsolePage) -> HttpReply {
+    let mut reply = HttpReply::new(page.status, page.content_type, page.body.into_bytes());
+    for (name, value) in ConsolePage::headers() {
+        reply = reply.with_header(name, value);
+    }
+    if let Some(cookie) = &page.set_cookie {
+        reply = reply.with_header("set-cookie", cookie);
+    }
+    if let Some(location) = page.location {
+        reply = reply.with_header("location", location);
+    }
+    reply
+}
--- a/crates/daemon/src/operators/operator_service.rs
+++ b/crates/daemon/src/operators/operator_service.rs
@@ -9,6 +9,7 @@
 
 use crate::context::DaemonContext;
 use crate::operators::OperatorCall;
+use crate::operators::console_calls::ConsoleCalls;
 use crate::operators::document_calls::DocumentCalls;
 use crate::operators::job_calls::JobCalls;
 use crate::operators::status_calls::StatusCalls;
@@ -32,6 +33,9 @@
     }
 
     fn serve(&self, request: &mut Request<Body>) -> HttpReply {
+        if request.uri().path().starts_with("/console") {
+            return ConsoleCalls::new(&self.context).answer(request);
+        }
         let method = request.method().as_str();
         let Some(call) = OperatorCall::find(method, request.uri().path()) else {
             return refusal(404, true, "there is no such call");
--- a/crates/daemon/src/operators/status_calls.rs
+++ b/crates/daemon/src/operators/status_calls.rs
@@ -68,7 +68,7 @@
         )
     }
 
-    fn daemon_status(&self) -> DaemonStatus {
+    pub fn daemon_status(&self) -> DaemonStatus {
         let context = self.context;
         let document = context.document.load();
         let now = context.clock.now();
@@ -94,7 +94,9 @@
     fn members(&self) -> Vec<MemberStatus> {
         let now = self.context.clock.now();
         let members = self.context.members.load();
-        let rows = members.rows().map(|(daemon, row)| MemberStatus {
+        let own = &self.context.identity.daemon;
+        let others = members.rows().filter(|(daemon, _)| *daemon != own);
+        let rows = others.map(|(daemon, row)| MemberStatus {
             daemon: daemon.clone(),
             incarnation: row.incarnation,
             address: row.address,
--- a/crates/daemon/src/tryout/tryout_run.rs
+++ b/crates/daemon/src/tryout/tryout_run.rs
@@ -52,11 +52,7 @@
     /// When a port cannot be bound or the configuration is not accepted.
     pub fn start() -> Result<Self, Report<StepError>> {
         let failed = || StepError::new("start try-out", "embedded platform");
-        let zones = vec![("near-a", "near"), ("near-b", "near"), ("near-c", "near")];
-        let plan = FleetPlan {
-            zones,
-            ..FleetPlan::default()
-        };
+        let plan = FleetPlan::default();
         let platform = StandinFleet::start(plan)?;
         let text = settings_text(&platform);
         let settings = DaemonSettings::try_from(text.as_str()).change_context_lazy(failed)?;
--- a/crates/experiment/src/service/daemon_view.rs
+++ b/crates/experiment/src/service/daemon_view.rs
@@ -147,7 +147,7 @@
 }
 
 fn document_text(plan: &DeploymentPlan, zone_out: Option<usize>) -> String {
-    let mut text = "[region near]\ncells = 1\n[region far]\ncells = 1\n".to_owned();
+    let mut text = "[region near]\nlink_mbit = 1\n[region far]\nlink_mbit = 1\n".to_owned();
     for (zone, name) in plan.zones.iter().enumerate() {
         let region = if DeploymentPlan::is_remote(zone) {
             "far"
--- a/crates/routing/src/routing_table.rs
+++ b/crates/routing/src/routing_table.rs
@@ -33,7 +33,7 @@
 /// use sapphirestile_routing::RunnerGauge;
 /// use sapphirestile_routing::RunnerRow;
 ///
-/// let text = "[region r]\ncells = 1\n[zone a]\nregion = r\nstate = in\n";
+/// let text = "[region r]\nlink_mbit = 1\n[zone a]\nregion = r\nstate = in\n";
 /// let document = OperatorDocument::try_from(text).unwrap();
 /// let gauge = Arc::new(RunnerGauge::new());
 /// gauge.add_tokens(1);
--- a/crates/wire/src/api/stored_document.rs
+++ b/crates/wire/src/api/stored_document.rs
@@ -30,13 +30,13 @@
 /// use sapphirestile_wire::api::StoredDocument;
 ///
 /// let author = AuthorName::try_from("maija").unwrap();
-/// let text = "[region r]\ncells = 1\n".to_owned();
+/// let text = "[region r]\nlink_mbit = 1\n".to_owned();
 /// let based_on = ConfigRevision::new(0);
 /// let change = DocumentChange { based_on, text, author, dry_run: false };
 /// let document = StoredDocument::successor(None, &change, 1_000);
 /// let bytes = document.to_bytes();
 /// assert_eq!(StoredDocument::try_from(bytes.as_slice()).unwrap(), document);
-/// assert_eq!(document.recent[0].lines, ["[region r] cells: 1 added"]);
+/// assert_eq!(document.recent[0].lines, ["[region r] link_mbit: 1 added"]);
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredDocument {
