--- a/crates/experiment/src/batch/pressure_keeper.rs
+++ b/crates/experiment/src/batch/pressure_keeper.rs
@@ -10,12 +10,13 @@
 use crate::plan::to_f64;
 use sapphirestile_core::MonoTime;
 use sapphirestile_placement::NoiseBook;
-use sapphirestile_placement::PressureAction;
 use sapphirestile_placement::PressurePolicy;
 use sapphirestile_placement::PressureState;
+use sapphirestile_placement::PressureTask;
 use sapphirestile_placement::SlowdownSample;
+use sapphirestile_placement::choose_pressed;
 
-const THROTTLED_PART: f64 = 0.3;
+const WHOLE_PERMILLE: u64 = 1_000;
 const STOPPED_DELAY_MS: u64 = 60_000;
 
 /// What was learnt of disturbance, and what is done about it.
@@ -58,86 +59,41 @@
             return;
         }
         let state = &mut self.states[report.worker];
-        match state.decide(report.slowdown_permille, measured, now, &self.policy) {
-            PressureAction::Leave => {}
-            PressureAction::ThrottleOne => self.throttle_one(report.worker, jobs, placer, world),
-            PressureAction::ReleaseOne => self.release_one(report.worker, jobs, placer, world),
-            PressureAction::StopOne => self.stop_one(report.worker, jobs, placer, world, now),
-        }
-    }
-
-    fn throttle_one(
-        &self,
-        worker: usize,
-        jobs: &[JobTruth],
-        placer: &mut TaskPlacer<'_>,
-        world: &mut BatchWorld<'_>,
-    ) {
-        let tasks = self.ranked(worker, false, jobs, placer, world);
-        if let Some(task) = tasks.last().copied()
-            && let Some(row) = &mut placer.assigned[task]
-        {
-            row.throttled = true;
-            let cap = to_f64(row.given.cpu_milli) * THROTTLED_PART;
-            world.throttle(task, Some(cap));
-        }
-    }
-
-    fn release_one(
-        &self,
-        worker: usize,
-        jobs: &[JobTruth],
-        placer: &mut TaskPlacer<'_>,
-        world: &mut BatchWorld<'_>,
-    ) {
-        let tasks = self.ranked(worker, true, jobs, placer, world);
-        if let Some(task) = tasks.first().copied()
-            && let Some(row) = &mut placer.assigned[task]
-        {
-            row.throttled = false;
-            world.throttle(task, None);
+        let action = state.decide(report.slowdown_permille, measured, now, &self.policy);
+        let tasks = world.workers[report.worker].tasks.clone();
+        let views = tasks.iter().map(|task| PressureTask {
+            noise_permille: self.noise.noise_of(&jobs[world.tasks[*task].job].name),
+            throttle_permille: placer.assigned[*task].map_or(0, |row| row.throttle_permille),
+        });
+        let chosen = choose_pressed(&views.collect::<Vec<_>>(), action);
+        match chosen {
+            None => {}
+            Some((place, 0)) => stop(tasks[place], jobs, placer, world, now),
+            Some((place, permille)) => throttle(tasks[place], permille, placer, world),
         }
     }
+}
 
-    fn stop_one(
-        &self,
-        worker: usize,
-        jobs: &[JobTruth],
-        placer: &mut TaskPlacer<'_>,
-        world: &mut BatchWorld<'_>,
-        now: MonoTime,
-    ) {
-        let tasks = self.ranked(worker, true, jobs, placer, world);
-        if let Some(task) = tasks.last().copied() {
-            let job = world.tasks[task].job;
-            world.stop(task, true);
-            world.evictions += 1;
-            placer.release(job, task);
-            placer.requeue(job, task, now);
-            let later = now.plus_millis(STOPPED_DELAY_MS);
-            placer.queue.delay(&jobs[job].name, later);
-        }
+fn throttle(task: usize, permille: u64, placer: &mut TaskPlacer<'_>, world: &mut BatchWorld<'_>) {
+    if let Some(row) = &mut placer.assigned[task] {
+        row.throttle_permille = permille;
+        let cap = to_f64(row.given.cpu_milli * permille / WHOLE_PERMILLE);
+        world.throttle(task, (permille < WHOLE_PERMILLE).then_some(cap));
     }
+}
 
-    /// The tasks on `worker` that are throttled or not, least disturbing first.
-    fn ranked(
-        &self,
-        worker: usize,
-        throttled: bool,
-        jobs: &[JobTruth],
-        placer: &TaskPlacer<'_>,
-        world: &BatchWorld<'_>,
-    ) -> Vec<usize> {
-        let wanted =
-            |task: &usize| placer.assigned[*task].is_some_and(|row| row.throttled == throttled);
-        let tasks = world.workers[worker].tasks.iter().copied();
-        let mut tasks = tasks.filter(wanted).collect::<Vec<_>>();
-        tasks.sort_by_key(|task| {
-            (
-                self.noise.noise_of(&jobs[world.tasks[*task].job].name),
-                *task,
-            )
-        });
-        tasks
-    }
+fn stop(
+    task: usize,
+    jobs: &[JobTruth],
+    placer: &mut TaskPlacer<'_>,
+    world: &mut BatchWorld<'_>,
+    now: MonoTime,
+) {
+    let job = world.tasks[task].job;
+    world.stop(task, true);
+    world.evictions += 1;
+    placer.release(job, task);
+    placer.requeue(job, task, now);
+    let later = now.plus_millis(STOPPED_DELAY_MS);
+    placer.queue.delay(&jobs[job].name, later);
 }
--- a/crates/experiment/src/batch/task_assignment.rs
+++ b/crates/experiment/src/batch/task_assignment.rs
@@ -11,5 +11,6 @@
     pub(crate) started: MonoTime,
     /// Memory last seen, in mebibytes.
     pub(crate) memory_mb: u64,
-    pub(crate) throttled: bool,
+    /// The part of its processor time that it is let have, in thousandths.
+    pub(crate) throttle_permille: u64,
 }
--- a/crates/experiment/src/batch/task_placer.rs
+++ b/crates/experiment/src/batch/task_placer.rs
@@ -332,7 +332,7 @@
             given,
             started: now,
             memory_mb: 0,
-            throttled: false,
+            throttle_permille: 1_000,
         });
         world.start(task, worker, given);
     }
--- a/crates/placement/src/room/room_policy.rs
+++ b/crates/placement/src/room/room_policy.rs
@@ -48,7 +48,7 @@
     fn default() -> Self {
         Self {
             cpu_bound_permille: WHOLE_PERMILLE,
-            usage_bound_permille: 900,
+            usage_bound_permille: 850,
             usage_age_max_ms: 120_000,
             noise_bound_permille: 150,
             load_weight: 1,
--- a/crates/placement/tests/placement/choice.rs
+++ b/crates/placement/tests/placement/choice.rs
@@ -107,6 +107,7 @@
 #[test]
 fn a_disturbing_task_goes_where_little_is_disturbed() {
     let mut scene = Scene::new(&["a/a-1/w1", "a/a-1/w2"]);
+    scene.policy.noise_bound_permille = 2_000;
     scene.rooms[0].noise_permille = 800;
     let placed = sapphirestile_placement::PlacedTasks::default();
     let mut request = PlacementRequest::new(size(100, 100, 0), &scene.customer, &placed);
@@ -128,3 +129,20 @@
     assert_eq!(scene.place(size(100, 100, 0)).unwrap(), "w2");
     assert_eq!(scene.place(size(100, 100, 2)).unwrap(), "w1");
 }
+
+#[test]
+fn disturbance_adds_up_to_a_bound_but_for_urgent_work() {
+    let mut scene = Scene::new(&["a/a-1/w1"]);
+    scene.policy.noise_bound_permille = 300;
+    let placed = sapphirestile_placement::PlacedTasks::default();
+    let mut request = PlacementRequest::new(size(100, 100, 0), &scene.customer, &placed);
+    request.noise_permille = 200;
+    let mut takes = |noise_permille, urgent| {
+        scene.rooms[0].noise_permille = noise_permille;
+        request.urgent = urgent;
+        choose_worker(&scene.rooms, &request, &scene.policy).is_ok()
+    };
+    assert!(takes(100, false));
+    assert!(!takes(101, false));
+    assert!(takes(101, true));
+}
--- a/crates/placement/tests/placement/colocation.rs
+++ b/crates/placement/tests/placement/colocation.rs
@@ -7,7 +7,9 @@
 use sapphirestile_placement::PressureAction;
 use sapphirestile_placement::PressurePolicy;
 use sapphirestile_placement::PressureState;
+use sapphirestile_placement::PressureTask;
 use sapphirestile_placement::SlowdownSample;
+use sapphirestile_placement::choose_pressed;
 
 const LAG_MS: u64 = 30_000;
 
@@ -89,3 +91,41 @@
     assert!(noise[3] > 400, "{noise:?}");
     assert!(noise[..3].iter().all(|noise| *noise < 120), "{noise:?}");
 }
+
+#[test]
+fn the_loudest_task_is_throttled_step_by_step_and_released_last() {
+    use PressureAction::ReleaseOne;
+    use PressureAction::StopOne;
+    use PressureAction::ThrottleOne;
+    let task = |noise_permille| PressureTask {
+        noise_permille,
+        throttle_permille: 1_000,
+    };
+    let mut tasks = [task(100), task(900), task(250)];
+    let mut steps = Vec::new();
+    for action in [
+        ThrottleOne,
+        ThrottleOne,
+        ThrottleOne,
+        ReleaseOne,
+        ReleaseOne,
+        ReleaseOne,
+        StopOne,
+    ] {
+        let (place, permille) = choose_pressed(&tasks, action).unwrap();
+        tasks[place].throttle_permille = permille;
+        steps.push((place, permille));
+    }
+    assert_eq!(
+        steps,
+        [
+            (1, 300),
+            (1, 90),
+            (2, 300),
+            (2, 1_000),
+            (1, 300),
+            (1, 1_000),
+            (1, 0)
+        ]
+    );
+}
