--- a/crates/daemon/tests/failures/support.rs
+++ b/crates/daemon/tests/failures/support.rs
@@ -5,6 +5,7 @@
 use sapphirestile_standins::fleet::FleetPlan;
 use sapphirestile_standins::worker::HistoryRow;
 use sapphirestile_test_support::DaemonProcess;
+use sapphirestile_test_support::RelayLink;
 use sapphirestile_test_support::SceneFleet;
 use sapphirestile_test_support::call_json;
 use sapphirestile_test_support::wait_until;
@@ -13,6 +14,11 @@
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_sapphirestiled");
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
+const PLACES: [(&str, &str); 3] = [
+    ("entry-1", "near-a"),
+    ("entry-2", "near-b"),
+    ("entry-3", "far-c"),
+];
 /// The cells of the fleet's document.
 pub const CELLS: usize = 1;
 
@@ -24,17 +30,24 @@
 
 impl Stage {
     pub fn set(name: &str, plan: FleetPlan) -> Self {
+        Self::set_linked(name, plan).0
+    }
+
+    /// The same, with a link to the store for each daemon.
+    pub fn set_linked(name: &str, plan: FleetPlan) -> (Self, Vec<RelayLink>) {
         let scene = SceneFleet::start(DAEMON, &format!("{FOLDER}/{name}"), plan);
-        let first = scene.daemon("entry-1", "near-a", &[]);
-        let second = scene.daemon("entry-2", "near-b", &[first.peers()]);
-        let third = scene.daemon("entry-3", "far-c", &[first.peers()]);
-        let stage = Self {
-            scene,
-            daemons: vec![first, second, third],
-        };
+        let mut daemons: Vec<DaemonProcess> = Vec::new();
+        let mut links = Vec::new();
+        for (name, zone) in PLACES {
+            let link = RelayLink::start(scene.platform().store().address());
+            let seeds: Vec<SocketAddr> = daemons.iter().map(DaemonProcess::peers).collect();
+            daemons.push(scene.daemon_via(name, zone, &seeds, link.address()));
+            links.push(link);
+        }
+        let stage = Self { scene, daemons };
         stage.scene.put_document(stage.daemons[0].operators());
         stage.scene.wait_owned(&stage.operators(), CELLS);
-        stage
+        (stage, links)
     }
 
     pub fn operators(&self) -> Vec<SocketAddr> {
@@ -43,15 +56,19 @@
 
     /// Takes the daemon out that owns the cell of `job`.
     pub fn take_owner(&mut self, job: &str) -> DaemonProcess {
-        let cell = show_job(self.daemons[0].operators(), job).expect("the job is known")["cell"]
-            .as_u64()
-            .expect("a cell is a number");
-        let place = wait_until("the owner is known", || {
+        let place = self.owner_of(job);
+        self.daemons.remove(place)
+    }
+
+    /// The place of the daemon that owns the cell of `job`.
+    pub fn owner_of(&self, job: &str) -> usize {
+        let view = show_job(self.daemons[0].operators(), job).expect("the job is known");
+        let cell = view["cell"].as_u64().expect("a cell is a number");
+        wait_until("the owner is known", || {
             self.daemons
                 .iter()
                 .position(|daemon| owns(daemon.operators(), cell))
-        });
-        self.daemons.remove(place)
+        })
     }
 
     /// Every attempt that any worker has run.
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -6,12 +6,15 @@
 
 mod daemon_process;
 mod http_calls;
+mod link_state;
 mod patience;
+mod relay_link;
 mod scene_fleet;
 
 pub use daemon_process::DaemonProcess;
 pub use http_calls::call;
 pub use http_calls::call_json;
 pub use patience::wait_until;
+pub use relay_link::RelayLink;
 pub use scene_fleet::SceneFleet;
 pub use scene_fleet::TOKEN;
--- a/crates/test-support/src/scene_fleet.rs
+++ b/crates/test-support/src/scene_fleet.rs
@@ -60,8 +60,25 @@
     /// When the daemon does not start.
     #[must_use]
     pub fn daemon(&self, name: &str, zone: &str, seeds: &[SocketAddr]) -> DaemonProcess {
+        self.daemon_via(name, zone, seeds, self.platform.store().address())
+    }
+
+    /// Starts a daemon that reaches the store at `store`.
+    ///
+    /// # Panics
+    ///
+    /// When the daemon does not start.
+    #[must_use]
+    pub fn daemon_via(
+        &self,
+        name: &str,
+        zone: &str,
+        seeds: &[SocketAddr],
+        store: SocketAddr,
+    ) -> DaemonProcess {
         let path = self.folder.join(format!("{name}.ini"));
-        std::fs::write(&path, self.settings(name, zone, seeds)).expect("settings can be written");
+        let settings = self.settings(name, zone, seeds, store);
+        std::fs::write(&path, settings).expect("settings can be written");
         DaemonProcess::start(&self.binary, &path)
     }
 
@@ -95,7 +112,7 @@
         });
     }
 
-    fn settings(&self, name: &str, zone: &str, seeds: &[SocketAddr]) -> String {
+    fn settings(&self, name: &str, zone: &str, seeds: &[SocketAddr], store: SocketAddr) -> String {
         let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
         let region = zone.split('-').next().unwrap_or(zone);
         let mut text = format!("[daemon]\nname = {name}\nzone = {zone}\nregion = {region}\n");
@@ -103,10 +120,7 @@
         for port in ["callers", "operators", "peers"] {
             let _written = writeln!(text, "{port} = 127.0.0.1:0");
         }
-        let (store, vms) = (
-            self.platform.store().address(),
-            self.platform.vms().address(),
-        );
+        let vms = self.platform.vms().address();
         let _written = writeln!(text, "[platform]\nstore = {store}\nvms = {vms}");
         let _written = writeln!(text, "[peers]\nkey = {TOKEN}\nseeds = {}", seeds.join(", "));
         let _written = writeln!(
