Run owners through seeded failures in virtual time, and mend what broke

Cause: nothing drove the real owner with a store that loses answers, daemons that stand still and workers that go. The new crate soak does: two or three daemons drive CellOwners as the daemon's keepers do, against a store with the

faults, alone or together, for 120 s of virtual time; then all heal and all work has to end. Every entry and every start is checked where it takes effect.

Starts in flight are kept apart from those planned since, so that a commit no longer compares each start with each change of its entry.

--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -247,7 +247,8 @@
     }
 
     fn is_withheld(&self, task: &TaskName) -> bool {
-        self.phase.withheld.iter().any(|start| start.task == *task)
+        let mut starts = self.phase.withheld.iter().chain(&self.phase.flying);
+        starts.any(|start| start.task == *task)
     }
 
     fn return_task(
@@ -257,6 +258,7 @@
         checkpoint_ms: u64,
         failed: bool,
     ) {
+        self.phase.stopping.remove(task);
         let (task, attempt) = (task.clone(), cycle.attempt);
         self.propose_sure(CellTransition::TaskReturned {
             task,
@@ -267,6 +269,7 @@
     }
 
     fn end_task(&mut self, task: &TaskName, cycle: &AssignedPhase, outcome: TaskOutcome) {
+        self.phase.stopping.remove(task);
         let (task, attempt) = (task.clone(), cycle.attempt);
         self.propose_sure(CellTransition::TaskEnded {
             task,
--- a/crates/cells/src/owner/cell_owner/batch_commits.rs
+++ b/crates/cells/src/owner/cell_owner/batch_commits.rs
@@ -7,7 +7,6 @@
 use crate::owner::CellOwner;
 use crate::owner::CommitOutcome;
 use crate::owner::OpenPhase;
-use crate::owner::StartOrder;
 use crate::state::CellState;
 
 impl CellOwner<OpenPhase> {
@@ -17,6 +16,7 @@
             return None;
         }
         let transitions = std::mem::take(&mut self.phase.pending);
+        self.phase.flying = std::mem::take(&mut self.phase.withheld);
         self.phase.flight = Some(JournalEntry {
             sequence: self.state.sequence().next(),
             writer: self.identity.clone(),
@@ -62,24 +62,14 @@
     fn release_effects(&mut self, entry: &JournalEntry) -> Vec<CellEffect> {
         self.state.note_applied(entry);
         self.release_settled();
-        let withheld = std::mem::take(&mut self.phase.withheld);
-        let (due, rest) = withheld
-            .into_iter()
-            .partition(|start| assigns(entry, start));
-        self.phase.withheld = rest;
-        let due: Vec<StartOrder> = due;
+        let due = std::mem::take(&mut self.phase.flying);
         due.into_iter().map(CellEffect::Start).collect()
     }
 
     /// Takes the assignments of an entry back that did not reach the journal, and
     /// puts its other changes before those proposed since.
     fn withdraw_starts(&mut self, entry: JournalEntry) {
-        let withheld = std::mem::take(&mut self.phase.withheld);
-        let (beaten, rest): (Vec<_>, Vec<_>) = withheld
-            .into_iter()
-            .partition(|start| assigns(&entry, start));
-        self.phase.withheld = rest;
-        for start in beaten {
+        for start in std::mem::take(&mut self.phase.flying) {
             self.state.withdraw(&start.task, start.attempt);
             self.start_answered(start.worker.as_str());
         }
@@ -89,30 +79,30 @@
         transitions.retain(|change| !matches!(change, CellTransition::TaskAssigned { .. }));
         transitions.append(&mut self.phase.pending);
         self.phase.pending = transitions;
+        self.join_settling();
+    }
+
+    /// What waited for the entry after a beaten one goes into the same entry now.
+    fn join_settling(&mut self) {
+        let last = self.last_proposed();
+        for (_, sequence) in self.phase.settling.iter_mut() {
+            *sequence = last.min(*sequence);
+        }
+        self.release_settled();
     }
 
     /// Lets workers forget the ended attempts whose ends are in the journal.
     pub(super) fn release_settled(&mut self) {
         let reached = self.state.sequence();
-        let settling = std::mem::take(&mut self.phase.settling);
-        for ended in settling {
-            if ended.sequence > reached {
-                self.phase.settling.push(ended);
-            } else if let Some(view) = self.phase.workers.get_mut(ended.worker.as_str()) {
-                view.settled.push((ended.task, ended.attempt));
+        let OpenPhase {
+            settling, workers, ..
+        } = &mut self.phase;
+        settling.retain(|ended, sequence| {
+            let waits = *sequence > reached;
+            if !waits && let Some(view) = workers.get_mut(ended.worker.as_str()) {
+                view.settled.push((ended.task.clone(), ended.attempt));
             }
-        }
+            waits
+        });
     }
 }
-
-fn assigns(entry: &JournalEntry, start: &StartOrder) -> bool {
-    let EntryBody::Batch(transitions) = &entry.body else {
-        return false;
-    };
-    transitions.iter().any(|change| match change {
-        CellTransition::TaskAssigned { task, attempt, .. } => {
-            *task == start.task && *attempt == start.attempt
-        }
-        _ => false,
-    })
-}
--- a/crates/cells/src/owner/cell_owner/worker_list.rs
+++ b/crates/cells/src/owner/cell_owner/worker_list.rs
@@ -22,6 +22,9 @@
     /// A worker that has tasks but was not listed for [`LIST_LAG_MAX_MS`] is gone:
     /// its tasks run nowhere and wait again.
     pub fn set_workers(&mut self, facts: &[WorkerFacts], now: MonoTime) {
+        for (_, view) in self.phase.workers.iter_mut() {
+            view.listed = false;
+        }
         for fact in facts {
             let fresh = || WorkerView::new(fact.clone());
             let view = self
@@ -29,6 +32,7 @@
                 .workers
                 .get_or_insert_with(fact.worker.clone(), fresh);
             view.facts = fact.clone();
+            view.listed = true;
         }
         let listed = |worker: &WorkerName| facts.iter().any(|fact| fact.worker == *worker);
         self.phase.unlisted.retain(|worker, _| !listed(worker));
@@ -59,7 +63,8 @@
             if !view.session_due(now, SESSION_INTERVAL_MS, PERMIT_AGE_MAX_MS) {
                 continue;
             }
-            view.ordinal += 1;
+            self.phase.sessions += 1;
+            view.ordinal = self.phase.sessions;
             view.asking = true;
             view.asked = Some(now);
             view.permit = None;
--- a/crates/cells/src/owner/cell_owner/worker_reports.rs
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -58,7 +58,6 @@
                 self.return_task(task, &cycle, sighting.checkpoint_ms, false);
             }
         }
-        self.phase.stopping.remove(task);
         self.settle(worker, task, sighting.attempt);
     }
 
@@ -78,7 +77,7 @@
         let given_up = match verdict {
             FailureVerdict::BadJob { .. } => true,
             FailureVerdict::BadWorker | FailureVerdict::Retry { .. } => {
-                cycle.failures + 1 >= FAILURES_MAX
+                cycle.failures.saturating_add(1) >= FAILURES_MAX
             }
         };
         if given_up {
@@ -96,7 +95,7 @@
             checkpoint_ms,
             ..
         } = sighting;
-        if *checkpoint_ms >= cycle.checkpoint_ms + CHECKPOINT_STEP_MS {
+        if checkpoint_ms.saturating_sub(cycle.checkpoint_ms) >= CHECKPOINT_STEP_MS {
             let (task, attempt, checkpoint_ms) = (task.clone(), *attempt, *checkpoint_ms);
             self.propose_sure(CellTransition::TaskCheckpointed {
                 task,
@@ -156,11 +155,14 @@
         }
     }
 
+    /// The task's current attempt, when it is the sighted one. One whose start is
+    /// withheld cannot have begun, whatever a worker says.
     fn current_cycle(&self, worker: &str, sighting: &TaskSighting) -> Option<AssignedPhase> {
         match self.state.tasks().get(&sighting.task)? {
             TaskEntry::Assigned(cycle)
                 if cycle.phase().attempt == sighting.attempt
-                    && cycle.phase().worker.as_str() == worker =>
+                    && cycle.phase().worker.as_str() == worker
+                    && !self.is_withheld(&sighting.task) =>
             {
                 Some(cycle.phase().clone())
             }
@@ -177,12 +179,12 @@
         let worker = view.facts.worker.clone();
         let sequence = self.last_proposed();
         let task = task.clone();
-        self.phase.settling.push(SettlingAttempt {
+        let ended = SettlingAttempt {
             worker,
             task,
             attempt,
-            sequence,
-        });
+        };
+        self.phase.settling.get_or_insert_with(ended, || sequence);
         if sequence == self.state.sequence() {
             self.release_settled();
         }
--- a/crates/cells/src/owner/open_phase.rs
+++ b/crates/cells/src/owner/open_phase.rs
@@ -9,6 +9,7 @@
 use crate::planner::StartPlanner;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::JobName;
+use sapphirestile_core::JournalSequence;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
 use sapphirestile_core::TaskName;
@@ -22,10 +23,12 @@
     pub(super) pending: Vec<CellTransition>,
     /// Handed out, with no outcome yet.
     pub(super) flight: Option<JournalEntry>,
-    /// Starts whose assignments are not in the journal yet.
+    /// Starts whose assignments are not handed out yet.
     pub(super) withheld: Vec<StartOrder>,
+    /// Starts whose assignments are in the entry in flight.
+    pub(super) flying: Vec<StartOrder>,
     /// Ended attempts that workers may forget once their ends are in the journal.
-    pub(super) settling: Vec<SettlingAttempt>,
+    pub(super) settling: SortedTable<SettlingAttempt, JournalSequence>,
     /// Since when a known worker has not been on the VM list.
     pub(super) unlisted: SortedTable<WorkerName, MonoTime>,
     /// When the owner first saw that a job had ended.
@@ -35,4 +38,6 @@
     pub(super) stopping: SortedTable<TaskName, AttemptNumber>,
     pub(super) stops: Vec<StopOrder>,
     pub(super) evictions: u64,
+    /// How many sessions were asked for, with whichever worker.
+    pub(super) sessions: u64,
 }
--- a/crates/cells/src/owner/session_order.rs
+++ b/crates/cells/src/owner/session_order.rs
@@ -12,7 +12,7 @@
     pub worker: WorkerName,
     /// The fencing token.
     pub epoch: CellEpoch,
-    /// Which of the owner's sessions with this worker it is.
+    /// Which of the owner's sessions it is.
     pub ordinal: u64,
     /// Ended attempts that the worker may forget.
     pub settled: Vec<(TaskName, AttemptNumber)>,
--- a/crates/cells/src/owner/worker_view.rs
+++ b/crates/cells/src/owner/worker_view.rs
@@ -10,7 +10,10 @@
 pub struct WorkerView {
     /// What is known from outside.
     pub facts: WorkerFacts,
-    /// How many sessions were asked for.
+    /// Whether the latest list shows it. One that is not listed is given nothing:
+    /// its facts may be older than the configuration.
+    pub listed: bool,
+    /// Which of the owner's sessions was asked for last.
     pub ordinal: u64,
     /// Whether a session was asked for and has not been answered.
     pub asking: bool,
@@ -30,6 +33,7 @@
     pub const fn new(facts: WorkerFacts) -> Self {
         Self {
             facts,
+            listed: true,
             ordinal: 0,
             asking: false,
             asked: None,
--- a/crates/cells/src/planner/room_book.rs
+++ b/crates/cells/src/planner/room_book.rs
@@ -133,7 +133,7 @@
     let mut room = WorkerRoom::new(facts.worker.clone(), facts.zone.clone(), rack, facts.size);
     let permit = worker.usable_permit(view.now, view.permit_fresh_ms);
     room.zone_out = !facts.takes_work;
-    room.leaving = permit.is_none();
+    room.leaving = permit.is_none() || !worker.listed;
     room
 }
 
--- a/crates/cells/src/planner/start_planner.rs
+++ b/crates/cells/src/planner/start_planner.rs
@@ -27,6 +27,7 @@
 use sapphirestile_placement::SizeBook;
 use sapphirestile_placement::TaskQueue;
 use sapphirestile_placement::WaitingJob;
+use sapphirestile_placement::WorkerRoom;
 use sapphirestile_placement::WorkerStanding;
 use sapphirestile_placement::choose_worker;
 
@@ -141,7 +142,7 @@
         while starts.len() < view.limit
             && let Some(job) = pass.next_job(&book.customers)
         {
-            let size = self.size_of(job);
+            let size = self.size_of(job, &book.rooms);
             if pass.found_no_room(&size) {
                 self.reasons.insert(
                     job.name.clone(),
@@ -189,11 +190,37 @@
         choose_worker(&book.rooms, &request, &self.policy)
     }
 
-    fn size_of(&self, job: &WaitingJob) -> ResourceSize {
+    fn size_of(&self, job: &WaitingJob, rooms: &[WorkerRoom]) -> ResourceSize {
         let estimate =
             self.sizes
                 .estimate(&job.name, &job.customer, &job.declared, &self.estimates);
-        estimate.size
+        self.bounded(estimate.size, job, rooms)
+    }
+
+    /// An estimate that no worker is large enough for, cut to the largest worker
+    /// that has what was declared: an estimate must not keep a task from running.
+    fn bounded(
+        &self,
+        estimate: ResourceSize,
+        job: &WaitingJob,
+        rooms: &[WorkerRoom],
+    ) -> ResourceSize {
+        let allowed = |room: &&WorkerRoom| job.zones.is_empty() || job.zones.contains(&room.zone);
+        let mut bounds = rooms
+            .iter()
+            .filter(allowed)
+            .map(|room| self.policy.bound_of(&room.size));
+        if bounds.clone().any(|bound| estimate.fits_in(&bound)) {
+            return estimate;
+        }
+        let declared = |bound: &ResourceSize| job.declared.fits_in(bound);
+        let rank = |bound: &ResourceSize| (bound.memory_mb, bound.cpu_milli);
+        let largest = bounds.by_ref().filter(declared).max_by_key(rank);
+        largest.map_or(estimate, |bound| ResourceSize {
+            cpu_milli: estimate.cpu_milli.min(bound.cpu_milli),
+            memory_mb: estimate.memory_mb.min(bound.memory_mb),
+            accelerators: estimate.accelerators.min(bound.accelerators),
+        })
     }
 
     fn note_submitted(&mut self, view: &PlanView<'_>) {
--- a/crates/cells/src/state/cell_state.rs
+++ b/crates/cells/src/state/cell_state.rs
@@ -14,6 +14,7 @@
 use crate::state::TaskEntry;
 use crate::state::TaskOutcome;
 use crate::state::TransitionFault;
+use crate::state::WaitingPhase;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::DaemonIdentity;
@@ -46,6 +47,9 @@
     jobs: SortedTable<JobName, JobRecord>,
     tasks: SortedTable<TaskName, TaskEntry>,
     records: SortedTable<RequestKey, RequestRecord>,
+    /// The latest attempt of all tasks that are forgotten. A worker may still
+    /// hold such an attempt, so that a name which is used again goes on after it.
+    forgotten_attempt: AttemptNumber,
 }
 
 impl CellState {
@@ -170,7 +174,7 @@
 
     /// Takes an assignment back that never reached the journal.
     pub(crate) fn withdraw(&mut self, task: &TaskName, attempt: AttemptNumber) {
-        let checked = self.give_task_back(task, attempt, 0, false);
+        let checked = self.unassign(task, attempt, TaskCycle::take_back);
         assert!(
             checked.is_ok(),
             "an assignment in flight was changed before its commit"
@@ -221,13 +225,14 @@
             open_tasks,
         };
         self.jobs.insert(order.job.clone(), record);
+        let submitted = TaskCycle::submitted_after(self.forgotten_attempt);
         for index in 0..order.tasks {
             let task = TaskName {
                 job: order.job.clone(),
                 index: TaskIndex::new(index),
             };
             self.tasks
-                .insert(task, TaskEntry::Waiting(TaskCycle::submitted()));
+                .insert(task, TaskEntry::Waiting(submitted.clone()));
         }
         Ok(())
     }
@@ -257,7 +262,15 @@
             return Err(TransitionFault::WrongPhase);
         }
         self.jobs.remove(job);
-        self.tasks.retain(|task, _| task.job != *job);
+        let mut latest = self.forgotten_attempt;
+        self.tasks.retain(|task, entry| {
+            let forgotten = task.job == *job;
+            if let (true, TaskEntry::Ended(cycle)) = (forgotten, entry) {
+                latest = latest.max(cycle.phase().attempt);
+            }
+            !forgotten
+        });
+        self.forgotten_attempt = latest;
         Ok(())
     }
 
@@ -267,13 +280,25 @@
         attempt: AttemptNumber,
         checkpoint_ms: u64,
         failed: bool,
+    ) -> Result<(), TransitionFault> {
+        self.unassign(task, attempt, |cycle| {
+            cycle.give_back(checkpoint_ms, failed)
+        })
+    }
+
+    /// Lets an assigned task wait again, or ends it when its job was cancelled.
+    fn unassign(
+        &mut self,
+        task: &TaskName,
+        attempt: AttemptNumber,
+        change: impl FnOnce(TaskCycle<AssignedPhase>) -> TaskCycle<WaitingPhase>,
     ) -> Result<(), TransitionFault> {
         let cancelled = self
             .jobs
             .get(&task.job)
             .is_some_and(|record| record.cancelled);
         self.move_assigned(task, attempt, |cycle| {
-            let waiting = cycle.give_back(checkpoint_ms, failed);
+            let waiting = change(cycle);
             if cancelled {
                 TaskEntry::Ended(waiting.end(TaskOutcome::Cancelled))
             } else {
--- a/crates/cells/src/state/task_cycle.rs
+++ b/crates/cells/src/state/task_cycle.rs
@@ -87,6 +87,17 @@
         }
     }
 
+    /// A task that was just submitted under a name whose attempts up to `attempt`
+    /// belonged to a job that is forgotten.
+    #[must_use]
+    pub fn submitted_after(attempt: AttemptNumber) -> Self {
+        let phase = WaitingPhase {
+            attempt,
+            ..WaitingPhase::default()
+        };
+        Self { phase }
+    }
+
     /// Ends the task while it waits.
     #[must_use]
     pub fn end(self, outcome: TaskOutcome) -> TaskCycle<EndedPhase> {
@@ -122,7 +133,7 @@
             ..
         } = self.phase;
         let checkpoint_ms = known.max(checkpoint_ms);
-        let failures = failures + u32::from(failed);
+        let failures = failures.saturating_add(u32::from(failed));
         TaskCycle {
             phase: WaitingPhase {
                 attempt,
@@ -132,6 +143,25 @@
         }
     }
 
+    /// Takes an assignment back that never reached the journal, as if it had not
+    /// been made: attempts are numbered one by one.
+    #[must_use]
+    pub(crate) fn take_back(self) -> TaskCycle<WaitingPhase> {
+        let AssignedPhase {
+            attempt,
+            checkpoint_ms,
+            failures,
+            ..
+        } = self.phase;
+        TaskCycle {
+            phase: WaitingPhase {
+                attempt: AttemptNumber::new(attempt.get() - 1),
+                checkpoint_ms,
+                failures,
+            },
+        }
+    }
+
     /// Ends the task for good.
     #[must_use]
     pub fn end(self, outcome: TaskOutcome) -> TaskCycle<EndedPhase> {
--- /dev/null
+++ b/crates/cells/tests/owner/main.rs
@@ -0,0 +1,8 @@
+//! Scenes of an owner: what it proposes, and what it asks of workers.
+
+mod adopting;
+mod committing;
+mod forgetting;
+mod owner_bench;
+mod reporting;
+mod sizing;
--- /dev/null
+++ b/crates/soak/src/faults/fault_kind.rs
@@ -0,0 +1,66 @@
+//! A kind of fault.
+
+/// A kind of fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FaultKind {
+    /// A commit takes effect and its answer is lost.
+    CommitAnswerLost,
+    /// A commit is given up for lost and takes effect much later, if it still may.
+    CommitLate,
+    /// The store answers nobody for a while.
+    StoreOutage,
+    /// A call to a worker never arrives.
+    CallLost,
+    /// A call to a worker takes effect and its answer is lost.
+    CallAnswerLost,
+    /// A call to a worker arrives twice.
+    CallTwice,
+    /// A call to a worker arrives after later ones.
+    CallLate,
+    /// A daemon is killed, and starts again as a new life.
+    DaemonKilled,
+    /// A daemon stands still, and goes on where it stood.
+    DaemonFrozen,
+    /// A daemon gives a cell up.
+    CellReleased,
+    /// A daemon claims a cell that another one still owns.
+    CellSeized,
+    /// A worker and a daemon do not reach each other.
+    Partition,
+    /// A VM is gone for good, and the list shows it for a while; another comes.
+    WorkerGone,
+    /// Every task fails on a worker.
+    WorkerBad,
+    /// An attempt fails.
+    TaskFails,
+    /// A zone is taken out, and returned later.
+    ZoneOut,
+    /// Many jobs are cancelled at once.
+    CancelBurst,
+    /// A job is submitted once more.
+    SubmitTwice,
+}
+
+impl FaultKind {
+    /// Every kind, in order.
+    pub const ALL: [Self; 18] = [
+        Self::CommitAnswerLost,
+        Self::CommitLate,
+        Self::StoreOutage,
+        Self::CallLost,
+        Self::CallAnswerLost,
+        Self::CallTwice,
+        Self::CallLate,
+        Self::DaemonKilled,
+        Self::DaemonFrozen,
+        Self::CellReleased,
+        Self::CellSeized,
+        Self::Partition,
+        Self::WorkerGone,
+        Self::WorkerBad,
+        Self::TaskFails,
+        Self::ZoneOut,
+        Self::CancelBurst,
+        Self::SubmitTwice,
+    ];
+}
--- /dev/null
+++ b/crates/soak/src/worker/call_news.rs
@@ -0,0 +1,32 @@
+//! What a caller learns of its call.
+
+use sapphirestile_cells::TaskSighting;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::WorkerName;
+
+/// What a caller learns of its call to a worker.
+#[derive(Clone, Debug)]
+pub enum CallNews {
+    /// A session was answered.
+    Reported {
+        /// The worker.
+        worker: WorkerName,
+        /// Which session it was.
+        ordinal: u64,
+        /// When it was asked for.
+        asked: MonoTime,
+        /// What starts have to quote.
+        permit: u64,
+        /// Every attempt on the worker.
+        tasks: Vec<TaskSighting>,
+    },
+    /// A session was not answered.
+    SessionLost {
+        /// The worker.
+        worker: WorkerName,
+        /// Which session it was.
+        ordinal: u64,
+    },
+    /// A start was answered, or given up.
+    StartAnswered(WorkerName),
+}
--- /dev/null
+++ b/crates/soak/src/worker/soak_worker.rs
@@ -0,0 +1,196 @@
+//! A worker of a run.
+
+use crate::WorkerCall;
+use sapphirestile_cells::SessionOrder;
+use sapphirestile_cells::SightedPhase;
+use sapphirestile_cells::StartOrder;
+use sapphirestile_cells::StopOrder;
+use sapphirestile_cells::TaskSighting;
+use sapphirestile_cells::WorkerFacts;
+use sapphirestile_core::AttemptNumber;
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::ResourceSize;
+use sapphirestile_core::TaskName;
+use sapphirestile_core::WorkerName;
+use sapphirestile_core::ZoneName;
+use sapphirestile_standins::worker::HistoryEntry;
+use sapphirestile_standins::worker::WorkerSettings;
+use sapphirestile_standins::worker::WorkerState;
+use sapphirestile_wire::worker::SessionRequest;
+use sapphirestile_wire::worker::TaskPhase;
+use sapphirestile_wire::worker::TaskReport;
+use sapphirestile_wire::worker::TaskSettled;
+use sapphirestile_wire::worker::TaskStart;
+use sapphirestile_wire::worker::TaskStop;
+
+const LEASE_MS: u64 = 20_000;
+
+/// The size of every worker of a run.
+pub const WORKER_SIZE: ResourceSize = ResourceSize {
+    cpu_milli: 8_000,
+    memory_mb: 16_000,
+    accelerators: 0,
+};
+
+/// A worker: the state of the stand-in, with a clock of its own.
+#[derive(Clone, Debug)]
+pub struct SoakWorker {
+    /// Its name.
+    pub name: WorkerName,
+    /// Its cell.
+    pub cell: CellNumber,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// When its VM came, in milliseconds.
+    pub since: u64,
+    /// When its VM went for good, in milliseconds.
+    pub gone: Option<u64>,
+    /// Until when every task fails on it, in milliseconds.
+    pub bad_until: u64,
+    /// How far its clock is ahead, in milliseconds.
+    offset: u64,
+    state: WorkerState,
+}
+
+impl SoakWorker {
+    /// A worker whose VM comes at `since`.
+    #[must_use]
+    pub const fn new(
+        name: WorkerName,
+        cell: CellNumber,
+        zone: ZoneName,
+        since: u64,
+        offset: u64,
+        usage_permille: u64,
+    ) -> Self {
+        let settings = WorkerSettings {
+            size: WORKER_SIZE,
+            usage_lag_ms: 500,
+            usage_permille,
+            checkpoint_every_ms: 1_000,
+        };
+        Self {
+            name,
+            cell,
+            zone,
+            since,
+            gone: None,
+            bad_until: 0,
+            offset,
+            state: WorkerState::new(settings),
+        }
+    }
+
+    /// Whether its VM was there at `at`, in milliseconds.
+    #[must_use]
+    pub fn lives(&self, at: u64) -> bool {
+        self.since <= at && self.gone.is_none_or(|gone| at < gone)
+    }
+
+    /// What the list of VMs and a document without the zones `out` say of it.
+    #[must_use]
+    pub fn facts(&self, takes_work: bool) -> WorkerFacts {
+        WorkerFacts {
+            worker: self.name.clone(),
+            zone: self.zone.clone(),
+            rack: None,
+            size: WORKER_SIZE,
+            takes_work,
+        }
+    }
+
+    /// Takes a session call, and answers with the permit and the tasks.
+    pub fn renew(
+        &mut self,
+        now: u64,
+        call: &WorkerCall,
+        order: &SessionOrder,
+    ) -> Option<(u64, Vec<TaskSighting>)> {
+        let settled = order.settled.iter().map(|(task, attempt)| TaskSettled {
+            task: task.clone(),
+            attempt: *attempt,
+        });
+        let request = SessionRequest {
+            cell: call.cell,
+            epoch: order.epoch,
+            lease_ms: LEASE_MS,
+            settled: settled.collect(),
+        };
+        let report = self.state.renew(self.clock(now), &request).ok()?;
+        let tasks = report.tasks.into_iter().map(sighting_of).collect();
+        Some((report.permit, tasks))
+    }
+
+    /// Takes a start, and says whether an attempt began.
+    pub fn start(&mut self, now: u64, cell: CellNumber, order: &StartOrder, fails: bool) -> bool {
+        let start = TaskStart {
+            cell,
+            epoch: order.epoch,
+            permit: order.permit,
+            task: order.task.clone(),
+            attempt: order.attempt,
+            size: order.size,
+            run_ms: order.run_ms,
+            checkpoint_ms: order.checkpoint_ms,
+        };
+        let before = self.state.history().len();
+        let clock = self.clock(now);
+        let _answer = self
+            .state
+            .start(clock, &start, fails || now < self.bad_until);
+        self.state.history().len() > before
+    }
+
+    /// Takes a stop.
+    pub fn stop(&mut self, now: u64, cell: CellNumber, order: &StopOrder) {
+        let stop = TaskStop {
+            cell,
+            epoch: order.epoch,
+            task: order.task.clone(),
+            attempt: order.attempt,
+            checkpoint: order.checkpoint,
+        };
+        let clock = self.clock(now);
+        let _answer = self.state.stop(clock, &stop);
+    }
+
+    /// Whether an attempt that `wanted` names runs at `now`.
+    pub fn runs(&mut self, now: u64, wanted: impl Fn(&HistoryEntry) -> bool) -> bool {
+        if !self.lives(now) {
+            return false;
+        }
+        let clock = self.clock(now);
+        self.state.advance(clock);
+        let mut rows = self.state.history().iter();
+        rows.any(|row| row.ended.is_none() && wanted(row))
+    }
+
+    /// Whether the attempt did all its work here.
+    #[must_use]
+    pub fn has_finished(&self, task: &TaskName, attempt: AttemptNumber) -> bool {
+        self.state.history().iter().any(|row| {
+            row.task == *task && row.attempt == attempt && row.phase == TaskPhase::Finished
+        })
+    }
+
+    const fn clock(&self, now: u64) -> MonoTime {
+        MonoTime::from_millis(now + self.offset)
+    }
+}
+
+fn sighting_of(report: TaskReport) -> TaskSighting {
+    let phase = match report.phase {
+        TaskPhase::Running => SightedPhase::Running,
+        TaskPhase::Finished => SightedPhase::Finished,
+        TaskPhase::Failed => SightedPhase::Failed,
+        TaskPhase::Stopped => SightedPhase::Stopped,
+    };
+    TaskSighting {
+        task: report.task,
+        attempt: report.attempt,
+        phase,
+        checkpoint_ms: report.checkpoint_ms,
+        usage: report.usage,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/world/soak_world/call_workers.rs
@@ -0,0 +1,153 @@
+//! Calls on their way to workers and back.
+
+use rand::Rng;
+
+use crate::CallNews;
+use crate::FaultKind;
+use crate::ProcessMark;
+use crate::SoakEvent;
+use crate::SoakWorld;
+use crate::WorkerCall;
+use sapphirestile_cells::CellEffect;
+use sapphirestile_cells::ReportView;
+use sapphirestile_core::CellEpoch;
+use sapphirestile_core::CellNumber;
+
+const CALL_TIMEOUT_MS: u64 = 1_500;
+
+impl SoakWorld {
+    /// Lets a decided call wait for a thread of the daemon's pool.
+    pub(super) fn decide_call(&mut self, from: ProcessMark, cell: CellNumber, effect: CellEffect) {
+        let leaves = self.now + self.rng.random_range(0..40);
+        let event = SoakEvent::CallLeaves { from, cell, effect };
+        self.queue.push(leaves, event);
+    }
+
+    pub(super) fn send_call(&mut self, call: WorkerCall) {
+        let key = (call.from.place, call.worker().clone());
+        let parted = self.partitions.get(&key);
+        let parted = parted.is_some_and(|until| *until > self.now);
+        let arrives = self.now + self.rng.random_range(1..60);
+        if parted || self.draws(FaultKind::CallLost, 0.08) {
+            self.give_up(&call);
+        } else if self.draws(FaultKind::CallLate, 0.08) {
+            let late = self.now + self.rng.random_range(1_000..10_000);
+            self.arrive(late, call.clone(), false);
+            self.give_up(&call);
+        } else if self.draws(FaultKind::CallAnswerLost, 0.08) {
+            self.arrive(arrives, call.clone(), false);
+            self.give_up(&call);
+        } else {
+            if self.draws(FaultKind::CallTwice, 0.08) {
+                let again = self.now + self.rng.random_range(1..6_000);
+                self.arrive(again, call.clone(), false);
+            }
+            self.arrive(arrives, call, true);
+        }
+    }
+
+    pub(super) fn serve_call(&mut self, call: &WorkerCall, answered: bool) {
+        let now = self.now;
+        let fails = self.draws(FaultKind::TaskFails, 0.1);
+        let Some(worker) = self.workers.get_mut(call.worker()) else {
+            return;
+        };
+        if !worker.lives(now) {
+            if answered {
+                self.give_up(call);
+            }
+            return;
+        }
+        let news = match &call.effect {
+            CellEffect::Session(order) => {
+                let answer = worker.renew(now, call, order);
+                Some(match answer {
+                    Some((permit, tasks)) => CallNews::Reported {
+                        worker: order.worker.clone(),
+                        ordinal: order.ordinal,
+                        asked: call.asked,
+                        permit,
+                        tasks,
+                    },
+                    None => CallNews::SessionLost {
+                        worker: order.worker.clone(),
+                        ordinal: order.ordinal,
+                    },
+                })
+            }
+            CellEffect::Start(order) => {
+                if worker.start(now, call.cell, order, fails) {
+                    self.check_start(call.cell, order);
+                }
+                Some(CallNews::StartAnswered(order.worker.clone()))
+            }
+            CellEffect::Stop(order) => {
+                worker.stop(now, call.cell, order);
+                None
+            }
+        };
+        if let (true, Some(news)) = (answered, news) {
+            let delay = self.rng.random_range(1..60);
+            self.tell(self.now + delay, call, news);
+        }
+    }
+
+    pub(super) fn take_news(
+        &mut self,
+        to: ProcessMark,
+        cell: CellNumber,
+        epoch: CellEpoch,
+        news: CallNews,
+    ) {
+        let Some(seat) = self.daemons[to.place].open(cell, epoch) else {
+            return;
+        };
+        match news {
+            CallNews::Reported {
+                worker,
+                ordinal,
+                asked,
+                permit,
+                tasks,
+            } => seat.owner.observe_report(&ReportView {
+                worker: worker.as_str(),
+                ordinal,
+                asked,
+                permit,
+                tasks: &tasks,
+            }),
+            CallNews::SessionLost { worker, ordinal } => {
+                seat.owner.session_lost(worker.as_str(), ordinal);
+            }
+            CallNews::StartAnswered(worker) => seat.owner.start_answered(worker.as_str()),
+        }
+    }
+
+    fn arrive(&mut self, at: u64, call: WorkerCall, answered: bool) {
+        self.queue
+            .push(at, SoakEvent::CallArrives { call, answered });
+    }
+
+    /// Lets the caller give the call up after its time.
+    fn give_up(&mut self, call: &WorkerCall) {
+        let news = match &call.effect {
+            CellEffect::Session(order) => CallNews::SessionLost {
+                worker: order.worker.clone(),
+                ordinal: order.ordinal,
+            },
+            CellEffect::Start(order) => CallNews::StartAnswered(order.worker.clone()),
+            CellEffect::Stop(_) => return,
+        };
+        self.tell(self.now + CALL_TIMEOUT_MS, call, news);
+    }
+
+    fn tell(&mut self, at: u64, call: &WorkerCall, news: CallNews) {
+        let event = SoakEvent::News {
+            to: call.from,
+            cell: call.cell,
+            epoch: call.epoch(),
+            news,
+        };
+        self.queue.push(at, event);
+    }
+}
