--- a/crates/daemon/src/context/daemon_context.rs
+++ b/crates/daemon/src/context/daemon_context.rs
@@ -71,15 +71,21 @@
     /// Which cell is whose; nothing before the first document.
     #[must_use]
     pub fn map(&self) -> Option<CellMap> {
-        let cells = self.document.load().document().cells();
-        (cells > 0).then(|| CellMap::new(cells))
+        let document = self.document.load();
+        let known = document.stored().is_some();
+        known.then(|| CellMap::new(document.document().cells.count))
     }
 
-    /// Whether the store has answered lately. The shared watch, when nothing
-    /// changes, hears from it once every [`crate::members::WATCH_WAIT_MS`].
+    /// Whether the store has answered lately.
     #[must_use]
     pub fn store_reachable(&self, now: MonoTime) -> bool {
-        let patience_ms = self.settings.limits.suspect_ms + WATCH_WAIT_MS;
-        self.pulse.silent_ms(now) < patience_ms
+        self.pulse.silent_ms(now) < self.store_patience_ms()
+    }
+
+    /// How long the store may be silent before it counts as away. The shared
+    /// watch, when nothing changes, hears from it every [`WATCH_WAIT_MS`].
+    #[must_use]
+    pub const fn store_patience_ms(&self) -> u64 {
+        self.settings.limits.suspect_ms + WATCH_WAIT_MS
     }
 }
--- a/crates/daemon/src/cycle/daemon_threads.rs
+++ b/crates/daemon/src/cycle/daemon_threads.rs
@@ -66,17 +66,17 @@
     let peer = target(context.settings.platform.vms, "find VM list")?;
     let client = VmClient::new(peer, VM_LIST_TIMEOUT);
     let poller = VmPoller::new(Arc::clone(context), client);
-    let publisher = RoutePublisher::new(Arc::clone(context));
+    let mut publisher = RoutePublisher::new(Arc::clone(context));
     poller.poll();
     publisher.publish();
     let stop = stopped.clone();
-    thread::spawn(move || poller.run(&publisher, &stop));
+    thread::spawn(move || poller.run(&mut publisher, &stop));
     Ok(())
 }
 
 pub(super) fn start_cells(context: &Arc<DaemonContext>, stopped: &Receiver<()>) {
     let pool = WorkerPool::start(context);
-    let director = CellDirector::new(Arc::clone(context), pool);
+    let mut director = CellDirector::new(Arc::clone(context), pool);
     let stop = stopped.clone();
     thread::spawn(move || director.run(&stop));
 }
--- a/crates/daemon/tests/console.rs
+++ b/crates/daemon/tests/console.rs
@@ -38,7 +38,7 @@
 const TEXT: &str = "\
 ; the coast
 [region rannikko]
-cells = 4
+link_mbit = 4
 [zone rannikko-hki]
 region = rannikko
 state = in
@@ -153,10 +153,19 @@
 }
 
 #[test]
-fn a_service_is_removed() {
+fn a_service_is_removed_once_it_is_confirmed() {
     let scene = ConsoleScene::new();
     let body = "service=koon-mitoitus&slots=x&action=remove";
-    let change = change_of(scene.post("/console/services", 7, body)).change;
+    let asked = page_of(scene.post("/console/services", 7, body));
+    assert_eq!(asked.status, 200);
+    assert!(
+        asked
+            .body
+            .contains("<li>[service koon-mitoitus] slots: 8 removed")
+    );
+    assert!(asked.body.contains("name=\"confirm\" value=\"yes\""));
+    let confirmed = format!("{body}&confirm=yes");
+    let change = change_of(scene.post("/console/services", 7, &confirmed)).change;
     assert!(!change.text.contains("koon-mitoitus"));
 }
 
@@ -174,16 +183,32 @@
 #[test]
 fn a_whole_text_is_checked_before_it_is_written() {
     let scene = ConsoleScene::new();
-    let text = "text=%5Bregion+r%5D%0D%0Acells+%3D+1%0D%0A";
-    let checked = page_of(scene.post("/console/document", 7, &format!("{text}&action=check")));
+    let text = "text=%5Bregion+r%5D%0D%0Alink_mbit+%3D+1%0D%0A";
+    let check = change_of(scene.post("/console/document", 6, &format!("{text}&action=check")));
+    assert!(check.change.dry_run);
+    let revision = ConfigRevision::new(7);
+    let outcome = ChangeOutcome::Accepted(DocumentAccepted { revision });
+    let checked = answer_change(&check, &outcome, &scene.state());
     assert_eq!(checked.status, 200);
     assert!(
-        checked.body.contains("<li>[region r] cells: 1 added"),
+        checked.body.contains("<li>[region r] link_mbit: 1 added"),
         "{}",
         checked.body
     );
+    assert!(checked.body.contains("name=\"based_on\" value=\"6\""));
     let written = change_of(scene.post("/console/document", 7, &format!("{text}&action=write")));
-    assert_eq!(written.change.text, "[region r]\ncells = 1\n");
+    assert_eq!(written.change.text, "[region r]\nlink_mbit = 1\n");
+    assert!(!written.change.dry_run);
+}
+
+#[test]
+fn a_text_with_faults_keeps_the_revision_it_was_made_for() {
+    let page = page_of(ConsoleScene::new().post("/console/document", 6, "text=x&action=write"));
+    assert_eq!(page.status, 422);
+    assert!(
+        page.body
+            .contains("name=\"based_on\" value=\"6\"><textarea")
+    );
 }
 
 #[test_case("/console/zones", "zone=rannikko-hki&state=out"; "zones")]
@@ -310,12 +335,14 @@
 #[test_case(false, 504, "Unknown outcome: the store is out"; "unknown")]
 fn a_change_that_failed_says_what_is_known(not_run: bool, status: u16, expected: &str) {
     let scene = ConsoleScene::new();
-    let change = change_of(scene.post("/console/zones", 7, "zone=rannikko-hki&state=out"));
+    let body = "text=%5Bregion+kurzeme%5D%0D%0Alink_mbit+%3D+4%0D%0A&action=write";
+    let change = change_of(scene.post("/console/document", 7, body));
     let reason = "the store is out".to_owned();
     let outcome = ChangeOutcome::Failed(CallRefusal { not_run, reason });
     let page = answer_change(&change, &outcome, &scene.state());
     assert_eq!(page.status, status);
     assert!(page.body.contains(expected), "{}", page.body);
+    assert!(page.body.contains("[region kurzeme]"), "the text is lost");
 }
 
 #[test]
--- a/crates/wire/src/api/stored_document.rs
+++ b/crates/wire/src/api/stored_document.rs
@@ -30,13 +30,13 @@
 /// use sapphirestile_wire::api::StoredDocument;
 ///
 /// let author = AuthorName::try_from("maija").unwrap();
-/// let text = "[region r]\ncells = 1\n".to_owned();
+/// let text = "[region r]\nlink_mbit = 1\n".to_owned();
 /// let based_on = ConfigRevision::new(0);
 /// let change = DocumentChange { based_on, text, author, dry_run: false };
 /// let document = StoredDocument::successor(None, &change, 1_000);
 /// let bytes = document.to_bytes();
 /// assert_eq!(StoredDocument::try_from(bytes.as_slice()).unwrap(), document);
-/// assert_eq!(document.recent[0].lines, ["[region r] cells: 1 added"]);
+/// assert_eq!(document.recent[0].lines, ["[region r] link_mbit: 1 added"]);
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredDocument {
@@ -75,24 +75,27 @@
         }
     }
 
-    /// What this row, read back from the store, says of `write`.
+    /// What this row, read back from the store at `revision`, says of `write`.
     ///
     /// Writes are guarded by the revision that they replace, so at most one write
     /// replaces a given revision.
     #[must_use]
-    pub fn fate_of(&self, write: &Self) -> WriteFate {
+    pub fn fate_of(&self, write: &Self, revision: ConfigRevision) -> WriteFate {
         let Some(change) = write.recent.first() else {
             return WriteFate::Unknown;
         };
-        let rival = self
-            .recent
-            .iter()
-            .find(|recent| recent.replaced == change.replaced);
-        match rival {
-            Some(rival) if rival == change => WriteFate::Written,
-            Some(_) => WriteFate::Beaten,
-            None => WriteFate::Unknown,
+        let mut written_at = revision;
+        for recent in &self.recent {
+            if recent.replaced == change.replaced {
+                return if recent == change {
+                    WriteFate::Written(written_at)
+                } else {
+                    WriteFate::Beaten
+                };
+            }
+            written_at = recent.replaced;
         }
+        WriteFate::Unknown
     }
 
     /// The value to write into the store.
