Run the owner of a cell through random storms

A world in virtual time holds three daemons with the real CellOwner, a store with the daemon's two guards, workers in two zones that keep the contract of sessions and permits, and a network that delays, loses and repeats.

The fake keeper followed the daemon's rule: it takes the configuration that it knows now, not the one the batch was guarded with, for the one that was beaten, and then plans nothing until the next change. The fake now remembers the batch's configuration; the daemon's rule is reported, not changed here.

--- /dev/null
+++ b/crates/cells/tests/cell_storm/fake_commit.rs
@@ -0,0 +1,14 @@
+//! A commit with its guards.
+
+use sapphirestile_cells::CellState;
+use sapphirestile_cells::JournalEntry;
+
+/// An entry, guarded by the head row and, when it starts tasks, by the
+/// configuration.
+#[derive(Clone, Debug)]
+pub struct FakeCommit {
+    pub entry: JournalEntry,
+    pub head: u64,
+    pub config: Option<usize>,
+    pub snapshot: Option<CellState>,
+}
