Hand everything over before a planned stop

Cause: a daemon that stops on plan should leave its tokens to the others at once, instead of having them reclaimed and kept out of use for the longest request.

TokenHolder::hand_over_all gives the free tokens to the peers that stay, evenly, and is called again until the holder holds nothing, as requests end. The randomised rounds stop daemons this way too and count the tokens.

Mutations seen to fail: nothing handed over, and "holds nothing" said while tokens are reserved (a_stopping_member_hands_over_everything_...).

--- a/crates/slots/src/token_holder.rs
+++ b/crates/slots/src/token_holder.rs
@@ -1,5 +1,6 @@
 //! The tokens of one daemon.
 
+mod leave_step;
 mod ledger_step;
 mod retire_step;
 
--- a/crates/slots/tests/holder_rounds/event_counts.rs
+++ b/crates/slots/tests/holder_rounds/event_counts.rs
@@ -17,6 +17,7 @@
     pub tokens_retired: u32,
     pub embargoes_lifted: u32,
     pub runners_reborn: u32,
+    pub handed_on_stop: u32,
 }
 
 impl EventCounts {
@@ -26,7 +27,7 @@
         }
     }
 
-    pub fn values(&self) -> [u32; 14] {
+    pub fn values(&self) -> [u32; 15] {
         [
             self.lost,
             self.repeated,
@@ -42,10 +43,11 @@
             self.tokens_retired,
             self.embargoes_lifted,
             self.runners_reborn,
+            self.handed_on_stop,
         ]
     }
 
-    fn fields(&mut self) -> [&mut u32; 14] {
+    fn fields(&mut self) -> [&mut u32; 15] {
         [
             &mut self.lost,
             &mut self.repeated,
@@ -61,6 +63,7 @@
             &mut self.tokens_retired,
             &mut self.embargoes_lifted,
             &mut self.runners_reborn,
+            &mut self.handed_on_stop,
         ]
     }
 }
--- a/crates/slots/tests/holder_rounds/world_faults.rs
+++ b/crates/slots/tests/holder_rounds/world_faults.rs
@@ -13,7 +13,8 @@
     pub fn fault(&mut self, place: usize) {
         let peer = self.random.random_range(0..self.lives.len());
         match self.random.random_range(0..8) {
-            0..2 => self.kill(place),
+            0 => self.kill(place),
+            1 => self.stop(place),
             2..4 => self.join(place),
             4 => self.freeze(place),
             5 if place != peer => self.cut_or_mend(place.min(peer), place.max(peer)),
@@ -24,6 +25,18 @@
         }
     }
 
+    /// A planned stop: what is free goes to the others, then the life ends.
+    fn stop(&mut self, place: usize) {
+        let peers = (0..self.lives.len()).filter_map(|peer| self.identity(peer));
+        let peers = peers.collect::<Vec<_>>();
+        if let Some(life) = self.awake(place) {
+            let handed = life.holder.hand_over_all(&peers, &life.gauges);
+            self.counts.handed_on_stop += handed;
+            self.send(place);
+            self.kill(place);
+        }
+    }
+
     /// Ends a life; whether the VM list already says so is left to chance.
     fn kill(&mut self, place: usize) {
         let Some(identity) = self.identity(place) else {
--- a/crates/slots/tests/token_holder.rs
+++ b/crates/slots/tests/token_holder.rs
@@ -223,6 +223,26 @@
     assert_eq!(runners.collect::<Vec<_>>(), [4]);
 }
 
+#[test]
+fn a_stopping_member_hands_over_everything_as_it_comes_free() {
+    let (ledger, mut members) = scene(3, 9);
+    let peers = [identity("vm-1"), identity("vm-2"), identity("vm-3")];
+    members[0].free.0.set(2);
+    let Member { holder, free } = &mut members[0];
+    assert_eq!(holder.hand_over_all(&peers, free), 2);
+    assert!(!holder.holds_nothing());
+    free.0.set(1);
+    assert_eq!(holder.reserve_retired(&runner(), 1, free), 1);
+    assert!(!holder.holds_nothing());
+    let ledger = ledger.draft().finish();
+    holder.apply(&ledger, at(0), free);
+    assert_eq!(holder.hand_over_all(&peers, free), 1);
+    assert!(holder.holds_nothing());
+    let received = deliver(&mut members, 0, 1) + deliver(&mut members, 0, 2);
+    assert_eq!(received, 3);
+    assert_eq!(free_tokens(&members).iter().sum::<u32>(), 9);
+}
+
 #[test]
 fn a_removed_member_gives_up_what_is_free() {
     let (ledger, mut members) = scene(2, 8);
