Name each member once in the stored ledger, and check it when read

Cause: the ledger is one value of the store, at most a megabyte. With the members named in each grant a runner took some 205 bytes, so that 5000 runners would have filled it.

The ledger is now written as a PackedLedger: members once, then for each runner the grants in the order of the members. Reading turns it into a TokenLedger by TryFrom and refuses members out of order and grants that do not add up; the number of slots is their sum and is not written at all.

Ruled out: grants by place in the ledger's memory as well; every join would have to shift them.

--- a/crates/slots/src/ledger_draft.rs
+++ b/crates/slots/src/ledger_draft.rs
@@ -1,6 +1,7 @@
 //! A ledger that is being changed.
 
 use crate::LedgerGeneration;
+use crate::MemberGrant;
 use crate::RunnerGrant;
 use crate::TokenLedger;
 use crate::token_split::split_tokens;
@@ -92,7 +93,11 @@
     ///
     /// When the grants of a runner do not add up to its tokens.
     #[must_use]
-    pub fn finish(self) -> TokenLedger {
+    pub fn finish(mut self) -> TokenLedger {
+        for (_, grant) in self.ledger.runners.iter_mut() {
+            let empty = MemberGrant::default();
+            grant.members.retain(|_, own| *own != empty);
+        }
         if let Err(fault) = self.ledger.check() {
             panic!("a ledger was drafted that does not hold: {fault}");
         }
--- a/crates/slots/src/ledger_fault.rs
+++ b/crates/slots/src/ledger_fault.rs
@@ -6,6 +6,8 @@
 /// A rule that a ledger breaks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LedgerFault {
+    /// The members are not in order, or one is named twice.
+    Order,
     /// The grants of a runner do not add up to its tokens.
     Sum(RunnerName),
     /// A runner has a grant of a daemon that is not a member.
@@ -15,6 +17,7 @@
 impl std::fmt::Display for LedgerFault {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
+            Self::Order => formatter.write_str("the members are not in order"),
             Self::Sum(runner) => {
                 write!(
                     formatter,
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -33,6 +33,8 @@
 mod ledger_fault;
 mod ledger_generation;
 mod member_grant;
+mod packed_grant;
+mod packed_ledger;
 mod reclaim_fault;
 mod reclaim_plan;
 mod runner_grant;
--- a/crates/slots/src/runner_grant.rs
+++ b/crates/slots/src/runner_grant.rs
@@ -1,15 +1,12 @@
 //! The tokens of one runner.
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::LedgerGeneration;
 use crate::MemberGrant;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::SortedTable;
 
 /// The tokens of one runner and how they were split among the members.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunnerGrant {
     /// The generation that added the runner. Counters of another birth of the
     /// same name are not of this runner.
--- a/crates/slots/src/token_ledger.rs
+++ b/crates/slots/src/token_ledger.rs
@@ -7,12 +7,15 @@
 use crate::LedgerFault;
 use crate::LedgerGeneration;
 use crate::RunnerGrant;
+use crate::packed_ledger::PackedLedger;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::SortedTable;
 
 /// The members and, for each runner, the tokens that each began with.
 ///
+/// It is written with each member named once, and checked when it is read.
+///
 /// # Examples
 ///
 /// ```
@@ -35,6 +38,7 @@
 /// assert_eq!(ledger.check(), Ok(()));
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "PackedLedger", into = "PackedLedger")]
 pub struct TokenLedger {
     /// The number of this ledger.
     pub generation: LedgerGeneration,
