Send the counters that grew apart from those that only make good for losses

Cause: a daemon sent every counter to every peer in each round, so that lost messages are made good.

TokenHolder::news_to gives the counters that grew, each in three messages. message_to stays as it was, to be sent page by page in turn. Ruled out: acknowledgements, which would need state for each peer and message.

Mutations seen to fail: no news after a hand-over, news without an end (a_hand_over_is_news_three_times).

--- a/crates/slots/src/held_tokens.rs
+++ b/crates/slots/src/held_tokens.rs
@@ -4,7 +4,11 @@
 use crate::LedgerGeneration;
 use crate::MemberGrant;
 use crate::embargoed_tokens::EmbargoedTokens;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::MonoTime;
+use sapphirestile_core::SortedTable;
+
+const REPEATS: u8 = 3;
 
 /// The tokens of one runner that one member holds.
 #[derive(Clone, Debug)]
@@ -15,6 +19,8 @@
     pub(crate) published: u32,
     pub(crate) retiring: u32,
     pub(crate) embargoed: Vec<EmbargoedTokens>,
+    /// How many more messages to a member repeat its counter at once.
+    pub(crate) repeats: SortedTable<DaemonIdentity, u8>,
 }
 
 impl HeldTokens {
@@ -26,6 +32,7 @@
             published: 0,
             retiring: 0,
             embargoed: Vec::new(),
+            repeats: SortedTable::new(),
         }
     }
 
@@ -70,6 +77,26 @@
         &self.counters
     }
 
+    /// Counts tokens out to `peer` and has the new total sent soon.
+    pub(crate) fn send(&mut self, peer: &DaemonIdentity, count: u32) {
+        self.published -= count;
+        self.counters.send(peer, count);
+        self.repeats.insert(peer.clone(), REPEATS);
+        self.assert_adds_up();
+    }
+
+    /// Whether the total towards `peer` is to be sent now, counting that down.
+    pub(crate) fn take_repeat(&mut self, peer: &DaemonIdentity) -> bool {
+        let Some(left) = self.repeats.get_mut(peer) else {
+            return false;
+        };
+        *left -= 1;
+        if *left == 0 {
+            self.repeats.remove(peer);
+        }
+        true
+    }
+
     pub(crate) fn embargo(&mut self, count: u32, until: MonoTime) {
         if count > 0 {
             self.embargoed.push(EmbargoedTokens { count, until });
--- a/crates/slots/src/token_holder.rs
+++ b/crates/slots/src/token_holder.rs
@@ -112,14 +112,14 @@
         };
         let count = gauges.remove_free(runner, most.min(row.published));
         if count > 0 {
-            row.published -= count;
-            row.counters.send(to, count);
-            row.assert_adds_up();
+            row.send(to, count);
         }
         count
     }
 
     /// The counters towards `peer` of at most `most` runners after `after`.
+    ///
+    /// Sent page by page in turn, it makes good for every lost message.
     #[must_use]
     pub fn message_to(
         &self,
@@ -127,19 +127,29 @@
         after: Option<&RunnerName>,
         most: usize,
     ) -> HandoverMessage {
-        let totals = self.rows.iter().filter_map(|(runner, row)| {
-            let total = row.counters.sent_to(peer);
-            let later = after.is_none_or(|after| runner > after);
-            (total > 0 && later).then(|| HandoverTotal {
-                runner: runner.clone(),
-                birth: row.birth,
-                total,
-            })
+        let later = |runner: &&RunnerName| after.is_none_or(|after| *runner > after);
+        let rows = self.rows.iter().filter(|(runner, _)| later(runner));
+        let totals = rows.filter_map(|(runner, row)| total_of(runner, row, peer));
+        self.message(peer, totals.take(most).collect())
+    }
+
+    /// The counters towards `peer` that grew lately, at most `most` of them; each
+    /// is in three such messages. Nothing when there are none.
+    pub fn news_to(&mut self, peer: &DaemonIdentity, most: usize) -> Option<HandoverMessage> {
+        let rows = self.rows.iter_mut();
+        let news = rows.filter_map(|(runner, row)| {
+            let fresh = row.take_repeat(peer);
+            fresh.then(|| total_of(runner, row, peer)).flatten()
         });
+        let totals = news.take(most).collect::<Vec<_>>();
+        (!totals.is_empty()).then(|| self.message(peer, totals))
+    }
+
+    fn message(&self, peer: &DaemonIdentity, totals: Vec<HandoverTotal>) -> HandoverMessage {
         HandoverMessage {
             from: self.me.clone(),
             to: peer.clone(),
-            totals: totals.take(most).collect(),
+            totals,
         }
     }
 
@@ -221,3 +231,12 @@
         lifted
     }
 }
+
+fn total_of(runner: &RunnerName, row: &HeldTokens, peer: &DaemonIdentity) -> Option<HandoverTotal> {
+    let total = row.counters.sent_to(peer);
+    (total > 0).then(|| HandoverTotal {
+        runner: runner.clone(),
+        birth: row.birth,
+        total,
+    })
+}
--- a/crates/slots/src/token_holder/ledger_step.rs
+++ b/crates/slots/src/token_holder/ledger_step.rs
@@ -117,6 +117,7 @@
     gone: &[DaemonIdentity],
 ) -> u32 {
     let next = grant.of(me);
+    row.repeats.retain(|member, _| !gone.contains(member));
     let folded = gone.iter().map(|member| row.counters.fold(member));
     let folded = folded.sum::<i64>();
     let fresh = next.base - row.grant.base - folded;
--- a/crates/slots/tests/holder_rounds/round_world.rs
+++ b/crates/slots/tests/holder_rounds/round_world.rs
@@ -254,6 +254,8 @@
             return;
         };
         life.holder.hand_over(&to, &name, most, &life.gauges);
+        let news = life.holder.news_to(&to, 9);
+        self.network.extend(news);
     }
 
     pub fn send(&mut self, place: usize) {
--- a/crates/slots/tests/token_holder.rs
+++ b/crates/slots/tests/token_holder.rs
@@ -104,6 +104,21 @@
     assert_eq!(free_tokens(&members), [1, 7]);
 }
 
+#[test]
+fn a_hand_over_is_news_three_times() {
+    let (_, mut members) = scene(2, 8);
+    let peer = identity("vm-2");
+    assert_eq!(members[0].holder.news_to(&peer, 10), None);
+    hand_over(&mut members, 0, 1, 3);
+    for received in [3, 0, 0] {
+        let message = members[0].holder.news_to(&peer, 10).unwrap();
+        let Member { holder, free } = &mut members[1];
+        assert_eq!(holder.receive(&message, free), received);
+    }
+    assert_eq!(members[0].holder.news_to(&peer, 10), None);
+    assert_eq!(deliver(&mut members, 0, 1), 0);
+}
+
 #[test]
 fn tokens_in_use_are_not_handed_over() {
     let (_, mut members) = scene(2, 8);
