--- a/crates/daemon/src/console/handle_request.rs
+++ b/crates/daemon/src/console/handle_request.rs
@@ -10,14 +10,17 @@
 use crate::console::ConsoleStep;
 use crate::console::FormFields;
 use crate::console::FormWish;
+use crate::console::HtmlText;
 use crate::console::pages::PageFrame;
-use crate::console::pages::change_notice;
+use crate::console::pages::confirm_notice;
 use crate::console::pages::conflict_notice;
 use crate::console::pages::fault_notice;
 use crate::console::pages::message_notice;
 use crate::console::pages::part_body;
 use crate::console::pages::sign_in_body;
 use crate::console::pages::text_body;
+use crate::console::read_wish::CONFIRM_FIELD;
+use crate::console::read_wish::CONFIRM_VALUE;
 use crate::console::read_wish::read_wish;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::DocumentDifference;
@@ -39,6 +42,39 @@
 const INVALID_STATUS: u16 = 422;
 
 /// What to do with a request to the console.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_daemon::console::ConsoleMethod;
+/// use sapphirestile_daemon::console::ConsoleRequest;
+/// use sapphirestile_daemon::console::ConsoleState;
+/// use sapphirestile_daemon::console::ConsoleStep;
+/// use sapphirestile_daemon::console::handle_request;
+/// use sapphirestile_wire::api::OperatorToken;
+///
+/// let view = r#"{"revision": 0, "text": "", "author": "", "changed_unix_ms": 0}"#;
+/// let status = r#"{"daemon": "hki-1", "incarnation": 1, "zone": "rannikko-hki",
+///     "phase": "serving", "revision": 0, "store_reachable": true, "cells": [],
+///     "members": [], "zones": [], "services": [], "queues": []}"#;
+/// let state = ConsoleState {
+///     view: &serde_json::from_str(view).unwrap(),
+///     recent: &[],
+///     status: &serde_json::from_str(status).unwrap(),
+///     token: &OperatorToken::try_from("0123456789abcdef").unwrap(),
+///     now_unix_ms: 0,
+/// };
+/// let request = ConsoleRequest {
+///     method: ConsoleMethod::Post,
+///     path: "/console/zones",
+///     cookie: None,
+///     body: b"zone=rannikko-hki&state=out",
+/// };
+/// let ConsoleStep::Page(page) = handle_request(&request, &state) else {
+///     panic!("a change without a session");
+/// };
+/// assert_eq!(page.status, 401);
+/// ```
 #[must_use]
 pub fn handle_request(request: &ConsoleRequest<'_>, state: &ConsoleState<'_>) -> ConsoleStep {
     let session = ConsoleSession::from_cookie(request.cookie, state.token, state.now_unix_ms);
@@ -125,28 +161,36 @@
     let based_on = ConfigRevision::new(based_on);
     let wish = match read_wish(part, &fields) {
         Ok(wish) => wish,
-        Err(faults) => return invalid(frame, part, &faults, None),
+        Err(faults) => return invalid(frame, part, &faults, &part_body(part, frame)),
     };
     let text = match wish.text_over(&current.text) {
         Ok(text) => text,
-        Err(fault) => return invalid(frame, part, &fault.faults, wish.whole_text()),
+        Err(fault) => {
+            // A text keeps the revision that it was made for, else it would be
+            // written over changes that its author has not seen.
+            let form = wish.whole_text().map_or_else(
+                || part_body(part, frame),
+                |text| text_body(frame, text, based_on),
+            );
+            return invalid(frame, part, &fault.faults, &form);
+        }
     };
-    if let FormWish::Check(_) = wish {
-        let lines = DocumentDifference::between(&current.text, &text).lines();
-        let mut body = change_notice(&lines);
-        body.append(&text_body(frame, &text, based_on));
-        return ConsoleStep::Page(ConsolePage::html(OK_STATUS, frame.part(part, &body)));
-    }
-    if based_on != current.revision {
+    let dry_run = matches!(wish, FormWish::Check(_));
+    if based_on != current.revision && !dry_run {
         let body = conflict_notice(frame, part, &fields, &text, based_on);
         return ConsoleStep::Page(ConsolePage::html(CONFLICT_STATUS, frame.part(part, &body)));
     }
+    if wish.needs_confirmation() && fields.get(CONFIRM_FIELD) != CONFIRM_VALUE {
+        let lines = DocumentDifference::between(&current.text, &text).lines();
+        let body = confirm_notice(frame, part, &fields, &lines);
+        return ConsoleStep::Page(ConsolePage::html(OK_STATUS, frame.part(part, &body)));
+    }
     ConsoleStep::Change(Box::new(ConsoleChange {
         change: DocumentChange {
             based_on,
             text,
             author: session.author.clone(),
-            dry_run: false,
+            dry_run,
         },
         part,
         session: session.clone(),
@@ -158,13 +202,10 @@
     frame: &PageFrame<'_>,
     part: ConsolePart,
     faults: &[IniFault],
-    text: Option<&str>,
+    form: &HtmlText,
 ) -> ConsoleStep {
     let mut body = fault_notice(faults);
-    match text {
-        Some(text) => body.append(&text_body(frame, text, frame.state.view.revision)),
-        None => body.append(&part_body(part, frame)),
-    };
+    body.append(form);
     ConsoleStep::Page(ConsolePage::html(INVALID_STATUS, frame.part(part, &body)))
 }
 
