Keep the files of the rounds short and show tokens following a wave

The network and the bounds of the rounds, and the scenes of demand, now have files of their own. The counts of events are a table by kind; what must have happened is the same list.

New scene: demand goes round five members in waves, with noise. The busy member has at least three of eight tokens, no member none, and nothing moves in the last ten rounds of a wave.

--- /dev/null
+++ b/crates/slots/tests/handover_plan.rs
@@ -0,0 +1,84 @@
+//! Scenes of tokens that follow demand.
+
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::DaemonName;
+use sapphirestile_core::IncarnationNumber;
+use sapphirestile_slots::DemandMeter;
+use sapphirestile_slots::HandoverPlan;
+use sapphirestile_slots::TokenDemand;
+use test_case::test_case;
+
+fn identity(name: &str) -> DaemonIdentity {
+    DaemonIdentity {
+        daemon: DaemonName::try_from(name).unwrap(),
+        incarnation: IncarnationNumber::new(1),
+    }
+}
+
+#[test_case(&[(4, 1_000), (4, 1_000)], 0; "equal demand moves nothing")]
+#[test_case(&[(4, 1_000), (4, 1_600)], 0; "a small difference moves nothing")]
+#[test_case(&[(4, 1_000), (4, 7_000)], 2; "a busy member gets tokens")]
+#[test_case(&[(2, 50), (2, 50), (2, 50), (2, 50), (0, 50)], 1; "a new member gets one")]
+#[test_case(&[(1, 50), (1, 50), (0, 9_000)], 2; "tokens fewer than members follow demand")]
+#[test_case(&[(8, 50), (0, 9_000)], 7; "all but one go to the only busy member")]
+fn demand_moves_tokens(members: &[(u32, u32)], moved: u32) {
+    let names = (0..members.len()).map(|index| identity(&format!("vm-{index}")));
+    let names = names.collect::<Vec<_>>();
+    let demand = |(place, (tokens, weight)): (usize, &(u32, u32))| TokenDemand {
+        member: &names[place],
+        tokens: *tokens,
+        weight: *weight,
+    };
+    let demands = members.iter().enumerate().map(demand).collect::<Vec<_>>();
+    let plan = HandoverPlan::new(&demands);
+    let count = plan.orders().iter().map(|order| order.count).sum::<u32>();
+    assert_eq!(count, moved);
+}
+
+#[test]
+fn demand_rises_quickly_and_falls_slowly() {
+    let mut meter = DemandMeter::default();
+    (0..4).for_each(|_| meter.observe(8, 0));
+    let high = meter.weight();
+    assert!((7_000..=8_000).contains(&high), "{high}");
+    (0..4).for_each(|_| meter.observe(0, 0));
+    let low = meter.weight();
+    assert!((5_000..7_000).contains(&low), "{low}");
+}
+
+/// Waves of demand go round the members; tokens follow without flapping.
+#[test]
+fn tokens_follow_a_wave_and_rest_between_waves() {
+    const SLOTS: u32 = 8;
+    let names = (0..5).map(|index| identity(&format!("vm-{index}")));
+    let names = names.collect::<Vec<_>>();
+    let mut tokens = [2, 2, 2, 1, 1];
+    let mut meters = [DemandMeter::default(); 5];
+    let mut moved_late = 0;
+    for wave in 0..5 {
+        for round in 0..40 {
+            for (place, meter) in meters.iter_mut().enumerate() {
+                // Noise of one request stays below the hysteresis.
+                let noise = u32::from((place + round) % 3 == 0);
+                let wanted = if place == wave { 12 } else { 1 };
+                meter.observe(wanted + noise, 0);
+            }
+            let demands = (0..5).map(|place| TokenDemand {
+                member: &names[place],
+                tokens: tokens[place],
+                weight: meters[place].weight(),
+            });
+            let plan = HandoverPlan::new(&demands.collect::<Vec<_>>());
+            for order in plan.orders() {
+                let place = |member| names.iter().position(|name| name == member).unwrap();
+                tokens[place(order.from)] -= order.count;
+                tokens[place(order.to)] += order.count;
+                moved_late += if round >= 30 { order.count } else { 0 };
+            }
+        }
+        assert!(tokens[wave] >= 3, "wave {wave}: {tokens:?}");
+        assert!(tokens.iter().all(|count| *count > 0), "{tokens:?}");
+        assert_eq!(tokens.iter().sum::<u32>(), SLOTS);
+    }
+    assert_eq!(moved_late, 0);
+}
--- a/crates/slots/tests/holder_rounds.rs
+++ b/crates/slots/tests/holder_rounds.rs
@@ -11,10 +11,14 @@
 mod holder_life;
 #[path = "holder_rounds/round_world.rs"]
 mod round_world;
+#[path = "holder_rounds/world_bounds.rs"]
+mod world_bounds;
 #[path = "holder_rounds/world_faults.rs"]
 mod world_faults;
 #[path = "holder_rounds/world_healing.rs"]
 mod world_healing;
+#[path = "holder_rounds/world_network.rs"]
+mod world_network;
 
 use event_counts::EventCounts;
 use round_world::RoundWorld;
@@ -50,6 +54,5 @@
         counts.add(&run_seed(seed));
     }
     println!("{counts:?}");
-    let all_happened = counts.values().iter().all(|count| *count > 0);
-    assert!(all_happened, "a kind of event never happened: {counts:?}");
+    counts.assert_all_happened();
 }
--- a/crates/slots/tests/holder_rounds/event_counts.rs
+++ b/crates/slots/tests/holder_rounds/event_counts.rs
@@ -1,69 +1,47 @@
 //! What happened in the rounds.
 
+use sapphirestile_core::SortedTable;
+
+/// Every kind of event that the rounds are to bring about.
+const KINDS: [&str; 15] = [
+    "answers lost",
+    "cut",
+    "embargoes lifted",
+    "frozen",
+    "handed on stop",
+    "joined",
+    "joint reclaims",
+    "killed",
+    "lost",
+    "reclaims",
+    "repeated",
+    "runners reborn",
+    "store out",
+    "tokens moved",
+    "tokens retired",
+];
+
 /// Faults brought about and work done in the rounds, by kind.
 #[derive(Debug, Default)]
 pub struct EventCounts {
-    pub lost: u32,
-    pub repeated: u32,
-    pub killed: u32,
-    pub joined: u32,
-    pub frozen: u32,
-    pub cut: u32,
-    pub store_out: u32,
-    pub answers_lost: u32,
-    pub reclaims: u32,
-    pub joint_reclaims: u32,
-    pub tokens_moved: u32,
-    pub tokens_retired: u32,
-    pub embargoes_lifted: u32,
-    pub runners_reborn: u32,
-    pub handed_on_stop: u32,
+    counts: SortedTable<&'static str, u32>,
 }
 
 impl EventCounts {
-    pub fn add(&mut self, other: &Self) {
-        for (sum, count) in self.fields().into_iter().zip(other.values()) {
-            *sum += count;
-        }
+    pub fn note(&mut self, kind: &'static str, count: u32) {
+        assert!(KINDS.contains(&kind), "{kind}");
+        *self.counts.get_or_insert_with(kind, || 0) += count;
     }
 
-    pub fn values(&self) -> [u32; 15] {
-        [
-            self.lost,
-            self.repeated,
-            self.killed,
-            self.joined,
-            self.frozen,
-            self.cut,
-            self.store_out,
-            self.answers_lost,
-            self.reclaims,
-            self.joint_reclaims,
-            self.tokens_moved,
-            self.tokens_retired,
-            self.embargoes_lifted,
-            self.runners_reborn,
-            self.handed_on_stop,
-        ]
+    pub fn add(&mut self, other: &Self) {
+        for (kind, count) in other.counts.iter() {
+            self.note(kind, *count);
+        }
     }
 
-    fn fields(&mut self) -> [&mut u32; 15] {
-        [
-            &mut self.lost,
-            &mut self.repeated,
-            &mut self.killed,
-            &mut self.joined,
-            &mut self.frozen,
-            &mut self.cut,
-            &mut self.store_out,
-            &mut self.answers_lost,
-            &mut self.reclaims,
-            &mut self.joint_reclaims,
-            &mut self.tokens_moved,
-            &mut self.tokens_retired,
-            &mut self.embargoes_lifted,
-            &mut self.runners_reborn,
-            &mut self.handed_on_stop,
-        ]
+    pub fn assert_all_happened(&self) {
+        let happened = |kind: &&str| self.counts.get(kind).is_some_and(|count| *count > 0);
+        let missing = KINDS.iter().find(|kind| !happened(kind));
+        assert_eq!(missing, None, "a kind of event never happened: {self:?}");
     }
 }
--- a/crates/slots/tests/holder_rounds/round_world.rs
+++ b/crates/slots/tests/holder_rounds/round_world.rs
@@ -24,8 +24,8 @@
 
 /// A request that a runner works on.
 pub struct RunnerWork {
-    runner: usize,
-    owner: DaemonIdentity,
+    pub runner: usize,
+    pub owner: DaemonIdentity,
     ends: MonoTime,
 }
 
@@ -134,7 +134,7 @@
         }
         self.land(draft);
         let told = !self.random.random_bool(0.2);
-        self.counts.answers_lost += u32::from(!told);
+        self.counts.note("answers lost", u32::from(!told));
         told
     }
 
@@ -158,7 +158,7 @@
             return;
         }
         self.births += 1;
-        self.counts.joined += 1;
+        self.counts.note("joined", 1);
         let me = DaemonIdentity {
             daemon: DaemonName::try_from(format!("vm-{place}")).unwrap(),
             incarnation: IncarnationNumber::new(self.births),
@@ -190,7 +190,7 @@
         for (runner, slots) in self.runners.iter().zip(&self.wanted) {
             let unknown = !self.store.runners.contains(runner.as_str());
             let born = unknown && *slots > 0 && !self.store_out;
-            self.counts.runners_reborn += u32::from(born);
+            self.counts.note("runners reborn", u32::from(born));
             draft.size_runner(runner, *slots);
         }
         let wanted = &self.wanted;
@@ -258,50 +258,6 @@
         self.network.extend(news);
     }
 
-    pub fn send(&mut self, place: usize) {
-        let peers = (0..self.lives.len()).filter_map(|peer| self.identity(peer));
-        let peers = peers.collect::<Vec<_>>();
-        if let Some(life) = self.awake(place) {
-            let messages = peers.iter().map(|to| life.holder.message_to(to, None, 9));
-            let messages = messages.collect::<Vec<_>>();
-            self.network.extend(messages);
-        }
-    }
-
-    fn deliver(&mut self) {
-        if self.network.is_empty() {
-            return;
-        }
-        let chosen = self.random.random_range(0..self.network.len());
-        let message = self.network.swap_remove(chosen);
-        match self.random.random_range(0..10) {
-            0..2 => self.counts.lost += 1,
-            2..4 => {
-                self.counts.repeated += 1;
-                self.network.push(message.clone());
-                self.hand_in(&message);
-            }
-            _ => self.hand_in(&message),
-        }
-    }
-
-    pub fn hand_in(&mut self, message: &HandoverMessage) {
-        let place = self.place_of(&message.to);
-        if !self.reaches(place, self.place_of(&message.from)) {
-            return;
-        }
-        let Some(life) = self.awake(place) else {
-            return;
-        };
-        let received = life.holder.receive(message, &life.gauges);
-        self.counts.tokens_moved += received;
-    }
-
-    fn place_of(&self, identity: &DaemonIdentity) -> usize {
-        let named = |place: &usize| format!("vm-{place}") == identity.daemon.as_str();
-        (0..self.lives.len()).find(named).unwrap()
-    }
-
     pub fn apply_ledger(&mut self, place: usize) {
         let (now, out) = (self.now, self.store_out);
         let store = self.store.clone();
@@ -310,35 +266,7 @@
                 life.holder.apply(&store, now, &life.gauges);
             }
             let lifted = life.holder.lift_embargoes(now, &life.gauges);
-            self.counts.embargoes_lifted += lifted;
-        }
-    }
-
-    /// Work and usable tokens of a runner never exceed its slots.
-    pub fn assert_bounds(&self) {
-        for (place, runner) in self.runners.iter().enumerate() {
-            let slots = self.store.runners.get(runner.as_str());
-            let slots = slots.map_or(0, |grant| grant.slots);
-            let working = self.work.iter().filter(|work| work.runner == place).count();
-            assert!(
-                working <= slots as usize,
-                "{working} at {runner} of {slots}"
-            );
-            let living = self.lives.iter().flatten();
-            let usable = living.map(|life| life.gauges.gauge(runner).tokens());
-            let living = |owner| {
-                self.lives
-                    .iter()
-                    .flatten()
-                    .any(|life| life.holder.identity() == owner)
-            };
-            let orphans = self.work.iter().filter(|work| work.runner == place);
-            let orphans = orphans.filter(|work| !living(&work.owner)).count();
-            let usable = usable.sum::<u32>() as usize + orphans;
-            assert!(
-                usable <= slots as usize,
-                "{usable} usable at {runner} of {slots}"
-            );
+            self.counts.note("embargoes lifted", lifted);
         }
     }
 }
--- a/crates/slots/tests/holder_rounds/world_faults.rs
+++ b/crates/slots/tests/holder_rounds/world_faults.rs
@@ -19,7 +19,7 @@
             4 => self.freeze(place),
             5 if place != peer => self.cut_or_mend(place.min(peer), place.max(peer)),
             _ => {
-                self.counts.store_out += u32::from(!self.store_out);
+                self.counts.note("store out", u32::from(!self.store_out));
                 self.store_out = !self.store_out;
             }
         }
@@ -31,7 +31,7 @@
         let peers = peers.collect::<Vec<_>>();
         if let Some(life) = self.awake(place) {
             let handed = life.holder.hand_over_all(&peers, &life.gauges);
-            self.counts.handed_on_stop += handed;
+            self.counts.note("handed on stop", handed);
             self.send(place);
             self.kill(place);
         }
@@ -42,7 +42,7 @@
         let Some(identity) = self.identity(place) else {
             return;
         };
-        self.counts.killed += 1;
+        self.counts.note("killed", 1);
         self.lives[place] = None;
         if self.random.random_bool(0.7) {
             self.proven.push(identity);
@@ -52,7 +52,7 @@
     fn freeze(&mut self, place: usize) {
         if let Some(life) = self.lives[place].as_mut() {
             life.frozen = !life.frozen;
-            self.counts.frozen += u32::from(life.frozen);
+            self.counts.note("frozen", u32::from(life.frozen));
         }
     }
 
@@ -63,7 +63,7 @@
             return;
         }
         self.cut.push((one, other));
-        self.counts.cut += 1;
+        self.counts.note("cut", 1);
     }
 
     /// The life at `place` asks the members that it reaches to close those
@@ -90,8 +90,9 @@
         let before = self.store.reclaims;
         self.write(draft);
         let reclaimed = u32::from(self.store.reclaims > before);
-        self.counts.reclaims += reclaimed;
-        self.counts.joint_reclaims += reclaimed * u32::from(gone.len() > 1);
+        self.counts.note("reclaims", reclaimed);
+        self.counts
+            .note("joint reclaims", reclaimed * u32::from(gone.len() > 1));
     }
 
     fn ask_to_close(&mut self, peer: usize, gone: &[DaemonIdentity]) {
@@ -160,7 +161,8 @@
             let slots = |ledger: &TokenLedger| -> u32 {
                 ledger.runners.values().map(|grant| grant.slots).sum()
             };
-            self.counts.tokens_retired += slots(&store) - slots(&self.store);
+            self.counts
+                .note("tokens retired", slots(&store) - slots(&self.store));
         }
     }
 }
--- a/crates/slots/tests/token_holder.rs
+++ b/crates/slots/tests/token_holder.rs
@@ -2,8 +2,6 @@
 
 use std::cell::Cell;
 
-use test_case::test_case;
-
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::DaemonName;
 use sapphirestile_core::IncarnationNumber;
@@ -11,12 +9,9 @@
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::SortedTable;
 use sapphirestile_slots::ApplyOutcome;
-use sapphirestile_slots::DemandMeter;
-use sapphirestile_slots::HandoverPlan;
 use sapphirestile_slots::LedgerFault;
 use sapphirestile_slots::ReclaimFault;
 use sapphirestile_slots::ReclaimPlan;
-use sapphirestile_slots::TokenDemand;
 use sapphirestile_slots::TokenGauges;
 use sapphirestile_slots::TokenHolder;
 use sapphirestile_slots::TokenLedger;
@@ -290,34 +285,3 @@
     ledger.runners.get_mut("runner-1").unwrap().slots = 9;
     assert_eq!(ledger.check(), Err(LedgerFault::Sum(runner())));
 }
-
-#[test_case(&[(4, 1_000), (4, 1_000)], 0; "equal demand moves nothing")]
-#[test_case(&[(4, 1_000), (4, 1_600)], 0; "a small difference moves nothing")]
-#[test_case(&[(4, 1_000), (4, 7_000)], 2; "a busy member gets tokens")]
-#[test_case(&[(2, 50), (2, 50), (2, 50), (2, 50), (0, 50)], 1; "a new member gets one")]
-#[test_case(&[(1, 50), (1, 50), (0, 9_000)], 2; "tokens fewer than members follow demand")]
-#[test_case(&[(8, 50), (0, 9_000)], 7; "all but one go to the only busy member")]
-fn demand_moves_tokens(members: &[(u32, u32)], moved: u32) {
-    let names = (0..members.len()).map(|index| identity(&format!("vm-{index}")));
-    let names = names.collect::<Vec<_>>();
-    let demand = |(place, (tokens, weight)): (usize, &(u32, u32))| TokenDemand {
-        member: &names[place],
-        tokens: *tokens,
-        weight: *weight,
-    };
-    let demands = members.iter().enumerate().map(demand).collect::<Vec<_>>();
-    let plan = HandoverPlan::new(&demands);
-    let count = plan.orders().iter().map(|order| order.count).sum::<u32>();
-    assert_eq!(count, moved);
-}
-
-#[test]
-fn demand_rises_quickly_and_falls_slowly() {
-    let mut meter = DemandMeter::default();
-    (0..4).for_each(|_| meter.observe(8, 0));
-    let high = meter.weight();
-    assert!((7_000..=8_000).contains(&high), "{high}");
-    (0..4).for_each(|_| meter.observe(0, 0));
-    let low = meter.weight();
-    assert!((5_000..7_000).contains(&low), "{low}");
-}
