Forget the latency of runners that are no longer tried

Cause: a runner that was slow for a while keeps its smoothed latency until its next answer, and a choice by latency hardly ever gives it one: both draws must hit it, which happens once in n times n decisions. Its slots were as good as lost until all others were full.

EjectionPolicy::judge now moves the latency of a runner without a fresh answer an eighth of its excess towards the median of its zone. Ruled out: probes of our own, which would spend bytes on the link and slots of runners.

judge also looked each ejected runner up in a list of all; it now searches a sorted one.

Mutations seen to fail: no aging, aging of busy runners too (the_latency_of_an_idle_runner_is_forgotten_...).

--- a/crates/routing/src/ejection_policy.rs
+++ b/crates/routing/src/ejection_policy.rs
@@ -27,7 +27,9 @@
 /// A runner is slow when its latency is several times the median of its zone,
 /// so that the link to another region makes none slow. Ejected runners and those
 /// on trial are at most [three in ten](Self::judge). After its time, which
-/// doubles with each ejection in a row, a runner is on trial.
+/// doubles with each ejection in a row, a runner is on trial. A runner that gave
+/// no answer since it was last judged has its latency moved towards the median,
+/// since a choice by latency would never try it again.
 ///
 /// # Examples
 ///
@@ -48,11 +50,16 @@
     /// Judges all runners of the service by their gauges and sets the standing of
     /// each. At most three in ten, rounded down, are ejected or on trial.
     pub fn judge(&mut self, rows: &[&RunnerRow], now: MonoTime) {
-        let known = |runner: &RunnerName| rows.iter().any(|row| row.runner == *runner);
-        self.records.retain(|runner, _| known(runner));
+        let mut runners = rows.iter().map(|row| &row.runner).collect::<Vec<_>>();
+        runners.sort_unstable();
+        self.records
+            .retain(|runner, _| runners.binary_search(&runner).is_ok());
         let medians = zone_medians(rows);
         let median = |row: &RunnerRow| medians.get(row.zone.as_str()).copied().unwrap_or(0);
         for row in rows {
+            if row.gauge.take_fresh_answers() == 0 {
+                row.gauge.age_latency(median(row));
+            }
             if let Some(record) = self.records.get_mut(row.runner.as_str()) {
                 follow_up(record, row, median(row), now);
             }
--- a/crates/routing/src/runner_gauge.rs
+++ b/crates/routing/src/runner_gauge.rs
@@ -8,6 +8,7 @@
 const TOKEN_SHIFT: u32 = 32;
 const IN_FLIGHT_MASK: u64 = 0xffff_ffff;
 const SMOOTHING_DIVISOR: u64 = 8;
+const AGING_DIVISOR: u64 = 8;
 
 /// The tokens, the requests in flight and the observations of one runner.
 ///
@@ -36,6 +37,7 @@
     latency_us: AtomicU64,
     failures: AtomicU32,
     answers: AtomicU64,
+    judged_answers: AtomicU64,
     standing: AtomicU32,
 }
 
@@ -54,6 +56,7 @@
             latency_us: AtomicU64::new(0),
             failures: AtomicU32::new(0),
             answers: AtomicU64::new(0),
+            judged_answers: AtomicU64::new(0),
             standing: AtomicU32::new(RunnerStanding::Open as u32),
         }
     }
@@ -186,6 +189,22 @@
         self.answers.load(Ordering::Relaxed)
     }
 
+    /// How many whole answers were observed since the last call. Called by one
+    /// thread.
+    pub(crate) fn take_fresh_answers(&self) -> u64 {
+        let answers = self.answers();
+        answers - self.judged_answers.swap(answers, Ordering::Relaxed)
+    }
+
+    /// Moves the smoothed latency a step down towards `floor_us` microseconds,
+    /// since nothing newer was observed.
+    pub(crate) fn age_latency(&self, floor_us: u64) {
+        let latency = self.latency_us();
+        let excess = latency.saturating_sub(floor_us);
+        let aged = latency - excess.div_ceil(AGING_DIVISOR);
+        self.latency_us.store(aged, Ordering::Relaxed);
+    }
+
     /// Begins the observations anew, with `latency_us` microseconds as the
     /// smoothed latency.
     pub fn reset_observations(&self, latency_us: u64) {
--- a/crates/routing/tests/load_policy.rs
+++ b/crates/routing/tests/load_policy.rs
@@ -104,6 +104,22 @@
     assert_eq!(policy.ejected(), 0);
 }
 
+#[test]
+fn the_latency_of_an_idle_runner_is_forgotten_and_that_of_a_busy_one_is_not() {
+    let rows = ten_rows();
+    rows[0].gauge.reset_observations(14_000);
+    rows[1].gauge.reset_observations(14_000);
+    let mut policy = EjectionPolicy::default();
+    judge(&mut policy, &rows, 0);
+    for second in 1..=20 {
+        rows[1].gauge.record_answer(14_000);
+        judge(&mut policy, &rows, second * 1_000);
+    }
+    assert!(rows[0].gauge.latency_us() < 6_000);
+    assert_eq!(rows[1].gauge.latency_us(), 14_000);
+    assert_eq!(policy.ejected(), 0);
+}
+
 #[test]
 fn a_failed_trial_doubles_the_time() {
     let rows = ten_rows();
