Say that a holder is removed by its having no members

Cause: a flag stood beside the list of members and could disagree with it. A removed holder now has no members, so it trades with nobody, and goes by the ledger that removed it.

The scene of a removed member had passed without the flag, since nothing was free in it to hand over; a slot now comes free after the removal. Mutation seen to fail with that: members kept (a_removed_member_gives_up_what_is_free).

--- a/crates/slots/src/apply_outcome.rs
+++ b/crates/slots/src/apply_outcome.rs
@@ -7,6 +7,7 @@
     Applied,
     /// The holder already has this ledger or a newer one.
     Known,
-    /// The holder was removed: it holds nothing more and never will.
+    /// The ledger is newer and has no such member: the holder has given up what
+    /// was free, trades with nobody, and never holds anything again.
     Removed,
 }
--- a/crates/slots/src/token_holder.rs
+++ b/crates/slots/src/token_holder.rs
@@ -30,7 +30,6 @@
     rows: SortedTable<RunnerName, HeldTokens>,
     closed: SortedTable<DaemonName, IncarnationNumber>,
     retire_drafted: LedgerGeneration,
-    removed: bool,
 }
 
 impl TokenHolder {
@@ -62,7 +61,6 @@
             rows: SortedTable::new(),
             closed: SortedTable::new(),
             retire_drafted: LedgerGeneration::default(),
-            removed: false,
         };
         holder.take_ledger(ledger, now, gauges);
         holder
@@ -90,7 +88,7 @@
     #[must_use]
     pub fn trades_with(&self, peer: &DaemonIdentity) -> bool {
         let member = self.members.binary_search(peer).is_ok();
-        member && *peer != self.me && !self.removed && !self.has_closed(peer)
+        member && *peer != self.me && !self.has_closed(peer)
     }
 
     /// Hands up to `most` free tokens of `runner` to `to` and returns how many.
--- a/crates/slots/src/token_holder/ledger_step.rs
+++ b/crates/slots/src/token_holder/ledger_step.rs
@@ -26,13 +26,11 @@
         now: MonoTime,
         gauges: &impl TokenGauges,
     ) -> ApplyOutcome {
-        if self.removed {
-            return ApplyOutcome::Removed;
-        }
         if ledger.generation <= self.generation {
             return ApplyOutcome::Known;
         }
         if !ledger.has_member(&self.me) {
+            self.generation = ledger.generation;
             self.give_up(gauges);
             return ApplyOutcome::Removed;
         }
@@ -102,7 +100,7 @@
     /// Takes everything out of the gauges that no request uses. What requests
     /// still use ends with this process, which has no identity any more.
     fn give_up(&mut self, gauges: &impl TokenGauges) {
-        self.removed = true;
+        self.members.clear();
         for (runner, row) in self.rows.iter_mut() {
             row.published -= gauges.remove_free(runner, row.published);
         }
--- a/crates/slots/tests/token_holder.rs
+++ b/crates/slots/tests/token_holder.rs
@@ -263,8 +263,10 @@
         .draft()
         .finish();
     let Member { holder, free } = &mut members[0];
+    free.0.set(3);
     assert_eq!(holder.apply(&ledger, at(0), free), ApplyOutcome::Removed);
     assert_eq!(free.0.get(), 0);
+    free.0.set(1);
     assert_eq!(hand_over(&mut members, 0, 1, 1), 0);
 }
 
