Tell the number of a daemon started by a test

Cause: the capacity tool reads a daemon's processor time and memory from the system by the process's number, which DaemonProcess kept to itself. Ruled out: looking for children of the own process, which the system need not list.

--- a/crates/test-support/src/daemon_process.rs
+++ b/crates/test-support/src/daemon_process.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// The process's number.
+    #[must_use]
+    pub fn number(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The callers' port.
     #[must_use]
     pub const fn callers(&self) -> SocketAddr {
