Name the identity of a daemon as core does, in the storms

Cause: a merge brought tests that named the types' former places. Ruled out: aliases. Before: the tests did not build. After: they build. Conclusion: none.

--- a/crates/cells/tests/cell_storm/owned_cell.rs
+++ b/crates/cells/tests/cell_storm/owned_cell.rs
@@ -3,10 +3,10 @@
 use crate::flight_try::FlightTry;
 use sapphirestile_cells::CellOwner;
 use sapphirestile_cells::OpenPhase;
-use sapphirestile_cells::RequestKey;
 use sapphirestile_core::JobName;
 use sapphirestile_core::JournalSequence;
 use sapphirestile_core::MonoTime;
+use sapphirestile_core::RequestKey;
 
 /// What the keeper of a cell holds.
 pub struct OwnedCell {
--- a/crates/cells/tests/cell_storm/storm_daemon.rs
+++ b/crates/cells/tests/cell_storm/storm_daemon.rs
@@ -1,14 +1,14 @@
 //! A daemon.
 
 use crate::daemon_role::DaemonRole;
-use sapphirestile_cells::OwnerMark;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::DaemonName;
 use sapphirestile_core::IncarnationNumber;
 use sapphirestile_core::MonoTime;
 
 /// One daemon through its lives.
 pub struct StormDaemon {
-    pub mark: OwnerMark,
+    pub mark: DaemonIdentity,
     pub role: DaemonRole,
     /// One more at each change of role.
     pub term: u64,
@@ -25,7 +25,7 @@
         let daemon = DaemonName::try_from(name.as_str()).expect("the name fits");
         let incarnation = IncarnationNumber::new(1);
         Self {
-            mark: OwnerMark {
+            mark: DaemonIdentity {
                 daemon,
                 incarnation,
             },
--- a/crates/cells/tests/cell_storm/storm_world/submit_work.rs
+++ b/crates/cells/tests/cell_storm/storm_world/submit_work.rs
@@ -6,12 +6,12 @@
 use crate::owned_cell::OwnedCell;
 use crate::storm_world::StormWorld;
 use sapphirestile_cells::JobOrder;
-use sapphirestile_cells::OwnerMark;
-use sapphirestile_cells::RequestKey;
 use sapphirestile_cells::RequestRecord;
 use sapphirestile_cells::TransitionFault;
 use sapphirestile_core::CustomerName;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::JobName;
+use sapphirestile_core::RequestKey;
 use sapphirestile_core::ResourceSize;
 
 const JOBS_PER_S: f64 = 0.4;
@@ -53,7 +53,7 @@
     }
 
     /// Calls on one of the daemons that believe to own the cell.
-    fn with_some_owner(&mut self, call: impl FnOnce(&mut OwnedCell, &OwnerMark)) {
+    fn with_some_owner(&mut self, call: impl FnOnce(&mut OwnedCell, &DaemonIdentity)) {
         let first = self.rng.random_range(0..self.daemons.len());
         let now = self.now;
         let count = self.daemons.len();
@@ -98,7 +98,7 @@
     }
 }
 
-fn record_key(cell: &mut OwnedCell, mark: &OwnerMark, key: &RequestKey) {
+fn record_key(cell: &mut OwnedCell, mark: &DaemonIdentity, key: &RequestKey) {
     let record = RequestRecord {
         sender: mark.clone(),
         recorded_unix_s: UNIX_S,
--- a/crates/daemon/src/callers/attempt_outcome.rs
+++ b/crates/daemon/src/callers/attempt_outcome.rs
@@ -1,11 +1,10 @@
 //! What became of one attempt of a request.
 
+use crate::callers::CallerReply;
 use sapphirestile_core::RunnerName;
 use sapphirestile_routing::ReceivedPhase;
 use sapphirestile_routing::RequestCycle;
 
-use crate::callers::CallerReply;
-
 /// What became of one attempt.
 #[derive(Debug)]
 pub enum AttemptOutcome {
--- a/crates/daemon/src/callers/caller_desk.rs
+++ b/crates/daemon/src/callers/caller_desk.rs
@@ -1,12 +1,11 @@
 //! What all requests of callers share.
 
+use crate::callers::ParkingLot;
+use crate::callers::WaitingRoom;
 use sapphirestile_routing::LinkBudget;
 use sapphirestile_routing::LinkMeter;
 use sapphirestile_routing::RetryBudget;
 
-use crate::callers::ParkingLot;
-use crate::callers::WaitingRoom;
-
 const RETRY_SHARE_MILLI: u32 = 100;
 const RETRIES_MAX: u32 = 50;
 const LINK_SHARE_BITS_PER_SECOND: u64 = 5_000_000;
--- a/crates/daemon/src/callers/caller_service.rs
+++ b/crates/daemon/src/callers/caller_service.rs
@@ -6,10 +6,6 @@
 
 use oxhttp::model::Body;
 use oxhttp::model::Request;
-use sapphirestile_core::RequestKey;
-use sapphirestile_core::ServiceEntry;
-use sapphirestile_routing::RequestFacts;
-use sapphirestile_routing::RouteRefusal;
 
 use crate::callers::CallerDesk;
 use crate::callers::CallerReply;
@@ -18,6 +14,10 @@
 use crate::context::DaemonContext;
 use crate::serving::HttpReply;
 use crate::serving::HttpService;
+use sapphirestile_core::RequestKey;
+use sapphirestile_core::ServiceEntry;
+use sapphirestile_routing::RequestFacts;
+use sapphirestile_routing::RouteRefusal;
 
 /// Reads each request of a caller, has it run, and counts what became of it.
 pub struct CallerService {
--- a/crates/daemon/src/callers/request_runner.rs
+++ b/crates/daemon/src/callers/request_runner.rs
@@ -4,6 +4,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::callers::AttemptOutcome;
+use crate::callers::CallerDesk;
+use crate::callers::CallerReply;
+use crate::callers::CallerRequest;
+use crate::cells::CellDesk;
+use crate::context::DaemonContext;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::RequestKey;
 use sapphirestile_core::RunnerName;
@@ -28,13 +34,6 @@
 use sapphirestile_wire::peer::PeerAnswer;
 use sapphirestile_wire::peer::PeerRequest;
 
-use crate::callers::AttemptOutcome;
-use crate::callers::CallerDesk;
-use crate::callers::CallerReply;
-use crate::callers::CallerRequest;
-use crate::cells::CellDesk;
-use crate::context::DaemonContext;
-
 const ANSWER_MAX_BYTES: usize = 64 * 1_024 * 1_024;
 const HEAD_BYTES: u64 = 400;
 
--- a/crates/daemon/src/callers/waiting_room.rs
+++ b/crates/daemon/src/callers/waiting_room.rs
@@ -9,6 +9,7 @@
 
 use crossbeam::channel::Sender;
 use crossbeam::channel::bounded;
+
 use sapphirestile_core::MonoTime;
 use sapphirestile_routing::QueueOutcome;
 use sapphirestile_routing::RequestPriority;
--- a/crates/daemon/tests/failures/broken_runner.rs
+++ b/crates/daemon/tests/failures/broken_runner.rs
@@ -1,10 +1,9 @@
+use crate::support::Stage;
 use sapphirestile_standins::fleet::FleetPlan;
 use sapphirestile_standins::runner::RunnerFaults;
 use sapphirestile_test_support::call;
 use sapphirestile_test_support::wait_until;
 
-use crate::support::Stage;
-
 const KEYS: usize = 12;
 const ALWAYS: u64 = 1_000;
 
--- a/crates/daemon/tests/failures/killed_owner.rs
+++ b/crates/daemon/tests/failures/killed_owner.rs
@@ -1,9 +1,8 @@
-use sapphirestile_standins::fleet::FleetPlan;
-
 use crate::support::Stage;
 use crate::support::submit;
 use crate::support::wait_job;
 use crate::support::wait_running;
+use sapphirestile_standins::fleet::FleetPlan;
 
 /// The owner of a cell is killed while its tasks run: another daemon takes the
 /// cell over, and every task ends once without having been started again.
--- a/crates/daemon/tests/failures/leaving_target.rs
+++ b/crates/daemon/tests/failures/leaving_target.rs
@@ -1,13 +1,13 @@
-use sapphirestile_standins::fleet::FleetPlan;
-use sapphirestile_test_support::call;
-use sapphirestile_test_support::call_json;
-use sapphirestile_test_support::wait_until;
-use sapphirestile_wire::vms::VmState;
 use serde_json::Value;
 
 use crate::support::Stage;
 use crate::support::submit;
 use crate::support::wait_job;
+use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_test_support::call;
+use sapphirestile_test_support::call_json;
+use sapphirestile_test_support::wait_until;
+use sapphirestile_wire::vms::VmState;
 
 /// A runner and a worker are listed as leaving: once the daemons have read the
 /// list, neither is given anything new.
--- a/crates/daemon/tests/failures/lost_answers.rs
+++ b/crates/daemon/tests/failures/lost_answers.rs
@@ -1,12 +1,12 @@
-use sapphirestile_standins::fleet::FleetPlan;
-use sapphirestile_standins::store::StoreFaults;
-use sapphirestile_test_support::call_json;
 use serde_json::Value;
 use serde_json::json;
 
 use crate::support::Stage;
 use crate::support::submit;
 use crate::support::wait_job;
+use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_standins::store::StoreFaults;
+use sapphirestile_test_support::call_json;
 
 /// Writes take effect and their answers are lost: the writers find out by
 /// reading, nothing is done twice and nobody is told that nothing was done.
--- a/crates/daemon/tests/failures/once_only.rs
+++ b/crates/daemon/tests/failures/once_only.rs
@@ -1,10 +1,9 @@
+use crate::support::Stage;
 use sapphirestile_standins::fleet::FleetPlan;
 use sapphirestile_standins::store::StoreFaults;
 use sapphirestile_test_support::call;
 use sapphirestile_test_support::wait_until;
 
-use crate::support::Stage;
-
 const KEY: [(&str, &str); 1] = [("idempotency-key", "permit-7")];
 
 /// A request that must not run twice is tried at every daemon with one key, with
--- a/crates/daemon/tests/failures/planned_stop.rs
+++ b/crates/daemon/tests/failures/planned_stop.rs
@@ -3,15 +3,15 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 
+use serde_json::Value;
+
+use crate::support::CELLS;
+use crate::support::Stage;
 use sapphirestile_standins::fleet::FleetPlan;
 use sapphirestile_standins::runner::RunnerSettings;
 use sapphirestile_test_support::call;
 use sapphirestile_test_support::call_json;
 use sapphirestile_test_support::wait_until;
-use serde_json::Value;
-
-use crate::support::CELLS;
-use crate::support::Stage;
 
 const CALLERS: usize = 6;
 
--- a/crates/daemon/tests/failures/racing_operators.rs
+++ b/crates/daemon/tests/failures/racing_operators.rs
@@ -1,12 +1,12 @@
 use std::thread;
 
-use sapphirestile_standins::fleet::FleetPlan;
-use sapphirestile_test_support::call_json;
-use sapphirestile_test_support::wait_until;
 use serde_json::Value;
 use serde_json::json;
 
 use crate::support::Stage;
+use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_test_support::call_json;
+use sapphirestile_test_support::wait_until;
 
 const ROUNDS: u64 = 5;
 
--- a/crates/daemon/tests/failures/slot_bound.rs
+++ b/crates/daemon/tests/failures/slot_bound.rs
@@ -1,14 +1,13 @@
 use std::net::SocketAddr;
 use std::thread;
 
+use crate::support::Stage;
 use sapphirestile_standins::fleet::FleetPlan;
 use sapphirestile_standins::runner::RunnerSettings;
 use sapphirestile_test_support::DaemonProcess;
 use sapphirestile_test_support::call;
 use sapphirestile_test_support::wait_until;
 
-use crate::support::Stage;
-
 const CALLERS: usize = 8;
 const REQUESTS: usize = 25;
 
--- a/crates/daemon/tests/failures/store_cut.rs
+++ b/crates/daemon/tests/failures/store_cut.rs
@@ -1,13 +1,12 @@
-use sapphirestile_standins::fleet::FleetPlan;
-use sapphirestile_test_support::RelayLink;
-use sapphirestile_test_support::call;
-use sapphirestile_test_support::wait_until;
-
 use crate::support::CELLS;
 use crate::support::Stage;
 use crate::support::submit;
 use crate::support::wait_job;
 use crate::support::wait_running;
+use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_test_support::RelayLink;
+use sapphirestile_test_support::call;
+use sapphirestile_test_support::wait_until;
 
 /// The owner of the cell is cut off from the store alone: others take the cell,
 /// the running tasks go on where they are, and the one that is cut off still
--- a/crates/daemon/tests/failures/store_outage.rs
+++ b/crates/daemon/tests/failures/store_outage.rs
@@ -1,14 +1,14 @@
-use sapphirestile_standins::fleet::FleetPlan;
-use sapphirestile_standins::store::StoreFaults;
-use sapphirestile_test_support::call;
-use sapphirestile_test_support::call_json;
-use sapphirestile_test_support::wait_until;
 use serde_json::json;
 
 use crate::support::Stage;
 use crate::support::submit;
 use crate::support::wait_job;
 use crate::support::wait_running;
+use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_standins::store::StoreFaults;
+use sapphirestile_test_support::call;
+use sapphirestile_test_support::call_json;
+use sapphirestile_test_support::wait_until;
 
 /// The store is away: requests are served on, running tasks run on, changes are
 /// refused as not run; when it is back, all goes on.
--- a/crates/daemon/tests/failures/support.rs
+++ b/crates/daemon/tests/failures/support.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 
+use serde_json::Value;
+use serde_json::json;
+
 use sapphirestile_standins::fleet::FleetPlan;
 use sapphirestile_standins::worker::HistoryRow;
 use sapphirestile_test_support::DaemonProcess;
@@ -9,8 +12,6 @@
 use sapphirestile_test_support::SceneFleet;
 use sapphirestile_test_support::call_json;
 use sapphirestile_test_support::wait_until;
-use serde_json::Value;
-use serde_json::json;
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_sapphirestiled");
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
--- a/crates/daemon/tests/failures/thawed_owner.rs
+++ b/crates/daemon/tests/failures/thawed_owner.rs
@@ -1,11 +1,10 @@
-use sapphirestile_standins::fleet::FleetPlan;
-use sapphirestile_test_support::wait_until;
-
 use crate::support::CELLS;
 use crate::support::Stage;
 use crate::support::submit;
 use crate::support::wait_job;
 use crate::support::wait_running;
+use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_test_support::wait_until;
 
 /// The owner of a cell is frozen until others have taken its cells, and thawed
 /// again: it finds that it was deposed, and no task runs in two places.
--- a/crates/daemon/tests/failures/zone_out.rs
+++ b/crates/daemon/tests/failures/zone_out.rs
@@ -1,6 +1,3 @@
-use sapphirestile_standins::fleet::FleetPlan;
-use sapphirestile_test_support::call_json;
-use sapphirestile_test_support::wait_until;
 use serde_json::Value;
 use serde_json::json;
 
@@ -9,6 +6,9 @@
 use crate::support::submit;
 use crate::support::wait_job;
 use crate::support::wait_running;
+use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_test_support::call_json;
+use sapphirestile_test_support::wait_until;
 
 /// A zone is taken out while tasks run in it: they go on elsewhere from their
 /// checkpoints, and nothing starts in the zone until it is returned.
