--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -26,6 +26,11 @@
 use sapphirestile_core::JournalSequence;
 use sapphirestile_core::TaskName;
 
+/// The most tasks of a cell that have not ended: a snapshot of them fits a row of
+/// the store.
+pub const OPEN_TASKS_MAX: u32 = 15_000;
+const RECORDS_MAX: usize = 4_000;
+
 /// The owner of a cell in one phase of its ownership.
 ///
 /// # Examples
@@ -132,6 +137,10 @@
     /// [`TransitionFault::AlreadySubmitted`] when it is known already, and the
     /// reason when it cannot be taken.
     pub fn submit_job(&mut self, order: &JobOrder) -> Result<(), TransitionFault> {
+        let known = self.state.jobs().contains(&order.job);
+        if !known && self.open_tasks().saturating_add(order.tasks) > OPEN_TASKS_MAX {
+            return Err(TransitionFault::QueueFull);
+        }
         self.propose(CellTransition::JobSubmitted(order.clone()))
     }
 
@@ -165,12 +174,17 @@
     ///
     /// # Errors
     ///
-    /// [`TransitionFault::AlreadyRecorded`] when its key was recorded before.
+    /// [`TransitionFault::AlreadyRecorded`] when its key was recorded before, and
+    /// [`TransitionFault::QueueFull`] when the cell can keep no more records.
     pub fn record_request(
         &mut self,
         key: &RequestKey,
         record: &RequestRecord,
     ) -> Result<(), TransitionFault> {
+        let known = self.state.records().contains(key);
+        if !known && self.state.records().len() >= RECORDS_MAX {
+            return Err(TransitionFault::QueueFull);
+        }
         let (key, record) = (key.clone(), record.clone());
         self.propose(CellTransition::RequestRecorded { key, record })
     }
@@ -225,6 +239,13 @@
         sequence
     }
 
+    /// Whether a task waits for a worker.
+    #[must_use]
+    pub fn has_waiting(&self) -> bool {
+        let mut tasks = self.state.tasks().values();
+        tasks.any(|entry| matches!(entry, TaskEntry::Waiting(_)))
+    }
+
     /// Whether an entry was taken whose outcome is not known yet.
     #[must_use]
     pub const fn has_flight(&self) -> bool {
@@ -237,6 +258,11 @@
         self.state.sequence()
     }
 
+    fn open_tasks(&self) -> u32 {
+        let records = self.state.jobs().values();
+        records.map(|record| record.open_tasks).sum()
+    }
+
     fn propose(&mut self, transition: CellTransition) -> Result<(), TransitionFault> {
         self.state.apply(&transition)?;
         self.phase.pending.push(transition);
--- a/crates/cells/src/state/transition_fault.rs
+++ b/crates/cells/src/state/transition_fault.rs
@@ -21,6 +21,8 @@
     AlreadyRecorded,
     /// The request is not recorded, or by another daemon.
     UnknownRequest,
+    /// The cell has as many open tasks, or records of requests, as it can keep.
+    QueueFull,
     /// A job has no tasks, or too many.
     TaskCount,
 }
@@ -37,6 +39,7 @@
             Self::OldAttempt => "the attempt is not the current one",
             Self::AlreadyRecorded => "the request was recorded before",
             Self::UnknownRequest => "the request is not recorded by this daemon",
+            Self::QueueFull => "the cell keeps as much as it can",
             Self::TaskCount => "a job has from 1 to 10000 tasks",
         })
     }
--- a/crates/core/src/sorted_table.rs
+++ b/crates/core/src/sorted_table.rs
@@ -147,11 +147,14 @@
 }
 
 impl<K: Ord, V> FromIterator<(K, V)> for SortedTable<K, V> {
+    /// Of several rows with one key the last stays.
     fn from_iter<I: IntoIterator<Item = (K, V)>>(rows: I) -> Self {
-        let mut table = Self::new();
-        for (key, value) in rows {
-            table.insert(key, value);
-        }
-        table
+        let mut rows: Vec<(K, V)> = rows.into_iter().collect();
+        // The sort is stable, so that the last row of a key comes first when read
+        // backwards.
+        rows.reverse();
+        rows.sort_by(|(left, _), (right, _)| left.cmp(right));
+        rows.dedup_by(|(later, _), (kept, _)| later == kept);
+        Self { rows }
     }
 }
--- a/crates/daemon/src/callers/caller_reply.rs
+++ b/crates/daemon/src/callers/caller_reply.rs
@@ -54,7 +54,7 @@
 }
 
 fn refusal(status: u16, outcome: &str, reason: &str) -> HttpReply {
-    let body = serde_json::json!({ "outcome": outcome, "reason": reason });
+    let body = serde_json::json!({ "outcome": outcome, "of": "this try", "reason": reason });
     HttpReply::json(status, &body).with_header(OUTCOME_HEADER, outcome)
 }
 
--- a/crates/daemon/src/cells/cell_director.rs
+++ b/crates/daemon/src/cells/cell_director.rs
@@ -235,6 +235,6 @@
 ) -> Option<(CellOwner<OpenPhase>, CellJournal)> {
     match outcome {
         JournalOutcome::Done => Some((claiming.claimed(), journal)),
-        JournalOutcome::ConfigMoved | JournalOutcome::Deposed => None,
+        JournalOutcome::ConfigMoved | JournalOutcome::Beaten | JournalOutcome::Deposed => None,
     }
 }
--- a/crates/daemon/src/cells/cell_journal.rs
+++ b/crates/daemon/src/cells/cell_journal.rs
@@ -6,6 +6,7 @@
 use error_stack::ResultExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tracing::warn;
 
 use crate::cells::HeadRecord;
 use crate::cells::JournalBatch;
@@ -27,6 +28,7 @@
 use sapphirestile_platform::store::StoredRow;
 
 const PEER: &str = "store";
+const SNAPSHOT_MAX_BYTES: usize = 1_000_000;
 
 /// Reads and writes the journal of one cell.
 ///
@@ -96,7 +98,11 @@
         let snapshot_key = StoreKeys::snapshot(self.cell);
         let head = encode(&HeadRecord::of(&batch.entry));
         let entry = encode(&batch.entry);
-        let snapshot = batch.snapshot.as_ref().map(encode);
+        let snapshot = batch
+            .snapshot
+            .as_ref()
+            .map(encode)
+            .filter(|value| fits_row(self.cell, value));
 
         let mut guards = vec![StoreGuard {
             key: &head_key,
@@ -152,8 +158,35 @@
             self.head = revision;
             return Ok(JournalOutcome::Done);
         }
-        Ok(JournalOutcome::Deposed)
+        self.settle_deposed(batch)
     }
+
+    /// Another daemon has written since. An earlier try of this entry may have
+    /// come before it.
+    fn settle_deposed(&self, batch: &JournalBatch) -> Result<JournalOutcome, Report<StoreError>> {
+        let key = StoreKeys::entry(self.cell, batch.entry.sequence);
+        let range = self.store.read(&key)?;
+        let entry = range
+            .rows
+            .first()
+            .and_then(|row| decode::<JournalEntry>(&row.value));
+        Ok(match entry {
+            Some(entry) if !entry.same_write(&batch.entry) => JournalOutcome::Beaten,
+            // It is there, or a snapshot has taken its place.
+            Some(_) | None => JournalOutcome::Deposed,
+        })
+    }
+}
+
+/// A snapshot that is too large for a row is left out, and the entries before it
+/// stay: the cell goes on, only its recovery takes longer.
+fn fits_row(cell: CellNumber, snapshot: &[u8]) -> bool {
+    let fits = snapshot.len() <= SNAPSHOT_MAX_BYTES;
+    if !fits {
+        let bytes = snapshot.len();
+        warn!(step = "write snapshot", %cell, bytes, "too large, left out");
+    }
+    fits
 }
 
 fn fold_rows(cell: CellNumber, range: &StoredRange) -> Result<CellState, Report<StepError>> {
--- a/crates/daemon/src/cells/cell_keeper.rs
+++ b/crates/daemon/src/cells/cell_keeper.rs
@@ -45,11 +45,19 @@
     replies: Vec<WaitingReply>,
     /// The configuration that the list of workers was made with.
     revision: ConfigRevision,
+    /// The configuration that the entry in flight was guarded with.
+    guarded: Option<ConfigRevision>,
     /// The configuration that a commit found to be no longer the latest.
     beaten: Option<ConfigRevision>,
+    /// When the list of VMs that the workers were taken from was read.
+    listed: Option<MonoTime>,
+    /// When starts were last planned.
+    planned: MonoTime,
     committed: MonoTime,
     stopping: bool,
     deposed: bool,
+    /// Whether the entry in flight is certain not to be in the journal.
+    beaten_in_journal: bool,
 }
 
 impl CellKeeper {
@@ -72,10 +80,14 @@
             answers,
             replies: Vec::new(),
             revision: ConfigRevision::default(),
+            guarded: None,
             beaten: None,
+            listed: None,
+            planned: MonoTime::default(),
             committed,
             stopping: false,
             deposed: false,
+            beaten_in_journal: false,
         }
     }
 
@@ -150,9 +162,14 @@
         let outcome = match outcome {
             JournalOutcome::Done => CommitOutcome::Done,
             JournalOutcome::ConfigMoved => {
-                self.beaten = Some(self.revision);
+                self.beaten = self.guarded;
                 CommitOutcome::ConfigMoved
             }
+            JournalOutcome::Beaten => {
+                self.beaten_in_journal = true;
+                self.deposed = true;
+                return;
+            }
             JournalOutcome::Deposed => {
                 self.deposed = true;
                 return;
@@ -187,10 +204,17 @@
         }
     }
 
-    /// None of the waiting changes is in the journal, nor will be.
+    /// Changes that were never handed out are not in the journal, nor will be. The
+    /// entry in flight may be, unless it is certain that it was beaten.
     fn refuse_replies(&mut self) {
+        let flight = self.owner.sequence().next();
+        let in_doubt = self.owner.has_flight() && !self.beaten_in_journal;
         for waiting in self.replies.drain(..) {
-            let fault = PeerFault::NotRun("the cell has moved to another daemon".to_owned());
+            let fault = if in_doubt && waiting.sequence == flight {
+                PeerFault::Unknown
+            } else {
+                PeerFault::NotRun("the cell has moved to another daemon".to_owned())
+            };
             let _given = waiting.reply.send(PeerAnswer::Fault(fault));
         }
     }
--- a/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
@@ -138,7 +138,8 @@
                 epoch: self.owner.epoch(),
                 sequence: self.owner.last_proposed(),
             },
-            Err(_) => PeerAnswer::AlreadyRecorded,
+            Err(TransitionFault::AlreadyRecorded) => PeerAnswer::AlreadyRecorded,
+            Err(fault) => not_run(fault),
         }
     }
 }
--- a/crates/daemon/src/cells/cell_keeper/keeper_steps.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_steps.rs
@@ -37,6 +37,9 @@
         let document = self.context.document.load();
         let vms = self.context.vms.load();
         let Some(read) = vms.read() else { return };
+        if self.listed == Some(read) && self.revision == document.revision() {
+            return;
+        }
         let Some(map) = self.context.map() else {
             return;
         };
@@ -48,6 +51,7 @@
         self.owner
             .set_customers(&shares_of(&document.document().customers, map));
         self.revision = document.revision();
+        self.listed = Some(read);
     }
 
     fn renew_sessions(&mut self) {
@@ -69,12 +73,15 @@
         rested && !self.owner.has_flight()
     }
 
-    /// Assigns tasks. The batch is taken in the same step, so that its guard is
-    /// the configuration that the assignments were made with.
+    /// Assigns tasks, a few times a second. The batch is taken in the same step,
+    /// so that its guard is the configuration that the assignments were made with.
     fn plan(&mut self) {
+        let now = self.context.clock.now();
         let moved = self.beaten == Some(self.revision);
-        if !self.stopping && !moved {
-            self.owner.plan_starts(self.context.clock.now(), STARTS_MAX);
+        let rested = now.millis_since(self.planned) >= COMMIT_INTERVAL_MS;
+        if !self.stopping && !moved && rested && self.owner.has_waiting() {
+            self.planned = now;
+            self.owner.plan_starts(now, STARTS_MAX);
         }
     }
 
@@ -88,6 +95,7 @@
         };
         let snapshot = snapshot_due.then(|| self.owner.snapshot_in_flight());
         let revision = starts_tasks(&entry).then_some(revision);
+        self.guarded = revision;
         // The writer ends only after it has reported that the owner is deposed.
         let _queued = self.batches.send(JournalBatch {
             entry,
--- a/crates/daemon/src/cells/journal_outcome.rs
+++ b/crates/daemon/src/cells/journal_outcome.rs
@@ -7,6 +7,9 @@
     Done,
     /// It is not: the configuration has moved on.
     ConfigMoved,
-    /// It is not, and never will be: another daemon has claimed the cell.
+    /// It is not, and never will be: another daemon wrote the entry of its place.
+    Beaten,
+    /// Another daemon has claimed the cell, and whether the entry came before that
+    /// claim cannot be told any more.
     Deposed,
 }
--- a/crates/daemon/src/cells/journal_writer.rs
+++ b/crates/daemon/src/cells/journal_writer.rs
@@ -47,7 +47,8 @@
         for batch in batches {
             let outcome = self.commit(&batch);
             let reported = self.events.send(KeeperEvent::Committed(outcome));
-            if reported.is_err() || outcome == JournalOutcome::Deposed {
+            let ended = matches!(outcome, JournalOutcome::Beaten | JournalOutcome::Deposed);
+            if reported.is_err() || ended {
                 return;
             }
         }
--- a/crates/daemon/src/cells/worker_pool.rs
+++ b/crates/daemon/src/cells/worker_pool.rs
@@ -32,8 +32,8 @@
 use sapphirestile_wire::worker::TaskStop;
 use sapphirestile_wire::worker::WorkerRefusal;
 
-const POOL_THREADS: usize = 16;
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+const POOL_THREADS: usize = 48;
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Calls workers beside the keepers' threads, so that a silent worker delays no
 /// other.
--- a/crates/daemon/src/routes/route_publisher.rs
+++ b/crates/daemon/src/routes/route_publisher.rs
@@ -41,7 +41,9 @@
             rows.extend(self.row_of(record, document));
         }
         self.judge(&rows);
-        let kept = |runner: &RunnerName| rows.iter().any(|row| row.runner == *runner);
+        let mut names: Vec<&RunnerName> = rows.iter().map(|row| &row.runner).collect();
+        names.sort();
+        let kept = |runner: &RunnerName| names.binary_search(&runner).is_ok();
         context.gauges.retain(kept);
         let home = context.settings.node.zone.as_str();
         context
