--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -4,6 +4,7 @@
 mod killed_owner;
 mod leaving_target;
 mod lost_answers;
+mod moving_document;
 mod once_only;
 mod planned_stop;
 mod racing_operators;
