--- a/crates/daemon/tests/journal/main.rs
+++ b/crates/daemon/tests/journal/main.rs
@@ -27,7 +27,7 @@
 use fake_store::FakeStore;
 
 const CELL: CellNumber = CellNumber::new(0);
-const MANY_JOBS: u32 = 5;
+const MANY_JOBS: u32 = 8;
 const MANY_TASKS: u32 = 10_000;
 
 struct Scene {
