--- a/crates/daemon/tests/journal/main.rs
+++ b/crates/daemon/tests/journal/main.rs
@@ -27,7 +27,7 @@
 use fake_store::FakeStore;
 
 const CELL: CellNumber = CellNumber::new(0);
-const MANY_JOBS: u32 = 8;
+const MANY_JOBS: u32 = 2;
 const MANY_TASKS: u32 = 10_000;
 
 struct Scene {
@@ -159,7 +159,7 @@
     let mut large = CellState::default();
     for number in 0..MANY_JOBS {
         let order = JobOrder {
-            job: JobName::try_from(format!("job-{number}")).unwrap(),
+            job: JobName::try_from(format!("{number:0>63}")).unwrap(),
             customer: CustomerName::try_from("kennels").unwrap(),
             tasks: MANY_TASKS,
             size: ResourceSize::default(),
