--- a/crates/daemon/tests/failures/store_outage.rs
+++ b/crates/daemon/tests/failures/store_outage.rs
@@ -1,3 +1,4 @@
+use serde_json::Value;
 use serde_json::json;
 
 use crate::support::Stage;
@@ -21,7 +22,7 @@
     };
     let stage = Stage::set("store_outage", plan);
     let first = &stage.daemons[0];
-    submit(first.operators(), "patterns", 4, 4_000);
+    submit(first.operators(), "patterns", 4, 12_000);
     wait_running(first.operators(), "patterns");
     wait_until("a request is answered", || {
         call(first.callers(), "POST", "/sizing/fit", &[], b"neck 41 cm")
@@ -33,6 +34,12 @@
         down: true,
         ..StoreFaults::default()
     });
+    for address in stage.operators() {
+        wait_until("the daemon knows that the store is away", || {
+            let (_, status) = call_json(address, "GET", "/v1/status", &Value::Null)?;
+            (status["store_reachable"] == false).then_some(())
+        });
+    }
     for daemon in &stage.daemons {
         for _ in 0..10 {
             wait_until("a request is answered without the store", || {
