Let answers to workers' calls come late, and watch for finished work that runs again

After: one more kind of fault, and one more check at each start: no attempt begins while a live worker has finished the task.

--- a/crates/soak/src/faults/fault_kind.rs
+++ b/crates/soak/src/faults/fault_kind.rs
@@ -13,6 +13,8 @@
     CallLost,
     /// A call to a worker takes effect and its answer is lost.
     CallAnswerLost,
+    /// The answer to a call comes after the call was given up.
+    CallAnswerLate,
     /// A call to a worker arrives twice.
     CallTwice,
     /// A call to a worker arrives after later ones.
@@ -43,12 +45,13 @@
 
 impl FaultKind {
     /// Every kind, in order.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::CommitAnswerLost,
         Self::CommitLate,
         Self::StoreOutage,
         Self::CallLost,
         Self::CallAnswerLost,
+        Self::CallAnswerLate,
         Self::CallTwice,
         Self::CallLate,
         Self::DaemonKilled,
--- a/crates/soak/src/worker/soak_worker.rs
+++ b/crates/soak/src/worker/soak_worker.rs
@@ -174,6 +174,13 @@
         })
     }
 
+    /// Whether an attempt of the task did all its work here.
+    #[must_use]
+    pub fn has_done(&self, task: &TaskName) -> bool {
+        let mut rows = self.state.history().iter();
+        rows.any(|row| row.task == *task && row.phase == TaskPhase::Finished)
+    }
+
     const fn clock(&self, now: u64) -> MonoTime {
         MonoTime::from_millis(now + self.offset)
     }
--- a/crates/soak/src/world/soak_event.rs
+++ b/crates/soak/src/world/soak_event.rs
@@ -28,8 +28,8 @@
     CallArrives {
         /// The call.
         call: WorkerCall,
-        /// Whether the answer comes back.
-        answered: bool,
+        /// How long the answer takes, in milliseconds; none when it is lost.
+        answer_ms: Option<u64>,
     },
     /// A caller learns of its call.
     News {
--- a/crates/soak/src/world/soak_world.rs
+++ b/crates/soak/src/world/soak_world.rs
@@ -176,7 +176,7 @@
                     effect,
                 });
             }
-            SoakEvent::CallArrives { call, answered } => self.serve_call(&call, answered),
+            SoakEvent::CallArrives { call, answer_ms } => self.serve_call(&call, answer_ms),
             SoakEvent::News {
                 to,
                 cell,
--- a/crates/soak/src/world/soak_world/call_workers.rs
+++ b/crates/soak/src/world/soak_world/call_workers.rs
@@ -28,32 +28,37 @@
         let parted = self.partitions.get(&key);
         let parted = parted.is_some_and(|until| *until > self.now);
         let arrives = self.now + self.rng.random_range(1..60);
+        let answer_ms = self.rng.random_range(1..60);
         if parted || self.draws(FaultKind::CallLost, 0.08) {
             self.give_up(&call);
         } else if self.draws(FaultKind::CallLate, 0.08) {
             let late = self.now + self.rng.random_range(1_000..10_000);
-            self.arrive(late, call.clone(), false);
+            self.arrive(late, call.clone(), None);
             self.give_up(&call);
         } else if self.draws(FaultKind::CallAnswerLost, 0.08) {
-            self.arrive(arrives, call.clone(), false);
+            self.arrive(arrives, call.clone(), None);
+            self.give_up(&call);
+        } else if self.draws(FaultKind::CallAnswerLate, 0.08) {
+            let late_ms = self.rng.random_range(CALL_TIMEOUT_MS..10_000);
+            self.arrive(arrives, call.clone(), Some(late_ms));
             self.give_up(&call);
         } else {
             if self.draws(FaultKind::CallTwice, 0.08) {
                 let again = self.now + self.rng.random_range(1..6_000);
-                self.arrive(again, call.clone(), false);
+                self.arrive(again, call.clone(), None);
             }
-            self.arrive(arrives, call, true);
+            self.arrive(arrives, call, Some(answer_ms));
         }
     }
 
-    pub(super) fn serve_call(&mut self, call: &WorkerCall, answered: bool) {
+    pub(super) fn serve_call(&mut self, call: &WorkerCall, answer_ms: Option<u64>) {
         let now = self.now;
         let fails = self.draws(FaultKind::TaskFails, 0.1);
         let Some(worker) = self.workers.get_mut(call.worker()) else {
             return;
         };
         if !worker.lives(now) {
-            if answered {
+            if answer_ms.is_some() {
                 self.give_up(call);
             }
             return;
@@ -86,9 +91,8 @@
                 None
             }
         };
-        if let (true, Some(news)) = (answered, news) {
-            let delay = self.rng.random_range(1..60);
-            self.tell(self.now + delay, call, news);
+        if let (Some(answer_ms), Some(news)) = (answer_ms, news) {
+            self.tell(self.now + answer_ms, call, news);
         }
     }
 
@@ -123,9 +127,9 @@
         }
     }
 
-    fn arrive(&mut self, at: u64, call: WorkerCall, answered: bool) {
+    fn arrive(&mut self, at: u64, call: WorkerCall, answer_ms: Option<u64>) {
         self.queue
-            .push(at, SoakEvent::CallArrives { call, answered });
+            .push(at, SoakEvent::CallArrives { call, answer_ms });
     }
 
     /// Lets the caller give the call up after its time.
--- a/crates/soak/src/world/soak_world/check_entries.rs
+++ b/crates/soak/src/world/soak_world/check_entries.rs
@@ -66,6 +66,13 @@
         if twice {
             self.broken(format!("{task} runs twice"));
         }
+        let done = self
+            .workers
+            .values()
+            .any(|worker| worker.lives(now) && worker.has_done(task));
+        if done {
+            self.broken(format!("{task} began again after a worker finished it"));
+        }
         let zone = self.workers.get(&order.worker).map(|worker| &worker.zone);
         let out = zone.and_then(|zone| self.store.zones_out.get(zone));
         if out.is_some_and(|since| now - since > ZONE_OUT_WITHIN_MS) {
