Empty a zone evenly in order, drop the refill ramp, count large waits

Tasks that had outlived the mean of their job were taken to end at once, were let run and lost.

Change: a task that has outlived the mean has no known end; tasks let run are moved last if they still run; the drain is spread over 120 s.

Taken out: the refill ramp.

Holds: jobs passed over for their size were never held a worker; mended. Kept as the way by which no large job waits for ever; it is not ahead on work.

--- a/crates/experiment/src/batch/batch_owner.rs
+++ b/crates/experiment/src/batch/batch_owner.rs
@@ -68,7 +68,7 @@
         if now_s == world.events.cancel_s {
             self.cancel_burst(world);
         }
-        self.zones.step(now, self.jobs, &mut self.placer, world);
+        self.zones.step(now, &mut self.placer, world);
         self.refresh_rooms(now, world);
         self.placer.place_all(now, &self.pressures.noise, world);
     }
@@ -191,15 +191,13 @@
         for worker in 0..WORKER_COUNT {
             let tasks = &world.workers[worker].tasks;
             let trusted = self.failures.takes_work(worker, tasks.len(), now);
-            let zone = world.events.zone;
-            let let_in = self.zones.lets_in(worker, &self.placer, zone, now);
             let noise = tasks.iter().map(|task| {
                 let job = &self.jobs[world.tasks[*task].job];
                 self.pressures.noise.noise_of(&job.name)
             });
             let room = &mut self.placer.rooms[worker];
             room.noise_permille = noise.sum();
-            room.set_aside = !trusted || !let_in || !(shared || worker % 2 == 1);
+            room.set_aside = !trusted || !(shared || worker % 2 == 1);
         }
     }
 }
--- a/crates/experiment/src/batch/run_record.rs
+++ b/crates/experiment/src/batch/run_record.rs
@@ -14,9 +14,10 @@
         self.total_ms += run_ms;
     }
 
-    /// How long a task that has run for `run_ms` is expected to run still.
+    /// How long a task that has run for `run_ms` is expected to run still;
+    /// unknown when it has outlived the mean.
     pub(crate) fn remaining_ms(&self, run_ms: u64) -> Option<u64> {
         let mean = self.total_ms.checked_div(self.finished)?;
-        Some(mean.saturating_sub(run_ms))
+        mean.checked_sub(run_ms)
     }
 }
--- a/crates/experiment/src/batch/task_placer.rs
+++ b/crates/experiment/src/batch/task_placer.rs
@@ -59,7 +59,8 @@
     pub(crate) sizes: SizeBook,
     pub(crate) runs: Vec<RunRecord>,
     pub(crate) assigned: Vec<Option<TaskAssignment>>,
-    begun: Vec<bool>,
+    /// When each task was first started.
+    pub(crate) begun: Vec<Option<MonoTime>>,
     pub(crate) answered: u64,
     /// How long urgent tasks waited for their first start, in milliseconds.
     pub(crate) urgent_waits: Vec<u64>,
@@ -105,7 +106,7 @@
             sizes: SizeBook::default(),
             runs: vec![RunRecord::default(); jobs.len()],
             assigned: vec![None; tasks],
-            begun: vec![false; tasks],
+            begun: vec![None; tasks],
             answered: 0,
             urgent_waits: Vec::new(),
         }
@@ -158,6 +159,7 @@
                 .any(|room| room.held_for.as_ref() == Some(&job.name));
             if pass.found_no_room(&size) && !held && !job.urgent {
                 pass.pass_over();
+                self.hold(job, number, size, now);
                 continue;
             }
             match self.place_one(job, number, size, noise) {
@@ -322,7 +324,8 @@
             .take_task(name)
             .expect("the job has a waiting task");
         let task = self.first_task[job] + usize::try_from(index.get()).unwrap_or(0);
-        let again = std::mem::replace(&mut self.begun[task], true);
+        let again = self.begun[task].is_some();
+        self.begun[task].get_or_insert(now);
         if self.jobs[job].urgent && !again {
             let wait = submitted.map_or(0, |submitted| now.millis_since(submitted));
             self.urgent_waits.push(wait);
--- a/crates/experiment/src/batch/zone_keeper.rs
+++ b/crates/experiment/src/batch/zone_keeper.rs
@@ -1,4 +1,4 @@
-//! Deals with a zone that leaves and returns.
+//! Deals with a zone that leaves.
 
 use std::collections::VecDeque;
 
@@ -9,30 +9,27 @@
 use crate::batch::task_placer::TaskPlacer;
 use crate::plan::CHECKPOINT_BYTES_PER_MB;
 use crate::plan::EventPlan;
-use crate::plan::JobTruth;
 use crate::plan::to_f64;
 use crate::plan::to_u64;
 use sapphirestile_core::MonoTime;
 use sapphirestile_placement::DrainStep;
 use sapphirestile_placement::DrainTask;
 use sapphirestile_placement::LinkPacer;
-use sapphirestile_placement::RefillRamp;
 use sapphirestile_placement::drain_order;
 
 /// The part of the 30 Mbit/s link that checkpoints may take.
 const LINK_RATE_BYTES_PER_S: u64 = 2_600_000;
 const LOCAL_RATE_BYTES_PER_S: u64 = 100_000_000;
 const BURST_S: u64 = 2;
-const RAMP_MS: u64 = 180_000;
+/// A zone is emptied evenly over this time, unless the link is too narrow.
+const DRAIN_S: u64 = 120;
 
-/// Empties a leaving zone and fills a returned one.
+/// Empties a leaving zone.
 pub(crate) struct ZoneKeeper {
     orders: bool,
-    ramps: bool,
     out: bool,
     moves: VecDeque<usize>,
     pacer: LinkPacer,
-    ramp: Option<RefillRamp>,
 }
 
 impl ZoneKeeper {
@@ -40,11 +37,9 @@
     pub(crate) fn new(policy: &PolicySet) -> Self {
         Self {
             orders: policy.has(PolicyFeature::DrainOrder),
-            ramps: policy.has(PolicyFeature::RefillRamp),
             out: false,
             moves: VecDeque::new(),
             pacer: LinkPacer::new(0, 0),
-            ramp: None,
         }
     }
 
@@ -52,7 +47,6 @@
     pub(crate) fn step(
         &mut self,
         now: MonoTime,
-        jobs: &[JobTruth],
         placer: &mut TaskPlacer<'_>,
         world: &mut BatchWorld<'_>,
     ) {
@@ -65,8 +59,6 @@
             }
             if out {
                 self.begin(&events, now, placer, world);
-            } else if self.ramps {
-                self.ramp = Some(RefillRamp::new(now, RAMP_MS));
             }
         }
         while let Some(task) = self.moves.front().copied() {
@@ -79,26 +71,6 @@
                 world.send_checkpoint(task);
             }
         }
-        debug_assert!(jobs.len() >= placer.runs.len());
-    }
-
-    /// Whether the ramp lets `worker` take more.
-    pub(crate) fn lets_in(
-        &self,
-        worker: usize,
-        placer: &TaskPlacer<'_>,
-        zone: usize,
-        now: MonoTime,
-    ) -> bool {
-        let Some(ramp) = self.ramp else {
-            return true;
-        };
-        if DeploymentPlan::zone_of(worker) != zone {
-            return true;
-        }
-        let room = &placer.rooms[worker];
-        let share = room.given.cpu_milli * 1_000 / room.size.cpu_milli;
-        share < ramp.share_permille(now) || ramp.share_permille(now) >= 1_000
     }
 
     fn begin(
@@ -119,11 +91,16 @@
             self.moves = tasks.into();
             return;
         }
-        let rate = if DeploymentPlan::is_remote(events.zone) {
+        let most = if DeploymentPlan::is_remote(events.zone) {
             LINK_RATE_BYTES_PER_S
         } else {
             LOCAL_RATE_BYTES_PER_S
         };
+        let bytes = tasks.iter().filter_map(|task| placer.assigned[*task]);
+        let bytes = bytes
+            .map(|row| checkpoint_bytes(row.memory_mb))
+            .sum::<u64>();
+        let rate = (bytes / DRAIN_S).clamp(1, most);
         self.pacer = LinkPacer::new(rate, rate * BURST_S);
         let views = tasks
             .iter()
@@ -131,8 +108,9 @@
         let left_ms = crate::plan::ZONE_NOTICE_S * 1_000;
         for step in drain_order(&views.collect::<Vec<_>>(), left_ms) {
             match step {
-                DrainStep::Move { place } => self.moves.push_back(tasks[place]),
-                DrainStep::LetFinish { .. } => {}
+                DrainStep::Move { place } | DrainStep::LetFinish { place } => {
+                    self.moves.push_back(tasks[place]);
+                }
                 DrainStep::Restart { place } => restart(tasks[place], now, placer, world),
             }
         }
--- a/crates/experiment/src/plan/job_truth.rs
+++ b/crates/experiment/src/plan/job_truth.rs
@@ -4,6 +4,7 @@
 use sapphirestile_core::JobName;
 use sapphirestile_core::ResourceSize;
 
+use crate::DeploymentPlan;
 use crate::plan::TaskTruth;
 
 /// A job of the workload.
@@ -26,6 +27,11 @@
 }
 
 impl JobTruth {
+    /// Whether the job declares more than any worker has.
+    pub(crate) const fn is_huge(&self, plan: &DeploymentPlan) -> bool {
+        !self.declared.fits_in(&plan.batch_size())
+    }
+
     /// How strongly the job disturbs at `now_s`, from 0 to 1.
     pub(crate) fn activity(&self, now_s: f64) -> f64 {
         let place = (now_s / self.wave_s + self.wave_phase).fract();
--- a/crates/experiment/src/plan/policy_feature.rs
+++ b/crates/experiment/src/plan/policy_feature.rs
@@ -13,8 +13,6 @@
     Standing,
     /// A leaving zone is emptied in order, paced over the link.
     DrainOrder,
-    /// A returned zone is filled step by step.
-    RefillRamp,
     /// A worker is held for a job that waits long.
     HeldWorker,
     /// Tasks of the backlog are stopped for urgent ones.
@@ -25,13 +23,12 @@
 
 impl PolicyFeature {
     /// Every feature.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 8] = [
         Self::MeasuredSizes,
         Self::NoiseChoice,
         Self::Pressure,
         Self::Standing,
         Self::DrainOrder,
-        Self::RefillRamp,
         Self::HeldWorker,
         Self::Preemption,
         Self::Colocation,
@@ -46,7 +43,6 @@
             Self::Pressure => "throttling",
             Self::Standing => "setting workers aside",
             Self::DrainOrder => "drain order",
-            Self::RefillRamp => "refill ramp",
             Self::HeldWorker => "held workers",
             Self::Preemption => "preemption",
             Self::Colocation => "colocation",
--- a/crates/experiment/src/report/run_outcome.rs
+++ b/crates/experiment/src/report/run_outcome.rs
@@ -21,13 +21,16 @@
     pub zone_work_core_h: f64,
     /// The longest of 99 of 100 waits of urgent tasks, in seconds.
     pub urgent_wait_s: f64,
+    /// The median wait of tasks of half a worker, in seconds; a
+    /// task that never started waited until the end.
+    pub large_wait_s: f64,
     /// Bytes over the link, in megabytes.
     pub link_mb: f64,
 }
 
 impl RunOutcome {
     /// The headings of the columns.
-    pub const HEADINGS: [&'static str; 10] = [
+    pub const HEADINGS: [&'static str; 11] = [
         "p50 ms",
         "p99 ms",
         "p99.9 ms",
@@ -37,12 +40,13 @@
         "evictions",
         "zone work core h",
         "urgent p99 s",
+        "large p50 s",
         "link MB",
     ];
 
     /// The values in the order of the headings.
     #[must_use]
-    pub const fn values(&self) -> [f64; 10] {
+    pub const fn values(&self) -> [f64; 11] {
         [
             self.p50_ms,
             self.p99_ms,
@@ -53,6 +57,7 @@
             self.evictions,
             self.zone_work_core_h,
             self.urgent_wait_s,
+            self.large_wait_s,
             self.link_mb,
         ]
     }
--- a/crates/experiment/src/single_run.rs
+++ b/crates/experiment/src/single_run.rs
@@ -5,14 +5,18 @@
 use crate::RunOutcome;
 use crate::batch::BatchOwner;
 use crate::batch::BatchWorld;
+use crate::batch::FakeTask;
 use crate::plan::EventPlan;
 use crate::plan::make_jobs;
 use crate::plan::to_f64;
 use crate::service::ServiceWorld;
+use sapphirestile_core::MonoTime;
 
 const CORE_MS_PER_CORE_H: f64 = 3_600_000.0;
 const MINUTE_S: u64 = 60;
 const URGENT_PERCENTILE: usize = 99;
+const LARGE_PERCENTILE: usize = 50;
+const LARGE_PART: f64 = 0.4;
 
 /// Runs `policy` in `plan` for `minutes` of virtual time.
 ///
@@ -63,13 +67,27 @@
         finished: to_f64(world.finished),
         evictions: to_f64(world.evictions),
         zone_work_core_h: zone_work / CORE_MS_PER_CORE_H,
-        urgent_wait_s: urgent_wait_s(&mut owner.placer.urgent_waits),
+        urgent_wait_s: percentile_s(owner.placer.urgent_waits, URGENT_PERCENTILE),
+        large_wait_s: percentile_s(large_waits(&world, &owner.placer.begun), LARGE_PERCENTILE),
         link_mb: world.link.bytes / 1e6,
     }
 }
 
-fn urgent_wait_s(waits: &mut [u64]) -> f64 {
+fn large_waits(world: &BatchWorld<'_>, begun: &[Option<MonoTime>]) -> Vec<u64> {
+    let large = to_f64(world.plan.batch_size().cpu_milli) * LARGE_PART;
+    let end = MonoTime::from_millis(world.events.length_s * 1_000);
+    let wait = |(task, begun): (&FakeTask, &Option<MonoTime>)| {
+        let job = &world.jobs[task.job];
+        let arrival = MonoTime::from_millis(job.arrival_s * 1_000);
+        let counts = task.truth.cpu_milli > large && !job.urgent && !job.is_huge(world.plan);
+        counts.then(|| begun.unwrap_or(end).millis_since(arrival))
+    };
+    world.tasks.iter().zip(begun).filter_map(wait).collect()
+}
+
+/// The wait that `percent` of `waits` stay below, in seconds.
+fn percentile_s(mut waits: Vec<u64>, percent: usize) -> f64 {
     waits.sort_unstable();
-    let place = waits.len() * URGENT_PERCENTILE / 100;
+    let place = waits.len() * percent / 100;
     waits.get(place).map_or(0.0, |wait| to_f64(*wait) / 1_000.0)
 }
--- a/crates/placement/src/drain/drain_step.rs
+++ b/crates/placement/src/drain/drain_step.rs
@@ -8,7 +8,7 @@
         /// The place of the task in the slice.
         place: usize,
     },
-    /// It ends before the zone does: let it run.
+    /// It is expected to end in time: let it run, and move it last if it does not.
     LetFinish {
         /// The place of the task in the slice.
         place: usize,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,8 +12,8 @@
 //! task is next; a [`SizeBook`] turns declared sizes into estimates; a
 //! [`NoiseBook`] and a [`PressureState`] for each worker deal with tasks that
 //! disturb each other; a [`FailureBook`] and a [`WorkerStanding`] tell bad
-//! workers from bad jobs; [`choose_victims`] makes room for urgent work; and [`drain_order`], [`LinkPacer`] and
-//! [`RefillRamp`] serve a zone that leaves and returns.
+//! workers from bad jobs; [`choose_victims`] makes room for urgent work; and [`drain_order`] and [`LinkPacer`]
+//! empty a zone that leaves.
 
 mod choice;
 mod colocation;
@@ -44,7 +44,6 @@
 pub use drain::DrainStep;
 pub use drain::DrainTask;
 pub use drain::LinkPacer;
-pub use drain::RefillRamp;
 pub use drain::drain_order;
 pub use estimate::EstimatePolicy;
 pub use estimate::RatioHistogram;
--- a/crates/placement/tests/placement/preemption.rs
+++ b/crates/placement/tests/placement/preemption.rs
@@ -24,25 +24,25 @@
     choose_victims(&scene.rooms, &running, &request, &scene.policy)
 }
 
-fn choice(worker: usize, tasks: &[usize]) -> Option<VictimChoice> {
-    Some(VictimChoice {
+fn choice(worker: usize, tasks: &[usize]) -> VictimChoice {
+    VictimChoice {
         worker,
         tasks: tasks.to_vec(),
-    })
+    }
 }
 
 #[test]
 fn the_smallest_task_that_makes_room_is_stopped() {
     let tasks = [(0, 4_000, false), (1, 1_500, false), (1, 2_500, false)];
-    assert_eq!(victims(&tasks, 1_000), choice(1, &[1]));
-    assert_eq!(victims(&tasks, 2_000), choice(1, &[2]));
-    assert_eq!(victims(&tasks, 3_000), choice(0, &[0]));
+    assert_eq!(victims(&tasks, 1_000), Some(choice(1, &[1])));
+    assert_eq!(victims(&tasks, 2_000), Some(choice(1, &[2])));
+    assert_eq!(victims(&tasks, 3_000), Some(choice(0, &[0])));
 }
 
 #[test]
 fn several_tasks_are_stopped_only_when_no_single_one_helps() {
     let tasks = [(0, 4_000, true), (1, 1_500, false), (1, 2_500, false)];
-    assert_eq!(victims(&tasks, 3_000), choice(1, &[2, 1]));
+    assert_eq!(victims(&tasks, 3_000), Some(choice(1, &[2, 1])));
 }
 
 #[test]
