--- a/crates/cells/src/journal/cell_transition.rs
+++ b/crates/cells/src/journal/cell_transition.rs
@@ -4,11 +4,12 @@
 use serde::Serialize;
 
 use crate::journal::JobOrder;
-use crate::state::RequestKey;
 use crate::state::RequestRecord;
 use crate::state::TaskOutcome;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::JobName;
+use sapphirestile_core::RequestKey;
+use sapphirestile_core::ResourceSize;
 use sapphirestile_core::TaskName;
 use sapphirestile_core::WorkerName;
 
@@ -27,6 +28,8 @@
         attempt: AttemptNumber,
         /// The worker.
         worker: WorkerName,
+        /// The room that it is given there.
+        size: ResourceSize,
     },
     /// An attempt took a checkpoint.
     TaskCheckpointed {
@@ -64,4 +67,13 @@
         /// Who sends it, and when it was recorded.
         record: RequestRecord,
     },
+    /// A recorded request was not sent after all, or not run; its key is free.
+    RequestWithdrawn(RequestKey),
+    /// A job that has ended is shown no more, and its name is free again.
+    JobForgotten(JobName),
+    /// Requests recorded before this second of the Unix epoch may be sent again.
+    RecordsForgotten {
+        /// The second.
+        before_unix_s: u64,
+    },
 }
--- a/crates/cells/src/owner/worker_view.rs
+++ b/crates/cells/src/owner/worker_view.rs
@@ -8,8 +8,12 @@
 /// What the owner knows of a worker; none of it lasts.
 #[derive(Clone, Debug)]
 pub struct WorkerView {
+    /// What is known from outside.
     pub facts: WorkerFacts,
-    /// How many sessions were asked for.
+    /// Whether the latest list shows it. One that is not listed is given nothing:
+    /// its facts may be older than the configuration.
+    pub listed: bool,
+    /// Which of the owner's sessions was asked for last.
     pub ordinal: u64,
     /// Whether a session was asked for and has not been answered.
     pub asking: bool,
@@ -24,9 +28,12 @@
 }
 
 impl WorkerView {
+    /// A worker of which nothing but the facts is known.
+    #[must_use]
     pub const fn new(facts: WorkerFacts) -> Self {
         Self {
             facts,
+            listed: true,
             ordinal: 0,
             asking: false,
             asked: None,
@@ -36,15 +43,25 @@
         }
     }
 
-    /// Whether nothing is on its way to the worker and `now` is time to renew.
-    pub fn session_due(&self, now: MonoTime, interval_ms: u64) -> bool {
+    /// Whether `now` is time to renew the session.
+    ///
+    /// A renewal voids the permit of starts that are on their way, so it waits for
+    /// them, but no longer than their permit is good for.
+    #[must_use]
+    pub fn session_due(&self, now: MonoTime, interval_ms: u64, permit_ms: u64) -> bool {
+        let wait_ms = if self.starts == 0 {
+            interval_ms
+        } else {
+            permit_ms
+        };
         let rested = self
             .asked
-            .is_none_or(|asked| now.millis_since(asked) >= interval_ms);
-        rested && !self.asking && self.starts == 0
+            .is_none_or(|asked| now.millis_since(asked) >= wait_ms);
+        rested && !self.asking
     }
 
     /// The permit, while it is fresh enough to commit against.
+    #[must_use]
     pub fn usable_permit(&self, now: MonoTime, fresh_ms: u64) -> Option<u64> {
         let fresh = self
             .asked
--- a/crates/cells/src/state/cell_state.rs
+++ b/crates/cells/src/state/cell_state.rs
@@ -7,19 +7,20 @@
 use crate::journal::EntryBody;
 use crate::journal::JobOrder;
 use crate::journal::JournalEntry;
-use crate::journal::OwnerMark;
 use crate::state::AssignedPhase;
 use crate::state::JobRecord;
-use crate::state::RequestKey;
 use crate::state::RequestRecord;
 use crate::state::TaskCycle;
 use crate::state::TaskEntry;
 use crate::state::TaskOutcome;
 use crate::state::TransitionFault;
+use crate::state::WaitingPhase;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellEpoch;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::JobName;
 use sapphirestile_core::JournalSequence;
+use sapphirestile_core::RequestKey;
 use sapphirestile_core::SortedTable;
 use sapphirestile_core::TaskIndex;
 use sapphirestile_core::TaskName;
@@ -42,10 +43,13 @@
 pub struct CellState {
     sequence: JournalSequence,
     epoch: CellEpoch,
-    owner: Option<OwnerMark>,
+    owner: Option<DaemonIdentity>,
     jobs: SortedTable<JobName, JobRecord>,
     tasks: SortedTable<TaskName, TaskEntry>,
     records: SortedTable<RequestKey, RequestRecord>,
+    /// The latest attempt of all tasks that are forgotten. A worker may still
+    /// hold such an attempt, so that a name which is used again goes on after it.
+    forgotten_attempt: AttemptNumber,
 }
 
 impl CellState {
@@ -63,7 +67,7 @@
 
     /// Who owns the cell; nobody after a release.
     #[must_use]
-    pub const fn owner(&self) -> Option<&OwnerMark> {
+    pub const fn owner(&self) -> Option<&DaemonIdentity> {
         self.owner.as_ref()
     }
 
@@ -123,11 +127,12 @@
                 task,
                 attempt,
                 worker,
+                size,
             } => {
                 self.check_assignable(task, *attempt)?;
                 self.replace(task, |entry| match entry {
                     TaskEntry::Waiting(cycle) => {
-                        TaskEntry::Assigned(cycle.assign(*attempt, worker))
+                        TaskEntry::Assigned(cycle.assign(*attempt, worker, *size))
                     }
                     other => other,
                 });
@@ -158,28 +163,28 @@
                 Ok(())
             }
             CellTransition::RequestRecorded { key, record } => self.record_request(key, record),
+            CellTransition::RequestWithdrawn(key) => {
+                let known = self.records.remove(key);
+                known.map(|_| ()).ok_or(TransitionFault::UnknownRequest)
+            }
+            CellTransition::JobForgotten(job) => self.forget_job(job),
+            CellTransition::RecordsForgotten { before_unix_s } => {
+                self.records
+                    .retain(|_, record| record.recorded_unix_s >= *before_unix_s);
+                Ok(())
+            }
         }
     }
 
     /// Takes an assignment back that never reached the journal.
     pub(crate) fn withdraw(&mut self, task: &TaskName, attempt: AttemptNumber) {
-        let checked = self.give_task_back(task, attempt, 0, false);
+        let checked = self.unassign(task, attempt, TaskCycle::take_back);
         assert!(
             checked.is_ok(),
             "an assignment in flight was changed before its commit"
         );
     }
 
-    /// Forgets jobs that have ended, and requests recorded before `unix_s`.
-    pub(crate) fn forget(&mut self, keep_job: impl Fn(&JobName) -> bool, unix_s: u64) {
-        self.jobs
-            .retain(|job, record| record.open_tasks > 0 || keep_job(job));
-        let jobs = &self.jobs;
-        self.tasks.retain(|task, _| jobs.contains(&task.job));
-        self.records
-            .retain(|_, record| record.recorded_unix_s >= unix_s);
-    }
-
     fn check_place(&self, entry: &JournalEntry) {
         assert_eq!(
             entry.sequence,
@@ -224,13 +229,14 @@
             open_tasks,
         };
         self.jobs.insert(order.job.clone(), record);
+        let submitted = TaskCycle::submitted_after(self.forgotten_attempt);
         for index in 0..order.tasks {
             let task = TaskName {
                 job: order.job.clone(),
                 index: TaskIndex::new(index),
             };
             self.tasks
-                .insert(task, TaskEntry::Waiting(TaskCycle::submitted()));
+                .insert(task, TaskEntry::Waiting(submitted.clone()));
         }
         Ok(())
     }
@@ -254,19 +260,49 @@
         Ok(())
     }
 
+    fn forget_job(&mut self, job: &JobName) -> Result<(), TransitionFault> {
+        let record = self.jobs.get(job).ok_or(TransitionFault::UnknownJob)?;
+        if record.open_tasks > 0 {
+            return Err(TransitionFault::WrongPhase);
+        }
+        self.jobs.remove(job);
+        let mut latest = self.forgotten_attempt;
+        self.tasks.retain(|task, entry| {
+            let forgotten = task.job == *job;
+            if let (true, TaskEntry::Ended(cycle)) = (forgotten, entry) {
+                latest = latest.max(cycle.phase().attempt);
+            }
+            !forgotten
+        });
+        self.forgotten_attempt = latest;
+        Ok(())
+    }
+
     fn give_task_back(
         &mut self,
         task: &TaskName,
         attempt: AttemptNumber,
         checkpoint_ms: u64,
         failed: bool,
+    ) -> Result<(), TransitionFault> {
+        self.unassign(task, attempt, |cycle| {
+            cycle.give_back(checkpoint_ms, failed)
+        })
+    }
+
+    /// Lets an assigned task wait again, or ends it when its job was cancelled.
+    fn unassign(
+        &mut self,
+        task: &TaskName,
+        attempt: AttemptNumber,
+        change: impl FnOnce(TaskCycle<AssignedPhase>) -> TaskCycle<WaitingPhase>,
     ) -> Result<(), TransitionFault> {
         let cancelled = self
             .jobs
             .get(&task.job)
             .is_some_and(|record| record.cancelled);
         self.move_assigned(task, attempt, |cycle| {
-            let waiting = cycle.give_back(checkpoint_ms, failed);
+            let waiting = change(cycle);
             if cancelled {
                 TaskEntry::Ended(waiting.end(TaskOutcome::Cancelled))
             } else {
--- a/crates/cells/src/state/task_cycle.rs
+++ b/crates/cells/src/state/task_cycle.rs
@@ -9,6 +9,7 @@
 
 use crate::state::TaskOutcome;
 use sapphirestile_core::AttemptNumber;
+use sapphirestile_core::ResourceSize;
 use sapphirestile_core::WorkerName;
 
 pub use assigned_phase::AssignedPhase;
@@ -22,10 +23,11 @@
 /// ```
 /// use sapphirestile_cells::TaskCycle;
 /// use sapphirestile_core::AttemptNumber;
+/// use sapphirestile_core::ResourceSize;
 /// use sapphirestile_core::WorkerName;
 ///
 /// let worker = WorkerName::try_from("worker-1").unwrap();
-/// let assigned = TaskCycle::submitted().assign(AttemptNumber::new(1), &worker);
+/// let assigned = TaskCycle::submitted().assign(AttemptNumber::new(1), &worker, ResourceSize::default());
 /// let waiting = assigned.give_back(400, false);
 /// assert_eq!(waiting.phase().checkpoint_ms, 400);
 /// assert_eq!(waiting.phase().attempt.get(), 1);
@@ -58,7 +60,12 @@
     ///
     /// When `attempt` is not later than every attempt before.
     #[must_use]
-    pub fn assign(self, attempt: AttemptNumber, worker: &WorkerName) -> TaskCycle<AssignedPhase> {
+    pub fn assign(
+        self,
+        attempt: AttemptNumber,
+        worker: &WorkerName,
+        size: ResourceSize,
+    ) -> TaskCycle<AssignedPhase> {
         assert!(
             attempt > self.phase.attempt,
             "an attempt number was used twice"
@@ -73,12 +80,24 @@
             phase: AssignedPhase {
                 attempt,
                 worker,
+                size,
                 checkpoint_ms,
                 failures,
             },
         }
     }
 
+    /// A task that was just submitted under a name whose attempts up to `attempt`
+    /// belonged to a job that is forgotten.
+    #[must_use]
+    pub fn submitted_after(attempt: AttemptNumber) -> Self {
+        let phase = WaitingPhase {
+            attempt,
+            ..WaitingPhase::default()
+        };
+        Self { phase }
+    }
+
     /// Ends the task while it waits.
     #[must_use]
     pub fn end(self, outcome: TaskOutcome) -> TaskCycle<EndedPhase> {
@@ -114,7 +133,7 @@
             ..
         } = self.phase;
         let checkpoint_ms = known.max(checkpoint_ms);
-        let failures = failures + u32::from(failed);
+        let failures = failures.saturating_add(u32::from(failed));
         TaskCycle {
             phase: WaitingPhase {
                 attempt,
@@ -124,6 +143,25 @@
         }
     }
 
+    /// Takes an assignment back that never reached the journal, as if it had not
+    /// been made: attempts are numbered one by one.
+    #[must_use]
+    pub(crate) fn take_back(self) -> TaskCycle<WaitingPhase> {
+        let AssignedPhase {
+            attempt,
+            checkpoint_ms,
+            failures,
+            ..
+        } = self.phase;
+        TaskCycle {
+            phase: WaitingPhase {
+                attempt: AttemptNumber::new(attempt.get() - 1),
+                checkpoint_ms,
+                failures,
+            },
+        }
+    }
+
     /// Ends the task for good.
     #[must_use]
     pub fn end(self, outcome: TaskOutcome) -> TaskCycle<EndedPhase> {
--- /dev/null
+++ b/crates/command/src/commands/queues_command.rs
@@ -0,0 +1,45 @@
+//! Shows the queues of the daemon's cells.
+
+use bpaf::Parser;
+
+use crate::ExitKind;
+use crate::client::OperatorClient;
+use crate::commands::arguments::bare_command;
+use crate::operations::read_view;
+use crate::output::CommandOutput;
+use crate::output::TextTable;
+use sapphirestile_wire::api::DaemonStatus;
+use sapphirestile_wire::api::QueueStatus;
+
+/// Shows the queues of the daemon's cells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueuesCommand;
+
+impl QueuesCommand {
+    pub(crate) fn parser() -> impl Parser<Self> {
+        bare_command(
+            Self,
+            "queues",
+            "Shows the queues of the daemon's cells",
+            "Example: sapphirestile --daemon 10.0.1.4:7070 queues",
+        )
+    }
+
+    pub(crate) fn run(client: &OperatorClient<'_>, output: &mut CommandOutput<'_>) -> ExitKind {
+        let outcome = read_view::<DaemonStatus>(client, "/v1/status");
+        let outcome = outcome.map(|status| status.queues);
+        output.finish(outcome, |queues| queues_text(queues))
+    }
+}
+
+fn queues_text(queues: &[QueueStatus]) -> String {
+    let heads = ["CELL", "WAITING", "RUNNING"];
+    let table = TextTable::of(&heads, queues, |entry| {
+        vec![
+            entry.cell.to_string(),
+            entry.waiting.to_string(),
+            entry.running.to_string(),
+        ]
+    });
+    table.to_string()
+}
--- a/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
@@ -5,12 +5,15 @@
 use crate::cells::WaitingReply;
 use crate::cells::job_render;
 use crate::context::MonoClock;
-use sapphirestile_cells::RequestKey;
+use sapphirestile_cells::JobRecord;
 use sapphirestile_cells::RequestRecord;
 use sapphirestile_cells::TransitionFault;
 use sapphirestile_core::JobName;
+use sapphirestile_core::RequestKey;
 use sapphirestile_core::TaskIndex;
 use sapphirestile_wire::api::JobSubmission;
+use sapphirestile_wire::api::JobView;
+use sapphirestile_wire::api::TaskState;
 use sapphirestile_wire::peer::PeerAnswer;
 use sapphirestile_wire::peer::PeerFault;
 use sapphirestile_wire::peer::PeerRequest;
@@ -33,7 +36,15 @@
             PeerRequest::Explain(_, job, index) => self.explain(job, *index),
             PeerRequest::ListJobs(_) => self.list(),
             PeerRequest::RecordRequest(_, key) => self.record(key, call),
-            PeerRequest::Ping | PeerRequest::Document(_) => PeerAnswer::Pong,
+            PeerRequest::WithdrawRequest(_, key) => {
+                match self.owner.withdraw_request(key, &call.caller) {
+                    Ok(()) => PeerAnswer::Withdrawn,
+                    Err(fault) => not_run(fault),
+                }
+            }
+            PeerRequest::Ping | PeerRequest::Document(_) | PeerRequest::CloseMember(_) => {
+                PeerAnswer::Pong
+            }
         };
         self.reply_when_committed(call, answer);
     }
@@ -80,11 +91,24 @@
     fn view(&self, job: &JobName) -> PeerAnswer {
         let state = self.owner.state();
         match state.jobs().get(job) {
-            Some(record) => PeerAnswer::Job(job_render::view_of(self.owner.cell(), state, record)),
+            Some(record) => PeerAnswer::Job(self.render(record)),
             None => PeerAnswer::Fault(PeerFault::UnknownJob),
         }
     }
 
+    fn render(&self, record: &JobRecord) -> JobView {
+        let mut view = job_render::view_of(self.owner.cell(), self.owner.state(), record);
+        let reason = self.owner.waiting_reason(&record.order.job);
+        for task in view
+            .tasks
+            .iter_mut()
+            .filter(|task| task.state == TaskState::Waiting)
+        {
+            task.reason = reason.map(str::to_owned);
+        }
+        view
+    }
+
     fn list(&self) -> PeerAnswer {
         let (cell, state) = (self.owner.cell(), self.owner.state());
         let jobs = state.jobs().values();
@@ -99,21 +123,17 @@
         let Some(record) = state.jobs().get(job) else {
             return PeerAnswer::Fault(PeerFault::UnknownJob);
         };
-        let view = job_render::view_of(self.owner.cell(), state, record);
+        let view = self.render(record);
         let subject = index.map_or(job.to_string(), |index| format!("{job}/{index}"));
         PeerAnswer::Explained(subject, job_render::explain(&view, index))
     }
 
-    fn record(&mut self, key: &str, call: &KeeperCall) -> PeerAnswer {
-        let key = match RequestKey::try_from(key) {
-            Ok(key) => key,
-            Err(fault) => return PeerAnswer::Fault(PeerFault::NotRun(fault.to_owned())),
-        };
+    fn record(&mut self, key: &RequestKey, call: &KeeperCall) -> PeerAnswer {
         let record = RequestRecord {
             sender: call.caller.clone(),
             recorded_unix_s: MonoClock::unix_millis() / MILLIS_PER_SECOND,
         };
-        match self.owner.record_request(&key, &record) {
+        match self.owner.record_request(key, &record) {
             Ok(()) => PeerAnswer::Recorded {
                 epoch: self.owner.epoch(),
                 sequence: self.owner.last_proposed(),
--- a/crates/daemon/src/context/daemon_context.rs
+++ b/crates/daemon/src/context/daemon_context.rs
@@ -1,6 +1,9 @@
 //! The context of a daemon.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+
+use crossbeam::channel::Sender;
 
 use crate::cells::KeeperDirectory;
 use crate::context::MonoClock;
@@ -12,10 +15,14 @@
 use crate::members::WATCH_WAIT_MS;
 use crate::metrics::DaemonMetrics;
 use crate::settings::DaemonSettings;
+use crate::tokens::GaugeTable;
+use crate::tokens::LedgerRow;
+use crate::tokens::TokenEvent;
 use crate::vms::VmTable;
 use sapphirestile_cells::CellMap;
-use sapphirestile_cells::OwnerMark;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::MonoTime;
+use sapphirestile_platform::http::ConnectionTable;
 use sapphirestile_platform::store::StoreClient;
 use sapphirestile_routing::TableCell;
 use sapphirestile_wire::peer::FrameKey;
@@ -25,7 +32,7 @@
     /// The checked settings.
     pub settings: DaemonSettings,
     /// This life of the daemon.
-    pub mark: OwnerMark,
+    pub identity: DaemonIdentity,
     /// The process's clock.
     pub clock: MonoClock,
     /// The platform's store.
@@ -44,6 +51,16 @@
     pub vms: SwapHolder<VmTable>,
     /// The cells owned here.
     pub keepers: SwapHolder<KeeperDirectory>,
+    /// The ledger of tokens.
+    pub ledger: SwapHolder<LedgerRow>,
+    /// The gauges of runners.
+    pub gauges: GaugeTable,
+    /// Requests refused for want of a slot since the demand was last measured.
+    pub wanting: AtomicU32,
+    /// Events of the thread that owns the tokens.
+    pub token_events: Sender<TokenEvent>,
+    /// Connections to runners and workers.
+    pub connections: ConnectionTable,
     /// Counters and histograms.
     pub metrics: DaemonMetrics,
     /// The runners of each service.
@@ -54,15 +71,21 @@
     /// Which cell is whose; nothing before the first document.
     #[must_use]
     pub fn map(&self) -> Option<CellMap> {
-        let cells = self.document.load().document().cells();
-        (cells > 0).then(|| CellMap::new(cells))
+        let document = self.document.load();
+        let known = document.stored().is_some();
+        known.then(|| CellMap::new(document.document().cells.count))
     }
 
-    /// Whether the store has answered lately. The shared watch, when nothing
-    /// changes, hears from it once every [`crate::members::WATCH_WAIT_MS`].
+    /// Whether the store has answered lately.
     #[must_use]
     pub fn store_reachable(&self, now: MonoTime) -> bool {
-        let patience_ms = self.settings.limits.suspect_ms + WATCH_WAIT_MS;
-        self.pulse.silent_ms(now) < patience_ms
+        self.pulse.silent_ms(now) < self.store_patience_ms()
+    }
+
+    /// How long the store may be silent before it counts as away. The shared
+    /// watch, when nothing changes, hears from it every [`WATCH_WAIT_MS`].
+    #[must_use]
+    pub const fn store_patience_ms(&self) -> u64 {
+        self.settings.limits.suspect_ms + WATCH_WAIT_MS
     }
 }
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -6,16 +6,20 @@
 use std::thread;
 use std::time::Duration;
 
+use crossbeam::channel::bounded;
 use tracing::debug;
 
 use crate::cells::CellDesk;
 use crate::context::DaemonContext;
 use crate::peers::FrameStream;
-use sapphirestile_cells::OwnerMark;
+use crate::tokens::TokenEvent;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_wire::peer::PeerAnswer;
+use sapphirestile_wire::peer::PeerFault;
 use sapphirestile_wire::peer::PeerFrame;
 use sapphirestile_wire::peer::PeerRequest;
 
+const CLOSE_WAIT: Duration = Duration::from_secs(2);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Takes calls of peers, a thread a connection.
@@ -49,13 +53,13 @@
     let mut stream = FrameStream::new(stream, IDLE_TIMEOUT)?;
     loop {
         let sealed = stream.read()?;
-        let call = context
+        let frame = context
             .key
             .open::<PeerRequest>(&sealed)
             .map_err(std::io::Error::other)?;
         let answer = PeerFrame {
-            sender: context.mark.daemon.clone(),
-            incarnation: context.mark.incarnation,
+            sender: context.identity.daemon.clone(),
+            incarnation: context.identity.incarnation,
             call: frame.call,
             body: answer(context, frame),
         };
@@ -65,12 +69,13 @@
 }
 
 fn answer(context: &DaemonContext, frame: PeerFrame<PeerRequest>) -> PeerAnswer {
-    let sender = OwnerMark {
-        daemon: call.sender,
-        incarnation: call.incarnation,
+    let sender = DaemonIdentity {
+        daemon: frame.sender,
+        incarnation: frame.incarnation,
     };
     let cell = match &frame.body {
         PeerRequest::Ping => return PeerAnswer::Pong,
+        PeerRequest::CloseMember(gone) => return close(context, gone),
         PeerRequest::Document(known) => {
             let document = context.document.load();
             let newer = document.stored().filter(|_| document.revision() > *known);
@@ -82,7 +87,20 @@
         | PeerRequest::ViewJob(cell, _)
         | PeerRequest::Explain(cell, _, _)
         | PeerRequest::ListJobs(cell)
-        | PeerRequest::RecordRequest(cell, _) => *cell,
+        | PeerRequest::RecordRequest(cell, _)
+        | PeerRequest::WithdrawRequest(cell, _) => *cell,
     };
     CellDesk::new(context).call_here(cell, &sender, frame.body)
 }
+
+fn close(context: &DaemonContext, gone: &DaemonIdentity) -> PeerAnswer {
+    let (reply, answers) = bounded(1);
+    let event = TokenEvent::Close(gone.clone(), reply);
+    if context.token_events.send(event).is_err() {
+        return PeerAnswer::Fault(PeerFault::Unknown);
+    }
+    match answers.recv_timeout(CLOSE_WAIT) {
+        Ok(report) => PeerAnswer::Closed(report),
+        Err(_) => PeerAnswer::Fault(PeerFault::Unknown),
+    }
+}
--- /dev/null
+++ b/crates/platform/examples/client_towards_runners/client_kind.rs
@@ -0,0 +1,33 @@
+//! The clients that are compared.
+
+use std::net::SocketAddr;
+
+use crate::runner_caller::RunnerCaller;
+use sapphirestile_platform::http::CallLimits;
+use sapphirestile_platform::http::ConnectionTable;
+use sapphirestile_platform::http::PeerAddress;
+
+/// A way to call a runner.
+#[derive(Clone, Copy, Debug)]
+pub enum ClientKind {
+    /// oxhttp, a connection for each request.
+    Oxhttp,
+    /// A runner client for each request, over the connections of a table.
+    RunnerClient,
+}
+
+impl ClientKind {
+    /// A caller of the runner at `address`.
+    pub fn connect(self, address: SocketAddr, limits: CallLimits) -> RunnerCaller {
+        match self {
+            Self::Oxhttp => {
+                let client = oxhttp::Client::new().with_global_timeout(limits.timeout);
+                RunnerCaller::Oxhttp(client, format!("http://{address}/fit-check"))
+            }
+            Self::RunnerClient => {
+                let peer = PeerAddress::try_from(address).expect("a port other than 0");
+                RunnerCaller::RunnerClient(ConnectionTable::new(), peer, limits)
+            }
+        }
+    }
+}
--- a/crates/wire/tests/api_bodies.rs
+++ b/crates/wire/tests/api_bodies.rs
@@ -13,6 +13,8 @@
 use sapphirestile_wire::api::OperatorToken;
 use sapphirestile_wire::api::RECENT_CHANGES_MAX;
 use sapphirestile_wire::api::StoredDocument;
+use sapphirestile_wire::api::UnixTime;
+use sapphirestile_wire::api::WriteFate;
 use sapphirestile_wire::api::ZoneChange;
 
 const PROPERTY_SEED: u64 = 0x0a91;
@@ -28,26 +30,50 @@
 
 #[test]
 fn a_row_remembers_the_latest_changes_only() {
-    let mut row = StoredDocument::successor(None, &change(0, "[region r]\ncells = 1\n"), 0);
+    let mut row = StoredDocument::successor(None, &change(0, "[region r]\nlink_mbit = 1\n"), 0);
     for cells in 2..40 {
-        let text = format!("[region r]\ncells = {cells}\n");
+        let text = format!("[region r]\nlink_mbit = {cells}\n");
         row = StoredDocument::successor(Some(&row), &change(cells, &text), cells * 1_000);
     }
     assert_eq!(row.recent.len(), RECENT_CHANGES_MAX);
-    assert_eq!(row.recent[0].lines, ["[region r] cells: 38 -> 39"]);
+    assert_eq!(row.recent[0].lines, ["[region r] link_mbit: 38 -> 39"]);
     assert_eq!(row.recent[19].replaced, ConfigRevision::new(20));
     assert_eq!(row.changed_unix_ms, 39_000);
 }
 
 #[test]
 fn a_row_bounds_what_it_says_of_a_large_change() {
-    let regions = (0..30).map(|place| format!("[region r{place}]\ncells = 1\n"));
+    let regions = (0..30).map(|place| format!("[region r{place}]\nlink_mbit = 1\n"));
     let text = regions.collect::<String>();
     let row = StoredDocument::successor(None, &change(0, &text), 0);
     assert_eq!(row.recent[0].lines.len(), 21);
     assert_eq!(row.recent[0].lines[20], "and 10 more");
 }
 
+#[test]
+fn a_later_row_tells_the_fate_of_a_write() {
+    let base = StoredDocument::successor(None, &change(0, "[region r]\nlink_mbit = 1\n"), 0);
+    let ours = StoredDocument::successor(Some(&base), &change(5, "[region r]\nlink_mbit = 2\n"), 1);
+    let rival =
+        StoredDocument::successor(Some(&base), &change(5, "[region r]\nlink_mbit = 3\n"), 1);
+    let written = WriteFate::Written(ConfigRevision::new(8));
+    let fate = |row: &StoredDocument, write, revision| {
+        let revision = ConfigRevision::new(revision);
+        row.fate_of(write, revision)
+    };
+    assert_eq!(fate(&base, &ours, 5), WriteFate::Unknown);
+    assert_eq!(fate(&ours, &ours, 8), written);
+    assert_eq!(fate(&rival, &ours, 8), WriteFate::Beaten);
+    let mut later = ours.clone();
+    for replaced in 8..27 {
+        later = StoredDocument::successor(Some(&later), &change(replaced, ""), replaced);
+        assert_eq!(fate(&later, &ours, replaced + 1), written);
+        assert_eq!(fate(&later, &rival, replaced + 1), WriteFate::Beaten);
+    }
+    later = StoredDocument::successor(Some(&later), &change(27, ""), 27);
+    assert_eq!(fate(&later, &ours, 28), WriteFate::Unknown);
+}
+
 #[test_case(r#"{"state":"out","author":"maija","why":"storm"}"#; "an unknown field")]
 #[test_case(r#"{"state":"up","author":"maija"}"#; "an unknown state")]
 #[test_case(r#"{"state":"out","author":"a\nb"}"#; "an author of two lines")]
@@ -88,6 +114,17 @@
     assert_eq!(format!("{token:?}"), "OperatorToken(..)");
 }
 
+#[test_case(0, "1970-01-01 00:00:00 UTC"; "the beginning")]
+#[test_case(1_077_926_400_000, "2004-02-28 00:00:00 UTC"; "before a leap day")]
+#[test_case(1_078_012_800_000, "2004-02-29 00:00:00 UTC"; "a leap day")]
+#[test_case(1_078_099_200_000, "2004-03-01 00:00:00 UTC"; "after a leap day")]
+#[test_case(4_107_542_399_999, "2100-02-28 23:59:59 UTC"; "no leap day in 2100")]
+#[test_case(4_107_542_400_000, "2100-03-01 00:00:00 UTC"; "after February 2100")]
+#[test_case(1_796_379_780_000, "2026-12-04 10:23:00 UTC"; "a day of today")]
+fn a_time_is_shown_in_utc(unix_ms: u64, expected: &str) {
+    assert_eq!(UnixTime::new(unix_ms).to_string(), expected);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(PROPERTY_SEED),
