--- a/crates/experiment/src/service/daemon_view.rs
+++ b/crates/experiment/src/service/daemon_view.rs
@@ -12,6 +12,7 @@
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::ZoneName;
+use sapphirestile_routing::EjectionPolicy;
 use sapphirestile_routing::RouteQuery;
 use sapphirestile_routing::RoutingTable;
 use sapphirestile_routing::RunnerGauge;
@@ -29,6 +30,7 @@
     home: &'static str,
     rows: Vec<Arc<RunnerRow>>,
     table: RoutingTable,
+    ejection: EjectionPolicy,
     turn: usize,
 }
 
@@ -40,6 +42,7 @@
             home: plan.zones[number % 2],
             rows: (0..WORKER_COUNT).map(row).collect(),
             table: RoutingTable::default(),
+            ejection: EjectionPolicy::default(),
             turn: number,
         }
     }
@@ -64,6 +67,13 @@
         self.table = RoutingTable::new(&document, self.home, rows.collect());
     }
 
+    /// Leaves slow runners out for a while.
+    pub(super) fn judge(&mut self, now: MonoTime) {
+        let serving = self.rows.iter().filter(|row| !row.leaving);
+        let rows = serving.map(AsRef::as_ref).collect::<Vec<_>>();
+        self.ejection.judge(&rows, now);
+    }
+
     /// Chooses a runner and takes a slot on it.
     pub(super) fn route(
         &mut self,
--- a/crates/experiment/src/service/service_world.rs
+++ b/crates/experiment/src/service/service_world.rs
@@ -11,6 +11,7 @@
 use crate::DeploymentPlan;
 use crate::PolicyFeature;
 use crate::PolicySet;
+use crate::RoutingMode;
 use crate::batch::FakeWorker;
 use crate::plan::EventPlan;
 use crate::plan::SLOTS_PER_RUNNER;
@@ -106,6 +107,13 @@
             self.zone_out = zone_out;
             self.publish();
         }
+        if matches!(
+            self.policy.routing,
+            RoutingMode::Chosen | RoutingMode::Sticky
+        ) {
+            let now = MonoTime::from_millis(now_s * 1_000);
+            self.daemons.iter_mut().for_each(|daemon| daemon.judge(now));
+        }
         self.link_bytes = 0.0;
         let end_us = (now_s + 1) * SECOND_US;
         while to_u64(self.next_arrival_us) < end_us {
