--- a/crates/experiment/src/batch/baseline_choice.rs
+++ b/crates/experiment/src/batch/baseline_choice.rs
@@ -1,15 +1,62 @@
 //! Baselines of the choice of a worker.
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::PlacementMode;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_placement::RoomPolicy;
 use sapphirestile_placement::WorkerRoom;
 
+const SEED_SALT: u64 = 0x706c_6163;
+
+/// Chooses a worker by the mode of the run.
+#[derive(Clone, Debug)]
+pub(super) struct BaselineChoice {
+    mode: PlacementMode,
+    rng: SmallRng,
+    turn: usize,
+}
+
+impl BaselineChoice {
+    /// Begins the random sequence of `seed`.
+    pub(super) fn new(mode: PlacementMode, seed: u64) -> Self {
+        Self {
+            mode,
+            rng: SmallRng::seed_from_u64(seed ^ SEED_SALT),
+            turn: 0,
+        }
+    }
+
+    /// The worker to take; `chosen` is the one that the placement crate chose.
+    pub(super) fn pick(
+        &mut self,
+        rooms: &[WorkerRoom],
+        policy: &RoomPolicy,
+        size: &ResourceSize,
+        chosen: usize,
+    ) -> usize {
+        match self.mode {
+            PlacementMode::Chosen => chosen,
+            PlacementMode::Random => {
+                let draw = self.rng.random_range(0..rooms.len());
+                first_with_room(rooms, policy, size, draw)
+            }
+            PlacementMode::RoundRobin => {
+                self.turn += 1;
+                first_with_room(rooms, policy, size, self.turn)
+            }
+            PlacementMode::LeastLoaded => least_loaded(rooms, policy, size),
+        }
+    }
+}
+
 fn takes(room: &WorkerRoom, policy: &RoomPolicy, size: &ResourceSize) -> bool {
     room.takes_work() && room.has_room(policy, size)
 }
 
-/// The first worker with room from `start` on.
-pub(super) fn first_with_room(
+fn first_with_room(
     rooms: &[WorkerRoom],
     policy: &RoomPolicy,
     size: &ResourceSize,
@@ -22,12 +69,7 @@
         .expect("a worker was chosen, so one has room")
 }
 
-/// The worker with room that has the least processor time given away.
-pub(super) fn least_loaded(
-    rooms: &[WorkerRoom],
-    policy: &RoomPolicy,
-    size: &ResourceSize,
-) -> usize {
+fn least_loaded(rooms: &[WorkerRoom], policy: &RoomPolicy, size: &ResourceSize) -> usize {
     let with_room = (0..rooms.len()).filter(|place| takes(&rooms[*place], policy, size));
     let least = with_room.min_by_key(|place| rooms[*place].given.cpu_milli);
     least.expect("a worker was chosen, so one has room")
--- a/crates/experiment/src/batch/task_placer.rs
+++ b/crates/experiment/src/batch/task_placer.rs
@@ -1,30 +1,24 @@
 //! Starts tasks.
 
-use rand::Rng;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
-
 use crate::DeploymentPlan;
-use crate::PlacementMode;
 use crate::PolicyFeature;
 use crate::PolicySet;
 use crate::batch::BatchWorld;
-use crate::batch::baseline_choice::first_with_room;
-use crate::batch::baseline_choice::least_loaded;
+use crate::batch::baseline_choice::BaselineChoice;
+use crate::batch::hold_keeper::HoldKeeper;
 use crate::batch::owner_setup::customer_mut;
 use crate::batch::owner_setup::customers_of;
 use crate::batch::owner_setup::room_of;
 use crate::batch::run_record::RunRecord;
 use crate::batch::task_assignment::TaskAssignment;
+use crate::batch::task_book::TaskBook;
 use crate::plan::JobTruth;
 use crate::plan::WORKER_COUNT;
-use sapphirestile_core::JobName;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_core::TaskIndex;
 use sapphirestile_placement::CustomerRoom;
 use sapphirestile_placement::EstimatePolicy;
-use sapphirestile_placement::HOLD_AFTER_MS;
 use sapphirestile_placement::NoiseBook;
 use sapphirestile_placement::PlacedTasks;
 use sapphirestile_placement::PlacementRefusal;
@@ -36,24 +30,20 @@
 use sapphirestile_placement::TaskQueue;
 use sapphirestile_placement::WaitingJob;
 use sapphirestile_placement::WorkerRoom;
-use sapphirestile_placement::choose_held_worker;
-use sapphirestile_placement::choose_victims;
 use sapphirestile_placement::choose_worker;
 
-const SEED_SALT: u64 = 0x706c_6163;
-
 /// The queue, the rooms and what is assigned where.
 pub(crate) struct TaskPlacer<'a> {
     jobs: &'a [JobTruth],
     policy: &'a PolicySet,
     room_policy: RoomPolicy,
     estimate_policy: EstimatePolicy,
-    first_task: Vec<usize>,
+    tasks: TaskBook,
+    holds: HoldKeeper,
     whole: ResourceSize,
     customers: Vec<CustomerRoom>,
     placed: Vec<PlacedTasks>,
-    rng: SmallRng,
-    turn: usize,
+    choice: BaselineChoice,
     pub(crate) queue: TaskQueue,
     pub(crate) rooms: Vec<WorkerRoom>,
     pub(crate) sizes: SizeBook,
@@ -74,12 +64,7 @@
         policy: &'a PolicySet,
         seed: u64,
     ) -> Self {
-        let mut first_task = Vec::with_capacity(jobs.len());
-        let mut tasks = 0;
-        for job in jobs {
-            first_task.push(tasks);
-            tasks += job.tasks.len();
-        }
+        let tasks = TaskBook::new(jobs);
         let rooms = (0..WORKER_COUNT).map(|worker| room_of(plan, worker));
         let rooms = rooms.collect::<Vec<_>>();
         let whole = rooms
@@ -95,20 +80,20 @@
             } else {
                 EstimatePolicy::as_declared()
             },
-            first_task,
+            holds: HoldKeeper::new(policy),
             whole,
             customers: customers_of(&whole),
             placed: vec![PlacedTasks::default(); jobs.len()],
-            rng: SmallRng::seed_from_u64(seed ^ SEED_SALT),
-            turn: 0,
+            choice: BaselineChoice::new(policy.placement, seed),
             queue: TaskQueue::default(),
             rooms,
             sizes: SizeBook::default(),
             runs: vec![RunRecord::default(); jobs.len()],
-            assigned: vec![None; tasks],
-            begun: vec![None; tasks],
+            assigned: vec![None; tasks.count],
+            begun: vec![None; tasks.count],
             answered: 0,
             urgent_waits: Vec::new(),
+            tasks,
         }
     }
 
@@ -116,14 +101,15 @@
     pub(crate) fn arrive(&mut self, job: usize, now: MonoTime) {
         let count = u32::try_from(self.jobs[job].tasks.len()).unwrap_or(u32::MAX);
         let tasks = (0..count).rev().map(TaskIndex::new).collect();
-        self.queue.add(waiting(&self.jobs[job], now, tasks));
+        self.queue
+            .add(TaskBook::waiting(&self.jobs[job], now, tasks));
     }
 
     /// `task` waits again.
     pub(crate) fn requeue(&mut self, job: usize, task: usize, now: MonoTime) {
-        let index = u32::try_from(task - self.first_task[job]).unwrap_or(u32::MAX);
-        let tasks = vec![TaskIndex::new(index)];
-        self.queue.add(waiting(&self.jobs[job], now, tasks));
+        let tasks = vec![self.tasks.index_of(job, task)];
+        self.queue
+            .add(TaskBook::waiting(&self.jobs[job], now, tasks));
     }
 
     /// `task` has left its worker; answers with where it was.
@@ -145,13 +131,13 @@
         world: &mut BatchWorld<'_>,
     ) {
         let queue = std::mem::take(&mut self.queue);
-        self.drop_holds(|name| queue.get(name).is_some());
+        HoldKeeper::drop_holds(&mut self.rooms, |name| queue.get(name).is_some());
         let mut pass = QueuePass::new(&queue, self.whole, now);
         let mut starts = Vec::new();
         let mut finals = Vec::new();
         let mut stops = Vec::new();
         while let Some(job) = pass.next_job(&self.customers) {
-            let number = number_of(&job.name);
+            let number = TaskBook::number_of(&job.name);
             let size = self.size_of(job);
             let held = self
                 .rooms
@@ -222,45 +208,23 @@
         request.urgent = job.urgent;
         request.noise_permille = loud;
         let choice = choose_worker(&self.rooms, &request, &self.room_policy)?;
-        let worker = match self.policy.placement {
-            PlacementMode::Chosen => choice.place,
-            PlacementMode::Random => {
-                let draw = self.rng.random_range(0..WORKER_COUNT);
-                first_with_room(&self.rooms, &self.room_policy, &size, draw)
-            }
-            PlacementMode::RoundRobin => {
-                self.turn += 1;
-                first_with_room(&self.rooms, &self.room_policy, &size, self.turn)
-            }
-            PlacementMode::LeastLoaded => least_loaded(&self.rooms, &self.room_policy, &size),
-        };
+        let (rooms, policy) = (&self.rooms, &self.room_policy);
+        let worker = self.choice.pick(rooms, policy, &size, choice.place);
         customer.given = customer.given.plus(&size);
         let room = &mut self.rooms[worker];
         room.give(&self.room_policy, &size);
         room.noise_permille += loud;
         self.placed[number].add(&room.rack, &room.zone);
-        self.drop_holds(|name| *name != job.name);
+        HoldKeeper::drop_holds(&mut self.rooms, |name| *name != job.name);
         Ok(worker)
     }
 
     fn hold(&mut self, job: &WaitingJob, number: usize, size: ResourceSize, now: MonoTime) {
-        let taken = self.rooms.iter().any(|room| room.held_for.is_some());
         let waited = now.millis_since(job.submitted.max(job.not_before));
-        if taken || waited < HOLD_AFTER_MS || !self.policy.has(PolicyFeature::HeldWorker) {
-            return;
-        }
-        // Only work that is hard to fit needs a worker of its own.
-        if size.cpu_milli * 4 < self.rooms[0].size.cpu_milli {
-            return;
-        }
         let customer = customer_mut(&mut self.customers, &job.customer);
-        if !size.fits_in(&customer.left()) {
-            return;
-        }
         let request = PlacementRequest::new(size, customer, &self.placed[number]);
-        if let Some(worker) = choose_held_worker(&self.rooms, &request, &self.room_policy) {
-            self.rooms[worker].held_for = Some(job.name.clone());
-        }
+        let (rooms, policy) = (&mut self.rooms, &self.room_policy);
+        self.holds.hold(rooms, &request, &job.name, waited, policy);
     }
 
     /// Chooses tasks to stop for an urgent one and holds their worker for it.
@@ -271,42 +235,30 @@
         size: ResourceSize,
         world: &BatchWorld<'_>,
     ) -> Vec<usize> {
-        let held = |room: &WorkerRoom| room.held_for.as_ref() == Some(&job.name);
-        if !self.policy.has(PolicyFeature::Preemption) || self.rooms.iter().any(held) {
+        if !self.holds.may_preempt(&self.rooms, &job.name) {
             return Vec::new();
         }
         let customer = customer_mut(&mut self.customers, &job.customer);
         let own_only = !size.fits_in(&customer.left());
-        let is_open = |task: &usize| {
-            let known = &self.jobs[world.tasks[*task].job];
-            self.assigned[*task].is_some() && (!own_only || known.customer == job.customer)
-        };
-        let running = (0..self.assigned.len()).filter(is_open);
-        let running = running.collect::<Vec<_>>();
-        let view = |task: &usize| {
-            self.assigned[*task].map(|row| RunningTask {
-                worker: row.worker,
-                given: row.given,
-                urgent: self.jobs[world.tasks[*task].job].urgent,
-            })
-        };
-        let views = running.iter().filter_map(view).collect::<Vec<_>>();
-        let request = PlacementRequest::new(size, customer, &self.placed[number]);
-        let Some(choice) = choose_victims(&self.rooms, &views, &request, &self.room_policy) else {
-            return Vec::new();
-        };
-        self.rooms[choice.worker].held_for = Some(job.name.clone());
-        choice
-            .tasks
-            .into_iter()
-            .map(|place| running[place])
-            .collect()
-    }
-
-    fn drop_holds(&mut self, keep: impl Fn(&JobName) -> bool) {
-        for room in &mut self.rooms {
-            room.held_for = room.held_for.take().filter(&keep);
+        let mut places = Vec::new();
+        let mut running = Vec::new();
+        for (task, row) in self.assigned.iter().enumerate() {
+            let known = &self.jobs[world.tasks[task].job];
+            if let Some(row) = row
+                && (!own_only || known.customer == job.customer)
+            {
+                places.push(task);
+                running.push(RunningTask {
+                    worker: row.worker,
+                    given: row.given,
+                    urgent: known.urgent,
+                });
+            }
         }
+        let request = PlacementRequest::new(size, customer, &self.placed[number]);
+        let (rooms, policy) = (&mut self.rooms, &self.room_policy);
+        let chosen = HoldKeeper::preempt(rooms, &running, &request, &job.name, policy);
+        chosen.into_iter().map(|place| places[place]).collect()
     }
 
     fn start(
@@ -323,7 +275,7 @@
             .queue
             .take_task(name)
             .expect("the job has a waiting task");
-        let task = self.first_task[job] + usize::try_from(index.get()).unwrap_or(0);
+        let task = self.tasks.place_of(job, index);
         let again = self.begun[task].is_some();
         self.begun[task].get_or_insert(now);
         if self.jobs[job].urgent && !again {
@@ -340,22 +292,3 @@
         world.start(task, worker, given);
     }
 }
-
-/// The place of a job in the workload.
-pub(crate) fn number_of(name: &JobName) -> usize {
-    let digits = name.as_str().rsplit('-').next().unwrap_or("");
-    digits.parse().expect("names of jobs end with their number")
-}
-
-fn waiting(job: &JobTruth, now: MonoTime, tasks: Vec<TaskIndex>) -> WaitingJob {
-    WaitingJob {
-        name: job.name.clone(),
-        customer: job.customer.clone(),
-        urgent: job.urgent,
-        declared: job.declared,
-        zones: Vec::new(),
-        submitted: now,
-        not_before: MonoTime::default(),
-        tasks,
-    }
-}
