Hand tokens over at a planned stop, and tell peers news and a page

Ruled out: handing over while the balancer may still send requests.

Before: the others held 32 of 48 tokens after a stop.

--- a/crates/daemon/src/tokens/token_event.rs
+++ b/crates/daemon/src/tokens/token_event.rs
@@ -14,6 +14,8 @@
     Handover(HandoverMessage),
     /// A peer said what it holds and wants.
     Reported(DaemonIdentity, TokenReport),
+    /// Hand everything over, and answer once nothing is held.
+    Leave(Sender<()>),
     /// Close the counters with a member that is proven gone, and answer.
     Close(DaemonIdentity, Sender<ClosedReport>),
 }
--- a/crates/daemon/src/tokens/token_keeper.rs
+++ b/crates/daemon/src/tokens/token_keeper.rs
@@ -1,5 +1,6 @@
 //! The thread that owns the daemon's tokens.
 
+mod leave_steps;
 mod ledger_steps;
 mod trade_steps;
 
@@ -19,6 +20,7 @@
 use crate::tokens::PeerReports;
 use crate::tokens::TokenEvent;
 use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::RunnerName;
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::SortedTable;
 use sapphirestile_slots::ApplyOutcome;
@@ -40,6 +42,10 @@
     reports: PeerReports,
     demand: SortedTable<ServiceName, DemandMeter>,
     sent: u64,
+    /// The last runner of the page sent to each peer.
+    pages: SortedTable<DaemonIdentity, RunnerName>,
+    /// Who waits until nothing is held, and how often the peers were told.
+    leaving: Option<(Sender<()>, u32)>,
 }
 
 impl TokenKeeper {
@@ -54,6 +60,8 @@
             reports: PeerReports::default(),
             demand: SortedTable::new(),
             sent: 0,
+            pages: SortedTable::new(),
+            leaving: None,
         }
     }
 
@@ -80,6 +88,7 @@
                 }
             }
             TokenEvent::Reported(peer, report) => self.reports.note(peer, report, now),
+            TokenEvent::Leave(reply) => self.begin_leaving(reply),
             TokenEvent::Close(gone, reply) => self.close(&gone, &reply),
         }
     }
@@ -96,8 +105,12 @@
         if let Some(holder) = &mut self.holder {
             holder.lift_embargoes(self.context.clock.now(), &self.context.gauges);
         }
-        self.change_ledger();
-        self.trade();
+        if self.leaving.is_some() {
+            self.leave();
+        } else {
+            self.change_ledger();
+            self.trade();
+        }
     }
 
     fn follow_ledger(&mut self) {
--- a/crates/daemon/src/tokens/token_keeper/trade_steps.rs
+++ b/crates/daemon/src/tokens/token_keeper/trade_steps.rs
@@ -20,6 +20,7 @@
 
 const REPORT_AGE_MAX_MS: u64 = 2_000;
 const TOTALS_MAX: usize = 200;
+const PAGE_TOTALS: usize = 8;
 
 impl TokenKeeper {
     /// Measures the demand, tells the peers, and hands over what the plan asks.
@@ -115,13 +116,32 @@
             .collect()
     }
 
-    /// Tells a peer what is held and wanted here, and all that was ever handed to
-    /// it: whatever was lost comes again.
+    /// Tells a peer what is held and wanted here, what was handed to it lately,
+    /// and one page of all that was ever handed to it: whatever was lost comes
+    /// again, page by page.
     fn tell(&mut self, peer: &DaemonIdentity, report: &TokenReport) {
         if *peer == self.context.identity {
             return;
         }
         self.send(peer, PeerDatagram::Tokens(report.clone()));
+        let Some(holder) = &mut self.holder else {
+            return;
+        };
+        let news = holder.news_to(peer, TOTALS_MAX);
+        let page = holder.message_to(peer, self.pages.get(peer), PAGE_TOTALS);
+        match page.totals.last() {
+            Some(last) => self.pages.insert(peer.clone(), last.runner.clone()),
+            None => self.pages.remove(peer),
+        };
+        for message in news.into_iter().chain(Some(page)) {
+            if !message.totals.is_empty() {
+                self.send(peer, PeerDatagram::Handover(message));
+            }
+        }
+    }
+
+    /// Tells a peer all that was ever handed to it.
+    pub(super) fn tell_everything(&mut self, peer: &DaemonIdentity) {
         let mut after: Option<RunnerName> = None;
         while let Some(holder) = &self.holder {
             let message = holder.message_to(peer, after.as_ref(), TOTALS_MAX);
--- a/crates/daemon/tests/failures/planned_stop.rs
+++ b/crates/daemon/tests/failures/planned_stop.rs
@@ -7,6 +7,7 @@
 
 use crate::support::CELLS;
 use crate::support::Stage;
+use crate::support::tokens_of;
 use sapphirestile_standins::fleet::FleetPlan;
 use sapphirestile_standins::runner::RunnerSettings;
 use sapphirestile_test_support::call;
@@ -14,6 +15,8 @@
 use sapphirestile_test_support::wait_until;
 
 const CALLERS: usize = 6;
+/// Two runners of eight slots in each of three zones.
+const TOKENS: u64 = 48;
 
 /// A daemon is stopped as planned while callers send requests as long as it is
 /// ready: each has its whole answer, and the cells go on elsewhere at once.
@@ -67,4 +70,8 @@
     });
     assert!(leaving.wait().success(), "the stop ended in time");
     stage.scene.wait_owned(&stage.operators(), CELLS);
+    // Its tokens went with it, though nothing proves yet that it is gone.
+    wait_until("the others hold every token", || {
+        (tokens_of(&stage.operators())? == TOKENS).then_some(())
+    });
 }
