Hold repeated warnings back, count starts, ends and evictions

Cause: a store that is away wrote a line each 50 ms to 2 s for every cell, and batch work had no metrics. Ruled out: a filter in the subscriber, which does not know what is alike. Before: every try a line. After: the first, then one each ten seconds with a count.

--- a/crates/daemon/src/cells/cell_keeper.rs
+++ b/crates/daemon/src/cells/cell_keeper.rs
@@ -11,6 +11,7 @@
 use crossbeam::channel::Sender;
 use tracing::info;
 
+use crate::cells::EntryTally;
 use crate::cells::JournalBatch;
 use crate::cells::JournalOutcome;
 use crate::cells::KeeperDump;
@@ -54,6 +55,10 @@
     /// When starts were last planned.
     planned: MonoTime,
     committed: MonoTime,
+    /// What the entry in flight will have brought about.
+    tally: EntryTally,
+    /// The evictions counted so far.
+    evictions: u64,
     stopping: bool,
     deposed: bool,
     /// Whether the entry in flight is certain not to be in the journal.
@@ -85,6 +90,8 @@
             listed: None,
             planned: MonoTime::default(),
             committed,
+            tally: EntryTally::default(),
+            evictions: 0,
             stopping: false,
             deposed: false,
             beaten_in_journal: false,
@@ -176,6 +183,7 @@
             }
         };
         let effects = self.owner.settle_batch(outcome);
+        self.count(outcome);
         self.committed = self.context.clock.now();
         for effect in effects {
             self.call_worker(effect);
@@ -192,6 +200,20 @@
         }
     }
 
+    /// Counts what the entry in flight has brought about, once it is done.
+    fn count(&mut self, outcome: CommitOutcome) {
+        let tally = std::mem::take(&mut self.tally);
+        let evictions = self.owner.evictions();
+        let metrics = &self.context.metrics;
+        metrics.evictions.inc_by(evictions - self.evictions);
+        self.evictions = evictions;
+        if outcome == CommitOutcome::Done {
+            metrics.starts.inc_by(tally.starts);
+            metrics.tasks_finished.inc_by(tally.finished);
+            metrics.tasks_failed.inc_by(tally.failed);
+        }
+    }
+
     fn give_replies(&mut self) {
         let reached = self.owner.sequence();
         let (due, rest) = std::mem::take(&mut self.replies)
--- a/crates/daemon/src/cells/cell_keeper/keeper_steps.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_steps.rs
@@ -1,6 +1,7 @@
 //! What a keeper does after each event.
 
 use crate::cells::CellKeeper;
+use crate::cells::EntryTally;
 use crate::cells::JournalBatch;
 use crate::cells::WorkerCall;
 use crate::context::MonoClock;
@@ -96,6 +97,7 @@
         let snapshot = snapshot_due.then(|| self.owner.snapshot_in_flight());
         let revision = starts_tasks(&entry).then_some(revision);
         self.guarded = revision;
+        self.tally = EntryTally::of(&entry);
         // The writer ends only after it has reported that the owner is deposed.
         let _queued = self.batches.send(JournalBatch {
             entry,
--- a/crates/daemon/src/cells/journal_writer.rs
+++ b/crates/daemon/src/cells/journal_writer.rs
@@ -13,6 +13,7 @@
 use crate::cells::JournalOutcome;
 use crate::cells::KeeperEvent;
 use crate::context::DaemonContext;
+use crate::context::RepeatGate;
 
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(50);
 const RETRY_PAUSE_MAX: Duration = Duration::from_secs(2);
@@ -25,12 +26,13 @@
     context: Arc<DaemonContext>,
     journal: CellJournal,
     events: Sender<KeeperEvent>,
+    gate: RepeatGate,
 }
 
 impl JournalWriter {
     /// A writer that reports to `events`.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         context: Arc<DaemonContext>,
         journal: CellJournal,
         events: Sender<KeeperEvent>,
@@ -39,6 +41,7 @@
             context,
             journal,
             events,
+            gate: RepeatGate::default(),
         }
     }
 
@@ -64,7 +67,16 @@
                     self.context.pulse.note(asked);
                     return outcome;
                 }
-                Err(error) => warn!(step = "commit journal entry", ?error, "trying again"),
+                Err(error) => {
+                    if let Some(repeats) = self.gate.pass(asked) {
+                        warn!(
+                            step = "commit journal entry",
+                            repeats,
+                            ?error,
+                            "trying again"
+                        );
+                    }
+                }
             }
             thread::sleep(pause);
             pause = RETRY_PAUSE_MAX.min(pause * 2);
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -7,6 +7,7 @@
 mod daemon_context;
 mod mono_clock;
 mod phase_gauge;
+mod repeat_gate;
 mod store_keys;
 mod store_pulse;
 mod swap_holder;
@@ -14,6 +15,7 @@
 pub use daemon_context::DaemonContext;
 pub use mono_clock::MonoClock;
 pub use phase_gauge::PhaseGauge;
+pub use repeat_gate::RepeatGate;
 pub use store_keys::StoreKeys;
 pub use store_pulse::StorePulse;
 pub use swap_holder::SwapHolder;
--- a/crates/daemon/src/members/shared_watch.rs
+++ b/crates/daemon/src/members/shared_watch.rs
@@ -11,6 +11,7 @@
 use tracing::warn;
 
 use crate::context::DaemonContext;
+use crate::context::RepeatGate;
 use crate::context::StoreKeys;
 use crate::document;
 use crate::members::MemberRecord;
@@ -36,13 +37,15 @@
 /// one waiting call.
 pub struct SharedWatch {
     context: Arc<DaemonContext>,
+    gate: RepeatGate,
 }
 
 impl SharedWatch {
     /// A watch for one daemon.
     #[must_use]
-    pub const fn new(context: Arc<DaemonContext>) -> Self {
-        Self { context }
+    pub fn new(context: Arc<DaemonContext>) -> Self {
+        let gate = RepeatGate::default();
+        Self { context, gate }
     }
 
     /// Reads everything once.
@@ -66,12 +69,15 @@
                 Ok(revision) => after = Some(revision),
                 Err(error) => {
                     after = None;
-                    warn!(
-                        step = "watch shared rows",
-                        peer = "store",
-                        ?error,
-                        "trying again"
-                    );
+                    if let Some(repeats) = self.gate.pass(self.context.clock.now()) {
+                        warn!(
+                            step = "watch shared rows",
+                            peer = "store",
+                            repeats,
+                            ?error,
+                            "trying again"
+                        );
+                    }
                     thread::sleep(RETRY_PAUSE);
                 }
             }
--- a/crates/daemon/src/metrics/daemon_metrics.rs
+++ b/crates/daemon/src/metrics/daemon_metrics.rs
@@ -25,6 +25,14 @@
     pub not_run: Counter,
     /// Requests without a known outcome.
     pub unknown: Counter,
+    /// Batch tasks that did all their work.
+    pub tasks_finished: Counter,
+    /// Batch tasks that failed for good.
+    pub tasks_failed: Counter,
+    /// Attempts started on workers.
+    pub starts: Counter,
+    /// Running attempts that were asked to leave their worker.
+    pub evictions: Counter,
     owned_cells: Gauge,
     revision: Gauge<u64, AtomicU64>,
     store_silent_ms: Gauge<u64, AtomicU64>,
@@ -39,6 +47,10 @@
             answered: Counter::default(),
             not_run: Counter::default(),
             unknown: Counter::default(),
+            tasks_finished: Counter::default(),
+            tasks_failed: Counter::default(),
+            starts: Counter::default(),
+            evictions: Counter::default(),
             owned_cells: Gauge::default(),
             revision: Gauge::default(),
             store_silent_ms: Gauge::default(),
@@ -82,6 +94,18 @@
             "Requests without outcome",
             self.unknown.clone(),
         );
+        registry.register(
+            "tasks_finished",
+            "Tasks finished",
+            self.tasks_finished.clone(),
+        );
+        registry.register("tasks_failed", "Tasks failed", self.tasks_failed.clone());
+        registry.register("starts", "Attempts started", self.starts.clone());
+        registry.register(
+            "evictions",
+            "Attempts asked to leave",
+            self.evictions.clone(),
+        );
         registry.register("owned_cells", "Cells owned", self.owned_cells.clone());
         registry.register(
             "config_revision",
--- a/crates/daemon/src/vms/vm_poller.rs
+++ b/crates/daemon/src/vms/vm_poller.rs
@@ -8,6 +8,7 @@
 use tracing::warn;
 
 use crate::context::DaemonContext;
+use crate::context::RepeatGate;
 use crate::routes::RoutePublisher;
 use crate::vms::VmTable;
 use sapphirestile_platform::vms::VmClient;
@@ -18,13 +19,19 @@
 pub struct VmPoller {
     context: Arc<DaemonContext>,
     client: VmClient,
+    gate: RepeatGate,
 }
 
 impl VmPoller {
     /// A poller for one daemon.
     #[must_use]
-    pub const fn new(context: Arc<DaemonContext>, client: VmClient) -> Self {
-        Self { context, client }
+    pub fn new(context: Arc<DaemonContext>, client: VmClient) -> Self {
+        let gate = RepeatGate::default();
+        Self {
+            context,
+            client,
+            gate,
+        }
     }
 
     /// Polls until `stop` is closed.
@@ -43,7 +50,16 @@
         let asked = self.context.clock.now();
         match self.client.list() {
             Ok(records) => self.context.vms.update(|_| VmTable::new(records, asked)),
-            Err(error) => warn!(step = "read VM list", ?error, "the list before stays"),
+            Err(error) => {
+                if let Some(repeats) = self.gate.pass(asked) {
+                    warn!(
+                        step = "read VM list",
+                        repeats,
+                        ?error,
+                        "the list before stays"
+                    );
+                }
+            }
         }
     }
 }
