Let a sorted table take a run of rows at once

Cause: submitting a job put its tasks in one by one, each moving all rows after it: 5.3 ms for 500 tasks before 13,000 others (release).

--- a/crates/core/src/sorted_table.rs
+++ b/crates/core/src/sorted_table.rs
@@ -76,6 +76,36 @@
         }
     }
 
+    /// Puts a run of rows in at once, which moves the rows after it only once.
+    ///
+    /// # Panics
+    ///
+    /// When the keys of the run are not in order, or a row of the table has one
+    /// of them or lies between them.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_core::SortedTable;
+    ///
+    /// let mut table: SortedTable<u32, char> = [(1, 'a'), (9, 'z')].into_iter().collect();
+    /// table.insert_run(vec![(4, 'd'), (5, 'e')]);
+    /// assert_eq!(table.keys().copied().collect::<Vec<_>>(), [1, 4, 5, 9]);
+    /// ```
+    pub fn insert_run(&mut self, run: Vec<(K, V)>) {
+        let Some(((first, _), (last, _))) = run.first().zip(run.last()) else {
+            return;
+        };
+        assert!(
+            run.is_sorted_by(|(left, _), (right, _)| left < right),
+            "a run of rows is out of order"
+        );
+        let (before, after) = (self.search(first), self.search(last));
+        assert_eq!(before, after, "a row lies between those of a run");
+        let place = before.expect_err("a row of a run is there already");
+        self.rows.splice(place..place, run);
+    }
+
     /// The value at `key`, put there first when the table has none.
     pub fn get_or_insert_with(&mut self, key: K, value: impl FnOnce() -> V) -> &mut V {
         let place = match self.search(&key) {
