Make an owner's steps linear, and split the state and the owner's file

Each report walked over all tasks, each plan looked every waiting task's job up several times, and a worker with a standing counted its tasks by a walk over all.

Now the owner keeps the assigned tasks by worker beside the state and asserts that both agree; the planner walks jobs and tasks side by side; rooms count their tasks while they are filled. Sizes and failures learnt of a job are forgotten with the job: they were kept for good, for each job that ever ran.

--- a/crates/cells/src/owner.rs
+++ b/crates/cells/src/owner.rs
@@ -6,6 +6,7 @@
 //! batch. What the workers are asked to do comes out as [`CellEffect`]s: a
 //! [`StartOrder`] only after its assignment is in the journal.
 
+mod assigned_book;
 mod cell_effect;
 mod cell_owner;
 mod claiming_phase;
@@ -21,6 +22,7 @@
 mod worker_facts;
 mod worker_view;
 
+use assigned_book::AssignedBook;
 use settling_attempt::SettlingAttempt;
 
 pub use worker_view::WorkerView;
--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -1,30 +1,28 @@
 //! The owner of a cell, in each phase of its ownership.
 
+mod batch_commits;
+mod forgetting;
+mod start_planning;
+mod task_proposals;
+mod worker_list;
+mod worker_reports;
+
 use crate::journal::CellTransition;
 use crate::journal::EntryBody;
 use crate::journal::JobOrder;
 use crate::journal::JournalEntry;
+use crate::owner::AssignedBook;
 use crate::owner::ClaimingPhase;
 use crate::owner::OpenPhase;
-use crate::state::AssignedPhase;
 use crate::state::CellState;
 use crate::state::RequestRecord;
-use crate::state::TaskEntry;
-use crate::state::TaskOutcome;
 use crate::state::TransitionFault;
-use sapphirestile_core::DaemonIdentity;
-use sapphirestile_core::RequestKey;
-mod batch_commits;
-mod forgetting;
-mod start_planning;
-mod worker_list;
-mod worker_reports;
-
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::JobName;
 use sapphirestile_core::JournalSequence;
-use sapphirestile_core::TaskName;
+use sapphirestile_core::RequestKey;
 
 /// The owner of a cell in one phase of its ownership.
 ///
@@ -103,11 +101,15 @@
             state,
             ..
         } = self;
+        let phase = OpenPhase {
+            assigned: AssignedBook::of(&state),
+            ..OpenPhase::default()
+        };
         CellOwner {
             cell,
             identity,
             state,
-            phase: OpenPhase::default(),
+            phase,
         }
     }
 }
@@ -236,62 +238,4 @@
     pub const fn sequence(&self) -> JournalSequence {
         self.state.sequence()
     }
-
-    fn propose(&mut self, transition: CellTransition) -> Result<(), TransitionFault> {
-        self.state.apply(&transition)?;
-        self.phase.pending.push(transition);
-        Ok(())
-    }
-
-    fn propose_sure(&mut self, transition: CellTransition) {
-        let proposed = self.propose(transition);
-        assert!(
-            proposed.is_ok(),
-            "a change that was just checked does not fit: {proposed:?}"
-        );
-    }
-
-    fn assigned_to(&self, worker: &str) -> Vec<(TaskName, AssignedPhase)> {
-        let mut found = Vec::new();
-        for (task, entry) in self.state.tasks().iter() {
-            if let TaskEntry::Assigned(cycle) = entry
-                && cycle.phase().worker.as_str() == worker
-            {
-                found.push((task.clone(), cycle.phase().clone()));
-            }
-        }
-        found
-    }
-
-    fn is_withheld(&self, task: &TaskName) -> bool {
-        let mut starts = self.phase.withheld.iter().chain(&self.phase.flying);
-        starts.any(|start| start.task == *task)
-    }
-
-    fn return_task(
-        &mut self,
-        task: &TaskName,
-        cycle: &AssignedPhase,
-        checkpoint_ms: u64,
-        failed: bool,
-    ) {
-        self.phase.stopping.remove(task);
-        let (task, attempt) = (task.clone(), cycle.attempt);
-        self.propose_sure(CellTransition::TaskReturned {
-            task,
-            attempt,
-            checkpoint_ms,
-            failed,
-        });
-    }
-
-    fn end_task(&mut self, task: &TaskName, cycle: &AssignedPhase, outcome: TaskOutcome) {
-        self.phase.stopping.remove(task);
-        let (task, attempt) = (task.clone(), cycle.attempt);
-        self.propose_sure(CellTransition::TaskEnded {
-            task,
-            attempt,
-            outcome,
-        });
-    }
 }
--- a/crates/cells/src/owner/cell_owner/batch_commits.rs
+++ b/crates/cells/src/owner/cell_owner/batch_commits.rs
@@ -71,6 +71,7 @@
     fn withdraw_starts(&mut self, entry: JournalEntry) {
         for start in std::mem::take(&mut self.phase.flying) {
             self.state.withdraw(&start.task, start.attempt);
+            self.phase.assigned.remove(&start.worker, &start.task);
             self.start_answered(start.worker.as_str());
         }
         let EntryBody::Batch(mut transitions) = entry.body else {
--- a/crates/cells/src/owner/cell_owner/forgetting.rs
+++ b/crates/cells/src/owner/cell_owner/forgetting.rs
@@ -17,6 +17,7 @@
         self.note_ended_jobs(now);
         for job in self.jobs_to_forget(now) {
             self.phase.ended.remove(&job);
+            self.phase.planner.forget_job(&job);
             self.propose_sure(CellTransition::JobForgotten(job));
         }
         self.phase.planner.forget_jobs(&self.state);
--- /dev/null
+++ b/crates/cells/src/owner/cell_owner/task_proposals.rs
@@ -0,0 +1,104 @@
+//! Changes that an owner proposes.
+
+use crate::journal::CellTransition;
+use crate::owner::CellOwner;
+use crate::owner::OpenPhase;
+use crate::state::AssignedPhase;
+use crate::state::TaskEntry;
+use crate::state::TaskOutcome;
+use crate::state::TransitionFault;
+use sapphirestile_core::TaskName;
+use sapphirestile_core::WorkerName;
+
+impl CellOwner<OpenPhase> {
+    pub(super) fn propose(&mut self, transition: CellTransition) -> Result<(), TransitionFault> {
+        let leaves = self.leaves(&transition);
+        self.state.apply(&transition)?;
+        if let Some((worker, task)) = leaves {
+            self.phase.assigned.remove(&worker, &task);
+        }
+        if let CellTransition::TaskAssigned { worker, task, .. } = &transition {
+            self.phase.assigned.add(worker, task);
+        }
+        self.phase.pending.push(transition);
+        Ok(())
+    }
+
+    pub(super) fn propose_sure(&mut self, transition: CellTransition) {
+        let proposed = self.propose(transition);
+        assert!(
+            proposed.is_ok(),
+            "a change that was just checked does not fit: {proposed:?}"
+        );
+    }
+
+    /// The worker that the change takes a task from.
+    fn leaves(&self, transition: &CellTransition) -> Option<(WorkerName, TaskName)> {
+        let (CellTransition::TaskReturned { task, .. } | CellTransition::TaskEnded { task, .. }) =
+            transition
+        else {
+            return None;
+        };
+        let phase = self.assigned_phase(task)?;
+        Some((phase.worker.clone(), task.clone()))
+    }
+
+    pub(super) fn assigned_to(&self, worker: &str) -> Vec<(TaskName, AssignedPhase)> {
+        let tasks = self.phase.assigned.tasks_of(worker).iter();
+        tasks
+            .map(|task| (task.clone(), self.phase_on(task, worker)))
+            .collect()
+    }
+
+    fn phase_on(&self, task: &TaskName, worker: &str) -> AssignedPhase {
+        let phase = self.assigned_phase(task);
+        let phase = phase.filter(|phase| phase.worker.as_str() == worker);
+        phase
+            .expect("the book of assigned tasks agrees with the state")
+            .clone()
+    }
+
+    fn assigned_phase(&self, task: &TaskName) -> Option<&AssignedPhase> {
+        match self.state.tasks().get(task)? {
+            TaskEntry::Assigned(cycle) => Some(cycle.phase()),
+            TaskEntry::Waiting(_) | TaskEntry::Ended(_) => None,
+        }
+    }
+
+    pub(super) fn is_withheld(&self, task: &TaskName) -> bool {
+        let mut starts = self.phase.withheld.iter().chain(&self.phase.flying);
+        starts.any(|start| start.task == *task)
+    }
+
+    pub(super) fn return_task(
+        &mut self,
+        task: &TaskName,
+        cycle: &AssignedPhase,
+        checkpoint_ms: u64,
+        failed: bool,
+    ) {
+        self.phase.stopping.remove(task);
+        let (task, attempt) = (task.clone(), cycle.attempt);
+        self.propose_sure(CellTransition::TaskReturned {
+            task,
+            attempt,
+            checkpoint_ms,
+            failed,
+        });
+    }
+
+    pub(super) fn end_task(
+        &mut self,
+        task: &TaskName,
+        cycle: &AssignedPhase,
+        outcome: TaskOutcome,
+    ) {
+        self.phase.stopping.remove(task);
+        let (task, attempt) = (task.clone(), cycle.attempt);
+        self.propose_sure(CellTransition::TaskEnded {
+            task,
+            attempt,
+            outcome,
+        });
+    }
+}
--- a/crates/cells/src/owner/cell_owner/worker_list.rs
+++ b/crates/cells/src/owner/cell_owner/worker_list.rs
@@ -6,7 +6,6 @@
 use crate::owner::StopOrder;
 use crate::owner::WorkerFacts;
 use crate::owner::worker_view::WorkerView;
-use crate::state::TaskEntry;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
@@ -116,11 +115,7 @@
     /// Every worker that was listed, or that a task is assigned to.
     fn known_workers(&self) -> Vec<WorkerName> {
         let mut known: Vec<WorkerName> = self.phase.workers.keys().cloned().collect();
-        for entry in self.state.tasks().values() {
-            if let TaskEntry::Assigned(cycle) = entry {
-                known.push(cycle.phase().worker.clone());
-            }
-        }
+        known.extend(self.phase.assigned.workers().cloned());
         known.sort();
         known.dedup();
         known
--- a/crates/cells/src/owner/cell_owner/worker_reports.rs
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -144,11 +144,13 @@
     /// voided the permits of all starts sent before it, so they cannot take
     /// effect any more.
     fn return_missing(&mut self, report: &ReportView<'_>) {
+        let sightings = report.tasks.iter();
+        let mut sighted: Vec<_> = sightings
+            .map(|sighting| (&sighting.task, sighting.attempt))
+            .collect();
+        sighted.sort_unstable();
         for (task, cycle) in self.assigned_to(report.worker) {
-            let shown = report
-                .tasks
-                .iter()
-                .any(|sighting| sighting.task == task && sighting.attempt == cycle.attempt);
+            let shown = sighted.binary_search(&(&task, cycle.attempt)).is_ok();
             if !shown && !self.is_withheld(&task) {
                 self.return_task(&task, &cycle, 0, false);
             }
--- a/crates/cells/src/owner/open_phase.rs
+++ b/crates/cells/src/owner/open_phase.rs
@@ -2,6 +2,7 @@
 
 use crate::journal::CellTransition;
 use crate::journal::JournalEntry;
+use crate::owner::AssignedBook;
 use crate::owner::SettlingAttempt;
 use crate::owner::StartOrder;
 use crate::owner::StopOrder;
@@ -19,6 +20,8 @@
 #[derive(Debug, Default)]
 pub struct OpenPhase {
     pub(super) workers: SortedTable<WorkerName, WorkerView>,
+    /// The assigned tasks of the state, by worker.
+    pub(super) assigned: AssignedBook,
     /// Applied to the state, not yet handed out in a batch.
     pub(super) pending: Vec<CellTransition>,
     /// Handed out, with no outcome yet.
--- a/crates/cells/src/planner/room_book.rs
+++ b/crates/cells/src/planner/room_book.rs
@@ -11,7 +11,7 @@
 use sapphirestile_core::RackName;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_core::SortedTable;
-use sapphirestile_core::TaskName;
+use sapphirestile_core::TaskIndex;
 use sapphirestile_core::WorkerName;
 use sapphirestile_placement::CustomerRoom;
 use sapphirestile_placement::PlacedTasks;
@@ -25,6 +25,8 @@
     pub queue: TaskQueue,
     /// In the order of the workers' names.
     pub rooms: Vec<WorkerRoom>,
+    /// How many tasks each room holds.
+    pub running: Vec<usize>,
     /// In the order of the customers' names.
     pub customers: Vec<CustomerRoom>,
     pub placed: SortedTable<JobName, PlacedTasks>,
@@ -39,6 +41,7 @@
     ) -> Self {
         let mut book = Self {
             queue: TaskQueue::default(),
+            running: vec![0; view.workers.len()],
             rooms: view
                 .workers
                 .values()
@@ -50,36 +53,35 @@
                 .collect(),
             placed: SortedTable::new(),
         };
-        for (task, entry) in view.state.tasks().iter() {
-            let Some(record) = view.state.jobs().get(&task.job) else {
-                continue;
-            };
-            match entry {
-                TaskEntry::Waiting(_) => {
-                    let since = |table: &SortedTable<JobName, MonoTime>| {
-                        table.get(&task.job).copied().unwrap_or_default()
-                    };
-                    book.wait(task, record, since(submitted), since(not_before));
-                }
-                TaskEntry::Assigned(cycle) => {
-                    let phase = cycle.phase();
-                    book.occupy(record, &phase.worker, &phase.size);
+        let mut tasks = view.state.tasks().iter().peekable();
+        for (job, record) in view.state.jobs().iter() {
+            let mut waiting = Vec::new();
+            while let Some((task, entry)) = tasks.next_if(|(task, _)| task.job == *job) {
+                match entry {
+                    TaskEntry::Waiting(_) => waiting.push(task.index),
+                    TaskEntry::Assigned(cycle) => {
+                        let phase = cycle.phase();
+                        book.occupy(record, &phase.worker, &phase.size);
+                    }
+                    TaskEntry::Ended(_) => {}
                 }
-                TaskEntry::Ended(_) => {}
+            }
+            let since = |table: &SortedTable<JobName, MonoTime>| {
+                table.get(job).copied().unwrap_or_default()
+            };
+            if !waiting.is_empty() {
+                book.wait(waiting, record, since(submitted), since(not_before));
             }
         }
+        assert!(tasks.next().is_none(), "a task belongs to no job");
         book
     }
 
     /// Sets workers aside by their standing and by how many tasks they run.
-    pub fn judge(
-        &mut self,
-        standings: &SortedTable<WorkerName, WorkerStanding>,
-        running: impl Fn(&WorkerName) -> usize,
-    ) {
-        for room in &mut self.rooms {
+    pub fn judge(&mut self, standings: &SortedTable<WorkerName, WorkerStanding>) {
+        for (room, running) in self.rooms.iter_mut().zip(&self.running) {
             if let Some(standing) = standings.get(&room.name) {
-                room.set_aside = !standing.takes_work(running(&room.name));
+                room.set_aside = !standing.takes_work(*running);
             }
         }
     }
@@ -99,6 +101,7 @@
         };
         let room = &mut self.rooms[place];
         room.given = room.given.plus(size);
+        self.running[place] += 1;
         let job = record.order.job.clone();
         let placed = self.placed.get_or_insert_with(job, PlacedTasks::default);
         placed.add(&room.rack, &room.zone);
@@ -106,20 +109,20 @@
 
     fn wait(
         &mut self,
-        task: &TaskName,
+        tasks: Vec<TaskIndex>,
         record: &JobRecord,
         submitted: MonoTime,
         not_before: MonoTime,
     ) {
         self.queue.add(WaitingJob {
-            name: task.job.clone(),
+            name: record.order.job.clone(),
             customer: record.order.customer.clone(),
             urgent: record.order.urgent,
             declared: record.order.size,
             zones: record.order.zones.clone(),
             submitted,
             not_before,
-            tasks: vec![task.index],
+            tasks,
         });
     }
 }
--- a/crates/cells/src/planner/start_planner.rs
+++ b/crates/cells/src/planner/start_planner.rs
@@ -5,7 +5,6 @@
 use crate::planner::RoomBook;
 use crate::state::CellState;
 use crate::state::JobRecord;
-use crate::state::TaskEntry;
 use sapphirestile_core::CustomerEntry;
 use sapphirestile_core::CustomerName;
 use sapphirestile_core::JobName;
@@ -120,12 +119,18 @@
         self.not_before.retain(|job, _| state.jobs().contains(job));
     }
 
+    /// Forgets the sizes and the failures of a job.
+    pub fn forget_job(&mut self, job: &JobName) {
+        self.sizes.forget_job(job);
+        self.failures.forget_job(job);
+    }
+
     /// Plans starts, at most as many as the view allows.
     pub fn plan(&mut self, view: &PlanView<'_>) -> Vec<PlannedStart> {
         self.note_submitted(view);
         self.pass_time(view.now);
         let mut book = RoomBook::gather(view, &self.customers, &self.submitted, &self.not_before);
-        book.judge(&self.standings, |worker| running_on(view.state, worker));
+        book.judge(&self.standings);
         self.reasons = SortedTable::new();
         self.walk(view, &mut book)
     }
@@ -277,11 +282,3 @@
     let place = customers.binary_search_by(|customer| customer.name.cmp(&job.customer));
     &customers[place.expect("the queue passes jobs of unknown customers over")]
 }
-
-fn running_on(state: &CellState, worker: &WorkerName) -> usize {
-    let on_worker = |entry: &&TaskEntry| match entry {
-        TaskEntry::Assigned(cycle) => cycle.phase().worker == *worker,
-        TaskEntry::Waiting(_) | TaskEntry::Ended(_) => false,
-    };
-    state.tasks().values().filter(on_worker).count()
-}
--- a/crates/cells/src/state/cell_state.rs
+++ b/crates/cells/src/state/cell_state.rs
@@ -1,20 +1,18 @@
 //! The lasting state of a cell.
 
+mod job_changes;
+mod task_changes;
+
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::journal::CellTransition;
 use crate::journal::EntryBody;
-use crate::journal::JobOrder;
 use crate::journal::JournalEntry;
-use crate::state::AssignedPhase;
 use crate::state::JobRecord;
 use crate::state::RequestRecord;
-use crate::state::TaskCycle;
 use crate::state::TaskEntry;
-use crate::state::TaskOutcome;
 use crate::state::TransitionFault;
-use crate::state::WaitingPhase;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::DaemonIdentity;
@@ -22,7 +20,6 @@
 use sapphirestile_core::JournalSequence;
 use sapphirestile_core::RequestKey;
 use sapphirestile_core::SortedTable;
-use sapphirestile_core::TaskIndex;
 use sapphirestile_core::TaskName;
 
 /// The most tasks of one job.
@@ -176,15 +173,6 @@
         }
     }
 
-    /// Takes an assignment back that never reached the journal.
-    pub(crate) fn withdraw(&mut self, task: &TaskName, attempt: AttemptNumber) {
-        let checked = self.unassign(task, attempt, TaskCycle::take_back);
-        assert!(
-            checked.is_ok(),
-            "an assignment in flight was changed before its commit"
-        );
-    }
-
     fn check_place(&self, entry: &JournalEntry) {
         assert_eq!(
             entry.sequence,
@@ -209,112 +197,6 @@
         }
     }
 
-    fn submit_job(&mut self, order: &JobOrder) -> Result<(), TransitionFault> {
-        if let Some(known) = self.jobs.get(&order.job) {
-            let same = known.order == *order;
-            let fault = if same {
-                TransitionFault::AlreadySubmitted
-            } else {
-                TransitionFault::NameTaken
-            };
-            return Err(fault);
-        }
-        if !(1..=TASKS_MAX).contains(&order.tasks) {
-            return Err(TransitionFault::TaskCount);
-        }
-        let open_tasks = order.tasks;
-        let record = JobRecord {
-            order: order.clone(),
-            cancelled: false,
-            open_tasks,
-        };
-        self.jobs.insert(order.job.clone(), record);
-        let submitted = TaskCycle::submitted_after(self.forgotten_attempt);
-        for index in 0..order.tasks {
-            let task = TaskName {
-                job: order.job.clone(),
-                index: TaskIndex::new(index),
-            };
-            self.tasks
-                .insert(task, TaskEntry::Waiting(submitted.clone()));
-        }
-        Ok(())
-    }
-
-    fn cancel_job(&mut self, job: &JobName) -> Result<(), TransitionFault> {
-        let record = self.jobs.get_mut(job).ok_or(TransitionFault::UnknownJob)?;
-        if record.cancelled {
-            return Err(TransitionFault::Cancelled);
-        }
-        record.cancelled = true;
-        let mut ended = 0;
-        for (task, entry) in self.tasks.iter_mut() {
-            if task.job == *job
-                && let TaskEntry::Waiting(cycle) = entry
-            {
-                *entry = TaskEntry::Ended(cycle.clone().end(TaskOutcome::Cancelled));
-                ended += 1;
-            }
-        }
-        self.count_ended(job, ended);
-        Ok(())
-    }
-
-    fn forget_job(&mut self, job: &JobName) -> Result<(), TransitionFault> {
-        let record = self.jobs.get(job).ok_or(TransitionFault::UnknownJob)?;
-        if record.open_tasks > 0 {
-            return Err(TransitionFault::WrongPhase);
-        }
-        self.jobs.remove(job);
-        let mut latest = self.forgotten_attempt;
-        self.tasks.retain(|task, entry| {
-            let forgotten = task.job == *job;
-            if let (true, TaskEntry::Ended(cycle)) = (forgotten, entry) {
-                latest = latest.max(cycle.phase().attempt);
-            }
-            !forgotten
-        });
-        self.forgotten_attempt = latest;
-        Ok(())
-    }
-
-    fn give_task_back(
-        &mut self,
-        task: &TaskName,
-        attempt: AttemptNumber,
-        checkpoint_ms: u64,
-        failed: bool,
-    ) -> Result<(), TransitionFault> {
-        self.unassign(task, attempt, |cycle| {
-            cycle.give_back(checkpoint_ms, failed)
-        })
-    }
-
-    /// Lets an assigned task wait again, or ends it when its job was cancelled.
-    fn unassign(
-        &mut self,
-        task: &TaskName,
-        attempt: AttemptNumber,
-        change: impl FnOnce(TaskCycle<AssignedPhase>) -> TaskCycle<WaitingPhase>,
-    ) -> Result<(), TransitionFault> {
-        let cancelled = self
-            .jobs
-            .get(&task.job)
-            .is_some_and(|record| record.cancelled);
-        self.move_assigned(task, attempt, |cycle| {
-            let waiting = change(cycle);
-            if cancelled {
-                TaskEntry::Ended(waiting.end(TaskOutcome::Cancelled))
-            } else {
-                TaskEntry::Waiting(waiting)
-            }
-        })?;
-        if cancelled {
-            self.count_ended(&task.job, 1);
-        }
-        Ok(())
-    }
-
     fn record_request(
         &mut self,
         key: &RequestKey,
@@ -326,53 +208,4 @@
         self.records.insert(key.clone(), record.clone());
         Ok(())
     }
-
-    fn check_assignable(
-        &self,
-        task: &TaskName,
-        attempt: AttemptNumber,
-    ) -> Result<(), TransitionFault> {
-        match self.tasks.get(task) {
-            Some(TaskEntry::Waiting(cycle)) if attempt > cycle.phase().attempt => Ok(()),
-            Some(TaskEntry::Waiting(_)) => Err(TransitionFault::OldAttempt),
-            Some(_) => Err(TransitionFault::WrongPhase),
-            None => Err(TransitionFault::UnknownTask),
-        }
-    }
-
-    fn move_assigned(
-        &mut self,
-        task: &TaskName,
-        attempt: AttemptNumber,
-        change: impl FnOnce(TaskCycle<AssignedPhase>) -> TaskEntry,
-    ) -> Result<(), TransitionFault> {
-        match self.tasks.get(task) {
-            Some(TaskEntry::Assigned(cycle)) if cycle.phase().attempt == attempt => {}
-            Some(TaskEntry::Assigned(_)) => return Err(TransitionFault::OldAttempt),
-            Some(_) => return Err(TransitionFault::WrongPhase),
-            None => return Err(TransitionFault::UnknownTask),
-        }
-        self.replace(task, |entry| match entry {
-            TaskEntry::Assigned(cycle) => change(cycle),
-            other => other,
-        });
-        Ok(())
-    }
-
-    fn replace(&mut self, task: &TaskName, change: impl FnOnce(TaskEntry) -> TaskEntry) {
-        if let Some(place) = self.tasks.get_mut(task) {
-            let entry = std::mem::replace(place, TaskEntry::Waiting(TaskCycle::submitted()));
-            *place = change(entry);
-        }
-    }
-
-    fn count_ended(&mut self, job: &JobName, tasks: u32) {
-        if let Some(record) = self.jobs.get_mut(job) {
-            assert!(
-                record.open_tasks >= tasks,
-                "a job ended more tasks than it has"
-            );
-            record.open_tasks -= tasks;
-        }
-    }
 }
--- /dev/null
+++ b/crates/cells/src/state/cell_state/job_changes.rs
@@ -0,0 +1,94 @@
+//! Changes of whole jobs.
+
+use crate::journal::JobOrder;
+use crate::state::CellState;
+use crate::state::JobRecord;
+use crate::state::TaskCycle;
+use crate::state::TaskEntry;
+use crate::state::TaskOutcome;
+use crate::state::TransitionFault;
+use sapphirestile_core::JobName;
+use sapphirestile_core::TaskIndex;
+use sapphirestile_core::TaskName;
+
+use crate::state::cell_state::TASKS_MAX;
+
+impl CellState {
+    pub(super) fn submit_job(&mut self, order: &JobOrder) -> Result<(), TransitionFault> {
+        if let Some(known) = self.jobs.get(&order.job) {
+            let same = known.order == *order;
+            let fault = if same {
+                TransitionFault::AlreadySubmitted
+            } else {
+                TransitionFault::NameTaken
+            };
+            return Err(fault);
+        }
+        if !(1..=TASKS_MAX).contains(&order.tasks) {
+            return Err(TransitionFault::TaskCount);
+        }
+        let open_tasks = order.tasks;
+        let record = JobRecord {
+            order: order.clone(),
+            cancelled: false,
+            open_tasks,
+        };
+        self.jobs.insert(order.job.clone(), record);
+        let submitted = TaskCycle::submitted_after(self.forgotten_attempt);
+        let task = |index| TaskName {
+            job: order.job.clone(),
+            index: TaskIndex::new(index),
+        };
+        let waiting = |index| (task(index), TaskEntry::Waiting(submitted.clone()));
+        self.tasks
+            .insert_run((0..order.tasks).map(waiting).collect());
+        Ok(())
+    }
+
+    pub(super) fn cancel_job(&mut self, job: &JobName) -> Result<(), TransitionFault> {
+        let record = self.jobs.get_mut(job).ok_or(TransitionFault::UnknownJob)?;
+        if record.cancelled {
+            return Err(TransitionFault::Cancelled);
+        }
+        record.cancelled = true;
+        let mut ended = 0;
+        for (task, entry) in self.tasks.iter_mut() {
+            if task.job == *job
+                && let TaskEntry::Waiting(cycle) = entry
+            {
+                *entry = TaskEntry::Ended(cycle.clone().end(TaskOutcome::Cancelled));
+                ended += 1;
+            }
+        }
+        self.count_ended(job, ended);
+        Ok(())
+    }
+
+    pub(super) fn forget_job(&mut self, job: &JobName) -> Result<(), TransitionFault> {
+        let record = self.jobs.get(job).ok_or(TransitionFault::UnknownJob)?;
+        if record.open_tasks > 0 {
+            return Err(TransitionFault::WrongPhase);
+        }
+        self.jobs.remove(job);
+        let mut latest = self.forgotten_attempt;
+        self.tasks.retain(|task, entry| {
+            let forgotten = task.job == *job;
+            if let (true, TaskEntry::Ended(cycle)) = (forgotten, entry) {
+                latest = latest.max(cycle.phase().attempt);
+            }
+            !forgotten
+        });
+        self.forgotten_attempt = latest;
+        Ok(())
+    }
+
+    pub(super) fn count_ended(&mut self, job: &JobName, tasks: u32) {
+        if let Some(record) = self.jobs.get_mut(job) {
+            assert!(
+                record.open_tasks >= tasks,
+                "a job ended more tasks than it has"
+            );
+            record.open_tasks -= tasks;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cells/src/state/cell_state/task_changes.rs
@@ -0,0 +1,98 @@
+//! Changes of single tasks.
+
+use crate::state::AssignedPhase;
+use crate::state::CellState;
+use crate::state::TaskCycle;
+use crate::state::TaskEntry;
+use crate::state::TaskOutcome;
+use crate::state::TransitionFault;
+use crate::state::WaitingPhase;
+use sapphirestile_core::AttemptNumber;
+use sapphirestile_core::TaskName;
+
+impl CellState {
+    /// Takes an assignment back that never reached the journal.
+    pub(crate) fn withdraw(&mut self, task: &TaskName, attempt: AttemptNumber) {
+        let checked = self.unassign(task, attempt, TaskCycle::take_back);
+        assert!(
+            checked.is_ok(),
+            "an assignment in flight was changed before its commit"
+        );
+    }
+
+    pub(super) fn give_task_back(
+        &mut self,
+        task: &TaskName,
+        attempt: AttemptNumber,
+        checkpoint_ms: u64,
+        failed: bool,
+    ) -> Result<(), TransitionFault> {
+        self.unassign(task, attempt, |cycle| {
+            cycle.give_back(checkpoint_ms, failed)
+        })
+    }
+
+    /// Lets an assigned task wait again, or ends it when its job was cancelled.
+    pub(super) fn unassign(
+        &mut self,
+        task: &TaskName,
+        attempt: AttemptNumber,
+        change: impl FnOnce(TaskCycle<AssignedPhase>) -> TaskCycle<WaitingPhase>,
+    ) -> Result<(), TransitionFault> {
+        let cancelled = self
+            .jobs
+            .get(&task.job)
+            .is_some_and(|record| record.cancelled);
+        self.move_assigned(task, attempt, |cycle| {
+            let waiting = change(cycle);
+            if cancelled {
+                TaskEntry::Ended(waiting.end(TaskOutcome::Cancelled))
+            } else {
+                TaskEntry::Waiting(waiting)
+            }
+        })?;
+        if cancelled {
+            self.count_ended(&task.job, 1);
+        }
+        Ok(())
+    }
+
+    pub(super) fn check_assignable(
+        &self,
+        task: &TaskName,
+        attempt: AttemptNumber,
+    ) -> Result<(), TransitionFault> {
+        match self.tasks.get(task) {
+            Some(TaskEntry::Waiting(cycle)) if attempt > cycle.phase().attempt => Ok(()),
+            Some(TaskEntry::Waiting(_)) => Err(TransitionFault::OldAttempt),
+            Some(_) => Err(TransitionFault::WrongPhase),
+            None => Err(TransitionFault::UnknownTask),
+        }
+    }
+
+    pub(super) fn move_assigned(
+        &mut self,
+        task: &TaskName,
+        attempt: AttemptNumber,
+        change: impl FnOnce(TaskCycle<AssignedPhase>) -> TaskEntry,
+    ) -> Result<(), TransitionFault> {
+        match self.tasks.get(task) {
+            Some(TaskEntry::Assigned(cycle)) if cycle.phase().attempt == attempt => {}
+            Some(TaskEntry::Assigned(_)) => return Err(TransitionFault::OldAttempt),
+            Some(_) => return Err(TransitionFault::WrongPhase),
+            None => return Err(TransitionFault::UnknownTask),
+        }
+        self.replace(task, |entry| match entry {
+            TaskEntry::Assigned(cycle) => change(cycle),
+            other => other,
+        });
+        Ok(())
+    }
+
+    pub(super) fn replace(&mut self, task: &TaskName, change: impl FnOnce(TaskEntry) -> TaskEntry) {
+        if let Some(place) = self.tasks.get_mut(task) {
+            let entry = std::mem::replace(place, TaskEntry::Waiting(TaskCycle::submitted()));
+            *place = change(entry);
+        }
+    }
+}
