--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -26,6 +26,8 @@
 pub use owner::CellOwner;
 pub use owner::ClaimingPhase;
 pub use owner::CommitOutcome;
+pub use owner::DecisionLog;
+pub use owner::DecisionNote;
 pub use owner::OpenPhase;
 pub use owner::ReportView;
 pub use owner::SessionOrder;
--- a/crates/cells/src/owner.rs
+++ b/crates/cells/src/owner.rs
@@ -6,10 +6,13 @@
 //! batch. What the workers are asked to do comes out as [`CellEffect`]s: a
 //! [`StartOrder`] only after its assignment is in the journal.
 
+mod assigned_book;
 mod cell_effect;
 mod cell_owner;
 mod claiming_phase;
 mod commit_outcome;
+mod decision_log;
+mod decision_note;
 mod open_phase;
 mod report_view;
 mod session_order;
@@ -21,6 +24,7 @@
 mod worker_facts;
 mod worker_view;
 
+use assigned_book::AssignedBook;
 use settling_attempt::SettlingAttempt;
 
 pub use worker_view::WorkerView;
@@ -29,6 +33,8 @@
 pub use cell_owner::CellOwner;
 pub use claiming_phase::ClaimingPhase;
 pub use commit_outcome::CommitOutcome;
+pub use decision_log::DecisionLog;
+pub use decision_note::DecisionNote;
 pub use open_phase::OpenPhase;
 pub use report_view::ReportView;
 
--- a/crates/daemon/src/cells/cell_keeper.rs
+++ b/crates/daemon/src/cells/cell_keeper.rs
@@ -196,6 +196,12 @@
             cell: self.owner.cell(),
             state: self.owner.state().clone(),
             committing: self.owner.has_flight(),
+            decisions: self
+                .owner
+                .decisions()
+                .notes()
+                .map(ToString::to_string)
+                .collect(),
             evictions: self.owner.evictions(),
         }
     }
--- a/crates/daemon/src/tokens/token_keeper/leave_steps.rs
+++ b/crates/daemon/src/tokens/token_keeper/leave_steps.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use crossbeam::channel::Sender;
-use sapphirestile_core::DaemonIdentity;
 
 use crate::tokens::TokenKeeper;
+use sapphirestile_core::DaemonIdentity;
 
 /// Each message may be lost, so all are sent in several rounds.
 const ROUNDS_MIN: u32 = 4;
--- a/crates/daemon/tests/failures/moving_document.rs
+++ b/crates/daemon/tests/failures/moving_document.rs
@@ -1,11 +1,11 @@
-use sapphirestile_standins::fleet::FleetPlan;
-use sapphirestile_standins::store::StoreFaults;
-use sapphirestile_test_support::call_json;
 use serde_json::json;
 
 use crate::support::Stage;
 use crate::support::submit;
 use crate::support::wait_job;
+use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_standins::store::StoreFaults;
+use sapphirestile_test_support::call_json;
 
 const CHANGES: usize = 12;
 
