Remove registrations of daemons that are gone

Ruled out: leases on the rows, which would lapse in an outage of the store and take live members with them. Before: rows stayed for good. After: the first member removes the rows of VMs that the list has not shown for 30 s and that hold no tokens. Four scenes of what proves that a member is gone. An empty list of VMs is not believed.

--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -28,6 +28,7 @@
 pub use owner::CommitOutcome;
 pub use owner::DecisionLog;
 pub use owner::DecisionNote;
+pub use owner::LIST_LAG_MAX_MS;
 pub use owner::OpenPhase;
 pub use owner::ReportView;
 pub use owner::SessionOrder;
--- a/crates/cells/src/owner.rs
+++ b/crates/cells/src/owner.rs
@@ -31,6 +31,7 @@
 
 pub use cell_effect::CellEffect;
 pub use cell_owner::CellOwner;
+pub use cell_owner::LIST_LAG_MAX_MS;
 pub use claiming_phase::ClaimingPhase;
 pub use commit_outcome::CommitOutcome;
 pub use decision_log::DecisionLog;
--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -7,6 +7,8 @@
 mod worker_list;
 mod worker_reports;
 
+pub use worker_list::LIST_LAG_MAX_MS;
+
 use crate::journal::CellTransition;
 use crate::journal::EntryBody;
 use crate::journal::JobOrder;
--- a/crates/daemon/src/members/member_registration.rs
+++ b/crates/daemon/src/members/member_registration.rs
@@ -50,6 +50,33 @@
         }
     }
 
+    /// Removes the registration of an incarnation that is gone. What becomes of it
+    /// is seen in the shared rows.
+    pub fn remove(&self, incarnation: IncarnationNumber) {
+        let key = StoreKeys::member(self.daemon);
+        let end = format!("{key}\0");
+        let guards = [StoreGuard {
+            key: &key,
+            revision: incarnation.get(),
+        }];
+        let writes = [StoreWrite::DeleteRange {
+            first: &key,
+            end: &end,
+        }];
+        let commit = StoreCommit {
+            guards: &guards,
+            writes: &writes,
+        };
+        if let Err(error) = self.store.commit(&commit) {
+            warn!(
+                step = "remove registration",
+                daemon = self.daemon,
+                ?error,
+                "outcome open"
+            );
+        }
+    }
+
     fn try_register(&self, record: &MemberRecord) -> Result<IncarnationNumber, Report<StepError>> {
         let failed = || StepError::new(STEP, "store");
         let value = serde_json::to_vec(record).change_context_lazy(failed)?;
--- a/crates/daemon/src/tokens/member_proofs.rs
+++ b/crates/daemon/src/tokens/member_proofs.rs
@@ -2,18 +2,32 @@
 
 use crate::members::MemberTable;
 use crate::vms::VmTable;
+use sapphirestile_cells::LIST_LAG_MAX_MS;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::DaemonName;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
 use sapphirestile_wire::vms::VmKind;
 
-/// A VM that the list has not shown for this long is gone.
-const LIST_LAG_MAX_MS: u64 = 30_000;
-
 /// Says which members are proven gone: a later incarnation has registered under
 /// the name, or the list of VMs, which shows this daemon's own VM, has not shown
 /// the member's for longer than the list may lag. Silence proves nothing.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_daemon::members::MemberTable;
+/// use sapphirestile_daemon::tokens::MemberProofs;
+/// use sapphirestile_daemon::vms::VmTable;
+/// use sapphirestile_core::DaemonIdentity;
+/// use sapphirestile_core::DaemonName;
+/// use sapphirestile_core::IncarnationNumber;
+///
+/// let daemon = DaemonName::try_from("entry-2").unwrap();
+/// let member = DaemonIdentity { daemon, incarnation: IncarnationNumber::new(4) };
+/// let proofs = MemberProofs::default();
+/// assert!(!proofs.is_gone(&member, &MemberTable::default(), &VmTable::default()));
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct MemberProofs {
     unlisted: SortedTable<DaemonName, MonoTime>,
@@ -46,11 +60,16 @@
     pub fn is_gone(&self, member: &DaemonIdentity, members: &MemberTable, vms: &VmTable) -> bool {
         let row = members.row(member.daemon.as_str());
         let replaced = row.is_some_and(|row| row.incarnation > member.incarnation);
-        let since = self.unlisted.get(member.daemon.as_str());
-        let unlisted = match (since, vms.read()) {
+        replaced || self.is_unlisted(&member.daemon, vms)
+    }
+
+    /// Whether the list has not shown the daemon's VM for longer than it may lag.
+    #[must_use]
+    pub fn is_unlisted(&self, daemon: &DaemonName, vms: &VmTable) -> bool {
+        let since = self.unlisted.get(daemon.as_str());
+        match (since, vms.read()) {
             (Some(since), Some(read)) => read.millis_since(*since) >= LIST_LAG_MAX_MS,
             _ => false,
-        };
-        replaced || unlisted
+        }
     }
 }
--- a/crates/daemon/src/tokens/token_keeper/ledger_steps.rs
+++ b/crates/daemon/src/tokens/token_keeper/ledger_steps.rs
@@ -4,11 +4,13 @@
 
 use tracing::debug;
 
+use crate::members::MemberRegistration;
 use crate::peers::PeerClient;
 use crate::tokens::LedgerRow;
 use crate::tokens::LedgerWriter;
 use crate::tokens::TokenKeeper;
 use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::DaemonName;
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::SortedTable;
 use sapphirestile_slots::ClosedReport;
@@ -45,7 +47,12 @@
         if !self.is_first_member(ledger) {
             return None;
         }
-        self.reclaimed(ledger).or_else(|| self.resized(ledger))
+        self.note_vm_list(ledger);
+        let next = self.reclaimed(ledger).or_else(|| self.resized(ledger));
+        if next.is_none() {
+            self.remove_registration(ledger);
+        }
+        next
     }
 
     /// One member makes the changes that concern all, so that the others need not
@@ -105,8 +112,6 @@
 
     fn reclaimed(&mut self, ledger: &TokenLedger) -> Option<TokenLedger> {
         let vms = self.context.vms.load_full();
-        let own = self.context.identity.daemon.clone();
-        self.proofs.note_list(&vms, own.as_str(), &ledger.members);
         let members = self.context.members.load_full();
         let gone: Vec<DaemonIdentity> = ledger
             .members
@@ -132,6 +137,35 @@
         }
     }
 
+    fn note_vm_list(&mut self, ledger: &TokenLedger) {
+        let vms = self.context.vms.load();
+        let members = self.context.members.load();
+        let registered = members.rows().map(|(daemon, row)| DaemonIdentity {
+            daemon: daemon.clone(),
+            incarnation: row.incarnation,
+        });
+        let known: Vec<DaemonIdentity> = registered.chain(ledger.members.iter().cloned()).collect();
+        let own = self.context.identity.daemon.as_str();
+        self.proofs.note_list(&vms, own, &known);
+    }
+
+    /// Removes one registration of a daemon that is gone and holds no tokens, so
+    /// that what every daemon watches does not grow with every VM that ever was.
+    fn remove_registration(&self, ledger: &TokenLedger) {
+        let vms = self.context.vms.load();
+        let members = self.context.members.load();
+        let holds =
+            |daemon: &DaemonName| ledger.members.iter().any(|member| member.daemon == *daemon);
+        let gone = members
+            .rows()
+            .find(|(daemon, _)| !holds(daemon) && self.proofs.is_unlisted(daemon, &vms));
+        if let Some((daemon, row)) = gone {
+            let registration =
+                MemberRegistration::new(self.context.store.as_ref(), daemon.as_str());
+            registration.remove(row.incarnation);
+        }
+    }
+
     /// Has every member that stays close its counters with those that are gone.
     fn closed_reports(
         &mut self,
--- a/crates/daemon/src/vms/vm_poller.rs
+++ b/crates/daemon/src/vms/vm_poller.rs
@@ -49,6 +49,13 @@
     pub fn poll(&self) {
         let asked = self.context.clock.now();
         match self.client.list() {
+            Ok(records) if records.is_empty() => {
+                // A platform without any VM is not believed.
+                warn!(
+                    step = "read VM list",
+                    "the list is empty; the one before stays"
+                );
+            }
             Ok(records) => self.context.vms.update(|_| VmTable::new(records, asked)),
             Err(error) => {
                 if let Some(repeats) = self.gate.pass(asked) {
--- /dev/null
+++ b/crates/daemon/tests/member_proofs.rs
@@ -0,0 +1,82 @@
+//! What proves that a member is gone.
+
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::DaemonName;
+use sapphirestile_core::IncarnationNumber;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::ZoneName;
+use sapphirestile_daemon::members::MemberTable;
+use sapphirestile_daemon::tokens::MemberProofs;
+use sapphirestile_daemon::vms::VmTable;
+use sapphirestile_wire::vms::VmKind;
+use sapphirestile_wire::vms::VmRecord;
+use sapphirestile_wire::vms::VmState;
+
+fn identity(daemon: &str, incarnation: u64) -> DaemonIdentity {
+    DaemonIdentity {
+        daemon: DaemonName::try_from(daemon).unwrap(),
+        incarnation: IncarnationNumber::new(incarnation),
+    }
+}
+
+fn list(daemons: &[&str], read_ms: u64) -> VmTable {
+    let records = daemons.iter().map(|daemon| VmRecord {
+        name: (*daemon).to_owned(),
+        kind: VmKind::Entry,
+        address: "127.0.0.1:7000".to_owned(),
+        zone: ZoneName::try_from("near-a").unwrap(),
+        rack: None,
+        service: None,
+        size: None,
+        state: VmState::Live,
+    });
+    VmTable::new(records.collect(), MonoTime::from_millis(read_ms))
+}
+
+/// Whether a member is gone after these lists were read one after the other.
+fn is_gone(member: &DaemonIdentity, lists: &[VmTable], members: &MemberTable) -> bool {
+    let mut proofs = MemberProofs::default();
+    for vms in lists {
+        proofs.note_list(vms, "entry-1", std::slice::from_ref(member));
+    }
+    proofs.is_gone(member, members, lists.last().unwrap())
+}
+
+#[test]
+fn a_later_incarnation_is_a_proof() {
+    let mut members = MemberTable::default();
+    let address = "127.0.0.1:7000".parse().unwrap();
+    let daemon = DaemonName::try_from("entry-2").unwrap();
+    members.register(&daemon, IncarnationNumber::new(9), address);
+    let lists = [list(&["entry-1", "entry-2"], 0)];
+    assert!(is_gone(&identity("entry-2", 8), &lists, &members));
+    assert!(!is_gone(&identity("entry-2", 9), &lists, &members));
+}
+
+#[test]
+fn a_list_is_a_proof_only_once_it_can_lag_no_more() {
+    let members = MemberTable::default();
+    let member = identity("entry-2", 8);
+    let early = [list(&["entry-1"], 1_000), list(&["entry-1"], 30_999)];
+    assert!(!is_gone(&member, &early, &members));
+    let late = [list(&["entry-1"], 1_000), list(&["entry-1"], 31_000)];
+    assert!(is_gone(&member, &late, &members));
+}
+
+#[test]
+fn a_vm_that_is_listed_again_is_not_gone() {
+    let members = MemberTable::default();
+    let lists = [
+        list(&["entry-1"], 0),
+        list(&["entry-1", "entry-2"], 20_000),
+        list(&["entry-1"], 40_000),
+    ];
+    assert!(!is_gone(&identity("entry-2", 8), &lists, &members));
+}
+
+#[test]
+fn a_list_without_this_vm_says_nothing_of_others() {
+    let members = MemberTable::default();
+    let lists = [list(&["entry-3"], 0), list(&["entry-3"], 90_000)];
+    assert!(!is_gone(&identity("entry-2", 8), &lists, &members));
+}
