Let the document move once for each job of the scene

Cause: a mutation that takes the newest configuration for the one that a batch was beaten with survived: the next change of the scene set it right again. Ruled out: a test of the keeper alone, whose threads are the point.

--- a/crates/daemon/tests/failures/moving_document.rs
+++ b/crates/daemon/tests/failures/moving_document.rs
@@ -7,11 +7,11 @@
 use sapphirestile_standins::store::StoreFaults;
 use sapphirestile_test_support::call_json;
 
-const CHANGES: usize = 12;
+const CHANGES: usize = 10;
 
-/// The document changes again and again while batches are on their way to a slow
-/// store: starts that were made with an older one are taken back, and the cell
-/// goes on starting tasks after the last change.
+/// The document changes while batches are on their way to a slow store: starts
+/// that were made with an older one are taken back, and the cell goes on starting
+/// tasks without another change.
 #[test]
 fn a_moving_document_does_not_stop_a_cell() {
     let plan = FleetPlan {
@@ -36,8 +36,6 @@
         let (status, answer) = call_json(operators[1], "POST", "/v1/zones/far-c", &change)
             .expect("the change is answered");
         assert_eq!(status, 200, "{answer}");
-    }
-    for number in 0..CHANGES {
         wait_job(operators[0], &format!("job-{number}"), "finished");
     }
     stage.assert_never_twice();
