Let a daemon earn second attempts before its runners break

Cause: a mutation that sends requests again that must not run twice survived: spread over three daemons, twelve requests earned no second attempt. Ruled out: a larger budget. Before: the mutation survived.

--- a/crates/daemon/tests/failures/broken_runner.rs
+++ b/crates/daemon/tests/failures/broken_runner.rs
@@ -4,7 +4,8 @@
 use sapphirestile_test_support::call;
 use sapphirestile_test_support::wait_until;
 
-const KEYS: usize = 12;
+const KEYS: usize = 30;
+const LIMITS: &str = "heartbeat_ms = 100\nsuspect_ms = 1000\nrequest_max_ms = 2000\n";
 const ALWAYS: u64 = 1_000;
 
 /// Runners cut answers short, drop them after running or send those of others: a caller is given its
@@ -17,7 +18,7 @@
         idempotent: false,
         ..FleetPlan::default()
     };
-    let stage = Stage::set("broken_runner", plan);
+    let (stage, _links) = Stage::set_limited("broken_runner", plan, LIMITS);
     let callers = stage.daemons[0].callers();
     wait_until("a request is answered", || {
         call(callers, "POST", "/sizing/permit", &[], b"warm").filter(|answer| answer.status == 200)
@@ -31,19 +32,13 @@
             ..RunnerFaults::default()
         });
     }
+    // All at one daemon, so that its budget would allow some second attempts.
     let keys: Vec<String> = (0..KEYS).map(|number| format!("permit-{number}")).collect();
     for (number, key) in keys.iter().enumerate() {
-        let daemon = &stage.daemons[number % stage.daemons.len()];
         let body = format!("plot {number}");
         let headers = [("idempotency-key", key.as_str())];
-        let answer = call(
-            daemon.callers(),
-            "POST",
-            "/sizing/permit",
-            &headers,
-            body.as_bytes(),
-        )
-        .expect("every request is answered");
+        let answer = call(callers, "POST", "/sizing/permit", &headers, body.as_bytes())
+            .expect("every request is answered");
         assert!([504, 503].contains(&answer.status), "{}", answer.status);
         assert_ne!(answer.body, body.as_bytes());
     }
