--- a/crates/cells/src/journal/cell_transition.rs
+++ b/crates/cells/src/journal/cell_transition.rs
@@ -4,11 +4,11 @@
 use serde::Serialize;
 
 use crate::journal::JobOrder;
-use crate::state::RequestKey;
 use crate::state::RequestRecord;
 use crate::state::TaskOutcome;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::JobName;
+use sapphirestile_core::RequestKey;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_core::TaskName;
 use sapphirestile_core::WorkerName;
@@ -67,6 +67,8 @@
         /// Who sends it, and when it was recorded.
         record: RequestRecord,
     },
+    /// A recorded request was not sent after all, or not run; its key is free.
+    RequestWithdrawn(RequestKey),
     /// A job that has ended is shown no more, and its name is free again.
     JobForgotten(JobName),
     /// Requests recorded before this second of the Unix epoch may be sent again.
--- a/crates/daemon/src/operators/status_calls.rs
+++ b/crates/daemon/src/operators/status_calls.rs
@@ -68,14 +68,14 @@
         )
     }
 
-    fn daemon_status(&self) -> DaemonStatus {
+    pub fn daemon_status(&self) -> DaemonStatus {
         let context = self.context;
         let document = context.document.load();
         let now = context.clock.now();
         let owned = context.keepers.load().owned();
         DaemonStatus {
-            daemon: context.mark.daemon.clone(),
-            incarnation: context.mark.incarnation,
+            daemon: context.identity.daemon.clone(),
+            incarnation: context.identity.incarnation,
             zone: context.settings.node.zone.clone(),
             phase: phase_of(context.phase.get()),
             revision: document.revision(),
@@ -94,7 +94,9 @@
     fn members(&self) -> Vec<MemberStatus> {
         let now = self.context.clock.now();
         let members = self.context.members.load();
-        let rows = members.rows().map(|(daemon, row)| MemberStatus {
+        let own = &self.context.identity.daemon;
+        let others = members.rows().filter(|(daemon, _)| *daemon != own);
+        let rows = others.map(|(daemon, row)| MemberStatus {
             daemon: daemon.clone(),
             incarnation: row.incarnation,
             address: row.address,
@@ -133,7 +135,7 @@
                 "service": row.service,
                 "zone": row.zone,
                 "leaving": row.leaving,
-                "ejected": row.gauge.is_ejected(),
+                "standing": format!("{:?}", row.gauge.standing()),
                 "tokens": row.gauge.tokens(),
                 "in_flight": row.gauge.in_flight(),
                 "latency_us": row.gauge.latency_us(),
--- a/crates/routing/src/runner_gauge.rs
+++ b/crates/routing/src/runner_gauge.rs
@@ -1,5 +1,6 @@
 //! What a daemon counts and observes of one runner.
 
+use crate::RunnerStanding;
 use crate::sync::AtomicU32;
 use crate::sync::AtomicU64;
 use crate::sync::Ordering;
@@ -7,6 +8,7 @@
 const TOKEN_SHIFT: u32 = 32;
 const IN_FLIGHT_MASK: u64 = 0xffff_ffff;
 const SMOOTHING_DIVISOR: u64 = 8;
+const AGING_DIVISOR: u64 = 8;
 
 /// The tokens, the requests in flight and the observations of one runner.
 ///
@@ -28,13 +30,15 @@
 /// assert_eq!((gauge.tokens(), gauge.in_flight()), (1, 0));
 /// ```
 #[derive(Debug)]
+#[repr(align(128))]
 pub struct RunnerGauge {
     /// Tokens in the upper half, requests in flight in the lower half.
     slots: AtomicU64,
     latency_us: AtomicU64,
     failures: AtomicU32,
     answers: AtomicU64,
-    ejected: AtomicU32,
+    judged_answers: AtomicU64,
+    standing: AtomicU32,
 }
 
 impl Default for RunnerGauge {
@@ -52,7 +56,8 @@
             latency_us: AtomicU64::new(0),
             failures: AtomicU32::new(0),
             answers: AtomicU64::new(0),
-            ejected: AtomicU32::new(0),
+            judged_answers: AtomicU64::new(0),
+            standing: AtomicU32::new(RunnerStanding::Open as u32),
         }
     }
 
@@ -184,15 +189,44 @@
         self.answers.load(Ordering::Relaxed)
     }
 
-    /// Sets whether the runner is left out of choices for its slowness or failures.
-    pub fn set_ejected(&self, ejected: bool) {
-        self.ejected.store(u32::from(ejected), Ordering::Relaxed);
+    /// How many whole answers were observed since the last call. Called by one
+    /// thread.
+    pub(crate) fn take_fresh_answers(&self) -> u64 {
+        let answers = self.answers();
+        answers - self.judged_answers.swap(answers, Ordering::Relaxed)
     }
 
-    /// Whether the runner is left out of choices for its slowness or failures.
+    /// Moves the smoothed latency a step down towards `floor_us` microseconds,
+    /// since nothing newer was observed.
+    pub(crate) fn age_latency(&self, floor_us: u64) {
+        let latency = self.latency_us();
+        let excess = latency.saturating_sub(floor_us);
+        let aged = latency - excess.div_ceil(AGING_DIVISOR);
+        self.latency_us.store(aged, Ordering::Relaxed);
+    }
+
+    /// Begins the observations anew, with `latency_us` microseconds as the
+    /// smoothed latency.
+    pub fn reset_observations(&self, latency_us: u64) {
+        self.failures.store(0, Ordering::Relaxed);
+        self.latency_us.store(latency_us, Ordering::Relaxed);
+    }
+
+    /// Sets whether the runner gets requests.
+    pub fn set_standing(&self, standing: RunnerStanding) {
+        self.standing.store(standing as u32, Ordering::Relaxed);
+    }
+
+    /// Whether the runner is ejected and gets no requests.
     #[must_use]
     pub fn is_ejected(&self) -> bool {
-        self.ejected.load(Ordering::Relaxed) != 0
+        self.standing() == RunnerStanding::Ejected
+    }
+
+    /// Whether the runner gets requests.
+    #[must_use]
+    pub fn standing(&self) -> RunnerStanding {
+        RunnerStanding::from(self.standing.load(Ordering::Relaxed))
     }
 }
 
--- a/crates/routing/src/runner_row.rs
+++ b/crates/routing/src/runner_row.rs
@@ -10,6 +10,7 @@
 
 /// One runner of a service.
 #[derive(Clone, Debug)]
+#[repr(align(128))]
 pub struct RunnerRow {
     /// The runner.
     pub runner: RunnerName,
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -8,20 +8,22 @@
 //!
 //! Each daemon keeps one [`TokenHolder`]. Tokens move between two members by
 //! [`HandoverCounters`] that only grow and that a [`HandoverMessage`] carries;
-//! messages may be lost, repeated and reordered. The holder puts its free tokens
-//! into the [`TokenGauges`] of the request's path, and takes them out of there
-//! before it hands them over.
+//! messages may be lost, repeated and reordered. [`TokenHolder::news_to`] gives
+//! the counters that grew, [`TokenHolder::message_to`] all of them in pages. The
+//! holder puts its free tokens into the [`TokenGauges`] of the request's path, and
+//! takes them out of there before it hands them over.
 //!
 //! A member that is proven gone is closed by every other member with a
 //! [`ClosedReport`]; a [`ReclaimPlan`] of all reports makes the next ledger.
 //! Tokens granted by it stay unused until the longest request has passed. Which
 //! member gives tokens to which is decided by a [`HandoverPlan`] from the
-//! [`TokenDemand`] of all, measured by a [`DemandMeter`].
+//! [`TokenDemand`] of all, measured by a [`DemandMeter`]. When operators lower a
+//! runner's slots, each member retires free tokens of its own; a daemon that stops
+//! on plan hands everything over first.
 
 mod apply_outcome;
 mod closed_report;
 mod closed_total;
-mod daemon_identity;
 mod demand_meter;
 mod embargoed_tokens;
 mod handover_counters;
@@ -34,6 +36,8 @@
 mod ledger_fault;
 mod ledger_generation;
 mod member_grant;
+mod packed_grant;
+mod packed_ledger;
 mod reclaim_fault;
 mod reclaim_plan;
 mod runner_grant;
@@ -46,7 +50,6 @@
 pub use apply_outcome::ApplyOutcome;
 pub use closed_report::ClosedReport;
 pub use closed_total::ClosedTotal;
-pub use daemon_identity::DaemonIdentity;
 pub use demand_meter::DemandMeter;
 pub use handover_counters::HandoverCounters;
 pub use handover_message::HandoverMessage;
--- a/crates/slots/src/token_holder/ledger_step.rs
+++ b/crates/slots/src/token_holder/ledger_step.rs
@@ -1,20 +1,20 @@
 //! How a holder goes from one ledger to the next.
 
-use sapphirestile_core::MonoTime;
-
 use crate::ApplyOutcome;
-use crate::DaemonIdentity;
 use crate::HeldTokens;
 use crate::RunnerGrant;
 use crate::TokenGauges;
 use crate::TokenHolder;
 use crate::TokenLedger;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::MonoTime;
 
 impl TokenHolder {
     /// Goes on with `ledger` when it is newer than the holder's.
     ///
     /// Tokens of removed members granted to this holder stay unused until the
-    /// longest request has passed; other new tokens are published at once.
+    /// longest request has passed; other new tokens are published at once, and so
+    /// are reserved ones that the ledger did not retire.
     ///
     /// # Panics
     ///
@@ -26,17 +26,16 @@
         now: MonoTime,
         gauges: &impl TokenGauges,
     ) -> ApplyOutcome {
-        if self.removed {
-            return ApplyOutcome::Removed;
-        }
         if ledger.generation <= self.generation {
             return ApplyOutcome::Known;
         }
         if !ledger.has_member(&self.me) {
+            self.generation = ledger.generation;
             self.give_up(gauges);
             return ApplyOutcome::Removed;
         }
         self.take_ledger(ledger, now, gauges);
+        self.cancel_retired(gauges);
         ApplyOutcome::Applied
     }
 
@@ -101,7 +100,7 @@
     /// Takes everything out of the gauges that no request uses. What requests
     /// still use ends with this process, which has no identity any more.
     fn give_up(&mut self, gauges: &impl TokenGauges) {
-        self.removed = true;
+        self.members.clear();
         for (runner, row) in self.rows.iter_mut() {
             row.published -= gauges.remove_free(runner, row.published);
         }
@@ -116,6 +115,7 @@
     gone: &[DaemonIdentity],
 ) -> u32 {
     let next = grant.of(me);
+    row.repeats.retain(|member, _| !gone.contains(member));
     let folded = gone.iter().map(|member| row.counters.fold(member));
     let folded = folded.sum::<i64>();
     let fresh = next.base - row.grant.base - folded;
--- a/crates/slots/src/token_ledger.rs
+++ b/crates/slots/src/token_ledger.rs
@@ -1,25 +1,28 @@
 //! What the store holds of the tokens.
 
-use sapphirestile_core::RunnerName;
-use sapphirestile_core::SortedTable;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::DaemonIdentity;
 use crate::LedgerDraft;
 use crate::LedgerFault;
 use crate::LedgerGeneration;
 use crate::RunnerGrant;
+use crate::packed_ledger::PackedLedger;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::RunnerName;
+use sapphirestile_core::SortedTable;
 
 /// The members and, for each runner, the tokens that each began with.
 ///
+/// It is written with each member named once, and checked when it is read.
+///
 /// # Examples
 ///
 /// ```
 /// use sapphirestile_core::DaemonName;
 /// use sapphirestile_core::IncarnationNumber;
 /// use sapphirestile_core::RunnerName;
-/// use sapphirestile_slots::DaemonIdentity;
+/// use sapphirestile_core::DaemonIdentity;
 /// use sapphirestile_slots::TokenLedger;
 ///
 /// let member = DaemonIdentity {
@@ -35,6 +38,7 @@
 /// assert_eq!(ledger.check(), Ok(()));
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "PackedLedger", into = "PackedLedger")]
 pub struct TokenLedger {
     /// The number of this ledger.
     pub generation: LedgerGeneration,
--- a/crates/slots/tests/holder_rounds/world_faults.rs
+++ b/crates/slots/tests/holder_rounds/world_faults.rs
@@ -1,35 +1,48 @@
 //! Faults and what follows from them.
 
 use rand::Rng;
+
+use crate::round_world::RoundWorld;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_slots::ClosedReport;
 use sapphirestile_slots::ClosedTotal;
-use sapphirestile_slots::DaemonIdentity;
 use sapphirestile_slots::ReclaimPlan;
 use sapphirestile_slots::TokenLedger;
 
-use crate::round_world::RoundWorld;
-
 impl RoundWorld {
     pub fn fault(&mut self, place: usize) {
         let peer = self.random.random_range(0..self.lives.len());
         match self.random.random_range(0..8) {
-            0..2 => self.kill(place),
+            0 => self.kill(place),
+            1 => self.stop(place),
             2..4 => self.join(place),
             4 => self.freeze(place),
             5 if place != peer => self.cut_or_mend(place.min(peer), place.max(peer)),
             _ => {
-                self.counts.store_out += u32::from(!self.store_out);
+                self.counts.note("store out", u32::from(!self.store_out));
                 self.store_out = !self.store_out;
             }
         }
     }
 
+    /// A planned stop: what is free goes to the others, then the life ends.
+    fn stop(&mut self, place: usize) {
+        let peers = (0..self.lives.len()).filter_map(|peer| self.identity(peer));
+        let peers = peers.collect::<Vec<_>>();
+        if let Some(life) = self.awake(place) {
+            let handed = life.holder.hand_over_all(&peers, &life.gauges);
+            self.counts.note("handed on stop", handed);
+            self.send(place);
+            self.kill(place);
+        }
+    }
+
     /// Ends a life; whether the VM list already says so is left to chance.
     fn kill(&mut self, place: usize) {
         let Some(identity) = self.identity(place) else {
             return;
         };
-        self.counts.killed += 1;
+        self.counts.note("killed", 1);
         self.lives[place] = None;
         if self.random.random_bool(0.7) {
             self.proven.push(identity);
@@ -39,7 +52,7 @@
     fn freeze(&mut self, place: usize) {
         if let Some(life) = self.lives[place].as_mut() {
             life.frozen = !life.frozen;
-            self.counts.frozen += u32::from(life.frozen);
+            self.counts.note("frozen", u32::from(life.frozen));
         }
     }
 
@@ -50,7 +63,7 @@
             return;
         }
         self.cut.push((one, other));
-        self.counts.cut += 1;
+        self.counts.note("cut", 1);
     }
 
     /// The life at `place` asks the members that it reaches to close those
@@ -77,8 +90,9 @@
         let before = self.store.reclaims;
         self.write(draft);
         let reclaimed = u32::from(self.store.reclaims > before);
-        self.counts.reclaims += reclaimed;
-        self.counts.joint_reclaims += reclaimed * u32::from(gone.len() > 1);
+        self.counts.note("reclaims", reclaimed);
+        self.counts
+            .note("joint reclaims", reclaimed * u32::from(gone.len() > 1));
     }
 
     fn ask_to_close(&mut self, peer: usize, gone: &[DaemonIdentity]) {
@@ -147,7 +161,8 @@
             let slots = |ledger: &TokenLedger| -> u32 {
                 ledger.runners.values().map(|grant| grant.slots).sum()
             };
-            self.counts.tokens_retired += slots(&store) - slots(&self.store);
+            self.counts
+                .note("tokens retired", slots(&store) - slots(&self.store));
         }
     }
 }
