--- a/crates/cells/tests/cell_storm/fake_worker.rs
+++ b/crates/cells/tests/cell_storm/fake_worker.rs
@@ -124,6 +124,16 @@
         (finished, stopped)
     }
 
+    /// Lets the leases of all running tasks lapse.
+    pub fn lapse(&mut self) -> u32 {
+        let mut lapsed = 0;
+        for held in self.tasks.iter_mut().filter(|held| held.runs()) {
+            held.phase = SightedPhase::Stopped;
+            lapsed += 1;
+        }
+        lapsed
+    }
+
     /// Restarts: tasks, epochs and permits are gone; permits never come again.
     pub fn restart(&mut self) {
         self.tasks.clear();
--- a/crates/cells/tests/cell_storm/storm_world/draw_faults.rs
+++ b/crates/cells/tests/cell_storm/storm_world/draw_faults.rs
@@ -11,6 +11,7 @@
 const FREEZES_PER_S: f64 = 0.06;
 const OUTAGES_PER_S: f64 = 0.03;
 const CUTS_PER_S: f64 = 0.06;
+const LAPSES_PER_S: f64 = 0.3;
 const WORKER_LOSSES_PER_S: f64 = 0.012;
 const WORKER_RESTARTS_PER_S: f64 = 0.02;
 const ZONE_CHANGES_PER_S: f64 = 0.06;
@@ -74,6 +75,9 @@
                 }
             }
         }
+        if self.strikes(LAPSES_PER_S) {
+            self.counts.lapses += self.workers[place].lapse();
+        }
         if self.strikes(WORKER_RESTARTS_PER_S) {
             self.counts.worker_restarts += 1;
             self.workers[place].restart();
