--- a/crates/cells/src/owner/cell_owner/start_planning.rs
+++ b/crates/cells/src/owner/cell_owner/start_planning.rs
@@ -51,6 +51,9 @@
             worker: start.worker.clone(),
             size: start.size,
         });
+        let entry = self.last_proposed();
+        let reason = format!("why {}: {}", start.worker, planned.reason);
+        self.phase.log.note(entry, &start.task, reason);
         if let Some(view) = self.phase.workers.get_mut(&start.worker) {
             view.starts += 1;
         }
--- a/crates/cells/src/owner/cell_owner/worker_reports.rs
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -112,11 +112,25 @@
         let leaves = view.is_some_and(|view| !view.facts.takes_work);
         if cancelled || leaves {
             let known = self.phase.stopping.insert(task.clone(), *attempt);
-            self.phase.evictions += u64::from(leaves && known != Some(*attempt));
+            if known != Some(*attempt) {
+                self.note_stop(worker, sighting, cancelled);
+            }
             self.stop_attempt(worker, sighting, !cancelled);
         }
     }
 
+    fn note_stop(&mut self, worker: &str, sighting: &TaskSighting, cancelled: bool) {
+        let cause = if cancelled {
+            "its job was cancelled".to_owned()
+        } else {
+            self.phase.evictions += 1;
+            format!("{worker} leaves or its zone is out")
+        };
+        let TaskSighting { task, attempt, .. } = sighting;
+        let text = format!("attempt {attempt} asked to stop: {cause}");
+        self.phase.log.note(self.last_proposed(), task, text);
+    }
+
     /// An attempt that is not the task's current one on this worker: it must not
     /// run on, and nothing that it reports counts.
     fn settle_stray(&mut self, worker: &str, sighting: &TaskSighting) {
@@ -144,11 +158,13 @@
     /// voided the permits of all starts sent before it, so they cannot take
     /// effect any more.
     fn return_missing(&mut self, report: &ReportView<'_>) {
+        let sightings = report.tasks.iter();
+        let mut sighted: Vec<_> = sightings
+            .map(|sighting| (&sighting.task, sighting.attempt))
+            .collect();
+        sighted.sort_unstable();
         for (task, cycle) in self.assigned_to(report.worker) {
-            let shown = report
-                .tasks
-                .iter()
-                .any(|sighting| sighting.task == task && sighting.attempt == cycle.attempt);
+            let shown = sighted.binary_search(&(&task, cycle.attempt)).is_ok();
             if !shown && !self.is_withheld(&task) {
                 self.return_task(&task, &cycle, 0, false);
             }
--- a/crates/daemon/src/cells/keeper_dump.rs
+++ b/crates/daemon/src/cells/keeper_dump.rs
@@ -14,6 +14,8 @@
     pub state: CellState,
     /// Whether an entry is on its way to the journal.
     pub committing: bool,
+    /// The latest decisions, oldest first.
+    pub decisions: Vec<String>,
     /// How many running attempts were asked to stop for the worker's sake.
     pub evictions: u64,
 }
