Prove a planned stop by the registration taken back, date the store by answers

Cause: on a busy machine (load 30 on 10 cores) the scene of the planned stop waited in vain until the others held all tokens: a peer had handed tokens to the leaving daemon, which ended before they arrived, and nothing proved it gone.

Ruled out: a longer wait of the leaving daemon; however long, a message may be late.

After: peers hand nothing to a daemon that drains; the last act of a stop takes the registration back, and a member whose registration the same read does not show is gone.

Conclusion: ownership by release is now a proof of its own.

--- a/crates/daemon/src/cells/journal_writer.rs
+++ b/crates/daemon/src/cells/journal_writer.rs
@@ -64,7 +64,7 @@
             let asked = self.context.clock.now();
             match self.journal.try_commit(batch) {
                 Ok(outcome) => {
-                    self.context.pulse.note(asked);
+                    self.context.pulse.note(self.context.clock.now());
                     return outcome;
                 }
                 Err(error) => {
--- a/crates/daemon/src/context/store_pulse.rs
+++ b/crates/daemon/src/context/store_pulse.rs
@@ -5,7 +5,7 @@
 
 use sapphirestile_core::MonoTime;
 
-/// When the store last answered a call that had been sent at that time.
+/// When the store last answered.
 ///
 /// # Examples
 ///
@@ -24,9 +24,9 @@
 }
 
 impl StorePulse {
-    /// Takes note of an answer to a call sent at `asked`.
-    pub fn note(&self, asked: MonoTime) {
-        self.heard_ms.fetch_max(asked.as_millis(), Ordering::AcqRel);
+    /// Takes note of an answer that came at `now`.
+    pub fn note(&self, now: MonoTime) {
+        self.heard_ms.fetch_max(now.as_millis(), Ordering::AcqRel);
     }
 
     /// How long the store has been silent, in milliseconds.
--- a/crates/daemon/src/cycle.rs
+++ b/crates/daemon/src/cycle.rs
@@ -8,6 +8,7 @@
 mod daemon_addresses;
 mod daemon_cycle;
 mod daemon_threads;
+mod drain_steps;
 mod draining_phase;
 mod house_keeper;
 mod peer_ports;
--- a/crates/daemon/src/cycle/daemon_cycle.rs
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -30,6 +30,8 @@
 use crate::cycle::daemon_threads::start_vm_poller;
 use crate::cycle::daemon_threads::start_watch;
 use crate::cycle::daemon_threads::target;
+use crate::cycle::drain_steps::hand_tokens_over;
+use crate::cycle::drain_steps::take_registration_back;
 use crate::members::MemberRecord;
 use crate::members::MemberRegistration;
 use crate::metrics::DaemonMetrics;
@@ -52,7 +54,6 @@
 
 const CALLER_CONNECTIONS: usize = 1_024;
 const OPERATOR_CONNECTIONS: usize = 64;
-const HAND_OVER_WAIT: Duration = Duration::from_secs(3);
 const DRAIN_TICK: Duration = Duration::from_millis(50);
 const UNREADY_LINGER: Duration = Duration::from_millis(1_500);
 
@@ -198,6 +199,7 @@
         let rest = Duration::from_millis(limit_ms.saturating_sub(spent()));
         let emptied = gate.wait_empty(rest);
         hand_tokens_over(&context);
+        take_registration_back(&context);
         let released = context.keepers.load().is_empty();
         info!(step = "drain", emptied, released, "ended");
         drop(stop);
@@ -281,12 +283,3 @@
         &gate,
     )
 }
-
-/// Gives the tokens to peers, so that nobody waits for a proof that this
-/// incarnation is gone.
-fn hand_tokens_over(context: &DaemonContext) {
-    let (reply, done) = bounded(1);
-    let told = context.token_events.send(TokenEvent::Leave(reply));
-    let left = told.is_ok() && done.recv_timeout(HAND_OVER_WAIT).is_ok();
-    info!(step = "hand tokens over", left, "ended");
-}
--- a/crates/daemon/src/document/document_writer.rs
+++ b/crates/daemon/src/document/document_writer.rs
@@ -158,9 +158,8 @@
     }
 
     fn read_row(&self) -> Result<Option<StoredRow>, Report<StoreError>> {
-        let asked = self.context.clock.now();
         let range = self.context.store.read(StoreKeys::DOCUMENT)?;
-        self.context.pulse.note(asked);
+        self.context.pulse.note(self.context.clock.now());
         Ok(range
             .rows
             .into_iter()
--- a/crates/daemon/src/members/shared_watch.rs
+++ b/crates/daemon/src/members/shared_watch.rs
@@ -17,7 +17,9 @@
 use crate::members::MemberRecord;
 use crate::members::MemberTable;
 use crate::tokens;
+use crate::tokens::LedgerRow;
 use sapphirestile_core::ConfigRevision;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::DaemonName;
 use sapphirestile_core::IncarnationNumber;
 use sapphirestile_platform::store::StoreError;
@@ -54,9 +56,8 @@
     ///
     /// When the store was not reached.
     pub fn read(&self) -> Result<u64, Report<StoreError>> {
-        let asked = self.context.clock.now();
         let range = self.context.store.read(StoreKeys::SHARED)?;
-        self.context.pulse.note(asked);
+        self.context.pulse.note(self.context.clock.now());
         self.take(&range);
         Ok(range.revision)
     }
@@ -88,7 +89,6 @@
         let Some(after) = after else {
             return self.read();
         };
-        let asked = self.context.clock.now();
         let watch = StoreWatch {
             prefix: StoreKeys::SHARED,
             after,
@@ -98,10 +98,10 @@
             .store
             .watch(&watch, Duration::from_millis(WATCH_WAIT_MS))?;
         let Some(range) = changed else {
-            self.context.pulse.note(asked);
+            self.context.pulse.note(self.context.clock.now());
             return Ok(after);
         };
-        self.context.pulse.note(asked);
+        self.context.pulse.note(self.context.clock.now());
         self.take(&range);
         Ok(range.revision)
     }
@@ -110,7 +110,7 @@
         for row in &range.rows {
             match row.key.as_str() {
                 StoreKeys::DOCUMENT => self.take_document(row),
-                StoreKeys::LEDGER => self.take_ledger(row),
+                StoreKeys::LEDGER => self.take_ledger(row, range),
                 _ => {}
             }
         }
@@ -126,9 +126,18 @@
         }
     }
 
-    fn take_ledger(&self, row: &StoredRow) {
+    fn take_ledger(&self, row: &StoredRow, range: &StoredRange) {
         match postcard::from_bytes::<TokenLedger>(&row.value) {
-            Ok(ledger) => tokens::take_ledger(&self.context, ledger, row.revision),
+            Ok(ledger) => {
+                let gone = members_gone(&ledger, range);
+                let revision = row.revision;
+                let row = LedgerRow {
+                    ledger,
+                    revision,
+                    gone,
+                };
+                tokens::take_ledger(&self.context, row);
+            }
             Err(error) => error!(step = "read ledger", %error, "row not understood"),
         }
     }
@@ -150,6 +159,23 @@
     }
 }
 
+/// The members of a ledger whose registration the same read does not show.
+fn members_gone(ledger: &TokenLedger, range: &StoredRange) -> Vec<DaemonIdentity> {
+    let registered = |member: &DaemonIdentity| {
+        let key = StoreKeys::member(member.daemon.as_str());
+        let revision = member.incarnation.get();
+        range
+            .rows
+            .iter()
+            .any(|row| row.key == key && row.revision == revision)
+    };
+    let members = ledger.members.iter();
+    members
+        .filter(|member| !registered(member))
+        .cloned()
+        .collect()
+}
+
 fn register_row(table: &mut MemberTable, row: &StoredRow) {
     let name = row.key.trim_start_matches(StoreKeys::MEMBERS);
     let record = serde_json::from_slice::<MemberRecord>(&row.value);
--- a/crates/daemon/src/tokens/ledger_writer.rs
+++ b/crates/daemon/src/tokens/ledger_writer.rs
@@ -6,6 +6,7 @@
 use crate::context::DaemonContext;
 use crate::context::StoreKeys;
 use crate::tokens::LedgerRow;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_platform::store::CommitAnswer;
 use sapphirestile_platform::store::StoreCommit;
 use sapphirestile_platform::store::StoreGuard;
@@ -67,15 +68,26 @@
             generation = ledger.generation.get(),
             "written"
         );
-        take_ledger(self.context, ledger.clone(), revision);
+        let known = self.context.ledger.load();
+        let stays = |member: &&DaemonIdentity| ledger.has_member(member);
+        let gone = known.gone.iter().filter(stays).cloned().collect();
+        let ledger = ledger.clone();
+        take_ledger(
+            self.context,
+            LedgerRow {
+                ledger,
+                revision,
+                gone,
+            },
+        );
     }
 }
 
 /// Takes a ledger that the store holds, unless a later one is known.
-pub(crate) fn take_ledger(context: &DaemonContext, ledger: TokenLedger, revision: u64) {
+pub(crate) fn take_ledger(context: &DaemonContext, row: LedgerRow) {
     context.ledger.update(|known| {
-        if revision > known.revision {
-            LedgerRow { ledger, revision }
+        if row.revision >= known.revision {
+            row
         } else {
             known.clone()
         }
--- a/crates/daemon/src/tokens/member_proofs.rs
+++ b/crates/daemon/src/tokens/member_proofs.rs
@@ -1,6 +1,7 @@
 //! Which members are proven gone.
 
 use crate::members::MemberTable;
+use crate::tokens::LedgerRow;
 use crate::vms::VmTable;
 use sapphirestile_cells::LIST_LAG_MAX_MS;
 use sapphirestile_core::DaemonIdentity;
@@ -9,14 +10,15 @@
 use sapphirestile_core::SortedTable;
 use sapphirestile_wire::vms::VmKind;
 
-/// Says which members are proven gone: a later incarnation has registered under
-/// the name, or the list of VMs, which shows this daemon's own VM, has not shown
+/// Says which members are proven gone: their registration is no more or a later
+/// incarnation's, or the list of VMs, which shows this daemon's own VM, has not shown
 /// the member's for longer than the list may lag. Silence proves nothing.
 ///
 /// # Examples
 ///
 /// ```
 /// use sapphirestile_daemon::members::MemberTable;
+/// use sapphirestile_daemon::tokens::LedgerRow;
 /// use sapphirestile_daemon::tokens::MemberProofs;
 /// use sapphirestile_daemon::vms::VmTable;
 /// use sapphirestile_core::DaemonIdentity;
@@ -26,7 +28,12 @@
 /// let daemon = DaemonName::try_from("entry-2").unwrap();
 /// let member = DaemonIdentity { daemon, incarnation: IncarnationNumber::new(4) };
 /// let proofs = MemberProofs::default();
-/// assert!(!proofs.is_gone(&member, &MemberTable::default(), &VmTable::default()));
+/// assert!(!proofs.is_gone(
+///     &member,
+///     &LedgerRow::default(),
+///     &MemberTable::default(),
+///     &VmTable::default()
+/// ));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct MemberProofs {
@@ -57,10 +64,16 @@
 
     /// Whether `member` is proven gone.
     #[must_use]
-    pub fn is_gone(&self, member: &DaemonIdentity, members: &MemberTable, vms: &VmTable) -> bool {
-        let row = members.row(member.daemon.as_str());
-        let replaced = row.is_some_and(|row| row.incarnation > member.incarnation);
-        replaced || self.is_unlisted(&member.daemon, vms)
+    pub fn is_gone(
+        &self,
+        member: &DaemonIdentity,
+        row: &LedgerRow,
+        members: &MemberTable,
+        vms: &VmTable,
+    ) -> bool {
+        let known = members.row(member.daemon.as_str());
+        let replaced = known.is_some_and(|known| known.incarnation > member.incarnation);
+        replaced || row.gone.contains(member) || self.is_unlisted(&member.daemon, vms)
     }
 
     /// Whether the list has not shown the daemon's VM for longer than it may lag.
--- a/crates/daemon/src/tokens/token_keeper/ledger_steps.rs
+++ b/crates/daemon/src/tokens/token_keeper/ledger_steps.rs
@@ -48,7 +48,7 @@
             return None;
         }
         self.note_vm_list(ledger);
-        let next = self.reclaimed(ledger).or_else(|| self.resized(ledger));
+        let next = self.reclaimed(row).or_else(|| self.resized(ledger));
         if next.is_none() {
             self.remove_registration(ledger);
         }
@@ -110,14 +110,15 @@
         changed.then(|| draft.finish())
     }
 
-    fn reclaimed(&mut self, ledger: &TokenLedger) -> Option<TokenLedger> {
+    fn reclaimed(&mut self, row: &LedgerRow) -> Option<TokenLedger> {
+        let ledger = &row.ledger;
         let vms = self.context.vms.load_full();
         let members = self.context.members.load_full();
         let gone: Vec<DaemonIdentity> = ledger
             .members
             .iter()
             .filter(|member| **member != self.context.identity)
-            .filter(|member| self.proofs.is_gone(member, &members, &vms))
+            .filter(|member| self.proofs.is_gone(member, row, &members, &vms))
             .cloned()
             .collect();
         if gone.is_empty() {
--- a/crates/daemon/src/tokens/token_keeper/trade_steps.rs
+++ b/crates/daemon/src/tokens/token_keeper/trade_steps.rs
@@ -82,6 +82,14 @@
         let now = context.clock.now();
         let generation = ledger.generation.get();
         let fresh = self.reports.fresh(generation, now, REPORT_AGE_MAX_MS);
+        let members = context.members.load();
+        let suspect_ms = context.settings.limits.suspect_ms;
+        let serves = |peer: &DaemonIdentity| {
+            let row = members.row(peer.daemon.as_str());
+            row.is_some_and(|row| row.serves(now, suspect_ms))
+        };
+        // One that drains would only have to hand back what it is given.
+        let fresh = fresh.filter(|(peer, _)| serves(peer));
         let mut reports: Vec<(DaemonIdentity, TokenReport)> = fresh
             .map(|(peer, report)| (peer.clone(), report.clone()))
             .collect();
--- a/crates/daemon/tests/failures/planned_stop.rs
+++ b/crates/daemon/tests/failures/planned_stop.rs
@@ -15,6 +15,7 @@
 use sapphirestile_test_support::wait_until;
 
 const CALLERS: usize = 6;
+const LIMITS: &str = "heartbeat_ms = 100\nsuspect_ms = 1000\nrequest_max_ms = 2000\n";
 /// Two runners of eight slots in each of three zones.
 const TOKENS: u64 = 48;
 
@@ -31,7 +32,7 @@
         runner,
         ..FleetPlan::default()
     };
-    let mut stage = Stage::set("planned_stop", plan);
+    let (mut stage, _links) = Stage::set_limited("planned_stop", plan, LIMITS);
     let leaving = stage.daemons.remove(0);
     let (callers, operators) = (leaving.callers(), leaving.operators());
     wait_until("a request is answered", || {
--- a/crates/daemon/tests/member_proofs.rs
+++ b/crates/daemon/tests/member_proofs.rs
@@ -6,6 +6,7 @@
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::ZoneName;
 use sapphirestile_daemon::members::MemberTable;
+use sapphirestile_daemon::tokens::LedgerRow;
 use sapphirestile_daemon::tokens::MemberProofs;
 use sapphirestile_daemon::vms::VmTable;
 use sapphirestile_wire::vms::VmKind;
@@ -39,7 +40,8 @@
     for vms in lists {
         proofs.note_list(vms, "entry-1", std::slice::from_ref(member));
     }
-    proofs.is_gone(member, members, lists.last().unwrap())
+    let row = LedgerRow::default();
+    proofs.is_gone(member, &row, members, lists.last().unwrap())
 }
 
 #[test]
@@ -80,3 +82,16 @@
     let lists = [list(&["entry-3"], 0), list(&["entry-3"], 90_000)];
     assert!(!is_gone(&identity("entry-2", 8), &lists, &members));
 }
+
+#[test]
+fn a_registration_that_was_taken_back_is_a_proof() {
+    let member = identity("entry-2", 8);
+    let row = LedgerRow {
+        gone: vec![member.clone()],
+        ..LedgerRow::default()
+    };
+    let (members, vms) = (MemberTable::default(), list(&["entry-1", "entry-2"], 0));
+    let proofs = MemberProofs::default();
+    assert!(proofs.is_gone(&member, &row, &members, &vms));
+    assert!(!proofs.is_gone(&identity("entry-2", 9), &row, &members, &vms));
+}
