Make room for urgent work by stopping tasks of the backlog

Cause: the rule was in the placement crate and in its experiment, but no cell used it; an urgent task waited until some task ended. A stop that was lost is asked for with the next report. Before: urgent tasks waited for room. Conclusion: evicted tasks go on from their checkpoints.

--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -38,6 +38,7 @@
 pub use owner::TaskSighting;
 pub use owner::WorkerFacts;
 pub use owner::WorkerView;
+pub use planner::EvictionOrder;
 pub use planner::PlanView;
 pub use planner::PlannedStart;
 pub use planner::StartPlanner;
--- a/crates/cells/src/owner/cell_owner/start_planning.rs
+++ b/crates/cells/src/owner/cell_owner/start_planning.rs
@@ -4,6 +4,8 @@
 use crate::owner::CellOwner;
 use crate::owner::OpenPhase;
 use crate::owner::StartOrder;
+use crate::owner::StopOrder;
+use crate::planner::EvictionOrder;
 use crate::planner::PlanView;
 use crate::planner::PlannedStart;
 use crate::state::TaskEntry;
@@ -26,6 +28,7 @@
         let view = PlanView {
             state: &self.state,
             workers: &self.phase.workers,
+            stopping: &self.phase.stopping,
             now,
             permit_fresh_ms: PERMIT_FRESH_MS,
             limit,
@@ -33,6 +36,9 @@
         for planned in self.phase.planner.plan(&view) {
             self.assign(&planned, now);
         }
+        for order in self.phase.planner.take_evictions() {
+            self.evict(&order);
+        }
     }
 
     /// Why the waiting tasks of a job were not started by the latest plan.
@@ -41,6 +47,26 @@
         self.phase.planner.reason(job)
     }
 
+    /// Asks a task to stop with a checkpoint, for the sake of urgent work. It is
+    /// asked again with each report that shows it running.
+    fn evict(&mut self, order: &EvictionOrder) {
+        let Some(phase) = self.assigned_phase(&order.task) else {
+            return;
+        };
+        let attempt = phase.attempt;
+        let text = format!("attempt {attempt} {}", order.reason);
+        self.phase.log.note(self.last_proposed(), &order.task, text);
+        self.phase.evictions += 1;
+        self.phase.stopping.insert(order.task.clone(), attempt);
+        self.phase.stops.push(StopOrder {
+            worker: order.worker.clone(),
+            epoch: self.state.epoch(),
+            task: order.task.clone(),
+            attempt,
+            checkpoint: true,
+        });
+    }
+
     fn assign(&mut self, planned: &PlannedStart, now: MonoTime) {
         let Some(start) = self.start_order(planned, now) else {
             return;
--- a/crates/cells/src/owner/cell_owner/task_proposals.rs
+++ b/crates/cells/src/owner/cell_owner/task_proposals.rs
@@ -62,7 +62,7 @@
             .clone()
     }
 
-    fn assigned_phase(&self, task: &TaskName) -> Option<&AssignedPhase> {
+    pub(super) fn assigned_phase(&self, task: &TaskName) -> Option<&AssignedPhase> {
         match self.state.tasks().get(task)? {
             TaskEntry::Assigned(cycle) => Some(cycle.phase()),
             TaskEntry::Waiting(_) | TaskEntry::Ended(_) => None,
--- a/crates/cells/src/owner/cell_owner/worker_reports.rs
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -110,9 +110,10 @@
         let cancelled = record.cancelled;
         let view = self.phase.workers.get(worker);
         let leaves = view.is_some_and(|view| !view.facts.takes_work);
-        if cancelled || leaves {
-            let known = self.phase.stopping.insert(task.clone(), *attempt);
-            if known != Some(*attempt) {
+        let asked = self.phase.stopping.get(task) == Some(attempt);
+        if cancelled || leaves || asked {
+            if !asked {
+                self.phase.stopping.insert(task.clone(), *attempt);
                 self.note_stop(worker, sighting, cancelled);
             }
             self.stop_attempt(worker, sighting, !cancelled);
--- a/crates/cells/src/planner/start_planner.rs
+++ b/crates/cells/src/planner/start_planner.rs
@@ -1,8 +1,10 @@
 //! Plans starts.
 
+use crate::planner::EvictionOrder;
 use crate::planner::PlanView;
 use crate::planner::PlannedStart;
 use crate::planner::RoomBook;
+use crate::planner::RoomMaker;
 use crate::state::CellState;
 use crate::state::JobRecord;
 use sapphirestile_core::CustomerEntry;
@@ -53,6 +55,8 @@
     not_before: SortedTable<JobName, MonoTime>,
     /// Why the tasks of a job wait, as of the latest plan.
     reasons: SortedTable<JobName, String>,
+    maker: RoomMaker,
+    evictions: Vec<EvictionOrder>,
 }
 
 impl StartPlanner {
@@ -131,6 +135,7 @@
         self.pass_time(view.now);
         let mut book = RoomBook::gather(view, &self.customers, &self.submitted, &self.not_before);
         book.judge(&self.standings);
+        self.maker.mark(&mut book.rooms, view.now);
         self.reasons = SortedTable::new();
         self.walk(view, &mut book)
     }
@@ -167,9 +172,15 @@
                         .worker
                         .clone();
                     book.occupy(record, &worker, &size);
+                    if job.urgent {
+                        self.maker.release(&job.name);
+                    }
                     pass.placed();
                 }
                 Err(refusal) => {
+                    if job.urgent && matches!(refusal, PlacementRefusal::NoRoomNow { .. }) {
+                        self.make_room(job, size, view, book);
+                    }
                     self.reasons.insert(job.name.clone(), refusal.to_string());
                     pass.refused(&size, &refusal);
                 }
@@ -179,6 +190,30 @@
         starts
     }
 
+    /// The tasks that the latest plans want stopped.
+    pub fn take_evictions(&mut self) -> Vec<EvictionOrder> {
+        std::mem::take(&mut self.evictions)
+    }
+
+    fn make_room(
+        &mut self,
+        job: &WaitingJob,
+        size: ResourceSize,
+        view: &PlanView<'_>,
+        book: &RoomBook,
+    ) {
+        let nothing = PlacedTasks::default();
+        let customer = customer_of(job, &book.customers);
+        let mut request = PlacementRequest::new(size, customer, &nothing);
+        request.job = Some(&job.name);
+        request.zones = &job.zones;
+        let (rooms, policy) = (&book.rooms, &self.policy);
+        let orders = self
+            .maker
+            .make_room(&job.name, &request, view, rooms, policy);
+        self.evictions.extend(orders);
+    }
+
     fn choose(
         &self,
         job: &WaitingJob,
--- a/crates/cells/tests/owner/main.rs
+++ b/crates/cells/tests/owner/main.rs
@@ -6,3 +6,4 @@
 mod owner_bench;
 mod reporting;
 mod sizing;
+mod urgent;
