--- a/crates/specification/src/token_handover.rs
+++ b/crates/specification/src/token_handover.rs
@@ -20,6 +20,7 @@
 mod token_mutation;
 mod token_reclaim;
 mod token_state;
+mod token_steps;
 
 pub use closed_count::ClosedCount;
 pub use member_life::MemberLife;
