--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -245,6 +245,12 @@
         sequence
     }
 
+    /// How many changes wait to be handed out.
+    #[must_use]
+    pub const fn pending_changes(&self) -> usize {
+        self.phase.pending.len()
+    }
+
     /// The latest decisions.
     #[must_use]
     pub const fn decisions(&self) -> &DecisionLog {
--- a/crates/daemon/src/cells/cell_keeper.rs
+++ b/crates/daemon/src/cells/cell_keeper.rs
@@ -16,7 +16,7 @@
 use crate::cells::JournalOutcome;
 use crate::cells::KeeperDump;
 use crate::cells::KeeperEvent;
-use crate::cells::WaitingReply;
+use crate::cells::ReplyQueue;
 use crate::cells::WorkerPool;
 use crate::context::DaemonContext;
 use sapphirestile_cells::CellOwner;
@@ -25,8 +25,6 @@
 use sapphirestile_cells::ReportView;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::MonoTime;
-use sapphirestile_wire::peer::PeerAnswer;
-use sapphirestile_wire::peer::PeerFault;
 
 const TICK: Duration = Duration::from_millis(50);
 
@@ -43,7 +41,7 @@
     events: Receiver<KeeperEvent>,
     /// Where the pool and the writer answer.
     answers: Sender<KeeperEvent>,
-    replies: Vec<WaitingReply>,
+    replies: ReplyQueue,
     /// The configuration that the list of workers was made with.
     revision: ConfigRevision,
     /// The configuration that the entry in flight was guarded with.
@@ -83,7 +81,7 @@
             batches,
             events,
             answers,
-            replies: Vec::new(),
+            replies: ReplyQueue::default(),
             revision: ConfigRevision::default(),
             guarded: None,
             beaten: None,
@@ -188,7 +186,7 @@
         for effect in effects {
             self.call_worker(effect);
         }
-        self.give_replies();
+        self.replies.give(self.owner.sequence());
     }
 
     fn dump(&self) -> KeeperDump {
@@ -220,31 +218,10 @@
         }
     }
 
-    fn give_replies(&mut self) {
-        let reached = self.owner.sequence();
-        let (due, rest) = std::mem::take(&mut self.replies)
-            .into_iter()
-            .partition::<Vec<_>, _>(|waiting| waiting.sequence <= reached);
-        self.replies = rest;
-        for waiting in due {
-            // The caller may have stopped waiting.
-            let _given = waiting.reply.send(waiting.answer);
-        }
-    }
-
-    /// Changes that were never handed out are not in the journal, nor will be. The
-    /// entry in flight may be, unless it is certain that it was beaten.
     fn refuse_replies(&mut self) {
-        let flight = self.owner.sequence().next();
-        let in_doubt = self.owner.has_flight() && !self.beaten_in_journal;
-        for waiting in self.replies.drain(..) {
-            let fault = if in_doubt && waiting.sequence == flight {
-                PeerFault::Unknown
-            } else {
-                PeerFault::NotRun("the cell has moved to another daemon".to_owned())
-            };
-            let _given = waiting.reply.send(PeerAnswer::Fault(fault));
-        }
+        let flight = self.owner.has_flight() && !self.beaten_in_journal;
+        let in_doubt = flight.then(|| self.owner.sequence().next());
+        self.replies.refuse(in_doubt);
     }
 
     fn release(self) {
--- a/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
@@ -29,6 +29,7 @@
                 .send(PeerAnswer::Fault(PeerFault::NotRun(reason)));
             return;
         }
+        let before = self.owner.pending_changes();
         let answer = match &call.request {
             PeerRequest::SubmitJob(_, submission) => self.submit(submission),
             PeerRequest::CancelJob(_, job) => self.cancel(job),
@@ -46,11 +47,12 @@
                 PeerAnswer::Pong
             }
         };
-        self.reply_when_committed(call, answer);
+        let fresh = self.owner.pending_changes() > before;
+        self.reply_when_committed(call, answer, fresh);
     }
 
     /// Gives an answer once all that it rests on is in the journal.
-    fn reply_when_committed(&mut self, call: &KeeperCall, answer: PeerAnswer) {
+    fn reply_when_committed(&mut self, call: &KeeperCall, answer: PeerAnswer, fresh: bool) {
         let sequence = self.owner.last_proposed();
         let reply = call.reply.clone();
         if matches!(answer, PeerAnswer::Fault(_)) || sequence == self.owner.sequence() {
@@ -59,6 +61,7 @@
         }
         self.replies.push(WaitingReply {
             sequence,
+            fresh,
             answer,
             reply,
         });
--- a/crates/daemon/src/cells/waiting_reply.rs
+++ b/crates/daemon/src/cells/waiting_reply.rs
@@ -1,7 +1,6 @@
 //! An answer that waits for a commit.
 
 use crossbeam::channel::Sender;
-
 use sapphirestile_core::JournalSequence;
 use sapphirestile_wire::peer::PeerAnswer;
 
@@ -10,6 +9,8 @@
 pub struct WaitingReply {
     /// The entry.
     pub sequence: JournalSequence,
+    /// Whether the caller's own call made the change that it waits for.
+    pub fresh: bool,
     /// The answer.
     pub answer: PeerAnswer,
     /// Where it goes.
--- /dev/null
+++ b/crates/daemon/tests/reply_queue.rs
@@ -0,0 +1,59 @@
+//! What callers are told when a cell moves while they wait.
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::bounded;
+use sapphirestile_core::JournalSequence;
+use sapphirestile_daemon::cells::ReplyQueue;
+use sapphirestile_daemon::cells::WaitingReply;
+use sapphirestile_wire::peer::PeerAnswer;
+use sapphirestile_wire::peer::PeerFault;
+
+fn wait(queue: &mut ReplyQueue, sequence: u64, fresh: bool) -> Receiver<PeerAnswer> {
+    let (reply, answers) = bounded(1);
+    queue.push(WaitingReply {
+        sequence: JournalSequence::new(sequence),
+        fresh,
+        answer: PeerAnswer::Pong,
+        reply,
+    });
+    answers
+}
+
+fn is_not_run(answers: &Receiver<PeerAnswer>) -> bool {
+    let answer = answers.try_recv().unwrap();
+    matches!(answer, PeerAnswer::Fault(PeerFault::NotRun(_)))
+}
+
+#[test]
+fn answers_are_given_once_their_entry_is_reached() {
+    let mut queue = ReplyQueue::default();
+    let (first, second) = (wait(&mut queue, 4, true), wait(&mut queue, 5, true));
+    queue.give(JournalSequence::new(4));
+    assert_eq!(first.try_recv(), Ok(PeerAnswer::Pong));
+    assert!(second.try_recv().is_err());
+}
+
+#[test]
+fn only_what_was_never_handed_out_is_not_run() {
+    let mut queue = ReplyQueue::default();
+    let (in_flight, pending) = (wait(&mut queue, 4, true), wait(&mut queue, 5, true));
+    queue.refuse(Some(JournalSequence::new(4)));
+    assert!(!is_not_run(&in_flight));
+    assert!(is_not_run(&pending));
+}
+
+#[test]
+fn an_entry_that_was_beaten_is_not_run() {
+    let mut queue = ReplyQueue::default();
+    let beaten = wait(&mut queue, 4, true);
+    queue.refuse(None);
+    assert!(is_not_run(&beaten));
+}
+
+#[test]
+fn a_job_that_was_there_before_is_never_said_not_to_run() {
+    let mut queue = ReplyQueue::default();
+    let repeated = wait(&mut queue, 5, false);
+    queue.refuse(None);
+    assert!(!is_not_run(&repeated));
+}
