--- /dev/null
+++ b/crates/daemon/tests/document_order.rs
@@ -0,0 +1,29 @@
+//! Which of two configurations is in force.
+
+use sapphirestile_core::ConfigRevision;
+use sapphirestile_daemon::context::SwapHolder;
+use sapphirestile_daemon::document::InForceDocument;
+use sapphirestile_wire::api::AuthorName;
+use sapphirestile_wire::api::DocumentChange;
+use sapphirestile_wire::api::StoredDocument;
+
+fn document(revision: u64) -> InForceDocument {
+    let change = DocumentChange {
+        based_on: ConfigRevision::new(0),
+        text: format!("[region r]\nlink_mbit = {revision}\n"),
+        author: AuthorName::try_from("operator-1").unwrap(),
+        dry_run: false,
+    };
+    let stored = StoredDocument::successor(None, &change, 0);
+    InForceDocument::read(stored, ConfigRevision::new(revision)).unwrap()
+}
+
+#[test]
+fn a_document_never_gives_way_to_an_earlier_one() {
+    let holder = SwapHolder::new(InForceDocument::default());
+    for (arrived, in_force) in [(4, 4), (9, 9), (7, 9), (9, 9), (12, 12)] {
+        let arrived = document(arrived);
+        holder.update(|current| current.later(&arrived).clone());
+        assert_eq!(holder.load().revision().get(), in_force);
+    }
+}
