--- a/crates/soak/src/world/run_ledger.rs
+++ b/crates/soak/src/world/run_ledger.rs
@@ -14,8 +14,8 @@
 pub struct RunLedger {
     /// The jobs, by name.
     pub jobs: SortedTable<JobName, JobTries>,
-    /// How many answers said that a key was recorded for the first time.
-    pub recorded: SortedTable<RequestKey, u32>,
+    /// How often the holder of a key's record sent the request.
+    pub sent: SortedTable<RequestKey, u32>,
     /// How many attempts began.
     pub starts: u64,
     /// How many entries were written.
@@ -75,16 +75,16 @@
         }
     }
 
-    /// Notes an answer that a key was recorded for the first time.
+    /// Notes that the holder of a key's record sends the request.
     ///
     /// # Errors
     ///
-    /// When that was answered before.
-    pub fn note_recorded(&mut self, key: &RequestKey) -> Result<(), String> {
-        let count = self.recorded.get_or_insert_with(key.clone(), || 0);
+    /// When it was sent before.
+    pub fn note_sent(&mut self, key: &RequestKey) -> Result<(), String> {
+        let count = self.sent.get_or_insert_with(key.clone(), || 0);
         *count += 1;
         if *count > 1 {
-            return Err(format!("{} was recorded twice", key.as_str()));
+            return Err(format!("{} was sent twice", key.as_str()));
         }
         Ok(())
     }
--- a/crates/soak/src/world/soak_world/submit_work.rs
+++ b/crates/soak/src/world/soak_world/submit_work.rs
@@ -18,11 +18,13 @@
 use sapphirestile_cells::TransitionFault;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::CustomerName;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::JobName;
 use sapphirestile_core::RequestKey;
 use sapphirestile_core::ResourceSize;
 
 const KEYS: u32 = 40;
+const SENT_PROBABILITY: f64 = 0.7;
 const CANCELLED_AT_ONCE: usize = 6;
 
 impl SoakWorld {
@@ -78,13 +80,22 @@
                     if record.is_none_or(|record| record.sender != identity) {
                         self.broken(format!("{} is not recorded", key.as_str()));
                     }
-                    let noted = self.ledger.note_recorded(&key);
-                    self.check(noted);
+                    self.send_or_withdraw(cell, &key, &identity);
                 }
             }
         }
     }
 
+    /// The holder of a record sends the request, or takes its record back.
+    fn send_or_withdraw(&mut self, cell: CellNumber, key: &RequestKey, holder: &DaemonIdentity) {
+        if self.rng.random_bool(SENT_PROBABILITY) {
+            let noted = self.ledger.note_sent(key);
+            self.check(noted);
+        } else if let Some((_, seat)) = self.any_owner(cell) {
+            let _unknown = seat.owner.withdraw_request(key, holder);
+        }
+    }
+
     fn tell_done(&mut self, cell: CellNumber, job: &JobName, place: usize) {
         if !self.store.rows(cell).truth.jobs().contains(job) {
             self.broken(format!("{job} was answered done, and no journal holds it"));
