--- a/crates/cells/src/owner.rs
+++ b/crates/cells/src/owner.rs
@@ -11,6 +11,8 @@
 mod cell_owner;
 mod claiming_phase;
 mod commit_outcome;
+mod decision_log;
+mod decision_note;
 mod open_phase;
 mod report_view;
 mod session_order;
@@ -29,8 +31,11 @@
 
 pub use cell_effect::CellEffect;
 pub use cell_owner::CellOwner;
+pub use cell_owner::LIST_LAG_MAX_MS;
 pub use claiming_phase::ClaimingPhase;
 pub use commit_outcome::CommitOutcome;
+pub use decision_log::DecisionLog;
+pub use decision_note::DecisionNote;
 pub use open_phase::OpenPhase;
 pub use report_view::ReportView;
 
--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -7,12 +7,15 @@
 mod worker_list;
 mod worker_reports;
 
+pub use worker_list::LIST_LAG_MAX_MS;
+
 use crate::journal::CellTransition;
 use crate::journal::EntryBody;
 use crate::journal::JobOrder;
 use crate::journal::JournalEntry;
 use crate::owner::AssignedBook;
 use crate::owner::ClaimingPhase;
+use crate::owner::DecisionLog;
 use crate::owner::OpenPhase;
 use crate::state::CellState;
 use crate::state::RequestRecord;
@@ -242,6 +245,12 @@
         sequence
     }
 
+    /// The latest decisions.
+    #[must_use]
+    pub const fn decisions(&self) -> &DecisionLog {
+        &self.phase.log
+    }
+
     /// Whether a task waits for a worker.
     #[must_use]
     pub fn has_waiting(&self) -> bool {
--- a/crates/cells/src/owner/cell_owner/task_proposals.rs
+++ b/crates/cells/src/owner/cell_owner/task_proposals.rs
@@ -21,6 +21,10 @@
             self.phase.assigned.add(worker, task);
         }
         self.phase.pending.push(transition);
+        let entry = self.last_proposed();
+        if let Some(change) = self.phase.pending.last() {
+            self.phase.log.note_change(entry, change);
+        }
         Ok(())
     }
 
@@ -58,7 +62,7 @@
             .clone()
     }
 
-    fn assigned_phase(&self, task: &TaskName) -> Option<&AssignedPhase> {
+    pub(super) fn assigned_phase(&self, task: &TaskName) -> Option<&AssignedPhase> {
         match self.state.tasks().get(task)? {
             TaskEntry::Assigned(cycle) => Some(cycle.phase()),
             TaskEntry::Waiting(_) | TaskEntry::Ended(_) => None,
--- a/crates/cells/src/owner/cell_owner/worker_reports.rs
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -110,13 +110,28 @@
         let cancelled = record.cancelled;
         let view = self.phase.workers.get(worker);
         let leaves = view.is_some_and(|view| !view.facts.takes_work);
-        if cancelled || leaves {
-            let known = self.phase.stopping.insert(task.clone(), *attempt);
-            self.phase.evictions += u64::from(leaves && known != Some(*attempt));
+        let asked = self.phase.stopping.get(task) == Some(attempt);
+        if cancelled || leaves || asked {
+            if !asked {
+                self.phase.stopping.insert(task.clone(), *attempt);
+                self.note_stop(worker, sighting, cancelled);
+            }
             self.stop_attempt(worker, sighting, !cancelled);
         }
     }
 
+    fn note_stop(&mut self, worker: &str, sighting: &TaskSighting, cancelled: bool) {
+        let cause = if cancelled {
+            "its job was cancelled".to_owned()
+        } else {
+            self.phase.evictions += 1;
+            format!("{worker} leaves or its zone is out")
+        };
+        let TaskSighting { task, attempt, .. } = sighting;
+        let text = format!("attempt {attempt} asked to stop: {cause}");
+        self.phase.log.note(self.last_proposed(), task, text);
+    }
+
     /// An attempt that is not the task's current one on this worker: it must not
     /// run on, and nothing that it reports counts.
     fn settle_stray(&mut self, worker: &str, sighting: &TaskSighting) {
--- a/crates/cells/src/owner/open_phase.rs
+++ b/crates/cells/src/owner/open_phase.rs
@@ -3,6 +3,7 @@
 use crate::journal::CellTransition;
 use crate::journal::JournalEntry;
 use crate::owner::AssignedBook;
+use crate::owner::DecisionLog;
 use crate::owner::SettlingAttempt;
 use crate::owner::StartOrder;
 use crate::owner::StopOrder;
@@ -39,6 +40,7 @@
     pub(super) planner: StartPlanner,
     /// Attempts that were asked to stop.
     pub(super) stopping: SortedTable<TaskName, AttemptNumber>,
+    pub(super) log: DecisionLog,
     pub(super) stops: Vec<StopOrder>,
     pub(super) evictions: u64,
     /// How many sessions were asked for, with whichever worker.
--- a/crates/cells/src/state/cell_state/job_changes.rs
+++ b/crates/cells/src/state/cell_state/job_changes.rs
@@ -7,12 +7,11 @@
 use crate::state::TaskEntry;
 use crate::state::TaskOutcome;
 use crate::state::TransitionFault;
+use crate::state::cell_state::TASKS_MAX;
 use sapphirestile_core::JobName;
 use sapphirestile_core::TaskIndex;
 use sapphirestile_core::TaskName;
 
-use crate::state::cell_state::TASKS_MAX;
-
 impl CellState {
     pub(super) fn submit_job(&mut self, order: &JobOrder) -> Result<(), TransitionFault> {
         if let Some(known) = self.jobs.get(&order.job) {
--- a/crates/daemon/src/cycle/daemon_cycle.rs
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -30,6 +30,8 @@
 use crate::cycle::daemon_threads::start_vm_poller;
 use crate::cycle::daemon_threads::start_watch;
 use crate::cycle::daemon_threads::target;
+use crate::cycle::drain_steps::hand_tokens_over;
+use crate::cycle::drain_steps::take_registration_back;
 use crate::members::MemberRecord;
 use crate::members::MemberRegistration;
 use crate::metrics::DaemonMetrics;
@@ -196,6 +198,8 @@
         gate.close();
         let rest = Duration::from_millis(limit_ms.saturating_sub(spent()));
         let emptied = gate.wait_empty(rest);
+        hand_tokens_over(&context);
+        take_registration_back(&context);
         let released = context.keepers.load().is_empty();
         info!(step = "drain", emptied, released, "ended");
         drop(stop);
