Measure how state, messages and processor time grow

Cause: the target size has to be worked out from measured slopes. A command with five parts drives the real types: sizes of messages, processor time, memory, sessions on the wire, and three real daemons on stand-ins. Tried: with the silent workers left out of SessionLoad::busy_ms the test of sessions fails, 1243 in place of 4953.

--- /dev/null
+++ b/crates/capacity/src/messages/peer_sizes.rs
@@ -0,0 +1,94 @@
+//! Messages between daemons.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use sapphirestile_core::CellEpoch;
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::ConfigRevision;
+use sapphirestile_slots::HandoverMessage;
+use sapphirestile_wire::peer::FrameKey;
+use sapphirestile_wire::peer::MemberState;
+use sapphirestile_wire::peer::PeerDatagram;
+use sapphirestile_wire::peer::PeerFrame;
+use sapphirestile_wire::peer::PeerHeartbeat;
+
+use crate::ResultTable;
+use crate::SizeScale;
+use crate::scenes::TokenScene;
+use crate::scenes::identity;
+
+const PORT: u16 = 7_000;
+const REVISION: u64 = 2_000_000;
+const EPOCH: u64 = 1_000_000;
+/// The keeper's bound on the counters of one message.
+const TOTALS_MAX: usize = 200;
+
+pub fn heartbeats(scale: SizeScale) -> ResultTable {
+    let mut table = ResultTable::new(
+        "Heartbeat, sealed, by the cells that the daemon owns",
+        &["cells", "bytes"],
+    );
+    for &cells in scale.pick(&[1, 8, 16, 64, 256]) {
+        table.add(&[&cells, &sealed_bytes(heartbeat(cells))]);
+    }
+    table
+}
+
+pub fn token_reports(scale: SizeScale) -> ResultTable {
+    let mut table = ResultTable::new(
+        "Token report and hand-over of one token of each runner, sealed",
+        &["runners", "report", "largest hand-over message", "messages"],
+    );
+    for &runners in scale.pick(&[48, 500, 2_000, 4_625, 37_000]) {
+        let scene = TokenScene::build(runners);
+        let report = sealed_bytes(PeerDatagram::Tokens(scene.report()));
+        let mut message = scene.handover();
+        let messages = message.totals.len().div_ceil(TOTALS_MAX);
+        message.totals.truncate(TOTALS_MAX);
+        let largest = sealed_bytes(handover(message));
+        table.add(&[&runners, &report, &largest, &messages]);
+    }
+    table
+}
+
+pub fn token_ledgers(scale: SizeScale) -> ResultTable {
+    let mut table = ResultTable::new(
+        "Ledger of tokens in the store, seven members",
+        &["runners", "bytes"],
+    );
+    for &runners in scale.pick(&[48, 500, 2_000, 4_625, 37_000]) {
+        let ledger = TokenScene::build(runners).ledger;
+        let bytes = postcard::to_stdvec(&ledger).expect("a ledger is encodable");
+        table.add(&[&runners, &bytes.len()]);
+    }
+    table
+}
+
+fn heartbeat(cells: u16) -> PeerDatagram {
+    let owned = (0..cells).map(|cell| (CellNumber::new(cell), CellEpoch::new(EPOCH)));
+    PeerDatagram::Heartbeat(PeerHeartbeat {
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, PORT)),
+        state: MemberState::Serving,
+        revision: ConfigRevision::new(REVISION),
+        store_silent_ms: 1_000,
+        cells: owned.collect(),
+    })
+}
+
+const fn handover(message: HandoverMessage) -> PeerDatagram {
+    PeerDatagram::Handover(message)
+}
+
+fn sealed_bytes(body: PeerDatagram) -> usize {
+    let sender = identity(0);
+    let frame = PeerFrame {
+        sender: sender.daemon,
+        incarnation: sender.incarnation,
+        call: REVISION,
+        body,
+    };
+    let key = FrameKey::new(b"a secret of sixteen bytes");
+    let sealed = key.seal(&frame).expect("the frame is short enough");
+    sealed.len()
+}
--- /dev/null
+++ b/crates/capacity/src/processor/token_times.rs
@@ -0,0 +1,82 @@
+//! Tokens of runners.
+
+use sapphirestile_slots::HandoverPlan;
+use sapphirestile_slots::TokenDemand;
+
+use crate::ResultTable;
+use crate::report::TimeSample;
+use crate::report::nanos_of;
+use crate::scenes::FreeTokens;
+use crate::scenes::TokenScene;
+
+/// What the demand of each of seven members is at a runner; their tokens are
+/// even, so that a plan has to move some.
+const DEMANDS: [(u32, u32); 7] = [
+    (2, 0),
+    (1, 1_000),
+    (1, 1_000),
+    (1, 4_000),
+    (1, 1_000),
+    (1, 1_000),
+    (1, 1_000),
+];
+
+pub fn token_times(rounds: usize) -> ResultTable {
+    let mut table = ResultTable::new(
+        "Keeper of tokens, seven members, us: median (least to most)",
+        &[
+            "runners",
+            "take the ledger",
+            "plan all runners",
+            "hand over one of each",
+            "message to a peer",
+            "receive it",
+            "lift embargoes",
+        ],
+    );
+    for runners in [48, 500, 2_000, 4_625] {
+        let scene = TokenScene::build(runners);
+        let ledger = TimeSample::gather(rounds, || nanos_of(1, || scene.holder(0)));
+        let plan = TimeSample::gather(rounds, || nanos_of(1, || plan_all(&scene)));
+        let hand = TimeSample::gather(rounds, || nanos_of(1, || scene.handover()));
+        let message = scene.handover();
+        let mut giver = scene.holder(0);
+        let peer = &scene.members[1];
+        for runner in scene.ledger.runners.keys() {
+            giver.hand_over(peer, runner, 1, &FreeTokens);
+        }
+        let tell = TimeSample::gather(rounds, || {
+            nanos_of(1, || giver.message_to(peer, None, usize::MAX))
+        });
+        let receive = TimeSample::gather(rounds, || {
+            let mut taker = scene.holder(1);
+            nanos_of(1, || taker.receive(&message, &FreeTokens))
+        });
+        let now = sapphirestile_core::MonoTime::default();
+        let lift = TimeSample::gather(rounds, || {
+            nanos_of(1, || giver.lift_embargoes(now, &FreeTokens))
+        });
+        table.add(&[&runners, &ledger, &plan, &hand, &tell, &receive, &lift]);
+    }
+    table
+}
+
+/// As the keeper of tokens does four times a second; how many orders came out.
+fn plan_all(scene: &TokenScene) -> usize {
+    let mut orders = 0;
+    for _ in scene.ledger.runners.keys() {
+        let demands: Vec<TokenDemand<'_>> = scene
+            .members
+            .iter()
+            .zip(DEMANDS)
+            .map(|(member, (tokens, weight))| TokenDemand {
+                member,
+                tokens,
+                weight,
+            })
+            .collect();
+        let plan = HandoverPlan::new(&demands);
+        orders += plan.orders_of(&scene.members[0]).count();
+    }
+    orders
+}
--- /dev/null
+++ b/crates/capacity/src/scenes/cell_scene.rs
@@ -0,0 +1,206 @@
+//! An owned cell in any size.
+
+use sapphirestile_cells::CellEffect;
+use sapphirestile_cells::CellOwner;
+use sapphirestile_cells::CellState;
+use sapphirestile_cells::CommitOutcome;
+use sapphirestile_cells::OpenPhase;
+use sapphirestile_cells::ReportView;
+use sapphirestile_cells::SightedPhase;
+use sapphirestile_cells::TaskEntry;
+use sapphirestile_cells::TaskSighting;
+use sapphirestile_cells::WorkerFacts;
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::CustomerEntry;
+use sapphirestile_core::CustomerName;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::RackName;
+use sapphirestile_core::ResourceSize;
+use sapphirestile_core::SortedTable;
+use sapphirestile_core::ZoneName;
+
+use crate::scenes::CellSize;
+use crate::scenes::identity;
+use crate::scenes::job_order;
+use crate::scenes::worker_name;
+
+const TASKS_PER_JOB: u32 = 20;
+const WORKERS_PER_RACK: usize = 20;
+const STARTS_MAX: usize = 200;
+const SECOND_MS: u64 = 1_000;
+const ENDED_JOBS_FROM: usize = 500_000;
+const WAITING_JOBS_FROM: usize = 600_000;
+const WORKER_SIZE: ResourceSize = ResourceSize {
+    cpu_milli: 64_000,
+    memory_mb: 250_000,
+    accelerators: 1,
+};
+const QUOTA: ResourceSize = ResourceSize {
+    cpu_milli: 10_000_000_000,
+    memory_mb: 100_000_000_000,
+    accelerators: 1_000_000,
+};
+
+/// An owned cell in any size.
+pub struct CellScene {
+    pub owner: CellOwner<OpenPhase>,
+    pub now: MonoTime,
+    pub facts: Vec<WorkerFacts>,
+    nonce: u64,
+}
+
+impl CellScene {
+    /// A cell whose tasks have all been started, ended or left waiting.
+    pub fn build(size: CellSize) -> Self {
+        let claiming = CellOwner::claim(CellNumber::new(0), identity(0), CellState::default(), 1);
+        let mut scene = Self {
+            owner: claiming.claimed(),
+            now: MonoTime::from_millis(SECOND_MS),
+            facts: (0..size.workers).map(worker_facts).collect(),
+            nonce: 1,
+        };
+        scene.owner.set_customers(&customers());
+        scene.owner.set_workers(&scene.facts, scene.now);
+        scene.end_tasks(size.ended);
+        scene.submit(0, size.running);
+        scene.commit();
+        scene.report_all();
+        scene.start_all();
+        scene.submit(WAITING_JOBS_FROM, size.waiting);
+        scene.commit();
+        scene
+    }
+
+    /// Submits `tasks` in jobs of twenty.
+    pub fn submit(&mut self, first: usize, tasks: u32) {
+        let mut left = tasks;
+        let mut place = first;
+        while left > 0 {
+            let part = left.min(TASKS_PER_JOB);
+            let submitted = self.owner.submit_job(&job_order(place, part));
+            submitted.expect("the job is new");
+            left -= part;
+            place += 1;
+        }
+    }
+
+    /// Commits what was proposed and answers the starts; how many they were.
+    pub fn commit(&mut self) -> usize {
+        self.nonce += 1;
+        if self.owner.take_batch(self.nonce).is_none() {
+            return 0;
+        }
+        self.settle()
+    }
+
+    /// Settles the batch in flight and answers the starts; how many they were.
+    pub fn settle(&mut self) -> usize {
+        let effects = self.owner.settle_batch(CommitOutcome::Done);
+        for effect in &effects {
+            if let CellEffect::Start(order) = effect {
+                self.owner.start_answered(order.worker.as_str());
+            }
+        }
+        effects.len()
+    }
+
+    /// One second later every worker is asked and reports what runs on it.
+    pub fn report_all(&mut self) -> usize {
+        let reports = self.due_reports();
+        for report in &reports {
+            self.owner.observe_report(&view_of(report));
+        }
+        reports.len()
+    }
+
+    /// The reports of one second, by worker.
+    pub fn due_reports(&mut self) -> Vec<(String, u64, MonoTime, Vec<TaskSighting>)> {
+        self.now = self.now.plus_millis(SECOND_MS);
+        let running = self.sightings();
+        let now = self.now;
+        let orders = self.owner.due_sessions(now).into_iter();
+        orders
+            .map(|order| {
+                let worker = order.worker.as_str().to_owned();
+                let tasks = running.get(&worker).cloned().unwrap_or_default();
+                (worker, order.ordinal, now, tasks)
+            })
+            .collect()
+    }
+
+    fn sightings(&self) -> SortedTable<String, Vec<TaskSighting>> {
+        let mut table = SortedTable::new();
+        for (task, entry) in self.owner.state().tasks().iter() {
+            if let TaskEntry::Assigned(cycle) = entry {
+                let phase = cycle.phase();
+                let worker = phase.worker.as_str().to_owned();
+                table
+                    .get_or_insert_with(worker, Vec::new)
+                    .push(TaskSighting {
+                        task: task.clone(),
+                        attempt: phase.attempt,
+                        phase: SightedPhase::Running,
+                        checkpoint_ms: 0,
+                        usage: phase.size,
+                    });
+            }
+        }
+        table
+    }
+
+    fn start_all(&mut self) {
+        loop {
+            self.owner.plan_starts(self.now, STARTS_MAX);
+            if self.commit() == 0 {
+                return;
+            }
+        }
+    }
+
+    /// Ends tasks a few at a time, since only so many may wait.
+    fn end_tasks(&mut self, tasks: u32) {
+        let mut left = tasks;
+        let mut place = ENDED_JOBS_FROM;
+        while left > 0 {
+            let part = left.min(TASKS_PER_JOB);
+            self.submit(place, part);
+            let cancelled = self.owner.cancel_job(&job_order(place, 1).job);
+            cancelled.expect("the job was not cancelled before");
+            left -= part;
+            place += 1;
+        }
+        self.commit();
+    }
+}
+
+/// A report as the owner takes it.
+pub fn view_of(report: &(String, u64, MonoTime, Vec<TaskSighting>)) -> ReportView<'_> {
+    let (worker, ordinal, asked, tasks) = report;
+    ReportView {
+        worker,
+        ordinal: *ordinal,
+        asked: *asked,
+        permit: *ordinal,
+        tasks,
+    }
+}
+
+fn worker_facts(place: usize) -> WorkerFacts {
+    let rack = format!("rack-{}", place / WORKERS_PER_RACK);
+    WorkerFacts {
+        worker: worker_name(place),
+        zone: ZoneName::try_from("near-a").expect("a valid name"),
+        rack: RackName::try_from(rack).ok(),
+        size: WORKER_SIZE,
+        takes_work: true,
+    }
+}
+
+fn customers() -> SortedTable<CustomerName, CustomerEntry> {
+    let entry = CustomerEntry {
+        quota: QUOTA,
+        priority: 100,
+    };
+    let name = CustomerName::try_from("kennels").expect("a valid name");
+    std::iter::once((name, entry)).collect()
+}
--- /dev/null
+++ b/crates/capacity/src/sessions/session_loads.rs
@@ -0,0 +1,50 @@
+//! The threads of a daemon's sessions at the two-year size.
+
+use crate::ResultTable;
+use crate::sessions::SessionLoad;
+
+const POOL_THREADS: u64 = 48;
+const CALL_TIMEOUT_MS: u64 = 1_000;
+const WORKERS: u64 = 8_700;
+
+/// Thread time and interval of sessions, worked out.
+pub fn session_loads() -> ResultTable {
+    let mut table = ResultTable::new(
+        "Sessions of one daemon, 48 threads, 1,000 ms time-out (worked out)",
+        &[
+            "daemons",
+            "workers",
+            "silent",
+            "round trip ms",
+            "thread ms a round",
+            "interval ms",
+        ],
+    );
+    let cases = [
+        (7, 1, 0),
+        (7, 16, 0),
+        (6, 16, 0),
+        (7, 1, 40),
+        (7, 16, 28),
+        (7, 1, 249),
+        (7, 16, 40),
+    ];
+    for (daemons, round_trip_ms, silent) in cases {
+        let load = SessionLoad {
+            workers: WORKERS.div_ceil(daemons),
+            silent,
+            round_trip_ms,
+            timeout_ms: CALL_TIMEOUT_MS,
+            threads: POOL_THREADS,
+        };
+        table.add(&[
+            &daemons,
+            &load.workers,
+            &silent,
+            &round_trip_ms,
+            &load.busy_ms(),
+            &load.interval_ms(),
+        ]);
+    }
+    table
+}
--- /dev/null
+++ b/crates/capacity/tests/message_sizes.rs
@@ -0,0 +1,53 @@
+//! Sizes of messages, and the threads of sessions.
+
+use sapphirestile_capacity::CapacityPart;
+use sapphirestile_capacity::ResultTable;
+use sapphirestile_capacity::SessionLoad;
+use sapphirestile_capacity::SizeScale;
+use sapphirestile_capacity::message_sizes;
+
+#[test]
+fn messages_have_the_sizes_of_the_page() {
+    let tables = message_sizes(SizeScale::Smallest);
+    let last_row = |table: &ResultTable| table.to_string().lines().last().map(str::to_owned);
+    let rows: Vec<String> = tables.iter().filter_map(last_row).collect();
+    assert_eq!(
+        rows,
+        [
+            "| 1 | 65 |",
+            "| 48 | 108 | 1126 | 1 |",
+            "| 48 | 1809 |",
+            "| 1 | 69 |",
+            "| 300 | 0 | 0 | 14284 |",
+            "| 5 | 5 | 1832 | 5224 |",
+            "| 500 | 100081 |",
+            "| 1 | 59 | 114 | 264 |",
+        ]
+    );
+}
+
+#[test]
+fn silent_workers_take_the_threads_of_the_others() {
+    let quiet = SessionLoad {
+        workers: 48,
+        silent: 0,
+        round_trip_ms: 16,
+        timeout_ms: 1_500,
+        threads: 16,
+    };
+    assert_eq!(quiet.interval_ms(), 1_000);
+    let rack = SessionLoad {
+        silent: 40,
+        workers: 1_243,
+        ..quiet
+    };
+    assert_eq!((rack.busy_ms(), rack.interval_ms()), (79_248, 4_953));
+}
+
+#[test]
+fn an_unknown_part_is_refused() {
+    assert_eq!(
+        CapacityPart::try_from("speed"),
+        Err("expected messages, processor, memory, sessions or fleet")
+    );
+}
