--- a/crates/cells/src/owner/open_phase.rs
+++ b/crates/cells/src/owner/open_phase.rs
@@ -2,6 +2,8 @@
 
 use crate::journal::CellTransition;
 use crate::journal::JournalEntry;
+use crate::owner::AssignedBook;
+use crate::owner::DecisionLog;
 use crate::owner::SettlingAttempt;
 use crate::owner::StartOrder;
 use crate::owner::StopOrder;
@@ -19,6 +21,8 @@
 #[derive(Debug, Default)]
 pub struct OpenPhase {
     pub(super) workers: SortedTable<WorkerName, WorkerView>,
+    /// The assigned tasks of the state, by worker.
+    pub(super) assigned: AssignedBook,
     /// Applied to the state, not yet handed out in a batch.
     pub(super) pending: Vec<CellTransition>,
     /// Handed out, with no outcome yet.
@@ -36,6 +40,7 @@
     pub(super) planner: StartPlanner,
     /// Attempts that were asked to stop.
     pub(super) stopping: SortedTable<TaskName, AttemptNumber>,
+    pub(super) log: DecisionLog,
     pub(super) stops: Vec<StopOrder>,
     pub(super) evictions: u64,
     /// How many sessions were asked for, with whichever worker.
--- a/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
@@ -125,7 +125,10 @@
         };
         let view = self.render(record);
         let subject = index.map_or(job.to_string(), |index| format!("{job}/{index}"));
-        PeerAnswer::Explained(subject, job_render::explain(&view, index))
+        let mut lines = job_render::explain(&view, index);
+        let decisions = self.owner.decisions().of_job(job, index);
+        lines.extend(decisions.map(ToString::to_string));
+        PeerAnswer::Explained(subject, lines)
     }
 
     fn record(&mut self, key: &RequestKey, call: &KeeperCall) -> PeerAnswer {
--- a/crates/daemon/tests/journal/fake_store.rs
+++ b/crates/daemon/tests/journal/fake_store.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
+
 use sapphirestile_core::SortedTable;
 use sapphirestile_platform::store::CommitAnswer;
 use sapphirestile_platform::store::StoreClient;
--- a/crates/daemon/tests/journal/main.rs
+++ b/crates/daemon/tests/journal/main.rs
@@ -4,6 +4,8 @@
 
 use std::sync::Arc;
 
+use fake_store::FakeStore;
+
 use sapphirestile_cells::CellOwner;
 use sapphirestile_cells::CellState;
 use sapphirestile_cells::EntryBody;
@@ -24,8 +26,6 @@
 use sapphirestile_daemon::context::StoreKeys;
 use sapphirestile_platform::store::StoreClient;
 
-use fake_store::FakeStore;
-
 const CELL: CellNumber = CellNumber::new(0);
 const MANY_JOBS: u32 = 2;
 const MANY_TASKS: u32 = 10_000;
