--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -159,18 +159,19 @@
         self.propose(CellTransition::JobCancelled(job.clone()))
     }
 
-    /// Takes the record of a request back that `sender` did not have run.
+    /// Takes the record of a request back that was not run. The nonce names the
+    /// record: a withdrawal that comes late or twice takes no later one away.
     ///
     /// # Errors
     ///
-    /// [`TransitionFault::UnknownRequest`] when `sender` has not recorded it.
+    /// [`TransitionFault::UnknownRequest`] when there is no such record.
     pub fn withdraw_request(
         &mut self,
         key: &RequestKey,
-        sender: &DaemonIdentity,
+        nonce: u64,
     ) -> Result<(), TransitionFault> {
         let record = self.state.records().get(key);
-        if record.is_none_or(|record| record.sender != *sender) {
+        if record.is_none_or(|record| record.nonce != nonce) {
             return Err(TransitionFault::UnknownRequest);
         }
         self.propose(CellTransition::RequestWithdrawn(key.clone()))
--- a/crates/cells/src/owner/cell_owner/worker_list.rs
+++ b/crates/cells/src/owner/cell_owner/worker_list.rs
@@ -84,6 +84,7 @@
             && view.ordinal == ordinal
         {
             view.asking = false;
+            view.misses = view.misses.saturating_add(1);
         }
     }
 
--- a/crates/cells/src/owner/cell_owner/worker_reports.rs
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -30,6 +30,7 @@
             return;
         }
         view.asking = false;
+        view.misses = 0;
         view.permit = Some(report.permit);
         for sighting in report.tasks {
             self.observe_sighting(report, sighting);
--- a/crates/cells/src/owner/worker_view.rs
+++ b/crates/cells/src/owner/worker_view.rs
@@ -5,6 +5,8 @@
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::TaskName;
 
+const MISSES_COUNTED: u32 = 4;
+
 /// What the owner knows of a worker; none of it lasts.
 #[derive(Clone, Debug)]
 pub struct WorkerView {
@@ -21,6 +23,8 @@
     pub asked: Option<MonoTime>,
     /// The permit, from the report until the next session is asked for.
     pub permit: Option<u64>,
+    /// How many sessions in a row were not answered.
+    pub misses: u32,
     /// How many starts are on their way, from their proposal to their answer.
     pub starts: u32,
     /// Ended attempts that the worker may forget.
@@ -38,6 +42,7 @@
             asking: false,
             asked: None,
             permit: None,
+            misses: 0,
             starts: 0,
             settled: Vec::new(),
         }
@@ -45,12 +50,15 @@
 
     /// Whether `now` is time to renew the session.
     ///
+    /// A silent worker is asked less and less often, so that many of them, as of a
+    /// zone that is cut off, do not hold up the sessions of all others.
+    ///
     /// A renewal voids the permit of starts that are on their way, so it waits for
     /// them, but no longer than their permit is good for.
     #[must_use]
     pub fn session_due(&self, now: MonoTime, interval_ms: u64, permit_ms: u64) -> bool {
         let wait_ms = if self.starts == 0 {
-            interval_ms
+            interval_ms << self.misses.min(MISSES_COUNTED)
         } else {
             permit_ms
         };
--- a/crates/cells/src/state/request_record.rs
+++ b/crates/cells/src/state/request_record.rs
@@ -10,6 +10,8 @@
 pub struct RequestRecord {
     /// The daemon that sends it.
     pub sender: DaemonIdentity,
+    /// Tells this record from every other of the same key.
+    pub nonce: u64,
     /// When it was recorded, in seconds of the Unix epoch.
     pub recorded_unix_s: u64,
 }
--- a/crates/cells/tests/cell_storm/storm_world/submit_work.rs
+++ b/crates/cells/tests/cell_storm/storm_world/submit_work.rs
@@ -101,6 +101,7 @@
 fn record_key(cell: &mut OwnedCell, mark: &DaemonIdentity, key: &RequestKey) {
     let record = RequestRecord {
         sender: mark.clone(),
+        nonce: 0,
         recorded_unix_s: UNIX_S,
     };
     if cell.owner.record_request(key, &record).is_ok() {
--- a/crates/cells/tests/owner/main.rs
+++ b/crates/cells/tests/owner/main.rs
@@ -5,5 +5,6 @@
 mod forgetting;
 mod owner_bench;
 mod reporting;
+mod silent;
 mod sizing;
 mod urgent;
--- a/crates/daemon/src/bin/sapphirestiled.rs
+++ b/crates/daemon/src/bin/sapphirestiled.rs
@@ -38,6 +38,7 @@
 }
 
 fn main() -> ExitCode {
+    end_on_panic();
     let result = match arguments().run() {
         DaemonArguments::Check(path) => check(&path),
         DaemonArguments::Serve(path) => read_settings(&path).and_then(serve),
@@ -53,6 +54,16 @@
     }
 }
 
+/// A thread that panics has found an invariant broken. What it held would stand
+/// still while the process still says that it holds it, so the process ends.
+fn end_on_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::abort();
+    }));
+}
+
 fn arguments() -> OptionParser<DaemonArguments> {
     let path = || positional::<PathBuf>("SETTINGS").help("the INI file of settings");
     let stay = long("stay")
--- a/crates/daemon/src/callers/request_runner.rs
+++ b/crates/daemon/src/callers/request_runner.rs
@@ -42,12 +42,14 @@
     context: &'r DaemonContext,
     desk: &'r CallerDesk,
     request: &'r CallerRequest,
+    /// Names the record of this try.
+    nonce: u64,
 }
 
 impl<'r> RequestRunner<'r> {
     /// A runner of `request`.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         context: &'r DaemonContext,
         desk: &'r CallerDesk,
         request: &'r CallerRequest,
@@ -56,6 +58,7 @@
             context,
             desk,
             request,
+            nonce: rand::random(),
         }
     }
 
@@ -105,7 +108,10 @@
                 random: rand::random(),
             };
             match self.context.routes.load().choose(&query) {
-                Ok(choice) => return self.check_link(choice),
+                Ok(choice) if self.link_admits(&choice) => return Ok(choice),
+                // The slot beyond the link is given back; one on this side may come
+                // free.
+                Ok(choice) => drop(choice),
                 Err(RouteRefusal::NoSlot) => {}
                 Err(refusal) => return Err(refusal),
             }
@@ -119,17 +125,13 @@
 
     /// The link between regions takes a request of low importance only while it
     /// has little to carry.
-    fn check_link(&self, choice: RouteChoice) -> Result<RouteChoice, RouteRefusal> {
+    fn link_admits(&self, choice: &RouteChoice) -> bool {
         if choice.reach() != RouteReach::Remote {
-            return Ok(choice);
+            return true;
         }
         let bytes = self.request.body().len() as u64 + HEAD_BYTES;
         let now = self.context.clock.now();
-        if self.desk.link.admit(bytes, self.request.priority(), now) {
-            Ok(choice)
-        } else {
-            Err(RouteRefusal::Shed)
-        }
+        self.desk.link.admit(bytes, self.request.priority(), now)
     }
 
     fn estimate(&self) -> WaitEstimate {
@@ -168,7 +170,7 @@
         let key = cycle.facts().key.clone().ok_or_else(not_run)?;
         let map = self.context.map().ok_or_else(not_run)?;
         let cell = map.cell_of_key(key.as_str());
-        let record = PeerRequest::RecordRequest(cell, key.clone());
+        let record = PeerRequest::RecordRequest(cell, key.clone(), self.nonce);
         match CellDesk::new(self.context).call(cell, record) {
             PeerAnswer::Recorded { epoch, sequence } => {
                 Ok(RecordProof::committed(key, epoch, sequence))
@@ -286,7 +288,7 @@
             return;
         };
         let cell = map.cell_of_key(key.as_str());
-        let withdraw = PeerRequest::WithdrawRequest(cell, key.clone());
+        let withdraw = PeerRequest::WithdrawRequest(cell, key.clone(), self.nonce);
         let _answer = CellDesk::new(self.context).call(cell, withdraw);
     }
 }
--- a/crates/daemon/src/cells/cell_keeper.rs
+++ b/crates/daemon/src/cells/cell_keeper.rs
@@ -57,6 +57,8 @@
     tally: EntryTally,
     /// The evictions counted so far.
     evictions: u64,
+    /// Batches beaten by a change of the configuration.
+    batches_beaten: u64,
     stopping: bool,
     deposed: bool,
     /// Whether the entry in flight is certain not to be in the journal.
@@ -90,6 +92,7 @@
             committed,
             tally: EntryTally::default(),
             evictions: 0,
+            batches_beaten: 0,
             stopping: false,
             deposed: false,
             beaten_in_journal: false,
@@ -168,6 +171,8 @@
             JournalOutcome::Done => CommitOutcome::Done,
             JournalOutcome::ConfigMoved => {
                 self.beaten = self.guarded;
+                self.batches_beaten += 1;
+                info!(step = "commit starts", cell = %self.owner.cell(), "configuration moved");
                 CommitOutcome::ConfigMoved
             }
             JournalOutcome::Beaten => {
@@ -186,6 +191,7 @@
         for effect in effects {
             self.call_worker(effect);
         }
+        self.replies.join(self.owner.last_proposed());
         self.replies.give(self.owner.sequence());
     }
 
@@ -200,6 +206,7 @@
                 .notes()
                 .map(ToString::to_string)
                 .collect(),
+            beaten: self.batches_beaten,
             evictions: self.owner.evictions(),
         }
     }
--- a/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
@@ -36,9 +36,9 @@
             PeerRequest::ViewJob(_, job) => self.view(job),
             PeerRequest::Explain(_, job, index) => self.explain(job, *index),
             PeerRequest::ListJobs(_) => self.list(),
-            PeerRequest::RecordRequest(_, key) => self.record(key, call),
-            PeerRequest::WithdrawRequest(_, key) => {
-                match self.owner.withdraw_request(key, &call.caller) {
+            PeerRequest::RecordRequest(_, key, nonce) => self.record(key, *nonce, call),
+            PeerRequest::WithdrawRequest(_, key, nonce) => {
+                match self.owner.withdraw_request(key, *nonce) {
                     Ok(()) => PeerAnswer::Withdrawn,
                     Err(fault) => not_run(fault),
                 }
@@ -134,9 +134,10 @@
         PeerAnswer::Explained(subject, lines)
     }
 
-    fn record(&mut self, key: &RequestKey, call: &KeeperCall) -> PeerAnswer {
+    fn record(&mut self, key: &RequestKey, nonce: u64, call: &KeeperCall) -> PeerAnswer {
         let record = RequestRecord {
             sender: call.caller.clone(),
+            nonce,
             recorded_unix_s: MonoClock::unix_millis() / MILLIS_PER_SECOND,
         };
         match self.owner.record_request(key, &record) {
--- a/crates/daemon/src/cells/keeper_dump.rs
+++ b/crates/daemon/src/cells/keeper_dump.rs
@@ -16,6 +16,8 @@
     pub committing: bool,
     /// The latest decisions, oldest first.
     pub decisions: Vec<String>,
+    /// How many batches were beaten by a change of the configuration.
+    pub beaten: u64,
     /// How many running attempts were asked to stop for the worker's sake.
     pub evictions: u64,
 }
--- a/crates/daemon/src/cells/reply_queue.rs
+++ b/crates/daemon/src/cells/reply_queue.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// Lets no answer wait for an entry after `last`: changes that were proposed
+    /// since a beaten batch was taken are joined with what is left of it.
+    pub fn join(&mut self, last: JournalSequence) {
+        for waiting in &mut self.replies {
+            waiting.sequence = waiting.sequence.min(last);
+        }
+    }
+
     /// Refuses all answers, since the cell has moved to another daemon.
     ///
     /// A change of the caller's own that was never handed out is not in the
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -87,8 +87,8 @@
         | PeerRequest::ViewJob(cell, _)
         | PeerRequest::Explain(cell, _, _)
         | PeerRequest::ListJobs(cell)
-        | PeerRequest::RecordRequest(cell, _)
-        | PeerRequest::WithdrawRequest(cell, _) => *cell,
+        | PeerRequest::RecordRequest(cell, _, _)
+        | PeerRequest::WithdrawRequest(cell, _, _) => *cell,
     };
     CellDesk::new(context).call_here(cell, &sender, frame.body)
 }
--- a/crates/daemon/tests/reply_queue.rs
+++ b/crates/daemon/tests/reply_queue.rs
@@ -57,3 +57,18 @@
     queue.refuse(None);
     assert!(!is_not_run(&repeated));
 }
+
+#[test]
+fn changes_that_joined_a_beaten_batch_wait_for_its_entry() {
+    let mut queue = ReplyQueue::default();
+    let joined = wait(&mut queue, 5, true);
+    // The batch of entry 4 was beaten and is taken again with what came since.
+    queue.join(JournalSequence::new(4));
+    queue.refuse(Some(JournalSequence::new(4)));
+    assert!(!is_not_run(&joined));
+
+    let given = wait(&mut queue, 5, true);
+    queue.join(JournalSequence::new(4));
+    queue.give(JournalSequence::new(4));
+    assert_eq!(given.try_recv(), Ok(PeerAnswer::Pong));
+}
--- a/crates/soak/src/daemon/submit_reply.rs
+++ b/crates/soak/src/daemon/submit_reply.rs
@@ -20,6 +20,8 @@
     Key {
         /// The key.
         key: RequestKey,
+        /// Names the record.
+        nonce: u64,
         /// The entry that the answer waits for.
         sequence: JournalSequence,
     },
--- a/crates/soak/src/world/soak_world/submit_work.rs
+++ b/crates/soak/src/world/soak_world/submit_work.rs
@@ -18,7 +18,6 @@
 use sapphirestile_cells::TransitionFault;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::CustomerName;
-use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::JobName;
 use sapphirestile_core::RequestKey;
 use sapphirestile_core::ResourceSize;
@@ -75,24 +74,26 @@
         for reply in due {
             match reply {
                 SubmitReply::Job { job, place, .. } => self.tell_done(cell, &job, place),
-                SubmitReply::Key { key, .. } => {
+                SubmitReply::Key { key, nonce, .. } => {
                     let record = self.store.rows(cell).truth.records().get(&key);
-                    if record.is_none_or(|record| record.sender != identity) {
+                    if record
+                        .is_none_or(|record| (&record.sender, record.nonce) != (&identity, nonce))
+                    {
                         self.broken(format!("{} is not recorded", key.as_str()));
                     }
-                    self.send_or_withdraw(cell, &key, &identity);
+                    self.send_or_withdraw(cell, &key, nonce);
                 }
             }
         }
     }
 
     /// The holder of a record sends the request, or takes its record back.
-    fn send_or_withdraw(&mut self, cell: CellNumber, key: &RequestKey, holder: &DaemonIdentity) {
+    fn send_or_withdraw(&mut self, cell: CellNumber, key: &RequestKey, nonce: u64) {
         if self.rng.random_bool(SENT_PROBABILITY) {
             let noted = self.ledger.note_sent(key);
             self.check(noted);
         } else if let Some((_, seat)) = self.any_owner(cell) {
-            let _unknown = seat.owner.withdraw_request(key, holder);
+            let _unknown = seat.owner.withdraw_request(key, nonce);
         }
     }
 
@@ -138,17 +139,23 @@
         let key = RequestKey::try_from(key.as_str()).expect("the key is well formed");
         let cell = CellNumber::new(u16::try_from(number).unwrap_or(0) % super::CELLS);
         let recorded_unix_s = 1_000_000 + self.now / 1_000;
+        let nonce = self.rng.random();
         let senders: Vec<_> = self.daemons.iter().map(SoakDaemon::identity).collect();
         let Some((mark, seat)) = self.any_owner(cell) else {
             return;
         };
         let record = RequestRecord {
+            nonce,
             sender: senders[mark.place].clone(),
             recorded_unix_s,
         };
         if seat.owner.record_request(&key, &record).is_ok() {
             let sequence = seat.owner.last_proposed();
-            seat.replies.push(SubmitReply::Key { key, sequence });
+            seat.replies.push(SubmitReply::Key {
+                key,
+                nonce,
+                sequence,
+            });
         }
         self.give_replies(mark, cell);
     }
--- a/crates/wire/src/peer/peer_request.rs
+++ b/crates/wire/src/peer/peer_request.rs
@@ -30,8 +30,8 @@
     Explain(CellNumber, JobName, Option<TaskIndex>),
     /// Lists the jobs of a cell.
     ListJobs(CellNumber),
-    /// Records a request that must not run twice.
-    RecordRequest(CellNumber, RequestKey),
+    /// Records a request that must not run twice, with a nonce.
+    RecordRequest(CellNumber, RequestKey, u64),
     /// Takes the record of a request back that was not run.
-    WithdrawRequest(CellNumber, RequestKey),
+    WithdrawRequest(CellNumber, RequestKey, u64),
 }
