Plan hand-overs of tokens among members only

A report of a daemon that is no member of the ledger took part in one plan before it was forgotten. One that said it held 2^32-1 tokens kept the thread that owns the tokens at planning: a new member then got no tokens.

Seen failing first: ports datagrams::noise_and_strangers_over_udp_do_no_harm waited in vain for the new member's tokens. Forgetting before planning, the test passes. A member's own report is still believed.

--- a/crates/daemon/src/tokens/token_keeper/trade_steps.rs
+++ b/crates/daemon/src/tokens/token_keeper/trade_steps.rs
@@ -35,8 +35,9 @@
         }
         self.measure_demand();
         let report = self.own_report(&row.ledger);
-        self.hand_over(&row.ledger, &report);
+        // Whoever is no member takes no part in the plan.
         self.reports.retain(|peer| row.ledger.has_member(peer));
+        self.hand_over(&row.ledger, &report);
         for peer in &row.ledger.members {
             self.tell(peer, &report);
         }
