Refuse keys, deadlines and task counts that are not understood

An idempotency key that is no ASCII text was taken for none: the request ran under a key made up by the daemon, so a second try with the same key could run again. Two different keys on one request: the second was ignored. A deadline that is no number was taken for none, so the request could run after its caller had given up. A job with 0 or 10,001 tasks was refused with 503, which the tool and the page read as 'try again later'.

All are answered 400 and 'not run' now. Seen failing first: ports callers_port::a_bad_request_is_refused_and_not_run (status 200 for the key) and operators_port::a_bad_call_is_refused_and_changes_nothing (503 for the tasks). A priority that is not known still counts as standard: it cannot make anything run that should not.

--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -45,6 +45,7 @@
 pub use state::EndedPhase;
 pub use state::JobRecord;
 pub use state::RequestRecord;
+pub use state::TASKS_MAX;
 pub use state::TaskCycle;
 pub use state::TaskEntry;
 pub use state::TaskOutcome;
--- a/crates/cells/src/state.rs
+++ b/crates/cells/src/state.rs
@@ -14,6 +14,7 @@
 mod transition_fault;
 
 pub use cell_state::CellState;
+pub use cell_state::TASKS_MAX;
 pub use job_record::JobRecord;
 pub use request_record::RequestRecord;
 pub use task_cycle::AssignedPhase;
--- a/crates/daemon/src/callers/caller_request.rs
+++ b/crates/daemon/src/callers/caller_request.rs
@@ -6,12 +6,15 @@
 use oxhttp::model::Request;
 
 use crate::callers::CallerReply;
+use sapphirestile_core::RequestKey;
 use sapphirestile_platform::http::HeaderView;
 use sapphirestile_routing::RequestPriority;
 
 const KEY_HEADER: &str = "idempotency-key";
 const PRIORITY_HEADER: &str = "x-priority";
 const DEADLINE_HEADER: &str = "x-deadline-ms";
+const KEY_FAULT: &str = "an idempotency key has 1 to 128 visible ASCII characters";
+const DEADLINE_FAULT: &str = "a deadline is a number of milliseconds";
 
 /// A caller's request with its whole body.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,15 +94,27 @@
     }
 
     /// The caller's idempotency key.
-    #[must_use]
-    pub fn key(&self) -> Option<&str> {
-        self.header(KEY_HEADER)
+    ///
+    /// # Errors
+    ///
+    /// The reply that refuses a key which is not valid, or a second one.
+    pub fn key(&self) -> Result<Option<RequestKey>, CallerReply> {
+        let fault = || CallerReply::BadRequest(KEY_FAULT);
+        let text = self.sole_text(KEY_HEADER).map_err(|()| fault())?;
+        text.map(|text| RequestKey::try_from(text).map_err(|_| fault()))
+            .transpose()
     }
 
     /// How long the caller waits at most, in milliseconds, if it says so.
-    #[must_use]
-    pub fn deadline_ms(&self) -> Option<u64> {
-        self.header(DEADLINE_HEADER)?.parse().ok()
+    ///
+    /// # Errors
+    ///
+    /// The reply that refuses what is no such number, or a second one.
+    pub fn deadline_ms(&self) -> Result<Option<u64>, CallerReply> {
+        let fault = || CallerReply::BadRequest(DEADLINE_FAULT);
+        let text = self.sole_text(DEADLINE_HEADER).map_err(|()| fault())?;
+        text.map(|text| text.parse().map_err(|_| fault()))
+            .transpose()
     }
 
     /// How important the caller says that the request is.
@@ -112,9 +127,29 @@
         }
     }
 
-    fn header(&self, wanted: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(name, _)| name == wanted);
-        found.and_then(|(_, value)| std::str::from_utf8(value).ok())
+    fn header(&self, wanted: &'static str) -> Option<&str> {
+        self.values(wanted)
+            .next()
+            .and_then(|value| std::str::from_utf8(value).ok())
+    }
+
+    /// The only header of a name as text, if there is one.
+    fn sole_text(&self, wanted: &'static str) -> Result<Option<&str>, ()> {
+        let mut values = self.values(wanted);
+        let Some(value) = values.next() else {
+            return Ok(None);
+        };
+        if values.next().is_some() {
+            return Err(());
+        }
+        std::str::from_utf8(value).map(Some).map_err(|_| ())
+    }
+
+    fn values(&self, wanted: &'static str) -> impl Iterator<Item = &[u8]> {
+        let headers = self.headers.iter();
+        headers
+            .filter(move |(name, _)| name == wanted)
+            .map(|(_, value)| value.as_slice())
     }
 }
 
--- a/crates/daemon/src/callers/caller_service.rs
+++ b/crates/daemon/src/callers/caller_service.rs
@@ -55,13 +55,12 @@
         entry: &ServiceEntry,
     ) -> Result<RequestFacts, CallerReply> {
         let longest_ms = entry.deadline_ms;
-        let wait_ms = request.deadline_ms().unwrap_or(longest_ms).min(longest_ms);
+        let wait_ms = request.deadline_ms()?.unwrap_or(longest_ms).min(longest_ms);
         let deadline = self.context.clock.now().plus_millis(wait_ms);
         let idempotent = entry.idempotent;
-        let key = match request.key() {
-            Some(text) => Some(checked_key(text)?),
-            None if idempotent => None,
-            None => Some(checked_key(&format!("{:032x}", rand::random::<u128>()))?),
+        let key = match request.key()? {
+            None if !idempotent => Some(fresh_key()),
+            key => key,
         };
         Ok(RequestFacts {
             idempotent,
@@ -101,7 +100,8 @@
     }
 }
 
-fn checked_key(text: &str) -> Result<RequestKey, CallerReply> {
-    let fault = "an idempotency key has 1 to 128 visible ASCII characters";
-    RequestKey::try_from(text).map_err(|_| CallerReply::BadRequest(fault))
+/// The key of a request that its caller does not try again.
+fn fresh_key() -> RequestKey {
+    let text = format!("{:032x}", rand::random::<u128>());
+    RequestKey::try_from(text.as_str()).expect("hexadecimal digits make a key")
 }
--- a/crates/daemon/src/operators/job_calls.rs
+++ b/crates/daemon/src/operators/job_calls.rs
@@ -6,6 +6,7 @@
 use crate::operators::operator_service::refusal;
 use crate::serving::HttpReply;
 use sapphirestile_cells::CellMap;
+use sapphirestile_cells::TASKS_MAX;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::JobName;
 use sapphirestile_core::TaskIndex;
@@ -31,6 +32,9 @@
             Ok(submission) => submission,
             Err(reply) => return reply,
         };
+        if !(1..=TASKS_MAX).contains(&submission.tasks) {
+            return refusal(400, true, &format!("a job has from 1 to {TASKS_MAX} tasks"));
+        }
         let job = submission.job.clone();
         self.call(&job, |cell| PeerRequest::SubmitJob(cell, submission))
     }
