Bound the connections of peers

The peer port took a thread for each connection, however many, and ended for good when the system had no thread left, since starting one panicked. It spun when it had no descriptor left. At most 512 connections are open now, a thread that cannot be started closes its connection only, and a failed accept waits 10 ms.

Calls of peers beyond 512 at a time are closed before they are read, which their caller reports as an unknown outcome.

--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -3,14 +3,17 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::thread;
 use std::time::Duration;
 
 use crossbeam::channel::bounded;
 use tracing::debug;
+use tracing::warn;
 
 use crate::cells::CellDesk;
 use crate::context::DaemonContext;
+use crate::peers::ConnectionPass;
 use crate::peers::FrameStream;
 use crate::tokens::TokenEvent;
 use sapphirestile_core::DaemonIdentity;
@@ -19,6 +22,10 @@
 use sapphirestile_wire::peer::PeerFrame;
 use sapphirestile_wire::peer::PeerRequest;
 
+/// The most connections of peers at a time.
+pub const CONNECTIONS_MAX: usize = 512;
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 const CLOSE_WAIT: Duration = Duration::from_secs(2);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -26,25 +33,46 @@
 pub struct PeerServer {
     context: Arc<DaemonContext>,
     listener: TcpListener,
+    open: Arc<AtomicUsize>,
 }
 
 impl PeerServer {
     /// A server on `listener`.
     #[must_use]
-    pub const fn new(context: Arc<DaemonContext>, listener: TcpListener) -> Self {
-        Self { context, listener }
+    pub fn new(context: Arc<DaemonContext>, listener: TcpListener) -> Self {
+        Self {
+            context,
+            listener,
+            open: Arc::default(),
+        }
     }
 
     /// Takes connections until the process ends.
     pub fn run(&self) {
         for stream in self.listener.incoming() {
-            let Ok(stream) = stream else { continue };
-            let context = Arc::clone(&self.context);
-            thread::spawn(move || {
-                if let Err(error) = serve(&context, stream) {
-                    debug!(step = "serve peer", %error, "connection ended");
-                }
-            });
+            match stream {
+                Ok(stream) => self.accept(stream),
+                // Such as for want of a descriptor, which does not pass at once.
+                Err(_) => thread::sleep(ACCEPT_PAUSE),
+            }
+        }
+    }
+
+    /// Serves a connection, or closes it when there are too many.
+    fn accept(&self, stream: TcpStream) {
+        let Some(pass) = ConnectionPass::take(&self.open, CONNECTIONS_MAX) else {
+            debug!(step = "accept peer", "too many connections");
+            return;
+        };
+        let context = Arc::clone(&self.context);
+        let spawned = thread::Builder::new().spawn(move || {
+            let _pass = pass;
+            if let Err(error) = serve(&context, stream) {
+                debug!(step = "serve peer", %error, "connection ended");
+            }
+        });
+        if let Err(error) = spawned {
+            warn!(step = "accept peer", %error, "no thread for a connection");
         }
     }
 }
