--- a/crates/daemon/src/serving/http_port.rs
+++ b/crates/daemon/src/serving/http_port.rs
@@ -1,5 +1,8 @@
 //! A port that serves HTTP.
 
+use std::io::Read;
+use std::io::copy;
+use std::io::sink;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -9,6 +12,10 @@
 use error_stack::ResultExt;
 use oxhttp::ListeningServer;
 use oxhttp::Server;
+use oxhttp::model::Body;
+use oxhttp::model::HeaderValue;
+use oxhttp::model::Request;
+use oxhttp::model::header::CONNECTION;
 
 use crate::serving::HttpService;
 use crate::serving::RequestGate;
@@ -17,6 +24,7 @@
 const STEP: &str = "bind port";
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const BIND_TRIES: u32 = 20;
+const BODY_REST_MAX_BYTES: u64 = 8 * 1_024 * 1_024;
 
 /// A port that serves HTTP, a thread a connection.
 pub struct HttpPort {
@@ -83,6 +91,7 @@
             return service.refuse().into_response();
         };
         let mut response = service.answer(request).into_response();
+        finish_body(request);
         // The library drops the response once it is written, and the pass with it.
         response.extensions_mut().insert(Arc::new(pass));
         response
@@ -92,3 +101,17 @@
     .with_max_concurrent_connections(connections)
     .spawn()
 }
+
+/// Reads what is left of a body, so that the connection can carry another
+/// request. A body that breaks off or goes on for long ends its connection, but
+/// not the answer: the library would answer a failure of its own instead.
+fn finish_body(request: &mut Request<Body>) {
+    let mut rest = request.body_mut().take(BODY_REST_MAX_BYTES);
+    let read = copy(&mut rest, &mut sink());
+    if read.is_ok_and(|length| length < BODY_REST_MAX_BYTES) {
+        return;
+    }
+    *request.body_mut() = Body::empty();
+    let close = HeaderValue::from_static("close");
+    request.headers_mut().insert(CONNECTION, close);
+}
