Measure the load through real daemons, and what a fault costs

An example runs 12 stand-ins of runners and one or three daemon processes, and callers that go directly or through the daemons; then it kills a daemon, and takes a zone out, under load.

Ruled out as a cause: a thread for each request (none is started).

--- /dev/null
+++ b/crates/daemon/examples/load_through_daemons/daemon_fleet.rs
@@ -0,0 +1,105 @@
+//! Daemons on a platform of stand-ins.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+use crate::process_time::process_time_ms;
+use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_standins::runner::RunnerSettings;
+use sapphirestile_standins::runner::RunnerStandin;
+use sapphirestile_test_support::DaemonProcess;
+use sapphirestile_test_support::SceneFleet;
+use sapphirestile_test_support::call_json;
+use sapphirestile_test_support::wait_until;
+
+const PLACES: [(&str, &str); 3] = [
+    ("entry-1", "near-a"),
+    ("entry-2", "near-b"),
+    ("entry-3", "far-c"),
+];
+const RUNNERS_PER_ZONE: usize = 4;
+const SERVICE_MS: u64 = 5;
+const SLOTS: u32 = 8;
+const TOKENS: u64 = 96;
+
+/// Daemons as processes on 12 runners of 8 slots.
+pub struct DaemonFleet {
+    /// The platform.
+    pub scene: SceneFleet,
+    /// The daemons that run.
+    pub daemons: Vec<DaemonProcess>,
+}
+
+impl DaemonFleet {
+    /// Starts one to three daemons and waits until they hold every token.
+    pub fn start(daemons: usize) -> Self {
+        let plan = FleetPlan {
+            runners: RUNNERS_PER_ZONE,
+            runner: RunnerSettings {
+                slots: SLOTS,
+                service_ms: SERVICE_MS,
+                ..RunnerSettings::default()
+            },
+            ..FleetPlan::default()
+        };
+        let folder = target_folder().join("load_through_daemons");
+        let binary = target_folder().join("sapphirestiled");
+        assert!(binary.exists(), "the daemon is built first");
+        let scene = SceneFleet::start(
+            &binary.display().to_string(),
+            &folder.display().to_string(),
+            plan,
+        );
+        let mut fleet = Self {
+            scene,
+            daemons: Vec::new(),
+        };
+        for (name, zone) in &PLACES[..daemons] {
+            let seeds: Vec<SocketAddr> = fleet.daemons.iter().map(DaemonProcess::peers).collect();
+            fleet.daemons.push(fleet.scene.daemon(name, zone, &seeds));
+        }
+        fleet.scene.put_document(fleet.daemons[0].operators());
+        wait_until("the daemons hold every token", || fleet.shared_tokens());
+        fleet
+    }
+
+    /// The ports of callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(DaemonProcess::callers).collect()
+    }
+
+    /// The ports of the runners.
+    pub fn runners(&self) -> Vec<SocketAddr> {
+        let runners = self.scene.platform().runners().iter();
+        runners.map(RunnerStandin::address).collect()
+    }
+
+    /// What all daemons have spent of the processors, in milliseconds.
+    pub fn processor_ms(&self) -> u64 {
+        let daemons = self.daemons.iter();
+        daemons.map(|daemon| process_time_ms(daemon.number())).sum()
+    }
+
+    /// Something when all tokens are held, a share by each daemon.
+    fn shared_tokens(&self) -> Option<()> {
+        let mut sum = 0;
+        for daemon in &self.daemons {
+            let (_, status) = call_json(daemon.operators(), "GET", "/v1/status", &Value::Null)?;
+            let tokens = status["services"][0]["tokens"].as_u64()?;
+            if tokens == 0 {
+                return None;
+            }
+            sum += tokens;
+        }
+        (sum == TOKENS).then_some(())
+    }
+}
+
+/// The folder of the profile that this example was built with.
+fn target_folder() -> PathBuf {
+    let example = std::env::current_exe().expect("a process knows its program");
+    let folder = example.ancestors().nth(2);
+    folder.expect("an example has a folder").to_owned()
+}
