One type a file in the stand-ins and the store's bodies

Ruled out: leaving small private types where they are used; the shape says one type each. All tests of the workspace passed.

--- a/crates/cells/src/planner/start_planner.rs
+++ b/crates/cells/src/planner/start_planner.rs
@@ -1,5 +1,7 @@
 //! Plans starts.
 
+mod urgent_room;
+
 use crate::planner::EvictionOrder;
 use crate::planner::PlanView;
 use crate::planner::PlannedStart;
@@ -190,30 +192,6 @@
         starts
     }
 
-    /// The tasks that the latest plans want stopped.
-    pub fn take_evictions(&mut self) -> Vec<EvictionOrder> {
-        std::mem::take(&mut self.evictions)
-    }
-
-    fn make_room(
-        &mut self,
-        job: &WaitingJob,
-        size: ResourceSize,
-        view: &PlanView<'_>,
-        book: &RoomBook,
-    ) {
-        let nothing = PlacedTasks::default();
-        let customer = customer_of(job, &book.customers);
-        let mut request = PlacementRequest::new(size, customer, &nothing);
-        request.job = Some(&job.name);
-        request.zones = &job.zones;
-        let (rooms, policy) = (&book.rooms, &self.policy);
-        let orders = self
-            .maker
-            .make_room(&job.name, &request, view, rooms, policy);
-        self.evictions.extend(orders);
-    }
-
     fn choose(
         &self,
         job: &WaitingJob,
--- a/crates/standins/src/runner.rs
+++ b/crates/standins/src/runner.rs
@@ -15,6 +15,7 @@
 mod runner_slot;
 mod runner_slots;
 mod runner_standin;
+mod served_runner;
 
 pub use execution_count::ExecutionCount;
 pub use runner_counts::RunnerCounts;
--- a/crates/standins/src/runner/runner_service.rs
+++ b/crates/standins/src/runner/runner_service.rs
@@ -1,5 +1,6 @@
 //! Answers requests of a service.
 
+use crate::runner::served_runner::ServedRunner;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -16,7 +17,6 @@
 use crate::serving::StandinCall;
 use crate::serving::StandinReply;
 use crate::serving::StandinService;
-use sapphirestile_core::SortedTable;
 
 const REQUEST_ID_HEADER: &str = "x-request-id";
 const NOT_RUN_HEADER: &str = "x-not-run";
@@ -27,16 +27,7 @@
 pub struct RunnerService {
     settings: RunnerSettings,
     slots: RunnerSlots,
-    inner: Mutex<Inner>,
-}
-
-#[derive(Debug, Default)]
-struct Inner {
-    faults: RunnerFaults,
-    runs: u64,
-    overruns: u64,
-    connections: u64,
-    executions: SortedTable<String, u64>,
+    inner: Mutex<ServedRunner>,
 }
 
 impl RunnerService {
@@ -46,7 +37,7 @@
         Self {
             settings,
             slots: RunnerSlots::new(settings.slots),
-            inner: Mutex::new(Inner::default()),
+            inner: Mutex::new(ServedRunner::default()),
         }
     }
 
@@ -125,7 +116,7 @@
         echo_id(reply, call)
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    fn lock(&self) -> MutexGuard<'_, ServedRunner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/standins/src/serving.rs
+++ b/crates/standins/src/serving.rs
@@ -3,6 +3,8 @@
 //! A [`StandinServer`] hands each [`StandinCall`] to a [`StandinService`] and
 //! sends its [`StandinReply`], whole or broken off as its [`ReplyEnding`] says.
 
+mod broken_source;
+mod listening_threads;
 mod reply_ending;
 mod standin_call;
 mod standin_reply;
--- a/crates/standins/src/serving/standin_server.rs
+++ b/crates/standins/src/serving/standin_server.rs
@@ -1,5 +1,6 @@
 //! Serves a stand-in on an address.
 
+use crate::serving::listening_threads::ListeningThreads;
 use std::cell::Cell;
 use std::io::ErrorKind;
 use std::io::Read;
@@ -22,6 +23,7 @@
 use crate::serving::StandinCall;
 use crate::serving::StandinReply;
 use crate::serving::StandinService;
+use crate::serving::broken_source::BrokenSource;
 use sapphirestile_core::StepError;
 
 /// The largest body of a call, in bytes.
@@ -46,14 +48,6 @@
     listening: Option<ListeningThreads>,
 }
 
-struct ListeningThreads(ListeningServer);
-
-impl std::fmt::Debug for ListeningThreads {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str("ListeningThreads")
-    }
-}
-
 impl<Service: StandinService> StandinServer<Service> {
     /// Serves `service` on `address`; port 0 takes any free port.
     ///
@@ -194,11 +188,3 @@
     let source = std::io::Cursor::new(bytes).take(half);
     Body::from_read(source.chain(BrokenSource))
 }
-
-struct BrokenSource;
-
-impl Read for BrokenSource {
-    fn read(&mut self, _buffer: &mut [u8]) -> std::io::Result<usize> {
-        Err(ErrorKind::BrokenPipe.into())
-    }
-}
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -9,6 +9,7 @@
 mod change_entry;
 mod key_span;
 mod lease_cycle;
+mod served_store;
 mod store_counts;
 mod store_faults;
 mod store_replies;
--- a/crates/standins/src/store/store_service.rs
+++ b/crates/standins/src/store/store_service.rs
@@ -1,5 +1,6 @@
 //! Answers calls to the store.
 
+use crate::store::served_store::ServedStore;
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -14,7 +15,6 @@
 use crate::store::KeySpan;
 use crate::store::StoreCounts;
 use crate::store::StoreFaults;
-use crate::store::StoreState;
 use crate::store::WatchOutcome;
 use crate::store::store_replies::changed;
 use crate::store::store_replies::compacted;
@@ -42,25 +42,17 @@
 #[derive(Debug)]
 pub struct StoreService {
     clock: StandinClock,
-    inner: Mutex<Inner>,
+    inner: Mutex<ServedStore>,
     changed: Condvar,
 }
 
-#[derive(Debug, Default)]
-struct Inner {
-    state: StoreState,
-    faults: StoreFaults,
-    counts: StoreCounts,
-    stopped: bool,
-}
-
 impl StoreService {
     /// An empty store.
     #[must_use]
     pub fn new(faults: StoreFaults) -> Self {
-        let inner = Inner {
+        let inner = ServedStore {
             faults,
-            ..Inner::default()
+            ..ServedStore::default()
         };
         Self {
             clock: StandinClock::start(),
@@ -155,10 +147,10 @@
     /// Waits for a change, the next lapse of a lease or the deadline.
     fn wait<'a>(
         &self,
-        inner: MutexGuard<'a, Inner>,
+        inner: MutexGuard<'a, ServedStore>,
         now: MonoTime,
         deadline: MonoTime,
-    ) -> MutexGuard<'a, Inner> {
+    ) -> MutexGuard<'a, ServedStore> {
         let lapse = inner.state.next_lapse().unwrap_or(deadline);
         let until = lapse.min(deadline);
         let wait = Duration::from_millis(until.millis_since(now));
@@ -180,7 +172,7 @@
         down.then(|| failure(503, "etcdserver: no leader"))
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    fn lock(&self) -> MutexGuard<'_, ServedStore> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/standins/src/vms.rs
+++ b/crates/standins/src/vms.rs
@@ -4,6 +4,7 @@
 //! it, `POST /faults` sets [`VmFaults`] and `GET /counts` answers how often the
 //! list was read. [`VmState`] decides, [`VmStandin`] serves.
 
+mod served_list;
 mod vm_counts;
 mod vm_faults;
 mod vm_service;
--- a/crates/standins/src/vms/vm_service.rs
+++ b/crates/standins/src/vms/vm_service.rs
@@ -1,5 +1,6 @@
 //! Answers calls for the list of VMs.
 
+use crate::vms::served_list::ServedList;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
@@ -9,30 +10,22 @@
 use crate::serving::StandinService;
 use crate::vms::VmCounts;
 use crate::vms::VmFaults;
-use crate::vms::VmState;
 use sapphirestile_wire::vms::VmRecord;
 
 /// The list of VMs behind HTTP.
 #[derive(Debug)]
 pub struct VmService {
     clock: StandinClock,
-    inner: Mutex<Inner>,
-}
-
-#[derive(Debug, Default)]
-struct Inner {
-    state: VmState,
-    faults: VmFaults,
-    counts: VmCounts,
+    inner: Mutex<ServedList>,
 }
 
 impl VmService {
     /// A service with an empty list.
     #[must_use]
     pub fn new(faults: VmFaults) -> Self {
-        let inner = Inner {
+        let inner = ServedList {
             faults,
-            ..Inner::default()
+            ..ServedList::default()
         };
         Self {
             clock: StandinClock::start(),
@@ -69,7 +62,7 @@
         StandinReply::json(200, &inner.state.list(now, inner.faults.lag_ms))
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, ServedList> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -7,10 +7,12 @@
 //! permit; only that starts a task. Tasks are timers, each a [`TaskCycle`].
 //! [`WorkerService`] answers calls and [`WorkerStandin`] serves.
 
+mod cell_session;
 mod fenced_call;
 mod history_entry;
 mod history_row;
 mod permitted_call;
+mod served_worker;
 mod session_table;
 mod task_cycle;
 mod usage_gauge;
--- a/crates/standins/src/worker/session_table.rs
+++ b/crates/standins/src/worker/session_table.rs
@@ -1,6 +1,7 @@
 //! The sessions that cells have opened with a worker.
 
 use crate::worker::FencedCall;
+use crate::worker::cell_session::CellSession;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
@@ -32,18 +33,10 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SessionTable {
-    sessions: SortedTable<CellNumber, Session>,
+    sessions: SortedTable<CellNumber, CellSession>,
     last_permit: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Session {
-    epoch: CellEpoch,
-    permit: u64,
-    permitted: MonoTime,
-    lease_until: MonoTime,
-}
-
 impl SessionTable {
     /// No session.
     #[must_use]
@@ -64,7 +57,7 @@
         self.check_epoch(request.cell, request.epoch)?;
         let earlier = self.lease_until(request.cell);
         self.last_permit += 1;
-        let session = Session {
+        let session = CellSession {
             epoch: request.epoch,
             permit: self.last_permit,
             permitted: now,
--- a/crates/standins/src/worker/worker_service.rs
+++ b/crates/standins/src/worker/worker_service.rs
@@ -1,5 +1,6 @@
 //! Answers calls to a worker.
 
+use crate::worker::served_worker::ServedWorker;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -24,20 +25,14 @@
 #[derive(Debug)]
 pub struct WorkerService {
     clock: StandinClock,
-    inner: Mutex<Inner>,
-}
-
-#[derive(Debug)]
-struct Inner {
-    state: WorkerState,
-    faults: WorkerFaults,
+    inner: Mutex<ServedWorker>,
 }
 
 impl WorkerService {
     /// A worker that runs nothing.
     #[must_use]
     pub fn new(settings: WorkerSettings) -> Self {
-        let inner = Inner {
+        let inner = ServedWorker {
             state: WorkerState::new(settings),
             faults: WorkerFaults::default(),
         };
@@ -96,7 +91,7 @@
         reply.with_ending(ReplyEnding::Dropped)
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    fn lock(&self) -> MutexGuard<'_, ServedWorker> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -13,10 +13,12 @@
 
 mod answer_header;
 mod base64_bytes;
+mod bytes_visitor;
 mod compare_clause;
 mod compare_result;
 mod compare_target;
 mod decimal_number;
+mod decimal_visitor;
 mod delete_call;
 mod error_answer;
 mod grant_call;
--- a/crates/wire/src/store/base64_bytes.rs
+++ b/crates/wire/src/store/base64_bytes.rs
@@ -2,22 +2,16 @@
 
 use std::borrow::Cow;
 
-use base64::Engine;
 use base64::display::Base64Display;
 use base64::engine::general_purpose::STANDARD;
 use serde::Deserialize;
 use serde::Deserializer;
 use serde::Serialize;
 use serde::Serializer;
-use serde::de::Error;
-use serde::de::Visitor;
 
-use crate::store::VALUE_MAX_BYTES;
+use crate::store::bytes_visitor::BytesVisitor;
 
-/// The longest base64 text that is read, in characters.
-const TEXT_MAX_CHARS: usize = VALUE_MAX_BYTES.div_ceil(3) * 4;
-
-/// Bytes, written as base64 text. Text for more than [`VALUE_MAX_BYTES`] is refused.
+/// Bytes, written as base64 text. Text for more than [`VALUE_MAX_BYTES`](crate::store::VALUE_MAX_BYTES) is refused.
 ///
 /// # Examples
 ///
@@ -67,23 +61,3 @@
         deserializer.deserialize_str(BytesVisitor)
     }
 }
-
-struct BytesVisitor;
-
-impl Visitor<'_> for BytesVisitor {
-    type Value = Base64Bytes<'static>;
-
-    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str("base64 text of at most a megabyte of bytes")
-    }
-
-    fn visit_str<E: Error>(self, text: &str) -> Result<Self::Value, E> {
-        if text.len() > TEXT_MAX_CHARS {
-            return Err(E::invalid_length(text.len(), &self));
-        }
-        STANDARD
-            .decode(text)
-            .map(|bytes| Base64Bytes(Cow::Owned(bytes)))
-            .map_err(E::custom)
-    }
-}
--- a/crates/wire/src/store/decimal_number.rs
+++ b/crates/wire/src/store/decimal_number.rs
@@ -4,8 +4,8 @@
 use serde::Deserializer;
 use serde::Serialize;
 use serde::Serializer;
-use serde::de::Error;
-use serde::de::Visitor;
+
+use crate::store::decimal_visitor::DecimalVisitor;
 
 /// A whole number, written as JSON text and read from text or number.
 ///
@@ -64,25 +64,3 @@
         deserializer.deserialize_any(DecimalVisitor)
     }
 }
-
-struct DecimalVisitor;
-
-impl Visitor<'_> for DecimalVisitor {
-    type Value = DecimalNumber;
-
-    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str("a whole number or its decimal text")
-    }
-
-    fn visit_i64<E: Error>(self, number: i64) -> Result<Self::Value, E> {
-        Ok(DecimalNumber(number))
-    }
-
-    fn visit_u64<E: Error>(self, number: u64) -> Result<Self::Value, E> {
-        DecimalNumber::try_from(number).map_err(E::custom)
-    }
-
-    fn visit_str<E: Error>(self, text: &str) -> Result<Self::Value, E> {
-        text.parse().map(DecimalNumber).map_err(E::custom)
-    }
-}
