Submit the job of the whole path with the command-line tool

Cause: the test posted the job itself, so the tool's own way was not in it. Ruled out: the tool's binary, which a test of another crate cannot rely on; its library is what the binary runs. Before: HTTP by hand. Conclusion: none.

--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -2,10 +2,15 @@
 //! configuration, each from start to end.
 
 use serde_json::Value;
-use serde_json::json;
 
+use std::net::SocketAddr;
+
+use sapphirestile_command::ExitKind;
+use sapphirestile_command::ToolEnvironment;
+use sapphirestile_command::run_tool;
 use sapphirestile_standins::fleet::FleetPlan;
 use sapphirestile_test_support::SceneFleet;
+use sapphirestile_test_support::TOKEN;
 use sapphirestile_test_support::call;
 use sapphirestile_test_support::call_json;
 use sapphirestile_test_support::wait_until;
@@ -52,17 +57,29 @@
         assert_eq!(String::from_utf8_lossy(&answer.body), body);
     }
 
-    // A job submitted at one daemon is seen finished from another.
-    let job = json!({
-        "job": "patterns", "customer": "kennels", "tasks": 5, "run_ms": 300,
-        "size": { "cpu_milli": 1000, "memory_mb": 512, "accelerators": 0 },
-    });
-    wait_until("the job is accepted", || {
-        call_json(operators[1], "POST", "/v1/jobs", &job).filter(|(status, _)| *status == 200)
-    });
+    // A job submitted at one daemon with the tool is seen finished from another.
+    let submitted = run(
+        operators[1],
+        &[
+            "submit",
+            "patterns",
+            "--customer",
+            "kennels",
+            "--tasks",
+            "5",
+            "--cpu-milli",
+            "1000",
+            "--memory-mb",
+            "512",
+            "--run-ms",
+            "300",
+        ],
+    );
+    assert_eq!(submitted.0, ExitKind::Done, "{}", submitted.1);
     let view = wait_until("the job is finished", || {
-        let (_, view) = call_json(operators[2], "GET", "/v1/jobs/patterns", &Value::Null)?;
-        (view["state"] == "finished").then_some(view)
+        let (exit, shown) = run(operators[2], &["--json", "show", "patterns"]);
+        let view: Value = serde_json::from_str(&shown).ok()?;
+        (exit == ExitKind::Done && view["state"] == "finished").then_some(view)
     });
     let attempts: Vec<u64> = view["tasks"]
         .as_array()
@@ -82,3 +99,20 @@
         assert!(daemon.stop().success(), "a planned stop ends in time");
     }
 }
+
+/// Runs the command-line tool; how it ended and what it wrote.
+fn run(operators: SocketAddr, command: &[&str]) -> (ExitKind, String) {
+    let daemon = operators.to_string();
+    let mut arguments = vec!["--daemon", daemon.as_str()];
+    arguments.extend_from_slice(command);
+    let token = Some(TOKEN.to_owned());
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let exit = run_tool(
+        arguments.as_slice(),
+        &ToolEnvironment { token },
+        &mut out,
+        &mut err,
+    );
+    let written = if out.is_empty() { err } else { out };
+    (exit, String::from_utf8_lossy(&written).into_owned())
+}
