Take the link's share from the document and the number of daemons

Cause: `link_mbit` was read and checked and used by nothing; the share was a constant for six daemons. Ruled out: a setting of its own. Before: 5 Mbit/s whatever the document said. After: the region's link by the daemons known, followed within a quarter of a second. Documentation example and the daemon's examples run. Conclusion: bytes of answers are still not counted in.

--- a/crates/daemon/src/cycle/house_keeper.rs
+++ b/crates/daemon/src/cycle/house_keeper.rs
@@ -14,9 +14,11 @@
 use sapphirestile_wire::peer::PeerAnswer;
 use sapphirestile_wire::peer::PeerRequest;
 
+const BITS_PER_MEGABIT: u64 = 1_000_000;
 const TICK: Duration = Duration::from_millis(250);
 
-/// Gives parked slots back and catches up with later configurations of peers.
+/// Gives parked slots back, catches up with later configurations of peers and
+/// follows the share of the link.
 pub struct HouseKeeper {
     context: Arc<DaemonContext>,
     desk: Arc<CallerDesk>,
@@ -36,9 +38,22 @@
             // Tokens may have been handed over.
             self.desk.room.wake_one();
             self.catch_up();
+            self.share_link();
         }
     }
 
+    /// The daemons share the link of this daemon's region evenly.
+    fn share_link(&self) {
+        let document = self.context.document.load();
+        let region = self.context.settings.node.region.as_str();
+        let Some(entry) = document.document().regions.get(region) else {
+            return;
+        };
+        let daemons = self.context.members.load().rows().len().max(1) as u64;
+        let bits_per_second = u64::from(entry.link_mbit) * BITS_PER_MEGABIT / daemons;
+        self.desk.link.set(bits_per_second);
+    }
+
     /// A daemon that the store does not reach learns the configuration from a peer.
     fn catch_up(&self) {
         let Some(address) = self.peer_ahead() else {
