Say "not run" of a submission as of this try alone

Its "not run" read as if the job were not there. Requests of callers already say "of this try"; submissions did not.

Before: "no configuration is in force yet". The new scene of the ports fails so.

--- a/crates/daemon/src/operators/job_calls.rs
+++ b/crates/daemon/src/operators/job_calls.rs
@@ -17,6 +17,8 @@
 use sapphirestile_wire::peer::PeerFault;
 use sapphirestile_wire::peer::PeerRequest;
 
+const CELL_MOVES: &str = "the cell is moving to another daemon";
+
 /// Answers calls about jobs.
 pub struct JobCalls<'c> {
     context: &'c DaemonContext,
@@ -36,7 +38,8 @@
             return refusal(400, true, &format!("a job has from 1 to {TASKS_MAX} tasks"));
         }
         let job = submission.job.clone();
-        self.call(&job, |cell| PeerRequest::SubmitJob(cell, submission))
+        let answer = self.ask(&job, |cell| PeerRequest::SubmitJob(cell, submission));
+        reply(of_this_try(answer))
     }
 
     pub fn show(&self, job: &JobName) -> HttpReply {
@@ -55,7 +58,7 @@
     /// which is refused rather than shown as a whole.
     pub fn list(&self) -> HttpReply {
         let Some(map) = self.context.map() else {
-            return no_document();
+            return reply(no_document());
         };
         let mut jobs = Vec::new();
         for cell in map.cells() {
@@ -69,16 +72,34 @@
     }
 
     fn call(&self, job: &JobName, request: impl FnOnce(CellNumber) -> PeerRequest) -> HttpReply {
+        reply(self.ask(job, request))
+    }
+
+    fn ask(&self, job: &JobName, request: impl FnOnce(CellNumber) -> PeerRequest) -> PeerAnswer {
         let Some(map) = self.context.map() else {
             return no_document();
         };
         let cell = CellMap::cell_of_job(map, job.as_str());
-        reply(CellDesk::new(self.context).call(cell, request(cell)))
+        CellDesk::new(self.context).call(cell, request(cell))
     }
 }
 
-fn no_document() -> HttpReply {
-    refusal(503, true, "no configuration is in force yet")
+fn no_document() -> PeerAnswer {
+    PeerAnswer::Fault(PeerFault::NotRun(
+        "no configuration is in force yet".to_owned(),
+    ))
+}
+
+/// A submission may be a second try. Who refuses it has not looked for the first,
+/// so "not run" is said of this try alone.
+fn of_this_try(answer: PeerAnswer) -> PeerAnswer {
+    let reason = match answer {
+        PeerAnswer::Fault(PeerFault::NotRun(reason)) => reason,
+        PeerAnswer::Fault(PeerFault::NotOwner) => CELL_MOVES.to_owned(),
+        other => return other,
+    };
+    let reason = format!("{reason}; this try did nothing, earlier ones were not looked for");
+    PeerAnswer::Fault(PeerFault::NotRun(reason))
 }
 
 fn reply(answer: PeerAnswer) -> HttpReply {
@@ -90,9 +111,7 @@
         PeerAnswer::NameTaken(current) => HttpReply::json(409, &JobConflict { current }),
         PeerAnswer::Fault(PeerFault::UnknownJob) => refusal(404, true, "there is no such job"),
         PeerAnswer::Fault(PeerFault::NotRun(reason)) => refusal(503, true, &reason),
-        PeerAnswer::Fault(PeerFault::NotOwner) => {
-            refusal(503, true, "the cell is moving to another daemon")
-        }
+        PeerAnswer::Fault(PeerFault::NotOwner) => refusal(503, true, CELL_MOVES),
         _ => refusal(504, false, "the owner's answer was lost"),
     }
 }
--- a/crates/daemon/src/operators/operator_service.rs
+++ b/crates/daemon/src/operators/operator_service.rs
@@ -93,7 +93,7 @@
     }
 
     fn refuse(&self) -> HttpReply {
-        refusal(503, true, "the daemon is stopping")
+        refusal(503, true, "the daemon is stopping; this call was not looked at")
     }
 }
 
--- a/crates/daemon/tests/ports/operators_port.rs
+++ b/crates/daemon/tests/ports/operators_port.rs
@@ -123,6 +123,19 @@
 }
 
 /// A document or a zone that is not valid is answered with its faults.
+/// A refused submission may be a second try, so its refusal speaks of itself only.
+#[test]
+fn a_submission_that_no_cell_takes_says_not_run_of_this_try_alone() {
+    let scene = PortScene::set_without_document("undecided", FleetPlan::default());
+
+    let (status, refusal) = ask(&scene, "POST", "/v1/jobs", &submission("early", 1));
+
+    let reason = "no configuration is in force yet; \
+                  this try did nothing, earlier ones were not looked for";
+    assert_eq!(status, 503);
+    assert_eq!(refusal, json!({ "not_run": true, "reason": reason }));
+}
+
 fn assert_faults_are_named(scene: &PortScene) {
     let change = json!({ "based_on": 0, "text": "[zone", "author": "operator-1" });
     let zone = json!({ "state": "out", "author": "operator-1" });
--- a/crates/daemon/tests/ports/support.rs
+++ b/crates/daemon/tests/ports/support.rs
@@ -33,10 +33,17 @@
 
 impl PortScene {
     pub fn set(name: &str, plan: FleetPlan) -> Self {
+        let scene = Self::set_without_document(name, plan);
+        let operators = scene.daemon.operators();
+        scene.fleet.put_document(operators);
+        scene.fleet.wait_owned(&[operators], 1);
+        scene
+    }
+
+    /// The same before its first document, so that it owns nothing.
+    pub fn set_without_document(name: &str, plan: FleetPlan) -> Self {
         let fleet = SceneFleet::start(DAEMON, &format!("{FOLDER}/ports_{name}"), plan);
         let daemon = fleet.daemon("entry-1", "near-a", &[]);
-        fleet.put_document(daemon.operators());
-        fleet.wait_owned(&[daemon.operators()], 1);
         Self { fleet, daemon }
     }
 
