--- a/crates/daemon/src/operators/operator_service.rs
+++ b/crates/daemon/src/operators/operator_service.rs
@@ -93,7 +93,11 @@
     }
 
     fn refuse(&self) -> HttpReply {
-        refusal(503, true, "the daemon is stopping; this call was not looked at")
+        refusal(
+            503,
+            true,
+            "the daemon is stopping; this call was not looked at",
+        )
     }
 }
 
