Let no request sleep beside a free slot

Cause: a request looked for a slot and only then took its place in line. A slot left in between woke nobody, and the request slept until another request ended or the next tick, 250 ms later. Two more of the same kind: one line served all services, so a slot of one woke a request of another, and its place behind others was counted against its deadline; and the tick woke one request, however many tokens had been handed over. Found by reading.

Ruled out: a shorter tick, which is the special case that hid it; that a woken request always wakes the next, which doubles the wakes when every slot is taken.

After: a request looks again once it is in line; a line for each service; a wake in vain is passed on under the lock; the tick wakes one for each free slot. The cost is one look more for each request that waits.

Not measured: no load was run on this; that the tick wakes as many as are free has no test of its own.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -18,6 +18,8 @@
 mod parking_lot;
 mod request_runner;
 mod waiting_room;
+mod waiting_turn;
+mod waiting_wish;
 
 pub use attempt_outcome::AttemptOutcome;
 pub use caller_desk::CallerDesk;
@@ -28,3 +30,5 @@
 pub use parking_lot::ParkingLot;
 pub use request_runner::RequestRunner;
 pub use waiting_room::WaitingRoom;
+pub use waiting_turn::WaitingTurn;
+pub use waiting_wish::WaitingWish;
--- a/crates/daemon/src/callers/caller_service.rs
+++ b/crates/daemon/src/callers/caller_service.rs
@@ -44,7 +44,11 @@
             return CallerReply::NotRun(RouteRefusal::NoService);
         };
         match self.facts_of(&request, entry) {
-            Ok(facts) => RequestRunner::new(&self.context, &self.desk, &request).run(facts),
+            Ok(facts) => {
+                let reply = RequestRunner::new(&self.context, &self.desk, &request).run(facts);
+                self.desk.room.wake_one(request.service());
+                reply
+            }
             Err(reply) => reply,
         }
     }
@@ -90,7 +94,6 @@
     fn answer(&self, request: &mut Request<Body>) -> HttpReply {
         let received = Instant::now();
         let reply = self.serve(request);
-        self.desk.room.wake_one();
         self.count(&reply, received.elapsed());
         reply.into_http()
     }
--- a/crates/daemon/src/callers/request_runner.rs
+++ b/crates/daemon/src/callers/request_runner.rs
@@ -8,6 +8,7 @@
 use crate::callers::CallerDesk;
 use crate::callers::CallerReply;
 use crate::callers::CallerRequest;
+use crate::callers::WaitingWish;
 use crate::cells::CellDesk;
 use crate::context::DaemonContext;
 use sapphirestile_core::MonoTime;
@@ -98,29 +99,40 @@
         deadline: MonoTime,
         avoid: Option<&RunnerName>,
     ) -> Result<RouteChoice, RouteRefusal> {
-        loop {
-            let now = self.context.clock.now();
-            let query = RouteQuery {
-                service: self.request.service(),
-                avoid: avoid.map(RunnerName::as_str),
-                now,
-                deadline,
-                random: rand::random(),
-            };
-            match self.context.routes.load().choose(&query) {
-                Ok(choice) if self.link_admits(&choice) => return Ok(choice),
-                // The slot beyond the link is given back; one on this side may come
-                // free.
-                Ok(choice) => drop(choice),
-                Err(RouteRefusal::NoSlot) => {}
-                Err(refusal) => return Err(refusal),
-            }
-            self.context.wanting.fetch_add(1, Ordering::Relaxed);
-            let priority = self.request.priority();
-            self.desk
-                .room
-                .wait(priority, deadline, &self.estimate(), now)?;
+        let wish = WaitingWish {
+            service: self.request.service(),
+            priority: self.request.priority(),
+            deadline,
+        };
+        let clock = &self.context.clock;
+        let look = || self.look(deadline, avoid);
+        self.desk
+            .room
+            .until(&wish, clock, || self.expect_wait(), look)
+    }
+
+    /// Chooses a runner with a free slot, if there is one.
+    fn look(
+        &self,
+        deadline: MonoTime,
+        avoid: Option<&RunnerName>,
+    ) -> Result<Option<RouteChoice>, RouteRefusal> {
+        let query = RouteQuery {
+            service: self.request.service(),
+            avoid: avoid.map(RunnerName::as_str),
+            now: self.context.clock.now(),
+            deadline,
+            random: rand::random(),
+        };
+        match self.context.routes.load().choose(&query) {
+            Ok(choice) if self.link_admits(&choice) => return Ok(Some(choice)),
+            // The slot beyond the link is given back; one on this side may come
+            // free.
+            Ok(choice) => drop(choice),
+            Err(RouteRefusal::NoSlot) => {}
+            Err(refusal) => return Err(refusal),
         }
+        Ok(None)
     }
 
     /// The link between regions takes a request of low importance only while it
@@ -134,7 +146,9 @@
         self.desk.link.admit(bytes, self.request.priority(), now)
     }
 
-    fn estimate(&self) -> WaitEstimate {
+    /// What a request that waits has to expect; it is counted as wanting a slot.
+    fn expect_wait(&self) -> WaitEstimate {
+        self.context.wanting.fetch_add(1, Ordering::Relaxed);
         let routes = self.context.routes.load();
         let (mut slots, mut latency_us, mut seen) = (0, 0, 0);
         for row in routes
--- a/crates/daemon/src/callers/waiting_room.rs
+++ b/crates/daemon/src/callers/waiting_room.rs
@@ -5,14 +5,17 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::sync::atomic::fence;
 use std::time::Duration;
 
+use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
 use crossbeam::channel::bounded;
 
-use sapphirestile_core::MonoTime;
+use crate::callers::WaitingTurn;
+use crate::callers::WaitingWish;
+use crate::context::MonoClock;
 use sapphirestile_routing::QueueOutcome;
-use sapphirestile_routing::RequestPriority;
 use sapphirestile_routing::RouteRefusal;
 use sapphirestile_routing::WaitEstimate;
 use sapphirestile_routing::WaitingEntry;
@@ -20,67 +23,67 @@
 
 const WAITING_MAX: usize = 512;
 
+/// The lines of the services, sorted by the services' names.
+type ServiceLines = Vec<(String, WaitingQueue<Sender<()>>)>;
+
 /// Lets threads of requests wait until it is their turn to look for a slot again.
 ///
-/// Who leaves a slot wakes the first in line. Nobody takes the lock while nobody
-/// waits.
-#[derive(Debug)]
+/// Each service has a line of its own, since a slot of one is of no use to the
+/// others. Who leaves a slot wakes the first in line. Nobody takes the lock while
+/// nobody waits.
+#[derive(Debug, Default)]
 pub struct WaitingRoom {
-    queue: Mutex<WaitingQueue<Sender<()>>>,
+    lines: Mutex<ServiceLines>,
     waiting: AtomicUsize,
 }
 
-impl Default for WaitingRoom {
-    fn default() -> Self {
-        Self {
-            queue: Mutex::new(WaitingQueue::new(WAITING_MAX)),
-            waiting: AtomicUsize::new(0),
-        }
-    }
-}
-
 impl WaitingRoom {
-    /// Waits until a slot may be free.
+    /// Looks until something is found, and waits in line between the looks.
     ///
     /// # Errors
     ///
-    /// Why the request does not wait any longer; it was not run.
-    pub fn wait(
+    /// What `look` refuses, or why the request does not wait any longer; it was
+    /// not run.
+    pub fn until<T>(
         &self,
-        priority: RequestPriority,
-        deadline: MonoTime,
-        estimate: &WaitEstimate,
-        now: MonoTime,
-    ) -> Result<(), RouteRefusal> {
-        let (wake, woken) = bounded(1);
-        let entry = WaitingEntry {
-            priority,
-            deadline,
-            item: wake,
-        };
-        self.push(entry, estimate, now)?;
-        let left = Duration::from_millis(deadline.millis_since(now));
-        // An entry that was shed is dropped, and its thread hears of that here.
-        match woken.recv_timeout(left) {
-            Ok(()) => Ok(()),
-            Err(error) if error.is_timeout() => Err(RouteRefusal::DeadlinePassed),
-            Err(_) => Err(RouteRefusal::Shed),
+        wish: &WaitingWish<'_>,
+        clock: &MonoClock,
+        estimate: impl Fn() -> WaitEstimate,
+        mut look: impl FnMut() -> Result<Option<T>, RouteRefusal>,
+    ) -> Result<T, RouteRefusal> {
+        loop {
+            if let Some(found) = look()? {
+                return Ok(found);
+            }
+            let turn = self.enter(wish, clock, &estimate())?;
+            // What came free before the turn was in line has woken nobody.
+            if let Some(found) = look()? {
+                return Ok(found);
+            }
+            let left = wish.deadline.millis_since(clock.now());
+            turn.wait(Duration::from_millis(left))?;
         }
     }
 
-    /// Wakes the first in line.
-    pub fn wake_one(&self) {
-        if self.waiting.load(Ordering::Acquire) == 0 {
+    /// Wakes the first in line for `service`.
+    pub fn wake_one(&self, service: &str) {
+        // Pairs with the fence of `enter`: either this sees who waits, or who
+        // waits sees the slot that was left.
+        fence(Ordering::SeqCst);
+        if self.waiting.load(Ordering::Relaxed) == 0 {
             return;
         }
-        let mut queue = self.lock();
-        while let Some(entry) = queue.pop() {
-            // One whose thread has stopped waiting passes its turn on.
-            if entry.item.send(()).is_ok() {
-                break;
+        let mut lines = self.lock();
+        if let Ok(place) = place_of(&lines, service) {
+            let queue = &mut lines[place].1;
+            while let Some(entry) = queue.pop() {
+                // One whose thread has stopped waiting passes its turn on.
+                if entry.item.send(()).is_ok() {
+                    break;
+                }
             }
         }
-        self.waiting.store(queue.len(), Ordering::Release);
+        self.count(&lines);
     }
 
     /// How many requests wait.
@@ -95,22 +98,56 @@
         self.len() == 0
     }
 
-    fn push(
-        &self,
-        entry: WaitingEntry<Sender<()>>,
+    /// Takes a place in the line, and says so before the next look.
+    fn enter<'w>(
+        &'w self,
+        wish: &WaitingWish<'w>,
+        clock: &MonoClock,
         estimate: &WaitEstimate,
-        now: MonoTime,
-    ) -> Result<(), RouteRefusal> {
-        let mut queue = self.lock();
-        let outcome = queue.push(entry, estimate, now);
-        self.waiting.store(queue.len(), Ordering::Release);
+    ) -> Result<WaitingTurn<'w>, RouteRefusal> {
+        let (wake, woken) = bounded(1);
+        let entry = WaitingEntry {
+            priority: wish.priority,
+            deadline: wish.deadline,
+            item: wake,
+        };
+        let mut lines = self.lock();
+        let place = place_of(&lines, wish.service).unwrap_or_else(|place| {
+            let line = (wish.service.to_owned(), WaitingQueue::new(WAITING_MAX));
+            lines.insert(place, line);
+            place
+        });
+        let outcome = lines[place].1.push(entry, estimate, clock.now());
+        self.count(&lines);
+        drop(lines);
+        fence(Ordering::SeqCst);
         match outcome {
-            QueueOutcome::Queued | QueueOutcome::Shed(_) => Ok(()),
+            QueueOutcome::Queued | QueueOutcome::Shed(_) => {
+                Ok(WaitingTurn::new(self, wish.service, woken))
+            }
             QueueOutcome::Refused(_, refusal) => Err(refusal),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, WaitingQueue<Sender<()>>> {
-        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Ends a turn, and says whether it was woken in vain. Wakes are sent under
+    /// the lock, so none comes after the answer.
+    pub(super) fn leave(&self, woken: Receiver<()>) -> bool {
+        let _lines = self.lock();
+        let in_vain = woken.try_recv().is_ok();
+        drop(woken);
+        in_vain
     }
+
+    fn count(&self, lines: &ServiceLines) {
+        let waiting = lines.iter().map(|(_, queue)| queue.len()).sum();
+        self.waiting.store(waiting, Ordering::Release);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ServiceLines> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn place_of(lines: &ServiceLines, service: &str) -> Result<usize, usize> {
+    lines.binary_search_by(|(name, _)| name.as_str().cmp(service))
 }
--- a/crates/daemon/src/cycle/house_keeper.rs
+++ b/crates/daemon/src/cycle/house_keeper.rs
@@ -35,13 +35,25 @@
     pub fn run(&self, stop: &Receiver<()>) {
         while stop.recv_timeout(TICK) == Err(RecvTimeoutError::Timeout) {
             self.desk.lot.release_due(self.context.clock.now());
-            // Tokens may have been handed over.
-            self.desk.room.wake_one();
+            self.wake_waiting();
             self.catch_up();
             self.share_link();
         }
     }
 
+    /// Tokens may have been handed over, so each free slot wakes a request.
+    fn wake_waiting(&self) {
+        if self.desk.room.is_empty() {
+            return;
+        }
+        for row in self.context.routes.load().rows() {
+            let free = row.gauge.tokens().saturating_sub(row.gauge.in_flight());
+            for _ in 0..free {
+                self.desk.room.wake_one(row.service.as_str());
+            }
+        }
+    }
+
     /// The daemons share the link of this daemon's region evenly.
     fn share_link(&self) {
         let document = self.context.document.load();
