Say that a task never fits before its quota is reached

An urgent job ahead of it that no worker is large enough for was refused for the rest of its customer's quota, which ends the customer's turn, until 67 s later enough quota was free to find that it never fits.

Ruled out: room (46 of 48 workers were large enough for the small task), holds and preemption (none was asked for), delays after failures (none).

Change: a quota that is reached for now is not the answer for a task that never fits. Larger than the whole quota stays the answer it was.

The scene of the queue fails without the change.

--- a/crates/placement/src/choice/worker_choice.rs
+++ b/crates/placement/src/choice/worker_choice.rs
@@ -66,7 +66,7 @@
     request: &PlacementRequest<'_>,
     policy: &RoomPolicy,
 ) -> Result<PlacementChoice, PlacementRefusal> {
-    check_quota(request)?;
+    check_quota(rooms, request)?;
     let mut with_room = 0;
     let mut best = None;
     for (place, room) in rooms.iter().enumerate() {
@@ -91,17 +91,26 @@
     Ok(PlacementChoice { place, reason })
 }
 
-fn check_quota(request: &PlacementRequest<'_>) -> Result<(), PlacementRefusal> {
+/// A quota that is reached for now must not hide that the task never fits:
+/// waiting would keep the customer's other tasks behind one that cannot run.
+fn check_quota(
+    rooms: &[WorkerRoom],
+    request: &PlacementRequest<'_>,
+) -> Result<(), PlacementRefusal> {
     let customer = request.customer;
     let left = customer.left();
     let Some(short_of) = SizeDimension::short_of(&request.size, &left) else {
         return Ok(());
     };
+    let larger_than_quota = !request.size.fits_in(&customer.quota);
+    if !larger_than_quota && let Some(refusal) = never_fits(rooms, request) {
+        return Err(refusal);
+    }
     Err(PlacementRefusal::QuotaReached {
         customer: customer.name.clone(),
         left,
         short_of,
-        larger_than_quota: !request.size.fits_in(&customer.quota),
+        larger_than_quota,
     })
 }
 
@@ -166,31 +175,38 @@
     request: &PlacementRequest<'_>,
     policy: &RoomPolicy,
 ) -> PlacementRefusal {
-    let allowed = || rooms.iter().filter(|room| request.allows(&room.zone));
-    let fits_whole = |room: &&WorkerRoom| request.size.fits_in(&room.size);
-    if allowed().next().is_none() {
-        return PlacementRefusal::NoZone;
-    }
-    if allowed().all(|room| !fits_whole(&room)) {
-        return PlacementRefusal::NeverFits {
-            size: request.size,
-            largest: allowed().fold(ResourceSize::default(), largest_of),
-        };
+    if let Some(refusal) = never_fits(rooms, request) {
+        return refusal;
     }
-    if allowed().all(|room| !room.takes_work()) {
+    let taking = || {
+        rooms
+            .iter()
+            .filter(|room| request.allows(&room.zone) && room.takes_work())
+    };
+    if taking().next().is_none() {
         return PlacementRefusal::NoZone;
     }
-    let large = || {
-        allowed()
-            .filter(fits_whole)
-            .filter(|room| room.takes_work())
-    };
+    let large = || taking().filter(|room| request.size.fits_in(&room.size));
     PlacementRefusal::NoRoomNow {
         large_enough: large().count(),
         short_of: most_short(large(), request, policy),
     }
 }
 
+/// The refusal of a task that no worker of its zones would have room for even
+/// when empty.
+fn never_fits(rooms: &[WorkerRoom], request: &PlacementRequest<'_>) -> Option<PlacementRefusal> {
+    let allowed = || rooms.iter().filter(|room| request.allows(&room.zone));
+    let fits = allowed().any(|room| request.size.fits_in(&room.size));
+    if fits || allowed().next().is_none() {
+        return None;
+    }
+    Some(PlacementRefusal::NeverFits {
+        size: request.size,
+        largest: allowed().fold(ResourceSize::default(), largest_of),
+    })
+}
+
 fn largest_of(largest: ResourceSize, room: &WorkerRoom) -> ResourceSize {
     ResourceSize {
         cpu_milli: largest.cpu_milli.max(room.size.cpu_milli),
--- a/crates/placement/tests/placement/queue.rs
+++ b/crates/placement/tests/placement/queue.rs
@@ -160,3 +160,18 @@
     .map(|asked| pass.found_no_room(&asked));
     assert_eq!(covered, [true, false, false]);
 }
+
+#[test]
+fn a_task_that_never_fits_holds_nobody_behind_a_reached_quota() {
+    let mut scene = Scene::new(&["a/a-1/w1"]);
+    let mut customers = [customer("tailors", 100)];
+    customers[0].quota = size(10_000, 10_000, 0);
+    customers[0].given = size(2_000, 2_000, 0);
+    let mut huge = waiting("huge", "tailors", size(4_000, 9_000, 0), 1);
+    let mut small = waiting("small", "tailors", size(1_000, 1_000, 0), 1);
+    (huge.urgent, small.urgent) = (true, true);
+    small.submitted = MonoTime::from_millis(1);
+    let queue = queue_of([huge, small]);
+    let started = start_all(&queue, &mut customers, &mut scene);
+    assert_eq!(started, ["small"]);
+}
