--- a/crates/daemon/src/context/daemon_context.rs
+++ b/crates/daemon/src/context/daemon_context.rs
@@ -27,6 +27,8 @@
 use sapphirestile_routing::TableCell;
 use sapphirestile_wire::peer::FrameKey;
 
+const SLOW_CALLS: u64 = 2;
+
 /// What all operations of one daemon share.
 pub struct DaemonContext {
     /// The checked settings.
@@ -82,10 +84,12 @@
         self.pulse.silent_ms(now) < self.store_patience_ms()
     }
 
-    /// How long the store may be silent before it counts as away. The shared
-    /// watch, when nothing changes, hears from it every [`WATCH_WAIT_MS`].
+    /// How long the store may be silent before it counts as away, in milliseconds.
+    ///
+    /// The shared watch, when nothing changes, hears from it every
+    /// [`WATCH_WAIT_MS`]; it and the call before it may both take their longest.
     #[must_use]
     pub const fn store_patience_ms(&self) -> u64 {
-        self.settings.limits.suspect_ms + WATCH_WAIT_MS
+        WATCH_WAIT_MS + SLOW_CALLS * self.settings.limits.store_timeout_ms
     }
 }
