Measure the recovery of a cell at the target size

Cause: the start of urgent work after an owner's death was measured with one small cell only; what nine cells of the target size add was not known.

--- a/crates/capacity/src/processor.rs
+++ b/crates/capacity/src/processor.rs
@@ -4,6 +4,7 @@
 mod ended_times;
 mod frame_times;
 mod list_times;
+mod recovery_times;
 mod route_times;
 mod token_times;
 mod worker_times;
@@ -17,6 +18,7 @@
     vec![
         cell_times::cell_times(rounds),
         ended_times::ended_times(rounds),
+        recovery_times::recovery_times(rounds),
         list_times::list_times(rounds),
         route_times::route_times(rounds),
         token_times::token_times(rounds),
--- /dev/null
+++ b/crates/capacity/src/processor/recovery_times.rs
@@ -0,0 +1,106 @@
+//! What a new owner needs before it may start anything.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::ResultTable;
+use crate::report::TimeSample;
+use crate::report::nanos_of;
+use crate::scenes::CellScene;
+use crate::scenes::CellSize;
+use crate::scenes::identity;
+use sapphirestile_cells::CellOwner;
+use sapphirestile_cells::CellState;
+use sapphirestile_cells::CellTransition;
+use sapphirestile_cells::EntryBody;
+use sapphirestile_cells::JournalEntry;
+use sapphirestile_cells::OpenPhase;
+use sapphirestile_cells::TaskEntry;
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::JournalSequence;
+use sapphirestile_core::TaskName;
+use sapphirestile_daemon::cells::CellJournal;
+use sapphirestile_daemon::cells::JournalBatch;
+use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_platform::store::EtcdClient;
+use sapphirestile_platform::store::StoreClient;
+use sapphirestile_standins::store::StoreFaults;
+use sapphirestile_standins::store::StoreStandin;
+
+const CELL: CellNumber = CellNumber::new(0);
+const STORE_TIMEOUT: Duration = Duration::from_secs(10);
+/// As many entries as come between two snapshots.
+const TAIL_ENTRIES: u64 = 63;
+const TAIL_CHECKPOINTS: usize = 17;
+const CHECKPOINT_STEP_MS: u64 = 60_000;
+
+pub fn recovery_times(rounds: usize) -> ResultTable {
+    let mut table = ResultTable::new(
+        "Recovery of a cell from the store by its tasks, us: median (least to most)",
+        &["running", "ended", "workers", "read and fold", "open"],
+    );
+    for (running, ended, workers) in [(300, 500, 35), (1_000, 1_700, 70), (3_000, 5_000, 140)] {
+        let scene = CellScene::build(CellSize {
+            workers,
+            running,
+            waiting: 0,
+            ended,
+        });
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let standin = StoreStandin::start(address, StoreFaults::default());
+        let standin = standin.expect("the store starts");
+        let peer = PeerAddress::try_from(standin.address()).expect("a served port");
+        let client = EtcdClient::new(peer, STORE_TIMEOUT);
+        let store: Arc<dyn StoreClient> = Arc::new(client);
+        write_journal(&store, scene.owner.state());
+        let load = || CellJournal::load(&*store, CELL).expect("the cell is read");
+        let state = load().state;
+        let read = TimeSample::gather(rounds, || nanos_of(1, load));
+        let open = TimeSample::gather(rounds, || nanos_of(1, || open_cell(state.clone(), &scene)));
+        table.add(&[&running, &ended, &workers, &read, &open]);
+    }
+    table
+}
+
+/// Writes a snapshot and the entries that may stand after it.
+fn write_journal(store: &Arc<dyn StoreClient>, state: &CellState) {
+    let mut journal = CellJournal::new(Arc::clone(store), CELL, 0);
+    let first = state.sequence().get();
+    for step in 0..=TAIL_ENTRIES {
+        let entry = JournalEntry {
+            sequence: JournalSequence::new(first + step),
+            writer: identity(0),
+            nonce: step + 1,
+            body: EntryBody::Batch(checkpoints(state, step)),
+        };
+        let snapshot = (step == 0).then(|| state.clone());
+        let batch = JournalBatch {
+            entry,
+            snapshot,
+            revision: None,
+        };
+        let outcome = journal.try_commit(&batch);
+        outcome.expect("the store answers");
+    }
+}
+
+fn checkpoints(state: &CellState, step: u64) -> Vec<CellTransition> {
+    let checkpoint = |(task, entry): (&TaskName, &TaskEntry)| match entry {
+        TaskEntry::Assigned(cycle) => Some(CellTransition::TaskCheckpointed {
+            task: task.clone(),
+            attempt: cycle.phase().attempt,
+            checkpoint_ms: step * CHECKPOINT_STEP_MS,
+        }),
+        _ => None,
+    };
+    let checkpoints = state.tasks().iter().filter_map(checkpoint);
+    checkpoints.take(TAIL_CHECKPOINTS).collect()
+}
+
+/// Claims a cell and takes its workers in, up to the first sessions.
+fn open_cell(state: CellState, scene: &CellScene) -> CellOwner<OpenPhase> {
+    let mut owner = CellOwner::claim(CELL, identity(1), state, 1).claimed();
+    owner.set_workers(&scene.facts, scene.now);
+    owner
+}
