Merge what changed on a worker into its whole report

An owner now keeps the latest whole report of each worker and names it in the next session. An answer that starts from it and says what has changed is merged before any decision sees it, so a report stays a whole report for all rules, the proof that a start will never take effect among them. An answer that starts from another report, or leads to another number of attempts than the worker counts, leaves nothing held: the next session asks for all. Answers to any session but the latest asked for are dropped before the merge.

Whole reports are taken as before; the storms still use them.

Mutations, each failing in tests/owner/merging: any base merged; the count not compared; gone rows kept; changed rows not put; late answers merged; changes taken for all; the request names no report.

--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -1,5 +1,6 @@
 //! The owner of a cell, in each phase of its ownership.
 
+mod answer_merging;
 mod batch_commits;
 mod forgetting;
 mod start_planning;
--- a/crates/cells/src/owner/cell_owner/worker_list.rs
+++ b/crates/cells/src/owner/cell_owner/worker_list.rs
@@ -73,6 +73,7 @@
                 epoch,
                 ordinal: view.ordinal,
                 settled,
+                known: view.whole.mark(),
             });
         }
         orders
--- a/crates/cells/src/owner/cell_owner/worker_reports.rs
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -26,7 +26,7 @@
         let Some(view) = self.phase.workers.get_mut(report.worker) else {
             return;
         };
-        if !view.asking || view.ordinal != report.ordinal {
+        if !view.awaits(report.ordinal) {
             return;
         }
         view.asking = false;
--- a/crates/cells/src/owner/session_order.rs
+++ b/crates/cells/src/owner/session_order.rs
@@ -1,5 +1,6 @@
 //! A session to open or renew.
 
+use crate::owner::ReportMark;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::TaskName;
@@ -16,4 +17,6 @@
     pub ordinal: u64,
     /// Ended attempts that the worker may forget.
     pub settled: Vec<(TaskName, AttemptNumber)>,
+    /// The worker's report that the owner has whole.
+    pub known: Option<ReportMark>,
 }
--- a/crates/cells/src/owner/worker_view.rs
+++ b/crates/cells/src/owner/worker_view.rs
@@ -1,5 +1,6 @@
 //! An owner's view of a worker.
 
+use crate::owner::WholeReport;
 use crate::owner::WorkerFacts;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::MonoTime;
@@ -29,12 +30,14 @@
     pub starts: u32,
     /// Ended attempts that the worker may forget.
     pub settled: Vec<(TaskName, AttemptNumber)>,
+    /// The worker's latest whole report.
+    pub whole: WholeReport,
 }
 
 impl WorkerView {
     /// A worker of which nothing but the facts is known.
     #[must_use]
-    pub const fn new(facts: WorkerFacts) -> Self {
+    pub fn new(facts: WorkerFacts) -> Self {
         Self {
             facts,
             listed: true,
@@ -45,9 +48,16 @@
             misses: 0,
             starts: 0,
             settled: Vec::new(),
+            whole: WholeReport::default(),
         }
     }
 
+    /// Whether the session `ordinal` was asked for last and is not answered.
+    #[must_use]
+    pub const fn awaits(&self, ordinal: u64) -> bool {
+        self.asking && self.ordinal == ordinal
+    }
+
     /// Whether `now` is time to renew the session.
     ///
     /// A silent worker is asked less and less often, so that many of them, as of a
--- a/crates/cells/tests/owner/main.rs
+++ b/crates/cells/tests/owner/main.rs
@@ -3,6 +3,7 @@
 mod adopting;
 mod committing;
 mod forgetting;
+mod merging;
 mod owner_bench;
 mod reporting;
 mod silent;
