Report what changed since the report that the owner has whole

A worker numbers its reports by their permits and remembers for each row the report with which it last changed, so the changes since any report can be told whatever became of the answers between; no report is copied. It answers with everything when the report named is of another life or another epoch, or when rows forgotten since then are no longer remembered. An attempt changed when its phase did, when its checkpoint is a minute later than the one told last (the owner's step), or when its usage moved by a twentieth. Empty fields are left out; the worker's size, which no owner reads, comes with all rows.

Permits begin after the number of the worker's life: the stand-in began again at 1 after a restart, so an old start could quote a new permit.

The soak takes the merge through its faults, with restarts of workers as a new one, and compares each merged report with what the worker held when it answered.

Mutations, each failing in standins/tests/states/report_changes: a row's number not moved; changes since the last answer only; gone rows not told; dropped when told; no horizon; incarnation, epoch not compared; checkpoints, usage, phases not told; checkpoints, usage told each time.

Changed tests: a whole report's size is optional; the sizes of session bodies are the new ones.

--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -29,4 +29,5 @@
 pub use run_part::run_part;
 pub use sessions::SessionLoad;
 pub use sessions::session_bytes;
+pub use sessions::steady_bytes;
 pub use size_scale::SizeScale;
--- a/crates/capacity/src/messages/document_sizes.rs
+++ b/crates/capacity/src/messages/document_sizes.rs
@@ -12,8 +12,10 @@
 use crate::SizeScale;
 use crate::scenes::VmScene;
 use crate::scenes::zone_text;
-use crate::sessions::session_report;
-use crate::sessions::session_request;
+use crate::sessions::first_request;
+use crate::sessions::report_body;
+use crate::sessions::request_body;
+use crate::sessions::whole_report;
 
 const CHANGED_UNIX_MS: u64 = 1_790_000_000_000;
 
@@ -50,9 +52,14 @@
         &["tasks", "request", "request with as many settled", "report"],
     );
     for &tasks in scale.pick(&[1, 8, 22, 32]) {
-        let plain = session_request(0).len();
-        let settling = session_request(tasks).len();
-        table.add(&[&tasks, &plain, &settling, &session_report(tasks).len()]);
+        let plain = request_body(&first_request(0)).len();
+        let settling = request_body(&first_request(tasks)).len();
+        table.add(&[
+            &tasks,
+            &plain,
+            &settling,
+            &report_body(&whole_report(tasks)).len(),
+        ]);
     }
     table
 }
--- a/crates/capacity/src/run_part.rs
+++ b/crates/capacity/src/run_part.rs
@@ -10,6 +10,7 @@
 use crate::processor::processor_times;
 use crate::sessions::session_bytes;
 use crate::sessions::session_loads;
+use crate::sessions::steady_bytes;
 
 /// Runs the chosen part and gives its tables.
 ///
@@ -22,7 +23,7 @@
         CapacityPart::Messages => message_sizes(SizeScale::All),
         CapacityPart::Processor => processor_times(options.rounds),
         CapacityPart::Memory => memory_growth(),
-        CapacityPart::Sessions => vec![session_bytes(), session_loads()],
+        CapacityPart::Sessions => vec![session_bytes(), steady_bytes(), session_loads()],
         CapacityPart::Fleet => vec![fleet_rows(options)],
     }
 }
--- a/crates/capacity/src/sessions/session_bodies.rs
+++ b/crates/capacity/src/sessions/session_bodies.rs
@@ -3,7 +3,9 @@
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
+use sapphirestile_core::IncarnationNumber;
 use sapphirestile_core::ResourceSize;
+use sapphirestile_wire::worker::KnownReport;
 use sapphirestile_wire::worker::SessionReport;
 use sapphirestile_wire::worker::SessionRequest;
 use sapphirestile_wire::worker::TaskPhase;
@@ -14,7 +16,8 @@
 
 const EPOCH: u64 = 1_000_000;
 const LEASE_MS: u64 = 3_600_000;
-const PERMIT: u64 = 1_000_000;
+const INCARNATION: u64 = 1_800_000_000_000;
+const PERMIT: u64 = INCARNATION + 1_000_000;
 const CHECKPOINT_MS: u64 = 120_000;
 const USAGE_LAG_MS: u64 = 2_000;
 const USAGE: ResourceSize = ResourceSize {
@@ -23,24 +26,41 @@
     accelerators: 0,
 };
 
-/// The body of a renewal that settles some ended tasks.
-pub fn session_request(settled: u32) -> Vec<u8> {
+/// The life of a worker's program.
+pub const fn incarnation() -> IncarnationNumber {
+    IncarnationNumber::new(INCARNATION)
+}
+
+/// The first request to a worker, which settles some ended tasks.
+pub fn first_request(settled: u32) -> SessionRequest {
     let settled = (0..settled).map(|index| TaskSettled {
         task: task_name(0, index),
         attempt: AttemptNumber::new(1),
     });
-    let request = SessionRequest {
+    SessionRequest {
         cell: CellNumber::new(17),
         epoch: CellEpoch::new(EPOCH),
         lease_ms: LEASE_MS,
         settled: settled.collect(),
+        known: None,
+    }
+}
+
+/// A renewal by an owner that has the report before whole.
+pub fn later_request() -> SessionRequest {
+    let known = KnownReport {
+        incarnation: incarnation(),
+        permit: PERMIT - 1,
     };
-    serde_json::to_vec(&request).expect("a session is encodable")
+    SessionRequest {
+        known: Some(known),
+        ..first_request(0)
+    }
 }
 
-/// The body of a report of running tasks.
-pub fn session_report(tasks: u32) -> Vec<u8> {
-    let tasks = (0..tasks).map(|index| TaskReport {
+/// A report of all running tasks.
+pub fn whole_report(tasks: u32) -> SessionReport {
+    let rows = (0..tasks).map(|index| TaskReport {
         task: task_name(0, index),
         attempt: AttemptNumber::new(1),
         phase: TaskPhase::Running,
@@ -48,10 +68,33 @@
         usage: USAGE,
         usage_age_ms: USAGE_LAG_MS,
     });
-    let report = SessionReport {
+    SessionReport {
         permit: PERMIT,
-        size: USAGE,
-        tasks: tasks.collect(),
-    };
-    serde_json::to_vec(&report).expect("a report is encodable")
+        incarnation: incarnation(),
+        base: None,
+        count: tasks,
+        size: Some(USAGE),
+        tasks: rows.collect(),
+        gone: Vec::new(),
+    }
+}
+
+/// A report of a worker with `tasks` of which `changed` have changed.
+pub fn change_report(tasks: u32, changed: u32) -> SessionReport {
+    SessionReport {
+        base: Some(PERMIT - 1),
+        count: tasks,
+        size: None,
+        ..whole_report(changed)
+    }
+}
+
+/// The body of a request.
+pub fn request_body(request: &SessionRequest) -> Vec<u8> {
+    serde_json::to_vec(request).expect("a session is encodable")
+}
+
+/// The body of an answer.
+pub fn report_body(report: &SessionReport) -> Vec<u8> {
+    serde_json::to_vec(report).expect("a report is encodable")
 }
--- a/crates/capacity/src/sessions/wire_bytes.rs
+++ b/crates/capacity/src/sessions/wire_bytes.rs
@@ -13,39 +13,66 @@
 use sapphirestile_platform::worker::WorkerClient;
 use sapphirestile_standins::worker::WorkerSettings;
 use sapphirestile_standins::worker::WorkerStandin;
+use sapphirestile_wire::worker::SessionReport;
 use sapphirestile_wire::worker::SessionRequest;
 
 use crate::ResultTable;
-use crate::sessions::session_report;
-use crate::sessions::session_request;
+use crate::sessions::change_report;
+use crate::sessions::first_request;
+use crate::sessions::later_request;
+use crate::sessions::report_body;
+use crate::sessions::request_body;
+use crate::sessions::session_size::SessionSize;
+use crate::sessions::whole_report;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 const MESSAGE_BYTES_MAX: usize = 64 * 1_024;
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
-/// The bytes that a session with a worker puts on the wire in both directions,
-/// heads of HTTP included, headers of TCP and below not.
+/// The bytes that a session with a worker puts on the wire, heads of HTTP
+/// included, headers of TCP and below not: with all tasks, and with changes.
 ///
 /// # Panics
 ///
 /// When the stand-in of a worker cannot be reached.
 #[must_use]
 pub fn session_bytes() -> ResultTable {
-    let request = captured_request();
-    let request_head = head_length(&request);
-    let answer_head = head_length(&answer_to(&request));
+    let heads = head_bytes();
     let mut table = ResultTable::new(
         "A session on the wire by the tasks of the worker, HTTP heads included",
-        &["tasks", "request", "answer", "both"],
+        &[
+            "tasks",
+            "all: request",
+            "all: answer",
+            "changes: request",
+            "changes: answer, none",
+            "changes: answer, one",
+        ],
     );
+    let request = |message: &SessionRequest| heads.request + request_body(message).len();
+    let answer = |message: &SessionReport| heads.answer + report_body(message).len();
     for tasks in [1, 8, 22, 32] {
-        let sent = request_head + session_request(0).len();
-        let answered = answer_head + session_report(tasks).len();
-        table.add(&[&tasks, &sent, &answered, &(sent + answered)]);
+        table.add(&[
+            &tasks,
+            &request(&first_request(0)),
+            &answer(&whole_report(tasks)),
+            &request(&later_request()),
+            &answer(&change_report(tasks, 0)),
+            &answer(&change_report(tasks, 1)),
+        ]);
     }
     table
 }
 
+/// The bytes of the heads of a session's request and answer.
+pub fn head_bytes() -> SessionSize {
+    let request = captured_request();
+    SessionSize {
+        request: head_length(&request),
+        answer: head_length(&answer_to(&request)),
+    }
+}
+
 /// What the daemon's client of workers sends.
 fn captured_request() -> Vec<u8> {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -53,13 +80,11 @@
     let address = listener.local_addr().expect("the port has an address");
     let peer = PeerAddress::try_from(address).expect("the address is usable");
     let caller = thread::spawn(move || {
-        let body = session_request(0);
-        let request: SessionRequest = serde_json::from_slice(&body).expect("a valid body");
         // Nobody answers: the call only has to be sent.
-        let _lost = WorkerClient::new(peer, TIMEOUT).session(&request);
+        let _lost = WorkerClient::new(peer, TIMEOUT).session(&first_request(0));
     });
     let (mut stream, _) = listener.accept().expect("the client connects");
-    let bytes = read_message(&mut stream, session_request(0).len());
+    let bytes = read_message(&mut stream, request_body(&first_request(0)).len());
     drop(stream);
     caller.join().expect("the client ends");
     bytes
--- a/crates/capacity/tests/message_sizes.rs
+++ b/crates/capacity/tests/message_sizes.rs
@@ -5,6 +5,7 @@
 use sapphirestile_capacity::SessionLoad;
 use sapphirestile_capacity::SizeScale;
 use sapphirestile_capacity::message_sizes;
+use sapphirestile_capacity::steady_bytes;
 
 #[test]
 fn messages_have_the_sizes_of_the_page() {
@@ -21,11 +22,21 @@
             "| 300 | 0 | 0 | 14284 |",
             "| 5 | 5 | 1832 | 5224 |",
             "| 500 | 100081 |",
-            "| 1 | 59 | 114 | 264 |",
+            "| 1 | 46 | 114 | 308 |",
         ]
     );
 }
 
+#[test]
+fn a_busy_worker_stays_far_below_its_bytes() {
+    let rows = steady_bytes().to_string();
+    let busy = rows.lines().find(|row| row.starts_with("| 22 | changes"));
+    assert_eq!(
+        busy,
+        Some("| 22 | changes | never | 215 | 266 | 481 | 4252 |")
+    );
+}
+
 #[test]
 fn silent_workers_take_the_threads_of_the_others() {
     let quiet = SessionLoad {
--- a/crates/daemon/src/cells/cell_keeper.rs
+++ b/crates/daemon/src/cells/cell_keeper.rs
@@ -19,10 +19,10 @@
 use crate::cells::ReplyQueue;
 use crate::cells::WorkerPool;
 use crate::context::DaemonContext;
+use sapphirestile_cells::AnswerView;
 use sapphirestile_cells::CellOwner;
 use sapphirestile_cells::CommitOutcome;
 use sapphirestile_cells::OpenPhase;
-use sapphirestile_cells::ReportView;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::MonoTime;
 
@@ -138,19 +138,13 @@
                 worker,
                 ordinal,
                 asked,
-                permit,
-                tasks,
-            } => {
-                let worker = worker.as_str();
-                let tasks = &tasks;
-                self.owner.observe_report(&ReportView {
-                    worker,
-                    ordinal,
-                    asked,
-                    permit,
-                    tasks,
-                });
-            }
+                changes,
+            } => self.take_answer(&AnswerView {
+                worker: worker.as_str(),
+                ordinal,
+                asked,
+                changes: &changes,
+            }),
             KeeperEvent::SessionLost {
                 worker, ordinal, ..
             } => {
@@ -166,6 +160,13 @@
         }
     }
 
+    fn take_answer(&mut self, answer: &AnswerView<'_>) {
+        if let Err(fault) = self.owner.observe_answer(answer) {
+            let peer = answer.worker;
+            info!(step = "merge report", peer, %fault, "all is asked for again");
+        }
+    }
+
     fn take_outcome(&mut self, outcome: JournalOutcome) {
         let outcome = match outcome {
             JournalOutcome::Done => CommitOutcome::Done,
--- a/crates/daemon/src/cells/keeper_event.rs
+++ b/crates/daemon/src/cells/keeper_event.rs
@@ -5,7 +5,7 @@
 use crate::cells::JournalOutcome;
 use crate::cells::KeeperCall;
 use crate::cells::KeeperDump;
-use sapphirestile_cells::TaskSighting;
+use sapphirestile_cells::ReportChanges;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
@@ -22,10 +22,8 @@
         ordinal: u64,
         /// When the session was asked for.
         asked: MonoTime,
-        /// What a start has to quote.
-        permit: u64,
-        /// Every attempt on the worker.
-        tasks: Vec<TaskSighting>,
+        /// What it says.
+        changes: ReportChanges,
     },
     /// A session was not answered.
     SessionLost {
--- a/crates/daemon/src/cells/worker_pool.rs
+++ b/crates/daemon/src/cells/worker_pool.rs
@@ -14,6 +14,9 @@
 use crate::cells::WorkerCall;
 use crate::context::DaemonContext;
 use sapphirestile_cells::CellEffect;
+use sapphirestile_cells::GoneAttempt;
+use sapphirestile_cells::ReportChanges;
+use sapphirestile_cells::ReportMark;
 use sapphirestile_cells::SessionOrder;
 use sapphirestile_cells::SightedPhase;
 use sapphirestile_cells::StartOrder;
@@ -23,6 +26,8 @@
 use sapphirestile_platform::http::PeerAddress;
 use sapphirestile_platform::worker::WorkerClient;
 use sapphirestile_platform::worker::WorkerError;
+use sapphirestile_wire::worker::AttemptName;
+use sapphirestile_wire::worker::KnownReport;
 use sapphirestile_wire::worker::SessionReport;
 use sapphirestile_wire::worker::SessionRequest;
 use sapphirestile_wire::worker::TaskPhase;
@@ -100,20 +105,17 @@
         epoch: order.epoch,
         lease_ms: context.settings.limits.lease_ms,
         settled: settled.collect(),
+        known: order.known.map(known_of),
     };
     let worker = order.worker.clone();
     let ordinal = order.ordinal;
     match client.session(&request) {
-        Ok(SessionReport { permit, tasks, .. }) => {
-            let tasks = tasks.into_iter().map(sighting_of).collect();
-            KeeperEvent::Reported {
-                worker,
-                ordinal,
-                asked,
-                permit,
-                tasks,
-            }
-        }
+        Ok(report) => KeeperEvent::Reported {
+            worker,
+            ordinal,
+            asked,
+            changes: changes_of(report),
+        },
         Err(error) => {
             let deposed = is_stale(&error);
             debug!(step = "open session", peer = %worker, ?error, "session lost");
@@ -163,6 +165,34 @@
     )
 }
 
+const fn known_of(mark: ReportMark) -> KnownReport {
+    KnownReport {
+        incarnation: mark.incarnation,
+        permit: mark.permit,
+    }
+}
+
+fn changes_of(report: SessionReport) -> ReportChanges {
+    let mark = ReportMark {
+        incarnation: report.incarnation,
+        permit: report.permit,
+    };
+    ReportChanges {
+        mark,
+        base: report.base,
+        count: report.count,
+        changed: report.tasks.into_iter().map(sighting_of).collect(),
+        gone: report.gone.into_iter().map(gone_of).collect(),
+    }
+}
+
+fn gone_of(name: AttemptName) -> GoneAttempt {
+    GoneAttempt {
+        task: name.task,
+        attempt: name.attempt,
+    }
+}
+
 fn sighting_of(report: TaskReport) -> TaskSighting {
     let phase = match report.phase {
         TaskPhase::Running => SightedPhase::Running,
--- a/crates/platform/tests/calls/worker_scenes.rs
+++ b/crates/platform/tests/calls/worker_scenes.rs
@@ -59,6 +59,7 @@
         epoch,
         lease_ms: 60_000,
         settled: Vec::new(),
+        known: None,
     };
     let report = client.session(&request);
     report.map_err(|report| report.current_context().clone())
--- a/crates/soak/src/faults/fault_kind.rs
+++ b/crates/soak/src/faults/fault_kind.rs
@@ -31,6 +31,8 @@
     Partition,
     /// A VM is gone for good, and the list shows it for a while; another comes.
     WorkerGone,
+    /// A worker's program starts again, and knows nothing of its life before.
+    WorkerRestarted,
     /// Every task fails on a worker.
     WorkerBad,
     /// An attempt fails.
@@ -45,7 +47,7 @@
 
 impl FaultKind {
     /// Every kind, in order.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::CommitAnswerLost,
         Self::CommitLate,
         Self::StoreOutage,
@@ -60,6 +62,7 @@
         Self::CellSeized,
         Self::Partition,
         Self::WorkerGone,
+        Self::WorkerRestarted,
         Self::WorkerBad,
         Self::TaskFails,
         Self::ZoneOut,
--- a/crates/soak/src/worker/call_news.rs
+++ b/crates/soak/src/worker/call_news.rs
@@ -1,5 +1,6 @@
 //! What a caller learns of its call.
 
+use sapphirestile_cells::ReportChanges;
 use sapphirestile_cells::TaskSighting;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
@@ -15,10 +16,10 @@
         ordinal: u64,
         /// When it was asked for.
         asked: MonoTime,
-        /// What starts have to quote.
-        permit: u64,
-        /// Every attempt on the worker.
-        tasks: Vec<TaskSighting>,
+        /// What it says.
+        changes: ReportChanges,
+        /// Every attempt as it was on the worker then.
+        held: Vec<TaskSighting>,
     },
     /// A session was not answered.
     SessionLost {
--- a/crates/soak/src/worker/soak_worker.rs
+++ b/crates/soak/src/worker/soak_worker.rs
@@ -1,6 +1,9 @@
 //! A worker of a run.
 
 use crate::WorkerCall;
+use sapphirestile_cells::GoneAttempt;
+use sapphirestile_cells::ReportChanges;
+use sapphirestile_cells::ReportMark;
 use sapphirestile_cells::SessionOrder;
 use sapphirestile_cells::SightedPhase;
 use sapphirestile_cells::StartOrder;
@@ -9,6 +12,7 @@
 use sapphirestile_cells::WorkerFacts;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellNumber;
+use sapphirestile_core::IncarnationNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_core::TaskName;
@@ -17,6 +21,8 @@
 use sapphirestile_standins::worker::HistoryEntry;
 use sapphirestile_standins::worker::WorkerSettings;
 use sapphirestile_standins::worker::WorkerState;
+use sapphirestile_wire::worker::KnownReport;
+use sapphirestile_wire::worker::SessionReport;
 use sapphirestile_wire::worker::SessionRequest;
 use sapphirestile_wire::worker::TaskPhase;
 use sapphirestile_wire::worker::TaskReport;
@@ -25,6 +31,7 @@
 use sapphirestile_wire::worker::TaskStop;
 
 const LEASE_MS: u64 = 20_000;
+const PERMITS_A_LIFE: u64 = 1_000_000;
 
 /// The size of every worker of a run.
 pub const WORKER_SIZE: ResourceSize = ResourceSize {
@@ -50,13 +57,16 @@
     pub bad_until: u64,
     /// How far its clock is ahead, in milliseconds.
     offset: u64,
+    lives: u64,
+    /// Attempts that finished and were forgotten with the life that ran them.
+    unsettled: Vec<(TaskName, AttemptNumber)>,
     state: WorkerState,
 }
 
 impl SoakWorker {
     /// A worker whose VM comes at `since`.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         name: WorkerName,
         cell: CellNumber,
         zone: ZoneName,
@@ -78,7 +88,9 @@
             gone: None,
             bad_until: 0,
             offset,
-            state: WorkerState::new(settings),
+            lives: 1,
+            unsettled: Vec::new(),
+            state: WorkerState::new(settings, incarnation_of(1)),
         }
     }
 
@@ -100,13 +112,13 @@
         }
     }
 
-    /// Takes a session call, and answers with the permit and the tasks.
+    /// Takes a session call, and answers with what has changed.
     pub fn renew(
         &mut self,
         now: u64,
         call: &WorkerCall,
         order: &SessionOrder,
-    ) -> Option<(u64, Vec<TaskSighting>)> {
+    ) -> Option<ReportChanges> {
         let settled = order.settled.iter().map(|(task, attempt)| TaskSettled {
             task: task.clone(),
             attempt: *attempt,
@@ -116,10 +128,29 @@
             epoch: order.epoch,
             lease_ms: LEASE_MS,
             settled: settled.collect(),
+            known: order.known.map(known_of),
         };
         let report = self.state.renew(self.clock(now), &request).ok()?;
-        let tasks = report.tasks.into_iter().map(sighting_of).collect();
-        Some((report.permit, tasks))
+        Some(changes_of(report))
+    }
+
+    /// Every attempt as it is on the worker.
+    #[must_use]
+    pub fn held(&self, now: u64) -> Vec<TaskSighting> {
+        let reports = self.state.reports(self.clock(now)).into_iter();
+        reports.map(sighting_of).collect()
+    }
+
+    /// Begins a later life of the worker's program, which knows nothing.
+    pub fn restart(&mut self, now: u64) {
+        let clock = self.clock(now);
+        self.state.advance(clock);
+        let held = self.held(now).into_iter();
+        let finished = held.filter(|sighting| sighting.phase == SightedPhase::Finished);
+        self.unsettled
+            .extend(finished.map(|sighting| (sighting.task, sighting.attempt)));
+        self.lives += 1;
+        self.state.restart(clock, incarnation_of(self.lives));
     }
 
     /// Takes a start, and says whether an attempt began.
@@ -174,11 +205,16 @@
         })
     }
 
-    /// Whether an attempt of the task did all its work here.
+    /// Whether an attempt of the task did all its work here, and was not forgotten
+    /// before its end was settled.
     #[must_use]
     pub fn has_done(&self, task: &TaskName) -> bool {
-        let mut rows = self.state.history().iter();
-        rows.any(|row| row.task == *task && row.phase == TaskPhase::Finished)
+        let rows = self.state.history().iter();
+        let mut done = rows.filter(|row| row.task == *task && row.phase == TaskPhase::Finished);
+        done.any(|row| {
+            let mut unsettled = self.unsettled.iter();
+            !unsettled.any(|(task, attempt)| *task == row.task && *attempt == row.attempt)
+        })
     }
 
     const fn clock(&self, now: u64) -> MonoTime {
@@ -186,6 +222,35 @@
     }
 }
 
+const fn incarnation_of(life: u64) -> IncarnationNumber {
+    IncarnationNumber::new(life * PERMITS_A_LIFE)
+}
+
+const fn known_of(mark: ReportMark) -> KnownReport {
+    KnownReport {
+        incarnation: mark.incarnation,
+        permit: mark.permit,
+    }
+}
+
+fn changes_of(report: SessionReport) -> ReportChanges {
+    let mark = ReportMark {
+        incarnation: report.incarnation,
+        permit: report.permit,
+    };
+    let gone = report.gone.into_iter().map(|name| GoneAttempt {
+        task: name.task,
+        attempt: name.attempt,
+    });
+    ReportChanges {
+        mark,
+        base: report.base,
+        count: report.count,
+        changed: report.tasks.into_iter().map(sighting_of).collect(),
+        gone: gone.collect(),
+    }
+}
+
 fn sighting_of(report: TaskReport) -> TaskSighting {
     let phase = match report.phase {
         TaskPhase::Running => SightedPhase::Running,
--- a/crates/soak/src/world/soak_world.rs
+++ b/crates/soak/src/world/soak_world.rs
@@ -2,6 +2,7 @@
 
 mod call_workers;
 mod check_entries;
+mod check_merges;
 mod inject_faults;
 mod keep_cells;
 mod settle_commits;
--- a/crates/soak/src/world/soak_world/call_workers.rs
+++ b/crates/soak/src/world/soak_world/call_workers.rs
@@ -8,8 +8,9 @@
 use crate::SoakEvent;
 use crate::SoakWorld;
 use crate::WorkerCall;
+use crate::world::soak_world::check_merges::check_merge;
+use sapphirestile_cells::AnswerView;
 use sapphirestile_cells::CellEffect;
-use sapphirestile_cells::ReportView;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
 
@@ -67,12 +68,12 @@
             CellEffect::Session(order) => {
                 let answer = worker.renew(now, call, order);
                 Some(match answer {
-                    Some((permit, tasks)) => CallNews::Reported {
+                    Some(changes) => CallNews::Reported {
                         worker: order.worker.clone(),
                         ordinal: order.ordinal,
                         asked: call.asked,
-                        permit,
-                        tasks,
+                        changes,
+                        held: worker.held(now),
                     },
                     None => CallNews::SessionLost {
                         worker: order.worker.clone(),
@@ -111,15 +112,19 @@
                 worker,
                 ordinal,
                 asked,
-                permit,
-                tasks,
-            } => seat.owner.observe_report(&ReportView {
-                worker: worker.as_str(),
-                ordinal,
-                asked,
-                permit,
-                tasks: &tasks,
-            }),
+                changes,
+                held,
+            } => {
+                let merged = seat.owner.observe_answer(&AnswerView {
+                    worker: worker.as_str(),
+                    ordinal,
+                    asked,
+                    changes: &changes,
+                });
+                let whole = seat.owner.whole_report(worker.as_str());
+                let checked = check_merge(merged, whole, &changes, &held);
+                self.check(checked);
+            }
             CallNews::SessionLost { worker, ordinal } => {
                 seat.owner.session_lost(worker.as_str(), ordinal);
             }
--- a/crates/soak/src/world/soak_world/inject_faults.rs
+++ b/crates/soak/src/world/soak_world/inject_faults.rs
@@ -41,6 +41,7 @@
                 | FaultKind::DaemonFrozen
                 | FaultKind::Partition
                 | FaultKind::WorkerGone
+                | FaultKind::WorkerRestarted
                 | FaultKind::WorkerBad
                 | FaultKind::ZoneOut
                 | FaultKind::CancelBurst
@@ -60,6 +61,7 @@
             }
             FaultKind::Partition => self.part(),
             FaultKind::WorkerGone => self.lose_worker(),
+            FaultKind::WorkerRestarted => self.restart_worker(),
             FaultKind::WorkerBad => {
                 let until = self.now + self.rng.random_range(1_000..30_000);
                 let name = self.any_worker();
@@ -103,6 +105,14 @@
         }
     }
 
+    fn restart_worker(&mut self) {
+        let name = self.any_worker();
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.restart(now);
+        }
+    }
+
     fn take_zone_out(&mut self) {
         let place = self.rng.random_range(0..super::ZONES.len());
         let zone = ZoneName::try_from(super::ZONES[place]).expect("the name is well formed");
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -4,14 +4,18 @@
 //! `POST /faults` with [`WorkerFaults`] and `GET /history` with
 //! [`HistoryRow`]s. [`WorkerState`] decides: a [`SessionTable`] fences a call
 //! by its epoch, and the [`FencedCall`] becomes a [`PermittedCall`] by its
-//! permit; only that starts a task. Tasks are timers, each a [`TaskCycle`].
+//! permit; only that starts a task. Tasks are timers, each a [`TaskCycle`]; a
+//! [`ReportBook`] tells what has changed of them since a report.
 //! [`WorkerService`] answers calls and [`WorkerStandin`] serves.
 
 mod cell_session;
 mod fenced_call;
+mod forgotten_row;
 mod history_entry;
 mod history_row;
 mod permitted_call;
+mod report_book;
+mod reported_row;
 mod served_worker;
 mod session_table;
 mod task_cycle;
@@ -27,6 +31,7 @@
 pub use history_entry::HistoryEntry;
 pub use history_row::HistoryRow;
 pub use permitted_call::PermittedCall;
+pub use report_book::ReportBook;
 pub use session_table::SessionTable;
 pub use task_cycle::EndedPhase;
 pub use task_cycle::RunningPhase;
--- a/crates/standins/src/worker/session_table.rs
+++ b/crates/standins/src/worker/session_table.rs
@@ -21,10 +21,10 @@
 /// use sapphirestile_wire::worker::SessionRequest;
 /// use sapphirestile_wire::worker::WorkerRefusal;
 ///
-/// let mut sessions = SessionTable::new();
+/// let mut sessions = SessionTable::after(0);
 /// let cell = CellNumber::new(3);
 /// let epoch = CellEpoch::new(9);
-/// let request = SessionRequest { cell, epoch, lease_ms: 5_000, settled: Vec::new() };
+/// let request = SessionRequest { cell, epoch, lease_ms: 5_000, settled: Vec::new(), known: None };
 /// let now = MonoTime::from_millis(0);
 /// let permit = sessions.renew(&request, now).unwrap();
 /// assert!(sessions.fence(cell, epoch).unwrap().permit(permit, now).is_ok());
@@ -38,12 +38,12 @@
 }
 
 impl SessionTable {
-    /// No session.
+    /// No session yet, and no permit up to `last_permit`.
     #[must_use]
-    pub const fn new() -> Self {
+    pub const fn after(last_permit: u64) -> Self {
         Self {
             sessions: SortedTable::new(),
-            last_permit: 0,
+            last_permit,
         }
     }
 
@@ -59,6 +59,7 @@
         self.last_permit += 1;
         let session = CellSession {
             epoch: request.epoch,
+            opened: self.opened(request).unwrap_or(self.last_permit),
             permit: self.last_permit,
             permitted: now,
             lease_until: now.plus_millis(request.lease_ms).max(earlier),
@@ -91,6 +92,13 @@
         session.map_or_else(MonoTime::default, |session| session.lease_until)
     }
 
+    /// The first permit of the epoch of `request`; none before its first session.
+    #[must_use]
+    pub fn opened(&self, request: &SessionRequest) -> Option<u64> {
+        let session = self.sessions.get(&request.cell)?;
+        (session.epoch == request.epoch).then_some(session.opened)
+    }
+
     fn check_epoch(&self, cell: CellNumber, epoch: CellEpoch) -> Result<(), WorkerRefusal> {
         match self.sessions.get(&cell) {
             Some(session) if epoch < session.epoch => Err(WorkerRefusal::StaleEpoch {
--- a/crates/standins/src/worker/worker_service.rs
+++ b/crates/standins/src/worker/worker_service.rs
@@ -17,6 +17,7 @@
 use crate::worker::WorkerFaults;
 use crate::worker::WorkerSettings;
 use crate::worker::WorkerState;
+use sapphirestile_core::IncarnationNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_wire::worker::TaskStart;
 use sapphirestile_wire::worker::WorkerRefusal;
@@ -32,12 +33,14 @@
     /// A worker that runs nothing.
     #[must_use]
     pub fn new(settings: WorkerSettings) -> Self {
+        let clock = StandinClock::start();
+        let incarnation = IncarnationNumber::new(clock.origin_unix_ms());
         let inner = ServedWorker {
-            state: WorkerState::new(settings),
+            state: WorkerState::new(settings, incarnation),
             faults: WorkerFaults::default(),
         };
         Self {
-            clock: StandinClock::start(),
+            clock,
             inner: Mutex::new(inner),
         }
     }
--- a/crates/standins/src/worker/worker_state.rs
+++ b/crates/standins/src/worker/worker_state.rs
@@ -1,14 +1,18 @@
 //! What a worker runs and whom it obeys.
 
+mod session_reports;
+
 use crate::worker::EndedPhase;
 use crate::worker::HistoryEntry;
 use crate::worker::PermittedCall;
+use crate::worker::ReportBook;
 use crate::worker::RunningPhase;
 use crate::worker::SessionTable;
 use crate::worker::TaskCycle;
 use crate::worker::TaskEntry;
 use crate::worker::WorkerSettings;
 use sapphirestile_core::AttemptNumber;
+use sapphirestile_core::IncarnationNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_core::SortedTable;
@@ -16,7 +20,6 @@
 use sapphirestile_wire::worker::SessionReport;
 use sapphirestile_wire::worker::SessionRequest;
 use sapphirestile_wire::worker::TaskPhase;
-use sapphirestile_wire::worker::TaskReport;
 use sapphirestile_wire::worker::TaskSettled;
 use sapphirestile_wire::worker::TaskStart;
 use sapphirestile_wire::worker::TaskStop;
@@ -30,19 +33,24 @@
 #[derive(Clone, Debug)]
 pub struct WorkerState {
     settings: WorkerSettings,
+    incarnation: IncarnationNumber,
     sessions: SessionTable,
     attempts: SortedTable<AttemptKey, TaskEntry>,
+    book: ReportBook,
     history: Vec<HistoryEntry>,
 }
 
 impl WorkerState {
-    /// A worker that runs nothing.
+    /// A worker that runs nothing. Its permits come after the number of its
+    /// incarnation, so that no life gives one of another life.
     #[must_use]
-    pub const fn new(settings: WorkerSettings) -> Self {
+    pub fn new(settings: WorkerSettings, incarnation: IncarnationNumber) -> Self {
         Self {
             settings,
-            sessions: SessionTable::new(),
+            incarnation,
+            sessions: SessionTable::after(incarnation.get()),
             attempts: SortedTable::new(),
+            book: ReportBook::default(),
             history: Vec::new(),
         }
     }
@@ -62,14 +70,22 @@
         for settled in &request.settled {
             self.forget(settled);
         }
-        let reports = self.attempts.iter();
-        Ok(SessionReport {
-            permit,
-            size: self.settings.size,
-            tasks: reports
-                .map(|(key, entry)| self.report(now, key, entry))
-                .collect(),
-        })
+        Ok(self.session_report(now, permit, request))
+    }
+
+    /// Begins a later life, which runs nothing and knows of no session.
+    pub fn restart(&mut self, now: MonoTime, incarnation: IncarnationNumber) {
+        self.advance(now);
+        let every_ms = self.settings.checkpoint_every_ms;
+        let attempts = std::mem::take(&mut self.attempts);
+        for (key, entry) in attempts.iter() {
+            if let TaskEntry::Running(cycle) = entry {
+                self.record_end(key, &cycle.clone().stop(now, every_ms, false));
+            }
+        }
+        self.incarnation = incarnation;
+        self.sessions = SessionTable::after(incarnation.get());
+        self.book = ReportBook::default();
     }
 
     /// Starts an attempt; done already when the worker knows the attempt.
@@ -215,25 +231,6 @@
         row.phase = ended.outcome();
     }
 
-    fn report(&self, now: MonoTime, key: &AttemptKey, entry: &TaskEntry) -> TaskReport {
-        let lag_ms = self.settings.usage_lag_ms;
-        let (phase, checkpoint_ms, usage) = match entry {
-            TaskEntry::Running(cycle) => {
-                let covered_ms = cycle.checkpoint_ms(now, self.settings.checkpoint_every_ms);
-                (TaskPhase::Running, covered_ms, cycle.usage())
-            }
-            TaskEntry::Ended(cycle) => (cycle.outcome(), cycle.checkpoint_ms(), cycle.usage()),
-        };
-        TaskReport {
-            task: key.0.clone(),
-            attempt: key.1,
-            phase,
-            checkpoint_ms,
-            usage: usage.seen(now, lag_ms),
-            usage_age_ms: lag_ms,
-        }
-    }
-
     fn running(&self) -> impl Iterator<Item = (&AttemptKey, &TaskCycle<RunningPhase>)> {
         self.attempts.iter().filter_map(|(key, entry)| match entry {
             TaskEntry::Running(cycle) => Some((key, cycle)),
--- a/crates/standins/tests/states/main.rs
+++ b/crates/standins/tests/states/main.rs
@@ -2,6 +2,7 @@
 
 mod random_calls;
 mod random_workers;
+mod report_changes;
 mod store_scenes;
 mod vm_scenes;
 mod worker_bench;
--- a/crates/standins/tests/states/worker_bench.rs
+++ b/crates/standins/tests/states/worker_bench.rs
@@ -3,6 +3,7 @@
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
+use sapphirestile_core::IncarnationNumber;
 use sapphirestile_core::JobName;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::ResourceSize;
@@ -10,6 +11,7 @@
 use sapphirestile_core::TaskName;
 use sapphirestile_standins::worker::WorkerSettings;
 use sapphirestile_standins::worker::WorkerState;
+use sapphirestile_wire::worker::KnownReport;
 use sapphirestile_wire::worker::SessionReport;
 use sapphirestile_wire::worker::SessionRequest;
 use sapphirestile_wire::worker::TaskPhase;
@@ -23,6 +25,8 @@
 pub const LEASE_MS: u64 = 5_000;
 
 const CELL: CellNumber = CellNumber::new(1);
+/// The life of the bench's worker.
+pub const LIFE: IncarnationNumber = IncarnationNumber::new(1_000);
 
 /// A worker of 4 cores that checkpoints every second of work.
 pub struct WorkerBench {
@@ -30,6 +34,8 @@
     pub epoch: u64,
     pub permit: u64,
     pub lease_ms: u64,
+    /// The report that requests name.
+    pub known: Option<KnownReport>,
 }
 
 impl WorkerBench {
@@ -41,7 +47,8 @@
             checkpoint_every_ms: 1_000,
         };
         Self {
-            state: WorkerState::new(settings),
+            state: WorkerState::new(settings, LIFE),
+            known: None,
             epoch: 1,
             permit: 0,
             lease_ms: LEASE_MS,
@@ -59,12 +66,21 @@
             epoch: CellEpoch::new(self.epoch),
             lease_ms: self.lease_ms,
             settled: settled.iter().map(settle).collect(),
+            known: self.known,
         };
         let report = self.state.renew(MonoTime::from_millis(now), &request)?;
         self.permit = report.permit;
         Ok(report)
     }
 
+    /// Names the latest report in requests from now on.
+    pub const fn know(&mut self) {
+        self.known = Some(KnownReport {
+            incarnation: LIFE,
+            permit: self.permit,
+        });
+    }
+
     /// A start of one core and `run_ms` that quotes the permit remembered.
     pub fn order(&self, index: u32, attempt: u32, run_ms: u64) -> TaskStart {
         TaskStart {
--- a/crates/standins/tests/states/worker_scenes.rs
+++ b/crates/standins/tests/states/worker_scenes.rs
@@ -191,7 +191,7 @@
     bench.start(0, &start).unwrap();
     let report = bench.renew(499, &[]).unwrap();
     assert_eq!(report.tasks[0].usage, ResourceSize::default());
-    assert_eq!(report.size, size(4_000));
+    assert_eq!(report.size, Some(size(4_000)));
 }
 
 #[test]
--- /dev/null
+++ b/crates/wire/src/worker/known_report.rs
@@ -0,0 +1,15 @@
+//! The report that an owner has whole.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use sapphirestile_core::IncarnationNumber;
+
+/// Which report an owner has whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownReport {
+    /// The life of the worker's program that gave it.
+    pub incarnation: IncarnationNumber,
+    /// Its number: the permit that came with it.
+    pub permit: u64,
+}
--- a/crates/wire/src/worker/session_request.rs
+++ b/crates/wire/src/worker/session_request.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::worker::KnownReport;
 use crate::worker::TaskSettled;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
@@ -17,5 +18,9 @@
     /// How long the tasks may run without another renewal, in milliseconds.
     pub lease_ms: u64,
     /// Ended tasks whose reports the owner has recorded.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub settled: Vec<TaskSettled>,
+    /// The report that the owner has whole; without it the worker reports all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known: Option<KnownReport>,
 }
