--- a/crates/daemon/src/cells/worker_pool.rs
+++ b/crates/daemon/src/cells/worker_pool.rs
@@ -1,19 +1,20 @@
 //! Threads that call workers.
 
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
-use crossbeam::channel::Receiver;
-use crossbeam::channel::Sender;
-use crossbeam::channel::unbounded;
 use error_stack::Report;
 use tracing::debug;
 
+use crate::cells::CallPool;
 use crate::cells::KeeperEvent;
+use crate::cells::PoolSizes;
 use crate::cells::WorkerCall;
 use crate::context::DaemonContext;
 use sapphirestile_cells::CellEffect;
+use sapphirestile_cells::GoneAttempt;
+use sapphirestile_cells::ReportChanges;
+use sapphirestile_cells::ReportMark;
 use sapphirestile_cells::SessionOrder;
 use sapphirestile_cells::SightedPhase;
 use sapphirestile_cells::StartOrder;
@@ -23,6 +24,8 @@
 use sapphirestile_platform::http::PeerAddress;
 use sapphirestile_platform::worker::WorkerClient;
 use sapphirestile_platform::worker::WorkerError;
+use sapphirestile_wire::worker::AttemptName;
+use sapphirestile_wire::worker::KnownReport;
 use sapphirestile_wire::worker::SessionReport;
 use sapphirestile_wire::worker::SessionRequest;
 use sapphirestile_wire::worker::TaskPhase;
@@ -32,55 +35,51 @@
 use sapphirestile_wire::worker::TaskStop;
 use sapphirestile_wire::worker::WorkerRefusal;
 
-const POOL_THREADS: usize = 48;
+const POOL_SIZES: PoolSizes = PoolSizes {
+    reachable: 48,
+    silent: 16,
+};
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Calls workers beside the keepers' threads, so that a silent worker delays no
 /// other.
 #[derive(Clone)]
 pub struct WorkerPool {
-    calls: Sender<WorkerCall>,
+    calls: CallPool<WorkerCall>,
 }
 
 impl WorkerPool {
     /// Starts the pool's threads. They end when the last handle is dropped.
     #[must_use]
     pub fn start(context: &Arc<DaemonContext>) -> Self {
-        let (calls, queue) = unbounded();
-        for _ in 0..POOL_THREADS {
-            let context = Arc::clone(context);
-            let queue = queue.clone();
-            thread::spawn(move || serve(&context, &queue));
-        }
+        let context = Arc::clone(context);
+        let calls = CallPool::start(POOL_SIZES, move |call| serve(&context, &call));
         Self { calls }
     }
 
     /// Queues a call.
     pub fn call(&self, call: WorkerCall) {
-        // The pool's threads outlive every handle, so the queue is never closed.
-        let _queued = self.calls.send(call);
+        self.calls.queue(call.reach, call);
     }
 }
 
-fn serve(context: &DaemonContext, queue: &Receiver<WorkerCall>) {
-    for call in queue {
-        let Ok(address) = PeerAddress::try_from(call.address) else {
-            continue;
-        };
-        let connections = context.connections.connections(address);
-        let client = WorkerClient::over(connections, CALL_TIMEOUT);
-        let event = match &call.effect {
-            CellEffect::Session(order) => Some(open_session(context, &client, &call, order)),
-            CellEffect::Start(order) => Some(start_task(&client, call.cell, order)),
-            CellEffect::Stop(order) => {
-                stop_task(&client, call.cell, order);
-                None
-            }
-        };
-        if let Some(event) = event {
-            // The keeper may have ended meanwhile.
-            let _taken = call.events.send(event);
+fn serve(context: &DaemonContext, call: &WorkerCall) {
+    let Ok(address) = PeerAddress::try_from(call.address) else {
+        return;
+    };
+    let connections = context.connections.connections(address);
+    let client = WorkerClient::over(connections, CALL_TIMEOUT);
+    let event = match &call.effect {
+        CellEffect::Session(order) => Some(open_session(context, &client, call, order)),
+        CellEffect::Start(order) => Some(start_task(&client, call.cell, order)),
+        CellEffect::Stop(order) => {
+            stop_task(&client, call.cell, order);
+            None
         }
+    };
+    if let Some(event) = event {
+        // The keeper may have ended meanwhile.
+        let _taken = call.events.send(event);
     }
 }
 
@@ -100,20 +99,17 @@
         epoch: order.epoch,
         lease_ms: context.settings.limits.lease_ms,
         settled: settled.collect(),
+        known: order.known.map(known_of),
     };
     let worker = order.worker.clone();
     let ordinal = order.ordinal;
     match client.session(&request) {
-        Ok(SessionReport { permit, tasks, .. }) => {
-            let tasks = tasks.into_iter().map(sighting_of).collect();
-            KeeperEvent::Reported {
-                worker,
-                ordinal,
-                asked,
-                permit,
-                tasks,
-            }
-        }
+        Ok(report) => KeeperEvent::Reported {
+            worker,
+            ordinal,
+            asked,
+            changes: changes_of(report),
+        },
         Err(error) => {
             let deposed = is_stale(&error);
             debug!(step = "open session", peer = %worker, ?error, "session lost");
@@ -163,6 +159,34 @@
     )
 }
 
+const fn known_of(mark: ReportMark) -> KnownReport {
+    KnownReport {
+        incarnation: mark.incarnation,
+        permit: mark.permit,
+    }
+}
+
+fn changes_of(report: SessionReport) -> ReportChanges {
+    let mark = ReportMark {
+        incarnation: report.incarnation,
+        permit: report.permit,
+    };
+    ReportChanges {
+        mark,
+        base: report.base,
+        count: report.count,
+        changed: report.tasks.into_iter().map(sighting_of).collect(),
+        gone: report.gone.into_iter().map(gone_of).collect(),
+    }
+}
+
+fn gone_of(name: AttemptName) -> GoneAttempt {
+    GoneAttempt {
+        task: name.task,
+        attempt: name.attempt,
+    }
+}
+
 fn sighting_of(report: TaskReport) -> TaskSighting {
     let phase = match report.phase {
         TaskPhase::Running => SightedPhase::Running,
