Let operators set the bounds of throttling in the document

The section [colocation] has throttle, high_permille and low_permille; left out, throttling is on with the bounds of PressurePolicy. A document that leaves it out is rendered without it, so that no text grows.

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -10,6 +10,7 @@
 //! one [`EntryChange`] for each key.
 
 mod cells_entry;
+mod colocation_entry;
 mod customer_entry;
 mod document_cycle;
 mod document_difference;
@@ -24,6 +25,7 @@
 mod zone_state;
 
 pub use cells_entry::CellsEntry;
+pub use colocation_entry::ColocationEntry;
 pub use customer_entry::CustomerEntry;
 pub use document_cycle::CheckedPhase;
 pub use document_cycle::DocumentCycle;
--- a/crates/core/src/document/operator_document.rs
+++ b/crates/core/src/document/operator_document.rs
@@ -3,6 +3,7 @@
 use ini::Properties;
 
 use crate::CellsEntry;
+use crate::ColocationEntry;
 use crate::CustomerEntry;
 use crate::CustomerName;
 use crate::DocumentFault;
@@ -19,8 +20,7 @@
 use crate::ZoneName;
 use crate::ZoneState;
 
-const KIND_EXPECTED: &str =
-    "a section [cells], [zone NAME], [region NAME], [service NAME] or [customer NAME]";
+const KIND_EXPECTED: &str = "a section [cells], [colocation], [zone NAME], [region NAME], [service NAME] or [customer NAME]";
 const ONCE_EXPECTED: &str = "each section once";
 const REGION_EXPECTED: &str = "a region that has a section of its own";
 
@@ -45,6 +45,8 @@
 pub struct OperatorDocument {
     /// Into how many cells workers and jobs are spread.
     pub cells: CellsEntry,
+    /// Whether batch tasks are throttled for the sake of services.
+    pub colocation: ColocationEntry,
     /// The zones by name.
     pub zones: SortedTable<ZoneName, ZoneEntry>,
     /// The regions by name.
@@ -66,6 +68,7 @@
             document.read_section(section, keys, &mut faults);
         }
         check_once(&ini, "cells", &mut faults);
+        check_once(&ini, "colocation", &mut faults);
         document.check_regions(&ini, &mut faults);
         if faults.is_empty() {
             Ok(document)
@@ -94,6 +97,10 @@
                 self.cells = CellsEntry::read(reader).unwrap_or_default();
                 Ok(())
             }
+            "colocation" if section == "colocation" => {
+                self.colocation = ColocationEntry::read(reader).unwrap_or_default();
+                Ok(())
+            }
             "service" => add(&mut self.services, name, ServiceEntry::read(reader)),
             "customer" => add(&mut self.customers, name, CustomerEntry::read(reader)),
             _ => Err(KIND_EXPECTED.to_owned()),
@@ -121,6 +128,9 @@
 impl std::fmt::Display for OperatorDocument {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let mut sections = vec![("cells".to_owned(), self.cells.pairs())];
+        if self.colocation != ColocationEntry::default() {
+            sections.push(("colocation".to_owned(), self.colocation.pairs()));
+        }
         for (name, entry) in self.regions.iter() {
             sections.push((format!("region {name}"), entry.pairs()));
         }
@@ -144,7 +154,7 @@
     }
 }
 
-/// Names keep other sections apart; this one has none.
+/// Names keep other sections apart; these have none.
 fn check_once(ini: &ParsedIni, wanted: &str, faults: &mut Vec<IniFault>) {
     let found = ini.sections().filter(|(section, _)| *section == wanted);
     if found.count() > 1 {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,6 +44,7 @@
 pub use daemon_name::DaemonName;
 pub use document::CellsEntry;
 pub use document::CheckedPhase;
+pub use document::ColocationEntry;
 pub use document::CustomerEntry;
 pub use document::DocumentCycle;
 pub use document::DocumentDifference;
