--- a/crates/routing/src/runner_gauge.rs
+++ b/crates/routing/src/runner_gauge.rs
@@ -35,6 +35,8 @@
     /// Tokens in the upper half, requests in flight in the lower half.
     slots: AtomicU64,
     latency_us: AtomicU64,
+    /// The latencies of all whole answers together, wrapping around.
+    latency_sum_us: AtomicU64,
     failures: AtomicU32,
     answers: AtomicU64,
     judged_answers: AtomicU64,
@@ -54,6 +56,7 @@
         Self {
             slots: AtomicU64::new(0),
             latency_us: AtomicU64::new(0),
+            latency_sum_us: AtomicU64::new(0),
             failures: AtomicU32::new(0),
             answers: AtomicU64::new(0),
             judged_answers: AtomicU64::new(0),
@@ -160,6 +163,7 @@
     pub fn record_answer(&self, latency_us: u64) {
         self.failures.store(0, Ordering::Relaxed);
         self.answers.fetch_add(1, Ordering::Relaxed);
+        self.latency_sum_us.fetch_add(latency_us, Ordering::Relaxed);
         let before = self.latency_us.load(Ordering::Relaxed);
         // A lost update between two threads costs one sample of many.
         self.latency_us
@@ -189,6 +193,14 @@
         self.answers.load(Ordering::Relaxed)
     }
 
+    /// The latencies of all whole answers together, in microseconds, wrapping
+    /// around. A difference of two readings is the latency of the answers between
+    /// them, but for those observed during a reading.
+    #[must_use]
+    pub fn latency_sum_us(&self) -> u64 {
+        self.latency_sum_us.load(Ordering::Relaxed)
+    }
+
     /// How many whole answers were observed since the last call. Called by one
     /// thread.
     pub(crate) fn take_fresh_answers(&self) -> u64 {
