Align the pressure on a worker with the throttles in force

A new owner finds throttles that it did not decide, and throttled tasks end. A state that counts its own actions only would call a worker calm while a task there is still throttled, and never release it. align takes the number of steps that the tasks are throttled by.

--- a/crates/placement/src/colocation.rs
+++ b/crates/placement/src/colocation.rs
@@ -23,6 +23,7 @@
 pub use noise_book::NoiseBook;
 pub use pressure_action::PressureAction;
 pub use pressure_choice::choose_pressed;
+pub use pressure_choice::throttle_steps;
 pub use pressure_cycle::PressureCycle;
 pub use pressure_policy::PressurePolicy;
 pub use pressure_state::PressureState;
--- a/crates/placement/src/colocation/pressure_choice.rs
+++ b/crates/placement/src/colocation/pressure_choice.rs
@@ -49,6 +49,28 @@
     }
 }
 
+/// How many releases lift a throttle altogether.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_placement::throttle_steps;
+///
+/// assert_eq!(throttle_steps(1_000), 0);
+/// assert_eq!(throttle_steps(300), 1);
+/// assert_eq!(throttle_steps(50), 3);
+/// ```
+#[must_use]
+pub fn throttle_steps(throttle_permille: u64) -> u32 {
+    let mut permille = throttle_permille.max(THROTTLE_MIN_PERMILLE);
+    let mut steps = 0;
+    while permille < WHOLE_PERMILLE {
+        permille = step_up(permille);
+        steps += 1;
+    }
+    steps
+}
+
 const fn still_heard(task: &PressureTask) -> u64 {
     task.noise_permille * task.throttle_permille
 }
--- a/crates/placement/src/colocation/pressure_cycle.rs
+++ b/crates/placement/src/colocation/pressure_cycle.rs
@@ -61,6 +61,17 @@
         }
     }
 
+    /// The same cycle with another number of throttles, which is not 0.
+    #[must_use]
+    pub const fn with_throttles(self, throttles: u32) -> Self {
+        Self {
+            phase: ThrottledPhase {
+                throttles,
+                ..self.phase
+            },
+        }
+    }
+
     /// Notes since when the worker is below the lower bound.
     #[must_use]
     pub const fn with_calm_since(self, calm_since: Option<MonoTime>) -> Self {
--- a/crates/placement/src/colocation/pressure_state.rs
+++ b/crates/placement/src/colocation/pressure_state.rs
@@ -70,6 +70,30 @@
         *self = Self::Calm(PressureCycle::calm());
     }
 
+    /// Takes note of how many throttles are in force, the last of them since `since`
+    /// as far as is known: tasks end, and a new owner finds throttles of the one
+    /// before.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_core::MonoTime;
+    /// use sapphirestile_placement::PressureState;
+    ///
+    /// let mut state = PressureState::default();
+    /// state.align(2, MonoTime::from_millis(5));
+    /// assert_ne!(state, PressureState::default());
+    /// state.align(0, MonoTime::from_millis(9));
+    /// assert_eq!(state, PressureState::default());
+    /// ```
+    pub const fn align(&mut self, throttles: u32, since: MonoTime) {
+        *self = match *self {
+            _ if throttles == 0 => Self::Calm(PressureCycle::calm()),
+            Self::Calm(cycle) => Self::Throttled(cycle.throttle(since).with_throttles(throttles)),
+            Self::Throttled(cycle) => Self::Throttled(cycle.with_throttles(throttles)),
+        };
+    }
+
     fn press(
         &mut self,
         cycle: PressureCycle<ThrottledPhase>,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -41,6 +41,7 @@
 pub use colocation::SlowdownSample;
 pub use colocation::ThrottledPhase;
 pub use colocation::choose_pressed;
+pub use colocation::throttle_steps;
 pub use drain::DrainStep;
 pub use drain::DrainTask;
 pub use drain::LinkPacer;
--- a/crates/placement/tests/placement/colocation.rs
+++ b/crates/placement/tests/placement/colocation.rs
@@ -9,6 +9,7 @@
 use sapphirestile_placement::PressureTask;
 use sapphirestile_placement::SlowdownSample;
 use sapphirestile_placement::choose_pressed;
+use sapphirestile_placement::throttle_steps;
 
 const LAG_MS: u64 = 30_000;
 
@@ -56,6 +57,46 @@
     assert_eq!(released, Some(11));
 }
 
+#[test]
+fn throttles_found_on_a_worker_are_lifted_one_step_after_the_other() {
+    let policy = PressurePolicy::default();
+    let mut state = PressureState::default();
+    let mut throttle_permille = 50;
+    let mut lifted = Vec::new();
+    for step in 1..60 {
+        let now = MonoTime::from_millis(15_000 * step);
+        state.align(throttle_steps(throttle_permille), now);
+        let action = state.decide(0, now, now, &policy);
+        let task = PressureTask {
+            noise_permille: 500,
+            throttle_permille,
+        };
+        if let Some((_, permille)) = choose_pressed(&[task], action) {
+            throttle_permille = permille;
+            lifted.push(permille);
+        }
+    }
+    assert_eq!(lifted, [166, 553, 1_000]);
+    assert_eq!(state, PressureState::default());
+}
+
+#[test]
+fn throttles_that_ended_with_their_tasks_do_not_count_towards_a_stop() {
+    let policy = PressurePolicy::default();
+    let at = MonoTime::from_millis;
+    let mut state = PressureState::default();
+    for step in 0..3 {
+        let now = at(step * 40_000);
+        assert_eq!(
+            state.decide(500, now, now, &policy),
+            PressureAction::ThrottleOne
+        );
+    }
+    state.align(0, at(100_000));
+    let action = state.decide(500, at(120_000), at(120_000), &policy);
+    assert_eq!(action, PressureAction::ThrottleOne);
+}
+
 #[test]
 fn between_the_bounds_nothing_moves() {
     let mut slowdowns = vec![500, 500, 500];
