Throttle batch tasks that slow the services beside them

The daemon did not protect services from batch tasks on the same machine: the list of VMs did not say who shares one, nobody measured, and the owner of a cell had no way to throttle.

A runner's record may now name the worker beside it; a bad name is kept apart with its reason and fails no list. Each daemon measures its runners every slowdown_ms, sums them up by worker and tells the owner of the worker's cell in datagrams of at most 16 rows, undisturbed workers in one round of six. The owner keeps the latest of each daemon, in the order of its messages, weighs them by requests, and decides by the policy of the experiment: throttle, then stop with a checkpoint, release after a long calm. Nothing is decided before the report shows the last throttle, and nothing by what was measured before that. One beside which nothing is measured for five minutes is lifted. Tasks of urgent jobs are throttled and not stopped. What a throttled task uses is not learnt as its size.

The waiting reason of a delayed job said "after a failure"; it may now be a stop as well. The tables of queues, vms and status have new columns, so their expected texts in the tool's tests changed. No storm measures a slowdown, so its owner never throttles.

--- a/crates/capacity/src/fleet/fleet_run.rs
+++ b/crates/capacity/src/fleet/fleet_run.rs
@@ -14,6 +14,7 @@
 use sapphirestile_test_support::SceneFleet;
 use sapphirestile_test_support::call_json;
 use sapphirestile_test_support::wait_until;
+use sapphirestile_wire::vms::SharedWorker;
 use sapphirestile_wire::vms::VmKind;
 use sapphirestile_wire::vms::VmRecord;
 use sapphirestile_wire::vms::VmState;
@@ -181,6 +182,7 @@
                 .expect("the zones of a plan have valid names"),
             rack: None,
             service: None,
+            worker: SharedWorker::Unknown,
             size: None,
             state: VmState::Live,
         }
--- a/crates/capacity/src/scenes/cell_scene.rs
+++ b/crates/capacity/src/scenes/cell_scene.rs
@@ -142,6 +142,7 @@
                         phase: SightedPhase::Running,
                         checkpoint_ms: 0,
                         usage: phase.size,
+                        throttle_cpu_milli: None,
                     });
             }
         }
--- a/crates/capacity/src/scenes/vm_scene.rs
+++ b/crates/capacity/src/scenes/vm_scene.rs
@@ -3,6 +3,7 @@
 use sapphirestile_core::RackName;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_core::ZoneName;
+use sapphirestile_wire::vms::SharedWorker;
 use sapphirestile_wire::vms::VmKind;
 use sapphirestile_wire::vms::VmRecord;
 use sapphirestile_wire::vms::VmState;
@@ -37,6 +38,7 @@
         zone: ZoneName::try_from("near-a").expect("a valid name"),
         rack: RackName::try_from(format!("rack-{}", place / WORKERS_PER_RACK)).ok(),
         service: None,
+        worker: SharedWorker::Unknown,
         size: Some(ResourceSize {
             cpu_milli: 64_000,
             memory_mb: 250_000,
--- a/crates/capacity/src/sessions/session_bodies.rs
+++ b/crates/capacity/src/sessions/session_bodies.rs
@@ -47,6 +47,7 @@
         checkpoint_ms: CHECKPOINT_MS,
         usage: USAGE,
         usage_age_ms: USAGE_LAG_MS,
+        throttle_cpu_milli: None,
     });
     let report = SessionReport {
         permit: PERMIT,
--- a/crates/cells/examples/measure_owner.rs
+++ b/crates/cells/examples/measure_owner.rs
@@ -151,6 +151,7 @@
                 phase: SightedPhase::Running,
                 checkpoint_ms: 0,
                 usage: ResourceSize::default(),
+                throttle_cpu_milli: None,
             });
         }
     }
--- a/crates/cells/src/owner.rs
+++ b/crates/cells/src/owner.rs
@@ -21,6 +21,7 @@
 mod start_order;
 mod stop_order;
 mod task_sighting;
+mod throttle_order;
 mod worker_facts;
 mod worker_view;
 
@@ -44,4 +45,5 @@
 pub use start_order::StartOrder;
 pub use stop_order::StopOrder;
 pub use task_sighting::TaskSighting;
+pub use throttle_order::ThrottleOrder;
 pub use worker_facts::WorkerFacts;
--- a/crates/cells/src/owner/cell_effect.rs
+++ b/crates/cells/src/owner/cell_effect.rs
@@ -3,6 +3,7 @@
 use crate::owner::SessionOrder;
 use crate::owner::StartOrder;
 use crate::owner::StopOrder;
+use crate::owner::ThrottleOrder;
 
 /// One call to a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,4 +14,6 @@
     Start(StartOrder),
     /// Stop an attempt.
     Stop(StopOrder),
+    /// Limit the processor time of an attempt.
+    Throttle(ThrottleOrder),
 }
--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -2,6 +2,7 @@
 
 mod batch_commits;
 mod forgetting;
+mod pressure_steps;
 mod start_planning;
 mod task_proposals;
 mod worker_list;
--- a/crates/cells/src/owner/cell_owner/forgetting.rs
+++ b/crates/cells/src/owner/cell_owner/forgetting.rs
@@ -23,6 +23,7 @@
         for job in self.jobs_to_forget(now) {
             self.phase.ended.remove(&job);
             self.phase.planner.forget_job(&job);
+            self.phase.pressure.forget_job(&job);
             self.propose_sure(CellTransition::JobForgotten(job));
         }
         self.phase.planner.forget_jobs(&self.state);
--- a/crates/cells/src/owner/cell_owner/start_planning.rs
+++ b/crates/cells/src/owner/cell_owner/start_planning.rs
@@ -47,9 +47,10 @@
         self.phase.planner.reason(job)
     }
 
-    /// Asks a task to stop with a checkpoint, for the sake of urgent work. It is
+    /// Asks a task to stop with a checkpoint, for the sake of urgent work or of
+    /// services. It is
     /// asked again with each report that shows it running.
-    fn evict(&mut self, order: &EvictionOrder) {
+    pub(super) fn evict(&mut self, order: &EvictionOrder) {
         let Some(phase) = self.assigned_phase(&order.task) else {
             return;
         };
--- a/crates/cells/src/owner/cell_owner/task_proposals.rs
+++ b/crates/cells/src/owner/cell_owner/task_proposals.rs
@@ -82,6 +82,7 @@
         failed: bool,
     ) {
         self.phase.stopping.remove(task);
+        self.phase.pressure.forget_task(task);
         let (task, attempt) = (task.clone(), cycle.attempt);
         self.propose_sure(CellTransition::TaskReturned {
             task,
@@ -98,6 +99,7 @@
         outcome: TaskOutcome,
     ) {
         self.phase.stopping.remove(task);
+        self.phase.pressure.forget_task(task);
         let (task, attempt) = (task.clone(), cycle.attempt);
         self.propose_sure(CellTransition::TaskEnded {
             task,
--- a/crates/cells/src/owner/cell_owner/worker_list.rs
+++ b/crates/cells/src/owner/cell_owner/worker_list.rs
@@ -47,6 +47,7 @@
     pub fn remove_worker(&mut self, worker: &WorkerName) {
         self.phase.workers.remove(worker.as_str());
         self.phase.unlisted.remove(worker.as_str());
+        self.phase.pressure.forget_worker(worker.as_str());
         for (task, cycle) in self.assigned_to(worker.as_str()) {
             if !self.is_withheld(&task) {
                 self.return_task(&task, &cycle, 0, false);
--- a/crates/cells/src/owner/cell_owner/worker_reports.rs
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -47,7 +47,7 @@
         let task = &sighting.task;
         match sighting.phase {
             SightedPhase::Running => {
-                self.observe_running(worker, sighting, &cycle);
+                self.observe_running(report, sighting, &cycle);
                 return;
             }
             SightedPhase::Finished => {
@@ -89,7 +89,13 @@
         self.return_task(task, cycle, sighting.checkpoint_ms, counts);
     }
 
-    fn observe_running(&mut self, worker: &str, sighting: &TaskSighting, cycle: &AssignedPhase) {
+    fn observe_running(
+        &mut self,
+        report: &ReportView<'_>,
+        sighting: &TaskSighting,
+        cycle: &AssignedPhase,
+    ) {
+        let worker = report.worker;
         let TaskSighting {
             task,
             attempt,
@@ -107,7 +113,10 @@
         let Some(record) = self.state.jobs().get(&task.job) else {
             return;
         };
-        self.phase.planner.note_usage(record, &sighting.usage);
+        // What a throttled task uses says nothing of what it needs.
+        if sighting.throttle_cpu_milli.is_none() {
+            self.phase.planner.note_usage(record, &sighting.usage);
+        }
         let cancelled = record.cancelled;
         let view = self.phase.workers.get(worker);
         let leaves = view.is_some_and(|view| !view.facts.takes_work);
@@ -118,7 +127,9 @@
                 self.note_stop(worker, sighting, cancelled);
             }
             self.stop_attempt(worker, sighting, !cancelled);
+            return;
         }
+        self.observe_throttle(report, sighting, cycle);
     }
 
     fn note_stop(&mut self, worker: &str, sighting: &TaskSighting, cancelled: bool) {
--- a/crates/cells/src/owner/open_phase.rs
+++ b/crates/cells/src/owner/open_phase.rs
@@ -7,8 +7,10 @@
 use crate::owner::SettlingAttempt;
 use crate::owner::StartOrder;
 use crate::owner::StopOrder;
+use crate::owner::ThrottleOrder;
 use crate::owner::worker_view::WorkerView;
 use crate::planner::StartPlanner;
+use crate::pressure::PressureBook;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::JobName;
 use sapphirestile_core::JournalSequence;
@@ -43,6 +45,11 @@
     pub(super) log: DecisionLog,
     pub(super) stops: Vec<StopOrder>,
     pub(super) evictions: u64,
+    /// What services beside the workers suffer, and the throttles asked for.
+    pub(super) pressure: PressureBook,
+    pub(super) throttles: Vec<ThrottleOrder>,
+    /// How many throttles were decided.
+    pub(super) throttled: u64,
     /// How many sessions were asked for, with whichever worker.
     pub(super) sessions: u64,
 }
--- a/crates/cells/src/owner/task_sighting.rs
+++ b/crates/cells/src/owner/task_sighting.rs
@@ -18,4 +18,7 @@
     pub checkpoint_ms: u64,
     /// What it was last seen to use.
     pub usage: ResourceSize,
+    /// The most processor time that a throttle leaves it, in thousandths of a core;
+    /// nothing when it is not throttled.
+    pub throttle_cpu_milli: Option<u64>,
 }
--- a/crates/cells/src/planner/start_planner.rs
+++ b/crates/cells/src/planner/start_planner.rs
@@ -1,5 +1,6 @@
 //! Plans starts.
 
+mod delayed_jobs;
 mod urgent_room;
 
 use crate::planner::EvictionOrder;
@@ -254,19 +255,6 @@
             standing.pass_time(now);
         }
     }
-
-    fn explain_left_out(&mut self, queue: &TaskQueue, now: MonoTime) {
-        for job in queue.jobs() {
-            if job.not_before > now {
-                let wait_ms = job.not_before.millis_since(now);
-                let reason = format!("tried again in {wait_ms} ms after a failure");
-                self.reasons.insert(job.name.clone(), reason);
-            } else if !self.customers.contains(&job.customer) {
-                let reason = format!("the document has no customer {}", job.customer);
-                self.reasons.insert(job.name.clone(), reason);
-            }
-        }
-    }
 }
 
 /// The next task of a job, on the chosen worker.
--- /dev/null
+++ b/crates/cells/src/planner/start_planner/delayed_jobs.rs
@@ -0,0 +1,26 @@
+//! Jobs that the planner leaves out for a while.
+
+use crate::planner::StartPlanner;
+use sapphirestile_core::JobName;
+use sapphirestile_core::MonoTime;
+use sapphirestile_placement::TaskQueue;
+
+impl StartPlanner {
+    /// Starts no task of a job before `until`.
+    pub fn delay_job(&mut self, job: &JobName, until: MonoTime) {
+        self.not_before.insert(job.clone(), until);
+    }
+
+    pub(super) fn explain_left_out(&mut self, queue: &TaskQueue, now: MonoTime) {
+        for job in queue.jobs() {
+            if job.not_before > now {
+                let wait_ms = job.not_before.millis_since(now);
+                let reason = format!("tried again in {wait_ms} ms, after a failure or a stop");
+                self.reasons.insert(job.name.clone(), reason);
+            } else if !self.customers.contains(&job.customer) {
+                let reason = format!("the document has no customer {}", job.customer);
+                self.reasons.insert(job.name.clone(), reason);
+            }
+        }
+    }
+}
--- a/crates/cells/tests/cell_storm/fake_task.rs
+++ b/crates/cells/tests/cell_storm/fake_task.rs
@@ -29,6 +29,7 @@
             phase: self.phase,
             checkpoint_ms: self.done_ms,
             usage: ResourceSize::default(),
+            throttle_cpu_milli: None,
         }
     }
 }
--- a/crates/cells/tests/cell_storm/storm_world/send_messages.rs
+++ b/crates/cells/tests/cell_storm/storm_world/send_messages.rs
@@ -34,6 +34,7 @@
             CellEffect::Stop(order) => {
                 self.send(&StormEvent::Stop(term.daemon, order));
             }
+            CellEffect::Throttle(_) => unreachable!("no slowdown is measured in a storm"),
         }
     }
 
--- a/crates/cells/tests/owner/main.rs
+++ b/crates/cells/tests/owner/main.rs
@@ -4,6 +4,7 @@
 mod committing;
 mod forgetting;
 mod owner_bench;
+mod pressure;
 mod reporting;
 mod silent;
 mod sizing;
--- a/crates/cells/tests/owner/owner_bench.rs
+++ b/crates/cells/tests/owner/owner_bench.rs
@@ -231,5 +231,6 @@
         phase,
         checkpoint_ms,
         usage: ResourceSize::default(),
+        throttle_cpu_milli: None,
     }
 }
--- a/crates/cells/tests/owner/urgent.rs
+++ b/crates/cells/tests/owner/urgent.rs
@@ -21,6 +21,7 @@
             phase: phase_of(start),
             checkpoint_ms: 7_000,
             usage: ResourceSize::default(),
+            throttle_cpu_milli: None,
         };
         (start.worker.as_str(), sighting)
     };
--- a/crates/command/src/commands/queues_command.rs
+++ b/crates/command/src/commands/queues_command.rs
@@ -33,12 +33,13 @@
 }
 
 fn queues_text(queues: &[QueueStatus]) -> String {
-    let heads = ["CELL", "WAITING", "RUNNING"];
+    let heads = ["CELL", "WAITING", "RUNNING", "THROTTLED"];
     let table = TextTable::of(&heads, queues, |entry| {
         vec![
             entry.cell.to_string(),
             entry.waiting.to_string(),
             entry.running.to_string(),
+            entry.throttled.to_string(),
         ]
     });
     table.to_string()
--- a/crates/command/src/commands/status_command.rs
+++ b/crates/command/src/commands/status_command.rs
@@ -9,6 +9,7 @@
 use crate::output::CommandOutput;
 use crate::output::TextTable;
 use sapphirestile_wire::api::DaemonStatus;
+use sapphirestile_wire::api::WorkerPressure;
 
 /// Shows the state of a daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +31,20 @@
     }
 }
 
+fn pressure_text(pressures: &[WorkerPressure]) -> String {
+    let heads = ["WORKER", "SLOWDOWN", "REQUESTS", "DAEMONS", "THROTTLED"];
+    let table = TextTable::of(&heads, pressures, |pressure| {
+        vec![
+            pressure.worker.to_string(),
+            format!("{} thousandths", pressure.slowdown_permille),
+            pressure.requests.to_string(),
+            pressure.daemons.to_string(),
+            pressure.throttled.to_string(),
+        ]
+    });
+    table.to_string()
+}
+
 fn status_text(status: &DaemonStatus) -> String {
     let cells = status
         .cells
@@ -62,5 +77,8 @@
             format!("{} ms", member.silent_ms),
         ]);
     }
-    format!("{table}\n{members}")
+    if status.pressures.is_empty() {
+        return format!("{table}\n{members}");
+    }
+    format!("{table}\n{members}\n{}", pressure_text(&status.pressures))
 }
--- a/crates/command/src/commands/vms_command.rs
+++ b/crates/command/src/commands/vms_command.rs
@@ -33,7 +33,9 @@
 }
 
 fn vms_text(listing: &VmListing) -> String {
-    let heads = ["VM", "KIND", "ADDRESS", "ZONE", "RACK", "SERVICE", "STATE"];
+    let heads = [
+        "VM", "KIND", "ADDRESS", "ZONE", "RACK", "SERVICE", "WORKER", "STATE",
+    ];
     let table = TextTable::of(&heads, &listing.vms, |vm| {
         vec![
             vm.name.clone(),
@@ -44,6 +46,7 @@
             vm.service
                 .as_ref()
                 .map_or("-".to_owned(), ToString::to_string),
+            vm.worker.name().map_or("-".to_owned(), ToString::to_string),
             state_text(vm.state).to_owned(),
         ]
     });
--- a/crates/command/tests/tool/views.rs
+++ b/crates/command/tests/tool/views.rs
@@ -21,6 +21,9 @@
 
 MEMBER  INCARNATION  ADDRESS         SILENT
 tku-1   2            127.0.0.2:7071  120 ms
+
+WORKER  SLOWDOWN         REQUESTS  DAEMONS  THROTTLED
+w1      310 thousandths  420       3        2
 ";
 const ZONES_TEXT: &str = "\
 ZONE          REGION    STATE
@@ -32,17 +35,17 @@
 koon-mitoitus  48       56      12
 ";
 const QUEUES_TEXT: &str = "\
-CELL  WAITING  RUNNING
-0     5        140
+CELL  WAITING  RUNNING  THROTTLED
+0     5        140      2
 ";
 const JOBS_TEXT: &str = "\
 JOB       CUSTOMER  CELL  STATE    URGENT  TASKS  RUNNING  FINISHED  FAILED
 patterns  tailors   3     running  no      3      1        2         0
 ";
 const VMS_TEXT: &str = "\
-VM  KIND    ADDRESS         ZONE          RACK  SERVICE        STATE
-w1  worker  127.0.0.9:9000  rannikko-hki  k1    -              live
-r1  runner  127.0.0.9:9001  rannikko-hki  -     koon-mitoitus  leaving
+VM  KIND    ADDRESS         ZONE          RACK  SERVICE        WORKER  STATE
+w1  worker  127.0.0.9:9000  rannikko-hki  k1    -              -       live
+r1  runner  127.0.0.9:9001  rannikko-hki  -     koon-mitoitus  w1      leaving
 read 900 ms ago
 ";
 const EXPLAIN_TEXT: &str = "\
@@ -61,7 +64,9 @@
         "zones": [{"zone": "rannikko-hki", "region": "rannikko", "state": "in"},
             {"zone": "rannikko-tku", "region": "rannikko", "state": "out"}],
         "services": [{"service": "koon-mitoitus", "runners": 48, "tokens": 56, "in_flight": 12}],
-        "queues": [{"cell": 0, "waiting": 5, "running": 140}],
+        "queues": [{"cell": 0, "waiting": 5, "running": 140, "throttled": 2}],
+        "pressures": [{"worker": "w1", "slowdown_permille": 310, "requests": 420,
+            "daemons": 3, "throttled": 2}],
     })
 }
 
@@ -75,7 +80,7 @@
         {"name": "w1", "kind": "worker", "address": "127.0.0.9:9000", "zone": "rannikko-hki",
             "rack": "k1", "state": "live"},
         {"name": "r1", "kind": "runner", "address": "127.0.0.9:9001", "zone": "rannikko-hki",
-            "service": "koon-mitoitus", "state": "leaving"},
+            "service": "koon-mitoitus", "worker": "w1", "state": "leaving"},
     ]})
 }
 
--- a/crates/daemon/src/cells/cell_keeper.rs
+++ b/crates/daemon/src/cells/cell_keeper.rs
@@ -1,6 +1,7 @@
 //! The thread that owns a cell.
 
 mod keeper_calls;
+mod keeper_pressure;
 mod keeper_steps;
 
 use std::sync::Arc;
@@ -57,6 +58,10 @@
     tally: EntryTally,
     /// The evictions counted so far.
     evictions: u64,
+    /// The throttles counted so far.
+    throttled: u64,
+    /// The throttles in force that the metrics show.
+    in_force: i64,
     /// Batches beaten by a change of the configuration.
     batches_beaten: u64,
     stopping: bool,
@@ -92,6 +97,8 @@
             committed,
             tally: EntryTally::default(),
             evictions: 0,
+            throttled: 0,
+            in_force: 0,
             batches_beaten: 0,
             stopping: false,
             deposed: false,
@@ -114,6 +121,7 @@
             }
         }
         self.refuse_replies();
+        self.forget_throttles();
         info!(step = "own cell", %cell, %epoch, deposed = self.deposed, "given up");
         if !self.deposed {
             self.release();
@@ -157,6 +165,12 @@
                 self.owner.session_lost(worker.as_str(), ordinal);
             }
             KeeperEvent::StartAnswered(worker) => self.owner.start_answered(worker.as_str()),
+            KeeperEvent::Slowed {
+                daemon,
+                call,
+                received,
+                rows,
+            } => self.take_slowdowns(&daemon, call, received, &rows),
             KeeperEvent::Committed(outcome) => self.take_outcome(outcome),
             KeeperEvent::Deposed => self.deposed = true,
             KeeperEvent::Dump(reply) => {
@@ -208,6 +222,8 @@
                 .collect(),
             beaten: self.batches_beaten,
             evictions: self.owner.evictions(),
+            throttles: self.throttle_dumps(),
+            pressures: self.pressures(),
         }
     }
 
--- a/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
@@ -11,9 +11,11 @@
 use sapphirestile_core::JobName;
 use sapphirestile_core::RequestKey;
 use sapphirestile_core::TaskIndex;
+use sapphirestile_core::TaskName;
 use sapphirestile_wire::api::JobSubmission;
 use sapphirestile_wire::api::JobView;
 use sapphirestile_wire::api::TaskState;
+use sapphirestile_wire::api::TaskView;
 use sapphirestile_wire::peer::PeerAnswer;
 use sapphirestile_wire::peer::PeerFault;
 use sapphirestile_wire::peer::PeerRequest;
@@ -101,17 +103,29 @@
 
     fn render(&self, record: &JobRecord) -> JobView {
         let mut view = job_render::view_of(self.owner.cell(), self.owner.state(), record);
-        let reason = self.owner.waiting_reason(&record.order.job);
-        for task in view
-            .tasks
-            .iter_mut()
-            .filter(|task| task.state == TaskState::Waiting)
-        {
-            task.reason = reason.map(str::to_owned);
+        let job = &record.order.job;
+        for task in &mut view.tasks {
+            task.reason = self.reason_of(job, task);
         }
         view
     }
 
+    /// Why a task waits, or is throttled.
+    fn reason_of(&self, job: &JobName, task: &TaskView) -> Option<String> {
+        match task.state {
+            TaskState::Waiting => self.owner.waiting_reason(job).map(str::to_owned),
+            TaskState::Running => {
+                let (job, index) = (job.clone(), task.index);
+                let row = self.owner.throttle_of(&TaskName { job, index })?;
+                Some(format!(
+                    "left {} thousandths of its processor time: {}",
+                    row.permille, row.cause
+                ))
+            }
+            _ => None,
+        }
+    }
+
     fn list(&self) -> PeerAnswer {
         let (cell, state) = (self.owner.cell(), self.owner.state());
         let jobs = state.jobs().values();
--- a/crates/daemon/src/cells/cell_keeper/keeper_steps.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_steps.rs
@@ -27,6 +27,7 @@
         if !self.stopping {
             self.renew_sessions();
         }
+        self.press();
         self.send_stops();
         if self.commit_due() {
             self.plan();
@@ -51,6 +52,7 @@
         self.owner.set_workers(&facts, read);
         self.owner
             .set_customers(&shares_of(&document.document().customers, map));
+        self.set_pressure(&document.document().colocation);
         self.revision = document.revision();
         self.listed = Some(read);
     }
@@ -123,7 +125,8 @@
                 self.owner.session_lost(worker.as_str(), order.ordinal);
             }
             (None, CellEffect::Start(_)) => self.owner.start_answered(worker.as_str()),
-            (None, CellEffect::Stop(_)) => {}
+            // The next report shows that it is still to be asked for.
+            (None, CellEffect::Stop(_) | CellEffect::Throttle(_)) => {}
         }
     }
 }
@@ -162,5 +165,6 @@
         CellEffect::Session(order) => &order.worker,
         CellEffect::Start(order) => &order.worker,
         CellEffect::Stop(order) => &order.worker,
+        CellEffect::Throttle(order) => &order.worker,
     }
 }
--- a/crates/daemon/src/cells/keeper_dump.rs
+++ b/crates/daemon/src/cells/keeper_dump.rs
@@ -2,8 +2,10 @@
 
 use serde::Serialize;
 
+use crate::cells::ThrottleDump;
 use sapphirestile_cells::CellState;
 use sapphirestile_core::CellNumber;
+use sapphirestile_wire::api::WorkerPressure;
 
 /// What a keeper shows of itself.
 #[derive(Clone, Debug, Serialize)]
@@ -20,4 +22,8 @@
     pub beaten: u64,
     /// How many running attempts were asked to stop for the worker's sake.
     pub evictions: u64,
+    /// The throttled tasks.
+    pub throttles: Vec<ThrottleDump>,
+    /// The workers beside which requests were measured.
+    pub pressures: Vec<WorkerPressure>,
 }
--- a/crates/daemon/src/cells/keeper_event.rs
+++ b/crates/daemon/src/cells/keeper_event.rs
@@ -6,8 +6,10 @@
 use crate::cells::KeeperCall;
 use crate::cells::KeeperDump;
 use sapphirestile_cells::TaskSighting;
+use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
+use sapphirestile_wire::peer::WorkerSlowdown;
 
 /// Something that a keeper has to take in.
 #[derive(Debug)]
@@ -38,6 +40,17 @@
     },
     /// A start was answered, or its answer was lost.
     StartAnswered(WorkerName),
+    /// A daemon measured requests beside workers of the cell.
+    Slowed {
+        /// The daemon.
+        daemon: DaemonIdentity,
+        /// The number of its message.
+        call: u64,
+        /// When it was received.
+        received: MonoTime,
+        /// The slowdowns.
+        rows: Vec<WorkerSlowdown>,
+    },
     /// The outcome of the entry in flight.
     Committed(JournalOutcome),
     /// Another daemon has claimed the cell.
--- a/crates/daemon/src/cells/worker_pool.rs
+++ b/crates/daemon/src/cells/worker_pool.rs
@@ -19,6 +19,7 @@
 use sapphirestile_cells::StartOrder;
 use sapphirestile_cells::StopOrder;
 use sapphirestile_cells::TaskSighting;
+use sapphirestile_cells::ThrottleOrder;
 use sapphirestile_core::CellNumber;
 use sapphirestile_platform::http::PeerAddress;
 use sapphirestile_platform::worker::WorkerClient;
@@ -30,6 +31,7 @@
 use sapphirestile_wire::worker::TaskSettled;
 use sapphirestile_wire::worker::TaskStart;
 use sapphirestile_wire::worker::TaskStop;
+use sapphirestile_wire::worker::TaskThrottle;
 use sapphirestile_wire::worker::WorkerRefusal;
 
 const POOL_THREADS: usize = 48;
@@ -76,6 +78,10 @@
                 stop_task(&client, call.cell, order);
                 None
             }
+            CellEffect::Throttle(order) => {
+                throttle_task(&client, call.cell, order);
+                None
+            }
         };
         if let Some(event) = event {
             // The keeper may have ended meanwhile.
@@ -156,6 +162,20 @@
     }
 }
 
+/// A throttle that is lost is asked for again: the next report does not show it.
+fn throttle_task(client: &WorkerClient, cell: CellNumber, order: &ThrottleOrder) {
+    let throttle = TaskThrottle {
+        cell,
+        epoch: order.epoch,
+        task: order.task.clone(),
+        attempt: order.attempt,
+        cpu_milli: order.cpu_milli,
+    };
+    if let Err(error) = client.throttle(&throttle) {
+        debug!(step = "throttle task", peer = %order.worker, task = %order.task, ?error, "not throttled");
+    }
+}
+
 fn is_stale(error: &Report<WorkerError>) -> bool {
     matches!(
         error.current_context(),
@@ -175,6 +195,7 @@
         attempt,
         checkpoint_ms,
         usage,
+        throttle_cpu_milli,
         ..
     } = report;
     TaskSighting {
@@ -183,5 +204,6 @@
         phase,
         checkpoint_ms,
         usage,
+        throttle_cpu_milli,
     }
 }
--- a/crates/daemon/src/cycle/daemon_cycle.rs
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -26,6 +26,7 @@
 use crate::cycle::StartingPhase;
 use crate::cycle::daemon_threads::start_cells;
 use crate::cycle::daemon_threads::start_heartbeats;
+use crate::cycle::daemon_threads::start_slowdowns;
 use crate::cycle::daemon_threads::start_tokens;
 use crate::cycle::daemon_threads::start_vm_poller;
 use crate::cycle::daemon_threads::start_watch;
@@ -122,6 +123,7 @@
         start_vm_poller(&context, &stopped)?;
         start_cells(&context, &stopped);
         start_tokens(&context, &peers, tokens, &stopped)?;
+        start_slowdowns(&context, &peers, &stopped)?;
         let server = PeerServer::new(Arc::clone(&context), peers.calls);
         thread::spawn(move || server.run());
         let keeper = HouseKeeper::new(Arc::clone(&context), desk);
--- a/crates/daemon/src/cycle/daemon_threads.rs
+++ b/crates/daemon/src/cycle/daemon_threads.rs
@@ -12,6 +12,8 @@
 
 use crate::cells::CellDirector;
 use crate::cells::WorkerPool;
+use crate::colocation::SlowdownObserver;
+use crate::colocation::SlowdownSender;
 use crate::context::DaemonContext;
 use crate::cycle::PeerPorts;
 use crate::members::DatagramReceiver;
@@ -95,6 +97,20 @@
     Ok(())
 }
 
+pub(super) fn start_slowdowns(
+    context: &Arc<DaemonContext>,
+    peers: &PeerPorts,
+    stopped: &Receiver<()>,
+) -> Result<(), Report<StepError>> {
+    let failed = || StepError::new("share heartbeat socket", "own port");
+    let socket = peers.heartbeats.try_clone().change_context_lazy(failed)?;
+    let sender = SlowdownSender::new(Arc::clone(context), socket);
+    let mut observer = SlowdownObserver::new(Arc::clone(context), sender);
+    let stop = stopped.clone();
+    thread::spawn(move || observer.run(&stop));
+    Ok(())
+}
+
 pub(super) fn target(
     address: SocketAddr,
     step: &'static str,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`tokens`] holds the tokens of runners' slots;
 //! - [`routes`] publishes the routing table that [`callers`] reads;
 //! - [`cells`] owns cells: it claims them, keeps their journals, calls workers;
+//! - [`colocation`] measures what requests suffer from batch tasks beside them;
 //! - [`peers`] carries calls to the owner of a cell;
 //! - [`operators`] answers the command-line tool;
 //! - [`console`] renders the operators' forms;
@@ -20,6 +21,7 @@
 
 pub mod callers;
 pub mod cells;
+pub mod colocation;
 pub mod console;
 pub mod context;
 pub mod cycle;
--- a/crates/daemon/src/members/datagram_receiver.rs
+++ b/crates/daemon/src/members/datagram_receiver.rs
@@ -9,12 +9,14 @@
 use tracing::debug;
 use tracing::error;
 
+use crate::cells::KeeperEvent;
 use crate::context::DaemonContext;
 use crate::tokens::TokenEvent;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_wire::peer::PeerDatagram;
 use sapphirestile_wire::peer::PeerFrame;
 use sapphirestile_wire::peer::PeerHeartbeat;
+use sapphirestile_wire::peer::SlowdownReport;
 
 const DATAGRAM_BYTES_MAX: usize = 64 * 1_024;
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -80,6 +82,7 @@
             PeerDatagram::Tokens(report) => {
                 let _taken = events.send(TokenEvent::Reported(peer, report));
             }
+            PeerDatagram::Slowdowns(report) => self.tell_keeper(peer, call, report),
         }
     }
 
@@ -92,6 +95,21 @@
         });
     }
 
+    /// A daemon that does not own the cell any more drops what comes late.
+    fn tell_keeper(&self, daemon: DaemonIdentity, call: u64, report: SlowdownReport) {
+        let SlowdownReport { cell, mut rows } = report;
+        rows.truncate(SlowdownReport::ROWS_MAX);
+        if let Some(handle) = self.context.keepers.load().keeper(cell) {
+            let received = self.context.clock.now();
+            let _taken = handle.events.send(KeeperEvent::Slowed {
+                daemon,
+                call,
+                received,
+                rows,
+            });
+        }
+    }
+
     fn check_replaced(&self, peer: &DaemonIdentity) {
         if peer.incarnation > self.context.identity.incarnation {
             error!(step = "receive datagram", "replaced by a later incarnation");
--- a/crates/daemon/src/metrics/daemon_metrics.rs
+++ b/crates/daemon/src/metrics/daemon_metrics.rs
@@ -33,6 +33,12 @@
     pub starts: Counter,
     /// Running attempts that were asked to leave their worker.
     pub evictions: Counter,
+    /// Throttles of batch tasks decided for the sake of services.
+    pub throttles: Counter,
+    /// Batch tasks that are throttled now, in the cells owned here.
+    pub throttled_tasks: Gauge,
+    /// Bytes of slowdowns sent to the owners of cells.
+    pub slowdown_bytes: Counter,
     owned_cells: Gauge,
     revision: Gauge<u64, AtomicU64>,
     store_silent_ms: Gauge<u64, AtomicU64>,
@@ -51,6 +57,9 @@
             tasks_failed: Counter::default(),
             starts: Counter::default(),
             evictions: Counter::default(),
+            throttles: Counter::default(),
+            throttled_tasks: Gauge::default(),
+            slowdown_bytes: Counter::default(),
             owned_cells: Gauge::default(),
             revision: Gauge::default(),
             store_silent_ms: Gauge::default(),
@@ -106,6 +115,17 @@
             "Attempts asked to leave",
             self.evictions.clone(),
         );
+        registry.register("throttles", "Throttles decided", self.throttles.clone());
+        registry.register(
+            "throttled_tasks",
+            "Tasks throttled now",
+            self.throttled_tasks.clone(),
+        );
+        registry.register(
+            "slowdown_sent_bytes",
+            "Slowdowns told to owners of cells",
+            self.slowdown_bytes.clone(),
+        );
         registry.register("owned_cells", "Cells owned", self.owned_cells.clone());
         registry.register(
             "config_revision",
--- a/crates/daemon/src/operators/status_calls.rs
+++ b/crates/daemon/src/operators/status_calls.rs
@@ -73,6 +73,7 @@
         let document = context.document.load();
         let now = context.clock.now();
         let owned = context.keepers.load().owned();
+        let dumps = self.keeper_dumps();
         DaemonStatus {
             daemon: context.identity.daemon.clone(),
             incarnation: context.identity.incarnation,
@@ -87,7 +88,8 @@
             members: self.members(),
             zones: zones_of(document.document()),
             services: self.services(document.document()),
-            queues: self.keeper_dumps().iter().map(queue_of).collect(),
+            queues: dumps.iter().map(queue_of).collect(),
+            pressures: dumps.into_iter().flat_map(|dump| dump.pressures).collect(),
         }
     }
 
@@ -185,5 +187,6 @@
         cell: dump.cell,
         waiting,
         running,
+        throttled: dump.throttles.len() as u64,
     }
 }
--- a/crates/daemon/src/settings/limit_settings.rs
+++ b/crates/daemon/src/settings/limit_settings.rs
@@ -7,6 +7,7 @@
 const STORE_TIMEOUT_DEFAULT_MS: u64 = 2_000;
 const HEARTBEAT_DEFAULT_MS: u64 = 500;
 const SUSPECT_DEFAULT_MS: u64 = 5_000;
+const SLOWDOWN_DEFAULT_MS: u64 = 5_000;
 const LEASE_DEFAULT_MS: u64 = HOUR_MS;
 const REQUEST_MAX_DEFAULT_MS: u64 = 30_000;
 const DRAIN_MAX_DEFAULT_MS: u64 = 60_000;
@@ -17,6 +18,7 @@
 const STORE_TIMEOUT_EXPECTED: &str = "milliseconds from 10 to 60000";
 const HEARTBEAT_EXPECTED: &str = "milliseconds from 10 to 60000";
 const SUSPECT_EXPECTED: &str = "milliseconds from 20 to 3600000";
+const SLOWDOWN_EXPECTED: &str = "milliseconds from 100 to 60000";
 const LEASE_EXPECTED: &str = "milliseconds from 2000 to 86400000";
 const HOUR_EXPECTED: &str = "milliseconds from 1 to 3600000";
 const SUSPECT_LATER_EXPECTED: &str = "at least twice heartbeat_ms";
@@ -33,6 +35,9 @@
     pub heartbeat_ms: u64,
     /// The silence after which a peer is suspected, in milliseconds.
     pub suspect_ms: u64,
+    /// The time between two measurements of what requests suffer from batch tasks,
+    /// in milliseconds.
+    pub slowdown_ms: u64,
     /// How long a task may run without a renewal of its lease, in milliseconds.
     pub lease_ms: u64,
     /// The longest time that a request may be in flight, in milliseconds.
@@ -70,6 +75,12 @@
             20..=HOUR_MS,
             SUSPECT_EXPECTED,
         );
+        let slowdown_ms = millis(
+            "slowdown_ms",
+            SLOWDOWN_DEFAULT_MS,
+            100..=60_000,
+            SLOWDOWN_EXPECTED,
+        );
         let lease_ms = millis("lease_ms", LEASE_DEFAULT_MS, 2_000..=DAY_MS, LEASE_EXPECTED);
         let request_max_ms = millis(
             "request_max_ms",
@@ -99,6 +110,7 @@
             store_timeout_ms: store_timeout_ms?,
             heartbeat_ms: heartbeat_ms?,
             suspect_ms: suspect_ms?,
+            slowdown_ms: slowdown_ms?,
             lease_ms: lease_ms?,
             request_max_ms: request_max_ms?,
             drain_max_ms: drain_max_ms?,
--- a/crates/daemon/src/vms/vm_table.rs
+++ b/crates/daemon/src/vms/vm_table.rs
@@ -7,6 +7,7 @@
 use sapphirestile_core::OperatorDocument;
 use sapphirestile_core::SortedTable;
 use sapphirestile_core::WorkerName;
+use sapphirestile_wire::vms::SharedWorker;
 use sapphirestile_wire::vms::VmKind;
 use sapphirestile_wire::vms::VmRecord;
 use sapphirestile_wire::vms::VmState;
@@ -50,6 +51,20 @@
         self.rows.get(name)?.address.parse().ok()
     }
 
+    /// Which worker shares the machine of a runner.
+    #[must_use]
+    pub fn shared_worker(&self, runner: &str) -> SharedWorker {
+        let record = self.rows.get(runner);
+        record.map_or(SharedWorker::Unknown, |record| record.worker.clone())
+    }
+
+    /// Whether a worker of this name is listed.
+    #[must_use]
+    pub fn lists_worker(&self, name: &str) -> bool {
+        let record = self.rows.get(name);
+        record.is_some_and(|record| record.kind == VmKind::Worker)
+    }
+
     /// The workers for which `belongs` holds, with whether each takes work.
     #[must_use]
     pub fn workers(
--- a/crates/daemon/tests/member_proofs.rs
+++ b/crates/daemon/tests/member_proofs.rs
@@ -9,6 +9,7 @@
 use sapphirestile_daemon::tokens::LedgerRow;
 use sapphirestile_daemon::tokens::MemberProofs;
 use sapphirestile_daemon::vms::VmTable;
+use sapphirestile_wire::vms::SharedWorker;
 use sapphirestile_wire::vms::VmKind;
 use sapphirestile_wire::vms::VmRecord;
 use sapphirestile_wire::vms::VmState;
@@ -28,6 +29,7 @@
         zone: ZoneName::try_from("near-a").unwrap(),
         rack: None,
         service: None,
+        worker: SharedWorker::Unknown,
         size: None,
         state: VmState::Live,
     });
--- a/crates/soak/src/worker/soak_worker.rs
+++ b/crates/soak/src/worker/soak_worker.rs
@@ -6,6 +6,7 @@
 use sapphirestile_cells::StartOrder;
 use sapphirestile_cells::StopOrder;
 use sapphirestile_cells::TaskSighting;
+use sapphirestile_cells::ThrottleOrder;
 use sapphirestile_cells::WorkerFacts;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellNumber;
@@ -23,6 +24,7 @@
 use sapphirestile_wire::worker::TaskSettled;
 use sapphirestile_wire::worker::TaskStart;
 use sapphirestile_wire::worker::TaskStop;
+use sapphirestile_wire::worker::TaskThrottle;
 
 const LEASE_MS: u64 = 20_000;
 
@@ -155,6 +157,19 @@
         let _answer = self.state.stop(clock, &stop);
     }
 
+    /// Takes a throttle.
+    pub fn throttle(&mut self, now: u64, cell: CellNumber, order: &ThrottleOrder) {
+        let throttle = TaskThrottle {
+            cell,
+            epoch: order.epoch,
+            task: order.task.clone(),
+            attempt: order.attempt,
+            cpu_milli: order.cpu_milli,
+        };
+        let clock = self.clock(now);
+        let _answer = self.state.throttle(clock, &throttle);
+    }
+
     /// Whether an attempt that `wanted` names runs at `now`.
     pub fn runs(&mut self, now: u64, wanted: impl Fn(&HistoryEntry) -> bool) -> bool {
         if !self.lives(now) {
@@ -199,5 +214,6 @@
         phase,
         checkpoint_ms: report.checkpoint_ms,
         usage: report.usage,
+        throttle_cpu_milli: report.throttle_cpu_milli,
     }
 }
--- a/crates/soak/src/worker/worker_call.rs
+++ b/crates/soak/src/worker/worker_call.rs
@@ -28,6 +28,7 @@
             CellEffect::Session(order) => &order.worker,
             CellEffect::Start(order) => &order.worker,
             CellEffect::Stop(order) => &order.worker,
+            CellEffect::Throttle(order) => &order.worker,
         }
     }
 
@@ -38,6 +39,7 @@
             CellEffect::Session(order) => order.epoch,
             CellEffect::Start(order) => order.epoch,
             CellEffect::Stop(order) => order.epoch,
+            CellEffect::Throttle(order) => order.epoch,
         }
     }
 }
--- a/crates/soak/src/world/soak_world/call_workers.rs
+++ b/crates/soak/src/world/soak_world/call_workers.rs
@@ -90,6 +90,10 @@
                 worker.stop(now, call.cell, order);
                 None
             }
+            CellEffect::Throttle(order) => {
+                worker.throttle(now, call.cell, order);
+                None
+            }
         };
         if let (Some(answer_ms), Some(news)) = (answer_ms, news) {
             self.tell(self.now + answer_ms, call, news);
@@ -140,7 +144,7 @@
                 ordinal: order.ordinal,
             },
             CellEffect::Start(order) => CallNews::StartAnswered(order.worker.clone()),
-            CellEffect::Stop(_) => return,
+            CellEffect::Stop(_) | CellEffect::Throttle(_) => return,
         };
         self.tell(self.now + CALL_TIMEOUT_MS, call, news);
     }
--- a/crates/soak/src/world/soak_world/keep_cells.rs
+++ b/crates/soak/src/world/soak_world/keep_cells.rs
@@ -153,6 +153,8 @@
             effects.extend(sessions.into_iter().map(CellEffect::Session));
         }
         effects.extend(seat.owner.due_stops().into_iter().map(CellEffect::Stop));
+        let throttles = seat.owner.due_throttles().into_iter();
+        effects.extend(throttles.map(CellEffect::Throttle));
         for effect in effects {
             self.decide_call(mark, cell, effect);
         }
--- a/crates/standins/src/fleet/standin_fleet.rs
+++ b/crates/standins/src/fleet/standin_fleet.rs
@@ -20,6 +20,7 @@
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::StepError;
 use sapphirestile_core::ZoneName;
+use sapphirestile_wire::vms::SharedWorker;
 use sapphirestile_wire::vms::VmKind;
 use sapphirestile_wire::vms::VmRecord;
 use sapphirestile_wire::vms::VmState;
@@ -198,6 +199,7 @@
         zone: ZoneName::try_from(zone).expect("the zones of a plan have valid names"),
         rack: None,
         service: None,
+        worker: SharedWorker::Unknown,
         size: None,
         state: VmState::Live,
     }
--- a/crates/standins/src/worker/task_cycle.rs
+++ b/crates/standins/src/worker/task_cycle.rs
@@ -44,6 +44,7 @@
                 progress_ms: start.checkpoint_ms.min(start.run_ms),
                 rated: now,
                 rate_permille: FULL_RATE_PERMILLE,
+                limit_cpu_milli: None,
             },
         }
     }
@@ -88,6 +89,8 @@
         let limited = used.cpu_milli.min(cpu_milli);
         self.phase.progress_ms = self.phase.progress(now);
         self.phase.rated = now;
+        let given = self.phase.size.cpu_milli;
+        self.phase.limit_cpu_milli = Some(cpu_milli).filter(|limit| *limit < given);
         self.phase.rate_permille = match used.cpu_milli {
             0 => FULL_RATE_PERMILLE,
             needed => limited.saturating_mul(FULL_RATE_PERMILLE) / needed,
@@ -99,6 +102,18 @@
         self.usage.change(usage, now);
     }
 
+    /// The most processor time that a throttle leaves the attempt.
+    #[must_use]
+    pub const fn limit_cpu_milli(&self) -> Option<u64> {
+        self.phase.limit_cpu_milli
+    }
+
+    /// The processor time that the attempt takes now, in thousandths of a core.
+    #[must_use]
+    pub const fn taken_cpu_milli(&self) -> u64 {
+        self.usage.current().cpu_milli
+    }
+
     /// The room that the attempt takes.
     #[must_use]
     pub const fn size(&self) -> &ResourceSize {
--- a/crates/standins/src/worker/task_cycle/running_phase.rs
+++ b/crates/standins/src/worker/task_cycle/running_phase.rs
@@ -12,6 +12,8 @@
     pub(super) progress_ms: u64,
     pub(super) rated: MonoTime,
     pub(super) rate_permille: u64,
+    /// The most processor time, when that is less than what was given.
+    pub(super) limit_cpu_milli: Option<u64>,
 }
 
 impl RunningPhase {
--- a/crates/standins/src/worker/usage_gauge.rs
+++ b/crates/standins/src/worker/usage_gauge.rs
@@ -42,6 +42,12 @@
         self.changed = now;
     }
 
+    /// What the task uses now.
+    #[must_use]
+    pub const fn current(&self) -> &ResourceSize {
+        &self.current
+    }
+
     /// What the task used `lag_ms` milliseconds before `now`.
     #[must_use]
     pub const fn seen(&self, now: MonoTime, lag_ms: u64) -> ResourceSize {
--- a/crates/standins/src/worker/worker_state.rs
+++ b/crates/standins/src/worker/worker_state.rs
@@ -217,8 +217,10 @@
 
     fn report(&self, now: MonoTime, key: &AttemptKey, entry: &TaskEntry) -> TaskReport {
         let lag_ms = self.settings.usage_lag_ms;
+        let mut throttle_cpu_milli = None;
         let (phase, checkpoint_ms, usage) = match entry {
             TaskEntry::Running(cycle) => {
+                throttle_cpu_milli = cycle.limit_cpu_milli();
                 let covered_ms = cycle.checkpoint_ms(now, self.settings.checkpoint_every_ms);
                 (TaskPhase::Running, covered_ms, cycle.usage())
             }
@@ -231,6 +233,7 @@
             checkpoint_ms,
             usage: usage.seen(now, lag_ms),
             usage_age_ms: lag_ms,
+            throttle_cpu_milli,
         }
     }
 
--- a/crates/wire/src/api/daemon_status.rs
+++ b/crates/wire/src/api/daemon_status.rs
@@ -8,6 +8,7 @@
 use crate::api::OwnedCell;
 use crate::api::QueueStatus;
 use crate::api::ServiceStatus;
+use crate::api::WorkerPressure;
 use crate::api::ZoneStatus;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::DaemonName;
@@ -39,4 +40,7 @@
     pub services: Vec<ServiceStatus>,
     /// The queues of its cells.
     pub queues: Vec<QueueStatus>,
+    /// Workers of its cells beside which requests were measured.
+    #[serde(default)]
+    pub pressures: Vec<WorkerPressure>,
 }
--- a/crates/wire/src/api/queue_status.rs
+++ b/crates/wire/src/api/queue_status.rs
@@ -14,4 +14,7 @@
     pub waiting: u64,
     /// Tasks on a worker.
     pub running: u64,
+    /// Tasks whose processor time is limited for the sake of services.
+    #[serde(default)]
+    pub throttled: u64,
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,7 +1,8 @@
 //! Messages between daemons.
 //!
 //! [`PeerDatagram`]s go to every member over UDP: a [`PeerHeartbeat`], and what
-//! concerns the tokens of runners. Over TCP a
+//! concerns the tokens of runners. A [`SlowdownReport`] goes to the owner of a cell
+//! alone. Over TCP a
 //! [`PeerRequest`] is answered by a [`PeerAnswer`]. Both travel as the body of a
 //! [`PeerFrame`], which names the sender's incarnation and the call that it
 //! belongs to; a [`FrameKey`] seals frames and opens them again, and refuses
@@ -16,7 +17,9 @@
 mod peer_frame;
 mod peer_heartbeat;
 mod peer_request;
+mod slowdown_report;
 mod token_report;
+mod worker_slowdown;
 
 pub use frame_fault::FrameFault;
 pub use frame_key::FRAME_LENGTH_MAX;
@@ -28,4 +31,6 @@
 pub use peer_frame::PeerFrame;
 pub use peer_heartbeat::PeerHeartbeat;
 pub use peer_request::PeerRequest;
+pub use slowdown_report::SlowdownReport;
 pub use token_report::TokenReport;
+pub use worker_slowdown::WorkerSlowdown;
--- a/crates/wire/src/peer/peer_datagram.rs
+++ b/crates/wire/src/peer/peer_datagram.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::peer::PeerHeartbeat;
+use crate::peer::SlowdownReport;
 use crate::peer::TokenReport;
 use sapphirestile_slots::HandoverMessage;
 
@@ -16,4 +17,6 @@
     Handover(HandoverMessage),
     /// Tokens that the sender holds and wants.
     Tokens(TokenReport),
+    /// How much requests were slowed beside the workers of a cell.
+    Slowdowns(SlowdownReport),
 }
--- a/crates/wire/src/vms/vm_record.rs
+++ b/crates/wire/src/vms/vm_record.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::vms::SharedWorker;
 use crate::vms::VmKind;
 use crate::vms::VmState;
 use sapphirestile_core::RackName;
@@ -27,6 +28,9 @@
     /// The service, for runners.
     #[serde(default)]
     pub service: Option<ServiceName>,
+    /// The worker on the same machine, for runners; absent means unknown.
+    #[serde(default, skip_serializing_if = "SharedWorker::is_unnamed")]
+    pub worker: SharedWorker,
     /// The size, for workers.
     #[serde(default)]
     pub size: Option<ResourceSize>,
--- a/crates/wire/src/worker/task_report.rs
+++ b/crates/wire/src/worker/task_report.rs
@@ -23,4 +23,8 @@
     pub usage: ResourceSize,
     /// The age of that usage, in milliseconds.
     pub usage_age_ms: u64,
+    /// The most processor time that a throttle leaves the attempt, in thousandths
+    /// of a core; absent when it is not throttled.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub throttle_cpu_milli: Option<u64>,
 }
