Couple stand-ins on one machine and show throttling with processes

A scene of throttling needs requests that batch tasks slow. MachineLoad is the only coupling: the worker writes what its tasks take, the runner runs each request longer by a settable time a core. A fleet with colocated set names in each runner's record the worker of the same number.

Two scenes with daemons as processes, by states and counts: tasks that slow requests are throttled by the owner's word and at the workers, explain says why, and throttle = false lifts every throttle; after a kill of the owner the next one finds the throttles in the reports.

--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -1,6 +1,7 @@
 //! Failures with daemons as real processes, each a scene of its own.
 
 mod broken_runner;
+mod colocated_tasks;
 mod killed_owner;
 mod leaving_target;
 mod lost_answers;
--- a/crates/platform/examples/client_towards_runners/main.rs
+++ b/crates/platform/examples/client_towards_runners/main.rs
@@ -43,6 +43,7 @@
             service_ms,
             connect_delay_ms: round_trip_ms,
             request_delay_ms: round_trip_ms,
+            ..RunnerSettings::default()
         };
         for kind in [ClientKind::Oxhttp, ClientKind::RunnerClient] {
             println!("  {kind:?}: {}", measure(kind, settings));
--- a/crates/standins/src/command/standin_command.rs
+++ b/crates/standins/src/command/standin_command.rs
@@ -140,12 +140,13 @@
     let connect = number("connect-delay-ms", "Added wait of a new connection", 0);
     let request = number("request-delay-ms", "Added wait of each request", 0);
     construct!(listen(), slots, service, connect, request).map(
-        |(address, slots, service_ms, connect_delay_ms, request_delay_ms)| {
+        move |(address, slots, service_ms, connect_delay_ms, request_delay_ms)| {
             let settings = RunnerSettings {
                 slots,
                 service_ms,
                 connect_delay_ms,
                 request_delay_ms,
+                ..usual
             };
             StandinCommand::Runner(address, settings)
         },
--- a/crates/standins/src/fleet/fleet_plan.rs
+++ b/crates/standins/src/fleet/fleet_plan.rs
@@ -16,6 +16,8 @@
     pub runner: RunnerSettings,
     /// How each worker is built.
     pub worker: WorkerSettings,
+    /// Whether each runner shares its machine with the worker of the same number.
+    pub colocated: bool,
     /// Whether requests of the service may run twice.
     pub idempotent: bool,
 }
@@ -28,6 +30,7 @@
             workers: 1,
             runner: RunnerSettings::default(),
             worker: WorkerSettings::default(),
+            colocated: false,
             idempotent: true,
         }
     }
--- a/crates/standins/src/fleet/standin_fleet.rs
+++ b/crates/standins/src/fleet/standin_fleet.rs
@@ -10,15 +10,19 @@
 use error_stack::Report;
 
 use crate::fleet::FleetPlan;
+use crate::machine::MachineLoad;
+use crate::runner::RunnerService;
 use crate::runner::RunnerStandin;
 use crate::store::StoreFaults;
 use crate::store::StoreStandin;
 use crate::vms::VmFaults;
 use crate::vms::VmStandin;
+use crate::worker::WorkerService;
 use crate::worker::WorkerStandin;
 use sapphirestile_core::RackName;
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::StepError;
+use sapphirestile_core::WorkerName;
 use sapphirestile_core::ZoneName;
 use sapphirestile_wire::vms::SharedWorker;
 use sapphirestile_wire::vms::VmKind;
@@ -143,11 +147,18 @@
     }
 
     fn start_zone(&mut self, zone: &'static str) -> Result<(), Report<StepError>> {
-        for place in 0..self.plan.runners {
-            let runner = RunnerStandin::start(ANY_PORT, self.plan.runner)?;
+        let mut machines = Vec::new();
+        machines.resize_with(
+            self.plan.workers.max(self.plan.runners),
+            MachineLoad::default,
+        );
+        for (place, load) in machines.iter().take(self.plan.runners).enumerate() {
+            let service = RunnerService::beside(self.plan.runner, load.clone());
+            let runner = RunnerStandin::serve(ANY_PORT, service)?;
             let service = ServiceName::try_from(Self::SERVICE).ok();
             let record = VmRecord {
                 service,
+                worker: self.worker_beside(zone, place),
                 ..record_of(
                     VmKind::Runner,
                     &format!("runner-{zone}-{place}"),
@@ -158,8 +169,9 @@
             self.change(|records| records.push(record));
             self.runners.push(runner);
         }
-        for place in 0..self.plan.workers {
-            let worker = WorkerStandin::start(ANY_PORT, self.plan.worker)?;
+        for (place, load) in machines.iter().take(self.plan.workers).enumerate() {
+            let service = WorkerService::beside(self.plan.worker, load.clone());
+            let worker = WorkerStandin::serve(ANY_PORT, service)?;
             let record = VmRecord {
                 rack: RackName::try_from(format!("rack-{zone}")).ok(),
                 size: Some(self.plan.worker.size),
@@ -176,6 +188,14 @@
         Ok(())
     }
 
+    fn worker_beside(&self, zone: &str, place: usize) -> SharedWorker {
+        if !self.plan.colocated || place >= self.plan.workers {
+            return SharedWorker::Unknown;
+        }
+        let name = WorkerName::try_from(format!("worker-{zone}-{place}").as_str());
+        SharedWorker::Named(name.expect("the zones of a plan have valid names"))
+    }
+
     fn change(&self, change: impl FnOnce(&mut Vec<VmRecord>)) {
         change(&mut self.records.lock().unwrap_or_else(PoisonError::into_inner));
         self.list();
--- a/crates/standins/src/runner/runner_service.rs
+++ b/crates/standins/src/runner/runner_service.rs
@@ -8,6 +8,7 @@
 
 use oxhttp::model::HeaderValue;
 
+use crate::machine::MachineLoad;
 use crate::runner::ExecutionCount;
 use crate::runner::RunnerCounts;
 use crate::runner::RunnerFaults;
@@ -27,16 +28,24 @@
 pub struct RunnerService {
     settings: RunnerSettings,
     slots: RunnerSlots,
+    load: MachineLoad,
     inner: Mutex<ServedRunner>,
 }
 
 impl RunnerService {
-    /// A runner with nothing to do.
+    /// A runner with nothing to do, on a machine of its own.
     #[must_use]
     pub fn new(settings: RunnerSettings) -> Self {
+        Self::beside(settings, MachineLoad::default())
+    }
+
+    /// A runner with nothing to do, on a machine with this load of batch tasks.
+    #[must_use]
+    pub fn beside(settings: RunnerSettings, load: MachineLoad) -> Self {
         Self {
             settings,
             slots: RunnerSlots::new(settings.slots),
+            load,
             inner: Mutex::new(ServedRunner::default()),
         }
     }
@@ -74,7 +83,8 @@
             return echo_id(reply, call);
         };
         let slow_ms = self.record_run(call);
-        std::thread::sleep(Duration::from_millis(self.settings.service_ms + slow_ms));
+        let run_time = Duration::from_millis(self.settings.service_ms + slow_ms);
+        std::thread::sleep(run_time + self.load.added_time(self.settings.disturbed_us));
         drop(slot);
         self.finish(call)
     }
--- a/crates/standins/src/runner/runner_settings.rs
+++ b/crates/standins/src/runner/runner_settings.rs
@@ -13,6 +13,9 @@
     /// An added wait at each request outside its slot, in milliseconds: the
     /// round trip of a request on a long link.
     pub request_delay_ms: u64,
+    /// An added run time of each request for each core that batch tasks on the
+    /// same machine take, in microseconds.
+    pub disturbed_us: u64,
 }
 
 impl Default for RunnerSettings {
@@ -22,6 +25,7 @@
             service_ms: 20,
             connect_delay_ms: 0,
             request_delay_ms: 0,
+            disturbed_us: 0,
         }
     }
 }
--- a/crates/standins/src/worker/worker_service.rs
+++ b/crates/standins/src/worker/worker_service.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::clock::StandinClock;
+use crate::machine::MachineLoad;
 use crate::serving::ReplyEnding;
 use crate::serving::StandinCall;
 use crate::serving::StandinReply;
@@ -25,19 +26,27 @@
 #[derive(Debug)]
 pub struct WorkerService {
     clock: StandinClock,
+    load: MachineLoad,
     inner: Mutex<ServedWorker>,
 }
 
 impl WorkerService {
-    /// A worker that runs nothing.
+    /// A worker that runs nothing, on a machine of its own.
     #[must_use]
     pub fn new(settings: WorkerSettings) -> Self {
+        Self::beside(settings, MachineLoad::default())
+    }
+
+    /// A worker that runs nothing, on a machine whose load it makes.
+    #[must_use]
+    pub fn beside(settings: WorkerSettings, load: MachineLoad) -> Self {
         let inner = ServedWorker {
             state: WorkerState::new(settings),
             faults: WorkerFaults::default(),
         };
         Self {
             clock: StandinClock::start(),
+            load,
             inner: Mutex::new(inner),
         }
     }
@@ -67,6 +76,12 @@
             .collect()
     }
 
+    /// How many running tasks are throttled.
+    #[must_use]
+    pub fn throttled_tasks(&self) -> usize {
+        self.lock().state.throttled_tasks()
+    }
+
     fn start(&self, now: MonoTime, start: &TaskStart) -> Result<(), WorkerRefusal> {
         let mut inner = self.lock();
         if inner.faults.refuse {
@@ -84,6 +99,7 @@
         }
         let reply = work(self.clock.now());
         let mut inner = self.lock();
+        self.load.set(inner.state.taken_cpu_milli());
         if inner.faults.lose_answers == 0 {
             return reply;
         }
--- a/crates/standins/src/worker/worker_state.rs
+++ b/crates/standins/src/worker/worker_state.rs
@@ -152,6 +152,23 @@
         &self.history
     }
 
+    /// How many running attempts are throttled.
+    #[must_use]
+    pub fn throttled_tasks(&self) -> usize {
+        let limits = self
+            .running()
+            .filter_map(|(_, cycle)| cycle.limit_cpu_milli());
+        limits.count()
+    }
+
+    /// The processor time that the running attempts take, in thousandths of a core.
+    #[must_use]
+    pub fn taken_cpu_milli(&self) -> u64 {
+        self.running()
+            .map(|(_, cycle)| cycle.taken_cpu_milli())
+            .sum()
+    }
+
     fn advance_entry(&mut self, now: MonoTime, key: &AttemptKey, entry: TaskEntry) -> TaskEntry {
         let TaskEntry::Running(cycle) = entry else {
             return entry;
