Show what a measurement before a throttle's effect must not do

Two mutations of the first scenes passed: samples from before the effect taken, and the steps found by a new owner not counted towards a stop. Each now fails a scene.

--- a/crates/cells/tests/owner/pressure.rs
+++ b/crates/cells/tests/owner/pressure.rs
@@ -14,6 +14,7 @@
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::DaemonName;
 use sapphirestile_core::IncarnationNumber;
+use sapphirestile_core::MonoTime;
 use sapphirestile_placement::PressurePolicy;
 
 const LOUD: u64 = 600;
@@ -54,6 +55,27 @@
 fn hear(bench: &mut OwnerBench, daemon: &str, call: u64, slowdown_permille: u64, requests: u64) {
     let measured = bench.now.plus_millis(1);
     bench.wait(1_000);
+    hear_since(
+        bench,
+        daemon,
+        &SlowdownRow {
+            call,
+            measured,
+            slowdown_permille,
+            requests,
+        },
+    );
+}
+
+/// A measurement that a daemon began at some time and tells now.
+struct SlowdownRow {
+    call: u64,
+    measured: MonoTime,
+    slowdown_permille: u64,
+    requests: u64,
+}
+
+fn hear_since(bench: &mut OwnerBench, daemon: &str, row: &SlowdownRow) {
     let identity = DaemonIdentity {
         daemon: DaemonName::try_from(daemon).unwrap(),
         incarnation: IncarnationNumber::new(1),
@@ -61,11 +83,11 @@
     bench.owner.observe_slowdown(&SlowdownView {
         worker: "w1",
         daemon: &identity,
-        call,
+        call: row.call,
         received: bench.now,
-        measured,
-        slowdown_permille,
-        requests,
+        measured: row.measured,
+        slowdown_permille: row.slowdown_permille,
+        requests: row.requests,
     });
     bench.owner.decide_pressure(bench.now);
 }
@@ -146,6 +168,30 @@
     assert_eq!(bench.owner.due_throttles(), [throttle(&bench, 90)]);
 }
 
+#[test]
+fn what_was_measured_before_the_effect_says_nothing_about_it() {
+    let mut bench = running_bench();
+    hear(&mut bench, "entry-1", 1, LOUD, 100);
+    show(&mut bench, None);
+    let before = bench.now.plus_millis(1);
+    show(&mut bench, Some(300));
+    let after = bench.now.plus_millis(1);
+    bench.owner.due_throttles();
+    bench.wait(10_000);
+    let mut row = SlowdownRow {
+        call: 2,
+        measured: before,
+        slowdown_permille: LOUD,
+        requests: 100,
+    };
+    hear_since(&mut bench, "entry-1", &row);
+    assert_eq!(bench.owner.due_throttles(), []);
+    row.call = 3;
+    row.measured = after;
+    hear_since(&mut bench, "entry-1", &row);
+    assert_eq!(bench.owner.due_throttles(), [throttle(&bench, 90)]);
+}
+
 #[test]
 fn the_third_throttle_in_vain_is_followed_by_a_stop_that_counts_as_an_eviction() {
     let mut bench = throttled_bench();
--- a/crates/placement/tests/placement/colocation.rs
+++ b/crates/placement/tests/placement/colocation.rs
@@ -80,6 +80,16 @@
     assert_eq!(state, PressureState::default());
 }
 
+#[test]
+fn throttles_found_on_a_worker_count_towards_a_stop() {
+    let policy = PressurePolicy::default();
+    let at = MonoTime::from_millis;
+    let mut state = PressureState::default();
+    state.align(throttle_steps(50), at(1_000));
+    let action = state.decide(500, at(2_000), at(2_000), &policy);
+    assert_eq!(action, PressureAction::StopOne);
+}
+
 #[test]
 fn throttles_that_ended_with_their_tasks_do_not_count_towards_a_stop() {
     let policy = PressurePolicy::default();
