Draw slowed requests and lost throttle calls in the soak

The owner's throttling was seen in single scenes only. The new fault Pressure tells owners random slowdowns, late and out of order, while calls to workers are lost, late and repeated and owners change; one document of four bans throttling, and so does the end of all faults. 40 s after that no report may show a throttled task.

--- a/crates/soak/src/faults/fault_kind.rs
+++ b/crates/soak/src/faults/fault_kind.rs
@@ -41,11 +41,13 @@
     CancelBurst,
     /// A job is submitted once more.
     SubmitTwice,
+    /// Requests beside a worker are slowed, or not any more.
+    Pressure,
 }
 
 impl FaultKind {
     /// Every kind, in order.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::CommitAnswerLost,
         Self::CommitLate,
         Self::StoreOutage,
@@ -65,5 +67,6 @@
         Self::ZoneOut,
         Self::CancelBurst,
         Self::SubmitTwice,
+        Self::Pressure,
     ];
 }
--- a/crates/soak/src/world/soak_world.rs
+++ b/crates/soak/src/world/soak_world.rs
@@ -4,6 +4,7 @@
 mod check_entries;
 mod inject_faults;
 mod keep_cells;
+mod press_workers;
 mod settle_commits;
 mod submit_work;
 
--- a/crates/soak/src/world/soak_world/call_workers.rs
+++ b/crates/soak/src/world/soak_world/call_workers.rs
@@ -107,6 +107,9 @@
         epoch: CellEpoch,
         news: CallNews,
     ) {
+        if let CallNews::Reported { tasks, .. } = &news {
+            self.check_throttles(tasks);
+        }
         let Some(seat) = self.daemons[to.place].open(cell, epoch) else {
             return;
         };
--- a/crates/soak/src/world/soak_world/keep_cells.rs
+++ b/crates/soak/src/world/soak_world/keep_cells.rs
@@ -118,6 +118,7 @@
         }
         seat.stopping |= gives_up;
         self.list_workers(mark, cell);
+        self.press(mark, cell);
         self.call_due(mark, cell);
         self.commit_due(mark, cell);
     }
@@ -160,7 +161,11 @@
         }
     }
 
-    fn open_seat(&mut self, mark: ProcessMark, cell: CellNumber) -> Option<&mut OpenSeat> {
+    pub(super) fn open_seat(
+        &mut self,
+        mark: ProcessMark,
+        cell: CellNumber,
+    ) -> Option<&mut OpenSeat> {
         self.daemons[mark.place].seats.get_mut(&cell)?.open()
     }
 
