Measure slowdown reports in bytes and requests beside batch tasks

The test of message sizes has a row for it. load_through_daemons has a mode for throttling: requests on twelve machines beside a queue of quiet and one of loud tasks, with throttle = false and true, p50, p99, the time that tasks took, throttles, evictions and bytes told; figures come with its run.

--- a/crates/capacity/src/messages.rs
+++ b/crates/capacity/src/messages.rs
@@ -15,13 +15,14 @@
 /// use sapphirestile_capacity::SizeScale;
 /// use sapphirestile_capacity::message_sizes;
 ///
-/// assert_eq!(message_sizes(SizeScale::Smallest).len(), 8);
+/// assert_eq!(message_sizes(SizeScale::Smallest).len(), 9);
 /// ```
 #[must_use]
 pub fn message_sizes(scale: SizeScale) -> Vec<ResultTable> {
     vec![
         peer_sizes::heartbeats(scale),
         peer_sizes::token_reports(scale),
+        peer_sizes::slowdown_reports(scale),
         peer_sizes::token_ledgers(scale),
         cell_sizes::entries(scale),
         cell_sizes::snapshots(scale),
--- a/crates/capacity/src/messages/peer_sizes.rs
+++ b/crates/capacity/src/messages/peer_sizes.rs
@@ -12,11 +12,14 @@
 use sapphirestile_wire::peer::PeerDatagram;
 use sapphirestile_wire::peer::PeerFrame;
 use sapphirestile_wire::peer::PeerHeartbeat;
+use sapphirestile_wire::peer::SlowdownReport;
+use sapphirestile_wire::peer::WorkerSlowdown;
 
 use crate::ResultTable;
 use crate::SizeScale;
 use crate::scenes::TokenScene;
 use crate::scenes::identity;
+use crate::scenes::worker_name;
 
 const PORT: u16 = 7_000;
 const REVISION: u64 = 2_000_000;
@@ -52,6 +55,27 @@
     table
 }
 
+pub fn slowdown_reports(scale: SizeScale) -> ResultTable {
+    let mut table = ResultTable::new(
+        "Slowdowns told to the owner of a cell, sealed",
+        &["workers", "bytes"],
+    );
+    for &workers in scale.pick(&[1, 4, SlowdownReport::ROWS_MAX]) {
+        let rows = (0..workers).map(|place| WorkerSlowdown {
+            worker: worker_name(place),
+            slowdown_permille: 400,
+            requests: 400,
+            age_ms: 5_000,
+        });
+        let report = SlowdownReport {
+            cell: CellNumber::new(0),
+            rows: rows.collect(),
+        };
+        table.add(&[&workers, &sealed_bytes(PeerDatagram::Slowdowns(report))]);
+    }
+    table
+}
+
 pub fn token_ledgers(scale: SizeScale) -> ResultTable {
     let mut table = ResultTable::new(
         "Ledger of tokens in the store, seven members",
--- a/crates/daemon/examples/load_through_daemons/daemon_fleet.rs
+++ b/crates/daemon/examples/load_through_daemons/daemon_fleet.rs
@@ -11,6 +11,7 @@
 use sapphirestile_standins::runner::RunnerStandin;
 use sapphirestile_test_support::DaemonProcess;
 use sapphirestile_test_support::SceneFleet;
+use sapphirestile_test_support::call;
 use sapphirestile_test_support::call_json;
 use sapphirestile_test_support::wait_until;
 
@@ -22,6 +23,7 @@
 const RUNNERS_PER_ZONE: usize = 4;
 const SERVICE_MS: u64 = 5;
 const SLOTS: u32 = 8;
+const DISTURBED_US: u64 = 1_000;
 const TOKENS: u64 = 96;
 
 /// Daemons as processes on 12 runners of 8 slots.
@@ -44,6 +46,26 @@
             },
             ..FleetPlan::default()
         };
+        Self::start_plan(plan, daemons)
+    }
+
+    /// Starts three daemons on machines that have a runner and a worker each.
+    pub fn start_colocated() -> Self {
+        let plan = FleetPlan {
+            runners: RUNNERS_PER_ZONE,
+            workers: RUNNERS_PER_ZONE,
+            colocated: true,
+            runner: RunnerSettings {
+                slots: SLOTS,
+                disturbed_us: DISTURBED_US,
+                ..RunnerSettings::default()
+            },
+            ..FleetPlan::default()
+        };
+        Self::start_plan(plan, PLACES.len())
+    }
+
+    fn start_plan(plan: FleetPlan, daemons: usize) -> Self {
         let folder = target_folder().join("load_through_daemons");
         let binary = target_folder().join("sapphirestiled");
         assert!(binary.exists(), "the daemon is built first");
@@ -82,6 +104,18 @@
         daemons.map(|daemon| process_time_ms(daemon.number())).sum()
     }
 
+    /// What all daemons have counted under a name of the metrics.
+    pub fn counted(&self, name: &str) -> u64 {
+        let row = format!("sapphirestile_{name}_total ");
+        let count = |daemon: &DaemonProcess| {
+            let answer = call(daemon.operators(), "GET", "/metrics", &[], b"")?;
+            let text = String::from_utf8(answer.body).ok()?;
+            let mut lines = text.lines();
+            lines.find_map(|line| line.strip_prefix(&row)?.parse::<u64>().ok())
+        };
+        self.daemons.iter().filter_map(count).sum()
+    }
+
     /// Something when all tokens are held, a share by each daemon.
     fn shared_tokens(&self) -> Option<()> {
         let mut sum = 0;
--- a/crates/daemon/examples/load_through_daemons/main.rs
+++ b/crates/daemon/examples/load_through_daemons/main.rs
@@ -3,13 +3,17 @@
 //! Stand-ins of runners serve inside this process, daemons run as processes of
 //! their own. A [`CallerLoad`](caller_load::CallerLoad) first calls the runners
 //! directly, then through one daemon, then through three; at last a daemon is
-//! killed, and a zone is taken out, under load. Build the daemon first:
+//! killed, and a zone is taken out, under load. With the argument `throttling`
+//! requests share machines with batch tasks instead, with throttling and without.
+//! Build the daemon first:
 //!
 //! ```text
 //! cargo build --release -p sapphirestile-daemon
 //! cargo run --release -p sapphirestile-daemon --example load_through_daemons
+//! cargo run --release -p sapphirestile-daemon --example load_through_daemons throttling
 //! ```
 
+mod batch_meter;
 mod call_outcome;
 mod call_record;
 mod caller_load;
@@ -18,6 +22,7 @@
 mod fault_summary;
 mod load_summary;
 mod process_time;
+mod throttle_run;
 
 use std::time::Duration;
 
@@ -26,6 +31,7 @@
 use crate::daemon_fleet::DaemonFleet;
 use crate::fault_summary::FaultSummary;
 use crate::load_summary::LoadSummary;
+use crate::throttle_run::ThrottleRun;
 
 const ROUNDS: usize = 3;
 const CALLERS: [usize; 4] = [1, 8, 32, 64];
@@ -35,6 +41,10 @@
 const FAULT_AFTER: Duration = Duration::from_secs(3);
 
 fn main() {
+    if std::env::args().nth(1).as_deref() == Some("throttling") {
+        measure_throttling();
+        return;
+    }
     for round in 1..=ROUNDS {
         println!("round {round}");
         measure_loads(1);
@@ -64,6 +74,15 @@
     }
 }
 
+fn measure_throttling() {
+    for round in 1..=ROUNDS {
+        for throttle in [false, true] {
+            let run = ThrottleRun::start(throttle);
+            println!("round {round}, throttle = {throttle}\n  {}", run.measure());
+        }
+    }
+}
+
 fn measure_fault(fault: DaemonFault) {
     let mut fleet = DaemonFleet::start(3);
     let load = CallerLoad::new(fleet.callers(), FAULT_CALLERS);
--- /dev/null
+++ b/crates/daemon/examples/load_through_daemons/throttle_run.rs
@@ -0,0 +1,94 @@
+//! Requests beside batch tasks, with throttling and without.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::batch_meter::BatchMeter;
+use crate::caller_load::CallerLoad;
+use crate::daemon_fleet::DaemonFleet;
+use crate::load_summary::LoadSummary;
+use sapphirestile_test_support::call_json;
+use sapphirestile_test_support::wait_until;
+
+const CALLERS: usize = 24;
+const CALM_TIME: Duration = Duration::from_secs(12);
+const BATCH_TIME: Duration = Duration::from_mins(1);
+const QUIET_TASKS: u32 = 48;
+const LOUD_TASKS: u32 = 12;
+const QUIET_CPU_MILLI: u64 = 1_000;
+const LOUD_CPU_MILLI: u64 = 16_000;
+const TASK_MS: u64 = 45_000;
+/// So that three of twelve machines have a loud task at a time.
+const LOUD_QUOTA_MILLI: u64 = 48_000;
+
+/// A load of requests beside a queue of quiet tasks and one of loud ones.
+pub struct ThrottleRun {
+    fleet: DaemonFleet,
+}
+
+impl ThrottleRun {
+    /// Three daemons on twelve machines, with the operators' word on throttling.
+    pub fn start(throttle: bool) -> Self {
+        let fleet = DaemonFleet::start_colocated();
+        let run = Self { fleet };
+        run.put_document(throttle);
+        run
+    }
+
+    /// Runs requests alone, then beside the tasks; says what both came to.
+    pub fn measure(&self) -> String {
+        let load = CallerLoad::new(self.fleet.callers(), CALLERS);
+        let calm = LoadSummary::new(CALLERS, &load.run(CALM_TIME), 0);
+        self.submit("quiet", "kennels", QUIET_TASKS, QUIET_CPU_MILLI);
+        self.submit("loud", "looms", LOUD_TASKS, LOUD_CPU_MILLI);
+        let ended = AtomicBool::new(false);
+        let meter = BatchMeter::new(self.fleet.scene.platform().workers());
+        let (records, core_seconds) = std::thread::scope(|scope| {
+            let metering = scope.spawn(|| meter.run(&ended));
+            let records = load.run(BATCH_TIME);
+            ended.store(true, Ordering::Relaxed);
+            (records, metering.join().expect("the meter ends"))
+        });
+        let beside = LoadSummary::new(CALLERS, &records, 0);
+        let work = format!("{core_seconds:.0} core seconds, {}", self.counts());
+        format!("calm: {calm}\n  beside tasks: {beside}\n  tasks: {work}")
+    }
+
+    /// Throttles, evictions and bytes told between daemons.
+    fn counts(&self) -> String {
+        let names = ["throttles", "evictions", "slowdown_sent_bytes"];
+        let counts = names.map(|name| format!("{name} {}", self.fleet.counted(name)));
+        counts.join(", ")
+    }
+
+    fn put_document(&self, throttle: bool) {
+        let text = self.fleet.scene.platform().document();
+        let text = format!(
+            "{text}[colocation]\nthrottle = {throttle}\n\
+             [customer looms]\ncpu_milli = {LOUD_QUOTA_MILLI}\nmemory_mb = 1000000\n"
+        );
+        let operators = self.fleet.daemons[0].operators();
+        wait_until("the document is accepted", || {
+            let (_, status) = call_json(operators, "GET", "/v1/status", &Value::Null)?;
+            let based_on = status["revision"].clone();
+            let change = json!({ "based_on": based_on, "text": text, "author": "operator-1" });
+            call_json(operators, "PUT", "/v1/document", &change)
+                .filter(|(status, _)| *status == 200)
+        });
+    }
+
+    fn submit(&self, job: &str, customer: &str, tasks: u32, cpu_milli: u64) {
+        let body = json!({
+            "job": job, "customer": customer, "tasks": tasks, "run_ms": TASK_MS,
+            "size": { "cpu_milli": cpu_milli, "memory_mb": 512, "accelerators": 0 },
+        });
+        let operators = self.fleet.daemons[0].operators();
+        wait_until("the job is accepted", || {
+            call_json(operators, "POST", "/v1/jobs", &body).filter(|(status, _)| *status == 200)
+        });
+    }
+}
--- a/crates/standins/src/worker/worker_service.rs
+++ b/crates/standins/src/worker/worker_service.rs
@@ -76,6 +76,12 @@
             .collect()
     }
 
+    /// The processor time that tasks take now, in thousandths of a core.
+    #[must_use]
+    pub fn taken_cpu_milli(&self) -> u64 {
+        self.lock().state.taken_cpu_milli()
+    }
+
     /// How many running tasks are throttled.
     #[must_use]
     pub fn throttled_tasks(&self) -> usize {
