--- a/crates/capacity/src/processor/worker_times.rs
+++ b/crates/capacity/src/processor/worker_times.rs
@@ -127,6 +127,7 @@
         phase: SightedPhase::Running,
         checkpoint_ms: 0,
         usage: ResourceSize::default(),
+        throttle_cpu_milli: None,
     });
     let mut whole = WholeReport::default();
     let all = ReportChanges {
--- a/crates/capacity/src/sessions/session_bodies.rs
+++ b/crates/capacity/src/sessions/session_bodies.rs
@@ -67,6 +67,7 @@
         checkpoint_ms: CHECKPOINT_MS,
         usage: USAGE,
         usage_age_ms: USAGE_LAG_MS,
+        throttle_cpu_milli: None,
     });
     SessionReport {
         permit: PERMIT,
--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -3,6 +3,7 @@
 mod answer_merging;
 mod batch_commits;
 mod forgetting;
+mod pressure_steps;
 mod start_planning;
 mod task_proposals;
 mod worker_list;
--- a/crates/cells/tests/owner/main.rs
+++ b/crates/cells/tests/owner/main.rs
@@ -5,6 +5,7 @@
 mod forgetting;
 mod merging;
 mod owner_bench;
+mod pressure;
 mod reporting;
 mod silent;
 mod sizing;
--- a/crates/soak/src/faults/fault_kind.rs
+++ b/crates/soak/src/faults/fault_kind.rs
@@ -43,11 +43,13 @@
     CancelBurst,
     /// A job is submitted once more.
     SubmitTwice,
+    /// Requests beside a worker are slowed, or not any more.
+    Pressure,
 }
 
 impl FaultKind {
     /// Every kind, in order.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::CommitAnswerLost,
         Self::CommitLate,
         Self::StoreOutage,
@@ -68,5 +70,6 @@
         Self::ZoneOut,
         Self::CancelBurst,
         Self::SubmitTwice,
+        Self::Pressure,
     ];
 }
--- a/crates/soak/src/world/soak_world.rs
+++ b/crates/soak/src/world/soak_world.rs
@@ -5,6 +5,7 @@
 mod check_merges;
 mod inject_faults;
 mod keep_cells;
+mod press_workers;
 mod settle_commits;
 mod submit_work;
 
--- a/crates/soak/src/world/soak_world/call_workers.rs
+++ b/crates/soak/src/world/soak_world/call_workers.rs
@@ -91,6 +91,10 @@
                 worker.stop(now, call.cell, order);
                 None
             }
+            CellEffect::Throttle(order) => {
+                worker.throttle(now, call.cell, order);
+                None
+            }
         };
         if let (Some(answer_ms), Some(news)) = (answer_ms, news) {
             self.tell(self.now + answer_ms, call, news);
@@ -104,6 +108,9 @@
         epoch: CellEpoch,
         news: CallNews,
     ) {
+        if let CallNews::Reported { held, .. } = &news {
+            self.check_throttles(held);
+        }
         let Some(seat) = self.daemons[to.place].open(cell, epoch) else {
             return;
         };
@@ -145,7 +152,7 @@
                 ordinal: order.ordinal,
             },
             CellEffect::Start(order) => CallNews::StartAnswered(order.worker.clone()),
-            CellEffect::Stop(_) => return,
+            CellEffect::Stop(_) | CellEffect::Throttle(_) => return,
         };
         self.tell(self.now + CALL_TIMEOUT_MS, call, news);
     }
--- a/crates/soak/src/world/soak_world/keep_cells.rs
+++ b/crates/soak/src/world/soak_world/keep_cells.rs
@@ -118,6 +118,7 @@
         }
         seat.stopping |= gives_up;
         self.list_workers(mark, cell);
+        self.press(mark, cell);
         self.call_due(mark, cell);
         self.commit_due(mark, cell);
     }
@@ -153,12 +154,18 @@
             effects.extend(sessions.into_iter().map(CellEffect::Session));
         }
         effects.extend(seat.owner.due_stops().into_iter().map(CellEffect::Stop));
+        let throttles = seat.owner.due_throttles().into_iter();
+        effects.extend(throttles.map(CellEffect::Throttle));
         for effect in effects {
             self.decide_call(mark, cell, effect);
         }
     }
 
-    fn open_seat(&mut self, mark: ProcessMark, cell: CellNumber) -> Option<&mut OpenSeat> {
+    pub(super) fn open_seat(
+        &mut self,
+        mark: ProcessMark,
+        cell: CellNumber,
+    ) -> Option<&mut OpenSeat> {
         self.daemons[mark.place].seats.get_mut(&cell)?.open()
     }
 
