Lend shares of quotas among cells by bounded counters

Each cell had an even part of every quota, so a customer with one large job in one of 64 cells got 1/64 of its quota, and parts of accelerators were rounded up past the quota.

A customer's whole quota now begins at one cell, its lender, and the other cells borrow. Lender and borrower each keep, in their journals, two totals that only grow: what was lent, and what came back.

An even split with transfers between every pair of cells was weighed and left: a cut of the quota leaves some parts negative and others above the new quota with nobody to call them back, 63 x 2 counters stand in each cell for each customer, and 64 cells have to be asked for one large job.

--- a/crates/cells/src/journal/cell_transition.rs
+++ b/crates/cells/src/journal/cell_transition.rs
@@ -4,9 +4,12 @@
 use serde::Serialize;
 
 use crate::journal::JobOrder;
+use crate::shares::ShareCounter;
 use crate::state::RequestRecord;
 use crate::state::TaskOutcome;
 use sapphirestile_core::AttemptNumber;
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::CustomerName;
 use sapphirestile_core::JobName;
 use sapphirestile_core::RequestKey;
 use sapphirestile_core::ResourceSize;
@@ -71,6 +74,38 @@
     RequestWithdrawn(RequestKey),
     /// A job that has ended is shown no more, and its name is free again.
     JobForgotten(JobName),
+    /// This cell lends a share of a customer's quota to another.
+    ShareLent {
+        /// The customer.
+        customer: CustomerName,
+        /// The cell that borrows.
+        borrower: CellNumber,
+        /// All that was lent to it so far.
+        total: ShareCounter,
+    },
+    /// A borrower has returned a share to this cell.
+    ShareRegained {
+        /// The customer.
+        customer: CustomerName,
+        /// The cell that borrowed.
+        borrower: CellNumber,
+        /// All that it has returned so far.
+        total: ShareCounter,
+    },
+    /// This cell has learnt what was lent to it.
+    ShareBorrowed {
+        /// The customer.
+        customer: CustomerName,
+        /// All that was lent to it so far.
+        total: ShareCounter,
+    },
+    /// This cell returns a share of a customer's quota to its lender.
+    ShareReturned {
+        /// The customer.
+        customer: CustomerName,
+        /// All that it has returned so far.
+        total: ShareCounter,
+    },
     /// Requests recorded before this second of the Unix epoch may be sent again.
     RecordsForgotten {
         /// The second.
--- a/crates/cells/src/map/cell_map.rs
+++ b/crates/cells/src/map/cell_map.rs
@@ -63,6 +63,12 @@
         self.cell_of("key", key)
     }
 
+    /// The cell that lends shares of a customer's quota.
+    #[must_use]
+    pub fn lender_of(self, customer: &str) -> CellNumber {
+        self.cell_of("customer", customer)
+    }
+
     /// The daemon that comes first in the cell's rendezvous order.
     #[must_use]
     pub fn preferred_owner<'d>(self, cell: CellNumber, daemons: &[&'d str]) -> Option<&'d str> {
--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -2,6 +2,8 @@
 
 mod batch_commits;
 mod forgetting;
+mod share_borrowing;
+mod share_lending;
 mod start_planning;
 mod task_proposals;
 mod worker_list;
@@ -110,10 +112,11 @@
             state,
             ..
         } = self;
-        let phase = OpenPhase {
+        let mut phase = OpenPhase {
             assigned: AssignedBook::of(&state),
             ..OpenPhase::default()
         };
+        phase.shares.committed = state.borrowed().clone();
         CellOwner {
             cell,
             identity,
--- a/crates/cells/src/owner/cell_owner/batch_commits.rs
+++ b/crates/cells/src/owner/cell_owner/batch_commits.rs
@@ -62,6 +62,7 @@
     fn release_effects(&mut self, entry: &JournalEntry) -> Vec<CellEffect> {
         self.state.note_applied(entry);
         self.release_settled();
+        self.note_committed_shares(entry);
         let due = std::mem::take(&mut self.phase.flying);
         due.into_iter().map(CellEffect::Start).collect()
     }
--- a/crates/cells/src/owner/cell_owner/start_planning.rs
+++ b/crates/cells/src/owner/cell_owner/start_planning.rs
@@ -1,6 +1,7 @@
 //! Which tasks an owner starts, and where.
 
 use crate::journal::CellTransition;
+use crate::map::CellMap;
 use crate::owner::CellOwner;
 use crate::owner::OpenPhase;
 use crate::owner::StartOrder;
@@ -18,13 +19,23 @@
 const PERMIT_FRESH_MS: u64 = 1_500;
 
 impl CellOwner<OpenPhase> {
-    /// Takes the customers, with this cell's part of their quotas.
+    /// Takes the customers with their whole quotas. An owner that was told of no
+    /// other cells has all of each to itself.
     pub fn set_customers(&mut self, customers: &SortedTable<CustomerName, CustomerEntry>) {
+        self.phase.shares.customers = customers.clone();
         self.phase.planner.set_customers(customers);
     }
 
+    /// Takes the cells that shares of quotas are lent among.
+    pub const fn set_cells(&mut self, map: CellMap) {
+        self.phase.shares.map = Some(map);
+    }
+
     /// Assigns waiting tasks to workers, at most `limit`.
     pub fn plan_starts(&mut self, now: MonoTime, limit: usize) {
+        self.phase.shares.lender.pass_time(now);
+        let shares = self.shares_in_force(now);
+        self.phase.planner.set_shares(shares);
         let view = PlanView {
             state: &self.state,
             workers: &self.phase.workers,
@@ -33,9 +44,11 @@
             permit_fresh_ms: PERMIT_FRESH_MS,
             limit,
         };
-        for planned in self.phase.planner.plan(&view) {
-            self.assign(&planned, now);
+        let starts = self.phase.planner.plan(&view);
+        for planned in &starts {
+            self.assign(planned, now);
         }
+        self.note_wants(&starts, now);
         for order in self.phase.planner.take_evictions() {
             self.evict(&order);
         }
--- a/crates/cells/src/owner/open_phase.rs
+++ b/crates/cells/src/owner/open_phase.rs
@@ -9,6 +9,7 @@
 use crate::owner::StopOrder;
 use crate::owner::worker_view::WorkerView;
 use crate::planner::StartPlanner;
+use crate::shares::ShareBook;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::JobName;
 use sapphirestile_core::JournalSequence;
@@ -38,6 +39,7 @@
     /// When the owner first saw that a job had ended.
     pub(super) ended: SortedTable<JobName, MonoTime>,
     pub(super) planner: StartPlanner,
+    pub(super) shares: ShareBook,
     /// Attempts that were asked to stop.
     pub(super) stopping: SortedTable<TaskName, AttemptNumber>,
     pub(super) log: DecisionLog,
--- a/crates/cells/src/planner/room_book.rs
+++ b/crates/cells/src/planner/room_book.rs
@@ -36,6 +36,7 @@
     pub fn gather(
         view: &PlanView<'_>,
         customers: &SortedTable<CustomerName, CustomerEntry>,
+        shares: &SortedTable<CustomerName, ResourceSize>,
         submitted: &SortedTable<JobName, MonoTime>,
         not_before: &SortedTable<JobName, MonoTime>,
     ) -> Self {
@@ -49,7 +50,7 @@
                 .collect(),
             customers: customers
                 .iter()
-                .map(|(name, entry)| customer_of(name, entry))
+                .map(|(name, entry)| customer_of(name, entry, shares))
                 .collect(),
             placed: SortedTable::new(),
         };
@@ -145,10 +146,15 @@
     RackName::try_from(worker.as_str()).expect("names of workers and racks have one form")
 }
 
-fn customer_of(name: &CustomerName, entry: &CustomerEntry) -> CustomerRoom {
+/// A customer with the share of its quota that is in force in this cell.
+fn customer_of(
+    name: &CustomerName,
+    entry: &CustomerEntry,
+    shares: &SortedTable<CustomerName, ResourceSize>,
+) -> CustomerRoom {
     CustomerRoom {
         name: name.clone(),
-        quota: entry.quota,
+        quota: shares.get(name).copied().unwrap_or_default(),
         given: ResourceSize::default(),
         priority: entry.priority,
     }
--- a/crates/cells/src/planner/start_planner.rs
+++ b/crates/cells/src/planner/start_planner.rs
@@ -1,5 +1,7 @@
 //! Plans starts.
 
+mod learning;
+mod share_wants;
 mod urgent_room;
 
 use crate::planner::EvictionOrder;
@@ -7,8 +9,7 @@
 use crate::planner::PlannedStart;
 use crate::planner::RoomBook;
 use crate::planner::RoomMaker;
-use crate::state::CellState;
-use crate::state::JobRecord;
+use crate::shares::ShareWant;
 use sapphirestile_core::CustomerEntry;
 use sapphirestile_core::CustomerName;
 use sapphirestile_core::JobName;
@@ -20,7 +21,6 @@
 use sapphirestile_placement::CustomerRoom;
 use sapphirestile_placement::EstimatePolicy;
 use sapphirestile_placement::FailureBook;
-use sapphirestile_placement::FailureVerdict;
 use sapphirestile_placement::PlacedTasks;
 use sapphirestile_placement::PlacementChoice;
 use sapphirestile_placement::PlacementRefusal;
@@ -48,6 +48,10 @@
 #[derive(Debug, Default)]
 pub struct StartPlanner {
     customers: SortedTable<CustomerName, CustomerEntry>,
+    /// The share of each customer's quota that is in force in this cell.
+    shares: SortedTable<CustomerName, ResourceSize>,
+    /// What the tasks want that the latest plan left waiting for a share.
+    wants: SortedTable<CustomerName, ShareWant>,
     policy: RoomPolicy,
     estimates: EstimatePolicy,
     sizes: SizeBook,
@@ -62,7 +66,7 @@
 }
 
 impl StartPlanner {
-    /// Takes the customers with this cell's part of their quotas.
+    /// Takes the customers with their whole quotas.
     pub fn set_customers(&mut self, customers: &SortedTable<CustomerName, CustomerEntry>) {
         self.customers = customers.clone();
     }
@@ -78,67 +82,21 @@
         self.standings.iter()
     }
 
-    /// Takes note of what a running task uses.
-    pub fn note_usage(&mut self, record: &JobRecord, used: &ResourceSize) {
-        let order = &record.order;
-        if *used != ResourceSize::default() {
-            self.sizes
-                .note_usage(&order.job, &order.customer, used, &order.size);
-        }
-    }
-
-    /// Takes note of a task that did its work.
-    pub fn note_success(&mut self, worker: &WorkerName, job: &JobName) {
-        self.failures.note_success(worker, job);
-        if let Some(standing) = self.standings.get_mut(worker) {
-            standing.praise();
-        }
-    }
-
-    /// Takes note of a task that failed, and says what that speaks against.
-    pub fn note_failure(
-        &mut self,
-        worker: &WorkerName,
-        job: &JobName,
-        now: MonoTime,
-    ) -> FailureVerdict {
-        let verdict = self.failures.note_failure(worker, job, now);
-        match verdict {
-            FailureVerdict::BadWorker => {
-                let standing = self
-                    .standings
-                    .get_or_insert_with(worker.clone(), Default::default);
-                standing.blame(now);
-            }
-            FailureVerdict::Retry { delay_ms } => {
-                self.not_before
-                    .insert(job.clone(), now.plus_millis(delay_ms));
-            }
-            FailureVerdict::BadJob { .. } => {}
-        }
-        verdict
-    }
-
-    /// Forgets what was learnt of jobs that the cell no longer has.
-    pub fn forget_jobs(&mut self, state: &CellState) {
-        self.submitted.retain(|job, _| state.jobs().contains(job));
-        self.not_before.retain(|job, _| state.jobs().contains(job));
-    }
-
-    /// Forgets the sizes and the failures of a job.
-    pub fn forget_job(&mut self, job: &JobName) {
-        self.sizes.forget_job(job);
-        self.failures.forget_job(job);
-    }
-
     /// Plans starts, at most as many as the view allows.
     pub fn plan(&mut self, view: &PlanView<'_>) -> Vec<PlannedStart> {
         self.note_submitted(view);
         self.pass_time(view.now);
-        let mut book = RoomBook::gather(view, &self.customers, &self.submitted, &self.not_before);
+        let mut book = RoomBook::gather(
+            view,
+            &self.customers,
+            &self.shares,
+            &self.submitted,
+            &self.not_before,
+        );
         book.judge(&self.standings);
         self.maker.mark(&mut book.rooms, view.now);
         self.reasons = SortedTable::new();
+        self.wants = SortedTable::new();
         self.walk(view, &mut book)
     }
 
@@ -180,6 +138,8 @@
                     pass.placed();
                 }
                 Err(refusal) => {
+                    let left = job.tasks.len() - taken.get(&job.name).copied().unwrap_or(0);
+                    let refusal = self.judge_quota(job, size, left, refusal, book);
                     if job.urgent && matches!(refusal, PlacementRefusal::NoRoomNow { .. }) {
                         self.make_room(job, size, view, book);
                     }
--- a/crates/cells/src/state/cell_state.rs
+++ b/crates/cells/src/state/cell_state.rs
@@ -1,6 +1,7 @@
 //! The lasting state of a cell.
 
 mod job_changes;
+mod share_changes;
 mod task_changes;
 
 use serde::Deserialize;
@@ -9,12 +10,15 @@
 use crate::journal::CellTransition;
 use crate::journal::EntryBody;
 use crate::journal::JournalEntry;
+use crate::shares::ShareTotals;
 use crate::state::JobRecord;
 use crate::state::RequestRecord;
 use crate::state::TaskEntry;
 use crate::state::TransitionFault;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellEpoch;
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::CustomerName;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::JobName;
 use sapphirestile_core::JournalSequence;
@@ -47,6 +51,10 @@
     /// The latest attempt of all tasks that are forgotten. A worker may still
     /// hold such an attempt, so that a name which is used again goes on after it.
     forgotten_attempt: AttemptNumber,
+    /// What this cell lends, by customer and borrower.
+    lent: SortedTable<CustomerName, SortedTable<CellNumber, ShareTotals>>,
+    /// What this cell borrows, by customer.
+    borrowed: SortedTable<CustomerName, ShareTotals>,
 }
 
 impl CellState {
@@ -165,6 +173,18 @@
                 known.map(|_| ()).ok_or(TransitionFault::UnknownRequest)
             }
             CellTransition::JobForgotten(job) => self.forget_job(job),
+            CellTransition::ShareLent {
+                customer,
+                borrower,
+                total,
+            } => self.lend_share(customer, *borrower, total),
+            CellTransition::ShareRegained {
+                customer,
+                borrower,
+                total,
+            } => self.regain_share(customer, *borrower, total),
+            CellTransition::ShareBorrowed { customer, total } => self.borrow_share(customer, total),
+            CellTransition::ShareReturned { customer, total } => self.return_share(customer, total),
             CellTransition::RecordsForgotten { before_unix_s } => {
                 self.records
                     .retain(|_, record| record.recorded_unix_s >= *before_unix_s);
--- /dev/null
+++ b/crates/cells/src/state/cell_state/share_changes.rs
@@ -0,0 +1,128 @@
+//! Changes of what a cell lends and borrows.
+
+use crate::shares::ShareCounter;
+use crate::shares::ShareTotals;
+use crate::state::CellState;
+use crate::state::TransitionFault;
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::CustomerName;
+use sapphirestile_core::ResourceSize;
+use sapphirestile_core::SortedTable;
+
+impl CellState {
+    /// What this cell lends of a customer's quota, by borrower.
+    pub fn lent(
+        &self,
+        customer: &CustomerName,
+    ) -> impl Iterator<Item = (CellNumber, &ShareTotals)> {
+        let rows = self.lent.get(customer);
+        rows.into_iter()
+            .flat_map(|rows| rows.iter().map(|(borrower, totals)| (*borrower, totals)))
+    }
+
+    /// What this cell has lent to one borrower.
+    #[must_use]
+    pub fn lent_to(&self, customer: &CustomerName, borrower: CellNumber) -> ShareTotals {
+        let rows = self.lent.get(customer);
+        let totals = rows.and_then(|rows| rows.get(&borrower));
+        totals.copied().unwrap_or_default()
+    }
+
+    /// What all borrowers hold of a customer's quota.
+    #[must_use]
+    pub fn lent_out(&self, customer: &CustomerName) -> ResourceSize {
+        self.lent(customer)
+            .fold(ResourceSize::default(), |sum, (_, totals)| {
+                sum.plus(&totals.held())
+            })
+    }
+
+    /// What this cell borrows, by customer.
+    #[must_use]
+    pub const fn borrowed(&self) -> &SortedTable<CustomerName, ShareTotals> {
+        &self.borrowed
+    }
+
+    pub(super) fn lend_share(
+        &mut self,
+        customer: &CustomerName,
+        borrower: CellNumber,
+        total: &ShareCounter,
+    ) -> Result<(), TransitionFault> {
+        let known = self.lent_to(customer, borrower);
+        grow(&known.lent, total)?;
+        let totals = ShareTotals {
+            lent: *total,
+            ..known
+        };
+        self.put_lent(customer, borrower, totals);
+        Ok(())
+    }
+
+    pub(super) fn regain_share(
+        &mut self,
+        customer: &CustomerName,
+        borrower: CellNumber,
+        total: &ShareCounter,
+    ) -> Result<(), TransitionFault> {
+        let known = self.lent_to(customer, borrower);
+        let totals = with_returned(&known, total)?;
+        self.put_lent(customer, borrower, totals);
+        Ok(())
+    }
+
+    pub(super) fn borrow_share(
+        &mut self,
+        customer: &CustomerName,
+        total: &ShareCounter,
+    ) -> Result<(), TransitionFault> {
+        let known = self.borrowed.get(customer).copied().unwrap_or_default();
+        grow(&known.lent, total)?;
+        let totals = ShareTotals {
+            lent: *total,
+            ..known
+        };
+        self.borrowed.insert(customer.clone(), totals);
+        Ok(())
+    }
+
+    pub(super) fn return_share(
+        &mut self,
+        customer: &CustomerName,
+        total: &ShareCounter,
+    ) -> Result<(), TransitionFault> {
+        let known = self.borrowed.get(customer).copied().unwrap_or_default();
+        let totals = with_returned(&known, total)?;
+        self.borrowed.insert(customer.clone(), totals);
+        Ok(())
+    }
+
+    fn put_lent(&mut self, customer: &CustomerName, borrower: CellNumber, totals: ShareTotals) {
+        let rows = self
+            .lent
+            .get_or_insert_with(customer.clone(), SortedTable::new);
+        rows.insert(borrower, totals);
+    }
+}
+
+fn with_returned(
+    known: &ShareTotals,
+    total: &ShareCounter,
+) -> Result<ShareTotals, TransitionFault> {
+    grow(&known.returned, total)?;
+    if !known.lent.reaches(total) {
+        return Err(TransitionFault::ShareOverdrawn);
+    }
+    Ok(ShareTotals {
+        returned: *total,
+        ..*known
+    })
+}
+
+/// A counter that is told late or twice changes nothing.
+fn grow(known: &ShareCounter, total: &ShareCounter) -> Result<(), TransitionFault> {
+    if total.reaches(known) && total != known {
+        return Ok(());
+    }
+    Err(TransitionFault::CounterBehind)
+}
--- a/crates/cells/src/state/transition_fault.rs
+++ b/crates/cells/src/state/transition_fault.rs
@@ -25,6 +25,10 @@
     QueueFull,
     /// A job has no tasks, or too many.
     TaskCount,
+    /// A counter of shares would not grow.
+    CounterBehind,
+    /// More shares would be returned than were lent.
+    ShareOverdrawn,
 }
 
 impl std::fmt::Display for TransitionFault {
@@ -41,6 +45,8 @@
             Self::UnknownRequest => "the request is not recorded by this daemon",
             Self::QueueFull => "the cell keeps as much as it can",
             Self::TaskCount => "a job has from 1 to 10000 tasks",
+            Self::CounterBehind => "the counter of shares is as far already",
+            Self::ShareOverdrawn => "more would be returned than was lent",
         })
     }
 }
--- /dev/null
+++ b/crates/cells/tests/share_storm/main.rs
@@ -0,0 +1,90 @@
+//! Random runs of the real owners of several cells that share one quota.
+//!
+//! After each event the journals are checked together: what they assign keeps to
+//! the quota, and no side of a pair has counted what the other has not committed.
+
+mod event_queue;
+mod fake_task;
+mod fake_worker;
+mod share_event;
+mod share_seat;
+mod share_world;
+mod waiting_answer;
+
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::ResourceSize;
+use test_case::test_case;
+
+use crate::share_world::CELLS;
+use crate::share_world::QUOTA;
+use crate::share_world::ShareWorld;
+
+const ROUNDS: u32 = 12;
+const ROUND_MS: u64 = 8_000;
+const HEAL_MS: u64 = 200_000;
+const REST_MS: u64 = 130_000;
+
+/// Jobs come to cells at random while messages and owners fail. Then nothing
+/// fails any more: all tasks end, every share returns to its lender, and nothing
+/// more is written.
+#[test_case(1..7)]
+#[test_case(7..13)]
+#[test_case(13..19)]
+#[test_case(19..25)]
+fn shares_outlive_every_fault(seeds: std::ops::Range<u64>) {
+    for seed in seeds {
+        let mut world = ShareWorld::new(seed);
+        for round in 0..ROUNDS {
+            let cell = world.draw_cell();
+            world.submit(cell, &format!("job-{round}"), 10);
+            world.run(ROUND_MS);
+        }
+        assert!(world.kills > 5 && world.repeats > 5, "seed {seed} is calm");
+        world.faulty = false;
+        world.run(HEAL_MS);
+        assert_eq!(world.open_tasks(), 0, "seed {seed}: tasks wait for good");
+        let held = world.lent_out();
+        assert_eq!(
+            held,
+            ResourceSize::default(),
+            "seed {seed}: shares are lost"
+        );
+        let entries = world.entries();
+        world.run(REST_MS);
+        assert_eq!(world.entries(), entries, "seed {seed}: written at rest");
+    }
+}
+
+/// One job in one cell, whichever it is, comes to use the whole quota.
+#[test]
+fn one_job_gets_the_whole_quota() {
+    for cell in 0..CELLS {
+        let mut world = ShareWorld::new(100 + u64::from(cell));
+        world.faulty = false;
+        world.submit(CellNumber::new(cell), "large", 60);
+        world.run(60_000);
+        let peak = world.peaks[usize::from(cell)];
+        assert_eq!(peak.accelerators, QUOTA.accelerators, "cell {cell}");
+        assert_eq!(world.open_tasks(), 0);
+    }
+}
+
+/// A cell whose tasks came after another had the whole quota gets its turn while
+/// the other still has tasks waiting.
+#[test]
+fn a_late_cell_gets_its_part_of_a_quota_in_use() {
+    for seed in 200..206 {
+        let mut world = ShareWorld::new(seed);
+        world.faulty = false;
+        let first = world.draw_cell();
+        let second = CellNumber::new((first.get() + 1) % CELLS);
+        world.submit(first, "large", 400);
+        world.run(10_000);
+        world.submit(second, "late", 40);
+        world.run(25_000);
+        let peak = world.peaks[usize::from(second.get())];
+        let part = QUOTA.accelerators / u32::from(CELLS);
+        assert!(peak.accelerators >= part, "seed {seed}: {peak:?}");
+        assert!(world.seat(first).open_tasks() > 0, "seed {seed}: too late");
+    }
+}
--- a/crates/core/src/resource_size.rs
+++ b/crates/core/src/resource_size.rs
@@ -53,4 +53,48 @@
             accelerators: self.accelerators.saturating_sub(other.accelerators),
         }
     }
+
+    /// The smaller of both sizes in each dimension.
+    #[must_use]
+    pub fn at_most(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// The larger of both sizes in each dimension.
+    #[must_use]
+    pub fn at_least(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// One of `parts` equal parts, rounded down.
+    ///
+    /// # Panics
+    ///
+    /// When `parts` is zero.
+    #[must_use]
+    pub const fn part_of(&self, parts: u32) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli / parts as u64,
+            memory_mb: self.memory_mb / parts as u64,
+            accelerators: self.accelerators / parts,
+        }
+    }
+
+    /// This size `count` times, at most the largest number of each dimension.
+    #[must_use]
+    pub const fn times(&self, count: u32) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(count as u64),
+            memory_mb: self.memory_mb.saturating_mul(count as u64),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
 }
--- a/crates/daemon/src/cells.rs
+++ b/crates/daemon/src/cells.rs
@@ -5,7 +5,8 @@
 //! [`LoadedCell`] from its [`CellJournal`], commits the claim and starts a
 //! [`CellKeeper`], a thread with an open [`sapphirestile_cells::CellOwner`]. The
 //! keeper takes [`KeeperEvent`]s: calls of operators and peers, answers of
-//! workers from the [`WorkerPool`], and outcomes of commits from its
+//! workers from the [`WorkerPool`], answers of lenders of quotas from the
+//! [`SharePool`] (both among its [`KeeperPools`]), and outcomes of commits from its
 //! [`JournalWriter`]. The [`KeeperDirectory`] lists the keepers; a [`CellDesk`]
 //! brings a call to the keeper of its cell, here or at a peer.
 
@@ -24,8 +25,11 @@
 mod keeper_dump;
 mod keeper_event;
 mod keeper_handle;
+mod keeper_pools;
 mod loaded_cell;
 mod reply_queue;
+mod share_call;
+mod share_pool;
 mod waiting_reply;
 mod worker_call;
 mod worker_pool;
@@ -44,8 +48,11 @@
 pub use keeper_dump::KeeperDump;
 pub use keeper_event::KeeperEvent;
 pub use keeper_handle::KeeperHandle;
+pub use keeper_pools::KeeperPools;
 pub use loaded_cell::LoadedCell;
 pub use reply_queue::ReplyQueue;
+pub use share_call::ShareCall;
+pub use share_pool::SharePool;
 pub use waiting_reply::WaitingReply;
 pub use worker_call::WorkerCall;
 pub use worker_pool::WorkerPool;
--- a/crates/daemon/src/cells/cell_director.rs
+++ b/crates/daemon/src/cells/cell_director.rs
@@ -19,7 +19,7 @@
 use crate::cells::JournalWriter;
 use crate::cells::KeeperEvent;
 use crate::cells::KeeperHandle;
-use crate::cells::WorkerPool;
+use crate::cells::KeeperPools;
 use crate::context::DaemonContext;
 use sapphirestile_cells::CellMap;
 use sapphirestile_cells::CellOwner;
@@ -37,7 +37,7 @@
 /// Claims cells that nobody owns, and gives cells up at a planned stop.
 pub struct CellDirector {
     context: Arc<DaemonContext>,
-    pool: WorkerPool,
+    pools: KeeperPools,
     started: MonoTime,
     /// When a cell was last given up for the sake of balance.
     balanced: MonoTime,
@@ -46,11 +46,11 @@
 impl CellDirector {
     /// A director for one daemon.
     #[must_use]
-    pub fn new(context: Arc<DaemonContext>, pool: WorkerPool) -> Self {
+    pub fn new(context: Arc<DaemonContext>, pools: KeeperPools) -> Self {
         let started = context.clock.now();
         Self {
             context,
-            pool,
+            pools,
             started,
             balanced: started,
         }
@@ -203,10 +203,10 @@
             epoch,
             events: answers.clone(),
         };
-        let pool = self.pool.clone();
+        let pools = self.pools.clone();
         let context = Arc::clone(&self.context);
         let channel = (answers, events);
-        let keeper = CellKeeper::new(Arc::clone(&context), owner, pool, batches, channel);
+        let keeper = CellKeeper::new(Arc::clone(&context), owner, pools, batches, channel);
         self.context
             .keepers
             .update(|keepers| keepers.with(cell, handle));
--- a/crates/daemon/src/cells/cell_keeper.rs
+++ b/crates/daemon/src/cells/cell_keeper.rs
@@ -16,7 +16,9 @@
 use crate::cells::JournalOutcome;
 use crate::cells::KeeperDump;
 use crate::cells::KeeperEvent;
+use crate::cells::KeeperPools;
 use crate::cells::ReplyQueue;
+use crate::cells::SharePool;
 use crate::cells::WorkerPool;
 use crate::context::DaemonContext;
 use sapphirestile_cells::CellOwner;
@@ -37,6 +39,7 @@
     context: Arc<DaemonContext>,
     owner: CellOwner<OpenPhase>,
     pool: WorkerPool,
+    shares: SharePool,
     batches: Sender<JournalBatch>,
     events: Receiver<KeeperEvent>,
     /// Where the pool and the writer answer.
@@ -71,7 +74,7 @@
     pub fn new(
         context: Arc<DaemonContext>,
         owner: CellOwner<OpenPhase>,
-        pool: WorkerPool,
+        pools: KeeperPools,
         batches: Sender<JournalBatch>,
         (answers, events): (Sender<KeeperEvent>, Receiver<KeeperEvent>),
     ) -> Self {
@@ -79,7 +82,8 @@
         Self {
             context,
             owner,
-            pool,
+            pool: pools.workers,
+            shares: pools.shares,
             batches,
             events,
             answers,
@@ -157,6 +161,11 @@
                 self.owner.session_lost(worker.as_str(), ordinal);
             }
             KeeperEvent::StartAnswered(worker) => self.owner.start_answered(worker.as_str()),
+            KeeperEvent::SharesLent { lender, answers } => {
+                let now = self.context.clock.now();
+                self.owner.take_shares(lender, &answers, now);
+            }
+            KeeperEvent::SharesLost { lender } => self.owner.shares_lost(lender),
             KeeperEvent::Committed(outcome) => self.take_outcome(outcome),
             KeeperEvent::Deposed => self.deposed = true,
             KeeperEvent::Dump(reply) => {
--- a/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_calls.rs
@@ -43,6 +43,10 @@
                     Err(fault) => not_run(fault),
                 }
             }
+            PeerRequest::ReportShares(_, report) => {
+                let now = self.context.clock.now();
+                PeerAnswer::Shares(self.owner.lend_shares(report, now))
+            }
             PeerRequest::Ping | PeerRequest::Document(_) | PeerRequest::CloseMember(_) => {
                 PeerAnswer::Pong
             }
--- a/crates/daemon/src/cells/cell_keeper/keeper_steps.rs
+++ b/crates/daemon/src/cells/cell_keeper/keeper_steps.rs
@@ -3,17 +3,13 @@
 use crate::cells::CellKeeper;
 use crate::cells::EntryTally;
 use crate::cells::JournalBatch;
+use crate::cells::ShareCall;
 use crate::cells::WorkerCall;
 use crate::context::MonoClock;
 use sapphirestile_cells::CellEffect;
-use sapphirestile_cells::CellMap;
 use sapphirestile_cells::CellTransition;
 use sapphirestile_cells::EntryBody;
 use sapphirestile_cells::JournalEntry;
-use sapphirestile_core::CustomerEntry;
-use sapphirestile_core::CustomerName;
-use sapphirestile_core::ResourceSize;
-use sapphirestile_core::SortedTable;
 use sapphirestile_core::WorkerName;
 
 const COMMIT_INTERVAL_MS: u64 = 250;
@@ -26,6 +22,7 @@
         self.refresh_workers();
         if !self.stopping {
             self.renew_sessions();
+            self.report_shares();
         }
         self.send_stops();
         if self.commit_due() {
@@ -49,8 +46,8 @@
             map.cell_of_worker(worker) == cell
         });
         self.owner.set_workers(&facts, read);
-        self.owner
-            .set_customers(&shares_of(&document.document().customers, map));
+        self.owner.set_cells(map);
+        self.owner.set_customers(&document.document().customers);
         self.revision = document.revision();
         self.listed = Some(read);
     }
@@ -62,6 +59,14 @@
         }
     }
 
+    fn report_shares(&mut self) {
+        let now = self.context.clock.now();
+        for order in self.owner.due_shares(now) {
+            let events = self.answers.clone();
+            self.shares.call(ShareCall { order, events });
+        }
+    }
+
     fn send_stops(&mut self) {
         for order in self.owner.due_stops() {
             self.call_worker(CellEffect::Stop(order));
@@ -137,26 +142,6 @@
         .any(|change| matches!(change, CellTransition::TaskAssigned { .. }))
 }
 
-/// This cell's part of each quota: names spread jobs evenly over the cells.
-fn shares_of(
-    customers: &SortedTable<CustomerName, CustomerEntry>,
-    map: CellMap,
-) -> SortedTable<CustomerName, CustomerEntry> {
-    let cells = map.count();
-    let share = |entry: &CustomerEntry| CustomerEntry {
-        quota: ResourceSize {
-            cpu_milli: entry.quota.cpu_milli / u64::from(cells),
-            memory_mb: entry.quota.memory_mb / u64::from(cells),
-            accelerators: entry.quota.accelerators.div_ceil(u32::from(cells)),
-        },
-        ..*entry
-    };
-    customers
-        .iter()
-        .map(|(name, entry)| (name.clone(), share(entry)))
-        .collect()
-}
-
 const fn worker_of(effect: &CellEffect) -> &WorkerName {
     match effect {
         CellEffect::Session(order) => &order.worker,
--- a/crates/daemon/src/cells/keeper_event.rs
+++ b/crates/daemon/src/cells/keeper_event.rs
@@ -5,7 +5,9 @@
 use crate::cells::JournalOutcome;
 use crate::cells::KeeperCall;
 use crate::cells::KeeperDump;
+use sapphirestile_cells::ShareAnswer;
 use sapphirestile_cells::TaskSighting;
+use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
@@ -38,6 +40,18 @@
     },
     /// A start was answered, or its answer was lost.
     StartAnswered(WorkerName),
+    /// A lender of quotas has answered.
+    SharesLent {
+        /// The cell that lends.
+        lender: CellNumber,
+        /// What it answers.
+        answers: Vec<ShareAnswer>,
+    },
+    /// A lender of quotas has not answered.
+    SharesLost {
+        /// The cell that lends.
+        lender: CellNumber,
+    },
     /// The outcome of the entry in flight.
     Committed(JournalOutcome),
     /// Another daemon has claimed the cell.
--- a/crates/daemon/src/cycle/daemon_threads.rs
+++ b/crates/daemon/src/cycle/daemon_threads.rs
@@ -11,7 +11,7 @@
 use tracing::warn;
 
 use crate::cells::CellDirector;
-use crate::cells::WorkerPool;
+use crate::cells::KeeperPools;
 use crate::context::DaemonContext;
 use crate::cycle::PeerPorts;
 use crate::members::DatagramReceiver;
@@ -75,8 +75,8 @@
 }
 
 pub(super) fn start_cells(context: &Arc<DaemonContext>, stopped: &Receiver<()>) {
-    let pool = WorkerPool::start(context);
-    let mut director = CellDirector::new(Arc::clone(context), pool);
+    let pools = KeeperPools::start(context);
+    let mut director = CellDirector::new(Arc::clone(context), pools);
     let stop = stopped.clone();
     thread::spawn(move || director.run(&stop));
 }
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -116,7 +116,8 @@
         | PeerRequest::Explain(cell, _, _)
         | PeerRequest::ListJobs(cell)
         | PeerRequest::RecordRequest(cell, _, _)
-        | PeerRequest::WithdrawRequest(cell, _, _) => *cell,
+        | PeerRequest::WithdrawRequest(cell, _, _)
+        | PeerRequest::ReportShares(cell, _) => *cell,
     };
     CellDesk::new(context).call_here(cell, &sender, frame.body)
 }
--- a/crates/wire/src/peer/peer_answer.rs
+++ b/crates/wire/src/peer/peer_answer.rs
@@ -8,6 +8,7 @@
 use crate::api::JobView;
 use crate::api::StoredDocument;
 use crate::peer::PeerFault;
+use sapphirestile_cells::ShareAnswer;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::JournalSequence;
@@ -41,6 +42,8 @@
     Withdrawn,
     /// The request was recorded before and must not be sent again.
     AlreadyRecorded,
+    /// What a lender has lent.
+    Shares(Vec<ShareAnswer>),
     /// The call failed.
     Fault(PeerFault),
 }
--- a/crates/wire/src/peer/peer_request.rs
+++ b/crates/wire/src/peer/peer_request.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::api::JobSubmission;
+use sapphirestile_cells::ShareReport;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::DaemonIdentity;
@@ -34,4 +35,6 @@
     RecordRequest(CellNumber, RequestKey, u64),
     /// Takes the record of a request back that was not run.
     WithdrawRequest(CellNumber, RequestKey, u64),
+    /// Tells a lender of quotas what a cell holds and wants of them.
+    ReportShares(CellNumber, ShareReport),
 }
