--- a/crates/cells/tests/owner/main.rs
+++ b/crates/cells/tests/owner/main.rs
@@ -1,10 +1,13 @@
 //! Scenes of an owner: what it proposes, and what it asks of workers.
 
 mod adopting;
+mod borrowing;
 mod committing;
 mod forgetting;
+mod lending;
 mod owner_bench;
 mod reporting;
+mod share_bench;
 mod silent;
 mod sizing;
 mod urgent;
