--- a/crates/daemon/tests/failures/support.rs
+++ b/crates/daemon/tests/failures/support.rs
@@ -21,7 +21,7 @@
     ("entry-3", "far-c"),
 ];
 const LIMITS: &str = "heartbeat_ms = 100\nsuspect_ms = 1000\n";
-/// The cells of the fleet's document.
+/// The cells of the document, unless a scene's plan says otherwise.
 pub const CELLS: usize = 1;
 
 /// A platform, and three daemons that own every cell.
@@ -42,6 +42,7 @@
 
     /// The same, with other limits in the daemons' settings.
     pub fn set_limited(name: &str, plan: FleetPlan, limits: &str) -> (Self, Vec<RelayLink>) {
+        let cells = usize::from(plan.cells);
         let mut scene = SceneFleet::start(DAEMON, &format!("{FOLDER}/{name}"), plan);
         scene.set_limits(limits);
         let mut daemons: Vec<DaemonProcess> = Vec::new();
@@ -54,7 +55,7 @@
         }
         let stage = Self { scene, daemons };
         stage.scene.put_document(stage.daemons[0].operators());
-        stage.scene.wait_owned(&stage.operators(), CELLS);
+        stage.scene.wait_owned(&stage.operators(), cells);
         (stage, links)
     }
 
--- a/crates/specification/src/check_run/list_cases.rs
+++ b/crates/specification/src/check_run/list_cases.rs
@@ -7,6 +7,8 @@
 use crate::check_run::CheckCase;
 use crate::request_record::RecordModel;
 use crate::request_record::RecordMutation;
+use crate::share_lending::ShareModel;
+use crate::share_lending::ShareMutation;
 use crate::token_handover::TokenModel;
 use crate::token_handover::TokenMutation;
 use crate::zone_out::ZoneOutModel;
@@ -45,6 +47,11 @@
                 "small",
                 RecordModel::small(None),
             ));
+            cases.push(CheckCase::new(
+                "share-lending",
+                "small",
+                ShareModel::small(None),
+            ));
             cases
         }
         BoundsName::Large => {
@@ -64,6 +71,11 @@
                 "large",
                 RecordModel::large(None),
             ));
+            cases.push(CheckCase::new(
+                "share-lending",
+                "large",
+                ShareModel::large(None),
+            ));
             cases
         }
         BoundsName::Mutations => mutation_cases(),
@@ -102,5 +114,9 @@
         let model = RecordModel::small(Some(mutation));
         cases.push(CheckCase::new("request-record", name, model));
     }
+    for (name, mutation) in ShareMutation::ALL {
+        let model = ShareModel::small(Some(mutation));
+        cases.push(CheckCase::new("share-lending", name, model));
+    }
     cases
 }
--- a/crates/specification/src/lib.rs
+++ b/crates/specification/src/lib.rs
@@ -1,8 +1,9 @@
 //! Small specification of the core protocol, searched exhaustively.
 //!
-//! Four protocols are written as a [`ProtocolModel`]: cells and their workers
+//! Five protocols are written as a [`ProtocolModel`]: cells and their workers
 //! ([`OwnershipModel`]), a zone that is taken out ([`ZoneOutModel`]), tokens of a
-//! runner ([`TokenModel`]) and requests that run at most once ([`RecordModel`]).
+//! runner ([`TokenModel`]), requests that run at most once ([`RecordModel`]) and
+//! shares of a quota ([`ShareModel`]).
 //! [`explore_model`] visits every state within the bounds and gives a
 //! [`SearchReport`]. Each protocol has mutations, rules that are left out, for
 //! which the search has to find a trace. [`list_cases`] names every search, and
@@ -15,6 +16,7 @@
 mod protocol_model;
 mod request_record;
 mod search;
+mod share_lending;
 mod small_bag;
 mod token_handover;
 mod zone_out;
@@ -55,6 +57,14 @@
 pub use search::SearchReport;
 pub use search::SearchVerdict;
 pub use search::explore_model;
+pub use share_lending::BorrowerCell;
+pub use share_lending::BorrowerTotals;
+pub use share_lending::LenderCell;
+pub use share_lending::LenderTotals;
+pub use share_lending::ShareAction;
+pub use share_lending::ShareModel;
+pub use share_lending::ShareMutation;
+pub use share_lending::ShareState;
 pub use token_handover::ClosedCount;
 pub use token_handover::MemberLife;
 pub use token_handover::TokenAction;
--- a/crates/specification/tests/mutations_break.rs
+++ b/crates/specification/tests/mutations_break.rs
@@ -6,6 +6,8 @@
 use sapphirestile_specification::ProtocolModel;
 use sapphirestile_specification::RecordModel;
 use sapphirestile_specification::RecordMutation;
+use sapphirestile_specification::ShareModel;
+use sapphirestile_specification::ShareMutation;
 use sapphirestile_specification::TokenModel;
 use sapphirestile_specification::TokenMutation;
 use sapphirestile_specification::ZoneOutModel;
@@ -22,6 +24,7 @@
 const ZONE_OUT: &str = "no start later than the permit age after the zone went out";
 const SLOTS: &str = "requests at the runner fit its slots";
 const ONCE: &str = "a request runs at most once";
+const QUOTA: &str = "running tasks fit the quota";
 
 fn broken_property(model: &impl ProtocolModel) -> Option<&'static str> {
     explore_model(model).verdict.broken_property()
@@ -87,3 +90,14 @@
     let model = RecordModel::small(Some(mutation));
     assert_eq!(broken_property(&model), Some(property));
 }
+
+#[test_case(ShareMutation::LentBeforeCommit, QUOTA)]
+#[test_case(ShareMutation::ReturnedBeforeCommit, QUOTA)]
+#[test_case(ShareMutation::BorrowerAdds, QUOTA)]
+#[test_case(ShareMutation::OwnUseLent, QUOTA)]
+#[test_case(ShareMutation::UsedReturned, QUOTA)]
+#[test_case(ShareMutation::ToldByItsOwnerOnly, "heals")]
+fn shares_need_the_rule(mutation: ShareMutation, property: &str) {
+    let model = ShareModel::small(Some(mutation));
+    assert_eq!(broken_property(&model), Some(property));
+}
--- a/crates/specification/tests/properties_hold.rs
+++ b/crates/specification/tests/properties_hold.rs
@@ -5,6 +5,7 @@
 use sapphirestile_specification::ProtocolModel;
 use sapphirestile_specification::RecordModel;
 use sapphirestile_specification::SearchVerdict;
+use sapphirestile_specification::ShareModel;
 use sapphirestile_specification::TokenModel;
 use sapphirestile_specification::ZoneOutModel;
 use sapphirestile_specification::explore_model;
@@ -57,3 +58,8 @@
 fn a_request_runs_at_most_once() {
     assert_holds(&RecordModel::small(None), 15_000);
 }
+
+#[test]
+fn shares_return_and_fit_the_quota() {
+    assert_holds(&ShareModel::small(None), 31_000);
+}
--- a/crates/standins/src/fleet/fleet_plan.rs
+++ b/crates/standins/src/fleet/fleet_plan.rs
@@ -2,6 +2,7 @@
 
 use crate::runner::RunnerSettings;
 use crate::worker::WorkerSettings;
+use sapphirestile_core::ResourceSize;
 
 /// What a fleet of stand-ins consists of.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,6 +19,10 @@
     pub worker: WorkerSettings,
     /// Whether requests of the service may run twice.
     pub idempotent: bool,
+    /// How many cells the document has.
+    pub cells: u16,
+    /// The quota of the customer.
+    pub quota: ResourceSize,
 }
 
 impl Default for FleetPlan {
@@ -29,6 +34,12 @@
             runner: RunnerSettings::default(),
             worker: WorkerSettings::default(),
             idempotent: true,
+            cells: 1,
+            quota: ResourceSize {
+                cpu_milli: 4_000_000,
+                memory_mb: 16_000_000,
+                accelerators: 0,
+            },
         }
     }
 }
--- a/crates/standins/src/fleet/standin_fleet.rs
+++ b/crates/standins/src/fleet/standin_fleet.rs
@@ -17,6 +17,7 @@
 use crate::vms::VmStandin;
 use crate::worker::WorkerStandin;
 use sapphirestile_core::RackName;
+use sapphirestile_core::ResourceSize;
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::StepError;
 use sapphirestile_core::ZoneName;
@@ -114,10 +115,10 @@
         self.change(|records| records.retain(|record| record.name != name));
     }
 
-    /// A document that fits the fleet, with one cell.
+    /// A document that fits the fleet.
     #[must_use]
     pub fn document(&self) -> String {
-        let mut text = "[cells]\ncount = 1\n".to_owned();
+        let mut text = format!("[cells]\ncount = {}\n", self.plan.cells);
         let mut regions: Vec<&str> = self.plan.zones.iter().map(|(_, region)| *region).collect();
         regions.dedup();
         // Writing into a text cannot fail.
@@ -133,10 +134,15 @@
             "[service {}]\nslots = {slots}\nconnections = 64\nidempotent = {idempotent}",
             Self::SERVICE
         );
-        let customer = Self::CUSTOMER;
+        let (customer, quota) = (Self::CUSTOMER, self.plan.quota);
+        let ResourceSize {
+            cpu_milli,
+            memory_mb,
+            accelerators,
+        } = quota;
         let _written = writeln!(
             text,
-            "[customer {customer}]\ncpu_milli = 4000000\nmemory_mb = 16000000"
+            "[customer {customer}]\ncpu_milli = {cpu_milli}\nmemory_mb = {memory_mb}\naccelerators = {accelerators}"
         );
         text
     }
