Refuse a number of cells that leaves one without a worker

A cell without a worker never starts its jobs, and the first document settles the number of cells for good: six workers over eight cells left some empty with no word said. A first document is now refused when workers are listed and a cell would have none of them, with the cells named, and `status` names cells that lost their last worker since.

Giving workers to cells by their rank among those listed was ruled out: a worker that comes or goes would move others while they have tasks.

--- a/crates/capacity/src/messages.rs
+++ b/crates/capacity/src/messages.rs
@@ -3,6 +3,7 @@
 mod cell_sizes;
 mod document_sizes;
 mod peer_sizes;
+mod share_sizes;
 
 use crate::ResultTable;
 use crate::SizeScale;
@@ -15,7 +16,7 @@
 /// use sapphirestile_capacity::SizeScale;
 /// use sapphirestile_capacity::message_sizes;
 ///
-/// assert_eq!(message_sizes(SizeScale::Smallest).len(), 8);
+/// assert_eq!(message_sizes(SizeScale::Smallest).len(), 10);
 /// ```
 #[must_use]
 pub fn message_sizes(scale: SizeScale) -> Vec<ResultTable> {
@@ -25,6 +26,8 @@
         peer_sizes::token_ledgers(scale),
         cell_sizes::entries(scale),
         cell_sizes::snapshots(scale),
+        share_sizes::snapshots(scale),
+        share_sizes::messages(scale),
         document_sizes::documents(scale),
         document_sizes::vm_lists(scale),
         document_sizes::session_bodies(scale),
--- a/crates/cells/src/map/cell_map.rs
+++ b/crates/cells/src/map/cell_map.rs
@@ -51,6 +51,25 @@
         self.cell_of("worker", worker)
     }
 
+    /// The cells that none of the workers belongs to; their jobs never start.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_cells::CellMap;
+    ///
+    /// let workers = ["worker-1", "worker-2", "worker-3"];
+    /// assert_eq!(CellMap::new(1).empty_cells(workers.into_iter()), []);
+    /// assert!(CellMap::new(4).empty_cells(workers.into_iter()).len() >= 1);
+    /// ```
+    pub fn empty_cells<'w>(self, workers: impl Iterator<Item = &'w str>) -> Vec<CellNumber> {
+        let mut taken: Vec<CellNumber> = workers.map(|name| self.cell_of_worker(name)).collect();
+        taken.sort_unstable();
+        taken.dedup();
+        let is_empty = |cell: &CellNumber| taken.binary_search(cell).is_err();
+        self.cells().filter(is_empty).collect()
+    }
+
     /// The cell that a job belongs to.
     #[must_use]
     pub fn cell_of_job(self, job: &str) -> CellNumber {
--- a/crates/command/src/commands/status_command.rs
+++ b/crates/command/src/commands/status_command.rs
@@ -8,6 +8,7 @@
 use crate::operations::read_view;
 use crate::output::CommandOutput;
 use crate::output::TextTable;
+use sapphirestile_core::CellNumber;
 use sapphirestile_wire::api::DaemonStatus;
 
 /// Shows the state of a daemon.
@@ -53,6 +54,11 @@
     ] {
         table.push([name.to_owned(), value]);
     }
+    if !status.empty_cells.is_empty() {
+        let empty = status.empty_cells.iter().map(CellNumber::to_string);
+        let empty = empty.collect::<Vec<_>>().join(", ");
+        table.push(["without workers".to_owned(), format!("cells {empty}")]);
+    }
     let mut members = TextTable::new(&["MEMBER", "INCARNATION", "ADDRESS", "SILENT"]);
     for member in &status.members {
         members.push([
--- a/crates/command/tests/tool/views.rs
+++ b/crates/command/tests/tool/views.rs
@@ -102,6 +102,18 @@
     assert_eq!(daemon.calls(), [format!("GET {path}")]);
 }
 
+#[test]
+fn cells_without_workers_are_shown() {
+    let mut body = status();
+    body["empty_cells"] = json!([2, 5]);
+    let daemon = FakeDaemon::answering(vec![FakeAnswer::Whole(200, body)]);
+    let run = run_against(&[daemon.address], &["status"]);
+    let mut lines = run.out.lines();
+    let line = lines.find(|line| line.starts_with("without workers"));
+    let words = line.map(|line| line.split_whitespace().collect::<Vec<_>>());
+    assert_eq!(words.unwrap(), ["without", "workers", "cells", "2,", "5"]);
+}
+
 #[test_case(&["--json", "status"], status(), &status(); "status")]
 #[test_case(&["--json", "zones"], status(), &status()["zones"]; "zones")]
 #[test_case(&["--json", "services"], status(), &status()["services"]; "services")]
--- a/crates/daemon/src/document/document_writer.rs
+++ b/crates/daemon/src/document/document_writer.rs
@@ -9,14 +9,12 @@
 use crate::context::DaemonContext;
 use crate::context::MonoClock;
 use crate::context::StoreKeys;
+use crate::document::CellsCheck;
 use crate::document::ChangeOutcome;
 use crate::document::InForceDocument;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::DocumentCycle;
 use sapphirestile_core::DocumentEdit;
-use sapphirestile_core::DocumentFault;
-use sapphirestile_core::IniFault;
-use sapphirestile_core::OperatorDocument;
 use sapphirestile_core::ZoneName;
 use sapphirestile_platform::store::CommitAnswer;
 use sapphirestile_platform::store::StoreCommit;
@@ -57,7 +55,9 @@
             Ok(current) => current,
             Err(error) => return ChangeOutcome::NotRun(error.to_string()),
         };
-        if let Err(fault) = check_cells(&current, checked.document()) {
+        let vms = self.context.vms.load();
+        let check = CellsCheck::new(&current, &vms);
+        if let Err(fault) = check.check(checked.document()) {
             return ChangeOutcome::Refused(fault);
         }
         if change.dry_run {
@@ -194,21 +194,3 @@
         ChangeOutcome::Conflict(current.view())
     })
 }
-
-/// Workers and jobs are spread over the cells by a hash, so that another number
-/// of cells would put them elsewhere while they run.
-fn check_cells(current: &InForceDocument, next: &OperatorDocument) -> Result<(), DocumentFault> {
-    let (known, wanted) = (current.document().cells.count, next.cells.count);
-    if current.stored().is_none() || known == wanted {
-        return Ok(());
-    }
-    let fault = IniFault {
-        section: "cells".to_owned(),
-        key: "count".to_owned(),
-        value: wanted.to_string(),
-        expected: format!("{known}, as in force"),
-    };
-    Err(DocumentFault {
-        faults: vec![fault],
-    })
-}
--- a/crates/daemon/src/operators/status_calls.rs
+++ b/crates/daemon/src/operators/status_calls.rs
@@ -7,6 +7,7 @@
 use crate::context::DaemonContext;
 use crate::serving::HttpReply;
 use sapphirestile_cells::TaskEntry;
+use sapphirestile_core::CellNumber;
 use sapphirestile_core::OperatorDocument;
 use sapphirestile_core::SortedTable;
 use sapphirestile_wire::api::DaemonPhase;
@@ -84,6 +85,7 @@
                 .into_iter()
                 .map(|(cell, epoch)| OwnedCell { cell, epoch })
                 .collect(),
+            empty_cells: self.empty_cells(),
             members: self.members(),
             zones: zones_of(document.document()),
             services: self.services(document.document()),
@@ -91,6 +93,12 @@
         }
     }
 
+    fn empty_cells(&self) -> Vec<CellNumber> {
+        let vms = self.context.vms.load();
+        let map = self.context.map();
+        map.map_or_else(Vec::new, |map| map.empty_cells(vms.worker_names()))
+    }
+
     fn members(&self) -> Vec<MemberStatus> {
         let now = self.context.clock.now();
         let members = self.context.members.load();
--- a/crates/daemon/src/vms/vm_table.rs
+++ b/crates/daemon/src/vms/vm_table.rs
@@ -50,6 +50,14 @@
         self.rows.get(name)?.address.parse().ok()
     }
 
+    /// The names of all workers, those of no use now among them.
+    pub fn worker_names(&self) -> impl Iterator<Item = &str> {
+        let workers = self.rows.values();
+        workers
+            .filter(|record| record.kind == VmKind::Worker)
+            .map(|record| record.name.as_str())
+    }
+
     /// The workers for which `belongs` holds, with whether each takes work.
     #[must_use]
     pub fn workers(
--- a/crates/wire/src/api/daemon_status.rs
+++ b/crates/wire/src/api/daemon_status.rs
@@ -9,6 +9,7 @@
 use crate::api::QueueStatus;
 use crate::api::ServiceStatus;
 use crate::api::ZoneStatus;
+use sapphirestile_core::CellNumber;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::DaemonName;
 use sapphirestile_core::IncarnationNumber;
@@ -31,6 +32,9 @@
     pub store_reachable: bool,
     /// The cells that it owns.
     pub cells: Vec<OwnedCell>,
+    /// The cells of the whole system that no listed worker belongs to.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub empty_cells: Vec<CellNumber>,
     /// The members that it knows, itself not among them.
     pub members: Vec<MemberStatus>,
     /// The zones of the document in force.
