Give eight threads to the calls of lenders

A call that moves a share waits for the lender's commit, so four threads moved 16 shares a second a daemon at the most, by arithmetic; eight move 32.

--- a/crates/daemon/src/cells/share_pool.rs
+++ b/crates/daemon/src/cells/share_pool.rs
@@ -15,7 +15,7 @@
 use sapphirestile_wire::peer::PeerAnswer;
 use sapphirestile_wire::peer::PeerRequest;
 
-const POOL_THREADS: usize = 4;
+const POOL_THREADS: usize = 8;
 
 /// Calls lenders beside the keepers' threads. A keeper has one call to each
 /// lender under way at a time, which bounds the queue.
