--- a/crates/cells/src/owner/cell_owner.rs
+++ b/crates/cells/src/owner/cell_owner.rs
@@ -4,6 +4,8 @@
 mod batch_commits;
 mod forgetting;
 mod pressure_steps;
+mod share_borrowing;
+mod share_lending;
 mod start_planning;
 mod task_proposals;
 mod worker_list;
@@ -112,10 +114,11 @@
             state,
             ..
         } = self;
-        let phase = OpenPhase {
+        let mut phase = OpenPhase {
             assigned: AssignedBook::of(&state),
             ..OpenPhase::default()
         };
+        phase.shares.committed = state.borrowed().clone();
         CellOwner {
             cell,
             identity,
--- a/crates/cells/tests/owner/main.rs
+++ b/crates/cells/tests/owner/main.rs
@@ -1,12 +1,15 @@
 //! Scenes of an owner: what it proposes, and what it asks of workers.
 
 mod adopting;
+mod borrowing;
 mod committing;
 mod forgetting;
+mod lending;
 mod merging;
 mod owner_bench;
 mod pressure;
 mod reporting;
+mod share_bench;
 mod silent;
 mod sizing;
 mod urgent;
--- a/crates/daemon/src/cells.rs
+++ b/crates/daemon/src/cells.rs
@@ -5,7 +5,9 @@
 //! [`LoadedCell`] from its [`CellJournal`], commits the claim and starts a
 //! [`CellKeeper`], a thread with an open [`sapphirestile_cells::CellOwner`]. The
 //! keeper takes [`KeeperEvent`]s: calls of operators and peers, answers of
-//! workers from the [`WorkerPool`] with its [`CallPool`] of threads, and outcomes of commits from its
+//! workers from the [`WorkerPool`] with its [`CallPool`] of threads, answers of
+//! lenders of quotas from the [`SharePool`] (both among its [`KeeperPools`]), and
+//! outcomes of commits from its
 //! [`JournalWriter`]. The [`KeeperDirectory`] lists the keepers; a [`CellDesk`]
 //! brings a call to the keeper of its cell, here or at a peer.
 
@@ -25,9 +27,12 @@
 mod keeper_dump;
 mod keeper_event;
 mod keeper_handle;
+mod keeper_pools;
 mod loaded_cell;
 mod pool_sizes;
 mod reply_queue;
+mod share_call;
+mod share_pool;
 mod throttle_dump;
 mod waiting_reply;
 mod worker_call;
@@ -49,9 +54,12 @@
 pub use keeper_dump::KeeperDump;
 pub use keeper_event::KeeperEvent;
 pub use keeper_handle::KeeperHandle;
+pub use keeper_pools::KeeperPools;
 pub use loaded_cell::LoadedCell;
 pub use pool_sizes::PoolSizes;
 pub use reply_queue::ReplyQueue;
+pub use share_call::ShareCall;
+pub use share_pool::SharePool;
 pub use throttle_dump::ThrottleDump;
 pub use waiting_reply::WaitingReply;
 pub use worker_call::WorkerCall;
--- a/crates/daemon/src/cells/cell_keeper.rs
+++ b/crates/daemon/src/cells/cell_keeper.rs
@@ -17,7 +17,9 @@
 use crate::cells::JournalOutcome;
 use crate::cells::KeeperDump;
 use crate::cells::KeeperEvent;
+use crate::cells::KeeperPools;
 use crate::cells::ReplyQueue;
+use crate::cells::SharePool;
 use crate::cells::WorkerPool;
 use crate::context::DaemonContext;
 use sapphirestile_cells::AnswerView;
@@ -38,6 +40,7 @@
     context: Arc<DaemonContext>,
     owner: CellOwner<OpenPhase>,
     pool: WorkerPool,
+    shares: SharePool,
     batches: Sender<JournalBatch>,
     events: Receiver<KeeperEvent>,
     /// Where the pool and the writer answer.
@@ -76,7 +79,7 @@
     pub fn new(
         context: Arc<DaemonContext>,
         owner: CellOwner<OpenPhase>,
-        pool: WorkerPool,
+        pools: KeeperPools,
         batches: Sender<JournalBatch>,
         (answers, events): (Sender<KeeperEvent>, Receiver<KeeperEvent>),
     ) -> Self {
@@ -84,7 +87,8 @@
         Self {
             context,
             owner,
-            pool,
+            pool: pools.workers,
+            shares: pools.shares,
             batches,
             events,
             answers,
@@ -165,6 +169,11 @@
                 received,
                 rows,
             } => self.take_slowdowns(&daemon, call, received, &rows),
+            KeeperEvent::SharesLent { lender, answers } => {
+                let now = self.context.clock.now();
+                self.owner.take_shares(lender, &answers, now);
+            }
+            KeeperEvent::SharesLost { lender } => self.owner.shares_lost(lender),
             KeeperEvent::Committed(outcome) => self.take_outcome(outcome),
             KeeperEvent::Deposed => self.deposed = true,
             KeeperEvent::Dump(reply) => {
--- a/crates/daemon/src/cells/keeper_event.rs
+++ b/crates/daemon/src/cells/keeper_event.rs
@@ -6,6 +6,8 @@
 use crate::cells::KeeperCall;
 use crate::cells::KeeperDump;
 use sapphirestile_cells::ReportChanges;
+use sapphirestile_cells::ShareAnswer;
+use sapphirestile_core::CellNumber;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
@@ -49,6 +51,18 @@
         /// The slowdowns.
         rows: Vec<WorkerSlowdown>,
     },
+    /// A lender of quotas has answered.
+    SharesLent {
+        /// The cell that lends.
+        lender: CellNumber,
+        /// What it answers.
+        answers: Vec<ShareAnswer>,
+    },
+    /// A lender of quotas has not answered.
+    SharesLost {
+        /// The cell that lends.
+        lender: CellNumber,
+    },
     /// The outcome of the entry in flight.
     Committed(JournalOutcome),
     /// Another daemon has claimed the cell.
--- a/crates/daemon/src/vms/vm_table.rs
+++ b/crates/daemon/src/vms/vm_table.rs
@@ -65,6 +65,14 @@
         record.is_some_and(|record| record.kind == VmKind::Worker)
     }
 
+    /// The names of all workers, those of no use now among them.
+    pub fn worker_names(&self) -> impl Iterator<Item = &str> {
+        let workers = self.rows.values();
+        workers
+            .filter(|record| record.kind == VmKind::Worker)
+            .map(|record| record.name.as_str())
+    }
+
     /// The workers for which `belongs` holds, with whether each takes work.
     #[must_use]
     pub fn workers(
