Hold a worker for a large task of the backlog in the daemon

Cause: the planner of the daemon filled whatever room came free with the next task that fitted, so under a backlog of small tasks a task of a whole worker never started.

Change: after two minutes without room a task of a quarter of a worker or more, or one that needs accelerators, has a worker held for it, one at a time in a cell. The hold ends ten seconds after the last plan in which the job found no room, and the job's reason names the worker. A task that never fits is not held for.

Seen: six mutations each fail one of the two scenes of owner/large, a cell in which a small task ends each second.

--- a/crates/cells/src/planner/start_planner.rs
+++ b/crates/cells/src/planner/start_planner.rs
@@ -1,11 +1,13 @@
 //! Plans starts.
 
 mod delayed_jobs;
+mod large_room;
 mod learning;
 mod share_wants;
 mod urgent_room;
 
 use crate::planner::EvictionOrder;
+use crate::planner::HoldKeeper;
 use crate::planner::PlanView;
 use crate::planner::PlannedStart;
 use crate::planner::RoomBook;
@@ -63,6 +65,7 @@
     /// Why the tasks of a job wait, as of the latest plan.
     reasons: SortedTable<JobName, String>,
     maker: RoomMaker,
+    keeper: HoldKeeper,
     evictions: Vec<EvictionOrder>,
 }
 
@@ -96,6 +99,7 @@
         );
         book.judge(&self.standings);
         self.maker.mark(&mut book.rooms, view.now);
+        self.keeper.mark(&mut book.rooms, view.now);
         self.reasons = SortedTable::new();
         self.wants = SortedTable::new();
         self.walk(view, &mut book)
@@ -114,11 +118,9 @@
             && let Some(job) = pass.next_job(&book.customers)
         {
             let size = self.size_of(job, &book.rooms);
-            if pass.found_no_room(&size) {
-                self.reasons.insert(
-                    job.name.clone(),
-                    "no room now: as large a task found none".into(),
-                );
+            if pass.found_no_room(&size) && self.keeper.held_for(&job.name).is_none() {
+                self.hold_worker(job, size, view, book);
+                self.explain_no_room(job, "no room now: as large a task found none");
                 pass.pass_over();
                 continue;
             }
@@ -133,18 +135,17 @@
                         .worker
                         .clone();
                     book.occupy(record, &worker, &size);
-                    if job.urgent {
-                        self.maker.release(&job.name);
-                    }
+                    self.maker.release(&job.name);
+                    self.keeper.release(&job.name);
                     pass.placed();
                 }
                 Err(refusal) => {
                     let left = job.tasks.len() - taken.get(&job.name).copied().unwrap_or(0);
                     let refusal = self.judge_quota(job, size, left, refusal, book);
-                    if job.urgent && matches!(refusal, PlacementRefusal::NoRoomNow { .. }) {
-                        self.make_room(job, size, view, book);
+                    if matches!(refusal, PlacementRefusal::NoRoomNow { .. }) {
+                        self.find_room(job, size, view, book);
                     }
-                    self.reasons.insert(job.name.clone(), refusal.to_string());
+                    self.explain_no_room(job, &refusal.to_string());
                     pass.refused(&size, &refusal);
                 }
             }
--- a/crates/cells/tests/owner/main.rs
+++ b/crates/cells/tests/owner/main.rs
@@ -4,6 +4,7 @@
 mod borrowing;
 mod committing;
 mod forgetting;
+mod large;
 mod lending;
 mod merging;
 mod owner_bench;
