Count the bytes of answers in the share of the link

Cause: an answer crosses the link between regions as its request does, but only the request was counted, so a service with large answers could fill the link unseen. The bytes were counted in one sum that nothing showed.

Change: the link carries as much each way, so requests and answers have a budget each. Before a request leaves, its answer is counted by what the service's answers were lately; once it came, what came takes the estimate's place; an attempt that was not run gives it back, a lost one keeps it. Bulk joins the same short backlog as before. An idle link takes an answer of any size, since a service with answers above 10 ms of the link could never be had across it otherwise. Bytes each way by service and distance are shown as `request_bytes`. Requests that wait are counted by service, and as they stand when the demand is measured, where all waits of a round were added up for every service.

Ruled out: one budget for both ways, since the link is as wide each way; refusing after the answer, since it has crossed by then.

--- a/crates/daemon/examples/load_through_daemons/daemon_fleet.rs
+++ b/crates/daemon/examples/load_through_daemons/daemon_fleet.rs
@@ -11,6 +11,8 @@
 use sapphirestile_standins::runner::RunnerStandin;
 use sapphirestile_test_support::DaemonProcess;
 use sapphirestile_test_support::SceneFleet;
+use sapphirestile_test_support::TOKEN;
+use sapphirestile_test_support::call;
 use sapphirestile_test_support::call_json;
 use sapphirestile_test_support::wait_until;
 
@@ -23,6 +25,8 @@
 const SERVICE_MS: u64 = 5;
 const SLOTS: u32 = 8;
 const TOKENS: u64 = 96;
+const BYTES_METRIC: &str = "sapphirestile_request_bytes_total{";
+const REMOTE_LABEL: &str = "reach=\"remote\"";
 
 /// Daemons as processes on 12 runners of 8 slots.
 pub struct DaemonFleet {
@@ -82,6 +86,12 @@
         daemons.map(|daemon| process_time_ms(daemon.number())).sum()
     }
 
+    /// The bytes of requests and answers that crossed the link between regions.
+    pub fn link_bytes(&self) -> u64 {
+        let daemons = self.daemons.iter();
+        daemons.map(|daemon| remote_bytes(daemon.operators())).sum()
+    }
+
     /// Something when all tokens are held, a share by each daemon.
     fn shared_tokens(&self) -> Option<()> {
         let mut sum = 0;
@@ -97,6 +107,21 @@
     }
 }
 
+/// What the metrics of a daemon count as bytes to and from the other region.
+fn remote_bytes(operators: SocketAddr) -> u64 {
+    let authorization = format!("Bearer {TOKEN}");
+    let headers = [("authorization", authorization.as_str())];
+    let answer = call(operators, "GET", "/metrics", &headers, b"");
+    let answer = answer.expect("the metrics are answered");
+    assert_eq!(answer.status, 200, "the metrics are shown");
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let counters = text
+        .lines()
+        .filter(|line| line.starts_with(BYTES_METRIC) && line.contains(REMOTE_LABEL));
+    let values = counters.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+    values.sum()
+}
+
 /// The folder of the profile that this example was built with.
 fn target_folder() -> PathBuf {
     let example = std::env::current_exe().expect("a process knows its program");
--- a/crates/daemon/examples/load_through_daemons/main.rs
+++ b/crates/daemon/examples/load_through_daemons/main.rs
@@ -54,11 +54,12 @@
             println!("direct: {}", LoadSummary::new(callers, &records, 0));
         }
         let load = CallerLoad::new(fleet.callers(), callers);
-        let before_ms = fleet.processor_ms();
+        let (before_ms, link_before) = (fleet.processor_ms(), fleet.link_bytes());
         let records = load.run(LOAD_TIME);
         let spent_ms = fleet.processor_ms() - before_ms;
+        let link_bytes = fleet.link_bytes() - link_before;
         println!(
-            "daemons {daemons}: {}",
+            "daemons {daemons}: {}; {link_bytes} bytes over the link",
             LoadSummary::new(callers, &records, spent_ms)
         );
     }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -7,8 +7,12 @@
 //! its deadline can still be met. A refusal that says "not run" comes only from
 //! the phases in which that is certain, and from no request of which an attempt
 //! was lost. Slots of lost attempts wait in the [`ParkingLot`] for the longest
-//! time that the runner could still be working. All share one [`CallerDesk`].
+//! time that the runner could still be working. All share one [`CallerDesk`]. A
+//! [`RouteSeeker`] finds the runner; what crosses the link between regions is counted
+//! in its [`LinkShare`], the answer by its estimate first. A [`TrafficTable`] counts
+//! the bytes of each service.
 
+mod answer_charge;
 mod attempt_outcome;
 mod caller_desk;
 mod caller_reply;
@@ -17,10 +21,15 @@
 mod link_share;
 mod parking_lot;
 mod request_runner;
+mod route_seeker;
+mod sought_route;
+mod traffic_table;
+mod waiting_mark;
 mod waiting_room;
 mod waiting_turn;
 mod waiting_wish;
 
+pub use answer_charge::AnswerCharge;
 pub use attempt_outcome::AttemptOutcome;
 pub use caller_desk::CallerDesk;
 pub use caller_reply::CallerReply;
@@ -29,6 +38,10 @@
 pub use link_share::LinkShare;
 pub use parking_lot::ParkingLot;
 pub use request_runner::RequestRunner;
+pub use route_seeker::RouteSeeker;
+pub use sought_route::SoughtRoute;
+pub use traffic_table::TrafficTable;
+pub use waiting_mark::WaitingMark;
 pub use waiting_room::WaitingRoom;
 pub use waiting_turn::WaitingTurn;
 pub use waiting_wish::WaitingWish;
--- a/crates/daemon/src/callers/caller_desk.rs
+++ b/crates/daemon/src/callers/caller_desk.rs
@@ -3,7 +3,6 @@
 use crate::callers::LinkShare;
 use crate::callers::ParkingLot;
 use crate::callers::WaitingRoom;
-use sapphirestile_routing::LinkMeter;
 use sapphirestile_routing::RetryBudget;
 
 const RETRY_SHARE_MILLI: u32 = 100;
@@ -20,8 +19,6 @@
     pub retries: RetryBudget,
     /// This daemon's share of the link between regions.
     pub link: LinkShare,
-    /// Bytes by how far they travelled.
-    pub meter: LinkMeter,
 }
 
 impl Default for CallerDesk {
@@ -31,7 +28,6 @@
             room: WaitingRoom::default(),
             retries: RetryBudget::new(RETRY_SHARE_MILLI, RETRIES_MAX),
             link: LinkShare::default(),
-            meter: LinkMeter::default(),
         }
     }
 }
--- a/crates/daemon/src/callers/request_runner.rs
+++ b/crates/daemon/src/callers/request_runner.rs
@@ -1,17 +1,17 @@
 //! Takes one request through its cycle.
 
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::callers::AnswerCharge;
 use crate::callers::AttemptOutcome;
 use crate::callers::CallerDesk;
 use crate::callers::CallerReply;
 use crate::callers::CallerRequest;
-use crate::callers::WaitingWish;
+use crate::callers::RouteSeeker;
+use crate::callers::route_seeker::HEAD_BYTES;
 use crate::cells::CellDesk;
 use crate::context::DaemonContext;
-use sapphirestile_core::MonoTime;
 use sapphirestile_core::RequestKey;
 use sapphirestile_core::RunnerName;
 use sapphirestile_platform::http::CallLimits;
@@ -26,17 +26,12 @@
 use sapphirestile_routing::RecordProof;
 use sapphirestile_routing::RequestCycle;
 use sapphirestile_routing::RequestFacts;
-use sapphirestile_routing::RouteChoice;
-use sapphirestile_routing::RouteQuery;
-use sapphirestile_routing::RouteReach;
 use sapphirestile_routing::RouteRefusal;
 use sapphirestile_routing::SentPhase;
-use sapphirestile_routing::WaitEstimate;
 use sapphirestile_wire::peer::PeerAnswer;
 use sapphirestile_wire::peer::PeerRequest;
 
 const ANSWER_MAX_BYTES: usize = 64 * 1_024 * 1_024;
-const HEAD_BYTES: u64 = 400;
 
 /// Takes one request through its cycle, attempt by attempt.
 pub struct RequestRunner<'r> {
@@ -70,9 +65,11 @@
         let mut cycle = RequestCycle::receive(facts);
         let mut avoid: Option<RunnerName> = None;
         let mut lost = false;
+        let seeker = RouteSeeker::new(self.context, self.desk, self.request);
         loop {
-            let outcome = match self.choose(cycle.facts().deadline, avoid.as_ref()) {
-                Ok(choice) => self.attempt(cycle.admit(choice)),
+            let sought = seeker.seek(cycle.facts().deadline, avoid.as_ref());
+            let outcome = match sought {
+                Ok(route) => self.attempt(cycle.admit(route.choice), route.charge),
                 Err(refusal) => self.refuse(cycle, refusal),
             };
             match outcome {
@@ -93,84 +90,16 @@
         }
     }
 
-    /// Chooses a runner, and waits for a slot while the deadline can be met.
-    fn choose(
+    fn attempt(
         &self,
-        deadline: MonoTime,
-        avoid: Option<&RunnerName>,
-    ) -> Result<RouteChoice, RouteRefusal> {
-        let wish = WaitingWish {
-            service: self.request.service(),
-            priority: self.request.priority(),
-            deadline,
-        };
-        let clock = &self.context.clock;
-        let look = || self.look(deadline, avoid);
-        self.desk
-            .room
-            .until(&wish, clock, || self.expect_wait(), look)
-    }
-
-    /// Chooses a runner with a free slot, if there is one.
-    fn look(
-        &self,
-        deadline: MonoTime,
-        avoid: Option<&RunnerName>,
-    ) -> Result<Option<RouteChoice>, RouteRefusal> {
-        let query = RouteQuery {
-            service: self.request.service(),
-            avoid: avoid.map(RunnerName::as_str),
-            now: self.context.clock.now(),
-            deadline,
-            random: rand::random(),
-        };
-        match self.context.routes.load().choose(&query) {
-            Ok(choice) if self.link_admits(&choice) => return Ok(Some(choice)),
-            // The slot beyond the link is given back; one on this side may come
-            // free.
-            Ok(choice) => drop(choice),
-            Err(RouteRefusal::NoSlot) => {}
-            Err(refusal) => return Err(refusal),
-        }
-        Ok(None)
-    }
-
-    /// The link between regions takes a request of low importance only while it
-    /// has little to carry.
-    fn link_admits(&self, choice: &RouteChoice) -> bool {
-        if choice.reach() != RouteReach::Remote {
-            return true;
-        }
-        let bytes = self.request.body().len() as u64 + HEAD_BYTES;
-        let now = self.context.clock.now();
-        self.desk.link.admit(bytes, self.request.priority(), now)
-    }
-
-    /// What a request that waits has to expect; it is counted as wanting a slot.
-    fn expect_wait(&self) -> WaitEstimate {
-        self.context.wanting.fetch_add(1, Ordering::Relaxed);
-        let routes = self.context.routes.load();
-        let (mut slots, mut latency_us, mut seen) = (0, 0, 0);
-        for row in routes
-            .rows()
-            .filter(|row| row.service.as_str() == self.request.service())
-        {
-            slots += row.gauge.tokens();
-            latency_us += row.gauge.latency_us();
-            seen += u64::from(row.gauge.latency_us() > 0);
-        }
-        WaitEstimate {
-            slots: slots.max(1),
-            service_us: latency_us / seen.max(1),
-        }
-    }
-
-    fn attempt(&self, cycle: RequestCycle<AdmittedPhase>) -> AttemptOutcome {
+        cycle: RequestCycle<AdmittedPhase>,
+        charge: Option<AnswerCharge<'_>>,
+    ) -> AttemptOutcome {
         if !cycle.needs_record() {
-            return self.send(cycle);
+            return self.send(cycle, charge);
         }
         match self.record(&cycle) {
-            Ok(proof) => self.send(cycle.with_record(proof)),
+            Ok(proof) => self.send(cycle.with_record(proof), charge),
             Err(reply) => {
                 drop(cycle.refuse(RouteRefusal::NoRecord));
                 AttemptOutcome::Ended(reply)
@@ -194,7 +123,11 @@
         }
     }
 
-    fn send(&self, cycle: RequestCycle<AdmittedPhase>) -> AttemptOutcome {
+    fn send(
+        &self,
+        cycle: RequestCycle<AdmittedPhase>,
+        charge: Option<AnswerCharge<'_>>,
+    ) -> AttemptOutcome {
         let wait_ms = cycle
             .facts()
             .deadline
@@ -206,17 +139,21 @@
             Ok(cycle) => cycle,
             Err(cycle) => return self.end_not_run(&cycle.refuse(RouteRefusal::NoRecord)),
         };
+        self.count_request(&cycle);
         let sent = Instant::now();
         let outcome = self.forward(&cycle, Duration::from_millis(wait_ms));
         match outcome {
             RunnerOutcome::Answered(answer) => {
-                self.count_bytes(&cycle, &answer);
+                self.count_answer(&cycle, &answer, charge);
                 let latency_us = u64::try_from(sent.elapsed().as_micros()).unwrap_or(u64::MAX);
                 drop(cycle.answer(latency_us));
                 AttemptOutcome::Ended(CallerReply::Answered(Box::new(answer)))
             }
             RunnerOutcome::NotRun(_) => self.decline(cycle),
-            RunnerOutcome::Unknown(_) => self.lose(cycle),
+            RunnerOutcome::Unknown(_) => {
+                charge.into_iter().for_each(AnswerCharge::keep);
+                self.lose(cycle)
+            }
         }
     }
 
@@ -238,11 +175,26 @@
         })
     }
 
-    fn count_bytes(&self, cycle: &RequestCycle<SentPhase>, answer: &HttpAnswer) {
-        let bytes = self.request.body().len() + answer.body.len();
-        self.desk
-            .meter
-            .count(cycle.reach(), bytes as u64 + 2 * HEAD_BYTES);
+    /// Counts what came back; what the request itself cost was counted when it left.
+    fn count_answer(
+        &self,
+        cycle: &RequestCycle<SentPhase>,
+        answer: &HttpAnswer,
+        charge: Option<AnswerCharge<'_>>,
+    ) {
+        let bytes = answer.body.len() as u64 + HEAD_BYTES;
+        let traffic = self.context.traffic.of(&cycle.row().service);
+        traffic.received.count(cycle.reach(), bytes);
+        traffic.answers.observe(bytes);
+        if let Some(charge) = charge {
+            charge.settle(bytes, self.context.clock.now());
+        }
+    }
+
+    fn count_request(&self, cycle: &RequestCycle<SentPhase>) {
+        let bytes = self.request.body().len() as u64 + HEAD_BYTES;
+        let traffic = self.context.traffic.of(&cycle.row().service);
+        traffic.sent.count(cycle.reach(), bytes);
     }
 
     /// The runner did not run the request, so another may.
--- a/crates/daemon/src/context/daemon_context.rs
+++ b/crates/daemon/src/context/daemon_context.rs
@@ -1,10 +1,10 @@
 //! The context of a daemon.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
 
 use crossbeam::channel::Sender;
 
+use crate::callers::TrafficTable;
 use crate::cells::KeeperDirectory;
 use crate::context::MonoClock;
 use crate::context::PhaseGauge;
@@ -55,8 +55,8 @@
     pub ledger: SwapHolder<LedgerRow>,
     /// The gauges of runners.
     pub gauges: GaugeTable,
-    /// Requests refused for want of a slot since the demand was last measured.
-    pub wanting: AtomicU32,
+    /// What the requests of each service move.
+    pub traffic: TrafficTable,
     /// Events of the thread that owns the tokens.
     pub token_events: Sender<TokenEvent>,
     /// Connections to runners and workers.
--- a/crates/daemon/src/cycle/daemon_cycle.rs
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -1,7 +1,6 @@
 //! A daemon, in each phase of its life.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
 use std::thread;
 use std::time::Duration;
 
@@ -13,6 +12,7 @@
 
 use crate::callers::CallerDesk;
 use crate::callers::CallerService;
+use crate::callers::TrafficTable;
 use crate::context::DaemonContext;
 use crate::context::MonoClock;
 use crate::context::PhaseGauge;
@@ -229,7 +229,7 @@
         keepers: SwapHolder::default(),
         ledger: SwapHolder::default(),
         gauges: GaugeTable::default(),
-        wanting: AtomicU32::new(0),
+        traffic: TrafficTable::default(),
         token_events,
         connections: ConnectionTable::new(),
         metrics: DaemonMetrics::default(),
--- a/crates/daemon/src/metrics/daemon_metrics.rs
+++ b/crates/daemon/src/metrics/daemon_metrics.rs
@@ -1,18 +1,29 @@
 //! The metrics that a daemon shows.
 
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
 use crate::context::DaemonContext;
+use crate::metrics::TrafficLabels;
+use sapphirestile_core::ServiceName;
+use sapphirestile_routing::LinkMeter;
+use sapphirestile_routing::RouteReach;
 
 const LATENCY_FIRST_BUCKET_S: f64 = 0.001;
 const LATENCY_BUCKETS: u16 = 14;
+const REACHES: [(RouteReach, &str); 3] = [
+    (RouteReach::Zone, "zone"),
+    (RouteReach::Region, "region"),
+    (RouteReach::Remote, "remote"),
+];
 
 /// Counters and histograms of one daemon.
 pub struct DaemonMetrics {
@@ -33,6 +44,7 @@
     pub starts: Counter,
     /// Running attempts that were asked to leave their worker.
     pub evictions: Counter,
+    request_bytes: Family<TrafficLabels, Counter>,
     owned_cells: Gauge,
     revision: Gauge<u64, AtomicU64>,
     store_silent_ms: Gauge<u64, AtomicU64>,
@@ -51,6 +63,7 @@
             tasks_failed: Counter::default(),
             starts: Counter::default(),
             evictions: Counter::default(),
+            request_bytes: Family::default(),
             owned_cells: Gauge::default(),
             revision: Gauge::default(),
             store_silent_ms: Gauge::default(),
@@ -70,12 +83,28 @@
         self.revision.set(context.document.load().revision().get());
         self.store_silent_ms
             .set(context.pulse.silent_ms(context.clock.now()));
+        for (service, traffic) in context.traffic.rows().iter() {
+            self.show_bytes(service, "sent", &traffic.sent);
+            self.show_bytes(service, "received", &traffic.received);
+        }
         let mut text = String::new();
         // Writing into a text cannot fail.
         let _written = encode(&mut text, &self.registry);
         text
     }
 
+    fn show_bytes(&self, service: &ServiceName, direction: &'static str, meter: &LinkMeter) {
+        for (reach, name) in REACHES {
+            let labels = TrafficLabels {
+                service: service.to_string(),
+                reach: name,
+                direction,
+            };
+            let counter = self.request_bytes.get_or_create(&labels);
+            counter.inner().store(meter.bytes(reach), Ordering::Relaxed);
+        }
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register(
@@ -106,6 +135,11 @@
             "Attempts asked to leave",
             self.evictions.clone(),
         );
+        registry.register(
+            "request_bytes",
+            "Bytes of requests and answers",
+            self.request_bytes.clone(),
+        );
         registry.register("owned_cells", "Cells owned", self.owned_cells.clone());
         registry.register(
             "config_revision",
--- a/crates/daemon/src/tokens/token_keeper/trade_steps.rs
+++ b/crates/daemon/src/tokens/token_keeper/trade_steps.rs
@@ -1,7 +1,6 @@
 //! Tokens handed from peer to peer.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use tracing::debug;
 
@@ -44,7 +43,6 @@
     }
 
     fn measure_demand(&mut self) {
-        let wanting = self.context.wanting.swap(0, Ordering::Relaxed);
         let mut in_flight: SortedTable<ServiceName, u32> = SortedTable::new();
         for row in self.context.routes.load().rows() {
             *in_flight.get_or_insert_with(row.service.clone(), || 0) += row.gauge.in_flight();
@@ -53,7 +51,7 @@
             let meter = self
                 .demand
                 .get_or_insert_with(service.clone(), Default::default);
-            meter.observe(*count, wanting);
+            meter.observe(*count, self.context.traffic.of(service).waiting());
         }
     }
 
--- /dev/null
+++ b/crates/daemon/tests/link_share.rs
@@ -0,0 +1,53 @@
+//! Scenes of this daemon's share of the link between regions.
+
+use sapphirestile_core::MonoTime;
+use sapphirestile_daemon::callers::LinkShare;
+use sapphirestile_routing::RequestPriority;
+
+/// 1,000 bytes take 2 ms.
+const BITS_PER_SECOND: u64 = 4_000_000;
+const BULK: RequestPriority = RequestPriority::Bulk;
+
+fn share() -> LinkShare {
+    let share = LinkShare::default();
+    share.set(BITS_PER_SECOND);
+    share
+}
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+#[test]
+fn large_answers_keep_later_requests_from_the_link() {
+    let share = share();
+    let charge = share.admit(400, 400, BULK, at(0)).expect("an idle link");
+    charge.settle(100_000, at(100));
+    assert!(share.admit(400, 400, BULK, at(200)).is_none());
+    assert!(share.admit(400, 400, BULK, at(300)).is_some());
+}
+
+#[test]
+fn an_attempt_that_was_not_run_gives_the_answer_back() {
+    let share = share();
+    let charge = share.admit(400, 100_000, BULK, at(0));
+    assert!(share.admit(400, 400, BULK, at(0)).is_none());
+    drop(charge);
+    assert!(share.admit(400, 400, BULK, at(0)).is_some());
+}
+
+#[test]
+fn an_answer_that_may_still_come_stays_counted() {
+    let share = share();
+    let charge = share.admit(400, 100_000, BULK, at(0));
+    charge.expect("an idle link").keep();
+    assert!(share.admit(400, 400, BULK, at(0)).is_none());
+}
+
+#[test]
+fn a_refused_request_leaves_no_answer_behind() {
+    let share = share();
+    // The request alone is too long for bulk.
+    assert!(share.admit(10_000, 100_000, BULK, at(0)).is_none());
+    assert!(share.admit(400, 400, BULK, at(0)).is_some());
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,8 +19,11 @@
 //! observed; retries and hedges come out of a [`RetryBudget`]; an
 //! [`EjectionPolicy`] takes slow and failing runners out of the choices for a
 //! while. A [`LinkBudget`] keeps bulk requests from filling the link between
-//! regions, and a [`LinkMeter`] counts the bytes sent by distance.
+//! regions: the answers are counted by an [`AnswerEstimate`] first and by their size
+//! once they came. [`ServiceTraffic`] counts the bytes of a service by distance with
+//! a [`LinkMeter`] each way.
 
+mod answer_estimate;
 mod concurrency_limit;
 mod ejection_policy;
 mod gauge_registry;
@@ -45,6 +48,7 @@
 mod runner_row;
 mod runner_standing;
 mod service_pool;
+mod service_traffic;
 mod slot_guard;
 mod sync;
 mod table_cell;
@@ -52,6 +56,7 @@
 mod waiting_entry;
 mod waiting_queue;
 
+pub use answer_estimate::AnswerEstimate;
 pub use concurrency_limit::ConcurrencyLimit;
 pub use ejection_policy::EjectionPolicy;
 pub use gauge_registry::GaugeRegistry;
@@ -80,6 +85,7 @@
 pub use runner_gauge::RunnerGauge;
 pub use runner_row::RunnerRow;
 pub use runner_standing::RunnerStanding;
+pub use service_traffic::ServiceTraffic;
 pub use slot_guard::SlotGuard;
 pub use table_cell::TableCell;
 pub use wait_estimate::WaitEstimate;
--- a/crates/routing/src/link_budget.rs
+++ b/crates/routing/src/link_budget.rs
@@ -13,7 +13,7 @@
 const STANDARD_BACKLOG_US: u64 = 50_000;
 const BULK_BACKLOG_US: u64 = 10_000;
 
-/// One daemon's share of the link between regions.
+/// One daemon's share of the link between regions, in one direction.
 ///
 /// The bytes let through are counted as a backlog that the link works off at its
 /// rate. The less important a request, the shorter the backlog it may join, so
@@ -53,18 +53,91 @@
     /// priority would join too long a backlog.
     #[must_use]
     pub fn admit(&self, bytes: u64, priority: RequestPriority, now: MonoTime) -> bool {
-        let now_us = now.as_millis().saturating_mul(MICROS_PER_MILLI);
+        let now_us = micros_of(now);
         let latest_us = now_us.saturating_add(backlog_us(priority));
-        let bits = bytes.saturating_mul(BITS_PER_BYTE);
-        let cost_us = bits.saturating_mul(MICROS_PER_SECOND) / self.bits_per_second;
+        let cost_us = self.cost_us(bytes);
+        self.join(now_us, cost_us, |_, after_us| after_us <= latest_us)
+    }
+
+    /// Counts an answer in that is expected to have `bytes`; false, and nothing is
+    /// counted, when it would join too long a backlog. An idle link takes an answer
+    /// of any size: it could never be had otherwise.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_core::MonoTime;
+    /// use sapphirestile_routing::LinkBudget;
+    /// use sapphirestile_routing::RequestPriority;
+    ///
+    /// let budget = LinkBudget::new(4_000_000);
+    /// let now = MonoTime::from_millis(0);
+    /// assert!(budget.admit_answer(40_000, RequestPriority::Bulk, now));
+    /// assert!(!budget.admit_answer(1, RequestPriority::Bulk, now));
+    /// ```
+    #[must_use]
+    pub fn admit_answer(&self, bytes: u64, priority: RequestPriority, now: MonoTime) -> bool {
+        let now_us = micros_of(now);
+        let latest_us = now_us.saturating_add(backlog_us(priority));
+        let cost_us = self.cost_us(bytes);
+        self.join(now_us, cost_us, |before_us, after_us| {
+            before_us <= now_us || after_us <= latest_us
+        })
+    }
+
+    /// Replaces the `expected` bytes of an answer that was counted in by those that
+    /// came.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_core::MonoTime;
+    /// use sapphirestile_routing::LinkBudget;
+    /// use sapphirestile_routing::RequestPriority;
+    ///
+    /// let budget = LinkBudget::new(4_000_000);
+    /// let now = MonoTime::from_millis(0);
+    /// assert!(budget.admit_answer(1_000, RequestPriority::Interactive, now));
+    /// budget.settle(1_000, 500_000, now);
+    /// // The link is busy for a second with what came.
+    /// assert!(!budget.admit(1_000, RequestPriority::Interactive, now));
+    /// ```
+    pub fn settle(&self, expected: u64, actual: u64, now: MonoTime) {
+        let (expected_us, actual_us) = (self.cost_us(expected), self.cost_us(actual));
+        let now_us = micros_of(now);
+        let settled = |idle_at_us: u64| {
+            Some(if actual_us > expected_us {
+                let begin_us = idle_at_us.max(now_us);
+                begin_us.saturating_add(actual_us - expected_us)
+            } else {
+                idle_at_us.saturating_sub(expected_us - actual_us)
+            })
+        };
+        let _ = self
+            .idle_at_us
+            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, settled);
+    }
+
+    /// Adds `cost_us` to the backlog when `fits` holds of its end before and after.
+    fn join(&self, now_us: u64, cost_us: u64, fits: impl Fn(u64, u64) -> bool) -> bool {
         let joined = |idle_at_us: u64| {
-            let idle_at_us = idle_at_us.max(now_us).saturating_add(cost_us);
-            (idle_at_us <= latest_us).then_some(idle_at_us)
+            let before_us = idle_at_us.max(now_us);
+            let after_us = before_us.saturating_add(cost_us);
+            fits(before_us, after_us).then_some(after_us)
         };
         self.idle_at_us
             .fetch_update(Ordering::AcqRel, Ordering::Relaxed, joined)
             .is_ok()
     }
+
+    const fn cost_us(&self, bytes: u64) -> u64 {
+        let bits = bytes.saturating_mul(BITS_PER_BYTE);
+        bits.saturating_mul(MICROS_PER_SECOND) / self.bits_per_second
+    }
+}
+
+const fn micros_of(now: MonoTime) -> u64 {
+    now.as_millis().saturating_mul(MICROS_PER_MILLI)
 }
 
 const fn backlog_us(priority: RequestPriority) -> u64 {
--- a/crates/slots/src/demand_meter.rs
+++ b/crates/slots/src/demand_meter.rs
@@ -26,8 +26,8 @@
 }
 
 impl DemandMeter {
-    /// Notes the most requests that were in flight in a round, and how many
-    /// were refused or waited for want of a token.
+    /// Notes how many requests were in flight in a round, and how many waited for
+    /// want of a token.
     pub fn observe(&mut self, in_flight: u32, wanting: u32) {
         let sample = in_flight
             .saturating_add(wanting)
