Move tokens towards the daemons of their runner's region

Cause: tokens were split by demand alone. A daemon of the far region held a third of all tokens and a third of those near it, so with more requests than those it went over the link while slots beside it belonged to daemons far away.

Change: a region's members want its own runners by their whole demand, and others' only by what the own slots leave unmet and the others can spare. When slots are too few for all, each region wants its part by demand, so no two regions ask each other and nothing crosses for nothing. At a far runner one member stands for its region, so that small demands make whole tokens, and it has one token at least. What nobody asks for is split evenly among the near members. A report carries its sender's zone, so that all plan from the same. A token moves at a gap of 1.4 tokens between two members, in place of 0.75 on either side: the even share of an odd number left one behind at each far runner. The plan has a type of its own, apart from the sending.

--- a/crates/capacity/src/processor/token_times.rs
+++ b/crates/capacity/src/processor/token_times.rs
@@ -1,7 +1,10 @@
 //! Tokens of runners.
 
+use sapphirestile_core::RegionName;
 use sapphirestile_slots::HandoverPlan;
-use sapphirestile_slots::TokenDemand;
+use sapphirestile_slots::MemberDemand;
+use sapphirestile_slots::RunnerSupply;
+use sapphirestile_slots::ServiceDemand;
 
 use crate::ResultTable;
 use crate::report::TimeSample;
@@ -21,6 +24,8 @@
     (1, 1_000),
 ];
 
+const REGIONS: [&str; 2] = ["coast", "inland"];
+
 pub fn token_times(rounds: usize) -> ResultTable {
     let mut table = ResultTable::new(
         "Keeper of tokens, seven members, us: median (least to most)",
@@ -63,19 +68,28 @@
 
 /// As the keeper of tokens does four times a second; how many orders came out.
 fn plan_all(scene: &TokenScene) -> usize {
+    let regions = REGIONS.map(|name| RegionName::try_from(name).expect("a valid name"));
+    let supplies: Vec<RunnerSupply<'_>> = scene
+        .ledger
+        .runners
+        .keys()
+        .enumerate()
+        .map(|(place, runner)| RunnerSupply {
+            runner,
+            region: Some(&regions[place % regions.len()]),
+            tokens: DEMANDS.iter().map(|(tokens, _)| tokens).sum(),
+        })
+        .collect();
+    let members = scene.members.iter().zip(DEMANDS).enumerate();
+    let members = members.map(|(place, (member, (_, weight)))| MemberDemand {
+        member,
+        region: Some(&regions[place % regions.len()]),
+        weight,
+    });
+    let demand = ServiceDemand::new(members.collect(), &supplies);
     let mut orders = 0;
-    for _ in scene.ledger.runners.keys() {
-        let demands: Vec<TokenDemand<'_>> = scene
-            .members
-            .iter()
-            .zip(DEMANDS)
-            .map(|(member, (tokens, weight))| TokenDemand {
-                member,
-                tokens,
-                weight,
-            })
-            .collect();
-        let plan = HandoverPlan::new(&demands);
+    for supply in &supplies {
+        let plan = HandoverPlan::new(&demand.at(supply, |place| DEMANDS[place].0));
         orders += plan.orders_of(&scene.members[0]).count();
     }
     orders
--- a/crates/capacity/src/scenes/token_scene.rs
+++ b/crates/capacity/src/scenes/token_scene.rs
@@ -4,6 +4,7 @@
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::ServiceName;
+use sapphirestile_core::ZoneName;
 use sapphirestile_slots::HandoverMessage;
 use sapphirestile_slots::TokenHolder;
 use sapphirestile_slots::TokenLedger;
@@ -62,6 +63,7 @@
     pub fn report(&self) -> TokenReport {
         let service = ServiceName::try_from("sizing").expect("a valid name");
         TokenReport {
+            zone: ZoneName::try_from("near-a").expect("a valid name"),
             generation: self.ledger.generation.get(),
             weights: vec![(service, WEIGHT)],
             tokens: self.ledger.runners.keys().map(|_| 1).collect(),
--- a/crates/daemon/src/tokens.rs
+++ b/crates/daemon/src/tokens.rs
@@ -5,22 +5,27 @@
 //! for datagrams and from peers, follows the [`LedgerRow`] that the shared watch
 //! reads, and puts tokens into the gauges of the request's path through
 //! [`GaugeTable`]. Whatever changes the ledger goes through a [`LedgerWriter`].
-//! [`MemberProofs`] says which members are proven gone.
+//! [`MemberProofs`] says which members are proven gone. A [`TradePlan`] says what is
+//! handed over, from what the members report and each [`RunnerPlace`].
 
 mod gauge_table;
 mod ledger_row;
 mod ledger_writer;
 mod member_proofs;
 mod peer_reports;
+mod runner_place;
 mod token_event;
 mod token_keeper;
+mod trade_plan;
 
 pub use gauge_table::GaugeTable;
 pub use ledger_row::LedgerRow;
 pub use ledger_writer::LedgerWriter;
 pub use member_proofs::MemberProofs;
 pub use peer_reports::PeerReports;
+pub use runner_place::RunnerPlace;
 pub use token_event::TokenEvent;
 pub use token_keeper::TokenKeeper;
+pub use trade_plan::TradePlan;
 
 pub(crate) use ledger_writer::take_ledger;
--- a/crates/daemon/src/tokens/token_keeper/trade_steps.rs
+++ b/crates/daemon/src/tokens/token_keeper/trade_steps.rs
@@ -5,17 +5,15 @@
 use tracing::debug;
 
 use crate::tokens::TokenKeeper;
+use crate::tokens::TradePlan;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::SortedTable;
-use sapphirestile_slots::HandoverPlan;
-use sapphirestile_slots::TokenDemand;
 use sapphirestile_slots::TokenLedger;
 use sapphirestile_wire::peer::PeerDatagram;
 use sapphirestile_wire::peer::PeerFrame;
 use sapphirestile_wire::peer::TokenReport;
-use sapphirestile_wire::vms::VmKind;
 
 const REPORT_AGE_MAX_MS: u64 = 2_000;
 const TOTALS_MAX: usize = 200;
@@ -69,6 +67,7 @@
             .map(|(service, meter)| (service.clone(), meter.weight()));
         TokenReport {
             generation: ledger.generation.get(),
+            zone: self.context.settings.node.zone.clone(),
             weights: weights.collect(),
             tokens: ledger.runners.keys().map(held).collect(),
         }
@@ -94,33 +93,19 @@
             .collect();
         reports.push((context.identity.clone(), own.clone()));
         reports.sort_by(|(left, _), (right, _)| left.cmp(right));
-        let services = self.services();
         let Some(holder) = &mut self.holder else {
             return;
         };
-        for (place, runner) in ledger.runners.keys().enumerate() {
-            let Some(service) = services.get(runner) else {
-                continue;
-            };
-            let demands: Vec<TokenDemand<'_>> = reports
-                .iter()
-                .map(|(member, report)| demand_of(member, report, place, service))
-                .collect();
-            for order in HandoverPlan::new(&demands).orders_of(&context.identity) {
-                holder.hand_over(order.to, runner, order.count, &context.gauges);
-            }
-        }
-    }
-
-    fn services(&self) -> SortedTable<RunnerName, ServiceName> {
-        let vms = self.context.vms.load();
-        let runners = vms.records().filter(|record| record.kind == VmKind::Runner);
-        runners
-            .filter_map(|record| {
-                let runner = RunnerName::try_from(record.name.as_str()).ok()?;
-                Some((runner, record.service.clone()?))
-            })
-            .collect()
+        let (vms, document) = (context.vms.load(), context.document.load());
+        let plan = TradePlan {
+            ledger,
+            reports: &reports,
+            vms: &vms,
+            document: document.document(),
+        };
+        plan.each_order_of(&context.identity, |runner, order| {
+            holder.hand_over(order.to, runner, order.count, &context.gauges);
+        });
     }
 
     /// Tells a peer what is held and wanted here, what was handed to it lately,
@@ -180,18 +165,3 @@
         }
     }
 }
-
-fn demand_of<'r>(
-    member: &'r DaemonIdentity,
-    report: &TokenReport,
-    place: usize,
-    service: &ServiceName,
-) -> TokenDemand<'r> {
-    let weights = &report.weights;
-    let found = weights.binary_search_by(|(name, _)| name.cmp(service));
-    TokenDemand {
-        member,
-        tokens: report.tokens.get(place).copied().unwrap_or(0),
-        weight: found.map_or(1, |place| weights[place].1),
-    }
-}
--- a/crates/daemon/tests/ports/datagrams.rs
+++ b/crates/daemon/tests/ports/datagrams.rs
@@ -18,6 +18,7 @@
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::ServiceName;
+use sapphirestile_core::ZoneName;
 use sapphirestile_daemon::members::MemberTable;
 use sapphirestile_slots::HandoverMessage;
 use sapphirestile_slots::HandoverTotal;
@@ -138,6 +139,7 @@
     let service = ServiceName::try_from("sizing").expect("the name is valid");
     TokenReport {
         generation,
+        zone: ZoneName::try_from("near-a").expect("the name is valid"),
         weights: vec![(service, 0)],
         tokens: vec![u32::MAX; 3],
     }
--- a/crates/daemon/tests/ports/frames.rs
+++ b/crates/daemon/tests/ports/frames.rs
@@ -13,6 +13,7 @@
 use sapphirestile_core::RequestKey;
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::TaskIndex;
+use sapphirestile_core::ZoneName;
 use sapphirestile_test_support::TOKEN;
 use sapphirestile_wire::peer::FrameFault;
 use sapphirestile_wire::peer::FrameKey;
@@ -119,6 +120,7 @@
         }),
         PeerDatagram::Tokens(TokenReport {
             generation: 4,
+            zone: ZoneName::try_from("near-a").expect("the name is valid"),
             weights: vec![(service, 1_000)],
             tokens: vec![2, 3, 1],
         }),
--- a/crates/slots/src/handover_plan.rs
+++ b/crates/slots/src/handover_plan.rs
@@ -5,17 +5,18 @@
 use sapphirestile_core::DaemonIdentity;
 
 const MILLI: i64 = 1_000;
-const HYSTERESIS_MILLI: i64 = 750;
-// Below half a token, a token could move back and forth without an end.
-const _: () = assert!(2 * HYSTERESIS_MILLI > MILLI);
+const HYSTERESIS_MILLI: i64 = 1_400;
+// Up to one token, a token could move back and forth without an end.
+const _: () = assert!(HYSTERESIS_MILLI > MILLI);
 
 /// The hand-overs of one runner that the demand of all members calls for.
 ///
 /// Every member makes the plan from what all last reported and carries out its
-/// own orders. A member's share follows its demand but is at least one token
-/// where there are as many tokens as members. A token moves only from a member
-/// three quarters of a token above its share to one as far below, so a token
-/// that moved does not move back before the shares have changed by half a token.
+/// own orders. A member's share follows its demand but is at least its floor
+/// where there are enough tokens for the floors of all. A token moves only when the
+/// giver is 1.4 tokens further above its share than the taker, so it does not move
+/// back before each of the two shares has changed by 0.4 tokens. A
+/// member without any share gives its tokens to whoever is below.
 ///
 /// # Examples
 ///
@@ -32,8 +33,8 @@
 /// };
 /// let (calm, busy) = (member("vm-1"), member("vm-2"));
 /// let plan = HandoverPlan::new(&[
-///     TokenDemand { member: &calm, tokens: 4, weight: 1_000 },
-///     TokenDemand { member: &busy, tokens: 4, weight: 7_000 },
+///     TokenDemand { member: &calm, tokens: 4, weight: 1_000, floor: 1 },
+///     TokenDemand { member: &busy, tokens: 4, weight: 7_000, floor: 1 },
 /// ]);
 /// let order = plan.orders()[0];
 /// assert_eq!((order.from, order.to, order.count), (&calm, &busy, 2));
@@ -53,7 +54,7 @@
             .map(|demand| demand.tokens)
             .collect::<Vec<_>>();
         let mut orders = Vec::new();
-        while let Some((giver, taker)) = next_pair(&surpluses, &tokens) {
+        while let Some((giver, taker)) = next_pair(demands, &surpluses, &tokens) {
             surpluses[giver] -= MILLI;
             surpluses[taker] += MILLI;
             tokens[giver] -= 1;
@@ -77,31 +78,43 @@
 
 /// The tokens of each member above its share, in thousandths of a token.
 fn surpluses_of(demands: &[TokenDemand<'_>]) -> Vec<i64> {
-    let members = i64::try_from(demands.len()).expect("too many members");
     let sum = |number: fn(&TokenDemand<'_>) -> u32| -> i64 {
         demands.iter().map(|demand| i64::from(number(demand))).sum()
     };
-    let tokens = sum(|demand| demand.tokens);
+    let (tokens, floors) = (sum(|demand| demand.tokens), sum(|demand| demand.floor));
     let weights = sum(|demand| demand.weight).max(1);
-    let floor = if tokens >= members { MILLI } else { 0 };
-    let shared = tokens * MILLI - floor * members;
-    let share = |demand: &TokenDemand<'_>| floor + shared * i64::from(demand.weight) / weights;
+    let floored = i64::from(tokens >= floors) * MILLI;
+    let shared = tokens * MILLI - floored * floors;
+    let share = |demand: &TokenDemand<'_>| {
+        let part = i128::from(shared) * i128::from(demand.weight) / i128::from(weights);
+        let part = i64::try_from(part).expect("a part is no more than the whole");
+        floored * i64::from(demand.floor) + part
+    };
     demands
         .iter()
         .map(|demand| i64::from(demand.tokens) * MILLI - share(demand))
         .collect()
 }
 
-/// The member furthest above its share and the one furthest below, when a token
-/// is to move between them.
-fn next_pair(surpluses: &[i64], tokens: &[u32]) -> Option<(usize, usize)> {
+/// The giver and the taker of the next token that is to move.
+fn next_pair(
+    demands: &[TokenDemand<'_>],
+    surpluses: &[i64],
+    tokens: &[u32],
+) -> Option<(usize, usize)> {
     let places = 0..surpluses.len();
-    let giver = places.clone().rev().max_by_key(|place| surpluses[*place])?;
-    let taker = places.min_by_key(|place| surpluses[*place])?;
+    let taker = places.clone().min_by_key(|place| surpluses[*place])?;
+    let shareless = |place: &usize| demands[*place].is_shareless() && tokens[*place] > 0;
+    if surpluses[taker] < 0
+        && let Some(giver) = places.clone().find(shareless)
+    {
+        return Some((giver, taker));
+    }
+    let giver = places.rev().max_by_key(|place| surpluses[*place])?;
     let gap = surpluses[giver] - surpluses[taker];
-    let starved = tokens[taker] == 0 && tokens[giver] > 1 && gap >= MILLI;
-    let apart = surpluses[giver] >= HYSTERESIS_MILLI && surpluses[taker] <= -HYSTERESIS_MILLI;
-    (apart || starved).then_some((giver, taker))
+    let floored = demands[taker].floor > 0;
+    let starved = floored && tokens[taker] == 0 && tokens[giver] > 1 && gap >= MILLI;
+    (gap >= HYSTERESIS_MILLI || starved).then_some((giver, taker))
 }
 
 fn add_order<'a>(
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -17,7 +17,8 @@
 //! [`ClosedReport`]; a [`ReclaimPlan`] of all reports makes the next ledger.
 //! Tokens granted by it stay unused until the longest request has passed. Which
 //! member gives tokens to which is decided by a [`HandoverPlan`] from the
-//! [`TokenDemand`] of all, measured by a [`DemandMeter`]. When operators lower a
+//! [`TokenDemand`] of all, measured by a [`DemandMeter`] and weighed by region in a
+//! [`ServiceDemand`]. When operators lower a
 //! runner's slots, each member retires free tokens of its own; a daemon that stops
 //! on plan hands everything over first.
 
@@ -35,12 +36,17 @@
 mod ledger_draft;
 mod ledger_fault;
 mod ledger_generation;
+mod member_demand;
 mod member_grant;
 mod packed_grant;
 mod packed_ledger;
 mod reclaim_fault;
 mod reclaim_plan;
+mod region_balance;
+mod region_demand;
 mod runner_grant;
+mod runner_supply;
+mod service_demand;
 mod token_demand;
 mod token_gauges;
 mod token_holder;
@@ -60,10 +66,13 @@
 pub use ledger_draft::LedgerDraft;
 pub use ledger_fault::LedgerFault;
 pub use ledger_generation::LedgerGeneration;
+pub use member_demand::MemberDemand;
 pub use member_grant::MemberGrant;
 pub use reclaim_fault::ReclaimFault;
 pub use reclaim_plan::ReclaimPlan;
 pub use runner_grant::RunnerGrant;
+pub use runner_supply::RunnerSupply;
+pub use service_demand::ServiceDemand;
 pub use token_demand::TokenDemand;
 pub use token_gauges::TokenGauges;
 pub use token_holder::TokenHolder;
--- a/crates/slots/tests/handover_plan.rs
+++ b/crates/slots/tests/handover_plan.rs
@@ -28,6 +28,7 @@
         member: &names[place],
         tokens: *tokens,
         weight: *weight,
+        floor: 1,
     };
     let demands = members.iter().enumerate().map(demand).collect::<Vec<_>>();
     let plan = HandoverPlan::new(&demands);
@@ -67,6 +68,7 @@
                 member: &names[place],
                 tokens: tokens[place],
                 weight: meters[place].weight(),
+                floor: 1,
             });
             let plan = HandoverPlan::new(&demands.collect::<Vec<_>>());
             for order in plan.orders() {
