Read the list of VMs only when it has changed

Cause: the list was read and decoded in full each second, 2.69 MB at 13,325 VMs for each daemon, three times over the link between regions.

Change: a daemon names the list that it has by the platform's `etag` and takes 304 for an answer, and offers gzip. A platform that gives neither serves the whole list as before. The unpacked list is bounded as the plain one was, and grows only as far as it is read. 304 counts as a reading at the time it was asked for: it says what the same list sent again would say. A list served older than the one before is taken as it is, with its tag, as it was before. The tag of an empty list, which is not believed, is not kept. The table's rows are shared between readings.

Ruled out: the client library's own gzip, which would unpack runners' answers on their way to callers too; a list of changes, which the platform does not have.

--- a/crates/capacity/src/fleet/fleet_run.rs
+++ b/crates/capacity/src/fleet/fleet_run.rs
@@ -85,11 +85,13 @@
     fn watch_while(&self, work: impl FnOnce()) -> FleetWindow {
         let (began, before) = (Instant::now(), self.processes());
         let calls = self.scene.platform().store().service().counts();
+        let listed = self.scene.platform().vms().service().counts().bytes;
         work();
         let (after, later) = (
             self.processes(),
             self.scene.platform().store().service().counts(),
         );
+        let list_bytes = self.scene.platform().vms().service().counts().bytes - listed;
         let passed_ms = u64::try_from(began.elapsed().as_millis()).expect("a while is short");
         let daemons = after.len() as u64;
         let sum = |rows: &[ProcessMemory], pick: fn(&ProcessMemory) -> u64| -> u64 {
@@ -102,6 +104,7 @@
             milli_cores: ticks * MILLIS_PER_TICK * MILLIS_PER_SECOND / passed_ms / daemons,
             resident_mb: sum(&after, |row| row.resident_kb) / KB_PER_MB / daemons,
             threads: sum(&after, |row| row.threads) / daemons,
+            list_bytes: list_bytes * MILLIS_PER_SECOND / passed_ms / daemons,
             reads_tenths: tenths(later.ranges - calls.ranges),
             commits_tenths: tenths(later.txns - calls.txns),
             watches_tenths: tenths(later.watches - calls.watches),
--- a/crates/capacity/src/fleet/fleet_window.rs
+++ b/crates/capacity/src/fleet/fleet_window.rs
@@ -10,6 +10,8 @@
     pub resident_mb: u64,
     /// Threads at the end.
     pub threads: u64,
+    /// Bytes of the list of VMs, a second.
+    pub list_bytes: u64,
     /// Reads at the store in ten seconds.
     pub reads_tenths: u64,
     /// Transactions at the store in ten seconds.
--- a/crates/daemon/src/cycle/daemon_threads.rs
+++ b/crates/daemon/src/cycle/daemon_threads.rs
@@ -65,7 +65,7 @@
 ) -> Result<(), Report<StepError>> {
     let peer = target(context.settings.platform.vms, "find VM list")?;
     let client = VmClient::new(peer, VM_LIST_TIMEOUT);
-    let poller = VmPoller::new(Arc::clone(context), client);
+    let mut poller = VmPoller::new(Arc::clone(context), client);
     let mut publisher = RoutePublisher::new(Arc::clone(context));
     poller.poll();
     publisher.publish();
--- a/crates/daemon/src/vms/vm_poller.rs
+++ b/crates/daemon/src/vms/vm_poller.rs
@@ -11,7 +11,9 @@
 use crate::context::RepeatGate;
 use crate::routes::RoutePublisher;
 use crate::vms::VmTable;
+use sapphirestile_platform::vms::ListTag;
 use sapphirestile_platform::vms::VmClient;
+use sapphirestile_platform::vms::VmListing;
 
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -20,6 +22,8 @@
     context: Arc<DaemonContext>,
     client: VmClient,
     gate: RepeatGate,
+    /// Calls the list that is in the table.
+    tag: Option<ListTag>,
 }
 
 impl VmPoller {
@@ -31,11 +35,12 @@
             context,
             client,
             gate,
+            tag: None,
         }
     }
 
     /// Polls until `stop` is closed.
-    pub fn run(&self, publisher: &mut RoutePublisher, stop: &Receiver<()>) {
+    pub fn run(&mut self, publisher: &mut RoutePublisher, stop: &Receiver<()>) {
         loop {
             self.poll();
             publisher.publish();
@@ -46,17 +51,22 @@
     }
 
     /// Reads the list once; when it cannot be read, the one before stays.
-    pub fn poll(&self) {
+    pub fn poll(&mut self) {
         let asked = self.context.clock.now();
-        match self.client.list() {
-            Ok(records) if records.is_empty() => {
+        match self.client.read(self.tag.as_ref()) {
+            // As good a sighting of every VM as the same list sent again.
+            Ok(VmListing::Unchanged) => self.context.vms.update(|table| table.sighted(asked)),
+            Ok(VmListing::Whole { records, .. }) if records.is_empty() => {
                 // A platform without any VM is not believed.
                 warn!(
                     step = "read VM list",
                     "the list is empty; the one before stays"
                 );
             }
-            Ok(records) => self.context.vms.update(|_| VmTable::new(records, asked)),
+            Ok(VmListing::Whole { records, tag }) => {
+                self.context.vms.update(|_| VmTable::new(records, asked));
+                self.tag = tag;
+            }
             Err(error) => {
                 if let Some(repeats) = self.gate.pass(asked) {
                     warn!(
--- a/crates/daemon/src/vms/vm_table.rs
+++ b/crates/daemon/src/vms/vm_table.rs
@@ -1,6 +1,7 @@
 //! The VMs by name.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use sapphirestile_cells::WorkerFacts;
 use sapphirestile_core::MonoTime;
@@ -14,7 +15,7 @@
 /// The platform's list of VMs, as last read.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct VmTable {
-    rows: SortedTable<String, VmRecord>,
+    rows: Arc<SortedTable<String, VmRecord>>,
     read: Option<MonoTime>,
 }
 
@@ -22,12 +23,32 @@
     /// The list as read at `read`.
     #[must_use]
     pub fn new(records: Vec<VmRecord>, read: MonoTime) -> Self {
-        let rows = records
+        let rows: SortedTable<_, _> = records
             .into_iter()
             .map(|record| (record.name.clone(), record))
             .collect();
         Self {
-            rows,
+            rows: Arc::new(rows),
+            read: Some(read),
+        }
+    }
+
+    /// The same list, read again at `read`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_core::MonoTime;
+    /// use sapphirestile_daemon::vms::VmTable;
+    ///
+    /// let first = VmTable::new(Vec::new(), MonoTime::from_millis(1_000));
+    /// let again = first.sighted(MonoTime::from_millis(2_000));
+    /// assert_eq!(again.read(), Some(MonoTime::from_millis(2_000)));
+    /// ```
+    #[must_use]
+    pub fn sighted(&self, read: MonoTime) -> Self {
+        Self {
+            rows: Arc::clone(&self.rows),
             read: Some(read),
         }
     }
--- a/crates/daemon/tests/member_proofs.rs
+++ b/crates/daemon/tests/member_proofs.rs
@@ -65,6 +65,37 @@
     assert!(is_gone(&member, &late, &members));
 }
 
+#[test]
+fn the_same_list_read_again_counts_as_a_reading() {
+    let members = MemberTable::default();
+    let member = identity("entry-2", 8);
+    let at = MonoTime::from_millis;
+    let without = list(&["entry-1"], 1_000);
+    let early = [without.clone(), without.sighted(at(30_999))];
+    assert!(!is_gone(&member, &early, &members));
+    let late = [without.clone(), without.sighted(at(31_000))];
+    assert!(is_gone(&member, &late, &members));
+    let with = list(&["entry-1", "entry-2"], 1_000);
+    let listed = [with.clone(), with.sighted(at(90_000))];
+    assert!(!is_gone(&member, &listed, &members));
+}
+
+#[test]
+fn an_older_list_read_later_begins_the_lag_anew() {
+    let members = MemberTable::default();
+    let at = MonoTime::from_millis;
+    let without = list(&["entry-1"], 0);
+    let lists = [
+        without.clone(),
+        list(&["entry-1", "entry-2"], 20_000),
+        without.sighted(at(40_000)),
+        without.sighted(at(69_999)),
+    ];
+    assert!(!is_gone(&identity("entry-2", 8), &lists, &members));
+    let later = [&lists[..], &[without.sighted(at(70_000))]].concat();
+    assert!(is_gone(&identity("entry-2", 8), &later, &members));
+}
+
 #[test]
 fn a_vm_that_is_listed_again_is_not_gone() {
     let members = MemberTable::default();
--- a/crates/platform/tests/calls/main.rs
+++ b/crates/platform/tests/calls/main.rs
@@ -7,5 +7,6 @@
 mod runner_scenes;
 mod scripted_peer;
 mod store_scenes;
+mod vm_listings;
 mod vm_scenes;
 mod worker_scenes;
--- a/crates/standins/src/vms/vm_counts.rs
+++ b/crates/standins/src/vms/vm_counts.rs
@@ -8,6 +8,10 @@
 pub struct VmCounts {
     /// Reads of the list.
     pub reads: u64,
+    /// Reads that were answered with "unchanged".
+    pub unchanged: u64,
+    /// Bytes of the bodies of all reads.
+    pub bytes: u64,
     /// Replacements of the list.
     pub replacements: u64,
 }
--- a/crates/standins/src/vms/vm_faults.rs
+++ b/crates/standins/src/vms/vm_faults.rs
@@ -11,4 +11,6 @@
     pub down: bool,
     /// How far the list lags behind, in milliseconds.
     pub lag_ms: u64,
+    /// Whether the list is served without tags and compression.
+    pub plain: bool,
 }
--- a/crates/standins/src/vms/vm_state.rs
+++ b/crates/standins/src/vms/vm_state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use crate::vms::VmVersion;
 use sapphirestile_core::MonoTime;
 use sapphirestile_wire::vms::VmRecord;
 
@@ -22,7 +23,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct VmState {
-    versions: VecDeque<(MonoTime, Vec<VmRecord>)>,
+    versions: VecDeque<VmVersion>,
 }
 
 impl VmState {
@@ -36,10 +37,10 @@
 
     /// Replaces the list at `now`.
     pub fn replace(&mut self, now: MonoTime, records: Vec<VmRecord>) {
-        self.versions.push_back((now, records));
+        self.versions.push_back(VmVersion::new(now, records));
         // A version is needed until its successor is older than the longest lag.
-        while let Some((since, _)) = self.versions.get(1) {
-            if now.millis_since(*since) <= LAG_MAX_MS {
+        while let Some(successor) = self.versions.get(1) {
+            if now.millis_since(successor.since) <= LAG_MAX_MS {
                 break;
             }
             self.versions.pop_front();
@@ -50,12 +51,16 @@
     /// is seen at once.
     #[must_use]
     pub fn list(&self, now: MonoTime, lag_ms: u64) -> &[VmRecord] {
+        self.version(now, lag_ms)
+            .map_or(&[], |version| &version.records)
+    }
+
+    /// The version that stood then; nothing before the first list.
+    #[must_use]
+    pub fn version(&self, now: MonoTime, lag_ms: u64) -> Option<&VmVersion> {
         let lag_ms = lag_ms.min(LAG_MAX_MS);
-        let visible = |(since, _): &&(MonoTime, Vec<VmRecord>)| now.millis_since(*since) >= lag_ms;
+        let visible = |version: &&VmVersion| now.millis_since(version.since) >= lag_ms;
         let version = self.versions.iter().rev().find(visible);
-        match version.or_else(|| self.versions.front()) {
-            Some((_, records)) => records,
-            None => &[],
-        }
+        version.or_else(|| self.versions.front())
     }
 }
