Repeat every counter of tokens within ten seconds

Cause: a page of 8 counters came round after 4,625 / 8 x 250 ms = 145 s, so a hand-over whose messages were all lost was made good after minutes only. News of up to 200 counters went in one datagram of 4.4 KB.

Change: a page is a fortieth of the counters that ever moved, 8 at least, and is counted anew for each page, so that what moves within a round does not lengthen it. Messages are split so that a datagram stays below 1,232 bytes.

Tried and taken out: the size counted once a round. With 200 counters at its beginning and 4,625 after three pages, the round took 553 more pages.

--- a/crates/capacity/src/messages/peer_sizes.rs
+++ b/crates/capacity/src/messages/peer_sizes.rs
@@ -8,6 +8,7 @@
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_slots::HandoverMessage;
 use sapphirestile_wire::peer::FrameKey;
+use sapphirestile_wire::peer::HandoverParts;
 use sapphirestile_wire::peer::MemberState;
 use sapphirestile_wire::peer::PeerDatagram;
 use sapphirestile_wire::peer::PeerFrame;
@@ -21,8 +22,6 @@
 const PORT: u16 = 7_000;
 const REVISION: u64 = 2_000_000;
 const EPOCH: u64 = 1_000_000;
-/// The keeper's bound on the counters of one message.
-const TOTALS_MAX: usize = 200;
 
 pub fn heartbeats(scale: SizeScale) -> ResultTable {
     let mut table = ResultTable::new(
@@ -37,17 +36,18 @@
 
 pub fn token_reports(scale: SizeScale) -> ResultTable {
     let mut table = ResultTable::new(
-        "Token report and hand-over of one token of each runner, sealed",
-        &["runners", "report", "largest hand-over message", "messages"],
+        "Token report, and one page of counters when every one has moved, sealed",
+        &["runners", "report", "page", "datagrams", "largest"],
     );
     for &runners in scale.pick(&[48, 500, 2_000, 4_625, 37_000]) {
         let scene = TokenScene::build(runners);
         let report = sealed_bytes(PeerDatagram::Tokens(scene.report()));
-        let mut message = scene.handover();
-        let messages = message.totals.len().div_ceil(TOTALS_MAX);
-        message.totals.truncate(TOTALS_MAX);
-        let largest = sealed_bytes(handover(message));
-        table.add(&[&runners, &report, &largest, &messages]);
+        let parts = HandoverParts::new(scene.page(runners));
+        let parts = parts.map(|part| sealed_bytes(handover(part)));
+        let parts: Vec<usize> = parts.collect();
+        let largest = parts.iter().max().copied().unwrap_or_default();
+        let bytes: usize = parts.iter().sum();
+        table.add(&[&runners, &report, &bytes, &parts.len(), &largest]);
     }
     table
 }
--- a/crates/capacity/src/scenes/token_scene.rs
+++ b/crates/capacity/src/scenes/token_scene.rs
@@ -6,6 +6,7 @@
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::ZoneName;
 use sapphirestile_slots::HandoverMessage;
+use sapphirestile_slots::PageCursor;
 use sapphirestile_slots::TokenHolder;
 use sapphirestile_slots::TokenLedger;
 use sapphirestile_wire::peer::TokenReport;
@@ -16,6 +17,7 @@
 const MEMBERS: usize = 7;
 const SLOTS: u32 = 8;
 const LONGEST_REQUEST_MS: u64 = 30_000;
+const ROUND_STEPS: usize = 40;
 const WEIGHT: u32 = 120_000;
 
 /// A ledger of runners with eight slots each and seven members.
@@ -59,6 +61,16 @@
         holder.message_to(&self.members[1], None, usize::MAX)
     }
 
+    /// The page of counters that a member repeats when it handed a token of each of
+    /// `moved` runners to a peer.
+    pub fn page(&self, moved: usize) -> HandoverMessage {
+        let mut holder = self.holder(0);
+        for runner in self.ledger.runners.keys().take(moved) {
+            holder.hand_over(&self.members[1], runner, 1, &FreeTokens);
+        }
+        PageCursor::new(ROUND_STEPS).next_page(&holder, &self.members[1])
+    }
+
     /// What a member tells its peers four times a second.
     pub fn report(&self) -> TokenReport {
         let service = ServiceName::try_from("sizing").expect("a valid name");
--- a/crates/daemon/src/tokens/token_keeper.rs
+++ b/crates/daemon/src/tokens/token_keeper.rs
@@ -20,12 +20,12 @@
 use crate::tokens::PeerReports;
 use crate::tokens::TokenEvent;
 use sapphirestile_core::DaemonIdentity;
-use sapphirestile_core::RunnerName;
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::SortedTable;
 use sapphirestile_slots::ApplyOutcome;
 use sapphirestile_slots::ClosedReport;
 use sapphirestile_slots::DemandMeter;
+use sapphirestile_slots::PageCursor;
 use sapphirestile_slots::TokenHolder;
 
 const TICK: Duration = Duration::from_millis(250);
@@ -42,8 +42,8 @@
     reports: PeerReports,
     demand: SortedTable<ServiceName, DemandMeter>,
     sent: u64,
-    /// The last runner of the page sent to each peer.
-    pages: SortedTable<DaemonIdentity, RunnerName>,
+    /// The counters that are repeated to each peer next.
+    pages: SortedTable<DaemonIdentity, PageCursor>,
     /// Who waits until nothing is held, and how often the peers were told.
     leaving: Option<(Sender<()>, u32)>,
 }
--- a/crates/daemon/src/tokens/token_keeper/trade_steps.rs
+++ b/crates/daemon/src/tokens/token_keeper/trade_steps.rs
@@ -10,14 +10,18 @@
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::SortedTable;
+use sapphirestile_slots::HandoverMessage;
+use sapphirestile_slots::PageCursor;
 use sapphirestile_slots::TokenLedger;
+use sapphirestile_wire::peer::HandoverParts;
 use sapphirestile_wire::peer::PeerDatagram;
 use sapphirestile_wire::peer::PeerFrame;
 use sapphirestile_wire::peer::TokenReport;
 
 const REPORT_AGE_MAX_MS: u64 = 2_000;
-const TOTALS_MAX: usize = 200;
-const PAGE_TOTALS: usize = 8;
+const NEWS_TOTALS_MAX: usize = 200;
+/// A round through all counters takes 10 s.
+const ROUND_STEPS: usize = 40;
 
 impl TokenKeeper {
     /// Measures the demand, tells the peers, and hands over what the plan asks.
@@ -34,6 +38,7 @@
         let report = self.own_report(&row.ledger);
         // Whoever is no member takes no part in the plan.
         self.reports.retain(|peer| row.ledger.has_member(peer));
+        self.pages.retain(|peer, _| row.ledger.has_member(peer));
         self.hand_over(&row.ledger, &report);
         for peer in &row.ledger.members {
             self.tell(peer, &report);
@@ -119,29 +124,27 @@
         let Some(holder) = &mut self.holder else {
             return;
         };
-        let news = holder.news_to(peer, TOTALS_MAX);
-        let page = holder.message_to(peer, self.pages.get(peer), PAGE_TOTALS);
-        match page.totals.last() {
-            Some(last) => self.pages.insert(peer.clone(), last.runner.clone()),
-            None => self.pages.remove(peer),
-        };
+        let news = holder.news_to(peer, NEWS_TOTALS_MAX);
+        let cursor = self
+            .pages
+            .get_or_insert_with(peer.clone(), || PageCursor::new(ROUND_STEPS));
+        let page = cursor.next_page(holder, peer);
         for message in news.into_iter().chain(Some(page)) {
-            if !message.totals.is_empty() {
-                self.send(peer, PeerDatagram::Handover(message));
-            }
+            self.send_parts(peer, message);
         }
     }
 
     /// Tells a peer all that was ever handed to it.
     pub(super) fn tell_everything(&mut self, peer: &DaemonIdentity) {
-        let mut after: Option<RunnerName> = None;
-        while let Some(holder) = &self.holder {
-            let message = holder.message_to(peer, after.as_ref(), TOTALS_MAX);
-            let Some(last) = message.totals.last() else {
-                return;
-            };
-            after = Some(last.runner.clone());
-            self.send(peer, PeerDatagram::Handover(message));
+        if let Some(holder) = &self.holder {
+            let message = holder.message_to(peer, None, usize::MAX);
+            self.send_parts(peer, message);
+        }
+    }
+
+    fn send_parts(&mut self, peer: &DaemonIdentity, message: HandoverMessage) {
+        for part in HandoverParts::new(message) {
+            self.send(peer, PeerDatagram::Handover(part));
         }
     }
 
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -9,7 +9,8 @@
 //! Each daemon keeps one [`TokenHolder`]. Tokens move between two members by
 //! [`HandoverCounters`] that only grow and that a [`HandoverMessage`] carries;
 //! messages may be lost, repeated and reordered. [`TokenHolder::news_to`] gives
-//! the counters that grew, [`TokenHolder::message_to`] all of them in pages. The
+//! the counters that grew, [`TokenHolder::message_to`] all of them, which a [`PageCursor`]
+//! repeats page by page. The
 //! holder puts its free tokens into the [`TokenGauges`] of the request's path, and
 //! takes them out of there before it hands them over.
 //!
@@ -40,6 +41,7 @@
 mod member_grant;
 mod packed_grant;
 mod packed_ledger;
+mod page_cursor;
 mod reclaim_fault;
 mod reclaim_plan;
 mod region_balance;
@@ -68,6 +70,7 @@
 pub use ledger_generation::LedgerGeneration;
 pub use member_demand::MemberDemand;
 pub use member_grant::MemberGrant;
+pub use page_cursor::PageCursor;
 pub use reclaim_fault::ReclaimFault;
 pub use reclaim_plan::ReclaimPlan;
 pub use runner_grant::RunnerGrant;
--- a/crates/slots/src/token_holder.rs
+++ b/crates/slots/src/token_holder.rs
@@ -131,6 +131,13 @@
         self.message(peer, totals.take(most).collect())
     }
 
+    /// Of how many runners tokens were ever handed to `peer`.
+    #[must_use]
+    pub fn moved_to(&self, peer: &DaemonIdentity) -> usize {
+        let moved = |row: &&HeldTokens| row.counters.sent_to(peer) > 0;
+        self.rows.values().filter(moved).count()
+    }
+
     /// The counters towards `peer` that grew lately, at most `most` of them; each
     /// is in three such messages. Nothing when there are none.
     pub fn news_to(&mut self, peer: &DaemonIdentity, most: usize) -> Option<HandoverMessage> {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,7 +1,7 @@
 //! Messages between daemons.
 //!
 //! [`PeerDatagram`]s go to every member over UDP: a [`PeerHeartbeat`], and what
-//! concerns the tokens of runners. Over TCP a
+//! concerns the tokens of runners, in [`HandoverParts`] that fit a datagram. Over TCP a
 //! [`PeerRequest`] is answered by a [`PeerAnswer`]. Both travel as the body of a
 //! [`PeerFrame`], which names the sender's incarnation and the call that it
 //! belongs to; a [`FrameKey`] seals frames and opens them again, and refuses
@@ -9,6 +9,7 @@
 
 mod frame_fault;
 mod frame_key;
+mod handover_parts;
 mod member_state;
 mod peer_answer;
 mod peer_datagram;
@@ -21,6 +22,7 @@
 pub use frame_fault::FrameFault;
 pub use frame_key::FRAME_LENGTH_MAX;
 pub use frame_key::FrameKey;
+pub use handover_parts::HandoverParts;
 pub use member_state::MemberState;
 pub use peer_answer::PeerAnswer;
 pub use peer_datagram::PeerDatagram;
