--- a/crates/slots/src/handover_plan.rs
+++ b/crates/slots/src/handover_plan.rs
@@ -2,12 +2,15 @@
 
 use crate::HandoverOrder;
 use crate::TokenDemand;
+use crate::handover_counters::signed;
+use crate::scaled_part::scaled_part;
 use sapphirestile_core::DaemonIdentity;
 
-const MILLI: i64 = 1_000;
+const MILLI: u64 = 1_000;
+const TOKEN_MILLI: i64 = 1_000;
 const HYSTERESIS_MILLI: i64 = 1_400;
 // Up to one token, a token could move back and forth without an end.
-const _: () = assert!(HYSTERESIS_MILLI > MILLI);
+const _: () = assert!(HYSTERESIS_MILLI > TOKEN_MILLI);
 
 /// The hand-overs of one runner that the demand of all members calls for.
 ///
@@ -55,8 +58,8 @@
             .collect::<Vec<_>>();
         let mut orders = Vec::new();
         while let Some((giver, taker)) = next_pair(demands, &surpluses, &tokens) {
-            surpluses[giver] -= MILLI;
-            surpluses[taker] += MILLI;
+            surpluses[giver] -= TOKEN_MILLI;
+            surpluses[taker] += TOKEN_MILLI;
             tokens[giver] -= 1;
             tokens[taker] += 1;
             add_order(&mut orders, demands[giver].member, demands[taker].member);
@@ -78,21 +81,20 @@
 
 /// The tokens of each member above its share, in thousandths of a token.
 fn surpluses_of(demands: &[TokenDemand<'_>]) -> Vec<i64> {
-    let sum = |number: fn(&TokenDemand<'_>) -> u32| -> i64 {
-        demands.iter().map(|demand| i64::from(number(demand))).sum()
+    let sum = |number: fn(&TokenDemand<'_>) -> u32| -> u64 {
+        demands.iter().map(|demand| u64::from(number(demand))).sum()
     };
     let (tokens, floors) = (sum(|demand| demand.tokens), sum(|demand| demand.floor));
-    let weights = sum(|demand| demand.weight).max(1);
-    let floored = i64::from(tokens >= floors) * MILLI;
+    let weights = sum(|demand| demand.weight);
+    let floored = u64::from(tokens >= floors) * MILLI;
     let shared = tokens * MILLI - floored * floors;
     let share = |demand: &TokenDemand<'_>| {
-        let part = i128::from(shared) * i128::from(demand.weight) / i128::from(weights);
-        let part = i64::try_from(part).expect("a part is no more than the whole");
-        floored * i64::from(demand.floor) + part
+        let part = scaled_part(shared, u64::from(demand.weight), weights);
+        floored * u64::from(demand.floor) + part
     };
     demands
         .iter()
-        .map(|demand| i64::from(demand.tokens) * MILLI - share(demand))
+        .map(|demand| signed(u64::from(demand.tokens) * MILLI) - signed(share(demand)))
         .collect()
 }
 
@@ -113,7 +115,7 @@
     let giver = places.rev().max_by_key(|place| surpluses[*place])?;
     let gap = surpluses[giver] - surpluses[taker];
     let floored = demands[taker].floor > 0;
-    let starved = floored && tokens[taker] == 0 && tokens[giver] > 1 && gap >= MILLI;
+    let starved = floored && tokens[taker] == 0 && tokens[giver] > 1 && gap >= TOKEN_MILLI;
     (gap >= HYSTERESIS_MILLI || starved).then_some((giver, taker))
 }
 
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -48,6 +48,7 @@
 mod region_demand;
 mod runner_grant;
 mod runner_supply;
+mod scaled_part;
 mod service_demand;
 mod token_demand;
 mod token_gauges;
--- a/crates/slots/src/region_balance.rs
+++ b/crates/slots/src/region_balance.rs
@@ -1,6 +1,7 @@
 //! What regions ask of each other.
 
 use crate::region_demand::RegionDemand;
+use crate::scaled_part::scaled_part;
 use sapphirestile_core::SortedTable;
 
 const MILLI: u64 = 1_000;
@@ -38,7 +39,7 @@
 
     /// What `asker` asks for at the runners of `giver`.
     pub fn asked(&self, asker: &RegionDemand, giver: &RegionDemand) -> u64 {
-        scaled(self.unmet_of(asker), self.spare_of(giver), self.spare)
+        scaled_part(self.unmet_of(asker), self.spare_of(giver), self.spare)
     }
 
     fn unmet_of(&self, region: &RegionDemand) -> u64 {
@@ -50,12 +51,7 @@
     }
 
     fn wanted(&self, region: &RegionDemand) -> u64 {
-        let ample = scaled(region.weight(), HEADROOM_MILLI, MILLI);
-        ample.min(scaled(region.weight(), self.supply, self.weight))
+        let ample = scaled_part(region.weight(), HEADROOM_MILLI, MILLI);
+        ample.min(scaled_part(region.weight(), self.supply, self.weight))
     }
 }
-
-fn scaled(number: u64, by: u64, of: u64) -> u64 {
-    let scaled = u128::from(number) * u128::from(by) / u128::from(of.max(1));
-    u64::try_from(scaled).unwrap_or(u64::MAX)
-}
--- a/crates/slots/src/region_demand.rs
+++ b/crates/slots/src/region_demand.rs
@@ -1,5 +1,7 @@
 //! What the members of one region want of a service.
 
+use crate::scaled_part::scaled_part;
+
 const MILLI: u64 = 1_000;
 
 /// The demand of one region's members, and how much of it the region's own runners
@@ -72,7 +74,7 @@
 
     /// The part of `whole` that a member with `weight` has; at least one.
     fn part(&self, weight: u32, whole: u64) -> u32 {
-        let part = u128::from(weight) * u128::from(whole) / u128::from(self.weight.max(1));
+        let part = scaled_part(whole, u64::from(weight), self.weight);
         u32::try_from(part).unwrap_or(u32::MAX).max(1)
     }
 }
