Show the compressed size of the list of VMs

The names of the scene are regular, so a real list compresses less. The check of sizes has the new column.

--- a/crates/capacity/src/messages/document_sizes.rs
+++ b/crates/capacity/src/messages/document_sizes.rs
@@ -3,6 +3,8 @@
 use std::fmt::Write as _;
 
 use sapphirestile_core::ConfigRevision;
+use sapphirestile_core::MonoTime;
+use sapphirestile_standins::vms::VmVersion;
 use sapphirestile_wire::api::AuthorName;
 use sapphirestile_wire::api::DocumentChange;
 use sapphirestile_wire::api::RECENT_CHANGES_MAX;
@@ -36,10 +38,10 @@
 }
 
 pub fn vm_lists(scale: SizeScale) -> ResultTable {
-    let mut table = ResultTable::new("List of VMs", &["VMs", "bytes"]);
+    let mut table = ResultTable::new("List of VMs", &["VMs", "bytes", "compressed"]);
     for &count in scale.pick(&[500, 2_000, 8_700, 13_325]) {
-        let body = serde_json::to_vec(&VmScene::sorted(count)).expect("a list is encodable");
-        table.add(&[&count, &body.len()]);
+        let version = VmVersion::new(MonoTime::from_millis(0), VmScene::sorted(count));
+        table.add(&[&count, &version.body.len(), &version.packed.len()]);
     }
     table
 }
