Keep smaller buffers for each connection

The client library fills two buffers of 128 KB for each connection, on first use and for as long as the connection is kept: 256 KB for each worker that a daemon owns, which is 318 MB at 1,243 workers. The measured fleets share 48 addresses, so they saw only part of it.

Change: 17 KB for reading, which the largest head of an answer needs, and 12 KB for writing, which the largest head that the callers' port takes needs.

Ruled out: arenas of the allocator.

Seen: a smaller buffer for either way fails `buffer_scenes`.

--- a/crates/platform/src/http/peer_connections.rs
+++ b/crates/platform/src/http/peer_connections.rs
@@ -18,6 +18,12 @@
 /// The largest head of an answer, in bytes.
 const ANSWER_HEAD_MAX_BYTES: usize = 16 * 1024;
 
+/// What a connection keeps for reading, in bytes; the head of an answer has to fit.
+const INPUT_BUFFER_BYTES: usize = ANSWER_HEAD_MAX_BYTES + 1_024;
+
+/// What a connection keeps for writing, in bytes; the head of a request has to fit.
+const OUTPUT_BUFFER_BYTES: usize = 12 * 1_024;
+
 /// The connections that are kept open to one peer. Clones share them.
 #[derive(Clone, Debug)]
 pub struct PeerConnections {
@@ -49,6 +55,8 @@
             .accept(AutoHeaderValue::None)
             .accept_encoding(AutoHeaderValue::None)
             .max_response_header_size(ANSWER_HEAD_MAX_BYTES)
+            .input_buffer_size(INPUT_BUFFER_BYTES)
+            .output_buffer_size(OUTPUT_BUFFER_BYTES)
             .max_idle_connections(IDLE_CONNECTIONS_MAX)
             .max_idle_connections_per_host(IDLE_CONNECTIONS_MAX)
             .max_idle_age(IDLE_AGE_MAX)
--- a/crates/platform/tests/calls/main.rs
+++ b/crates/platform/tests/calls/main.rs
@@ -1,5 +1,6 @@
 //! Scenes of calls to the platform: what the clients make of what happens.
 
+mod buffer_scenes;
 mod decoder_properties;
 mod http_scenes;
 mod peer_script;
