Name the reports of a plan of tokens by a type

A pair of member and report went through the plan; a MemberReport says what each is, and gathering the reports has a step of its own.

--- a/crates/daemon/src/tokens/token_keeper/trade_steps.rs
+++ b/crates/daemon/src/tokens/token_keeper/trade_steps.rs
@@ -4,6 +4,7 @@
 
 use tracing::debug;
 
+use crate::tokens::MemberReport;
 use crate::tokens::TokenKeeper;
 use crate::tokens::TradePlan;
 use sapphirestile_core::DaemonIdentity;
@@ -79,25 +80,10 @@
     }
 
     /// Every member makes the plan from what all last reported, and carries out
-    /// its own part. A member that has not reported lately takes no part.
+    /// its own part.
     fn hand_over(&mut self, ledger: &TokenLedger, own: &TokenReport) {
         let context = Arc::clone(&self.context);
-        let now = context.clock.now();
-        let generation = ledger.generation.get();
-        let fresh = self.reports.fresh(generation, now, REPORT_AGE_MAX_MS);
-        let members = context.members.load();
-        let suspect_ms = context.settings.limits.suspect_ms;
-        let serves = |peer: &DaemonIdentity| {
-            let row = members.row(peer.daemon.as_str());
-            row.is_some_and(|row| row.serves(now, suspect_ms))
-        };
-        // One that drains would only have to hand back what it is given.
-        let fresh = fresh.filter(|(peer, _)| serves(peer));
-        let mut reports: Vec<(DaemonIdentity, TokenReport)> = fresh
-            .map(|(peer, report)| (peer.clone(), report.clone()))
-            .collect();
-        reports.push((context.identity.clone(), own.clone()));
-        reports.sort_by(|(left, _), (right, _)| left.cmp(right));
+        let reports = self.fresh_reports(own);
         let Some(holder) = &mut self.holder else {
             return;
         };
@@ -113,6 +99,31 @@
         });
     }
 
+    /// The reports of all members, in their order. A member that has not reported
+    /// lately takes no part.
+    fn fresh_reports(&self, own: &TokenReport) -> Vec<MemberReport> {
+        let context = &self.context;
+        let now = context.clock.now();
+        let fresh = self.reports.fresh(own.generation, now, REPORT_AGE_MAX_MS);
+        let members = context.members.load();
+        let suspect_ms = context.settings.limits.suspect_ms;
+        let serves = |peer: &DaemonIdentity| {
+            let row = members.row(peer.daemon.as_str());
+            row.is_some_and(|row| row.serves(now, suspect_ms))
+        };
+        // One that drains would only have to hand back what it is given.
+        let fresh = fresh.filter(|(peer, _)| serves(peer));
+        let fresh = fresh.chain(Some((&context.identity, own)));
+        let mut reports: Vec<MemberReport> = fresh
+            .map(|(member, report)| MemberReport {
+                member: member.clone(),
+                report: report.clone(),
+            })
+            .collect();
+        reports.sort_by(|left, right| left.member.cmp(&right.member));
+        reports
+    }
+
     /// Tells a peer what is held and wanted here, what was handed to it lately,
     /// and one page of all that was ever handed to it: whatever was lost comes
     /// again, page by page.
--- a/crates/daemon/src/tokens/trade_plan.rs
+++ b/crates/daemon/src/tokens/trade_plan.rs
@@ -1,5 +1,6 @@
 //! Which tokens this daemon hands over.
 
+use crate::tokens::MemberReport;
 use crate::tokens::RunnerPlace;
 use crate::tokens::runner_place::region_of;
 use crate::vms::VmTable;
@@ -23,7 +24,7 @@
     /// The ledger that the reports go by.
     pub ledger: &'a TokenLedger,
     /// One report of each member, in the order of members.
-    pub reports: &'a [(DaemonIdentity, TokenReport)],
+    pub reports: &'a [MemberReport],
     /// The list of VMs.
     pub vms: &'a VmTable,
     /// The configuration in force.
@@ -47,7 +48,7 @@
                 continue;
             };
             let supply = self.supply(index, runner, place);
-            let demands = demand.at(&supply, |member| self.tokens(member, index));
+            let demands = demand.at(&supply, |place| self.tokens(place, index));
             for order in HandoverPlan::new(&demands).orders_of(member) {
                 take(runner, order);
             }
@@ -87,10 +88,10 @@
     fn members(&self, service: &ServiceName) -> Vec<MemberDemand<'a>> {
         let reports = self.reports.iter();
         reports
-            .map(|(member, report)| MemberDemand {
-                member,
-                region: region_of(report.zone.as_str(), self.document),
-                weight: weight_of(report, service),
+            .map(|known| MemberDemand {
+                member: &known.member,
+                region: region_of(known.report.zone.as_str(), self.document),
+                weight: weight_of(&known.report, service),
             })
             .collect()
     }
@@ -112,13 +113,9 @@
         }
     }
 
-    fn tokens(&self, member: usize, index: usize) -> u32 {
-        self.reports[member]
-            .1
-            .tokens
-            .get(index)
-            .copied()
-            .unwrap_or(0)
+    fn tokens(&self, place: usize, index: usize) -> u32 {
+        let tokens = &self.reports[place].report.tokens;
+        tokens.get(index).copied().unwrap_or(0)
     }
 }
 
