--- a/crates/daemon/src/tokens/token_keeper/trade_steps.rs
+++ b/crates/daemon/src/tokens/token_keeper/trade_steps.rs
@@ -1,26 +1,28 @@
 //! Tokens handed from peer to peer.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use tracing::debug;
 
+use crate::tokens::MemberReport;
 use crate::tokens::TokenKeeper;
+use crate::tokens::TradePlan;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::RunnerName;
 use sapphirestile_core::ServiceName;
 use sapphirestile_core::SortedTable;
-use sapphirestile_slots::HandoverPlan;
-use sapphirestile_slots::TokenDemand;
+use sapphirestile_slots::HandoverMessage;
+use sapphirestile_slots::PageCursor;
 use sapphirestile_slots::TokenLedger;
+use sapphirestile_wire::peer::HandoverParts;
 use sapphirestile_wire::peer::PeerDatagram;
 use sapphirestile_wire::peer::PeerFrame;
 use sapphirestile_wire::peer::TokenReport;
-use sapphirestile_wire::vms::VmKind;
 
 const REPORT_AGE_MAX_MS: u64 = 2_000;
-const TOTALS_MAX: usize = 200;
-const PAGE_TOTALS: usize = 8;
+const NEWS_TOTALS_MAX: usize = 200;
+/// A round through all counters takes 10 s.
+const ROUND_STEPS: usize = 40;
 
 impl TokenKeeper {
     /// Measures the demand, tells the peers, and hands over what the plan asks.
@@ -37,6 +39,7 @@
         let report = self.own_report(&row.ledger);
         // Whoever is no member takes no part in the plan.
         self.reports.retain(|peer| row.ledger.has_member(peer));
+        self.pages.retain(|peer, _| row.ledger.has_member(peer));
         self.hand_over(&row.ledger, &report);
         for peer in &row.ledger.members {
             self.tell(peer, &report);
@@ -44,7 +47,6 @@
     }
 
     fn measure_demand(&mut self) {
-        let wanting = self.context.wanting.swap(0, Ordering::Relaxed);
         let mut in_flight: SortedTable<ServiceName, u32> = SortedTable::new();
         for row in self.context.routes.load().rows() {
             *in_flight.get_or_insert_with(row.service.clone(), || 0) += row.gauge.in_flight();
@@ -53,7 +55,7 @@
             let meter = self
                 .demand
                 .get_or_insert_with(service.clone(), Default::default);
-            meter.observe(*count, wanting);
+            meter.observe(*count, self.context.traffic.of(service).waiting());
         }
     }
 
@@ -71,18 +73,38 @@
             .map(|(service, meter)| (service.clone(), meter.weight()));
         TokenReport {
             generation: ledger.generation.get(),
+            zone: self.context.settings.node.zone.clone(),
             weights: weights.collect(),
             tokens: ledger.runners.keys().map(held).collect(),
         }
     }
 
     /// Every member makes the plan from what all last reported, and carries out
-    /// its own part. A member that has not reported lately takes no part.
+    /// its own part.
     fn hand_over(&mut self, ledger: &TokenLedger, own: &TokenReport) {
         let context = Arc::clone(&self.context);
+        let reports = self.fresh_reports(own);
+        let Some(holder) = &mut self.holder else {
+            return;
+        };
+        let (vms, document) = (context.vms.load(), context.document.load());
+        let plan = TradePlan {
+            ledger,
+            reports: &reports,
+            vms: &vms,
+            document: document.document(),
+        };
+        plan.each_order_of(&context.identity, |runner, order| {
+            holder.hand_over(order.to, runner, order.count, &context.gauges);
+        });
+    }
+
+    /// The reports of all members, in their order. A member that has not reported
+    /// lately takes no part.
+    fn fresh_reports(&self, own: &TokenReport) -> Vec<MemberReport> {
+        let context = &self.context;
         let now = context.clock.now();
-        let generation = ledger.generation.get();
-        let fresh = self.reports.fresh(generation, now, REPORT_AGE_MAX_MS);
+        let fresh = self.reports.fresh(own.generation, now, REPORT_AGE_MAX_MS);
         let members = context.members.load();
         let suspect_ms = context.settings.limits.suspect_ms;
         let serves = |peer: &DaemonIdentity| {
@@ -91,38 +113,15 @@
         };
         // One that drains would only have to hand back what it is given.
         let fresh = fresh.filter(|(peer, _)| serves(peer));
-        let mut reports: Vec<(DaemonIdentity, TokenReport)> = fresh
-            .map(|(peer, report)| (peer.clone(), report.clone()))
-            .collect();
-        reports.push((context.identity.clone(), own.clone()));
-        reports.sort_by(|(left, _), (right, _)| left.cmp(right));
-        let services = self.services();
-        let Some(holder) = &mut self.holder else {
-            return;
-        };
-        for (place, runner) in ledger.runners.keys().enumerate() {
-            let Some(service) = services.get(runner) else {
-                continue;
-            };
-            let demands: Vec<TokenDemand<'_>> = reports
-                .iter()
-                .map(|(member, report)| demand_of(member, report, place, service))
-                .collect();
-            for order in HandoverPlan::new(&demands).orders_of(&context.identity) {
-                holder.hand_over(order.to, runner, order.count, &context.gauges);
-            }
-        }
-    }
-
-    fn services(&self) -> SortedTable<RunnerName, ServiceName> {
-        let vms = self.context.vms.load();
-        let runners = vms.records().filter(|record| record.kind == VmKind::Runner);
-        runners
-            .filter_map(|record| {
-                let runner = RunnerName::try_from(record.name.as_str()).ok()?;
-                Some((runner, record.service.clone()?))
+        let fresh = fresh.chain(Some((&context.identity, own)));
+        let mut reports: Vec<MemberReport> = fresh
+            .map(|(member, report)| MemberReport {
+                member: member.clone(),
+                report: report.clone(),
             })
-            .collect()
+            .collect();
+        reports.sort_by(|left, right| left.member.cmp(&right.member));
+        reports
     }
 
     /// Tells a peer what is held and wanted here, what was handed to it lately,
@@ -136,29 +135,27 @@
         let Some(holder) = &mut self.holder else {
             return;
         };
-        let news = holder.news_to(peer, TOTALS_MAX);
-        let page = holder.message_to(peer, self.pages.get(peer), PAGE_TOTALS);
-        match page.totals.last() {
-            Some(last) => self.pages.insert(peer.clone(), last.runner.clone()),
-            None => self.pages.remove(peer),
-        };
+        let news = holder.news_to(peer, NEWS_TOTALS_MAX);
+        let cursor = self
+            .pages
+            .get_or_insert_with(peer.clone(), || PageCursor::new(ROUND_STEPS));
+        let page = cursor.next_page(holder, peer);
         for message in news.into_iter().chain(Some(page)) {
-            if !message.totals.is_empty() {
-                self.send(peer, PeerDatagram::Handover(message));
-            }
+            self.send_parts(peer, message);
         }
     }
 
     /// Tells a peer all that was ever handed to it.
     pub(super) fn tell_everything(&mut self, peer: &DaemonIdentity) {
-        let mut after: Option<RunnerName> = None;
-        while let Some(holder) = &self.holder {
-            let message = holder.message_to(peer, after.as_ref(), TOTALS_MAX);
-            let Some(last) = message.totals.last() else {
-                return;
-            };
-            after = Some(last.runner.clone());
-            self.send(peer, PeerDatagram::Handover(message));
+        if let Some(holder) = &self.holder {
+            let message = holder.message_to(peer, None, usize::MAX);
+            self.send_parts(peer, message);
+        }
+    }
+
+    fn send_parts(&mut self, peer: &DaemonIdentity, message: HandoverMessage) {
+        for part in HandoverParts::new(message) {
+            self.send(peer, PeerDatagram::Handover(part));
         }
     }
 
@@ -182,18 +179,3 @@
         }
     }
 }
-
-fn demand_of<'r>(
-    member: &'r DaemonIdentity,
-    report: &TokenReport,
-    place: usize,
-    service: &ServiceName,
-) -> TokenDemand<'r> {
-    let weights = &report.weights;
-    let found = weights.binary_search_by(|(name, _)| name.cmp(service));
-    TokenDemand {
-        member,
-        tokens: report.tokens.get(place).copied().unwrap_or(0),
-        weight: found.map_or(1, |place| weights[place].1),
-    }
-}
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -9,7 +9,8 @@
 //! Each daemon keeps one [`TokenHolder`]. Tokens move between two members by
 //! [`HandoverCounters`] that only grow and that a [`HandoverMessage`] carries;
 //! messages may be lost, repeated and reordered. [`TokenHolder::news_to`] gives
-//! the counters that grew, [`TokenHolder::message_to`] all of them in pages. The
+//! the counters that grew, [`TokenHolder::message_to`] all of them, which a [`PageCursor`]
+//! repeats page by page. The
 //! holder puts its free tokens into the [`TokenGauges`] of the request's path, and
 //! takes them out of there before it hands them over.
 //!
@@ -17,7 +18,8 @@
 //! [`ClosedReport`]; a [`ReclaimPlan`] of all reports makes the next ledger.
 //! Tokens granted by it stay unused until the longest request has passed. Which
 //! member gives tokens to which is decided by a [`HandoverPlan`] from the
-//! [`TokenDemand`] of all, measured by a [`DemandMeter`]. When operators lower a
+//! [`TokenDemand`] of all, measured by a [`DemandMeter`] and weighed by region in a
+//! [`ServiceDemand`]. When operators lower a
 //! runner's slots, each member retires free tokens of its own; a daemon that stops
 //! on plan hands everything over first.
 
@@ -35,12 +37,19 @@
 mod ledger_draft;
 mod ledger_fault;
 mod ledger_generation;
+mod member_demand;
 mod member_grant;
 mod packed_grant;
 mod packed_ledger;
+mod page_cursor;
 mod reclaim_fault;
 mod reclaim_plan;
+mod region_balance;
+mod region_demand;
 mod runner_grant;
+mod runner_supply;
+mod scaled_part;
+mod service_demand;
 mod token_demand;
 mod token_gauges;
 mod token_holder;
@@ -60,10 +69,14 @@
 pub use ledger_draft::LedgerDraft;
 pub use ledger_fault::LedgerFault;
 pub use ledger_generation::LedgerGeneration;
+pub use member_demand::MemberDemand;
 pub use member_grant::MemberGrant;
+pub use page_cursor::PageCursor;
 pub use reclaim_fault::ReclaimFault;
 pub use reclaim_plan::ReclaimPlan;
 pub use runner_grant::RunnerGrant;
+pub use runner_supply::RunnerSupply;
+pub use service_demand::ServiceDemand;
 pub use token_demand::TokenDemand;
 pub use token_gauges::TokenGauges;
 pub use token_holder::TokenHolder;
