Call daemons from the tool through the client of the platform

The tool took IPv4 addresses only and refused ports such as 6000 and 10080, since its HTTP library does. The platform's client over ureq, the nearest kin, takes both and says of itself whether a request was sent, so the connection made only to find that out goes away.

Ruled out: keeping oxhttp's client for IPv4 and another beside it; there would be two ways to call.

The report of a connection that was not made now carries the operating system's error; before it was hidden in the library's.

--- a/crates/command/src/client/call_request.rs
+++ b/crates/command/src/client/call_request.rs
@@ -1,11 +1,11 @@
 //! A call to make.
 
-use oxhttp::model::Method;
+const READ_METHOD: &str = "GET";
 
 /// Method, path and body of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallRequest<'a> {
-    pub(crate) method: Method,
+    pub(crate) method: &'static str,
     pub(crate) path: &'a str,
     pub(crate) body: Vec<u8>,
 }
@@ -15,7 +15,7 @@
     #[must_use]
     pub const fn read(path: &'a str) -> Self {
         Self {
-            method: Method::GET,
+            method: READ_METHOD,
             path,
             body: Vec::new(),
         }
@@ -25,7 +25,7 @@
     #[must_use]
     pub const fn post(path: &'a str, body: Vec<u8>) -> Self {
         Self {
-            method: Method::POST,
+            method: "POST",
             path,
             body,
         }
@@ -35,13 +35,13 @@
     #[must_use]
     pub const fn put(path: &'a str, body: Vec<u8>) -> Self {
         Self {
-            method: Method::PUT,
+            method: "PUT",
             path,
             body,
         }
     }
 
     pub(crate) fn changes(&self) -> bool {
-        self.method != Method::GET
+        self.method != READ_METHOD
     }
 }
--- a/crates/command/src/client/operator_client.rs
+++ b/crates/command/src/client/operator_client.rs
@@ -1,44 +1,42 @@
 //! Makes calls.
 
-use std::io::Read;
 use std::net::SocketAddr;
-use std::net::TcpStream;
 use std::time::Duration;
 
 use error_stack::Report;
 use error_stack::ResultExt;
-use oxhttp::Client;
-use oxhttp::model::Body;
-use oxhttp::model::Request;
-use oxhttp::model::header::AUTHORIZATION;
-use oxhttp::model::header::CONTENT_TYPE;
 
 use crate::CallOptions;
 use crate::client::CallAnswer;
 use crate::client::CallFailure;
 use crate::client::CallRequest;
 use sapphirestile_core::StepError;
+use sapphirestile_platform::http::CallError;
+use sapphirestile_platform::http::CallLimits;
+use sapphirestile_platform::http::CallRequest as HttpRequest;
+use sapphirestile_platform::http::HeaderView;
+use sapphirestile_platform::http::HttpClient;
+use sapphirestile_platform::http::PeerAddress;
 
-const ANSWER_BYTES_MAX: u64 = 64 * 1_048_576;
+const STEP: &str = "call";
+const ANSWER_BYTES_MAX: usize = 64 * 1_048_576;
 const UNAVAILABLE_STATUS: u16 = 503;
 
 /// Calls the daemons of the options, one after the other.
 pub struct OperatorClient<'o> {
     options: &'o CallOptions,
-    timeout: Duration,
-    client: Client,
+    limits: CallLimits,
 }
 
 impl<'o> OperatorClient<'o> {
     /// A client of the daemons in `options`.
     #[must_use]
-    pub fn new(options: &'o CallOptions) -> Self {
-        let timeout = Duration::from_millis(options.timeout_ms);
-        Self {
-            options,
-            timeout,
-            client: Client::new().with_global_timeout(timeout),
-        }
+    pub const fn new(options: &'o CallOptions) -> Self {
+        let limits = CallLimits {
+            timeout: Duration::from_millis(options.timeout_ms),
+            answer_max_bytes: ANSWER_BYTES_MAX,
+        };
+        Self { options, limits }
     }
 
     /// Makes a call of the first daemon that can be reached.
@@ -71,42 +69,49 @@
         daemon: SocketAddr,
         request: &CallRequest<'_>,
     ) -> Result<CallAnswer, Report<CallFailure>> {
-        // A failed request does not say whether it was sent; a failed connection does.
-        TcpStream::connect_timeout(&daemon, self.timeout)
-            .change_context_lazy(|| StepError::new("connect", &daemon.to_string()))
+        let peer = PeerAddress::try_from(daemon)
+            .change_context_lazy(|| StepError::new(STEP, &daemon.to_string()))
             .change_context(CallFailure::Unreachable)?;
-        self.exchange(daemon, request)
-            .change_context(CallFailure::AnswerLost)
-    }
-
-    fn exchange(
-        &self,
-        daemon: SocketAddr,
-        request: &CallRequest<'_>,
-    ) -> Result<CallAnswer, Report<StepError>> {
-        let failed = || StepError::new("call", &daemon.to_string());
-        let mut builder = Request::builder()
-            .method(request.method.clone())
-            .uri(format!("http://{daemon}{}", request.path))
-            .header(CONTENT_TYPE, "application/json");
-        if let (true, Some(token)) = (request.changes(), &self.options.token) {
-            builder = builder.header(AUTHORIZATION, format!("Bearer {}", token.as_str()));
-        }
-        let message = builder
-            .body(Body::from(request.body.clone()))
-            .change_context_lazy(failed)?;
-        let response = self.client.request(message).change_context_lazy(failed)?;
-        let status = response.status().as_u16();
-        let mut body = Vec::new();
-        response
-            .into_body()
-            .take(ANSWER_BYTES_MAX)
-            .read_to_end(&mut body)
-            .change_context_lazy(failed)?;
+        let authorization = self.authorization(request);
+        let headers = header_views(authorization.as_deref());
+        let message = HttpRequest {
+            method: request.method,
+            path: request.path,
+            headers: &headers,
+            body: &request.body,
+        };
+        let answer = HttpClient::new(peer, self.limits)
+            .call(STEP, &message)
+            .map_err(failure_of)?;
         Ok(CallAnswer {
             daemon,
-            status,
-            body,
+            status: answer.status,
+            body: answer.body,
         })
     }
+
+    fn authorization(&self, request: &CallRequest<'_>) -> Option<String> {
+        let token = self.options.token.as_ref().filter(|_| request.changes())?;
+        Some(format!("Bearer {}", token.as_str()))
+    }
+}
+
+fn header_views(authorization: Option<&str>) -> Vec<HeaderView<'_>> {
+    let mut headers = vec![HeaderView {
+        name: "content-type",
+        value: b"application/json",
+    }];
+    headers.extend(authorization.map(|value| HeaderView {
+        name: "authorization",
+        value: value.as_bytes(),
+    }));
+    headers
+}
+
+fn failure_of(report: Report<CallError>) -> Report<CallFailure> {
+    let failure = match report.current_context() {
+        CallError::NotSent => CallFailure::Unreachable,
+        CallError::Unknown => CallFailure::AnswerLost,
+    };
+    report.change_context(failure)
 }
--- a/crates/platform/src/http/connect_fault.rs
+++ b/crates/platform/src/http/connect_fault.rs
@@ -19,6 +19,18 @@
             _ => false,
         }
     }
+
+    /// What the operating system said of `error`, whether or not a connection
+    /// was made.
+    pub(crate) fn system_error(error: ureq::Error) -> std::io::Error {
+        match error {
+            ureq::Error::Other(inner) => match inner.downcast::<Self>() {
+                Ok(fault) => fault.cause.into_io(),
+                Err(inner) => ureq::Error::Other(inner).into_io(),
+            },
+            error => error.into_io(),
+        }
+    }
 }
 
 impl std::fmt::Display for ConnectFault {
--- a/crates/platform/src/http/http_client.rs
+++ b/crates/platform/src/http/http_client.rs
@@ -182,7 +182,8 @@
         } else {
             CallError::Unknown
         };
-        self.failed(step, Report::new(error), outcome)
+        let report = Report::new(ConnectFault::system_error(error));
+        self.failed(step, report, outcome)
     }
 
     fn lost(&self, step: &'static str, reason: &'static str) -> Report<CallError> {
