Cut slow bodies off and slow wrong tokens down

A body that came a byte now and then held its connection and its thread for as long as its sender liked: each read had 30 s of its own, the whole had no limit. With 64 such senders the operators' port answered nobody. And wrong tokens were answered as fast as they came, in calls and in the form of the console.

A body is now read through a reader that fails once it falls behind its pace: `body_max_ms` for the whole, and 4 KiB a second after 10 s. The answer is 408, not run, and the connection ends. The three copies of reading a body become one. Tokens are judged with the address of the peer: ten wrong ones in ten seconds, and the address is refused with 429 and `retry-after` for two seconds, which further tries do not lengthen; 1,024 addresses are remembered. Neither decision reads a clock.

The library does not hand the peer's address to the service; the name of the connection's thread has it, and the scenes fail when that changes. Ruled out: a count of wrong tokens for all addresses together (anybody could keep operators out); judging right tokens during a pause (guesses would go on at full speed); a relay of our own before the library, which would bound heads too, for the copy of every request that it costs.

The tool ends with 3 on 408 and 429, as both may pass.

--- a/crates/command/tests/tool/answers.rs
+++ b/crates/command/tests/tool/answers.rs
@@ -8,6 +8,7 @@
 use proptest::sample::select;
 use proptest::test_runner::RngSeed;
 use serde_json::json;
+use test_case::test_case;
 
 use crate::fake_daemon::FakeAnswer;
 use crate::fake_daemon::FakeDaemon;
@@ -17,6 +18,17 @@
 const PROPERTY_SEED: u64 = 0x7001;
 const STATUSES: [u16; 12] = [200, 201, 302, 400, 401, 404, 409, 413, 422, 500, 503, 504];
 
+#[test_case(401, ExitKind::Refused; "a wrong token")]
+#[test_case(408, ExitKind::NotRun; "a slow body")]
+#[test_case(429, ExitKind::NotRun; "too many wrong tokens")]
+#[test_case(503, ExitKind::NotRun; "not now")]
+fn a_refusal_may_pass_or_not(status: u16, expected: ExitKind) {
+    let refusal = json!({"not_run": true, "reason": "as the daemon says"});
+    let daemon = FakeDaemon::answering(vec![FakeAnswer::Whole(status, refusal)]);
+    let run = run_against(&[daemon.address], &["cancel", "patterns"]);
+    assert_eq!(run.exit, expected, "{}", run.err);
+}
+
 // None of these is the body of an answer.
 fn garbage() -> impl Strategy<Value = Vec<u8>> {
     let bytes = proptest::collection::vec(any::<u8>(), 0..60);
--- a/crates/daemon/src/callers/caller_reply.rs
+++ b/crates/daemon/src/callers/caller_reply.rs
@@ -1,5 +1,6 @@
 //! What a caller is answered.
 
+use crate::serving::BodyFault;
 use crate::serving::HttpReply;
 use sapphirestile_platform::http::HttpAnswer;
 use sapphirestile_routing::RouteRefusal;
@@ -27,9 +28,21 @@
     BadRequest(&'static str),
     /// The request is larger than allowed, and was not run.
     TooLarge,
+    /// The body of the request arrived too slowly, and the request was not run.
+    TooSlow,
 }
 
 impl CallerReply {
+    /// The reply to a request whose body was not taken.
+    #[must_use]
+    pub const fn of_body(fault: BodyFault) -> Self {
+        match fault {
+            BodyFault::Broken => Self::BadRequest("the body did not arrive whole"),
+            BodyFault::TooLarge => Self::TooLarge,
+            BodyFault::TooSlow => Self::TooSlow,
+        }
+    }
+
     /// The reply over HTTP.
     #[must_use]
     pub fn into_http(self) -> HttpReply {
@@ -53,6 +66,7 @@
             Self::Unknown => refusal(504, "unknown", "the runner's answer did not arrive"),
             Self::BadRequest(reason) => refusal(400, "not-run", reason),
             Self::TooLarge => refusal(413, "not-run", "the request is larger than allowed"),
+            Self::TooSlow => refusal(408, "not-run", "the body arrived too slowly"),
         }
     }
 }
--- a/crates/daemon/src/callers/caller_request.rs
+++ b/crates/daemon/src/callers/caller_request.rs
@@ -1,11 +1,10 @@
 //! A caller's request, checked.
 
-use std::io::Read;
-
 use oxhttp::model::Body;
 use oxhttp::model::Request;
 
 use crate::callers::CallerReply;
+use crate::serving::read_body;
 use sapphirestile_core::RequestKey;
 use sapphirestile_platform::http::HeaderView;
 use sapphirestile_routing::RequestPriority;
@@ -50,7 +49,7 @@
             .iter()
             .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
             .collect();
-        let body = read_body(request, body_max)?;
+        let body = read_body(request.body_mut(), body_max).map_err(CallerReply::of_body)?;
         Ok(Self {
             method,
             target,
@@ -152,18 +151,3 @@
             .map(|(_, value)| value.as_slice())
     }
 }
-
-fn read_body(request: &mut Request<Body>, body_max: usize) -> Result<Vec<u8>, CallerReply> {
-    let limit = u64::try_from(body_max)
-        .unwrap_or(u64::MAX)
-        .saturating_add(1);
-    let mut body = Vec::new();
-    let read = request.body_mut().take(limit).read_to_end(&mut body);
-    if read.is_err() {
-        return Err(CallerReply::BadRequest("the body did not arrive whole"));
-    }
-    if body.len() > body_max {
-        return Err(CallerReply::TooLarge);
-    }
-    Ok(body)
-}
--- a/crates/daemon/src/callers/caller_service.rs
+++ b/crates/daemon/src/callers/caller_service.rs
@@ -83,7 +83,10 @@
             CallerReply::Unknown | CallerReply::AlreadySent => {
                 metrics.unknown.inc();
             }
-            CallerReply::NotRun(_) | CallerReply::BadRequest(_) | CallerReply::TooLarge => {
+            CallerReply::NotRun(_)
+            | CallerReply::BadRequest(_)
+            | CallerReply::TooLarge
+            | CallerReply::TooSlow => {
                 metrics.not_run.inc();
             }
         }
--- a/crates/daemon/src/console.rs
+++ b/crates/daemon/src/console.rs
@@ -27,6 +27,7 @@
 mod html_text;
 mod pages;
 mod read_wish;
+mod refuse_request;
 
 pub use answer_change::answer_change;
 pub use change_outcome::ChangeOutcome;
@@ -42,3 +43,4 @@
 pub use form_wish::FormWish;
 pub use handle_request::handle_request;
 pub use html_text::HtmlText;
+pub use refuse_request::refuse_request;
--- a/crates/daemon/src/console/console_request.rs
+++ b/crates/daemon/src/console/console_request.rs
@@ -2,6 +2,8 @@
 
 use crate::console::ConsoleMethod;
 use crate::console::ConsolePart;
+use crate::console::FormFields;
+use crate::console::handle_request::SIGN_IN_PATH;
 use sapphirestile_core::INI_BYTES_MAX;
 
 const FORM_BYTES_MAX: usize = 16 * 1_024;
@@ -39,4 +41,30 @@
             FORM_BYTES_MAX
         }
     }
+
+    /// The token that a form to sign in offers; none when the request is no such
+    /// form.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_daemon::console::ConsoleMethod;
+    /// use sapphirestile_daemon::console::ConsoleRequest;
+    ///
+    /// let request = ConsoleRequest {
+    ///     method: ConsoleMethod::Post,
+    ///     path: "/console/sign-in",
+    ///     cookie: None,
+    ///     body: b"author=maija&token=guess",
+    /// };
+    /// assert_eq!(request.offered_token().as_deref(), Some("guess"));
+    /// ```
+    #[must_use]
+    pub fn offered_token(&self) -> Option<String> {
+        if self.method != ConsoleMethod::Post || self.path != SIGN_IN_PATH {
+            return None;
+        }
+        let fields = FormFields::try_from(self.body).ok()?;
+        Some(fields.get("token").to_owned())
+    }
 }
--- a/crates/daemon/src/cycle/daemon_cycle.rs
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -39,6 +39,7 @@
 use crate::peers::PeerServer;
 use crate::serving::HttpPort;
 use crate::serving::HttpService;
+use crate::serving::PortLimits;
 use crate::serving::RequestGate;
 use crate::settings::DaemonSettings;
 use crate::tokens::GaugeTable;
@@ -266,7 +267,7 @@
     let service: Arc<dyn HttpService> = Arc::new(service);
     HttpPort::open(
         context.settings.node.callers,
-        CALLER_CONNECTIONS,
+        port_limits(context, CALLER_CONNECTIONS),
         &service,
         gate,
     )
@@ -278,8 +279,15 @@
     let gate = Arc::new(RequestGate::default());
     HttpPort::open(
         context.settings.node.operators,
-        OPERATOR_CONNECTIONS,
+        port_limits(context, OPERATOR_CONNECTIONS),
         &service,
         &gate,
     )
 }
+
+fn port_limits(context: &DaemonContext, connections: usize) -> PortLimits {
+    PortLimits {
+        connections,
+        body_max_ms: context.settings.limits.body_max_ms,
+    }
+}
--- a/crates/daemon/src/operators/console_calls.rs
+++ b/crates/daemon/src/operators/console_calls.rs
@@ -1,7 +1,5 @@
 //! Calls of the console.
 
-use std::io::Read;
-
 use oxhttp::model::Body;
 use oxhttp::model::Method;
 use oxhttp::model::Request;
@@ -15,13 +13,18 @@
 use crate::console::ConsoleStep;
 use crate::console::answer_change;
 use crate::console::handle_request;
+use crate::console::refuse_request;
 use crate::context::DaemonContext;
 use crate::context::MonoClock;
 use crate::document::ChangeOutcome;
 use crate::document::DocumentWriter;
+use crate::operators::TryVerdict;
 use crate::operators::operator_service::refusal;
 use crate::operators::status_calls::StatusCalls;
+use crate::operators::token_guard::TokenGuard;
+use crate::serving::BodyFault;
 use crate::serving::HttpReply;
+use crate::serving::read_body;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_wire::api::CallRefusal;
 use sapphirestile_wire::api::DocumentAccepted;
@@ -31,11 +34,12 @@
 /// Answers calls of the console.
 pub struct ConsoleCalls<'c> {
     context: &'c DaemonContext,
+    guard: &'c TokenGuard,
 }
 
 impl<'c> ConsoleCalls<'c> {
-    pub const fn new(context: &'c DaemonContext) -> Self {
-        Self { context }
+    pub const fn new(context: &'c DaemonContext, guard: &'c TokenGuard) -> Self {
+        Self { context, guard }
     }
 
     /// Answers one request.
@@ -50,8 +54,10 @@
         let cookie = cookie
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
-        let Ok(body) = read_body(request, ConsoleRequest::body_bytes_max(&path)) else {
-            return refusal(400, true, "the form did not arrive whole");
+        let max_bytes = ConsoleRequest::body_bytes_max(&path);
+        let body = match read_body(request.body_mut(), max_bytes) {
+            Ok(body) => body,
+            Err(fault) => return self.refuse_body(fault),
         };
         let request = ConsoleRequest {
             method,
@@ -59,6 +65,10 @@
             cookie: cookie.as_deref(),
             body: &body,
         };
+        if let Some(TryVerdict::Paused { wait_ms }) = self.judge_sign_in(&request) {
+            let message = "Too many wrong tokens came from your address. Wait a moment.";
+            return self.refuse(429, message).with_retry_after(wait_ms);
+        }
         match self.with_state(|state| handle_request(&request, state)) {
             ConsoleStep::Page(page) => reply(page),
             ConsoleStep::Change(change) => {
@@ -69,6 +79,28 @@
         }
     }
 
+    fn judge_sign_in(&self, request: &ConsoleRequest<'_>) -> Option<TryVerdict> {
+        let offered = request.offered_token()?;
+        let token = &self.context.settings.operators.token;
+        Some(self.guard.judge(self.context, token.matches(&offered)))
+    }
+
+    fn refuse_body(&self, fault: BodyFault) -> HttpReply {
+        match fault {
+            BodyFault::Broken => {
+                self.refuse(400, "Nothing was done. The form did not arrive whole.")
+            }
+            BodyFault::TooSlow => {
+                self.refuse(408, "Nothing was done. The form arrived too slowly.")
+            }
+            BodyFault::TooLarge => self.refuse(413, "The form is too large. Nothing was done."),
+        }
+    }
+
+    fn refuse(&self, status: u16, message: &str) -> HttpReply {
+        reply(self.with_state(|state| refuse_request(status, message, state)))
+    }
+
     fn with_state<T>(&self, show: impl FnOnce(&ConsoleState<'_>) -> T) -> T {
         let document = self.context.document.load();
         let view = document.view();
@@ -108,13 +140,6 @@
     }
 }
 
-fn read_body(request: &mut Request<Body>, limit: usize) -> std::io::Result<Vec<u8>> {
-    let limit = u64::try_from(limit).unwrap_or(u64::MAX).saturating_add(1);
-    let mut body = Vec::new();
-    request.body_mut().take(limit).read_to_end(&mut body)?;
-    Ok(body)
-}
-
 fn reply(page: ConsolePage) -> HttpReply {
     let mut reply = HttpReply::new(page.status, page.content_type, page.body.into_bytes());
     for (name, value) in ConsolePage::headers() {
--- a/crates/daemon/src/operators/operator_service.rs
+++ b/crates/daemon/src/operators/operator_service.rs
@@ -1,6 +1,5 @@
 //! Answers calls of operators.
 
-use std::io::Read;
 use std::sync::Arc;
 
 use oxhttp::model::Body;
@@ -9,45 +8,55 @@
 
 use crate::context::DaemonContext;
 use crate::operators::OperatorCall;
+use crate::operators::TryVerdict;
 use crate::operators::console_calls::ConsoleCalls;
 use crate::operators::document_calls::DocumentCalls;
 use crate::operators::job_calls::JobCalls;
 use crate::operators::status_calls::StatusCalls;
+use crate::operators::token_guard::TokenGuard;
+use crate::serving::BodyFault;
 use crate::serving::HttpReply;
 use crate::serving::HttpService;
+use crate::serving::read_body;
 use sapphirestile_wire::api::CallRefusal;
 use sapphirestile_wire::peer::MemberState;
 
-const BODY_MAX_BYTES: u64 = 2 * 1_024 * 1_024;
+const BEARER: &str = "Bearer ";
+const BODY_MAX_BYTES: usize = 2 * 1_024 * 1_024;
 
 /// Answers calls of operators.
 pub struct OperatorService {
     context: Arc<DaemonContext>,
+    guard: TokenGuard,
 }
 
 impl OperatorService {
     /// A service for one daemon.
     #[must_use]
-    pub const fn new(context: Arc<DaemonContext>) -> Self {
-        Self { context }
+    pub fn new(context: Arc<DaemonContext>) -> Self {
+        Self {
+            context,
+            guard: TokenGuard::default(),
+        }
     }
 
     fn serve(&self, request: &mut Request<Body>) -> HttpReply {
         if request.uri().path().starts_with("/console") {
-            return ConsoleCalls::new(&self.context).answer(request);
+            return ConsoleCalls::new(&self.context, &self.guard).answer(request);
         }
         let method = request.method().as_str();
         let Some(call) = OperatorCall::find(method, request.uri().path()) else {
             return refusal(404, true, "there is no such call");
         };
-        if call.changes_state() && !self.is_operator(request) {
-            return refusal(401, true, "the operators' token is missing or wrong");
+        if call.changes_state()
+            && let Err(reply) = self.check_operator(request)
+        {
+            return reply;
+        }
+        match read_body(request.body_mut(), BODY_MAX_BYTES) {
+            Ok(body) => self.dispatch(&call, &body),
+            Err(fault) => body_refusal(fault),
         }
-        let body = match read_body(request) {
-            Ok(body) => body,
-            Err(reply) => return reply,
-        };
-        self.dispatch(&call, &body)
     }
 
     fn dispatch(&self, call: &OperatorCall, body: &[u8]) -> HttpReply {
@@ -80,10 +89,22 @@
         }
     }
 
-    fn is_operator(&self, request: &Request<Body>) -> bool {
+    /// A call without a token is no try of one.
+    fn check_operator(&self, request: &Request<Body>) -> Result<(), HttpReply> {
         let header = request.headers().get(AUTHORIZATION);
         let offered = header.and_then(|value| value.to_str().ok());
-        self.context.settings.operators.token.admits(offered)
+        if !offered.is_some_and(|value| value.starts_with(BEARER)) {
+            return Err(unauthorized());
+        }
+        let token = &self.context.settings.operators.token;
+        match self.guard.judge(&self.context, token.admits(offered)) {
+            TryVerdict::Right => Ok(()),
+            TryVerdict::Wrong => Err(unauthorized()),
+            TryVerdict::Paused { wait_ms } => {
+                let reply = refusal(429, true, "too many wrong tokens from this address");
+                Err(reply.with_retry_after(wait_ms))
+            }
+        }
     }
 }
 
@@ -120,17 +141,14 @@
     )
 }
 
-fn read_body(request: &mut Request<Body>) -> Result<Vec<u8>, HttpReply> {
-    let mut body = Vec::new();
-    let read = request
-        .body_mut()
-        .take(BODY_MAX_BYTES + 1)
-        .read_to_end(&mut body);
-    match read {
-        Ok(length) if length as u64 > BODY_MAX_BYTES => {
-            Err(refusal(413, true, "the body is larger than 2 MiB"))
-        }
-        Ok(_) => Ok(body),
-        Err(_) => Err(refusal(400, true, "the body did not arrive whole")),
+fn unauthorized() -> HttpReply {
+    refusal(401, true, "the operators' token is missing or wrong")
+}
+
+fn body_refusal(fault: BodyFault) -> HttpReply {
+    match fault {
+        BodyFault::Broken => refusal(400, true, "the body did not arrive whole"),
+        BodyFault::TooSlow => refusal(408, true, "the body arrived too slowly"),
+        BodyFault::TooLarge => refusal(413, true, "the body is larger than 2 MiB"),
     }
 }
--- a/crates/daemon/src/serving/http_port.rs
+++ b/crates/daemon/src/serving/http_port.rs
@@ -3,6 +3,7 @@
 use std::io::Read;
 use std::io::copy;
 use std::io::sink;
+use std::mem::take;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -15,10 +16,15 @@
 use oxhttp::model::Body;
 use oxhttp::model::HeaderValue;
 use oxhttp::model::Request;
+use oxhttp::model::Response;
 use oxhttp::model::header::CONNECTION;
 
+use crate::context::MonoClock;
 use crate::serving::HttpService;
+use crate::serving::PacedReader;
+use crate::serving::PortLimits;
 use crate::serving::RequestGate;
+use crate::serving::TransferPace;
 use sapphirestile_core::StepError;
 
 const STEP: &str = "bind port";
@@ -41,7 +47,7 @@
     /// When the port cannot be bound.
     pub fn open(
         address: SocketAddr,
-        connections: usize,
+        limits: PortLimits,
         service: &Arc<dyn HttpService>,
         gate: &Arc<RequestGate>,
     ) -> Result<Self, Report<StepError>> {
@@ -50,7 +56,7 @@
         loop {
             tried += 1;
             let wanted = choose_port(address).change_context_lazy(failed)?;
-            match spawn(wanted, connections, Arc::clone(service), gate) {
+            match spawn(wanted, limits, Arc::clone(service), gate) {
                 Ok(server) => {
                     return Ok(Self {
                         address: wanted,
@@ -81,37 +87,59 @@
 
 fn spawn(
     address: SocketAddr,
-    connections: usize,
+    limits: PortLimits,
     service: Arc<dyn HttpService>,
     gate: &Arc<RequestGate>,
 ) -> std::io::Result<ListeningServer> {
     let gate = Arc::clone(gate);
+    let clock = MonoClock::start();
     Server::new(move |request| {
-        let Some(pass) = gate.enter() else {
-            return service.refuse().into_response();
+        pace_body(request, clock, limits.body_max_ms);
+        let pass = gate.enter();
+        let reply = if pass.is_some() {
+            service.answer(request)
+        } else {
+            service.refuse()
         };
-        let mut response = service.answer(request).into_response();
-        finish_body(request);
+        let mut response = reply.into_response();
+        if !finish_body(request) {
+            close_after(request, &mut response);
+        }
         // The library drops the response once it is written, and the pass with it.
         response.extensions_mut().insert(Arc::new(pass));
         response
     })
     .bind(address)
     .with_global_timeout(IDLE_TIMEOUT)
-    .with_max_concurrent_connections(connections)
+    .with_max_concurrent_connections(limits.connections)
     .spawn()
 }
 
+/// Bounds the time that the body may take to arrive.
+fn pace_body(request: &mut Request<Body>, clock: MonoClock, body_max_ms: u64) {
+    if request.body().len() == Some(0) {
+        return;
+    }
+    let body = take(request.body_mut());
+    let pace = TransferPace::begin(clock.now(), body_max_ms);
+    let reader = PacedReader::new(body, pace, move || clock.now());
+    *request.body_mut() = Body::from_read(reader);
+}
+
 /// Reads what is left of a body, so that the connection can carry another
-/// request. A body that breaks off or goes on for long ends its connection, but
-/// not the answer: the library would answer a failure of its own instead.
-fn finish_body(request: &mut Request<Body>) {
+/// request. Returns whether the body has come to its end; one that breaks off,
+/// falls behind or goes on for long does not.
+fn finish_body(request: &mut Request<Body>) -> bool {
     let mut rest = request.body_mut().take(BODY_REST_MAX_BYTES);
     let read = copy(&mut rest, &mut sink());
-    if read.is_ok_and(|length| length < BODY_REST_MAX_BYTES) {
-        return;
-    }
+    read.is_ok_and(|length| length < BODY_REST_MAX_BYTES)
+}
+
+/// Has the connection end after the answer. Without the body the library would
+/// answer a failure of its own instead.
+fn close_after(request: &mut Request<Body>, response: &mut Response<Body>) {
     *request.body_mut() = Body::empty();
     let close = HeaderValue::from_static("close");
-    request.headers_mut().insert(CONNECTION, close);
+    request.headers_mut().insert(CONNECTION, close.clone());
+    response.headers_mut().insert(CONNECTION, close);
 }
--- a/crates/daemon/src/serving/http_reply.rs
+++ b/crates/daemon/src/serving/http_reply.rs
@@ -6,6 +6,8 @@
 use oxhttp::model::header::CONTENT_TYPE;
 use serde::Serialize;
 
+const MS_PER_S: u64 = 1_000;
+
 /// An answer: status, headers and body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HttpReply {
@@ -51,6 +53,13 @@
         self
     }
 
+    /// The answer with the seconds after which to try again, rounded up.
+    #[must_use]
+    pub fn with_retry_after(self, wait_ms: u64) -> Self {
+        let seconds = wait_ms.div_ceil(MS_PER_S);
+        self.with_header("retry-after", &seconds.to_string())
+    }
+
     /// The answer as the HTTP library takes it.
     #[must_use]
     pub fn into_response(self) -> Response<Body> {
--- a/crates/daemon/src/settings/limit_settings.rs
+++ b/crates/daemon/src/settings/limit_settings.rs
@@ -4,6 +4,7 @@
 
 const CALLER_BODY_DEFAULT_BYTES: usize = 1_048_576;
 const CALLER_BODY_MAX_BYTES: usize = 67_108_864;
+const BODY_MAX_DEFAULT_MS: u64 = 60_000;
 const STORE_TIMEOUT_DEFAULT_MS: u64 = 2_000;
 const HEARTBEAT_DEFAULT_MS: u64 = 500;
 const SUSPECT_DEFAULT_MS: u64 = 5_000;
@@ -18,6 +19,7 @@
 const HEARTBEAT_EXPECTED: &str = "milliseconds from 10 to 60000";
 const SUSPECT_EXPECTED: &str = "milliseconds from 20 to 3600000";
 const LEASE_EXPECTED: &str = "milliseconds from 2000 to 86400000";
+const BODY_MAX_EXPECTED: &str = "milliseconds from 100 to 3600000";
 const HOUR_EXPECTED: &str = "milliseconds from 1 to 3600000";
 const SUSPECT_LATER_EXPECTED: &str = "at least twice heartbeat_ms";
 const DRAIN_LONGER_EXPECTED: &str = "at least request_max_ms, so that a stop cuts off no request";
@@ -27,6 +29,8 @@
 pub struct LimitSettings {
     /// The longest body of a caller's request, in bytes.
     pub caller_body_bytes: usize,
+    /// The longest time that a body may take to arrive, in milliseconds.
+    pub body_max_ms: u64,
     /// How long the store may take to answer, in milliseconds.
     pub store_timeout_ms: u64,
     /// The time between two heartbeats, in milliseconds.
@@ -52,6 +56,12 @@
         let mut millis = |key, default, range, expected| {
             reader.ranged::<u64>(key, Some(default), range, expected)
         };
+        let body_max_ms = millis(
+            "body_max_ms",
+            BODY_MAX_DEFAULT_MS,
+            100..=HOUR_MS,
+            BODY_MAX_EXPECTED,
+        );
         let store_timeout_ms = millis(
             "store_timeout_ms",
             STORE_TIMEOUT_DEFAULT_MS,
@@ -96,6 +106,7 @@
         reader.finish();
         Some(Self {
             caller_body_bytes: caller_body_bytes?,
+            body_max_ms: body_max_ms?,
             store_timeout_ms: store_timeout_ms?,
             heartbeat_ms: heartbeat_ms?,
             suspect_ms: suspect_ms?,
--- a/crates/daemon/tests/ports/main.rs
+++ b/crates/daemon/tests/ports/main.rs
@@ -5,4 +5,6 @@
 mod frames;
 mod operators_port;
 mod peers_port;
+mod slow_senders;
 mod support;
+mod wrong_tokens;
