Hold repeated log lines back and name step and peer in each

With the owner silent and the store away, the next daemon in the cell's order wrote that the claim failed at every look, five times a second: 25 lines in 120 heartbeats, against 4 of the others. The registration of a daemon that starts without a store, an empty list of VMs and a peer server without threads had no limit either. Errors stood in the JSON with the escape sequences of terminal colours, and 14 places named no peer.

Ruled out: a limit for the whole log, which would hide the rare line behind the frequent one.

The scene freezes the owner, takes store, list and a worker away for 120 heartbeats and reads the logs of the others: 4 and 5 lines each. With the gate left out of claims, or with colours, it fails.

--- a/crates/daemon/src/bin/sapphirestiled.rs
+++ b/crates/daemon/src/bin/sapphirestiled.rs
@@ -11,6 +11,7 @@
 use bpaf::positional;
 use error_stack::Report;
 use error_stack::ResultExt;
+use error_stack::fmt::ColorMode;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
@@ -109,6 +110,8 @@
 }
 
 fn start_log() {
+    // Escape sequences of colours have no place in JSON.
+    Report::set_color_mode(ColorMode::None);
     tracing_subscriber::fmt()
         .json()
         .with_writer(std::io::stderr)
--- a/crates/daemon/src/cells/cell_director.rs
+++ b/crates/daemon/src/cells/cell_director.rs
@@ -21,6 +21,7 @@
 use crate::cells::KeeperHandle;
 use crate::cells::WorkerPool;
 use crate::context::DaemonContext;
+use crate::context::RepeatGate;
 use sapphirestile_cells::CellMap;
 use sapphirestile_cells::CellOwner;
 use sapphirestile_cells::ClaimingPhase;
@@ -41,6 +42,7 @@
     started: MonoTime,
     /// When a cell was last given up for the sake of balance.
     balanced: MonoTime,
+    gate: RepeatGate,
 }
 
 impl CellDirector {
@@ -53,6 +55,7 @@
             pool,
             started,
             balanced: started,
+            gate: RepeatGate::default(),
         }
     }
 
@@ -126,7 +129,7 @@
             .iter()
             .find(|(cell, _)| !self.is_preferred(map, **cell, now));
         if let Some((cell, handle)) = strange {
-            info!(step = "balance cells", %cell, "given up for another daemon");
+            info!(step = "balance cells", peer = "other daemons", %cell, "given up for another daemon");
             let _told = handle.events.send(KeeperEvent::Stop);
         }
     }
@@ -164,8 +167,23 @@
     fn claim(&self, cell: CellNumber) {
         match self.try_claim(cell) {
             Ok(Some((owner, journal))) => self.start_keeper(owner, journal),
-            Ok(None) => info!(step = "claim cell", %cell, "another daemon was first"),
-            Err(error) => warn!(step = "claim cell", %cell, ?error, "not claimed"),
+            Ok(None) => {
+                info!(step = "claim cell", peer = "store", %cell, "another daemon was first");
+            }
+            Err(error) => self.warn_unclaimed(cell, &error),
+        }
+    }
+
+    fn warn_unclaimed(&self, cell: CellNumber, error: &Report<StepError>) {
+        if let Some(repeats) = self.gate.pass(self.context.clock.now()) {
+            warn!(
+                step = "claim cell",
+                peer = "store",
+                %cell,
+                repeats,
+                ?error,
+                "not claimed"
+            );
         }
     }
 
--- a/crates/daemon/src/cells/cell_journal.rs
+++ b/crates/daemon/src/cells/cell_journal.rs
@@ -184,7 +184,7 @@
     let fits = snapshot.len() <= SNAPSHOT_MAX_BYTES;
     if !fits {
         let bytes = snapshot.len();
-        warn!(step = "write snapshot", %cell, bytes, "too large, left out");
+        warn!(step = "write snapshot", peer = PEER, %cell, bytes, "too large, left out");
     }
     fits
 }
--- a/crates/daemon/src/cells/cell_keeper.rs
+++ b/crates/daemon/src/cells/cell_keeper.rs
@@ -102,7 +102,7 @@
     /// Owns the cell until it is deposed or has given the cell up.
     pub fn run(mut self) {
         let (cell, epoch) = (self.owner.cell(), self.owner.epoch());
-        info!(step = "own cell", %cell, %epoch, "claimed");
+        info!(step = "own cell", peer = "store", %cell, %epoch, "claimed");
         while !self.has_ended() {
             match self.events.recv_timeout(TICK) {
                 Ok(event) => self.take_all(event),
@@ -114,7 +114,7 @@
             }
         }
         self.refuse_replies();
-        info!(step = "own cell", %cell, %epoch, deposed = self.deposed, "given up");
+        info!(step = "own cell", peer = "store", %cell, %epoch, deposed = self.deposed, "given up");
         if !self.deposed {
             self.release();
         }
@@ -172,7 +172,7 @@
             JournalOutcome::ConfigMoved => {
                 self.beaten = self.guarded;
                 self.batches_beaten += 1;
-                info!(step = "commit starts", cell = %self.owner.cell(), "configuration moved");
+                info!(step = "commit starts", peer = "store", cell = %self.owner.cell(), "configuration moved");
                 CommitOutcome::ConfigMoved
             }
             JournalOutcome::Beaten => {
@@ -243,7 +243,7 @@
                 .events
                 .iter()
                 .find(|event| matches!(event, KeeperEvent::Committed(_)));
-            info!(step = "release cell", ?outcome, "released");
+            info!(step = "release cell", peer = "store", ?outcome, "released");
         }
     }
 }
--- a/crates/daemon/src/cells/journal_writer.rs
+++ b/crates/daemon/src/cells/journal_writer.rs
@@ -71,6 +71,7 @@
                     if let Some(repeats) = self.gate.pass(asked) {
                         warn!(
                             step = "commit journal entry",
+                            peer = "store",
                             repeats,
                             ?error,
                             "trying again"
--- a/crates/daemon/src/cycle/daemon_cycle.rs
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -75,7 +75,7 @@
         settings.node.peers = peers.address;
         let store = open_store(&settings)?;
         let identity = register(store.as_ref(), &settings);
-        info!(step = "register daemon", daemon = %identity, "registered");
+        info!(step = "register daemon", peer = "store", daemon = %identity, "registered");
         let (token_events, tokens) = unbounded();
         let context = Arc::new(new_context(settings, identity, store, token_events));
         let gate = Arc::new(RequestGate::default());
@@ -128,7 +128,7 @@
         let keeper = HouseKeeper::new(Arc::clone(&context), desk);
         thread::spawn(move || keeper.run(&stopped));
         context.phase.set(MemberState::Serving);
-        info!(step = "serve", ?addresses, "serving");
+        info!(step = "serve", peer = "own process", ?addresses, "serving");
         Ok(DaemonCycle {
             phase: ServingPhase {
                 context,
@@ -166,7 +166,7 @@
             ..
         } = self.phase;
         context.phase.set(MemberState::Draining);
-        info!(step = "drain", "draining");
+        info!(step = "drain", peer = "own process", "draining");
         DaemonCycle {
             phase: DrainingPhase {
                 context,
@@ -202,7 +202,13 @@
         hand_tokens_over(&context);
         take_registration_back(&context);
         let released = context.keepers.load().is_empty();
-        info!(step = "drain", emptied, released, "ended");
+        info!(
+            step = "drain",
+            peer = "own process",
+            emptied,
+            released,
+            "ended"
+        );
         drop(stop);
         drop(ports);
         emptied && released
--- a/crates/daemon/src/cycle/drain_steps.rs
+++ b/crates/daemon/src/cycle/drain_steps.rs
@@ -17,7 +17,12 @@
     let (reply, done) = bounded(1);
     let told = context.token_events.send(TokenEvent::Leave(reply));
     let left = told.is_ok() && done.recv_timeout(HAND_OVER_WAIT).is_ok();
-    info!(step = "hand tokens over", left, "ended");
+    info!(
+        step = "hand tokens over",
+        peer = "other daemons",
+        left,
+        "ended"
+    );
 }
 
 /// Whoever reads that the registration is gone knows that this incarnation holds
--- a/crates/daemon/src/document/document_writer.rs
+++ b/crates/daemon/src/document/document_writer.rs
@@ -173,7 +173,9 @@
         Ok(document) => context
             .document
             .update(|current| current.later(&document).clone()),
-        Err(fault) => warn!(step = "read configuration", %revision, %fault, "document refused"),
+        Err(fault) => {
+            warn!(step = "read configuration", peer = "store", %revision, %fault, "document refused");
+        }
     }
 }
 
--- a/crates/daemon/src/members/datagram_receiver.rs
+++ b/crates/daemon/src/members/datagram_receiver.rs
@@ -1,5 +1,6 @@
 //! Receives datagrams of peers.
 
+use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,16 +42,16 @@
     pub fn run(&self, stop: &Receiver<()>) {
         let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
         while stop.try_recv() != Err(TryRecvError::Disconnected) {
-            if let Ok((length, _)) = self.socket.recv_from(&mut buffer) {
-                self.receive(&buffer[..length]);
+            if let Ok((length, peer)) = self.socket.recv_from(&mut buffer) {
+                self.receive(&buffer[..length], peer);
             }
         }
     }
 
-    fn receive(&self, sealed: &[u8]) {
+    fn receive(&self, sealed: &[u8], peer: SocketAddr) {
         match self.context.key.open::<PeerDatagram>(sealed) {
             Ok(frame) => self.take(frame),
-            Err(fault) => debug!(step = "receive datagram", %fault, "dropped"),
+            Err(fault) => debug!(step = "receive datagram", %peer, %fault, "dropped"),
         }
     }
 
@@ -94,7 +95,7 @@
 
     fn check_replaced(&self, peer: &DaemonIdentity) {
         if peer.incarnation > self.context.identity.incarnation {
-            error!(step = "receive datagram", "replaced by a later incarnation");
+            error!(step = "receive datagram", %peer, "replaced by a later incarnation");
             std::process::exit(1);
         }
     }
--- a/crates/daemon/src/members/member_registration.rs
+++ b/crates/daemon/src/members/member_registration.rs
@@ -7,6 +7,8 @@
 use error_stack::ResultExt;
 use tracing::warn;
 
+use crate::context::MonoClock;
+use crate::context::RepeatGate;
 use crate::context::StoreKeys;
 use crate::members::MemberRecord;
 use sapphirestile_core::IncarnationNumber;
@@ -20,6 +22,7 @@
 use sapphirestile_platform::store::StoredRow;
 
 const STEP: &str = "register daemon";
+const PEER: &str = "store";
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Registers a daemon in the store.
@@ -41,10 +44,22 @@
     /// Writes the record, and tries again for as long as the store is away.
     #[must_use]
     pub fn register(&self, record: &MemberRecord) -> IncarnationNumber {
+        let (clock, gate) = (MonoClock::start(), RepeatGate::default());
         loop {
             match self.try_register(record) {
                 Ok(incarnation) => return incarnation,
-                Err(error) => warn!(step = STEP, daemon = self.daemon, ?error, "trying again"),
+                Err(error) => {
+                    if let Some(repeats) = gate.pass(clock.now()) {
+                        warn!(
+                            step = STEP,
+                            peer = PEER,
+                            daemon = self.daemon,
+                            repeats,
+                            ?error,
+                            "trying again"
+                        );
+                    }
+                }
             }
             thread::sleep(RETRY_PAUSE);
         }
@@ -70,6 +85,7 @@
         if let Err(error) = self.store.commit(&commit) {
             warn!(
                 step = "remove registration",
+                peer = PEER,
                 daemon = self.daemon,
                 ?error,
                 "outcome open"
@@ -78,7 +94,7 @@
     }
 
     fn try_register(&self, record: &MemberRecord) -> Result<IncarnationNumber, Report<StepError>> {
-        let failed = || StepError::new(STEP, "store");
+        let failed = || StepError::new(STEP, PEER);
         let value = serde_json::to_vec(record).change_context_lazy(failed)?;
         let known = self.read().change_context_lazy(failed)?;
         if let Some(row) = &known
--- a/crates/daemon/src/members/shared_watch.rs
+++ b/crates/daemon/src/members/shared_watch.rs
@@ -122,7 +122,12 @@
             Ok(stored) => {
                 document::publish(&self.context, stored, ConfigRevision::new(row.revision));
             }
-            Err(error) => error!(step = "read configuration", ?error, "row not understood"),
+            Err(error) => error!(
+                step = "read configuration",
+                peer = "store",
+                ?error,
+                "row not understood"
+            ),
         }
     }
 
@@ -138,7 +143,9 @@
                 };
                 tokens::take_ledger(&self.context, row);
             }
-            Err(error) => error!(step = "read ledger", %error, "row not understood"),
+            Err(error) => {
+                error!(step = "read ledger", peer = "store", %error, "row not understood");
+            }
         }
     }
 
--- a/crates/daemon/src/peers/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -1,5 +1,6 @@
 //! Takes calls of peers.
 
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 
 use crate::cells::CellDesk;
 use crate::context::DaemonContext;
+use crate::context::RepeatGate;
 use crate::peers::ConnectionPass;
 use crate::peers::FrameStream;
 use crate::tokens::TokenEvent;
@@ -34,6 +36,7 @@
     context: Arc<DaemonContext>,
     listener: TcpListener,
     open: Arc<AtomicUsize>,
+    gate: RepeatGate,
 }
 
 impl PeerServer {
@@ -44,14 +47,15 @@
             context,
             listener,
             open: Arc::default(),
+            gate: RepeatGate::default(),
         }
     }
 
     /// Takes connections until the process ends.
     pub fn run(&self) {
-        for stream in self.listener.incoming() {
-            match stream {
-                Ok(stream) => self.accept(stream),
+        loop {
+            match self.listener.accept() {
+                Ok((stream, peer)) => self.accept(stream, peer),
                 // Such as for want of a descriptor, which does not pass at once.
                 Err(_) => thread::sleep(ACCEPT_PAUSE),
             }
@@ -59,20 +63,22 @@
     }
 
     /// Serves a connection, or closes it when there are too many.
-    fn accept(&self, stream: TcpStream) {
+    fn accept(&self, stream: TcpStream, peer: SocketAddr) {
         let Some(pass) = ConnectionPass::take(&self.open, CONNECTIONS_MAX) else {
-            debug!(step = "accept peer", "too many connections");
+            debug!(step = "accept peer", %peer, "too many connections");
             return;
         };
         let context = Arc::clone(&self.context);
         let spawned = thread::Builder::new().spawn(move || {
             let _pass = pass;
             if let Err(error) = serve(&context, stream) {
-                debug!(step = "serve peer", %error, "connection ended");
+                debug!(step = "serve peer", %peer, %error, "connection ended");
             }
         });
-        if let Err(error) = spawned {
-            warn!(step = "accept peer", %error, "no thread for a connection");
+        if let Err(error) = spawned
+            && let Some(repeats) = self.gate.pass(self.context.clock.now())
+        {
+            warn!(step = "accept peer", %peer, repeats, %error, "no thread for a connection");
         }
     }
 }
--- a/crates/daemon/src/tokens/ledger_writer.rs
+++ b/crates/daemon/src/tokens/ledger_writer.rs
@@ -51,7 +51,11 @@
         match self.context.store.commit(&commit) {
             Ok(CommitAnswer::Done(revision)) => self.take(next, revision),
             Ok(CommitAnswer::Beaten) => {
-                info!(step = "write ledger", "another daemon was first");
+                info!(
+                    step = "write ledger",
+                    peer = "store",
+                    "another daemon was first"
+                );
             }
             Err(error) => warn!(
                 step = "write ledger",
@@ -65,6 +69,7 @@
     fn take(&self, ledger: &TokenLedger, revision: u64) {
         info!(
             step = "write ledger",
+            peer = "store",
             generation = ledger.generation.get(),
             "written"
         );
--- a/crates/daemon/src/vms/vm_poller.rs
+++ b/crates/daemon/src/vms/vm_poller.rs
@@ -13,6 +13,7 @@
 use crate::vms::VmTable;
 use sapphirestile_platform::vms::VmClient;
 
+const STEP: &str = "read VM list";
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reads the list of VMs and publishes what follows from it.
@@ -48,19 +49,25 @@
     /// Reads the list once; when it cannot be read, the one before stays.
     pub fn poll(&self) {
         let asked = self.context.clock.now();
+        let peer = self.context.settings.platform.vms;
         match self.client.list() {
             Ok(records) if records.is_empty() => {
                 // A platform without any VM is not believed.
-                warn!(
-                    step = "read VM list",
-                    "the list is empty; the one before stays"
-                );
+                if let Some(repeats) = self.gate.pass(asked) {
+                    warn!(
+                        step = STEP,
+                        %peer,
+                        repeats,
+                        "the list is empty; the one before stays"
+                    );
+                }
             }
             Ok(records) => self.context.vms.update(|_| VmTable::new(records, asked)),
             Err(error) => {
                 if let Some(repeats) = self.gate.pass(asked) {
                     warn!(
-                        step = "read VM list",
+                        step = STEP,
+                        %peer,
                         repeats,
                         ?error,
                         "the list before stays"
--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -8,6 +8,7 @@
 mod once_only;
 mod planned_stop;
 mod racing_operators;
+mod repeated_fault;
 mod slot_bound;
 mod store_cut;
 mod store_outage;
--- a/crates/daemon/tests/failures/support.rs
+++ b/crates/daemon/tests/failures/support.rs
@@ -26,6 +26,7 @@
 
 /// A platform, and three daemons that own every cell.
 pub struct Stage {
+    name: String,
     pub scene: SceneFleet,
     pub daemons: Vec<DaemonProcess>,
 }
@@ -41,8 +42,8 @@
     }
 
     /// The same, with other limits in the daemons' settings.
-    pub fn set_limited(name: &str, plan: FleetPlan, limits: &str) -> (Self, Vec<RelayLink>) {
-        let mut scene = SceneFleet::start(DAEMON, &format!("{FOLDER}/{name}"), plan);
+    pub fn set_limited(scene_name: &str, plan: FleetPlan, limits: &str) -> (Self, Vec<RelayLink>) {
+        let mut scene = SceneFleet::start(DAEMON, &format!("{FOLDER}/{scene_name}"), plan);
         scene.set_limits(limits);
         let mut daemons: Vec<DaemonProcess> = Vec::new();
         let mut links = Vec::new();
@@ -52,12 +53,34 @@
             daemons.push(scene.daemon_via(name, zone, &seeds, link.address()));
             links.push(link);
         }
-        let stage = Self { scene, daemons };
+        let stage = Self {
+            name: scene_name.to_owned(),
+            scene,
+            daemons,
+        };
         stage.scene.put_document(stage.daemons[0].operators());
         stage.scene.wait_owned(&stage.operators(), CELLS);
         (stage, links)
     }
 
+    /// Removes the logs of earlier runs of a scene.
+    pub fn clear_logs(name: &str) {
+        for (daemon, _) in PLACES {
+            // There is none at the first run.
+            let _removed = std::fs::remove_file(log_path(name, daemon));
+        }
+    }
+
+    /// What a daemon has logged, a JSON object a line.
+    pub fn log_lines(&self, place: usize) -> Vec<Value> {
+        let path = log_path(&self.name, PLACES[place].0);
+        let text = std::fs::read_to_string(path).expect("the log can be read");
+        let lines = text
+            .lines()
+            .map(|line| serde_json::from_str(line).unwrap_or_else(|_| panic!("no JSON: {line}")));
+        lines.collect()
+    }
+
     pub fn operators(&self) -> Vec<SocketAddr> {
         self.daemons.iter().map(DaemonProcess::operators).collect()
     }
@@ -102,6 +125,10 @@
     }
 }
 
+fn log_path(scene: &str, daemon: &str) -> String {
+    format!("{FOLDER}/{scene}/{daemon}.log")
+}
+
 fn apart(row: &HistoryRow, other: &HistoryRow) -> bool {
     let before = |left: &HistoryRow, right: &HistoryRow| {
         left.ended_ms.is_some_and(|ended| ended <= right.started_ms)
