Prove five kinds of failure with daemons as processes

New scenes, three daemons each, asserted by states and counts:

- sizes an eighth or eight times of what is declared, run times three times as long: three times as many tasks run at once, or fewer share a worker, and each ends once;
- jobs that can never run wait with a reason, also under the next owner, hold nobody up and can be cancelled;
- 24 jobs are cancelled at three daemons at once: what runs is stopped, what waits never starts, the room is there again;
- a worker that fails all it starts is set aside after at most three waves of six jobs, and every task finishes once elsewhere;
- the store is away for 150 heartbeats and seven of the shortest leases: 450 requests are answered, 150 changes refused as not run, no task is started again.

An hour is 7,200 heartbeats and one lease by default: the outage is scaled by the lease, not by the heartbeats.

The stand-in of a worker gains two faults: what tasks are seen to use, and how long they run of what was declared. First tries, taken back: a single job that was to make room among its own running tasks (what a running task is given stays), and tasks that use 32 times what they declare (what is learnt ends at 15 times).

--- a/crates/daemon/tests/failures/support.rs
+++ b/crates/daemon/tests/failures/support.rs
@@ -147,15 +147,31 @@
 
 /// Submits a job until it is accepted.
 pub fn submit(operators: SocketAddr, job: &str, tasks: u32, run_ms: u64) {
-    let body = json!({
+    submit_body(operators, &job_of(job, tasks, run_ms, 1_000));
+}
+
+/// The submission of a job whose tasks declare `cpu_milli`.
+pub fn job_of(job: &str, tasks: u32, run_ms: u64, cpu_milli: u64) -> Value {
+    json!({
         "job": job, "customer": "kennels", "tasks": tasks, "run_ms": run_ms,
-        "size": { "cpu_milli": 1000, "memory_mb": 512, "accelerators": 0 },
-    });
+        "size": { "cpu_milli": cpu_milli, "memory_mb": 512, "accelerators": 0 },
+    })
+}
+
+/// Submits the body of a job until it is accepted.
+pub fn submit_body(operators: SocketAddr, body: &Value) {
     wait_until("the job is accepted", || {
-        call_json(operators, "POST", "/v1/jobs", &body).filter(|(status, _)| *status == 200)
+        call_json(operators, "POST", "/v1/jobs", body).filter(|(status, _)| *status == 200)
     });
 }
 
+/// The attempts of a job that any worker has run.
+pub fn history_of(stage: &Stage, job: &str) -> Vec<HistoryRow> {
+    let mut history = stage.history();
+    history.retain(|row| row.task.job.as_str() == job);
+    history
+}
+
 /// The job as a daemon shows it, when it can.
 pub fn show_job(operators: SocketAddr, job: &str) -> Option<Value> {
     let (status, view) = call_json(operators, "GET", &format!("/v1/jobs/{job}"), &Value::Null)?;
--- a/crates/standins/src/worker/worker_service.rs
+++ b/crates/standins/src/worker/worker_service.rs
@@ -18,9 +18,13 @@
 use crate::worker::WorkerSettings;
 use crate::worker::WorkerState;
 use sapphirestile_core::MonoTime;
+use sapphirestile_wire::worker::SessionReport;
+use sapphirestile_wire::worker::SessionRequest;
 use sapphirestile_wire::worker::TaskStart;
 use sapphirestile_wire::worker::WorkerRefusal;
 
+const WHOLE_PERMILLE: u64 = 1_000;
+
 /// A worker behind HTTP.
 #[derive(Debug)]
 pub struct WorkerService {
@@ -73,7 +77,30 @@
             return Err(WorkerRefusal::Leaving);
         }
         let fails = inner.faults.fail_all;
-        inner.state.start(now, start, fails)
+        let Some(permille) = inner.faults.run_permille else {
+            return inner.state.start(now, start, fails);
+        };
+        let run_ms = start.run_ms.saturating_mul(permille) / WHOLE_PERMILLE;
+        let start = TaskStart {
+            run_ms,
+            ..start.clone()
+        };
+        inner.state.start(now, &start, fails)
+    }
+
+    fn renew(
+        &self,
+        now: MonoTime,
+        request: &SessionRequest,
+    ) -> Result<SessionReport, WorkerRefusal> {
+        let mut inner = self.lock();
+        let mut report = inner.state.renew(now, request)?;
+        if let Some(used) = inner.faults.used_size {
+            for task in &mut report.tasks {
+                task.usage = used;
+            }
+        }
+        Ok(report)
     }
 
     /// Carries out a call after the delay and loses its answer when asked to.
@@ -99,9 +126,9 @@
 impl StandinService for WorkerService {
     fn answer(&self, call: &StandinCall<'_>) -> StandinReply {
         match (call.method, call.path) {
-            ("POST", "/v1/session") => call.answer_json(|request| {
-                self.carry_out(|now| reply(self.lock().state.renew(now, &request)))
-            }),
+            ("POST", "/v1/session") => {
+                call.answer_json(|request| self.carry_out(|now| reply(self.renew(now, &request))))
+            }
             ("POST", "/v1/start") => {
                 call.answer_json(|start| self.carry_out(|now| reply(self.start(now, &start))))
             }
