Take a request out of its line when its turn ends

A request that found a slot without being woken, or whose deadline had passed, stayed in the line of its service until its turn came. It counted as ahead of others, so that later requests were told that their deadline could not be met although it could.

The entry now has a number and leaves the line with its turn. Ruled out: holding the sender of the wake in the turn to find the entry by; a shed entry would then not be heard of.

Waking as many as there are free slots moves from the housekeeper's tick to the waiting room, where it has a test of its own.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -17,6 +17,7 @@
 mod link_share;
 mod parking_lot;
 mod request_runner;
+mod waiting_call;
 mod waiting_room;
 mod waiting_turn;
 mod waiting_wish;
--- a/crates/daemon/src/callers/waiting_room.rs
+++ b/crates/daemon/src/callers/waiting_room.rs
@@ -3,17 +3,18 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::atomic::fence;
 use std::time::Duration;
 
 use crossbeam::channel::Receiver;
-use crossbeam::channel::Sender;
 use crossbeam::channel::bounded;
 
 use crate::callers::WaitingTurn;
 use crate::callers::WaitingWish;
+use crate::callers::waiting_call::WaitingCall;
 use crate::context::MonoClock;
 use sapphirestile_routing::QueueOutcome;
 use sapphirestile_routing::RouteRefusal;
@@ -24,7 +25,7 @@
 const WAITING_MAX: usize = 512;
 
 /// The lines of the services, sorted by the services' names.
-type ServiceLines = Vec<(String, WaitingQueue<Sender<()>>)>;
+type ServiceLines = Vec<(String, WaitingQueue<WaitingCall>)>;
 
 /// Lets threads of requests wait until it is their turn to look for a slot again.
 ///
@@ -35,6 +36,7 @@
 pub struct WaitingRoom {
     lines: Mutex<ServiceLines>,
     waiting: AtomicUsize,
+    entered: AtomicU64,
 }
 
 impl WaitingRoom {
@@ -78,7 +80,7 @@
             let queue = &mut lines[place].1;
             while let Some(entry) = queue.pop() {
                 // One whose thread has stopped waiting passes its turn on.
-                if entry.item.send(()).is_ok() {
+                if entry.item.wake.send(()).is_ok() {
                     break;
                 }
             }
@@ -86,6 +88,17 @@
         self.count(&lines);
     }
 
+    /// Wakes as many in line for `service` as it has free slots. Slots that were
+    /// handed over have woken nobody.
+    pub fn wake_free(&self, service: &str, free: u32) {
+        for _ in 0..free {
+            if self.is_empty() {
+                return;
+            }
+            self.wake_one(service);
+        }
+    }
+
     /// How many requests wait.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -106,10 +119,11 @@
         estimate: &WaitEstimate,
     ) -> Result<WaitingTurn<'w>, RouteRefusal> {
         let (wake, woken) = bounded(1);
+        let number = self.entered.fetch_add(1, Ordering::Relaxed);
         let entry = WaitingEntry {
             priority: wish.priority,
             deadline: wish.deadline,
-            item: wake,
+            item: WaitingCall { number, wake },
         };
         let mut lines = self.lock();
         let place = place_of(&lines, wish.service).unwrap_or_else(|place| {
@@ -123,19 +137,22 @@
         fence(Ordering::SeqCst);
         match outcome {
             QueueOutcome::Queued | QueueOutcome::Shed(_) => {
-                Ok(WaitingTurn::new(self, wish.service, woken))
+                Ok(WaitingTurn::new(self, wish.service, number, woken))
             }
             QueueOutcome::Refused(_, refusal) => Err(refusal),
         }
     }
 
-    /// Ends a turn, and says whether it was woken in vain. Wakes are sent under
-    /// the lock, so none comes after the answer.
-    pub(super) fn leave(&self, woken: Receiver<()>) -> bool {
-        let _lines = self.lock();
-        let in_vain = woken.try_recv().is_ok();
-        drop(woken);
-        in_vain
+    /// Ends a turn: its entry, when it still waits, leaves the line. Returns whether
+    /// the turn was woken in vain. Wakes are sent under the lock, so none comes
+    /// after the answer.
+    pub(super) fn leave(&self, service: &str, number: u64, woken: &Receiver<()>) -> bool {
+        let mut lines = self.lock();
+        if let Ok(place) = place_of(&lines, service) {
+            lines[place].1.remove(|call| call.number == number);
+        }
+        self.count(&lines);
+        woken.try_recv().is_ok()
     }
 
     fn count(&self, lines: &ServiceLines) {
--- a/crates/daemon/src/callers/waiting_turn.rs
+++ b/crates/daemon/src/callers/waiting_turn.rs
@@ -9,29 +9,34 @@
 
 /// The place of one request in the line of its service.
 ///
-/// A wake that its request has no use for is passed on to the next in line.
+/// Once it ends, its entry no longer stands in line, and a wake that its request
+/// has no use for is passed on to the next.
 #[derive(Debug)]
 pub struct WaitingTurn<'w> {
     room: &'w WaitingRoom,
     service: &'w str,
-    woken: Option<Receiver<()>>,
+    number: u64,
+    woken: Receiver<()>,
 }
 
 impl<'w> WaitingTurn<'w> {
-    pub(super) const fn new(room: &'w WaitingRoom, service: &'w str, woken: Receiver<()>) -> Self {
+    pub(super) const fn new(
+        room: &'w WaitingRoom,
+        service: &'w str,
+        number: u64,
+        woken: Receiver<()>,
+    ) -> Self {
         Self {
             room,
             service,
-            woken: Some(woken),
+            number,
+            woken,
         }
     }
 
     pub(super) fn wait(&self, left: Duration) -> Result<(), RouteRefusal> {
-        let Some(woken) = &self.woken else {
-            return Err(RouteRefusal::Shed);
-        };
         // An entry that was shed is dropped, and its thread hears of that here.
-        match woken.recv_timeout(left) {
+        match self.woken.recv_timeout(left) {
             Ok(()) => Ok(()),
             Err(error) if error.is_timeout() => Err(RouteRefusal::DeadlinePassed),
             Err(_) => Err(RouteRefusal::Shed),
@@ -41,8 +46,7 @@
 
 impl Drop for WaitingTurn<'_> {
     fn drop(&mut self) {
-        let woken = self.woken.take();
-        if woken.is_some_and(|woken| self.room.leave(woken)) {
+        if self.room.leave(self.service, self.number, &self.woken) {
             self.room.wake_one(self.service);
         }
     }
--- a/crates/daemon/src/cycle/house_keeper.rs
+++ b/crates/daemon/src/cycle/house_keeper.rs
@@ -48,9 +48,7 @@
         }
         for row in self.context.routes.load().rows() {
             let free = row.gauge.tokens().saturating_sub(row.gauge.in_flight());
-            for _ in 0..free {
-                self.desk.room.wake_one(row.service.as_str());
-            }
+            self.desk.room.wake_free(row.service.as_str(), free);
         }
     }
 
--- a/crates/daemon/tests/waiting_room.rs
+++ b/crates/daemon/tests/waiting_room.rs
@@ -1,6 +1,9 @@
 //! Requests that wait for slots, and slots that come free meanwhile.
 
 use std::cell::Cell;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
 
 use sapphirestile_core::MonoTime;
 use sapphirestile_daemon::callers::WaitingRoom;
@@ -9,6 +12,7 @@
 use sapphirestile_routing::RequestPriority;
 use sapphirestile_routing::RouteRefusal;
 use sapphirestile_routing::WaitEstimate;
+use sapphirestile_test_support::wait_until;
 
 const ESTIMATE: WaitEstimate = WaitEstimate {
     slots: 1,
@@ -98,3 +102,71 @@
 
     assert_eq!(found, Ok("passed on"));
 }
+
+#[test]
+fn a_request_that_found_a_slot_in_line_no_longer_stands_in_it() {
+    let (room, clock) = (WaitingRoom::default(), MonoClock::start());
+    let looks = Cell::new(0);
+
+    // Without a wake: the slot is there at the second look.
+    let found = room.until(
+        &wish("sizing", 60_000),
+        &clock,
+        || ESTIMATE,
+        || {
+            looks.set(looks.get() + 1);
+            Ok((looks.get() == 2).then_some("slot"))
+        },
+    );
+
+    assert_eq!(found, Ok("slot"));
+    assert!(room.is_empty(), "{} stand in line", room.len());
+}
+
+#[test]
+fn a_request_whose_deadline_has_passed_no_longer_stands_in_line() {
+    let (room, clock) = (WaitingRoom::default(), MonoClock::start());
+    for _ in 0..3 {
+        let refused = room.until(&wish("sizing", 20), &clock, || ESTIMATE, || Ok(None::<()>));
+        assert_eq!(refused, Err(RouteRefusal::DeadlinePassed));
+    }
+    assert!(room.is_empty(), "{} stand in line", room.len());
+}
+
+/// Tokens that were handed over wake as many as they have room for, in the line of
+/// their service.
+#[test]
+fn free_slots_wake_as_many_as_there_are() {
+    let (room, clock) = (WaitingRoom::default(), MonoClock::start());
+    let (sizing, colours) = (AtomicU32::new(0), AtomicU32::new(0));
+    let take = |slots: &AtomicU32| {
+        let take = |free: u32| free.checked_sub(1);
+        let taken = slots.fetch_update(Ordering::AcqRel, Ordering::Acquire, take);
+        Ok(taken.ok())
+    };
+
+    thread::scope(|scope| {
+        for (service, slots) in [("sizing", &sizing), ("colours", &colours)] {
+            for _ in 0..3 {
+                let (room, clock) = (&room, &clock);
+                scope.spawn(move || {
+                    let wish = wish(service, 60_000);
+                    let found = room.until(&wish, clock, || ESTIMATE, || take(slots));
+                    assert!(found.is_ok(), "{found:?}");
+                });
+            }
+        }
+        wait_until("all wait", || (room.len() == 6).then_some(()));
+        sizing.store(2, Ordering::Release);
+        room.wake_free("sizing", 2);
+        wait_until("two are served", || {
+            (room.len() == 4 && sizing.load(Ordering::Acquire) == 0).then_some(())
+        });
+        sizing.store(1, Ordering::Release);
+        colours.store(3, Ordering::Release);
+        room.wake_free("sizing", 5);
+        room.wake_free("colours", 3);
+        wait_until("all are served", || room.is_empty().then_some(()));
+    });
+    assert_eq!(colours.load(Ordering::Acquire), 0);
+}
--- a/crates/routing/src/waiting_queue.rs
+++ b/crates/routing/src/waiting_queue.rs
@@ -34,6 +34,7 @@
 /// };
 /// let now = MonoTime::from_millis(0);
 /// assert_eq!(queue.push(entry, &estimate, now), QueueOutcome::Queued);
+/// assert!(queue.remove(|item| *item == "chart review").is_none());
 /// assert_eq!(queue.pop().unwrap().item, "fit check");
 /// ```
 #[derive(Debug)]
@@ -86,6 +87,15 @@
         self.entries.pop()
     }
 
+    /// Takes out the entry that `is_wanted` finds, if one does.
+    pub fn remove(&mut self, is_wanted: impl Fn(&T) -> bool) -> Option<WaitingEntry<T>> {
+        let place = self
+            .entries
+            .iter()
+            .position(|entry| is_wanted(&entry.item))?;
+        Some(self.entries.remove(place))
+    }
+
     /// Takes out the entries that can no longer be answered in time, even with a
     /// slot at once.
     pub fn remove_late(&mut self, service_us: u64, now: MonoTime) -> Vec<WaitingEntry<T>> {
