Name the new faults of the worker's stand-in in its client's scenes

The faults were added with the scenes of declared sizes; the constant of the client's scenes names each field and did not compile any more. The scenes are as they were.

--- a/crates/platform/tests/calls/worker_scenes.rs
+++ b/crates/platform/tests/calls/worker_scenes.rs
@@ -37,6 +37,8 @@
     fail_all: false,
     refuse: false,
     slow_ms: 0,
+    used_size: None,
+    run_permille: None,
 };
 
 fn worker() -> (WorkerStandin, WorkerClient) {
