--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -24,6 +24,7 @@
 mod route_seeker;
 mod sought_route;
 mod traffic_table;
+mod waiting_call;
 mod waiting_mark;
 mod waiting_room;
 mod waiting_turn;
--- a/crates/daemon/src/cycle/daemon_cycle.rs
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -40,6 +40,7 @@
 use crate::peers::PeerServer;
 use crate::serving::HttpPort;
 use crate::serving::HttpService;
+use crate::serving::PortLimits;
 use crate::serving::RequestGate;
 use crate::settings::DaemonSettings;
 use crate::tokens::GaugeTable;
@@ -75,7 +76,7 @@
         settings.node.peers = peers.address;
         let store = open_store(&settings)?;
         let identity = register(store.as_ref(), &settings);
-        info!(step = "register daemon", daemon = %identity, "registered");
+        info!(step = "register daemon", peer = "store", daemon = %identity, "registered");
         let (token_events, tokens) = unbounded();
         let context = Arc::new(new_context(settings, identity, store, token_events));
         let gate = Arc::new(RequestGate::default());
@@ -129,7 +130,7 @@
         let keeper = HouseKeeper::new(Arc::clone(&context), desk);
         thread::spawn(move || keeper.run(&stopped));
         context.phase.set(MemberState::Serving);
-        info!(step = "serve", ?addresses, "serving");
+        info!(step = "serve", peer = "own process", ?addresses, "serving");
         Ok(DaemonCycle {
             phase: ServingPhase {
                 context,
@@ -167,7 +168,7 @@
             ..
         } = self.phase;
         context.phase.set(MemberState::Draining);
-        info!(step = "drain", "draining");
+        info!(step = "drain", peer = "own process", "draining");
         DaemonCycle {
             phase: DrainingPhase {
                 context,
@@ -203,7 +204,13 @@
         hand_tokens_over(&context);
         take_registration_back(&context);
         let released = context.keepers.load().is_empty();
-        info!(step = "drain", emptied, released, "ended");
+        info!(
+            step = "drain",
+            peer = "own process",
+            emptied,
+            released,
+            "ended"
+        );
         drop(stop);
         drop(ports);
         emptied && released
@@ -268,7 +275,7 @@
     let service: Arc<dyn HttpService> = Arc::new(service);
     HttpPort::open(
         context.settings.node.callers,
-        CALLER_CONNECTIONS,
+        port_limits(context, CALLER_CONNECTIONS),
         &service,
         gate,
     )
@@ -280,8 +287,15 @@
     let gate = Arc::new(RequestGate::default());
     HttpPort::open(
         context.settings.node.operators,
-        OPERATOR_CONNECTIONS,
+        port_limits(context, OPERATOR_CONNECTIONS),
         &service,
         &gate,
     )
 }
+
+fn port_limits(context: &DaemonContext, connections: usize) -> PortLimits {
+    PortLimits {
+        connections,
+        body_max_ms: context.settings.limits.body_max_ms,
+    }
+}
--- a/crates/daemon/src/vms/vm_poller.rs
+++ b/crates/daemon/src/vms/vm_poller.rs
@@ -15,6 +15,7 @@
 use sapphirestile_platform::vms::VmClient;
 use sapphirestile_platform::vms::VmListing;
 
+const STEP: &str = "read VM list";
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reads the list of VMs and publishes what follows from it.
@@ -53,15 +54,20 @@
     /// Reads the list once; when it cannot be read, the one before stays.
     pub fn poll(&mut self) {
         let asked = self.context.clock.now();
+        let peer = self.context.settings.platform.vms;
         match self.client.read(self.tag.as_ref()) {
             // As good a sighting of every VM as the same list sent again.
             Ok(VmListing::Unchanged) => self.context.vms.update(|table| table.sighted(asked)),
             Ok(VmListing::Whole { records, .. }) if records.is_empty() => {
                 // A platform without any VM is not believed.
-                warn!(
-                    step = "read VM list",
-                    "the list is empty; the one before stays"
-                );
+                if let Some(repeats) = self.gate.pass(asked) {
+                    warn!(
+                        step = STEP,
+                        %peer,
+                        repeats,
+                        "the list is empty; the one before stays"
+                    );
+                }
             }
             Ok(VmListing::Whole { records, tag }) => {
                 self.context.vms.update(|_| VmTable::new(records, asked));
@@ -70,7 +76,8 @@
             Err(error) => {
                 if let Some(repeats) = self.gate.pass(asked) {
                     warn!(
-                        step = "read VM list",
+                        step = STEP,
+                        %peer,
                         repeats,
                         ?error,
                         "the list before stays"
--- a/crates/daemon/tests/failures/support.rs
+++ b/crates/daemon/tests/failures/support.rs
@@ -26,6 +26,7 @@
 
 /// A platform, and three daemons that own every cell.
 pub struct Stage {
+    name: String,
     pub scene: SceneFleet,
     pub daemons: Vec<DaemonProcess>,
 }
@@ -41,9 +42,9 @@
     }
 
     /// The same, with other limits in the daemons' settings.
-    pub fn set_limited(name: &str, plan: FleetPlan, limits: &str) -> (Self, Vec<RelayLink>) {
+    pub fn set_limited(scene_name: &str, plan: FleetPlan, limits: &str) -> (Self, Vec<RelayLink>) {
         let cells = usize::from(plan.cells);
-        let mut scene = SceneFleet::start(DAEMON, &format!("{FOLDER}/{name}"), plan);
+        let mut scene = SceneFleet::start(DAEMON, &format!("{FOLDER}/{scene_name}"), plan);
         scene.set_limits(limits);
         let mut daemons: Vec<DaemonProcess> = Vec::new();
         let mut links = Vec::new();
@@ -53,12 +54,34 @@
             daemons.push(scene.daemon_via(name, zone, &seeds, link.address()));
             links.push(link);
         }
-        let stage = Self { scene, daemons };
+        let stage = Self {
+            name: scene_name.to_owned(),
+            scene,
+            daemons,
+        };
         stage.scene.put_document(stage.daemons[0].operators());
         stage.scene.wait_owned(&stage.operators(), cells);
         (stage, links)
     }
 
+    /// Removes the logs of earlier runs of a scene.
+    pub fn clear_logs(name: &str) {
+        for (daemon, _) in PLACES {
+            // There is none at the first run.
+            let _removed = std::fs::remove_file(log_path(name, daemon));
+        }
+    }
+
+    /// What a daemon has logged, a JSON object a line.
+    pub fn log_lines(&self, place: usize) -> Vec<Value> {
+        let path = log_path(&self.name, PLACES[place].0);
+        let text = std::fs::read_to_string(path).expect("the log can be read");
+        let lines = text
+            .lines()
+            .map(|line| serde_json::from_str(line).unwrap_or_else(|_| panic!("no JSON: {line}")));
+        lines.collect()
+    }
+
     pub fn operators(&self) -> Vec<SocketAddr> {
         self.daemons.iter().map(DaemonProcess::operators).collect()
     }
@@ -103,6 +126,10 @@
     }
 }
 
+fn log_path(scene: &str, daemon: &str) -> String {
+    format!("{FOLDER}/{scene}/{daemon}.log")
+}
+
 fn apart(row: &HistoryRow, other: &HistoryRow) -> bool {
     let before = |left: &HistoryRow, right: &HistoryRow| {
         left.ended_ms.is_some_and(|ended| ended <= right.started_ms)
@@ -121,15 +148,31 @@
 
 /// Submits a job until it is accepted.
 pub fn submit(operators: SocketAddr, job: &str, tasks: u32, run_ms: u64) {
-    let body = json!({
+    submit_body(operators, &job_of(job, tasks, run_ms, 1_000));
+}
+
+/// The submission of a job whose tasks declare `cpu_milli`.
+pub fn job_of(job: &str, tasks: u32, run_ms: u64, cpu_milli: u64) -> Value {
+    json!({
         "job": job, "customer": "kennels", "tasks": tasks, "run_ms": run_ms,
-        "size": { "cpu_milli": 1000, "memory_mb": 512, "accelerators": 0 },
-    });
+        "size": { "cpu_milli": cpu_milli, "memory_mb": 512, "accelerators": 0 },
+    })
+}
+
+/// Submits the body of a job until it is accepted.
+pub fn submit_body(operators: SocketAddr, body: &Value) {
     wait_until("the job is accepted", || {
-        call_json(operators, "POST", "/v1/jobs", &body).filter(|(status, _)| *status == 200)
+        call_json(operators, "POST", "/v1/jobs", body).filter(|(status, _)| *status == 200)
     });
 }
 
+/// The attempts of a job that any worker has run.
+pub fn history_of(stage: &Stage, job: &str) -> Vec<HistoryRow> {
+    let mut history = stage.history();
+    history.retain(|row| row.task.job.as_str() == job);
+    history
+}
+
 /// The job as a daemon shows it, when it can.
 pub fn show_job(operators: SocketAddr, job: &str) -> Option<Value> {
     let (status, view) = call_json(operators, "GET", &format!("/v1/jobs/{job}"), &Value::Null)?;
