Watch a real daemon ask for what changed

Cause: every test passed with a daemon that names no report in its sessions.

The stand-in of a worker counts sessions answered with all attempts and with changes, and can begin a later life.

--- a/crates/standins/src/worker/worker_service.rs
+++ b/crates/standins/src/worker/worker_service.rs
@@ -14,6 +14,7 @@
 use crate::serving::StandinReply;
 use crate::serving::StandinService;
 use crate::worker::HistoryRow;
+use crate::worker::SessionCounts;
 use crate::worker::WorkerFaults;
 use crate::worker::WorkerSettings;
 use crate::worker::WorkerState;
@@ -70,6 +71,20 @@
             .collect()
     }
 
+    /// How sessions were answered.
+    #[must_use]
+    pub fn session_counts(&self) -> SessionCounts {
+        self.lock().state.session_counts()
+    }
+
+    /// Begins a later life of the worker's program.
+    pub fn restart(&self) {
+        let now = self.clock.now();
+        let unix_ms = self.clock.origin_unix_ms() + now.as_millis();
+        let incarnation = IncarnationNumber::new(unix_ms);
+        self.lock().state.restart(now, incarnation);
+    }
+
     fn start(&self, now: MonoTime, start: &TaskStart) -> Result<(), WorkerRefusal> {
         let mut inner = self.lock();
         if inner.faults.refuse {
--- a/crates/standins/src/worker/worker_state.rs
+++ b/crates/standins/src/worker/worker_state.rs
@@ -7,6 +7,7 @@
 use crate::worker::PermittedCall;
 use crate::worker::ReportBook;
 use crate::worker::RunningPhase;
+use crate::worker::SessionCounts;
 use crate::worker::SessionTable;
 use crate::worker::TaskCycle;
 use crate::worker::TaskEntry;
@@ -37,6 +38,7 @@
     sessions: SessionTable,
     attempts: SortedTable<AttemptKey, TaskEntry>,
     book: ReportBook,
+    counts: SessionCounts,
     history: Vec<HistoryEntry>,
 }
 
@@ -51,6 +53,7 @@
             sessions: SessionTable::after(incarnation.get()),
             attempts: SortedTable::new(),
             book: ReportBook::default(),
+            counts: SessionCounts::default(),
             history: Vec::new(),
         }
     }
@@ -168,6 +171,12 @@
         &self.history
     }
 
+    /// How sessions were answered, in all lives.
+    #[must_use]
+    pub const fn session_counts(&self) -> SessionCounts {
+        self.counts
+    }
+
     fn advance_entry(&mut self, now: MonoTime, key: &AttemptKey, entry: TaskEntry) -> TaskEntry {
         let TaskEntry::Running(cycle) = entry else {
             return entry;
--- a/crates/standins/src/worker/worker_state/session_reports.rs
+++ b/crates/standins/src/worker/worker_state/session_reports.rs
@@ -26,10 +26,12 @@
     ) -> SessionReport {
         let reports = self.reports(now);
         if let Some(base) = self.base_of(request) {
+            self.counts.changes += 1;
             self.book
                 .update(permit, reports, TaskReport::is_outdated_by);
             return self.report_changes(permit, base);
         }
+        self.counts.all += 1;
         self.book.update(permit, reports, TaskReport::ne);
         self.report_all(permit)
     }
