Weigh the noise of a task by its processor time

NoiseBook shares an error out among tasks alike, so beside one large task the job with several small ones is held to be the loudest, and the first throttle goes to a task that gives back little. The owner now counts a job's noise for each core that the task was given. The new scene fails without it: spins/2 of one core is throttled before looms/0 of four.

--- a/crates/cells/src/pressure/pressure_book.rs
+++ b/crates/cells/src/pressure/pressure_book.rs
@@ -25,6 +25,7 @@
 /// A throttle is lifted when nothing was measured beside its worker for this long.
 const SILENCE_MAX_MS: u64 = 300_000;
 const WHOLE_PERMILLE: u64 = 1_000;
+const CORE_MILLI: u64 = 1_000;
 
 /// The pressure on the workers of a cell, and the throttles asked for. None of it
 /// lasts: a new owner finds the throttles in the workers' reports.
@@ -277,10 +278,13 @@
         })
     }
 
+    /// A throttle takes processor time, so a task's noise counts for each core that
+    /// it was given.
     fn view_of(&self, task: &PressedTask) -> PressureTask {
         let row = self.throttles.get(&task.task);
+        let noise_permille = self.noise.noise_of(&task.task.job);
         PressureTask {
-            noise_permille: self.noise.noise_of(&task.task.job),
+            noise_permille: noise_permille.saturating_mul(task.cpu_milli) / CORE_MILLI,
             throttle_permille: row.map_or(WHOLE_PERMILLE, |row| row.permille),
         }
     }
--- a/crates/cells/tests/owner/main.rs
+++ b/crates/cells/tests/owner/main.rs
@@ -5,6 +5,7 @@
 mod forgetting;
 mod owner_bench;
 mod pressure;
+mod pressure_bench;
 mod reporting;
 mod silent;
 mod sizing;
--- a/crates/cells/tests/owner/pressure.rs
+++ b/crates/cells/tests/owner/pressure.rs
@@ -5,108 +5,22 @@
 use crate::owner_bench::starts;
 use crate::owner_bench::task;
 use crate::owner_bench::worker_name;
+use crate::pressure_bench::CALM;
+use crate::pressure_bench::LOUD;
+use crate::pressure_bench::SlowdownRow;
+use crate::pressure_bench::adopted_bench;
+use crate::pressure_bench::hear;
+use crate::pressure_bench::hear_since;
+use crate::pressure_bench::noted;
+use crate::pressure_bench::running_bench;
+use crate::pressure_bench::show;
+use crate::pressure_bench::throttle;
+use crate::pressure_bench::throttled_bench;
 use sapphirestile_cells::SightedPhase;
-use sapphirestile_cells::SlowdownView;
 use sapphirestile_cells::StopOrder;
-use sapphirestile_cells::TaskSighting;
-use sapphirestile_cells::ThrottleOrder;
 use sapphirestile_core::AttemptNumber;
-use sapphirestile_core::DaemonIdentity;
-use sapphirestile_core::DaemonName;
-use sapphirestile_core::IncarnationNumber;
-use sapphirestile_core::MonoTime;
 use sapphirestile_placement::PressurePolicy;
 
-const LOUD: u64 = 600;
-const CALM: u64 = 20;
-
-/// An owner with a task of `spins` on w1, of which a report was seen.
-fn running_bench() -> OwnerBench {
-    let mut bench = OwnerBench::new();
-    bench.owner.set_pressure(Some(PressurePolicy::default()));
-    bench.run("spins", 1);
-    bench.owner.start_answered("w1");
-    show(&mut bench, None);
-    bench
-}
-
-/// The same, with the task throttled to 300 thousandths and shown so.
-fn throttled_bench() -> OwnerBench {
-    let mut bench = running_bench();
-    hear(&mut bench, "entry-1", 1, LOUD, 100);
-    assert_eq!(bench.owner.due_throttles(), [throttle(&bench, 300)]);
-    show(&mut bench, Some(300));
-    bench
-}
-
-fn spins(limit: Option<u64>) -> TaskSighting {
-    TaskSighting {
-        throttle_cpu_milli: limit,
-        ..sighting("spins", 1, SightedPhase::Running, 500)
-    }
-}
-
-/// Renews the sessions; w1 shows the task with this limit.
-fn show(bench: &mut OwnerBench, limit: Option<u64>) {
-    bench.renew(&[("w1", spins(limit))]);
-}
-
-/// A daemon's measurement beside w1, a second long, and the decision on it.
-fn hear(bench: &mut OwnerBench, daemon: &str, call: u64, slowdown_permille: u64, requests: u64) {
-    let measured = bench.now.plus_millis(1);
-    bench.wait(1_000);
-    hear_since(
-        bench,
-        daemon,
-        &SlowdownRow {
-            call,
-            measured,
-            slowdown_permille,
-            requests,
-        },
-    );
-}
-
-/// A measurement that a daemon began at some time and tells now.
-struct SlowdownRow {
-    call: u64,
-    measured: MonoTime,
-    slowdown_permille: u64,
-    requests: u64,
-}
-
-fn hear_since(bench: &mut OwnerBench, daemon: &str, row: &SlowdownRow) {
-    let identity = DaemonIdentity {
-        daemon: DaemonName::try_from(daemon).unwrap(),
-        incarnation: IncarnationNumber::new(1),
-    };
-    bench.owner.observe_slowdown(&SlowdownView {
-        worker: "w1",
-        daemon: &identity,
-        call: row.call,
-        received: bench.now,
-        measured: row.measured,
-        slowdown_permille: row.slowdown_permille,
-        requests: row.requests,
-    });
-    bench.owner.decide_pressure(bench.now);
-}
-
-fn throttle(bench: &OwnerBench, cpu_milli: u64) -> ThrottleOrder {
-    ThrottleOrder {
-        worker: worker_name("w1"),
-        epoch: bench.epoch(),
-        task: task("spins", 0),
-        attempt: AttemptNumber::new(1),
-        cpu_milli,
-    }
-}
-
-fn noted(bench: &OwnerBench, text: &str) -> bool {
-    let mut notes = bench.owner.decisions().notes();
-    notes.any(|note| note.text.contains(text))
-}
-
 #[test]
 fn a_lost_throttle_is_asked_for_until_the_report_shows_it() {
     let mut bench = running_bench();
@@ -285,6 +199,24 @@
     assert_eq!(bench.owner.due_throttles(), [throttle(&bench, 1_000)]);
 }
 
+#[test]
+fn one_large_task_is_throttled_before_several_small_ones() {
+    let mut bench = OwnerBench::new();
+    bench.list(&["w1"], true);
+    bench.owner.set_pressure(Some(PressurePolicy::default()));
+    bench.renew(&[]);
+    let mut large = crate::owner_bench::order("looms", 1);
+    large.size.cpu_milli = 4_000;
+    bench.owner.submit_job(&large).unwrap();
+    bench.submit("spins", 3);
+    bench.plan();
+    assert_eq!(starts(bench.commit()).len(), 4);
+    hear(&mut bench, "entry-1", 1, LOUD, 100);
+    let orders = bench.owner.due_throttles();
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].task, task("looms", 0));
+}
+
 #[test]
 fn an_urgent_task_is_throttled_and_never_stopped() {
     let mut bench = OwnerBench::new();
@@ -307,12 +239,3 @@
     assert_eq!(bench.stops(), []);
     assert_eq!(bench.owner.evictions(), 0);
 }
-
-/// The next owner of a cell whose task was throttled by the one before.
-fn adopted_bench(policy: Option<PressurePolicy>) -> OwnerBench {
-    let before = throttled_bench();
-    let mut bench = OwnerBench::adopt(before.journal, 2);
-    bench.owner.set_pressure(policy);
-    show(&mut bench, Some(300));
-    bench
-}
