--- a/crates/cells/tests/owner/main.rs
+++ b/crates/cells/tests/owner/main.rs
@@ -9,6 +9,7 @@
 mod merging;
 mod owner_bench;
 mod pressure;
+mod pressure_bench;
 mod reporting;
 mod share_bench;
 mod silent;
