Run a job over sessions that tell only what changed

Cause: the scene with a real daemon had no tasks, so a daemon that took every answer for a whole one passed it.

Seen: it fails when answers are taken for whole ones and what they show is counted ([2, 2, 2] attempts in place of [1, 1, 1]). With the first alone it passes, since the number that the answer names is compared.

--- a/crates/daemon/tests/session_reports.rs
+++ b/crates/daemon/tests/session_reports.rs
@@ -1,13 +1,20 @@
 //! A real daemon whose workers tell what has changed.
 
+use std::net::SocketAddr;
+
+use serde_json::json;
+
 use sapphirestile_standins::fleet::FleetPlan;
 use sapphirestile_standins::worker::WorkerFaults;
 use sapphirestile_standins::worker::WorkerService;
 use sapphirestile_test_support::SceneFleet;
+use sapphirestile_test_support::call_json;
 use sapphirestile_test_support::wait_until;
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_sapphirestiled");
 const FOLDER: &str = concat!(env!("CARGO_TARGET_TMPDIR"), "/session_reports");
+const JOB_FOLDER: &str = concat!(env!("CARGO_TARGET_TMPDIR"), "/session_reports_job");
+const LONG_MS: u64 = 600_000;
 
 /// Waits for two more sessions that are answered with what has changed.
 fn wait_changes(worker: &WorkerService) {
@@ -43,3 +50,50 @@
     wait_changes(worker);
     assert_eq!(worker.session_counts().all, 2);
 }
+
+#[test]
+fn tasks_that_are_not_told_again_run_on() {
+    let plan = FleetPlan {
+        workers: 1,
+        ..FleetPlan::default()
+    };
+    let scene = SceneFleet::start(DAEMON, JOB_FOLDER, plan);
+    let daemon = scene.daemon("entry-1", "near-a", &[]);
+    scene.put_document(daemon.operators());
+    scene.wait_owned(&[daemon.operators()], 1);
+    submit(daemon.operators(), 3);
+    let workers = scene.platform().workers();
+    let attempts = || {
+        let lengths = workers
+            .iter()
+            .map(|worker| worker.service().history().len());
+        lengths.collect::<Vec<_>>()
+    };
+    wait_until("each worker runs a task", || {
+        (attempts() == [1, 1, 1]).then_some(())
+    });
+    for worker in workers {
+        wait_changes(worker.service());
+    }
+    assert_eq!(attempts(), [1, 1, 1], "no task was taken for missing");
+
+    workers[0].service().restart();
+    wait_until("the lost task runs again", || {
+        (attempts() == [2, 1, 1]).then_some(())
+    });
+    for worker in workers {
+        wait_changes(worker.service());
+    }
+    assert_eq!(attempts(), [2, 1, 1], "the others run on");
+}
+
+/// Submits a job whose tasks outlast the scene.
+fn submit(operators: SocketAddr, tasks: u32) {
+    let body = json!({
+        "job": "sizes", "customer": "kennels", "tasks": tasks, "run_ms": LONG_MS,
+        "size": { "cpu_milli": 1_000, "memory_mb": 512, "accelerators": 0 },
+    });
+    wait_until("the job is accepted", || {
+        call_json(operators, "POST", "/v1/jobs", &body).filter(|(status, _)| *status == 200)
+    });
+}
