--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -1,4 +1,5 @@
-//! Ownership of cells of workers: journal, tasks, recovery.
+//! Ownership of cells of workers: journal, tasks, recovery, shares of quotas and
+//! throttles.
 //!
 //! A cell is a set of workers and the jobs that run on them. What lasts of a
 //! cell is its [`CellState`]: the fold of its journal of [`JournalEntry`]s, each
@@ -8,6 +9,11 @@
 //! transitions, and lets an effect out only after the batch that it belongs to
 //! is in the journal. Whatever beats it to the journal's head deposes it.
 //!
+//! A worker tells what changed since a [`ReportMark`]; a [`WholeReport`] merges it.
+//! Cells lend each other parts of a customer's quota through [`ShareReport`]s and
+//! [`ShareAnswer`]s. What daemons measure beside a worker is a [`CombinedSlowdown`],
+//! and a [`ThrottleOrder`] acts on it.
+//!
 //! Nothing here does I/O or reads a clock: the caller commits the entries and
 //! carries out the [`CellEffect`]s.
 
