--- a/crates/daemon/src/bin/sapphirestiled.rs
+++ b/crates/daemon/src/bin/sapphirestiled.rs
@@ -1,5 +1,7 @@
 //! The daemon of sapphirestile.
 
+use std::backtrace::Backtrace;
+use std::panic::Location;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -40,6 +42,7 @@
 
 fn main() -> ExitCode {
     end_on_panic();
+    report_plainly();
     let result = match arguments().run() {
         DaemonArguments::Check(path) => check(&path),
         DaemonArguments::Serve(path) => read_settings(&path).and_then(serve),
@@ -65,6 +68,14 @@
     }));
 }
 
+/// Reports name steps, peers and faults. Places in the source and backtraces would
+/// bury these, and escape sequences of colours have no place in JSON.
+fn report_plainly() {
+    Report::set_color_mode(ColorMode::None);
+    Report::install_debug_hook::<Location<'static>>(|_location, _context| {});
+    Report::install_debug_hook::<Backtrace>(|_backtrace, _context| {});
+}
+
 fn arguments() -> OptionParser<DaemonArguments> {
     let path = || positional::<PathBuf>("SETTINGS").help("the INI file of settings");
     let stay = long("stay")
@@ -110,8 +121,6 @@
 }
 
 fn start_log() {
-    // Escape sequences of colours have no place in JSON.
-    Report::set_color_mode(ColorMode::None);
     tracing_subscriber::fmt()
         .json()
         .with_writer(std::io::stderr)
