Learn sizes far beyond 15 times what was declared

Cause: the histogram of ratios ended at 15 times the declared size, and everything above was counted there: a new job of such a customer was given less than its tasks had used. For the job itself only running tasks raised the most memory seen, ended ones did not.

Change: the steps go on to 961 times, with the same width; the most memory of an ended task also raises what its job is given, whatever the ratio. The margins stand as they are.

Ruled out: wider steps in the same 80 rows, which would change every estimate. Each history takes 384 bytes more (arithmetic: 48 more counts of 4 bytes in two histograms).

Figures: 20 ended tasks of 16, 60 and 900 times what they declared are now covered with less than a fifth more, for their job and for the next; with the steps ending at 15 the scene fails. An ended task of 2,000 times is covered for its job; without the change to the most seen the scene fails (12,000 MiB given).

--- a/crates/placement/src/estimate/ratio_histogram.rs
+++ b/crates/placement/src/estimate/ratio_histogram.rs
@@ -1,6 +1,7 @@
 //! How often each ratio of used to declared was seen.
 
-const BUCKETS: usize = 80;
+/// The last bucket ends at 961 times what was declared.
+const BUCKETS: usize = 128;
 /// Upper ends of the buckets grow by an eighth of an octave each.
 const BUCKETS_PER_OCTAVE: usize = 8;
 const EIGHTHS_PERMILLE: [u64; BUCKETS_PER_OCTAVE] =
--- a/crates/placement/src/estimate/usage_history.rs
+++ b/crates/placement/src/estimate/usage_history.rs
@@ -10,7 +10,7 @@
     pub(super) cpu: RatioHistogram,
     /// The most memory of ended tasks; a running one may still grow.
     pub(super) memory: RatioHistogram,
-    /// The most memory that a running task was seen to use, in mebibytes.
+    /// The most memory that a task was seen to use, in mebibytes.
     pub(super) seen_mb: u64,
     /// A task needs more memory than this, in mebibytes.
     pub(super) outgrown_mb: u64,
@@ -26,6 +26,7 @@
     /// Counts the most memory that an ended task used.
     pub(super) fn add_end(&mut self, most_mb: u64, declared: &ResourceSize) {
         self.memory.add(ratio(most_mb, declared.memory_mb));
+        self.seen_mb = self.seen_mb.max(most_mb);
     }
 }
 
--- a/crates/placement/tests/placement/estimate.rs
+++ b/crates/placement/tests/placement/estimate.rs
@@ -89,3 +89,31 @@
     let forgotten = book.estimate(&job_name("a"), &customer, &declared(), &policy);
     assert_eq!(bases(&forgotten), [SizeBasis::Declared; 2]);
 }
+
+#[test]
+fn what_ended_tasks_used_is_covered_however_far_from_what_was_declared() {
+    let customer = CustomerName::try_from("tailors").unwrap();
+    for factor in [1, 4, 15, 16, 60, 900] {
+        let most_mb = factor * DECLARED.1;
+        let mut book = SizeBook::default();
+        for _ in 0..20 {
+            book.note_end(&job_name("a"), &customer, most_mb, &declared());
+        }
+        let of_job = estimate(&book, "a").size.memory_mb;
+        let of_customer = estimate(&book, "b").size.memory_mb;
+        assert!((most_mb..most_mb * 6 / 5).contains(&of_job), "{of_job}");
+        assert!(
+            (most_mb..most_mb * 6 / 5).contains(&of_customer),
+            "{of_customer}"
+        );
+    }
+}
+
+#[test]
+fn an_ended_task_beyond_every_step_is_still_covered_for_its_job() {
+    let customer = CustomerName::try_from("tailors").unwrap();
+    let most_mb = 2_000 * DECLARED.1;
+    let mut book = SizeBook::default();
+    book.note_end(&job_name("a"), &customer, most_mb, &declared());
+    assert_eq!(estimate(&book, "a").size.memory_mb, most_mb * 21 / 20);
+}
