Learn the memory of ended tasks in the owner of a cell

Cause: the owner counted what running tasks use, but never the end of a task. Memory of a customer or job only becomes known by ends, so every new job was given its declared memory with a margin of half for ever, however much less its customer's tasks use.

Change: a MemoryBook in the owner's memory keeps the most seen of each attempt from its assignment to its end, and an attempt that finishes is counted as an end. One that failed or was stopped is not, nor is one that goes on from a checkpoint or began under another owner: its task's most may have passed unseen. Their reports still raise what the job's own tasks are given, as before. A throttle takes processor time alone, so the memory of a throttled task counts once it has finished; its processor time does not.

Ruled out: the last report in place of the most seen, since a task that shrinks before its end would be given too little.

--- a/crates/cells/src/owner.rs
+++ b/crates/cells/src/owner.rs
@@ -16,6 +16,7 @@
 mod decision_log;
 mod decision_note;
 mod gone_attempt;
+mod memory_book;
 mod merge_fault;
 mod open_phase;
 mod report_changes;
@@ -33,6 +34,7 @@
 mod worker_view;
 
 use assigned_book::AssignedBook;
+use memory_book::MemoryBook;
 use settling_attempt::SettlingAttempt;
 
 pub use worker_view::WorkerView;
--- a/crates/cells/src/owner/cell_owner/batch_commits.rs
+++ b/crates/cells/src/owner/cell_owner/batch_commits.rs
@@ -73,6 +73,7 @@
         for start in std::mem::take(&mut self.phase.flying) {
             self.state.withdraw(&start.task, start.attempt);
             self.phase.assigned.remove(&start.worker, &start.task);
+            self.phase.memory.forget(&start.task);
             self.start_answered(start.worker.as_str());
         }
         let EntryBody::Batch(mut transitions) = entry.body else {
--- a/crates/cells/src/owner/cell_owner/task_proposals.rs
+++ b/crates/cells/src/owner/cell_owner/task_proposals.rs
@@ -16,9 +16,11 @@
         self.state.apply(&transition)?;
         if let Some((worker, task)) = leaves {
             self.phase.assigned.remove(&worker, &task);
+            self.phase.memory.forget(&task);
         }
         if let CellTransition::TaskAssigned { worker, task, .. } = &transition {
             self.phase.assigned.add(worker, task);
+            self.begin_memory(task);
         }
         self.phase.pending.push(transition);
         let entry = self.last_proposed();
@@ -28,6 +30,15 @@
         Ok(())
     }
 
+    /// An attempt that goes on from a checkpoint may be past the point where its task
+    /// needs most memory, so only one from the beginning is watched.
+    fn begin_memory(&mut self, task: &TaskName) {
+        let phase = self.assigned_phase(task);
+        if phase.is_some_and(|phase| phase.checkpoint_ms == 0) {
+            self.phase.memory.begin(task);
+        }
+    }
+
     pub(super) fn propose_sure(&mut self, transition: CellTransition) {
         let proposed = self.propose(transition);
         assert!(
--- a/crates/cells/src/owner/cell_owner/worker_reports.rs
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -45,6 +45,8 @@
             return;
         };
         let task = &sighting.task;
+        let memory = &mut self.phase.memory;
+        memory.note_seen(task, sighting.usage.memory_mb);
         match sighting.phase {
             SightedPhase::Running => {
                 self.observe_running(report, sighting, &cycle);
@@ -52,6 +54,7 @@
             }
             SightedPhase::Finished => {
                 self.phase.planner.note_success(&cycle.worker, &task.job);
+                self.note_memory(task);
                 self.end_task(task, &cycle, TaskOutcome::Finished);
             }
             SightedPhase::Failed => self.observe_failure(report, sighting, &cycle),
@@ -62,6 +65,17 @@
         self.settle(worker, task, sighting.attempt);
     }
 
+    /// Only an attempt that did all its work shows how much memory a task needs: one
+    /// that failed or was stopped may not have come to the point where it needs most.
+    fn note_memory(&mut self, task: &TaskName) {
+        let Some(most_mb) = self.phase.memory.most_mb(task) else {
+            return;
+        };
+        if let Some(record) = self.state.jobs().get(&task.job) {
+            self.phase.planner.note_end(record, most_mb);
+        }
+    }
+
     /// A failure that speaks against the worker costs the task nothing; one that
     /// speaks against the job ends the task.
     fn observe_failure(
--- a/crates/cells/src/owner/open_phase.rs
+++ b/crates/cells/src/owner/open_phase.rs
@@ -4,6 +4,7 @@
 use crate::journal::JournalEntry;
 use crate::owner::AssignedBook;
 use crate::owner::DecisionLog;
+use crate::owner::MemoryBook;
 use crate::owner::SettlingAttempt;
 use crate::owner::StartOrder;
 use crate::owner::StopOrder;
@@ -26,6 +27,8 @@
     pub(super) workers: SortedTable<WorkerName, WorkerView>,
     /// The assigned tasks of the state, by worker.
     pub(super) assigned: AssignedBook,
+    /// What the attempts of assigned tasks were seen to use.
+    pub(super) memory: MemoryBook,
     /// Applied to the state, not yet handed out in a batch.
     pub(super) pending: Vec<CellTransition>,
     /// Handed out, with no outcome yet.
--- a/crates/cells/src/planner/start_planner/learning.rs
+++ b/crates/cells/src/planner/start_planner/learning.rs
@@ -19,6 +19,13 @@
         }
     }
 
+    /// Takes note of the most memory that a task used until it had done its work.
+    pub fn note_end(&mut self, record: &JobRecord, most_mb: u64) {
+        let order = &record.order;
+        self.sizes
+            .note_end(&order.job, &order.customer, most_mb, &order.size);
+    }
+
     /// Takes note of a task that did its work.
     pub fn note_success(&mut self, worker: &WorkerName, job: &JobName) {
         self.failures.note_success(worker, job);
