Turn workers' answers and orders into bodies in one place

The daemon's pool of calls and the worker of the soak each turned session reports into what the owner takes in, and orders into bodies, in the same words. A field added in one and not the other would have let the soak try something that the daemon doesn't do.

The conversions now stand beside the bodies in wire, which already knows the types of cells; cells still knows no body. To put them into cells was ruled out for that reason, and into platform since the soak has no client.

--- a/crates/daemon/src/cells/worker_pool.rs
+++ b/crates/daemon/src/cells/worker_pool.rs
@@ -12,26 +12,15 @@
 use crate::cells::WorkerCall;
 use crate::context::DaemonContext;
 use sapphirestile_cells::CellEffect;
-use sapphirestile_cells::GoneAttempt;
-use sapphirestile_cells::ReportChanges;
-use sapphirestile_cells::ReportMark;
 use sapphirestile_cells::SessionOrder;
-use sapphirestile_cells::SightedPhase;
 use sapphirestile_cells::StartOrder;
 use sapphirestile_cells::StopOrder;
-use sapphirestile_cells::TaskSighting;
 use sapphirestile_cells::ThrottleOrder;
 use sapphirestile_core::CellNumber;
 use sapphirestile_platform::http::PeerAddress;
 use sapphirestile_platform::worker::WorkerClient;
 use sapphirestile_platform::worker::WorkerError;
-use sapphirestile_wire::worker::AttemptName;
-use sapphirestile_wire::worker::KnownReport;
-use sapphirestile_wire::worker::SessionReport;
 use sapphirestile_wire::worker::SessionRequest;
-use sapphirestile_wire::worker::TaskPhase;
-use sapphirestile_wire::worker::TaskReport;
-use sapphirestile_wire::worker::TaskSettled;
 use sapphirestile_wire::worker::TaskStart;
 use sapphirestile_wire::worker::TaskStop;
 use sapphirestile_wire::worker::TaskThrottle;
@@ -96,17 +85,8 @@
     order: &SessionOrder,
 ) -> KeeperEvent {
     let asked = context.clock.now();
-    let settled = order.settled.iter().map(|(task, attempt)| TaskSettled {
-        task: task.clone(),
-        attempt: *attempt,
-    });
-    let request = SessionRequest {
-        cell: call.cell,
-        epoch: order.epoch,
-        lease_ms: context.settings.limits.lease_ms,
-        settled: settled.collect(),
-        known: order.known.map(known_of),
-    };
+    let lease_ms = context.settings.limits.lease_ms;
+    let request = SessionRequest::of(call.cell, order, lease_ms);
     let worker = order.worker.clone();
     let ordinal = order.ordinal;
     match client.session(&request) {
@@ -114,7 +94,7 @@
             worker,
             ordinal,
             asked,
-            changes: changes_of(report),
+            changes: report.into(),
         },
         Err(error) => {
             let deposed = is_stale(&error);
@@ -129,16 +109,7 @@
 }
 
 fn start_task(client: &WorkerClient, cell: CellNumber, order: &StartOrder) -> KeeperEvent {
-    let start = TaskStart {
-        cell,
-        epoch: order.epoch,
-        permit: order.permit,
-        task: order.task.clone(),
-        attempt: order.attempt,
-        size: order.size,
-        run_ms: order.run_ms,
-        checkpoint_ms: order.checkpoint_ms,
-    };
+    let start = TaskStart::of(cell, order);
     if let Err(error) = client.start(&start) {
         debug!(step = "start task", peer = %order.worker, task = %order.task, ?error, "not started");
     }
@@ -146,13 +117,7 @@
 }
 
 fn stop_task(client: &WorkerClient, cell: CellNumber, order: &StopOrder) {
-    let stop = TaskStop {
-        cell,
-        epoch: order.epoch,
-        task: order.task.clone(),
-        attempt: order.attempt,
-        checkpoint: order.checkpoint,
-    };
+    let stop = TaskStop::of(cell, order);
     if let Err(error) = client.stop(&stop) {
         debug!(step = "stop task", peer = %order.worker, task = %order.task, ?error, "not stopped");
     }
@@ -160,13 +125,7 @@
 
 /// A throttle that is lost is asked for again: the next report does not show it.
 fn throttle_task(client: &WorkerClient, cell: CellNumber, order: &ThrottleOrder) {
-    let throttle = TaskThrottle {
-        cell,
-        epoch: order.epoch,
-        task: order.task.clone(),
-        attempt: order.attempt,
-        cpu_milli: order.cpu_milli,
-    };
+    let throttle = TaskThrottle::of(cell, order);
     if let Err(error) = client.throttle(&throttle) {
         debug!(step = "throttle task", peer = %order.worker, task = %order.task, ?error, "not throttled");
     }
@@ -178,56 +137,3 @@
         WorkerError::Refused(WorkerRefusal::StaleEpoch { .. })
     )
 }
-
-const fn known_of(mark: ReportMark) -> KnownReport {
-    KnownReport {
-        incarnation: mark.incarnation,
-        permit: mark.permit,
-    }
-}
-
-fn changes_of(report: SessionReport) -> ReportChanges {
-    let mark = ReportMark {
-        incarnation: report.incarnation,
-        permit: report.permit,
-    };
-    ReportChanges {
-        mark,
-        base: report.base,
-        count: report.count,
-        changed: report.tasks.into_iter().map(sighting_of).collect(),
-        gone: report.gone.into_iter().map(gone_of).collect(),
-    }
-}
-
-fn gone_of(name: AttemptName) -> GoneAttempt {
-    GoneAttempt {
-        task: name.task,
-        attempt: name.attempt,
-    }
-}
-
-fn sighting_of(report: TaskReport) -> TaskSighting {
-    let phase = match report.phase {
-        TaskPhase::Running => SightedPhase::Running,
-        TaskPhase::Finished => SightedPhase::Finished,
-        TaskPhase::Failed => SightedPhase::Failed,
-        TaskPhase::Stopped => SightedPhase::Stopped,
-    };
-    let TaskReport {
-        task,
-        attempt,
-        checkpoint_ms,
-        usage,
-        throttle_cpu_milli,
-        ..
-    } = report;
-    TaskSighting {
-        task,
-        attempt,
-        phase,
-        checkpoint_ms,
-        usage,
-        throttle_cpu_milli,
-    }
-}
--- a/crates/soak/src/worker/soak_worker.rs
+++ b/crates/soak/src/worker/soak_worker.rs
@@ -1,9 +1,7 @@
 //! A worker of a run.
 
 use crate::WorkerCall;
-use sapphirestile_cells::GoneAttempt;
 use sapphirestile_cells::ReportChanges;
-use sapphirestile_cells::ReportMark;
 use sapphirestile_cells::SessionOrder;
 use sapphirestile_cells::SightedPhase;
 use sapphirestile_cells::StartOrder;
@@ -22,12 +20,8 @@
 use sapphirestile_standins::worker::HistoryEntry;
 use sapphirestile_standins::worker::WorkerSettings;
 use sapphirestile_standins::worker::WorkerState;
-use sapphirestile_wire::worker::KnownReport;
-use sapphirestile_wire::worker::SessionReport;
 use sapphirestile_wire::worker::SessionRequest;
 use sapphirestile_wire::worker::TaskPhase;
-use sapphirestile_wire::worker::TaskReport;
-use sapphirestile_wire::worker::TaskSettled;
 use sapphirestile_wire::worker::TaskStart;
 use sapphirestile_wire::worker::TaskStop;
 use sapphirestile_wire::worker::TaskThrottle;
@@ -121,26 +115,16 @@
         call: &WorkerCall,
         order: &SessionOrder,
     ) -> Option<ReportChanges> {
-        let settled = order.settled.iter().map(|(task, attempt)| TaskSettled {
-            task: task.clone(),
-            attempt: *attempt,
-        });
-        let request = SessionRequest {
-            cell: call.cell,
-            epoch: order.epoch,
-            lease_ms: LEASE_MS,
-            settled: settled.collect(),
-            known: order.known.map(known_of),
-        };
+        let request = SessionRequest::of(call.cell, order, LEASE_MS);
         let report = self.state.renew(self.clock(now), &request).ok()?;
-        Some(changes_of(report))
+        Some(report.into())
     }
 
     /// Every attempt as it is on the worker.
     #[must_use]
     pub fn held(&self, now: u64) -> Vec<TaskSighting> {
         let reports = self.state.reports(self.clock(now)).into_iter();
-        reports.map(sighting_of).collect()
+        reports.map(Into::into).collect()
     }
 
     /// Begins a later life of the worker's program, which knows nothing.
@@ -157,16 +141,7 @@
 
     /// Takes a start, and says whether an attempt began.
     pub fn start(&mut self, now: u64, cell: CellNumber, order: &StartOrder, fails: bool) -> bool {
-        let start = TaskStart {
-            cell,
-            epoch: order.epoch,
-            permit: order.permit,
-            task: order.task.clone(),
-            attempt: order.attempt,
-            size: order.size,
-            run_ms: order.run_ms,
-            checkpoint_ms: order.checkpoint_ms,
-        };
+        let start = TaskStart::of(cell, order);
         let before = self.state.history().len();
         let clock = self.clock(now);
         let _answer = self
@@ -177,26 +152,14 @@
 
     /// Takes a stop.
     pub fn stop(&mut self, now: u64, cell: CellNumber, order: &StopOrder) {
-        let stop = TaskStop {
-            cell,
-            epoch: order.epoch,
-            task: order.task.clone(),
-            attempt: order.attempt,
-            checkpoint: order.checkpoint,
-        };
+        let stop = TaskStop::of(cell, order);
         let clock = self.clock(now);
         let _answer = self.state.stop(clock, &stop);
     }
 
     /// Takes a throttle.
     pub fn throttle(&mut self, now: u64, cell: CellNumber, order: &ThrottleOrder) {
-        let throttle = TaskThrottle {
-            cell,
-            epoch: order.epoch,
-            task: order.task.clone(),
-            attempt: order.attempt,
-            cpu_milli: order.cpu_milli,
-        };
+        let throttle = TaskThrottle::of(cell, order);
         let clock = self.clock(now);
         let _answer = self.state.throttle(clock, &throttle);
     }
@@ -240,45 +203,3 @@
 const fn incarnation_of(life: u64) -> IncarnationNumber {
     IncarnationNumber::new(life * PERMITS_A_LIFE)
 }
-
-const fn known_of(mark: ReportMark) -> KnownReport {
-    KnownReport {
-        incarnation: mark.incarnation,
-        permit: mark.permit,
-    }
-}
-
-fn changes_of(report: SessionReport) -> ReportChanges {
-    let mark = ReportMark {
-        incarnation: report.incarnation,
-        permit: report.permit,
-    };
-    let gone = report.gone.into_iter().map(|name| GoneAttempt {
-        task: name.task,
-        attempt: name.attempt,
-    });
-    ReportChanges {
-        mark,
-        base: report.base,
-        count: report.count,
-        changed: report.tasks.into_iter().map(sighting_of).collect(),
-        gone: gone.collect(),
-    }
-}
-
-fn sighting_of(report: TaskReport) -> TaskSighting {
-    let phase = match report.phase {
-        TaskPhase::Running => SightedPhase::Running,
-        TaskPhase::Finished => SightedPhase::Finished,
-        TaskPhase::Failed => SightedPhase::Failed,
-        TaskPhase::Stopped => SightedPhase::Stopped,
-    };
-    TaskSighting {
-        task: report.task,
-        attempt: report.attempt,
-        phase,
-        checkpoint_ms: report.checkpoint_ms,
-        usage: report.usage,
-        throttle_cpu_milli: report.throttle_cpu_milli,
-    }
-}
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -14,6 +14,9 @@
 //! was given under another epoch, or is too old. An attempt has changed when its
 //! phase has, when its checkpoint is [`CHECKPOINT_STEP_MS`] later than the one
 //! reported last, or when its usage moved by a twentieth of what it was.
+//!
+//! What the owner of a cell decides becomes a body by `of`, and what a worker
+//! answers becomes what the owner takes in by `From`; the owner knows no body.
 
 mod attempt_name;
 mod known_report;
--- a/crates/wire/src/worker/attempt_name.rs
+++ b/crates/wire/src/worker/attempt_name.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use sapphirestile_cells::GoneAttempt;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::TaskName;
 
@@ -14,3 +15,12 @@
     /// The attempt.
     pub attempt: AttemptNumber,
 }
+
+impl From<AttemptName> for GoneAttempt {
+    fn from(name: AttemptName) -> Self {
+        Self {
+            task: name.task,
+            attempt: name.attempt,
+        }
+    }
+}
--- a/crates/wire/src/worker/known_report.rs
+++ b/crates/wire/src/worker/known_report.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use sapphirestile_cells::ReportMark;
 use sapphirestile_core::IncarnationNumber;
 
 /// Which report an owner has whole.
@@ -13,3 +14,12 @@
     /// Its number: the permit that came with it.
     pub permit: u64,
 }
+
+impl From<ReportMark> for KnownReport {
+    fn from(mark: ReportMark) -> Self {
+        Self {
+            incarnation: mark.incarnation,
+            permit: mark.permit,
+        }
+    }
+}
--- a/crates/wire/src/worker/session_report.rs
+++ b/crates/wire/src/worker/session_report.rs
@@ -5,6 +5,8 @@
 
 use crate::worker::AttemptName;
 use crate::worker::TaskReport;
+use sapphirestile_cells::ReportChanges;
+use sapphirestile_cells::ReportMark;
 use sapphirestile_core::IncarnationNumber;
 use sapphirestile_core::ResourceSize;
 
@@ -43,3 +45,19 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub gone: Vec<AttemptName>,
 }
+
+impl From<SessionReport> for ReportChanges {
+    fn from(report: SessionReport) -> Self {
+        let mark = ReportMark {
+            incarnation: report.incarnation,
+            permit: report.permit,
+        };
+        Self {
+            mark,
+            base: report.base,
+            count: report.count,
+            changed: report.tasks.into_iter().map(Into::into).collect(),
+            gone: report.gone.into_iter().map(Into::into).collect(),
+        }
+    }
+}
--- a/crates/wire/src/worker/session_request.rs
+++ b/crates/wire/src/worker/session_request.rs
@@ -5,6 +5,7 @@
 
 use crate::worker::KnownReport;
 use crate::worker::TaskSettled;
+use sapphirestile_cells::SessionOrder;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
 
@@ -24,3 +25,21 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub known: Option<KnownReport>,
 }
+
+impl SessionRequest {
+    /// The body of `order`, by the owner of `cell`, with leases of `lease_ms`.
+    #[must_use]
+    pub fn of(cell: CellNumber, order: &SessionOrder, lease_ms: u64) -> Self {
+        let settled = order.settled.iter().map(|(task, attempt)| TaskSettled {
+            task: task.clone(),
+            attempt: *attempt,
+        });
+        Self {
+            cell,
+            epoch: order.epoch,
+            lease_ms,
+            settled: settled.collect(),
+            known: order.known.map(Into::into),
+        }
+    }
+}
--- a/crates/wire/src/worker/task_phase.rs
+++ b/crates/wire/src/worker/task_phase.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use sapphirestile_cells::SightedPhase;
+
 /// How far an attempt on a worker has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -16,3 +18,14 @@
     /// The attempt was stopped, or its lease lapsed; its checkpoint stands.
     Stopped,
 }
+
+impl From<TaskPhase> for SightedPhase {
+    fn from(phase: TaskPhase) -> Self {
+        match phase {
+            TaskPhase::Running => Self::Running,
+            TaskPhase::Finished => Self::Finished,
+            TaskPhase::Failed => Self::Failed,
+            TaskPhase::Stopped => Self::Stopped,
+        }
+    }
+}
--- a/crates/wire/src/worker/task_report.rs
+++ b/crates/wire/src/worker/task_report.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::worker::TaskPhase;
+use sapphirestile_cells::TaskSighting;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_core::TaskName;
@@ -64,6 +65,19 @@
     }
 }
 
+impl From<TaskReport> for TaskSighting {
+    fn from(report: TaskReport) -> Self {
+        Self {
+            task: report.task,
+            attempt: report.attempt,
+            phase: report.phase.into(),
+            checkpoint_ms: report.checkpoint_ms,
+            usage: report.usage,
+            throttle_cpu_milli: report.throttle_cpu_milli,
+        }
+    }
+}
+
 const fn has_moved(before: &ResourceSize, now: &ResourceSize) -> bool {
     moves(before.cpu_milli, now.cpu_milli)
         || moves(before.memory_mb, now.memory_mb)
--- a/crates/wire/src/worker/task_start.rs
+++ b/crates/wire/src/worker/task_start.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use sapphirestile_cells::StartOrder;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
@@ -29,3 +30,20 @@
     /// Work already covered by a checkpoint, in milliseconds of run time.
     pub checkpoint_ms: u64,
 }
+
+impl TaskStart {
+    /// The body of `order`, by the owner of `cell`.
+    #[must_use]
+    pub fn of(cell: CellNumber, order: &StartOrder) -> Self {
+        Self {
+            cell,
+            epoch: order.epoch,
+            permit: order.permit,
+            task: order.task.clone(),
+            attempt: order.attempt,
+            size: order.size,
+            run_ms: order.run_ms,
+            checkpoint_ms: order.checkpoint_ms,
+        }
+    }
+}
--- a/crates/wire/src/worker/task_stop.rs
+++ b/crates/wire/src/worker/task_stop.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use sapphirestile_cells::StopOrder;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
@@ -22,3 +23,17 @@
     /// Whether to take a checkpoint first.
     pub checkpoint: bool,
 }
+
+impl TaskStop {
+    /// The body of `order`, by the owner of `cell`.
+    #[must_use]
+    pub fn of(cell: CellNumber, order: &StopOrder) -> Self {
+        Self {
+            cell,
+            epoch: order.epoch,
+            task: order.task.clone(),
+            attempt: order.attempt,
+            checkpoint: order.checkpoint,
+        }
+    }
+}
--- a/crates/wire/src/worker/task_throttle.rs
+++ b/crates/wire/src/worker/task_throttle.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use sapphirestile_cells::ThrottleOrder;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
@@ -22,3 +23,17 @@
     /// The most processor time, in thousandths of a core.
     pub cpu_milli: u64,
 }
+
+impl TaskThrottle {
+    /// The body of `order`, by the owner of `cell`.
+    #[must_use]
+    pub fn of(cell: CellNumber, order: &ThrottleOrder) -> Self {
+        Self {
+            cell,
+            epoch: order.epoch,
+            task: order.task.clone(),
+            attempt: order.attempt,
+            cpu_milli: order.cpu_milli,
+        }
+    }
+}
