Take the steps of a daemon's start out of its cycle

Steps before it serves and the ports over HTTP have files of their own now, as the steps of a drain do. Four threads shared the heartbeats' socket in the same two lines; the ports give a handle instead.

No behaviour changed but the words of one error: when the time-out of the receiving socket cannot be set, the step says so and no longer that the socket could not be shared. Run: tests of daemon, none failed.

--- a/crates/daemon/src/cycle.rs
+++ b/crates/daemon/src/cycle.rs
@@ -11,8 +11,10 @@
 mod drain_steps;
 mod draining_phase;
 mod house_keeper;
+mod http_ports;
 mod peer_ports;
 mod serving_phase;
+mod start_steps;
 mod starting_phase;
 
 pub use daemon_addresses::DaemonAddresses;
--- a/crates/daemon/src/cycle/daemon_cycle.rs
+++ b/crates/daemon/src/cycle/daemon_cycle.rs
@@ -4,20 +4,13 @@
 use std::thread;
 use std::time::Duration;
 
-use crossbeam::channel::Sender;
 use crossbeam::channel::bounded;
 use crossbeam::channel::unbounded;
 use error_stack::Report;
 use tracing::info;
 
 use crate::callers::CallerDesk;
-use crate::callers::CallerService;
-use crate::callers::TrafficTable;
 use crate::context::DaemonContext;
-use crate::context::MonoClock;
-use crate::context::PhaseGauge;
-use crate::context::StorePulse;
-use crate::context::SwapHolder;
 use crate::cycle::DaemonAddresses;
 use crate::cycle::DrainingPhase;
 use crate::cycle::HouseKeeper;
@@ -30,32 +23,19 @@
 use crate::cycle::daemon_threads::start_tokens;
 use crate::cycle::daemon_threads::start_vm_poller;
 use crate::cycle::daemon_threads::start_watch;
-use crate::cycle::daemon_threads::target;
 use crate::cycle::drain_steps::hand_tokens_over;
 use crate::cycle::drain_steps::take_registration_back;
-use crate::members::MemberRecord;
-use crate::members::MemberRegistration;
-use crate::metrics::DaemonMetrics;
-use crate::operators::OperatorService;
+use crate::cycle::http_ports::open_callers;
+use crate::cycle::http_ports::open_operators;
+use crate::cycle::start_steps::new_context;
+use crate::cycle::start_steps::open_store;
+use crate::cycle::start_steps::register;
 use crate::peers::PeerServer;
-use crate::serving::HttpPort;
-use crate::serving::HttpService;
-use crate::serving::PortLimits;
 use crate::serving::RequestGate;
 use crate::settings::DaemonSettings;
-use crate::tokens::GaugeTable;
-use crate::tokens::TokenEvent;
-use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::StepError;
-use sapphirestile_platform::http::ConnectionTable;
-use sapphirestile_platform::store::EtcdClient;
-use sapphirestile_platform::store::StoreClient;
-use sapphirestile_routing::TableCell;
-use sapphirestile_wire::peer::FrameKey;
 use sapphirestile_wire::peer::MemberState;
 
-const CALLER_CONNECTIONS: usize = 1_024;
-const OPERATOR_CONNECTIONS: usize = 64;
 const DRAIN_TICK: Duration = Duration::from_millis(50);
 const UNREADY_LINGER: Duration = Duration::from_millis(1_500);
 
@@ -216,86 +196,3 @@
         emptied && released
     }
 }
-
-fn new_context(
-    settings: DaemonSettings,
-    identity: DaemonIdentity,
-    store: Arc<dyn StoreClient>,
-    token_events: Sender<TokenEvent>,
-) -> DaemonContext {
-    let key = FrameKey::new(settings.peering.key.as_bytes());
-    DaemonContext {
-        settings,
-        identity,
-        clock: MonoClock::start(),
-        store,
-        pulse: StorePulse::default(),
-        key,
-        phase: PhaseGauge::default(),
-        document: SwapHolder::default(),
-        members: SwapHolder::default(),
-        vms: SwapHolder::default(),
-        keepers: SwapHolder::default(),
-        ledger: SwapHolder::default(),
-        gauges: GaugeTable::default(),
-        traffic: TrafficTable::default(),
-        token_events,
-        connections: ConnectionTable::new(),
-        metrics: DaemonMetrics::default(),
-        routes: TableCell::default(),
-    }
-}
-
-fn open_store(settings: &DaemonSettings) -> Result<Arc<dyn StoreClient>, Report<StepError>> {
-    let peer = target(settings.platform.store, "find store")?;
-    let timeout = Duration::from_millis(settings.limits.store_timeout_ms);
-    Ok(Arc::new(EtcdClient::new(peer, timeout)))
-}
-
-fn register(store: &dyn StoreClient, settings: &DaemonSettings) -> DaemonIdentity {
-    let daemon = settings.node.name.clone();
-    let record = MemberRecord {
-        zone: settings.node.zone.clone(),
-        address: settings.node.peers,
-        nonce: rand::random(),
-    };
-    let incarnation = MemberRegistration::new(store, daemon.as_str()).register(&record);
-    DaemonIdentity {
-        daemon,
-        incarnation,
-    }
-}
-
-fn open_callers(
-    context: &Arc<DaemonContext>,
-    gate: &Arc<RequestGate>,
-    desk: &Arc<CallerDesk>,
-) -> Result<HttpPort, Report<StepError>> {
-    let service = CallerService::new(Arc::clone(context), Arc::clone(desk));
-    let service: Arc<dyn HttpService> = Arc::new(service);
-    HttpPort::open(
-        context.settings.node.callers,
-        port_limits(context, CALLER_CONNECTIONS),
-        &service,
-        gate,
-    )
-}
-
-/// The operators' port stays open while the daemon drains.
-fn open_operators(context: &Arc<DaemonContext>) -> Result<HttpPort, Report<StepError>> {
-    let service: Arc<dyn HttpService> = Arc::new(OperatorService::new(Arc::clone(context)));
-    let gate = Arc::new(RequestGate::default());
-    HttpPort::open(
-        context.settings.node.operators,
-        port_limits(context, OPERATOR_CONNECTIONS),
-        &service,
-        &gate,
-    )
-}
-
-fn port_limits(context: &DaemonContext, connections: usize) -> PortLimits {
-    PortLimits {
-        connections,
-        body_max_ms: context.settings.limits.body_max_ms,
-    }
-}
--- a/crates/daemon/src/cycle/daemon_threads.rs
+++ b/crates/daemon/src/cycle/daemon_threads.rs
@@ -34,12 +34,11 @@
     peers: &PeerPorts,
     stopped: &Receiver<()>,
 ) -> Result<(), Report<StepError>> {
-    let failed = || StepError::new("share heartbeat socket", "own port");
-    let socket = peers.heartbeats.try_clone().change_context_lazy(failed)?;
+    let socket = peers.share_heartbeats()?;
     let sender = HeartbeatSender::new(Arc::clone(context), socket);
-    let socket = peers.heartbeats.try_clone().change_context_lazy(failed)?;
-    let receiver =
-        DatagramReceiver::new(Arc::clone(context), socket).change_context_lazy(failed)?;
+    let socket = peers.share_heartbeats()?;
+    let receiver = DatagramReceiver::new(Arc::clone(context), socket)
+        .change_context_lazy(|| StepError::new("limit waits for heartbeats", "own port"))?;
     let stop = stopped.clone();
     thread::spawn(move || sender.run(&stop));
     let stop = stopped.clone();
@@ -89,8 +88,7 @@
     events: Receiver<TokenEvent>,
     stopped: &Receiver<()>,
 ) -> Result<(), Report<StepError>> {
-    let failed = || StepError::new("share heartbeat socket", "own port");
-    let socket = peers.heartbeats.try_clone().change_context_lazy(failed)?;
+    let socket = peers.share_heartbeats()?;
     let keeper = TokenKeeper::new(Arc::clone(context), socket);
     let stop = stopped.clone();
     thread::spawn(move || keeper.run(&events, &stop));
@@ -102,8 +100,7 @@
     peers: &PeerPorts,
     stopped: &Receiver<()>,
 ) -> Result<(), Report<StepError>> {
-    let failed = || StepError::new("share heartbeat socket", "own port");
-    let socket = peers.heartbeats.try_clone().change_context_lazy(failed)?;
+    let socket = peers.share_heartbeats()?;
     let sender = SlowdownSender::new(Arc::clone(context), socket);
     let mut observer = SlowdownObserver::new(Arc::clone(context), sender);
     let stop = stopped.clone();
--- a/crates/daemon/src/cycle/peer_ports.rs
+++ b/crates/daemon/src/cycle/peer_ports.rs
@@ -49,4 +49,14 @@
             }
         }
     }
+
+    /// A further handle of the socket that takes heartbeats.
+    ///
+    /// # Errors
+    ///
+    /// When the operating system gives none.
+    pub fn share_heartbeats(&self) -> Result<UdpSocket, Report<StepError>> {
+        let shared = self.heartbeats.try_clone();
+        shared.change_context_lazy(|| StepError::new("share heartbeat socket", "own port"))
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/cycle/start_steps.rs
@@ -0,0 +1,79 @@
+//! What a daemon does before it serves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Sender;
+use error_stack::Report;
+
+use crate::callers::TrafficTable;
+use crate::context::DaemonContext;
+use crate::context::MonoClock;
+use crate::context::PhaseGauge;
+use crate::context::StorePulse;
+use crate::context::SwapHolder;
+use crate::cycle::daemon_threads::target;
+use crate::members::MemberRecord;
+use crate::members::MemberRegistration;
+use crate::metrics::DaemonMetrics;
+use crate::settings::DaemonSettings;
+use crate::tokens::GaugeTable;
+use crate::tokens::TokenEvent;
+use sapphirestile_core::DaemonIdentity;
+use sapphirestile_core::StepError;
+use sapphirestile_platform::http::ConnectionTable;
+use sapphirestile_platform::store::EtcdClient;
+use sapphirestile_platform::store::StoreClient;
+use sapphirestile_routing::TableCell;
+use sapphirestile_wire::peer::FrameKey;
+
+pub(super) fn open_store(
+    settings: &DaemonSettings,
+) -> Result<Arc<dyn StoreClient>, Report<StepError>> {
+    let peer = target(settings.platform.store, "find store")?;
+    let timeout = Duration::from_millis(settings.limits.store_timeout_ms);
+    Ok(Arc::new(EtcdClient::new(peer, timeout)))
+}
+
+pub(super) fn register(store: &dyn StoreClient, settings: &DaemonSettings) -> DaemonIdentity {
+    let daemon = settings.node.name.clone();
+    let record = MemberRecord {
+        zone: settings.node.zone.clone(),
+        address: settings.node.peers,
+        nonce: rand::random(),
+    };
+    let incarnation = MemberRegistration::new(store, daemon.as_str()).register(&record);
+    DaemonIdentity {
+        daemon,
+        incarnation,
+    }
+}
+
+pub(super) fn new_context(
+    settings: DaemonSettings,
+    identity: DaemonIdentity,
+    store: Arc<dyn StoreClient>,
+    token_events: Sender<TokenEvent>,
+) -> DaemonContext {
+    let key = FrameKey::new(settings.peering.key.as_bytes());
+    DaemonContext {
+        settings,
+        identity,
+        clock: MonoClock::start(),
+        store,
+        pulse: StorePulse::default(),
+        key,
+        phase: PhaseGauge::default(),
+        document: SwapHolder::default(),
+        members: SwapHolder::default(),
+        vms: SwapHolder::default(),
+        keepers: SwapHolder::default(),
+        ledger: SwapHolder::default(),
+        gauges: GaugeTable::default(),
+        traffic: TrafficTable::default(),
+        token_events,
+        connections: ConnectionTable::new(),
+        metrics: DaemonMetrics::default(),
+        routes: TableCell::default(),
+    }
+}
