Give the record of a try a type of its own

The runner of a request both took it through its cycle and spoke with the cell of its key. The record is written and taken back in one file now, and what happens when either fails stands side by side.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -2,15 +2,15 @@
 //!
 //! A [`CallerService`] reads a [`CallerRequest`] and has a [`RequestRunner`] take
 //! it through its [`sapphirestile_routing::RequestCycle`]: it is received,
-//! admitted to a runner with a free slot, recorded when it must not run twice,
-//! sent, and answered. Without a free slot it waits in the [`WaitingRoom`] while
-//! its deadline can still be met. A refusal that says "not run" comes only from
-//! the phases in which that is certain, and from no request of which an attempt
-//! was lost. Slots of lost attempts wait in the [`ParkingLot`] for the longest
-//! time that the runner could still be working. All share one [`CallerDesk`]. A
-//! [`RouteSeeker`] finds the runner; what crosses the link between regions is counted
-//! in its [`LinkShare`], the answer by its estimate first. A [`TrafficTable`] counts
-//! the bytes of each service.
+//! admitted to a runner with a free slot, recorded by a [`TryRecord`] when it must
+//! not run twice, sent, and answered. Without a free slot it waits in the
+//! [`WaitingRoom`] while its deadline can still be met. A refusal that says "not
+//! run" comes only from the phases in which that is certain, and from no request of
+//! which an attempt was lost. Slots of lost attempts wait in the [`ParkingLot`] for
+//! the longest time that the runner could still be working. All share one
+//! [`CallerDesk`]. A [`RouteSeeker`] finds the runner; what crosses the link between
+//! regions is counted in its [`LinkShare`], the answer by its estimate first. A
+//! [`TrafficTable`] counts the bytes of each service.
 
 mod answer_charge;
 mod attempt_outcome;
@@ -24,6 +24,7 @@
 mod route_seeker;
 mod sought_route;
 mod traffic_table;
+mod try_record;
 mod waiting_call;
 mod waiting_mark;
 mod waiting_room;
@@ -42,6 +43,7 @@
 pub use route_seeker::RouteSeeker;
 pub use sought_route::SoughtRoute;
 pub use traffic_table::TrafficTable;
+pub use try_record::TryRecord;
 pub use waiting_mark::WaitingMark;
 pub use waiting_room::WaitingRoom;
 pub use waiting_turn::WaitingTurn;
--- a/crates/daemon/src/callers/request_runner.rs
+++ b/crates/daemon/src/callers/request_runner.rs
@@ -9,10 +9,9 @@
 use crate::callers::CallerReply;
 use crate::callers::CallerRequest;
 use crate::callers::RouteSeeker;
+use crate::callers::TryRecord;
 use crate::callers::route_seeker::HEAD_BYTES;
-use crate::cells::CellDesk;
 use crate::context::DaemonContext;
-use sapphirestile_core::RequestKey;
 use sapphirestile_core::RunnerName;
 use sapphirestile_platform::http::CallLimits;
 use sapphirestile_platform::http::HttpAnswer;
@@ -23,13 +22,10 @@
 use sapphirestile_routing::AdmittedPhase;
 use sapphirestile_routing::NotRunPhase;
 use sapphirestile_routing::ReceivedPhase;
-use sapphirestile_routing::RecordProof;
 use sapphirestile_routing::RequestCycle;
 use sapphirestile_routing::RequestFacts;
 use sapphirestile_routing::RouteRefusal;
 use sapphirestile_routing::SentPhase;
-use sapphirestile_wire::peer::PeerAnswer;
-use sapphirestile_wire::peer::PeerRequest;
 
 const ANSWER_MAX_BYTES: usize = 64 * 1_024 * 1_024;
 
@@ -38,8 +34,7 @@
     context: &'r DaemonContext,
     desk: &'r CallerDesk,
     request: &'r CallerRequest,
-    /// Names the record of this try.
-    nonce: u64,
+    record: TryRecord<'r>,
 }
 
 impl<'r> RequestRunner<'r> {
@@ -54,7 +49,7 @@
             context,
             desk,
             request,
-            nonce: rand::random(),
+            record: TryRecord::new(context, rand::random()),
         }
     }
 
@@ -98,7 +93,7 @@
         if !cycle.needs_record() {
             return self.send(cycle, charge);
         }
-        match self.record(&cycle) {
+        match self.record.commit(cycle.facts()) {
             Ok(proof) => self.send(cycle.with_record(proof), charge),
             Err(reply) => {
                 drop(cycle.refuse(RouteRefusal::NoRecord));
@@ -107,22 +102,6 @@
         }
     }
 
-    /// Has the request recorded. Whatever goes wrong here, it is not sent.
-    fn record(&self, cycle: &RequestCycle<AdmittedPhase>) -> Result<RecordProof, CallerReply> {
-        let not_run = || CallerReply::NotRun(RouteRefusal::NoRecord);
-        let key = cycle.facts().key.clone().ok_or_else(not_run)?;
-        let map = self.context.map().ok_or_else(not_run)?;
-        let cell = map.cell_of_key(key.as_str());
-        let record = PeerRequest::RecordRequest(cell, key.clone(), self.nonce);
-        match CellDesk::new(self.context).call(cell, record) {
-            PeerAnswer::Recorded { epoch, sequence } => {
-                Ok(RecordProof::committed(key, epoch, sequence))
-            }
-            PeerAnswer::AlreadyRecorded => Err(CallerReply::AlreadySent),
-            _ => Err(not_run()),
-        }
-    }
-
     fn send(
         &self,
         cycle: RequestCycle<AdmittedPhase>,
@@ -242,19 +221,8 @@
         if cycle.has_record()
             && let Some(key) = &cycle.facts().key
         {
-            self.withdraw_record(key);
+            self.record.withdraw(key);
         }
         AttemptOutcome::Ended(CallerReply::NotRun(cycle.refusal()))
     }
-
-    /// A record that cannot be taken back stays: the key is then refused, which
-    /// is safe.
-    fn withdraw_record(&self, key: &RequestKey) {
-        let Some(map) = self.context.map() else {
-            return;
-        };
-        let cell = map.cell_of_key(key.as_str());
-        let withdraw = PeerRequest::WithdrawRequest(cell, key.clone(), self.nonce);
-        let _answer = CellDesk::new(self.context).call(cell, withdraw);
-    }
 }
