Make the steps of every model in one place

Five models turned their actions into steps by the same ten lines. The model of cells does what it did beyond that: it tidies the state and leaves out steps that change nothing.

--- a/crates/specification/src/cell_ownership/ownership_model.rs
+++ b/crates/specification/src/cell_ownership/ownership_model.rs
@@ -112,16 +112,12 @@
             actions.push(OwnershipAction::LoseMessage(message));
         }
         worker_events(state, &mut actions);
-        let steps = actions.into_iter().map(|action| {
-            let mut next = *state;
-            self.apply_action(&mut next, action);
-            self.tidy_state(&mut next);
-            ModelStep {
-                action,
-                state: next,
-            }
+        let mut steps = ModelStep::from_actions(state, actions, |next, action| {
+            self.apply_action(next, action);
+            self.tidy_state(next);
         });
-        steps.filter(|step| step.state != *state).collect()
+        steps.retain(|step| step.state != *state);
+        steps
     }
 
     fn broken_property(&self, state: &OwnershipState) -> Option<&'static str> {
--- a/crates/specification/src/request_record/record_model.rs
+++ b/crates/specification/src/request_record/record_model.rs
@@ -188,15 +188,9 @@
         for (entry, it) in (0..).zip(&state.tries).take(TRIES) {
             self.entry_actions(*it, entry, &mut actions);
         }
-        let steps = actions.into_iter().map(|action| {
-            let mut next = *state;
-            self.apply_action(&mut next, action);
-            ModelStep {
-                action,
-                state: next,
-            }
-        });
-        steps.collect()
+        ModelStep::from_actions(state, actions, |next, action| {
+            self.apply_action(next, action);
+        })
     }
 
     fn broken_property(&self, state: &RecordState) -> Option<&'static str> {
--- a/crates/specification/src/share_lending/share_model.rs
+++ b/crates/specification/src/share_lending/share_model.rs
@@ -139,15 +139,9 @@
         for borrower in (0..).take(BORROWERS) {
             self.borrower_actions(state, borrower, &mut actions);
         }
-        let steps = actions.into_iter().map(|action| {
-            let mut next = *state;
-            self.apply_action(&mut next, action);
-            ModelStep {
-                action,
-                state: next,
-            }
-        });
-        steps.collect()
+        ModelStep::from_actions(state, actions, |next, action| {
+            self.apply_action(next, action);
+        })
     }
 
     fn broken_property(&self, state: &ShareState) -> Option<&'static str> {
--- a/crates/specification/src/token_handover/token_model.rs
+++ b/crates/specification/src/token_handover/token_model.rs
@@ -208,15 +208,9 @@
         if may_tick(state) {
             actions.push(TokenAction::Tick);
         }
-        let steps = actions.into_iter().map(|action| {
-            let mut next = *state;
-            self.apply_action(&mut next, action);
-            ModelStep {
-                action,
-                state: next,
-            }
-        });
-        steps.collect()
+        ModelStep::from_actions(state, actions, |next, action| {
+            self.apply_action(next, action);
+        })
     }
 
     fn broken_property(&self, state: &TokenState) -> Option<&'static str> {
--- a/crates/specification/src/zone_out/zone_out_model.rs
+++ b/crates/specification/src/zone_out/zone_out_model.rs
@@ -143,15 +143,9 @@
     fn next_steps(&self, state: &ZoneOutState) -> Vec<ModelStep<ZoneOutState, ZoneOutAction>> {
         let possible = ACTIONS.into_iter();
         let possible = possible.filter(|action| self.is_possible(state, *action));
-        let steps = possible.map(|action| {
-            let mut next = *state;
-            self.apply_action(&mut next, action);
-            ModelStep {
-                action,
-                state: next,
-            }
-        });
-        steps.collect()
+        ModelStep::from_actions(state, possible, |next, action| {
+            self.apply_action(next, action);
+        })
     }
 
     fn broken_property(&self, state: &ZoneOutState) -> Option<&'static str> {
