Name the reports that a measured cell takes in

A report was a tuple of four, the place of each part known by heart. What is timed, the owner taking a report, is as before; the reports are made before the clock starts.

--- a/crates/capacity/src/processor/cell_times.rs
+++ b/crates/capacity/src/processor/cell_times.rs
@@ -5,7 +5,6 @@
 use crate::report::nanos_of;
 use crate::scenes::CellScene;
 use crate::scenes::CellSize;
-use crate::scenes::view_of;
 
 /// About what a cell starts between two commits at the peak: 630 starts a second
 /// over 64 cells, a commit each 250 ms.
@@ -71,7 +70,7 @@
     let reports = scene.due_reports();
     nanos_of(reports.len(), || {
         for report in &reports {
-            scene.owner.observe_report(&view_of(report));
+            scene.owner.observe_report(&report.view());
         }
     })
 }
--- a/crates/capacity/src/scenes.rs
+++ b/crates/capacity/src/scenes.rs
@@ -1,11 +1,13 @@
 //! What is measured, built in any size.
 //!
-//! A [`CellScene`] is an owned cell with running, waiting and ended tasks; a
-//! [`TokenScene`] a ledger with the holder of one member; [`RouteScene`] and
-//! [`VmScene`] make routing tables and lists of VMs.
+//! A [`CellScene`] is an owned cell with running, waiting and ended tasks, whose
+//! workers give a [`DueReport`] each second; a [`TokenScene`] a ledger with the
+//! holder of one member; [`RouteScene`] and [`VmScene`] make routing tables and
+//! lists of VMs.
 
 mod cell_scene;
 mod cell_size;
+mod due_report;
 mod free_tokens;
 mod names;
 mod route_scene;
@@ -14,8 +16,8 @@
 mod zone_text;
 
 pub use cell_scene::CellScene;
-pub use cell_scene::view_of;
 pub use cell_size::CellSize;
+pub use due_report::DueReport;
 pub use free_tokens::FreeTokens;
 pub use names::identity;
 pub use names::job_order;
--- a/crates/capacity/src/scenes/cell_scene.rs
+++ b/crates/capacity/src/scenes/cell_scene.rs
@@ -5,7 +5,6 @@
 use sapphirestile_cells::CellState;
 use sapphirestile_cells::CommitOutcome;
 use sapphirestile_cells::OpenPhase;
-use sapphirestile_cells::ReportView;
 use sapphirestile_cells::SightedPhase;
 use sapphirestile_cells::TaskEntry;
 use sapphirestile_cells::TaskSighting;
@@ -17,9 +16,11 @@
 use sapphirestile_core::RackName;
 use sapphirestile_core::ResourceSize;
 use sapphirestile_core::SortedTable;
+use sapphirestile_core::WorkerName;
 use sapphirestile_core::ZoneName;
 
 use crate::scenes::CellSize;
+use crate::scenes::DueReport;
 use crate::scenes::identity;
 use crate::scenes::job_order;
 use crate::scenes::worker_name;
@@ -108,43 +109,43 @@
     pub fn report_all(&mut self) -> usize {
         let reports = self.due_reports();
         for report in &reports {
-            self.owner.observe_report(&view_of(report));
+            self.owner.observe_report(&report.view());
         }
         reports.len()
     }
 
     /// The reports of one second, by worker.
-    pub fn due_reports(&mut self) -> Vec<(String, u64, MonoTime, Vec<TaskSighting>)> {
+    pub fn due_reports(&mut self) -> Vec<DueReport> {
         self.now = self.now.plus_millis(SECOND_MS);
         let running = self.sightings();
-        let now = self.now;
-        let orders = self.owner.due_sessions(now).into_iter();
-        orders
-            .map(|order| {
-                let worker = order.worker.as_str().to_owned();
-                let tasks = running.get(&worker).cloned().unwrap_or_default();
-                (worker, order.ordinal, now, tasks)
-            })
-            .collect()
+        let asked = self.now;
+        let orders = self.owner.due_sessions(asked).into_iter();
+        let reports = orders.map(|order| DueReport {
+            tasks: running.get(&order.worker).cloned().unwrap_or_default(),
+            worker: order.worker,
+            ordinal: order.ordinal,
+            asked,
+        });
+        reports.collect()
     }
 
-    fn sightings(&self) -> SortedTable<String, Vec<TaskSighting>> {
+    fn sightings(&self) -> SortedTable<WorkerName, Vec<TaskSighting>> {
         let mut table = SortedTable::new();
         for (task, entry) in self.owner.state().tasks().iter() {
-            if let TaskEntry::Assigned(cycle) = entry {
-                let phase = cycle.phase();
-                let worker = phase.worker.as_str().to_owned();
-                table
-                    .get_or_insert_with(worker, Vec::new)
-                    .push(TaskSighting {
-                        task: task.clone(),
-                        attempt: phase.attempt,
-                        phase: SightedPhase::Running,
-                        checkpoint_ms: 0,
-                        usage: phase.size,
-                        throttle_cpu_milli: None,
-                    });
-            }
+            let TaskEntry::Assigned(cycle) = entry else {
+                continue;
+            };
+            let phase = cycle.phase();
+            let sighting = TaskSighting {
+                task: task.clone(),
+                attempt: phase.attempt,
+                phase: SightedPhase::Running,
+                checkpoint_ms: 0,
+                usage: phase.size,
+                throttle_cpu_milli: None,
+            };
+            let sightings = table.get_or_insert_with(phase.worker.clone(), Vec::new);
+            sightings.push(sighting);
         }
         table
     }
@@ -174,18 +175,6 @@
     }
 }
 
-/// A report as the owner takes it.
-pub fn view_of(report: &(String, u64, MonoTime, Vec<TaskSighting>)) -> ReportView<'_> {
-    let (worker, ordinal, asked, tasks) = report;
-    ReportView {
-        worker,
-        ordinal: *ordinal,
-        asked: *asked,
-        permit: *ordinal,
-        tasks,
-    }
-}
-
 fn worker_facts(place: usize) -> WorkerFacts {
     let rack = format!("rack-{}", place / WORKERS_PER_RACK);
     WorkerFacts {
