Grow the lent side of a share in one place

Lending and borrowing grew the same counter by the same lines, each on its own table. Both now do it by one function beside the one for what was returned; the check that a counter only grows stands once. Run: tests of cells, none failed.

--- a/crates/cells/src/state/cell_state/share_changes.rs
+++ b/crates/cells/src/state/cell_state/share_changes.rs
@@ -43,6 +43,13 @@
         &self.borrowed
     }
 
+    /// What this cell borrows of one customer's quota.
+    #[must_use]
+    pub fn borrowed_of(&self, customer: &CustomerName) -> ShareTotals {
+        let totals = self.borrowed.get(customer);
+        totals.copied().unwrap_or_default()
+    }
+
     pub(super) fn lend_share(
         &mut self,
         customer: &CustomerName,
@@ -50,11 +57,7 @@
         total: &ShareCounter,
     ) -> Result<(), TransitionFault> {
         let known = self.lent_to(customer, borrower);
-        grow(&known.lent, total)?;
-        let totals = ShareTotals {
-            lent: *total,
-            ..known
-        };
+        let totals = with_lent(&known, total)?;
         self.put_lent(customer, borrower, totals);
         Ok(())
     }
@@ -76,12 +79,8 @@
         customer: &CustomerName,
         total: &ShareCounter,
     ) -> Result<(), TransitionFault> {
-        let known = self.borrowed.get(customer).copied().unwrap_or_default();
-        grow(&known.lent, total)?;
-        let totals = ShareTotals {
-            lent: *total,
-            ..known
-        };
+        let known = self.borrowed_of(customer);
+        let totals = with_lent(&known, total)?;
         self.borrowed.insert(customer.clone(), totals);
         Ok(())
     }
@@ -91,7 +90,7 @@
         customer: &CustomerName,
         total: &ShareCounter,
     ) -> Result<(), TransitionFault> {
-        let known = self.borrowed.get(customer).copied().unwrap_or_default();
+        let known = self.borrowed_of(customer);
         let totals = with_returned(&known, total)?;
         self.borrowed.insert(customer.clone(), totals);
         Ok(())
@@ -105,6 +104,14 @@
     }
 }
 
+fn with_lent(known: &ShareTotals, total: &ShareCounter) -> Result<ShareTotals, TransitionFault> {
+    grow(&known.lent, total)?;
+    Ok(ShareTotals {
+        lent: *total,
+        ..*known
+    })
+}
+
 fn with_returned(
     known: &ShareTotals,
     total: &ShareCounter,
