--- a/crates/cells/src/owner/cell_owner/share_borrowing.rs
+++ b/crates/cells/src/owner/cell_owner/share_borrowing.rs
@@ -99,19 +99,14 @@
 
     /// What this cell may use of a quota that another lends.
     pub(super) fn borrower_share(&self, customer: &CustomerName, now: MonoTime) -> ResourceSize {
-        let held = self.borrowed_share(customer).held();
+        let held = self.state.borrowed_of(customer).held();
         let view = self.phase.shares.views.get(customer);
         let cap = view.and_then(|view| view.cap(now));
         cap.map_or(held, |cap| held.at_most(cap))
     }
 
-    fn borrowed_share(&self, customer: &CustomerName) -> ShareTotals {
-        let totals = self.state.borrowed().get(customer);
-        totals.copied().unwrap_or_default()
-    }
-
     fn borrow_up_to(&mut self, customer: &CustomerName, total: ShareCounter) {
-        let known = self.borrowed_share(customer).lent;
+        let known = self.state.borrowed_of(customer).lent;
         if total != known && total.reaches(&known) {
             let customer = customer.clone();
             self.propose_sure(CellTransition::ShareBorrowed { customer, total });
