Name the new types in the heads of their modules

The heads of modules are where a newcomer begins, and a third of the types added lately stood in none. Comments that were grown in place are filled again. Only comments changed. Run: the linter and the documentation of the workspace, no warning.

--- a/crates/capacity/src/sessions.rs
+++ b/crates/capacity/src/sessions.rs
@@ -1,7 +1,8 @@
 //! Sessions with workers.
 //!
 //! [`session_bytes`] counts the bytes of a whole call on the wire, heads
-//! included, and [`steady_bytes`] those of ten minutes of a busy worker; a [`SessionLoad`] says how many threads a daemon's sessions take.
+//! included, and [`steady_bytes`] those of ten minutes of a busy worker; a
+//! [`SessionLoad`] says how many threads a daemon's sessions take.
 
 mod session_bodies;
 mod session_load;
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -8,6 +8,9 @@
 //! transitions, and lets an effect out only after the batch that it belongs to
 //! is in the journal. Whatever beats it to the journal's head deposes it.
 //!
+//! Batch tasks that slow services are throttled by a [`PressureBook`]; shares of
+//! quotas are lent among cells by [`ShareTotals`].
+//!
 //! Nothing here does I/O or reads a clock: the caller commits the entries and
 //! carries out the [`CellEffect`]s.
 
--- a/crates/cells/src/owner.rs
+++ b/crates/cells/src/owner.rs
@@ -2,10 +2,13 @@
 //!
 //! A [`CellOwner`] in [`ClaimingPhase`] has a claim to commit; in [`OpenPhase`]
 //! it takes [`WorkerFacts`] and [`ReportView`]s in, proposes transitions, and
-//! hands out one batch at a time. An [`AnswerView`] with [`ReportChanges`] is merged
-//! into a [`WholeReport`] before it is taken in. [`CommitOutcome`] says what became of the
-//! batch. What the workers are asked to do comes out as [`CellEffect`]s: a
-//! [`StartOrder`] only after its assignment is in the journal.
+//! hands out one batch at a time. An [`AnswerView`] with [`ReportChanges`] is
+//! merged into a [`WholeReport`] before it is taken in, or refused with a
+//! [`MergeFault`]; a [`ReportMark`] names the report that the changes lead to,
+//! a [`GoneAttempt`] what the worker has forgotten. [`CommitOutcome`] says what
+//! became of the batch. What the workers are asked to do comes out as
+//! [`CellEffect`]s: a [`StartOrder`] only after its assignment is in the
+//! journal, a [`ThrottleOrder`] without a commit.
 
 mod answer_view;
 mod assigned_book;
--- a/crates/cells/src/pressure.rs
+++ b/crates/cells/src/pressure.rs
@@ -1,10 +1,13 @@
 //! What an owner knows of the disturbance beside each worker.
 //!
 //! Daemons say by how much requests beside a worker were slowed, a
-//! [`SlowdownView`] each. A [`WorkerSamples`] keeps the latest of each daemon and
-//! weighs them by their requests into a [`CombinedSlowdown`]. The
-//! [`PressureBook`] keeps them by worker, with the throttles asked for, a
-//! [`ThrottleRow`] each, and decides by `sapphirestile_placement`.
+//! [`SlowdownView`] each. A [`WorkerSamples`] keeps the latest of each daemon
+//! in a [`SampleRow`], drops what its [`MessageOrder`] shows to be old, and
+//! weighs the rest by requests into a [`CombinedSlowdown`]. The
+//! [`PressureBook`] keeps a [`PressureRecord`] of each worker, and the
+//! throttles asked for, a [`ThrottleRow`] each, and decides by
+//! `sapphirestile_placement`: a [`PressureStep`] for one [`PressedTask`]. A
+//! [`ThrottleSight`] is what a report shows of a throttle.
 
 mod combined_slowdown;
 mod message_order;
--- a/crates/cells/src/shares.rs
+++ b/crates/cells/src/shares.rs
@@ -8,8 +8,11 @@
 //! takes the other side's counter only when it is larger. So a lost, repeated or
 //! late message moves no share twice.
 //!
-//! What does not last of it is the lender's [`LenderBook`] of borrowers that wait
-//! and the borrower's [`BorrowerView`]s.
+//! What does not last of it is in the [`ShareBook`]: the lender's
+//! [`LenderBook`] of borrowers that wait, an [`UnmetWant`] each, and the
+//! borrower's [`BorrowerView`]s. A [`ShareWant`] is what the borrower's waiting
+//! tasks lack; what it tells a lender is a [`ShareReport`], sent by a
+//! [`ShareOrder`].
 
 mod borrower_view;
 mod lender_book;
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -1,9 +1,10 @@
 //! The operators' document: zones, regions, services and customers.
 //!
-//! Raw INI text becomes an [`OperatorDocument`] by `TryFrom`, which checks it as
-//! a whole and names every fault in a [`DocumentFault`]. The life of one change
-//! is a [`DocumentCycle`]: a draft is checked, and a checked document comes into
-//! force at the revision that the store gave to its write.
+//! Raw INI text becomes an [`OperatorDocument`] by `TryFrom`, which checks it
+//! as a whole and names every fault in a [`DocumentFault`]. Its
+//! [`ColocationEntry`] says how far batch tasks may slow services. The life of
+//! one change is a [`DocumentCycle`]: a draft is checked, and a checked
+//! document comes into force at the revision that the store gave to its write.
 //!
 //! A form or a call that changes one section makes a [`DocumentEdit`], which
 //! rewrites the text in force. A [`DocumentDifference`] tells two texts apart,
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -1,16 +1,18 @@
 //! The callers' port.
 //!
-//! A [`CallerService`] reads a [`CallerRequest`] and has a [`RequestRunner`] take
-//! it through its [`sapphirestile_routing::RequestCycle`]: it is received,
-//! admitted to a runner with a free slot, recorded by a [`TryRecord`] when it must
-//! not run twice, sent, and answered. Without a free slot it waits in the
-//! [`WaitingRoom`] while its deadline can still be met. A refusal that says "not
-//! run" comes only from the phases in which that is certain, and from no request of
-//! which an attempt was lost. Slots of lost attempts wait in the [`ParkingLot`] for
-//! the longest time that the runner could still be working. All share one
-//! [`CallerDesk`]. A [`RouteSeeker`] finds the runner; what crosses the link between
-//! regions is counted in its [`LinkShare`], the answer by its estimate first. A
-//! [`TrafficTable`] counts the bytes of each service.
+//! A [`CallerService`] reads a [`CallerRequest`] and has a [`RequestRunner`]
+//! take it through its [`sapphirestile_routing::RequestCycle`]: it is received,
+//! admitted to a runner with a free slot, recorded by a [`TryRecord`] when it
+//! must not run twice, sent, and answered. Without a free slot it waits in the
+//! [`WaitingRoom`], counted by a [`WaitingMark`], while its deadline can still
+//! be met. A refusal that says "not run" comes only from the phases in which
+//! that is certain, and from no request of which an attempt was lost. Slots of
+//! lost attempts wait in the [`ParkingLot`] for the longest time that the
+//! runner could still be working. All share one [`CallerDesk`]. A
+//! [`RouteSeeker`] finds the runner and answers with a [`SoughtRoute`]; what
+//! crosses the link between regions is counted in its [`LinkShare`], the answer
+//! by its estimate first, in an [`AnswerCharge`]. A [`TrafficTable`] counts the
+//! bytes of each service.
 
 mod answer_charge;
 mod attempt_outcome;
--- a/crates/daemon/src/cells.rs
+++ b/crates/daemon/src/cells.rs
@@ -3,13 +3,14 @@
 //! A [`CellDirector`] looks several times a second for cells that nobody owns
 //! and that are this daemon's to claim. Claiming loads the cell as a
 //! [`LoadedCell`] from its [`CellJournal`], commits the claim and starts a
-//! [`CellKeeper`], a thread with an open [`sapphirestile_cells::CellOwner`]. The
-//! keeper takes [`KeeperEvent`]s: calls of operators and peers, answers of
-//! workers from the [`WorkerPool`] with its [`CallPool`] of threads, answers of
-//! lenders of quotas from the [`SharePool`] (both among its [`KeeperPools`]), and
-//! outcomes of commits from its
-//! [`JournalWriter`]. The [`KeeperDirectory`] lists the keepers; a [`CellDesk`]
-//! brings a call to the keeper of its cell, here or at a peer.
+//! [`CellKeeper`], a thread with an open [`sapphirestile_cells::CellOwner`].
+//! The keeper takes [`KeeperEvent`]s: calls of operators and peers, answers of
+//! workers from the [`WorkerPool`] with its [`CallPool`] of threads, as many as
+//! [`PoolSizes`] says for each [`WorkerReach`], answers of lenders of quotas
+//! from the [`SharePool`], which takes [`ShareCall`]s (both among its
+//! [`KeeperPools`]), and outcomes of commits from its [`JournalWriter`]. The
+//! [`KeeperDirectory`] lists the keepers; a [`CellDesk`] brings a call to the
+//! keeper of its cell, here or at a peer.
 
 mod call_pool;
 mod cell_desk;
--- a/crates/daemon/src/colocation.rs
+++ b/crates/daemon/src/colocation.rs
@@ -1,9 +1,9 @@
 //! What requests suffer from batch tasks on the same machine.
 //!
-//! A [`SlowdownObserver`] measures every few seconds by how much the requests on
-//! each runner were slowed, looks up the worker beside it in the list of VMs, and
-//! tells the owner of the worker's cell. A [`WorkerSum`] adds up the runners
-//! beside one worker.
+//! A [`SlowdownObserver`] measures every few seconds by how much the requests
+//! on each runner were slowed, looks up the worker beside it in the list of
+//! VMs, and adds up the runners beside one worker in a [`WorkerSum`]. A
+//! [`SlowdownSender`] tells the owners of the workers' cells.
 
 mod slowdown_observer;
 mod slowdown_sender;
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -1,8 +1,9 @@
 //! The operators' port.
 //!
-//! An [`OperatorService`] finds the call in the path and answers with the bodies
-//! of [`sapphirestile_wire::api`]. Whatever changes state needs the operators'
-//! token; a [`TryLimiter`] slows down peers that try wrong ones.
+//! An [`OperatorService`] finds the call in the path and answers with the
+//! bodies of [`sapphirestile_wire::api`]. Whatever changes state needs the
+//! operators' token; a [`TryLimiter`] slows down peers that try wrong ones by
+//! its [`TryVerdict`].
 
 mod console_calls;
 mod document_calls;
--- a/crates/daemon/src/serving.rs
+++ b/crates/daemon/src/serving.rs
@@ -1,10 +1,12 @@
 //! The HTTP ports of a daemon, and the gate of a planned stop.
 //!
 //! An [`HttpPort`] serves an [`HttpService`] through a library, a thread a
-//! connection. Each request passes the [`RequestGate`], which counts those in
-//! flight and, once closed, lets no more in, so that a planned stop can wait for
-//! the last answer. Services answer with an [`HttpReply`]. A body is read through a
-//! [`PacedReader`], so that none that is sent slowly holds its connection for long.
+//! connection, within its [`PortLimits`]; a [`ConnectionPeer`] says who calls.
+//! Each request passes the [`RequestGate`], which counts those in flight and,
+//! once closed, lets no more in, so that a planned stop can wait for the last
+//! answer. Services answer with an [`HttpReply`]. A body is read through a
+//! [`PacedReader`] at a [`TransferPace`], so that none that is sent slowly
+//! holds its connection for long; a [`BodyFault`] says why one was not taken.
 
 mod body_fault;
 mod connection_peer;
--- a/crates/daemon/src/tokens.rs
+++ b/crates/daemon/src/tokens.rs
@@ -2,11 +2,12 @@
 //!
 //! A [`TokenKeeper`] is the thread that owns the daemon's
 //! [`sapphirestile_slots::TokenHolder`]. It takes [`TokenEvent`]s from the port
-//! for datagrams and from peers, follows the [`LedgerRow`] that the shared watch
-//! reads, and puts tokens into the gauges of the request's path through
+//! for datagrams and from peers, follows the [`LedgerRow`] that the shared
+//! watch reads, and puts tokens into the gauges of the request's path through
 //! [`GaugeTable`]. Whatever changes the ledger goes through a [`LedgerWriter`].
-//! [`MemberProofs`] says which members are proven gone. A [`TradePlan`] says what is
-//! handed over, from what the members report and each [`RunnerPlace`].
+//! [`MemberProofs`] says which members are proven gone. A [`TradePlan`] says
+//! what is handed over, from the [`MemberReport`] of each member and each
+//! [`RunnerPlace`].
 
 mod gauge_table;
 mod ledger_row;
--- a/crates/placement/src/colocation.rs
+++ b/crates/placement/src/colocation.rs
@@ -4,8 +4,9 @@
 //! slowed and which jobs ran there then. It learns how much each job disturbs
 //! others, which the choice of a worker weighs. When a worker is slowed too
 //! much, a [`PressureState`] goes through a [`PressureCycle`] and answers with
-//! a [`PressureAction`]: throttle before checkpoint and stop; [`choose_pressed`]
-//! picks the [`PressureTask`]. Its waits are fitted to the lag of the measurements by a [`PressurePolicy`].
+//! a [`PressureAction`]: throttle before checkpoint and stop;
+//! [`choose_pressed`] picks the [`PressureTask`]. Its waits are fitted to the
+//! lag of the measurements by a [`PressurePolicy`].
 
 mod calm_phase;
 mod noise_book;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,8 +12,8 @@
 //! task is next; a [`SizeBook`] turns declared sizes into estimates; a
 //! [`NoiseBook`] and a [`PressureState`] for each worker deal with tasks that
 //! disturb each other; a [`FailureBook`] and a [`WorkerStanding`] tell bad
-//! workers from bad jobs; [`choose_victims`] makes room for urgent work; and [`drain_order`] and [`LinkPacer`]
-//! empty a zone that leaves.
+//! workers from bad jobs; [`choose_victims`] makes room for urgent work; and
+//! [`drain_order`] and [`LinkPacer`] empty a zone that leaves.
 
 mod choice;
 mod colocation;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -22,6 +22,9 @@
 //! regions: the answers are counted by an [`AnswerEstimate`] first and by their size
 //! once they came. [`ServiceTraffic`] counts the bytes of a service by distance with
 //! a [`LinkMeter`] each way.
+//!
+//! Off the path of requests, a [`SlowdownMeter`] compares the latencies of a
+//! service's runners with their undisturbed ones, a [`RunnerSlowdown`] each.
 
 mod answer_estimate;
 mod concurrency_limit;
--- a/crates/slots/src/handover_plan.rs
+++ b/crates/slots/src/handover_plan.rs
@@ -14,12 +14,12 @@
 
 /// The hand-overs of one runner that the demand of all members calls for.
 ///
-/// Every member makes the plan from what all last reported and carries out its
-/// own orders. A member's share follows its demand but is at least its floor
-/// where there are enough tokens for the floors of all. A token moves only when the
-/// giver is 1.4 tokens further above its share than the taker, so it does not move
-/// back before each of the two shares has changed by 0.4 tokens. A
-/// member without any share gives its tokens to whoever is below.
+/// Every member makes the plan from what all last reported and carries out its own
+/// orders. A member's share follows its demand but is at least its floor where there
+/// are enough tokens for the floors of all. A token moves only when the giver is 1.4
+/// tokens further above its share than the taker, so it does not move back before
+/// each of the two shares has changed by 0.4 tokens. A member without any share
+/// gives its tokens to whoever is below.
 ///
 /// # Examples
 ///
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -9,19 +9,20 @@
 //! Each daemon keeps one [`TokenHolder`]. Tokens move between two members by
 //! [`HandoverCounters`] that only grow and that a [`HandoverMessage`] carries;
 //! messages may be lost, repeated and reordered. [`TokenHolder::news_to`] gives
-//! the counters that grew, [`TokenHolder::message_to`] all of them, which a [`PageCursor`]
-//! repeats page by page. The
-//! holder puts its free tokens into the [`TokenGauges`] of the request's path, and
-//! takes them out of there before it hands them over.
+//! the counters that grew, [`TokenHolder::message_to`] all of them, which a
+//! [`PageCursor`] repeats page by page. The holder puts its free tokens into
+//! the [`TokenGauges`] of the request's path, and takes them out of there
+//! before it hands them over.
 //!
 //! A member that is proven gone is closed by every other member with a
 //! [`ClosedReport`]; a [`ReclaimPlan`] of all reports makes the next ledger.
 //! Tokens granted by it stay unused until the longest request has passed. Which
 //! member gives tokens to which is decided by a [`HandoverPlan`] from the
-//! [`TokenDemand`] of all, measured by a [`DemandMeter`] and weighed by region in a
-//! [`ServiceDemand`]. When operators lower a
-//! runner's slots, each member retires free tokens of its own; a daemon that stops
-//! on plan hands everything over first.
+//! [`TokenDemand`] of all, measured by a [`DemandMeter`] and weighed by region
+//! in a [`ServiceDemand`], from the [`MemberDemand`] of each member and the
+//! [`RunnerSupply`] of each runner. When operators lower a runner's slots, each
+//! member retires free tokens of its own; a daemon that stops on plan hands
+//! everything over first.
 
 mod apply_outcome;
 mod closed_report;
--- a/crates/slots/src/service_demand.rs
+++ b/crates/slots/src/service_demand.rs
@@ -13,9 +13,10 @@
 ///
 /// A member wants the runners of its own region by its whole demand. The runners of
 /// another region it wants by the part of its region's demand that the own runners
-/// leave unmet and the others have to spare, and only at its share of them: at each, one member stands for all of
-/// its region, so that small demands make whole tokens, and is to have one at least.
-/// What no other region asks for stays with the region of the runner. Runners of a region without members are wanted by all alike.
+/// leave unmet and the others have to spare, and only at its share of them: at each,
+/// one member stands for all of its region, so that small demands make whole tokens,
+/// and is to have one at least. What no other region asks for stays with the region
+/// of the runner. Runners of a region without members are wanted by all alike.
 ///
 /// # Examples
 ///
--- a/crates/standins/src/vms.rs
+++ b/crates/standins/src/vms.rs
@@ -2,8 +2,10 @@
 //!
 //! `GET /v1/vms` answers the list as it stood a lag ago, `PUT /v1/vms` replaces
 //! it, `POST /faults` sets [`VmFaults`] and `GET /counts` answers how often the
-//! list was read. A reader that names the `etag` of the list is answered with 304, one
-//! that takes gzip with a compressed list, unless the faults say otherwise. [`VmState`] decides, [`VmStandin`] serves.
+//! list was read. A reader that names the `etag` of the list is answered with
+//! 304, one that takes gzip with a compressed list, unless the faults say
+//! otherwise. [`VmState`] decides and keeps each [`VmVersion`] of the list,
+//! [`VmStandin`] serves.
 
 mod served_list;
 mod vm_counts;
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -1,12 +1,13 @@
 //! The stand-in of a worker.
 //!
 //! It answers the calls of [`sapphirestile_wire::worker`], and besides
-//! `POST /faults` with [`WorkerFaults`] and `GET /history` with
-//! [`HistoryRow`]s. [`WorkerState`] decides: a [`SessionTable`] fences a call
-//! by its epoch, and the [`FencedCall`] becomes a [`PermittedCall`] by its
-//! permit; only that starts a task. Tasks are timers, each a [`TaskCycle`]; a
-//! [`ReportBook`] tells what has changed of them since a report.
-//! [`WorkerService`] answers calls and [`WorkerStandin`] serves.
+//! `POST /faults` with [`WorkerFaults`] and `GET /history` with [`HistoryRow`]s.
+//! [`WorkerState`] decides: a [`SessionTable`] fences a call by its epoch, and
+//! the [`FencedCall`] becomes a [`PermittedCall`] by its permit; only that
+//! starts a task. Tasks are timers, each a [`TaskCycle`]; a [`ReportBook`]
+//! tells what has changed of them since a report, and [`SessionCounts`] how
+//! often all of them were told. [`WorkerService`] answers calls and [`WorkerStandin`]
+//! serves.
 
 mod cell_session;
 mod fenced_call;
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -22,6 +22,9 @@
 //! whether the call was not run (400, 401, 404, 413, 503) or its outcome is
 //! unknown (504).
 //!
+//! The status names each worker beside which requests were measured, a
+//! [`WorkerPressure`] each.
+//!
 //! Calls that change state (`PUT` and `POST`) carry the [`OperatorToken`] as
 //! `Authorization: Bearer TOKEN`; without it they are answered 401.
 //! [`StoredDocument`] is what the store holds of the document, with the latest
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -2,11 +2,11 @@
 //!
 //! [`PeerDatagram`]s go to every member over UDP: a [`PeerHeartbeat`], and what
 //! concerns the tokens of runners, in [`HandoverParts`] that fit a datagram. A
-//! [`SlowdownReport`] goes to the owner of a cell alone. Over TCP a
-//! [`PeerRequest`] is answered by a [`PeerAnswer`]. Both travel as the body of a
-//! [`PeerFrame`], which names the sender's incarnation and the call that it
-//! belongs to; a [`FrameKey`] seals frames and opens them again, and refuses
-//! whatever was not sealed with the same key with a [`FrameFault`].
+//! [`SlowdownReport`] of [`WorkerSlowdown`]s goes to the owner of a cell alone.
+//! Over TCP a [`PeerRequest`] is answered by a [`PeerAnswer`]. Both travel as
+//! the body of a [`PeerFrame`], which names the sender's incarnation and the
+//! call that it belongs to; a [`FrameKey`] seals frames and opens them again,
+//! and refuses whatever was not sealed with the same key with a [`FrameFault`].
 
 mod frame_fault;
 mod frame_key;
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -8,12 +8,13 @@
 //! no permit is given twice, also not by a later life of the worker's program.
 //!
 //! A request names the report that the owner has whole, by the permit that came
-//! with it. The worker then answers with the attempts that are new or have
-//! changed since and with those that it has forgotten, and how many there are in
-//! all. It answers with all of them when the named report was of another life,
-//! was given under another epoch, or is too old. An attempt has changed when its
-//! phase has, when its checkpoint is [`CHECKPOINT_STEP_MS`] later than the one
-//! reported last, or when its usage moved by a twentieth of what it was.
+//! with it, as a [`KnownReport`]. The worker then answers with the attempts
+//! that are new or have changed since and with those that it has forgotten, an
+//! [`AttemptName`] each, and how many there are in all. It answers with all of
+//! them when the named report was of another life, was given under another
+//! epoch, or is too old. An attempt has changed when its phase has, when its
+//! checkpoint is [`CHECKPOINT_STEP_MS`] later than the one reported last, or
+//! when its usage moved by a twentieth of what it was.
 //!
 //! What the owner of a cell decides becomes a body by `of`, and what a worker
 //! answers becomes what the owner takes in by `From`; the owner knows no body.
