Name the times of starting tasks

Four times went through the table of a cell as a tuple whose type stood there three times. What is timed, and in which order, is as before.

--- a/crates/capacity/src/processor.rs
+++ b/crates/capacity/src/processor.rs
@@ -6,6 +6,7 @@
 mod list_times;
 mod recovery_times;
 mod route_times;
+mod start_times;
 mod token_times;
 mod worker_times;
 
--- a/crates/capacity/src/processor/cell_times.rs
+++ b/crates/capacity/src/processor/cell_times.rs
@@ -1,16 +1,13 @@
 //! The owner of a cell.
 
 use crate::ResultTable;
+use crate::processor::start_times::StartTimes;
 use crate::report::TimeSample;
 use crate::report::nanos_of;
 use crate::scenes::CellScene;
 use crate::scenes::CellSize;
 
-/// About what a cell starts between two commits at the peak: 630 starts a second
-/// over 64 cells, a commit each 250 ms.
-const STARTS: u32 = 3;
 const STARTS_LIMIT: usize = 200;
-const JOBS_FROM: usize = 700_000;
 
 pub fn cell_times(rounds: usize) -> ResultTable {
     let mut table = ResultTable::new(
@@ -44,9 +41,9 @@
         let set = TimeSample::gather(rounds, || set_workers(&mut scene));
         let report = TimeSample::gather(rounds, || observe(&mut scene));
         let idle = TimeSample::gather(rounds, || plan(&mut scene));
-        let mut rows = (0..rounds).map(|round| starts(&mut scene, round));
-        let rows: Vec<(u128, u128, u128, u128)> = rows.by_ref().collect();
-        let column = |pick: fn(&(u128, u128, u128, u128)) -> u128| {
+        let rows = (0..rounds).map(|round| StartTimes::measure(&mut scene, round));
+        let rows: Vec<StartTimes> = rows.collect();
+        let column = |pick: fn(&StartTimes) -> u128| {
             let mut values = rows.iter().map(pick);
             TimeSample::gather(rounds, || values.next().expect("one value a round"))
         };
@@ -56,10 +53,10 @@
             &set,
             &report,
             &idle,
-            &column(|row| row.0),
-            &column(|row| row.1),
-            &column(|row| row.2),
-            &column(|row| row.3),
+            &column(|row| row.planning),
+            &column(|row| row.settling),
+            &column(|row| row.cloning),
+            &column(|row| row.encoding),
         ]);
     }
     table
@@ -85,22 +82,3 @@
     let (facts, now) = (scene.facts.clone(), scene.now);
     nanos_of(1, || scene.owner.set_workers(&facts, now))
 }
-
-/// Nanoseconds of a plan with tasks waiting, of its batch, of the snapshot taken
-/// with it and of the snapshot's encoding.
-fn starts(scene: &mut CellScene, round: usize) -> (u128, u128, u128, u128) {
-    scene.submit(JOBS_FROM + round, STARTS);
-    scene.commit();
-    let planned = plan(scene);
-    let nonce = u64::try_from(round).expect("a count fits");
-    let mut encoding = 0;
-    let mut cloning = 0;
-    let mut settling = nanos_of(1, || scene.owner.take_batch(nonce).is_some());
-    if scene.owner.has_flight() {
-        cloning = nanos_of(1, || scene.owner.snapshot_in_flight());
-        let state = scene.owner.snapshot_in_flight();
-        encoding = nanos_of(1, || postcard::to_stdvec(&state));
-        settling += nanos_of(1, || scene.settle());
-    }
-    (planned, settling, cloning, encoding)
-}
