Keep the steps of the record's model in a file of their own

What may happen and what it does are apart now, as in the models of tokens and shares. Nothing but the place of the functions changed.

--- a/crates/specification/src/request_record.rs
+++ b/crates/specification/src/request_record.rs
@@ -12,6 +12,7 @@
 mod record_mutation;
 mod record_owner;
 mod record_state;
+mod record_steps;
 mod record_write;
 mod runner_call;
 mod try_phase;
