--- a/crates/soak/src/world/soak_world/call_workers.rs
+++ b/crates/soak/src/world/soak_world/call_workers.rs
@@ -6,11 +6,13 @@
 use crate::FaultKind;
 use crate::ProcessMark;
 use crate::SoakEvent;
+use crate::SoakWorker;
 use crate::SoakWorld;
 use crate::WorkerCall;
 use crate::world::soak_world::check_merges::check_merge;
 use sapphirestile_cells::AnswerView;
 use sapphirestile_cells::CellEffect;
+use sapphirestile_cells::SessionOrder;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
 
@@ -65,22 +67,7 @@
             return;
         }
         let news = match &call.effect {
-            CellEffect::Session(order) => {
-                let answer = worker.renew(now, call, order);
-                Some(match answer {
-                    Some(changes) => CallNews::Reported {
-                        worker: order.worker.clone(),
-                        ordinal: order.ordinal,
-                        asked: call.asked,
-                        changes,
-                        held: worker.held(now),
-                    },
-                    None => CallNews::SessionLost {
-                        worker: order.worker.clone(),
-                        ordinal: order.ordinal,
-                    },
-                })
-            }
+            CellEffect::Session(order) => Some(renew(worker, now, call, order)),
             CellEffect::Start(order) => {
                 if worker.start(now, call.cell, order, fails) {
                     self.check_start(call.cell, order);
@@ -167,3 +154,19 @@
         self.queue.push(at, event);
     }
 }
+
+fn renew(worker: &mut SoakWorker, now: u64, call: &WorkerCall, order: &SessionOrder) -> CallNews {
+    let Some(changes) = worker.renew(now, call, order) else {
+        return CallNews::SessionLost {
+            worker: order.worker.clone(),
+            ordinal: order.ordinal,
+        };
+    };
+    CallNews::Reported {
+        worker: order.worker.clone(),
+        ordinal: order.ordinal,
+        asked: call.asked,
+        changes,
+        held: worker.held(now),
+    }
+}
