Hold no failure with less memory than declared against anybody

Cause: since owners learn the memory of ended tasks, a new job may be given far less than it declared. A worker's guard that stops a task which outgrows its room tells a failure, the protocol has no other word, so a job that declared enough could use its failures up, and its workers be set aside.

Change: the first such failure returns the task without counting, and the job is given what it declared from then on, so the next failure counts.

Ruled out: a phase of its own in the workers' protocol, which is the platform's; a growth by half at each failure, which is for tasks that are known to have outgrown theirs.

Seen: the scene (256 MiB, a failure, 1,000 MiB at once, a failure that counts) fails when the failure counts, and when nothing more is given.

--- a/crates/cells/src/owner/cell_owner/worker_reports.rs
+++ b/crates/cells/src/owner/cell_owner/worker_reports.rs
@@ -85,6 +85,10 @@
         cycle: &AssignedPhase,
     ) {
         let task = &sighting.task;
+        if self.was_short(task, cycle) {
+            self.return_task(task, cycle, sighting.checkpoint_ms, false);
+            return;
+        }
         let verdict = self
             .phase
             .planner
@@ -103,6 +107,13 @@
         self.return_task(task, cycle, sighting.checkpoint_ms, counts);
     }
 
+    /// Whether a failed attempt had less memory than its job declared: a worker's
+    /// guard may have stopped it, which speaks neither against worker nor job.
+    fn was_short(&mut self, task: &TaskName, cycle: &AssignedPhase) -> bool {
+        let record = self.state.jobs().get(&task.job);
+        record.is_some_and(|record| self.phase.planner.note_short(record, &cycle.size))
+    }
+
     fn observe_running(
         &mut self,
         report: &ReportView<'_>,
--- a/crates/cells/src/planner/start_planner/learning.rs
+++ b/crates/cells/src/planner/start_planner/learning.rs
@@ -26,6 +26,17 @@
             .note_end(&order.job, &order.customer, most_mb, &order.size);
     }
 
+    /// Whether an attempt that failed was given less memory than its job declared,
+    /// which may be why. If so, the job is given what it declared from now on.
+    pub fn note_short(&mut self, record: &JobRecord, given: &ResourceSize) -> bool {
+        let order = &record.order;
+        let short = given.memory_mb < order.size.memory_mb;
+        if short {
+            self.sizes.note_short(&order.job, &order.size);
+        }
+        short
+    }
+
     /// Takes note of a task that did its work.
     pub fn note_success(&mut self, worker: &WorkerName, job: &JobName) {
         self.failures.note_success(worker, job);
--- a/crates/cells/tests/owner/sizing.rs
+++ b/crates/cells/tests/owner/sizing.rs
@@ -12,6 +12,7 @@
 const USED_MB: u64 = 250;
 /// The end of the step of ratios that a quarter falls into.
 const LEARNT_MB: u64 = 256;
+const DECLARED_MB: u64 = 1_000;
 /// What is declared, with a margin of half.
 const UNKNOWN_MB: u64 = 1_500;
 /// Three times what is declared.
@@ -83,6 +84,22 @@
     }
 }
 
+#[test]
+fn a_failure_with_less_than_declared_gives_the_job_what_it_declared() {
+    let mut bench = OwnerBench::new();
+    finish_jobs(&mut bench, &["a", "b", "c", "d"]);
+    let mut begun = start(&mut bench, "e", 1);
+    assert_eq!(memory_of(&begun), [LEARNT_MB]);
+    show(&mut bench, &begun, SightedPhase::Failed, LEARNT_MB);
+    bench.plan();
+    begun = begin(&mut bench);
+    assert_eq!(memory_of(&begun), [DECLARED_MB], "again at once");
+    assert_eq!(begun[0].attempt.get(), 2);
+    show(&mut bench, &begun, SightedPhase::Failed, LEARNT_MB);
+    bench.plan();
+    assert!(begin(&mut bench).is_empty(), "this failure counts");
+}
+
 #[test]
 fn a_resumed_attempt_does_not_show_what_its_task_needs() {
     let mut bench = OwnerBench::new();
--- a/crates/placement/src/estimate/size_book.rs
+++ b/crates/placement/src/estimate/size_book.rs
@@ -93,6 +93,37 @@
         history(&mut self.customers, customer).add_end(grown, declared);
     }
 
+    /// A task of `job` failed with less memory than it declared, which may be why.
+    /// The job's tasks are given what they declared from now on.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_core::CustomerName;
+    /// use sapphirestile_core::JobName;
+    /// use sapphirestile_core::ResourceSize;
+    /// use sapphirestile_placement::EstimatePolicy;
+    /// use sapphirestile_placement::SizeBook;
+    ///
+    /// let customer = CustomerName::try_from("tailors").unwrap();
+    /// let job = JobName::try_from("patterns").unwrap();
+    /// let declared = ResourceSize { cpu_milli: 4_000, memory_mb: 8_000, accelerators: 0 };
+    /// let policy = EstimatePolicy::default();
+    ///
+    /// let mut book = SizeBook::default();
+    /// for _ in 0..8 {
+    ///     book.note_end(&job, &customer, 2_000, &declared);
+    /// }
+    /// assert!(book.estimate(&job, &customer, &declared, &policy).size.memory_mb < 3_000);
+    /// book.note_short(&job, &declared);
+    /// let given = book.estimate(&job, &customer, &declared, &policy);
+    /// assert_eq!(given.size.memory_mb, 8_000);
+    /// ```
+    pub fn note_short(&mut self, job: &JobName, declared: &ResourceSize) {
+        let row = history(&mut self.jobs, job);
+        row.outgrown_mb = row.outgrown_mb.max(declared.memory_mb);
+    }
+
     /// Forgets a job that has ended.
     pub fn forget_job(&mut self, job: &JobName) {
         self.jobs.remove(job);
