--- a/crates/soak/tests/bounded.rs
+++ b/crates/soak/tests/bounded.rs
@@ -6,7 +6,7 @@
 use sapphirestile_soak::FaultKind;
 use sapphirestile_soak::run_seed;
 
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=24;
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=36;
 
 #[test]
 fn owners_keep_every_promise_under_each_kind_of_fault() {
