Show in a dump why requests were not answered

Cause: a task and an eviction can be asked why, a request could not: its reason was told to the caller alone, who is often another than the operator that looks for it.

Answered requests pass no new step.

Ruled out: a table by request, which grows with the traffic; a log line for each, which floods under overload.

Seen: the scene of bad requests asks the dump and fails when nothing is noted; the words of each reply are the same as before (caller_reply).

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -5,7 +5,7 @@
 //! admitted to a runner with a free slot, recorded by a [`TryRecord`] when it
 //! must not run twice, sent, and answered. Without a free slot it waits in the
 //! [`WaitingRoom`], counted by a [`WaitingMark`], while its deadline can still
-//! be met. A refusal that says "not run" comes only from the phases in which
+//! be met. What is not answered is a [`CallerRefusal`]. A refusal that says "not run" comes only from the phases in which
 //! that is certain, and from no request of which an attempt was lost. Slots of
 //! lost attempts wait in the [`ParkingLot`] for the longest time that the
 //! runner could still be working. All share one [`CallerDesk`]. A
@@ -17,6 +17,7 @@
 mod answer_charge;
 mod attempt_outcome;
 mod caller_desk;
+mod caller_refusal;
 mod caller_reply;
 mod caller_request;
 mod caller_service;
@@ -36,6 +37,7 @@
 pub use answer_charge::AnswerCharge;
 pub use attempt_outcome::AttemptOutcome;
 pub use caller_desk::CallerDesk;
+pub use caller_refusal::CallerRefusal;
 pub use caller_reply::CallerReply;
 pub use caller_request::CallerRequest;
 pub use caller_service::CallerService;
--- a/crates/daemon/src/callers/caller_reply.rs
+++ b/crates/daemon/src/callers/caller_reply.rs
@@ -1,11 +1,15 @@
 //! What a caller is answered.
 
+use std::borrow::Cow;
+
+use crate::callers::CallerRefusal;
 use crate::serving::BodyFault;
 use crate::serving::HttpReply;
 use sapphirestile_platform::http::HttpAnswer;
 use sapphirestile_routing::RouteRefusal;
 
-const OUTCOME_HEADER: &str = "x-outcome";
+const NOT_RUN: &str = "not-run";
+const UNKNOWN: &str = "unknown";
 const CONNECTION_HEADERS: [&str; 4] = [
     "connection",
     "content-length",
@@ -43,37 +47,62 @@
         }
     }
 
-    /// The reply over HTTP.
-    #[must_use]
-    pub fn into_http(self) -> HttpReply {
-        match self {
-            Self::Answered(answer) => answer_reply(*answer),
-            Self::NotRun(RouteRefusal::NoService) => refusal(404, "not-run", "no such service"),
-            Self::NotRun(RouteRefusal::NoRecord) => {
-                // Without the record nothing is known of earlier tries with its key.
-                let reason = "this try was not sent; its key could not be recorded, \
-                              and earlier tries with the key are not known of";
-                refusal(503, "not-run", reason).with_header("retry-after", "1")
-            }
-            Self::NotRun(reason) => {
-                refusal(503, "not-run", &reason.to_string()).with_header("retry-after", "1")
-            }
-            Self::AlreadySent => refusal(
+    /// The runner's answer.
+    ///
+    /// # Errors
+    ///
+    /// What the caller is told when there is none.
+    pub fn into_answer(self) -> Result<Box<HttpAnswer>, CallerRefusal> {
+        let refusal = match self {
+            Self::Answered(answer) => return Ok(answer),
+            Self::NotRun(RouteRefusal::NoService) => not_run(404, "no such service"),
+            // Without the record nothing is known of earlier tries with its key.
+            Self::NotRun(RouteRefusal::NoRecord) => not_run(
+                503,
+                "this try was not sent; its key could not be recorded, \
+                 and earlier tries with the key are not known of",
+            ),
+            Self::NotRun(reason) => CallerRefusal {
+                status: 503,
+                outcome: NOT_RUN,
+                reason: reason.to_string().into(),
+            },
+            Self::AlreadySent => unknown(
                 409,
-                "unknown",
                 "a request with this key was recorded before and may have been sent",
             ),
-            Self::Unknown => refusal(504, "unknown", "the runner's answer did not arrive"),
-            Self::BadRequest(reason) => refusal(400, "not-run", reason),
-            Self::TooLarge => refusal(413, "not-run", "the request is larger than allowed"),
-            Self::TooSlow => refusal(408, "not-run", "the body arrived too slowly"),
+            Self::Unknown => unknown(504, "the runner's answer did not arrive"),
+            Self::BadRequest(reason) => not_run(400, reason),
+            Self::TooLarge => not_run(413, "the request is larger than allowed"),
+            Self::TooSlow => not_run(408, "the body arrived too slowly"),
+        };
+        Err(refusal)
+    }
+
+    /// The reply over HTTP.
+    #[must_use]
+    pub fn into_http(self) -> HttpReply {
+        match self.into_answer() {
+            Ok(answer) => answer_reply(*answer),
+            Err(refusal) => refusal.into_http(),
         }
     }
 }
 
-fn refusal(status: u16, outcome: &str, reason: &str) -> HttpReply {
-    let body = serde_json::json!({ "outcome": outcome, "of": "this try", "reason": reason });
-    HttpReply::json(status, &body).with_header(OUTCOME_HEADER, outcome)
+const fn not_run(status: u16, reason: &'static str) -> CallerRefusal {
+    CallerRefusal {
+        status,
+        outcome: NOT_RUN,
+        reason: Cow::Borrowed(reason),
+    }
+}
+
+const fn unknown(status: u16, reason: &'static str) -> CallerRefusal {
+    CallerRefusal {
+        status,
+        outcome: UNKNOWN,
+        reason: Cow::Borrowed(reason),
+    }
 }
 
 fn answer_reply(answer: HttpAnswer) -> HttpReply {
--- a/crates/daemon/src/callers/caller_service.rs
+++ b/crates/daemon/src/callers/caller_service.rs
@@ -8,6 +8,7 @@
 use oxhttp::model::Request;
 
 use crate::callers::CallerDesk;
+use crate::callers::CallerRefusal;
 use crate::callers::CallerReply;
 use crate::callers::CallerRequest;
 use crate::callers::RequestRunner;
@@ -73,6 +74,14 @@
         })
     }
 
+    /// Notes a refusal, so that a dump can say why.
+    fn refuse_noted(&self, request: &Request<Body>, refusal: CallerRefusal) -> HttpReply {
+        let now = self.context.clock.now();
+        let path = request.uri().path();
+        self.context.refusals.note(now, path, refusal.clone());
+        refusal.into_http()
+    }
+
     fn count(&self, reply: &CallerReply, elapsed: Duration) {
         let metrics = &self.context.metrics;
         match reply {
@@ -98,7 +107,10 @@
         let received = Instant::now();
         let reply = self.serve(request);
         self.count(&reply, received.elapsed());
-        reply.into_http()
+        match reply.into_answer() {
+            Ok(answer) => CallerReply::Answered(answer).into_http(),
+            Err(refusal) => self.refuse_noted(request, refusal),
+        }
     }
 
     fn refuse(&self) -> HttpReply {
--- a/crates/daemon/src/context/daemon_context.rs
+++ b/crates/daemon/src/context/daemon_context.rs
@@ -8,6 +8,7 @@
 use crate::cells::KeeperDirectory;
 use crate::context::MonoClock;
 use crate::context::PhaseGauge;
+use crate::context::RefusalLog;
 use crate::context::StorePulse;
 use crate::context::SwapHolder;
 use crate::document::InForceDocument;
@@ -67,6 +68,8 @@
     pub metrics: DaemonMetrics,
     /// The runners of each service.
     pub routes: TableCell,
+    /// The latest requests that were not answered.
+    pub refusals: RefusalLog,
 }
 
 impl DaemonContext {
--- a/crates/daemon/src/cycle/start_steps.rs
+++ b/crates/daemon/src/cycle/start_steps.rs
@@ -10,6 +10,7 @@
 use crate::context::DaemonContext;
 use crate::context::MonoClock;
 use crate::context::PhaseGauge;
+use crate::context::RefusalLog;
 use crate::context::StorePulse;
 use crate::context::SwapHolder;
 use crate::cycle::daemon_threads::target;
@@ -75,5 +76,6 @@
         connections: ConnectionTable::new(),
         metrics: DaemonMetrics::default(),
         routes: TableCell::default(),
+        refusals: RefusalLog::default(),
     }
 }
--- a/crates/daemon/src/operators/status_calls.rs
+++ b/crates/daemon/src/operators/status_calls.rs
@@ -56,6 +56,7 @@
             "document": document,
             "runners": runners,
             "cells": dumps,
+            "refusals": self.context.refusals.notes(),
         });
         HttpReply::json(200, &value)
     }
--- a/crates/daemon/tests/ports/callers_port.rs
+++ b/crates/daemon/tests/ports/callers_port.rs
@@ -2,9 +2,12 @@
 use std::io::Write;
 use std::net::TcpStream;
 
+use serde_json::Value;
+
 use crate::support::PortScene;
 use crate::support::exchange;
 use sapphirestile_standins::fleet::FleetPlan;
+use sapphirestile_test_support::call_json;
 
 const BODY_MAX_BYTES: usize = 1_048_576;
 const SLOW_CALLERS: usize = 20;
@@ -49,6 +52,15 @@
         assert!(text.contains("x-outcome: not-run\r\n"), "{header}: {text}");
     }
     assert_eq!(scene.runs(), 0, "a refusal that says not run is true");
+    let shown = noted_refusals(&scene);
+    assert_eq!(shown.len(), rows.len());
+    assert_eq!(
+        [shown[0].as_str(), shown[2].as_str()],
+        [
+            "/nothing/fit 404 not-run: no such service",
+            "/sizing/fit 413 not-run: the request is larger than allowed",
+        ]
+    );
 
     // A priority or another header that is no text does not matter.
     let text = exchange_text(
@@ -61,6 +73,25 @@
     scene.assert_serves("after-bad-requests");
 }
 
+/// The requests without an answer, as a dump shows them.
+fn noted_refusals(scene: &PortScene) -> Vec<String> {
+    let dump = call_json(scene.daemon.operators(), "GET", "/v1/dump", &Value::Null);
+    let (_, dump) = dump.expect("the dump is answered");
+    let notes = dump["refusals"].as_array().cloned().unwrap_or_default();
+    let text = |note: &Value| {
+        let refusal = &note["refusal"];
+        let word = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+        format!(
+            "{} {} {}: {}",
+            word(&note["path"]),
+            refusal["status"],
+            word(&refusal["outcome"]),
+            word(&refusal["reason"])
+        )
+    };
+    notes.iter().map(text).collect()
+}
+
 /// Callers that send half a body keep nobody else from being served, and a body
 /// that ends early is not run.
 #[test]
