Let a dump lose no refusal that comes beside it

Cause: read once more, the log of refusals took its notes out of a queue for a dump and put them back. Under the load that refuses, what came meanwhile was pushed out by older notes, and the taking out had no bound.

Ruled out: a bound alone, which still puts old notes over new ones.

Change: the notes are read by read-copy-update, as the other tables of a daemon; a dump copies and puts nothing back.

--- a/crates/cells/src/owner/cell_owner/start_planning.rs
+++ b/crates/cells/src/owner/cell_owner/start_planning.rs
@@ -61,8 +61,7 @@
     }
 
     /// Asks a task to stop with a checkpoint, for the sake of urgent work or of
-    /// services. It is
-    /// asked again with each report that shows it running.
+    /// services. It is asked again with each report that shows it running.
     pub(super) fn evict(&mut self, order: &EvictionOrder) {
         let Some(phase) = self.assigned_phase(&order.task) else {
             return;
--- a/crates/daemon/src/context/refusal_log.rs
+++ b/crates/daemon/src/context/refusal_log.rs
@@ -1,15 +1,16 @@
 //! The latest requests that were not answered.
 
-use crossbeam::queue::ArrayQueue;
+use std::sync::Arc;
 
 use crate::callers::CallerRefusal;
 use crate::context::RefusalNote;
+use crate::context::SwapHolder;
 use sapphirestile_core::MonoTime;
 
 const NOTES_MAX: usize = 64;
 const PATH_MAX_CHARS: usize = 128;
 
-/// The latest requests that were not answered, without a lock on their path.
+/// The latest requests that were not answered. Dumps never wait; refusals take turns.
 ///
 /// # Examples
 ///
@@ -28,13 +29,14 @@
 /// ```
 #[derive(Debug)]
 pub struct RefusalLog {
-    notes: ArrayQueue<RefusalNote>,
+    /// The earliest first.
+    notes: SwapHolder<Vec<Arc<RefusalNote>>>,
 }
 
 impl Default for RefusalLog {
     fn default() -> Self {
         Self {
-            notes: ArrayQueue::new(NOTES_MAX),
+            notes: SwapHolder::new(Vec::new()),
         }
     }
 }
@@ -43,18 +45,18 @@
     /// Notes a refusal; the earliest one makes room for it.
     pub fn note(&self, at: MonoTime, path: &str, refusal: CallerRefusal) {
         let path = path.chars().take(PATH_MAX_CHARS).collect();
-        self.notes.force_push(RefusalNote { at, path, refusal });
+        let note = Arc::new(RefusalNote { at, path, refusal });
+        self.notes.update(|notes| {
+            let first = (notes.len() + 1).saturating_sub(NOTES_MAX);
+            let kept = notes[first..].iter().chain(std::iter::once(&note));
+            kept.cloned().collect::<Vec<_>>()
+        });
     }
 
-    /// The notes, the earliest first. They are taken out and put back, so that one
-    /// which comes meanwhile may be missing from another dump at the same time.
+    /// The notes, the earliest first.
     #[must_use]
     pub fn notes(&self) -> Vec<RefusalNote> {
-        let mut notes: Vec<RefusalNote> = std::iter::from_fn(|| self.notes.pop()).collect();
-        notes.sort_by_key(|note| note.at);
-        for note in &notes {
-            self.notes.force_push(note.clone());
-        }
-        notes
+        let notes = self.notes.load();
+        notes.iter().map(|note| note.as_ref().clone()).collect()
     }
 }
