--- a/crates/capacity/src/processor/recovery_times.rs
+++ b/crates/capacity/src/processor/recovery_times.rs
@@ -17,14 +17,14 @@
 use sapphirestile_cells::JournalEntry;
 use sapphirestile_cells::OpenPhase;
 use sapphirestile_cells::TaskEntry;
+use sapphirestile_clients::http::PeerAddress;
+use sapphirestile_clients::store::EtcdClient;
+use sapphirestile_clients::store::StoreClient;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::JournalSequence;
 use sapphirestile_core::TaskName;
 use sapphirestile_daemon::cells::CellJournal;
 use sapphirestile_daemon::cells::JournalBatch;
-use sapphirestile_platform::http::PeerAddress;
-use sapphirestile_platform::store::EtcdClient;
-use sapphirestile_platform::store::StoreClient;
 use sapphirestile_standins::store::StoreFaults;
 use sapphirestile_standins::store::StoreStandin;
 
--- a/crates/capacity/src/sessions/wire_bytes.rs
+++ b/crates/capacity/src/sessions/wire_bytes.rs
@@ -9,8 +9,8 @@
 use std::thread;
 use std::time::Duration;
 
-use sapphirestile_platform::http::PeerAddress;
-use sapphirestile_platform::worker::WorkerClient;
+use sapphirestile_clients::http::PeerAddress;
+use sapphirestile_clients::worker::WorkerClient;
 use sapphirestile_standins::worker::WorkerSettings;
 use sapphirestile_standins::worker::WorkerStandin;
 use sapphirestile_wire::worker::SessionReport;
--- a/crates/platform/examples/client_towards_runners/client_kind.rs
+++ b/crates/clients/examples/client_towards_runners/client_kind.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use crate::runner_caller::RunnerCaller;
-use sapphirestile_platform::http::CallLimits;
-use sapphirestile_platform::http::ConnectionTable;
-use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_clients::http::CallLimits;
+use sapphirestile_clients::http::ConnectionTable;
+use sapphirestile_clients::http::PeerAddress;
 
 /// A way to call a runner.
 #[derive(Clone, Copy, Debug)]
--- a/crates/platform/examples/client_towards_runners/main.rs
+++ b/crates/clients/examples/client_towards_runners/main.rs
@@ -5,7 +5,7 @@
 //! request; then again without a link, to show what the clients themselves take.
 //! A relay before it counts connections and the bytes of both
 //! directions, without those of TCP and IP. Run it with
-//! `cargo run --release -p sapphirestile-platform --example client_towards_runners`.
+//! `cargo run --release -p sapphirestile-clients --example client_towards_runners`.
 
 mod byte_relay;
 mod call_summary;
@@ -19,7 +19,7 @@
 use crate::call_summary::CallSummary;
 use crate::client_kind::ClientKind;
 use crate::runner_caller::RunnerCaller;
-use sapphirestile_platform::http::CallLimits;
+use sapphirestile_clients::http::CallLimits;
 use sapphirestile_standins::runner::RunnerSettings;
 use sapphirestile_standins::runner::RunnerStandin;
 
--- a/crates/platform/examples/client_towards_runners/runner_caller.rs
+++ b/crates/clients/examples/client_towards_runners/runner_caller.rs
@@ -2,12 +2,12 @@
 
 use oxhttp::model::Request;
 
-use sapphirestile_platform::http::CallLimits;
-use sapphirestile_platform::http::ConnectionTable;
-use sapphirestile_platform::http::PeerAddress;
-use sapphirestile_platform::runner::RunnerClient;
-use sapphirestile_platform::runner::RunnerOutcome;
-use sapphirestile_platform::runner::RunnerRequest;
+use sapphirestile_clients::http::CallLimits;
+use sapphirestile_clients::http::ConnectionTable;
+use sapphirestile_clients::http::PeerAddress;
+use sapphirestile_clients::runner::RunnerClient;
+use sapphirestile_clients::runner::RunnerOutcome;
+use sapphirestile_clients::runner::RunnerRequest;
 
 /// A caller of one runner.
 pub enum RunnerCaller {
--- a/crates/platform/src/http/call_request.rs
+++ b/crates/clients/src/http/call_request.rs
@@ -21,7 +21,7 @@
     /// # Examples
     ///
     /// ```
-    /// use sapphirestile_platform::http::CallRequest;
+    /// use sapphirestile_clients::http::CallRequest;
     ///
     /// let request = CallRequest::post_json("/v3/kv/range", b"{}");
     /// assert_eq!(request.method, "POST");
@@ -45,7 +45,7 @@
     /// # Examples
     ///
     /// ```
-    /// use sapphirestile_platform::http::CallRequest;
+    /// use sapphirestile_clients::http::CallRequest;
     ///
     /// assert_eq!(CallRequest::get("/v1/vms").method, "GET");
     /// ```
--- a/crates/platform/src/http/connection_table.rs
+++ b/crates/clients/src/http/connection_table.rs
@@ -14,8 +14,8 @@
 /// # Examples
 ///
 /// ```
-/// use sapphirestile_platform::http::ConnectionTable;
-/// use sapphirestile_platform::http::PeerAddress;
+/// use sapphirestile_clients::http::ConnectionTable;
+/// use sapphirestile_clients::http::PeerAddress;
 ///
 /// let table = ConnectionTable::new();
 /// let first = PeerAddress::try_from("127.0.0.1:8001").unwrap();
--- a/crates/platform/src/http/http_answer.rs
+++ b/crates/clients/src/http/http_answer.rs
@@ -20,7 +20,7 @@
     ///
     /// ```
     /// use ureq::http::HeaderMap;
-    /// use sapphirestile_platform::http::HttpAnswer;
+    /// use sapphirestile_clients::http::HttpAnswer;
     ///
     /// let mut headers = HeaderMap::new();
     /// headers.append("x-request-id", "7".parse().unwrap());
--- a/crates/platform/src/http/http_client.rs
+++ b/crates/clients/src/http/http_client.rs
@@ -41,9 +41,9 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use sapphirestile_platform::http::CallLimits;
-    /// use sapphirestile_platform::http::HttpClient;
-    /// use sapphirestile_platform::http::PeerAddress;
+    /// use sapphirestile_clients::http::CallLimits;
+    /// use sapphirestile_clients::http::HttpClient;
+    /// use sapphirestile_clients::http::PeerAddress;
     ///
     /// let peer = PeerAddress::try_from("127.0.0.1:2379").unwrap();
     /// let limits = CallLimits { timeout: Duration::from_secs(2), answer_max_bytes: 4_096 };
@@ -62,10 +62,10 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use sapphirestile_platform::http::CallLimits;
-    /// use sapphirestile_platform::http::ConnectionTable;
-    /// use sapphirestile_platform::http::HttpClient;
-    /// use sapphirestile_platform::http::PeerAddress;
+    /// use sapphirestile_clients::http::CallLimits;
+    /// use sapphirestile_clients::http::ConnectionTable;
+    /// use sapphirestile_clients::http::HttpClient;
+    /// use sapphirestile_clients::http::PeerAddress;
     ///
     /// let table = ConnectionTable::new();
     /// let peer = PeerAddress::try_from("127.0.0.1:8080").unwrap();
--- a/crates/platform/src/http/line_reader.rs
+++ b/crates/clients/src/http/line_reader.rs
@@ -14,7 +14,7 @@
 /// # Examples
 ///
 /// ```
-/// use sapphirestile_platform::http::LineReader;
+/// use sapphirestile_clients::http::LineReader;
 ///
 /// let mut reader = LineReader::new(b"one\ntwo".as_slice(), 8);
 /// assert_eq!(reader.next_line().unwrap().unwrap(), b"one");
--- a/crates/platform/src/http/peer_address.rs
+++ b/crates/clients/src/http/peer_address.rs
@@ -9,7 +9,7 @@
 /// # Examples
 ///
 /// ```
-/// use sapphirestile_platform::http::PeerAddress;
+/// use sapphirestile_clients::http::PeerAddress;
 ///
 /// let address = PeerAddress::try_from("127.0.0.1:2379").unwrap();
 /// assert_eq!(address.to_string(), "127.0.0.1:2379");
--- a/crates/platform/src/http/peer_connections.rs
+++ b/crates/clients/src/http/peer_connections.rs
@@ -37,8 +37,8 @@
     /// # Examples
     ///
     /// ```
-    /// use sapphirestile_platform::http::PeerAddress;
-    /// use sapphirestile_platform::http::PeerConnections;
+    /// use sapphirestile_clients::http::PeerAddress;
+    /// use sapphirestile_clients::http::PeerConnections;
     ///
     /// let peer = PeerAddress::try_from("127.0.0.1:2379").unwrap();
     /// assert_eq!(PeerConnections::new(peer).peer(), peer);
--- a/crates/platform/src/store/etcd_client.rs
+++ b/crates/clients/src/store/etcd_client.rs
@@ -60,8 +60,8 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use sapphirestile_platform::http::PeerAddress;
-    /// use sapphirestile_platform::store::EtcdClient;
+    /// use sapphirestile_clients::http::PeerAddress;
+    /// use sapphirestile_clients::store::EtcdClient;
     ///
     /// let peer = PeerAddress::try_from("127.0.0.1:2379").unwrap();
     /// let client = EtcdClient::new(peer, Duration::from_secs(2));
--- a/crates/platform/src/store/key_range.rs
+++ b/crates/clients/src/store/key_range.rs
@@ -5,7 +5,7 @@
 /// # Examples
 ///
 /// ```
-/// use sapphirestile_platform::store::KeyRange;
+/// use sapphirestile_clients::store::KeyRange;
 ///
 /// let range = KeyRange::of_prefix("cells/");
 /// assert_eq!(range.first, b"cells/");
--- a/crates/platform/tests/calls/buffer_scenes.rs
+++ b/crates/clients/tests/calls/buffer_scenes.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use sapphirestile_platform::http::CallLimits;
-use sapphirestile_platform::http::CallRequest;
-use sapphirestile_platform::http::HeaderView;
-use sapphirestile_platform::http::HttpClient;
+use sapphirestile_clients::http::CallLimits;
+use sapphirestile_clients::http::CallRequest;
+use sapphirestile_clients::http::HeaderView;
+use sapphirestile_clients::http::HttpClient;
 
 use crate::scripted_peer::ScriptedPeer;
 
--- a/crates/platform/tests/calls/http_scenes.rs
+++ b/crates/clients/tests/calls/http_scenes.rs
@@ -5,12 +5,12 @@
 use std::sync::mpsc::channel;
 use std::time::Duration;
 
-use sapphirestile_platform::http::CallError;
-use sapphirestile_platform::http::CallLimits;
-use sapphirestile_platform::http::CallRequest;
-use sapphirestile_platform::http::HttpAnswer;
-use sapphirestile_platform::http::HttpClient;
-use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_clients::http::CallError;
+use sapphirestile_clients::http::CallLimits;
+use sapphirestile_clients::http::CallRequest;
+use sapphirestile_clients::http::HttpAnswer;
+use sapphirestile_clients::http::HttpClient;
+use sapphirestile_clients::http::PeerAddress;
 use test_case::test_case;
 
 use crate::peer_script::PeerScript;
--- a/crates/platform/tests/calls/pool_scenes.rs
+++ b/crates/clients/tests/calls/pool_scenes.rs
@@ -3,11 +3,11 @@
 use std::sync::mpsc::channel;
 use std::time::Duration;
 
-use sapphirestile_platform::http::CallError;
-use sapphirestile_platform::http::CallLimits;
-use sapphirestile_platform::http::CallRequest;
-use sapphirestile_platform::http::ConnectionTable;
-use sapphirestile_platform::http::HttpClient;
+use sapphirestile_clients::http::CallError;
+use sapphirestile_clients::http::CallLimits;
+use sapphirestile_clients::http::CallRequest;
+use sapphirestile_clients::http::ConnectionTable;
+use sapphirestile_clients::http::HttpClient;
 
 use crate::peer_script::PeerScript;
 use crate::scripted_peer::ScriptedPeer;
--- a/crates/platform/tests/calls/runner_scenes.rs
+++ b/crates/clients/tests/calls/runner_scenes.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use sapphirestile_platform::http::CallLimits;
-use sapphirestile_platform::http::HeaderView;
-use sapphirestile_platform::http::PeerAddress;
-use sapphirestile_platform::runner::RunnerClient;
-use sapphirestile_platform::runner::RunnerOutcome;
-use sapphirestile_platform::runner::RunnerRequest;
+use sapphirestile_clients::http::CallLimits;
+use sapphirestile_clients::http::HeaderView;
+use sapphirestile_clients::http::PeerAddress;
+use sapphirestile_clients::runner::RunnerClient;
+use sapphirestile_clients::runner::RunnerOutcome;
+use sapphirestile_clients::runner::RunnerRequest;
 use sapphirestile_standins::runner::RunnerFaults;
 use sapphirestile_standins::runner::RunnerSettings;
 use sapphirestile_standins::runner::RunnerStandin;
--- a/crates/platform/tests/calls/scripted_peer.rs
+++ b/crates/clients/tests/calls/scripted_peer.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
-use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_clients::http::PeerAddress;
 
 use crate::peer_script::PeerScript;
 
--- a/crates/platform/tests/calls/store_scenes.rs
+++ b/crates/clients/tests/calls/store_scenes.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sapphirestile_platform::http::PeerAddress;
-use sapphirestile_platform::store::CommitAnswer;
-use sapphirestile_platform::store::EtcdClient;
-use sapphirestile_platform::store::StoreClient;
-use sapphirestile_platform::store::StoreCommit;
-use sapphirestile_platform::store::StoreError;
-use sapphirestile_platform::store::StoreGuard;
-use sapphirestile_platform::store::StoreWatch;
-use sapphirestile_platform::store::StoreWrite;
+use sapphirestile_clients::http::PeerAddress;
+use sapphirestile_clients::store::CommitAnswer;
+use sapphirestile_clients::store::EtcdClient;
+use sapphirestile_clients::store::StoreClient;
+use sapphirestile_clients::store::StoreCommit;
+use sapphirestile_clients::store::StoreError;
+use sapphirestile_clients::store::StoreGuard;
+use sapphirestile_clients::store::StoreWatch;
+use sapphirestile_clients::store::StoreWrite;
 use sapphirestile_standins::store::StoreFaults;
 use sapphirestile_standins::store::StoreStandin;
 use sapphirestile_wire::store::VALUE_MAX_BYTES;
--- a/crates/platform/tests/calls/vm_listings.rs
+++ b/crates/clients/tests/calls/vm_listings.rs
@@ -5,12 +5,12 @@
 
 use flate2::Compression;
 use flate2::write::GzEncoder;
-use sapphirestile_platform::http::PeerAddress;
-use sapphirestile_platform::vms::ListTag;
-use sapphirestile_platform::vms::VM_LIST_MAX_BYTES;
-use sapphirestile_platform::vms::VmClient;
-use sapphirestile_platform::vms::VmError;
-use sapphirestile_platform::vms::VmListing;
+use sapphirestile_clients::http::PeerAddress;
+use sapphirestile_clients::vms::ListTag;
+use sapphirestile_clients::vms::VM_LIST_MAX_BYTES;
+use sapphirestile_clients::vms::VmClient;
+use sapphirestile_clients::vms::VmError;
+use sapphirestile_clients::vms::VmListing;
 use sapphirestile_standins::vms::VmFaults;
 use sapphirestile_standins::vms::VmStandin;
 use sapphirestile_wire::vms::VmRecord;
--- a/crates/platform/tests/calls/vm_scenes.rs
+++ b/crates/clients/tests/calls/vm_scenes.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use sapphirestile_platform::http::PeerAddress;
-use sapphirestile_platform::vms::VmClient;
-use sapphirestile_platform::vms::VmError;
+use sapphirestile_clients::http::PeerAddress;
+use sapphirestile_clients::vms::VmClient;
+use sapphirestile_clients::vms::VmError;
 use sapphirestile_standins::vms::VmFaults;
 use sapphirestile_standins::vms::VmStandin;
 use sapphirestile_wire::vms::VmRecord;
--- a/crates/platform/tests/calls/worker_scenes.rs
+++ b/crates/clients/tests/calls/worker_scenes.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use sapphirestile_clients::http::PeerAddress;
+use sapphirestile_clients::worker::WorkerClient;
+use sapphirestile_clients::worker::WorkerError;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
@@ -9,9 +12,6 @@
 use sapphirestile_core::ResourceSize;
 use sapphirestile_core::TaskIndex;
 use sapphirestile_core::TaskName;
-use sapphirestile_platform::http::PeerAddress;
-use sapphirestile_platform::worker::WorkerClient;
-use sapphirestile_platform::worker::WorkerError;
 use sapphirestile_standins::worker::WorkerFaults;
 use sapphirestile_standins::worker::WorkerSettings;
 use sapphirestile_standins::worker::WorkerStandin;
--- a/crates/daemon/examples/load_through_daemons/caller_load.rs
+++ b/crates/daemon/examples/load_through_daemons/caller_load.rs
@@ -7,13 +7,13 @@
 
 use crate::call_outcome::CallOutcome;
 use crate::call_record::CallRecord;
-use sapphirestile_platform::http::CallError;
-use sapphirestile_platform::http::CallLimits;
-use sapphirestile_platform::http::CallRequest;
-use sapphirestile_platform::http::ConnectionTable;
-use sapphirestile_platform::http::HttpAnswer;
-use sapphirestile_platform::http::HttpClient;
-use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_clients::http::CallError;
+use sapphirestile_clients::http::CallLimits;
+use sapphirestile_clients::http::CallRequest;
+use sapphirestile_clients::http::ConnectionTable;
+use sapphirestile_clients::http::HttpAnswer;
+use sapphirestile_clients::http::HttpClient;
+use sapphirestile_clients::http::PeerAddress;
 
 const BODY: [u8; 256] = [b'x'; 256];
 const ABSENCE: Duration = Duration::from_secs(1);
--- a/crates/daemon/src/bin/sapphirestiled.rs
+++ b/crates/daemon/src/bin/sapphirestiled.rs
@@ -14,6 +14,7 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 use error_stack::fmt::ColorMode;
+use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
@@ -22,6 +23,7 @@
 use sapphirestile_daemon::cycle::DaemonCycle;
 use sapphirestile_daemon::settings::DaemonSettings;
 use sapphirestile_daemon::tryout::TryoutRun;
+use sapphirestile_platform::DeployedDaemon;
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_INCOMPLETE: u8 = 3;
@@ -31,6 +33,8 @@
 enum DaemonArguments {
     /// Serve with the settings of a file.
     Serve(PathBuf),
+    /// Serve on the users' platform, with the settings that it puts in place.
+    Deployed,
     /// Check the settings of a file and end.
     Check(PathBuf),
     /// Serve one request and run one job on embedded stand-ins.
@@ -46,6 +50,7 @@
     let result = match arguments().run() {
         DaemonArguments::Check(path) => check(&path),
         DaemonArguments::Serve(path) => read_settings(&path).and_then(serve),
+        DaemonArguments::Deployed => serve_deployed(),
         DaemonArguments::Try { stay } => try_out(stay),
     };
     match result {
@@ -89,8 +94,11 @@
         .help("check the settings and end")
         .req_flag(());
     let check = construct!(check, path()).map(|((), path)| DaemonArguments::Check(path));
+    let deployed = long("deployed")
+        .help("serve on the users' platform, with the settings that it puts in place")
+        .req_flag(DaemonArguments::Deployed);
     let serve = path().map(DaemonArguments::Serve);
-    construct!([try_out, check, serve])
+    construct!([try_out, check, deployed, serve])
         .to_options()
         .descr("The daemon of sapphirestile")
         .footer("Examples: sapphirestiled --try, sapphirestiled --check entry-1.ini")
@@ -141,6 +149,41 @@
     Ok(serving.drain().finish())
 }
 
+fn serve_deployed() -> Result<bool, Report<StepError>> {
+    start_deployed_log();
+    let serving = DeployedDaemon::start(DeployedDaemon::read_settings()?)?;
+    wait_for_stop()?;
+    Ok(serving.drain().finish())
+}
+
+/// On the platform logs are read from standard output.
+fn start_deployed_log() {
+    tracing_subscriber::fmt()
+        .json()
+        .with_env_filter(
+            tracing_subscriber::EnvFilter::from_default_env()
+                .add_directive(tracing::Level::INFO.into()),
+        )
+        .init();
+}
+
+/// Waits for the signal to stop. Settings that changed meanwhile are read and
+/// checked; what they hold is in force from the next start.
+fn wait_for_stop() -> Result<(), Report<StepError>> {
+    let failed = || StepError::new("wait for signals", "own process");
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).change_context_lazy(failed)?;
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            break;
+        }
+        match DeployedDaemon::read_settings() {
+            Ok(_) => tracing::info!("settings were read again"),
+            Err(report) => tracing::error!(?report, "settings cannot be read again"),
+        }
+    }
+    Ok(())
+}
+
 fn wait_for_signal() -> Result<(), Report<StepError>> {
     let failed = || StepError::new("wait for signals", "own process");
     let mut signals = Signals::new([SIGTERM, SIGINT]).change_context_lazy(failed)?;
--- a/crates/daemon/src/callers/caller_reply.rs
+++ b/crates/daemon/src/callers/caller_reply.rs
@@ -5,7 +5,7 @@
 use crate::callers::CallerRefusal;
 use crate::serving::BodyFault;
 use crate::serving::HttpReply;
-use sapphirestile_platform::http::HttpAnswer;
+use sapphirestile_clients::http::HttpAnswer;
 use sapphirestile_routing::RouteRefusal;
 
 const NOT_RUN: &str = "not-run";
--- a/crates/daemon/src/callers/caller_request.rs
+++ b/crates/daemon/src/callers/caller_request.rs
@@ -5,8 +5,8 @@
 
 use crate::callers::CallerReply;
 use crate::serving::read_body;
+use sapphirestile_clients::http::HeaderView;
 use sapphirestile_core::RequestKey;
-use sapphirestile_platform::http::HeaderView;
 use sapphirestile_routing::RequestPriority;
 
 const KEY_HEADER: &str = "idempotency-key";
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -5,21 +5,20 @@
 //! [`MonoClock`].
 
 mod daemon_context;
-mod mono_clock;
 mod phase_gauge;
 mod refusal_log;
 mod refusal_note;
 mod repeat_gate;
 mod store_keys;
 mod store_pulse;
-mod swap_holder;
 
 pub use daemon_context::DaemonContext;
-pub use mono_clock::MonoClock;
 pub use phase_gauge::PhaseGauge;
 pub use refusal_log::RefusalLog;
 pub use refusal_note::RefusalNote;
 pub use repeat_gate::RepeatGate;
 pub use store_keys::StoreKeys;
 pub use store_pulse::StorePulse;
-pub use swap_holder::SwapHolder;
+
+pub use sapphirestile_serving::MonoClock;
+pub use sapphirestile_serving::SwapHolder;
--- a/crates/daemon/src/context/daemon_context.rs
+++ b/crates/daemon/src/context/daemon_context.rs
@@ -21,10 +21,10 @@
 use crate::tokens::TokenEvent;
 use crate::vms::VmTable;
 use sapphirestile_cells::CellMap;
+use sapphirestile_clients::http::ConnectionTable;
+use sapphirestile_clients::store::StoreClient;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::MonoTime;
-use sapphirestile_platform::http::ConnectionTable;
-use sapphirestile_platform::store::StoreClient;
 use sapphirestile_routing::TableCell;
 use sapphirestile_wire::peer::FrameKey;
 
--- a/crates/daemon/src/cycle/daemon_threads.rs
+++ b/crates/daemon/src/cycle/daemon_threads.rs
@@ -23,9 +23,9 @@
 use crate::tokens::TokenEvent;
 use crate::tokens::TokenKeeper;
 use crate::vms::VmPoller;
+use sapphirestile_clients::http::PeerAddress;
+use sapphirestile_clients::vms::VmClient;
 use sapphirestile_core::StepError;
-use sapphirestile_platform::http::PeerAddress;
-use sapphirestile_platform::vms::VmClient;
 
 const VM_LIST_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/crates/daemon/src/cycle/start_steps.rs
+++ b/crates/daemon/src/cycle/start_steps.rs
@@ -20,11 +20,11 @@
 use crate::settings::DaemonSettings;
 use crate::tokens::GaugeTable;
 use crate::tokens::TokenEvent;
+use sapphirestile_clients::http::ConnectionTable;
+use sapphirestile_clients::store::EtcdClient;
+use sapphirestile_clients::store::StoreClient;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::StepError;
-use sapphirestile_platform::http::ConnectionTable;
-use sapphirestile_platform::store::EtcdClient;
-use sapphirestile_platform::store::StoreClient;
 use sapphirestile_routing::TableCell;
 use sapphirestile_wire::peer::FrameKey;
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -31,8 +31,9 @@
 pub mod operators;
 pub mod peers;
 pub mod routes;
-pub mod serving;
 pub mod settings;
 pub mod tokens;
 pub mod tryout;
 pub mod vms;
+
+pub use sapphirestile_serving as serving;
--- a/crates/daemon/src/members/shared_watch.rs
+++ b/crates/daemon/src/members/shared_watch.rs
@@ -18,14 +18,14 @@
 use crate::members::MemberTable;
 use crate::tokens;
 use crate::tokens::LedgerRow;
+use sapphirestile_clients::store::StoreError;
+use sapphirestile_clients::store::StoreWatch;
+use sapphirestile_clients::store::StoredRange;
+use sapphirestile_clients::store::StoredRow;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::DaemonIdentity;
 use sapphirestile_core::DaemonName;
 use sapphirestile_core::IncarnationNumber;
-use sapphirestile_platform::store::StoreError;
-use sapphirestile_platform::store::StoreWatch;
-use sapphirestile_platform::store::StoredRange;
-use sapphirestile_platform::store::StoredRow;
 use sapphirestile_slots::TokenLedger;
 use sapphirestile_wire::api::StoredDocument;
 
--- a/crates/daemon/src/tokens/ledger_writer.rs
+++ b/crates/daemon/src/tokens/ledger_writer.rs
@@ -6,11 +6,11 @@
 use crate::context::DaemonContext;
 use crate::context::StoreKeys;
 use crate::tokens::LedgerRow;
+use sapphirestile_clients::store::CommitAnswer;
+use sapphirestile_clients::store::StoreCommit;
+use sapphirestile_clients::store::StoreGuard;
+use sapphirestile_clients::store::StoreWrite;
 use sapphirestile_core::DaemonIdentity;
-use sapphirestile_platform::store::CommitAnswer;
-use sapphirestile_platform::store::StoreCommit;
-use sapphirestile_platform::store::StoreGuard;
-use sapphirestile_platform::store::StoreWrite;
 use sapphirestile_slots::TokenLedger;
 
 /// Replaces the ledger by compare-and-swap.
--- a/crates/daemon/src/tryout/tryout_run.rs
+++ b/crates/daemon/src/tryout/tryout_run.rs
@@ -12,13 +12,13 @@
 use crate::document::ChangeOutcome;
 use crate::document::DocumentWriter;
 use crate::settings::DaemonSettings;
+use sapphirestile_clients::http::CallLimits;
+use sapphirestile_clients::http::CallRequest;
+use sapphirestile_clients::http::HttpAnswer;
+use sapphirestile_clients::http::HttpClient;
+use sapphirestile_clients::http::PeerAddress;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::StepError;
-use sapphirestile_platform::http::CallLimits;
-use sapphirestile_platform::http::CallRequest;
-use sapphirestile_platform::http::HttpAnswer;
-use sapphirestile_platform::http::HttpClient;
-use sapphirestile_platform::http::PeerAddress;
 use sapphirestile_standins::fleet::FleetPlan;
 use sapphirestile_standins::fleet::StandinFleet;
 use sapphirestile_wire::api::AuthorName;
@@ -132,7 +132,7 @@
 
 fn show_job(operators: SocketAddr) -> Result<String, Report<StepError>> {
     let authorization = format!("Bearer {TOKEN}");
-    let headers = [sapphirestile_platform::http::HeaderView {
+    let headers = [sapphirestile_clients::http::HeaderView {
         name: "authorization",
         value: authorization.as_bytes(),
     }];
--- a/crates/daemon/src/vms/vm_poller.rs
+++ b/crates/daemon/src/vms/vm_poller.rs
@@ -11,9 +11,9 @@
 use crate::context::RepeatGate;
 use crate::routes::RoutePublisher;
 use crate::vms::VmTable;
-use sapphirestile_platform::vms::ListTag;
-use sapphirestile_platform::vms::VmClient;
-use sapphirestile_platform::vms::VmListing;
+use sapphirestile_clients::vms::ListTag;
+use sapphirestile_clients::vms::VmClient;
+use sapphirestile_clients::vms::VmListing;
 
 const STEP: &str = "read VM list";
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/daemon/tests/journal/fake_store.rs
+++ b/crates/daemon/tests/journal/fake_store.rs
@@ -4,16 +4,16 @@
 use error_stack::Report;
 
 use sapphirestile_cells::JournalEntry;
+use sapphirestile_clients::store::CommitAnswer;
+use sapphirestile_clients::store::StoreClient;
+use sapphirestile_clients::store::StoreCommit;
+use sapphirestile_clients::store::StoreError;
+use sapphirestile_clients::store::StoreGuard;
+use sapphirestile_clients::store::StoreWatch;
+use sapphirestile_clients::store::StoreWrite;
+use sapphirestile_clients::store::StoredRange;
+use sapphirestile_clients::store::StoredRow;
 use sapphirestile_core::SortedTable;
-use sapphirestile_platform::store::CommitAnswer;
-use sapphirestile_platform::store::StoreClient;
-use sapphirestile_platform::store::StoreCommit;
-use sapphirestile_platform::store::StoreError;
-use sapphirestile_platform::store::StoreGuard;
-use sapphirestile_platform::store::StoreWatch;
-use sapphirestile_platform::store::StoreWrite;
-use sapphirestile_platform::store::StoredRange;
-use sapphirestile_platform::store::StoredRow;
 
 /// A store in memory, which refuses large values and loses answers.
 #[derive(Default)]
--- a/crates/daemon/tests/journal/main.rs
+++ b/crates/daemon/tests/journal/main.rs
@@ -12,6 +12,7 @@
 use sapphirestile_cells::EntryBody;
 use sapphirestile_cells::JobOrder;
 use sapphirestile_cells::JournalEntry;
+use sapphirestile_clients::store::StoreClient;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::ConfigRevision;
 use sapphirestile_core::CustomerName;
@@ -25,7 +26,6 @@
 use sapphirestile_daemon::cells::JournalBatch;
 use sapphirestile_daemon::cells::JournalOutcome;
 use sapphirestile_daemon::context::StoreKeys;
-use sapphirestile_platform::store::StoreClient;
 
 const CELL: CellNumber = CellNumber::new(0);
 const MANY_JOBS: u32 = 2;
--- a/crates/daemon/tests/ports/wrong_tokens.rs
+++ b/crates/daemon/tests/ports/wrong_tokens.rs
@@ -3,7 +3,7 @@
 
 use crate::support::PortScene;
 use crate::support::submission;
-use sapphirestile_platform::http::HttpAnswer;
+use sapphirestile_clients::http::HttpAnswer;
 use sapphirestile_standins::fleet::FleetPlan;
 use sapphirestile_test_support::TOKEN;
 use sapphirestile_test_support::call;
--- /dev/null
+++ b/crates/entry/src/context/entry_context.rs
@@ -0,0 +1,74 @@
+//! What all parts of the daemon share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use sapphirestile_serving::MonoClock;
+use sapphirestile_serving::SwapHolder;
+
+use crate::context::DeployedView;
+use crate::context::StorePulse;
+use crate::ports::StoreFault;
+use crate::ports::StorePort;
+use crate::settings::EntrySettings;
+
+/// What all parts of the daemon share.
+pub struct EntryContext {
+    /// The settings.
+    pub settings: EntrySettings,
+    /// The store.
+    pub store: Arc<dyn StorePort>,
+    /// What operators want.
+    pub deployed: SwapHolder<DeployedView>,
+    /// Whether the store answers.
+    pub pulse: StorePulse,
+    /// The clock.
+    pub clock: MonoClock,
+    /// A number that no other process has, as likely as not to be true.
+    pub incarnation: u64,
+    is_stopping: AtomicBool,
+}
+
+impl EntryContext {
+    /// The context of a daemon that begins now.
+    #[must_use]
+    pub fn new(settings: EntrySettings, store: Arc<dyn StorePort>, incarnation: u64) -> Self {
+        Self {
+            settings,
+            store,
+            deployed: SwapHolder::new(DeployedView::default()),
+            pulse: StorePulse::default(),
+            clock: MonoClock::start(),
+            incarnation,
+            is_stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Whether the daemon is to stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+
+    /// Has the daemon stop.
+    pub fn stop(&self) {
+        self.is_stopping.store(true, Ordering::Release);
+    }
+
+    /// Takes note of what came of a call to the store.
+    pub fn note_store<T>(&self, result: &Result<T, StoreFault>) {
+        match result {
+            Ok(_) | Err(StoreFault::HistoryGone) => {
+                if self.pulse.note_answer() {
+                    tracing::info!(dependency = "store", "the store answers again");
+                }
+            }
+            Err(fault) => {
+                if self.pulse.note_failure(self.clock.now()) {
+                    tracing::warn!(dependency = "store", %fault, "the store does not answer");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/following.rs
@@ -0,0 +1,10 @@
+//! Follows what can be listed and watched.
+//!
+//! An [`EventFollower`] lists its source, then watches it on a thread of its own,
+//! and lists it again when changes were missed. It gives [`FollowedEvent`]s.
+
+mod event_follower;
+mod followed_event;
+
+pub use event_follower::EventFollower;
+pub use followed_event::FollowedEvent;
--- /dev/null
+++ b/crates/entry/src/owner.rs
@@ -0,0 +1,34 @@
+//! Ownership of the jobs.
+//!
+//! An [`OwnershipKeeper`] follows the head row with a [`HeadFollower`], which says
+//! by a [`HeadStep`] when to claim it. A claim is an [`OwnedHead`]. An [`OwnerRun`]
+//! then drives the jobs: it takes [`OwnerEvent`]s, has a [`CommitWriter`] store
+//! batches, and reaches workers through a [`WorkerLinks`] table of
+//! [`WorkerLink`]s.
+
+mod commit_writer;
+mod head_follower;
+mod head_step;
+mod owned_head;
+mod owner_event;
+mod owner_run;
+mod ownership_keeper;
+mod run_sources;
+mod worker_link;
+mod worker_links;
+mod worker_order;
+mod write_outcome;
+
+pub use head_follower::HeadFollower;
+pub use head_step::HeadStep;
+pub use ownership_keeper::OwnershipKeeper;
+pub use run_sources::RunSources;
+
+pub(crate) use commit_writer::CommitWriter;
+pub(crate) use owned_head::OwnedHead;
+pub(crate) use owner_event::OwnerEvent;
+pub(crate) use owner_run::OwnerRun;
+pub(crate) use worker_link::WorkerLink;
+pub(crate) use worker_links::WorkerLinks;
+pub(crate) use worker_order::WorkerOrder;
+pub(crate) use write_outcome::WriteOutcome;
--- /dev/null
+++ b/crates/entry/src/owner/owner_run/event_steps.rs
@@ -0,0 +1,72 @@
+//! Takes events in.
+
+use sapphirestile_serving::MonoClock;
+
+use crate::following::FollowedEvent;
+use crate::owner::OwnerEvent;
+use crate::owner::OwnerRun;
+use crate::owner::WriteOutcome;
+use crate::store::IntakeEvent;
+use sapphirestile_jobs::WorkerEvent;
+
+impl OwnerRun {
+    pub(super) fn take_event(&mut self, event: OwnerEvent) {
+        let now = self.context.clock.now();
+        let unix_ms = MonoClock::unix_millis();
+        match event {
+            OwnerEvent::Intake(FollowedEvent::Whole(events) | FollowedEvent::Changed(events)) => {
+                for event in events {
+                    self.take_intake(event);
+                }
+            }
+            OwnerEvent::Workers(FollowedEvent::Whole(events)) => {
+                let present = events.into_iter().filter_map(|event| match event {
+                    WorkerEvent::Present(entry) => Some(entry),
+                    WorkerEvent::Gone(_) => None,
+                });
+                self.owner.replace_list(present.collect(), now);
+            }
+            OwnerEvent::Workers(FollowedEvent::Changed(events)) => {
+                for event in events {
+                    self.owner.change_list(event, now);
+                }
+            }
+            OwnerEvent::Stored(WriteOutcome::Stored) => self.owner.batch_stored(now, unix_ms),
+            OwnerEvent::Stored(WriteOutcome::Deposed) => self.is_deposed = true,
+            OwnerEvent::Started {
+                worker,
+                task,
+                run,
+                outcome,
+            } => {
+                self.owner
+                    .start_answered(&worker, &task, run, outcome, now, unix_ms);
+            }
+            OwnerEvent::Stopped {
+                worker,
+                task,
+                run,
+                outcome,
+            } => self.owner.stop_answered(&worker, &task, run, outcome, now),
+            OwnerEvent::Looked {
+                worker,
+                number,
+                outcome,
+            } => {
+                self.owner
+                    .look_answered(&worker, number, outcome, now, unix_ms);
+            }
+        }
+    }
+
+    fn take_intake(&mut self, event: IntakeEvent) {
+        let now = self.context.clock.now();
+        let unix_ms = MonoClock::unix_millis();
+        match event {
+            IntakeEvent::Ordered { identity, order } => {
+                self.owner.accept_job(identity, order, unix_ms);
+            }
+            IntakeEvent::Cancelled(identity) => self.owner.cancel_job(identity, now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/ports.rs
@@ -0,0 +1,32 @@
+//! What the daemon needs of the world outside.
+//!
+//! A [`StorePort`] keeps rows: a [`StoreCommit`] of [`RowWrite`]s under
+//! [`RowGuard`]s ends in a [`CommitAnswer`]; a [`StoreFault`] says what is known of
+//! a call that failed. An [`EventSource`] lists and watches one kind of event. A
+//! [`WorkerPort`] carries orders to workers.
+
+mod commit_answer;
+mod event_listing;
+mod event_source;
+mod row_change;
+mod row_guard;
+mod row_listing;
+mod row_write;
+mod store_commit;
+mod store_fault;
+mod store_port;
+mod stored_row;
+mod worker_port;
+
+pub use commit_answer::CommitAnswer;
+pub use event_listing::EventListing;
+pub use event_source::EventSource;
+pub use row_change::RowChange;
+pub use row_guard::RowGuard;
+pub use row_listing::RowListing;
+pub use row_write::RowWrite;
+pub use store_commit::StoreCommit;
+pub use store_fault::StoreFault;
+pub use store_port::StorePort;
+pub use stored_row::StoredRow;
+pub use worker_port::WorkerPort;
--- /dev/null
+++ b/crates/entry/src/store/intake_event.rs
@@ -0,0 +1,18 @@
+//! What callers want.
+
+use sapphirestile_jobs::JobIdentity;
+use sapphirestile_jobs::JobOrder;
+
+/// What a caller wants, as any daemon stored it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum IntakeEvent {
+    /// A job was handed in.
+    Ordered {
+        /// Its name.
+        identity: JobIdentity,
+        /// The order.
+        order: JobOrder,
+    },
+    /// A job was cancelled.
+    Cancelled(JobIdentity),
+}
--- /dev/null
+++ b/crates/jobs/src/owner/job_owner/looks.rs
@@ -0,0 +1,302 @@
+//! Looks at workers and takes in what they show.
+
+use crate::order::TaskAddress;
+use crate::owner::HeldEffect;
+use crate::owner::JobOwner;
+use crate::owner::LookOrder;
+use crate::owner::OwnerEffect;
+use crate::owner::RunResult;
+use crate::owner::StopOrder;
+use crate::worker::EndKind;
+use crate::worker::EndedRun;
+use crate::worker::LookAnswer;
+use crate::worker::LookOutcome;
+use crate::worker::RunStanding;
+use crate::worker::RunningRun;
+use crate::worker::WorkerClock;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::WorkerName;
+
+/// How long an answer waits for an end, in milliseconds.
+const WAIT_MS: u64 = 1_000;
+
+/// How long it waits while latencies beside slowed tasks are watched.
+const WATCH_WAIT_MS: u64 = 350;
+
+/// How long the owner waits before it looks again at a worker that did not answer,
+/// in milliseconds.
+const SILENCE_PAUSE_MS: u64 = 250;
+
+impl JobOwner {
+    /// Looks at every worker that is due.
+    pub fn look_at_due(&mut self, now: MonoTime) {
+        let due: Vec<WorkerName> = self
+            .workers
+            .iter()
+            .filter(|(_, view)| !view.is_looked_at && view.looked <= now)
+            .filter(|(_, view)| view.is_listed || !view.runs.is_empty())
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            self.look_at(&name, now);
+        }
+    }
+
+    fn look_at(&mut self, name: &WorkerName, now: MonoTime) {
+        let lease_end_ms = self.lease_end(name, now);
+        let Some(view) = self.workers.get_mut(name) else {
+            return;
+        };
+        let Some(address) = view.entry.as_ref().map(|entry| entry.address) else {
+            return;
+        };
+        view.look += 1;
+        view.is_looked_at = true;
+        let wait_ms = match (&mut view.clock, lease_end_ms) {
+            (Some(clock), Some(end_ms)) => {
+                clock.grant(end_ms);
+                if view.pace.is_slowed() {
+                    WATCH_WAIT_MS
+                } else {
+                    WAIT_MS
+                }
+            }
+            _ => 0,
+        };
+        self.effects.push(OwnerEffect::Look(LookOrder {
+            worker: name.clone(),
+            address,
+            epoch: self.epoch,
+            number: view.look,
+            lease_end_ms,
+            ends_stored: view.ends_stored,
+            wait_ms,
+        }));
+    }
+
+    /// Takes what came of a look that had `number`.
+    pub fn look_answered(
+        &mut self,
+        name: &WorkerName,
+        number: u64,
+        outcome: LookOutcome,
+        now: MonoTime,
+        unix_ms: u64,
+    ) {
+        let Some(view) = self.workers.get_mut(name) else {
+            return;
+        };
+        match outcome {
+            LookOutcome::Seen(answer) => {
+                self.take_answer(name, number, &answer, now, unix_ms);
+            }
+            LookOutcome::Silent | LookOutcome::OtherLife => {
+                view.is_looked_at = false;
+                view.looked = now.plus_millis(SILENCE_PAUSE_MS);
+            }
+            LookOutcome::Fenced => self.is_deposed = true,
+        }
+    }
+
+    fn take_answer(
+        &mut self,
+        name: &WorkerName,
+        number: u64,
+        answer: &LookAnswer,
+        now: MonoTime,
+        unix_ms: u64,
+    ) {
+        self.hear_clock(name, answer, now, unix_ms);
+        for ended in &answer.ended {
+            self.take_end(name, ended, now, unix_ms);
+        }
+        for running in &answer.running {
+            self.take_running(name, number, running, now);
+        }
+        self.settle_missing(name, number, answer, now, unix_ms);
+        self.adapt_pace(name, now);
+        let Some(view) = self.workers.get_mut(name) else {
+            return;
+        };
+        view.seen = now;
+        let last = answer.ended.last().map_or(0, |ended| ended.number);
+        if last > view.ends_stored {
+            self.held.push(HeldEffect::Look {
+                worker: name.clone(),
+                ends: last,
+            });
+        } else {
+            view.is_looked_at = false;
+            view.looked = now;
+        }
+        if view.clock.is_some() {
+            self.send_due_stops(name, now);
+        }
+    }
+
+    fn hear_clock(&mut self, name: &WorkerName, answer: &LookAnswer, now: MonoTime, unix_ms: u64) {
+        let inherited_ms = self.limits.authority_ms;
+        let Some(view) = self.workers.get_mut(name) else {
+            return;
+        };
+        let is_reborn = view.clock.is_some() && view.life_unix_ms != answer.life_unix_ms;
+        if is_reborn {
+            view.clock = None;
+            view.ends_stored = 0;
+        }
+        view.life_unix_ms = answer.life_unix_ms;
+        match &mut view.clock {
+            Some(clock) => clock.hear(answer.clock_ms, now),
+            None => view.clock = Some(WorkerClock::heard(answer.clock_ms, inherited_ms, now)),
+        }
+        if is_reborn {
+            self.lose_runs(name, now, unix_ms);
+        }
+    }
+
+    /// A worker that began anew runs nothing of what it ran before. A start that was
+    /// not answered may still reach it.
+    fn lose_runs(&mut self, name: &WorkerName, now: MonoTime, unix_ms: u64) {
+        let Some(view) = self.workers.get(name) else {
+            return;
+        };
+        let runs: Vec<(TaskAddress, RunStanding)> = view
+            .runs
+            .iter()
+            .map(|(task, run)| (*task, run.standing))
+            .collect();
+        for (task, standing) in runs {
+            match standing {
+                RunStanding::Planned => {}
+                RunStanding::Starting => self.stop_run(name, &task, now),
+                _ => self.settle_run(name, &task, RunResult::Returned, now, unix_ms),
+            }
+        }
+    }
+
+    fn take_end(&mut self, name: &WorkerName, ended: &EndedRun, now: MonoTime, unix_ms: u64) {
+        let Some(view) = self.workers.get_mut(name) else {
+            return;
+        };
+        if ended.number <= view.ends_stored {
+            return;
+        }
+        let known = view.runs.get(&ended.task);
+        if known.is_none_or(|run| run.run != ended.run) {
+            return;
+        }
+        let result = match ended.kind {
+            EndKind::Done => RunResult::Done,
+            EndKind::Failed => RunResult::Failed,
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+                RunResult::Returned
+            }
+        };
+        match result {
+            RunResult::Done => view.trust.note_success(),
+            RunResult::Failed => view.trust.note_failure(now),
+            RunResult::Returned => {}
+        }
+        self.keep_checkpoint(&ended.task, ended.run, &ended.checkpoint);
+        self.settle_run(name, &ended.task, result, now, unix_ms);
+    }
+
+    fn take_running(
+        &mut self,
+        name: &WorkerName,
+        number: u64,
+        running: &RunningRun,
+        now: MonoTime,
+    ) {
+        let Some(view) = self.workers.get_mut(name) else {
+            return;
+        };
+        let Some(address) = view.entry.as_ref().map(|entry| entry.address) else {
+            return;
+        };
+        let known = view.runs.get_mut(&running.task);
+        let Some(run) = known.filter(|run| run.run == running.run) else {
+            self.effects.push(OwnerEffect::Stop(StopOrder {
+                worker: name.clone(),
+                address,
+                epoch: self.epoch,
+                task: running.task,
+                run: running.run,
+            }));
+            return;
+        };
+        run.figure = running.figure;
+        let is_inherited = run.standing == RunStanding::Inherited;
+        if is_inherited || run.standing == RunStanding::Starting {
+            run.standing = RunStanding::Running { look: number };
+            run.pace_percent = running.pace_percent;
+        }
+        self.keep_checkpoint(&running.task, running.run, &running.checkpoint);
+        let job = self.jobs.get(&running.task.job);
+        let is_wanted = job.is_some_and(|entry| !entry.record.standing.is_final());
+        if !is_wanted {
+            self.stop_run(name, &running.task, now);
+        }
+    }
+
+    /// Settles the runs that the look would show if they were there.
+    fn settle_missing(
+        &mut self,
+        name: &WorkerName,
+        number: u64,
+        answer: &LookAnswer,
+        now: MonoTime,
+        unix_ms: u64,
+    ) {
+        let Some(view) = self.workers.get(name) else {
+            return;
+        };
+        let is_shown = |task: &TaskAddress, number: u32| {
+            let running = &answer.running;
+            running
+                .iter()
+                .any(|run| run.task == *task && run.run == number)
+        };
+        let missing: Vec<TaskAddress> = view
+            .runs
+            .iter()
+            .filter(|(_, run)| match run.standing {
+                RunStanding::Running { look } | RunStanding::Stopping { look } => number > look,
+                RunStanding::Inherited => true,
+                _ => false,
+            })
+            .filter(|(task, run)| !is_shown(task, run.run))
+            .map(|(task, _)| *task)
+            .collect();
+        for task in missing {
+            self.settle_run(name, &task, RunResult::Returned, now, unix_ms);
+        }
+    }
+
+    fn adapt_pace(&mut self, name: &WorkerName, now: MonoTime) {
+        let Some(view) = self.workers.get_mut(name) else {
+            return;
+        };
+        let has_leftover_runs = view.runs.values().any(|run| run.uses_leftover);
+        let worst_percent = view.worst_latency_percent().unwrap_or(0);
+        if has_leftover_runs || view.pace.is_slowed() {
+            view.pace.observe(worst_percent, now);
+        }
+        self.send_paces(name);
+    }
+
+    fn keep_checkpoint(&mut self, task: &TaskAddress, number: u32, checkpoint: &str) {
+        if checkpoint.is_empty() {
+            return;
+        }
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if let Some(record) = entry.record.task_mut(task)
+            && record.run == number
+            && *record.checkpoint != *checkpoint
+        {
+            record.checkpoint = checkpoint.into();
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -0,0 +1,169 @@
+//! Decides which tasks start where.
+
+use crate::order::StepOrder;
+use crate::order::TaskAddress;
+use crate::order::TaskSize;
+use crate::owner::HeldEffect;
+use crate::owner::JobOwner;
+use crate::owner::WaitKey;
+use crate::planner::TaskDemand;
+use crate::planner::WorkerChoice;
+use crate::state::Assignment;
+use crate::state::JobStanding;
+use crate::state::TaskPhase;
+use crate::worker::RunEntry;
+use crate::worker::RunStanding;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::WorkerName;
+
+/// The most tasks that one pass assigns, so that the first of them are not held up
+/// by the last.
+const STARTS_MAX: usize = 64;
+
+/// The pace that a run begins at, in percent.
+const FULL_PACE_PERCENT: u32 = 100;
+
+impl JobOwner {
+    /// Assigns tasks that can start to workers with room, the most urgent first.
+    /// Returns whether some may be left that could start too.
+    pub fn plan_starts(&mut self, now: MonoTime, unix_ms: u64) -> bool {
+        self.begin_due(unix_ms);
+        let keys: Vec<WaitKey> = self.waiting.keys().copied().collect();
+        let mut planned = 0;
+        let mut unplaced: Vec<(TaskSize, bool)> = Vec::new();
+        for key in keys {
+            planned += self.plan_job(&key, now, &mut unplaced);
+            if planned >= STARTS_MAX {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn plan_job(
+        &mut self,
+        key: &WaitKey,
+        now: MonoTime,
+        unplaced: &mut Vec<(TaskSize, bool)>,
+    ) -> usize {
+        let Some(entry) = self.jobs.get(&key.job) else {
+            return 0;
+        };
+        let order = entry.order.clone();
+        let service = self.service_of(&order.queue, &order.terms.service);
+        let demands: Vec<TaskDemand<'_>> = entry.startable(key, &service).collect();
+        let addresses: Vec<(TaskAddress, &StepOrder)> = demands
+            .iter()
+            .map(|demand| (demand.task, &order.steps[demand.task.step as usize]))
+            .collect();
+        let mut planned = 0;
+        for (task, step) in addresses {
+            let is_plain = step.required_label.is_none() && step.per_worker_max.is_none();
+            let is_hopeless = unplaced.iter().any(|(size, uses_leftover)| {
+                *uses_leftover == step.uses_leftover && size.fits(&step.size)
+            });
+            if is_hopeless {
+                continue;
+            }
+            let demand = TaskDemand {
+                task,
+                service: &service,
+                step,
+            };
+            if let Some(worker) = self.choose_worker(&demand, now) {
+                self.assign(&worker, &demand, now);
+                planned += 1;
+            } else if is_plain {
+                unplaced.push((step.size, step.uses_leftover));
+            }
+        }
+        if planned > 0 {
+            self.refresh_waiting(key);
+        }
+        planned
+    }
+
+    fn service_of(&self, queue: &str, accepted: &str) -> Box<str> {
+        let queue = self.config.queues.get(queue);
+        queue.map_or_else(|| accepted.into(), |queue| queue.terms.service.clone())
+    }
+
+    fn choose_worker(&self, demand: &TaskDemand<'_>, now: MonoTime) -> Option<WorkerName> {
+        let choice = WorkerChoice {
+            zones_out: &self.zones_out,
+            now,
+        };
+        let scored = self.workers.iter().filter_map(|(name, view)| {
+            let score = choice.score(demand, view)?;
+            Some((score, name))
+        });
+        scored
+            .max_by_key(|(score, _)| *score)
+            .map(|(_, name)| name.clone())
+    }
+
+    fn assign(&mut self, worker: &WorkerName, demand: &TaskDemand<'_>, now: MonoTime) {
+        let task = demand.task;
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if entry.record.standing == JobStanding::Waiting {
+            entry.record.standing = JobStanding::Running;
+        }
+        let Some(record) = entry.record.task_mut(&task) else {
+            return;
+        };
+        assert_eq!(record.phase, TaskPhase::Waiting, "{task} is assigned twice");
+        record.run += 1;
+        record.phase = TaskPhase::Assigned(Assignment {
+            worker: worker.clone(),
+            life_unix_ms: view.life_unix_ms,
+        });
+        let run = record.run;
+        view.add_run(
+            task,
+            Self::run_entry(run, demand.step, RunStanding::Planned, now),
+        );
+        self.changed.insert(task.job, ());
+        self.held.push(HeldEffect::Start {
+            worker: worker.clone(),
+            task,
+            run,
+        });
+    }
+
+    pub(super) fn run_entry(
+        run: u32,
+        step: &StepOrder,
+        standing: RunStanding,
+        now: MonoTime,
+    ) -> RunEntry {
+        RunEntry {
+            run,
+            size: step.size,
+            uses_leftover: step.uses_leftover,
+            is_lasting: step.is_lasting,
+            saves_progress: step.saves_progress,
+            latency_target_ms: step.latency_target_ms,
+            standing,
+            since: now,
+            stop_due: now,
+            pace_percent: FULL_PACE_PERCENT,
+            figure: 0,
+        }
+    }
+
+    /// Takes a job off the waiting list when nothing of it can start any more.
+    fn refresh_waiting(&mut self, key: &WaitKey) {
+        let Some(entry) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if entry.startable(key, "").next().is_none() {
+            entry.wait_key = None;
+            self.waiting.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/job_owner/results.rs
@@ -0,0 +1,75 @@
+//! What becomes of tasks when their runs are over.
+
+use crate::order::JobIdentity;
+use crate::order::TaskAddress;
+use crate::owner::JobOwner;
+use crate::owner::RunResult;
+use crate::state::JobStanding;
+use crate::state::TaskPhase;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::WorkerName;
+
+impl JobOwner {
+    /// Takes note that a run at a worker is over: its room is free, and its task is
+    /// done, has failed or waits again.
+    pub(super) fn settle_run(
+        &mut self,
+        worker: &WorkerName,
+        task: &TaskAddress,
+        result: RunResult,
+        now: MonoTime,
+        unix_ms: u64,
+    ) {
+        let removed = match self.workers.get_mut(worker) {
+            Some(view) => view.remove_run(task),
+            None => None,
+        };
+        let Some(run) = removed else {
+            return;
+        };
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let attempts = entry.order.terms.attempts;
+        let Some(record) = entry.record.task_mut(task) else {
+            return;
+        };
+        let is_current = matches!(&record.phase, TaskPhase::Assigned(assignment)
+            if assignment.worker == *worker);
+        if record.run != run.run || !is_current {
+            return;
+        }
+        record.phase = TaskPhase::Waiting;
+        match result {
+            RunResult::Done if !run.is_lasting => record.phase = TaskPhase::Done,
+            RunResult::Failed if !run.is_lasting => record.failures += 1,
+            _ => {}
+        }
+        let is_spent = !run.is_lasting && record.failures >= attempts;
+        let is_over = entry.record.standing.is_final();
+        self.changed.insert(task.job, ());
+        if is_over {
+            return;
+        }
+        if is_spent {
+            self.end_job(task.job, JobStanding::Failed, now);
+        } else {
+            self.finish_occurrences(task.job, now);
+            self.refresh_job(task.job, unix_ms);
+        }
+    }
+
+    fn finish_occurrences(&mut self, identity: JobIdentity, now: MonoTime) {
+        let Some(entry) = self.jobs.get_mut(&identity) else {
+            return;
+        };
+        let record = &mut entry.record;
+        record
+            .occurrences
+            .retain(|occurrence| !occurrence.is_done());
+        let is_done = record.occurrences.is_empty() && record.begun == entry.order.occurrences();
+        if is_done {
+            self.end_job(identity, JobStanding::Completed, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/owner_effect.rs
@@ -0,0 +1,22 @@
+//! What the owner wants done.
+
+use crate::owner::LookOrder;
+use crate::owner::PaceOrder;
+use crate::owner::StartOrder;
+use crate::owner::StopOrder;
+use sapphirestile_core::WorkerName;
+
+/// What the owner wants done at a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OwnerEffect {
+    /// Start a run.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop(StopOrder),
+    /// Look at what runs.
+    Look(LookOrder),
+    /// Change the pace of a run.
+    Pace(PaceOrder),
+    /// Let go of the connections to a worker that left.
+    Forget(WorkerName),
+}
--- /dev/null
+++ b/crates/jobs/src/planner/worker_choice.rs
@@ -0,0 +1,101 @@
+//! The choice of a worker for a task.
+
+use crate::planner::TaskDemand;
+use crate::worker::WorkerView;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::ZoneName;
+
+/// A worker that was not seen for this long gets no new tasks, in milliseconds.
+const SIGHT_MAX_MS: u64 = 2_500;
+
+/// The part of what lasting tasks declare that they use on average, in percent.
+const LASTING_USE_PERCENT: u64 = 60;
+
+/// Whole, in percent.
+const WHOLE_PERCENT: u64 = 100;
+
+/// The scale of a score: a share of a worker's processor time.
+const SCORE_SCALE: i64 = 10_000;
+
+/// Chooses workers by what is known at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerChoice<'a> {
+    /// The availability zones that get no new tasks.
+    pub zones_out: &'a [ZoneName],
+    /// The time.
+    pub now: MonoTime,
+}
+
+impl WorkerChoice<'_> {
+    /// Whether a worker may be given a task at all.
+    #[must_use]
+    pub fn is_usable(&self, worker: &WorkerView) -> bool {
+        let Some(entry) = &worker.entry else {
+            return false;
+        };
+        worker.is_listed
+            && !entry.is_leaving
+            && worker.clock.is_some()
+            && self.now.millis_since(worker.seen) <= SIGHT_MAX_MS
+            && worker.trust.is_trusted(self.now)
+            && !self.zones_out.contains(&entry.zone)
+    }
+
+    /// How well a task would do on a worker: the higher the better, none when it
+    /// may not start there.
+    ///
+    /// A task with processor time of its own goes where the largest share of it is
+    /// free. One that uses what others leave goes where most is left, and nowhere
+    /// when less than it can use is left: two tasks at half the pace both end late.
+    #[must_use]
+    pub fn score(&self, demand: &TaskDemand<'_>, worker: &WorkerView) -> Option<i64> {
+        let entry = worker.entry.as_ref()?;
+        if *entry.service != *demand.service || !self.is_usable(worker) {
+            return None;
+        }
+        if !has_label(demand, &entry.labels) || is_crowded(demand, worker) {
+            return None;
+        }
+        let step = demand.step;
+        let mut need = step.size;
+        if step.uses_leftover {
+            need.cpu_milli = 0;
+        }
+        if !need.fits(&entry.capacity.minus(worker.used())) {
+            return None;
+        }
+        let capacity = entry.capacity.cpu_milli.max(1);
+        if step.uses_leftover {
+            return leftover_score(step.size.cpu_milli, capacity, worker);
+        }
+        let free = capacity.saturating_sub(worker.used().cpu_milli);
+        Some(share_of(free, capacity))
+    }
+}
+
+fn has_label(demand: &TaskDemand<'_>, labels: &[Box<str>]) -> bool {
+    let required = demand.step.required_label.as_ref();
+    required.is_none_or(|label| labels.contains(label))
+}
+
+fn is_crowded(demand: &TaskDemand<'_>, worker: &WorkerView) -> bool {
+    let most = demand.step.per_worker_max;
+    most.is_some_and(|most| worker.count_of_step(&demand.task) >= most)
+}
+
+fn leftover_score(need_milli: u64, capacity: u64, worker: &WorkerView) -> Option<i64> {
+    if worker.pace.is_slowed() {
+        return None;
+    }
+    let lasting = worker.lasting_cpu_milli();
+    let unused = lasting * (WHOLE_PERCENT - LASTING_USE_PERCENT) / WHOLE_PERCENT;
+    let taken = worker.used().cpu_milli - unused + worker.leftover_cpu_milli();
+    let left = capacity.checked_sub(taken + need_milli)?;
+    Some(share_of(left, capacity))
+}
+
+fn share_of(part: u64, whole: u64) -> i64 {
+    let part = i64::try_from(part).unwrap_or(i64::MAX / SCORE_SCALE);
+    let whole = i64::try_from(whole).unwrap_or(i64::MAX);
+    part.saturating_mul(SCORE_SCALE) / whole
+}
--- /dev/null
+++ b/crates/jobs/src/state/task_record.rs
@@ -0,0 +1,19 @@
+//! What lasts of a task.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::state::TaskPhase;
+
+/// What lasts of a task.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskRecord {
+    /// The number of its latest run, from 1; 0 before the first.
+    pub run: u32,
+    /// How many runs failed.
+    pub failures: u32,
+    /// Where it stands.
+    pub phase: TaskPhase,
+    /// Where its next run goes on from; empty when it begins anew.
+    pub checkpoint: Box<str>,
+}
--- /dev/null
+++ b/crates/jobs/src/worker/worker_view.rs
@@ -0,0 +1,141 @@
+//! What the owner knows of a worker.
+
+use crate::order::TaskAddress;
+use crate::order::TaskSize;
+use crate::pacing::PaceKeeper;
+use crate::worker::RunEntry;
+use crate::worker::WorkerClock;
+use crate::worker::WorkerEntry;
+use crate::worker::WorkerTrust;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::SortedTable;
+
+/// What the owner knows of a worker.
+#[derive(Clone, Debug)]
+pub struct WorkerView {
+    /// The latest entry of the list; none for a worker of which only an earlier
+    /// owner's assignments speak.
+    pub entry: Option<WorkerEntry>,
+    /// Whether the list shows it.
+    pub is_listed: bool,
+    /// The clock, once this owner has seen the worker.
+    pub clock: Option<WorkerClock>,
+    /// The life that was seen, in milliseconds of the Unix epoch.
+    pub life_unix_ms: u64,
+    /// The runs that take room.
+    pub runs: SortedTable<TaskAddress, RunEntry>,
+    /// The number of the latest look that began.
+    pub look: u64,
+    /// Whether a look is under way or waits for a batch to be stored.
+    pub is_looked_at: bool,
+    /// When the latest look came back with an answer.
+    pub seen: MonoTime,
+    /// When the latest look was ordered.
+    pub looked: MonoTime,
+    /// The number of the latest end that is stored.
+    pub ends_stored: u64,
+    /// Whether it gets new tasks, by how earlier ones did.
+    pub trust: WorkerTrust,
+    /// How fast tasks that use leftover processor time work.
+    pub pace: PaceKeeper,
+    used: TaskSize,
+    leftover_cpu_milli: u64,
+    lasting_cpu_milli: u64,
+}
+
+impl WorkerView {
+    /// A worker that nothing is known of but its entry, if that.
+    #[must_use]
+    pub fn new(entry: Option<WorkerEntry>, now: MonoTime) -> Self {
+        Self {
+            life_unix_ms: entry.as_ref().map_or(0, |entry| entry.life_unix_ms),
+            is_listed: entry.is_some(),
+            entry,
+            clock: None,
+            runs: SortedTable::new(),
+            look: 0,
+            is_looked_at: false,
+            seen: now,
+            looked: MonoTime::default(),
+            ends_stored: 0,
+            trust: WorkerTrust::default(),
+            pace: PaceKeeper::default(),
+            used: TaskSize::default(),
+            leftover_cpu_milli: 0,
+            lasting_cpu_milli: 0,
+        }
+    }
+
+    /// Adds a run, which takes room from now on.
+    ///
+    /// # Panics
+    ///
+    /// When another run of the task is there: it would be forgotten.
+    pub fn add_run(&mut self, task: TaskAddress, run: RunEntry) {
+        let before = self.runs.insert(task, run);
+        assert!(before.is_none(), "a worker is given a second run of {task}");
+        self.recount();
+    }
+
+    /// How many runs of a step the worker has.
+    #[must_use]
+    pub fn count_of_step(&self, task: &TaskAddress) -> u32 {
+        let of_step = |other: &&TaskAddress| {
+            (other.job, other.occurrence, other.step) == (task.job, task.occurrence, task.step)
+        };
+        let count = self.runs.keys().filter(of_step).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// The highest latency of its runs with callers, in percent of its target.
+    #[must_use]
+    pub fn worst_latency_percent(&self) -> Option<u64> {
+        self.runs
+            .values()
+            .filter_map(|run| Some(run.figure * 100 / run.latency_target_ms?.max(1)))
+            .max()
+    }
+
+    /// Takes a run out; its room is free.
+    pub fn remove_run(&mut self, task: &TaskAddress) -> Option<RunEntry> {
+        let removed = self.runs.remove(task);
+        self.recount();
+        removed
+    }
+
+    /// What the runs need, without the processor time of those that use what others
+    /// leave.
+    #[must_use]
+    pub const fn used(&self) -> &TaskSize {
+        &self.used
+    }
+
+    /// The processor time that runs of leftover time would use, in thousandths.
+    #[must_use]
+    pub const fn leftover_cpu_milli(&self) -> u64 {
+        self.leftover_cpu_milli
+    }
+
+    /// The processor time that lasting runs may use, in thousandths.
+    #[must_use]
+    pub const fn lasting_cpu_milli(&self) -> u64 {
+        self.lasting_cpu_milli
+    }
+
+    fn recount(&mut self) {
+        let (mut used, mut leftover, mut lasting) = (TaskSize::default(), 0, 0);
+        for run in self.runs.values() {
+            let mut size = run.size;
+            if run.uses_leftover {
+                leftover += size.cpu_milli;
+                size.cpu_milli = 0;
+            } else if run.is_lasting {
+                lasting += size.cpu_milli;
+            }
+            used = used.plus(&size);
+        }
+        self.used = used;
+        self.leftover_cpu_milli = leftover;
+        self.lasting_cpu_milli = lasting;
+    }
+}
--- a/crates/daemon/src/serving/connection_peer.rs
+++ b/crates/serving/src/connection_peer.rs
@@ -11,7 +11,7 @@
 /// # Examples
 ///
 /// ```
-/// use sapphirestile_daemon::serving::ConnectionPeer;
+/// use sapphirestile_serving::ConnectionPeer;
 ///
 /// let name = "[::1]:4711: responding thread of OxHTTP";
 /// let peer = ConnectionPeer::try_from(name).unwrap();
--- a/crates/daemon/src/serving/gate_pass.rs
+++ b/crates/serving/src/gate_pass.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::serving::RequestGate;
+use crate::RequestGate;
 
 /// Counts a request as in flight until it is dropped.
 #[derive(Debug)]
@@ -11,7 +11,7 @@
 }
 
 impl GatePass {
-    pub(super) const fn new(gate: Arc<RequestGate>) -> Self {
+    pub(crate) const fn new(gate: Arc<RequestGate>) -> Self {
         Self { gate }
     }
 }
--- a/crates/daemon/src/serving/http_port.rs
+++ b/crates/serving/src/http_port.rs
@@ -19,12 +19,12 @@
 use oxhttp::model::Response;
 use oxhttp::model::header::CONNECTION;
 
-use crate::context::MonoClock;
-use crate::serving::HttpService;
-use crate::serving::PacedReader;
-use crate::serving::PortLimits;
-use crate::serving::RequestGate;
-use crate::serving::TransferPace;
+use crate::HttpService;
+use crate::MonoClock;
+use crate::PacedReader;
+use crate::PortLimits;
+use crate::RequestGate;
+use crate::TransferPace;
 use sapphirestile_core::StepError;
 
 const STEP: &str = "bind port";
--- a/crates/daemon/src/serving/http_service.rs
+++ b/crates/serving/src/http_service.rs
@@ -3,7 +3,7 @@
 use oxhttp::model::Body;
 use oxhttp::model::Request;
 
-use crate::serving::HttpReply;
+use crate::HttpReply;
 
 /// Answers requests of one port.
 pub trait HttpService: Send + Sync + 'static {
--- a/crates/daemon/src/context/mono_clock.rs
+++ b/crates/serving/src/mono_clock.rs
@@ -11,7 +11,7 @@
 /// # Examples
 ///
 /// ```
-/// use sapphirestile_daemon::context::MonoClock;
+/// use sapphirestile_serving::MonoClock;
 ///
 /// let clock = MonoClock::start();
 /// let early = clock.now();
--- a/crates/daemon/src/serving/paced_reader.rs
+++ b/crates/serving/src/paced_reader.rs
@@ -5,7 +5,7 @@
 use std::io::Read;
 use std::io::Result;
 
-use crate::serving::TransferPace;
+use crate::TransferPace;
 use sapphirestile_core::MonoTime;
 
 /// Reads a body and fails with [`ErrorKind::TimedOut`] once it falls behind its
@@ -17,8 +17,8 @@
 /// use std::io::Read;
 ///
 /// use sapphirestile_core::MonoTime;
-/// use sapphirestile_daemon::serving::PacedReader;
-/// use sapphirestile_daemon::serving::TransferPace;
+/// use sapphirestile_serving::PacedReader;
+/// use sapphirestile_serving::TransferPace;
 ///
 /// let start = MonoTime::from_millis(0);
 /// let pace = TransferPace::begin(start, 1_000);
--- a/crates/daemon/src/serving/read_body.rs
+++ b/crates/serving/src/read_body.rs
@@ -2,7 +2,7 @@
 
 use std::io::Read;
 
-use crate::serving::BodyFault;
+use crate::BodyFault;
 
 /// Reads a body of up to `max_bytes` to its end.
 ///
@@ -13,8 +13,8 @@
 /// # Examples
 ///
 /// ```
-/// use sapphirestile_daemon::serving::BodyFault;
-/// use sapphirestile_daemon::serving::read_body;
+/// use sapphirestile_serving::BodyFault;
+/// use sapphirestile_serving::read_body;
 ///
 /// assert_eq!(read_body(&mut &b"chest"[..], 5), Ok(b"chest".to_vec()));
 /// assert_eq!(read_body(&mut &b"chest"[..], 4), Err(BodyFault::TooLarge));
--- a/crates/daemon/src/serving/request_gate.rs
+++ b/crates/serving/src/request_gate.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use crate::serving::GatePass;
+use crate::GatePass;
 
 const CLOSED: u64 = 1 << 63;
 
@@ -20,7 +20,7 @@
 /// use std::sync::Arc;
 /// use std::time::Duration;
 ///
-/// use sapphirestile_daemon::serving::RequestGate;
+/// use sapphirestile_serving::RequestGate;
 ///
 /// let gate = Arc::new(RequestGate::default());
 /// let pass = gate.enter().unwrap();
@@ -72,7 +72,7 @@
         !result.timed_out()
     }
 
-    pub(super) fn leave(&self) {
+    pub(crate) fn leave(&self) {
         let before = self.state.fetch_sub(1, Ordering::AcqRel);
         if before == CLOSED | 1 {
             // Taking the lock orders this after the check of a thread that waits.
--- a/crates/daemon/src/context/swap_holder.rs
+++ b/crates/serving/src/swap_holder.rs
@@ -12,7 +12,7 @@
 /// # Examples
 ///
 /// ```
-/// use sapphirestile_daemon::context::SwapHolder;
+/// use sapphirestile_serving::SwapHolder;
 ///
 /// let holder = SwapHolder::new(1);
 /// holder.update(|number| number + 1);
--- a/crates/daemon/src/serving/transfer_pace.rs
+++ b/crates/serving/src/transfer_pace.rs
@@ -13,7 +13,7 @@
 ///
 /// ```
 /// use sapphirestile_core::MonoTime;
-/// use sapphirestile_daemon::serving::TransferPace;
+/// use sapphirestile_serving::TransferPace;
 ///
 /// let mut pace = TransferPace::begin(MonoTime::from_millis(0), 60_000);
 /// pace.add_bytes(100_000);
--- a/crates/test-support/src/http_calls.rs
+++ b/crates/test-support/src/http_calls.rs
@@ -6,12 +6,12 @@
 use serde_json::Value;
 
 use crate::TOKEN;
-use sapphirestile_platform::http::CallLimits;
-use sapphirestile_platform::http::CallRequest;
-use sapphirestile_platform::http::HeaderView;
-use sapphirestile_platform::http::HttpAnswer;
-use sapphirestile_platform::http::HttpClient;
-use sapphirestile_platform::http::PeerAddress;
+use sapphirestile_clients::http::CallLimits;
+use sapphirestile_clients::http::CallRequest;
+use sapphirestile_clients::http::HeaderView;
+use sapphirestile_clients::http::HttpAnswer;
+use sapphirestile_clients::http::HttpClient;
+use sapphirestile_clients::http::PeerAddress;
 
 const LIMITS: CallLimits = CallLimits {
     timeout: Duration::from_secs(20),
