Learn which images disturb which, and move those tasks away

Cause: all tasks that use leftover processor time were slowed wherever one latency was high, and no new one started there.

Change: a table of how much each image adds to each other's latency, learnt from the figures of all workers by least mean squares. Only the runs that add most are stopped to go on elsewhere; lasting tasks are packed, so that some workers have none beside them.

--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -47,6 +47,7 @@
                 },
                 service,
                 step: &self.order.steps[step],
+                image: None,
             })
         })
     }
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -5,6 +5,7 @@
 mod lapses;
 mod looks;
 mod orders;
+mod paces;
 mod planning;
 mod results;
 mod worker_list;
@@ -17,6 +18,8 @@
 use crate::owner::OwnerEffect;
 use crate::owner::OwnerLimits;
 use crate::owner::WaitKey;
+use crate::pacing::DisturbanceBook;
+use crate::pacing::ImageTable;
 use crate::policy::DeployedConfig;
 use crate::worker::WorkerView;
 use sapphirestile_core::CellEpoch;
@@ -51,6 +54,8 @@
     sent: MonoTime,
     claimed: MonoTime,
     is_deposed: bool,
+    images: ImageTable,
+    disturbance: DisturbanceBook,
 }
 
 impl JobOwner {
@@ -81,6 +86,8 @@
             sent: claimed,
             claimed,
             is_deposed: false,
+            images: ImageTable::default(),
+            disturbance: DisturbanceBook::default(),
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -9,6 +9,7 @@
 use crate::owner::JobOwner;
 use crate::owner::StoredJob;
 use crate::owner::WaitKey;
+use crate::planner::TaskDemand;
 use crate::state::JobRecord;
 use crate::state::JobStanding;
 use crate::state::OccurrenceRecord;
@@ -143,7 +144,13 @@
                         index: u32::try_from(index).unwrap_or(u32::MAX),
                     };
                     let order = &entry.order.steps[step];
-                    let run = Self::run_entry(task.run, order, RunStanding::Inherited, now);
+                    let demand = TaskDemand {
+                        task: address,
+                        service: "",
+                        step: order,
+                        image: self.image_of(order),
+                    };
+                    let run = Self::run_entry(task.run, &demand, RunStanding::Inherited, now);
                     let worker = self
                         .workers
                         .get_or_insert_with(assignment.worker.clone(), || {
--- a/crates/jobs/src/owner/job_owner/looks.rs
+++ b/crates/jobs/src/owner/job_owner/looks.rs
@@ -55,7 +55,7 @@
         let wait_ms = match (&mut view.clock, lease_end_ms) {
             (Some(clock), Some(end_ms)) => {
                 clock.grant(end_ms);
-                if view.pace.is_slowed() {
+                if view.is_watched(now) {
                     WATCH_WAIT_MS
                 } else {
                     WAIT_MS
@@ -114,7 +114,7 @@
             self.take_running(name, number, running, now);
         }
         self.settle_missing(name, number, answer, now, unix_ms);
-        self.adapt_pace(name, now);
+        self.adapt_paces(name, now);
         let Some(view) = self.workers.get_mut(name) else {
             return;
         };
@@ -273,18 +273,6 @@
         }
     }
 
-    fn adapt_pace(&mut self, name: &WorkerName, now: MonoTime) {
-        let Some(view) = self.workers.get_mut(name) else {
-            return;
-        };
-        let has_leftover_runs = view.runs.values().any(|run| run.uses_leftover);
-        let worst_percent = view.worst_latency_percent().unwrap_or(0);
-        if has_leftover_runs || view.pace.is_slowed() {
-            view.pace.observe(worst_percent, now);
-        }
-        self.send_paces(name);
-    }
-
     fn keep_checkpoint(&mut self, task: &TaskAddress, number: u32, checkpoint: &str) {
         if checkpoint.is_empty() {
             return;
--- a/crates/jobs/src/owner/job_owner/orders.rs
+++ b/crates/jobs/src/owner/job_owner/orders.rs
@@ -4,7 +4,6 @@
 use crate::order::TaskAddress;
 use crate::owner::JobOwner;
 use crate::owner::OwnerEffect;
-use crate::owner::PaceOrder;
 use crate::owner::RunResult;
 use crate::owner::StartOrder;
 use crate::owner::StopOrder;
@@ -31,6 +30,7 @@
     ) {
         let choice = WorkerChoice {
             zones_out: &self.zones_out,
+            book: &self.disturbance,
             now,
         };
         let lease_end_ms = self.lease_end(worker, now);
@@ -203,32 +203,6 @@
         }
     }
 
-    /// Tells runs that use leftover processor time the pace of their worker.
-    pub(super) fn send_paces(&mut self, worker: &WorkerName) {
-        let Some(view) = self.workers.get_mut(worker) else {
-            return;
-        };
-        let percent = view.pace.percent();
-        let Some(address) = view.entry.as_ref().map(|entry| entry.address) else {
-            return;
-        };
-        for (task, run) in view.runs.iter_mut() {
-            let is_running = matches!(run.standing, RunStanding::Running { .. });
-            if !run.uses_leftover || !is_running || run.pace_percent == percent {
-                continue;
-            }
-            run.pace_percent = percent;
-            self.effects.push(OwnerEffect::Pace(PaceOrder {
-                worker: worker.clone(),
-                address,
-                epoch: self.epoch,
-                task: *task,
-                run: run.run,
-                percent,
-            }));
-        }
-    }
-
     /// When a lease that is given now ends, on the worker's clock in milliseconds.
     /// None when the owner cannot be sure for how long it still is the owner.
     pub(super) fn lease_end(&self, worker: &WorkerName, now: MonoTime) -> Option<u64> {
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -6,6 +6,7 @@
 use crate::owner::HeldEffect;
 use crate::owner::JobOwner;
 use crate::owner::WaitKey;
+use crate::pacing::ImageNumber;
 use crate::planner::TaskDemand;
 use crate::planner::WorkerChoice;
 use crate::state::Assignment;
@@ -69,6 +70,7 @@
                 task,
                 service: &service,
                 step,
+                image: self.image_of(step),
             };
             if let Some(worker) = self.choose_worker(&demand, now) {
                 self.assign(&worker, &demand, now);
@@ -91,6 +93,7 @@
     fn choose_worker(&self, demand: &TaskDemand<'_>, now: MonoTime) -> Option<WorkerName> {
         let choice = WorkerChoice {
             zones_out: &self.zones_out,
+            book: &self.disturbance,
             now,
         };
         let scored = self.workers.iter().filter_map(|(name, view)| {
@@ -125,7 +128,7 @@
         let run = record.run;
         view.add_run(
             task,
-            Self::run_entry(run, demand.step, RunStanding::Planned, now),
+            Self::run_entry(run, demand, RunStanding::Planned, now),
         );
         self.changed.insert(task.job, ());
         self.held.push(HeldEffect::Start {
@@ -135,12 +138,18 @@
         });
     }
 
+    pub(super) fn image_of(&mut self, step: &StepOrder) -> Option<ImageNumber> {
+        let image = step.image.as_ref()?;
+        Some(self.images.number(image))
+    }
+
     pub(super) fn run_entry(
         run: u32,
-        step: &StepOrder,
+        demand: &TaskDemand<'_>,
         standing: RunStanding,
         now: MonoTime,
     ) -> RunEntry {
+        let step = demand.step;
         RunEntry {
             run,
             size: step.size,
@@ -148,6 +157,7 @@
             is_lasting: step.is_lasting,
             saves_progress: step.saves_progress,
             latency_target_ms: step.latency_target_ms,
+            image: demand.image,
             standing,
             since: now,
             stop_due: now,
--- /dev/null
+++ b/crates/jobs/src/pacing/image_table.rs
@@ -0,0 +1,33 @@
+//! Numbers of images.
+
+use crate::pacing::ImageNumber;
+use sapphirestile_core::SortedTable;
+
+/// Gives each image a number.
+///
+/// # Examples
+///
+/// ```
+/// use sapphirestile_jobs::ImageTable;
+///
+/// let mut table = ImageTable::default();
+/// let first = table.number("resize");
+/// assert_ne!(table.number("render"), first);
+/// assert_eq!(table.number("resize"), first);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct ImageTable {
+    numbers: SortedTable<Box<str>, ImageNumber>,
+}
+
+impl ImageTable {
+    /// The number of an image. Those beyond the 65,535th share one.
+    pub fn number(&mut self, image: &str) -> ImageNumber {
+        if let Some(number) = self.numbers.get(image) {
+            return *number;
+        }
+        let next = u16::try_from(self.numbers.len()).unwrap_or(u16::MAX);
+        self.numbers.insert(image.into(), ImageNumber(next));
+        ImageNumber(next)
+    }
+}
--- a/crates/jobs/src/planner/task_demand.rs
+++ b/crates/jobs/src/planner/task_demand.rs
@@ -2,6 +2,7 @@
 
 use crate::order::StepOrder;
 use crate::order::TaskAddress;
+use crate::pacing::ImageNumber;
 
 /// A task that can start, as the choice of its worker sees it.
 #[derive(Clone, Copy, Debug)]
@@ -12,4 +13,6 @@
     pub service: &'a str,
     /// Its step.
     pub step: &'a StepOrder,
+    /// What it runs.
+    pub image: Option<ImageNumber>,
 }
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -1,9 +1,19 @@
 //! A run at a worker.
 
+use crate::order::TaskAddress;
 use crate::order::TaskSize;
+use crate::pacing::FillingRun;
+use crate::pacing::ImageNumber;
+use crate::pacing::ServingRun;
 use crate::worker::RunStanding;
 use sapphirestile_core::MonoTime;
 
+/// A run that loses less than this when it begins anew is as good as one that saved
+/// its progress, in milliseconds.
+const LOST_MAX_MS: u64 = 700;
+
+const MILLI: f64 = 1_000.0;
+
 /// A run that takes room at a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunEntry {
@@ -19,6 +29,8 @@
     pub saves_progress: bool,
     /// The latency that its callers must see, in milliseconds.
     pub latency_target_ms: Option<u64>,
+    /// What it runs.
+    pub image: Option<ImageNumber>,
     /// What is known of it.
     pub standing: RunStanding,
     /// When it was assigned, or found.
@@ -33,6 +45,33 @@
 }
 
 impl RunEntry {
+    /// The run as its neighbours see it, if it has callers.
+    #[must_use]
+    pub fn as_serving(&self) -> Option<ServingRun> {
+        Some(ServingRun {
+            image: self.image?,
+            latency_ms: self.figure,
+            target_ms: self.latency_target_ms?,
+        })
+    }
+
+    /// The run as its neighbours see it, if it uses leftover processor time.
+    #[must_use]
+    pub fn as_filling(&self, task: TaskAddress, now: MonoTime) -> Option<FillingRun> {
+        if !self.uses_leftover || self.is_ending() {
+            return None;
+        }
+        let is_young = now.millis_since(self.since) <= LOST_MAX_MS;
+        Some(FillingRun {
+            task,
+            image: self.image?,
+            processors: processors(self.size.cpu_milli),
+            used_processors: processors(self.figure),
+            pace_percent: self.pace_percent,
+            can_move: self.saves_progress || is_young,
+        })
+    }
+
     /// Whether it is to end.
     #[must_use]
     pub const fn is_ending(&self) -> bool {
@@ -42,3 +81,8 @@
         )
     }
 }
+
+#[expect(clippy::cast_precision_loss, reason = "a worker has few processors")]
+fn processors(milli: u64) -> f64 {
+    milli as f64 / MILLI
+}
--- a/crates/jobs/src/worker/worker_view.rs
+++ b/crates/jobs/src/worker/worker_view.rs
@@ -2,7 +2,8 @@
 
 use crate::order::TaskAddress;
 use crate::order::TaskSize;
-use crate::pacing::PaceKeeper;
+use crate::pacing::FillingRun;
+use crate::pacing::ServingRun;
 use crate::worker::RunEntry;
 use crate::worker::WorkerClock;
 use crate::worker::WorkerEntry;
@@ -10,6 +11,10 @@
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
 
+/// How long the figures of a worker are followed closely after a pace was changed,
+/// in milliseconds.
+const WATCHED_MS: u64 = 3_000;
+
 /// What the owner knows of a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerView {
@@ -36,8 +41,8 @@
     pub ends_stored: u64,
     /// Whether it gets new tasks, by how earlier ones did.
     pub trust: WorkerTrust,
-    /// How fast tasks that use leftover processor time work.
-    pub pace: PaceKeeper,
+    /// When a pace was changed last.
+    pub paced: MonoTime,
     used: TaskSize,
     leftover_cpu_milli: u64,
     lasting_cpu_milli: u64,
@@ -59,7 +64,7 @@
             looked: MonoTime::default(),
             ends_stored: 0,
             trust: WorkerTrust::default(),
-            pace: PaceKeeper::default(),
+            paced: MonoTime::default(),
             used: TaskSize::default(),
             leftover_cpu_milli: 0,
             lasting_cpu_milli: 0,
@@ -87,13 +92,20 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// The highest latency of its runs with callers, in percent of its target.
+    /// Its runs with callers.
+    #[must_use]
+    pub fn serving_runs(&self) -> Vec<ServingRun> {
+        let runs = self.runs.values().filter_map(RunEntry::as_serving);
+        runs.collect()
+    }
+
+    /// Its runs that use leftover processor time and are not about to end.
     #[must_use]
-    pub fn worst_latency_percent(&self) -> Option<u64> {
+    pub fn filling_runs(&self, now: MonoTime) -> Vec<FillingRun> {
         self.runs
-            .values()
-            .filter_map(|run| Some(run.figure * 100 / run.latency_target_ms?.max(1)))
-            .max()
+            .iter()
+            .filter_map(|(task, run)| run.as_filling(*task, now))
+            .collect()
     }
 
     /// Takes a run out; its room is free.
@@ -103,6 +115,12 @@
         removed
     }
 
+    /// Whether its figures are followed closely: a latency was high lately.
+    #[must_use]
+    pub fn is_watched(&self, now: MonoTime) -> bool {
+        self.paced != MonoTime::default() && now.millis_since(self.paced) <= WATCHED_MS
+    }
+
     /// What the runs need, without the processor time of those that use what others
     /// leave.
     #[must_use]
