Tell a run's own load from its neighbours', and let silent leases end

A worker whose latest look had no answer is looked at without one.

Tasks that use leftover time waited (500 of them) with most of it unused: the table took every high latency for the neighbours' doing. Latencies beside paused tasks, in the log of all figures, swing between 31 and 160 ms by themselves and rise steeply near saturation, as in a queue. Loads are added now, not logarithms of latencies, and each run with callers has a load of its own that is followed faster than the table.

Ruled out: the room (1,900 cores were left), the owner's processor time.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -4,9 +4,10 @@
 //! by a [`HeadStep`] when to claim it. A claim is an [`OwnedHead`]. An [`OwnerRun`]
 //! then drives the jobs: it takes [`OwnerEvent`]s, has a [`CommitWriter`] store
 //! batches, and reaches workers through a [`WorkerLinks`] table of
-//! [`WorkerLink`]s.
+//! [`WorkerLink`]s. A [`DecisionLog`] tells what it decided.
 
 mod commit_writer;
+mod decision_log;
 mod head_follower;
 mod head_step;
 mod owned_head;
@@ -25,6 +26,7 @@
 pub use run_sources::RunSources;
 
 pub(crate) use commit_writer::CommitWriter;
+pub(crate) use decision_log::DecisionLog;
 pub(crate) use owned_head::OwnedHead;
 pub(crate) use owner_event::OwnerEvent;
 pub(crate) use owner_run::OwnerRun;
--- /dev/null
+++ b/crates/entry/src/owner/decision_log.rs
@@ -0,0 +1,42 @@
+//! Writes an owner's decisions into the log.
+
+use sapphirestile_jobs::DecisionNote;
+
+/// Writes an owner's decisions into the log. Assignments and runs that are done are
+/// many and expected: all of one step of the owner share a line.
+#[derive(Clone, Copy, Debug)]
+pub struct DecisionLog;
+
+impl DecisionLog {
+    /// Writes the decisions of one step.
+    pub fn write(epoch: u64, notes: &[DecisionNote]) {
+        let mut assigned = Vec::new();
+        let mut done = Vec::new();
+        for note in notes {
+            match note {
+                DecisionNote::Assigned { task, run, worker } => {
+                    assigned.push(format!("{task}#{run}@{worker}"));
+                }
+                DecisionNote::RunOver {
+                    task, run, cause, ..
+                } if cause.is_done() => done.push(format!("{task}#{run}")),
+                DecisionNote::RunOver {
+                    task,
+                    run,
+                    worker,
+                    cause,
+                    age_ms,
+                } => {
+                    tracing::info!(epoch, %task, run, %worker, ?cause, age_ms, "a run is over");
+                }
+                DecisionNote::JobOver { job, standing } => {
+                    tracing::info!(epoch, %job, ?standing, "a job is over");
+                }
+            }
+        }
+        if !assigned.is_empty() || !done.is_empty() {
+            let (assigned, done) = (assigned.join(" "), done.join(" "));
+            tracing::info!(epoch, assigned, done, "tasks were assigned or are done");
+        }
+    }
+}
--- a/crates/entry/src/owner/owner_run.rs
+++ b/crates/entry/src/owner/owner_run.rs
@@ -19,6 +19,7 @@
 
 use crate::context::EntryContext;
 use crate::owner::CommitWriter;
+use crate::owner::DecisionLog;
 use crate::owner::OwnedHead;
 use crate::owner::OwnerEvent;
 use crate::owner::RunSources;
@@ -132,6 +133,7 @@
         for effect in self.owner.take_effects() {
             self.links.carry_out(effect);
         }
+        DecisionLog::write(self.owner.epoch().get(), &self.owner.take_notes());
         self.send_batch(now);
     }
 
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 
 use crate::order::JobIdentity;
+use crate::owner::DecisionNote;
 use crate::owner::HeldEffect;
 use crate::owner::JobEntry;
 use crate::owner::OwnerEffect;
@@ -49,6 +50,7 @@
     /// What waits for the batch that is being stored.
     storing: Option<Vec<HeldEffect>>,
     effects: Vec<OwnerEffect>,
+    notes: Vec<DecisionNote>,
     /// When the latest batch that was stored, or the claim, was sent.
     authority: MonoTime,
     sent: MonoTime,
@@ -82,6 +84,7 @@
             held: Vec::new(),
             storing: None,
             effects: Vec::new(),
+            notes: Vec::new(),
             authority: claimed,
             sent: claimed,
             claimed,
@@ -123,6 +126,12 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// What was decided since the latest call.
+    #[must_use]
+    pub fn take_notes(&mut self) -> Vec<DecisionNote> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// How many jobs the owner looks after, and how many workers.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -5,6 +5,7 @@
 use crate::order::JobIdentity;
 use crate::order::JobOrder;
 use crate::order::TaskAddress;
+use crate::owner::DecisionNote;
 use crate::owner::JobEntry;
 use crate::owner::JobOwner;
 use crate::owner::StoredJob;
@@ -78,6 +79,10 @@
             self.waiting.remove(&key);
         }
         self.changed.insert(identity, ());
+        self.notes.push(DecisionNote::JobOver {
+            job: identity,
+            standing,
+        });
         self.stop_runs_of(identity, now);
     }
 
--- a/crates/jobs/src/owner/job_owner/lapses.rs
+++ b/crates/jobs/src/owner/job_owner/lapses.rs
@@ -4,7 +4,7 @@
 use crate::order::TaskAddress;
 use crate::owner::JobOwner;
 use crate::owner::OwnerEffect;
-use crate::owner::RunResult;
+use crate::owner::RunCause;
 use crate::worker::RunStanding;
 use crate::worker::WorkerView;
 use sapphirestile_core::MonoTime;
@@ -46,7 +46,7 @@
             .map(|(task, _)| *task)
             .collect();
         for task in ended {
-            self.settle_run(name, &task, RunResult::Returned, now, unix_ms);
+            self.settle_run(name, &task, RunCause::Lapsed, now, unix_ms);
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/looks.rs
+++ b/crates/jobs/src/owner/job_owner/looks.rs
@@ -5,7 +5,7 @@
 use crate::owner::JobOwner;
 use crate::owner::LookOrder;
 use crate::owner::OwnerEffect;
-use crate::owner::RunResult;
+use crate::owner::RunCause;
 use crate::owner::StopOrder;
 use crate::worker::EndKind;
 use crate::worker::EndedRun;
@@ -47,6 +47,7 @@
         let Some(view) = self.workers.get_mut(name) else {
             return;
         };
+        let lease_end_ms = lease_end_ms.filter(|_| !view.is_silent);
         let Some(address) = view.entry.as_ref().map(|entry| entry.address) else {
             return;
         };
@@ -91,6 +92,7 @@
                 self.take_answer(name, number, &answer, now, unix_ms);
             }
             LookOutcome::Silent | LookOutcome::OtherLife => {
+                view.is_silent = true;
                 view.is_looked_at = false;
                 view.looked = now.plus_millis(SILENCE_PAUSE_MS);
             }
@@ -119,6 +121,7 @@
             return;
         };
         view.seen = now;
+        view.is_silent = false;
         let last = answer.ended.last().map_or(0, |ended| ended.number);
         if last > view.ends_stored {
             self.held.push(HeldEffect::Look {
@@ -169,7 +172,7 @@
             match standing {
                 RunStanding::Planned => {}
                 RunStanding::Starting => self.stop_run(name, &task, now),
-                _ => self.settle_run(name, &task, RunResult::Returned, now, unix_ms),
+                _ => self.settle_run(name, &task, RunCause::WorkerReborn, now, unix_ms),
             }
         }
     }
@@ -185,20 +188,14 @@
         if known.is_none_or(|run| run.run != ended.run) {
             return;
         }
-        let result = match ended.kind {
-            EndKind::Done => RunResult::Done,
-            EndKind::Failed => RunResult::Failed,
-            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
-                RunResult::Returned
-            }
-        };
-        match result {
-            RunResult::Done => view.trust.note_success(),
-            RunResult::Failed => view.trust.note_failure(now),
-            RunResult::Returned => {}
+        match ended.kind {
+            EndKind::Done => view.trust.note_success(),
+            EndKind::Failed => view.trust.note_failure(now),
+            _ => {}
         }
         self.keep_checkpoint(&ended.task, ended.run, &ended.checkpoint);
-        self.settle_run(name, &ended.task, result, now, unix_ms);
+        let cause = RunCause::Ended(ended.kind);
+        self.settle_run(name, &ended.task, cause, now, unix_ms);
     }
 
     fn take_running(
@@ -269,7 +266,7 @@
             .map(|(task, _)| *task)
             .collect();
         for task in missing {
-            self.settle_run(name, &task, RunResult::Returned, now, unix_ms);
+            self.settle_run(name, &task, RunCause::NotShown, now, unix_ms);
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/orders.rs
+++ b/crates/jobs/src/owner/job_owner/orders.rs
@@ -4,7 +4,7 @@
 use crate::order::TaskAddress;
 use crate::owner::JobOwner;
 use crate::owner::OwnerEffect;
-use crate::owner::RunResult;
+use crate::owner::RunCause;
 use crate::owner::StartOrder;
 use crate::owner::StopOrder;
 use crate::planner::WorkerChoice;
@@ -50,7 +50,7 @@
         let (Some(entry), Some(record), Some(lease_end_ms), true) =
             (open, record, lease_end_ms, is_usable)
         else {
-            self.settle_run(worker, task, RunResult::Returned, now, unix_ms);
+            self.settle_run(worker, task, RunCause::Withdrawn, now, unix_ms);
             return;
         };
         let Some(address) = view.entry.as_ref().map(|entry| entry.address) else {
@@ -110,11 +110,11 @@
                 }
             }
             StartOutcome::TooLate => {
-                self.settle_run(worker, task, RunResult::Returned, now, unix_ms);
+                self.settle_run(worker, task, RunCause::NotTaken(outcome), now, unix_ms);
             }
             _ => {
                 view.trust.note_failure(now);
-                self.settle_run(worker, task, RunResult::Returned, now, unix_ms);
+                self.settle_run(worker, task, RunCause::NotTaken(outcome), now, unix_ms);
             }
         }
     }
--- a/crates/jobs/src/owner/job_owner/paces.rs
+++ b/crates/jobs/src/owner/job_owner/paces.rs
@@ -22,16 +22,17 @@
         };
         let serving = view.serving_runs();
         let filling = view.filling_runs(now);
-        if filling.is_empty() {
-            return;
-        }
         let has_effect =
             view.paced == MonoTime::default() || now.millis_since(view.paced) >= EFFECT_MS;
         if !has_effect {
             return;
         }
-        for run in &serving {
-            self.disturbance.observe(run, &filling);
+        let loads = serving
+            .iter()
+            .map(|run| self.disturbance.observe(run, &filling));
+        let loads: Vec<f64> = loads.collect();
+        if let Some(view) = self.workers.get_mut(name) {
+            view.set_own_loads(&loads);
         }
         let plan = PacePlan {
             book: &self.disturbance,
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -3,6 +3,7 @@
 use crate::order::StepOrder;
 use crate::order::TaskAddress;
 use crate::order::TaskSize;
+use crate::owner::DecisionNote;
 use crate::owner::HeldEffect;
 use crate::owner::JobOwner;
 use crate::owner::WaitKey;
@@ -24,6 +25,9 @@
 /// The pace that a run begins at, in percent.
 const FULL_PACE_PERCENT: u32 = 100;
 
+/// The load that a run with callers is taken to have until it is seen.
+const OWN_LOAD_FIRST: f64 = 0.3;
+
 impl JobOwner {
     /// Assigns tasks that can start to workers with room, the most urgent first.
     /// Returns whether some may be left that could start too.
@@ -131,6 +135,11 @@
             Self::run_entry(run, demand, RunStanding::Planned, now),
         );
         self.changed.insert(task.job, ());
+        self.notes.push(DecisionNote::Assigned {
+            task,
+            run,
+            worker: worker.clone(),
+        });
         self.held.push(HeldEffect::Start {
             worker: worker.clone(),
             task,
@@ -157,6 +166,7 @@
             is_lasting: step.is_lasting,
             saves_progress: step.saves_progress,
             latency_target_ms: step.latency_target_ms,
+            own_load: OWN_LOAD_FIRST,
             image: demand.image,
             standing,
             since: now,
--- a/crates/jobs/src/owner/job_owner/results.rs
+++ b/crates/jobs/src/owner/job_owner/results.rs
@@ -2,8 +2,9 @@
 
 use crate::order::JobIdentity;
 use crate::order::TaskAddress;
+use crate::owner::DecisionNote;
 use crate::owner::JobOwner;
-use crate::owner::RunResult;
+use crate::owner::RunCause;
 use crate::state::JobStanding;
 use crate::state::TaskPhase;
 use sapphirestile_core::MonoTime;
@@ -16,7 +17,7 @@
         &mut self,
         worker: &WorkerName,
         task: &TaskAddress,
-        result: RunResult,
+        cause: RunCause,
         now: MonoTime,
         unix_ms: u64,
     ) {
@@ -27,6 +28,13 @@
         let Some(run) = removed else {
             return;
         };
+        self.notes.push(DecisionNote::RunOver {
+            task: *task,
+            run: run.run,
+            worker: worker.clone(),
+            cause,
+            age_ms: now.millis_since(run.since),
+        });
         let Some(entry) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -40,10 +48,10 @@
             return;
         }
         record.phase = TaskPhase::Waiting;
-        match result {
-            RunResult::Done if !run.is_lasting => record.phase = TaskPhase::Done,
-            RunResult::Failed if !run.is_lasting => record.failures += 1,
-            _ => {}
+        if cause.is_done() && !run.is_lasting {
+            record.phase = TaskPhase::Done;
+        } else if cause.is_failure() && !run.is_lasting {
+            record.failures += 1;
         }
         let is_spent = !run.is_lasting && record.failures >= attempts;
         let is_over = entry.record.standing.is_final();
--- a/crates/jobs/src/pacing/disturbance_book.rs
+++ b/crates/jobs/src/pacing/disturbance_book.rs
@@ -5,21 +5,29 @@
 use crate::pacing::ServingRun;
 use sapphirestile_core::SortedTable;
 
-/// How far an observation moves what is known, as a share of the error.
-const LEARNING_RATE: f64 = 0.25;
+/// How far an observation moves the load that a run is taken to have by itself, as a
+/// share of the error: that load changes within seconds.
+const OWN_RATE: f64 = 0.4;
+
+/// How far it moves what neighbours are taken to add, as a share of the error.
+const PART_RATE: f64 = 0.12;
 
 /// Keeps a step finite where hardly any processor time was used.
 const SMALLEST_POWER: f64 = 4.0;
 
-/// The highest share of its target, in percent, at which a predicted latency still
-/// lets a run in: load changes within seconds.
-const PREDICTED_MAX_PERCENT: f64 = 60.0;
+/// Loads above this are told too low by the latency, which has a highest value.
+const SATURATED_LOAD: f64 = 0.93;
+
+/// The highest share of its target at which a predicted latency still lets a run in.
+const PREDICTED_MAX: f64 = 0.8;
 
-/// Learns how much a processor used by runs of one image slows runs of another.
+/// Learns how much a processor used by runs of one image loads runs of another.
 ///
-/// The logarithm of a latency over the lowest seen of its image is taken for a sum
-/// of what each neighbour adds, in proportion to the processors that it uses. Each
-/// observation moves the parts of its neighbours by normalised least mean squares.
+/// A latency is taken for that of a queue: the lowest seen of its image, divided by
+/// the part of its server that is idle. Loads add up, so what a latency says beyond
+/// a run's own load is its neighbours' doing, in proportion to the processors that
+/// they use. Each observation moves the own load and the neighbours' parts by
+/// normalised least mean squares.
 ///
 /// # Examples
 ///
@@ -40,60 +48,54 @@
 ///     pace_percent: 100,
 ///     can_move: true,
 /// };
-/// let calm = ServingRun { image: desk, latency_ms: 25, target_ms: 150 };
-/// let slow = ServingRun { latency_ms: 500, ..calm };
+/// let calm = ServingRun { image: desk, latency_ms: 25, target_ms: 150, own_load: 0.0 };
 /// let mut book = DisturbanceBook::default();
 /// book.observe(&calm, &[]);
 /// assert!(book.allows(&calm, &[noisy]));
-/// for _ in 0..10 {
-///     book.observe(&slow, &[noisy]);
+/// for _ in 0..30 {
+///     book.observe(&ServingRun { latency_ms: 500, ..calm }, &[noisy]);
 /// }
 /// assert!(!book.allows(&calm, &[noisy]));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct DisturbanceBook {
-    /// What a processor of the first image adds to the logarithm of the second's
-    /// latency.
+    /// The load that a processor of the first image puts on runs of the second.
     parts: SortedTable<(ImageNumber, ImageNumber), f64>,
     /// The lowest latency of an image, in milliseconds.
-    calm_ms: SortedTable<ImageNumber, u64>,
+    lowest_ms: SortedTable<ImageNumber, u64>,
 }
 
 impl DisturbanceBook {
-    /// Learns from a latency beside neighbours.
-    pub fn observe(&mut self, serving: &ServingRun, neighbours: &[FillingRun]) {
+    /// Learns from a latency beside neighbours. Returns the load that the run is
+    /// taken to have by itself.
+    pub fn observe(&mut self, serving: &ServingRun, neighbours: &[FillingRun]) -> f64 {
         if serving.latency_ms == 0 {
-            return;
+            return serving.own_load;
         }
-        let calm_ms = self
-            .calm_ms
+        let lowest_ms = self
+            .lowest_ms
             .get_or_insert_with(serving.image, || serving.latency_ms);
-        *calm_ms = (*calm_ms).min(serving.latency_ms);
-        let observed = logarithm(serving.latency_ms, *calm_ms);
-        let expected: f64 = neighbours
+        *lowest_ms = (*lowest_ms).min(serving.latency_ms);
+        let observed = load_of(serving.latency_ms, *lowest_ms);
+        let added: f64 = neighbours
             .iter()
             .map(|run| self.part(run.image, serving.image) * run.used_processors)
             .sum();
-        let power: f64 = neighbours
-            .iter()
-            .map(|run| run.used_processors * run.used_processors)
-            .sum();
-        let step = LEARNING_RATE * (observed - expected) / power.max(SMALLEST_POWER);
-        for run in neighbours {
-            let part = self
-                .parts
-                .get_or_insert_with((run.image, serving.image), || 0.0);
-            *part = (*part + step * run.used_processors).max(0.0);
+        let error = observed - serving.own_load - added;
+        if observed > SATURATED_LOAD && error < 0.0 {
+            return serving.own_load;
         }
+        self.move_parts(serving.image, neighbours, error);
+        OWN_RATE.mul_add(error, serving.own_load).clamp(0.0, 1.0)
     }
 
-    /// What a run adds to the logarithm of another's latency at its full pace.
+    /// What a run loads another with at its full pace.
     #[must_use]
     pub fn addition(&self, run: &FillingRun, serving: &ServingRun) -> f64 {
         self.part(run.image, serving.image) * run.processors
     }
 
-    /// Whether a run with callers is expected to stay well below its target beside
+    /// Whether a run with callers is expected to stay below its target beside
     /// neighbours at their paces.
     #[must_use]
     pub fn allows(&self, serving: &ServingRun, neighbours: &[FillingRun]) -> bool {
@@ -101,27 +103,47 @@
             .iter()
             .map(|run| self.addition(run, serving) * f64::from(run.pace_percent) / 100.0)
             .sum();
-        added <= self.allowance(serving)
+        serving.own_load + added <= self.load_at(serving, PREDICTED_MAX)
+    }
+
+    /// The load at which the latency of a run is a share of its target.
+    #[must_use]
+    pub fn load_at(&self, serving: &ServingRun, share: f64) -> f64 {
+        let lowest_ms = self.lowest_ms.get(&serving.image).copied().unwrap_or(1);
+        1.0 - millis(lowest_ms) / (millis(serving.target_ms) * share).max(1.0)
     }
 
-    /// How much neighbours may add to the logarithm of a latency.
+    /// The load that the latest latency of a run speaks of.
     #[must_use]
-    pub fn allowance(&self, serving: &ServingRun) -> f64 {
-        let calm_ms = self.calm_ms.get(&serving.image).copied();
-        let highest = logarithm(serving.target_ms, calm_ms.unwrap_or(1).max(1));
-        highest + (PREDICTED_MAX_PERCENT / 100.0).ln()
+    pub fn present_load(&self, serving: &ServingRun) -> f64 {
+        let lowest_ms = self.lowest_ms.get(&serving.image).copied().unwrap_or(1);
+        load_of(serving.latency_ms, lowest_ms)
+    }
+
+    fn move_parts(&mut self, serving: ImageNumber, neighbours: &[FillingRun], error: f64) {
+        let power: f64 = neighbours
+            .iter()
+            .map(|run| run.used_processors * run.used_processors)
+            .sum();
+        let step = PART_RATE * error / power.max(SMALLEST_POWER);
+        for run in neighbours {
+            let pair = (run.image, serving);
+            let part = self.parts.get_or_insert_with(pair, || 0.0);
+            *part = step.mul_add(run.used_processors, *part).max(0.0);
+        }
     }
 
     fn part(&self, filling: ImageNumber, serving: ImageNumber) -> f64 {
-        self.parts
-            .get(&(filling, serving))
-            .copied()
-            .unwrap_or_default()
+        let part = self.parts.get(&(filling, serving));
+        part.copied().unwrap_or_default()
     }
 }
 
-fn logarithm(latency_ms: u64, calm_ms: u64) -> f64 {
-    #[expect(clippy::cast_precision_loss, reason = "milliseconds are few")]
-    let ratio = latency_ms.max(1) as f64 / calm_ms.max(1) as f64;
-    ratio.ln()
+fn load_of(latency_ms: u64, lowest_ms: u64) -> f64 {
+    (1.0 - millis(lowest_ms) / millis(latency_ms).max(1.0)).max(0.0)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "milliseconds are few")]
+fn millis(milliseconds: u64) -> f64 {
+    milliseconds as f64
 }
--- a/crates/jobs/src/pacing/pace_plan.rs
+++ b/crates/jobs/src/pacing/pace_plan.rs
@@ -11,8 +11,8 @@
 /// Latencies up to this share of their targets let a run work faster, in percent.
 const LOW_PERCENT: u64 = 50;
 
-/// The share of its target that a high latency is brought down to, in percent.
-const WANTED_PERCENT: f64 = 45.0;
+/// The share of its target that a high latency is brought down to.
+const WANTED_SHARE: f64 = 0.6;
 
 /// How much of what has to go must be known to be some run's doing; otherwise all
 /// of them are slowed.
@@ -54,8 +54,8 @@
     }
 
     fn slow_down(&self, worst: &ServingRun) -> Vec<PaceStep> {
-        #[expect(clippy::cast_precision_loss, reason = "percents are few")]
-        let excess = (worst.percent() as f64 / WANTED_PERCENT).ln();
+        let wanted = self.book.load_at(worst, WANTED_SHARE);
+        let excess = self.book.present_load(worst) - wanted;
         let mut working: Vec<(&FillingRun, f64)> = self
             .filling
             .iter()
--- a/crates/jobs/src/pacing/serving_run.rs
+++ b/crates/jobs/src/pacing/serving_run.rs
@@ -3,7 +3,7 @@
 use crate::pacing::ImageNumber;
 
 /// A run with callers of its own, as its neighbours see it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServingRun {
     /// What it runs.
     pub image: ImageNumber,
@@ -11,6 +11,8 @@
     pub latency_ms: u64,
     /// The latency that they must see, in milliseconds.
     pub target_ms: u64,
+    /// The load that it is taken to have by itself, from 0 to 1.
+    pub own_load: f64,
 }
 
 impl ServingRun {
--- a/crates/jobs/src/planner/worker_choice.rs
+++ b/crates/jobs/src/planner/worker_choice.rs
@@ -11,7 +11,7 @@
 const SIGHT_MAX_MS: u64 = 2_500;
 
 /// The part of what lasting tasks declare that they use on average, in percent.
-const LASTING_USE_PERCENT: u64 = 60;
+const LASTING_USE_PERCENT: u64 = 50;
 
 /// Whole, in percent.
 const WHOLE_PERCENT: u64 = 100;
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -15,7 +15,7 @@
 const MILLI: f64 = 1_000.0;
 
 /// A run that takes room at a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RunEntry {
     /// The number of the run.
     pub run: u32,
@@ -29,6 +29,8 @@
     pub saves_progress: bool,
     /// The latency that its callers must see, in milliseconds.
     pub latency_target_ms: Option<u64>,
+    /// The load that it is taken to have by itself, from 0 to 1, if it has callers.
+    pub own_load: f64,
     /// What it runs.
     pub image: Option<ImageNumber>,
     /// What is known of it.
@@ -52,6 +54,7 @@
             image: self.image?,
             latency_ms: self.figure,
             target_ms: self.latency_target_ms?,
+            own_load: self.own_load,
         })
     }
 
--- a/crates/jobs/src/worker/worker_view.rs
+++ b/crates/jobs/src/worker/worker_view.rs
@@ -35,6 +35,9 @@
     pub is_looked_at: bool,
     /// When the latest look came back with an answer.
     pub seen: MonoTime,
+    /// Whether the latest look had no answer. Leases are not extended then: an order
+    /// that arrives late would keep runs alive that nobody sees.
+    pub is_silent: bool,
     /// When the latest look was ordered.
     pub looked: MonoTime,
     /// The number of the latest end that is stored.
@@ -61,6 +64,7 @@
             look: 0,
             is_looked_at: false,
             seen: now,
+            is_silent: false,
             looked: MonoTime::default(),
             ends_stored: 0,
             trust: WorkerTrust::default(),
@@ -95,8 +99,20 @@
     /// Its runs with callers.
     #[must_use]
     pub fn serving_runs(&self) -> Vec<ServingRun> {
-        let runs = self.runs.values().filter_map(RunEntry::as_serving);
-        runs.collect()
+        self.runs
+            .values()
+            .filter_map(RunEntry::as_serving)
+            .collect()
+    }
+
+    /// Takes note of the loads that its runs with callers have by themselves, in the
+    /// order of [`WorkerView::serving_runs`].
+    pub fn set_own_loads(&mut self, loads: &[f64]) {
+        let serving = self.runs.iter_mut().map(|(_, run)| run);
+        let serving = serving.filter(|run| run.as_serving().is_some());
+        for (run, load) in serving.zip(loads) {
+            run.own_load = *load;
+        }
     }
 
     /// Its runs that use leftover processor time and are not about to end.
