Keep lasting tasks of one image together, and leave what stands still

Change: a task with callers goes beside others of its image; one that uses leftover time goes where it disturbs least; one that has stood still for a second begins anew elsewhere.

Ruled out: the owner's processor time and the room, by the counts in the log.

--- a/crates/jobs/src/owner/job_owner/paces.rs
+++ b/crates/jobs/src/owner/job_owner/paces.rs
@@ -62,6 +62,7 @@
             return;
         }
         run.pace_percent = percent;
+        run.paced = now;
         view.paced = now;
         self.effects.push(OwnerEffect::Pace(PaceOrder {
             worker: name.clone(),
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -172,6 +172,7 @@
             since: now,
             stop_due: now,
             pace_percent: FULL_PACE_PERCENT,
+            paced: now,
             figure: 0,
         }
     }
--- a/crates/jobs/src/pacing/disturbance_book.rs
+++ b/crates/jobs/src/pacing/disturbance_book.rs
@@ -99,11 +99,18 @@
     /// neighbours at their paces.
     #[must_use]
     pub fn allows(&self, serving: &ServingRun, neighbours: &[FillingRun]) -> bool {
+        self.slack(serving, neighbours) >= 0.0
+    }
+
+    /// How much more load a run with callers is expected to bear beside neighbours at
+    /// their paces; below 0 when it would be too slow.
+    #[must_use]
+    pub fn slack(&self, serving: &ServingRun, neighbours: &[FillingRun]) -> f64 {
         let added: f64 = neighbours
             .iter()
             .map(|run| self.addition(run, serving) * f64::from(run.pace_percent) / 100.0)
             .sum();
-        serving.own_load + added <= self.load_at(serving, PREDICTED_MAX)
+        self.load_at(serving, PREDICTED_MAX) - serving.own_load - added
     }
 
     /// The load at which the latency of a run is a share of its target.
--- a/crates/jobs/src/pacing/pace_plan.rs
+++ b/crates/jobs/src/pacing/pace_plan.rs
@@ -19,7 +19,9 @@
 const KNOWN_SHARE: f64 = 0.5;
 
 /// The paces on the way back up, in percent.
-const PACES: [u32; 3] = [30, 60, 100];
+const PACES: [u32; 3] = [30, 60, FULL_PERCENT];
+
+const FULL_PERCENT: u32 = 100;
 
 /// Plans the paces of one worker from the figures of its runs.
 ///
@@ -40,6 +42,21 @@
     /// What is to be done; empty when all is well.
     #[must_use]
     pub fn steps(&self) -> Vec<PaceStep> {
+        let mut steps = self.leave();
+        steps.extend(self.adapt());
+        steps
+    }
+
+    /// Runs that stand still and would disturb again go elsewhere.
+    fn leave(&self) -> Vec<PaceStep> {
+        let still = self.filling.iter().filter(|run| run.pace_percent == 0);
+        still
+            .filter(|run| run.can_move && !self.may_work(run, FULL_PERCENT))
+            .map(|run| PaceStep::Move(run.task))
+            .collect()
+    }
+
+    fn adapt(&self) -> Vec<PaceStep> {
         let worst = self.serving.iter().max_by_key(|run| run.percent());
         let Some(worst) = worst else {
             return self.speed_up();
@@ -84,7 +101,7 @@
     /// Speeds the run up that disturbs least of those that are slowed, if all stays
     /// well by what is known.
     fn speed_up(&self) -> Vec<PaceStep> {
-        let slowed = self.filling.iter().filter(|run| run.pace_percent < 100);
+        let slowed = self.filling.iter().filter(|run| run.pace_percent < FULL_PERCENT);
         let total = |run: &FillingRun| -> f64 {
             let added = self
                 .serving
@@ -97,27 +114,28 @@
             return Vec::new();
         };
         let next = PACES.iter().find(|&&pace| pace > run.pace_percent);
-        let percent = next.copied().unwrap_or(100);
+        let percent = next.copied().unwrap_or(FULL_PERCENT);
+        if !self.may_work(run, percent) {
+            return Vec::new();
+        }
+        vec![PaceStep::Pace {
+            task: run.task,
+            percent,
+        }]
+    }
+
+    /// Whether all latencies are expected to stay low when a run works at a pace.
+    fn may_work(&self, run: &FillingRun, percent: u32) -> bool {
         let mut after: Vec<FillingRun> = self.filling.to_vec();
         for other in &mut after {
             if other.task == run.task {
                 other.pace_percent = percent;
             }
         }
-        let is_allowed = self
-            .serving
-            .iter()
-            .all(|serving| self.book.allows(serving, &after));
-        if is_allowed {
-            vec![PaceStep::Pace {
-                task: run.task,
-                percent,
-            }]
-        } else if run.can_move {
-            vec![PaceStep::Move(run.task)]
-        } else {
-            Vec::new()
-        }
+        let serving = self.serving.iter();
+        serving
+            .map(|serving| self.book.allows(serving, &after))
+            .all(|is_allowed| is_allowed)
     }
 }
 
--- a/crates/jobs/src/planner/worker_choice.rs
+++ b/crates/jobs/src/planner/worker_choice.rs
@@ -13,6 +13,13 @@
 /// The part of what lasting tasks declare that they use on average, in percent.
 const LASTING_USE_PERCENT: u64 = 50;
 
+/// The slack that a worker without callers counts with: a task that disturbs little
+/// elsewhere leaves it to one that disturbs much.
+const ALONE_SLACK: f64 = 0.15;
+
+/// How much less the processor time that is left counts than the slack.
+const LEFT_DIVISOR: i64 = 4;
+
 /// Whole, in percent.
 const WHOLE_PERCENT: u64 = 100;
 
@@ -53,11 +60,11 @@
     /// How well a task would do on a worker: the higher the better, none when it
     /// may not start there.
     ///
-    /// A task with processor time of its own goes where the least is free, so that
-    /// other workers stay without tasks that have callers: those are for tasks that
-    /// disturb. One that uses what others leave goes nowhere when less than it can
-    /// use is left, since two tasks at half the pace both end late, nor beside tasks
-    /// with callers that it is known to slow; beside others it goes first.
+    /// A task with processor time of its own goes where the least is free; one with
+    /// callers goes beside others of its image, since each image is disturbed by some
+    /// others only. A task that uses what others leave goes nowhere when less than it
+    /// can use is left, since two tasks at half the pace both end late, nor where a
+    /// task with callers would become too slow; it goes where it disturbs least.
     #[must_use]
     pub fn score(&self, demand: &TaskDemand<'_>, worker: &WorkerView) -> Option<i64> {
         let entry = worker.entry.as_ref()?;
@@ -80,7 +87,8 @@
             return self.leftover_score(demand, capacity, worker);
         }
         let free = capacity.saturating_sub(worker.used().cpu_milli);
-        Some(-share_of(free, capacity))
+        let others = other_images(demand, worker);
+        Some(-share_of(free, capacity) - others * SCORE_SCALE)
     }
 
     fn leftover_score(
@@ -101,14 +109,25 @@
         if let Some(image) = demand.image {
             neighbours.push(FillingRun::wanted(demand, image));
         }
-        let is_allowed = serving
+        let slacks = serving
             .iter()
-            .all(|serving| self.book.allows(serving, &neighbours));
-        let beside = if serving.is_empty() { 0 } else { SCORE_SCALE };
-        is_allowed.then(|| share_of(left, capacity) + beside)
+            .map(|serving| self.book.slack(serving, &neighbours));
+        let slack = slacks.min_by(f64::total_cmp).unwrap_or(ALONE_SLACK);
+        (slack >= 0.0).then(|| scaled(slack) + share_of(left, capacity) / LEFT_DIVISOR)
     }
 }
 
+/// How many runs with callers a worker has that run another image than a task with
+/// callers. Kept apart by image, they leave workers for tasks that disturb only some.
+fn other_images(demand: &TaskDemand<'_>, worker: &WorkerView) -> i64 {
+    if demand.step.latency_target_ms.is_none() {
+        return 0;
+    }
+    let serving = worker.serving_runs();
+    let others = serving.iter().filter(|run| Some(run.image) != demand.image);
+    i64::try_from(others.count()).unwrap_or(i64::MAX / SCORE_SCALE)
+}
+
 fn has_label(demand: &TaskDemand<'_>, labels: &[Box<str>]) -> bool {
     let required = demand.step.required_label.as_ref();
     required.is_none_or(|label| labels.contains(label))
@@ -124,3 +143,8 @@
     let whole = i64::try_from(whole).unwrap_or(i64::MAX);
     part.saturating_mul(SCORE_SCALE) / whole
 }
+
+#[expect(clippy::cast_possible_truncation, reason = "a load is between -1 and 1")]
+fn scaled(load: f64) -> i64 {
+    (load * 10_000.0) as i64
+}
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -12,6 +12,10 @@
 /// its progress, in milliseconds.
 const LOST_MAX_MS: u64 = 700;
 
+/// A run that stands still for so long had better begin anew elsewhere, in
+/// milliseconds.
+const STILL_MAX_MS: u64 = 1_000;
+
 const MILLI: f64 = 1_000.0;
 
 /// A run that takes room at a worker.
@@ -41,6 +45,8 @@
     pub stop_due: MonoTime,
     /// The pace that it was told, in percent.
     pub pace_percent: u32,
+    /// When it was told that pace.
+    pub paced: MonoTime,
     /// Its latest figure: a latency or processor time, as in a
     /// [`RunningRun`](crate::RunningRun).
     pub figure: u64,
@@ -65,13 +71,15 @@
             return None;
         }
         let is_young = now.millis_since(self.since) <= LOST_MAX_MS;
+        let stands_still =
+            self.pace_percent == 0 && now.millis_since(self.paced) >= STILL_MAX_MS;
         Some(FillingRun {
             task,
             image: self.image?,
             processors: processors(self.size.cpu_milli),
             used_processors: processors(self.figure),
             pace_percent: self.pace_percent,
-            can_move: self.saves_progress || is_young,
+            can_move: self.saves_progress || is_young || stands_still,
         })
     }
 
