Order jobs by what is still to be had, and follow loads by job

And the log of latencies shows that the tasks of one job have their load at the same time, while each run's load was followed by itself.

Change: a job that has begun and can end in time comes first, then one that can, then late ones, then those of no use; expected durations are learnt by queue.

Ruled out: shortest job first, which would starve the largest tenth.

--- a/crates/entry/src/owner/owner_run/event_steps.rs
+++ b/crates/entry/src/owner/owner_run/event_steps.rs
@@ -64,7 +64,7 @@
         let unix_ms = MonoClock::unix_millis();
         match event {
             IntakeEvent::Ordered { identity, order } => {
-                self.owner.accept_job(identity, order, unix_ms);
+                self.owner.accept_job(identity, order, now, unix_ms);
             }
             IntakeEvent::Cancelled(identity) => self.owner.cancel_job(identity, now),
         }
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -19,6 +19,8 @@
     pub record: JobRecord,
     /// Where it waits, while a task of it can start.
     pub wait_key: Option<WaitKey>,
+    /// When it was handed in.
+    pub since: MonoTime,
     /// When it was over.
     pub ended: Option<MonoTime>,
 }
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -21,6 +21,7 @@
 use crate::owner::WaitKey;
 use crate::pacing::DisturbanceBook;
 use crate::pacing::ImageTable;
+use crate::planner::DurationBook;
 use crate::policy::DeployedConfig;
 use crate::worker::WorkerView;
 use sapphirestile_core::CellEpoch;
@@ -58,6 +59,7 @@
     is_deposed: bool,
     images: ImageTable,
     disturbance: DisturbanceBook,
+    durations: DurationBook,
 }
 
 impl JobOwner {
@@ -91,6 +93,7 @@
             is_deposed: false,
             images: ImageTable::default(),
             disturbance: DisturbanceBook::default(),
+            durations: DurationBook::default(),
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -28,11 +28,13 @@
             return;
         }
         let record = stored.record.unwrap_or_default();
+        let accepted_unix_ms = stored.order.accepted_unix_ms;
         let entry = JobEntry {
             order: Arc::new(stored.order),
             ended: record.standing.is_final().then_some(now),
             record,
             wait_key: None,
+            since: before(now, unix_ms.saturating_sub(accepted_unix_ms)),
         };
         self.inherit_runs(identity, &entry, now);
         self.jobs.insert(identity, Box::new(entry));
@@ -43,7 +45,13 @@
     }
 
     /// Takes a new job.
-    pub fn accept_job(&mut self, identity: JobIdentity, order: JobOrder, unix_ms: u64) {
+    pub fn accept_job(
+        &mut self,
+        identity: JobIdentity,
+        order: JobOrder,
+        now: MonoTime,
+        unix_ms: u64,
+    ) {
         if self.jobs.contains(&identity) {
             return;
         }
@@ -51,6 +59,7 @@
             order: Arc::new(order),
             record: JobRecord::default(),
             wait_key: None,
+            since: now,
             ended: None,
         };
         self.jobs.insert(identity, Box::new(entry));
@@ -78,6 +87,7 @@
         if let Some(key) = entry.wait_key.take() {
             self.waiting.remove(&key);
         }
+        self.disturbance.forget(&identity);
         self.changed.insert(identity, ());
         self.notes.push(DecisionNote::JobOver {
             job: identity,
@@ -168,6 +178,11 @@
     }
 }
 
+/// The time so long before another, or the origin of the clock.
+fn before(now: MonoTime, milliseconds: u64) -> MonoTime {
+    MonoTime::from_millis(now.as_millis().saturating_sub(milliseconds))
+}
+
 fn is_next_due(entry: &JobEntry, unix_ms: u64) -> bool {
     let repeat = entry.order.repeat;
     repeat.is_none_or(|rule| rule.due_unix_ms(entry.record.begun) <= unix_ms)
--- a/crates/jobs/src/owner/job_owner/orders.rs
+++ b/crates/jobs/src/owner/job_owner/orders.rs
@@ -7,7 +7,6 @@
 use crate::owner::RunCause;
 use crate::owner::StartOrder;
 use crate::owner::StopOrder;
-use crate::planner::WorkerChoice;
 use crate::worker::RunStanding;
 use crate::worker::StartOutcome;
 use crate::worker::StopOutcome;
@@ -28,16 +27,14 @@
         now: MonoTime,
         unix_ms: u64,
     ) {
-        let choice = WorkerChoice {
-            zones_out: &self.zones_out,
-            book: &self.disturbance,
-            now,
-        };
+        let is_usable = self
+            .workers
+            .get(worker)
+            .is_some_and(|view| self.worker_choice(now).is_usable(view));
         let lease_end_ms = self.lease_end(worker, now);
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
-        let is_usable = choice.is_usable(view);
         let Some(run) = view.runs.get_mut(task) else {
             return;
         };
--- a/crates/jobs/src/owner/job_owner/paces.rs
+++ b/crates/jobs/src/owner/job_owner/paces.rs
@@ -27,12 +27,8 @@
         if !has_effect {
             return;
         }
-        let loads = serving
-            .iter()
-            .map(|run| self.disturbance.observe(run, &filling));
-        let loads: Vec<f64> = loads.collect();
-        if let Some(view) = self.workers.get_mut(name) {
-            view.set_own_loads(&loads);
+        for run in &serving {
+            self.disturbance.observe(run, &filling);
         }
         let plan = PacePlan {
             book: &self.disturbance,
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -8,6 +8,7 @@
 use crate::owner::JobOwner;
 use crate::owner::WaitKey;
 use crate::pacing::ImageNumber;
+use crate::planner::JobUrgency;
 use crate::planner::TaskDemand;
 use crate::planner::WorkerChoice;
 use crate::state::Assignment;
@@ -25,15 +26,16 @@
 /// The pace that a run begins at, in percent.
 const FULL_PACE_PERCENT: u32 = 100;
 
-/// The load that a run with callers is taken to have until it is seen.
-const OWN_LOAD_FIRST: f64 = 0.3;
+/// One worker in so many is kept without callers, for tasks that disturb, while
+/// others have room.
+const KEPT_DIVISOR: usize = 6;
 
 impl JobOwner {
     /// Assigns tasks that can start to workers with room, the most urgent first.
     /// Returns whether some may be left that could start too.
     pub fn plan_starts(&mut self, now: MonoTime, unix_ms: u64) -> bool {
         self.begin_due(unix_ms);
-        let keys: Vec<WaitKey> = self.waiting.keys().copied().collect();
+        let keys = self.waiting_by_urgency(now);
         let mut planned = 0;
         let mut unplaced: Vec<(TaskSize, bool)> = Vec::new();
         for key in keys {
@@ -45,6 +47,30 @@
         false
     }
 
+    /// The jobs with a task that can start, the most urgent first.
+    fn waiting_by_urgency(&self, now: MonoTime) -> Vec<WaitKey> {
+        let urgency = |key: &WaitKey| {
+            let entry = self.jobs.get(&key.job)?;
+            let queue = self.config.queues.get(&entry.order.queue);
+            let age_ms = now.millis_since(entry.since);
+            let record = &entry.record;
+            Some(JobUrgency::of(
+                &entry.order,
+                record,
+                queue,
+                &self.durations,
+                age_ms,
+            ))
+        };
+        let mut keys: Vec<(Option<JobUrgency>, WaitKey)> = self
+            .waiting
+            .keys()
+            .map(|key| (urgency(key), *key))
+            .collect();
+        keys.sort_unstable();
+        keys.into_iter().map(|(_, key)| key).collect()
+    }
+
     fn plan_job(
         &mut self,
         key: &WaitKey,
@@ -95,11 +121,7 @@
     }
 
     fn choose_worker(&self, demand: &TaskDemand<'_>, now: MonoTime) -> Option<WorkerName> {
-        let choice = WorkerChoice {
-            zones_out: &self.zones_out,
-            book: &self.disturbance,
-            now,
-        };
+        let choice = self.worker_choice(now);
         let scored = self.workers.iter().filter_map(|(name, view)| {
             let score = choice.score(demand, view)?;
             Some((score, name))
@@ -109,6 +131,23 @@
             .map(|(_, name)| name.clone())
     }
 
+    /// What is known of workers now.
+    pub(super) fn worker_choice(&self, now: MonoTime) -> WorkerChoice<'_> {
+        let choice = WorkerChoice {
+            zones_out: &self.zones_out,
+            book: &self.disturbance,
+            may_open: false,
+            now,
+        };
+        let usable = || self.workers.values().filter(|view| choice.is_usable(view));
+        let without_callers = usable().filter(|view| !view.has_callers()).count();
+        let kept = usable().count() / KEPT_DIVISOR;
+        WorkerChoice {
+            may_open: without_callers > kept,
+            ..choice
+        }
+    }
+
     fn assign(&mut self, worker: &WorkerName, demand: &TaskDemand<'_>, now: MonoTime) {
         let task = demand.task;
         let Some(view) = self.workers.get_mut(worker) else {
@@ -166,7 +205,6 @@
             is_lasting: step.is_lasting,
             saves_progress: step.saves_progress,
             latency_target_ms: step.latency_target_ms,
-            own_load: OWN_LOAD_FIRST,
             image: demand.image,
             standing,
             since: now,
--- a/crates/jobs/src/owner/job_owner/results.rs
+++ b/crates/jobs/src/owner/job_owner/results.rs
@@ -50,6 +50,8 @@
         record.phase = TaskPhase::Waiting;
         if cause.is_done() && !run.is_lasting {
             record.phase = TaskPhase::Done;
+            let ran_ms = now.millis_since(run.since);
+            self.durations.observe(&entry.order.queue, ran_ms);
         } else if cause.is_failure() && !run.is_lasting {
             record.failures += 1;
         }
--- a/crates/jobs/src/pacing/disturbance_book.rs
+++ b/crates/jobs/src/pacing/disturbance_book.rs
@@ -1,13 +1,17 @@
 //! How much images disturb each other.
 
+use crate::order::JobIdentity;
 use crate::pacing::FillingRun;
 use crate::pacing::ImageNumber;
 use crate::pacing::ServingRun;
 use sapphirestile_core::SortedTable;
 
-/// How far an observation moves the load that a run is taken to have by itself, as a
+/// How far an observation moves the load that a job is taken to have by itself, as a
 /// share of the error: that load changes within seconds.
-const OWN_RATE: f64 = 0.4;
+const OWN_RATE: f64 = 0.25;
+
+/// The load that a job is taken to have until it is seen.
+const OWN_LOAD_FIRST: f64 = 0.3;
 
 /// How far it moves what neighbours are taken to add, as a share of the error.
 const PART_RATE: f64 = 0.12;
@@ -25,7 +29,7 @@
 ///
 /// A latency is taken for that of a queue: the lowest seen of its image, divided by
 /// the part of its server that is idle. Loads add up, so what a latency says beyond
-/// a run's own load is its neighbours' doing, in proportion to the processors that
+/// its job's own load is its neighbours' doing, in proportion to the processors that
 /// they use. Each observation moves the own load and the neighbours' parts by
 /// normalised least mean squares.
 ///
@@ -48,7 +52,8 @@
 ///     pace_percent: 100,
 ///     can_move: true,
 /// };
-/// let calm = ServingRun { image: desk, latency_ms: 25, target_ms: 150, own_load: 0.0 };
+/// let job = noisy.task.job;
+/// let calm = ServingRun { job, image: desk, latency_ms: 25, target_ms: 150 };
 /// let mut book = DisturbanceBook::default();
 /// book.observe(&calm, &[]);
 /// assert!(book.allows(&calm, &[noisy]));
@@ -61,16 +66,17 @@
 pub struct DisturbanceBook {
     /// The load that a processor of the first image puts on runs of the second.
     parts: SortedTable<(ImageNumber, ImageNumber), f64>,
+    /// The load that a job has by itself, from 0 to 1.
+    own_loads: SortedTable<JobIdentity, f64>,
     /// The lowest latency of an image, in milliseconds.
     lowest_ms: SortedTable<ImageNumber, u64>,
 }
 
 impl DisturbanceBook {
-    /// Learns from a latency beside neighbours. Returns the load that the run is
-    /// taken to have by itself.
-    pub fn observe(&mut self, serving: &ServingRun, neighbours: &[FillingRun]) -> f64 {
+    /// Learns from a latency beside neighbours.
+    pub fn observe(&mut self, serving: &ServingRun, neighbours: &[FillingRun]) {
         if serving.latency_ms == 0 {
-            return serving.own_load;
+            return;
         }
         let lowest_ms = self
             .lowest_ms
@@ -81,12 +87,14 @@
             .iter()
             .map(|run| self.part(run.image, serving.image) * run.used_processors)
             .sum();
-        let error = observed - serving.own_load - added;
+        let own_load = self.own_load(serving);
+        let error = observed - own_load - added;
         if observed > SATURATED_LOAD && error < 0.0 {
-            return serving.own_load;
+            return;
         }
+        let own_load = OWN_RATE.mul_add(error, own_load).clamp(0.0, 1.0);
+        self.own_loads.insert(serving.job, own_load);
         self.move_parts(serving.image, neighbours, error);
-        OWN_RATE.mul_add(error, serving.own_load).clamp(0.0, 1.0)
     }
 
     /// What a run loads another with at its full pace.
@@ -110,7 +118,7 @@
             .iter()
             .map(|run| self.addition(run, serving) * f64::from(run.pace_percent) / 100.0)
             .sum();
-        self.load_at(serving, PREDICTED_MAX) - serving.own_load - added
+        self.load_at(serving, PREDICTED_MAX) - self.own_load(serving) - added
     }
 
     /// The load at which the latency of a run is a share of its target.
@@ -127,6 +135,16 @@
         load_of(serving.latency_ms, lowest_ms)
     }
 
+    /// Forgets a job that is over.
+    pub fn forget(&mut self, job: &JobIdentity) {
+        self.own_loads.remove(job);
+    }
+
+    fn own_load(&self, serving: &ServingRun) -> f64 {
+        let own_load = self.own_loads.get(&serving.job);
+        own_load.copied().unwrap_or(OWN_LOAD_FIRST)
+    }
+
     fn move_parts(&mut self, serving: ImageNumber, neighbours: &[FillingRun], error: f64) {
         let power: f64 = neighbours
             .iter()
--- a/crates/jobs/src/pacing/pace_plan.rs
+++ b/crates/jobs/src/pacing/pace_plan.rs
@@ -101,7 +101,10 @@
     /// Speeds the run up that disturbs least of those that are slowed, if all stays
     /// well by what is known.
     fn speed_up(&self) -> Vec<PaceStep> {
-        let slowed = self.filling.iter().filter(|run| run.pace_percent < FULL_PERCENT);
+        let slowed = self
+            .filling
+            .iter()
+            .filter(|run| run.pace_percent < FULL_PERCENT);
         let total = |run: &FillingRun| -> f64 {
             let added = self
                 .serving
--- a/crates/jobs/src/pacing/serving_run.rs
+++ b/crates/jobs/src/pacing/serving_run.rs
@@ -1,18 +1,19 @@
 //! A run with callers of its own.
 
+use crate::order::JobIdentity;
 use crate::pacing::ImageNumber;
 
 /// A run with callers of its own, as its neighbours see it.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServingRun {
+    /// Its job: its tasks share what callers bring.
+    pub job: JobIdentity,
     /// What it runs.
     pub image: ImageNumber,
     /// The latency that its callers see, in milliseconds; 0 when not known yet.
     pub latency_ms: u64,
     /// The latency that they must see, in milliseconds.
     pub target_ms: u64,
-    /// The load that it is taken to have by itself, from 0 to 1.
-    pub own_load: f64,
 }
 
 impl ServingRun {
--- a/crates/jobs/src/planner/worker_choice.rs
+++ b/crates/jobs/src/planner/worker_choice.rs
@@ -2,6 +2,7 @@
 
 use crate::pacing::DisturbanceBook;
 use crate::pacing::FillingRun;
+use crate::pacing::ServingRun;
 use crate::planner::TaskDemand;
 use crate::worker::WorkerView;
 use sapphirestile_core::MonoTime;
@@ -17,6 +18,19 @@
 /// elsewhere leaves it to one that disturbs much.
 const ALONE_SLACK: f64 = 0.15;
 
+/// What a worker without callers costs a task with callers, against runs of others
+/// beside it.
+const OPEN_COST: i64 = 1;
+
+/// What a run of another job with the same image costs: it has its load at other times.
+const OTHER_JOB_COST: i64 = 1;
+
+/// What a run of another image costs.
+const STRANGER_COST: i64 = 3;
+
+/// What is chosen only when nothing else is left.
+const LAST_COST: i64 = 1_000;
+
 /// How much less the processor time that is left counts than the slack.
 const LEFT_DIVISOR: i64 = 4;
 
@@ -37,6 +51,8 @@
     pub zones_out: &'a [ZoneName],
     /// How much images disturb each other.
     pub book: &'a DisturbanceBook,
+    /// Whether workers without callers are left to be given some.
+    pub may_open: bool,
     /// The time.
     pub now: MonoTime,
 }
@@ -87,8 +103,31 @@
             return self.leftover_score(demand, capacity, worker);
         }
         let free = capacity.saturating_sub(worker.used().cpu_milli);
-        let others = other_images(demand, worker);
-        Some(-share_of(free, capacity) - others * SCORE_SCALE)
+        let strangeness = self.strangeness(demand, worker);
+        Some(-share_of(free, capacity) - strangeness * SCORE_SCALE)
+    }
+
+    /// How little a task with callers belongs on a worker: by the runs of other jobs
+    /// and other images there. A worker without callers comes before such a mixture only while enough
+    /// are left for tasks that disturb.
+    fn strangeness(&self, demand: &TaskDemand<'_>, worker: &WorkerView) -> i64 {
+        if demand.step.latency_target_ms.is_none() {
+            return 0;
+        }
+        let serving = worker.serving_runs();
+        if serving.is_empty() {
+            return if self.may_open { OPEN_COST } else { LAST_COST };
+        }
+        let cost = |run: &ServingRun| {
+            if run.job == demand.task.job {
+                0
+            } else if Some(run.image) == demand.image {
+                OTHER_JOB_COST
+            } else {
+                STRANGER_COST
+            }
+        };
+        serving.iter().map(cost).sum()
     }
 
     fn leftover_score(
@@ -117,17 +156,6 @@
     }
 }
 
-/// How many runs with callers a worker has that run another image than a task with
-/// callers. Kept apart by image, they leave workers for tasks that disturb only some.
-fn other_images(demand: &TaskDemand<'_>, worker: &WorkerView) -> i64 {
-    if demand.step.latency_target_ms.is_none() {
-        return 0;
-    }
-    let serving = worker.serving_runs();
-    let others = serving.iter().filter(|run| Some(run.image) != demand.image);
-    i64::try_from(others.count()).unwrap_or(i64::MAX / SCORE_SCALE)
-}
-
 fn has_label(demand: &TaskDemand<'_>, labels: &[Box<str>]) -> bool {
     let required = demand.step.required_label.as_ref();
     required.is_none_or(|label| labels.contains(label))
@@ -144,7 +172,10 @@
     part.saturating_mul(SCORE_SCALE) / whole
 }
 
-#[expect(clippy::cast_possible_truncation, reason = "a load is between -1 and 1")]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "a load is between -1 and 1"
+)]
 fn scaled(load: f64) -> i64 {
     (load * 10_000.0) as i64
 }
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -19,7 +19,7 @@
 const MILLI: f64 = 1_000.0;
 
 /// A run that takes room at a worker.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunEntry {
     /// The number of the run.
     pub run: u32,
@@ -33,8 +33,6 @@
     pub saves_progress: bool,
     /// The latency that its callers must see, in milliseconds.
     pub latency_target_ms: Option<u64>,
-    /// The load that it is taken to have by itself, from 0 to 1, if it has callers.
-    pub own_load: f64,
     /// What it runs.
     pub image: Option<ImageNumber>,
     /// What is known of it.
@@ -55,12 +53,12 @@
 impl RunEntry {
     /// The run as its neighbours see it, if it has callers.
     #[must_use]
-    pub fn as_serving(&self) -> Option<ServingRun> {
+    pub fn as_serving(&self, task: TaskAddress) -> Option<ServingRun> {
         Some(ServingRun {
+            job: task.job,
             image: self.image?,
             latency_ms: self.figure,
             target_ms: self.latency_target_ms?,
-            own_load: self.own_load,
         })
     }
 
@@ -71,8 +69,7 @@
             return None;
         }
         let is_young = now.millis_since(self.since) <= LOST_MAX_MS;
-        let stands_still =
-            self.pace_percent == 0 && now.millis_since(self.paced) >= STILL_MAX_MS;
+        let stands_still = self.pace_percent == 0 && now.millis_since(self.paced) >= STILL_MAX_MS;
         Some(FillingRun {
             task,
             image: self.image?,
--- a/crates/jobs/src/worker/worker_view.rs
+++ b/crates/jobs/src/worker/worker_view.rs
@@ -96,23 +96,21 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Its runs with callers.
+    /// Whether it has runs with callers.
     #[must_use]
-    pub fn serving_runs(&self) -> Vec<ServingRun> {
+    pub fn has_callers(&self) -> bool {
         self.runs
             .values()
-            .filter_map(RunEntry::as_serving)
-            .collect()
+            .any(|run| run.latency_target_ms.is_some())
     }
 
-    /// Takes note of the loads that its runs with callers have by themselves, in the
-    /// order of [`WorkerView::serving_runs`].
-    pub fn set_own_loads(&mut self, loads: &[f64]) {
-        let serving = self.runs.iter_mut().map(|(_, run)| run);
-        let serving = serving.filter(|run| run.as_serving().is_some());
-        for (run, load) in serving.zip(loads) {
-            run.own_load = *load;
-        }
+    /// Its runs with callers.
+    #[must_use]
+    pub fn serving_runs(&self) -> Vec<ServingRun> {
+        self.runs
+            .iter()
+            .filter_map(|(task, run)| run.as_serving(*task))
+            .collect()
     }
 
     /// Its runs that use leftover processor time and are not about to end.
--- a/crates/jobs/tests/storm/storm_world.rs
+++ b/crates/jobs/tests/storm/storm_world.rs
@@ -497,7 +497,7 @@
         if !is_away {
             owner.replace_list(entries, now);
             for (identity, order) in orders {
-                owner.accept_job(identity, order, unix_ms);
+                owner.accept_job(identity, order, now, unix_ms);
             }
             for identity in cancelled {
                 owner.cancel_job(identity, now);
