--- a/crates/jobs/src/pacing/pace_plan.rs
+++ b/crates/jobs/src/pacing/pace_plan.rs
@@ -135,10 +135,8 @@
                 other.pace_percent = percent;
             }
         }
-        let serving = self.serving.iter();
-        serving
-            .map(|serving| self.book.allows(serving, &after))
-            .all(|is_allowed| is_allowed)
+        let mut serving = self.serving.iter();
+        serving.all(|serving| self.book.allows(serving, &after))
     }
 }
 
