Send no start that waited behind others, place gangs, copy stragglers

Gangs are placed whole under one run number; a task that may be copied is, at twice the mean of its queue; a run at four times the mean on a worker that stands still is given up; a task that found no worker rules out only tasks of its image.

--- a/crates/entry/src/owner/worker_links.rs
+++ b/crates/entry/src/owner/worker_links.rs
@@ -35,7 +35,7 @@
             OwnerEffect::Look(order) => self.link(&order.worker.clone()).look(order),
             OwnerEffect::Start(order) => {
                 let worker = order.worker.clone();
-                self.link(&worker).order(WorkerOrder::Start(order));
+                self.link(&worker).start(order);
             }
             OwnerEffect::Stop(order) => {
                 let worker = order.worker.clone();
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -56,6 +56,7 @@
 pub use planner::DurationBook;
 pub use planner::JobUrgency;
 pub use planner::TaskDemand;
+pub use planner::UnplacedDemands;
 pub use planner::UrgencyClass;
 pub use planner::WorkerChoice;
 pub use policy::CallerLimits;
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -38,7 +38,13 @@
             open.map(move |step| (occurrence, step))
         });
         steps.flat_map(move |(occurrence, step)| {
-            let tasks = occurrence.steps[step].tasks.iter().enumerate();
+            let record = &occurrence.steps[step];
+            let is_whole = !self.order.steps[step].is_gang
+                || record
+                    .tasks
+                    .iter()
+                    .all(|task| task.phase == TaskPhase::Waiting);
+            let tasks = record.tasks.iter().enumerate().filter(move |_| is_whole);
             let waiting = tasks.filter(|(_, task)| task.phase == TaskPhase::Waiting);
             waiting.map(move |(index, _)| TaskDemand {
                 task: TaskAddress {
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -1,6 +1,7 @@
 //! The owner of the jobs and workers of a cell.
 
 mod batches;
+mod gangs;
 mod intake;
 mod lapses;
 mod looks;
@@ -8,6 +9,7 @@
 mod paces;
 mod planning;
 mod results;
+mod stragglers;
 mod worker_list;
 
 use std::sync::Arc;
--- a/crates/jobs/src/owner/job_owner/lapses.rs
+++ b/crates/jobs/src/owner/job_owner/lapses.rs
@@ -22,6 +22,7 @@
             self.send_due_stops(&name, now);
             self.lapse_worker(&name, now, unix_ms);
         }
+        self.relieve_stragglers(now);
         self.forget_workers();
         self.forget_jobs(now);
     }
--- a/crates/jobs/src/owner/job_owner/looks.rs
+++ b/crates/jobs/src/owner/job_owner/looks.rs
@@ -168,7 +168,10 @@
             return;
         }
         match ended.kind {
-            EndKind::Done => view.trust.note_success(),
+            EndKind::Done => {
+                view.trust.note_success();
+                view.did = now;
+            }
             EndKind::Failed => view.trust.note_failure(now),
             _ => {}
         }
@@ -256,11 +259,20 @@
         let Some(entry) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        if let Some(record) = entry.record.task_mut(task)
-            && record.run == number
-            && *record.checkpoint != *checkpoint
-        {
-            record.checkpoint = checkpoint.into();
+        let gang = if entry.order.steps[task.step as usize].is_gang {
+            0..entry.order.steps[task.step as usize].tasks
+        } else {
+            task.index..task.index + 1
+        };
+        // What one member of a gang saved is good for all, and all go on from the same.
+        for index in gang {
+            let member = TaskAddress { index, ..*task };
+            if let Some(record) = entry.record.task_mut(&member)
+                && record.run == number
+                && *record.checkpoint != *checkpoint
+            {
+                record.checkpoint = checkpoint.into();
+            }
         }
     }
 }
--- a/crates/jobs/src/owner/job_owner/results.rs
+++ b/crates/jobs/src/owner/job_owner/results.rs
@@ -39,15 +39,19 @@
             return;
         };
         let attempts = entry.order.terms.attempts;
+        let step = &entry.order.steps[task.step as usize];
+        let (is_gang, allows_copies) = (step.is_gang, step.allows_copies);
         let Some(record) = entry.record.task_mut(task) else {
             return;
         };
-        let is_current = matches!(&record.phase, TaskPhase::Assigned(assignment)
-            if assignment.worker == *worker);
-        if record.run != run.run || !is_current {
+        let is_current = record.run == run.run && record.is_assigned_to(worker);
+        let is_copy = allows_copies && record.phase != TaskPhase::Done;
+        if !is_current && !is_copy {
             return;
         }
-        record.phase = TaskPhase::Waiting;
+        if is_current {
+            record.phase = TaskPhase::Waiting;
+        }
         if cause.is_done() && !run.is_lasting {
             record.phase = TaskPhase::Done;
             let ran_ms = now.millis_since(run.since);
@@ -55,12 +59,23 @@
         } else if cause.is_failure() && !run.is_lasting {
             record.failures += 1;
         }
-        let is_spent = !run.is_lasting && record.failures >= attempts;
+        let failures = if is_gang {
+            entry.record.failures_of_step(task)
+        } else {
+            entry.record.task(task).map_or(0, |record| record.failures)
+        };
+        let is_spent = !run.is_lasting && failures >= attempts;
         let is_over = entry.record.standing.is_final();
         self.changed.insert(task.job, ());
         if is_over {
             return;
         }
+        if is_gang {
+            self.end_gang(task, cause, now, unix_ms);
+        }
+        if allows_copies && cause.is_done() {
+            self.stop_copies(task, now);
+        }
         if is_spent {
             self.end_job(task.job, JobStanding::Failed, now);
         } else {
--- a/crates/jobs/src/planner/duration_book.rs
+++ b/crates/jobs/src/planner/duration_book.rs
@@ -43,6 +43,12 @@
         }
     }
 
+    /// The mean of a queue, in milliseconds, once a run was done.
+    #[must_use]
+    pub fn mean_ms(&self, queue: &str) -> Option<u64> {
+        self.means_ms.get(queue).copied().map(whole)
+    }
+
     /// How long a step is expected to run from the start of all its tasks, in
     /// milliseconds.
     #[must_use]
@@ -55,16 +61,19 @@
         } else {
             usual_ms
         };
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "durations are positive and far below the largest number"
-        )]
-        let whole_ms = expected_ms.round() as u64;
-        whole_ms
+        whole(expected_ms)
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "durations are positive and far below the largest number"
+)]
+fn whole(milliseconds: f64) -> u64 {
+    milliseconds.round() as u64
+}
+
 #[expect(clippy::cast_precision_loss, reason = "durations are short")]
 fn millis(milliseconds: u64) -> f64 {
     milliseconds as f64
--- a/crates/jobs/src/planner/worker_choice.rs
+++ b/crates/jobs/src/planner/worker_choice.rs
@@ -31,6 +31,9 @@
 /// What is chosen only when nothing else is left.
 const LAST_COST: i64 = 1_000;
 
+/// What a worker near a step's data is better by.
+const NEAR_BONUS: i64 = 100 * SCORE_SCALE;
+
 /// How much less the processor time that is left counts than the slack.
 const LEFT_DIVISOR: i64 = 4;
 
@@ -87,7 +90,8 @@
         if *entry.service != *demand.service || !self.is_usable(worker) {
             return None;
         }
-        if !has_label(demand, &entry.labels) || is_crowded(demand, worker) {
+        let has_run = worker.runs.contains(&demand.task);
+        if has_run || !has_label(demand, &entry.labels) || is_crowded(demand, worker) {
             return None;
         }
         let step = demand.step;
@@ -104,7 +108,7 @@
         }
         let free = capacity.saturating_sub(worker.used().cpu_milli);
         let strangeness = self.strangeness(demand, worker);
-        Some(-share_of(free, capacity) - strangeness * SCORE_SCALE)
+        Some(near_bonus(demand, worker) - share_of(free, capacity) - strangeness * SCORE_SCALE)
     }
 
     /// How little a task with callers belongs on a worker: by the runs of other jobs
@@ -152,7 +156,19 @@
             .iter()
             .map(|serving| self.book.slack(serving, &neighbours));
         let slack = slacks.min_by(f64::total_cmp).unwrap_or(ALONE_SLACK);
-        (slack >= 0.0).then(|| scaled(slack) + share_of(left, capacity) / LEFT_DIVISOR)
+        let score = near_bonus(demand, worker) + scaled(slack);
+        (slack >= 0.0).then(|| score + share_of(left, capacity) / LEFT_DIVISOR)
+    }
+}
+
+/// What a worker on the rack of a step's data is better by: elsewhere its tasks run
+/// several times as long.
+fn near_bonus(demand: &TaskDemand<'_>, worker: &WorkerView) -> i64 {
+    let rack = demand.step.data_rack.as_ref();
+    if rack.is_some_and(|rack| worker.has_label(rack)) {
+        NEAR_BONUS
+    } else {
+        0
     }
 }
 
--- a/crates/jobs/src/state/job_record.rs
+++ b/crates/jobs/src/state/job_record.rs
@@ -32,6 +32,17 @@
             .get(address.index as usize)
     }
 
+    /// How many runs of a task's step failed.
+    #[must_use]
+    pub fn failures_of_step(&self, address: &TaskAddress) -> u32 {
+        let occurrence = self
+            .occurrences
+            .iter()
+            .find(|occurrence| occurrence.number == address.occurrence);
+        let step = occurrence.and_then(|occurrence| occurrence.steps.get(address.step as usize));
+        step.map_or(0, |step| step.tasks.iter().map(|task| task.failures).sum())
+    }
+
     /// A task of the job, to change in place.
     pub fn task_mut(&mut self, address: &TaskAddress) -> Option<&mut TaskRecord> {
         self.occurrences
--- a/crates/jobs/src/state/task_record.rs
+++ b/crates/jobs/src/state/task_record.rs
@@ -1,5 +1,6 @@
 //! What lasts of a task.
 
+use sapphirestile_core::WorkerName;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -17,3 +18,11 @@
     /// Where its next run goes on from; empty when it begins anew.
     pub checkpoint: Box<str>,
 }
+
+impl TaskRecord {
+    /// Whether it may run on a worker.
+    #[must_use]
+    pub fn is_assigned_to(&self, worker: &WorkerName) -> bool {
+        matches!(&self.phase, TaskPhase::Assigned(assignment) if assignment.worker == *worker)
+    }
+}
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -19,6 +19,10 @@
 const MILLI: f64 = 1_000.0;
 
 /// A run that takes room at a worker.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each says something of its own about the run"
+)]
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunEntry {
     /// The number of the run.
@@ -31,6 +35,10 @@
     pub is_lasting: bool,
     /// Whether it can go on elsewhere from what it saved.
     pub saves_progress: bool,
+    /// Whether a copy of it may run elsewhere.
+    pub allows_copies: bool,
+    /// Whether one does.
+    pub has_copy: bool,
     /// The latency that its callers must see, in milliseconds.
     pub latency_target_ms: Option<u64>,
     /// What it runs.
--- a/crates/jobs/src/worker/worker_view.rs
+++ b/crates/jobs/src/worker/worker_view.rs
@@ -42,6 +42,8 @@
     pub looked: MonoTime,
     /// The number of the latest end that is stored.
     pub ends_stored: u64,
+    /// When a run was done there last, or it was first seen.
+    pub did: MonoTime,
     /// Whether it gets new tasks, by how earlier ones did.
     pub trust: WorkerTrust,
     /// When a pace was changed last.
@@ -67,6 +69,7 @@
             is_silent: false,
             looked: MonoTime::default(),
             ends_stored: 0,
+            did: now,
             trust: WorkerTrust::default(),
             paced: MonoTime::default(),
             used: TaskSize::default(),
@@ -96,6 +99,13 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Whether the worker has a label, of its kind or its rack.
+    #[must_use]
+    pub fn has_label(&self, label: &str) -> bool {
+        let entry = self.entry.as_ref();
+        entry.is_some_and(|entry| entry.labels.iter().any(|own| **own == *label))
+    }
+
     /// Whether it has runs with callers.
     #[must_use]
     pub fn has_callers(&self) -> bool {
