Show the owner's decisions scene by scene

Writing the scenes found two faults: a gang that was tried and did not fit left its job running, with run numbers used up; and a new owner waited 12 s for a worker that it had seen and then lost, where the worker's longest lease bounds it.

Seen: both scenes failed before and pass now, as the storm does.

--- a/crates/entry/src/owner/owner_run/loading.rs
+++ b/crates/entry/src/owner/owner_run/loading.rs
@@ -52,6 +52,7 @@
     let bounds = &context.settings.bounds;
     let limits = OwnerLimits {
         lease_ms: LEASE_MS.min(bounds.lease_max_ms),
+        lease_max_ms: bounds.lease_max_ms,
         authority_ms: AUTHORITY_MS,
         remember_ms: bounds.remember_ms,
     };
--- a/crates/jobs/src/owner/job_owner/gangs.rs
+++ b/crates/jobs/src/owner/job_owner/gangs.rs
@@ -1,9 +1,11 @@
 //! Places gangs: tasks that work only while all of them run.
 
+use crate::order::JobIdentity;
 use crate::order::TaskAddress;
 use crate::owner::JobOwner;
 use crate::owner::RunCause;
 use crate::planner::TaskDemand;
+use crate::state::JobRecord;
 use crate::state::TaskPhase;
 use crate::worker::RunStanding;
 use sapphirestile_core::MonoTime;
@@ -39,12 +41,14 @@
         rack: Option<&str>,
         now: MonoTime,
     ) -> bool {
+        let Some(first) = demands.first() else {
+            return false;
+        };
+        let before = self.remember(&first.task.job);
         let mut placed: Vec<(WorkerName, TaskAddress)> = Vec::new();
         for demand in demands {
             let Some(worker) = self.choose_worker(demand, rack, now) else {
-                for (worker, task) in placed {
-                    self.unassign(&worker, &task);
-                }
+                self.take_back(&first.task.job, before, &placed);
                 return false;
             };
             self.assign(&worker, demand, run, now);
@@ -53,6 +57,37 @@
         true
     }
 
+    /// What a job's assignments change: its record, and whether that is to be stored.
+    fn remember(&self, job: &JobIdentity) -> Option<(JobRecord, bool)> {
+        let entry = self.jobs.get(job)?;
+        Some((entry.record.clone(), self.changed.contains(job)))
+    }
+
+    /// Takes assignments back that are not stored, as if they had never been.
+    fn take_back(
+        &mut self,
+        job: &JobIdentity,
+        before: Option<(JobRecord, bool)>,
+        placed: &[(WorkerName, TaskAddress)],
+    ) {
+        let Some((record, was_changed)) = before else {
+            return;
+        };
+        if let Some(entry) = self.jobs.get_mut(job) {
+            entry.record = record;
+        }
+        if !was_changed {
+            self.changed.remove(job);
+        }
+        for (worker, task) in placed {
+            if let Some(view) = self.workers.get_mut(worker) {
+                view.remove_run(task);
+            }
+        }
+        self.held.truncate(self.held.len() - placed.len());
+        self.notes.truncate(self.notes.len() - placed.len());
+    }
+
     /// Every label that several workers share, racks among them.
     fn racks(&self) -> Vec<Box<str>> {
         let entries = self.workers.values().filter_map(|view| view.entry.as_ref());
--- a/crates/jobs/src/owner/job_owner/looks.rs
+++ b/crates/jobs/src/owner/job_owner/looks.rs
@@ -140,7 +140,7 @@
     /// Takes the clock in. A worker that began anew counts its ends from 1; what it
     /// ran before is settled because the answer does not show it.
     fn hear_clock(&mut self, name: &WorkerName, answer: &LookAnswer, now: MonoTime) {
-        let inherited_ms = self.limits.authority_ms;
+        let inherited_ms = self.limits.lease_max_ms;
         let Some(view) = self.workers.get_mut(name) else {
             return;
         };
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -192,21 +192,6 @@
         }
     }
 
-    /// Takes an assignment back that is not stored yet.
-    pub(super) fn unassign(&mut self, worker: &WorkerName, task: &TaskAddress) {
-        if let Some(view) = self.workers.get_mut(worker) {
-            view.remove_run(task);
-        }
-        if let Some(entry) = self.jobs.get_mut(&task.job)
-            && let Some(record) = entry.record.task_mut(task)
-        {
-            record.phase = TaskPhase::Waiting;
-        }
-        self.held.retain(
-            |effect| !matches!(effect, HeldEffect::Start { task: held, .. } if held == task),
-        );
-    }
-
     pub(super) fn assign(
         &mut self,
         worker: &WorkerName,
--- a/crates/jobs/src/worker/worker_clock.rs
+++ b/crates/jobs/src/worker/worker_clock.rs
@@ -36,7 +36,8 @@
 
 impl WorkerClock {
     /// A clock that showed `clock_ms` in an answer that came at `now`, where an
-    /// earlier owner may have given leases of up to `inherited_ms`.
+    /// earlier owner may have given leases of up to `inherited_ms`. The answer fences
+    /// that owner, so it gives no later ones.
     #[must_use]
     pub const fn heard(clock_ms: u64, inherited_ms: u64, now: MonoTime) -> Self {
         Self {
--- /dev/null
+++ b/crates/jobs/tests/owner/main.rs
@@ -0,0 +1,9 @@
+//! Scenes of an owner: what it does, step by step.
+
+mod copies_and_gangs;
+mod leases_and_lives;
+mod orders_and_stops;
+mod owner_scene;
+mod placing;
+mod records_and_batches;
+mod urgency;
--- a/crates/jobs/tests/storm/storm_world.rs
+++ b/crates/jobs/tests/storm/storm_world.rs
@@ -440,6 +440,7 @@
         let now = MonoTime::from_millis(self.daemons[daemon].steady(self.now));
         let limits = OwnerLimits {
             lease_ms: 5_000,
+            lease_max_ms: 6_000,
             authority_ms: 12_000,
             remember_ms: 1_000_000,
         };
