Bound the log, and count what a daemon does

Cause: a reader of standard output that stops would have stopped the daemon, and nothing was counted on the platform.

--- a/crates/daemon/src/bin/sapphirestiled.rs
+++ b/crates/daemon/src/bin/sapphirestiled.rs
@@ -23,6 +23,7 @@
 use sapphirestile_daemon::cycle::DaemonCycle;
 use sapphirestile_daemon::settings::DaemonSettings;
 use sapphirestile_daemon::tryout::TryoutRun;
+use sapphirestile_entry::LogQueue;
 use sapphirestile_platform::DeployedDaemon;
 
 const EXIT_FAILED: u8 = 1;
@@ -156,10 +157,12 @@
     Ok(serving.drain().finish())
 }
 
-/// On the platform logs are read from standard output.
+/// On the platform logs are read from standard output, and nothing waits for their
+/// reader.
 fn start_deployed_log() {
     tracing_subscriber::fmt()
         .json()
+        .with_writer(LogQueue::to(std::io::stdout()))
         .with_env_filter(
             tracing_subscriber::EnvFilter::from_default_env()
                 .add_directive(tracing::Level::INFO.into()),
--- a/crates/entry/src/context/entry_context.rs
+++ b/crates/entry/src/context/entry_context.rs
@@ -9,6 +9,7 @@
 
 use crate::context::DeployedView;
 use crate::context::StorePulse;
+use crate::metrics::EntryMetrics;
 use crate::ports::StoreFault;
 use crate::ports::StorePort;
 use crate::settings::EntrySettings;
@@ -23,6 +24,8 @@
     pub deployed: SwapHolder<DeployedView>,
     /// Whether the store answers.
     pub pulse: StorePulse,
+    /// What is counted.
+    pub metrics: EntryMetrics,
     /// The clock.
     pub clock: MonoClock,
     /// A number that no other process has, as likely as not to be true.
@@ -39,6 +42,7 @@
             store,
             deployed: SwapHolder::new(DeployedView::default()),
             pulse: StorePulse::default(),
+            metrics: EntryMetrics::default(),
             clock: MonoClock::start(),
             incarnation,
             is_stopping: AtomicBool::new(false),
@@ -60,11 +64,13 @@
     pub fn note_store<T>(&self, result: &Result<T, StoreFault>) {
         match result {
             Ok(_) | Err(StoreFault::HistoryGone) => {
+                self.metrics.count_store_call("answered");
                 if self.pulse.note_answer() {
                     tracing::info!(dependency = "store", "the store answers again");
                 }
             }
             Err(fault) => {
+                self.metrics.count_store_call(fault.word());
                 if self.pulse.note_failure(self.clock.now()) {
                     tracing::warn!(dependency = "store", %fault, "the store does not answer");
                 }
--- a/crates/entry/src/cycle/entry_cycle.rs
+++ b/crates/entry/src/cycle/entry_cycle.rs
@@ -17,6 +17,7 @@
 use crate::cycle::ServingPhase;
 use crate::following::EventFollower;
 use crate::following::FollowedEvent;
+use crate::metrics::MetricsService;
 use crate::owner::OwnershipKeeper;
 use crate::ports::EventSource;
 use sapphirestile_core::StepError;
@@ -27,6 +28,9 @@
 /// The most connections of those that ask whether the daemon is ready.
 const READY_MAX: usize = 32;
 
+/// The most connections of those that read metrics.
+const METRICS_MAX: usize = 8;
+
 /// The longest that a body may take to arrive, in milliseconds.
 const BODY_MAX_MS: u64 = 10_000;
 
@@ -63,16 +67,22 @@
         };
         let callers = open(settings.callers, CALLERS_MAX, &ports.callers)?;
         let ready = open(settings.ready, READY_MAX, &ports.ready)?;
+        let metrics: Arc<dyn HttpService> = Arc::new(MetricsService::new(Arc::clone(&context)));
+        let mut open_ports = vec![callers, ready];
+        if let Some(address) = settings.metrics {
+            open_ports.push(open(address, METRICS_MAX, &metrics)?);
+        }
+        let callers = open_ports[0].address();
         let ownership = OwnershipKeeper::spawn(Arc::clone(&context), ports.sources);
         tracing::info!(
             daemon = %context.settings.node.name,
             zone = %context.settings.node.zone,
-            callers = %callers.address(),
+            %callers,
             incarnation = context.incarnation,
             "started"
         );
         let phase = ServingPhase {
-            ports: vec![callers, ready],
+            ports: open_ports,
             gate,
             ownership,
         };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,12 +9,15 @@
 //! What is outside is met through ports: a [`StorePort`], a [`WorkerPort`] and an
 //! [`EventSource`] each for operators' changes and the list of workers. An
 //! [`EntryCycle`] takes the daemon from its [`EntrySettings`] to serving and
-//! through a planned stop. All parts share one [`EntryContext`].
+//! through a planned stop. All parts share one [`EntryContext`]; what they do is told
+//! through a [`LogQueue`] and counted in [`EntryMetrics`].
 
 mod context;
 mod cycle;
 mod desk;
 mod following;
+mod logging;
+mod metrics;
 mod owner;
 mod ports;
 mod settings;
@@ -34,6 +37,11 @@
 pub use desk::WaitingOutcome;
 pub use following::EventFollower;
 pub use following::FollowedEvent;
+pub use logging::LogBudget;
+pub use logging::LogQueue;
+pub use metrics::EntryMetrics;
+pub use metrics::MetricsService;
+pub use metrics::OutcomeLabel;
 pub use owner::HeadFollower;
 pub use owner::HeadStep;
 pub use owner::OwnershipKeeper;
--- /dev/null
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -0,0 +1,149 @@
+//! What a daemon counts.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+use sapphirestile_jobs::DecisionNote;
+use sapphirestile_jobs::RunCause;
+
+use crate::metrics::OutcomeLabel;
+
+/// The upper end of the first bucket of latencies, in seconds.
+const FIRST_BUCKET_S: f64 = 0.002;
+
+/// How much larger each bucket is than the one before.
+const BUCKET_FACTOR: f64 = 2.0;
+
+/// How many buckets there are.
+const BUCKETS: u16 = 12;
+
+/// What a daemon counts.
+#[derive(Debug)]
+pub struct EntryMetrics {
+    registry: Registry,
+    answers: Family<OutcomeLabel, Counter>,
+    answer_seconds: Histogram,
+    store_calls: Family<OutcomeLabel, Counter>,
+    runs: Family<OutcomeLabel, Counter>,
+    batch_seconds: Histogram,
+    owned_epoch: Gauge,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("sapphirestile");
+        let latencies =
+            || Histogram::new(exponential_buckets(FIRST_BUCKET_S, BUCKET_FACTOR, BUCKETS));
+        let metrics = Self {
+            answers: Family::default(),
+            answer_seconds: latencies(),
+            store_calls: Family::default(),
+            runs: Family::default(),
+            batch_seconds: latencies(),
+            owned_epoch: Gauge::default(),
+            registry: Registry::default(),
+        };
+        registry.register("answers", "Answers to callers", metrics.answers.clone());
+        registry.register(
+            "answer_seconds",
+            "Time from a caller's request to its answer",
+            metrics.answer_seconds.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            metrics.store_calls.clone(),
+        );
+        registry.register("runs", "Runs assigned and over", metrics.runs.clone());
+        registry.register(
+            "batch_seconds",
+            "Time from a batch of the owner until it was stored",
+            metrics.batch_seconds.clone(),
+        );
+        registry.register(
+            "owned_epoch",
+            "The epoch of the ownership, 0 while another daemon owns the jobs",
+            metrics.owned_epoch.clone(),
+        );
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+}
+
+impl EntryMetrics {
+    /// Counts an answer to a caller.
+    pub fn count_answer(&self, outcome: &'static str, took: Duration) {
+        self.answers.get_or_create(&OutcomeLabel { outcome }).inc();
+        self.answer_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, outcome: &'static str) {
+        self.store_calls
+            .get_or_create(&OutcomeLabel { outcome })
+            .inc();
+    }
+
+    /// Counts a decision of the owner.
+    pub fn count_decision(&self, note: &DecisionNote) {
+        let outcome = match note {
+            DecisionNote::Assigned { .. } => "assigned",
+            DecisionNote::RunOver { cause, .. } if cause.is_done() => "done",
+            DecisionNote::RunOver { cause, .. } if cause.is_failure() => "failed",
+            DecisionNote::RunOver { cause, .. } => outcome_of(*cause),
+            DecisionNote::JobOver { .. } => return,
+        };
+        self.runs.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// Takes note of how long a batch took to be stored.
+    pub fn observe_batch(&self, took: Duration) {
+        self.batch_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Says which epoch this daemon owns the jobs in; 0 when it does not.
+    pub fn set_owned_epoch(&self, epoch: u64) {
+        self.owned_epoch
+            .set(i64::try_from(epoch).unwrap_or(i64::MAX));
+    }
+
+    /// All of it as text.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use sapphirestile_entry::EntryMetrics;
+    ///
+    /// let metrics = EntryMetrics::default();
+    /// metrics.count_answer("accepted", Duration::from_millis(5));
+    /// let text = metrics.text();
+    /// assert!(text.contains("sapphirestile_answers_total{outcome=\"accepted\"} 1"));
+    /// ```
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing into a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+const fn outcome_of(cause: RunCause) -> &'static str {
+    match cause {
+        RunCause::Ended(_) => "ended",
+        RunCause::NotShown => "not_shown",
+        RunCause::Lapsed => "lapsed",
+        RunCause::NotTaken(_) => "not_taken",
+        RunCause::Withdrawn => "withdrawn",
+    }
+}
--- a/crates/entry/src/owner/owner_run.rs
+++ b/crates/entry/src/owner/owner_run.rs
@@ -90,7 +90,9 @@
             is_deposed: false,
             is_released: false,
         };
+        context.metrics.set_owned_epoch(run.owner.epoch().get());
         run.run();
+        context.metrics.set_owned_epoch(0);
     }
 
     fn run(mut self) {
@@ -133,7 +135,11 @@
         for effect in self.owner.take_effects() {
             self.links.carry_out(effect);
         }
-        DecisionLog::write(self.owner.epoch().get(), &self.owner.take_notes());
+        let notes = self.owner.take_notes();
+        for note in &notes {
+            self.context.metrics.count_decision(note);
+        }
+        DecisionLog::write(self.owner.epoch().get(), &notes);
         self.send_batch(now);
     }
 
--- a/crates/entry/src/owner/owner_run/event_steps.rs
+++ b/crates/entry/src/owner/owner_run/event_steps.rs
@@ -1,5 +1,8 @@
 //! Takes events in.
 
+use std::time::Duration;
+
+use sapphirestile_jobs::WorkerEvent;
 use sapphirestile_serving::MonoClock;
 
 use crate::following::FollowedEvent;
@@ -7,7 +10,6 @@
 use crate::owner::OwnerRun;
 use crate::owner::WriteOutcome;
 use crate::store::IntakeEvent;
-use sapphirestile_jobs::WorkerEvent;
 
 impl OwnerRun {
     pub(super) fn take_event(&mut self, event: OwnerEvent) {
@@ -31,7 +33,12 @@
                     self.owner.change_list(event, now);
                 }
             }
-            OwnerEvent::Stored(WriteOutcome::Stored) => self.owner.batch_stored(now, unix_ms),
+            OwnerEvent::Stored(WriteOutcome::Stored) => {
+                let took_ms = now.millis_since(self.stored);
+                let took = Duration::from_millis(took_ms);
+                self.context.metrics.observe_batch(took);
+                self.owner.batch_stored(now, unix_ms);
+            }
             OwnerEvent::Stored(WriteOutcome::Deposed) => self.is_deposed = true,
             OwnerEvent::Started {
                 worker,
--- a/crates/entry/src/ports/store_fault.rs
+++ b/crates/entry/src/ports/store_fault.rs
@@ -11,6 +11,18 @@
     HistoryGone,
 }
 
+impl StoreFault {
+    /// The fault in a word, for counting.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::NotDone => "not_done",
+            Self::Unknown => "unknown",
+            Self::HistoryGone => "history_gone",
+        }
+    }
+}
+
 impl std::fmt::Display for StoreFault {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         formatter.write_str(match self {
--- a/crates/jobs/tests/owner/leases_and_lives.rs
+++ b/crates/jobs/tests/owner/leases_and_lives.rs
@@ -40,9 +40,13 @@
     scene.step();
     scene.answer("w-3", &[], &[]);
     let mut restarted_after = None;
+    let mut answered = 0;
     for _ in 0..80 {
         scene.wait(100);
-        scene.look_comes_back("w-1", LookOutcome::Silent);
+        if scene.look_of("w-1") > answered {
+            answered = scene.look_of("w-1");
+            scene.look_comes_back("w-1", LookOutcome::Silent);
+        }
         scene.answer("w-3", &[], &[]);
         scene.step();
         if scene.batch().is_some() {
