Count the end of an earlier run of a task

An owner had two copies of a task running and stopped on plan; the next knows from the record only the latest, so it passed over the first copy's end, had it forgotten, and copied the second again.

Change: a done end of any run that the record has counted ends the task, and what runs of it is stopped. That also saves work of a run that was taken for lost and was done.

Seen: the new scene failed before and passes now.

--- a/crates/jobs/src/owner/job_owner/looks.rs
+++ b/crates/jobs/src/owner/job_owner/looks.rs
@@ -165,6 +165,9 @@
         }
         let known = view.runs.get(&ended.task);
         if known.is_none_or(|run| run.run != ended.run) {
+            if ended.kind == EndKind::Done {
+                self.finish_by_earlier_run(name, &ended.task, ended.run, now, unix_ms);
+            }
             return;
         }
         match ended.kind {
--- a/crates/jobs/src/owner/job_owner/orders.rs
+++ b/crates/jobs/src/owner/job_owner/orders.rs
@@ -43,7 +43,9 @@
         }
         let entry = self.jobs.get(&task.job);
         let open = entry.filter(|entry| !entry.record.standing.is_final());
-        let record = open.and_then(|entry| entry.record.task(task));
+        let record = open
+            .and_then(|entry| entry.record.task(task))
+            .filter(|record| record.is_assigned_to(worker));
         let (Some(entry), Some(record), Some(lease_end_ms), true) =
             (open, record, lease_end_ms, is_usable)
         else {
--- a/crates/jobs/src/owner/job_owner/results.rs
+++ b/crates/jobs/src/owner/job_owner/results.rs
@@ -7,6 +7,7 @@
 use crate::owner::RunCause;
 use crate::state::JobStanding;
 use crate::state::TaskPhase;
+use crate::worker::EndKind;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
@@ -84,6 +85,41 @@
         }
     }
 
+    /// Takes note that an earlier run of a task was done, which was taken for lost or
+    /// was the copy of another: the task is done, and what runs of it is stopped.
+    pub(super) fn finish_by_earlier_run(
+        &mut self,
+        worker: &WorkerName,
+        task: &TaskAddress,
+        run: u32,
+        now: MonoTime,
+        unix_ms: u64,
+    ) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let step = entry.order.steps.get(task.step as usize);
+        let is_counted = step.is_some_and(|step| !step.is_lasting && !step.is_gang);
+        let Some(record) = entry.record.task_mut(task) else {
+            return;
+        };
+        if !is_counted || record.phase == TaskPhase::Done || run > record.run {
+            return;
+        }
+        record.phase = TaskPhase::Done;
+        self.changed.insert(task.job, ());
+        self.notes.push(DecisionNote::RunOver {
+            task: *task,
+            run,
+            worker: worker.clone(),
+            cause: RunCause::Ended(EndKind::Done),
+            age_ms: 0,
+        });
+        self.stop_copies(task, now);
+        self.finish_occurrences(task.job, now);
+        self.refresh_job(task.job, unix_ms);
+    }
+
     fn finish_occurrences(&mut self, identity: JobIdentity, now: MonoTime) {
         let Some(entry) = self.jobs.get_mut(&identity) else {
             return;
--- a/crates/jobs/tests/owner/leases_and_lives.rs
+++ b/crates/jobs/tests/owner/leases_and_lives.rs
@@ -1,6 +1,7 @@
 //! Workers that fall silent, begin anew, or were another owner's.
 
 use sapphirestile_jobs::Assignment;
+use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobRecord;
 use sapphirestile_jobs::JobStanding;
@@ -13,6 +14,7 @@
 use crate::owner_scene::AUTHORITY_MS;
 use crate::owner_scene::LEASE_MS;
 use crate::owner_scene::OwnerScene;
+use crate::owner_scene::ended;
 use crate::owner_scene::name;
 use crate::owner_scene::order;
 use crate::owner_scene::running;
@@ -112,6 +114,19 @@
     assert!(scene.batch().is_none());
 }
 
+#[test]
+fn a_new_owner_takes_the_end_of_a_run_that_was_not_the_latest() {
+    let mut scene = OwnerScene::claimed(vec![worker("w-1", 2_000), worker("w-2", 2_000)]);
+    scene
+        .owner
+        .adopt_job(stored(JobStanding::Running), scene.time(), scene.now);
+    scene.answer("w-1", &[running(TASK, 4)], &[]);
+    scene.answer("w-2", &[], &[ended(1, TASK, 3, EndKind::Done)]);
+    assert_eq!(scene.step(), [format!("stop {TASK}#4 at w-1")]);
+    let batch = scene.batch().unwrap();
+    assert_eq!(batch.records[0].1.standing, JobStanding::Completed);
+}
+
 #[test]
 fn a_new_owner_starts_what_a_look_does_not_show() {
     let mut scene = OwnerScene::claimed(vec![worker("w-1", 2_000)]);
