--- a/crates/entry/src/owner/decision_log.rs
+++ b/crates/entry/src/owner/decision_log.rs
@@ -29,8 +29,12 @@
                 } => {
                     tracing::info!(epoch, %task, run, %worker, ?cause, age_ms, "a run is over");
                 }
-                DecisionNote::JobOver { job, standing } => {
-                    tracing::info!(epoch, %job, ?standing, "a job is over");
+                DecisionNote::JobOver {
+                    job,
+                    standing,
+                    age_ms,
+                } => {
+                    tracing::info!(epoch, %job, ?standing, age_ms, "a job is over");
                 }
             }
         }
--- a/crates/jobs/src/owner/decision_note.rs
+++ b/crates/jobs/src/owner/decision_note.rs
@@ -38,5 +38,7 @@
         job: JobIdentity,
         /// How it stands.
         standing: JobStanding,
+        /// How long ago it was handed in, in milliseconds.
+        age_ms: u64,
     },
 }
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -84,6 +84,7 @@
         };
         entry.record.standing = standing;
         entry.ended = Some(now);
+        let age_ms = now.millis_since(entry.since);
         if let Some(key) = entry.wait_key.take() {
             self.waiting.remove(&key);
         }
@@ -92,6 +93,7 @@
         self.notes.push(DecisionNote::JobOver {
             job: identity,
             standing,
+            age_ms,
         });
         self.stop_runs_of(identity, now);
     }
