Renew leases while ends cannot be stored

A worker that told ends is looked at again only once they are stored, and a look is what renews its lease; in an outage of 4.4 s that starts after a batch was sent, leases of 5 s end.

Change: after 1.2 s the worker is looked at all the same. Ends that it tells again count once, as before.

--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -42,9 +42,11 @@
                 }
                 HeldEffect::Look { worker, ends } => {
                     if let Some(view) = self.workers.get_mut(&worker) {
-                        view.ends_stored = ends;
-                        view.is_looked_at = false;
-                        view.looked = now;
+                        view.ends_stored = view.ends_stored.max(ends);
+                        if view.awaits_batch.take().is_some() {
+                            view.is_looked_at = false;
+                            view.looked = now;
+                        }
                     }
                 }
             }
--- a/crates/jobs/src/owner/job_owner/looks.rs
+++ b/crates/jobs/src/owner/job_owner/looks.rs
@@ -14,6 +14,7 @@
 use crate::worker::RunStanding;
 use crate::worker::RunningRun;
 use crate::worker::WorkerClock;
+use crate::worker::WorkerView;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
@@ -23,6 +24,10 @@
 /// How long it waits while latencies beside slowed tasks are watched.
 const WATCH_WAIT_MS: u64 = 350;
 
+/// How long the next look waits for ends to be stored, in milliseconds: a store that
+/// is away must not have leases end.
+const BATCH_WAIT_MS: u64 = 1_200;
+
 /// How long the owner waits before it looks again at a worker that did not answer,
 /// in milliseconds.
 const SILENCE_PAUSE_MS: u64 = 250;
@@ -33,7 +38,7 @@
         let due: Vec<WorkerName> = self
             .workers
             .iter()
-            .filter(|(_, view)| !view.is_looked_at && view.looked <= now)
+            .filter(|(_, view)| is_due(view, now))
             .filter(|(_, view)| view.is_listed || !view.runs.is_empty())
             .map(|(name, _)| name.clone())
             .collect();
@@ -53,6 +58,7 @@
         };
         view.look += 1;
         view.is_looked_at = true;
+        view.awaits_batch = None;
         let wait_ms = match (&mut view.clock, lease_end_ms) {
             (Some(clock), Some(end_ms)) => {
                 clock.grant(end_ms);
@@ -124,6 +130,7 @@
         view.is_silent = false;
         let last = answer.ended.last().map_or(0, |ended| ended.number);
         if last > view.ends_stored {
+            view.awaits_batch = Some(now);
             self.held.push(HeldEffect::Look {
                 worker: name.clone(),
                 ends: last,
@@ -279,3 +286,10 @@
         }
     }
 }
+
+fn is_due(view: &WorkerView, now: MonoTime) -> bool {
+    match view.awaits_batch {
+        Some(since) => now.millis_since(since) >= BATCH_WAIT_MS,
+        None => !view.is_looked_at && view.looked <= now,
+    }
+}
--- a/crates/jobs/src/worker/worker_view.rs
+++ b/crates/jobs/src/worker/worker_view.rs
@@ -33,6 +33,8 @@
     pub look: u64,
     /// Whether a look is under way or waits for a batch to be stored.
     pub is_looked_at: bool,
+    /// Since when the next look waits for a batch to be stored.
+    pub awaits_batch: Option<MonoTime>,
     /// When the latest look came back with an answer.
     pub seen: MonoTime,
     /// Whether the latest look had no answer. Leases are not extended then: an order
@@ -65,6 +67,7 @@
             runs: SortedTable::new(),
             look: 0,
             is_looked_at: false,
+            awaits_batch: None,
             seen: now,
             is_silent: false,
             looked: MonoTime::default(),
--- a/crates/jobs/tests/owner/leases_and_lives.rs
+++ b/crates/jobs/tests/owner/leases_and_lives.rs
@@ -60,6 +60,29 @@
     assert!(after >= LEASE_MS, "given up after {after} ms");
 }
 
+#[test]
+fn leases_go_on_while_ends_cannot_be_stored() {
+    let mut scene = scene_with_run();
+    scene.accept("bbbbbbbbbbbbbbbb", order(vec![step(1, 500)]));
+    scene.step();
+    scene.store();
+    scene.started("w-2", "bbbbbbbbbbbbbbbb.0.0.0", 1, StartOutcome::Accepted);
+    let end = [ended(1, "bbbbbbbbbbbbbbbb.0.0.0", 1, EndKind::Done)];
+    scene.answer("w-2", &[], &end);
+    scene.step();
+    scene.batch().unwrap();
+    let before = scene.look_of("w-2");
+    scene.wait(1_100);
+    assert_eq!(scene.look_of("w-2"), before, "the batch may still come");
+    scene.wait(200);
+    assert_eq!(scene.look_of("w-2"), before + 1, "the store is away");
+    scene.answer("w-2", &[], &end);
+    let now = scene.time();
+    scene.owner.batch_stored(now, scene.now);
+    scene.step();
+    assert_eq!(scene.look_of("w-2"), before + 2);
+}
+
 #[test]
 fn a_silent_worker_gets_no_starts() {
     let mut scene = OwnerScene::with_workers(vec![worker("w-1", 2_000)]);
