--- a/crates/entry/src/following/event_follower.rs
+++ b/crates/entry/src/following/event_follower.rs
@@ -6,6 +6,7 @@
 
 use crate::context::EntryContext;
 use crate::following::FollowedEvent;
+use crate::following::RetryPause;
 use crate::ports::EventSource;
 use crate::ports::StoreFault;
 
@@ -13,9 +14,6 @@
 /// soon after, within the time in which a configuration has to be in force.
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
-/// The pause after a call that failed.
-const FAULT_PAUSE: Duration = Duration::from_millis(100);
-
 /// Follows a source of events.
 pub struct EventFollower<E> {
     context: Arc<EntryContext>,
@@ -48,12 +46,14 @@
     }
 
     fn follow(self, mut after: Option<u64>, mut take: impl FnMut(FollowedEvent<E>) -> bool) {
+        let mut pause = RetryPause::default();
         loop {
             let result = self.next(after);
             self.context.note_store(&result);
             let goes_on = match result {
                 Ok((event, revision)) => {
                     after = Some(revision);
+                    pause.reset();
                     event.is_none_or(&mut take)
                 }
                 Err(fault) => {
@@ -65,7 +65,7 @@
                         );
                         after = None;
                     }
-                    thread::sleep(FAULT_PAUSE);
+                    thread::sleep(pause.after_fault());
                     // Whoever takes the events may be gone in the meantime.
                     take(FollowedEvent::Changed(Vec::new()))
                 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -37,6 +37,7 @@
 pub use desk::WaitingOutcome;
 pub use following::EventFollower;
 pub use following::FollowedEvent;
+pub use following::RetryPause;
 pub use logging::LogBudget;
 pub use logging::LogQueue;
 pub use metrics::EntryMetrics;
--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -9,6 +9,7 @@
 use sapphirestile_jobs::CommitBatch;
 
 use crate::context::EntryContext;
+use crate::following::RetryPause;
 use crate::owner::OwnedHead;
 use crate::owner::OwnerEvent;
 use crate::owner::WriteOutcome;
@@ -28,9 +29,6 @@
 /// The longest that one call may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// The pause after a call that was not done.
-const FAULT_PAUSE: Duration = Duration::from_millis(40);
-
 /// Has batches stored, one after the other, each guarded by the head row.
 ///
 /// A call without an answer is repeated until its fate is certain: only this writer
@@ -108,6 +106,7 @@
             writes,
             removals,
         };
+        let mut pause = RetryPause::default();
         loop {
             let result = self.context.store.commit(&commit, CALL_TIMEOUT);
             self.context.note_store(&result);
@@ -117,7 +116,7 @@
                     return WriteOutcome::Stored;
                 }
                 Ok(CommitAnswer::Refused { rows }) => return self.settle(row, &rows),
-                Err(StoreFault::NotDone) => thread::sleep(FAULT_PAUSE),
+                Err(StoreFault::NotDone) => thread::sleep(pause.after_fault()),
                 Err(_) => {}
             }
         }
--- a/crates/entry/src/owner/owner_run.rs
+++ b/crates/entry/src/owner/owner_run.rs
@@ -28,6 +28,10 @@
 /// The longest time without a look at what is due.
 const TICK: Duration = Duration::from_millis(100);
 
+/// The shortest time between two batches, in milliseconds: calls to the store are
+/// paid for, and tasks run for much longer.
+const BATCH_INTERVAL_MS: u64 = 20;
+
 /// How often the owner writes when nothing changes, in milliseconds.
 const LIFE_SIGN_MS: u64 = 450;
 
@@ -97,7 +101,7 @@
 
     fn run(mut self) {
         while !self.is_deposed && !self.owner.is_deposed() {
-            match self.events.recv_timeout(TICK) {
+            match self.events.recv_timeout(self.wait()) {
                 Ok(event) => self.take_event(event),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -143,8 +147,21 @@
         self.send_batch(now);
     }
 
+    /// How long to wait for an event: until the next batch may be sent, if one is
+    /// held back.
+    fn wait(&self) -> Duration {
+        if self.owner.is_storing() || !self.owner.has_changes() {
+            return TICK;
+        }
+        let since_ms = self.context.clock.now().millis_since(self.stored);
+        Duration::from_millis(BATCH_INTERVAL_MS.saturating_sub(since_ms).max(1))
+    }
+
     fn send_batch(&mut self, now: MonoTime) {
         let is_stopping = self.context.is_stopping();
+        if !is_stopping && now.millis_since(self.stored) < BATCH_INTERVAL_MS {
+            return;
+        }
         let is_due = is_stopping || now.millis_since(self.stored) >= LIFE_SIGN_MS;
         let Some(mut batch) = self.owner.take_batch(is_due, now) else {
             return;
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -13,8 +13,7 @@
     /// What is to be stored now; none while a batch is being stored, or when
     /// nothing changed and `is_due` does not ask for a sign of life.
     pub fn take_batch(&mut self, is_due: bool, now: MonoTime) -> Option<CommitBatch> {
-        let is_idle = self.changed.is_empty() && self.held.is_empty() && self.forgotten.is_empty();
-        if self.storing.is_some() || (is_idle && !is_due) {
+        if self.storing.is_some() || (!self.has_changes() && !is_due) {
             return None;
         }
         let changed = std::mem::take(&mut self.changed);
@@ -53,6 +52,12 @@
         }
     }
 
+    /// Whether there is something to store.
+    #[must_use]
+    pub fn has_changes(&self) -> bool {
+        !self.changed.is_empty() || !self.held.is_empty() || !self.forgotten.is_empty()
+    }
+
     /// Whether a batch is being stored.
     #[must_use]
     pub const fn is_storing(&self) -> bool {
