Wait for the store as long as it usually takes

Change: one patience for all calls: six times the latest answer's time, from 150 ms to a second, doubled after each call without an answer.

--- a/crates/entry/src/context/entry_context.rs
+++ b/crates/entry/src/context/entry_context.rs
@@ -3,15 +3,21 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use sapphirestile_serving::MonoClock;
 use sapphirestile_serving::SwapHolder;
 
+use crate::context::CallPatience;
 use crate::context::DeployedView;
 use crate::context::StorePulse;
 use crate::metrics::EntryMetrics;
+use crate::ports::CommitAnswer;
+use crate::ports::StoreCommit;
 use crate::ports::StoreFault;
 use crate::ports::StorePort;
+use crate::ports::StoredRow;
 use crate::settings::EntrySettings;
 
 /// What all parts of the daemon share.
@@ -24,6 +30,8 @@
     pub deployed: SwapHolder<DeployedView>,
     /// Whether the store answers.
     pub pulse: StorePulse,
+    /// How long to wait for the store.
+    pub patience: CallPatience,
     /// What is counted.
     pub metrics: EntryMetrics,
     /// The clock.
@@ -42,6 +50,7 @@
             store,
             deployed: SwapHolder::new(DeployedView::default()),
             pulse: StorePulse::default(),
+            patience: CallPatience::default(),
             metrics: EntryMetrics::default(),
             clock: MonoClock::start(),
             incarnation,
@@ -60,6 +69,46 @@
         self.is_stopping.store(true, Ordering::Release);
     }
 
+    /// Reads a row, within the store's usual time and `longest`.
+    ///
+    /// # Errors
+    ///
+    /// As the store's.
+    pub fn read_row(&self, key: &str, longest: Duration) -> Result<Option<StoredRow>, StoreFault> {
+        self.call_store(longest, |timeout| self.store.read(key, timeout))
+    }
+
+    /// Commits rows, within the store's usual time and `longest`.
+    ///
+    /// # Errors
+    ///
+    /// As the store's.
+    pub fn commit_rows(
+        &self,
+        commit: &StoreCommit,
+        longest: Duration,
+    ) -> Result<CommitAnswer, StoreFault> {
+        self.call_store(longest, |timeout| self.store.commit(commit, timeout))
+    }
+
+    fn call_store<T>(
+        &self,
+        longest: Duration,
+        call: impl FnOnce(Duration) -> Result<T, StoreFault>,
+    ) -> Result<T, StoreFault> {
+        let began = Instant::now();
+        let usual = self.patience.timeout();
+        let result = call(usual.min(longest));
+        match &result {
+            Ok(_) => self.patience.note_answer(began.elapsed()),
+            // A call that a caller's deadline cut short says nothing of the store.
+            Err(StoreFault::Unknown) if usual <= longest => self.patience.note_silence(),
+            Err(_) => {}
+        }
+        self.note_store(&result);
+        result
+    }
+
     /// Takes note of what came of a call to the store.
     pub fn note_store<T>(&self, result: &Result<T, StoreFault>) {
         match result {
--- a/crates/entry/src/desk/job_desk.rs
+++ b/crates/entry/src/desk/job_desk.rs
@@ -163,15 +163,11 @@
     }
 
     fn read(&self, key: &str, deadline: MonoTime) -> Result<Option<StoredRow>, StoreFault> {
-        let result = self.context.store.read(key, self.timeout(deadline));
-        self.context.note_store(&result);
-        result
+        self.context.read_row(key, self.timeout(deadline))
     }
 
     fn commit(&self, commit: &StoreCommit, deadline: MonoTime) -> Result<CommitAnswer, StoreFault> {
-        let result = self.context.store.commit(commit, self.timeout(deadline));
-        self.context.note_store(&result);
-        result
+        self.context.commit_rows(commit, self.timeout(deadline))
     }
 
     fn now(&self) -> MonoTime {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod settings;
 mod store;
 
+pub use context::CallPatience;
 pub use context::DeployedView;
 pub use context::EntryContext;
 pub use context::StorePulse;
--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -27,7 +27,7 @@
 const ROWS_MAX: usize = 30;
 
 /// The longest that one call may take.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+const CALL_TIMEOUT_MAX: Duration = Duration::from_secs(1);
 
 /// Has batches stored, one after the other, each guarded by the head row.
 ///
@@ -108,8 +108,7 @@
         };
         let mut pause = RetryPause::default();
         loop {
-            let result = self.context.store.commit(&commit, CALL_TIMEOUT);
-            self.context.note_store(&result);
+            let result = self.context.commit_rows(&commit, CALL_TIMEOUT_MAX);
             match result {
                 Ok(CommitAnswer::Stored { revision }) => {
                     self.head = OwnedHead { row, revision };
--- a/crates/entry/src/owner/ownership_keeper.rs
+++ b/crates/entry/src/owner/ownership_keeper.rs
@@ -24,7 +24,7 @@
 const READ_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The longest that one call may take.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+const CALL_TIMEOUT_MAX: Duration = Duration::from_millis(700);
 
 /// Sees to it that the jobs have an owner: reads the head row, claims it when its
 /// owner is gone, and then owns the jobs.
@@ -51,8 +51,7 @@
     fn run(self) {
         let mut follower = HeadFollower::default();
         while !self.context.is_stopping() {
-            let result = self.context.store.read(RowKeys::head(), CALL_TIMEOUT);
-            self.context.note_store(&result);
+            let result = self.context.read_row(RowKeys::head(), CALL_TIMEOUT_MAX);
             let has_config = self.context.deployed.load().config.is_some();
             if let Ok(row) = result
                 && has_config
@@ -96,8 +95,7 @@
             removals: Vec::new(),
         };
         while !self.context.is_stopping() {
-            let result = self.context.store.commit(&commit, CALL_TIMEOUT);
-            self.context.note_store(&result);
+            let result = self.context.commit_rows(&commit, CALL_TIMEOUT_MAX);
             match result {
                 Ok(CommitAnswer::Stored { revision }) => return Some(OwnedHead { row, revision }),
                 Ok(CommitAnswer::Refused { rows }) => return own_row(row, &rows),
