--- a/crates/clients/src/http/connection_table.rs
+++ b/crates/clients/src/http/connection_table.rs
@@ -24,6 +24,8 @@
 /// assert_eq!(table.connections(second).peer(), second);
 /// table.keep(&[second]);
 /// assert_eq!(table.len(), 1);
+/// table.forget(second);
+/// assert!(table.is_empty());
 /// ```
 #[derive(Debug, Default)]
 pub struct ConnectionTable {
@@ -64,6 +66,15 @@
         });
     }
 
+    /// Lets go of one peer, as [`ConnectionTable::keep`] does of many.
+    pub fn forget(&self, peer: PeerAddress) {
+        self.rows.rcu(|rows| {
+            let mut rows = SortedTable::clone(rows);
+            rows.remove(&peer);
+            rows
+        });
+    }
+
     /// How many peers the table has.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/entry/src/owner/worker_links.rs
+++ b/crates/entry/src/owner/worker_links.rs
@@ -45,9 +45,11 @@
                 let worker = order.worker.clone();
                 self.link(&worker).order(WorkerOrder::Pace(order));
             }
-            OwnerEffect::Forget(worker) => {
+            OwnerEffect::Forget { worker, address } => {
                 self.links.remove(&worker);
-                self.port.forget(&worker);
+                if let Some(address) = address {
+                    self.port.forget(address);
+                }
             }
         }
     }
--- a/crates/entry/src/ports/worker_port.rs
+++ b/crates/entry/src/ports/worker_port.rs
@@ -1,6 +1,7 @@
 //! Workers that take orders.
 
-use sapphirestile_core::WorkerName;
+use std::net::SocketAddr;
+
 use sapphirestile_jobs::LookOrder;
 use sapphirestile_jobs::LookOutcome;
 use sapphirestile_jobs::PaceOrder;
@@ -24,6 +25,6 @@
     /// Looks at what runs, and renews its lease.
     fn look(&self, order: &LookOrder) -> LookOutcome;
 
-    /// Lets go of the connections to a worker that left.
-    fn forget(&self, worker: &WorkerName);
+    /// Lets go of the connections to an address whose worker left.
+    fn forget(&self, address: SocketAddr);
 }
--- a/crates/jobs/src/owner/job_owner/lapses.rs
+++ b/crates/jobs/src/owner/job_owner/lapses.rs
@@ -67,8 +67,12 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in gone {
-            self.workers.remove(&name);
-            self.effects.push(OwnerEffect::Forget(name));
+            let view = self.workers.remove(&name);
+            let entry = view.and_then(|view| view.entry);
+            self.effects.push(OwnerEffect::Forget {
+                worker: name,
+                address: entry.map(|entry| entry.address),
+            });
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/orders.rs
+++ b/crates/jobs/src/owner/job_owner/orders.rs
@@ -7,6 +7,7 @@
 use crate::owner::RunCause;
 use crate::owner::StartOrder;
 use crate::owner::StopOrder;
+use crate::worker::RunEntry;
 use crate::worker::RunStanding;
 use crate::worker::StartOutcome;
 use crate::worker::StopOutcome;
@@ -86,38 +87,50 @@
             self.is_deposed = true;
             return;
         }
-        let Some(view) = self.workers.get_mut(worker) else {
-            return;
-        };
-        let look = view.look;
-        let Some(run) = view.runs.get_mut(task) else {
+        let Some((run, look)) = self.run_and_look(worker, task, number) else {
             return;
         };
-        if run.run != number {
-            return;
-        }
+        let is_starting = run.standing == RunStanding::Starting;
         match outcome {
-            StartOutcome::Accepted => {
-                if run.standing == RunStanding::Starting {
-                    run.standing = RunStanding::Running { look };
-                }
-            }
+            StartOutcome::Accepted if is_starting => run.standing = RunStanding::Running { look },
+            StartOutcome::Accepted => {}
             StartOutcome::Unknown => {
-                view.trust.note_failure(now);
-                if matches!(run.standing, RunStanding::Starting) {
+                self.distrust(worker, now);
+                if is_starting {
                     self.stop_run(worker, task, now);
                 }
             }
             StartOutcome::TooLate => {
-                self.settle_run(worker, task, RunCause::NotTaken(outcome), now, unix_ms);
+                let cause = RunCause::NotTaken(outcome);
+                self.settle_run(worker, task, cause, now, unix_ms);
             }
             _ => {
-                view.trust.note_failure(now);
-                self.settle_run(worker, task, RunCause::NotTaken(outcome), now, unix_ms);
+                self.distrust(worker, now);
+                let cause = RunCause::NotTaken(outcome);
+                self.settle_run(worker, task, cause, now, unix_ms);
             }
         }
     }
 
+    /// A run by its number, and the latest look at its worker that has begun.
+    fn run_and_look(
+        &mut self,
+        worker: &WorkerName,
+        task: &TaskAddress,
+        number: u32,
+    ) -> Option<(&mut RunEntry, u64)> {
+        let view = self.workers.get_mut(worker)?;
+        let look = view.look;
+        let run = view.runs.get_mut(task)?;
+        (run.run == number).then_some((run, look))
+    }
+
+    fn distrust(&mut self, worker: &WorkerName, now: MonoTime) {
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.trust.note_failure(now);
+        }
+    }
+
     /// Takes what came of a stop.
     pub fn stop_answered(
         &mut self,
@@ -131,14 +144,10 @@
             self.is_deposed = true;
             return;
         }
-        let Some(view) = self.workers.get_mut(worker) else {
-            return;
-        };
-        let look = view.look;
-        let Some(run) = view.runs.get_mut(task) else {
+        let Some((run, look)) = self.run_and_look(worker, task, number) else {
             return;
         };
-        if run.run != number || run.standing != RunStanding::Unstopped {
+        if run.standing != RunStanding::Unstopped {
             return;
         }
         match outcome {
--- a/crates/jobs/src/owner/owner_effect.rs
+++ b/crates/jobs/src/owner/owner_effect.rs
@@ -1,5 +1,7 @@
 //! What the owner wants done.
 
+use std::net::SocketAddr;
+
 use crate::owner::LookOrder;
 use crate::owner::PaceOrder;
 use crate::owner::StartOrder;
@@ -18,5 +20,10 @@
     /// Change the pace of a run.
     Pace(PaceOrder),
     /// Let go of the connections to a worker that left.
-    Forget(WorkerName),
+    Forget {
+        /// The worker.
+        worker: WorkerName,
+        /// Where it was reached, if that was ever known.
+        address: Option<SocketAddr>,
+    },
 }
--- a/crates/jobs/tests/owner/owner_scene.rs
+++ b/crates/jobs/tests/owner/owner_scene.rs
@@ -126,7 +126,7 @@
                         order.task, order.run, order.percent
                     ));
                 }
-                OwnerEffect::Forget(worker) => lines.push(format!("forget {worker}")),
+                OwnerEffect::Forget { worker, .. } => lines.push(format!("forget {worker}")),
             }
         }
         lines
--- a/crates/jobs/tests/storm/storm_world.rs
+++ b/crates/jobs/tests/storm/storm_world.rs
@@ -618,7 +618,7 @@
                     },
                 );
             }
-            OwnerEffect::Pace(_) | OwnerEffect::Forget(_) => {}
+            OwnerEffect::Pace(_) | OwnerEffect::Forget { .. } => {}
         }
     }
 
