Let the largest daemon claim first, and count spare workers once a pass

Cause: the owner does most of the work, and on a site of unequal VMs any of them could claim; and how many workers are without callers was counted for each task.

Change: a daemon with less than half a processor waits up to 300 ms before it claims; spare workers are counted once a pass and after each task with callers.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -1,11 +1,12 @@
 //! Ownership of the jobs.
 //!
 //! An [`OwnershipKeeper`] follows the head row with a [`HeadFollower`], which says
-//! by a [`HeadStep`] when to claim it. A claim is an [`OwnedHead`]. An [`OwnerRun`]
+//! by a [`HeadStep`] when to claim it; by a [`ClaimDelay`] the largest daemon is first. A claim is an [`OwnedHead`]. An [`OwnerRun`]
 //! then drives the jobs: it takes [`OwnerEvent`]s, has a [`CommitWriter`] store
 //! batches, and reaches workers through a [`WorkerLinks`] table of
 //! [`WorkerLink`]s. A [`DecisionLog`] tells what it decided.
 
+mod claim_delay;
 mod commit_writer;
 mod decision_log;
 mod head_follower;
@@ -20,6 +21,7 @@
 mod worker_order;
 mod write_outcome;
 
+pub use claim_delay::ClaimDelay;
 pub use head_follower::HeadFollower;
 pub use head_step::HeadStep;
 pub use ownership_keeper::OwnershipKeeper;
--- a/crates/entry/src/owner/ownership_keeper.rs
+++ b/crates/entry/src/owner/ownership_keeper.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::context::EntryContext;
+use crate::owner::ClaimDelay;
 use crate::owner::HeadFollower;
 use crate::owner::HeadStep;
 use crate::owner::OwnedHead;
@@ -70,6 +71,9 @@
         let HeadStep::Claim { revision, epoch } = follower.observe(found, now) else {
             return;
         };
+        let delay = ClaimDelay::of(self.context.settings.node.cpu_share);
+        thread::sleep(delay.wait());
+        let now = self.context.clock.now();
         tracing::info!(epoch, revision, "the owner is gone, claims the jobs");
         if let Some(claimed) = self.claim(revision, epoch) {
             OwnerRun::drive(&self.context, &self.sources, claimed, now);
--- a/crates/entry/src/settings/entry_settings.rs
+++ b/crates/entry/src/settings/entry_settings.rs
@@ -45,7 +45,7 @@
 ///     "[node] zone = \"\": expected the name of an availability zone"
 /// );
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EntrySettings {
     /// Who and where the daemon is.
     pub node: NodeSettings,
--- a/crates/entry/src/settings/node_settings.rs
+++ b/crates/entry/src/settings/node_settings.rs
@@ -4,23 +4,29 @@
 use sapphirestile_core::SectionReader;
 use sapphirestile_core::ZoneName;
 
+const SHARE_EXPECTED: &str = "a share of a processor from 0.001 to 1024";
+
 /// Who and where the daemon is.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct NodeSettings {
     /// The daemon's name.
     pub name: DaemonName,
     /// The availability zone.
     pub zone: ZoneName,
+    /// The share of a processor that the VM gives the daemon.
+    pub cpu_share: f64,
 }
 
 impl NodeSettings {
     pub(super) fn read(mut reader: SectionReader<'_>) -> Option<Self> {
         let name = reader.checked("name", "a daemon's name");
         let zone = reader.checked("zone", "the name of an availability zone");
+        let cpu_share = reader.ranged("cpu_share", Some(1.0), 0.001..=1_024.0, SHARE_EXPECTED);
         reader.finish();
         Some(Self {
             name: name?,
             zone: zone?,
+            cpu_share: cpu_share?,
         })
     }
 }
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -59,6 +59,9 @@
     sent: MonoTime,
     claimed: MonoTime,
     is_deposed: bool,
+    /// Whether more workers may be given tasks with callers, found out once a pass and
+    /// after each such task.
+    may_open: bool,
     images: ImageTable,
     disturbance: DisturbanceBook,
     durations: DurationBook,
@@ -93,6 +96,7 @@
             sent: claimed,
             claimed,
             is_deposed: false,
+            may_open: true,
             images: ImageTable::default(),
             disturbance: DisturbanceBook::default(),
             durations: DurationBook::default(),
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -36,6 +36,10 @@
     /// Returns whether some may be left that could start too.
     pub fn plan_starts(&mut self, now: MonoTime, unix_ms: u64) -> bool {
         self.begin_due(unix_ms);
+        if self.waiting.is_empty() {
+            return false;
+        }
+        self.may_open = self.has_spare_workers(now);
         let keys = self.waiting_by_urgency(now);
         let mut planned = 0;
         let mut unplaced = UnplacedDemands::default();
@@ -177,21 +181,26 @@
 
     /// What is known of workers now.
     pub(super) fn worker_choice(&self, now: MonoTime) -> WorkerChoice<'_> {
-        let choice = WorkerChoice {
+        WorkerChoice {
             zones_out: &self.zones_out,
             book: &self.disturbance,
-            may_open: false,
+            may_open: self.may_open,
             now,
-        };
-        let usable = || self.workers.values().filter(|view| choice.is_usable(view));
-        let without_callers = usable().filter(|view| !view.has_callers()).count();
-        let kept = usable().count() / KEPT_DIVISOR;
-        WorkerChoice {
-            may_open: without_callers > kept,
-            ..choice
         }
     }
 
+    /// Whether more workers are without callers than are kept so.
+    fn has_spare_workers(&self, now: MonoTime) -> bool {
+        let choice = self.worker_choice(now);
+        let usable = self.workers.values().filter(|view| choice.is_usable(view));
+        let (mut all, mut without_callers) = (0, 0);
+        for view in usable {
+            all += 1;
+            without_callers += usize::from(!view.has_callers());
+        }
+        without_callers > all / KEPT_DIVISOR
+    }
+
     pub(super) fn assign(
         &mut self,
         worker: &WorkerName,
@@ -237,6 +246,9 @@
             task,
             run,
         });
+        if demand.step.latency_target_ms.is_some() {
+            self.may_open = self.has_spare_workers(now);
+        }
     }
 
     pub(super) fn image_of(&mut self, step: &StepOrder) -> Option<ImageNumber> {
