Model the owner's protocol of token, lease and looks, and search it

Cause: the protocol that runs on the users' platform (one owner, workers that know tokens and leases and give no permits) stood only in prose and in random runs; the specification had the protocol of our own workers alone.

The model has two daemons, two workers, one task and the store. Orders may be lost or carried out long after they were given up, daemons rest for any time between two steps, leases end with the ticks of a clock. Properties: a task runs on one worker at most; a start follows its stored assignment; a done task never starts again; a noted end is stored; every state heals.

Leases, authority and waits are one or two ticks, so the arithmetic of 2% drift is not in here; WorkerClock has its own examples.

--- a/crates/specification/src/check_run/list_cases.rs
+++ b/crates/specification/src/check_run/list_cases.rs
@@ -5,6 +5,9 @@
 use crate::cell_ownership::OwnershipScenario;
 use crate::check_run::BoundsName;
 use crate::check_run::CheckCase;
+use crate::job_ownership::JobBounds;
+use crate::job_ownership::JobModel;
+use crate::job_ownership::JobMutation;
 use crate::request_record::RecordModel;
 use crate::request_record::RecordMutation;
 use crate::share_lending::ShareModel;
@@ -30,6 +33,7 @@
     match bounds {
         BoundsName::Small => {
             let mut cases = ownership_cases(&OwnershipScenario::SMALL);
+            cases.extend(job_cases(&JobBounds::SMALL));
             cases.push(CheckCase::new(
                 "zone-out",
                 "small",
@@ -56,6 +60,7 @@
         }
         BoundsName::Large => {
             let mut cases = ownership_cases(&OwnershipScenario::LARGE);
+            cases.extend(job_cases(&JobBounds::LARGE));
             cases.push(CheckCase::new(
                 "zone-out",
                 "large",
@@ -93,6 +98,17 @@
     cases.collect()
 }
 
+fn job_cases(scenarios: &[(&str, JobBounds)]) -> Vec<CheckCase> {
+    let cases = scenarios.iter().map(|(name, bounds)| {
+        let model = JobModel {
+            bounds: *bounds,
+            mutation: None,
+        };
+        CheckCase::new("job-ownership", name, model)
+    });
+    cases.collect()
+}
+
 fn mutation_cases() -> Vec<CheckCase> {
     let mut cases = Vec::new();
     for (name, mutation) in OwnershipMutation::ALL {
@@ -102,6 +118,13 @@
         };
         cases.push(CheckCase::new("cell-ownership", name, model));
     }
+    for (name, mutation) in JobMutation::ALL {
+        let model = JobModel {
+            bounds: JobBounds::breaking(mutation),
+            mutation: Some(mutation),
+        };
+        cases.push(CheckCase::new("job-ownership", name, model));
+    }
     for (name, mutation) in ZoneOutMutation::ALL {
         let model = ZoneOutModel::small(Some(mutation));
         cases.push(CheckCase::new("zone-out", name, model));
--- a/crates/specification/src/lib.rs
+++ b/crates/specification/src/lib.rs
@@ -1,7 +1,8 @@
 //! Small specification of the core protocol, searched exhaustively.
 //!
-//! Five protocols are written as a [`ProtocolModel`]: cells and their workers
-//! ([`OwnershipModel`]), a zone that is taken out ([`ZoneOutModel`]), tokens of a
+//! Six protocols are written as a [`ProtocolModel`]: cells and their workers
+//! ([`OwnershipModel`]), an owner beside workers that know leases only
+//! ([`JobModel`]), a zone that is taken out ([`ZoneOutModel`]), tokens of a
 //! runner ([`TokenModel`]), requests that run at most once ([`RecordModel`]) and
 //! shares of a quota ([`ShareModel`]).
 //! [`explore_model`] visits every state within the bounds and gives a
@@ -12,6 +13,7 @@
 mod cell_ownership;
 mod check_run;
 mod command;
+mod job_ownership;
 mod model_step;
 mod protocol_model;
 mod request_record;
@@ -43,6 +45,11 @@
 pub use check_run::list_cases;
 pub use command::CheckOptions;
 pub use command::run_check;
+pub use job_ownership::JobAction;
+pub use job_ownership::JobBounds;
+pub use job_ownership::JobModel;
+pub use job_ownership::JobMutation;
+pub use job_ownership::JobState;
 pub use model_step::ModelStep;
 pub use protocol_model::ProtocolModel;
 pub use request_record::EntryTry;
--- a/crates/specification/tests/mutations_break.rs
+++ b/crates/specification/tests/mutations_break.rs
@@ -1,5 +1,8 @@
 //! Each rule that is left out breaks a property, and the search finds it.
 
+use sapphirestile_specification::JobBounds;
+use sapphirestile_specification::JobModel;
+use sapphirestile_specification::JobMutation;
 use sapphirestile_specification::OwnershipModel;
 use sapphirestile_specification::OwnershipMutation;
 use sapphirestile_specification::OwnershipScenario;
@@ -20,6 +23,8 @@
 const ONE_WORKER: &str = "a task runs on one worker at most";
 const FINISHED_RESTS: &str = "a finished task never runs";
 const FENCED: &str = "a former owner has no effect";
+const START_STORED: &str = "a start follows its stored assignment";
+const END_STORED: &str = "a noted end is stored";
 const NOT_RUN: &str = "not run is true";
 const ZONE_OUT: &str = "no start later than the permit age after the zone went out";
 const SLOTS: &str = "requests at the runner fit its slots";
@@ -61,6 +66,26 @@
     assert_eq!(broken_property(&model), None);
 }
 
+#[test_case(JobMutation::StartBeforeStored, START_STORED)]
+#[test_case(JobMutation::NoEpochCheck, ONE_WORKER)]
+#[test_case(JobMutation::SilenceAsProof, ONE_WORKER)]
+#[test_case(JobMutation::EarlierLookAsProof, ONE_WORKER)]
+#[test_case(JobMutation::NoStopBeforeLook, ONE_WORKER)]
+#[test_case(JobMutation::NoLapseWait, ONE_WORKER)]
+#[test_case(JobMutation::NoInheritedWait, ONE_WORKER)]
+#[test_case(JobMutation::AuthorityFromAnswer, ONE_WORKER)]
+#[test_case(JobMutation::ClockStandsStill, ONE_WORKER)]
+#[test_case(JobMutation::NotedBeforeStored, END_STORED)]
+#[test_case(JobMutation::EarlierEndIgnored, END_STORED)]
+#[test_case(JobMutation::NoHeadGuard, END_STORED)]
+fn an_owner_of_jobs_needs_the_rule(mutation: JobMutation, property: &str) {
+    let model = JobModel {
+        bounds: JobBounds::breaking(mutation),
+        mutation: Some(mutation),
+    };
+    assert_eq!(broken_property(&model), Some(property));
+}
+
 #[test_case(ZoneOutMutation::NoRevisionCheck)]
 #[test_case(ZoneOutMutation::PermitAfterCommit)]
 #[test_case(ZoneOutMutation::NoAgeCheck)]
--- a/crates/specification/tests/properties_hold.rs
+++ b/crates/specification/tests/properties_hold.rs
@@ -1,5 +1,7 @@
 //! Every property holds at the small bounds, and the searches are not vacuous.
 
+use sapphirestile_specification::JobBounds;
+use sapphirestile_specification::JobModel;
 use sapphirestile_specification::OwnershipModel;
 use sapphirestile_specification::OwnershipScenario;
 use sapphirestile_specification::ProtocolModel;
@@ -39,6 +41,18 @@
     assert_holds(&model, states_floor);
 }
 
+#[test_case(JobBounds::CLAIM, 230_000)]
+#[test_case(JobBounds::LATE_CLAIM, 310_000)]
+#[test_case(JobBounds::LAPSE, 310_000)]
+#[test_case(JobBounds::UNREACHED, 290_000)]
+fn an_owner_of_jobs_keeps_every_property(bounds: JobBounds, states_floor: usize) {
+    let model = JobModel {
+        bounds,
+        mutation: None,
+    };
+    assert_holds(&model, states_floor);
+}
+
 #[test]
 fn no_start_lands_long_after_the_zone_went_out() {
     assert_holds(&ZoneOutModel::small(None), 14_000);
