Read a clock that goes on while the VM is suspended

Cause: the daemon told time by a clock that stands still while its VM is suspended. An owner that wakes after some seconds, finds the store out of reach and still reaches one worker goes on giving leases until 12 s of its own clock after its latest batch; a new owner that does not reach that worker takes it for gone 12.3 s after its claim, in true time. For the length of the suspension the task may run twice.

Ruled out on the way: the case did not fail while the owner still reached other workers (they had seen the new epoch and deposed it), nor while several owners were suspended one after the other.

The storm's owners tell time as the program does now, also in its older cases; before, their clocks stood still while they slept.

Conclusion: time since boot in MonoClock, for all its readers; the permits of our own workers rested on the same assumption.

--- a/crates/jobs/tests/storm/fake_worker.rs
+++ b/crates/jobs/tests/storm/fake_worker.rs
@@ -34,6 +34,8 @@
     pub born: u64,
     pub slowness_percent: u64,
     pub cut_until: u64,
+    /// The only daemon that reaches it, and until when.
+    pub reached_by: Option<(usize, u64)>,
     pub dead_until: u64,
     token: u64,
     lease_end: u64,
@@ -51,6 +53,7 @@
             born: 0,
             slowness_percent,
             cut_until: 0,
+            reached_by: None,
             dead_until: 0,
             token: 0,
             lease_end: 0,
@@ -73,6 +76,7 @@
             life: self.life + 1,
             born: now,
             cut_until: self.cut_until,
+            reached_by: self.reached_by,
             dead_until: now + dead_ms,
             ..fresh
         };
--- a/crates/jobs/tests/storm/main.rs
+++ b/crates/jobs/tests/storm/main.rs
@@ -23,6 +23,7 @@
 #[test_case(3; "workers that are cut off and crash")]
 #[test_case(4; "a store that is away")]
 #[test_case(5; "all of it")]
+#[test_case(6; "owners that are suspended and wake without their store")]
 fn every_job_ends_and_no_task_runs_twice(faults: u32) {
     for seed in 0..SEEDS {
         let mut world = StormWorld::new(seed, faults);
--- a/crates/jobs/tests/storm/storm_world.rs
+++ b/crates/jobs/tests/storm/storm_world.rs
@@ -44,6 +44,11 @@
 const TIMEOUT_MS: u64 = 900;
 const SILENCE_MS: u64 = 1_500;
 const LIFE_SIGN_MS: u64 = 450;
+/// For how long a suspended owner is cut from the store after it wakes.
+const WAKES_CUT_MS: u64 = 12_000;
+/// The case in which owners are suspended. It is not part of "all of it", so that
+/// kept seeds draw what they drew.
+const SUSPENSIONS: u32 = 6;
 const ATTEMPTS: u32 = 50;
 const WORKER_CPU: u64 = 8_000;
 
@@ -157,7 +162,7 @@
                 life,
                 order,
             } => {
-                let Some(place) = self.reached(&order.worker) else {
+                let Some(place) = self.reached(daemon, &order.worker) else {
                     return;
                 };
                 let outcome = self.workers[place].stop(&order);
@@ -176,7 +181,7 @@
                 sent,
                 order,
             } => {
-                let Some(place) = self.reached(&order.worker) else {
+                let Some(place) = self.reached(daemon, &order.worker) else {
                     return;
                 };
                 let (outcome, forgotten) = self.workers[place].look(&order, self.now);
@@ -198,7 +203,7 @@
                 epoch,
                 batch,
             } => {
-                if self.now < self.store.away_until {
+                if self.is_store_away(daemon) {
                     self.put(
                         200,
                         StormEvent::CommitArrives {
@@ -247,13 +252,18 @@
         }
     }
 
-    fn reached(&self, name: &WorkerName) -> Option<usize> {
+    fn reached(&self, daemon: usize, name: &WorkerName) -> Option<usize> {
         let place = self
             .workers
             .iter()
             .position(|worker| worker.name == *name)?;
         let worker = &self.workers[place];
-        (self.now >= worker.cut_until && self.now >= worker.dead_until).then_some(place)
+        let sees = match worker.reached_by {
+            Some((only, until)) if self.now < until => only == daemon,
+            _ => self.now >= self.daemons[daemon].cut_until,
+        };
+        let is_cut = self.now < worker.cut_until || !sees;
+        (!is_cut && self.now >= worker.dead_until).then_some(place)
     }
 
     fn start(
@@ -263,7 +273,7 @@
         worker_life: u64,
         order: &sapphirestile_jobs::StartOrder,
     ) {
-        let Some(place) = self.reached(&order.worker) else {
+        let Some(place) = self.reached(daemon, &order.worker) else {
             return;
         };
         if self.workers[place].life != worker_life {
@@ -373,7 +383,7 @@
         }
         let unix_ms = self.now;
         let state = &mut self.daemons[daemon];
-        let now = MonoTime::from_millis(state.steady(unix_ms));
+        let now = MonoTime::from_millis(unix_ms);
         let Some(owner) = &mut state.owner else {
             return;
         };
@@ -424,7 +434,7 @@
         for event in std::mem::take(&mut self.daemons[daemon].missed) {
             self.hand_over(daemon, event);
         }
-        let is_away = self.now < self.store.away_until;
+        let is_away = self.is_store_away(daemon);
         if self.daemons[daemon].owner.is_none() {
             let is_silent = self.now >= self.store.written + SILENCE_MS + daemon as u64 * 40;
             if !is_away && (self.store.epoch == 0 || is_silent) {
@@ -435,9 +445,13 @@
         self.drive(daemon, is_away);
     }
 
+    fn is_store_away(&self, daemon: usize) -> bool {
+        self.now < self.store.away_until || self.now < self.daemons[daemon].cut_until
+    }
+
     fn claim(&mut self, daemon: usize) {
         let epoch = self.store.claim(self.now);
-        let now = MonoTime::from_millis(self.daemons[daemon].steady(self.now));
+        let now = MonoTime::from_millis(self.now);
         let limits = OwnerLimits {
             lease_ms: 5_000,
             lease_max_ms: 6_000,
@@ -490,7 +504,7 @@
         let cancelled = self.store.cancelled.clone();
         let unix_ms = self.now;
         let state = &mut self.daemons[daemon];
-        let now = MonoTime::from_millis(state.steady(unix_ms));
+        let now = MonoTime::from_millis(unix_ms);
         let life = state.life;
         let Some(owner) = &mut state.owner else {
             return;
@@ -662,16 +676,37 @@
         self.store.cancelled.extend(first);
     }
 
+    /// An owner is suspended for less than a lease. When it wakes it reaches neither
+    /// the store nor any worker but one with a lasting task, which no other reaches.
+    fn suspend_owner(&mut self, worker: usize, length: u64) {
+        let lasts = |worker: &FakeWorker| worker.running.values().any(|run| run.end > END);
+        let worker = self.workers.iter().position(lasts).unwrap_or(worker);
+        let mut states = self.daemons.iter();
+        if states.any(|state| self.now < state.cut_until) {
+            return;
+        }
+        let owns = |state: &StormDaemon| state.owner.is_some();
+        let Some(daemon) = self.daemons.iter().position(owns) else {
+            return;
+        };
+        let state = &mut self.daemons[daemon];
+        state.asleep_until = self.now + 3_000 + length / 4;
+        state.cut_until = state.asleep_until + WAKES_CUT_MS;
+        self.workers[worker].reached_by = Some((daemon, state.cut_until));
+    }
+
     fn fault(&mut self) {
         let daemon = self.random.random_range(0..DAEMONS);
         let worker = self.random.random_range(0..WORKERS);
         let length = self.random.random_range(500..6_000);
         let kind = self.random.random_range(0..4);
+        if self.faults == SUSPENSIONS && self.now < FAULTS_END {
+            self.suspend_owner(worker, length);
+        }
         if self.has(2) && kind == 0 {
             let state = &mut self.daemons[daemon];
             if self.now >= state.asleep_until {
                 state.asleep_until = self.now + length;
-                state.slept_ms += length;
             }
         }
         if self.has(2) && kind == 1 {
--- a/crates/serving/src/mono_clock.rs
+++ b/crates/serving/src/mono_clock.rs
@@ -1,12 +1,18 @@
 //! The monotonic clock of the process.
 
-use std::time::Instant;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use nix::time::ClockId;
+use nix::time::clock_gettime;
 use sapphirestile_core::MonoTime;
 
-/// Reads the monotonic clock as time since the start of the process.
+/// Reads a monotonic clock as time since the start of the process.
+///
+/// The clock goes on while the VM is suspended. One that stood still would have a
+/// process that was suspended believe that a lease or its ownership lasts longer
+/// than it does.
 ///
 /// # Examples
 ///
@@ -19,22 +25,30 @@
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct MonoClock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl MonoClock {
     /// A clock that begins now.
+    ///
+    /// # Panics
+    ///
+    /// When the kernel does not keep the time since its boot.
     #[must_use]
     pub fn start() -> Self {
         Self {
-            origin: Instant::now(),
+            origin: since_boot(),
         }
     }
 
-    /// The time now.
+    /// The time now, in milliseconds since [`start`](Self::start).
+    ///
+    /// # Panics
+    ///
+    /// When the kernel does not keep the time since its boot.
     #[must_use]
     pub fn now(&self) -> MonoTime {
-        let millis = self.origin.elapsed().as_millis();
+        let millis = since_boot().saturating_sub(self.origin).as_millis();
         MonoTime::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
     }
 
@@ -47,3 +61,10 @@
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     }
 }
+
+/// The time since the kernel booted, suspensions included.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+    time.expect("the kernel keeps the time since its boot")
+        .into()
+}
