Plan starts only when a batch can be sent

Cause: the owner planned after every event it took. A plan looks at every waiting job and, for each kind of task, at every worker; what it assigns waits for the next batch all the same, 20 ms after the one before and once that is stored.

The value of a plan that was cut short is read now.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -48,6 +48,7 @@
 pub use owner::HeadFollower;
 pub use owner::HeadStep;
 pub use owner::OwnershipKeeper;
+pub use owner::PlanPace;
 pub use owner::RunSources;
 pub use ports::CommitAnswer;
 pub use ports::EventListing;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -1,10 +1,11 @@
 //! Ownership of the jobs.
 //!
 //! An [`OwnershipKeeper`] follows the head row with a [`HeadFollower`], which says
-//! by a [`HeadStep`] when to claim it; by a [`ClaimDelay`] the largest daemon is first. A claim is an [`OwnedHead`]. An [`OwnerRun`]
-//! then drives the jobs: it takes [`OwnerEvent`]s, has a [`CommitWriter`] store
-//! batches, and reaches workers through a [`WorkerLinks`] table of
-//! [`WorkerLink`]s. A [`DecisionLog`] tells what it decided.
+//! by a [`HeadStep`] when to claim it; by a [`ClaimDelay`] the largest daemon is first.
+//! A claim is an [`OwnedHead`]. An [`OwnerRun`] then drives the jobs: it takes
+//! [`OwnerEvent`]s, plans starts at a [`PlanPace`], has a [`CommitWriter`] store
+//! batches, and reaches workers through a [`WorkerLinks`] table of [`WorkerLink`]s. A
+//! [`DecisionLog`] tells what it decided.
 
 mod claim_delay;
 mod commit_writer;
@@ -15,6 +16,7 @@
 mod owner_event;
 mod owner_run;
 mod ownership_keeper;
+mod plan_pace;
 mod run_sources;
 mod worker_link;
 mod worker_links;
@@ -25,6 +27,7 @@
 pub use head_follower::HeadFollower;
 pub use head_step::HeadStep;
 pub use ownership_keeper::OwnershipKeeper;
+pub use plan_pace::PlanPace;
 pub use run_sources::RunSources;
 
 pub(crate) use commit_writer::CommitWriter;
--- a/crates/entry/src/owner/owner_run.rs
+++ b/crates/entry/src/owner/owner_run.rs
@@ -22,16 +22,10 @@
 use crate::owner::DecisionLog;
 use crate::owner::OwnedHead;
 use crate::owner::OwnerEvent;
+use crate::owner::PlanPace;
 use crate::owner::RunSources;
 use crate::owner::WorkerLinks;
 
-/// The longest time without a look at what is due.
-const TICK: Duration = Duration::from_millis(100);
-
-/// The shortest time between two batches, in milliseconds: calls to the store are
-/// paid for, and tasks run for much longer.
-const BATCH_INTERVAL_MS: u64 = 20;
-
 /// How often the owner writes when nothing changes, in milliseconds.
 const LIFE_SIGN_MS: u64 = 450;
 
@@ -48,7 +42,7 @@
     batches: Sender<CommitBatch>,
     config: Arc<DeployedConfig>,
     passed: MonoTime,
-    stored: MonoTime,
+    pace: PlanPace,
     is_deposed: bool,
     is_released: bool,
 }
@@ -90,7 +84,7 @@
             batches,
             config,
             passed: claimed,
-            stored: claimed,
+            pace: PlanPace::new(claimed),
             is_deposed: false,
             is_released: false,
         };
@@ -102,7 +96,10 @@
     fn run(mut self) {
         while !self.is_deposed && !self.owner.is_deposed() {
             match self.events.recv_timeout(self.wait()) {
-                Ok(event) => self.take_event(event),
+                Ok(event) => {
+                    self.take_event(event);
+                    self.pace.note_event();
+                }
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
@@ -133,7 +130,10 @@
             self.passed = now;
         }
         if !self.context.is_stopping() {
-            self.owner.plan_starts(now, unix_ms);
+            if self.pace.is_due(self.owner.is_storing(), now) {
+                let is_cut_short = self.owner.plan_starts(now, unix_ms);
+                self.pace.note_plan(is_cut_short, now);
+            }
             self.owner.look_at_due(now);
         }
         for effect in self.owner.take_effects() {
@@ -147,28 +147,24 @@
         self.send_batch(now);
     }
 
-    /// How long to wait for an event: until the next batch may be sent, if one is
-    /// held back.
     fn wait(&self) -> Duration {
-        if self.owner.is_storing() || !self.owner.has_changes() {
-            return TICK;
-        }
-        let since_ms = self.context.clock.now().millis_since(self.stored);
-        Duration::from_millis(BATCH_INTERVAL_MS.saturating_sub(since_ms).max(1))
+        let now = self.context.clock.now();
+        let owner = &self.owner;
+        self.pace.wait(owner.is_storing(), owner.has_changes(), now)
     }
 
     fn send_batch(&mut self, now: MonoTime) {
         let is_stopping = self.context.is_stopping();
-        if !is_stopping && now.millis_since(self.stored) < BATCH_INTERVAL_MS {
+        if !is_stopping && !self.pace.may_send(self.owner.is_storing(), now) {
             return;
         }
-        let is_due = is_stopping || now.millis_since(self.stored) >= LIFE_SIGN_MS;
+        let is_due = is_stopping || self.pace.since_batch_ms(now) >= LIFE_SIGN_MS;
         let Some(mut batch) = self.owner.take_batch(is_due, now) else {
             return;
         };
         batch.is_last = is_stopping;
         self.is_released = is_stopping;
-        self.stored = now;
+        self.pace.note_batch(now);
         // The writer ends only after it has said that it was deposed.
         let _ = self.batches.send(batch);
     }
--- a/crates/entry/src/owner/owner_run/event_steps.rs
+++ b/crates/entry/src/owner/owner_run/event_steps.rs
@@ -34,7 +34,7 @@
                 }
             }
             OwnerEvent::Stored(WriteOutcome::Stored) => {
-                let took_ms = now.millis_since(self.stored);
+                let took_ms = self.pace.since_batch_ms(now);
                 let took = Duration::from_millis(took_ms);
                 self.context.metrics.observe_batch(took);
                 self.owner.batch_stored(now, unix_ms);
