--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -6,4 +6,5 @@
 mod owner_scene;
 mod placing;
 mod records_and_batches;
+mod trust;
 mod urgency;
