Ask the advisor of a queue which workers may run a step

Cause: a queue may have an advisor that lets steps run on some workers only; starts without its ticket are refused. Such a queue was served without tickets, so that nothing of it ever ran.

The owner asks when a task finds room at workers but no ticket: one question at a time (the advisor answers one for each daemon), about at most 30 workers with room, the best first, for the most urgent job first. What it said is kept for each step; a ticket is good for one life of its worker until 500 ms before it ends. A refused ticket is forgotten and asked for again, and its worker stays trusted. Without an answer it is asked again after 200 ms. Settings: the advisor's address; orders that workers would fetch are refused at start.

Ruled out: asking as soon as a job arrives (tickets of later steps end before their turn), and asking about all workers (each makes the answer later).

Tests: seven scenes of an owner, one through real ports with a stand-in that is busy first. Five mutations tried, each found (life ignored, end ignored, second question, bad workers asked again, refused ticket kept); end ignored was found only after a start that came too late no longer dropped its ticket.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -50,6 +50,7 @@
 pub use owner::OwnershipKeeper;
 pub use owner::PlanPace;
 pub use owner::RunSources;
+pub use ports::AdvicePort;
 pub use ports::CommitAnswer;
 pub use ports::EventListing;
 pub use ports::EventSource;
--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -99,6 +99,8 @@
             DecisionNote::RunOver { cause, .. } if cause.is_done() => "done",
             DecisionNote::RunOver { cause, .. } if cause.is_failure() => "failed",
             DecisionNote::RunOver { cause, .. } => outcome_of(*cause),
+            DecisionNote::Advised { good, .. } if good.is_some() => "advised",
+            DecisionNote::Advised { .. } => "not advised",
             DecisionNote::JobOver { .. } => return,
         };
         self.runs.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -4,9 +4,11 @@
 //! by a [`HeadStep`] when to claim it; by a [`ClaimDelay`] the largest daemon is first.
 //! A claim is an [`OwnedHead`]. An [`OwnerRun`] then drives the jobs: it takes
 //! [`OwnerEvent`]s, plans starts at a [`PlanPace`], has a [`CommitWriter`] store
-//! batches, and reaches workers through a [`WorkerLinks`] table of [`WorkerLink`]s. A
+//! batches, and reaches workers through a [`WorkerLinks`] table of [`WorkerLink`]s, which
+//! holds the [`AdviceLink`] too. A
 //! [`DecisionLog`] tells what it decided.
 
+mod advice_link;
 mod claim_delay;
 mod commit_writer;
 mod decision_log;
@@ -30,6 +32,7 @@
 pub use plan_pace::PlanPace;
 pub use run_sources::RunSources;
 
+pub(crate) use advice_link::AdviceLink;
 pub(crate) use commit_writer::CommitWriter;
 pub(crate) use decision_log::DecisionLog;
 pub(crate) use owned_head::OwnedHead;
--- a/crates/entry/src/owner/decision_log.rs
+++ b/crates/entry/src/owner/decision_log.rs
@@ -29,6 +29,9 @@
                 } => {
                     tracing::info!(epoch, %task, run, %worker, ?cause, age_ms, "a run is over");
                 }
+                DecisionNote::Advised { step, asked, good } => {
+                    tracing::info!(epoch, %step, asked, good, "the advisor was asked");
+                }
                 DecisionNote::JobOver {
                     job,
                     standing,
--- a/crates/entry/src/owner/owner_event.rs
+++ b/crates/entry/src/owner/owner_event.rs
@@ -1,6 +1,8 @@
 //! What an owner reacts to.
 
 use sapphirestile_core::WorkerName;
+use sapphirestile_jobs::AdviceOrder;
+use sapphirestile_jobs::AdviceOutcome;
 use sapphirestile_jobs::LookOutcome;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StopOutcome;
@@ -42,6 +44,13 @@
         /// What came of it.
         outcome: StopOutcome,
     },
+    /// A question to the advisor came to its end.
+    Advised {
+        /// The question.
+        order: AdviceOrder,
+        /// What came of it.
+        outcome: AdviceOutcome,
+    },
     /// A look came to its end.
     Looked {
         /// The worker.
--- a/crates/entry/src/owner/owner_run.rs
+++ b/crates/entry/src/owner/owner_run.rs
@@ -79,7 +79,7 @@
         let run = Self {
             context: Arc::clone(context),
             owner,
-            links: WorkerLinks::new(Arc::clone(&sources.calls), sender),
+            links: WorkerLinks::new(sources, &sender),
             events,
             batches,
             config,
--- a/crates/entry/src/owner/owner_run/event_steps.rs
+++ b/crates/entry/src/owner/owner_run/event_steps.rs
@@ -55,6 +55,9 @@
                 run,
                 outcome,
             } => self.owner.stop_answered(&worker, &task, run, outcome, now),
+            OwnerEvent::Advised { order, outcome } => {
+                self.owner.advice_answered(&order, &outcome, now);
+            }
             OwnerEvent::Looked {
                 worker,
                 number,
--- a/crates/entry/src/owner/run_sources.rs
+++ b/crates/entry/src/owner/run_sources.rs
@@ -4,6 +4,7 @@
 
 use sapphirestile_jobs::WorkerEvent;
 
+use crate::ports::AdvicePort;
 use crate::ports::EventSource;
 use crate::ports::WorkerPort;
 use crate::store::IntakeEvent;
@@ -17,4 +18,6 @@
     pub workers: Arc<dyn EventSource<WorkerEvent>>,
     /// The workers themselves.
     pub calls: Arc<dyn WorkerPort>,
+    /// The advisor, if there is one.
+    pub advice: Option<Arc<dyn AdvicePort>>,
 }
--- a/crates/entry/src/owner/worker_links.rs
+++ b/crates/entry/src/owner/worker_links.rs
@@ -7,25 +7,30 @@
 use sapphirestile_core::WorkerName;
 use sapphirestile_jobs::OwnerEffect;
 
+use crate::owner::AdviceLink;
 use crate::owner::OwnerEvent;
+use crate::owner::RunSources;
 use crate::owner::WorkerLink;
 use crate::owner::WorkerOrder;
 use crate::ports::WorkerPort;
 
-/// The ways to all workers, opened when they are first needed.
+/// The ways to the advisor and to all workers, the latter opened when they are first
+/// needed.
 pub struct WorkerLinks {
     links: SortedTable<WorkerName, WorkerLink>,
     port: Arc<dyn WorkerPort>,
+    advice: AdviceLink,
     events: Sender<OwnerEvent>,
 }
 
 impl WorkerLinks {
-    /// No way yet.
-    pub const fn new(port: Arc<dyn WorkerPort>, events: Sender<OwnerEvent>) -> Self {
+    /// The way to the advisor, and none to workers yet.
+    pub fn new(sources: &RunSources, events: &Sender<OwnerEvent>) -> Self {
         Self {
             links: SortedTable::new(),
-            port,
-            events,
+            port: Arc::clone(&sources.calls),
+            advice: AdviceLink::open(sources.advice.clone(), events.clone()),
+            events: events.clone(),
         }
     }
 
@@ -45,6 +50,7 @@
                 let worker = order.worker.clone();
                 self.link(&worker).order(WorkerOrder::Pace(order));
             }
+            OwnerEffect::Advise(order) => self.advice.ask(order),
             OwnerEffect::Forget { worker, address } => {
                 self.links.remove(&worker);
                 if let Some(address) = address {
@@ -59,6 +65,7 @@
             links,
             port,
             events,
+            ..
         } = self;
         links.get_or_insert_with(worker.clone(), || WorkerLink::open(worker, port, events))
     }
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -3,8 +3,9 @@
 //! A [`StorePort`] keeps rows: a [`StoreCommit`] of [`RowWrite`]s under
 //! [`RowGuard`]s ends in a [`CommitAnswer`]; a [`StoreFault`] says what is known of
 //! a call that failed. An [`EventSource`] lists and watches one kind of event. A
-//! [`WorkerPort`] carries orders to workers.
+//! [`WorkerPort`] carries orders to workers, and an [`AdvicePort`] asks the advisor.
 
+mod advice_port;
 mod commit_answer;
 mod event_listing;
 mod event_source;
@@ -18,6 +19,7 @@
 mod stored_row;
 mod worker_port;
 
+pub use advice_port::AdvicePort;
 pub use commit_answer::CommitAnswer;
 pub use event_listing::EventListing;
 pub use event_source::EventSource;
--- a/crates/entry/src/settings/entry_settings.rs
+++ b/crates/entry/src/settings/entry_settings.rs
@@ -44,6 +44,14 @@
 ///     fault.faults[0].to_string(),
 ///     "[node] zone = \"\": expected the name of an availability zone"
 /// );
+///
+/// let fetching = text.replace("[ports]", "orders = heartbeat\n[ports]");
+/// let fault = EntrySettings::try_from(fetching.as_str()).unwrap_err();
+/// assert_eq!(
+///     fault.faults[0].to_string(),
+///     "[node] orders = \"heartbeat\": expected call: \
+///      workers that fetch their orders are not supported"
+/// );
 /// ```
 #[derive(Clone, Debug, PartialEq)]
 pub struct EntrySettings {
--- a/crates/entry/src/settings/node_settings.rs
+++ b/crates/entry/src/settings/node_settings.rs
@@ -6,6 +6,10 @@
 
 const SHARE_EXPECTED: &str = "a share of a processor from 0.001 to 1024";
 
+/// How workers may be given orders.
+const ORDERS_SUPPORTED: &str = "call";
+const ORDERS_EXPECTED: &str = "call: workers that fetch their orders are not supported";
+
 /// Who and where the daemon is.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NodeSettings {
@@ -21,6 +25,10 @@
     pub(super) fn read(mut reader: SectionReader<'_>) -> Option<Self> {
         let name = reader.checked("name", "a daemon's name");
         let zone = reader.checked("zone", "the name of an availability zone");
+        let orders = reader.optional_text("orders").map(str::to_owned);
+        if let Some(orders) = orders.filter(|orders| orders != ORDERS_SUPPORTED) {
+            reader.fault("orders", &orders, ORDERS_EXPECTED);
+        }
         let cpu_share = reader.ranged("cpu_share", Some(1.0), 0.001..=1_024.0, SHARE_EXPECTED);
         reader.finish();
         Some(Self {
--- a/crates/entry/src/settings/target_settings.rs
+++ b/crates/entry/src/settings/target_settings.rs
@@ -4,17 +4,28 @@
 
 use sapphirestile_core::SectionReader;
 
+const ADDRESS_EXPECTED: &str = "an IP number and a port";
+
 /// Where the platform answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetSettings {
     /// The store.
     pub store: SocketAddr,
+    /// The advisor, if there is one.
+    pub advice: Option<SocketAddr>,
 }
 
 impl TargetSettings {
     pub(super) fn read(mut reader: SectionReader<'_>) -> Option<Self> {
-        let store = reader.number("store", "an IP number and a port");
+        let store = reader.number("store", ADDRESS_EXPECTED);
+        let advice = reader.optional_text("advice").map(str::parse);
+        if let Some(Err(_)) = advice {
+            reader.fault("advice", "", ADDRESS_EXPECTED);
+        }
         reader.finish();
-        Some(Self { store: store? })
+        Some(Self {
+            store: store?,
+            advice: advice.and_then(Result::ok),
+        })
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -18,6 +18,7 @@
 //!
 //! Nothing here does I/O, reads a clock or draws a random number.
 
+mod advice;
 mod order;
 mod owner;
 mod pacing;
@@ -26,6 +27,12 @@
 mod state;
 mod worker;
 
+pub use advice::AdviceBook;
+pub use advice::AdviceOrder;
+pub use advice::AdviceOutcome;
+pub use advice::AdviceTerms;
+pub use advice::PlacementTicket;
+pub use advice::StepAddress;
 pub use order::JobIdentity;
 pub use order::JobOrder;
 pub use order::OrderFault;
--- a/crates/jobs/src/owner/decision_note.rs
+++ b/crates/jobs/src/owner/decision_note.rs
@@ -2,6 +2,7 @@
 
 use sapphirestile_core::WorkerName;
 
+use crate::advice::StepAddress;
 use crate::order::JobIdentity;
 use crate::order::TaskAddress;
 use crate::owner::RunCause;
@@ -32,6 +33,15 @@
         /// How long ago it was assigned, in milliseconds.
         age_ms: u64,
     },
+    /// The advisor was asked which workers may run a step.
+    Advised {
+        /// The step.
+        step: StepAddress,
+        /// How many workers were named.
+        asked: usize,
+        /// How many of them may run it; none when there was no answer.
+        good: Option<usize>,
+    },
     /// A job is over.
     JobOver {
         /// The job.
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -56,6 +56,7 @@
                 service,
                 step: &self.order.steps[step],
                 image: None,
+                needs_ticket: false,
             })
         })
     }
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -1,5 +1,6 @@
 //! The owner of the jobs and workers of a cell.
 
+mod advising;
 mod batches;
 mod gangs;
 mod intake;
@@ -14,6 +15,7 @@
 
 use std::sync::Arc;
 
+use crate::advice::AdviceBook;
 use crate::order::JobIdentity;
 use crate::owner::DecisionNote;
 use crate::owner::HeldEffect;
@@ -65,6 +67,7 @@
     images: ImageTable,
     disturbance: DisturbanceBook,
     durations: DurationBook,
+    advice: AdviceBook,
 }
 
 impl JobOwner {
@@ -100,6 +103,7 @@
             images: ImageTable::default(),
             disturbance: DisturbanceBook::default(),
             durations: DurationBook::default(),
+            advice: AdviceBook::default(),
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -89,6 +89,7 @@
             self.waiting.remove(&key);
         }
         self.disturbance.forget(&identity);
+        self.advice.forget(&identity);
         self.changed.insert(identity, ());
         self.notes.push(DecisionNote::JobOver {
             job: identity,
@@ -166,6 +167,7 @@
                         service: "",
                         step: order,
                         image: self.image_of(order),
+                        needs_ticket: false,
                     };
                     let run = Self::run_entry(task.run, &demand, RunStanding::Inherited, now);
                     let worker = self
--- a/crates/jobs/src/owner/job_owner/orders.rs
+++ b/crates/jobs/src/owner/job_owner/orders.rs
@@ -33,6 +33,7 @@
             .get(worker)
             .is_some_and(|view| self.worker_choice(now).is_usable(view));
         let lease_end_ms = self.lease_end(worker, now);
+        let ticket = self.ticket_for(worker, task, now);
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
@@ -56,6 +57,10 @@
         let Some(address) = view.entry.as_ref().map(|entry| entry.address) else {
             return;
         };
+        let Some(ticket) = ticket else {
+            self.settle_run(worker, task, RunCause::Withdrawn, now, unix_ms);
+            return;
+        };
         run.standing = RunStanding::Starting;
         run.since = now;
         if let Some(clock) = &mut view.clock {
@@ -69,6 +74,7 @@
             run: number,
             order: entry.order.clone(),
             checkpoint: record.checkpoint.clone(),
+            ticket,
             lease_end_ms,
         }));
     }
@@ -100,7 +106,10 @@
                     self.stop_run(worker, task, now);
                 }
             }
-            StartOutcome::TooLate => {
+            StartOutcome::TooLate | StartOutcome::NoTicket => {
+                if outcome == StartOutcome::NoTicket {
+                    self.advice.drop_ticket((*task).into(), worker);
+                }
                 let cause = RunCause::NotTaken(outcome);
                 self.settle_run(worker, task, cause, now, unix_ms);
             }
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -82,6 +82,7 @@
         };
         let order = entry.order.clone();
         let service = self.service_of(&order.queue, &order.terms.service);
+        let terms = self.advice_terms(&order.queue);
         let demands: Vec<TaskDemand<'_>> = entry.startable(key, &service).collect();
         let addresses: Vec<(TaskAddress, &StepOrder)> = demands
             .iter()
@@ -90,12 +91,16 @@
         let mut planned = 0;
         let mut gang: Option<(u32, u32)> = None;
         for (place, (task, step)) in addresses.iter().enumerate() {
-            let demand = self.demand(task, step, &service);
+            let demand = self.demand(task, step, &service, terms.is_some());
             if step.is_gang {
                 if gang.replace((task.occurrence, task.step)) != Some((task.occurrence, task.step))
                 {
-                    let members = self.members(&addresses[place..], &service);
-                    planned += self.plan_gang(&members, now);
+                    let members = self.members(&addresses[place..], &service, terms.is_some());
+                    let placed = self.plan_gang(&members, now);
+                    if placed == 0 {
+                        self.seek_advice(&demand, terms, now);
+                    }
+                    planned += placed;
                 }
                 continue;
             }
@@ -107,6 +112,7 @@
                 self.assign(&worker, &demand, run, now);
                 planned += 1;
             } else {
+                self.seek_advice(&demand, terms, now);
                 unplaced.note(&demand);
             }
         }
@@ -121,12 +127,14 @@
         task: &TaskAddress,
         step: &'a StepOrder,
         service: &'a str,
+        needs_ticket: bool,
     ) -> TaskDemand<'a> {
         TaskDemand {
             task: *task,
             service,
             step,
             image: self.image_of(step),
+            needs_ticket,
         }
     }
 
@@ -135,6 +143,7 @@
         &mut self,
         addresses: &[(TaskAddress, &'a StepOrder)],
         service: &'a str,
+        needs_ticket: bool,
     ) -> Vec<TaskDemand<'a>> {
         let Some((first, _)) = addresses.first() else {
             return Vec::new();
@@ -143,7 +152,7 @@
             .iter()
             .take_while(|(task, _)| (task.occurrence, task.step) == (first.occurrence, first.step));
         of_gang
-            .map(|(task, step)| self.demand(task, step, service))
+            .map(|(task, step)| self.demand(task, step, service, needs_ticket))
             .collect()
     }
 
@@ -184,6 +193,7 @@
         WorkerChoice {
             zones_out: &self.zones_out,
             book: &self.disturbance,
+            advice: &self.advice,
             may_open: self.may_open,
             now,
         }
--- a/crates/jobs/src/owner/job_owner/stragglers.rs
+++ b/crates/jobs/src/owner/job_owner/stragglers.rs
@@ -79,6 +79,7 @@
             service: &service,
             step,
             image: self.image_of(step),
+            needs_ticket: self.advice_terms(&order.queue).is_some(),
         };
         let Some(other) = self.choose_worker(&demand, None, now) else {
             return;
--- a/crates/jobs/src/owner/start_order.rs
+++ b/crates/jobs/src/owner/start_order.rs
@@ -26,6 +26,8 @@
     pub order: Arc<JobOrder>,
     /// Where it goes on from; empty when it begins anew.
     pub checkpoint: Box<str>,
+    /// The advisor's leave; empty where none is asked for.
+    pub ticket: Box<str>,
     /// When its lease ends, on the worker's clock in milliseconds.
     pub lease_end_ms: u64,
 }
--- a/crates/jobs/src/planner/task_demand.rs
+++ b/crates/jobs/src/planner/task_demand.rs
@@ -15,4 +15,6 @@
     pub step: &'a StepOrder,
     /// What it runs.
     pub image: Option<ImageNumber>,
+    /// Whether it starts with a ticket only.
+    pub needs_ticket: bool,
 }
--- a/crates/jobs/src/planner/unplaced_demands.rs
+++ b/crates/jobs/src/planner/unplaced_demands.rs
@@ -16,7 +16,8 @@
     /// says nothing of others.
     pub fn note(&mut self, demand: &TaskDemand<'_>) {
         let step = demand.step;
-        if step.required_label.is_none() && step.per_worker_max.is_none() {
+        let asks_for_room = step.required_label.is_none() && step.per_worker_max.is_none();
+        if asks_for_room && !demand.needs_ticket {
             self.rows
                 .push((step.size, step.uses_leftover, demand.image));
         }
--- a/crates/jobs/src/planner/worker_choice.rs
+++ b/crates/jobs/src/planner/worker_choice.rs
@@ -1,5 +1,7 @@
 //! The choice of a worker for a task.
 
+use crate::advice::AdviceBook;
+use crate::advice::StepAddress;
 use crate::pacing::DisturbanceBook;
 use crate::pacing::FillingRun;
 use crate::pacing::ServingRun;
@@ -54,6 +56,8 @@
     pub zones_out: &'a [ZoneName],
     /// How much images disturb each other.
     pub book: &'a DisturbanceBook,
+    /// What the advisor said of steps.
+    pub advice: &'a AdviceBook,
     /// Whether workers without callers are left to be given some.
     pub may_open: bool,
     /// The time.
@@ -86,6 +90,24 @@
     /// task with callers would become too slow; it goes where it disturbs least.
     #[must_use]
     pub fn score(&self, demand: &TaskDemand<'_>, worker: &WorkerView) -> Option<i64> {
+        if demand.needs_ticket && !self.has_ticket(demand, worker) {
+            return None;
+        }
+        self.room_score(demand, worker)
+    }
+
+    fn has_ticket(&self, demand: &TaskDemand<'_>, worker: &WorkerView) -> bool {
+        let Some(entry) = &worker.entry else {
+            return false;
+        };
+        let (step, life) = (StepAddress::from(demand.task), worker.life_unix_ms);
+        let ticket = self.advice.ticket(step, &entry.name, life, self.now);
+        ticket.is_some()
+    }
+
+    /// The score, whether or not there is a ticket.
+    #[must_use]
+    pub fn room_score(&self, demand: &TaskDemand<'_>, worker: &WorkerView) -> Option<i64> {
         let entry = worker.entry.as_ref()?;
         if *entry.service != *demand.service || !self.is_usable(worker) {
             return None;
--- a/crates/jobs/src/policy/queue_policy.rs
+++ b/crates/jobs/src/policy/queue_policy.rs
@@ -1,5 +1,6 @@
 //! One queue.
 
+use crate::advice::AdviceTerms;
 use crate::order::QueueTerms;
 
 /// A queue of jobs, and which requests reach it.
@@ -17,4 +18,6 @@
     pub stretch: f64,
     /// And this much longer, in milliseconds.
     pub slack_ms: u64,
+    /// Who may run its steps, where an advisor has a say in that.
+    pub advice: Option<AdviceTerms>,
 }
--- a/crates/jobs/src/worker/start_outcome.rs
+++ b/crates/jobs/src/worker/start_outcome.rs
@@ -11,6 +11,8 @@
     Unhealthy,
     /// The run is over already, or came after its lease; nothing started.
     TooLate,
+    /// The worker does not take the advisor's ticket; nothing started.
+    NoTicket,
     /// The worker does not understand the order; nothing started.
     Refused,
     /// Another owner with a higher epoch was there; nothing started.
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -1,5 +1,6 @@
 //! Scenes of an owner: what it does, step by step.
 
+mod advised;
 mod copies_and_gangs;
 mod leases_and_lives;
 mod orders_and_stops;
--- a/crates/jobs/tests/owner/owner_scene.rs
+++ b/crates/jobs/tests/owner/owner_scene.rs
@@ -8,6 +8,8 @@
 use sapphirestile_core::SortedTable;
 use sapphirestile_core::WorkerName;
 use sapphirestile_core::ZoneName;
+use sapphirestile_jobs::AdviceOrder;
+use sapphirestile_jobs::AdviceTerms;
 use sapphirestile_jobs::CallerLimits;
 use sapphirestile_jobs::CommitBatch;
 use sapphirestile_jobs::DeployedConfig;
@@ -38,6 +40,8 @@
 pub struct OwnerScene {
     pub owner: JobOwner,
     pub now: u64,
+    /// The latest question to the advisor.
+    pub question: Option<AdviceOrder>,
     looks: SortedTable<WorkerName, u64>,
 }
 
@@ -65,7 +69,12 @@
         let mut owner = JobOwner::new(CellEpoch::new(7), limits, config, Vec::new(), claimed);
         owner.replace_list(entries, claimed);
         let looks = SortedTable::new();
-        let mut scene = Self { owner, now, looks };
+        let mut scene = Self {
+            owner,
+            now,
+            question: None,
+            looks,
+        };
         scene.step();
         scene
     }
@@ -109,8 +118,13 @@
                     self.looks.insert(order.worker, order.number);
                 }
                 OwnerEffect::Start(order) => {
+                    let shown = if order.ticket.is_empty() {
+                        String::new()
+                    } else {
+                        format!(" with {}", order.ticket)
+                    };
                     lines.push(format!(
-                        "start {}#{} at {}",
+                        "start {}#{} at {}{shown}",
                         order.task, order.run, order.worker
                     ));
                 }
@@ -126,6 +140,11 @@
                         order.task, order.run, order.percent
                     ));
                 }
+                OwnerEffect::Advise(order) => {
+                    let names: Vec<&str> = order.workers.iter().map(WorkerName::as_str).collect();
+                    lines.push(format!("ask {} about {}", order.step, names.join(" ")));
+                    self.question = Some(order);
+                }
                 OwnerEffect::Forget { worker, .. } => lines.push(format!("forget {worker}")),
             }
         }
@@ -278,8 +297,13 @@
         },
         stretch: 2.0,
         slack_ms: 1_000,
+        advice: (name == "advised").then_some(AdviceTerms {
+            decide_ms: 20,
+            each_ms: 1,
+            validity_ms: 3_000,
+        }),
     };
-    let queues = [queue("charts", 1), queue("urgent", 0)];
+    let queues = [queue("charts", 1), queue("urgent", 0), queue("advised", 1)];
     DeployedConfig {
         version,
         queues: queues
--- a/crates/jobs/tests/storm/storm_world.rs
+++ b/crates/jobs/tests/storm/storm_world.rs
@@ -632,7 +632,7 @@
                     },
                 );
             }
-            OwnerEffect::Pace(_) | OwnerEffect::Forget { .. } => {}
+            OwnerEffect::Pace(_) | OwnerEffect::Advise(_) | OwnerEffect::Forget { .. } => {}
         }
     }
 
