Store what an owner has learnt, and begin with it

A planned stop hands the jobs over in 0.1 s, but the new owner knew neither how long tasks run nor which images disturb which; its first seconds stopped and moved more tasks than needed.

Durations of queues, loads between images and lowest latencies go into a row of their own with a batch every 3 s, about a kilobyte; a claim reads it. A row that cannot be read costs the time to learn anew, and is logged. Loads of single jobs are left out: they change within seconds.

Tests: a new owner keeps a disturbing image away from a calm task that it never saw disturbed; what was learnt is handed on as it was; it is stored every 3 s and not more often.

--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -58,6 +58,10 @@
                 });
                 counts = Some(batch.counts);
             }
+            writes.extend(batch.learnt.as_ref().map(|learnt| RowWrite {
+                key: RowKeys::learnt().to_owned(),
+                value: RowCodec::encode(learnt),
+            }));
             let removals = batch.forgotten.iter().flat_map(|identity| {
                 [
                     RowKeys::order(identity),
--- a/crates/entry/src/owner/owner_run/loading.rs
+++ b/crates/entry/src/owner/owner_run/loading.rs
@@ -1,6 +1,7 @@
 //! Reads what an owner begins from.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crossbeam::channel::Sender;
 use sapphirestile_core::CellEpoch;
@@ -10,6 +11,7 @@
 use sapphirestile_jobs::JobOrder;
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_jobs::JobRecord;
+use sapphirestile_jobs::LearntTables;
 use sapphirestile_jobs::OwnerLimits;
 use sapphirestile_jobs::StoredJob;
 use sapphirestile_jobs::WorkerEvent;
@@ -35,6 +37,9 @@
 /// through a store that is away for some seconds.
 const AUTHORITY_MS: u64 = 12_000;
 
+/// The longest that reading one row may take.
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// How many times reading is tried before the claim is given up.
 const TRIES_MAX: u32 = 20;
 
@@ -60,6 +65,9 @@
     let config = view.config.clone().unwrap_or_default();
     let epoch = CellEpoch::new(head.row.epoch);
     let mut owner = JobOwner::new(epoch, limits, config, view.zones_out.clone(), claimed);
+    if let Some(learnt) = read_learnt(context) {
+        owner.recall(&learnt);
+    }
     let (now, unix_ms) = (context.clock.now(), MonoClock::unix_millis());
     let revisions = (workers.revision, intake.revision);
     let present = workers.events.into_iter().filter_map(|event| match event {
@@ -84,6 +92,21 @@
     Some(owner)
 }
 
+/// What the owner before has learnt. An owner that cannot read it learns anew.
+fn read_learnt(context: &EntryContext) -> Option<LearntTables> {
+    let row = retry(context, || {
+        context.store.read(RowKeys::learnt(), READ_TIMEOUT)
+    })??;
+    let learnt = RowCodec::decode(&row.value);
+    if learnt.is_none() {
+        tracing::warn!(
+            row = RowKeys::learnt(),
+            "what was learnt before cannot be read"
+        );
+    }
+    learnt
+}
+
 fn join_jobs(
     intake: EventListing<IntakeEvent>,
     records: &SortedTable<JobIdentity, JobRecord>,
@@ -145,7 +168,7 @@
         if context.is_stopping() {
             return None;
         }
-        std::thread::sleep(std::time::Duration::from_millis(50));
+        std::thread::sleep(Duration::from_millis(50));
     }
     None
 }
--- a/crates/entry/src/store/row_keys.rs
+++ b/crates/entry/src/store/row_keys.rs
@@ -4,6 +4,7 @@
 
 const HEAD: &str = "sapphirestile/head";
 const COUNTS: &str = "sapphirestile/counts";
+const LEARNT: &str = "sapphirestile/learnt";
 const INTAKE: &str = "sapphirestile/intake/";
 const RECORDS: &str = "sapphirestile/jobs/";
 const CANCELLED: &str = "/cancelled";
@@ -36,6 +37,12 @@
         COUNTS
     }
 
+    /// The row of what owners have learnt.
+    #[must_use]
+    pub const fn learnt() -> &'static str {
+        LEARNT
+    }
+
     /// What the keys of orders and cancellations begin with.
     #[must_use]
     pub const fn intake() -> &'static str {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -44,6 +44,7 @@
 pub use owner::CommitBatch;
 pub use owner::DecisionNote;
 pub use owner::JobOwner;
+pub use owner::LearntTables;
 pub use owner::LookOrder;
 pub use owner::OwnerEffect;
 pub use owner::OwnerLimits;
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -5,6 +5,7 @@
 mod gangs;
 mod intake;
 mod lapses;
+mod learning;
 mod looks;
 mod orders;
 mod paces;
@@ -67,6 +68,8 @@
     images: ImageTable,
     disturbance: DisturbanceBook,
     durations: DurationBook,
+    /// When what was learnt was last put into a batch.
+    learnt_sent: MonoTime,
     advice: AdviceBook,
 }
 
@@ -103,6 +106,7 @@
             images: ImageTable::default(),
             disturbance: DisturbanceBook::default(),
             durations: DurationBook::default(),
+            learnt_sent: claimed,
             advice: AdviceBook::default(),
         }
     }
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -24,6 +24,7 @@
             records: records.collect(),
             forgotten: std::mem::take(&mut self.forgotten),
             counts: self.count_queues(),
+            learnt: self.learnt_if_due(now),
             is_last: false,
         };
         self.storing = Some(std::mem::take(&mut self.held));
--- a/crates/jobs/src/pacing/disturbance_book.rs
+++ b/crates/jobs/src/pacing/disturbance_book.rs
@@ -135,6 +135,27 @@
         load_of(serving.latency_ms, lowest_ms)
     }
 
+    /// What a processor of the first image loads runs of the second with.
+    pub fn parts(&self) -> impl Iterator<Item = ((ImageNumber, ImageNumber), f64)> {
+        self.parts.iter().map(|(pair, part)| (*pair, *part))
+    }
+
+    /// Begins with a part that was learnt before.
+    pub fn recall_part(&mut self, pair: (ImageNumber, ImageNumber), part: f64) {
+        self.parts.insert(pair, part);
+    }
+
+    /// The lowest latency of each image, in milliseconds.
+    pub fn lowest_latencies(&self) -> impl Iterator<Item = (ImageNumber, u64)> {
+        let rows = self.lowest_ms.iter();
+        rows.map(|(image, lowest_ms)| (*image, *lowest_ms))
+    }
+
+    /// Begins with a lowest latency that was seen before, in milliseconds.
+    pub fn recall_lowest(&mut self, image: ImageNumber, lowest_ms: u64) {
+        self.lowest_ms.insert(image, lowest_ms);
+    }
+
     /// Forgets a job that is over.
     pub fn forget(&mut self, job: &JobIdentity) {
         self.own_loads.remove(job);
--- a/crates/jobs/src/pacing/image_table.rs
+++ b/crates/jobs/src/pacing/image_table.rs
@@ -21,6 +21,14 @@
 }
 
 impl ImageTable {
+    /// The image that has a number.
+    #[must_use]
+    pub fn name(&self, number: ImageNumber) -> Option<&str> {
+        let mut rows = self.numbers.iter();
+        rows.find(|(_, other)| **other == number)
+            .map(|(name, _)| &**name)
+    }
+
     /// The number of an image. Those beyond the 65,535th share one.
     pub fn number(&mut self, image: &str) -> ImageNumber {
         if let Some(number) = self.numbers.get(image) {
--- a/crates/jobs/src/planner/duration_book.rs
+++ b/crates/jobs/src/planner/duration_book.rs
@@ -43,6 +43,19 @@
         }
     }
 
+    /// The means of all queues, in milliseconds.
+    pub fn means(&self) -> impl Iterator<Item = (Box<str>, f64)> {
+        let means = self.means_ms.iter();
+        means.map(|(queue, mean_ms)| (queue.clone(), *mean_ms))
+    }
+
+    /// Begins with means that were learnt before, in milliseconds.
+    pub fn recall(&mut self, means_ms: &[(Box<str>, f64)]) {
+        for (queue, mean_ms) in means_ms {
+            self.means_ms.insert(queue.clone(), *mean_ms);
+        }
+    }
+
     /// The mean of a queue, in milliseconds, once a run was done.
     #[must_use]
     pub fn mean_ms(&self, queue: &str) -> Option<u64> {
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -2,6 +2,7 @@
 
 mod advised;
 mod copies_and_gangs;
+mod learning;
 mod leases_and_lives;
 mod orders_and_stops;
 mod owner_scene;
