--- a/crates/daemon/src/bin/sapphirestiled.rs
+++ b/crates/daemon/src/bin/sapphirestiled.rs
@@ -150,10 +150,13 @@
     Ok(serving.drain().finish())
 }
 
+/// Serves on the platform. Signals are taken before anything else is begun: one that
+/// says that settings changed would end a process that does not take it yet.
 fn serve_deployed() -> Result<bool, Report<StepError>> {
+    let mut signals = take_signals()?;
     start_deployed_log();
     let serving = DeployedDaemon::start(DeployedDaemon::read_settings()?)?;
-    wait_for_stop()?;
+    wait_for_stop(&mut signals);
     Ok(serving.drain().finish())
 }
 
@@ -170,11 +173,14 @@
         .init();
 }
 
+fn take_signals() -> Result<Signals, Report<StepError>> {
+    let failed = || StepError::new("take signals", "own process");
+    Signals::new([SIGTERM, SIGINT, SIGHUP]).change_context_lazy(failed)
+}
+
 /// Waits for the signal to stop. Settings that changed meanwhile are read and
 /// checked; what they hold is in force from the next start.
-fn wait_for_stop() -> Result<(), Report<StepError>> {
-    let failed = || StepError::new("wait for signals", "own process");
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).change_context_lazy(failed)?;
+fn wait_for_stop(signals: &mut Signals) {
     for signal in signals.forever() {
         if signal != SIGHUP {
             break;
@@ -184,7 +190,6 @@
             Err(report) => tracing::error!(?report, "settings cannot be read again"),
         }
     }
-    Ok(())
 }
 
 fn wait_for_signal() -> Result<(), Report<StepError>> {
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod daemon_process;
 mod http_calls;
+mod link_mode;
 mod link_state;
 mod patience;
 mod relay_link;
@@ -14,6 +15,7 @@
 pub use daemon_process::DaemonProcess;
 pub use http_calls::call;
 pub use http_calls::call_json;
+pub use link_mode::LinkMode;
 pub use patience::wait_until;
 pub use relay_link::RelayLink;
 pub use scene_fleet::SceneFleet;
--- a/crates/test-support/src/relay_link.rs
+++ b/crates/test-support/src/relay_link.rs
@@ -1,13 +1,14 @@
-//! A link that can be cut.
+//! A link that can be cut, silenced or slowed.
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread;
 
+use crate::LinkMode;
 use crate::link_state::LinkState;
 
-/// Relays connections to a target until it is cut, and again once it is mended.
+/// Relays connections to a target as its [`LinkMode`] says.
 pub struct RelayLink {
     address: SocketAddr,
     state: Arc<LinkState>,
@@ -41,11 +42,16 @@
 
     /// Breaks every connection off, and takes no new one.
     pub fn cut(&self) {
-        self.state.set_cut(true);
+        self.set_mode(LinkMode::Cut);
     }
 
-    /// Takes connections again.
+    /// Passes everything on again.
     pub fn mend(&self) {
-        self.state.set_cut(false);
+        self.set_mode(LinkMode::Open);
+    }
+
+    /// Has the link do something else from now on.
+    pub fn set_mode(&self, mode: LinkMode) {
+        self.state.set_mode(mode);
     }
 }
