--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -31,6 +31,7 @@
     answer_seconds: Histogram,
     store_calls: Family<OutcomeLabel, Counter>,
     runs: Family<OutcomeLabel, Counter>,
+    questions: Family<OutcomeLabel, Counter>,
     batch_seconds: Histogram,
     owned_epoch: Gauge,
 }
@@ -45,6 +46,7 @@
             answer_seconds: latencies(),
             store_calls: Family::default(),
             runs: Family::default(),
+            questions: Family::default(),
             batch_seconds: latencies(),
             owned_epoch: Gauge::default(),
             registry: Registry::default(),
@@ -61,6 +63,11 @@
             metrics.store_calls.clone(),
         );
         registry.register("runs", "Runs assigned and over", metrics.runs.clone());
+        registry.register(
+            "questions",
+            "Questions to the advisor",
+            metrics.questions.clone(),
+        );
         registry.register(
             "batch_seconds",
             "Time from a batch of the owner until it was stored",
@@ -99,13 +106,23 @@
             DecisionNote::RunOver { cause, .. } if cause.is_done() => "done",
             DecisionNote::RunOver { cause, .. } if cause.is_failure() => "failed",
             DecisionNote::RunOver { cause, .. } => outcome_of(*cause),
-            DecisionNote::Advised { good, .. } if good.is_some() => "advised",
-            DecisionNote::Advised { .. } => "not advised",
+            DecisionNote::Advised { good, .. } => return self.count_question(good.is_some()),
             DecisionNote::JobOver { .. } => return,
         };
         self.runs.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    fn count_question(&self, is_answered: bool) {
+        let outcome = if is_answered {
+            "answered"
+        } else {
+            "unanswered"
+        };
+        self.questions
+            .get_or_create(&OutcomeLabel { outcome })
+            .inc();
+    }
+
     /// Takes note of how long a batch took to be stored.
     pub fn observe_batch(&self, took: Duration) {
         self.batch_seconds.observe(took.as_secs_f64());
