Give each daemon of the soak a loopback address of its own

The port is one of those that the kernel gives to connections; while the daemon was dead it became the near end of somebody's connection. Shown apart from the soak: with a connection from 127.0.0.1 at a port, listening there fails with the same error, and listening at the same port of 127.64.0.20 does not.

Ruled out: ports of connections that wait to be forgotten (dozens of restarts before did not fail, and listeners may share those).

Daemons listen at 127.64 to 127.66, then the seed; nothing connects from there. What is checked stays as it was.

--- a/crates/daemon/tests/deployed_soak/soak_daemon.rs
+++ b/crates/daemon/tests/deployed_soak/soak_daemon.rs
@@ -1,6 +1,7 @@
 //! A daemon of the soak.
 
 use std::fs::File;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::os::unix::process::ExitStatusExt;
@@ -33,9 +34,11 @@
 }
 
 impl SoakDaemon {
-    /// Starts a daemon whose settings and log stand in `folder`.
-    pub fn start(folder: &Path, name: &str, store: SocketAddr) -> Self {
-        let (callers, ready) = (free_address(), free_address());
+    /// Starts a daemon whose settings and log stand in `folder`. It listens at an
+    /// address of its own: while it is dead, its port must not become that of a
+    /// connection that somebody else makes.
+    pub fn start(folder: &Path, name: &str, address: Ipv4Addr, store: SocketAddr) -> Self {
+        let (callers, ready) = (free_port(address), free_port(address));
         let text = format!(
             "[node]\nname = {name}\nzone = near-a\norders = call\n\
              [ports]\ncallers = {callers}\nready = {ready}\n\
@@ -126,7 +129,7 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+fn free_port(address: Ipv4Addr) -> SocketAddr {
+    let listener = TcpListener::bind((address, 0)).expect("a port is free");
     listener.local_addr().expect("a bound port has an address")
 }
--- a/crates/daemon/tests/deployed_soak/soak_world.rs
+++ b/crates/daemon/tests/deployed_soak/soak_world.rs
@@ -1,5 +1,6 @@
 //! The world of one seed.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -30,6 +31,9 @@
 const DAEMONS: usize = 3;
 const WORKERS: usize = 4;
 
+/// The second number of the first daemon's address.
+const FIRST_NETWORK: u8 = 64;
+
 /// How many jobs are handed in between two faults.
 const JOBS_A_FAULT: u32 = 3;
 
@@ -84,7 +88,8 @@
         for place in 0..DAEMONS {
             let link = RelayLink::start(store_port.address());
             let name = format!("entry-{place}");
-            daemons.push(SoakDaemon::start(&folder, &name, link.address()));
+            let address = daemon_address(seed, place);
+            daemons.push(SoakDaemon::start(&folder, &name, address, link.address()));
             store_links.push(link);
         }
         ports.push(store_port);
@@ -216,3 +221,10 @@
         );
     }
 }
+
+/// A loopback address of a daemon's own: 127.64 to 127.66, then the seed.
+fn daemon_address(seed: u64, place: usize) -> Ipv4Addr {
+    let [.., high, low] = seed.to_be_bytes();
+    let network = FIRST_NETWORK + u8::try_from(place).expect("daemons are few");
+    Ipv4Addr::new(127, network, high, low)
+}
