Make each daemon of the soak a process group of its own

The run stood in the background of a shell that ended while the daemon was frozen. The kernel sends that signal to a process group that loses its last parent outside and has a stopped member; shown by three small processes apart from the soak (the stopped one ended by signal 1).

Ruled out: a signal to a number that was given to another process (ended daemons are kept until they are waited for).

--- a/crates/daemon/tests/deployed_soak/soak_daemon.rs
+++ b/crates/daemon/tests/deployed_soak/soak_daemon.rs
@@ -4,6 +4,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt;
 use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
 use std::path::PathBuf;
@@ -101,7 +102,10 @@
         let log = File::options().create(true).append(true).open(log);
         let log = log.expect("the log can be written");
         let errors = log.try_clone().expect("a file has copies");
+        // The kernel tells a group that has lost its parents and has a frozen member
+        // that it was hung up: a daemon is a group of its own, under this process.
         let child = Command::new(DAEMON)
+            .process_group(0)
             .arg("--deployed")
             .env(SETTINGS_VARIABLE, &self.settings)
             .stdin(Stdio::null())
