Split planning, the scenes' parts and the storm's world

The storm's world (730 lines) keeps time and owners; answers, calls and faults have files of their own. What scenes are built of stands apart from the scene.

--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -1,6 +1,7 @@
 //! The owner of the jobs and workers of a cell.
 
 mod advising;
+mod assigning;
 mod batches;
 mod gangs;
 mod intake;
--- a/crates/jobs/tests/owner/advised.rs
+++ b/crates/jobs/tests/owner/advised.rs
@@ -6,11 +6,11 @@
 use sapphirestile_jobs::StartOutcome;
 
 use crate::owner_scene::OwnerScene;
-use crate::owner_scene::ended;
-use crate::owner_scene::name;
-use crate::owner_scene::order;
-use crate::owner_scene::step;
-use crate::owner_scene::worker;
+use crate::scene_parts::ended;
+use crate::scene_parts::name;
+use crate::scene_parts::order;
+use crate::scene_parts::step;
+use crate::scene_parts::worker;
 
 const JOB: &str = "aaaaaaaaaaaaaaaa";
 const TASK: &str = "aaaaaaaaaaaaaaaa.0.0.0";
--- a/crates/jobs/tests/owner/copies_and_gangs.rs
+++ b/crates/jobs/tests/owner/copies_and_gangs.rs
@@ -4,11 +4,11 @@
 use sapphirestile_jobs::StartOutcome;
 
 use crate::owner_scene::OwnerScene;
-use crate::owner_scene::ended;
-use crate::owner_scene::order;
-use crate::owner_scene::running;
-use crate::owner_scene::step;
-use crate::owner_scene::worker;
+use crate::scene_parts::ended;
+use crate::scene_parts::order;
+use crate::scene_parts::running;
+use crate::scene_parts::step;
+use crate::scene_parts::worker;
 
 const FIRST: &str = "aaaaaaaaaaaaaaaa";
 const JOB: &str = "bbbbbbbbbbbbbbbb";
--- a/crates/jobs/tests/owner/learning.rs
+++ b/crates/jobs/tests/owner/learning.rs
@@ -8,11 +8,11 @@
 use sapphirestile_jobs::StoredJob;
 
 use crate::owner_scene::OwnerScene;
-use crate::owner_scene::name;
-use crate::owner_scene::order;
-use crate::owner_scene::running;
-use crate::owner_scene::step;
-use crate::owner_scene::worker;
+use crate::scene_parts::name;
+use crate::scene_parts::order;
+use crate::scene_parts::running;
+use crate::scene_parts::step;
+use crate::scene_parts::worker;
 
 const DESK: &str = "aaaaaaaaaaaaaaaa";
 const DESK_TASK: &str = "aaaaaaaaaaaaaaaa.0.0.0";
--- a/crates/jobs/tests/owner/leases_and_lives.rs
+++ b/crates/jobs/tests/owner/leases_and_lives.rs
@@ -14,12 +14,12 @@
 use crate::owner_scene::AUTHORITY_MS;
 use crate::owner_scene::LEASE_MS;
 use crate::owner_scene::OwnerScene;
-use crate::owner_scene::ended;
-use crate::owner_scene::name;
-use crate::owner_scene::order;
-use crate::owner_scene::running;
-use crate::owner_scene::step;
-use crate::owner_scene::worker;
+use crate::scene_parts::ended;
+use crate::scene_parts::name;
+use crate::scene_parts::order;
+use crate::scene_parts::running;
+use crate::scene_parts::step;
+use crate::scene_parts::worker;
 
 const JOB: &str = "aaaaaaaaaaaaaaaa";
 const TASK: &str = "aaaaaaaaaaaaaaaa.0.0.0";
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -8,5 +8,6 @@
 mod owner_scene;
 mod placing;
 mod records_and_batches;
+mod scene_parts;
 mod trust;
 mod urgency;
--- a/crates/jobs/tests/owner/owner_scene.rs
+++ b/crates/jobs/tests/owner/owner_scene.rs
@@ -1,19 +1,13 @@
 //! An owner with workers that a test speaks for.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
 use sapphirestile_core::WorkerName;
-use sapphirestile_core::ZoneName;
 use sapphirestile_jobs::AdviceOrder;
-use sapphirestile_jobs::AdviceTerms;
-use sapphirestile_jobs::CallerLimits;
 use sapphirestile_jobs::CommitBatch;
-use sapphirestile_jobs::DeployedConfig;
-use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::EndedRun;
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobOrder;
@@ -22,16 +16,15 @@
 use sapphirestile_jobs::LookOutcome;
 use sapphirestile_jobs::OwnerEffect;
 use sapphirestile_jobs::OwnerLimits;
-use sapphirestile_jobs::QueuePolicy;
-use sapphirestile_jobs::QueueTerms;
 use sapphirestile_jobs::RunningRun;
 use sapphirestile_jobs::StartOutcome;
-use sapphirestile_jobs::StepOrder;
 use sapphirestile_jobs::StopOutcome;
-use sapphirestile_jobs::TaskAddress;
-use sapphirestile_jobs::TaskSize;
 use sapphirestile_jobs::WorkerEntry;
 
+use crate::scene_parts::address;
+use crate::scene_parts::config;
+use crate::scene_parts::name;
+
 pub const LEASE_MS: u64 = 5_000;
 pub const LEASE_MAX_MS: u64 = 6_000;
 pub const AUTHORITY_MS: u64 = 12_000;
@@ -211,108 +204,3 @@
         self.looks.get(&name(worker)).copied().unwrap_or(0)
     }
 }
-
-pub fn name(text: &str) -> WorkerName {
-    WorkerName::try_from(text).unwrap()
-}
-
-pub fn address(text: &str) -> TaskAddress {
-    TaskAddress::try_from(text).unwrap()
-}
-
-pub fn worker(text: &str, cpu_milli: u64) -> WorkerEntry {
-    WorkerEntry {
-        name: name(text),
-        service: "sizing".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 8_000)),
-        zone: ZoneName::try_from("near-a").unwrap(),
-        labels: vec!["a".into(), "r1-1".into()],
-        capacity: TaskSize {
-            cpu_milli,
-            memory_mib: 64_000,
-            accelerators: 0,
-        },
-        is_leaving: false,
-        life_unix_ms: 1,
-    }
-}
-
-pub fn step(tasks: u32, cpu_milli: u64) -> StepOrder {
-    StepOrder {
-        tasks,
-        size: TaskSize {
-            cpu_milli,
-            memory_mib: 100,
-            accelerators: 0,
-        },
-        estimate_ms: 1_000,
-        ..StepOrder::default()
-    }
-}
-
-pub fn order(steps: Vec<StepOrder>) -> JobOrder {
-    JobOrder {
-        queue: "charts".into(),
-        terms: QueueTerms {
-            service: "sizing".into(),
-            priority: 1,
-            attempts: 2,
-        },
-        text: "hem".into(),
-        steps,
-        repeat: None,
-        accepted_unix_ms: 0,
-    }
-}
-
-pub fn running(task: &str, run: u32) -> RunningRun {
-    RunningRun {
-        task: address(task),
-        run,
-        checkpoint: "".into(),
-        pace_percent: 100,
-        figure: 0,
-    }
-}
-
-pub fn ended(number: u64, task: &str, run: u32, kind: EndKind) -> EndedRun {
-    EndedRun {
-        number,
-        task: address(task),
-        run,
-        kind,
-        checkpoint: "".into(),
-    }
-}
-
-fn config(version: u64) -> DeployedConfig {
-    let queue = |name: &str, priority| QueuePolicy {
-        name: name.into(),
-        host: "desk.example".into(),
-        prefix: format!("/{name}/").into(),
-        terms: QueueTerms {
-            service: "sizing".into(),
-            priority,
-            attempts: 2,
-        },
-        stretch: 2.0,
-        slack_ms: 1_000,
-        advice: (name == "advised").then_some(AdviceTerms {
-            decide_ms: 20,
-            each_ms: 1,
-            validity_ms: 3_000,
-        }),
-    };
-    let queues = [queue("charts", 1), queue("urgent", 0), queue("advised", 1)];
-    DeployedConfig {
-        version,
-        queues: queues
-            .into_iter()
-            .map(|queue| (queue.name.clone(), queue))
-            .collect(),
-        services: SortedTable::new(),
-        limits: CallerLimits {
-            body_max_bytes: 1_000,
-        },
-    }
-}
--- a/crates/jobs/tests/owner/records_and_batches.rs
+++ b/crates/jobs/tests/owner/records_and_batches.rs
@@ -6,10 +6,10 @@
 use sapphirestile_jobs::StartOutcome;
 
 use crate::owner_scene::OwnerScene;
-use crate::owner_scene::ended;
-use crate::owner_scene::order;
-use crate::owner_scene::step;
-use crate::owner_scene::worker;
+use crate::scene_parts::ended;
+use crate::scene_parts::order;
+use crate::scene_parts::step;
+use crate::scene_parts::worker;
 
 const JOB: &str = "aaaaaaaaaaaaaaaa";
 const TASK: &str = "aaaaaaaaaaaaaaaa.0.0.0";
--- a/crates/jobs/tests/owner/trust.rs
+++ b/crates/jobs/tests/owner/trust.rs
@@ -4,9 +4,9 @@
 use sapphirestile_jobs::StepOrder;
 
 use crate::owner_scene::OwnerScene;
-use crate::owner_scene::order;
-use crate::owner_scene::step;
-use crate::owner_scene::worker;
+use crate::scene_parts::order;
+use crate::scene_parts::step;
+use crate::scene_parts::worker;
 
 const JOB: &str = "aaaaaaaaaaaaaaaa";
 const LASTING: &str = "bbbbbbbbbbbbbbbb";
--- a/crates/jobs/tests/owner/urgency.rs
+++ b/crates/jobs/tests/owner/urgency.rs
@@ -3,9 +3,9 @@
 use sapphirestile_jobs::JobOrder;
 
 use crate::owner_scene::OwnerScene;
-use crate::owner_scene::order;
-use crate::owner_scene::step;
-use crate::owner_scene::worker;
+use crate::scene_parts::order;
+use crate::scene_parts::step;
+use crate::scene_parts::worker;
 
 const OLD: &str = "aaaaaaaaaaaaaaaa";
 const NEW: &str = "bbbbbbbbbbbbbbbb";
--- a/crates/jobs/tests/storm/storm_world.rs
+++ b/crates/jobs/tests/storm/storm_world.rs
@@ -1,5 +1,9 @@
 //! The world of one seed.
 
+mod storm_answers;
+mod storm_calls;
+mod storm_faults;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -13,25 +17,16 @@
 use sapphirestile_core::WorkerName;
 use sapphirestile_core::ZoneName;
 use sapphirestile_jobs::DeployedConfig;
-use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobOrder;
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_jobs::JobStanding;
-use sapphirestile_jobs::LookOutcome;
-use sapphirestile_jobs::OwnerEffect;
 use sapphirestile_jobs::OwnerLimits;
-use sapphirestile_jobs::QueueTerms;
-use sapphirestile_jobs::StartOutcome;
-use sapphirestile_jobs::StepOrder;
-use sapphirestile_jobs::StopOutcome;
 use sapphirestile_jobs::TaskAddress;
-use sapphirestile_jobs::TaskPhase;
 use sapphirestile_jobs::TaskSize;
 use sapphirestile_jobs::WorkerEntry;
 
 use crate::fake_store::FakeStore;
-use crate::fake_worker::FakeRun;
 use crate::fake_worker::FakeWorker;
 use crate::storm_daemon::StormDaemon;
 use crate::storm_event::StormEvent;
@@ -99,11 +94,11 @@
         world
     }
 
-    fn has(&self, fault: u32) -> bool {
+    pub(super) fn has(&self, fault: u32) -> bool {
         (self.faults == fault || self.faults == 5) && self.now < FAULTS_END
     }
 
-    fn put(&mut self, after_ms: u64, event: StormEvent) {
+    pub(super) fn put(&mut self, after_ms: u64, event: StormEvent) {
         self.order += 1;
         self.queue.insert((self.now + after_ms, self.order), event);
     }
@@ -229,204 +224,6 @@
         }
     }
 
-    /// An end that a worker forgets must be stored: nobody can ask for it again.
-    fn note(&mut self, task: TaskAddress, kind: EndKind) {
-        if kind != EndKind::Done {
-            return;
-        }
-        let record = self
-            .store
-            .records
-            .get(&task.job)
-            .expect("a job with ends is stored");
-        let stored = record.task(&task).map(|task| &task.phase);
-        let is_stored = record.standing.is_final() || stored == Some(&TaskPhase::Done);
-        let is_other_run = stored.is_some() && !is_stored;
-        assert!(
-            is_stored || is_other_run,
-            "seed {}: the end of {task} was noted and not stored",
-            self.seed
-        );
-        if stored == Some(&TaskPhase::Done) {
-            self.noted.insert(task);
-        }
-    }
-
-    fn reached(&self, daemon: usize, name: &WorkerName) -> Option<usize> {
-        let place = self
-            .workers
-            .iter()
-            .position(|worker| worker.name == *name)?;
-        let worker = &self.workers[place];
-        let sees = match worker.reached_by {
-            Some((only, until)) if self.now < until => only == daemon,
-            _ => self.now >= self.daemons[daemon].cut_until,
-        };
-        let is_cut = self.now < worker.cut_until || !sees;
-        (!is_cut && self.now >= worker.dead_until).then_some(place)
-    }
-
-    fn start(
-        &mut self,
-        daemon: usize,
-        life: u64,
-        worker_life: u64,
-        order: &sapphirestile_jobs::StartOrder,
-    ) {
-        let Some(place) = self.reached(daemon, &order.worker) else {
-            return;
-        };
-        if self.workers[place].life != worker_life {
-            return;
-        }
-        let is_lasting = order.order.is_lasting();
-        let kind = if self.random.random_bool(0.1) {
-            EndKind::Failed
-        } else {
-            EndKind::Done
-        };
-        let length = if is_lasting {
-            END
-        } else {
-            self.random.random_range(200..2_500)
-        };
-        let run = FakeRun {
-            run: order.run,
-            end: self.now + length,
-            kind,
-        };
-        let (now, seed) = (self.now, self.seed);
-        let outcome = self.workers[place].start(order, run, now);
-        if outcome == StartOutcome::Accepted {
-            let task = order.task;
-            let running = self
-                .workers
-                .iter()
-                .filter(|worker| worker.running.contains_key(&task));
-            assert_eq!(
-                running.count(),
-                1,
-                "seed {seed} at {now}: {task} runs twice"
-            );
-            assert!(
-                !self.noted.contains(&task),
-                "seed {seed} at {now}: {task} ran again"
-            );
-        }
-        self.answer(StormEvent::StartReturns {
-            daemon,
-            life,
-            worker: order.worker.clone(),
-            task: order.task,
-            run: order.run,
-            outcome,
-        });
-    }
-
-    fn answer(&mut self, event: StormEvent) {
-        let is_lost = self.has(1) && self.random.random_bool(0.05);
-        if !is_lost {
-            let delay = self.random.random_range(1..8);
-            self.put(delay, event);
-        }
-    }
-
-    /// Gives a daemon what arrives for its process, later if it sleeps.
-    fn deliver(&mut self, event: StormEvent) {
-        let (daemon, life) = match &event {
-            StormEvent::LookReturns { daemon, life, .. }
-            | StormEvent::StartReturns { daemon, life, .. }
-            | StormEvent::StopReturns { daemon, life, .. }
-            | StormEvent::CommitReturns { daemon, life, .. } => (*daemon, *life),
-            _ => return,
-        };
-        if self.daemons[daemon].life != life {
-            return;
-        }
-        if self.now < self.daemons[daemon].asleep_until {
-            self.daemons[daemon].missed.push(event);
-            return;
-        }
-        self.hand_over(daemon, event);
-    }
-
-    /// Whether a call has not come to its end before: of an answer and a timeout the
-    /// first counts.
-    fn is_first_answer(&mut self, event: &StormEvent) -> bool {
-        let call = match event {
-            StormEvent::LookReturns {
-                daemon,
-                life,
-                worker,
-                sent,
-                ..
-            } => {
-                format!("look {daemon} {life} {worker} {sent}")
-            }
-            StormEvent::StartReturns {
-                daemon,
-                life,
-                task,
-                run,
-                ..
-            } => {
-                format!("start {daemon} {life} {task} {run}")
-            }
-            _ => return true,
-        };
-        self.answered.insert(call)
-    }
-
-    fn hand_over(&mut self, daemon: usize, event: StormEvent) {
-        if !self.is_first_answer(&event) {
-            return;
-        }
-        let unix_ms = self.now;
-        let state = &mut self.daemons[daemon];
-        let now = MonoTime::from_millis(unix_ms);
-        let Some(owner) = &mut state.owner else {
-            return;
-        };
-        match event {
-            StormEvent::LookReturns {
-                worker,
-                number,
-                outcome,
-                ..
-            } => {
-                owner.look_answered(&worker, number, outcome, now, unix_ms);
-            }
-            StormEvent::StartReturns {
-                worker,
-                task,
-                run,
-                outcome,
-                ..
-            } => {
-                owner.start_answered(&worker, &task, run, outcome, now, unix_ms);
-            }
-            StormEvent::StopReturns {
-                worker,
-                task,
-                run,
-                outcome,
-                ..
-            } => {
-                owner.stop_answered(&worker, &task, run, outcome, now);
-            }
-            StormEvent::CommitReturns { is_stored, .. } => {
-                state.is_committing = false;
-                if is_stored {
-                    owner.batch_stored(now, unix_ms);
-                } else {
-                    state.owner = None;
-                    state.life += 1;
-                }
-            }
-            _ => {}
-        }
-    }
-
     fn tick(&mut self, daemon: usize) {
         if self.now < self.daemons[daemon].asleep_until {
             return;
@@ -445,7 +242,7 @@
         self.drive(daemon, is_away);
     }
 
-    fn is_store_away(&self, daemon: usize) -> bool {
+    pub(super) fn is_store_away(&self, daemon: usize) -> bool {
         self.now < self.store.away_until || self.now < self.daemons[daemon].cut_until
     }
 
@@ -469,7 +266,7 @@
         self.daemons[daemon].last_commit = self.now;
     }
 
-    fn entries(&self) -> Vec<WorkerEntry> {
+    pub(super) fn entries(&self) -> Vec<WorkerEntry> {
         let entry = |worker: &FakeWorker| WorkerEntry {
             name: worker.name.clone(),
             service: "sizing".into(),
@@ -552,179 +349,4 @@
             self.send(daemon, life, effect);
         }
     }
-
-    fn send(&mut self, daemon: usize, life: u64, effect: OwnerEffect) {
-        let is_late = self.has(1) && self.random.random_bool(0.05);
-        let delay = if is_late {
-            self.random.random_range(2_000..12_000)
-        } else {
-            self.random.random_range(1..8)
-        };
-        match effect {
-            OwnerEffect::Start(order) => {
-                let target = self
-                    .workers
-                    .iter()
-                    .find(|worker| worker.name == order.worker);
-                let worker_life = target.map_or(0, |worker| worker.life);
-                self.put(
-                    TIMEOUT_MS,
-                    StormEvent::StartReturns {
-                        daemon,
-                        life,
-                        worker: order.worker.clone(),
-                        task: order.task,
-                        run: order.run,
-                        outcome: StartOutcome::Unknown,
-                    },
-                );
-                self.put(
-                    delay,
-                    StormEvent::StartArrives {
-                        daemon,
-                        life,
-                        worker_life,
-                        order,
-                    },
-                );
-            }
-            OwnerEffect::Stop(order) => {
-                self.put(
-                    TIMEOUT_MS,
-                    StormEvent::StopReturns {
-                        daemon,
-                        life,
-                        worker: order.worker.clone(),
-                        task: order.task,
-                        run: order.run,
-                        outcome: StopOutcome::Unknown,
-                    },
-                );
-                self.put(
-                    delay,
-                    StormEvent::StopArrives {
-                        daemon,
-                        life,
-                        order,
-                    },
-                );
-            }
-            OwnerEffect::Look(order) => {
-                let sent = self.order;
-                self.put(
-                    TIMEOUT_MS,
-                    StormEvent::LookReturns {
-                        daemon,
-                        life,
-                        sent,
-                        worker: order.worker.clone(),
-                        number: order.number,
-                        outcome: LookOutcome::Silent,
-                    },
-                );
-                self.put(
-                    delay,
-                    StormEvent::LookArrives {
-                        daemon,
-                        life,
-                        sent,
-                        order,
-                    },
-                );
-            }
-            OwnerEffect::Pace(_) | OwnerEffect::Advise(_) | OwnerEffect::Forget { .. } => {}
-        }
-    }
-
-    fn submit(&mut self) {
-        let digits: u64 = self.random.random();
-        let identity = JobIdentity::try_from(format!("{digits:016x}").as_str()).unwrap();
-        let is_lasting = self.random.random_bool(0.2);
-        let step = |after: Vec<u32>, tasks: u32| StepOrder {
-            tasks,
-            size: TaskSize {
-                cpu_milli: 1_000,
-                memory_mib: 100,
-                accelerators: 0,
-            },
-            after,
-            is_lasting,
-            ..StepOrder::default()
-        };
-        let steps = if is_lasting {
-            vec![step(Vec::new(), 2)]
-        } else {
-            vec![step(Vec::new(), 4), step(vec![0], 3)]
-        };
-        let order = JobOrder {
-            queue: "charts".into(),
-            terms: QueueTerms {
-                service: "sizing".into(),
-                priority: 0,
-                attempts: ATTEMPTS,
-            },
-            text: "".into(),
-            steps,
-            repeat: None,
-            accepted_unix_ms: self.now,
-        };
-        self.store.orders.insert(identity, order);
-    }
-
-    fn cancel(&mut self) {
-        let first = self.store.orders.keys().next().copied();
-        self.store.cancelled.extend(first);
-    }
-
-    /// An owner is suspended for less than a lease. When it wakes it reaches neither
-    /// the store nor any worker but one with a lasting task, which no other reaches.
-    fn suspend_owner(&mut self, worker: usize, length: u64) {
-        let lasts = |worker: &FakeWorker| worker.running.values().any(|run| run.end > END);
-        let worker = self.workers.iter().position(lasts).unwrap_or(worker);
-        let mut states = self.daemons.iter();
-        if states.any(|state| self.now < state.cut_until) {
-            return;
-        }
-        let owns = |state: &StormDaemon| state.owner.is_some();
-        let Some(daemon) = self.daemons.iter().position(owns) else {
-            return;
-        };
-        let state = &mut self.daemons[daemon];
-        state.asleep_until = self.now + 3_000 + length / 4;
-        state.cut_until = state.asleep_until + WAKES_CUT_MS;
-        self.workers[worker].reached_by = Some((daemon, state.cut_until));
-    }
-
-    fn fault(&mut self) {
-        let daemon = self.random.random_range(0..DAEMONS);
-        let worker = self.random.random_range(0..WORKERS);
-        let length = self.random.random_range(500..6_000);
-        let kind = self.random.random_range(0..4);
-        if self.faults == SUSPENSIONS && self.now < FAULTS_END {
-            self.suspend_owner(worker, length);
-        }
-        if self.has(2) && kind == 0 {
-            let state = &mut self.daemons[daemon];
-            if self.now >= state.asleep_until {
-                state.asleep_until = self.now + length;
-            }
-        }
-        if self.has(2) && kind == 1 {
-            let state = &mut self.daemons[daemon];
-            state.owner = None;
-            state.life += 1;
-            state.missed.clear();
-            state.asleep_until = state.asleep_until.max(self.now + 500);
-        }
-        if self.has(3) && kind == 2 {
-            self.workers[worker].cut_until = self.now + length * 2;
-        }
-        if self.has(3) && kind == 3 {
-            let now = self.now;
-            self.workers[worker].crash(now, length);
-        }
-        if self.has(4) && kind <= 1 {
-            self.store.away_until = self.now + length;
-        }
-    }
 }
