Carry calls to workers on pools of threads, begun when they are needed

Cause: each worker had three threads of its own.

Looks, starts and other orders now share three pools (400, 120 and 120 threads at most) whose threads begin when all others are busy and end after 5 s without a call; no thread to be had is an error in the log, and the call waits. The three kinds keep apart, so that workers that do not answer starts hold up no stop and no look. What still waits when the ownership is over is not sent.

Ruled out: smaller stacks (three threads a worker remain too many); a pool of a library (rusty_pool sets no size of stacks, and memory is limited here); fixed threads (silent workers would fill a small pool).

Not done: 3,000 workers need cells; looks then come in turn, too seldom.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -44,6 +44,7 @@
 pub use metrics::EntryMetrics;
 pub use metrics::MetricsService;
 pub use metrics::OutcomeLabel;
+pub use owner::CallPool;
 pub use owner::ClaimDelay;
 pub use owner::HeadFollower;
 pub use owner::HeadStep;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -4,14 +4,16 @@
 //! by a [`HeadStep`] when to claim it; by a [`ClaimDelay`] the largest daemon is first.
 //! A claim is an [`OwnedHead`]. An [`OwnerRun`] then drives the jobs: it takes
 //! [`OwnerEvent`]s, plans starts at a [`PlanPace`], has a [`CommitWriter`] store
-//! batches, and reaches workers through a [`WorkerLinks`] table of [`WorkerLink`]s, which
-//! holds the [`AdviceLink`] too. A
+//! batches, and has what it wants done carried out by an [`EffectCarrier`]: by
+//! [`WorkerCalls`] on the threads of [`CallPool`]s, and by an [`AdviceLink`]. A
 //! [`DecisionLog`] tells what it decided.
 
 mod advice_link;
+mod call_pool;
 mod claim_delay;
 mod commit_writer;
 mod decision_log;
+mod effect_carrier;
 mod head_follower;
 mod head_step;
 mod owned_head;
@@ -20,11 +22,11 @@
 mod ownership_keeper;
 mod plan_pace;
 mod run_sources;
-mod worker_link;
-mod worker_links;
+mod worker_calls;
 mod worker_order;
 mod write_outcome;
 
+pub use call_pool::CallPool;
 pub use claim_delay::ClaimDelay;
 pub use head_follower::HeadFollower;
 pub use head_step::HeadStep;
@@ -35,10 +37,10 @@
 pub(crate) use advice_link::AdviceLink;
 pub(crate) use commit_writer::CommitWriter;
 pub(crate) use decision_log::DecisionLog;
+pub(crate) use effect_carrier::EffectCarrier;
 pub(crate) use owned_head::OwnedHead;
 pub(crate) use owner_event::OwnerEvent;
 pub(crate) use owner_run::OwnerRun;
-pub(crate) use worker_link::WorkerLink;
-pub(crate) use worker_links::WorkerLinks;
+pub(crate) use worker_calls::WorkerCalls;
 pub(crate) use worker_order::WorkerOrder;
 pub(crate) use write_outcome::WriteOutcome;
--- a/crates/entry/src/owner/owner_run.rs
+++ b/crates/entry/src/owner/owner_run.rs
@@ -20,11 +20,11 @@
 use crate::context::EntryContext;
 use crate::owner::CommitWriter;
 use crate::owner::DecisionLog;
+use crate::owner::EffectCarrier;
 use crate::owner::OwnedHead;
 use crate::owner::OwnerEvent;
 use crate::owner::PlanPace;
 use crate::owner::RunSources;
-use crate::owner::WorkerLinks;
 
 /// How often the owner writes when nothing changes, in milliseconds.
 const LIFE_SIGN_MS: u64 = 450;
@@ -37,7 +37,7 @@
 pub struct OwnerRun {
     context: Arc<EntryContext>,
     owner: JobOwner,
-    links: WorkerLinks,
+    carrier: EffectCarrier,
     events: Receiver<OwnerEvent>,
     batches: Sender<CommitBatch>,
     config: Arc<DeployedConfig>,
@@ -79,7 +79,7 @@
         let run = Self {
             context: Arc::clone(context),
             owner,
-            links: WorkerLinks::new(sources, &sender),
+            carrier: EffectCarrier::new(sources, &sender),
             events,
             batches,
             config,
@@ -137,7 +137,7 @@
             self.owner.look_at_due(now);
         }
         for effect in self.owner.take_effects() {
-            self.links.carry_out(effect);
+            self.carrier.carry_out(effect);
         }
         let notes = self.owner.take_notes();
         for note in &notes {
