--- a/crates/daemon/tests/deployed_soak/soak_world.rs
+++ b/crates/daemon/tests/deployed_soak/soak_world.rs
@@ -74,7 +74,7 @@
         let mut ports = Vec::new();
         let mut worker_links = Vec::new();
         for place in 0..WORKERS {
-            let service: Arc<dyn HttpService> = Arc::new(Arc::clone(&workers).worker(place));
+            let service: Arc<dyn HttpService> = Arc::new(workers.worker(place));
             let port = open_port(&service);
             let link = RelayLink::start(port.address());
             let key = SiteBodies::worker_key(&format!("i-{place}"));
