Mend what a second reading of the change found

The pool of threads in entry had the name of another in the daemon (fixed threads, apart for silent workers): it is an ElasticPool. Free ports were found in two places. Two files held two types. The seeds by hand stood behind an ignored test: the test runs always, one seed unless the environment names others, and seed 20 is kept. What was learnt of durations was handed on by a test that had none; it has one now.

Ruled out: one type for both sets of metrics (what is alike is the library's way of registering them); the daemon's pool (its threads are fixed, and it is built on entry).

--- a/crates/daemon/tests/deployed_soak/main.rs
+++ b/crates/daemon/tests/deployed_soak/main.rs
@@ -8,7 +8,7 @@
 //! accepted has to end as it should. What callers and workers saw is checked, not
 //! what daemons say of themselves.
 //!
-//! `SOAK_SEEDS=1..50 cargo test -p sapphirestile-daemon --test deployed_soak -- --ignored`
+//! `SOAK_SEEDS=4..50 cargo test -p sapphirestile-daemon --test deployed_soak environment`
 //! runs seeds by hand.
 
 mod job_ledger;
@@ -27,20 +27,24 @@
 /// How many faults a run by hand draws.
 const FAULTS_LONG: u32 = 16;
 
-#[test_case(1)]
-#[test_case(2)]
+/// Each failed once, or had a daemon fail; the cause stands beside it.
+#[test_case(1; "a reload during the start ended the daemon")]
+#[test_case(2; "links that are silent to the end")]
+#[test_case(20; "a port that became a connection, and a group that lost its parents")]
 fn promises_hold_through_a_few_faults(seed: u64) {
     SoakWorld::start(seed).run(FAULTS_SHORT);
 }
 
+/// Without seeds in the environment, one seed and few faults.
 #[test]
-#[ignore = "takes minutes: seeds are given by hand"]
-fn promises_hold_for_seeds_by_hand() {
-    let span = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..3".to_owned());
+fn promises_hold_for_seeds_of_the_environment() {
+    let given = std::env::var("SOAK_SEEDS").ok();
+    let faults = given.as_ref().map_or(FAULTS_SHORT, |_| FAULTS_LONG);
+    let span = given.unwrap_or_else(|| "3..3".to_owned());
     let (first, last) = span.split_once("..").expect("seeds are given as 1..50");
     let number = |text: &str| text.parse::<u64>().expect("a seed is a number");
     for seed in number(first)..=number(last) {
         println!("seed {seed}");
-        SoakWorld::start(seed).run(FAULTS_LONG);
+        SoakWorld::start(seed).run(faults);
     }
 }
--- a/crates/daemon/tests/deployed_soak/soak_daemon.rs
+++ b/crates/daemon/tests/deployed_soak/soak_daemon.rs
@@ -3,7 +3,6 @@
 use std::fs::File;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::os::unix::process::CommandExt;
 use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
@@ -16,6 +15,7 @@
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
+use sapphirestile_platform_standins::free_address;
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_sapphirestiled");
 
@@ -39,7 +39,7 @@
     /// address of its own: while it is dead, its port must not become that of a
     /// connection that somebody else makes.
     pub fn start(folder: &Path, name: &str, address: Ipv4Addr, store: SocketAddr) -> Self {
-        let (callers, ready) = (free_port(address), free_port(address));
+        let (callers, ready) = (free_address(address), free_address(address));
         let text = format!(
             "[node]\nname = {name}\nzone = near-a\norders = call\n\
              [ports]\ncallers = {callers}\nready = {ready}\n\
@@ -132,8 +132,3 @@
         }
     }
 }
-
-fn free_port(address: Ipv4Addr) -> SocketAddr {
-    let listener = TcpListener::bind((address, 0)).expect("a port is free");
-    listener.local_addr().expect("a bound port has an address")
-}
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -5,15 +5,15 @@
 //! A claim is an [`OwnedHead`]. An [`OwnerRun`] then drives the jobs: it takes
 //! [`OwnerEvent`]s, plans starts at a [`PlanPace`], has a [`CommitWriter`] store
 //! batches, and has what it wants done carried out by an [`EffectCarrier`]: by
-//! [`WorkerCalls`] on the threads of [`CallPool`]s, and by an [`AdviceLink`]. A
+//! [`WorkerCalls`] on the threads of [`ElasticPool`]s, and by an [`AdviceLink`]. A
 //! [`DecisionLog`] tells what it decided.
 
 mod advice_link;
-mod call_pool;
 mod claim_delay;
 mod commit_writer;
 mod decision_log;
 mod effect_carrier;
+mod elastic_pool;
 mod head_follower;
 mod head_step;
 mod owned_head;
@@ -26,8 +26,8 @@
 mod worker_order;
 mod write_outcome;
 
-pub use call_pool::CallPool;
 pub use claim_delay::ClaimDelay;
+pub use elastic_pool::ElasticPool;
 pub use head_follower::HeadFollower;
 pub use head_step::HeadStep;
 pub use ownership_keeper::OwnershipKeeper;
--- a/crates/entry/src/owner/call_pool.rs
+++ b/crates/entry/src/owner/elastic_pool.rs
@@ -26,9 +26,9 @@
 /// ```
 /// use std::sync::mpsc::channel;
 ///
-/// use sapphirestile_entry::CallPool;
+/// use sapphirestile_entry::ElasticPool;
 ///
-/// let pool = CallPool::new("example", 2);
+/// let pool = ElasticPool::new("example", 2);
 /// let (sender, answers) = channel();
 /// for number in 0..10 {
 ///     let sender = sender.clone();
@@ -39,7 +39,7 @@
 /// assert!(pool.threads() <= 2);
 /// ```
 #[derive(Clone, Debug)]
-pub struct CallPool {
+pub struct ElasticPool {
     name: &'static str,
     threads_max: usize,
     calls: Sender<PoolCall>,
@@ -48,7 +48,7 @@
     idle: Arc<AtomicUsize>,
 }
 
-impl CallPool {
+impl ElasticPool {
     /// A pool of at most so many threads; none has begun yet.
     #[must_use]
     pub fn new(name: &'static str, threads_max: usize) -> Self {
--- a/crates/entry/src/owner/worker_calls.rs
+++ b/crates/entry/src/owner/worker_calls.rs
@@ -11,7 +11,7 @@
 use sapphirestile_jobs::StartOrder;
 use sapphirestile_jobs::StartOutcome;
 
-use crate::owner::CallPool;
+use crate::owner::ElasticPool;
 use crate::owner::OwnerEvent;
 use crate::owner::WorkerOrder;
 use crate::ports::WorkerPort;
@@ -32,9 +32,9 @@
 pub struct WorkerCalls {
     port: Arc<dyn WorkerPort>,
     events: Sender<OwnerEvent>,
-    looks: CallPool,
-    starts: CallPool,
-    orders: CallPool,
+    looks: ElasticPool,
+    starts: ElasticPool,
+    orders: ElasticPool,
     /// Whether the ownership is over, and what still waits is not sent any more.
     is_over: Arc<AtomicBool>,
 }
@@ -45,9 +45,9 @@
         Self {
             port,
             events,
-            looks: CallPool::new("look at worker", LOOKS_MAX),
-            starts: CallPool::new("start at worker", ORDERS_MAX),
-            orders: CallPool::new("order worker", ORDERS_MAX),
+            looks: ElasticPool::new("look at worker", LOOKS_MAX),
+            starts: ElasticPool::new("start at worker", ORDERS_MAX),
+            orders: ElasticPool::new("order worker", ORDERS_MAX),
             is_over: Arc::default(),
         }
     }
@@ -72,7 +72,7 @@
 
     fn run(
         &self,
-        pool: &CallPool,
+        pool: &ElasticPool,
         carry: impl FnOnce(&dyn WorkerPort) -> Option<OwnerEvent> + Send + 'static,
     ) {
         let (port, events) = (Arc::clone(&self.port), self.events.clone());
--- a/crates/jobs/tests/owner/learning.rs
+++ b/crates/jobs/tests/owner/learning.rs
@@ -1,6 +1,7 @@
 //! What an owner has learnt outlives it.
 
 use sapphirestile_jobs::CommitBatch;
+use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::LearntTables;
 use sapphirestile_jobs::RunningRun;
 use sapphirestile_jobs::StartOutcome;
@@ -8,6 +9,7 @@
 use sapphirestile_jobs::StoredJob;
 
 use crate::owner_scene::OwnerScene;
+use crate::scene_parts::ended;
 use crate::scene_parts::name;
 use crate::scene_parts::order;
 use crate::scene_parts::running;
@@ -19,6 +21,10 @@
 const RESIZE: &str = "bbbbbbbbbbbbbbbb";
 const RESIZE_TASK: &str = "bbbbbbbbbbbbbbbb.0.0.0";
 const OTHER: &str = "cccccccccccccccc";
+const OTHER_TASK: &str = "cccccccccccccccc.0.0.0";
+
+/// How long its task runs, in milliseconds.
+const RAN_MS: u64 = 300;
 
 /// How often a latency that is far too high is seen beside the other task.
 const ROUNDS: u64 = 30;
@@ -55,6 +61,13 @@
     scene.store();
     scene.started("w-1", DESK_TASK, 1, StartOutcome::Accepted);
     scene.answer("w-1", &[seen(DESK_TASK, 25)], &[]);
+    scene.accept(OTHER, order(vec![step(1, 100)]));
+    scene.step();
+    scene.store();
+    scene.started("w-1", OTHER_TASK, 1, StartOutcome::Accepted);
+    scene.wait(RAN_MS);
+    let done = [ended(1, OTHER_TASK, 1, EndKind::Done)];
+    scene.answer("w-1", &[seen(DESK_TASK, 25)], &done);
     scene.accept(RESIZE, order(vec![resize()]));
     scene.step();
     scene.store();
@@ -114,6 +127,7 @@
 fn what_was_learnt_is_handed_on_as_it_was() {
     let learnt = learnt_batch().learnt.expect("it is due");
     assert_eq!(learnt.lowest_ms, [("desk".into(), 25)]);
+    assert_eq!(learnt.durations_ms, [("charts".into(), 300.0)]);
     let [(filling, serving, part)] = &*learnt.parts else {
         panic!("one pair of images was seen: {learnt:?}");
     };
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -9,6 +9,7 @@
 mod link_mode;
 mod link_state;
 mod patience;
+mod piece_way;
 mod relay_link;
 mod scene_fleet;
 
--- a/crates/test-support/src/link_state.rs
+++ b/crates/test-support/src/link_state.rs
@@ -13,18 +13,10 @@
 use std::thread;
 
 use crate::LinkMode;
+use crate::piece_way::PieceWay;
 
 const BUFFER_BYTES: usize = 16 * 1_024;
 
-/// Which way a piece goes.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum PieceWay {
-    /// To the target.
-    There,
-    /// Back from it.
-    Back,
-}
-
 /// What a link does, and its connections.
 #[derive(Default)]
 pub struct LinkState {
