--- a/crates/entry/src/context/entry_context.rs
+++ b/crates/entry/src/context/entry_context.rs
@@ -69,6 +69,26 @@
         self.is_stopping.store(true, Ordering::Release);
     }
 
+    /// Changes the operators' state and logs which version of the configuration is in
+    /// effect after it.
+    pub fn update_operator_state(&self, change: impl FnOnce(&OperatorState) -> OperatorState) {
+        let previous_version = self.config_version();
+        self.operator_state.update(change);
+        let version = self.config_version();
+        if version == previous_version {
+            return;
+        }
+        self.metrics.set_config_version(version);
+        tracing::info!(version, previous_version, "configuration in effect");
+    }
+
+    /// The version of the configuration in effect; 0 until there is one.
+    #[must_use]
+    pub fn config_version(&self) -> u64 {
+        let state = self.operator_state.load();
+        state.config.as_ref().map_or(0, |config| config.version)
+    }
+
     /// Reads a row within the adaptive timeout, but at most `limit`.
     ///
     /// # Errors
--- a/crates/entry/src/lifecycle/entry_daemon.rs
+++ b/crates/entry/src/lifecycle/entry_daemon.rs
@@ -139,18 +139,16 @@
     watcher.spawn(None, move |update| {
         match update {
             WatchUpdate::Snapshot(events) => {
-                context
-                    .operator_state
-                    .update(|state| state.with_listing(&events));
-                log_changes(&events);
+                context.update_operator_state(|state| state.with_listing(&events));
+                log_zones(&events);
             }
             WatchUpdate::Changes(events) if !events.is_empty() => {
-                context.operator_state.update(|state| {
+                context.update_operator_state(|state| {
                     events
                         .iter()
                         .fold(state.clone(), |state, event| state.with_event(event))
                 });
-                log_changes(&events);
+                log_zones(&events);
             }
             WatchUpdate::Changes(_) => {}
         }
@@ -158,16 +156,10 @@
     });
 }
 
-fn log_changes(events: &[OperatorEvent]) {
+fn log_zones(events: &[OperatorEvent]) {
     for event in events {
         match event {
-            OperatorEvent::Configured(config) => {
-                tracing::info!(
-                    version = config.version,
-                    queues = config.queues.len(),
-                    "configuration in effect"
-                );
-            }
+            OperatorEvent::Configured(_) => {}
             OperatorEvent::ZoneOut(zone) => tracing::info!(%zone, "zone taken out of service"),
             OperatorEvent::ZoneBack(zone) => tracing::info!(%zone, "zone back in service"),
         }
--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -34,6 +34,7 @@
     questions: Family<OutcomeLabel, Counter>,
     batch_seconds: Histogram,
     owned_epoch: Gauge,
+    config_version: Gauge,
 }
 
 impl Default for EntryMetrics {
@@ -49,6 +50,7 @@
             questions: Family::default(),
             batch_seconds: latencies(),
             owned_epoch: Gauge::default(),
+            config_version: Gauge::default(),
             registry: Registry::default(),
         };
         registry.register("answers", "Answers to callers", metrics.answers.clone());
@@ -78,6 +80,11 @@
             "The epoch of the ownership, 0 while another daemon owns the jobs",
             metrics.owned_epoch.clone(),
         );
+        registry.register(
+            "config_version",
+            "The version of the configuration in effect, 0 until there is one",
+            metrics.config_version.clone(),
+        );
         Self {
             registry,
             ..metrics
@@ -135,6 +142,12 @@
             .set(i64::try_from(epoch).unwrap_or(i64::MAX));
     }
 
+    /// Sets the version of the configuration in effect.
+    pub fn set_config_version(&self, version: u64) {
+        self.config_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics in the `OpenMetrics` text format.
     ///
     /// # Examples
--- a/crates/entry/src/watching/event_watcher.rs
+++ b/crates/entry/src/watching/event_watcher.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::context::EntryContext;
 use crate::ports::EventSource;
@@ -50,6 +51,7 @@
     fn watch(self, mut after: Option<u64>, mut handle: impl FnMut(WatchUpdate<E>) -> bool) {
         let mut backoff = RetryBackoff::default();
         loop {
+            let started = Instant::now();
             let result = self.next(after);
             self.context.record_store_result(&result);
             let is_continuing = match result {
@@ -59,12 +61,14 @@
                     update.is_none_or(&mut handle)
                 }
                 Err(fault) => {
+                    tracing::warn!(
+                        source = self.source.name(),
+                        after,
+                        took_ms = elapsed_ms(started),
+                        %fault,
+                        "cannot read changes"
+                    );
                     if fault == StoreCallError::HistoryGone {
-                        tracing::warn!(
-                            source = self.source.name(),
-                            after,
-                            "watch history is gone; listing again"
-                        );
                         after = None;
                     }
                     thread::sleep(backoff.next_delay());
@@ -92,3 +96,8 @@
         Ok((Some(update), listing.revision))
     }
 }
+
+/// The time since `started`, in whole milliseconds.
+fn elapsed_ms(started: Instant) -> u64 {
+    u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
