Follow configurations that a link carries more slowly than a watch waits

Callers saw queues that were not there, or that were gone, more than four seconds after the operators' change was confirmed, on every VM of the region that the store is not in, until the history was dropped or for good.

Cause: a call for changes had 2.4 s in all, and a page of a listing 1.5 s. A version of 4,200 queues is 1.1 MB as the store sends it, fifteen VMs read it over 60 Mbit/s, and each of them needs 2.2 s. The limit cut the transfers, all began again from the same revision, and what was cut had used up the link. Versions that came meanwhile made the answer longer, and above 8 MiB it could not be read at all.

Change: the time limit of these calls holds for each wait for the next bytes (a download, 20 s in all). A watch reads at most what one row of the greatest size needs; a longer history is not read, the rows are listed, which has the latest version only.

--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -4,7 +4,8 @@
 //! [`CallLimits`] and returns an [`HttpResponse`] only if it is complete. A failed
 //! call is a [`CallError`]: `NotSent` when no byte of the request can have
 //! reached the peer, `Unknown` otherwise. Connections to a peer are pooled in
-//! [`PeerConnections`], those to many peers in a [`ConnectionTable`].
+//! [`PeerConnections`], those to many peers in a [`ConnectionTable`]. A response that may
+//! take long is read by a download, which ends with a [`DownloadOutcome`].
 
 mod address_error;
 mod call_error;
@@ -12,6 +13,7 @@
 mod call_request;
 mod connect_error;
 mod connection_table;
+mod download_outcome;
 mod header_view;
 mod http_client;
 mod http_response;
@@ -28,6 +30,7 @@
 pub use call_limits::CallLimits;
 pub use call_request::CallRequest;
 pub use connection_table::ConnectionTable;
+pub use download_outcome::DownloadOutcome;
 pub use header_view::HeaderView;
 pub use http_client::HttpClient;
 pub use http_response::HttpResponse;
--- a/crates/clients/src/http/http_client.rs
+++ b/crates/clients/src/http/http_client.rs
@@ -12,6 +12,7 @@
 use crate::http::CallError;
 use crate::http::CallLimits;
 use crate::http::CallRequest;
+use crate::http::DownloadOutcome;
 use crate::http::HttpResponse;
 use crate::http::LineReader;
 use crate::http::PeerAddress;
@@ -21,6 +22,9 @@
 use crate::http::response_framing::ResponseFraming;
 use sapphirestile_core::StepError;
 
+/// The maximum time of a [`HttpClient::download`].
+const DOWNLOAD_MAX: Duration = Duration::from_secs(20);
+
 /// Sends requests to one peer over pooled connections.
 ///
 /// It follows no redirects, returns responses of every status and never retries: a
@@ -105,6 +109,52 @@
         let response = sender
             .send(self.limits.timeout)
             .map_err(|error| self.send_error(step, error))?;
+        match self.read_response(step, &method, response)? {
+            DownloadOutcome::Complete(response) => Ok(response),
+            DownloadOutcome::TooLarge => {
+                Err(self.unknown(step, "the response body exceeds the size limit"))
+            }
+        }
+    }
+
+    /// Sends a request without a body and reads a response that may be large for the
+    /// connection: the timeout limits each wait for the next bytes, and the whole call
+    /// takes 20 s at most.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// use std::time::Duration;
+    ///
+    /// use sapphirestile_clients::http::CallLimits;
+    /// use sapphirestile_clients::http::CallRequest;
+    /// use sapphirestile_clients::http::DownloadOutcome;
+    /// use sapphirestile_clients::http::HttpClient;
+    /// use sapphirestile_clients::http::PeerAddress;
+    ///
+    /// let peer = PeerAddress::try_from("127.0.0.1:8080").unwrap();
+    /// let limits = CallLimits { timeout: Duration::from_secs(1), response_max_bytes: 1_048_576 };
+    /// let client = HttpClient::new(peer, limits);
+    /// match client.download("read document", &CallRequest::get("/document")).unwrap() {
+    ///     DownloadOutcome::Complete(response) => println!("{} bytes", response.body.len()),
+    ///     DownloadOutcome::TooLarge => println!("the document is too large"),
+    /// }
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::NotSent`] when no connection could be established or the request is
+    /// malformed, and [`CallError::Unknown`] when no complete response arrived in time.
+    pub fn download(
+        &self,
+        step: &'static str,
+        request: &CallRequest<'_>,
+    ) -> Result<DownloadOutcome, Report<CallError>> {
+        let sender = self.prepare(step, request)?;
+        let method = sender.method().clone();
+        let response = sender
+            .send_and_download(self.limits.timeout, DOWNLOAD_MAX)
+            .map_err(|error| self.send_error(step, error))?;
         self.read_response(step, &method, response)
     }
 
@@ -148,7 +198,7 @@
         step: &'static str,
         method: &Method,
         response: Response<Body>,
-    ) -> Result<HttpResponse, Report<CallError>> {
+    ) -> Result<DownloadOutcome, Report<CallError>> {
         let (parts, body) = response.into_parts();
         if parts.status.is_informational() {
             return Err(self.unknown(step, "the response is informational (1xx), not final"));
@@ -157,30 +207,38 @@
             ResponseFraming::Ambiguous => {
                 return Err(self.unknown(step, "the response has no unambiguous framing"));
             }
-            ResponseFraming::Bodyless => Vec::new(),
+            ResponseFraming::Bodyless => Some(Vec::new()),
             ResponseFraming::ContentLength | ResponseFraming::Chunked => {
                 self.read_body(step, body)?
             }
         };
-        Ok(HttpResponse {
-            status: parts.status.as_u16(),
-            headers: parts.headers,
-            body,
-        })
+        Ok(body.map_or(DownloadOutcome::TooLarge, |body| {
+            DownloadOutcome::Complete(HttpResponse {
+                status: parts.status.as_u16(),
+                headers: parts.headers,
+                body,
+            })
+        }))
     }
 
-    fn read_body(&self, step: &'static str, body: Body) -> Result<Vec<u8>, Report<CallError>> {
+    /// Reads the body; `None` when it exceeds the size limit.
+    fn read_body(
+        &self,
+        step: &'static str,
+        body: Body,
+    ) -> Result<Option<Vec<u8>>, Report<CallError>> {
         let max_bytes = self.limits.response_max_bytes as u64;
         if body
             .content_length()
             .is_some_and(|length| length > max_bytes)
         {
-            return Err(self.unknown(step, "the response body exceeds the size limit"));
+            return Ok(None);
+        }
+        match body.into_with_config().limit(max_bytes).read_to_vec() {
+            Ok(body) => Ok(Some(body)),
+            Err(ureq::Error::BodyExceedsLimit(_)) => Ok(None),
+            Err(error) => Err(self.failed(step, Report::new(error), CallError::Unknown)),
         }
-        body.into_with_config()
-            .limit(max_bytes)
-            .read_to_vec()
-            .map_err(|error| self.failed(step, Report::new(error), CallError::Unknown))
     }
 
     fn send_error(&self, step: &'static str, error: ureq::Error) -> Report<CallError> {
--- a/crates/clients/src/http/request_sender.rs
+++ b/crates/clients/src/http/request_sender.rs
@@ -57,6 +57,25 @@
         self.agent.run(request)
     }
 
+    /// Sends the request and accepts a response of any duration up to `total`, as long as
+    /// no wait for its next bytes takes longer than `pause`.
+    pub(crate) fn send_and_download(
+        self,
+        pause: Duration,
+        total: Duration,
+    ) -> Result<Response<Body>, ureq::Error> {
+        let request = self
+            .agent
+            .configure_request(self.request)
+            .timeout_connect(Some(connect_timeout(pause)))
+            .timeout_send_request(Some(pause))
+            .timeout_recv_response(Some(pause))
+            .timeout_per_read(Some(pause))
+            .timeout_global(Some(total))
+            .build();
+        self.agent.run(request.map(|_| ()))
+    }
+
     /// Sends the request within `timeout`, then waits up to `wait` for the response head
     /// and up to `wait` for the body.
     pub(crate) fn send_and_wait(
--- a/crates/clients/tests/calls/main.rs
+++ b/crates/clients/tests/calls/main.rs
@@ -2,6 +2,7 @@
 
 mod connection_reuse;
 mod decoder_properties;
+mod downloads;
 mod http_calls;
 mod large_messages;
 mod peer_script;
--- a/crates/entry/src/context/entry_context.rs
+++ b/crates/entry/src/context/entry_context.rs
@@ -138,7 +138,7 @@
     /// when the store starts or stops failing.
     pub fn record_store_result<T>(&self, result: &Result<T, StoreCallError>) {
         match result {
-            Ok(_) | Err(StoreCallError::HistoryGone) => {
+            Ok(_) | Err(StoreCallError::HistoryGone | StoreCallError::AnswerTooLarge) => {
                 self.metrics.count_store_call("answered");
                 if self.store_health.record_success() {
                     tracing::info!(dependency = "store", "store answers again");
--- a/crates/entry/src/ports/event_source.rs
+++ b/crates/entry/src/ports/event_source.rs
@@ -22,7 +22,8 @@
     ///
     /// # Errors
     ///
-    /// [`StoreCallError::HistoryGone`] when the source no longer keeps these changes: it
-    /// has to be listed again.
+    /// [`StoreCallError::HistoryGone`] when the source no longer keeps these changes, and
+    /// [`StoreCallError::AnswerTooLarge`] when they are too many for one answer: it has to
+    /// be listed again.
     fn watch(&self, after: u64, wait: Duration) -> Result<EventListing<E>, StoreCallError>;
 }
--- a/crates/entry/src/ports/store_call_error.rs
+++ b/crates/entry/src/ports/store_call_error.rs
@@ -9,6 +9,8 @@
     Unknown,
     /// The store no longer keeps the history after the requested revision.
     HistoryGone,
+    /// The store answered with more than this client reads in one answer.
+    AnswerTooLarge,
 }
 
 impl StoreCallError {
@@ -19,6 +21,7 @@
             Self::NotDone => "not_done",
             Self::Unknown => "unknown",
             Self::HistoryGone => "history_gone",
+            Self::AnswerTooLarge => "answer_too_large",
         }
     }
 }
@@ -29,6 +32,7 @@
             Self::NotDone => "store call had no effect",
             Self::Unknown => "store call got no complete answer and may have taken effect",
             Self::HistoryGone => "store no longer keeps the history after the requested revision",
+            Self::AnswerTooLarge => "store answered with more than fits in one answer",
         })
     }
 }
--- a/crates/entry/src/watching/event_watcher.rs
+++ b/crates/entry/src/watching/event_watcher.rs
@@ -68,7 +68,7 @@
                         %fault,
                         "cannot read changes"
                     );
-                    if fault == StoreCallError::HistoryGone {
+                    if needs_listing(fault) {
                         after = None;
                     }
                     thread::sleep(backoff.next_delay());
@@ -101,3 +101,11 @@
 fn elapsed_ms(started: Instant) -> u64 {
     u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Whether the changes after a revision cannot be read any more.
+const fn needs_listing(fault: StoreCallError) -> bool {
+    matches!(
+        fault,
+        StoreCallError::HistoryGone | StoreCallError::AnswerTooLarge
+    )
+}
