Refuse jobs whose amounts are too large to be added up

A caller that asked for 2^64-1 thousandths of a processor of leftover time, or that estimated two steps at 2^64-1 ms each, ended the thread that owns the jobs in a build that checks sums (in a release build the sum wraps, and the job's place in the order and its worker were chosen by it). The next daemon took over and met the same job.

A job with an amount or duration above 2^40 now gets 400 and a text that says so.

--- a/crates/jobs/src/spec/job_spec.rs
+++ b/crates/jobs/src/spec/job_spec.rs
@@ -17,6 +17,10 @@
 /// Maximum number of tasks in a job, over all steps.
 const TASKS_MAX: u64 = 10_000;
 
+/// Maximum of each amount and duration in a step, so that sums over all tasks of all
+/// jobs do not overflow.
+const AMOUNT_MAX: u64 = 1 << 40;
+
 /// A job as its caller specified it. It is immutable once stored.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -51,6 +55,9 @@
         if tasks > TASKS_MAX || self.steps.iter().any(|step| step.tasks == 0) {
             return Err(JobSpecError::Size);
         }
+        if self.steps.iter().any(has_excessive_amount) {
+            return Err(JobSpecError::Amount);
+        }
         let depends_on_later = |(index, step): (usize, &StepSpec)| {
             step.after
                 .iter()
@@ -82,3 +89,14 @@
         }
     }
 }
+
+fn has_excessive_amount(step: &StepSpec) -> bool {
+    let amounts = [
+        step.size.cpu_milli,
+        step.size.memory_mib,
+        step.size.accelerators,
+        step.estimate_ms,
+        step.latency_target_ms.unwrap_or(0),
+    ];
+    amounts.iter().any(|&amount| amount > AMOUNT_MAX)
+}
--- a/crates/jobs/src/spec/job_spec_error.rs
+++ b/crates/jobs/src/spec/job_spec_error.rs
@@ -12,6 +12,8 @@
     Text,
     /// There is no step or an empty one, or there are too many steps or tasks.
     Size,
+    /// An amount or a duration of a step is too large.
+    Amount,
     /// A step depends on itself or on a later step.
     Dependency,
     /// The interval between repeated occurrences is 0.
@@ -25,6 +27,7 @@
             Self::Task => "task identity must have the form JOB.OCCURRENCE.STEP.INDEX",
             Self::Text => "the text for the tasks has 4000 bytes at most",
             Self::Size => "a job has 1 to 64 steps and 1 to 10000 tasks",
+            Self::Amount => "amounts and durations of a step are 2^40 at most",
             Self::Dependency => "a step waits only for steps before it",
             Self::Interval => "occurrences are a millisecond apart at least",
         })
