Bound how many occurrences of a job are active at once

A repeated job with 4,294,967,295 occurrences that were all due kept the owner busy creating them, and no other job went on. At most 256 occurrences of a job are active now, the others begin as those end. The case failed before (30 s without the other job's end) and passes.

--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -19,6 +19,10 @@
 use crate::worker::TrackedWorker;
 use sapphirestile_core::MonoTime;
 
+/// Maximum number of occurrences of a job that are active at the same time. Each takes
+/// memory, and a part of the job's row in the store.
+const ACTIVE_OCCURRENCES_MAX: usize = 256;
+
 impl JobOwner {
     /// Adds a job that was loaded from the store, with the runs that an earlier owner
     /// assigned. Has no effect if the job is known.
@@ -193,8 +197,13 @@
     repeat.is_none_or(|rule| rule.due_unix_ms(entry.progress.begun) <= unix_ms)
 }
 
+/// Begins the occurrences that are due. Those beyond [`ACTIVE_OCCURRENCES_MAX`] wait for
+/// earlier ones to end.
 fn begin_occurrences(entry: &mut JobEntry, unix_ms: u64) {
-    while entry.progress.begun < entry.spec.occurrences() && is_next_due(entry, unix_ms) {
+    while entry.progress.begun < entry.spec.occurrences()
+        && entry.progress.occurrences.len() < ACTIVE_OCCURRENCES_MAX
+        && is_next_due(entry, unix_ms)
+    {
         let occurrence = OccurrenceProgress::new(entry.progress.begun, &entry.spec);
         entry.progress.occurrences.push(occurrence);
         entry.progress.begun += 1;
