Let lists of VMs and rows arrive more slowly than a call may wait

Looked for where else a transfer that grows with the site is cut by a limit of its whole duration and begun again from the start: the list of VMs (8,700 of them are 1.3 MB, 2 s) and the rows of our own store (2 s). Both are downloads now, so the limit holds for each wait for the next bytes.

--- a/crates/clients/src/http/http_client.rs
+++ b/crates/clients/src/http/http_client.rs
@@ -117,8 +117,8 @@
         }
     }
 
-    /// Sends a request without a body and reads a response that may be large for the
-    /// connection: the timeout limits each wait for the next bytes, and the whole call
+    /// Sends a request and reads a response that may be large for the connection: the
+    /// timeout limits each wait for the next bytes, and the whole call
     /// takes 20 s at most.
     ///
     /// # Examples
--- a/crates/clients/src/http/request_sender.rs
+++ b/crates/clients/src/http/request_sender.rs
@@ -51,10 +51,7 @@
             .timeout_connect(Some(connect_timeout(timeout)))
             .timeout_global(Some(timeout))
             .build();
-        if request.body().is_empty() && !sends_content_length(request.method()) {
-            return self.agent.run(request.map(|_| ()));
-        }
-        self.agent.run(request)
+        run(self.agent, request)
     }
 
     /// Sends the request and accepts a response of any duration up to `total`, as long as
@@ -73,7 +70,7 @@
             .timeout_per_read(Some(pause))
             .timeout_global(Some(total))
             .build();
-        self.agent.run(request.map(|_| ()))
+        run(self.agent, request)
     }
 
     /// Sends the request within `timeout`, then waits up to `wait` for the response head
@@ -96,6 +93,14 @@
     }
 }
 
+/// Sends a request, without a body if it is empty and the method does not call for one.
+fn run(agent: &Agent, request: Request<&[u8]>) -> Result<Response<Body>, ureq::Error> {
+    if request.body().is_empty() && !sends_content_length(request.method()) {
+        return agent.run(request.map(|_| ()));
+    }
+    agent.run(request)
+}
+
 /// Returns the time limit for connecting.
 ///
 /// It is shorter than that of the call, so that an unreachable peer is detected as a
--- a/crates/clients/src/store/etcd_client.rs
+++ b/crates/clients/src/store/etcd_client.rs
@@ -9,7 +9,9 @@
 use crate::http::CallError;
 use crate::http::CallLimits;
 use crate::http::CallRequest;
+use crate::http::DownloadOutcome;
 use crate::http::HttpClient;
+use crate::http::HttpResponse;
 use crate::http::PeerAddress;
 use crate::store::CommitAnswer;
 use crate::store::KeyRange;
@@ -90,6 +92,30 @@
             .client
             .call(step, &CallRequest::post_json(path, &bytes))
             .map_err(to_store_error)?;
+        self.body_of(step, response)
+    }
+
+    /// Sends a call whose response may be large for the connection.
+    fn download(
+        &self,
+        step: &'static str,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<Vec<u8>, Report<StoreError>> {
+        let bytes = self.encode(step, body)?;
+        let request = CallRequest::post_json(path, &bytes);
+        match self.client.download(step, &request) {
+            Ok(DownloadOutcome::Complete(response)) => self.body_of(step, response),
+            Ok(DownloadOutcome::TooLarge) => Err(self.failed(step, StoreError::Unknown)),
+            Err(report) => Err(to_store_error(report)),
+        }
+    }
+
+    fn body_of(
+        &self,
+        step: &'static str,
+        response: HttpResponse,
+    ) -> Result<Vec<u8>, Report<StoreError>> {
         if response.status != STATUS_OK {
             return Err(self.failed(step, classify_failure(response.status, &response.body)));
         }
@@ -106,7 +132,7 @@
             key: Base64Bytes::from(range.first),
             range_end: Base64Bytes::from(range.end),
         };
-        let body = self.call(step, "/v3/kv/range", &request)?;
+        let body = self.download(step, "/v3/kv/range", &request)?;
         let response: RangeResponse<'_> = self.decode(step, &body)?;
         let revision = self.revision(step, response.header.revision)?;
         let rows = response
--- a/crates/clients/src/vms/vm_client.rs
+++ b/crates/clients/src/vms/vm_client.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use error_stack::Report;
-use error_stack::ResultExt;
 
 use crate::http::CallLimits;
 use crate::http::CallRequest;
+use crate::http::DownloadOutcome;
 use crate::http::HeaderView;
 use crate::http::HttpClient;
 use crate::http::HttpResponse;
@@ -78,10 +78,11 @@
             headers: &headers,
             ..CallRequest::get("/v1/vms")
         };
-        let response = self
-            .client
-            .call(STEP, &request)
-            .change_context(VmError::NoResponse)?;
+        let response = match self.client.download(STEP, &request) {
+            Ok(DownloadOutcome::Complete(response)) => response,
+            Ok(DownloadOutcome::TooLarge) => return Err(self.failed(VmError::NoResponse)),
+            Err(report) => return Err(report.change_context(VmError::NoResponse)),
+        };
         match response.status {
             STATUS_OK => self.decode_list(&response),
             STATUS_NOT_MODIFIED if known.is_some() => Ok(ListUpdate::Unchanged),
--- a/crates/clients/tests/calls/peer_script.rs
+++ b/crates/clients/tests/calls/peer_script.rs
@@ -1,6 +1,7 @@
 //! One step of a scripted peer.
 
 use std::sync::mpsc::Receiver;
+use std::time::Duration;
 
 /// How a scripted peer responds to one request.
 pub enum PeerScript {
@@ -10,6 +11,9 @@
     RespondAndClose(Vec<u8>),
     /// Waits for a signal, writes these bytes and closes the connection.
     RespondLate(Receiver<()>, Vec<u8>),
+    /// Writes these bytes in parts, with a pause before each, and waits for the next
+    /// request.
+    RespondSlowly(Vec<u8>, usize, Duration),
 }
 
 impl PeerScript {
--- a/crates/clients/tests/calls/scripted_peer.rs
+++ b/crates/clients/tests/calls/scripted_peer.rs
@@ -81,6 +81,13 @@
                 let _ = writer.write_all(&bytes);
                 return;
             }
+            PeerScript::RespondSlowly(bytes, parts, pause) => {
+                for part in bytes.chunks(bytes.len().div_ceil(parts)) {
+                    std::thread::sleep(pause);
+                    let _ = writer.write_all(part);
+                }
+                Ok(())
+            }
             PeerScript::RespondLate(signal, bytes) => {
                 let _ = signal.recv();
                 let _ = writer.write_all(&bytes);
