--- a/crates/daemon/tests/deployed_soak/main.rs
+++ b/crates/daemon/tests/deployed_soak/main.rs
@@ -4,13 +4,17 @@
 //! stand-in of the store, and four stand-ins of workers behind links. A caller submits
 //! jobs over connections that it keeps open. One [`SoakFault`] after another is drawn from
 //! the seed: signals to processes, links that are cut, silent, slow or hold answers back,
-//! a store that is unavailable or loses answers. Faults may overlap. At the end all faults
-//! are repaired, and every accepted job must complete. The test checks what the caller and
+//! a store that is unavailable or loses answers. Meanwhile the operator writes versions of
+//! the configuration, up to nearly a megabyte each, and another writer leaves an odd entry
+//! among those of the workers. Faults may overlap. At the end all faults
+//! are repaired, and every accepted job must complete and the latest
+//! version be in effect. The test checks what the caller and
 //! the workers saw, not what the daemons say about themselves.
 //!
 //! `SOAK_SEEDS=4..50 cargo test -p sapphirestile-daemon --test deployed_soak environment`
 //! runs the given seeds, each with more faults.
 
+mod config_log;
 mod soak_caller;
 mod soak_daemon;
 mod soak_fault;
--- a/crates/daemon/tests/deployed_soak/soak_caller.rs
+++ b/crates/daemon/tests/deployed_soak/soak_caller.rs
@@ -38,21 +38,28 @@
     /// Submits a job at a daemon. Returns the HTTP status, or `None` without a complete
     /// response within the timeout.
     pub fn submit(&self, daemon: usize, job: &str, body: &str) -> Option<u16> {
-        let (status, _) = self.call(daemon, "POST", job, body)?;
+        let (status, _) = self.call(daemon, "POST", &format!("/charts/{job}"), body)?;
+        Some(status)
+    }
+
+    /// Asks a daemon for the waiting jobs of the queue that only `version` of the
+    /// configuration has. Returns the HTTP status, or `None` without a complete response
+    /// within the timeout.
+    pub fn probe_version(&self, daemon: usize, version: u64) -> Option<u16> {
+        let (status, _) = self.call(daemon, "GET", &format!("/version-{version}/"), "")?;
         Some(status)
     }
 
     /// Asks a daemon for the state of a job. Returns the HTTP status and the body, or `None`
     /// without a complete response within the timeout.
     pub fn job_state(&self, daemon: usize, job: &str) -> Option<(u16, String)> {
-        self.call(daemon, "GET", job, "")
+        self.call(daemon, "GET", &format!("/charts/{job}"), "")
     }
 
-    fn call(&self, daemon: usize, method: &str, job: &str, body: &str) -> Option<(u16, String)> {
-        let path = format!("/charts/{job}");
+    fn call(&self, daemon: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
         let request = CallRequest {
             method,
-            path: &path,
+            path,
             headers: &[HOST],
             body: body.as_bytes(),
         };
--- a/crates/daemon/tests/deployed_soak/soak_scenario.rs
+++ b/crates/daemon/tests/deployed_soak/soak_scenario.rs
@@ -21,6 +21,7 @@
 use sapphirestile_test_support::ProxyMode;
 use sapphirestile_test_support::wait_until;
 
+use crate::config_log::ConfigLog;
 use crate::soak_caller::SoakCaller;
 use crate::soak_daemon::SoakDaemon;
 use crate::soak_fault::SoakFault;
@@ -31,6 +32,13 @@
 const DAEMONS: usize = 3;
 const WORKERS: usize = 4;
 
+/// The name of the entry that is no worker's. The space ends a URL, and a page of the
+/// listing ends with this name.
+const ODD_WORKER: &str = "i-0 odd";
+
+/// How many lists the odd entry nests.
+const ODD_DEPTH: usize = 100_000;
+
 /// The second byte of the first daemon's IP address.
 const FIRST_SUBNET: u8 = 64;
 
@@ -44,6 +52,7 @@
 const RUN_MAX_MS: u64 = 900;
 
 const STATUS_OK: u16 = 200;
+const STATUS_MISSING: u16 = 404;
 const STATUS_TOO_MANY_REQUESTS: u16 = 429;
 const STATUS_UNAVAILABLE: u16 = 503;
 
@@ -58,6 +67,7 @@
     daemons: Vec<SoakDaemon>,
     caller: SoakCaller,
     submissions: SubmissionLog,
+    configs: ConfigLog,
     _ports: Vec<HttpPort>,
 }
 
@@ -82,7 +92,10 @@
             worker_links.push(link);
             ports.push(port);
         }
-        store.put(SiteBodies::CONFIG_KEY, &SiteBodies::config());
+        store.put(&SiteBodies::worker_key(ODD_WORKER), &"[".repeat(ODD_DEPTH));
+        let configs = ConfigLog::new(seed, DAEMONS);
+        let config = SiteBodies::config_version(configs.latest(), 0);
+        store.put(SiteBodies::CONFIG_KEY, &config);
         let mut store_links = Vec::new();
         let mut daemons = Vec::new();
         for index in 0..DAEMONS {
@@ -104,6 +117,7 @@
             daemons,
             caller: SoakCaller::new(&addresses),
             submissions: SubmissionLog::default(),
+            configs,
             _ports: ports,
         }
     }
@@ -113,14 +127,16 @@
     ///
     /// # Panics
     ///
-    /// When an accepted job does not complete, a refused or never submitted one ran, or a
-    /// worker saw a violation, such as a task that runs at two workers.
+    /// When an accepted job does not complete, a refused or never submitted one ran, a
+    /// worker saw a violation, such as a task that runs at two workers, a daemon went back
+    /// to an older configuration, or the latest one is not in effect at the end.
     pub fn run(mut self, faults: u32) {
         for _ in 0..faults {
             self.submit_jobs();
             let fault = SoakFault::draw(&mut self.random);
             println!("{fault:?}");
             self.inject(fault);
+            self.change_config();
             let interval_ms = self.random.random_range(0..FAULT_INTERVAL_MAX_MS);
             thread::sleep(Duration::from_millis(interval_ms));
         }
@@ -160,6 +176,29 @@
         }
     }
 
+    /// Lets the operator write versions, and probes each daemon for the latest.
+    fn change_config(&mut self) {
+        for config in self.configs.draw() {
+            self.store.put(SiteBodies::CONFIG_KEY, &config);
+        }
+        for daemon in 0..DAEMONS {
+            self.probe_version(daemon, self.configs.latest());
+        }
+    }
+
+    /// Whether a daemon serves the queue that only `version` has.
+    fn probe_version(&mut self, daemon: usize, version: u64) -> bool {
+        match self.caller.probe_version(daemon, version) {
+            Some(STATUS_MISSING) => self.configs.check_not_served(daemon, version),
+            Some(STATUS_OK) => {
+                self.configs.record_served(daemon, version);
+                return true;
+            }
+            _ => {}
+        }
+        false
+    }
+
     fn inject(&mut self, fault: SoakFault) {
         match fault {
             SoakFault::Kill(index) => self.daemons[index % DAEMONS].signal(Signal::SIGKILL),
@@ -189,7 +228,20 @@
         }
     }
 
+    fn check_config(&mut self) {
+        let version = self.configs.latest();
+        for daemon in 0..DAEMONS {
+            let what = format!("seed {}: version {version} is in effect", self.seed);
+            wait_until(&what, || {
+                // A daemon that was asked to stop may end only now.
+                self.resume_or_restart();
+                self.probe_version(daemon, version).then_some(())
+            });
+        }
+    }
+
     fn check(&mut self) {
+        self.check_config();
         let seed = self.seed;
         let accepted: Vec<String> = self
             .submissions
