--- a/crates/cells/src/pressure/pressure_tracker.rs
+++ b/crates/cells/src/pressure/pressure_tracker.rs
@@ -1,5 +1,7 @@
 //! Slowdown next to a cell's workers, and the throttles requested.
 
+mod target_choice;
+
 use crate::pressure::CombinedSlowdown;
 use crate::pressure::PressureDecision;
 use crate::pressure::PressureRecord;
@@ -12,12 +14,8 @@
 use sapphirestile_core::SortedTable;
 use sapphirestile_core::TaskName;
 use sapphirestile_core::WorkerName;
-use sapphirestile_placement::PressureAction;
 use sapphirestile_placement::PressurePolicy;
-use sapphirestile_placement::PressureTask;
 use sapphirestile_placement::SlowdownModel;
-use sapphirestile_placement::SlowdownSample;
-use sapphirestile_placement::choose_pressure_target;
 use sapphirestile_placement::release_steps;
 
 /// A decision needs at least this many measured requests.
@@ -25,7 +23,6 @@
 /// A throttle is lifted when nothing was measured next to its worker for this long.
 const UNMEASURED_MAX_MS: u64 = 300_000;
 const WHOLE_PERMILLE: u64 = 1_000;
-const CORE_MILLI: u64 = 1_000;
 
 /// The slowdown next to a cell's workers, and the throttles requested. Not durable: a
 /// new owner learns the throttles from the workers' reports.
@@ -254,52 +251,4 @@
             }
         }
     }
-
-    fn learn(&mut self, tasks: &[ThrottleCandidate], combined: &CombinedSlowdown) {
-        let jobs: Vec<&JobName> = tasks.iter().map(|task| &task.task.job).collect();
-        self.slowdown_model.learn(&SlowdownSample {
-            measured: combined.measured,
-            slowdown_permille: combined.slowdown_permille,
-            jobs: &jobs,
-        });
-    }
-
-    fn choose(
-        &self,
-        tasks: &[ThrottleCandidate],
-        action: PressureAction,
-        combined: &CombinedSlowdown,
-    ) -> Option<PressureDecision> {
-        let stops = action == PressureAction::StopOne;
-        let allowed = |(_, task): &(usize, &ThrottleCandidate)| !(stops && task.urgent);
-        let (indices, views): (Vec<usize>, Vec<PressureTask>) = tasks
-            .iter()
-            .enumerate()
-            .filter(allowed)
-            .map(|(index, task)| (index, self.view_of(task)))
-            .unzip();
-        let (chosen, permille) = choose_pressure_target(&views, action)?;
-        let index = indices[chosen];
-        let cause = combined.to_string();
-        Some(match permille {
-            0 => PressureDecision::Stop { index, cause },
-            _ => PressureDecision::Limit {
-                index,
-                permille,
-                cause,
-            },
-        })
-    }
-
-    /// A throttle takes processor time, so a task's interference is weighted by the cores
-    /// allocated to it.
-    fn view_of(&self, task: &ThrottleCandidate) -> PressureTask {
-        let throttle = self.throttles.get(&task.task);
-        let interference_permille = self.slowdown_model.interference_of(&task.task.job);
-        PressureTask {
-            interference_permille: interference_permille.saturating_mul(task.cpu_milli)
-                / CORE_MILLI,
-            throttle_permille: throttle.map_or(WHOLE_PERMILLE, |throttle| throttle.permille),
-        }
-    }
 }
--- a/crates/standins/src/worker/worker_state.rs
+++ b/crates/standins/src/worker/worker_state.rs
@@ -1,5 +1,7 @@
 //! The attempts and sessions of a worker.
 
+mod usage;
+
 mod session_reports;
 
 use crate::worker::AttemptCycle;
@@ -8,14 +10,12 @@
 use crate::worker::HistoryEntry;
 use crate::worker::PermittedCall;
 use crate::worker::ReportTracker;
-use crate::worker::RunningPhase;
 use crate::worker::SessionCounts;
 use crate::worker::SessionTable;
 use crate::worker::WorkerSettings;
 use sapphirestile_core::AttemptNumber;
 use sapphirestile_core::IncarnationNumber;
 use sapphirestile_core::MonoTime;
-use sapphirestile_core::ResourceSize;
 use sapphirestile_core::SortedTable;
 use sapphirestile_core::TaskName;
 use sapphirestile_wire::worker::SessionReport;
@@ -276,24 +276,6 @@
         row.ended = Some(ended.ended());
         row.phase = ended.outcome();
     }
-
-    fn running_attempts(&self) -> impl Iterator<Item = (&AttemptKey, &AttemptCycle<RunningPhase>)> {
-        self.attempts
-            .iter()
-            .filter_map(|(key, attempt)| match attempt {
-                AttemptState::Running(cycle) => Some((key, cycle)),
-                AttemptState::Ended(_) => None,
-            })
-    }
-
-    fn used_size_total(&self) -> ResourceSize {
-        let sizes = self.running_attempts().map(|(_, cycle)| cycle.size());
-        sizes.fold(ResourceSize::default(), |sum, size| sum.plus(size))
-    }
-
-    fn free_size(&self) -> ResourceSize {
-        self.settings.size.minus(&self.used_size_total())
-    }
 }
 
 fn bad_call(detail: &str) -> WorkerRefusal {
