--- a/crates/daemon/tests/deployed_soak/soak_scenario.rs
+++ b/crates/daemon/tests/deployed_soak/soak_scenario.rs
@@ -1,5 +1,7 @@
 //! The daemons, stand-ins and faults of one seed.
 
+mod final_checks;
+
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -19,7 +21,6 @@
 use sapphirestile_serving::HttpService;
 use sapphirestile_test_support::FaultProxy;
 use sapphirestile_test_support::ProxyMode;
-use sapphirestile_test_support::wait_until;
 
 use crate::config_log::ConfigLog;
 use crate::soak_caller::SoakCaller;
@@ -39,9 +40,6 @@
 /// How many lists the odd entry nests.
 const ODD_DEPTH: usize = 100_000;
 
-/// With one chunk of 16 KiB in this time, a large configuration takes about six seconds.
-const SLOW_CHUNK_DELAY: Duration = Duration::from_millis(80);
-
 /// The second byte of the first daemon's IP address.
 const FIRST_SUBNET: u8 = 64;
 
@@ -230,70 +228,6 @@
             daemon.resume_or_restart();
         }
     }
-
-    /// Checks that a large version comes into effect over slow links.
-    fn check_config(&mut self) {
-        for link in &self.store_links {
-            link.set_mode(ProxyMode::Delayed(SLOW_CHUNK_DELAY));
-        }
-        let config = self.configs.large_version();
-        self.store.put(SiteBodies::CONFIG_KEY, &config);
-        let version = self.configs.latest();
-        for daemon in 0..DAEMONS {
-            let what = format!("seed {}: version {version} is in effect", self.seed);
-            wait_until(&what, || {
-                // A daemon that was asked to stop may end only now.
-                self.resume_or_restart();
-                self.probe_version(daemon, version).then_some(())
-            });
-        }
-        self.repair();
-    }
-
-    fn check(&mut self) {
-        self.check_config();
-        let seed = self.seed;
-        let accepted: Vec<String> = self
-            .submissions
-            .jobs(SubmissionOutcome::Accepted)
-            .map(str::to_owned)
-            .collect();
-        for (index, job) in accepted.iter().enumerate() {
-            let what = format!("seed {seed}: accepted job {job} is completed");
-            wait_until(&what, || {
-                // A daemon that was asked to stop may end only now.
-                self.resume_or_restart();
-                let (status, text) = self.caller.job_state(index % DAEMONS, job)?;
-                (status == STATUS_OK && text == SiteBodies::state("completed")).then_some(())
-            });
-        }
-        let started = self.workers.started();
-        let job_of = |run: &String| run.split('.').next().unwrap_or_default().to_owned();
-        for refused in self.submissions.jobs(SubmissionOutcome::Refused) {
-            let ran = started.iter().find(|run| job_of(run) == refused);
-            assert!(
-                ran.is_none(),
-                "seed {seed}: job {refused} was refused as not run, but {ran:?} was started"
-            );
-        }
-        for run in &started {
-            let job = job_of(run);
-            assert!(
-                self.submissions.contains(&job),
-                "seed {seed}: {run} was started, but no caller submitted {job}"
-            );
-        }
-        let violations = self.workers.violations();
-        assert!(
-            violations.is_empty(),
-            "seed {seed}: the workers saw violations: {violations:?}"
-        );
-        println!(
-            "seed {seed}: {} jobs accepted, {} runs",
-            accepted.len(),
-            started.len()
-        );
-    }
 }
 
 /// The loopback address of a daemon: 127.64 to 127.66 by its index, then the lowest two
