Start no process of the soak while another thread chooses free ports

A case of the soak picks a free port by binding and closing a socket; when another case starts a process at that moment, that process holds the socket until it executes its program. A program of its own that does just this shows it: of 278,252 such binds beside four threads that start processes 7,300 found the port in use, for up to 5.5 ms, and none of 392,372 without them. Ports are now chosen, and processes started, under one lock.

--- a/crates/daemon/tests/deployed_soak/soak_daemon.rs
+++ b/crates/daemon/tests/deployed_soak/soak_daemon.rs
@@ -11,6 +11,9 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
@@ -39,7 +42,10 @@
     /// address that no other process uses, so that while it is down the operating system
     /// cannot give its port to another connection.
     pub fn start(folder: &Path, name: &str, address: Ipv4Addr, store: SocketAddr) -> Self {
-        let (callers, ready) = (free_address(address), free_address(address));
+        let (callers, ready) = {
+            let _no_spawns = lock_spawns();
+            (free_address(address), free_address(address))
+        };
         let text = format!(
             "[node]\nname = {name}\nzone = near-a\norders = call\n\
              [ports]\ncallers = {callers}\nready = {ready}\n\
@@ -112,6 +118,7 @@
             .expect("the handle of the log can be duplicated");
         // The kernel sends SIGHUP to an orphaned process group that has a stopped member.
         // Each daemon therefore gets its own group, whose parent is this process.
+        let no_ports_chosen = lock_spawns();
         let child = Command::new(DAEMON)
             .process_group(0)
             .arg("--deployed")
@@ -120,10 +127,18 @@
             .stdout(log)
             .stderr(errors)
             .spawn();
+        drop(no_ports_chosen);
         self.child = Some(child.expect("the daemon process can be started"));
     }
 }
 
+/// Keeps processes from being started while free ports are chosen, since a new process
+/// holds the sockets of all threads open until it executes its program.
+fn lock_spawns() -> MutexGuard<'static, ()> {
+    static SPAWNS: Mutex<()> = Mutex::new(());
+    SPAWNS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Whether a process ended because the test killed it or asked it to stop.
 fn was_stopped_by_test(status: ExitStatus) -> bool {
     let signal = status.signal();
