Ask a worker before its runs are given up by the arithmetic of its lease

Cause: an owner that is late with its polls, or was suspended, took the end of a lease by its own clock for the fate of the runs, on workers that respond.

Change: the arithmetic counts only for a worker that is silent: one whose poll, sent at most 3.5 s ago, got no response, or that cannot be polled. Any other worker lists how its runs ended. A worker that crashed is given up as before, since its polls fail while its lease ends.

Two tests failed before: a late owner, and an owner that was suspended after a failed poll.

--- a/crates/jobs/src/owner/job_owner/expiry.rs
+++ b/crates/jobs/src/owner/job_owner/expiry.rs
@@ -27,6 +27,8 @@
         self.forget_jobs(now);
     }
 
+    /// Gives up the runs of a worker whose lease has ended and which does not respond. A
+    /// worker that responds lists how its runs ended.
     fn expire_leases(&mut self, name: &WorkerName, now: MonoTime, unix_ms: u64) {
         let inherited_lease_end = self.inherited_lease_end();
         let Some(tracked) = self.workers.get(name) else {
@@ -34,16 +36,13 @@
         };
         let has_lapsed = tracked.clock.is_some_and(|clock| clock.has_lapsed(now));
         let has_inherited_lease_lapsed = tracked.clock.is_none() && now >= inherited_lease_end;
-        if !has_lapsed && !has_inherited_lease_lapsed {
+        if !(has_lapsed || has_inherited_lease_lapsed) || !tracked.is_silent(now) {
             return;
         }
         let ended: Vec<TaskIdentity> = tracked
             .runs
             .iter()
-            .filter(|(_, run)| match run.state {
-                RunState::Planned | RunState::Starting => false,
-                _ => has_lapsed || has_inherited_lease_lapsed,
-            })
+            .filter(|(_, run)| !matches!(run.state, RunState::Planned | RunState::Starting))
             .map(|(task, _)| *task)
             .collect();
         for task in ended {
--- a/crates/jobs/src/owner/job_owner/polling.rs
+++ b/crates/jobs/src/owner/job_owner/polling.rs
@@ -52,11 +52,12 @@
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
-        let lease_end_ms = lease_end_ms.filter(|_| !tracked.is_unresponsive);
+        let lease_end_ms = lease_end_ms.filter(|_| !tracked.is_unresponsive());
         let Some(address) = tracked.entry.as_ref().map(|entry| entry.address) else {
             return;
         };
         tracked.poll += 1;
+        tracked.poll_sent = now;
         tracked.is_polling = true;
         tracked.batch_wait_since = None;
         let wait_ms = match (&mut tracked.clock, lease_end_ms) {
@@ -98,7 +99,10 @@
                 self.apply_response(name, number, &response, now, unix_ms);
             }
             PollOutcome::NoResponse | PollOutcome::OtherIncarnation => {
-                tracked.is_unresponsive = true;
+                // The time at which an earlier poll was sent is not kept.
+                let is_latest = number == tracked.poll;
+                let sent = if is_latest { tracked.poll_sent } else { MonoTime::default() };
+                tracked.unanswered_poll = Some(sent);
                 tracked.is_polling = false;
                 tracked.next_poll = now.plus_millis(POLL_RETRY_MS);
             }
@@ -127,7 +131,7 @@
             return;
         };
         tracked.last_response = now;
-        tracked.is_unresponsive = false;
+        tracked.unanswered_poll = None;
         let last = response.ended.last().map_or(0, |ended| ended.number);
         if last > tracked.stored_end {
             tracked.batch_wait_since = Some(now);
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -75,7 +75,7 @@
         worker.is_listed
             && !entry.is_leaving
             && worker.clock.is_some()
-            && !worker.is_unresponsive
+            && !worker.is_unresponsive()
             && self.now.millis_since(worker.last_response) <= RESPONSE_AGE_MAX_MS
             && worker.breaker.admits_tasks(self.now)
             && !self.zones_out.contains(&entry.zone)
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -14,6 +14,10 @@
 /// Duration of shorter poll intervals after a change of pace, in milliseconds.
 const CLOSE_POLLING_MS: u64 = 3_000;
 
+/// A poll that got no response shows that the worker is silent now only if it was sent this
+/// recently, in milliseconds. An owner that was suspended has older ones.
+const UNANSWERED_AGE_MAX_MS: u64 = 3_500;
+
 /// What the owner knows about a worker and its runs.
 #[derive(Clone, Debug)]
 pub struct TrackedWorker {
@@ -37,9 +41,12 @@
     pub batch_wait_since: Option<MonoTime>,
     /// When the latest response arrived, or the worker was first known.
     pub last_response: MonoTime,
-    /// Whether the latest poll got no response. Leases are not extended then: a poll that
-    /// arrives late would keep runs alive that the owner knows nothing about.
-    pub is_unresponsive: bool,
+    /// When the latest poll was sent; the default before the first.
+    pub poll_sent: MonoTime,
+    /// When the latest poll with an outcome was sent, if it got no response. Leases are not
+    /// extended then: a poll that arrives late would keep runs alive that the owner knows
+    /// nothing about.
+    pub unanswered_poll: Option<MonoTime>,
     /// Earliest time of the next poll.
     pub next_poll: MonoTime,
     /// Sequence number up to which the ends of runs are stored.
@@ -69,7 +76,8 @@
             is_polling: false,
             batch_wait_since: None,
             last_response: now,
-            is_unresponsive: false,
+            poll_sent: MonoTime::default(),
+            unanswered_poll: None,
             next_poll: MonoTime::default(),
             stored_end: 0,
             last_completion: now,
@@ -144,6 +152,24 @@
         removed
     }
 
+    /// Whether the latest poll with an outcome got no response.
+    #[must_use]
+    pub const fn is_unresponsive(&self) -> bool {
+        self.unanswered_poll.is_some()
+    }
+
+    /// Whether a recent poll got no response, or the worker cannot be polled. Only then is
+    /// the arithmetic of its lease taken for the fate of its runs: a worker that responds
+    /// says which of them completed before the lease ended.
+    #[must_use]
+    pub fn is_silent(&self, now: MonoTime) -> bool {
+        match (&self.entry, self.unanswered_poll) {
+            (None, _) => true,
+            (Some(_), None) => false,
+            (Some(_), Some(sent)) => now.millis_since(sent) <= UNANSWERED_AGE_MAX_MS,
+        }
+    }
+
     /// Whether polls use the shorter interval, because a pace was changed recently.
     #[must_use]
     pub fn is_polled_closely(&self, now: MonoTime) -> bool {
--- a/crates/jobs/tests/owner/leases_and_restarts.rs
+++ b/crates/jobs/tests/owner/leases_and_restarts.rs
@@ -12,6 +12,7 @@
 use sapphirestile_jobs::TaskStage;
 
 use crate::owner_fixture::AUTHORITY_MS;
+use crate::owner_fixture::LEASE_MAX_MS;
 use crate::owner_fixture::LEASE_MS;
 use crate::owner_fixture::OwnerFixture;
 use crate::test_values::ended;
@@ -63,6 +64,45 @@
     );
 }
 
+/// The owner reads a response late: the lease has ended by then, but the run had completed
+/// before. Giving it up by the lease alone starts the task a second time.
+#[test]
+fn late_owner_asks_a_worker_before_it_gives_up_its_runs() {
+    let mut fixture = fixture_with_run();
+    fixture
+        .owner
+        .replace_workers(vec![worker("w-3", 2_000)], fixture.time());
+    fixture.step();
+    fixture.answer("w-3", &[], &[]);
+    fixture.wait(LEASE_MAX_MS + 500);
+    fixture.answer("w-3", &[], &[]);
+    fixture.step();
+    assert!(fixture.batch().is_none(), "the outcome of the poll is open");
+    fixture.answer("w-1", &[], &[ended(1, TASK, 1, EndKind::Done)]);
+    assert!(fixture.step().is_empty());
+    let batch = fixture.batch().expect("the completion is to be stored");
+    assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
+}
+
+/// The owner was suspended. A poll that failed before says nothing about the worker now.
+#[test]
+fn owner_that_was_suspended_asks_a_worker_again_before_it_gives_up_its_runs() {
+    let mut fixture = fixture_with_run();
+    fixture
+        .owner
+        .replace_workers(vec![worker("w-3", 2_000)], fixture.time());
+    fixture.step();
+    fixture.finish_poll("w-1", PollOutcome::NoResponse);
+    fixture.wait(LEASE_MAX_MS + 500);
+    fixture.answer("w-3", &[], &[]);
+    fixture.step();
+    assert!(fixture.batch().is_none(), "w-1 was not asked again");
+    fixture.answer("w-1", &[], &[ended(1, TASK, 1, EndKind::Done)]);
+    assert!(fixture.step().is_empty());
+    let batch = fixture.batch().expect("the completion is to be stored");
+    assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
+}
+
 #[test]
 fn leases_are_renewed_while_ends_cannot_be_stored() {
     let mut fixture = fixture_with_run();
