Count the failure of a run that the owner does not track

Cause: an owner inherits the latest run of a task only, and dropped the failed end of any other: of a copy's original, or of a run that had been considered lost.

Change: a task's progress names its failed runs in place of their number, so that an end which a worker lists to two owners counts once, whoever finds it.

Without the new call the first of two new tests fails; with a plain number the second would.

--- a/crates/jobs/src/owner/job_owner/polling.rs
+++ b/crates/jobs/src/owner/job_owner/polling.rs
@@ -178,8 +178,12 @@
         }
         let known = tracked.runs.get(&ended.task);
         if known.is_none_or(|run| run.run != ended.run) {
-            if ended.kind == EndKind::Done {
-                self.finish_by_earlier_run(name, &ended.task, ended.run, now, unix_ms);
+            match ended.kind {
+                EndKind::Done => {
+                    self.finish_by_earlier_run(name, &ended.task, ended.run, now, unix_ms);
+                }
+                EndKind::Failed => self.count_earlier_failure(name, &ended.task, ended.run, now),
+                _ => {}
             }
             return;
         }
--- a/crates/jobs/src/owner/job_owner/results.rs
+++ b/crates/jobs/src/owner/job_owner/results.rs
@@ -1,6 +1,7 @@
 //! Effect of ended runs on their tasks and jobs.
 
 use crate::owner::DecisionEvent;
+use crate::owner::JobEntry;
 use crate::owner::JobOwner;
 use crate::owner::RunCause;
 use crate::progress::JobStanding;
@@ -39,7 +40,6 @@
         let Some(entry) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let attempts = entry.spec.terms.attempts;
         let step = &entry.spec.steps[task.step as usize];
         let (is_gang, is_speculative) = (step.is_gang, step.is_speculative);
         let Some(progress) = entry.progress.task_mut(task) else {
@@ -58,17 +58,9 @@
             let ran_ms = now.millis_since(run.since);
             self.durations.observe(&entry.spec.queue, ran_ms);
         } else if cause.is_failure() && !run.is_long_running {
-            progress.failures += 1;
+            progress.record_failure(run.run);
         }
-        let failures = if is_gang {
-            entry.progress.step_failures(task)
-        } else {
-            entry
-                .progress
-                .task(task)
-                .map_or(0, |progress| progress.failures)
-        };
-        let has_no_attempts_left = !run.is_long_running && failures >= attempts;
+        let has_no_attempts_left = has_no_attempts_left(entry, task);
         let has_ended = entry.progress.standing.is_final();
         self.changed.insert(task.job, ());
         if has_ended {
@@ -123,6 +115,42 @@
         self.refresh_job(task.job, unix_ms);
     }
 
+    /// Records that a run which this owner does not track has failed: one that was considered
+    /// lost, or that an earlier owner started beside the latest. It uses up an attempt.
+    pub(super) fn count_earlier_failure(
+        &mut self,
+        worker: &WorkerName,
+        task: &TaskIdentity,
+        run: u32,
+        now: MonoTime,
+    ) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let step = entry.spec.steps.get(task.step as usize);
+        let is_counted = step.is_some_and(|step| !step.is_long_running && !step.is_gang);
+        let Some(progress) = entry.progress.task_mut(task) else {
+            return;
+        };
+        let is_open = progress.stage != TaskStage::Done && run <= progress.run;
+        if !is_counted || !is_open || !progress.record_failure(run) {
+            return;
+        }
+        let has_no_attempts_left = has_no_attempts_left(entry, task);
+        let has_ended = entry.progress.standing.is_final();
+        self.changed.insert(task.job, ());
+        self.decisions.push(DecisionEvent::RunEnded {
+            task: *task,
+            run,
+            worker: worker.clone(),
+            cause: RunCause::Ended(EndKind::Failed),
+            age_ms: 0,
+        });
+        if has_no_attempts_left && !has_ended {
+            self.end_job(task.job, JobStanding::Failed, now);
+        }
+    }
+
     fn finish_occurrences(&mut self, identity: JobIdentity, now: MonoTime) {
         let Some(entry) = self.jobs.get_mut(&identity) else {
             return;
@@ -137,3 +165,15 @@
         }
     }
 }
+
+/// Whether the task, or the gang that it belongs to, has failed as often as it may. Tasks of
+/// long-running jobs are restarted however they end.
+fn has_no_attempts_left(entry: &JobEntry, task: &TaskIdentity) -> bool {
+    let step = &entry.spec.steps[task.step as usize];
+    let failures = if step.is_gang {
+        entry.progress.step_failures(task)
+    } else {
+        entry.progress.task_failures(task)
+    };
+    !step.is_long_running && failures >= entry.spec.terms.attempts as usize
+}
--- a/crates/jobs/src/progress/job_progress.rs
+++ b/crates/jobs/src/progress/job_progress.rs
@@ -33,15 +33,25 @@
             .get(task.index as usize)
     }
 
+    /// Number of failed runs of a task.
+    #[must_use]
+    pub fn task_failures(&self, task: &TaskIdentity) -> usize {
+        self.task(task)
+            .map_or(0, |progress| progress.failed_runs.len())
+    }
+
     /// Number of failed runs over all tasks of the step that `task` belongs to.
     #[must_use]
-    pub fn step_failures(&self, task: &TaskIdentity) -> u32 {
+    pub fn step_failures(&self, task: &TaskIdentity) -> usize {
         let occurrence = self
             .occurrences
             .iter()
             .find(|occurrence| occurrence.number == task.occurrence);
         let step = occurrence.and_then(|occurrence| occurrence.steps.get(task.step as usize));
-        step.map_or(0, |step| step.tasks.iter().map(|task| task.failures).sum())
+        step.map_or(0, |step| {
+            let failures = step.tasks.iter().map(|task| task.failed_runs.len());
+            failures.sum()
+        })
     }
 
     /// Like [`task`](Self::task), for changing it in place.
--- a/crates/jobs/src/progress/task_progress.rs
+++ b/crates/jobs/src/progress/task_progress.rs
@@ -11,8 +11,9 @@
 pub struct TaskProgress {
     /// Number of the latest run, from 1; 0 before the first.
     pub run: u32,
-    /// Number of failed runs.
-    pub failures: u32,
+    /// Numbers of the failed runs, each of which uses up an attempt. A worker may list the
+    /// end of a run to several owners.
+    pub failed_runs: Vec<u32>,
     /// Whether the task waits, may be running, or is done.
     pub stage: TaskStage,
     /// Checkpoint that the next run resumes from; empty if it starts from scratch.
@@ -20,6 +21,15 @@
 }
 
 impl TaskProgress {
+    /// Records that a run has failed. Returns whether that was not known.
+    pub fn record_failure(&mut self, run: u32) -> bool {
+        let is_new = !self.failed_runs.contains(&run);
+        if is_new {
+            self.failed_runs.push(run);
+        }
+        is_new
+    }
+
     /// Whether the task is assigned to the worker.
     #[must_use]
     pub fn is_assigned_to(&self, worker: &WorkerName) -> bool {
--- a/crates/jobs/tests/owner/leases_and_restarts.rs
+++ b/crates/jobs/tests/owner/leases_and_restarts.rs
@@ -201,6 +201,43 @@
     assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
 }
 
+/// The earlier owner had started a copy. The new one inherits the latest run only, but the
+/// other one's failure uses up an attempt all the same.
+#[test]
+fn new_owner_counts_the_failure_of_an_earlier_run_once() {
+    let mut fixture = OwnerFixture::claimed(vec![worker("w-1", 2_000), worker("w-2", 2_000)]);
+    fixture
+        .owner
+        .restore_job(stored(JobStanding::Running), fixture.time(), fixture.now);
+    fixture.answer("w-1", &[running(TASK, 4)], &[]);
+    let failure = ended(1, TASK, 3, EndKind::Failed);
+    fixture.answer("w-2", &[], std::slice::from_ref(&failure));
+    fixture.step();
+    assert!(fixture.store().is_empty(), "run 4 goes on");
+    // The worker lists the end again until its number is acknowledged.
+    fixture.answer("w-2", &[], &[failure]);
+    fixture.step();
+    fixture.answer("w-1", &[], &[ended(1, TASK, 4, EndKind::Failed)]);
+    assert!(fixture.step().is_empty(), "both attempts are used up");
+    let batch = fixture.batch().expect("the failure is to be stored");
+    assert_eq!(batch.progress[0].1.standing, JobStanding::Failed);
+}
+
+/// The earlier owner had counted a failure, and ended before the worker dropped it.
+#[test]
+fn new_owner_does_not_count_a_stored_failure_again() {
+    let mut fixture = OwnerFixture::claimed(vec![worker("w-1", 2_000)]);
+    let mut job = stored(JobStanding::Running);
+    let progress = job.progress.as_mut().unwrap();
+    let task = &mut progress.occurrences[0].steps[0].tasks[0];
+    task.failed_runs = vec![4];
+    task.stage = TaskStage::Waiting;
+    fixture.owner.restore_job(job, fixture.time(), fixture.now);
+    fixture.answer("w-1", &[], &[ended(1, TASK, 4, EndKind::Failed)]);
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {TASK}#5 at w-1")]);
+}
+
 #[test]
 fn new_owner_restarts_runs_missing_from_a_response() {
     let mut fixture = OwnerFixture::claimed(vec![worker("w-1", 2_000)]);
