Answer every request that is read during a planned stop

In the finding the request was sent 4.16 s after SIGTERM and cut at 5.2 s, the end of that wait (grace 6 s: 4.2 + 1.0), so its handler was still trying to reach the store. The gate was never closed either, so new requests kept the wait from ending.

Change: a stop names when every request has its answer, 85 % of the grace period. Calls to the store end by then, and a job that may be stored is answered with 504.

The test failed before: four callers on open connections, a store that falls silent, SIGTERM; none got an answer.

--- a/crates/daemon/tests/deployed_soak/main.rs
+++ b/crates/daemon/tests/deployed_soak/main.rs
@@ -15,6 +15,7 @@
 //! runs the given seeds, each with more faults.
 
 mod config_log;
+mod planned_stop;
 mod soak_caller;
 mod soak_daemon;
 mod soak_fault;
--- /dev/null
+++ b/crates/daemon/tests/deployed_soak/planned_stop.rs
@@ -0,0 +1,97 @@
+//! Planned stops while callers keep using their open connections.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use sapphirestile_clients::http::CallLimits;
+use sapphirestile_clients::http::CallRequest;
+use sapphirestile_clients::http::HeaderView;
+use sapphirestile_clients::http::HttpClient;
+use sapphirestile_clients::http::PeerAddress;
+use sapphirestile_platform_standins::SiteBodies;
+use sapphirestile_platform_standins::StoreStandin;
+use sapphirestile_platform_standins::open_port;
+use sapphirestile_serving::HttpService;
+use sapphirestile_test_support::FaultProxy;
+use sapphirestile_test_support::ProxyMode;
+
+use crate::soak_daemon::SoakDaemon;
+
+const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
+const ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 68, 0, 1);
+const CALLERS: u64 = 4;
+const STATUS_OK: u16 = 200;
+const STATUS_NO_ANSWER: u16 = 504;
+
+/// How long the callers wait for an answer, in milliseconds: longer than the grace period.
+const CALLER_WAIT_MS: &str = "30000";
+
+/// A store that fell silent cannot answer the requests that a daemon reads during its stop.
+/// Each caller must get an answer before the process ends, although it would wait longer.
+#[test]
+fn requests_read_during_a_stop_are_answered_before_the_process_ends() {
+    let folder = PathBuf::from(format!("{FOLDER}/planned-stop"));
+    std::fs::create_dir_all(&folder).expect("the folder for settings and logs can be created");
+    let store = Arc::new(StoreStandin::default());
+    store.put(SiteBodies::CONFIG_KEY, &SiteBodies::config_version(1, 0));
+    let service: Arc<dyn HttpService> = store.clone();
+    let store_port = open_port(&service);
+    let link = FaultProxy::start(store_port.address());
+    let daemon = SoakDaemon::start(&folder, "entry-0", ADDRESS, link.address());
+    let clients: Vec<HttpClient> = (0..CALLERS).map(|_| client_of(daemon.callers())).collect();
+    for (client, job) in clients.iter().zip(0..) {
+        while submit(client, job) != Some(STATUS_OK) {
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+    link.set_mode(ProxyMode::Stalled);
+    daemon.signal(Signal::SIGTERM);
+    let calls: Vec<JoinHandle<Option<u16>>> = clients
+        .into_iter()
+        .zip(CALLERS..)
+        .map(|(client, job)| thread::spawn(move || submit(&client, job)))
+        .collect();
+    let answers: Vec<Option<u16>> = calls
+        .into_iter()
+        .map(|call| call.join().expect("the caller does not panic"))
+        .collect();
+    assert_eq!(answers, vec![Some(STATUS_NO_ANSWER); 4]);
+}
+
+fn client_of(daemon: SocketAddr) -> HttpClient {
+    let peer = PeerAddress::try_from(daemon).expect("the port of a running daemon is not 0");
+    let limits = CallLimits {
+        timeout: Duration::from_secs(30),
+        response_max_bytes: 65_536,
+    };
+    HttpClient::new(peer, limits)
+}
+
+/// Submits a job. Returns the HTTP status, or `None` if the connection ended without a
+/// complete answer.
+fn submit(client: &HttpClient, job: u64) -> Option<u16> {
+    let headers = [
+        ("host", "desk.example"),
+        ("sapphirestile-deadline-ms", CALLER_WAIT_MS),
+    ];
+    let headers = headers.map(|(name, value)| HeaderView {
+        name,
+        value: value.as_bytes(),
+    });
+    let path = format!("/charts/{job:016x}");
+    let body = SiteBodies::two_steps("100");
+    let request = CallRequest {
+        method: "POST",
+        path: &path,
+        headers: &headers,
+        body: body.as_bytes(),
+    };
+    let answer = client.call("call daemon", &request).ok()?;
+    Some(answer.status)
+}
--- a/crates/entry/src/context/entry_context.rs
+++ b/crates/entry/src/context/entry_context.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use sapphirestile_core::MonoTime;
 use sapphirestile_serving::MonoClock;
 use sapphirestile_serving::RcuValue;
 
@@ -39,6 +41,9 @@
     /// A random number that identifies this process among the daemons.
     pub incarnation: u64,
     is_stopping: AtomicBool,
+    /// When every request must have an answer, in milliseconds of `clock`; the maximum
+    /// before a shutdown is requested.
+    answers_due_ms: AtomicU64,
 }
 
 impl EntryContext {
@@ -55,6 +60,7 @@
             clock: MonoClock::start(),
             incarnation,
             is_stopping: AtomicBool::new(false),
+            answers_due_ms: AtomicU64::new(u64::MAX),
         }
     }
 
@@ -64,11 +70,21 @@
         self.is_stopping.load(Ordering::Acquire)
     }
 
-    /// Requests shutdown of all parts of the daemon.
-    pub fn request_stop(&self) {
+    /// Requests shutdown of all parts of the daemon. Every request is to be answered by
+    /// `answers_due`, since the process ends soon after.
+    pub fn request_stop(&self, answers_due: MonoTime) {
+        self.answers_due_ms
+            .store(answers_due.as_millis(), Ordering::Release);
         self.is_stopping.store(true, Ordering::Release);
     }
 
+    /// When a request must be answered whose caller waits until `deadline`.
+    #[must_use]
+    pub fn answer_deadline(&self, deadline: MonoTime) -> MonoTime {
+        let answers_due_ms = self.answers_due_ms.load(Ordering::Acquire);
+        deadline.min(MonoTime::from_millis(answers_due_ms))
+    }
+
     /// Changes the operators' state and logs which version of the configuration is in
     /// effect after it.
     pub fn update_operator_state(&self, change: impl FnOnce(&OperatorState) -> OperatorState) {
--- a/crates/entry/src/frontend/job_frontend.rs
+++ b/crates/entry/src/frontend/job_frontend.rs
@@ -181,10 +181,12 @@
     }
 
     fn is_too_late(&self, deadline: MonoTime) -> bool {
+        let deadline = self.context.answer_deadline(deadline);
         self.now().plus_millis(ANSWER_MARGIN_MS + RETRY_DELAY_MS) >= deadline
     }
 
     fn timeout(&self, deadline: MonoTime) -> Duration {
+        let deadline = self.context.answer_deadline(deadline);
         let left_ms = deadline.millis_since(self.now());
         let left_ms = left_ms.saturating_sub(ANSWER_MARGIN_MS);
         CALL_TIMEOUT.min(Duration::from_millis(left_ms.max(1)))
--- a/crates/entry/src/lifecycle/draining_phase.rs
+++ b/crates/entry/src/lifecycle/draining_phase.rs
@@ -14,4 +14,6 @@
     /// The thread that claims and holds the ownership of the jobs.
     pub(super) election: JoinHandle<()>,
     pub(super) drain_started: MonoTime,
+    /// When every request has its answer.
+    pub(super) answers_due: MonoTime,
 }
--- a/crates/entry/src/lifecycle/entry_daemon.rs
+++ b/crates/entry/src/lifecycle/entry_daemon.rs
@@ -39,9 +39,13 @@
 /// other daemons.
 const DRAIN_PERCENT: u64 = 70;
 
-/// The time to wait for requests in flight at the end of the grace period, in
-/// milliseconds.
-const LAST_ANSWERS_TIMEOUT_MS: u64 = 1_000;
+/// The share of the shutdown grace period by which every request has its answer, in
+/// percent. What a caller sends after [`DRAIN_PERCENT`] is refused at once.
+const ANSWERS_PERCENT: u64 = 85;
+
+/// The time after that until the process ends at the latest, in milliseconds: an answer
+/// still has to be sent.
+const SEND_TIMEOUT_MS: u64 = 400;
 
 /// A daemon; `Phase` is its lifecycle phase.
 pub struct EntryDaemon<Phase> {
@@ -100,21 +104,24 @@
     pub fn drain(self) -> EntryDaemon<DrainingPhase> {
         let Self { context, phase } = self;
         let drain_started = context.clock.now();
-        context.request_stop();
+        let answers_ms = context.settings.bounds.grace_ms * ANSWERS_PERCENT / 100;
+        let answers_due = drain_started.plus_millis(answers_ms);
+        context.request_stop(answers_due);
         tracing::info!("stops");
         let phase = DrainingPhase {
             _ports: phase.ports,
             gate: phase.gate,
             election: phase.election,
             drain_started,
+            answers_due,
         };
         EntryDaemon { context, phase }
     }
 }
 
 impl EntryDaemon<DrainingPhase> {
-    /// Keeps serving for most of the grace period, then waits for requests in flight.
-    /// Returns whether every request was answered.
+    /// Keeps serving for most of the grace period, then refuses new requests and waits for
+    /// those in flight. Returns whether every request was answered.
     #[must_use]
     pub fn finish(self) -> bool {
         let Self { context, phase } = self;
@@ -124,9 +131,10 @@
             .plus_millis(grace_ms * DRAIN_PERCENT / 100);
         let left_ms = drain_end.millis_since(context.clock.now());
         thread::sleep(Duration::from_millis(left_ms));
-        let is_empty = phase
-            .gate
-            .wait_idle(Duration::from_millis(LAST_ANSWERS_TIMEOUT_MS));
+        phase.gate.close();
+        let end = phase.answers_due.plus_millis(SEND_TIMEOUT_MS);
+        let left_ms = end.millis_since(context.clock.now());
+        let is_empty = phase.gate.wait_idle(Duration::from_millis(left_ms));
         let has_released = phase.election.is_finished();
         tracing::info!(is_empty, has_released, "stopped");
         is_empty
--- a/crates/jobs/src/owner/job_owner/polling.rs
+++ b/crates/jobs/src/owner/job_owner/polling.rs
@@ -101,7 +101,11 @@
             PollOutcome::NoResponse | PollOutcome::OtherIncarnation => {
                 // The time at which an earlier poll was sent is not kept.
                 let is_latest = number == tracked.poll;
-                let sent = if is_latest { tracked.poll_sent } else { MonoTime::default() };
+                let sent = if is_latest {
+                    tracked.poll_sent
+                } else {
+                    MonoTime::default()
+                };
                 tracked.unanswered_poll = Some(sent);
                 tracked.is_polling = false;
                 tracked.next_poll = now.plus_millis(POLL_RETRY_MS);
