Do not give up a run on a worker that is listed when its lease ends

The worker was listed all the time: its entries in the store showed that it lived.

Change: runs that can complete are given up at once only if the worker is not listed either; otherwise the owner goes on asking for eight seconds more. Long-running runs never complete, and are given up as before.

--- a/crates/jobs/src/owner/job_owner/expiry.rs
+++ b/crates/jobs/src/owner/job_owner/expiry.rs
@@ -13,6 +13,10 @@
 /// Bound on clock drift: a worker's clock runs at most 1/40 slower than the owner's.
 const DRIFT_DIVISOR: u64 = 40;
 
+/// How long the owner tries to reach a worker that is listed but does not respond, after the
+/// lease of its runs has ended, in milliseconds.
+const LISTED_WAIT_MS: u64 = 8_000;
+
 impl JobOwner {
     /// Handles everything that is due at `now`: expired leases, stop requests to be retried,
     /// slow runs, and jobs and workers to be dropped.
@@ -28,21 +32,28 @@
     }
 
     /// Gives up the runs of a worker whose lease has ended and which does not respond. A
-    /// worker that responds lists how its runs ended.
+    /// worker that responds lists how its runs ended. One that is still listed lives: it may
+    /// have completed a run before its lease ended, so only long-running runs, which never
+    /// complete, are given up at once.
     fn expire_leases(&mut self, name: &WorkerName, now: MonoTime, unix_ms: u64) {
         let inherited_lease_end = self.inherited_lease_end();
         let Some(tracked) = self.workers.get(name) else {
             return;
         };
-        let has_lapsed = tracked.clock.is_some_and(|clock| clock.has_lapsed(now));
-        let has_inherited_lease_lapsed = tracked.clock.is_none() && now >= inherited_lease_end;
-        if !(has_lapsed || has_inherited_lease_lapsed) || !tracked.is_silent(now) {
+        let has_lapsed_at = |time: MonoTime| match tracked.clock {
+            Some(clock) => clock.has_lapsed(time),
+            None => time >= inherited_lease_end,
+        };
+        if !has_lapsed_at(now) || !tracked.is_silent(now) {
             return;
         }
+        let earlier_ms = now.as_millis().saturating_sub(LISTED_WAIT_MS);
+        let is_given_up = !tracked.is_listed || has_lapsed_at(MonoTime::from_millis(earlier_ms));
         let ended: Vec<TaskIdentity> = tracked
             .runs
             .iter()
             .filter(|(_, run)| !matches!(run.state, RunState::Planned | RunState::Starting))
+            .filter(|(_, run)| is_given_up || run.is_long_running)
             .map(|(task, _)| *task)
             .collect();
         for task in ended {
--- a/crates/jobs/tests/owner/leases_and_restarts.rs
+++ b/crates/jobs/tests/owner/leases_and_restarts.rs
@@ -10,6 +10,7 @@
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StoredJob;
 use sapphirestile_jobs::TaskStage;
+use sapphirestile_jobs::WorkerEvent;
 
 use crate::owner_fixture::AUTHORITY_MS;
 use crate::owner_fixture::LEASE_MAX_MS;
@@ -84,6 +85,33 @@
     assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
 }
 
+/// The worker is listed, so it lives, but it cannot be reached while its lease ends. It may
+/// have completed the run, which must not run a second time then.
+#[test]
+fn run_on_a_listed_worker_is_not_given_up_when_its_lease_ends() {
+    let mut fixture = fixture_with_run();
+    fixture
+        .owner
+        .apply_worker_event(WorkerEvent::Present(worker("w-3", 2_000)), fixture.time());
+    fixture.step();
+    fixture.answer("w-3", &[], &[]);
+    let mut answered = 0;
+    for _ in 0..80 {
+        fixture.wait(100);
+        if fixture.latest_poll("w-1") > answered {
+            answered = fixture.latest_poll("w-1");
+            fixture.finish_poll("w-1", PollOutcome::NoResponse);
+        }
+        fixture.answer("w-3", &[], &[]);
+        fixture.step();
+        assert!(fixture.batch().is_none(), "given up at {} ms", fixture.now);
+    }
+    fixture.answer("w-1", &[], &[ended(1, TASK, 1, EndKind::Done)]);
+    assert!(fixture.step().is_empty());
+    let batch = fixture.batch().expect("the completion is to be stored");
+    assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
+}
+
 /// The owner was suspended. A poll that failed before says nothing about the worker now.
 #[test]
 fn owner_that_was_suspended_asks_a_worker_again_before_it_gives_up_its_runs() {
