Wait for the effect of a move before another run is moved for it

Cause: a stop because of a high latency was not recorded as a change of pace. The worker answers the next poll at once with the end of the stopped run and a latency that still covers the time before, so all other best-effort runs were stopped one after the other.

Change: a move counts like a change of pace, and the measurements settle first.

The test failed before.

--- a/crates/jobs/src/owner/job_owner/pace_changes.rs
+++ b/crates/jobs/src/owner/job_owner/pace_changes.rs
@@ -38,11 +38,20 @@
         for action in plan.actions() {
             match action {
                 PaceAction::Pace { task, percent } => self.set_pace(name, &task, percent, now),
-                PaceAction::Move(task) => self.stop_run(name, &task, now),
+                PaceAction::Move(task) => self.move_run(name, &task, now),
             }
         }
     }
 
+    /// Stops a run so that it goes on at another worker. Until the measurements reflect that,
+    /// no other run is stopped for them.
+    fn move_run(&mut self, name: &WorkerName, task: &TaskIdentity, now: MonoTime) {
+        self.stop_run(name, task, now);
+        if let Some(tracked) = self.workers.get_mut(name) {
+            tracked.pace_changed = now;
+        }
+    }
+
     fn set_pace(&mut self, name: &WorkerName, task: &TaskIdentity, percent: u32, now: MonoTime) {
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -7,6 +7,7 @@
 mod learning;
 mod leases_and_restarts;
 mod owner_fixture;
+mod pacing;
 mod placement;
 mod starts_and_stops;
 mod test_values;
--- /dev/null
+++ b/crates/jobs/tests/owner/pacing.rs
@@ -0,0 +1,103 @@
+//! Best-effort runs beside a latency-sensitive one.
+
+use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::LearntTables;
+use sapphirestile_jobs::RunningRun;
+use sapphirestile_jobs::StartOutcome;
+use sapphirestile_jobs::StopOutcome;
+
+use crate::owner_fixture::OwnerFixture;
+use crate::test_values::ended;
+use crate::test_values::job_spec;
+use crate::test_values::running;
+use crate::test_values::step;
+use crate::test_values::worker;
+
+const DESK: &str = "aaaaaaaaaaaaaaaa";
+const FILL: &str = "bbbbbbbbbbbbbbbb";
+const TARGET_MS: u64 = 100;
+/// A latency above the share of the target at which runs are moved.
+const HIGH_MS: u64 = 90;
+
+/// A worker with a run that serves callers and four best-effort runs of an image that is
+/// known to disturb it.
+fn disturbed_fixture() -> OwnerFixture {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 10_000)]);
+    fixture.owner.restore_learnt(&LearntTables {
+        coefficients: vec![("resize".into(), "desk".into(), 0.04)],
+        lowest_ms: vec![("desk".into(), 20)],
+        ..LearntTables::default()
+    });
+    let mut desk = step(1, 2_000);
+    desk.is_long_running = true;
+    desk.latency_target_ms = Some(TARGET_MS);
+    desk.image = Some("desk".into());
+    let mut fill = step(4, 1_000);
+    fill.is_best_effort = true;
+    fill.has_checkpoints = true;
+    fill.image = Some("resize".into());
+    for (job, step) in [(DESK, desk), (FILL, fill)] {
+        let tasks = step.tasks;
+        fixture.accept(job, job_spec(vec![step]));
+        fixture.step();
+        assert_eq!(fixture.store().len(), tasks as usize);
+        for index in 0..tasks {
+            let task = format!("{job}.0.0.{index}");
+            fixture.started("w-1", &task, 1, StartOutcome::Accepted);
+        }
+    }
+    fixture
+}
+
+fn runs(latency_ms: u64, fills: &[u32]) -> Vec<RunningRun> {
+    let desk = RunningRun {
+        measurement: latency_ms,
+        ..running(&format!("{DESK}.0.0.0"), 1)
+    };
+    let fills = fills.iter().map(|index| RunningRun {
+        measurement: 1_000,
+        ..running(&format!("{FILL}.0.0.{index}"), 1)
+    });
+    std::iter::once(desk).chain(fills).collect()
+}
+
+/// A latency covers the last half second. Right after a run was stopped for it, it says
+/// nothing about the runs that are left, and they would all be stopped one after the other.
+#[test]
+fn no_further_run_is_moved_before_the_latency_can_show_the_first_move() {
+    let mut fixture = disturbed_fixture();
+    fixture.now += 700;
+    fixture.answer("w-1", &runs(HIGH_MS, &[0, 1, 2, 3]), &[]);
+    let stops = fixture.step();
+    assert!(!stops.is_empty() && stops.len() < 4, "{stops:?}");
+    assert!(
+        stops.iter().all(|line| line.starts_with("stop ")),
+        "{stops:?}"
+    );
+    let is_stopped = |index: &u32| {
+        let task = format!("{FILL}.0.0.{index}#");
+        stops.iter().any(|line| line.contains(&task))
+    };
+    let (stopped, left): (Vec<u32>, Vec<u32>) = (0..4).partition(is_stopped);
+    let mut ends = Vec::new();
+    for (number, index) in (1..).zip(&stopped) {
+        let task = format!("{FILL}.0.0.{index}");
+        fixture.stopped("w-1", &task, 1, StopOutcome::Accepted);
+        ends.push(ended(number, &task, 1, EndKind::Stopped));
+    }
+    fixture.now += 50;
+    fixture.answer("w-1", &runs(HIGH_MS, &left), &ends);
+    let later = fixture.step();
+    assert!(
+        later.iter().all(|line| !line.starts_with("stop ")),
+        "{later:?}"
+    );
+    fixture.now += 700;
+    fixture.store();
+    fixture.answer("w-1", &runs(HIGH_MS, &left), &[]);
+    let last = fixture.step();
+    assert!(
+        last.iter().any(|line| line.starts_with("stop ")),
+        "{last:?}"
+    );
+}
