--- /dev/null
+++ b/crates/entry/src/cells/cell_table.rs
@@ -0,0 +1,104 @@
+//! All cells, as last read.
+
+use std::sync::Arc;
+
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::SortedTable;
+use sapphirestile_jobs::CellLayout;
+use sapphirestile_jobs::CellLoad;
+
+use crate::cells::CellHead;
+use crate::ports::StoredRow;
+use crate::store::RowCodec;
+use crate::store::RowKeys;
+
+/// All cells, as last read.
+#[derive(Clone, Debug, Default)]
+pub struct CellTable {
+    /// The assignment of racks to cells; empty before it is stored.
+    pub layout: Arc<CellLayout>,
+    /// The revision of the layout's row; 0 before it is stored.
+    pub layout_revision: u64,
+    /// The ownership rows of the cells that have been claimed.
+    pub heads: SortedTable<CellNumber, CellHead>,
+    /// How often the rows were read.
+    pub reads: u64,
+}
+
+impl CellTable {
+    /// The table after another read. Rows that cannot be decoded are left out and logged.
+    #[must_use]
+    pub fn with_rows(&self, rows: &[StoredRow], now: MonoTime) -> Self {
+        let mut table = Self {
+            reads: self.reads + 1,
+            ..Self::default()
+        };
+        for row in rows {
+            if row.key == RowKeys::layout() {
+                table.set_layout(self, row);
+            } else if let Some(cell) = RowKeys::owned_cell_of(&row.key) {
+                table.add_head(self, cell, row, now);
+            }
+        }
+        table
+    }
+
+    /// The numbers of all cells. Cell 0 exists before the layout does.
+    pub fn numbers(&self) -> impl Iterator<Item = CellNumber> + use<> {
+        (0..self.layout.cells().max(1)).map(CellNumber::new)
+    }
+
+    /// The loads of the cells that have an owner, sorted by cell.
+    #[must_use]
+    pub fn loads(&self, now: MonoTime) -> Vec<(CellNumber, &CellLoad)> {
+        let owned = self.heads.iter().filter(|(_, head)| head.is_owned(now));
+        owned.map(|(cell, head)| (*cell, &head.row.load)).collect()
+    }
+
+    /// The epoch of the latest claim of any cell; 0 before the first.
+    #[must_use]
+    pub fn highest_epoch(&self) -> u64 {
+        let epochs = self.heads.values().map(|head| head.row.epoch);
+        epochs.max().unwrap_or(0)
+    }
+
+    fn set_layout(&mut self, previous: &Self, row: &StoredRow) {
+        self.layout_revision = row.revision;
+        self.layout = Arc::clone(&previous.layout);
+        if row.revision == previous.layout_revision {
+            return;
+        }
+        match RowCodec::decode(&row.value) {
+            Some(layout) => self.layout = Arc::new(layout),
+            None => log_undecodable(row),
+        }
+    }
+
+    fn add_head(&mut self, previous: &Self, cell: CellNumber, row: &StoredRow, now: MonoTime) {
+        let known = previous.heads.get(&cell);
+        if let Some(known) = known.filter(|known| known.revision == row.revision) {
+            self.heads.insert(cell, known.clone());
+            return;
+        }
+        match RowCodec::decode(&row.value) {
+            Some(ownership) => {
+                let head = CellHead {
+                    row: ownership,
+                    revision: row.revision,
+                    changed: now,
+                };
+                self.heads.insert(cell, head);
+            }
+            None => log_undecodable(row),
+        }
+    }
+}
+
+fn log_undecodable(row: &StoredRow) {
+    tracing::error!(
+        key = row.key,
+        revision = row.revision,
+        "cannot decode a row of the cells"
+    );
+}
--- a/crates/entry/src/context/entry_context.rs
+++ b/crates/entry/src/context/entry_context.rs
@@ -11,11 +11,13 @@
 use sapphirestile_serving::MonoClock;
 use sapphirestile_serving::RcuValue;
 
+use crate::cells::CellTable;
 use crate::context::OperatorState;
 use crate::context::StoreHealth;
 use crate::context::StoreTimeout;
 use crate::metrics::EntryMetrics;
 use crate::ports::CommitAnswer;
+use crate::ports::RowListing;
 use crate::ports::StoreCallError;
 use crate::ports::StoreCommit;
 use crate::ports::StorePort;
@@ -30,6 +32,8 @@
     pub store: Arc<dyn StorePort>,
     /// The operators' configuration and zone states.
     pub operator_state: RcuValue<OperatorState>,
+    /// The cells and their owners, as last read.
+    pub cells: RcuValue<CellTable>,
     /// Since when calls to the store have failed.
     pub store_health: StoreHealth,
     /// The adaptive timeout of calls to the store.
@@ -54,6 +58,7 @@
             settings,
             store,
             operator_state: RcuValue::new(OperatorState::default()),
+            cells: RcuValue::new(CellTable::default()),
             store_health: StoreHealth::default(),
             store_timeout: StoreTimeout::default(),
             metrics: EntryMetrics::default(),
@@ -118,6 +123,16 @@
         self.call_store(limit, |timeout| self.store.read(key, timeout))
     }
 
+    /// Lists rows. Each wait for the next bytes of the answer takes the adaptive timeout at
+    /// most, and at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// The same errors as those of the [`StorePort`].
+    pub fn list_rows(&self, prefix: &str, limit: Duration) -> Result<RowListing, StoreCallError> {
+        self.call_store(limit, |pause_max| self.store.list(prefix, pause_max))
+    }
+
     /// Commits rows within the adaptive timeout, but at most `limit`.
     ///
     /// # Errors
--- a/crates/entry/src/frontend/job_frontend.rs
+++ b/crates/entry/src/frontend/job_frontend.rs
@@ -1,5 +1,7 @@
 //! Handles the requests of callers.
 
+mod job_homes;
+
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -12,6 +14,7 @@
 
 use crate::context::EntryContext;
 use crate::frontend::CancelOutcome;
+use crate::frontend::HomeCache;
 use crate::frontend::StateOutcome;
 use crate::frontend::SubmitOutcome;
 use crate::frontend::WaitingOutcome;
@@ -41,13 +44,15 @@
 /// Handles the requests of callers by reading and writing the store.
 pub struct JobFrontend {
     context: Arc<EntryContext>,
+    homes: HomeCache,
 }
 
 impl JobFrontend {
     /// Creates the front end of a daemon.
     #[must_use]
-    pub const fn new(context: Arc<EntryContext>) -> Self {
-        Self { context }
+    pub fn new(context: Arc<EntryContext>) -> Self {
+        let homes = HomeCache::default();
+        Self { context, homes }
     }
 
     /// Stores a job. A job that is already stored is left as it is, so submitting a job
@@ -59,22 +64,30 @@
         spec: &JobSpec,
         deadline: MonoTime,
     ) -> SubmitOutcome {
+        let cell = self.choose_cell(spec);
         let commit = StoreCommit {
-            guards: vec![
-                absent(RowKeys::spec(identity)),
-                absent(RowKeys::progress(identity)),
+            guards: vec![absent(RowKeys::home(identity))],
+            writes: vec![
+                RowWrite {
+                    key: RowKeys::home(identity),
+                    value: RowCodec::encode(&cell),
+                },
+                RowWrite {
+                    key: RowKeys::spec(cell, identity),
+                    value: RowCodec::encode(spec),
+                },
             ],
-            writes: vec![RowWrite {
-                key: RowKeys::spec(identity),
-                value: RowCodec::encode(spec),
-            }],
             removals: Vec::new(),
         };
         let started = self.now();
         let mut is_surely_not_stored = true;
         loop {
             match self.commit(&commit, deadline) {
-                Ok(_) => return SubmitOutcome::Accepted,
+                Ok(CommitAnswer::Stored { .. }) => {
+                    self.homes.insert(identity, cell);
+                    return SubmitOutcome::Accepted;
+                }
+                Ok(CommitAnswer::Refused { .. }) => return SubmitOutcome::Accepted,
                 Err(StoreCallError::NotDone) => {}
                 Err(_) => is_surely_not_stored = false,
             }
@@ -106,23 +119,47 @@
     }
 
     fn store_cancellation(&self, identity: &JobIdentity, deadline: MonoTime) -> CancelOutcome {
-        let key = RowKeys::cancellation(identity);
+        loop {
+            match self.try_cancel(identity, deadline) {
+                Ok(Some(outcome)) => return outcome,
+                Ok(None) | Err(_) => {}
+            }
+            if self.is_too_late(deadline) {
+                return CancelOutcome::Unknown;
+            }
+            thread::sleep(Duration::from_millis(RETRY_DELAY_MS));
+        }
+    }
+
+    /// Tries once to store the cancellation in the job's cell; `None` if the job has moved
+    /// to another cell meanwhile.
+    fn try_cancel(
+        &self,
+        identity: &JobIdentity,
+        deadline: MonoTime,
+    ) -> Result<Option<CancelOutcome>, StoreCallError> {
+        let Some((cell, revision)) = self.read_home(identity, deadline)? else {
+            return Ok(Some(CancelOutcome::Missing));
+        };
+        let key = RowKeys::cancellation(cell, identity);
+        let home = RowGuard {
+            key: RowKeys::home(identity),
+            revision,
+        };
         let commit = StoreCommit {
-            guards: vec![absent(key.clone())],
+            guards: vec![home, absent(key.clone())],
             writes: vec![RowWrite {
-                key,
+                key: key.clone(),
                 value: Vec::new(),
             }],
             removals: Vec::new(),
         };
-        loop {
-            if self.commit(&commit, deadline).is_ok() {
-                return CancelOutcome::Cancelled;
+        match self.commit(&commit, deadline)? {
+            CommitAnswer::Stored { .. } => Ok(Some(CancelOutcome::Cancelled)),
+            CommitAnswer::Refused { rows } => {
+                let is_cancelled = rows.iter().any(|row| row.key == key && row.revision > 0);
+                Ok(is_cancelled.then_some(CancelOutcome::Cancelled))
             }
-            if self.is_too_late(deadline) {
-                return CancelOutcome::Unknown;
-            }
-            thread::sleep(Duration::from_millis(RETRY_DELAY_MS));
         }
     }
 
@@ -144,20 +181,34 @@
         identity: &JobIdentity,
         deadline: MonoTime,
     ) -> Result<Option<JobStanding>, StoreCallError> {
-        if let Some(row) = self.read(&RowKeys::progress(identity), deadline)? {
+        let known = self.homes.get(identity);
+        if let Some(cell) = known
+            && let Some(row) = self.read(&RowKeys::progress(cell, identity), deadline)?
+        {
             return Ok(RowCodec::standing(&row.value));
         }
-        let spec = self.read(&RowKeys::spec(identity), deadline)?;
-        Ok(spec.map(|_| JobStanding::Waiting))
+        let Some((cell, _)) = self.read_home(identity, deadline)? else {
+            return Ok(None);
+        };
+        if known == Some(cell) {
+            return Ok(Some(JobStanding::Waiting));
+        }
+        let row = self.read(&RowKeys::progress(cell, identity), deadline)?;
+        let standing = row.and_then(|row| RowCodec::standing(&row.value));
+        Ok(Some(standing.unwrap_or(JobStanding::Waiting)))
     }
 
-    /// Reads how many jobs of a queue have not started, as the owner last stored it; 0 for a
+    /// Reads how many jobs of a queue have not started, as the owners last stored it; 0 for a
     /// queue without a stored count. Retries until `deadline`, when the caller stops waiting.
     #[must_use]
     pub fn waiting(&self, queue: &str, deadline: MonoTime) -> WaitingOutcome {
         loop {
-            match self.read(RowKeys::counts(), deadline) {
-                Ok(row) => return WaitingOutcome::Counted(count_of(row.as_ref(), queue)),
+            let timeout = self.timeout(deadline);
+            match self.context.list_rows(RowKeys::counts_prefix(), timeout) {
+                Ok(listing) => {
+                    let counts = listing.rows.iter().map(|row| count_of(row, queue));
+                    return WaitingOutcome::Counted(counts.sum());
+                }
                 Err(_) if self.is_too_late(deadline) => return WaitingOutcome::Unknown,
                 Err(_) => thread::sleep(Duration::from_millis(RETRY_DELAY_MS)),
             }
@@ -198,9 +249,8 @@
     RowGuard { key, revision: 0 }
 }
 
-fn count_of(row: Option<&StoredRow>, queue: &str) -> u32 {
-    let counts: Option<Vec<QueueCount>> = row.and_then(|row| RowCodec::decode(&row.value));
-    let counts = counts.unwrap_or_default();
+fn count_of(row: &StoredRow, queue: &str) -> u32 {
+    let counts: Vec<QueueCount> = RowCodec::decode(&row.value).unwrap_or_default();
     counts
         .iter()
         .find(|count| *count.queue == *queue)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,10 +1,11 @@
 //! A daemon that schedules callers' jobs on workers and keeps them in a store.
 //!
 //! All daemons are equal. Each accepts jobs from callers through its [`JobFrontend`]
-//! and acknowledges them only once they are stored. One of them owns the jobs: an
-//! [`OwnerElection`] monitors the row that names the owner, claims it when the owner no
-//! longer writes it, and then drives a [`JobOwner`](sapphirestile_jobs::JobOwner) until
-//! another daemon takes over.
+//! and acknowledges them only once they are stored. Workers and jobs are divided into cells,
+//! as in a [`CellTable`], and each cell has one daemon as its owner: an [`OwnerElection`]
+//! monitors the rows that name the owners, claims one when its owner no longer writes it,
+//! and then drives a [`JobOwner`](sapphirestile_jobs::JobOwner) until another daemon takes
+//! over.
 //!
 //! External systems are reached through ports: a [`StorePort`], a [`WorkerPort`], and
 //! one [`EventSource`] each for the operators' changes and the list of workers. An
@@ -12,6 +13,7 @@
 //! parts share one [`EntryContext`]. Log lines go through a [`LogQueue`], and metrics
 //! are kept in [`EntryMetrics`].
 
+mod cells;
 mod context;
 mod frontend;
 mod lifecycle;
@@ -23,11 +25,14 @@
 mod store;
 mod watching;
 
+pub use cells::CellHead;
+pub use cells::CellTable;
 pub use context::EntryContext;
 pub use context::OperatorState;
 pub use context::StoreHealth;
 pub use context::StoreTimeout;
 pub use frontend::CancelOutcome;
+pub use frontend::HomeCache;
 pub use frontend::JobFrontend;
 pub use frontend::StateOutcome;
 pub use frontend::SubmitOutcome;
@@ -41,6 +46,7 @@
 pub use metrics::EntryMetrics;
 pub use metrics::MetricsService;
 pub use metrics::OutcomeLabel;
+pub use owner::CellClaims;
 pub use owner::ClaimDecision;
 pub use owner::ClaimDelay;
 pub use owner::ElasticPool;
@@ -55,6 +61,7 @@
 pub use ports::RowChange;
 pub use ports::RowGuard;
 pub use ports::RowListing;
+pub use ports::RowWatchPort;
 pub use ports::RowWrite;
 pub use ports::StoreCallError;
 pub use ports::StoreCommit;
--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -34,6 +34,7 @@
     questions: Family<OutcomeLabel, Counter>,
     batch_seconds: Histogram,
     owned_epoch: Gauge,
+    owned_cells: Gauge,
     config_version: Gauge,
 }
 
@@ -50,6 +51,7 @@
             questions: Family::default(),
             batch_seconds: latencies(),
             owned_epoch: Gauge::default(),
+            owned_cells: Gauge::default(),
             config_version: Gauge::default(),
             registry: Registry::default(),
         };
@@ -77,9 +79,14 @@
         );
         registry.register(
             "owned_epoch",
-            "The epoch of the ownership, 0 while another daemon owns the jobs",
+            "The epoch of the latest ownership, 0 while other daemons own all cells",
             metrics.owned_epoch.clone(),
         );
+        registry.register(
+            "owned_cells",
+            "The number of cells that this daemon owns",
+            metrics.owned_cells.clone(),
+        );
         registry.register(
             "config_version",
             "The version of the configuration in effect, 0 until there is one",
@@ -115,6 +122,7 @@
             DecisionEvent::RunEnded { cause, .. } if cause.is_failure() => "failed",
             DecisionEvent::RunEnded { cause, .. } => outcome_of(*cause),
             DecisionEvent::Advised { good, .. } => return self.count_question(good.is_some()),
+            DecisionEvent::JobMoved { .. } => "moved_before_start",
             DecisionEvent::JobEnded { .. } => return,
         };
         self.runs.get_or_create(&OutcomeLabel { outcome }).inc();
@@ -136,12 +144,21 @@
         self.batch_seconds.observe(took.as_secs_f64());
     }
 
-    /// Sets the epoch in which this daemon owns the jobs; 0 when it does not own them.
-    pub fn set_owned_epoch(&self, epoch: u64) {
+    /// Records that this daemon owns another cell, in the given epoch.
+    pub fn start_term(&self, epoch: u64) {
+        self.owned_cells.inc();
         self.owned_epoch
             .set(i64::try_from(epoch).unwrap_or(i64::MAX));
     }
 
+    /// Records that this daemon no longer owns one of its cells.
+    pub fn end_term(&self) {
+        let owned_before = self.owned_cells.dec();
+        if owned_before <= 1 {
+            self.owned_epoch.set(0);
+        }
+    }
+
     /// Sets the version of the configuration in effect.
     pub fn set_config_version(&self, version: u64) {
         self.config_version
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -1,21 +1,24 @@
-//! Election of the owner of the jobs, and what the owner does.
+//! Election of the owners of the cells, and what an owner does.
 //!
-//! An [`OwnerElection`] reads the [`OwnershipRow`](crate::store::OwnershipRow). An
-//! [`OwnerMonitor`] tells from it by a [`ClaimDecision`] when to claim the ownership; a
-//! [`ClaimDelay`] lets daemons with more processor time claim first. A successful claim
-//! is an [`OwnershipClaim`]. An [`OwnershipTerm`] then drives the jobs: it handles
-//! [`OwnerEvent`]s, plans starts by a [`PlanSchedule`], stores batches through a
+//! An [`OwnerElection`] reads the [`OwnershipRow`](crate::store::OwnershipRow)s of all
+//! cells. [`CellClaims`] choose a cell to claim, by an [`OwnerMonitor`] for each cell whose
+//! [`ClaimDecision`] tells when its owner has failed; a [`ClaimDelay`] lets daemons with
+//! more processor time claim first. A successful claim is an [`OwnershipClaim`]. An
+//! [`OwnershipTerm`] then drives the cell: it handles [`OwnerEvent`]s, plans starts by a
+//! [`PlanSchedule`], stores batches and each [`LayoutChange`] by [`WriteRequest`]s to a
 //! [`CommitWriter`], and passes effects to an [`EffectDispatcher`], which uses
 //! [`WorkerCalls`] on the threads of [`ElasticPool`]s and an [`AdvisorThread`]. A
 //! [`DecisionLogger`] logs the decisions.
 
 mod advisor_thread;
+mod cell_claims;
 mod claim_decision;
 mod claim_delay;
 mod commit_writer;
 mod decision_logger;
 mod effect_dispatcher;
 mod elastic_pool;
+mod layout_change;
 mod owner_adapters;
 mod owner_election;
 mod owner_event;
@@ -26,7 +29,9 @@
 mod run_control;
 mod worker_calls;
 mod write_outcome;
+mod write_request;
 
+pub use cell_claims::CellClaims;
 pub use claim_decision::ClaimDecision;
 pub use claim_delay::ClaimDelay;
 pub use elastic_pool::ElasticPool;
@@ -39,9 +44,11 @@
 pub(crate) use commit_writer::CommitWriter;
 pub(crate) use decision_logger::DecisionLogger;
 pub(crate) use effect_dispatcher::EffectDispatcher;
+pub(crate) use layout_change::LayoutChange;
 pub(crate) use owner_event::OwnerEvent;
 pub(crate) use ownership_claim::OwnershipClaim;
 pub(crate) use ownership_term::OwnershipTerm;
 pub(crate) use run_control::RunControl;
 pub(crate) use worker_calls::WorkerCalls;
 pub(crate) use write_outcome::WriteOutcome;
+pub(crate) use write_request::WriteRequest;
--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -1,5 +1,8 @@
 //! Stores the owner's batches.
 
+mod batch_rows;
+mod job_moves;
+
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -7,13 +10,19 @@
 
 use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
+use sapphirestile_jobs::CellLoad;
 use sapphirestile_jobs::CommitBatch;
+use sapphirestile_jobs::QueueCount;
 
 use crate::context::EntryContext;
+use crate::owner::LayoutChange;
 use crate::owner::OwnerEvent;
 use crate::owner::OwnershipClaim;
 use crate::owner::WriteOutcome;
+use crate::owner::WriteRequest;
+use crate::owner::commit_writer::batch_rows::BatchRows;
 use crate::ports::CommitAnswer;
+use crate::ports::RowGuard;
 use crate::ports::RowWrite;
 use crate::ports::StoreCallError;
 use crate::ports::StoreCommit;
@@ -23,14 +32,10 @@
 use crate::store::RowKeys;
 use crate::watching::RetryBackoff;
 
-/// The maximum number of rows per commit besides the ownership row and its guard: the
-/// store accepts 32 entries in all.
-const COMMIT_ROWS_MAX: usize = 30;
-
 /// The upper bound of the timeout of one commit.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Stores batches in order, each guarded by the ownership row.
+/// Stores batches in order, each guarded by the ownership row of the cell.
 ///
 /// A commit without an answer is repeated until its outcome is certain. Only this
 /// writer changes the ownership row at its revision, so if a repeated commit is refused
@@ -38,39 +43,41 @@
 pub struct CommitWriter {
     context: Arc<EntryContext>,
     claim: OwnershipClaim,
+    last_counts: Option<Vec<QueueCount>>,
+}
+
+/// What became of one guarded commit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PartOutcome {
+    /// It is stored.
+    Stored,
+    /// It is not stored: this daemon still owns the cell, and another guard failed.
+    GuardFailed,
+    /// It is not stored: another daemon owns the cell now.
+    Deposed,
 }
 
 impl CommitWriter {
     /// Creates the writer of the owner that holds `claim`.
     pub const fn new(context: Arc<EntryContext>, claim: OwnershipClaim) -> Self {
-        Self { context, claim }
+        Self {
+            context,
+            claim,
+            last_counts: None,
+        }
     }
 
-    /// Stores batches in order until the channel closes or another daemon owns the
-    /// jobs.
-    pub fn run(mut self, batches: &Receiver<CommitBatch>, events: &Sender<OwnerEvent>) {
-        let mut last_counts = None;
-        for batch in batches {
-            let mut writes: Vec<RowWrite> = batch.progress.iter().map(progress_write).collect();
-            if last_counts.as_ref() != Some(&batch.counts) {
-                writes.push(RowWrite {
-                    key: RowKeys::counts().to_owned(),
-                    value: RowCodec::encode(&batch.counts),
-                });
-                last_counts = Some(batch.counts);
-            }
-            writes.extend(batch.learnt.as_ref().map(|learnt| RowWrite {
-                key: RowKeys::learnt().to_owned(),
-                value: RowCodec::encode(learnt),
-            }));
-            let removals = batch.forgotten.iter().flat_map(|identity| {
-                [
-                    RowKeys::spec(identity),
-                    RowKeys::cancellation(identity),
-                    RowKeys::progress(identity),
-                ]
-            });
-            let outcome = self.store(writes, removals.collect(), batch.is_last);
+    /// Serves requests in order until the channel closes or another daemon owns the cell.
+    pub fn run(mut self, requests: &Receiver<WriteRequest>, events: &Sender<OwnerEvent>) {
+        for request in requests {
+            let batch = match request {
+                WriteRequest::Batch(batch) => batch,
+                WriteRequest::Layout(change) => {
+                    self.extend_layout(&change);
+                    continue;
+                }
+            };
+            let outcome = self.store(&batch);
             let is_deposed = outcome == WriteOutcome::Deposed;
             if events.send(OwnerEvent::Stored(outcome)).is_err() || is_deposed {
                 return;
@@ -79,38 +86,41 @@
     }
 
     /// Stores a batch, in several commits when it has more rows than one can carry.
-    fn store(
-        &mut self,
-        mut writes: Vec<RowWrite>,
-        mut removals: Vec<String>,
-        is_last: bool,
-    ) -> WriteOutcome {
+    fn store(&mut self, batch: &CommitBatch) -> WriteOutcome {
+        let mut rows = BatchRows::of(self.claim.cell, batch, &mut self.last_counts);
+        let has_moves = !batch.moves.is_empty();
         loop {
-            let rows: Vec<RowWrite> = take_front(&mut writes, COMMIT_ROWS_MAX);
-            let keys = take_front(&mut removals, COMMIT_ROWS_MAX - rows.len());
-            let is_end = writes.is_empty() && removals.is_empty();
-            if self.store_part(rows, keys, is_last && is_end) == WriteOutcome::Deposed {
+            let (writes, removals) = rows.take_commit();
+            let is_released = batch.is_last && rows.is_empty() && !has_moves;
+            let outcome = self.store_part(
+                (writes, removals, Vec::new()),
+                is_released,
+                batch.load.as_ref(),
+            );
+            if outcome != PartOutcome::Stored {
                 return WriteOutcome::Deposed;
             }
-            if is_end {
-                return WriteOutcome::Stored;
+            if rows.is_empty() {
+                break;
             }
         }
+        self.store_moves(batch)
     }
 
-    /// Stores one commit of a batch. `is_released` says whether the commit releases the
-    /// ownership.
+    /// Stores one guarded commit, whose rows are its writes, removals and further guards.
+    /// `is_released` says whether it releases the ownership.
     fn store_part(
         &mut self,
-        rows: Vec<RowWrite>,
-        removals: Vec<String>,
+        (mut writes, removals, mut guards): (Vec<RowWrite>, Vec<String>, Vec<RowGuard>),
         is_released: bool,
-    ) -> WriteOutcome {
-        let row = self.claim.next_row(is_released);
-        let mut writes = rows;
-        writes.push(OwnershipClaim::write_of(&row));
+        load: Option<&CellLoad>,
+    ) -> PartOutcome {
+        let cell = self.claim.cell;
+        let row = self.claim.next_row(is_released, load);
+        writes.push(OwnershipClaim::write_of(cell, &row));
+        guards.push(self.claim.guard());
         let commit = StoreCommit {
-            guards: vec![self.claim.guard()],
+            guards,
             writes,
             removals,
         };
@@ -120,8 +130,12 @@
             let result = self.context.commit_rows(&commit, COMMIT_TIMEOUT);
             match result {
                 Ok(CommitAnswer::Stored { revision }) => {
-                    self.claim = OwnershipClaim { row, revision };
-                    return WriteOutcome::Stored;
+                    self.claim = OwnershipClaim {
+                        cell,
+                        row,
+                        revision,
+                    };
+                    return PartOutcome::Stored;
                 }
                 Ok(CommitAnswer::Refused { rows }) => return self.resolve_refusal(row, &rows),
                 Err(StoreCallError::NotDone) => thread::sleep(backoff.next_delay()),
@@ -132,37 +146,50 @@
 
     /// Determines from the current ownership row whether an earlier call stored the
     /// write.
-    fn resolve_refusal(&mut self, row: OwnershipRow, rows: &[StoredRow]) -> WriteOutcome {
-        let found = rows.iter().find(|found| found.key == RowKeys::ownership());
-        let is_ours = |found: &&StoredRow| {
-            let stored: Option<OwnershipRow> = RowCodec::decode(&found.value);
-            stored.as_ref() == Some(&row)
+    fn resolve_refusal(&mut self, row: OwnershipRow, rows: &[StoredRow]) -> PartOutcome {
+        let cell = self.claim.cell;
+        let key = RowKeys::ownership(cell);
+        let Some(found) = rows.iter().find(|found| found.key == key) else {
+            return PartOutcome::Deposed;
         };
-        match found.filter(is_ours) {
-            Some(found) => {
-                let revision = found.revision;
-                self.claim = OwnershipClaim { row, revision };
-                WriteOutcome::Stored
-            }
-            None => WriteOutcome::Deposed,
+        if found.revision == self.claim.revision {
+            return PartOutcome::GuardFailed;
+        }
+        let stored: Option<OwnershipRow> = RowCodec::decode(&found.value);
+        if stored.as_ref() != Some(&row) {
+            return PartOutcome::Deposed;
         }
+        self.claim = OwnershipClaim {
+            cell,
+            row,
+            revision: found.revision,
+        };
+        PartOutcome::Stored
     }
-}
 
-fn progress_write(
-    (identity, progress): &(
-        sapphirestile_jobs::JobIdentity,
-        sapphirestile_jobs::JobProgress,
-    ),
-) -> RowWrite {
-    RowWrite {
-        key: RowKeys::progress(identity),
-        value: RowCodec::encode(progress),
+    /// Extends the layout of cells. If this fails, the owner proposes it again from the
+    /// layout that it then reads.
+    fn extend_layout(&self, change: &LayoutChange) {
+        let commit = StoreCommit {
+            guards: vec![RowGuard {
+                key: RowKeys::layout().to_owned(),
+                revision: change.revision,
+            }],
+            writes: vec![RowWrite {
+                key: RowKeys::layout().to_owned(),
+                value: RowCodec::encode(&change.layout),
+            }],
+            removals: Vec::new(),
+        };
+        let cells = change.layout.cells();
+        match self.context.commit_rows(&commit, COMMIT_TIMEOUT) {
+            Ok(CommitAnswer::Stored { revision }) => {
+                tracing::info!(cells, revision, "layout of cells extended");
+            }
+            Ok(CommitAnswer::Refused { .. }) => {
+                tracing::info!(cells, "layout of cells was extended by another owner");
+            }
+            Err(fault) => tracing::warn!(cells, %fault, "cannot extend the layout of cells"),
+        }
     }
 }
-
-/// Removes up to `max` items from the front and returns them.
-fn take_front<T>(items: &mut Vec<T>, max: usize) -> Vec<T> {
-    let rest = items.split_off(items.len().min(max));
-    std::mem::replace(items, rest)
-}
--- /dev/null
+++ b/crates/entry/src/owner/commit_writer/batch_rows.rs
@@ -0,0 +1,76 @@
+//! Rows of a batch.
+
+use sapphirestile_core::CellNumber;
+use sapphirestile_jobs::CommitBatch;
+use sapphirestile_jobs::QueueCount;
+
+use crate::ports::RowWrite;
+use crate::store::RowCodec;
+use crate::store::RowKeys;
+
+/// The maximum number of rows per commit besides the ownership row and its guard: the
+/// store accepts 32 entries in all.
+const COMMIT_ROWS_MAX: usize = 30;
+
+/// The rows of a batch that are not stored yet.
+pub struct BatchRows {
+    writes: Vec<RowWrite>,
+    removals: Vec<String>,
+}
+
+impl BatchRows {
+    /// The rows of a batch of a cell, without its moves. The counts are left out if they are
+    /// those of `last_counts`, which is updated.
+    pub fn of(
+        cell: CellNumber,
+        batch: &CommitBatch,
+        last_counts: &mut Option<Vec<QueueCount>>,
+    ) -> Self {
+        let progress = batch.progress.iter().map(|(job, progress)| RowWrite {
+            key: RowKeys::progress(cell, job),
+            value: RowCodec::encode(progress),
+        });
+        let mut writes: Vec<RowWrite> = progress.collect();
+        if last_counts.as_ref() != Some(&batch.counts) {
+            writes.push(RowWrite {
+                key: RowKeys::counts(cell),
+                value: RowCodec::encode(&batch.counts),
+            });
+            *last_counts = Some(batch.counts.clone());
+        }
+        writes.extend(batch.learnt.as_ref().map(|learnt| RowWrite {
+            key: RowKeys::learnt(cell),
+            value: RowCodec::encode(learnt),
+        }));
+        let removals = batch.forgotten.iter().flat_map(|job| {
+            [
+                RowKeys::spec(cell, job),
+                RowKeys::cancellation(cell, job),
+                RowKeys::progress(cell, job),
+                RowKeys::home(job),
+            ]
+        });
+        Self {
+            writes,
+            removals: removals.collect(),
+        }
+    }
+
+    /// Takes the writes and removals of the next commit.
+    pub fn take_commit(&mut self) -> (Vec<RowWrite>, Vec<String>) {
+        let writes: Vec<RowWrite> = take_front(&mut self.writes, COMMIT_ROWS_MAX);
+        let removals = take_front(&mut self.removals, COMMIT_ROWS_MAX - writes.len());
+        (writes, removals)
+    }
+
+    /// Whether every row was taken.
+    pub const fn is_empty(&self) -> bool {
+        self.writes.is_empty() && self.removals.is_empty()
+    }
+}
+
+/// Removes up to `max` items from the front and returns them.
+fn take_front<T>(items: &mut Vec<T>, max: usize) -> Vec<T> {
+    let rest = items.split_off(items.len().min(max));
+    std::mem::replace(items, rest)
+}
--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -1,5 +1,6 @@
 //! Logs the owner's decisions.
 
+use sapphirestile_core::CellNumber;
 use sapphirestile_jobs::DecisionEvent;
 
 /// Logs the owner's decisions. Assignments and successful runs are frequent, so those
@@ -9,7 +10,7 @@
 
 impl DecisionLogger {
     /// Logs the decisions of one step.
-    pub fn write(epoch: u64, decisions: &[DecisionEvent]) {
+    pub fn write(cell: CellNumber, epoch: u64, decisions: &[DecisionEvent]) {
         let mut assigned = Vec::new();
         let mut done = Vec::new();
         for decision in decisions {
@@ -27,23 +28,30 @@
                     cause,
                     age_ms,
                 } => {
-                    tracing::info!(epoch, %task, run, %worker, ?cause, age_ms, "run ended");
+                    tracing::info!(%cell, epoch, %task, run, %worker, ?cause, age_ms, "run ended");
                 }
                 DecisionEvent::Advised { step, asked, good } => {
-                    tracing::info!(epoch, %step, asked, good, "advisor call ended");
+                    tracing::info!(%cell, epoch, %step, asked, good, "advisor call ended");
+                }
+                DecisionEvent::JobMoved {
+                    job,
+                    target,
+                    age_ms,
+                } => {
+                    tracing::info!(%cell, epoch, %job, %target, age_ms, "job moves to another cell");
                 }
                 DecisionEvent::JobEnded {
                     job,
                     standing,
                     age_ms,
                 } => {
-                    tracing::info!(epoch, %job, ?standing, age_ms, "job ended");
+                    tracing::info!(%cell, epoch, %job, ?standing, age_ms, "job ended");
                 }
             }
         }
         if !assigned.is_empty() || !done.is_empty() {
             let (assigned, done) = (assigned.join(" "), done.join(" "));
-            tracing::info!(epoch, assigned, done, "tasks assigned or done");
+            tracing::info!(%cell, epoch, assigned, done, "tasks assigned or done");
         }
     }
 }
--- a/crates/entry/src/owner/owner_adapters.rs
+++ b/crates/entry/src/owner/owner_adapters.rs
@@ -6,14 +6,14 @@
 
 use crate::ports::AdvicePort;
 use crate::ports::EventSource;
+use crate::ports::RowWatchPort;
 use crate::ports::WorkerPort;
-use crate::store::IntakeEvent;
 
 /// The adapters that the owner uses besides the store.
 #[derive(Clone)]
 pub struct OwnerAdapters {
-    /// Source of submissions and cancellations.
-    pub intake: Arc<dyn EventSource<IntakeEvent>>,
+    /// Sources of the rows of submissions and cancellations.
+    pub rows: Arc<dyn RowWatchPort>,
     /// Source of the list of workers.
     pub workers: Arc<dyn EventSource<WorkerEvent>>,
     /// Sends requests to workers.
--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -1,4 +1,4 @@
-//! Elects the owner of the jobs.
+//! Elects the owners of the cells.
 
 use std::sync::Arc;
 use std::thread;
@@ -6,11 +6,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::SortedTable;
+
+use crate::cells::CellTable;
 use crate::context::EntryContext;
+use crate::owner::CellClaims;
 use crate::owner::ClaimDecision;
 use crate::owner::ClaimDelay;
 use crate::owner::OwnerAdapters;
-use crate::owner::OwnerMonitor;
 use crate::owner::OwnershipClaim;
 use crate::owner::OwnershipTerm;
 use crate::ports::CommitAnswer;
@@ -23,86 +28,138 @@
 use crate::store::RowKeys;
 use crate::watching::RetryBackoff;
 
-/// The interval between reads of the ownership row.
+/// The interval between reads of the rows of the cells.
 const READ_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The upper bound of the timeout of one call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Makes sure that some daemon owns the jobs: reads the ownership row, claims it when its
-/// owner has failed, and then drives the jobs until another daemon takes over.
+/// Makes sure that each cell has an owner: reads the ownership rows, claims a cell whose
+/// owner has failed, and drives it on a thread of its own until another daemon takes over.
 pub struct OwnerElection {
     context: Arc<EntryContext>,
     adapters: OwnerAdapters,
+    claims: CellClaims,
+    /// The threads that drive the cells of this daemon.
+    terms: SortedTable<CellNumber, JoinHandle<()>>,
 }
 
 impl OwnerElection {
-    /// Starts a thread, which ends after shutdown is requested.
+    /// Starts a thread, which ends after shutdown is requested and every cell is released.
     ///
     /// # Panics
     ///
     /// When the operating system cannot create a thread.
     #[must_use]
     pub fn spawn(context: Arc<EntryContext>, adapters: OwnerAdapters) -> JoinHandle<()> {
-        let election = Self { context, adapters };
+        let election = Self {
+            claims: CellClaims::of(&context.settings.node.name),
+            context,
+            adapters,
+            terms: SortedTable::new(),
+        };
         thread::Builder::new()
-            .name("elect owner".to_owned())
+            .name("elect owners".to_owned())
             .spawn(move || election.run())
             .expect("failed to spawn the election thread")
     }
 
-    fn run(self) {
-        let mut monitor = OwnerMonitor::default();
+    fn run(mut self) {
         while !self.context.is_stopping() {
-            let result = self.context.read_row(RowKeys::ownership(), CALL_TIMEOUT);
-            let has_config = self.context.operator_state.load().config.is_some();
-            if let Ok(row) = result
-                && has_config
-            {
-                self.handle_row(&mut monitor, row.as_ref());
+            let result = self
+                .context
+                .list_rows(RowKeys::cells_prefix(), CALL_TIMEOUT);
+            if let Ok(listing) = result {
+                let now = self.context.clock.now();
+                self.context
+                    .cells
+                    .update(|table| table.with_rows(&listing.rows, now));
+                self.claim_next(now);
             }
             thread::sleep(READ_INTERVAL);
         }
+        let cells: Vec<CellNumber> = self.terms.keys().copied().collect();
+        for cell in cells {
+            if let Some(term) = self.terms.remove(&cell) {
+                // A term that panicked has aborted the process.
+                let _ended = term.join();
+            }
+        }
     }
 
-    fn handle_row(&self, monitor: &mut OwnerMonitor, row: Option<&StoredRow>) {
-        let ownership: Option<OwnershipRow> = row.and_then(|row| RowCodec::decode(&row.value));
-        let revision = row.map_or(0, |row| row.revision);
-        let found = ownership.as_ref().map(|found| (found, revision));
-        let now = self.context.clock.now();
-        let ClaimDecision::Claim { revision, epoch } = monitor.observe(found, now) else {
+    /// Claims one of the cells without an owner, if there is one.
+    fn claim_next(&mut self, now: MonoTime) {
+        self.terms.retain(|_, term| !term.is_finished());
+        let table = self.context.cells.load_full();
+        let owned = |cell: CellNumber| self.terms.contains(&cell);
+        let decision = self.claims.observe(&table, owned, now);
+        let has_config = self.context.operator_state.load().config.is_some();
+        let Some((cell, decision)) = decision.filter(|_| has_config) else {
             return;
         };
-        let delay = ClaimDelay::of(self.context.settings.node.cpu_share);
+        let ClaimDecision::Claim { revision, .. } = decision else {
+            return;
+        };
+        let delay = ClaimDelay::of(self.context.settings.node.cpu_share, self.terms.len());
         thread::sleep(delay.duration());
+        if !self.is_unclaimed(cell, revision) {
+            return;
+        }
+        let epoch = table.highest_epoch();
         let claimed = self.context.clock.now();
         tracing::info!(
+            %cell,
             epoch,
             revision,
-            "owner failed or released the jobs; claiming them"
+            "owner failed or released the cell; claiming it"
         );
-        if let Some(claim) = self.claim(revision, epoch) {
-            OwnershipTerm::drive(&self.context, &self.adapters, claim, claimed);
+        if let Some(claim) = self.claim(cell, revision, epoch) {
+            self.drive(claim, claimed);
         }
-        *monitor = OwnerMonitor::default();
     }
 
-    /// Claims the ownership row; `None` when another daemon was faster or this one
-    /// stops.
-    fn claim(&self, revision: u64, epoch: u64) -> Option<OwnershipClaim> {
+    /// Whether the ownership row is still at the revision, after other daemons may have
+    /// claimed the cell.
+    fn is_unclaimed(&self, cell: CellNumber, revision: u64) -> bool {
+        let key = RowKeys::ownership(cell);
+        let result = self.context.read_row(&key, CALL_TIMEOUT);
+        result.is_ok_and(|row| row.map_or(0, |row| row.revision) == revision)
+    }
+
+    fn drive(&mut self, claim: OwnershipClaim, claimed: MonoTime) {
+        let cell = claim.cell;
+        let (context, adapters) = (Arc::clone(&self.context), self.adapters.clone());
+        let term = thread::Builder::new()
+            .name(format!("own cell {cell}"))
+            .spawn(move || OwnershipTerm::drive(&context, &adapters, claim, claimed));
+        match term {
+            Ok(term) => {
+                self.terms.insert(cell, term);
+            }
+            Err(error) => {
+                tracing::error!(%cell, %error, "failed to spawn the thread of a cell");
+            }
+        }
+    }
+
+    /// Claims the ownership row of a cell; `None` when another daemon was faster or this
+    /// one stops.
+    fn claim(&self, cell: CellNumber, revision: u64, epoch: u64) -> Option<OwnershipClaim> {
+        let load = known_load(&self.context.cells.load(), cell);
         let row = OwnershipRow {
             epoch: epoch + 1,
             daemon: self.context.settings.node.name.as_str().into(),
             incarnation: self.context.incarnation,
             write: 1,
             is_released: false,
+            load,
         };
         let commit = StoreCommit {
             guards: vec![RowGuard {
-                key: RowKeys::ownership().to_owned(),
+                key: RowKeys::ownership(cell),
                 revision,
             }],
-            writes: vec![OwnershipClaim::write_of(&row)],
+            writes: vec![OwnershipClaim::write_of(cell, &row)],
             removals: Vec::new(),
         };
         let mut backoff = RetryBackoff::default();
@@ -111,9 +168,13 @@
             let result = self.context.commit_rows(&commit, CALL_TIMEOUT);
             match result {
                 Ok(CommitAnswer::Stored { revision }) => {
-                    return Some(OwnershipClaim { row, revision });
+                    return Some(OwnershipClaim {
+                        cell,
+                        row,
+                        revision,
+                    });
                 }
-                Ok(CommitAnswer::Refused { rows }) => return own_claim(row, &rows),
+                Ok(CommitAnswer::Refused { rows }) => return own_claim(cell, row, &rows),
                 Err(StoreCallError::NotDone) => thread::sleep(READ_INTERVAL / 4),
                 Err(_) => thread::sleep(backoff.remaining_delay(started.elapsed())),
             }
@@ -122,12 +183,22 @@
     }
 }
 
+/// The load that the cell's previous owner reported last. It stands until the new owner has
+/// polled its workers.
+fn known_load(table: &CellTable, cell: CellNumber) -> sapphirestile_jobs::CellLoad {
+    let head = table.heads.get(&cell);
+    head.map(|head| head.row.load.clone()).unwrap_or_default()
+}
+
 /// The claim, if an earlier call whose answer was lost has stored it.
-fn own_claim(row: OwnershipRow, rows: &[StoredRow]) -> Option<OwnershipClaim> {
-    let found = rows
-        .iter()
-        .find(|found| found.key == RowKeys::ownership())?;
+fn own_claim(cell: CellNumber, row: OwnershipRow, rows: &[StoredRow]) -> Option<OwnershipClaim> {
+    let key = RowKeys::ownership(cell);
+    let found = rows.iter().find(|found| found.key == key)?;
     let stored: OwnershipRow = RowCodec::decode(&found.value)?;
     let revision = found.revision;
-    (stored == row).then_some(OwnershipClaim { row, revision })
+    (stored == row).then_some(OwnershipClaim {
+        cell,
+        row,
+        revision,
+    })
 }
--- a/crates/entry/src/owner/ownership_claim.rs
+++ b/crates/entry/src/owner/ownership_claim.rs
@@ -1,5 +1,8 @@
 //! The ownership row as written by its owner.
 
+use sapphirestile_core::CellNumber;
+use sapphirestile_jobs::CellLoad;
+
 use crate::ports::RowGuard;
 use crate::ports::RowWrite;
 use crate::store::OwnershipRow;
@@ -9,6 +12,8 @@
 /// The ownership row as this daemon last wrote it.
 #[derive(Clone, Debug)]
 pub struct OwnershipClaim {
+    /// The cell that is owned.
+    pub cell: CellNumber,
     /// The contents of the row.
     pub row: OwnershipRow,
     /// The revision of the row in the store.
@@ -19,24 +24,27 @@
     /// The condition that no other daemon has written the row since.
     pub fn guard(&self) -> RowGuard {
         RowGuard {
-            key: RowKeys::ownership().to_owned(),
+            key: RowKeys::ownership(self.cell),
             revision: self.revision,
         }
     }
 
-    /// The row with the next write number.
-    pub fn next_row(&self, is_released: bool) -> OwnershipRow {
+    /// The row with the next write number, and with the given load if there is a new one.
+    pub fn next_row(&self, is_released: bool, load: Option<&CellLoad>) -> OwnershipRow {
+        let load = load.unwrap_or(&self.row.load);
         OwnershipRow {
             write: self.row.write + 1,
             is_released,
-            ..self.row.clone()
+            load: load.clone(),
+            daemon: self.row.daemon.clone(),
+            ..self.row
         }
     }
 
-    /// The store write of a row.
-    pub fn write_of(row: &OwnershipRow) -> RowWrite {
+    /// The store write of a cell's row.
+    pub fn write_of(cell: CellNumber, row: &OwnershipRow) -> RowWrite {
         RowWrite {
-            key: RowKeys::ownership().to_owned(),
+            key: RowKeys::ownership(cell),
             value: RowCodec::encode(row),
         }
     }
--- a/crates/entry/src/owner/ownership_term.rs
+++ b/crates/entry/src/owner/ownership_term.rs
@@ -1,5 +1,6 @@
-//! One term of ownership of the jobs.
+//! One term of ownership of a cell.
 
+mod division;
 mod event_handlers;
 mod loading;
 
@@ -11,9 +12,12 @@
 use crossbeam::channel::RecvTimeoutError;
 use crossbeam::channel::Sender;
 use crossbeam::channel::unbounded;
+use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
-use sapphirestile_jobs::CommitBatch;
+use sapphirestile_core::SortedTable;
 use sapphirestile_jobs::DeployedConfig;
+use sapphirestile_jobs::FleetDivision;
+use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_serving::MonoClock;
 
@@ -25,6 +29,7 @@
 use crate::owner::OwnerEvent;
 use crate::owner::OwnershipClaim;
 use crate::owner::PlanSchedule;
+use crate::owner::WriteRequest;
 
 /// The interval at which the owner writes its row when there are no changes, in
 /// milliseconds.
@@ -33,14 +38,24 @@
 /// The maximum number of events that are handled before their effects are dispatched.
 const EVENTS_PER_STEP_MAX: usize = 256;
 
-/// One term of ownership, from the claim until another daemon takes over or this one
-/// stops.
+/// One term of ownership of a cell, from the claim until another daemon takes over or this
+/// one stops.
 pub struct OwnershipTerm {
     context: Arc<EntryContext>,
+    cell: CellNumber,
     owner: JobOwner,
+    /// The list of all workers, from which those of the cell are selected.
+    division: FleetDivision,
+    /// The read of the cells' rows whose loads were last used to move jobs.
+    cells_read: u64,
+    /// When an extension of the layout was last proposed.
+    layout_proposed: MonoTime,
+    /// For each job that has left the cell, the revision up to which its rows are out of
+    /// date: a listing may have been read before.
+    removed: SortedTable<JobIdentity, u64>,
     dispatcher: EffectDispatcher,
     events: Receiver<OwnerEvent>,
-    batches: Sender<CommitBatch>,
+    requests: Sender<WriteRequest>,
     /// The configuration that the owner was last given.
     config: Arc<DeployedConfig>,
     /// When the owner last handled what is due with time.
@@ -63,23 +78,26 @@
         claimed: MonoTime,
     ) {
         let (sender, events) = unbounded();
-        let Some(owner) = loading::load(context, adapters, &claim, claimed, &sender) else {
+        let loaded = loading::load(context, adapters, &claim, claimed, &sender);
+        let Some((owner, division)) = loaded else {
             return;
         };
+        let cell = claim.cell;
         let (jobs, workers) = owner.counts();
         tracing::info!(
+            %cell,
             epoch = owner.epoch().get(),
             jobs,
             workers,
             took_ms = context.clock.now().millis_since(claimed),
-            "loaded the jobs and owns them"
+            "loaded the cell and owns it"
         );
-        let (batches, batch_queue) = unbounded();
+        let (requests, request_queue) = unbounded();
         let writer = CommitWriter::new(Arc::clone(context), claim);
         let writer_events = sender.clone();
         let spawned = thread::Builder::new()
             .name("commit batches".to_owned())
-            .spawn(move || writer.run(&batch_queue, &writer_events));
+            .spawn(move || writer.run(&request_queue, &writer_events));
         spawned.expect("failed to spawn the commit thread");
         let config = context
             .operator_state
@@ -89,19 +107,24 @@
             .unwrap_or_default();
         let term = Self {
             context: Arc::clone(context),
+            cell,
             owner,
+            division,
+            cells_read: 0,
+            layout_proposed: claimed,
+            removed: SortedTable::new(),
             dispatcher: EffectDispatcher::new(adapters, &sender),
             events,
-            batches,
+            requests,
             config,
             last_tick: claimed,
             schedule: PlanSchedule::new(claimed),
             is_deposed: false,
             is_released: false,
         };
-        context.metrics.set_owned_epoch(term.owner.epoch().get());
+        context.metrics.start_term(term.owner.epoch().get());
         term.run();
-        context.metrics.set_owned_epoch(0);
+        context.metrics.end_term();
     }
 
     fn run(mut self) {
@@ -121,14 +144,16 @@
                 self.handle_event(event);
             }
             if self.is_released && !self.owner.is_storing() {
-                tracing::info!(epoch = self.owner.epoch().get(), "released the jobs");
+                let epoch = self.owner.epoch().get();
+                tracing::info!(cell = %self.cell, epoch, "released the cell");
                 return;
             }
             self.step();
         }
         tracing::warn!(
+            cell = %self.cell,
             epoch = self.owner.epoch().get(),
-            "deposed: another daemon owns the jobs"
+            "deposed: another daemon owns the cell"
         );
     }
 
@@ -136,6 +161,7 @@
         let now = self.context.clock.now();
         let unix_ms = MonoClock::unix_millis();
         self.apply_operator_state();
+        self.apply_cell_table(now);
         if now.millis_since(self.last_tick) >= 100 {
             self.owner.advance_time(now, unix_ms);
             self.last_tick = now;
@@ -154,7 +180,7 @@
         for decision in &decisions {
             self.context.metrics.count_decision(decision);
         }
-        DecisionLogger::write(self.owner.epoch().get(), &decisions);
+        DecisionLogger::write(self.cell, self.owner.epoch().get(), &decisions);
         self.send_batch(now);
     }
 
@@ -178,7 +204,7 @@
         self.is_released = is_stopping;
         self.schedule.record_batch(now);
         // Sending fails only after the writer has reported that the owner was deposed.
-        let _ = self.batches.send(batch);
+        let _ = self.requests.send(WriteRequest::Batch(Box::new(batch)));
     }
 
     fn apply_operator_state(&mut self) {
--- a/crates/entry/src/owner/ownership_term/event_handlers.rs
+++ b/crates/entry/src/owner/ownership_term/event_handlers.rs
@@ -28,18 +28,29 @@
                     WorkerEvent::Present(entry) => Some(entry),
                     WorkerEvent::Gone(_) => None,
                 });
-                self.owner.replace_workers(present.collect(), now);
+                let own = self.division.replace(present.collect(), now);
+                self.owner.replace_workers(own, now);
             }
             OwnerEvent::Workers(WatchUpdate::Changes(events)) => {
                 for event in events {
-                    self.owner.apply_worker_event(event, now);
+                    if let Some(event) = self.division.apply(event, now) {
+                        self.owner.apply_worker_event(event, now);
+                    }
                 }
             }
-            OwnerEvent::Stored(WriteOutcome::Stored) => {
+            OwnerEvent::Stored(WriteOutcome::Stored {
+                revision,
+                removed,
+                refused_moves,
+            }) => {
                 let took_ms = self.schedule.since_batch_ms(now);
                 let took = Duration::from_millis(took_ms);
                 self.context.metrics.observe_batch(took);
                 self.owner.confirm_batch(now, unix_ms);
+                self.owner.finish_moves(&refused_moves, unix_ms);
+                for job in removed {
+                    self.removed.insert(job, revision);
+                }
             }
             OwnerEvent::Stored(WriteOutcome::Deposed) => self.is_deposed = true,
             OwnerEvent::Started {
@@ -77,8 +88,15 @@
         let now = self.context.clock.now();
         let unix_ms = MonoClock::unix_millis();
         match event {
-            IntakeEvent::Submitted { identity, spec } => {
-                self.owner.accept_job(identity, spec, now, unix_ms);
+            IntakeEvent::Submitted {
+                identity,
+                spec,
+                revision,
+            } => {
+                let removed = self.removed.get(&identity).copied().unwrap_or(0);
+                if revision > removed {
+                    self.owner.accept_job(identity, spec, now, unix_ms);
+                }
             }
             IntakeEvent::Cancelled(identity) => self.owner.cancel_job(identity, now),
         }
--- a/crates/entry/src/owner/ownership_term/loading.rs
+++ b/crates/entry/src/owner/ownership_term/loading.rs
@@ -5,8 +5,10 @@
 
 use crossbeam::channel::Sender;
 use sapphirestile_core::CellEpoch;
+use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
+use sapphirestile_jobs::FleetDivision;
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_jobs::JobProgress;
@@ -22,8 +24,10 @@
 use crate::owner::OwnerEvent;
 use crate::owner::OwnershipClaim;
 use crate::ports::EventListing;
+use crate::ports::EventSource;
 use crate::ports::StoreCallError;
 use crate::store::IntakeEvent;
+use crate::store::IntakeSource;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
 use crate::watching::EventWatcher;
@@ -38,24 +42,39 @@
 /// continue while the store is unavailable for some seconds.
 const AUTHORITY_MS: u64 = 12_000;
 
+/// The minimum time between two reads of the changes of the list of workers, each of which
+/// writes its entry every second or two.
+const WORKER_LIST_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The longest wait for the next bytes of a page of a listing.
+const PAGE_PAUSE_MAX: Duration = Duration::from_millis(1_500);
+
 /// The timeout of reading one row.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The number of read attempts before the claim is given up.
 const READ_ATTEMPTS_MAX: u32 = 20;
 
-/// Loads the jobs and the list of workers after a claim, and watches both from there.
-/// Returns `None` when they cannot be read.
+/// Loads the jobs of the cell and the list of workers after a claim, and watches both from
+/// there. Returns `None` when they cannot be read.
 pub fn load(
     context: &Arc<EntryContext>,
     adapters: &OwnerAdapters,
     claim: &OwnershipClaim,
     claimed: MonoTime,
     events: &Sender<OwnerEvent>,
-) -> Option<JobOwner> {
+) -> Option<(JobOwner, FleetDivision)> {
+    let cell = claim.cell;
+    let intake_source: Arc<dyn EventSource<IntakeEvent>> = Arc::new(IntakeSource::new(
+        adapters.rows.rows(&RowKeys::intake_prefix(cell)),
+    ));
     let workers = retry(context, || adapters.workers.list())?;
-    let progress = retry(context, || context.store.list(RowKeys::progress_prefix()))?;
-    let intake = retry(context, || adapters.intake.list())?;
+    let progress = retry(context, || {
+        context
+            .store
+            .list(&RowKeys::progress_prefix(cell), PAGE_PAUSE_MAX)
+    })?;
+    let intake = retry(context, || intake_source.list())?;
     let bounds = &context.settings.bounds;
     let limits = OwnerLimits {
         lease_ms: LEASE_MS.min(bounds.lease_max_ms),
@@ -67,7 +86,7 @@
     let config = state.config.clone().unwrap_or_default();
     let epoch = CellEpoch::new(claim.row.epoch);
     let mut owner = JobOwner::new(epoch, limits, config, state.zones_out.clone(), claimed);
-    if let Some(learnt) = read_learnt(context) {
+    if let Some(learnt) = read_learnt(context, cell) {
         owner.restore_learnt(&learnt);
     }
     let (now, unix_ms) = (context.clock.now(), MonoClock::unix_millis());
@@ -76,7 +95,9 @@
         WorkerEvent::Present(entry) => Some(entry),
         WorkerEvent::Gone(_) => None,
     });
-    owner.replace_workers(present.collect(), now);
+    let layout = Arc::clone(&context.cells.load().layout);
+    let mut division = FleetDivision::new(cell, layout, now);
+    owner.replace_workers(division.replace(present.collect(), now), now);
     let progress: SortedTable<JobIdentity, JobProgress> = progress
         .rows
         .iter()
@@ -90,20 +111,20 @@
     for stored in join_jobs(intake, &progress) {
         owner.restore_job(stored, now, unix_ms);
     }
-    watch_sources(context, adapters, revisions, events);
-    Some(owner)
+    let sources = (Arc::clone(&adapters.workers), intake_source);
+    watch_sources(context, sources, revisions, events);
+    Some((owner, division))
 }
 
 /// Reads the estimates that previous owners have learnt. Without them the owner starts
 /// with none.
-fn read_learnt(context: &EntryContext) -> Option<LearntTables> {
-    let row = retry(context, || {
-        context.store.read(RowKeys::learnt(), READ_TIMEOUT)
-    })??;
+fn read_learnt(context: &EntryContext, cell: CellNumber) -> Option<LearntTables> {
+    let key = RowKeys::learnt(cell);
+    let row = retry(context, || context.store.read(&key, READ_TIMEOUT))??;
     let learnt = RowCodec::decode(&row.value);
     if learnt.is_none() {
         tracing::warn!(
-            row = RowKeys::learnt(),
+            row = key,
             "cannot decode the learnt estimates of the previous owner; starting without them"
         );
     }
@@ -119,7 +140,7 @@
     let mut cancelled: SortedTable<JobIdentity, ()> = SortedTable::new();
     for event in intake.events {
         match event {
-            IntakeEvent::Submitted { identity, spec } => specs.push((identity, spec)),
+            IntakeEvent::Submitted { identity, spec, .. } => specs.push((identity, spec)),
             IntakeEvent::Cancelled(identity) => {
                 cancelled.insert(identity, ());
             }
@@ -137,18 +158,22 @@
 /// Watches the workers and the intake for changes after the revisions of their listings.
 fn watch_sources(
     context: &Arc<EntryContext>,
-    adapters: &OwnerAdapters,
-    (workers, intake): (u64, u64),
+    (workers, intake): (
+        Arc<dyn EventSource<WorkerEvent>>,
+        Arc<dyn EventSource<IntakeEvent>>,
+    ),
+    (workers_revision, intake_revision): (u64, u64),
     events: &Sender<OwnerEvent>,
 ) {
     let sender = events.clone();
-    let watcher = EventWatcher::new(Arc::clone(context), Arc::clone(&adapters.workers));
-    watcher.spawn(Some(workers), move |update| {
+    let watcher =
+        EventWatcher::new(Arc::clone(context), workers).with_interval(WORKER_LIST_INTERVAL);
+    watcher.spawn(Some(workers_revision), move |update| {
         forward_update(&sender, update, OwnerEvent::Workers)
     });
     let sender = events.clone();
-    let watcher = EventWatcher::new(Arc::clone(context), Arc::clone(&adapters.intake));
-    watcher.spawn(Some(intake), move |update| {
+    let watcher = EventWatcher::new(Arc::clone(context), intake);
+    watcher.spawn(Some(intake_revision), move |update| {
         forward_update(&sender, update, OwnerEvent::Intake)
     });
 }
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`StorePort`] keeps rows: a [`StoreCommit`] of [`RowWrite`]s guarded by
 //! [`RowGuard`]s ends in a [`CommitAnswer`], and a [`StoreCallError`] says what is known
-//! about a failed call. An [`EventSource`] lists and watches events of one kind. A
+//! about a failed call. An [`EventSource`] lists and watches events of one kind; a
+//! [`RowWatchPort`] creates those of rows. A
 //! [`WorkerPort`] sends requests to workers, and an [`AdvicePort`] to the advisor.
 
 mod advice_port;
@@ -12,6 +13,7 @@
 mod row_change;
 mod row_guard;
 mod row_listing;
+mod row_watch_port;
 mod row_write;
 mod store_call_error;
 mod store_commit;
@@ -26,6 +28,7 @@
 pub use row_change::RowChange;
 pub use row_guard::RowGuard;
 pub use row_listing::RowListing;
+pub use row_watch_port::RowWatchPort;
 pub use row_write::RowWrite;
 pub use store_call_error::StoreCallError;
 pub use store_commit::StoreCommit;
--- a/crates/entry/src/ports/event_source.rs
+++ b/crates/entry/src/ports/event_source.rs
@@ -8,7 +8,7 @@
 /// A source of events that can be listed completely and then watched for changes.
 pub trait EventSource<E>: Send + Sync + 'static {
     /// The name of the source in log lines.
-    fn name(&self) -> &'static str;
+    fn name(&self) -> &str;
 
     /// Lists everything that exists.
     ///
--- a/crates/entry/src/ports/store_port.rs
+++ b/crates/entry/src/ports/store_port.rs
@@ -18,12 +18,13 @@
     /// [`StoreCallError`] when there is no complete answer within `timeout`.
     fn read(&self, key: &str, timeout: Duration) -> Result<Option<StoredRow>, StoreCallError>;
 
-    /// Lists the rows whose keys begin with `prefix`.
+    /// Lists the rows whose keys begin with `prefix`. `pause_max` limits each wait for the
+    /// next bytes of the answer.
     ///
     /// # Errors
     ///
     /// [`StoreCallError`] when there is no complete answer.
-    fn list(&self, prefix: &str) -> Result<RowListing, StoreCallError>;
+    fn list(&self, prefix: &str, pause_max: Duration) -> Result<RowListing, StoreCallError>;
 
     /// Changes several rows, or none.
     ///
--- a/crates/entry/src/settings/node_settings.rs
+++ b/crates/entry/src/settings/node_settings.rs
@@ -6,6 +6,15 @@
 
 const SHARE_EXPECTED: &str = "a share of a processor from 0.001 to 1024";
 
+/// How many workers an owner serves with a whole processor.
+const WORKERS_PER_PROCESSOR: f64 = 240.0;
+
+/// The number of workers that any daemon can serve.
+const CELL_WORKERS_MIN: usize = 48;
+
+const CELL_WORKERS_MAX: usize = 100_000;
+const CELL_EXPECTED: &str = "a number of workers from 1 to 100000";
+
 /// The supported way for workers to get their requests, which the settings call orders: the
 /// daemon calls the workers.
 const ORDERS_SUPPORTED: &str = "call";
@@ -20,6 +29,8 @@
     pub zone: ZoneName,
     /// The processor share that the VM grants the daemon; 1.0 is one processor.
     pub cpu_share: f64,
+    /// The number of workers per cell; `None` to derive it from the processor share.
+    cell_workers: Option<usize>,
 }
 
 impl NodeSettings {
@@ -31,11 +42,34 @@
             reader.fault("orders", &orders, ORDERS_EXPECTED);
         }
         let cpu_share = reader.ranged("cpu_share", Some(1.0), 0.001..=1_024.0, SHARE_EXPECTED);
+        let cell_workers = match reader.optional_text("workers_per_cell") {
+            Some(_) => reader.ranged(
+                "workers_per_cell",
+                None,
+                1..=CELL_WORKERS_MAX,
+                CELL_EXPECTED,
+            ),
+            None => None,
+        };
         reader.finish();
         Some(Self {
             name: name?,
             zone: zone?,
             cpu_share: cpu_share?,
+            cell_workers,
         })
     }
+
+    /// The average number of workers per cell above which the owner of cell 0 adds cells.
+    /// Owners with more processor time can serve more workers; a small fleet has one cell.
+    #[must_use]
+    pub fn workers_per_cell(&self) -> usize {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the share is positive and its range was checked"
+        )]
+        let by_share = (self.cpu_share * WORKERS_PER_PROCESSOR) as usize;
+        self.cell_workers.unwrap_or(by_share.max(CELL_WORKERS_MIN))
+    }
 }
--- a/crates/entry/src/store/intake_event.rs
+++ b/crates/entry/src/store/intake_event.rs
@@ -12,6 +12,8 @@
         identity: JobIdentity,
         /// The specification of the job.
         spec: JobSpec,
+        /// The revision of its row.
+        revision: u64,
     },
     /// A job was cancelled.
     Cancelled(JobIdentity),
--- a/crates/entry/src/store/intake_source.rs
+++ b/crates/entry/src/store/intake_source.rs
@@ -27,7 +27,7 @@
 }
 
 impl EventSource<IntakeEvent> for IntakeSource {
-    fn name(&self) -> &'static str {
+    fn name(&self) -> &str {
         "intake"
     }
 
@@ -63,5 +63,9 @@
 fn read_spec(row: &StoredRow) -> Option<IntakeEvent> {
     let identity = RowKeys::identity_of(&row.key)?;
     let spec = RowCodec::decode(&row.value)?;
-    Some(IntakeEvent::Submitted { identity, spec })
+    Some(IntakeEvent::Submitted {
+        identity,
+        spec,
+        revision: row.revision,
+    })
 }
--- a/crates/entry/src/store/ownership_row.rs
+++ b/crates/entry/src/store/ownership_row.rs
@@ -1,14 +1,16 @@
-//! The row that names the owner of the jobs.
+//! The row that names the owner of a cell.
 
+use sapphirestile_jobs::CellLoad;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// The row that names the owner of the jobs. The owner writes it in every commit,
+/// The row that names the owner of a cell. The owner writes it in every commit,
 /// guarded by its previous revision, so that a commit fails once another daemon has
 /// claimed it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnershipRow {
-    /// The number of claims so far, which fences previous owners.
+    /// The number of the claim, which fences previous owners. It is higher than that of any
+    /// earlier claim of any cell that the claiming daemon knew.
     pub epoch: u64,
     /// The name of the owning daemon; informational.
     pub daemon: Box<str>,
@@ -19,4 +21,6 @@
     pub write: u64,
     /// Whether the owner has released the ownership.
     pub is_released: bool,
+    /// The load of the cell, as the owner last reported it.
+    pub load: CellLoad,
 }
--- a/crates/entry/src/store/row_keys.rs
+++ b/crates/entry/src/store/row_keys.rs
@@ -1,89 +1,129 @@
 //! Keys of the rows in the store.
 
+use sapphirestile_core::CellNumber;
 use sapphirestile_jobs::JobIdentity;
 
-const OWNERSHIP: &str = "sapphirestile/head";
-const COUNTS: &str = "sapphirestile/counts";
-const LEARNT: &str = "sapphirestile/learnt";
+const CELLS: &str = "sapphirestile/cells/";
+const LAYOUT: &str = "sapphirestile/cells/layout";
+const OWNERSHIP: &str = "sapphirestile/cells/head-";
+const COUNTS: &str = "sapphirestile/counts/";
+const LEARNT: &str = "sapphirestile/learnt/";
+const HOMES: &str = "sapphirestile/homes/";
 const INTAKE: &str = "sapphirestile/intake/";
-const RECORDS: &str = "sapphirestile/jobs/";
+const RECORDS: &str = "sapphirestile/records/";
 const CANCELLED: &str = "/cancelled";
 
-/// Builds and parses the keys of rows.
+/// Builds and parses the keys of rows. Rows that an owner lists or watches begin with the
+/// number of its cell.
 ///
 /// # Examples
 ///
 /// ```
+/// use sapphirestile_core::CellNumber;
 /// use sapphirestile_entry::RowKeys;
 /// use sapphirestile_jobs::JobIdentity;
 ///
+/// let cell = CellNumber::new(3);
 /// let identity = JobIdentity::try_from("5c0e7a21d94b36f8").unwrap();
-/// assert_eq!(RowKeys::progress(&identity), "sapphirestile/jobs/5c0e7a21d94b36f8");
-/// assert_eq!(RowKeys::identity_of(&RowKeys::progress(&identity)), Some(identity));
+/// let key = RowKeys::progress(cell, &identity);
+/// assert_eq!(key, "sapphirestile/records/3/5c0e7a21d94b36f8");
+/// assert_eq!(RowKeys::identity_of(&key), Some(identity));
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct RowKeys;
 
 impl RowKeys {
-    /// The key of the row that names the owner.
+    /// The common prefix of the keys of the layout and of all ownership rows.
     #[must_use]
-    pub const fn ownership() -> &'static str {
-        OWNERSHIP
+    pub const fn cells_prefix() -> &'static str {
+        CELLS
     }
 
-    /// The key of the row that counts waiting jobs per queue.
+    /// The key of the assignment of racks to cells.
     #[must_use]
-    pub const fn counts() -> &'static str {
+    pub const fn layout() -> &'static str {
+        LAYOUT
+    }
+
+    /// The key of the row that names the owner of a cell.
+    #[must_use]
+    pub fn ownership(cell: CellNumber) -> String {
+        format!("{OWNERSHIP}{cell}")
+    }
+
+    /// Parses the cell from the key of an ownership row.
+    #[must_use]
+    pub fn owned_cell_of(key: &str) -> Option<CellNumber> {
+        let number = key.strip_prefix(OWNERSHIP)?.parse().ok()?;
+        Some(CellNumber::new(number))
+    }
+
+    /// The key of the row that counts the waiting jobs of a cell per queue.
+    #[must_use]
+    pub fn counts(cell: CellNumber) -> String {
+        format!("{COUNTS}{cell}")
+    }
+
+    /// The common prefix of the keys of all counts.
+    #[must_use]
+    pub const fn counts_prefix() -> &'static str {
         COUNTS
     }
 
-    /// The key of the row that holds the owners' learnt estimates.
+    /// The key of the row that holds what the owners of a cell have learnt.
     #[must_use]
-    pub const fn learnt() -> &'static str {
-        LEARNT
+    pub fn learnt(cell: CellNumber) -> String {
+        format!("{LEARNT}{cell}")
     }
 
-    /// The common prefix of the keys of specifications and cancellations.
+    /// The key of the row that says which cell has a job.
     #[must_use]
-    pub const fn intake_prefix() -> &'static str {
-        INTAKE
+    pub fn home(identity: &JobIdentity) -> String {
+        format!("{HOMES}{identity}")
     }
 
-    /// The common prefix of the keys of job progress.
+    /// The common prefix of the keys of a cell's specifications and cancellations.
     #[must_use]
-    pub const fn progress_prefix() -> &'static str {
-        RECORDS
+    pub fn intake_prefix(cell: CellNumber) -> String {
+        format!("{INTAKE}{cell}/")
+    }
+
+    /// The common prefix of the keys of the progress of a cell's jobs.
+    #[must_use]
+    pub fn progress_prefix(cell: CellNumber) -> String {
+        format!("{RECORDS}{cell}/")
     }
 
     /// The key of a job's specification.
     #[must_use]
-    pub fn spec(identity: &JobIdentity) -> String {
-        format!("{INTAKE}{identity}")
+    pub fn spec(cell: CellNumber, identity: &JobIdentity) -> String {
+        format!("{INTAKE}{cell}/{identity}")
     }
 
     /// The key of a job's cancellation.
     #[must_use]
-    pub fn cancellation(identity: &JobIdentity) -> String {
-        format!("{INTAKE}{identity}{CANCELLED}")
+    pub fn cancellation(cell: CellNumber, identity: &JobIdentity) -> String {
+        format!("{INTAKE}{cell}/{identity}{CANCELLED}")
     }
 
     /// The key of a job's progress.
     #[must_use]
-    pub fn progress(identity: &JobIdentity) -> String {
-        format!("{RECORDS}{identity}")
+    pub fn progress(cell: CellNumber, identity: &JobIdentity) -> String {
+        format!("{RECORDS}{cell}/{identity}")
     }
 
     /// Parses the job identity from the key of a specification or of job progress.
     #[must_use]
     pub fn identity_of(key: &str) -> Option<JobIdentity> {
-        let name = key.strip_prefix(INTAKE).or(key.strip_prefix(RECORDS))?;
+        let rest = key.strip_prefix(INTAKE).or(key.strip_prefix(RECORDS))?;
+        let (_, name) = rest.split_once('/')?;
         JobIdentity::try_from(name).ok()
     }
 
     /// Parses the job identity from the key of a cancellation.
     #[must_use]
     pub fn cancelled_identity_of(key: &str) -> Option<JobIdentity> {
-        let name = key.strip_prefix(INTAKE)?.strip_suffix(CANCELLED)?;
-        JobIdentity::try_from(name).ok()
+        let (_, name) = key.strip_prefix(INTAKE)?.split_once('/')?;
+        JobIdentity::try_from(name.strip_suffix(CANCELLED)?).ok()
     }
 }
--- a/crates/entry/src/watching/event_watcher.rs
+++ b/crates/entry/src/watching/event_watcher.rs
@@ -20,13 +20,27 @@
 pub struct EventWatcher<E> {
     context: Arc<EntryContext>,
     source: Arc<dyn EventSource<E>>,
+    /// The minimum time between two calls that found changes.
+    interval: Duration,
 }
 
 impl<E: Send + 'static> EventWatcher<E> {
     /// Creates a watcher of `source`.
     #[must_use]
     pub fn new(context: Arc<EntryContext>, source: Arc<dyn EventSource<E>>) -> Self {
-        Self { context, source }
+        Self {
+            context,
+            source,
+            interval: Duration::ZERO,
+        }
+    }
+
+    /// Sets the minimum time between two calls that found changes. Changes that come more
+    /// often are read together, which saves calls.
+    #[must_use]
+    pub const fn with_interval(mut self, interval: Duration) -> Self {
+        self.interval = interval;
+        self
     }
 
     /// Starts a thread that passes updates to `handle` until `handle` returns false.
@@ -58,7 +72,9 @@
                 Ok((update, revision)) => {
                     after = Some(revision);
                     backoff.reset();
-                    update.is_none_or(&mut handle)
+                    let is_continuing = update.is_none_or(&mut handle);
+                    thread::sleep(self.interval.saturating_sub(started.elapsed()));
+                    is_continuing
                 }
                 Err(fault) => {
                     tracing::warn!(
--- /dev/null
+++ b/crates/jobs/src/division.rs
@@ -0,0 +1,23 @@
+//! Division of the workers into cells, each with an owner of its own.
+//!
+//! A [`CellLayout`] assigns whole racks to cells and only grows, so a worker never moves
+//! between two owners. A [`FleetDivision`] selects the workers of one cell from the list of
+//! all workers, and proposes the layout's next version. A [`CellLoad`] tells other daemons
+//! how much room a cell has, by a [`ServiceRoom`] for each service; a [`CellChoice`]
+//! compares them for the [`JobNeed`] of a job.
+
+mod cell_choice;
+mod cell_layout;
+mod cell_load;
+mod fleet_division;
+mod job_need;
+mod rack_size;
+mod service_room;
+
+pub use cell_choice::CellChoice;
+pub use cell_layout::CellLayout;
+pub use cell_load::CellLoad;
+pub use fleet_division::FleetDivision;
+pub use job_need::JobNeed;
+pub use rack_size::RackSize;
+pub use service_room::ServiceRoom;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,7 +6,8 @@
 //! state of a job is its [`JobProgress`]; everything else is recovered by polling the
 //! workers.
 //!
-//! At any time one daemon owns all jobs and workers of a cell. Its [`JobOwner`] receives
+//! Workers are divided into cells of whole racks by a [`CellLayout`]. At any time one daemon
+//! owns all jobs and workers of a cell. Its [`JobOwner`] receives
 //! jobs, cancellations, changes to the list of workers and the responses of workers, and
 //! decides which task starts where. It emits changed state as a [`CommitBatch`], and
 //! releases an [`OwnerEffect`] only after the batch that the effect depends on is stored.
@@ -19,6 +20,7 @@
 //! This crate does no I/O, reads no clock and draws no random numbers.
 
 mod advice;
+mod division;
 mod owner;
 mod pacing;
 mod planner;
@@ -33,8 +35,16 @@
 pub use advice::AdvisorTiming;
 pub use advice::PlacementTicket;
 pub use advice::StepIdentity;
+pub use division::CellChoice;
+pub use division::CellLayout;
+pub use division::CellLoad;
+pub use division::FleetDivision;
+pub use division::JobNeed;
+pub use division::RackSize;
+pub use division::ServiceRoom;
 pub use owner::CommitBatch;
 pub use owner::DecisionEvent;
+pub use owner::JobMove;
 pub use owner::JobOwner;
 pub use owner::LearntTables;
 pub use owner::OwnerEffect;
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`JobOwner`] starts from the [`StoredJob`]s, its [`OwnerLimits`] and the
 //! [`LearntTables`] of the previous owner. It emits changed state as a [`CommitBatch`],
-//! with a [`QueueCount`] for each queue, and requests to workers and to the advisor as
+//! with a [`QueueCount`] for each queue and a [`JobMove`] for each job that goes to another
+//! cell, and requests to workers and to the advisor as
 //! [`OwnerEffect`]s: a [`StartRequest`], [`StopRequest`], [`PollRequest`] or
 //! [`PaceRequest`]. It reports its decisions as [`DecisionEvent`]s, with a [`RunCause`]
 //! for the end of each run.
@@ -11,6 +12,7 @@
 mod decision_event;
 mod deferred_effect;
 mod job_entry;
+mod job_move;
 mod job_owner;
 mod learnt_tables;
 mod owner_effect;
@@ -26,6 +28,7 @@
 
 pub use commit_batch::CommitBatch;
 pub use decision_event::DecisionEvent;
+pub use job_move::JobMove;
 pub use job_owner::JobOwner;
 pub use learnt_tables::LearntTables;
 pub use owner_effect::OwnerEffect;
--- a/crates/jobs/src/owner/commit_batch.rs
+++ b/crates/jobs/src/owner/commit_batch.rs
@@ -1,5 +1,7 @@
 //! Changes to be stored.
 
+use crate::division::CellLoad;
+use crate::owner::JobMove;
 use crate::owner::LearntTables;
 use crate::owner::QueueCount;
 use crate::progress::JobProgress;
@@ -16,6 +18,10 @@
     pub counts: Vec<QueueCount>,
     /// Learnt estimates; `None` in most batches.
     pub learnt: Option<LearntTables>,
+    /// Jobs to be moved to other cells, none of which has had a run.
+    pub moves: Vec<JobMove>,
+    /// Load of the cell; `None` if it was reported recently.
+    pub load: Option<CellLoad>,
     /// Whether the owner releases its ownership with this batch.
     pub is_last: bool,
 }
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -1,5 +1,6 @@
 //! Decisions of an owner.
 
+use sapphirestile_core::CellNumber;
 use sapphirestile_core::WorkerName;
 
 use crate::advice::StepIdentity;
@@ -42,6 +43,15 @@
         /// Number of workers that may run the step; `None` if there was no answer.
         good: Option<usize>,
     },
+    /// A waiting job moves to another cell.
+    JobMoved {
+        /// Job that moves.
+        job: JobIdentity,
+        /// Cell that the job moves to.
+        target: CellNumber,
+        /// Time since the job was accepted here, in milliseconds.
+        age_ms: u64,
+    },
     /// A job has ended.
     JobEnded {
         /// Job that has ended.
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -23,6 +23,9 @@
     pub since: MonoTime,
     /// When the job ended; `None` before.
     pub ended: Option<MonoTime>,
+    /// Whether the job is being moved to another cell, so that none of its tasks may start
+    /// here.
+    pub is_moving: bool,
 }
 
 impl JobEntry {
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -7,6 +7,8 @@
 mod gangs;
 mod intake;
 mod learning;
+mod load_report;
+mod moves;
 mod pace_changes;
 mod planning;
 mod polling;
@@ -31,6 +33,7 @@
 use crate::spec::JobIdentity;
 use crate::worker::TrackedWorker;
 use sapphirestile_core::CellEpoch;
+use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
 use sapphirestile_core::WorkerName;
@@ -54,6 +57,10 @@
     changed: SortedTable<JobIdentity, ()>,
     /// Ended jobs that the next batch deletes from the store.
     forgotten: Vec<JobIdentity>,
+    /// Jobs that move to another cell with the next batch, and where to.
+    leaving: Vec<(JobIdentity, CellNumber)>,
+    /// Jobs whose moves are being stored.
+    moving: Vec<JobIdentity>,
     /// Effects that wait for the next batch.
     deferred: Vec<DeferredEffect>,
     /// Effects that wait for the batch that is being stored; `None` if none is.
@@ -78,6 +85,8 @@
     /// When the learnt estimates were last put into a batch.
     learnt_batched: MonoTime,
     advice: AdviceCache,
+    /// When the load of the cell was last put into a batch.
+    load_reported: MonoTime,
 }
 
 impl JobOwner {
@@ -101,6 +110,8 @@
             repeating: Vec::new(),
             changed: SortedTable::new(),
             forgotten: Vec::new(),
+            leaving: Vec::new(),
+            moving: Vec::new(),
             deferred: Vec::new(),
             storing: None,
             effects: Vec::new(),
@@ -115,6 +126,7 @@
             durations: DurationEstimator::default(),
             learnt_batched: claimed,
             advice: AdviceCache::default(),
+            load_reported: MonoTime::default(),
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -25,6 +25,8 @@
             forgotten: std::mem::take(&mut self.forgotten),
             counts: self.count_queues(),
             learnt: self.learnt_if_due(now),
+            moves: self.take_moves(),
+            load: self.load_if_due(now),
             is_last: false,
         };
         self.storing = Some(std::mem::take(&mut self.deferred));
@@ -56,7 +58,10 @@
     /// Whether there are changes to store.
     #[must_use]
     pub fn has_changes(&self) -> bool {
-        !self.changed.is_empty() || !self.deferred.is_empty() || !self.forgotten.is_empty()
+        !self.changed.is_empty()
+            || !self.deferred.is_empty()
+            || !self.forgotten.is_empty()
+            || !self.leaving.is_empty()
     }
 
     /// Whether a batch is being stored.
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -39,6 +39,7 @@
             progress,
             wait_key: None,
             since: earlier_by(now, unix_ms.saturating_sub(accepted_unix_ms)),
+            is_moving: false,
         };
         self.inherit_runs(identity, &entry, now);
         self.jobs.insert(identity, Box::new(entry));
@@ -65,6 +66,7 @@
             wait_key: None,
             since: now,
             ended: None,
+            is_moving: false,
         };
         self.jobs.insert(identity, Box::new(entry));
         self.refresh_job(identity, unix_ms);
@@ -109,7 +111,7 @@
         let Some(entry) = self.jobs.get_mut(&identity) else {
             return;
         };
-        if entry.progress.standing.is_final() {
+        if entry.progress.standing.is_final() || entry.is_moving {
             return;
         }
         begin_occurrences(entry, unix_ms);
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -13,9 +13,6 @@
 /// A worker whose latest response is older than this gets no new tasks, in milliseconds.
 const RESPONSE_AGE_MAX_MS: u64 = 2_500;
 
-/// Average processor use of long-running tasks, in percent of what they reserve.
-const LONG_RUNNING_USE_PERCENT: u64 = 50;
-
 /// Load slack assumed for a worker without latency-sensitive runs. A task that interferes
 /// little scores higher elsewhere, which leaves such workers to tasks that interfere much.
 const EMPTY_WORKER_SLACK: f64 = 0.15;
@@ -39,8 +36,6 @@
 /// Divisor for the score of free processor time, which counts less than load slack.
 const FREE_CPU_DIVISOR: i64 = 4;
 
-const FULL_PERCENT: u64 = 100;
-
 /// A worker with a latency above this share of its target gets no best-effort tasks, in
 /// percent.
 const HIGH_LATENCY_PERCENT: u64 = 70;
@@ -170,10 +165,8 @@
         capacity: u64,
         worker: &TrackedWorker,
     ) -> Option<i64> {
-        let reserved = worker.long_running_cpu_milli();
-        let unused = reserved * (FULL_PERCENT - LONG_RUNNING_USE_PERCENT) / FULL_PERCENT;
-        let taken = worker.used().cpu_milli - unused + worker.best_effort_cpu_milli();
-        let idle = capacity.checked_sub(taken + demand.step.size.cpu_milli)?;
+        let idle = worker.idle_cpu_milli(capacity);
+        let idle = idle.checked_sub(demand.step.size.cpu_milli)?;
         let serving = worker.serving_runs();
         if serving
             .iter()
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -14,6 +14,11 @@
 /// Duration of shorter poll intervals after a change of pace, in milliseconds.
 const CLOSE_POLLING_MS: u64 = 3_000;
 
+/// Average processor use of long-running tasks, in percent of what they reserve.
+const LONG_RUNNING_USE_PERCENT: u64 = 50;
+
+const FULL_PERCENT: u64 = 100;
+
 /// A poll that got no response shows that the worker is silent now only if it was sent this
 /// recently, in milliseconds. An owner that was suspended has older ones.
 const UNANSWERED_AGE_MAX_MS: u64 = 3_500;
@@ -196,6 +201,16 @@
         self.long_running_cpu_milli
     }
 
+    /// Processor time out of `capacity_milli` that further best-effort runs can use, in
+    /// thousandths of a processor: long-running runs use a part of what they reserve.
+    #[must_use]
+    pub const fn idle_cpu_milli(&self, capacity_milli: u64) -> u64 {
+        let unused_percent = FULL_PERCENT - LONG_RUNNING_USE_PERCENT;
+        let unused = self.long_running_cpu_milli * unused_percent / FULL_PERCENT;
+        let taken = self.used.cpu_milli - unused + self.best_effort_cpu_milli;
+        capacity_milli.saturating_sub(taken)
+    }
+
     /// Computes the sums over all runs again.
     fn recount(&mut self) {
         let (mut used, mut best_effort, mut long_running) = (ResourceVector::default(), 0, 0);
