--- a/crates/daemon/tests/deployed_soak/soak_daemon.rs
+++ b/crates/daemon/tests/deployed_soak/soak_daemon.rs
@@ -47,7 +47,7 @@
             (free_address(address), free_address(address))
         };
         let text = format!(
-            "[node]\nname = {name}\nzone = near-a\norders = call\n\
+            "[node]\nname = {name}\nzone = near-a\norders = call\nworkers_per_cell = 2\n\
              [ports]\ncallers = {callers}\nready = {ready}\n\
              [targets]\nstore = {store}\n\
              [bounds]\nlease_max_ms = 6000\nremember_s = 300\ngrace_s = 4\n"
--- a/crates/daemon/tests/deployed_soak/soak_scenario.rs
+++ b/crates/daemon/tests/deployed_soak/soak_scenario.rs
@@ -33,6 +33,9 @@
 const DAEMONS: usize = 3;
 const WORKERS: usize = 4;
 
+/// The number of workers of a cell, as in the daemons' settings.
+const CELL_WORKERS: usize = 2;
+
 /// The name of the entry that is no worker's. The space ends a URL, and a page of the
 /// listing ends with this name.
 const ODD_WORKER: &str = "i-0 odd";
@@ -89,7 +92,9 @@
             let port = open_port(&service);
             let link = FaultProxy::start(port.address());
             let key = SiteBodies::worker_key(&format!("i-{index}"));
-            store.put(&key, &SiteBodies::worker_entry(link.address()));
+            let rack = format!("r1-{}", index / CELL_WORKERS);
+            let entry = SiteBodies::worker_entry_on_rack(link.address(), &rack);
+            store.put(&key, &entry);
             worker_links.push(link);
             ports.push(port);
         }
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -6,6 +6,7 @@
 mod copies_and_gangs;
 mod learning;
 mod leases_and_restarts;
+mod moves;
 mod owner_fixture;
 mod pacing;
 mod placement;
--- /dev/null
+++ b/crates/jobs/tests/owner/moves.rs
@@ -0,0 +1,113 @@
+//! Moves of waiting jobs to other cells.
+
+use sapphirestile_core::CellNumber;
+use sapphirestile_jobs::CellChoice;
+use sapphirestile_jobs::CellLayout;
+use sapphirestile_jobs::CellLoad;
+use sapphirestile_jobs::JobIdentity;
+use sapphirestile_jobs::StartOutcome;
+
+use crate::owner_fixture::OwnerFixture;
+use crate::test_values::job_spec;
+use crate::test_values::step;
+use crate::test_values::worker;
+
+const RUNNING: &str = "aaaaaaaaaaaaaaaa";
+const WAITING: &str = "bbbbbbbbbbbbbbbb";
+const OWN: CellNumber = CellNumber::new(0);
+const OTHER: CellNumber = CellNumber::new(1);
+
+fn identity(job: &str) -> JobIdentity {
+    JobIdentity::try_from(job).unwrap()
+}
+
+/// A cell that is full with two of the first job's three tasks, and in which a second job
+/// waits.
+fn full_cell() -> OwnerFixture {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 2_000)]);
+    fixture.accept(RUNNING, job_spec(vec![step(3, 1_000)]));
+    fixture.step();
+    assert_eq!(fixture.store().len(), 2);
+    for index in 0..2 {
+        let task = format!("{RUNNING}.0.0.{index}");
+        fixture.started("w-1", &task, 1, StartOutcome::Accepted);
+    }
+    fixture.accept(WAITING, job_spec(vec![step(1, 1_000)]));
+    fixture
+}
+
+/// Lets the owner plan moves, with another cell that is idle.
+fn plan_moves(fixture: &mut OwnerFixture) {
+    let idle = OwnerFixture::with_workers(vec![worker("w-9", 90_000)]);
+    let idle_load = idle.owner.cell_load(idle.time());
+    let own_load = fixture.owner.cell_load(fixture.time());
+    let loads: [(CellNumber, &CellLoad); 2] = [(OWN, &own_load), (OTHER, &idle_load)];
+    let choice = CellChoice {
+        layout: &CellLayout::default(),
+        loads: &loads,
+    };
+    let now = fixture.time();
+    fixture.owner.plan_moves(OWN, &choice, now);
+}
+
+#[test]
+fn only_a_job_without_a_run_moves_and_only_after_it_has_waited() {
+    let mut fixture = full_cell();
+    plan_moves(&mut fixture);
+    assert!(fixture.batch().is_none_or(|batch| batch.moves.is_empty()));
+    let mut fixture = full_cell();
+    fixture.now += 400;
+    fixture.answer("w-1", &[], &[]);
+    plan_moves(&mut fixture);
+    let batch = fixture.batch().expect("a move is to be stored");
+    let moves: Vec<(JobIdentity, CellNumber)> = batch
+        .moves
+        .iter()
+        .map(|job_move| (job_move.job, job_move.target))
+        .collect();
+    assert_eq!(moves, [(identity(WAITING), OTHER)]);
+}
+
+/// A job that both owners held would run in both cells.
+#[test]
+fn nothing_of_a_moving_job_starts_and_it_is_gone_afterwards() {
+    let mut fixture = full_cell();
+    fixture.now += 400;
+    plan_moves(&mut fixture);
+    fixture.batch().expect("a move is to be stored");
+    fixture.owner.replace_workers(
+        vec![worker("w-1", 2_000), worker("w-2", 4_000)],
+        fixture.time(),
+    );
+    fixture.step();
+    fixture.answer("w-2", &[], &[]);
+    fixture.step();
+    let now = fixture.time();
+    fixture.owner.confirm_batch(now, fixture.now);
+    fixture.owner.finish_moves(&[], fixture.now);
+    fixture.step();
+    let starts = fixture.store();
+    assert_eq!(starts, [format!("start {RUNNING}.0.0.2#1 at w-2")]);
+    assert_eq!(fixture.owner.counts().0, 1);
+}
+
+/// The caller cancelled the job while it was to move. It stays, and its owner ends it.
+#[test]
+fn a_refused_move_leaves_the_job() {
+    let mut fixture = full_cell();
+    fixture.now += 400;
+    plan_moves(&mut fixture);
+    fixture.batch().expect("a move is to be stored");
+    let now = fixture.time();
+    fixture.owner.confirm_batch(now, fixture.now);
+    fixture
+        .owner
+        .finish_moves(&[identity(WAITING)], fixture.now);
+    fixture.cancel(WAITING);
+    let batch = fixture.batch().expect("the end is to be stored");
+    let ended = batch
+        .progress
+        .iter()
+        .find(|(job, _)| *job == identity(WAITING));
+    assert!(ended.expect("the job is still here").1.standing.is_final());
+}
