Share what owners learn about interference among the cells

Cause: thirty images disturb sixteen others, and with ten cells each owner sees a tenth of the runs.

Change: an estimate knows from how many measurements it was learnt. Every three seconds an owner reads the rows of the other cells and takes the mean of all estimates of a pair, weighted by their measurements.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -8,6 +8,7 @@
 //! [`PlanSchedule`], stores batches and each [`LayoutChange`] by [`WriteRequest`]s to a
 //! [`CommitWriter`], and passes effects to an [`EffectDispatcher`], which uses
 //! [`WorkerCalls`] on the threads of [`ElasticPool`]s and an [`AdvisorThread`]. A
+//! [`LearntReader`] reads what the owners of other cells have learnt, and a
 //! [`DecisionLogger`] logs the decisions.
 
 mod advisor_thread;
@@ -19,6 +20,7 @@
 mod effect_dispatcher;
 mod elastic_pool;
 mod layout_change;
+mod learnt_reader;
 mod owner_adapters;
 mod owner_election;
 mod owner_event;
@@ -45,6 +47,7 @@
 pub(crate) use decision_logger::DecisionLogger;
 pub(crate) use effect_dispatcher::EffectDispatcher;
 pub(crate) use layout_change::LayoutChange;
+pub(crate) use learnt_reader::LearntReader;
 pub(crate) use owner_event::OwnerEvent;
 pub(crate) use ownership_claim::OwnershipClaim;
 pub(crate) use ownership_term::OwnershipTerm;
--- a/crates/entry/src/owner/owner_event.rs
+++ b/crates/entry/src/owner/owner_event.rs
@@ -3,6 +3,7 @@
 use sapphirestile_core::WorkerName;
 use sapphirestile_jobs::AdviceOutcome;
 use sapphirestile_jobs::AdviceRequest;
+use sapphirestile_jobs::LearntTables;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StopOutcome;
@@ -20,7 +21,9 @@
     Intake(WatchUpdate<IntakeEvent>),
     /// A change of the list of workers.
     Workers(WatchUpdate<WorkerEvent>),
-    /// The latest batch was stored, or another daemon owns the jobs.
+    /// What the owners of other cells have learnt.
+    Learnt(Vec<LearntTables>),
+    /// The latest batch was stored, or another daemon owns the cell.
     Stored(WriteOutcome),
     /// The outcome of starting a run.
     Started {
--- a/crates/entry/src/owner/ownership_term.rs
+++ b/crates/entry/src/owner/ownership_term.rs
@@ -25,6 +25,7 @@
 use crate::owner::CommitWriter;
 use crate::owner::DecisionLogger;
 use crate::owner::EffectDispatcher;
+use crate::owner::LearntReader;
 use crate::owner::OwnerAdapters;
 use crate::owner::OwnerEvent;
 use crate::owner::OwnershipClaim;
@@ -99,6 +100,7 @@
             .name("commit batches".to_owned())
             .spawn(move || writer.run(&request_queue, &writer_events));
         spawned.expect("failed to spawn the commit thread");
+        LearntReader::spawn(Arc::clone(context), cell, sender.clone());
         let config = context
             .operator_state
             .load()
--- a/crates/entry/src/owner/ownership_term/event_handlers.rs
+++ b/crates/entry/src/owner/ownership_term/event_handlers.rs
@@ -52,6 +52,7 @@
                     self.removed.insert(job, revision);
                 }
             }
+            OwnerEvent::Learnt(others) => self.owner.merge_learnt(&others),
             OwnerEvent::Stored(WriteOutcome::Deposed) => self.is_deposed = true,
             OwnerEvent::Started {
                 worker,
--- a/crates/entry/src/store/row_keys.rs
+++ b/crates/entry/src/store/row_keys.rs
@@ -76,6 +76,12 @@
         format!("{LEARNT}{cell}")
     }
 
+    /// The common prefix of the keys of what all owners have learnt.
+    #[must_use]
+    pub const fn learnt_prefix() -> &'static str {
+        LEARNT
+    }
+
     /// The key of the row that says which cell has a job.
     #[must_use]
     pub fn home(identity: &JobIdentity) -> String {
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -1,7 +1,8 @@
 //! The owner of the jobs and workers of a cell.
 //!
 //! A [`JobOwner`] starts from the [`StoredJob`]s, its [`OwnerLimits`] and the
-//! [`LearntTables`] of the previous owner. It emits changed state as a [`CommitBatch`],
+//! [`LearntTables`] of the previous owner, with a [`LearntCoefficient`] for each pair of
+//! images. It emits changed state as a [`CommitBatch`],
 //! with a [`QueueCount`] for each queue and a [`JobMove`] for each job that goes to another
 //! cell, and requests to workers and to the advisor as
 //! [`OwnerEffect`]s: a [`StartRequest`], [`StopRequest`], [`PollRequest`] or
@@ -14,6 +15,7 @@
 mod job_entry;
 mod job_move;
 mod job_owner;
+mod learnt_coefficient;
 mod learnt_tables;
 mod owner_effect;
 mod owner_limits;
@@ -30,6 +32,7 @@
 pub use decision_event::DecisionEvent;
 pub use job_move::JobMove;
 pub use job_owner::JobOwner;
+pub use learnt_coefficient::LearntCoefficient;
 pub use learnt_tables::LearntTables;
 pub use owner_effect::OwnerEffect;
 pub use owner_limits::OwnerLimits;
--- a/crates/jobs/src/pacing.rs
+++ b/crates/jobs/src/pacing.rs
@@ -12,6 +12,7 @@
 mod interference_model;
 mod pace_action;
 mod pace_plan;
+mod pair_estimate;
 mod serving_run;
 
 pub use best_effort_run::BestEffortRun;
@@ -20,4 +21,5 @@
 pub use interference_model::InterferenceModel;
 pub use pace_action::PaceAction;
 pub use pace_plan::PacePlan;
+pub use pair_estimate::PairEstimate;
 pub use serving_run::ServingRun;
--- a/crates/jobs/src/pacing/interference_model.rs
+++ b/crates/jobs/src/pacing/interference_model.rs
@@ -2,6 +2,7 @@
 
 use crate::pacing::BestEffortRun;
 use crate::pacing::ImageNumber;
+use crate::pacing::PairEstimate;
 use crate::pacing::ServingRun;
 use crate::spec::JobIdentity;
 use sapphirestile_core::SortedTable;
@@ -66,7 +67,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct InterferenceModel {
     /// Load that a processor used by the first image adds to runs of the second.
-    coefficients: SortedTable<(ImageNumber, ImageNumber), f64>,
+    estimates: SortedTable<(ImageNumber, ImageNumber), PairEstimate>,
     /// Load of a job without neighbours, from 0 to 1.
     own_loads: SortedTable<JobIdentity, f64>,
     /// Lowest latency seen for an image, in milliseconds.
@@ -137,17 +138,41 @@
         load_from_latency(serving.latency_ms, lowest_ms)
     }
 
-    /// Load coefficients: the load that a processor used by the first image of a pair adds to
-    /// runs of the second.
-    pub fn coefficients(&self) -> impl Iterator<Item = ((ImageNumber, ImageNumber), f64)> {
-        self.coefficients
+    /// Estimates of the load that a processor used by the first image of a pair adds to runs
+    /// of the second.
+    pub fn estimates(&self) -> impl Iterator<Item = ((ImageNumber, ImageNumber), PairEstimate)> {
+        self.estimates
             .iter()
-            .map(|(pair, coefficient)| (*pair, *coefficient))
+            .map(|(pair, estimate)| (*pair, *estimate))
     }
 
-    /// Restores a coefficient from [`coefficients`](Self::coefficients).
-    pub fn restore_coefficient(&mut self, pair: (ImageNumber, ImageNumber), coefficient: f64) {
-        self.coefficients.insert(pair, coefficient);
+    /// Restores a row of [`estimates`](Self::estimates).
+    pub fn restore_estimate(&mut self, pair: (ImageNumber, ImageNumber), estimate: PairEstimate) {
+        self.estimates.insert(pair, estimate);
+    }
+
+    /// Replaces the estimated load of a pair by the mean over its own and other measurements,
+    /// whose loads sum up to `load_sum`.
+    pub fn merge_estimate(
+        &mut self,
+        pair: (ImageNumber, ImageNumber),
+        load_sum: f64,
+        measurements: u32,
+    ) {
+        let estimate = self
+            .estimates
+            .get_or_insert_with(pair, PairEstimate::default);
+        let own_sum = estimate.load * f64::from(estimate.measurements);
+        let all = estimate.measurements.saturating_add(measurements);
+        if all > 0 {
+            estimate.load = (own_sum + load_sum) / f64::from(all);
+        }
+    }
+
+    /// Takes over the lowest latency that another owner has seen, if it is lower.
+    pub fn merge_lowest(&mut self, image: ImageNumber, lowest_ms: u64) {
+        let own_ms = self.lowest_ms.get_or_insert_with(image, || lowest_ms);
+        *own_ms = (*own_ms).min(lowest_ms);
     }
 
     /// Lowest latency seen for each image, in milliseconds.
@@ -184,14 +209,17 @@
         let step = COEFFICIENT_RATE * error / power.max(POWER_MIN);
         for run in neighbours {
             let pair = (run.image, serving);
-            let coefficient = self.coefficients.get_or_insert_with(pair, || 0.0);
-            *coefficient = step.mul_add(run.used_processors, *coefficient).max(0.0);
+            let estimate = self
+                .estimates
+                .get_or_insert_with(pair, PairEstimate::default);
+            estimate.load = step.mul_add(run.used_processors, estimate.load).max(0.0);
+            estimate.measurements = estimate.measurements.saturating_add(1);
         }
     }
 
     fn coefficient(&self, best_effort: ImageNumber, serving: ImageNumber) -> f64 {
-        let coefficient = self.coefficients.get(&(best_effort, serving));
-        coefficient.copied().unwrap_or_default()
+        let estimate = self.estimates.get(&(best_effort, serving));
+        estimate.map_or(0.0, |estimate| estimate.load)
     }
 }
 
--- a/crates/jobs/tests/owner/learning.rs
+++ b/crates/jobs/tests/owner/learning.rs
@@ -2,6 +2,7 @@
 
 use sapphirestile_jobs::CommitBatch;
 use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::LearntCoefficient;
 use sapphirestile_jobs::LearntTables;
 use sapphirestile_jobs::RunningRun;
 use sapphirestile_jobs::StartOutcome;
@@ -123,7 +124,7 @@
 #[test]
 fn new_owner_uses_restored_interference() {
     let learnt = LearntTables {
-        coefficients: vec![("resize".into(), "desk".into(), 0.08)],
+        coefficients: vec![coefficient(0.08, 1)],
         lowest_ms: vec![("desk".into(), 25)],
         ..LearntTables::default()
     };
@@ -131,6 +132,43 @@
     assert!(!starts_beside_serving_task(Some(&learnt)));
 }
 
+fn coefficient(load: f64, measurements: u32) -> LearntCoefficient {
+    LearntCoefficient {
+        best_effort: "resize".into(),
+        serving: "desk".into(),
+        load,
+        measurements,
+    }
+}
+
+/// Each cell sees a part of the runs of an image, but its interference is the same in all.
+#[test]
+fn owner_combines_interference_with_that_of_other_cells_by_measurements() {
+    let tables = |load, measurements| LearntTables {
+        coefficients: vec![coefficient(load, measurements)],
+        lowest_ms: vec![("desk".into(), 20)],
+        ..LearntTables::default()
+    };
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 32_000)]);
+    fixture.owner.restore_learnt(&LearntTables {
+        lowest_ms: vec![("desk".into(), 30)],
+        ..tables(0.02, 100)
+    });
+    fixture
+        .owner
+        .merge_learnt(&[tables(0.06, 50), tables(0.10, 50)]);
+    fixture.wait(3_000);
+    let now = fixture.time();
+    let batch = fixture.owner.take_batch(true, now).unwrap();
+    let learnt = batch.learnt.expect("learnt tables are due");
+    let [pair] = &*learnt.coefficients else {
+        panic!("expected one pair of images, got {learnt:?}");
+    };
+    assert!((pair.load - 0.05).abs() < 1e-9, "{pair:?}");
+    assert_eq!(pair.measurements, 100, "those of others are not its own");
+    assert_eq!(learnt.lowest_ms, [("desk".into(), 20)]);
+}
+
 #[test]
 fn learnt_tables_survive_a_round_trip() {
     let learnt = batch_with_learnt_tables()
@@ -138,11 +176,12 @@
         .expect("learnt tables are due");
     assert_eq!(learnt.lowest_ms, [("desk".into(), 25)]);
     assert_eq!(learnt.durations_ms, [("charts".into(), 300.0)]);
-    let [(best_effort, serving, coefficient)] = &*learnt.coefficients else {
+    let [learnt_pair] = &*learnt.coefficients else {
         panic!("expected one pair of images, got {learnt:?}");
     };
-    assert_eq!((&**best_effort, &**serving), ("resize", "desk"));
-    assert!(*coefficient > 0.0);
+    let pair = (&*learnt_pair.best_effort, &*learnt_pair.serving);
+    assert_eq!(pair, ("resize", "desk"));
+    assert!(learnt_pair.load > 0.0 && learnt_pair.measurements > 0);
     let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 32_000)]);
     fixture.owner.restore_learnt(&learnt);
     fixture.wait(3_000);
--- a/crates/jobs/tests/owner/pacing.rs
+++ b/crates/jobs/tests/owner/pacing.rs
@@ -1,6 +1,7 @@
 //! Best-effort runs beside a latency-sensitive one.
 
 use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::LearntCoefficient;
 use sapphirestile_jobs::LearntTables;
 use sapphirestile_jobs::RunningRun;
 use sapphirestile_jobs::StartOutcome;
@@ -24,7 +25,12 @@
 fn disturbed_fixture() -> OwnerFixture {
     let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 10_000)]);
     fixture.owner.restore_learnt(&LearntTables {
-        coefficients: vec![("resize".into(), "desk".into(), 0.04)],
+        coefficients: vec![LearntCoefficient {
+            best_effort: "resize".into(),
+            serving: "desk".into(),
+            load: 0.04,
+            measurements: 10,
+        }],
         lowest_ms: vec![("desk".into(), 20)],
         ..LearntTables::default()
     });
