Send a job whose tasks run apart to a cell with enough workers

Change: the load of a cell says how many workers it has, and a step with a limit per worker needs enough of them. A job that no cell can run whole goes to the largest one; spreading a job over several cells is not built.

The new test failed without the condition.

--- a/crates/jobs/src/division/cell_choice.rs
+++ b/crates/jobs/src/division/cell_choice.rs
@@ -23,8 +23,8 @@
 
 impl CellChoice<'_> {
     /// Cell for a new job whose queue runs on `service`. `draws` are two random numbers.
-    /// Without a cell that can run every step it is any cell that has an owner, and cell 0
-    /// without owners.
+    /// Without a cell that can run every step it is the one with the most workers of the
+    /// service, and cell 0 if no owner has reported any.
     ///
     /// # Examples
     ///
@@ -61,11 +61,7 @@
             return cell;
         }
         if hosts.is_empty() {
-            let cells = self.loads.len().max(1);
-            return self
-                .loads
-                .get(draws[0] % cells)
-                .map_or(CellNumber::new(0), |(cell, _)| *cell);
+            return self.largest_cell(service);
         }
         let first = draws[0] % hosts.len();
         let step = 1 + draws[1] % (hosts.len() - 1).max(1);
@@ -97,6 +93,16 @@
         (pressure <= 1.0 && own_pressure > pressure + MOVE_EXCESS).then_some(cell)
     }
 
+    /// Cell with the most workers of a service.
+    fn largest_cell(&self, service: &str) -> CellNumber {
+        let workers = |load: &CellLoad| load.room(service).map(|room| room.workers);
+        let sizes = self
+            .loads
+            .iter()
+            .filter_map(|(cell, load)| Some((workers(load)?, *cell)));
+        sizes.max().map_or(CellNumber::new(0), |(_, cell)| cell)
+    }
+
     /// Cell that has the rack with the data of the first step that names one.
     fn data_cell(&self, spec: &JobSpec) -> Option<CellNumber> {
         let rack = spec.steps.iter().find_map(|step| step.data_rack.as_ref())?;
--- a/crates/jobs/src/division/service_room.rs
+++ b/crates/jobs/src/division/service_room.rs
@@ -13,6 +13,8 @@
 pub struct ServiceRoom {
     /// Service of the workers.
     pub service: Box<str>,
+    /// Number of workers.
+    pub workers: u32,
     /// Largest amount of each resource on any worker.
     pub largest: ResourceVector,
     /// Labels of the workers other than their racks, sorted.
@@ -28,11 +30,15 @@
 }
 
 impl ServiceRoom {
-    /// Whether some worker is large enough for a task of the step and has its label.
+    /// Whether some worker is large enough for a task of the step and has its label, and there
+    /// are enough workers if only some tasks of the step may run on each.
     #[must_use]
     pub fn can_host(&self, step: &StepSpec) -> bool {
         let label = step.required_label.as_ref();
-        step.size.fits(&self.largest) && label.is_none_or(|label| self.labels.contains(label))
+        let limit = step.per_worker_max;
+        step.size.fits(&self.largest)
+            && label.is_none_or(|label| self.labels.contains(label))
+            && limit.is_none_or(|limit| limit.saturating_mul(self.workers) >= step.tasks)
     }
 
     /// Demand of a job and of what waits before it, in multiples of the room; above 1 the
--- a/crates/jobs/src/owner/job_owner/load_report.rs
+++ b/crates/jobs/src/owner/job_owner/load_report.rs
@@ -68,6 +68,7 @@
         load.rooms.len() - 1
     });
     let room = &mut load.rooms[index];
+    room.workers += 1;
     room.largest = larger(&room.largest, &entry.capacity);
     let kinds = entry
         .labels
--- a/crates/jobs/tests/division/cell_choice.rs
+++ b/crates/jobs/tests/division/cell_choice.rs
@@ -66,9 +66,26 @@
     }
     let mut labelled = job_spec(1);
     labelled.steps[0].required_label = Some("b".into());
-    assert!(
-        choose(&loads, &labelled, [1, 1]) < 3,
-        "any cell, since none fits"
+    assert!(choose(&loads, &labelled, [1, 1]) < 3, "none fits");
+}
+
+/// Tasks that must not share a worker need as many workers. A smaller cell would never run
+/// the last of them.
+#[test]
+fn a_job_whose_tasks_run_apart_goes_to_a_cell_with_enough_workers() {
+    let mut large = load(1, 90);
+    large.rooms[0].workers = 12;
+    let loads = [load(100, 0), large, load(100, 0)];
+    let mut apart = job_spec(12);
+    apart.steps[0].per_worker_max = Some(1);
+    for draw in 0..12 {
+        assert_eq!(choose(&loads, &apart, [draw, draw]), 1);
+    }
+    apart.steps[0].tasks = 13;
+    assert_eq!(
+        choose(&loads, &apart, [0, 0]),
+        1,
+        "none fits, and it is the largest"
     );
 }
 
--- a/crates/jobs/tests/division/test_values.rs
+++ b/crates/jobs/tests/division/test_values.rs
@@ -57,6 +57,7 @@
     CellLoad {
         rooms: vec![ServiceRoom {
             service: SERVICE.into(),
+            workers: 10,
             largest: SIZE,
             labels: vec!["a".into()],
             free_milli: free * SIZE.cpu_milli,
