--- a/crates/jobs/src/division/cell_layout.rs
+++ b/crates/jobs/src/division/cell_layout.rs
@@ -111,7 +111,9 @@
             let Some(size) = sizes.get(rack) else {
                 continue;
             };
-            let load = &mut loads[usize::from(cell.get())];
+            let Some(load) = loads.get_mut(usize::from(cell.get())) else {
+                continue;
+            };
             load.1 += size.workers;
             if size.zone == *zone {
                 load.0 += size.workers;
--- a/crates/jobs/tests/division/cell_layout.rs
+++ b/crates/jobs/tests/division/cell_layout.rs
@@ -66,6 +66,15 @@
     );
 }
 
+/// A row that another version wrote must not end the process.
+#[test]
+fn a_layout_with_a_rack_in_a_cell_that_does_not_exist_can_be_extended() {
+    let text = r#"{"cells": 1, "racks": [["zone-0/r0-0", 7]]}"#;
+    let layout: CellLayout = serde_json::from_str(text).unwrap();
+    let extended = layout.extended(&sizes(2), 60).unwrap();
+    assert_eq!(extended.cells(), 4);
+}
+
 #[test]
 fn a_rack_is_found_by_its_label() {
     let layout = CellLayout::default().extended(&sizes(3), 60).unwrap();
