--- a/crates/entry/src/frontend/home_cache.rs
+++ b/crates/entry/src/frontend/home_cache.rs
@@ -15,6 +15,9 @@
 /// The number of low bits of a slot that hold the cell; the others hold a hash of the job.
 const CELL_BITS: u32 = 16;
 
+/// The bits of a slot that hold the cell.
+const CELL_MASK: u64 = (1 << CELL_BITS) - 1;
+
 /// Remembers which cell had a job when it was last read, without locks. An entry may be out
 /// of date or, by a collision of hashes, another job's: its reader has to find the job there.
 ///
@@ -62,14 +65,16 @@
     }
 
     /// The hash of a job above the bits of its cell, and its slot.
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "the low bits of the hash choose the slot"
+    )]
     fn place_of(&self, job: &JobIdentity) -> (u64, &AtomicU64) {
         let mut hasher = DefaultHasher::new();
         job.hash(&mut hasher);
         let hash = hasher.finish();
-        let index = (hash & (SLOTS as u64 - 1)) as usize;
+        let index = usize::from(hash as u16) % SLOTS;
         // The lowest bit of the tag is set, so that it differs from an empty slot.
         ((hash | (CELL_MASK + 1)) & !CELL_MASK, &self.slots[index])
     }
 }
-
-const CELL_MASK: u64 = (1 << CELL_BITS) - 1;
--- a/crates/entry/src/frontend/job_frontend.rs
+++ b/crates/entry/src/frontend/job_frontend.rs
@@ -120,9 +120,8 @@
 
     fn store_cancellation(&self, identity: &JobIdentity, deadline: MonoTime) -> CancelOutcome {
         loop {
-            match self.try_cancel(identity, deadline) {
-                Ok(Some(outcome)) => return outcome,
-                Ok(None) | Err(_) => {}
+            if let Ok(Some(outcome)) = self.try_cancel(identity, deadline) {
+                return outcome;
             }
             if self.is_too_late(deadline) {
                 return CancelOutcome::Unknown;
--- a/crates/entry/src/store/intake_source.rs
+++ b/crates/entry/src/store/intake_source.rs
@@ -27,7 +27,7 @@
 }
 
 impl EventSource<IntakeEvent> for IntakeSource {
-    fn name(&self) -> &str {
+    fn name(&self) -> &'static str {
         "intake"
     }
 
