--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -13,6 +13,7 @@
 mod planning;
 mod polling;
 mod requests;
+mod responses;
 mod results;
 mod stragglers;
 mod worker_list;
--- /dev/null
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -0,0 +1,207 @@
+//! Handling of workers' responses to polls.
+
+use crate::owner::DeferredEffect;
+use crate::owner::JobOwner;
+use crate::owner::OwnerEffect;
+use crate::owner::RunCause;
+use crate::owner::StopRequest;
+use crate::spec::TaskIdentity;
+use crate::worker::EndKind;
+use crate::worker::EndedRun;
+use crate::worker::PollResponse;
+use crate::worker::RunState;
+use crate::worker::RunningRun;
+use crate::worker::WorkerClock;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::WorkerName;
+
+impl JobOwner {
+    pub(super) fn apply_response(
+        &mut self,
+        name: &WorkerName,
+        number: u64,
+        response: &PollResponse,
+        now: MonoTime,
+        unix_ms: u64,
+    ) {
+        self.update_clock(name, response, now);
+        for ended in &response.ended {
+            self.apply_end(name, ended, now, unix_ms);
+        }
+        for running in &response.running {
+            self.apply_running(name, number, running, now);
+        }
+        self.finish_missing(name, number, response, now, unix_ms);
+        self.adapt_paces(name, now);
+        let Some(tracked) = self.workers.get_mut(name) else {
+            return;
+        };
+        tracked.last_response = now;
+        tracked.unanswered_poll = None;
+        let last = response.ended.last().map_or(0, |ended| ended.number);
+        if last > tracked.stored_end {
+            tracked.batch_wait_since = Some(now);
+            self.deferred.push(DeferredEffect::Poll {
+                worker: name.clone(),
+                ends: last,
+            });
+        } else {
+            tracked.is_polling = false;
+            tracked.next_poll = now;
+        }
+        if tracked.clock.is_some() {
+            self.send_due_stops(name, now);
+        }
+    }
+
+    /// Updates the clock of a worker. A restarted worker counts its ends from 1 again; its
+    /// earlier runs are finished later because the response does not list them.
+    fn update_clock(&mut self, name: &WorkerName, response: &PollResponse, now: MonoTime) {
+        let inherited_ms = self.limits.lease_max_ms;
+        let Some(tracked) = self.workers.get_mut(name) else {
+            return;
+        };
+        let has_restarted =
+            tracked.clock.is_some() && tracked.life_unix_ms != response.life_unix_ms;
+        if has_restarted {
+            tracked.clock = None;
+            tracked.stored_end = 0;
+        }
+        tracked.life_unix_ms = response.life_unix_ms;
+        match &mut tracked.clock {
+            Some(clock) => clock.update(response.clock_ms, now),
+            None => tracked.clock = Some(WorkerClock::new(response.clock_ms, inherited_ms, now)),
+        }
+    }
+
+    /// Finishes a run that the worker reports as ended, unless that end was handled before.
+    fn apply_end(&mut self, name: &WorkerName, ended: &EndedRun, now: MonoTime, unix_ms: u64) {
+        let Some(tracked) = self.workers.get_mut(name) else {
+            return;
+        };
+        if ended.number <= tracked.stored_end {
+            return;
+        }
+        let known = tracked.runs.get(&ended.task);
+        if known.is_none_or(|run| run.run != ended.run) {
+            match ended.kind {
+                EndKind::Done => {
+                    self.finish_by_earlier_run(name, &ended.task, ended.run, now, unix_ms);
+                }
+                EndKind::Failed => self.count_earlier_failure(name, &ended.task, ended.run, now),
+                _ => {}
+            }
+            return;
+        }
+        match ended.kind {
+            EndKind::Done => {
+                tracked.breaker.record_success();
+                tracked.last_completion = now;
+            }
+            EndKind::Failed => tracked.breaker.record_failure(now),
+            _ => {}
+        }
+        self.store_checkpoint(&ended.task, ended.run, &ended.checkpoint);
+        let cause = RunCause::Ended(ended.kind);
+        self.finish_run(name, &ended.task, cause, now, unix_ms);
+    }
+
+    /// Updates a run that the worker reports as running, and stops a run that it should not
+    /// have.
+    fn apply_running(
+        &mut self,
+        name: &WorkerName,
+        number: u64,
+        running: &RunningRun,
+        now: MonoTime,
+    ) {
+        let Some(tracked) = self.workers.get_mut(name) else {
+            return;
+        };
+        let Some(address) = tracked.entry.as_ref().map(|entry| entry.address) else {
+            return;
+        };
+        let known = tracked.runs.get_mut(&running.task);
+        let Some(run) = known.filter(|run| run.run == running.run) else {
+            self.effects.push(OwnerEffect::Stop(StopRequest {
+                worker: name.clone(),
+                address,
+                epoch: self.epoch,
+                task: running.task,
+                run: running.run,
+            }));
+            return;
+        };
+        run.measurement = running.measurement;
+        let is_inherited = run.state == RunState::Inherited;
+        if is_inherited || run.state == RunState::Starting {
+            run.state = RunState::Running { poll: number };
+            run.pace_percent = running.pace_percent;
+        }
+        self.store_checkpoint(&running.task, running.run, &running.checkpoint);
+        let job = self.jobs.get(&running.task.job);
+        let is_active = job.is_some_and(|entry| !entry.progress.standing.is_final());
+        if !is_active {
+            self.stop_run(name, &running.task, now);
+        }
+    }
+
+    /// Finishes the runs that the response must list if they existed, and does not.
+    fn finish_missing(
+        &mut self,
+        name: &WorkerName,
+        number: u64,
+        response: &PollResponse,
+        now: MonoTime,
+        unix_ms: u64,
+    ) {
+        let Some(tracked) = self.workers.get(name) else {
+            return;
+        };
+        let is_listed = |task: &TaskIdentity, number: u32| {
+            let running = &response.running;
+            running
+                .iter()
+                .any(|run| run.task == *task && run.run == number)
+        };
+        let missing: Vec<TaskIdentity> = tracked
+            .runs
+            .iter()
+            .filter(|(_, run)| match run.state {
+                RunState::Running { poll } | RunState::Stopping { poll } => number > poll,
+                RunState::Inherited => true,
+                _ => false,
+            })
+            .filter(|(task, run)| !is_listed(task, run.run))
+            .map(|(task, _)| *task)
+            .collect();
+        for task in missing {
+            self.finish_run(name, &task, RunCause::NotShown, now, unix_ms);
+        }
+    }
+
+    /// Records the latest checkpoint of a run, for all tasks that may resume from it.
+    fn store_checkpoint(&mut self, task: &TaskIdentity, number: u32, checkpoint: &str) {
+        if checkpoint.is_empty() {
+            return;
+        }
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let sharing = if entry.spec.steps[task.step as usize].is_gang {
+            0..entry.spec.steps[task.step as usize].tasks
+        } else {
+            task.index..task.index + 1
+        };
+        // A checkpoint of one task of a gang is valid for all, and all resume from the same one.
+        for index in sharing {
+            let member = TaskIdentity { index, ..*task };
+            if let Some(progress) = entry.progress.task_mut(&member)
+                && progress.run == number
+                && *progress.checkpoint != *checkpoint
+            {
+                progress.checkpoint = checkpoint.into();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/fault_simulation/simulation/owners.rs
@@ -0,0 +1,153 @@
+//! Claims of the daemons, and what their owners do with time.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sapphirestile_core::CellEpoch;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::ZoneName;
+use sapphirestile_jobs::DeployedConfig;
+use sapphirestile_jobs::JobIdentity;
+use sapphirestile_jobs::JobOwner;
+use sapphirestile_jobs::JobSpec;
+use sapphirestile_jobs::OwnerLimits;
+use sapphirestile_jobs::ResourceVector;
+use sapphirestile_jobs::WorkerEntry;
+
+use crate::fake_worker::FakeWorker;
+use crate::simulation::Simulation;
+use crate::simulation_event::SimulationEvent;
+
+use super::HEARTBEAT_MS;
+use super::OWNER_TIMEOUT_MS;
+use super::WORKER_CPU_MILLI;
+
+impl Simulation {
+    pub(super) fn tick(&mut self, daemon: usize) {
+        if self.now < self.daemons[daemon].paused_until {
+            return;
+        }
+        for event in std::mem::take(&mut self.daemons[daemon].queued) {
+            self.handle_event(daemon, event);
+        }
+        let is_unavailable = self.is_store_unavailable(daemon);
+        if self.daemons[daemon].owner.is_none() {
+            let is_unresponsive =
+                self.now >= self.store.last_write + OWNER_TIMEOUT_MS + daemon as u64 * 40;
+            if !is_unavailable && (self.store.epoch == 0 || is_unresponsive) {
+                self.claim(daemon);
+            }
+            return;
+        }
+        self.drive(daemon, is_unavailable);
+    }
+
+    pub(super) fn is_store_unavailable(&self, daemon: usize) -> bool {
+        self.now < self.store.unavailable_until || self.now < self.daemons[daemon].partitioned_until
+    }
+
+    fn claim(&mut self, daemon: usize) {
+        let epoch = self.store.claim(self.now);
+        let now = MonoTime::from_millis(self.now);
+        let limits = OwnerLimits {
+            lease_ms: 5_000,
+            lease_max_ms: 6_000,
+            authority_ms: 12_000,
+            retention_ms: 1_000_000,
+        };
+        let config = Arc::new(DeployedConfig::default());
+        let mut owner = JobOwner::new(CellEpoch::new(epoch), limits, config, Vec::new(), now);
+        owner.replace_workers(self.entries(), now);
+        for stored in self.store.jobs() {
+            owner.restore_job(stored, now, self.now);
+        }
+        self.daemons[daemon].owner = Some(owner);
+        self.daemons[daemon].is_committing = false;
+        self.daemons[daemon].last_commit = self.now;
+    }
+
+    pub(super) fn entries(&self) -> Vec<WorkerEntry> {
+        let entry = |worker: &FakeWorker| WorkerEntry {
+            name: worker.name.clone(),
+            service: "sizing".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            zone: ZoneName::try_from("near-a").unwrap(),
+            labels: Vec::new(),
+            capacity: ResourceVector {
+                cpu_milli: WORKER_CPU_MILLI,
+                memory_mib: 64_000,
+                accelerators: 0,
+            },
+            is_leaving: false,
+            life_unix_ms: worker.incarnation,
+        };
+        let listed = self
+            .workers
+            .iter()
+            .filter(|worker| self.now >= worker.down_until);
+        listed.map(entry).collect()
+    }
+
+    /// Lets an owner handle the time and sends what it requests.
+    fn drive(&mut self, daemon: usize, is_unavailable: bool) {
+        let entries = self.entries();
+        let specs: Vec<(JobIdentity, JobSpec)> = if is_unavailable {
+            Vec::new()
+        } else {
+            let specs = self.store.specs.iter();
+            specs
+                .map(|(identity, spec)| (*identity, spec.clone()))
+                .collect()
+        };
+        let cancelled = self.store.cancelled.clone();
+        let unix_ms = self.now;
+        let state = &mut self.daemons[daemon];
+        let now = MonoTime::from_millis(unix_ms);
+        let incarnation = state.incarnation;
+        let Some(owner) = &mut state.owner else {
+            return;
+        };
+        if !is_unavailable {
+            owner.replace_workers(entries, now);
+            for (identity, spec) in specs {
+                owner.accept_job(identity, spec, now, unix_ms);
+            }
+            for identity in cancelled {
+                owner.cancel_job(identity, now);
+            }
+        }
+        owner.advance_time(now, unix_ms);
+        owner.plan_starts(now, unix_ms);
+        owner.poll_due_workers(now);
+        let effects = owner.take_effects();
+        let is_deposed = owner.is_deposed();
+        let is_due = unix_ms >= state.last_commit + HEARTBEAT_MS;
+        let batch = if state.is_committing {
+            None
+        } else {
+            owner.take_batch(is_due, now)
+        };
+        let epoch = owner.epoch().get();
+        if is_deposed {
+            state.owner = None;
+            state.incarnation += 1;
+            return;
+        }
+        if let Some(batch) = batch {
+            state.is_committing = true;
+            state.last_commit = unix_ms;
+            self.schedule(
+                4,
+                SimulationEvent::CommitArrives {
+                    daemon,
+                    incarnation,
+                    epoch,
+                    batch,
+                },
+            );
+        }
+        for effect in effects {
+            self.send_request(daemon, incarnation, effect);
+        }
+    }
+}
