--- a/crates/entry/src/lifecycle/entry_adapters.rs
+++ b/crates/entry/src/lifecycle/entry_adapters.rs
@@ -12,7 +12,7 @@
 pub struct EntryAdapters {
     /// Source of the operators' configuration and zone states.
     pub operators: Arc<dyn EventSource<OperatorEvent>>,
-    /// The adapters that only the owner of the jobs uses.
+    /// The adapters that only owners of cells use.
     pub owner: OwnerAdapters,
     /// The HTTP service on the callers' port.
     pub callers: Arc<dyn HttpService>,
--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -2,6 +2,7 @@
 
 mod batch_rows;
 mod job_moves;
+mod part_outcome;
 
 use std::sync::Arc;
 use std::thread;
@@ -21,6 +22,7 @@
 use crate::owner::WriteOutcome;
 use crate::owner::WriteRequest;
 use crate::owner::commit_writer::batch_rows::BatchRows;
+use crate::owner::commit_writer::part_outcome::PartOutcome;
 use crate::ports::CommitAnswer;
 use crate::ports::RowGuard;
 use crate::ports::RowWrite;
@@ -46,17 +48,6 @@
     last_counts: Option<Vec<QueueCount>>,
 }
 
-/// What became of one guarded commit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PartOutcome {
-    /// It is stored.
-    Stored,
-    /// It is not stored: this daemon still owns the cell, and another guard failed.
-    GuardFailed,
-    /// It is not stored: another daemon owns the cell now.
-    Deposed,
-}
-
 impl CommitWriter {
     /// Creates the writer of the owner that holds `claim`.
     pub const fn new(context: Arc<EntryContext>, claim: OwnershipClaim) -> Self {
--- a/crates/entry/src/owner/commit_writer/job_moves.rs
+++ b/crates/entry/src/owner/commit_writer/job_moves.rs
@@ -6,7 +6,7 @@
 
 use crate::owner::CommitWriter;
 use crate::owner::WriteOutcome;
-use crate::owner::commit_writer::PartOutcome;
+use crate::owner::commit_writer::part_outcome::PartOutcome;
 use crate::ports::RowGuard;
 use crate::ports::RowWrite;
 use crate::store::RowCodec;
--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -9,6 +9,7 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
+use sapphirestile_jobs::CellLoad;
 
 use crate::cells::CellTable;
 use crate::context::EntryContext;
@@ -185,7 +186,7 @@
 
 /// The load that the cell's previous owner reported last. It stands until the new owner has
 /// polled its workers.
-fn known_load(table: &CellTable, cell: CellNumber) -> sapphirestile_jobs::CellLoad {
+fn known_load(table: &CellTable, cell: CellNumber) -> CellLoad {
     let head = table.heads.get(&cell);
     head.map(|head| head.row.load.clone()).unwrap_or_default()
 }
--- a/crates/entry/src/owner/ownership_term.rs
+++ b/crates/entry/src/owner/ownership_term.rs
@@ -62,7 +62,7 @@
     /// When the owner last handled what is due with time.
     last_tick: MonoTime,
     schedule: PlanSchedule,
-    /// Whether the commit writer found that another daemon owns the jobs.
+    /// Whether the commit writer found that another daemon owns the cell.
     is_deposed: bool,
     /// Whether the last batch was sent, which releases the ownership.
     is_released: bool,
@@ -70,8 +70,8 @@
 
 impl OwnershipTerm {
     /// Runs the term that begins with `claim`, which was sent at `claimed` or later.
-    /// Returns when another daemon owns the jobs or this one stops, and at once when the
-    /// jobs cannot be read.
+    /// Returns when another daemon owns the cell or this one stops, and at once when the
+    /// cell's jobs cannot be read.
     pub fn drive(
         context: &Arc<EntryContext>,
         adapters: &OwnerAdapters,
