--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -8,4 +8,4 @@
         exit 2
     fi
 done
-exec target/review/scene many-ends review/2/record.txt
+exec target/review/scene restart-in-outage review/2/record.txt
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -8,4 +8,4 @@
         exit 2
     fi
 done
-exec target/review/scene gang review/4/record.txt
+exec target/review/scene silent-restart review/4/record.txt
