Log restarts of workers, and runs that a response leaves out

The log could not tell three hypotheses apart: (1) ends are acknowledged to the wrong incarnation of a worker, which drops them unread; (2) a response is cut, and what it leaves out is taken for lost; (3) leases lapse during the disruption. All give 'run ended' with no word on the worker.

Two decisions are logged now: that another incarnation responded, with the end up to which the earlier one was told that its ends are stored, and that runs are missing in a response, with the incarnation, that number, the first end that it lists and the number of ends.

--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -30,6 +30,24 @@
                 } => {
                     tracing::info!(%cell, epoch, %task, run, %worker, ?cause, age_ms, "run ended");
                 }
+                DecisionEvent::WorkerRestarted {
+                    worker,
+                    earlier_unix_ms,
+                    life_unix_ms,
+                    stored_end,
+                } => {
+                    tracing::info!(%cell, epoch, %worker, earlier_unix_ms, life_unix_ms, stored_end, "worker restarted");
+                }
+                DecisionEvent::RunsMissing {
+                    worker,
+                    life_unix_ms,
+                    runs,
+                    stored_end,
+                    first_end,
+                    ends,
+                } => {
+                    tracing::info!(%cell, epoch, %worker, life_unix_ms, runs, stored_end, first_end, ends, "runs missing in a response");
+                }
                 DecisionEvent::Advised { step, asked, good } => {
                     tracing::info!(%cell, epoch, %step, asked, good, "advisor call ended");
                 }
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -34,6 +34,32 @@
         /// Time since the run was assigned or its start was sent, in milliseconds.
         age_ms: u64,
     },
+    /// Another incarnation of a worker responded than the one before.
+    WorkerRestarted {
+        /// Worker that has restarted.
+        worker: WorkerName,
+        /// Start of the earlier incarnation, in milliseconds of the Unix epoch.
+        earlier_unix_ms: u64,
+        /// Start of the incarnation that responded, in milliseconds of the Unix epoch.
+        life_unix_ms: u64,
+        /// Sequence number up to which ends were acknowledged to the earlier incarnation.
+        stored_end: u64,
+    },
+    /// A response of a worker does not list runs that it must list if they existed.
+    RunsMissing {
+        /// Worker that responded.
+        worker: WorkerName,
+        /// Start of the incarnation that responded, in milliseconds of the Unix epoch.
+        life_unix_ms: u64,
+        /// Number of runs that are missing.
+        runs: usize,
+        /// Sequence number up to which ends were acknowledged before the response.
+        stored_end: u64,
+        /// Sequence number of the first end in the response; 0 if it lists none.
+        first_end: u64,
+        /// Number of ends in the response.
+        ends: usize,
+    },
     /// A request to the advisor has an outcome.
     Advised {
         /// Step that the request was about.
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -1,5 +1,6 @@
 //! Handling of workers' responses to polls.
 
+use crate::owner::DecisionEvent;
 use crate::owner::DeferredEffect;
 use crate::owner::JobOwner;
 use crate::owner::OwnerEffect;
@@ -64,6 +65,12 @@
         let has_restarted =
             tracked.clock.is_some() && tracked.life_unix_ms != response.life_unix_ms;
         if has_restarted {
+            self.decisions.push(DecisionEvent::WorkerRestarted {
+                worker: name.clone(),
+                earlier_unix_ms: tracked.life_unix_ms,
+                life_unix_ms: response.life_unix_ms,
+                stored_end: tracked.stored_end,
+            });
             tracked.clock = None;
             tracked.stored_end = 0;
         }
@@ -175,6 +182,17 @@
             .filter(|(task, run)| !is_listed(task, run.run))
             .map(|(task, _)| *task)
             .collect();
+        if missing.is_empty() {
+            return;
+        }
+        self.decisions.push(DecisionEvent::RunsMissing {
+            worker: name.clone(),
+            life_unix_ms: response.life_unix_ms,
+            runs: missing.len(),
+            stored_end: tracked.stored_end,
+            first_end: response.ended.first().map_or(0, |ended| ended.number),
+            ends: response.ended.len(),
+        });
         for task in missing {
             self.finish_run(name, &task, RunCause::NotShown, now, unix_ms);
         }
