Keep the position of stored ends with the incarnation that it is of

Cause: ends that wait to be stored were kept as the worker's name and a number. Stored after the worker had restarted, the number was applied to the new incarnation, which counts from 1 again: polls told it to drop ends that nobody had read, the owner skipped them too, and the runs counted as lost.

Change: a position is a number with its incarnation. What is known of an incarnation (its clock and that position) is one value, replaced as a whole when another one responds; it ignores positions of others. List entries, responses, assignments and tickets name incarnations by a type of their own. Rows are written as before.

--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -32,20 +32,22 @@
                 }
                 DecisionEvent::WorkerRestarted {
                     worker,
-                    earlier_unix_ms,
-                    life_unix_ms,
                     stored_end,
+                    incarnation,
                 } => {
+                    let earlier_unix_ms = stored_end.incarnation.unix_ms();
+                    let (stored_end, life_unix_ms) = (stored_end.number, incarnation.unix_ms());
                     tracing::info!(%cell, epoch, %worker, earlier_unix_ms, life_unix_ms, stored_end, "worker restarted");
                 }
                 DecisionEvent::RunsMissing {
                     worker,
-                    life_unix_ms,
                     runs,
                     stored_end,
                     first_end,
                     ends,
                 } => {
+                    let life_unix_ms = stored_end.incarnation.unix_ms();
+                    let stored_end = stored_end.number;
                     tracing::info!(%cell, epoch, %worker, life_unix_ms, runs, stored_end, first_end, ends, "runs missing in a response");
                 }
                 DecisionEvent::Advised { step, asked, good } => {
--- a/crates/jobs/src/advice/advice_cache.rs
+++ b/crates/jobs/src/advice/advice_cache.rs
@@ -11,6 +11,7 @@
 use crate::advice::StepAdvice;
 use crate::advice::StepIdentity;
 use crate::spec::JobIdentity;
+use crate::worker::WorkerIncarnation;
 
 /// Delay before the next request after the advisor gave no answer, in milliseconds.
 const RETRY_DELAY_MS: u64 = 200;
@@ -28,14 +29,16 @@
 /// use sapphirestile_jobs::AdviceRequest;
 /// use sapphirestile_jobs::StepIdentity;
 /// use sapphirestile_jobs::TaskIdentity;
+/// use sapphirestile_jobs::WorkerIncarnation;
 ///
 /// let step = StepIdentity::from(TaskIdentity::try_from("5c0e7a21d94b36f8.0.1.17").unwrap());
 /// let [allowed, denied] = ["w-1", "w-2"].map(|name| WorkerName::try_from(name).unwrap());
+/// let (first, second) = (WorkerIncarnation::from_unix_ms(1), WorkerIncarnation::from_unix_ms(2));
 /// let sent = MonoTime::from_millis(1_000);
 /// let mut cache = AdviceCache::default();
 /// cache.record_request(
 ///     &AdviceRequest { step, workers: vec![allowed.clone(), denied.clone()], expected_ms: 20 },
-///     vec![1, 1],
+///     vec![first, first],
 ///     sent,
 /// );
 /// assert!(!cache.can_send(sent), "one request is pending");
@@ -43,9 +46,9 @@
 /// let tickets = vec![(allowed.clone(), "c81e".into())];
 /// let outcome = AdviceOutcome::Answered { allowed: tickets, validity_ms: 3_000 };
 /// cache.record_outcome(&outcome, sent);
-/// assert_eq!(&*cache.ticket(step, &allowed, 1, sent).unwrap().text, "c81e");
-/// assert!(cache.ticket(step, &allowed, 2, sent).is_none(), "another incarnation");
-/// assert!(!cache.may_gain_ticket(step, &denied, 1, sent), "never allowed");
+/// assert_eq!(&*cache.ticket(step, &allowed, first, sent).unwrap().text, "c81e");
+/// assert!(cache.ticket(step, &allowed, second, sent).is_none(), "another incarnation");
+/// assert!(!cache.may_gain_ticket(step, &denied, first, sent), "never allowed");
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct AdviceCache {
@@ -62,18 +65,17 @@
         self.pending.is_none() && now >= self.retry_at
     }
 
-    /// Records a request that is being sent. `starts_unix_ms` holds the start time of
-    /// each named worker's incarnation, in milliseconds of the Unix epoch and in the order of
-    /// `request.workers`.
+    /// Records a request that is being sent. `incarnations` are those of
+    /// the named workers, in the order of `request.workers`.
     pub fn record_request(
         &mut self,
         request: &AdviceRequest,
-        starts_unix_ms: Vec<u64>,
+        incarnations: Vec<WorkerIncarnation>,
         now: MonoTime,
     ) {
         self.pending = Some(PendingAdvice {
             request: request.clone(),
-            starts_unix_ms,
+            incarnations,
             sent: now,
         });
     }
@@ -96,12 +98,12 @@
         let advice = self
             .steps
             .get_or_insert_with(pending.request.step, StepAdvice::default);
-        let starts = pending.starts_unix_ms.iter();
-        for (worker, start_unix_ms) in pending.request.workers.iter().zip(starts) {
+        let incarnations = pending.incarnations.iter();
+        for (worker, incarnation) in pending.request.workers.iter().zip(incarnations) {
             let allowed_worker = allowed.iter().find(|(name, _)| name == worker);
             let ticket = allowed_worker.map(|(_, text)| PlacementTicket {
                 text: text.clone(),
-                life_unix_ms: *start_unix_ms,
+                incarnation: *incarnation,
                 end,
             });
             advice.record(worker, ticket);
@@ -115,10 +117,10 @@
         &self,
         step: StepIdentity,
         worker: &WorkerName,
-        life_unix_ms: u64,
+        incarnation: WorkerIncarnation,
         now: MonoTime,
     ) -> Option<&PlacementTicket> {
-        self.steps.get(&step)?.ticket(worker, life_unix_ms, now)
+        self.steps.get(&step)?.ticket(worker, incarnation, now)
     }
 
     /// Whether a request about the worker could yield a ticket that is missing now: the
@@ -128,11 +130,11 @@
         &self,
         step: StepIdentity,
         worker: &WorkerName,
-        life_unix_ms: u64,
+        incarnation: WorkerIncarnation,
         now: MonoTime,
     ) -> bool {
         let advice = self.steps.get(&step);
-        advice.is_none_or(|advice| advice.may_gain_ticket(worker, life_unix_ms, now))
+        advice.is_none_or(|advice| advice.may_gain_ticket(worker, incarnation, now))
     }
 
     /// Drops a ticket that the worker rejected.
--- a/crates/jobs/src/advice/pending_advice.rs
+++ b/crates/jobs/src/advice/pending_advice.rs
@@ -3,13 +3,13 @@
 use sapphirestile_core::MonoTime;
 
 use crate::advice::AdviceRequest;
+use crate::worker::WorkerIncarnation;
 
 /// A request to the advisor that has no outcome yet.
 #[derive(Clone, Debug)]
 pub(crate) struct PendingAdvice {
     pub(crate) request: AdviceRequest,
-    /// Start times of the workers' incarnations, in milliseconds of the Unix epoch and in
-    /// the order of the request.
-    pub(crate) starts_unix_ms: Vec<u64>,
+    /// Incarnations of the workers, in the order of the request.
+    pub(crate) incarnations: Vec<WorkerIncarnation>,
     pub(crate) sent: MonoTime,
 }
--- a/crates/jobs/src/advice/placement_ticket.rs
+++ b/crates/jobs/src/advice/placement_ticket.rs
@@ -2,6 +2,8 @@
 
 use sapphirestile_core::MonoTime;
 
+use crate::worker::WorkerIncarnation;
+
 /// A ticket that expires within this time is not used, in milliseconds: the start needs
 /// time to reach the worker.
 const START_MARGIN_MS: u64 = 500;
@@ -11,9 +13,8 @@
 pub struct PlacementTicket {
     /// Opaque text to be presented to the worker.
     pub text: Box<str>,
-    /// Start of the worker incarnation that the ticket is for, in milliseconds of the Unix
-    /// epoch.
-    pub life_unix_ms: u64,
+    /// Incarnation of the worker that the ticket is for.
+    pub incarnation: WorkerIncarnation,
     /// Time from which the worker rejects the ticket.
     pub end: MonoTime,
 }
@@ -21,7 +22,7 @@
 impl PlacementTicket {
     /// Whether a start in this incarnation of the worker can still use the ticket.
     #[must_use]
-    pub fn is_valid(&self, life_unix_ms: u64, now: MonoTime) -> bool {
-        self.life_unix_ms == life_unix_ms && now.plus_millis(START_MARGIN_MS) < self.end
+    pub fn is_valid(&self, incarnation: WorkerIncarnation, now: MonoTime) -> bool {
+        self.incarnation == incarnation && now.plus_millis(START_MARGIN_MS) < self.end
     }
 }
--- a/crates/jobs/src/advice/step_advice.rs
+++ b/crates/jobs/src/advice/step_advice.rs
@@ -5,6 +5,7 @@
 use sapphirestile_core::WorkerName;
 
 use crate::advice::PlacementTicket;
+use crate::worker::WorkerIncarnation;
 
 /// Answers of the advisor about one step: a ticket for each worker that may run it,
 /// `None` for each that may not. The permission never changes; tickets expire.
@@ -28,24 +29,24 @@
     pub(crate) fn ticket(
         &self,
         worker: &WorkerName,
-        life_unix_ms: u64,
+        incarnation: WorkerIncarnation,
         now: MonoTime,
     ) -> Option<&PlacementTicket> {
         let ticket = self.answers.get(worker)?.as_ref()?;
-        ticket.is_valid(life_unix_ms, now).then_some(ticket)
+        ticket.is_valid(incarnation, now).then_some(ticket)
     }
 
     /// Whether a request about the worker could yield a ticket that is missing now.
     pub(crate) fn may_gain_ticket(
         &self,
         worker: &WorkerName,
-        life_unix_ms: u64,
+        incarnation: WorkerIncarnation,
         now: MonoTime,
     ) -> bool {
         match self.answers.get(worker) {
             None => true,
             Some(None) => false,
-            Some(Some(ticket)) => !ticket.is_valid(life_unix_ms, now),
+            Some(Some(ticket)) => !ticket.is_valid(incarnation, now),
         }
     }
 }
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -8,6 +8,8 @@
 use crate::progress::JobStanding;
 use crate::spec::JobIdentity;
 use crate::spec::TaskIdentity;
+use crate::worker::EndPosition;
+use crate::worker::WorkerIncarnation;
 
 /// A decision of an owner, for the log and the metrics.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,23 +40,19 @@
     WorkerRestarted {
         /// Worker that has restarted.
         worker: WorkerName,
-        /// Start of the earlier incarnation, in milliseconds of the Unix epoch.
-        earlier_unix_ms: u64,
-        /// Start of the incarnation that responded, in milliseconds of the Unix epoch.
-        life_unix_ms: u64,
-        /// Sequence number up to which ends were acknowledged to the earlier incarnation.
-        stored_end: u64,
+        /// Position up to which ends of the earlier incarnation were stored.
+        stored_end: EndPosition,
+        /// Incarnation that responded.
+        incarnation: WorkerIncarnation,
     },
     /// A response of a worker does not list runs that it must list if they existed.
     RunsMissing {
         /// Worker that responded.
         worker: WorkerName,
-        /// Start of the incarnation that responded, in milliseconds of the Unix epoch.
-        life_unix_ms: u64,
         /// Number of runs that are missing.
         runs: usize,
-        /// Sequence number up to which ends were acknowledged before the response.
-        stored_end: u64,
+        /// Position up to which ends of the incarnation that responded were stored before.
+        stored_end: EndPosition,
         /// Sequence number of the first end in the response; 0 if it lists none.
         first_end: u64,
         /// Number of ends in the response.
--- a/crates/jobs/src/owner/deferred_effect.rs
+++ b/crates/jobs/src/owner/deferred_effect.rs
@@ -3,6 +3,7 @@
 use sapphirestile_core::WorkerName;
 
 use crate::spec::TaskIdentity;
+use crate::worker::EndPosition;
 
 /// An effect that is released once a batch is stored.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,11 +17,11 @@
         /// Number of the run.
         run: u32,
     },
-    /// Poll a worker again, and acknowledge the ends of runs up to `ends`.
+    /// Poll a worker again, and acknowledge the ends of runs up to `end`.
     Poll {
         /// Worker to poll.
         worker: WorkerName,
-        /// Sequence number of the latest end that the batch includes.
-        ends: u64,
+        /// Position of the latest end that the batch includes.
+        end: EndPosition,
     },
 }
--- a/crates/jobs/src/owner/job_owner/advising.rs
+++ b/crates/jobs/src/owner/job_owner/advising.rs
@@ -9,6 +9,7 @@
 use crate::owner::OwnerEffect;
 use crate::planner::TaskDemand;
 use crate::spec::TaskIdentity;
+use crate::worker::WorkerIncarnation;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
@@ -34,7 +35,7 @@
             return;
         };
         let step = StepIdentity::from(demand.task);
-        let (workers, starts_unix_ms) = self.advice_candidates(demand, now);
+        let (workers, incarnations) = self.advice_candidates(demand, now);
         if workers.is_empty() {
             return;
         }
@@ -44,36 +45,36 @@
             workers,
             expected_ms: timing.answer_ms(count),
         };
-        self.advice.record_request(&request, starts_unix_ms, now);
+        self.advice.record_request(&request, incarnations, now);
         self.effects.push(OwnerEffect::Advise(request));
     }
 
-    /// The best workers with free capacity for which a request may yield a ticket, and the
-    /// start times of their incarnations.
+    /// The best workers with free capacity for which a request may yield a ticket, and their
+    /// incarnations.
     fn advice_candidates(
         &self,
         demand: &TaskDemand<'_>,
         now: MonoTime,
-    ) -> (Vec<WorkerName>, Vec<u64>) {
+    ) -> (Vec<WorkerName>, Vec<WorkerIncarnation>) {
         let scorer = self.worker_scorer(now);
         let step = StepIdentity::from(demand.task);
-        let mut candidates: Vec<(i64, &WorkerName, u64)> = self
+        let mut candidates: Vec<(i64, &WorkerName, WorkerIncarnation)> = self
             .workers
             .iter()
             .filter(|(name, tracked)| {
                 self.advice
-                    .may_gain_ticket(step, name, tracked.life_unix_ms, now)
+                    .may_gain_ticket(step, name, tracked.incarnation(), now)
             })
             .filter_map(|(name, tracked)| {
                 let score = scorer.capacity_score(demand, tracked)?;
-                Some((score, name, tracked.life_unix_ms))
+                Some((score, name, tracked.incarnation()))
             })
             .collect();
         candidates.sort_unstable_by(|left, right| right.cmp(left));
         candidates.truncate(WORKERS_PER_REQUEST_MAX);
         candidates
             .into_iter()
-            .map(|(_, name, start_unix_ms)| (name.clone(), start_unix_ms))
+            .map(|(_, name, incarnation)| (name.clone(), incarnation))
             .unzip()
     }
 
@@ -108,10 +109,10 @@
         if self.advisor_timing(&entry.spec.queue).is_none() {
             return Some(Box::default());
         }
-        let life_unix_ms = self.workers.get(worker)?.life_unix_ms;
+        let incarnation = self.workers.get(worker)?.incarnation();
         let ticket = self
             .advice
-            .ticket((*task).into(), worker, life_unix_ms, now)?;
+            .ticket((*task).into(), worker, incarnation, now)?;
         Some(ticket.text.clone())
     }
 }
--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -109,7 +109,7 @@
         progress.run = run;
         progress.stage = TaskStage::Assigned(Assignment {
             worker: worker.clone(),
-            life_unix_ms: tracked.life_unix_ms,
+            incarnation: tracked.incarnation(),
         });
         tracked.add_run(task, Self::run_entry(run, demand, RunState::Planned, now));
         self.changed.insert(task.job, ());
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -42,9 +42,11 @@
                 DeferredEffect::Start { worker, task, run } => {
                     self.send_start(&worker, &task, run, now, unix_ms);
                 }
-                DeferredEffect::Poll { worker, ends } => {
+                DeferredEffect::Poll { worker, end } => {
                     if let Some(tracked) = self.workers.get_mut(&worker) {
-                        tracked.stored_end = tracked.stored_end.max(ends);
+                        if let Some(known) = &mut tracked.known {
+                            known.record_stored(end);
+                        }
                         if tracked.batch_wait_since.take().is_some() {
                             tracked.is_polling = false;
                             tracked.next_poll = now;
--- a/crates/jobs/src/owner/job_owner/expiry.rs
+++ b/crates/jobs/src/owner/job_owner/expiry.rs
@@ -40,7 +40,7 @@
         let Some(tracked) = self.workers.get(name) else {
             return;
         };
-        let has_lapsed_at = |time: MonoTime| match tracked.clock {
+        let has_lapsed_at = |time: MonoTime| match tracked.clock() {
             Some(clock) => clock.has_lapsed(time),
             None => time >= inherited_lease_end,
         };
--- a/crates/jobs/src/owner/job_owner/polling.rs
+++ b/crates/jobs/src/owner/job_owner/polling.rs
@@ -50,9 +50,9 @@
         tracked.poll_sent = now;
         tracked.is_polling = true;
         tracked.batch_wait_since = None;
-        let wait_ms = match (&mut tracked.clock, lease_end_ms) {
-            (Some(clock), Some(end_ms)) => {
-                clock.grant(end_ms);
+        let wait_ms = match (&mut tracked.known, lease_end_ms) {
+            (Some(known), Some(end_ms)) => {
+                known.clock.grant(end_ms);
                 if tracked.is_polled_closely(now) {
                     CLOSE_POLL_WAIT_MS
                 } else {
@@ -67,7 +67,7 @@
             epoch: self.epoch,
             number: tracked.poll,
             lease_end_ms,
-            stored_end: tracked.stored_end,
+            stored_end: tracked.known.map(|known| known.stored_end()),
             wait_ms,
         }));
     }
--- a/crates/jobs/src/owner/job_owner/requests.rs
+++ b/crates/jobs/src/owner/job_owner/requests.rs
@@ -63,9 +63,7 @@
         };
         run.state = RunState::Starting;
         run.since = now;
-        if let Some(clock) = &mut tracked.clock {
-            clock.grant(lease_end_ms);
-        }
+        tracked.grant_lease(lease_end_ms);
         self.effects.push(OwnerEffect::Start(StartRequest {
             worker: worker.clone(),
             address,
@@ -224,7 +222,7 @@
     /// End of a lease that is granted now, on the worker's clock in milliseconds. `None` if the
     /// clock is not known, or if the owner's authority has ended.
     pub(super) fn lease_end(&self, worker: &WorkerName, now: MonoTime) -> Option<u64> {
-        let clock = self.workers.get(worker)?.clock?;
+        let clock = self.workers.get(worker)?.clock()?;
         let authority_end = self.authority.plus_millis(self.limits.authority_ms);
         let left_ms = authority_end.millis_since(now);
         if left_ms == 0 {
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -8,7 +8,9 @@
 use crate::owner::StopRequest;
 use crate::spec::TaskIdentity;
 use crate::worker::EndKind;
+use crate::worker::EndPosition;
 use crate::worker::EndedRun;
+use crate::worker::KnownIncarnation;
 use crate::worker::PollResponse;
 use crate::worker::RunState;
 use crate::worker::RunningRun;
@@ -25,7 +27,7 @@
         now: MonoTime,
         unix_ms: u64,
     ) {
-        self.update_clock(name, response, now);
+        self.note_incarnation(name, response, now);
         for ended in &response.ended {
             self.apply_end(name, ended, now, unix_ms);
         }
@@ -39,46 +41,48 @@
         };
         tracked.last_response = now;
         tracked.unanswered_poll = None;
-        let last = response.ended.last().map_or(0, |ended| ended.number);
-        if last > tracked.stored_end {
+        let unstored = response
+            .ended
+            .last()
+            .filter(|last| !tracked.known.is_some_and(|known| known.has_stored(last)));
+        if let Some(last) = unstored {
             tracked.batch_wait_since = Some(now);
             self.deferred.push(DeferredEffect::Poll {
                 worker: name.clone(),
-                ends: last,
+                end: EndPosition {
+                    incarnation: response.incarnation,
+                    number: last.number,
+                },
             });
         } else {
             tracked.is_polling = false;
             tracked.next_poll = now;
         }
-        if tracked.clock.is_some() {
-            self.send_due_stops(name, now);
-        }
+        self.send_due_stops(name, now);
     }
 
-    /// Updates the clock of a worker. A restarted worker counts its ends from 1 again; its
-    /// earlier runs are finished later because the response does not list them.
-    fn update_clock(&mut self, name: &WorkerName, response: &PollResponse, now: MonoTime) {
+    /// Updates what is known about the incarnation that responded. If it is another than
+    /// before, nothing of the earlier one is kept; the runs of that one are finished later
+    /// because the response does not list them.
+    fn note_incarnation(&mut self, name: &WorkerName, response: &PollResponse, now: MonoTime) {
         let inherited_ms = self.limits.lease_max_ms;
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
-        let has_restarted =
-            tracked.clock.is_some() && tracked.life_unix_ms != response.life_unix_ms;
-        if has_restarted {
-            self.decisions.push(DecisionEvent::WorkerRestarted {
+        match &mut tracked.known {
+            Some(known) if known.incarnation() == response.incarnation => {
+                known.clock.update(response.clock_ms, now);
+                return;
+            }
+            Some(earlier) => self.decisions.push(DecisionEvent::WorkerRestarted {
                 worker: name.clone(),
-                earlier_unix_ms: tracked.life_unix_ms,
-                life_unix_ms: response.life_unix_ms,
-                stored_end: tracked.stored_end,
-            });
-            tracked.clock = None;
-            tracked.stored_end = 0;
-        }
-        tracked.life_unix_ms = response.life_unix_ms;
-        match &mut tracked.clock {
-            Some(clock) => clock.update(response.clock_ms, now),
-            None => tracked.clock = Some(WorkerClock::new(response.clock_ms, inherited_ms, now)),
+                stored_end: earlier.stored_end(),
+                incarnation: response.incarnation,
+            }),
+            None => {}
         }
+        let clock = WorkerClock::new(response.clock_ms, inherited_ms, now);
+        tracked.known = Some(KnownIncarnation::new(response.incarnation, clock));
     }
 
     /// Finishes a run that the worker reports as ended, unless that end was handled before.
@@ -86,7 +90,7 @@
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
-        if ended.number <= tracked.stored_end {
+        if tracked.known.is_some_and(|known| known.has_stored(ended)) {
             return;
         }
         let known = tracked.runs.get(&ended.task);
@@ -165,6 +169,9 @@
         let Some(tracked) = self.workers.get(name) else {
             return;
         };
+        let Some(known) = &tracked.known else {
+            return;
+        };
         let is_listed = |task: &TaskIdentity, number: u32| {
             let running = &response.running;
             running
@@ -187,9 +194,8 @@
         }
         self.decisions.push(DecisionEvent::RunsMissing {
             worker: name.clone(),
-            life_unix_ms: response.life_unix_ms,
             runs: missing.len(),
-            stored_end: tracked.stored_end,
+            stored_end: known.stored_end(),
             first_end: response.ended.first().map_or(0, |ended| ended.number),
             ends: response.ended.len(),
         });
--- a/crates/jobs/src/owner/poll_request.rs
+++ b/crates/jobs/src/owner/poll_request.rs
@@ -5,6 +5,8 @@
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::WorkerName;
 
+use crate::worker::EndPosition;
+
 /// Polls the state of a worker, which also renews the lease of its runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PollRequest {
@@ -19,8 +21,9 @@
     /// End of the lease of all runs, on the worker's clock in milliseconds; `None` to leave
     /// the lease as it is.
     pub lease_end_ms: Option<u64>,
-    /// The worker may drop ends of runs up to this sequence number, which are stored.
-    pub stored_end: u64,
+    /// The incarnation named there may drop ends of runs up to this position, which are stored;
+    /// `None` while no incarnation has responded to this owner.
+    pub stored_end: Option<EndPosition>,
     /// Time for which the worker may hold the response until a run ends, in milliseconds.
     pub wait_ms: u64,
 }
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -69,7 +69,7 @@
         };
         worker.is_listed
             && !entry.is_leaving
-            && worker.clock.is_some()
+            && worker.known.is_some()
             && !worker.is_unresponsive()
             && self.now.millis_since(worker.last_response) <= RESPONSE_AGE_MAX_MS
             && worker.breaker.admits_tasks(self.now)
@@ -97,10 +97,8 @@
         let Some(entry) = &worker.entry else {
             return false;
         };
-        let (step, life_unix_ms) = (StepIdentity::from(demand.task), worker.life_unix_ms);
-        let ticket = self
-            .advice
-            .ticket(step, &entry.name, life_unix_ms, self.now);
+        let (step, incarnation) = (StepIdentity::from(demand.task), worker.incarnation());
+        let ticket = self.advice.ticket(step, &entry.name, incarnation, self.now);
         ticket.is_some()
     }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -2,13 +2,16 @@
 //!
 //! The list of workers has a [`WorkerEntry`] for each, and changes by [`WorkerEvent`]s. A
 //! [`TrackedWorker`] is what the owner knows about one: its [`RunEntry`]s, each in a
-//! [`RunState`], its [`WorkerClock`] and its [`WorkerBreaker`]. Polling a worker gives a
+//! [`RunState`], its [`WorkerBreaker`], and its [`KnownIncarnation`], which has the
+//! [`WorkerClock`] and the [`EndPosition`] of the [`WorkerIncarnation`] that responded last. Polling a worker gives a
 //! [`PollOutcome`]; the [`PollResponse`] in it lists [`RunningRun`]s and [`EndedRun`]s,
 //! the latter with an [`EndKind`]. Requests to start and stop runs give a
 //! [`StartOutcome`] or a [`StopOutcome`].
 
 mod end_kind;
+mod end_position;
 mod ended_run;
+mod known_incarnation;
 mod poll_outcome;
 mod poll_response;
 mod run_entry;
@@ -21,9 +24,12 @@
 mod worker_clock;
 mod worker_entry;
 mod worker_event;
+mod worker_incarnation;
 
 pub use end_kind::EndKind;
+pub use end_position::EndPosition;
 pub use ended_run::EndedRun;
+pub use known_incarnation::KnownIncarnation;
 pub use poll_outcome::PollOutcome;
 pub use poll_response::PollResponse;
 pub use run_entry::RunEntry;
@@ -36,3 +42,4 @@
 pub use worker_clock::WorkerClock;
 pub use worker_entry::WorkerEntry;
 pub use worker_event::WorkerEvent;
+pub use worker_incarnation::WorkerIncarnation;
--- a/crates/jobs/src/worker/poll_response.rs
+++ b/crates/jobs/src/worker/poll_response.rs
@@ -2,14 +2,15 @@
 
 use crate::worker::EndedRun;
 use crate::worker::RunningRun;
+use crate::worker::WorkerIncarnation;
 
 /// Response of a worker to a poll.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PollResponse {
     /// Reading of the worker's monotonic clock, in milliseconds.
     pub clock_ms: u64,
-    /// Start of the worker's incarnation, in milliseconds of the Unix epoch.
-    pub life_unix_ms: u64,
+    /// Incarnation of the worker that responded.
+    pub incarnation: WorkerIncarnation,
     /// Runs in progress.
     pub running: Vec<RunningRun>,
     /// Runs that have ended and are not acknowledged yet, the earliest first.
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -4,10 +4,12 @@
 use crate::pacing::ServingRun;
 use crate::spec::ResourceVector;
 use crate::spec::TaskIdentity;
+use crate::worker::KnownIncarnation;
 use crate::worker::RunEntry;
 use crate::worker::WorkerBreaker;
 use crate::worker::WorkerClock;
 use crate::worker::WorkerEntry;
+use crate::worker::WorkerIncarnation;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
 
@@ -31,11 +33,9 @@
     pub entry: Option<WorkerEntry>,
     /// Whether the worker is in the list now.
     pub is_listed: bool,
-    /// Estimate of the worker's clock; `None` until the worker has responded to this owner.
-    pub clock: Option<WorkerClock>,
-    /// Start of the incarnation that responded last, in milliseconds of the Unix epoch.
-    /// Before the first response, that of the initial entry, or 0 without one.
-    pub life_unix_ms: u64,
+    /// What is known about the incarnation that responded last; `None` until the worker has
+    /// responded to this owner.
+    pub known: Option<KnownIncarnation>,
     /// Runs that occupy capacity, by task.
     pub runs: SortedTable<TaskIdentity, RunEntry>,
     /// Number of the latest poll that was sent.
@@ -54,8 +54,6 @@
     pub unanswered_poll: Option<MonoTime>,
     /// Earliest time of the next poll.
     pub next_poll: MonoTime,
-    /// Sequence number up to which the ends of runs are stored.
-    pub stored_end: u64,
     /// When a run last completed on the worker, or the worker was first known.
     pub last_completion: MonoTime,
     /// Excludes the worker from new tasks after repeated failures.
@@ -72,10 +70,9 @@
     #[must_use]
     pub fn new(entry: Option<WorkerEntry>, now: MonoTime) -> Self {
         Self {
-            life_unix_ms: entry.as_ref().map_or(0, |entry| entry.life_unix_ms),
             is_listed: entry.is_some(),
             entry,
-            clock: None,
+            known: None,
             runs: SortedTable::new(),
             poll: 0,
             is_polling: false,
@@ -84,7 +81,6 @@
             poll_sent: MonoTime::default(),
             unanswered_poll: None,
             next_poll: MonoTime::default(),
-            stored_end: 0,
             last_completion: now,
             breaker: WorkerBreaker::default(),
             pace_changed: MonoTime::default(),
@@ -105,6 +101,29 @@
         self.recount();
     }
 
+    /// Estimate of the worker's clock; `None` until the worker has responded to this owner.
+    #[must_use]
+    pub fn clock(&self) -> Option<&WorkerClock> {
+        self.known.as_ref().map(|known| &known.clock)
+    }
+
+    /// Incarnation that responded last; before the first response that of the entry, or the
+    /// default without one.
+    #[must_use]
+    pub fn incarnation(&self) -> WorkerIncarnation {
+        let listed = self.entry.as_ref().map(|entry| entry.incarnation);
+        let known = self.known.map(|known| known.incarnation());
+        known.or(listed).unwrap_or_default()
+    }
+
+    /// Records that a lease until `end_ms` on the worker's clock, in milliseconds, was sent.
+    /// Has no effect while the clock is not known.
+    pub const fn grant_lease(&mut self, end_ms: u64) {
+        if let Some(known) = &mut self.known {
+            known.clock.grant(end_ms);
+        }
+    }
+
     /// Number of runs on the worker that belong to the same step as `task`.
     #[must_use]
     pub fn count_of_step(&self, task: &TaskIdentity) -> u32 {
--- a/crates/jobs/src/worker/worker_entry.rs
+++ b/crates/jobs/src/worker/worker_entry.rs
@@ -6,6 +6,7 @@
 use sapphirestile_core::ZoneName;
 
 use crate::spec::ResourceVector;
+use crate::worker::WorkerIncarnation;
 
 /// Entry in the list of workers.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,6 +25,6 @@
     pub capacity: ResourceVector,
     /// Whether the worker is about to shut down; it gets no new tasks then.
     pub is_leaving: bool,
-    /// Start of the worker's incarnation, in milliseconds of the Unix epoch.
-    pub life_unix_ms: u64,
+    /// Incarnation of the worker that wrote the entry.
+    pub incarnation: WorkerIncarnation,
 }
--- a/crates/jobs/tests/division/test_values.rs
+++ b/crates/jobs/tests/division/test_values.rs
@@ -11,6 +11,7 @@
 use sapphirestile_jobs::ServiceRoom;
 use sapphirestile_jobs::StepSpec;
 use sapphirestile_jobs::WorkerEntry;
+use sapphirestile_jobs::WorkerIncarnation;
 
 pub const SERVICE: &str = "sizing";
 
@@ -29,7 +30,7 @@
         labels: vec!["a".into(), rack.into()],
         capacity: SIZE,
         is_leaving: false,
-        life_unix_ms: 1,
+        incarnation: WorkerIncarnation::from_unix_ms(1),
     }
 }
 
--- a/crates/jobs/tests/fault_simulation/fake_worker.rs
+++ b/crates/jobs/tests/fault_simulation/fake_worker.rs
@@ -14,6 +14,7 @@
 use sapphirestile_jobs::StopOutcome;
 use sapphirestile_jobs::StopRequest;
 use sapphirestile_jobs::TaskIdentity;
+use sapphirestile_jobs::WorkerIncarnation;
 
 /// Longest lease that a worker accepts, in milliseconds.
 const LEASE_MAX_MS: u64 = 6_000;
@@ -177,9 +178,11 @@
         if let Some(end_ms) = request.lease_end_ms {
             self.extend_lease(end_ms, now);
         }
+        // A number without its incarnation reaches whichever incarnation is there.
+        let stored_end = request.stored_end.map_or(0, |end| end.number);
         let (acknowledged, kept) = std::mem::take(&mut self.ended)
             .into_iter()
-            .partition(|ended| ended.number <= request.stored_end);
+            .partition(|ended| ended.number <= stored_end);
         self.ended = kept;
         let running = self.running.iter().map(|(task, run)| RunningRun {
             task: *task,
@@ -190,7 +193,7 @@
         });
         let response = PollResponse {
             clock_ms: self.clock(now),
-            life_unix_ms: self.incarnation,
+            incarnation: WorkerIncarnation::from_unix_ms(self.incarnation),
             running: running.collect(),
             ended: self.ended.clone(),
         };
--- a/crates/jobs/tests/fault_simulation/simulation/owners.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/owners.rs
@@ -13,6 +13,7 @@
 use sapphirestile_jobs::OwnerLimits;
 use sapphirestile_jobs::ResourceVector;
 use sapphirestile_jobs::WorkerEntry;
+use sapphirestile_jobs::WorkerIncarnation;
 
 use crate::fake_worker::FakeWorker;
 use crate::simulation::Simulation;
@@ -79,7 +80,7 @@
                 accelerators: 0,
             },
             is_leaving: false,
-            life_unix_ms: worker.incarnation,
+            incarnation: WorkerIncarnation::from_unix_ms(worker.incarnation),
         };
         let listed = self
             .workers
--- a/crates/jobs/tests/owner/leases_and_restarts.rs
+++ b/crates/jobs/tests/owner/leases_and_restarts.rs
@@ -11,6 +11,7 @@
 use sapphirestile_jobs::StoredJob;
 use sapphirestile_jobs::TaskStage;
 use sapphirestile_jobs::WorkerEvent;
+use sapphirestile_jobs::WorkerIncarnation;
 
 use crate::owner_fixture::AUTHORITY_MS;
 use crate::owner_fixture::LEASE_MAX_MS;
@@ -190,7 +191,7 @@
     occurrence.steps[0].tasks[0].run = 4;
     occurrence.steps[0].tasks[0].stage = TaskStage::Assigned(Assignment {
         worker: worker_name("w-1"),
-        life_unix_ms: 1,
+        incarnation: WorkerIncarnation::from_unix_ms(1),
     });
     let progress = JobProgress {
         standing,
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -20,6 +20,7 @@
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StopOutcome;
 use sapphirestile_jobs::WorkerEntry;
+use sapphirestile_jobs::WorkerIncarnation;
 
 use crate::test_values::config;
 use crate::test_values::task_identity;
@@ -192,7 +193,7 @@
     ) {
         let response = PollResponse {
             clock_ms: self.now,
-            life_unix_ms: incarnation,
+            incarnation: WorkerIncarnation::from_unix_ms(incarnation),
             running: running.to_vec(),
             ended: ended.to_vec(),
         };
--- a/crates/jobs/tests/owner/test_values.rs
+++ b/crates/jobs/tests/owner/test_values.rs
@@ -18,6 +18,7 @@
 use sapphirestile_jobs::StepSpec;
 use sapphirestile_jobs::TaskIdentity;
 use sapphirestile_jobs::WorkerEntry;
+use sapphirestile_jobs::WorkerIncarnation;
 
 pub fn worker_name(text: &str) -> WorkerName {
     WorkerName::try_from(text).unwrap()
@@ -40,7 +41,7 @@
             accelerators: 0,
         },
         is_leaving: false,
-        life_unix_ms: 1,
+        incarnation: WorkerIncarnation::from_unix_ms(1),
     }
 }
 
