Tell stored ends only to the incarnation that numbered them

Cause: the poll that was under way heard nothing; the next one went to the new incarnation with the number of ends that were stored of the old one, so the worker dropped its first ends unread, and their runs counted as lost. Evidence: 'worker restarted' with stored_end 6, then 4 runs missing in a response that lists no end, on both workers.

Change: a poll after an unanswered one lets the worker drop nothing. The list of workers counts too: an entry with another start makes the worker unknown until it responds, and its runs are given up only after the longest lease that the new incarnation may have granted.

--- a/crates/clients/src/http/peer_connections.rs
+++ b/crates/clients/src/http/peer_connections.rs
@@ -45,6 +45,28 @@
     /// ```
     #[must_use]
     pub fn new(peer: PeerAddress) -> Self {
+        Self::with_connector(peer, PeerConnector::default())
+    }
+
+    /// Creates a pool that opens one connection and never another, so that all its calls reach
+    /// the same process. Once that connection is closed or in use, calls fail with
+    /// [`CallError::NotSent`](crate::http::CallError::NotSent).
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_clients::http::PeerAddress;
+    /// use sapphirestile_clients::http::PeerConnections;
+    ///
+    /// let peer = PeerAddress::try_from("127.0.0.1:2379").unwrap();
+    /// assert_eq!(PeerConnections::pinned(peer).peer(), peer);
+    /// ```
+    #[must_use]
+    pub fn pinned(peer: PeerAddress) -> Self {
+        Self::with_connector(peer, PeerConnector::pinned())
+    }
+
+    fn with_connector(peer: PeerAddress, connector: PeerConnector) -> Self {
         let config = Agent::config_builder()
             .proxy(None)
             .http_status_as_error(false)
@@ -61,7 +83,6 @@
             .max_idle_connections_per_host(IDLE_CONNECTIONS_MAX)
             .max_idle_age(IDLE_AGE_MAX)
             .build();
-        let connector = PeerConnector::default();
         let agent = Agent::with_parts(config, connector, PeerResolver::new(peer));
         Self { peer, agent }
     }
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -36,13 +36,13 @@
         /// Time since the run was assigned or its start was sent, in milliseconds.
         age_ms: u64,
     },
-    /// Another incarnation of a worker responded than the one before.
+    /// Another incarnation of a worker responded than the one before, or is listed.
     WorkerRestarted {
         /// Worker that has restarted.
         worker: WorkerName,
         /// Position up to which ends of the earlier incarnation were stored.
         stored_end: EndPosition,
-        /// Incarnation that responded.
+        /// Later incarnation.
         incarnation: WorkerIncarnation,
     },
     /// A response of a worker does not list runs that it must list if they existed.
--- a/crates/jobs/src/owner/job_owner/expiry.rs
+++ b/crates/jobs/src/owner/job_owner/expiry.rs
@@ -10,9 +10,6 @@
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
-/// Bound on clock drift: a worker's clock runs at most 1/40 slower than the owner's.
-const DRIFT_DIVISOR: u64 = 40;
-
 /// How long the owner tries to reach a worker that is listed but does not respond, after the
 /// lease of its runs has ended, in milliseconds.
 const LISTED_WAIT_MS: u64 = 8_000;
@@ -42,7 +39,7 @@
         };
         let has_lapsed_at = |time: MonoTime| match tracked.clock() {
             Some(clock) => clock.has_lapsed(time),
-            None => time >= inherited_lease_end,
+            None => time >= inherited_lease_end.max(tracked.unknown_leases_end),
         };
         if !has_lapsed_at(now) || !tracked.is_silent(now) {
             return;
@@ -64,8 +61,7 @@
     /// When every lease granted by an earlier owner has ended: none ends later than this time
     /// after its last stored batch.
     fn inherited_lease_end(&self) -> MonoTime {
-        let wait_ms = self.limits.authority_ms + self.limits.authority_ms / DRIFT_DIVISOR;
-        self.claimed.plus_millis(wait_ms)
+        self.claimed.plus_millis(self.limits.authority_bound_ms())
     }
 
     fn forget_workers(&mut self) {
--- a/crates/jobs/src/owner/job_owner/polling.rs
+++ b/crates/jobs/src/owner/job_owner/polling.rs
@@ -46,6 +46,8 @@
         let Some(address) = tracked.entry.as_ref().map(|entry| entry.address) else {
             return;
         };
+        // A worker that did not respond may have restarted since.
+        let known = tracked.known.filter(|_| !tracked.is_unresponsive());
         tracked.poll += 1;
         tracked.poll_sent = now;
         tracked.is_polling = true;
@@ -67,7 +69,7 @@
             epoch: self.epoch,
             number: tracked.poll,
             lease_end_ms,
-            stored_end: tracked.known.map(|known| known.stored_end()),
+            stored_end: known.map(|known| known.stored_end()),
             wait_ms,
         }));
     }
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -18,6 +18,10 @@
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
+/// Delay before the next poll of a worker that still lists ends which are stored, in
+/// milliseconds: it responds at once while it does.
+const KEPT_ENDS_DELAY_MS: u64 = 20;
+
 impl JobOwner {
     pub(super) fn apply_response(
         &mut self,
@@ -56,7 +60,11 @@
             });
         } else {
             tracked.is_polling = false;
-            tracked.next_poll = now;
+            tracked.next_poll = if response.ended.is_empty() {
+                now
+            } else {
+                now.plus_millis(KEPT_ENDS_DELAY_MS)
+            };
         }
         self.send_due_stops(name, now);
     }
--- a/crates/jobs/src/owner/job_owner/worker_list.rs
+++ b/crates/jobs/src/owner/job_owner/worker_list.rs
@@ -1,5 +1,6 @@
 //! Updates from the list of workers.
 
+use crate::owner::DecisionEvent;
 use crate::owner::JobOwner;
 use crate::spec::TaskIdentity;
 use crate::worker::TrackedWorker;
@@ -34,9 +35,19 @@
     fn update_worker(&mut self, entry: WorkerEntry, now: MonoTime) {
         let name = entry.name.clone();
         let is_leaving = entry.is_leaving;
+        let restart_leases_end = now.plus_millis(self.limits.lease_bound_ms());
         let tracked = self
             .workers
             .get_or_insert_with(name.clone(), || Box::new(TrackedWorker::new(None, now)));
+        if tracked.shows_restart(&entry)
+            && let Some(known) = tracked.forget_incarnation(restart_leases_end)
+        {
+            self.decisions.push(DecisionEvent::WorkerRestarted {
+                worker: name.clone(),
+                stored_end: known.stored_end(),
+                incarnation: entry.incarnation,
+            });
+        }
         tracked.entry = Some(entry);
         tracked.is_listed = true;
         if is_leaving {
--- a/crates/jobs/src/owner/poll_request.rs
+++ b/crates/jobs/src/owner/poll_request.rs
@@ -22,7 +22,7 @@
     /// the lease as it is.
     pub lease_end_ms: Option<u64>,
     /// The incarnation named there may drop ends of runs up to this position, which are stored;
-    /// `None` while no incarnation has responded to this owner.
+    /// `None` if it is not known which incarnation will be reached.
     pub stored_end: Option<EndPosition>,
     /// Time for which the worker may hold the response until a run ends, in milliseconds.
     pub wait_ms: u64,
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -36,6 +36,9 @@
     /// What is known about the incarnation that responded last; `None` until the worker has
     /// responded to this owner.
     pub known: Option<KnownIncarnation>,
+    /// When every lease that an incarnation which has not responded may hold has ended; the
+    /// default if it can hold none from this owner.
+    pub unknown_leases_end: MonoTime,
     /// Runs that occupy capacity, by task.
     pub runs: SortedTable<TaskIdentity, RunEntry>,
     /// Number of the latest poll that was sent.
@@ -73,6 +76,7 @@
             is_listed: entry.is_some(),
             entry,
             known: None,
+            unknown_leases_end: MonoTime::default(),
             runs: SortedTable::new(),
             poll: 0,
             is_polling: false,
@@ -116,6 +120,24 @@
         known.or(listed).unwrap_or_default()
     }
 
+    /// Whether an entry is the first of another incarnation than the known one. An old entry
+    /// that arrives late is not.
+    #[must_use]
+    pub fn shows_restart(&self, entry: &WorkerEntry) -> bool {
+        let is_new = |before: &WorkerEntry| before.incarnation != entry.incarnation;
+        self.entry.as_ref().is_some_and(is_new)
+            && self
+                .known
+                .is_some_and(|known| known.incarnation() != entry.incarnation)
+    }
+
+    /// Takes what was known about an incarnation that is over. The next one may have taken
+    /// requests that were meant for it, with leases that end at `leases_end` at the latest.
+    pub fn forget_incarnation(&mut self, leases_end: MonoTime) -> Option<KnownIncarnation> {
+        self.unknown_leases_end = leases_end;
+        self.known.take()
+    }
+
     /// Records that a lease until `end_ms` on the worker's clock, in milliseconds, was sent.
     /// Has no effect while the clock is not known.
     pub const fn grant_lease(&mut self, end_ms: u64) {
--- a/crates/jobs/tests/owner/incarnations.rs
+++ b/crates/jobs/tests/owner/incarnations.rs
@@ -3,8 +3,13 @@
 
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::JobStanding;
+use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::StartOutcome;
+use sapphirestile_jobs::WorkerEvent;
+use sapphirestile_jobs::WorkerIncarnation;
 
+use crate::owner_fixture::AUTHORITY_MS;
+use crate::owner_fixture::LEASE_MAX_MS;
 use crate::owner_fixture::OwnerFixture;
 use crate::test_values::ended;
 use crate::test_values::job_spec;
@@ -56,3 +61,92 @@
     fixture.step();
     complete_later_task(&mut fixture);
 }
+
+/// The end of a run is stored, and the worker may drop it.
+fn fixture_with_stored_end() -> OwnerFixture {
+    let mut fixture = fixture_that_stores_an_end();
+    let now = fixture.time();
+    fixture.owner.confirm_batch(now, fixture.now);
+    fixture.step();
+    let acknowledged = fixture.acknowledged("w-1").expect("the end is stored");
+    assert_eq!(acknowledged.number, 1);
+    fixture
+}
+
+/// A worker loses power and restarts while a poll waits for its response. The next poll may
+/// reach another incarnation, which would drop its first ends unread.
+#[test]
+fn poll_after_one_without_a_response_lets_the_worker_drop_no_ends() {
+    let mut fixture = fixture_with_stored_end();
+    fixture.wait(1_900);
+    fixture.finish_poll("w-1", PollOutcome::NoResponse);
+    fixture.wait(300);
+    assert_eq!(fixture.acknowledged("w-1"), None);
+    fixture.respond_as_incarnation("w-1", 2, &[], &[]);
+    fixture.step();
+    let acknowledged = fixture
+        .acknowledged("w-1")
+        .expect("the worker has responded");
+    assert_eq!(acknowledged.incarnation, WorkerIncarnation::from_unix_ms(2));
+    assert_eq!(acknowledged.number, 0);
+    complete_later_task(&mut fixture);
+}
+
+/// The list shows that a worker has restarted before any poll does. Its clock begins anew, so
+/// a start with a lease on the clock of the earlier incarnation could run on for too long.
+#[test]
+fn worker_that_is_listed_as_restarted_gets_no_start_before_it_responds() {
+    let mut fixture = fixture_with_stored_end();
+    let mut entry = worker("w-1", 2_000);
+    entry.incarnation = WorkerIncarnation::from_unix_ms(2);
+    let now = fixture.time();
+    fixture
+        .owner
+        .apply_worker_event(WorkerEvent::Present(entry), now);
+    fixture.accept(LATER_JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    assert!(
+        fixture.batch().is_none(),
+        "assigned to an unknown incarnation"
+    );
+    fixture.finish_poll("w-1", PollOutcome::NoResponse);
+    fixture.wait(300);
+    assert_eq!(fixture.acknowledged("w-1"), None);
+    fixture.respond_as_incarnation("w-1", 2, &[], &[]);
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {LATER_TASK}#1 at w-1")]);
+}
+
+/// A run was sent to a worker that the list then shows as restarted, and that does not
+/// respond. The new incarnation may have taken the start, with the longest lease that a worker
+/// grants.
+#[test]
+fn run_on_a_worker_that_is_listed_as_restarted_is_not_given_up_before_the_longest_lease() {
+    let mut fixture = fixture_with_stored_end();
+    fixture.wait(AUTHORITY_MS * 2);
+    fixture.answer("w-1", &[], &[]);
+    fixture.accept(LATER_JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {LATER_TASK}#1 at w-1")]);
+    fixture.started("w-1", LATER_TASK, 1, StartOutcome::Accepted);
+    let mut entry = worker("w-1", 2_000);
+    entry.incarnation = WorkerIncarnation::from_unix_ms(2);
+    fixture.wait(1_000);
+    let now = fixture.time();
+    fixture
+        .owner
+        .apply_worker_event(WorkerEvent::Present(entry.clone()), now);
+    fixture
+        .owner
+        .apply_worker_event(WorkerEvent::Gone(entry.name), now);
+    let listed_at = fixture.now;
+    let mut answered = 0;
+    while fixture.now < listed_at + LEASE_MAX_MS {
+        if fixture.latest_poll("w-1") > answered {
+            answered = fixture.latest_poll("w-1");
+            fixture.finish_poll("w-1", PollOutcome::NoResponse);
+        }
+        fixture.wait(100);
+        assert!(fixture.batch().is_none(), "given up too early");
+    }
+}
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -8,6 +8,7 @@
 use sapphirestile_core::WorkerName;
 use sapphirestile_jobs::AdviceRequest;
 use sapphirestile_jobs::CommitBatch;
+use sapphirestile_jobs::EndPosition;
 use sapphirestile_jobs::EndedRun;
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobOwner;
@@ -15,6 +16,7 @@
 use sapphirestile_jobs::OwnerEffect;
 use sapphirestile_jobs::OwnerLimits;
 use sapphirestile_jobs::PollOutcome;
+use sapphirestile_jobs::PollRequest;
 use sapphirestile_jobs::PollResponse;
 use sapphirestile_jobs::RunningRun;
 use sapphirestile_jobs::StartOutcome;
@@ -37,8 +39,8 @@
     pub now: u64,
     /// Latest request to the advisor.
     pub advice_request: Option<AdviceRequest>,
-    /// Number of the latest poll of each worker.
-    polls: SortedTable<WorkerName, u64>,
+    /// Latest poll of each worker.
+    polls: SortedTable<WorkerName, PollRequest>,
 }
 
 impl OwnerFixture {
@@ -112,7 +114,7 @@
         for effect in self.owner.take_effects() {
             match effect {
                 OwnerEffect::Poll(request) => {
-                    self.polls.insert(request.worker, request.number);
+                    self.polls.insert(request.worker.clone(), request);
                 }
                 OwnerEffect::Start(request) => {
                     let ticket = if request.ticket.is_empty() {
@@ -203,7 +205,7 @@
     /// The latest poll of a worker has this outcome.
     pub fn finish_poll(&mut self, worker: &str, outcome: PollOutcome) {
         let worker = worker_name(worker);
-        let number = self.polls.get(&worker).copied().unwrap_or(0);
+        let number = self.polls.get(&worker).map_or(0, |poll| poll.number);
         let now = self.time();
         self.owner
             .handle_poll_outcome(&worker, number, outcome, now, self.now);
@@ -211,6 +213,13 @@
 
     /// Number of the latest poll of a worker; 0 if there was none.
     pub fn latest_poll(&self, worker: &str) -> u64 {
-        self.polls.get(&worker_name(worker)).copied().unwrap_or(0)
+        let poll = self.polls.get(&worker_name(worker));
+        poll.map_or(0, |poll| poll.number)
+    }
+
+    /// Position up to which the latest poll of a worker lets it drop ends; `None` if it lets it
+    /// drop none.
+    pub fn acknowledged(&self, worker: &str) -> Option<EndPosition> {
+        self.polls.get(&worker_name(worker))?.stored_end
     }
 }
