Take no run for lost because a cut list of ends does not have it

Cause: a worker lists 500 ends at a time. The owner took a run that was neither running nor among them for lost. Evidence: one 'runs missing in a response' with 300 runs, 500 ends and first_end 1; no run lapsed.

Change: the ends of a response are an EndList, complete or cut; only a complete one lets runs be finished that it does not have. A cut list is stored and acknowledged as before, which brings the rest.

Tests: both of 'cut_responses' failed before the change. The allowance 'another run is assigned' of the old assertion is gone, which makes it stricter.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -93,6 +93,7 @@
 pub use spec::StepSpec;
 pub use spec::TaskIdentity;
 pub use worker::EndKind;
+pub use worker::EndList;
 pub use worker::EndPosition;
 pub use worker::EndedRun;
 pub use worker::KnownIncarnation;
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -8,6 +8,7 @@
 use crate::owner::StopRequest;
 use crate::spec::TaskIdentity;
 use crate::worker::EndKind;
+use crate::worker::EndList;
 use crate::worker::EndPosition;
 use crate::worker::EndedRun;
 use crate::worker::KnownIncarnation;
@@ -32,7 +33,7 @@
         unix_ms: u64,
     ) {
         self.note_incarnation(name, response, now);
-        for ended in &response.ended {
+        for ended in response.ended.runs() {
             self.apply_end(name, ended, now, unix_ms);
         }
         for running in &response.running {
@@ -47,6 +48,7 @@
         tracked.unanswered_poll = None;
         let unstored = response
             .ended
+            .runs()
             .last()
             .filter(|last| !tracked.known.is_some_and(|known| known.has_stored(last)));
         if let Some(last) = unstored {
@@ -60,7 +62,7 @@
             });
         } else {
             tracked.is_polling = false;
-            tracked.next_poll = if response.ended.is_empty() {
+            tracked.next_poll = if response.ended.runs().is_empty() {
                 now
             } else {
                 now.plus_millis(KEPT_ENDS_DELAY_MS)
@@ -165,7 +167,8 @@
         }
     }
 
-    /// Finishes the runs that the response must list if they existed, and does not.
+    /// Finishes the runs that the response must list if they existed, and does not. A response
+    /// that leaves ends out need not list any run.
     fn finish_missing(
         &mut self,
         name: &WorkerName,
@@ -180,6 +183,9 @@
         let Some(known) = &tracked.known else {
             return;
         };
+        let EndList::Complete(ends) = &response.ended else {
+            return;
+        };
         let is_listed = |task: &TaskIdentity, number: u32| {
             let running = &response.running;
             running
@@ -204,8 +210,8 @@
             worker: name.clone(),
             runs: missing.len(),
             stored_end: known.stored_end(),
-            first_end: response.ended.first().map_or(0, |ended| ended.number),
-            ends: response.ended.len(),
+            first_end: ends.first().map_or(0, |ended| ended.number),
+            ends: ends.len(),
         });
         for task in missing {
             self.finish_run(name, &task, RunCause::NotShown, now, unix_ms);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -4,11 +4,12 @@
 //! [`TrackedWorker`] is what the owner knows about one: its [`RunEntry`]s, each in a
 //! [`RunState`], its [`WorkerBreaker`], and its [`KnownIncarnation`], which has the
 //! [`WorkerClock`] and the [`EndPosition`] of the [`WorkerIncarnation`] that responded last. Polling a worker gives a
-//! [`PollOutcome`]; the [`PollResponse`] in it lists [`RunningRun`]s and [`EndedRun`]s,
-//! the latter with an [`EndKind`]. Requests to start and stop runs give a
+//! [`PollOutcome`]; the [`PollResponse`] in it lists [`RunningRun`]s and, in an
+//! [`EndList`], [`EndedRun`]s with an [`EndKind`]. Requests to start and stop runs give a
 //! [`StartOutcome`] or a [`StopOutcome`].
 
 mod end_kind;
+mod end_list;
 mod end_position;
 mod ended_run;
 mod known_incarnation;
@@ -27,6 +28,7 @@
 mod worker_incarnation;
 
 pub use end_kind::EndKind;
+pub use end_list::EndList;
 pub use end_position::EndPosition;
 pub use ended_run::EndedRun;
 pub use known_incarnation::KnownIncarnation;
--- a/crates/jobs/src/worker/poll_response.rs
+++ b/crates/jobs/src/worker/poll_response.rs
@@ -1,6 +1,6 @@
 //! Response of a worker to a poll.
 
-use crate::worker::EndedRun;
+use crate::worker::EndList;
 use crate::worker::RunningRun;
 use crate::worker::WorkerIncarnation;
 
@@ -13,6 +13,6 @@
     pub incarnation: WorkerIncarnation,
     /// Runs in progress.
     pub running: Vec<RunningRun>,
-    /// Runs that have ended and are not acknowledged yet, the earliest first.
-    pub ended: Vec<EndedRun>,
+    /// Runs that have ended and are not acknowledged yet.
+    pub ended: EndList,
 }
--- a/crates/jobs/tests/fault_simulation/fake_worker.rs
+++ b/crates/jobs/tests/fault_simulation/fake_worker.rs
@@ -4,6 +4,7 @@
 
 use sapphirestile_core::WorkerName;
 use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::EndList;
 use sapphirestile_jobs::EndedRun;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::PollRequest;
@@ -16,9 +17,14 @@
 use sapphirestile_jobs::TaskIdentity;
 use sapphirestile_jobs::WorkerIncarnation;
 
+use crate::fake_end::FakeEnd;
+
 /// Longest lease that a worker accepts, in milliseconds.
 const LEASE_MAX_MS: u64 = 6_000;
 
+/// Most ends in a response. It is low, so that the runs of the simulation exceed it.
+const ENDS_PER_RESPONSE_MAX: usize = 2;
+
 /// A run that ends at the virtual time `end` in milliseconds, unless it is stopped or its
 /// lease expires earlier.
 #[derive(Clone, Copy, Debug)]
@@ -47,7 +53,7 @@
     /// The highest run of each task that was stopped or ended here.
     highest: BTreeMap<TaskIdentity, u32>,
     /// Ends that the owner has not acknowledged.
-    ended: Vec<EndedRun>,
+    ended: Vec<FakeEnd>,
     /// Number of the latest end.
     ends: u64,
 }
@@ -98,27 +104,35 @@
             .filter(|(_, run)| has_lapsed || run.end <= now)
             .map(|(task, run)| (*task, *run))
             .collect();
+        if has_lapsed {
+            self.ended.iter_mut().for_each(|end| end.has_lapsed = true);
+        }
         for (task, run) in ended {
             let kind = if run.end <= now {
                 run.kind
             } else {
                 EndKind::Lapsed
             };
-            self.end(task, run.run, kind);
+            self.end(task, run.run, kind, now);
         }
     }
 
-    fn end(&mut self, task: TaskIdentity, run: u32, kind: EndKind) {
+    fn end(&mut self, task: TaskIdentity, run: u32, kind: EndKind, now: u64) {
         self.running.remove(&task);
         let highest = self.highest.entry(task).or_default();
         *highest = (*highest).max(run);
         self.ends += 1;
-        self.ended.push(EndedRun {
+        let run = EndedRun {
             number: self.ends,
             task,
             run,
             kind,
             checkpoint: "".into(),
+        };
+        self.ended.push(FakeEnd {
+            run,
+            at: now,
+            has_lapsed: false,
         });
     }
 
@@ -154,7 +168,7 @@
         StartOutcome::Accepted
     }
 
-    pub fn stop(&mut self, request: &StopRequest) -> StopOutcome {
+    pub fn stop(&mut self, request: &StopRequest, now: u64) -> StopOutcome {
         if self.is_fenced(request.epoch.get()) {
             return StopOutcome::Fenced;
         }
@@ -165,24 +179,28 @@
             .get(&request.task)
             .is_some_and(|run| run.run == request.run)
         {
-            self.end(request.task, request.run, EndKind::Stopped);
+            self.end(request.task, request.run, EndKind::Stopped, now);
         }
         StopOutcome::Accepted
     }
 
     /// Handles a poll. Also returns the acknowledged ends, which the worker drops.
-    pub fn poll(&mut self, request: &PollRequest, now: u64) -> (PollOutcome, Vec<EndedRun>) {
+    pub fn poll(&mut self, request: &PollRequest, now: u64) -> (PollOutcome, Vec<FakeEnd>) {
         if self.is_fenced(request.epoch.get()) {
             return (PollOutcome::Fenced, Vec::new());
         }
         if let Some(end_ms) = request.lease_end_ms {
             self.extend_lease(end_ms, now);
         }
-        // A number without its incarnation reaches whichever incarnation is there.
-        let stored_end = request.stored_end.map_or(0, |end| end.number);
+        // A number is sent on a connection, which belongs to one incarnation.
+        let own_incarnation = WorkerIncarnation::from_unix_ms(self.incarnation);
+        let own_end = request
+            .stored_end
+            .filter(|end| end.incarnation == own_incarnation);
+        let stored_end = own_end.map_or(0, |end| end.number);
         let (acknowledged, kept) = std::mem::take(&mut self.ended)
             .into_iter()
-            .partition(|ended| ended.number <= stored_end);
+            .partition(|end| end.run.number <= stored_end);
         self.ended = kept;
         let running = self.running.iter().map(|(task, run)| RunningRun {
             task: *task,
@@ -191,11 +209,15 @@
             pace_percent: 100,
             measurement: 0,
         });
+        let listed = self.ended.iter().map(|end| end.run.clone());
         let response = PollResponse {
             clock_ms: self.clock(now),
             incarnation: WorkerIncarnation::from_unix_ms(self.incarnation),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: EndList::with_limit(
+                listed.take(ENDS_PER_RESPONSE_MAX).collect(),
+                ENDS_PER_RESPONSE_MAX,
+            ),
         };
         (PollOutcome::Responded(response), acknowledged)
     }
--- a/crates/jobs/tests/fault_simulation/main.rs
+++ b/crates/jobs/tests/fault_simulation/main.rs
@@ -6,6 +6,7 @@
 //! partitioned, crash and restart; owners pause, crash and are replaced; the store becomes
 //! unavailable. Invariants are asserted as events are handled.
 
+mod fake_end;
 mod fake_store;
 mod fake_worker;
 mod simulated_daemon;
@@ -25,6 +26,7 @@
 #[test_case(4; "unavailable store")]
 #[test_case(5; "all faults but suspended owners")]
 #[test_case(6; "suspended owners that resume without the store")]
+#[test_case(7; "workers that restart at once, dead owners and an unavailable store")]
 fn every_job_ends_and_no_task_runs_twice(faults: u32) {
     for seed in 0..SEEDS {
         let mut simulation = Simulation::new(seed, faults);
--- a/crates/jobs/tests/fault_simulation/simulation.rs
+++ b/crates/jobs/tests/fault_simulation/simulation.rs
@@ -34,6 +34,8 @@
 /// The case in which owners are suspended. It is not part of the case with all faults, so
 /// that regression seeds still draw the same random numbers.
 const SUSPENSIONS: u32 = 6;
+/// The case in which workers restart before anybody notices. It is apart for the same reason.
+const RESTARTS: u32 = 7;
 const ATTEMPTS: u32 = 50;
 const WORKER_CPU_MILLI: u64 = 8_000;
 
@@ -52,6 +54,8 @@
     workers: Vec<FakeWorker>,
     /// Tasks whose completion was acknowledged to the worker; they must never start again.
     acknowledged: BTreeSet<TaskIdentity>,
+    /// When the latest run of each task started.
+    started: BTreeMap<TaskIdentity, u64>,
     /// Requests that have an outcome, as text.
     finished_calls: BTreeSet<String>,
 }
@@ -75,6 +79,7 @@
             daemons: (0..DAEMONS).map(|_| SimulatedDaemon::default()).collect(),
             workers,
             acknowledged: BTreeSet::new(),
+            started: BTreeMap::new(),
             finished_calls: BTreeSet::new(),
         };
         for daemon in 0..DAEMONS {
@@ -159,7 +164,7 @@
                 let Some(index) = self.find_reachable(daemon, &request.worker) else {
                     return;
                 };
-                let outcome = self.workers[index].stop(&request);
+                let outcome = self.workers[index].stop(&request, self.now);
                 self.send_response(SimulationEvent::StopReturns {
                     daemon,
                     incarnation,
@@ -180,7 +185,7 @@
                 };
                 let (outcome, acknowledged) = self.workers[index].poll(&request, self.now);
                 for ended in acknowledged {
-                    self.check_acknowledged(ended.task, ended.kind);
+                    self.check_acknowledged(&ended);
                 }
                 self.send_response(SimulationEvent::PollReturns {
                     daemon,
--- a/crates/jobs/tests/fault_simulation/simulation/deliveries.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/deliveries.rs
@@ -5,9 +5,9 @@
 use sapphirestile_core::WorkerName;
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::StartOutcome;
-use sapphirestile_jobs::TaskIdentity;
 use sapphirestile_jobs::TaskStage;
 
+use crate::fake_end::FakeEnd;
 use crate::fake_worker::FakeRun;
 use crate::simulation::Simulation;
 use crate::simulation_event::SimulationEvent;
@@ -15,11 +15,21 @@
 use super::END_MS;
 
 impl Simulation {
-    /// Checks that a completion which a worker drops is stored, since it cannot be read again.
-    pub(super) fn check_acknowledged(&mut self, task: TaskIdentity, kind: EndKind) {
-        if kind != EndKind::Done {
+    /// Checks that a completion which a worker drops is stored, since it cannot be read again,
+    /// and that the task was not started after it. Neither holds if the lease of the worker
+    /// lapsed before it could tell the owner.
+    pub(super) fn check_acknowledged(&mut self, end: &FakeEnd) {
+        let task = end.run.task;
+        if end.run.kind != EndKind::Done {
             return;
         }
+        let started = self.started.get(&task).copied().unwrap_or(0);
+        assert!(
+            started <= end.at || end.has_lapsed,
+            "seed {}: {task} started at {started}, after its completion at {}",
+            self.seed,
+            end.at
+        );
         let progress = self
             .store
             .progress
@@ -27,9 +37,8 @@
             .expect("progress of a job with ended runs is stored");
         let stored = progress.task(&task).map(|task| &task.stage);
         let is_stored = progress.standing.is_final() || stored == Some(&TaskStage::Done);
-        let is_other_run = stored.is_some() && !is_stored;
         assert!(
-            is_stored || is_other_run,
+            is_stored || end.has_lapsed,
             "seed {}: the completion of {task} was acknowledged before it was stored",
             self.seed
         );
@@ -87,6 +96,7 @@
         let outcome = self.workers[index].start(request, run, now);
         if outcome == StartOutcome::Accepted {
             let task = request.task;
+            self.started.insert(task, now);
             let running = self
                 .workers
                 .iter()
--- a/crates/jobs/tests/fault_simulation/simulation/faults.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/faults.rs
@@ -15,6 +15,7 @@
 use super::DAEMONS;
 use super::END_MS;
 use super::FAULTS_END_MS;
+use super::RESTARTS;
 use super::RESUME_PARTITION_MS;
 use super::SUSPENSIONS;
 use super::WORKERS;
@@ -112,8 +113,28 @@
             let now = self.now;
             self.workers[worker].crash(now, duration_ms);
         }
+        if self.faults == RESTARTS && self.now < FAULTS_END_MS {
+            self.inject_restart(kind, daemon, worker, duration_ms);
+        }
         if self.injects(4) && kind <= 1 {
             self.store.unavailable_until = self.now + duration_ms;
         }
     }
+
+    /// Kills an owner, or restarts a worker before anybody notices, beside a store that is
+    /// unavailable.
+    fn inject_restart(&mut self, kind: u32, daemon: usize, worker: usize, duration_ms: u64) {
+        if kind == 1 {
+            let state = &mut self.daemons[daemon];
+            state.owner = None;
+            state.incarnation += 1;
+            state.queued.clear();
+            return;
+        }
+        if kind >= 2 {
+            let now = self.now;
+            self.workers[worker].crash(now, duration_ms / 10);
+        }
+        self.store.unavailable_until = self.now + duration_ms;
+    }
 }
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -4,6 +4,7 @@
 mod batches;
 mod breaker;
 mod copies_and_gangs;
+mod cut_responses;
 mod incarnations;
 mod learning;
 mod leases_and_restarts;
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -8,6 +8,7 @@
 use sapphirestile_core::WorkerName;
 use sapphirestile_jobs::AdviceRequest;
 use sapphirestile_jobs::CommitBatch;
+use sapphirestile_jobs::EndList;
 use sapphirestile_jobs::EndPosition;
 use sapphirestile_jobs::EndedRun;
 use sapphirestile_jobs::JobIdentity;
@@ -185,6 +186,12 @@
         self.respond_as_incarnation(worker, 1, running, ended);
     }
 
+    /// The worker responds to its latest poll with the first of its ends.
+    pub fn answer_in_part(&mut self, worker: &str, running: &[RunningRun], ended: &[EndedRun]) {
+        let ends = EndList::Cut(ended.to_vec());
+        self.respond(worker, 1, running, ends);
+    }
+
     /// An incarnation of the worker, numbered from 1, responds to the latest poll.
     pub fn respond_as_incarnation(
         &mut self,
@@ -193,11 +200,16 @@
         running: &[RunningRun],
         ended: &[EndedRun],
     ) {
+        let ends = EndList::Complete(ended.to_vec());
+        self.respond(worker, incarnation, running, ends);
+    }
+
+    fn respond(&mut self, worker: &str, incarnation: u64, running: &[RunningRun], ended: EndList) {
         let response = PollResponse {
             clock_ms: self.now,
             incarnation: WorkerIncarnation::from_unix_ms(incarnation),
             running: running.to_vec(),
-            ended: ended.to_vec(),
+            ended,
         };
         self.finish_poll(worker, PollOutcome::Responded(response));
     }
