Log why a long-running task finds no worker

The log did not say why it was passed over. Hypotheses: (1) its cell has no room beside other long-running tasks, while other cells have; (2) it has room but for short tasks, which take each part of it that becomes free; (3) the workers with room are held back: silent, leaving, excluded by their breaker.

--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -114,7 +114,7 @@
     }
 
     /// Counts an assignment, the end of a run or a request to the advisor. The end of a job
-    /// and the restart of a worker are not counted.
+    /// and what is only logged are not counted.
     pub fn count_decision(&self, decision: &DecisionEvent) {
         let outcome = match decision {
             DecisionEvent::Assigned { .. } => "assigned",
@@ -123,7 +123,8 @@
             DecisionEvent::RunEnded { cause, .. } => outcome_of(*cause),
             DecisionEvent::Advised { good, .. } => return self.count_question(good.is_some()),
             DecisionEvent::JobMoved { .. } => "moved_before_start",
-            DecisionEvent::WorkerRestarted { .. }
+            DecisionEvent::PassedOver { .. }
+            | DecisionEvent::WorkerRestarted { .. }
             | DecisionEvent::RunsMissing { .. }
             | DecisionEvent::JobEnded { .. } => return,
         };
--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -30,6 +30,22 @@
                 } => {
                     tracing::info!(%cell, epoch, %task, run, %worker, ?cause, age_ms, "run ended");
                 }
+                DecisionEvent::PassedOver {
+                    task,
+                    cpu_milli,
+                    census,
+                } => {
+                    tracing::info!(
+                        %cell, epoch, %task, cpu_milli,
+                        unusable = census.unusable,
+                        unsuitable = census.unsuitable,
+                        too_small = census.too_small,
+                        occupied_by_short = census.occupied_by_short,
+                        occupied_by_long = census.occupied_by_long,
+                        largest_free_cpu_milli = census.largest_free_cpu_milli,
+                        "no worker for a long-running task"
+                    );
+                }
                 DecisionEvent::WorkerRestarted {
                     worker,
                     stored_end,
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -5,6 +5,7 @@
 
 use crate::advice::StepIdentity;
 use crate::owner::RunCause;
+use crate::planner::PlacementCensus;
 use crate::progress::JobStanding;
 use crate::spec::JobIdentity;
 use crate::spec::TaskIdentity;
@@ -36,6 +37,15 @@
         /// Time since the run was assigned or its start was sent, in milliseconds.
         age_ms: u64,
     },
+    /// A long-running task that could start found no worker.
+    PassedOver {
+        /// Task that waits.
+        task: TaskIdentity,
+        /// Processor time that the task needs, in thousandths of a processor.
+        cpu_milli: u64,
+        /// Why no worker can take it.
+        census: PlacementCensus,
+    },
     /// Another incarnation of a worker responded than the one before, or is listed.
     WorkerRestarted {
         /// Worker that has restarted.
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -88,6 +88,8 @@
     advice: AdviceCache,
     /// When the load of the cell was last put into a batch.
     load_reported: MonoTime,
+    /// When a task that found no worker was last reported.
+    passed_over_reported: MonoTime,
 }
 
 impl JobOwner {
@@ -128,6 +130,7 @@
             learnt_batched: claimed,
             advice: AdviceCache::default(),
             load_reported: MonoTime::default(),
+            passed_over_reported: MonoTime::default(),
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -1,8 +1,10 @@
 //! Planning of the next starts.
 
+use crate::owner::DecisionEvent;
 use crate::owner::JobOwner;
 use crate::owner::WaitKey;
 use crate::planner::JobUrgency;
+use crate::planner::PlacementCensus;
 use crate::planner::TaskDemand;
 use crate::planner::UnplacedDemands;
 use crate::spec::StepSpec;
@@ -13,6 +15,9 @@
 /// delayed by the last.
 const STARTS_PER_PASS_MAX: usize = 64;
 
+/// Shortest time between two reports of tasks that found no worker, in milliseconds.
+const PASSED_OVER_INTERVAL_MS: u64 = 1_000;
+
 impl JobOwner {
     /// Assigns tasks that can start to workers with free capacity, the most urgent first.
     /// Returns whether the pass ended early, so that more tasks may be able to start.
@@ -96,6 +101,7 @@
             } else {
                 self.request_advice(&demand, timing, now);
                 unplaced.record(&demand);
+                self.report_passed_over(&demand, now);
             }
         }
         if planned > 0 {
@@ -104,6 +110,22 @@
         planned
     }
 
+    /// Reports a long-running task that found no worker, at most one in an interval.
+    fn report_passed_over(&mut self, demand: &TaskDemand<'_>, now: MonoTime) {
+        let is_due = now.millis_since(self.passed_over_reported) >= PASSED_OVER_INTERVAL_MS;
+        if !demand.step.is_long_running || !is_due {
+            return;
+        }
+        self.passed_over_reported = now;
+        let workers = self.workers.values().map(|tracked| &**tracked);
+        let census = PlacementCensus::of(demand, &self.worker_scorer(now), workers);
+        self.decisions.push(DecisionEvent::PassedOver {
+            task: demand.task,
+            cpu_milli: demand.step.size.cpu_milli,
+            census,
+        });
+    }
+
     fn demand<'a>(
         &mut self,
         task: &TaskIdentity,
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -8,6 +8,7 @@
 
 mod duration_estimator;
 mod job_urgency;
+mod placement_census;
 mod task_demand;
 mod unplaced_demands;
 mod urgency_class;
@@ -15,6 +16,7 @@
 
 pub use duration_estimator::DurationEstimator;
 pub use job_urgency::JobUrgency;
+pub use placement_census::PlacementCensus;
 pub use task_demand::TaskDemand;
 pub use unplaced_demands::UnplacedDemands;
 pub use urgency_class::UrgencyClass;
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -93,6 +93,13 @@
         self.capacity_score(demand, worker)
     }
 
+    /// Whether a worker may run the task, whatever its room: it has the service, the label and
+    /// the ticket, no run of the task, and not too many of its step.
+    #[must_use]
+    pub fn is_suitable(&self, demand: &TaskDemand<'_>, worker: &TrackedWorker) -> bool {
+        is_eligible(demand, worker) && (!demand.needs_ticket || self.has_ticket(demand, worker))
+    }
+
     fn has_ticket(&self, demand: &TaskDemand<'_>, worker: &TrackedWorker) -> bool {
         let Some(entry) = &worker.entry else {
             return false;
@@ -106,11 +113,7 @@
     #[must_use]
     pub fn capacity_score(&self, demand: &TaskDemand<'_>, worker: &TrackedWorker) -> Option<i64> {
         let entry = worker.entry.as_ref()?;
-        if *entry.service != *demand.service || !self.is_usable(worker) {
-            return None;
-        }
-        let has_run = worker.runs.contains(&demand.task);
-        if has_run || !has_label(demand, &entry.labels) || is_at_limit(demand, worker) {
+        if !self.is_usable(worker) || !is_eligible(demand, worker) {
             return None;
         }
         let step = demand.step;
@@ -196,6 +199,16 @@
     }
 }
 
+fn is_eligible(demand: &TaskDemand<'_>, worker: &TrackedWorker) -> bool {
+    let Some(entry) = &worker.entry else {
+        return false;
+    };
+    *entry.service == *demand.service
+        && !worker.runs.contains(&demand.task)
+        && has_label(demand, &entry.labels)
+        && !is_at_limit(demand, worker)
+}
+
 fn has_label(demand: &TaskDemand<'_>, labels: &[Box<str>]) -> bool {
     let required = demand.step.required_label.as_ref();
     required.is_none_or(|label| labels.contains(label))
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -59,6 +59,16 @@
 }
 
 impl RunEntry {
+    /// Resources that the run reserves: a best-effort run reserves no processor time.
+    #[must_use]
+    pub const fn reserved(&self) -> ResourceVector {
+        let mut size = self.size;
+        if self.is_best_effort {
+            size.cpu_milli = 0;
+        }
+        size
+    }
+
     /// View of the run for the interference model; `None` if it serves no callers or has
     /// no image.
     #[must_use]
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -229,6 +229,17 @@
         &self.used
     }
 
+    /// Room that long-running runs leave: what is free once all other runs have ended.
+    #[must_use]
+    pub fn room_without_short_runs(&self) -> ResourceVector {
+        let capacity = self.entry.as_ref().map(|entry| entry.capacity);
+        let lasting = self.runs.values().filter(|run| run.is_long_running);
+        let lasting = lasting.fold(ResourceVector::default(), |sum, run| {
+            sum.plus(&run.reserved())
+        });
+        capacity.unwrap_or_default().minus(&lasting)
+    }
+
     /// Processor time that the best-effort runs use at full pace, in thousandths of a
     /// processor.
     #[must_use]
@@ -256,14 +267,12 @@
     fn recount(&mut self) {
         let (mut used, mut best_effort, mut long_running) = (ResourceVector::default(), 0, 0);
         for run in self.runs.values() {
-            let mut size = run.size;
             if run.is_best_effort {
-                best_effort += size.cpu_milli;
-                size.cpu_milli = 0;
+                best_effort += run.size.cpu_milli;
             } else if run.is_long_running {
-                long_running += size.cpu_milli;
+                long_running += run.size.cpu_milli;
             }
-            used = used.plus(&size);
+            used = used.plus(&run.reserved());
         }
         self.used = used;
         self.best_effort_cpu_milli = best_effort;
