Leave room in a cell to restart long-running tasks

Cause: a job that has begun stays in its cell. At the start of a deployment cell 0 has an owner and workers first; 152 jobs within 0.2 s all went there, and long-running ones filled it before others could move.

Change: while there are other cells, a long-running job that would take more than three quarters of a cell's processor time waits up to two seconds to go elsewhere. Such jobs move before others, as many as the other cells have room for by their reports, counting what was sent since.

--- a/crates/entry/src/owner/ownership_term.rs
+++ b/crates/entry/src/owner/ownership_term.rs
@@ -163,7 +163,7 @@
         let now = self.context.clock.now();
         let unix_ms = MonoClock::unix_millis();
         self.apply_operator_state();
-        self.apply_cell_table(now);
+        self.apply_cell_table(now, unix_ms);
         if now.millis_since(self.last_tick) >= 100 {
             self.owner.advance_time(now, unix_ms);
             self.last_tick = now;
--- a/crates/entry/src/owner/ownership_term/division.rs
+++ b/crates/entry/src/owner/ownership_term/division.rs
@@ -19,12 +19,13 @@
 impl OwnershipTerm {
     /// Applies the latest read of the cells' rows: a new layout, and the loads of the other
     /// cells, to which waiting jobs may move.
-    pub(super) fn apply_cell_table(&mut self, now: MonoTime) {
+    pub(super) fn apply_cell_table(&mut self, now: MonoTime, unix_ms: u64) {
         let table = self.context.cells.load_full();
         if table.layout != *self.division.layout() {
             let workers = self.division.set_layout(&table.layout);
             self.owner.replace_workers(workers, now);
         }
+        self.owner.set_cells(self.division.layout().cells());
         if table.reads == self.cells_read || self.context.is_stopping() {
             return;
         }
@@ -38,7 +39,7 @@
                 layout: &table.layout,
                 loads: &loads,
             };
-            self.owner.plan_moves(self.cell, &choice, now);
+            self.owner.plan_moves(self.cell, &choice, now, unix_ms);
         }
     }
 
--- a/crates/jobs/src/division/cell_choice.rs
+++ b/crates/jobs/src/division/cell_choice.rs
@@ -1,6 +1,7 @@
 //! Choice of a cell for a job.
 
 use sapphirestile_core::CellNumber;
+use sapphirestile_core::SortedTable;
 
 use crate::division::CellLayout;
 use crate::division::CellLoad;
@@ -84,13 +85,43 @@
         let own_pressure = own_load
             .room_for(spec, service)
             .map_or(f64::INFINITY, |room| room.pressure(&need));
+        let (cell, pressure) = self.least_pressed_other(spec, service, own, &SortedTable::new())?;
+        (own_pressure > pressure + MOVE_EXCESS).then_some(cell)
+    }
+
+    /// Cell other than `own` with the most room for a job, if the job need not wait there.
+    /// `moved` has what moved to each cell since its load was reported.
+    #[must_use]
+    pub fn roomiest_other(
+        &self,
+        spec: &JobSpec,
+        service: &str,
+        own: CellNumber,
+        moved: &SortedTable<CellNumber, JobNeed>,
+    ) -> Option<CellNumber> {
+        let (cell, _) = self.least_pressed_other(spec, service, own, moved)?;
+        Some(cell)
+    }
+
+    /// Cell other than `own` under the least pressure, if the job need not wait there, and that
+    /// pressure.
+    fn least_pressed_other(
+        &self,
+        spec: &JobSpec,
+        service: &str,
+        own: CellNumber,
+        moved: &SortedTable<CellNumber, JobNeed>,
+    ) -> Option<(CellNumber, f64)> {
+        let own_need = JobNeed::from(spec);
         let others = self.loads.iter().filter(|(cell, _)| *cell != own);
         let rooms = others.filter_map(|(cell, load)| {
+            let before = moved.get(cell).copied().unwrap_or_default();
+            let need = own_need.plus(&before);
             let pressure = load.room_for(spec, service)?.pressure(&need);
             Some((*cell, pressure))
         });
-        let (cell, pressure) = rooms.min_by(|one, other| one.1.total_cmp(&other.1))?;
-        (pressure <= 1.0 && own_pressure > pressure + MOVE_EXCESS).then_some(cell)
+        let least = rooms.min_by(|one, other| one.1.total_cmp(&other.1));
+        least.filter(|(_, pressure)| *pressure <= 1.0)
     }
 
     /// Cell with the most workers of a service.
--- a/crates/jobs/src/division/job_need.rs
+++ b/crates/jobs/src/division/job_need.rs
@@ -11,6 +11,19 @@
     pub best_effort_milli: u64,
 }
 
+impl JobNeed {
+    /// Sum of the needs, saturating.
+    #[must_use]
+    pub const fn plus(&self, other: &Self) -> Self {
+        Self {
+            reserved_milli: self.reserved_milli.saturating_add(other.reserved_milli),
+            best_effort_milli: self
+                .best_effort_milli
+                .saturating_add(other.best_effort_milli),
+        }
+    }
+}
+
 impl From<&JobSpec> for JobNeed {
     fn from(spec: &JobSpec) -> Self {
         let mut need = Self::default();
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -15,6 +15,7 @@
 mod requests;
 mod responses;
 mod results;
+mod spreading;
 mod stragglers;
 mod worker_list;
 
@@ -80,6 +81,8 @@
     /// Whether more workers may be given latency-sensitive tasks; updated once per planning
     /// pass and after each such assignment.
     can_open_worker: bool,
+    /// Number of cells, this one included.
+    cells: u16,
     images: ImageTable,
     interference: InterferenceModel,
     durations: DurationEstimator,
@@ -124,6 +127,7 @@
             claimed,
             is_deposed: false,
             can_open_worker: true,
+            cells: 1,
             images: ImageTable::default(),
             interference: InterferenceModel::default(),
             durations: DurationEstimator::default(),
@@ -160,6 +164,11 @@
         }
     }
 
+    /// Sets the number of cells, this one included.
+    pub const fn set_cells(&mut self, cells: u16) {
+        self.cells = cells;
+    }
+
     /// Takes the effects that were released since the latest call.
     #[must_use]
     pub fn take_effects(&mut self) -> Vec<OwnerEffect> {
--- a/crates/jobs/src/owner/job_owner/moves.rs
+++ b/crates/jobs/src/owner/job_owner/moves.rs
@@ -1,6 +1,7 @@
 //! Moves of jobs that wait in a full cell to another one.
 
 use crate::division::CellChoice;
+use crate::division::JobNeed;
 use crate::owner::DecisionEvent;
 use crate::owner::JobMove;
 use crate::owner::JobOwner;
@@ -9,6 +10,7 @@
 use crate::spec::JobIdentity;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
+use sapphirestile_core::SortedTable;
 
 /// How long a job waits for its first start before it may move, in milliseconds.
 const MOVE_AFTER_MS: u64 = 300;
@@ -17,29 +19,53 @@
 /// what has moved since.
 const MOVES_PER_VIEW_MAX: usize = 6;
 
+/// The same for jobs that wait for another cell. What has moved is counted for these, but each
+/// move takes a call to the store.
+const HELD_MOVES_PER_VIEW_MAX: usize = 24;
+
 impl JobOwner {
-    /// Decides which waiting jobs move to other cells, the most urgent first. Only a job
+    /// Decides which waiting jobs move to other cells: first those that wait for just that, then
+    /// the most urgent. Only a job
     /// without any run moves, so nothing of it can be running here. To be called once for
     /// each view of the other cells.
-    pub fn plan_moves(&mut self, own: CellNumber, choice: &CellChoice<'_>, now: MonoTime) {
+    pub fn plan_moves(
+        &mut self,
+        own: CellNumber,
+        choice: &CellChoice<'_>,
+        now: MonoTime,
+        unix_ms: u64,
+    ) {
         let own_load = self.cell_load(now);
-        let mut moves: Vec<(WaitKey, CellNumber)> = Vec::new();
+        let mut taken: SortedTable<CellNumber, JobNeed> = SortedTable::new();
+        let mut held: Vec<(WaitKey, CellNumber)> = Vec::new();
+        let mut delayed: Vec<(WaitKey, CellNumber)> = Vec::new();
         for key in self.waiting.keys() {
-            if moves.len() >= MOVES_PER_VIEW_MAX {
+            if held.len() >= HELD_MOVES_PER_VIEW_MAX {
                 break;
             }
             let Some(entry) = self.jobs.get(&key.job) else {
                 continue;
             };
-            let waited_ms = now.millis_since(entry.since);
-            if entry.progress.standing != JobStanding::Waiting || waited_ms < MOVE_AFTER_MS {
+            if entry.progress.standing != JobStanding::Waiting {
                 continue;
             }
             let service = self.service_of(&entry.spec.queue, &entry.spec.terms.service);
-            if let Some(target) = choice.for_waiting_job(&entry.spec, &service, own, &own_load) {
-                moves.push((*key, target));
+            if self.waits_for_other_cell(entry, now, unix_ms) {
+                let target = choice.roomiest_other(&entry.spec, &service, own, &taken);
+                if let Some(target) = target {
+                    held.push((*key, target));
+                    let need = taken.get_or_insert_with(target, JobNeed::default);
+                    *need = need.plus(&JobNeed::from(&*entry.spec));
+                }
+            } else if delayed.len() < MOVES_PER_VIEW_MAX
+                && now.millis_since(entry.since) >= MOVE_AFTER_MS
+            {
+                let target = choice.for_waiting_job(&entry.spec, &service, own, &own_load);
+                delayed.extend(target.map(|target| (*key, target)));
             }
         }
+        let rest = MOVES_PER_VIEW_MAX.saturating_sub(held.len());
+        let moves = held.into_iter().chain(delayed.into_iter().take(rest));
         for (key, target) in moves {
             self.leave_cell(&key, target, now);
         }
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -31,7 +31,7 @@
         let mut planned = 0;
         let mut unplaced = UnplacedDemands::default();
         for key in keys {
-            planned += self.plan_job(&key, now, &mut unplaced);
+            planned += self.plan_job(&key, now, unix_ms, &mut unplaced);
             if planned >= STARTS_PER_PASS_MAX {
                 return true;
             }
@@ -63,10 +63,19 @@
         keys.into_iter().map(|(_, key)| key).collect()
     }
 
-    fn plan_job(&mut self, key: &WaitKey, now: MonoTime, unplaced: &mut UnplacedDemands) -> usize {
+    fn plan_job(
+        &mut self,
+        key: &WaitKey,
+        now: MonoTime,
+        unix_ms: u64,
+        unplaced: &mut UnplacedDemands,
+    ) -> usize {
         let Some(entry) = self.jobs.get(&key.job) else {
             return 0;
         };
+        if self.waits_for_other_cell(entry, now, unix_ms) {
+            return 0;
+        }
         let spec = entry.spec.clone();
         let service = self.service_of(&spec.queue, &spec.terms.service);
         let timing = self.advisor_timing(&spec.queue);
--- a/crates/jobs/tests/owner/moves.rs
+++ b/crates/jobs/tests/owner/moves.rs
@@ -5,6 +5,7 @@
 use sapphirestile_jobs::CellLayout;
 use sapphirestile_jobs::CellLoad;
 use sapphirestile_jobs::JobIdentity;
+use sapphirestile_jobs::JobSpec;
 use sapphirestile_jobs::StartOutcome;
 
 use crate::owner_fixture::OwnerFixture;
@@ -47,7 +48,7 @@
         loads: &loads,
     };
     let now = fixture.time();
-    fixture.owner.plan_moves(OWN, &choice, now);
+    fixture.owner.plan_moves(OWN, &choice, now, fixture.now);
 }
 
 #[test]
@@ -111,3 +112,76 @@
         .find(|(job, _)| *job == identity(WAITING));
     assert!(ended.expect("the job is still here").1.standing.is_final());
 }
+
+/// A job with two tasks that go on until it is cancelled, which need a worker of
+/// [`cell_for_long_running_jobs`].
+fn long_running_job() -> JobSpec {
+    let mut step = step(2, 1_000);
+    step.is_long_running = true;
+    let mut spec = job_spec(vec![step]);
+    spec.accepted_unix_ms = 1_000;
+    spec
+}
+
+/// A cell with room for four jobs of [`long_running_job`], beside `cells - 1` others, to which
+/// all four are handed in.
+fn cell_for_long_running_jobs(cells: u16) -> OwnerFixture {
+    let workers = ["w-1", "w-2", "w-3", "w-4"].map(|name| worker(name, 2_000));
+    let mut fixture = OwnerFixture::with_workers(workers.to_vec());
+    fixture.owner.set_cells(cells);
+    for digit in ["a", "b", "c", "d"] {
+        fixture.accept(&digit.repeat(16), long_running_job());
+    }
+    fixture.step();
+    fixture
+}
+
+/// A worker leaves while its cell is full of long-running tasks, and other cells have room.
+/// Jobs do not move once they have begun, so the tasks of that worker would never start again.
+#[test]
+fn long_running_jobs_leave_room_in_a_cell_while_others_can_take_them() {
+    let mut fixture = cell_for_long_running_jobs(2);
+    assert_eq!(fixture.store().len(), 6, "the fourth job does not begin");
+    plan_moves(&mut fixture);
+    let batch = fixture.batch().expect("a move is to be stored");
+    let moves: Vec<&JobIdentity> = batch.moves.iter().map(|job_move| &job_move.job).collect();
+    assert_eq!(moves, [&identity(&"d".repeat(16))]);
+}
+
+/// Many short jobs wait in a full cell as well. A long-running job that waits for another cell
+/// begins here after a while, and can never leave then.
+#[test]
+fn long_running_job_that_waits_for_another_cell_moves_before_others() {
+    let mut fixture = cell_for_long_running_jobs(2);
+    for digit in 1..=9 {
+        let job = format!("{digit}").repeat(16);
+        fixture.accept(&job, job_spec(vec![step(20, 2_000)]));
+    }
+    fixture.step();
+    fixture.store();
+    fixture.now += 400;
+    plan_moves(&mut fixture);
+    let batch = fixture.batch().expect("moves are to be stored");
+    assert_eq!(batch.moves[0].job, identity(&"d".repeat(16)));
+}
+
+#[test]
+fn long_running_job_that_no_other_cell_takes_begins_after_a_while() {
+    let mut fixture = cell_for_long_running_jobs(2);
+    assert_eq!(fixture.store().len(), 6);
+    for _ in 0..19 {
+        fixture.wait(100);
+        assert!(fixture.batch().is_none(), "begun after {} ms", fixture.now);
+        for name in ["w-1", "w-2", "w-3", "w-4"] {
+            fixture.answer(name, &[], &[]);
+        }
+    }
+    fixture.wait(200);
+    assert_eq!(fixture.store().len(), 2);
+}
+
+#[test]
+fn long_running_jobs_fill_the_only_cell() {
+    let mut fixture = cell_for_long_running_jobs(1);
+    assert_eq!(fixture.store().len(), 8);
+}
