Move waiting long-running jobs after 0.3 s, and take no entry without a start for a restart

A job that waits for another cell moved at once, also out of the cell that it had just moved to.

An entry that does not say when its worker started, as another writer may leave one, counted as a restart: the worker got no task until it responded, at each such entry. The test failed with the check taken out.

--- a/crates/jobs/src/owner/job_owner/moves.rs
+++ b/crates/jobs/src/owner/job_owner/moves.rs
@@ -35,10 +35,23 @@
         now: MonoTime,
         unix_ms: u64,
     ) {
+        for (key, target) in self.choose_moves(own, choice, now, unix_ms) {
+            self.leave_cell(&key, target, now);
+        }
+    }
+
+    /// Waiting jobs that move now, and where to.
+    fn choose_moves(
+        &self,
+        own: CellNumber,
+        choice: &CellChoice<'_>,
+        now: MonoTime,
+        unix_ms: u64,
+    ) -> Vec<(WaitKey, CellNumber)> {
         let own_load = self.cell_load(now);
         let mut taken: SortedTable<CellNumber, JobNeed> = SortedTable::new();
-        let mut held: Vec<(WaitKey, CellNumber)> = Vec::new();
-        let mut delayed: Vec<(WaitKey, CellNumber)> = Vec::new();
+        let mut held = Vec::new();
+        let mut delayed = Vec::new();
         for key in self.waiting.keys() {
             if held.len() >= HELD_MOVES_PER_VIEW_MAX {
                 break;
@@ -46,7 +59,8 @@
             let Some(entry) = self.jobs.get(&key.job) else {
                 continue;
             };
-            if entry.progress.standing != JobStanding::Waiting {
+            let waited_ms = now.millis_since(entry.since);
+            if entry.progress.standing != JobStanding::Waiting || waited_ms < MOVE_AFTER_MS {
                 continue;
             }
             let service = self.service_of(&entry.spec.queue, &entry.spec.terms.service);
@@ -57,18 +71,14 @@
                     let need = taken.get_or_insert_with(target, JobNeed::default);
                     *need = need.plus(&JobNeed::from(&*entry.spec));
                 }
-            } else if delayed.len() < MOVES_PER_VIEW_MAX
-                && now.millis_since(entry.since) >= MOVE_AFTER_MS
-            {
+            } else if delayed.len() < MOVES_PER_VIEW_MAX {
                 let target = choice.for_waiting_job(&entry.spec, &service, own, &own_load);
                 delayed.extend(target.map(|target| (*key, target)));
             }
         }
         let rest = MOVES_PER_VIEW_MAX.saturating_sub(held.len());
-        let moves = held.into_iter().chain(delayed.into_iter().take(rest));
-        for (key, target) in moves {
-            self.leave_cell(&key, target, now);
-        }
+        held.extend(delayed.into_iter().take(rest));
+        held
     }
 
     fn leave_cell(&mut self, key: &WaitKey, target: CellNumber, now: MonoTime) {
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -121,11 +121,13 @@
     }
 
     /// Whether an entry is the first of another incarnation than the known one. An old entry
-    /// that arrives late is not.
+    /// that arrives late is not, nor is one that does not say when the worker started.
     #[must_use]
     pub fn shows_restart(&self, entry: &WorkerEntry) -> bool {
         let is_new = |before: &WorkerEntry| before.incarnation != entry.incarnation;
-        self.entry.as_ref().is_some_and(is_new)
+        let says_start = entry.incarnation != WorkerIncarnation::default();
+        says_start
+            && self.entry.as_ref().is_some_and(is_new)
             && self
                 .known
                 .is_some_and(|known| known.incarnation() != entry.incarnation)
--- a/crates/jobs/tests/owner/incarnations.rs
+++ b/crates/jobs/tests/owner/incarnations.rs
@@ -150,3 +150,18 @@
         assert!(fixture.batch().is_none(), "given up too early");
     }
 }
+
+/// An entry of another writer does not say when the worker started. That is no restart.
+#[test]
+fn entry_without_a_start_changes_nothing() {
+    let mut fixture = fixture_with_stored_end();
+    let mut entry = worker("w-1", 2_000);
+    entry.incarnation = WorkerIncarnation::default();
+    let now = fixture.time();
+    fixture
+        .owner
+        .apply_worker_event(WorkerEvent::Present(entry), now);
+    fixture.accept(LATER_JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {LATER_TASK}#1 at w-1")]);
+}
--- a/crates/jobs/tests/owner/moves.rs
+++ b/crates/jobs/tests/owner/moves.rs
@@ -142,6 +142,7 @@
 fn long_running_jobs_leave_room_in_a_cell_while_others_can_take_them() {
     let mut fixture = cell_for_long_running_jobs(2);
     assert_eq!(fixture.store().len(), 6, "the fourth job does not begin");
+    fixture.now += 400;
     plan_moves(&mut fixture);
     let batch = fixture.batch().expect("a move is to be stored");
     let moves: Vec<&JobIdentity> = batch.moves.iter().map(|job_move| &job_move.job).collect();
