--- a/crates/jobs/tests/owner/cut_responses.rs
+++ b/crates/jobs/tests/owner/cut_responses.rs
@@ -1,7 +1,6 @@
 //! Responses that are cut at the limit of an answer: what they leave out is not known.
 
 use sapphirestile_jobs::EndKind;
-use sapphirestile_jobs::JobStanding;
 use sapphirestile_jobs::StartOutcome;
 
 use crate::owner_fixture::OwnerFixture;
@@ -44,9 +43,7 @@
     let second = ended(2, &task(1), 1, EndKind::Done);
     let third = ended(3, &task(2), 1, EndKind::Done);
     fixture.answer("w-1", &[], &[second, third]);
-    assert!(fixture.step().is_empty());
-    let batch = fixture.batch().expect("the ends are to be stored");
-    assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
+    fixture.assert_completed();
 }
 
 /// The rest of the ends does not have the run either, so it is lost and starts again.
--- a/crates/jobs/tests/owner/incarnations.rs
+++ b/crates/jobs/tests/owner/incarnations.rs
@@ -2,7 +2,6 @@
 //! the next, which counts its ends from 1 again.
 
 use sapphirestile_jobs::EndKind;
-use sapphirestile_jobs::JobStanding;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::WorkerEvent;
@@ -43,9 +42,7 @@
     fixture.step();
     let end = ended(1, LATER_TASK, 1, EndKind::Done);
     fixture.respond_as_incarnation("w-1", 2, &[], &[end]);
-    assert!(fixture.step().is_empty());
-    let batch = fixture.batch().expect("the completion is to be stored");
-    assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
+    fixture.assert_completed();
 }
 
 /// A worker restarts while the end of a run is being stored. The number of that end belongs
--- a/crates/jobs/tests/owner/leases_and_restarts.rs
+++ b/crates/jobs/tests/owner/leases_and_restarts.rs
@@ -81,9 +81,7 @@
     fixture.step();
     assert!(fixture.batch().is_none(), "the outcome of the poll is open");
     fixture.answer("w-1", &[], &[ended(1, TASK, 1, EndKind::Done)]);
-    assert!(fixture.step().is_empty());
-    let batch = fixture.batch().expect("the completion is to be stored");
-    assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
+    fixture.assert_completed();
 }
 
 /// The worker is listed, so it lives, but it cannot be reached while its lease ends. It may
@@ -108,9 +106,7 @@
         assert!(fixture.batch().is_none(), "given up at {} ms", fixture.now);
     }
     fixture.answer("w-1", &[], &[ended(1, TASK, 1, EndKind::Done)]);
-    assert!(fixture.step().is_empty());
-    let batch = fixture.batch().expect("the completion is to be stored");
-    assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
+    fixture.assert_completed();
 }
 
 /// The owner was suspended. A poll that failed before says nothing about the worker now.
@@ -127,9 +123,7 @@
     fixture.step();
     assert!(fixture.batch().is_none(), "w-1 was not asked again");
     fixture.answer("w-1", &[], &[ended(1, TASK, 1, EndKind::Done)]);
-    assert!(fixture.step().is_empty());
-    let batch = fixture.batch().expect("the completion is to be stored");
-    assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
+    fixture.assert_completed();
 }
 
 #[test]
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -14,6 +14,7 @@
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_jobs::JobSpec;
+use sapphirestile_jobs::JobStanding;
 use sapphirestile_jobs::OwnerEffect;
 use sapphirestile_jobs::OwnerLimits;
 use sapphirestile_jobs::PollOutcome;
@@ -223,6 +224,15 @@
             .handle_poll_outcome(&worker, number, outcome, now, self.now);
     }
 
+    /// Checks that nothing starts, and that the next batch stores the only changed job as
+    /// completed.
+    pub fn assert_completed(&mut self) {
+        assert!(self.step().is_empty(), "something was started or stopped");
+        let batch = self.batch().expect("the completion is to be stored");
+        assert_eq!(batch.progress.len(), 1, "jobs that changed");
+        assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
+    }
+
     /// Number of the latest poll of a worker; 0 if there was none.
     pub fn latest_poll(&self, worker: &str) -> u64 {
         let poll = self.polls.get(&worker_name(worker));
