Log which workers an owner waits for, and how it lost its term

A worker that does not respond left no line, nor did the time that its runs wait; 'deposed' did not say to whom, and a claim not whose row it took.

Change: one line for each silence of a worker with runs, with the time until its leases have ended, whether it is listed and whether another incarnation answers at its address; a line for each way to learn of being deposed; the age and the owner of the row in a claim; commits that needed more than one attempt. The silence of a worker is a type of its own. No decision changes.

Measured: tests of jobs and entry pass.

--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -126,6 +126,8 @@
             DecisionEvent::PassedOver { .. }
             | DecisionEvent::WorkerRestarted { .. }
             | DecisionEvent::RunsMissing { .. }
+            | DecisionEvent::WorkerSilent { .. }
+            | DecisionEvent::Fenced { .. }
             | DecisionEvent::JobEnded { .. } => return,
         };
         self.runs.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -116,11 +116,18 @@
             removals,
         };
         let mut backoff = RetryBackoff::default();
+        let began = Instant::now();
+        let mut attempts: u32 = 0;
         loop {
+            attempts += 1;
             let started = Instant::now();
             let result = self.context.commit_rows(&commit, COMMIT_TIMEOUT);
             match result {
                 Ok(CommitAnswer::Stored { revision }) => {
+                    if attempts > 1 {
+                        let took_ms = began.elapsed().as_millis();
+                        tracing::info!(%cell, epoch = row.epoch, attempts, took_ms, "batch stored after retries");
+                    }
                     self.claim = OwnershipClaim {
                         cell,
                         row,
@@ -148,6 +155,14 @@
         }
         let stored: Option<OwnershipRow> = RowCodec::decode(&found.value);
         if stored.as_ref() != Some(&row) {
+            let next = stored.as_ref();
+            tracing::warn!(
+                %cell,
+                epoch = row.epoch,
+                next_epoch = next.map(|next| next.epoch),
+                next_daemon = next.map(|next| &*next.daemon),
+                "another daemon has written the row of the cell"
+            );
             return PartOutcome::Deposed;
         }
         self.claim = OwnershipClaim {
--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -55,6 +55,22 @@
                     let (stored_end, life_unix_ms) = (stored_end.number, incarnation.unix_ms());
                     tracing::info!(%cell, epoch, %worker, earlier_unix_ms, life_unix_ms, stored_end, "worker restarted");
                 }
+                DecisionEvent::WorkerSilent {
+                    worker,
+                    runs,
+                    is_listed,
+                    has_responded,
+                    is_replaced,
+                    lease_left_ms,
+                } => {
+                    tracing::info!(
+                        %cell, epoch, %worker, runs, is_listed, has_responded, is_replaced,
+                        lease_left_ms, "worker does not respond; its runs wait for its leases"
+                    );
+                }
+                DecisionEvent::Fenced { worker } => {
+                    tracing::warn!(%cell, epoch, %worker, "worker has seen a higher epoch");
+                }
                 DecisionEvent::RunsMissing {
                     worker,
                     runs,
--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -110,10 +110,14 @@
         }
         let epoch = table.highest_epoch();
         let claimed = self.context.clock.now();
+        let head = table.heads.get(&cell);
         tracing::info!(
             %cell,
             epoch,
             revision,
+            previous = head.map(|head| &*head.row.daemon),
+            is_released = head.is_some_and(|head| head.row.is_released),
+            row_age_ms = head.map_or(0, |head| claimed.millis_since(head.changed)),
             "owner failed or released the cell; claiming it"
         );
         if let Some(claim) = self.claim(cell, revision, epoch) {
--- a/crates/entry/src/owner/ownership_term.rs
+++ b/crates/entry/src/owner/ownership_term.rs
@@ -155,6 +155,8 @@
         tracing::warn!(
             cell = %self.cell,
             epoch = self.owner.epoch().get(),
+            since_batch_ms = self.schedule.since_batch_ms(self.context.clock.now()),
+            is_storing = self.owner.is_storing(),
             "deposed: another daemon owns the cell"
         );
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -111,3 +111,4 @@
 pub use worker::WorkerEntry;
 pub use worker::WorkerEvent;
 pub use worker::WorkerIncarnation;
+pub use worker::WorkerSilence;
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -55,6 +55,27 @@
         /// Later incarnation.
         incarnation: WorkerIncarnation,
     },
+    /// A worker with runs does not respond. Its runs are given up once every lease that it
+    /// may hold has ended.
+    WorkerSilent {
+        /// Worker that does not respond.
+        worker: WorkerName,
+        /// Number of its runs.
+        runs: usize,
+        /// Whether the worker is in the list.
+        is_listed: bool,
+        /// Whether the worker has responded to this owner before.
+        has_responded: bool,
+        /// Whether another incarnation answered at the worker's address.
+        is_replaced: bool,
+        /// Time until every lease that it may hold has ended, in milliseconds.
+        lease_left_ms: u64,
+    },
+    /// A worker has refused a request because it has seen a higher epoch.
+    Fenced {
+        /// Worker that refused.
+        worker: WorkerName,
+    },
     /// A response of a worker does not list runs that it must list if they existed.
     RunsMissing {
         /// Worker that responded.
--- a/crates/jobs/src/owner/job_owner/expiry.rs
+++ b/crates/jobs/src/owner/job_owner/expiry.rs
@@ -1,5 +1,6 @@
 //! Expiry of leases, and clean-up of jobs and workers.
 
+use crate::owner::DecisionEvent;
 use crate::owner::JobOwner;
 use crate::owner::OwnerEffect;
 use crate::owner::RunCause;
@@ -7,6 +8,7 @@
 use crate::spec::TaskIdentity;
 use crate::worker::RunState;
 use crate::worker::TrackedWorker;
+use crate::worker::WorkerSilence;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
@@ -21,6 +23,7 @@
         let names: Vec<WorkerName> = self.workers.keys().cloned().collect();
         for name in names {
             self.send_due_stops(&name, now);
+            self.report_silence(&name, now);
             self.expire_leases(&name, now, unix_ms);
         }
         self.handle_stragglers(now);
@@ -28,6 +31,41 @@
         self.forget_jobs(now);
     }
 
+    /// Reports once that a worker with runs does not respond, and how long they wait.
+    fn report_silence(&mut self, name: &WorkerName, now: MonoTime) {
+        let inherited_lease_end = self.inherited_lease_end();
+        let Some(tracked) = self.workers.get_mut(name) else {
+            return;
+        };
+        if tracked.runs.is_empty() || !tracked.is_silent(now) {
+            return;
+        }
+        let silence = tracked.silence.get_or_insert(WorkerSilence {
+            poll_sent: MonoTime::default(),
+            is_replaced: false,
+            is_reported: false,
+        });
+        if silence.is_reported {
+            return;
+        }
+        silence.is_reported = true;
+        let is_replaced = silence.is_replaced;
+        let lease_left_ms = match tracked.clock() {
+            Some(clock) => clock.lapses_after_ms(now),
+            None => inherited_lease_end
+                .max(tracked.unknown_leases_end)
+                .millis_since(now),
+        };
+        self.decisions.push(DecisionEvent::WorkerSilent {
+            worker: name.clone(),
+            runs: tracked.runs.len(),
+            is_listed: tracked.is_listed,
+            has_responded: tracked.known.is_some(),
+            is_replaced,
+            lease_left_ms,
+        });
+    }
+
     /// Gives up the runs of a worker whose lease has ended and which does not respond. A
     /// worker that responds lists how its runs ended. One that is still listed lives: it may
     /// have completed a run before its lease ended, so only long-running runs, which never
--- a/crates/jobs/src/owner/job_owner/polling.rs
+++ b/crates/jobs/src/owner/job_owner/polling.rs
@@ -5,6 +5,7 @@
 use crate::owner::PollRequest;
 use crate::worker::PollOutcome;
 use crate::worker::TrackedWorker;
+use crate::worker::WorkerSilence;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
@@ -86,6 +87,7 @@
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
+        let is_replaced = outcome == PollOutcome::OtherIncarnation;
         match outcome {
             PollOutcome::Responded(response) => {
                 self.apply_response(name, number, &response, now, unix_ms);
@@ -98,11 +100,15 @@
                 } else {
                     MonoTime::default()
                 };
-                tracked.unanswered_poll = Some(sent);
+                tracked.silence = Some(WorkerSilence {
+                    poll_sent: sent,
+                    is_replaced,
+                    is_reported: tracked.silence.is_some_and(|silence| silence.is_reported),
+                });
                 tracked.is_polling = false;
                 tracked.next_poll = now.plus_millis(POLL_RETRY_MS);
             }
-            PollOutcome::Fenced => self.is_deposed = true,
+            PollOutcome::Fenced => self.note_fenced(name),
         }
     }
 }
--- a/crates/jobs/src/owner/job_owner/requests.rs
+++ b/crates/jobs/src/owner/job_owner/requests.rs
@@ -1,5 +1,6 @@
 //! Requests to start and stop runs, and handling of their outcomes.
 
+use crate::owner::DecisionEvent;
 use crate::owner::JobOwner;
 use crate::owner::OwnerEffect;
 use crate::owner::RunCause;
@@ -88,7 +89,7 @@
         unix_ms: u64,
     ) {
         if outcome == StartOutcome::Fenced {
-            self.is_deposed = true;
+            self.note_fenced(worker);
             return;
         }
         let Some((run, poll)) = self.run_and_poll(worker, task, number) else {
@@ -132,6 +133,14 @@
         (run.run == number).then_some((run, poll))
     }
 
+    /// Records that a worker has seen a higher epoch, so that another owner has taken over.
+    pub(super) fn note_fenced(&mut self, worker: &WorkerName) {
+        self.is_deposed = true;
+        self.decisions.push(DecisionEvent::Fenced {
+            worker: worker.clone(),
+        });
+    }
+
     fn record_worker_failure(&mut self, worker: &WorkerName, now: MonoTime) {
         if let Some(tracked) = self.workers.get_mut(worker) {
             tracked.breaker.record_failure(now);
@@ -148,7 +157,7 @@
         now: MonoTime,
     ) {
         if outcome == StopOutcome::Fenced {
-            self.is_deposed = true;
+            self.note_fenced(worker);
             return;
         }
         let Some((run, poll)) = self.run_and_poll(worker, task, number) else {
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -45,7 +45,7 @@
             return;
         };
         tracked.last_response = now;
-        tracked.unanswered_poll = None;
+        tracked.silence = None;
         let unstored = response
             .ended
             .runs()
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -2,8 +2,9 @@
 //!
 //! The list of workers has a [`WorkerEntry`] for each, and changes by [`WorkerEvent`]s. A
 //! [`TrackedWorker`] is what the owner knows about one: its [`RunEntry`]s, each in a
-//! [`RunState`], its [`WorkerBreaker`], and its [`KnownIncarnation`], which has the
-//! [`WorkerClock`] and the [`EndPosition`] of the [`WorkerIncarnation`] that responded last. Polling a worker gives a
+//! [`RunState`], its [`WorkerBreaker`], its [`WorkerSilence`] while it does not respond, and
+//! its [`KnownIncarnation`], which has the [`WorkerClock`] and the [`EndPosition`] of the
+//! [`WorkerIncarnation`] that responded last. Polling a worker gives a
 //! [`PollOutcome`]; the [`PollResponse`] in it lists [`RunningRun`]s and, in an
 //! [`EndList`], [`EndedRun`]s with an [`EndKind`]. Requests to start and stop runs give a
 //! [`StartOutcome`] or a [`StopOutcome`].
@@ -26,6 +27,7 @@
 mod worker_entry;
 mod worker_event;
 mod worker_incarnation;
+mod worker_silence;
 
 pub use end_kind::EndKind;
 pub use end_list::EndList;
@@ -45,3 +47,4 @@
 pub use worker_entry::WorkerEntry;
 pub use worker_event::WorkerEvent;
 pub use worker_incarnation::WorkerIncarnation;
+pub use worker_silence::WorkerSilence;
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -10,6 +10,7 @@
 use crate::worker::WorkerClock;
 use crate::worker::WorkerEntry;
 use crate::worker::WorkerIncarnation;
+use crate::worker::WorkerSilence;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
 
@@ -51,10 +52,10 @@
     pub last_response: MonoTime,
     /// When the latest poll was sent; the default before the first.
     pub poll_sent: MonoTime,
-    /// When the latest poll with an outcome was sent, if it got no response. Leases are not
-    /// extended then: a poll that arrives late would keep runs alive that the owner knows
-    /// nothing about.
-    pub unanswered_poll: Option<MonoTime>,
+    /// Silence since the latest poll with an outcome; `None` if that got a response. Leases
+    /// are not extended during it: a poll that arrives late would keep runs alive that the
+    /// owner knows nothing about.
+    pub silence: Option<WorkerSilence>,
     /// Earliest time of the next poll.
     pub next_poll: MonoTime,
     /// When a run last completed on the worker, or the worker was first known.
@@ -83,7 +84,7 @@
             batch_wait_since: None,
             last_response: now,
             poll_sent: MonoTime::default(),
-            unanswered_poll: None,
+            silence: None,
             next_poll: MonoTime::default(),
             last_completion: now,
             breaker: WorkerBreaker::default(),
@@ -203,7 +204,7 @@
     /// Whether the latest poll with an outcome got no response.
     #[must_use]
     pub const fn is_unresponsive(&self) -> bool {
-        self.unanswered_poll.is_some()
+        self.silence.is_some()
     }
 
     /// Whether a recent poll got no response, or the worker cannot be polled. Only then is
@@ -211,10 +212,12 @@
     /// says which of them completed before the lease ended.
     #[must_use]
     pub fn is_silent(&self, now: MonoTime) -> bool {
-        match (&self.entry, self.unanswered_poll) {
+        match (&self.entry, self.silence) {
             (None, _) => true,
             (Some(_), None) => false,
-            (Some(_), Some(sent)) => now.millis_since(sent) <= UNANSWERED_AGE_MAX_MS,
+            (Some(_), Some(silence)) => {
+                now.millis_since(silence.poll_sent) <= UNANSWERED_AGE_MAX_MS
+            }
         }
     }
 
--- a/crates/jobs/src/worker/worker_clock.rs
+++ b/crates/jobs/src/worker/worker_clock.rs
@@ -26,6 +26,7 @@
 /// clock.grant(486_000);
 /// assert!(!clock.has_lapsed(MonoTime::from_millis(4_900)));
 /// assert!(clock.has_lapsed(MonoTime::from_millis(5_100)));
+/// assert_eq!(clock.lapses_after_ms(MonoTime::from_millis(4_900)), 169);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WorkerClock {
@@ -77,4 +78,17 @@
         let clock_ms = self.clock_ms.saturating_add(least_ms);
         clock_ms >= self.lease_end_ms.saturating_add(LAPSE_MARGIN_MS)
     }
+
+    /// Time after `now` at which every lease that was sent has certainly expired, in
+    /// milliseconds; 0 if it has already.
+    #[must_use]
+    pub const fn lapses_after_ms(&self, now: MonoTime) -> u64 {
+        let lease_ms = self
+            .lease_end_ms
+            .saturating_add(LAPSE_MARGIN_MS)
+            .saturating_sub(self.clock_ms);
+        // One more than the drift, so that the rounding of `has_lapsed` is covered.
+        let elapsed_ms = lease_ms + lease_ms / (DRIFT_DIVISOR - 1) + 1;
+        elapsed_ms.saturating_sub(now.millis_since(self.read_at))
+    }
 }
