End the runs of a worker when another one answers at its address

Cause, one of three: workers that lose power come back under other names at their addresses and answer 421 within 2 s. The owner took that for silence and waited for leases of incarnations that were over.

Change: an answer of another worker at the address of the entry ends the runs that were assigned to the incarnation of that entry and that the poll covers. A process has its address for as long as it lives. Runs of another incarnation than the listed one, of an entry with another address, and starts that are on their way are left alone. Runs keep the incarnation that they were assigned to.

Measured: the first of the four new tests failed before; the others guard the limits of the conclusion.

--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -197,6 +197,7 @@
     match cause {
         RunCause::Ended(_) => "ended",
         RunCause::NotShown => "not_shown",
+        RunCause::Replaced => "replaced",
         RunCause::Lapsed => "lapsed",
         RunCause::NotTaken(_) => "not_taken",
         RunCause::Withdrawn => "withdrawn",
--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -13,6 +13,7 @@
 use crate::worker::RunEntry;
 use crate::worker::RunState;
 use crate::worker::TrackedWorker;
+use crate::worker::WorkerIncarnation;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
@@ -107,11 +108,13 @@
             "run {run} of {task} does not exceed its latest run"
         );
         progress.run = run;
+        let incarnation = tracked.incarnation();
         progress.stage = TaskStage::Assigned(Assignment {
             worker: worker.clone(),
-            incarnation: tracked.incarnation(),
+            incarnation,
         });
-        tracked.add_run(task, Self::run_entry(run, demand, RunState::Planned, now));
+        let entry = Self::run_entry(run, incarnation, demand, RunState::Planned, now);
+        tracked.add_run(task, entry);
         self.changed.insert(task.job, ());
         self.decisions.push(DecisionEvent::Assigned {
             task,
@@ -135,6 +138,7 @@
 
     pub(super) fn run_entry(
         run: u32,
+        incarnation: WorkerIncarnation,
         demand: &TaskDemand<'_>,
         state: RunState,
         now: MonoTime,
@@ -142,6 +146,7 @@
         let step = demand.step;
         RunEntry {
             run,
+            incarnation,
             size: step.size,
             is_best_effort: step.is_best_effort,
             is_long_running: step.is_long_running,
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -176,7 +176,9 @@
                         image: self.image_of(step_spec),
                         needs_ticket: false,
                     };
-                    let run = Self::run_entry(task.run, &demand, RunState::Inherited, now);
+                    let incarnation = assignment.incarnation;
+                    let run =
+                        Self::run_entry(task.run, incarnation, &demand, RunState::Inherited, now);
                     let worker = self
                         .workers
                         .get_or_insert_with(assignment.worker.clone(), || {
--- a/crates/jobs/src/owner/job_owner/polling.rs
+++ b/crates/jobs/src/owner/job_owner/polling.rs
@@ -3,6 +3,7 @@
 use crate::owner::JobOwner;
 use crate::owner::OwnerEffect;
 use crate::owner::PollRequest;
+use crate::owner::RunCause;
 use crate::worker::PollOutcome;
 use crate::worker::TrackedWorker;
 use crate::worker::WorkerSilence;
@@ -51,6 +52,7 @@
         let known = tracked.known.filter(|_| !tracked.is_unresponsive());
         tracked.poll += 1;
         tracked.poll_sent = now;
+        tracked.poll_address = Some(address);
         tracked.is_polling = true;
         tracked.batch_wait_since = None;
         let wait_ms = match (&mut tracked.known, lease_end_ms) {
@@ -107,10 +109,24 @@
                 });
                 tracked.is_polling = false;
                 tracked.next_poll = now.plus_millis(POLL_RETRY_MS);
+                if is_replaced {
+                    self.finish_replaced(name, number, now, unix_ms);
+                }
             }
             PollOutcome::Fenced => self.note_fenced(name),
         }
     }
+
+    /// Finishes the runs of an incarnation whose address another worker has now: a process
+    /// has its address for as long as it lives.
+    fn finish_replaced(&mut self, name: &WorkerName, number: u64, now: MonoTime, unix_ms: u64) {
+        let Some(tracked) = self.workers.get(name) else {
+            return;
+        };
+        for task in tracked.runs_over_if_replaced(number) {
+            self.finish_run(name, &task, RunCause::Replaced, now, unix_ms);
+        }
+    }
 }
 
 fn is_due(tracked: &TrackedWorker, now: MonoTime) -> bool {
--- a/crates/jobs/src/owner/run_cause.rs
+++ b/crates/jobs/src/owner/run_cause.rs
@@ -10,6 +10,8 @@
     Ended(EndKind),
     /// A response to a poll that must list the run does not.
     NotShown,
+    /// Another worker has the address of the incarnation that the run was assigned to.
+    Replaced,
     /// The lease of the run has certainly expired.
     Lapsed,
     /// The worker did not accept the start request.
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -6,6 +6,7 @@
 use crate::spec::ResourceVector;
 use crate::spec::TaskIdentity;
 use crate::worker::RunState;
+use crate::worker::WorkerIncarnation;
 use sapphirestile_core::MonoTime;
 
 /// A run younger than this can restart elsewhere without a checkpoint at little loss, in
@@ -26,6 +27,8 @@
 pub struct RunEntry {
     /// Number of the run within its task.
     pub run: u32,
+    /// Incarnation of the worker that the run was assigned to; the default if not known.
+    pub incarnation: WorkerIncarnation,
     /// Resources that the run needs.
     pub size: ResourceVector,
     /// Whether the run uses idle processor time instead of reserving its own.
@@ -101,6 +104,19 @@
         })
     }
 
+    /// Whether a poll with this number, answered at an address that only `incarnation` had
+    /// before, must have shown the run if it still existed.
+    #[must_use]
+    pub fn is_covered_by(&self, poll_number: u64, incarnation: WorkerIncarnation) -> bool {
+        let was_known = match self.state {
+            RunState::Running { poll } | RunState::Stopping { poll } => poll_number > poll,
+            RunState::Inherited => true,
+            RunState::Planned | RunState::Starting | RunState::StopPending => false,
+        };
+        let says_start = incarnation != WorkerIncarnation::default();
+        was_known && says_start && self.incarnation == incarnation
+    }
+
     /// Whether the run is being stopped.
     #[must_use]
     pub const fn is_ending(&self) -> bool {
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -1,5 +1,7 @@
 //! The owner's view of a worker.
 
+use std::net::SocketAddr;
+
 use crate::pacing::BestEffortRun;
 use crate::pacing::ServingRun;
 use crate::spec::ResourceVector;
@@ -52,6 +54,8 @@
     pub last_response: MonoTime,
     /// When the latest poll was sent; the default before the first.
     pub poll_sent: MonoTime,
+    /// Address that the latest poll was sent to; `None` before the first.
+    pub poll_address: Option<SocketAddr>,
     /// Silence since the latest poll with an outcome; `None` if that got a response. Leases
     /// are not extended during it: a poll that arrives late would keep runs alive that the
     /// owner knows nothing about.
@@ -84,6 +88,7 @@
             batch_wait_since: None,
             last_response: now,
             poll_sent: MonoTime::default(),
+            poll_address: None,
             silence: None,
             next_poll: MonoTime::default(),
             last_completion: now,
@@ -201,6 +206,24 @@
         removed
     }
 
+    /// Runs that are over if another worker answers the poll with this number: those of the
+    /// incarnation that has written the entry, which had the address. None if that is not the
+    /// latest poll, or if the entry has another address now.
+    #[must_use]
+    pub fn runs_over_if_replaced(&self, poll_number: u64) -> Vec<TaskIdentity> {
+        let Some(entry) = &self.entry else {
+            return Vec::new();
+        };
+        if poll_number != self.poll || self.poll_address != Some(entry.address) {
+            return Vec::new();
+        }
+        self.runs
+            .iter()
+            .filter(|(_, run)| run.is_covered_by(poll_number, entry.incarnation))
+            .map(|(task, _)| *task)
+            .collect()
+    }
+
     /// Whether the latest poll with an outcome got no response.
     #[must_use]
     pub const fn is_unresponsive(&self) -> bool {
--- a/crates/jobs/tests/owner/incarnations.rs
+++ b/crates/jobs/tests/owner/incarnations.rs
@@ -1,9 +1,16 @@
 //! Workers that restart under their names: what is known of one incarnation says nothing of
 //! the next, which counts its ends from 1 again.
 
+use sapphirestile_jobs::Assignment;
 use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::JobIdentity;
+use sapphirestile_jobs::JobProgress;
+use sapphirestile_jobs::JobStanding;
+use sapphirestile_jobs::OccurrenceProgress;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::StartOutcome;
+use sapphirestile_jobs::StoredJob;
+use sapphirestile_jobs::TaskStage;
 use sapphirestile_jobs::WorkerEvent;
 use sapphirestile_jobs::WorkerIncarnation;
 
@@ -14,6 +21,7 @@
 use crate::test_values::job_spec;
 use crate::test_values::step;
 use crate::test_values::worker;
+use crate::test_values::worker_name;
 
 const JOB: &str = "aaaaaaaaaaaaaaaa";
 const TASK: &str = "aaaaaaaaaaaaaaaa.0.0.0";
@@ -162,3 +170,83 @@
     fixture.step();
     assert_eq!(fixture.store(), [format!("start {LATER_TASK}#1 at w-1")]);
 }
+
+/// Workers that lose power come back under other names at their addresses.
+#[test]
+fn long_running_task_waits_for_no_lease_of_a_worker_whose_address_another_has() {
+    let mut fixture = OwnerFixture::claimed(vec![worker("w-1", 2_000), worker("w-2", 2_000)]);
+    fixture
+        .owner
+        .restore_job(long_running_job(1), fixture.time(), fixture.now);
+    fixture.answer("w-2", &[], &[]);
+    fixture.finish_poll("w-1", PollOutcome::OtherIncarnation);
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {TASK}#5 at w-2")]);
+}
+
+/// The list of workers is behind: the run is at a later incarnation, at another address.
+#[test]
+fn run_of_a_later_incarnation_than_the_listed_one_is_not_given_up() {
+    let mut fixture = OwnerFixture::claimed(vec![worker("w-1", 2_000), worker("w-2", 2_000)]);
+    fixture
+        .owner
+        .restore_job(long_running_job(2), fixture.time(), fixture.now);
+    fixture.answer("w-2", &[], &[]);
+    fixture.finish_poll("w-1", PollOutcome::OtherIncarnation);
+    fixture.step();
+    assert!(fixture.batch().is_none(), "the run was given up");
+}
+
+#[test]
+fn answer_from_an_earlier_address_of_a_worker_ends_no_run() {
+    let mut fixture = OwnerFixture::claimed(vec![worker("w-1", 2_000), worker("w-2", 2_000)]);
+    fixture
+        .owner
+        .restore_job(long_running_job(1), fixture.time(), fixture.now);
+    fixture.answer("w-2", &[], &[]);
+    let mut moved = worker("w-1", 2_000);
+    moved.address.set_port(2);
+    fixture
+        .owner
+        .apply_worker_event(WorkerEvent::Present(moved), fixture.time());
+    fixture.finish_poll("w-1", PollOutcome::OtherIncarnation);
+    fixture.step();
+    assert!(fixture.batch().is_none(), "the run was given up");
+}
+
+#[test]
+fn answer_to_a_poll_before_a_start_was_accepted_does_not_end_the_run() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 2_000)]);
+    fixture.step();
+    fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {TASK}#1 at w-1")]);
+    fixture.started("w-1", TASK, 1, StartOutcome::Accepted);
+    fixture.finish_poll("w-1", PollOutcome::OtherIncarnation);
+    fixture.step();
+    assert!(fixture.batch().is_none(), "the run was given up");
+}
+
+/// A long-running job whose task an earlier owner assigned to an incarnation of w-1.
+fn long_running_job(incarnation: u64) -> StoredJob {
+    let mut step = step(1, 1_000);
+    step.is_long_running = true;
+    let spec = job_spec(vec![step]);
+    let mut occurrence = OccurrenceProgress::new(0, &spec);
+    occurrence.steps[0].tasks[0].run = 4;
+    occurrence.steps[0].tasks[0].stage = TaskStage::Assigned(Assignment {
+        worker: worker_name("w-1"),
+        incarnation: WorkerIncarnation::from_unix_ms(incarnation),
+    });
+    let progress = JobProgress {
+        standing: JobStanding::Running,
+        begun: 1,
+        occurrences: vec![occurrence],
+    };
+    StoredJob {
+        identity: JobIdentity::try_from(JOB).unwrap(),
+        spec,
+        progress: Some(progress),
+        is_cancelled: false,
+    }
+}
