Keep the bounds on leases with the cell, so that waits do not add up

Cause, two of three: a new owner counted the leases of earlier owners from its own claim, for every worker that had not responded to it. Each further owner began that wait anew. A worker that responded once to a new owner was taken to hold the longest lease that it accepts, 10 s on one deployment.

Change: each batch stores, beside the head of the cell, the time until every lease has ended, for each worker that gets none, and one bound for all others. A claim carries these on, less the time since the claiming daemon first read the row. What is stored must hold: an owner grants no lease before its first batch is stored, none to a worker that its latest batch lists, and again only after a batch without it is stored. A worker that gets no lease is polled every 200 ms; a stored batch brings the poll forward.

Test fixture: batches that change only bounds are stored at once, so 'nothing to store' still means that no job changed; the assertions are as they were.

--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -11,7 +11,6 @@
 
 use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
-use sapphirestile_jobs::CellLoad;
 use sapphirestile_jobs::CommitBatch;
 use sapphirestile_jobs::QueueCount;
 
@@ -83,11 +82,7 @@
         loop {
             let (writes, removals) = rows.take_commit();
             let is_released = batch.is_last && rows.is_empty() && !has_moves;
-            let outcome = self.store_part(
-                (writes, removals, Vec::new()),
-                is_released,
-                batch.load.as_ref(),
-            );
+            let outcome = self.store_part((writes, removals, Vec::new()), is_released, batch);
             if outcome != PartOutcome::Stored {
                 return WriteOutcome::Deposed;
             }
@@ -98,16 +93,16 @@
         self.store_moves(batch)
     }
 
-    /// Stores one guarded commit, whose rows are its writes, removals and further guards.
-    /// `is_released` says whether it releases the ownership.
+    /// Stores one guarded commit of a batch, whose rows are its writes, removals and further
+    /// guards. `is_released` says whether it releases the ownership.
     fn store_part(
         &mut self,
         (mut writes, removals, mut guards): (Vec<RowWrite>, Vec<String>, Vec<RowGuard>),
         is_released: bool,
-        load: Option<&CellLoad>,
+        batch: &CommitBatch,
     ) -> PartOutcome {
         let cell = self.claim.cell;
-        let row = self.claim.next_row(is_released, load);
+        let row = self.claim.next_row(is_released, batch);
         writes.push(OwnershipClaim::write_of(cell, &row));
         guards.push(self.claim.guard());
         let commit = StoreCommit {
--- a/crates/entry/src/owner/commit_writer/job_moves.rs
+++ b/crates/entry/src/owner/commit_writer/job_moves.rs
@@ -20,7 +20,7 @@
         for (index, job_move) in batch.moves.iter().enumerate() {
             let is_released = batch.is_last && index + 1 == batch.moves.len();
             let rows = move_rows(self.claim.cell, job_move);
-            match self.store_part(rows, is_released, None) {
+            match self.store_part(rows, is_released, batch) {
                 PartOutcome::Stored => removed.push(job_move.job),
                 PartOutcome::GuardFailed => refused_moves.push(job_move.job),
                 PartOutcome::Deposed => return WriteOutcome::Deposed,
--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -10,8 +10,9 @@
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
 use sapphirestile_jobs::CellLoad;
+use sapphirestile_jobs::LeaseBounds;
 
-use crate::cells::CellTable;
+use crate::cells::CellHead;
 use crate::context::EntryContext;
 use crate::owner::CellClaims;
 use crate::owner::ClaimDelay;
@@ -120,7 +121,17 @@
             row_age_ms = head.map_or(0, |head| claimed.millis_since(head.changed)),
             "owner failed or released the cell; claiming it"
         );
-        if let Some(claim) = self.claim(cell, revision, epoch) {
+        let (load, lease_bounds) = inherited_state(head, claimed);
+        let row = OwnershipRow {
+            epoch: epoch + 1,
+            daemon: self.context.settings.node.name.as_str().into(),
+            incarnation: self.context.incarnation,
+            write: 1,
+            is_released: false,
+            load,
+            lease_bounds,
+        };
+        if let Some(claim) = self.claim(cell, revision, row) {
             self.drive(claim, claimed);
         }
     }
@@ -149,18 +160,9 @@
         }
     }
 
-    /// Claims the ownership row of a cell; `None` when another daemon was faster or this
-    /// one stops.
-    fn claim(&self, cell: CellNumber, revision: u64, epoch: u64) -> Option<OwnershipClaim> {
-        let load = known_load(&self.context.cells.load(), cell);
-        let row = OwnershipRow {
-            epoch: epoch + 1,
-            daemon: self.context.settings.node.name.as_str().into(),
-            incarnation: self.context.incarnation,
-            write: 1,
-            is_released: false,
-            load,
-        };
+    /// Claims a cell by replacing its ownership row; `None` when another daemon was faster or
+    /// this one stops.
+    fn claim(&self, cell: CellNumber, revision: u64, row: OwnershipRow) -> Option<OwnershipClaim> {
         let commit = StoreCommit {
             guards: vec![RowGuard {
                 key: RowKeys::ownership(cell),
@@ -190,11 +192,19 @@
     }
 }
 
-/// The load that the cell's previous owner reported last. It stands until the new owner has
-/// polled its workers.
-fn known_load(table: &CellTable, cell: CellNumber) -> CellLoad {
-    let head = table.heads.get(&cell);
-    head.map(|head| head.row.load.clone()).unwrap_or_default()
+/// The load and the bounds on leases that a claim at `claimed` writes: those of the previous
+/// owner's row `head`, if there is one. The load stands until the new owner has polled its
+/// workers. The bounds count from when this daemon first read the row, which was written
+/// before that.
+fn inherited_state(head: Option<&CellHead>, claimed: MonoTime) -> (CellLoad, LeaseBounds) {
+    match head {
+        Some(head) => {
+            let elapsed_ms = claimed.millis_since(head.changed);
+            let lease_bounds = head.row.lease_bounds.after(elapsed_ms);
+            (head.row.load.clone(), lease_bounds)
+        }
+        None => (CellLoad::default(), LeaseBounds::of_all(0)),
+    }
 }
 
 /// The claim, if an earlier call whose answer was lost has stored it.
--- a/crates/entry/src/owner/ownership_claim.rs
+++ b/crates/entry/src/owner/ownership_claim.rs
@@ -1,7 +1,7 @@
 //! The ownership row as written by its owner.
 
 use sapphirestile_core::CellNumber;
-use sapphirestile_jobs::CellLoad;
+use sapphirestile_jobs::CommitBatch;
 
 use crate::ports::RowGuard;
 use crate::ports::RowWrite;
@@ -29,13 +29,15 @@
         }
     }
 
-    /// The row with the next write number, and with the given load if there is a new one.
-    pub fn next_row(&self, is_released: bool, load: Option<&CellLoad>) -> OwnershipRow {
-        let load = load.unwrap_or(&self.row.load);
+    /// The row with the next write number, the bounds on leases of a batch, and its load if
+    /// there is a new one.
+    pub fn next_row(&self, is_released: bool, batch: &CommitBatch) -> OwnershipRow {
+        let load = batch.load.as_ref().unwrap_or(&self.row.load);
         OwnershipRow {
             write: self.row.write + 1,
             is_released,
             load: load.clone(),
+            lease_bounds: batch.lease_bounds.clone(),
             daemon: self.row.daemon.clone(),
             ..self.row
         }
--- a/crates/entry/src/owner/ownership_term/loading.rs
+++ b/crates/entry/src/owner/ownership_term/loading.rs
@@ -85,7 +85,14 @@
     let state = context.operator_state.load();
     let config = state.config.clone().unwrap_or_default();
     let epoch = CellEpoch::new(claim.row.epoch);
-    let mut owner = JobOwner::new(epoch, limits, config, state.zones_out.clone(), claimed);
+    let mut owner = JobOwner::new(
+        epoch,
+        limits,
+        config,
+        state.zones_out.clone(),
+        claim.row.lease_bounds.clone(),
+        claimed,
+    );
     if let Some(learnt) = read_learnt(context, cell) {
         owner.restore_learnt(&learnt);
     }
--- a/crates/entry/src/store/ownership_row.rs
+++ b/crates/entry/src/store/ownership_row.rs
@@ -1,6 +1,7 @@
 //! The row that names the owner of a cell.
 
 use sapphirestile_jobs::CellLoad;
+use sapphirestile_jobs::LeaseBounds;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -23,4 +24,7 @@
     pub is_released: bool,
     /// The load of the cell, as the owner last reported it.
     pub load: CellLoad,
+    /// The bounds on the leases of the cell's workers when the owner took the batch.
+    #[serde(default = "LeaseBounds::unstated")]
+    pub lease_bounds: LeaseBounds,
 }
--- a/crates/entry/tests/cell_claims.rs
+++ b/crates/entry/tests/cell_claims.rs
@@ -47,6 +47,7 @@
             write: 1,
             is_released: false,
             load: sapphirestile_jobs::CellLoad::default(),
+            lease_bounds: sapphirestile_jobs::LeaseBounds::of_all(0),
         },
         revision: 1,
         changed: MonoTime::from_millis(now),
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -1,9 +1,8 @@
 //! The owner of the jobs and workers of a cell.
 //!
-//! A [`JobOwner`] starts from the [`StoredJob`]s, its [`OwnerLimits`] and the
-//! [`LearntTables`] of the previous owner, with a [`LearntCoefficient`] for each pair of
-//! images. It emits changed state as a [`CommitBatch`],
-//! with a [`QueueCount`] for each queue and a [`JobMove`] for each job that goes to another
+//! A [`JobOwner`] starts from the [`StoredJob`]s, its [`OwnerLimits`], and the
+//! [`LeaseBounds`] and [`LearntTables`] of the previous owner, with a [`LearntCoefficient`]
+//! for each pair of images. It emits changed state as a [`CommitBatch`], with a [`QueueCount`] for each queue and a [`JobMove`] for each job that goes to another
 //! cell, and requests to workers and to the advisor as
 //! [`OwnerEffect`]s: a [`StartRequest`], [`StopRequest`], [`PollRequest`] or
 //! [`PaceRequest`]. It reports its decisions as [`DecisionEvent`]s, with a [`RunCause`]
@@ -17,6 +16,7 @@
 mod job_owner;
 mod learnt_coefficient;
 mod learnt_tables;
+mod lease_bounds;
 mod owner_effect;
 mod owner_limits;
 mod pace_request;
@@ -34,6 +34,7 @@
 pub use job_owner::JobOwner;
 pub use learnt_coefficient::LearntCoefficient;
 pub use learnt_tables::LearntTables;
+pub use lease_bounds::LeaseBounds;
 pub use owner_effect::OwnerEffect;
 pub use owner_limits::OwnerLimits;
 pub use pace_request::PaceRequest;
--- a/crates/jobs/src/owner/commit_batch.rs
+++ b/crates/jobs/src/owner/commit_batch.rs
@@ -3,12 +3,13 @@
 use crate::division::CellLoad;
 use crate::owner::JobMove;
 use crate::owner::LearntTables;
+use crate::owner::LeaseBounds;
 use crate::owner::QueueCount;
 use crate::progress::JobProgress;
 use crate::spec::JobIdentity;
 
 /// Changes to be stored before the effects that depend on them are released.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct CommitBatch {
     /// Progress of the changed jobs, sorted by job.
     pub progress: Vec<(JobIdentity, JobProgress)>,
@@ -22,6 +23,8 @@
     pub moves: Vec<JobMove>,
     /// Load of the cell; `None` if it was reported recently.
     pub load: Option<CellLoad>,
+    /// Bounds on the leases of all workers when the batch was taken.
+    pub lease_bounds: LeaseBounds,
     /// Whether the owner releases its ownership with this batch.
     pub is_last: bool,
 }
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -7,6 +7,7 @@
 mod gangs;
 mod intake;
 mod learning;
+mod lease_listings;
 mod load_report;
 mod moves;
 mod pace_changes;
@@ -25,6 +26,7 @@
 use crate::owner::DecisionEvent;
 use crate::owner::DeferredEffect;
 use crate::owner::JobEntry;
+use crate::owner::LeaseBounds;
 use crate::owner::OwnerEffect;
 use crate::owner::OwnerLimits;
 use crate::owner::WaitKey;
@@ -70,9 +72,13 @@
     /// Effects that were released and not taken yet.
     effects: Vec<OwnerEffect>,
     decisions: Vec<DecisionEvent>,
-    /// Start of the authority to grant leases: when the latest stored batch, or the claim,
-    /// was sent.
-    authority: MonoTime,
+    /// Start of the authority to grant leases: when the latest stored batch was sent; `None`
+    /// before the first. The claim gives none, since its row has the bounds of earlier owners.
+    authority: Option<MonoTime>,
+    /// Bounds on the leases that earlier owners granted, as of the claim.
+    inherited: LeaseBounds,
+    /// Whether the next batch lists other workers as ones that get no lease than the latest.
+    has_listing_change: bool,
     /// When the latest batch, or the claim, was sent.
     sent: MonoTime,
     /// When the claim was sent.
@@ -96,13 +102,15 @@
 }
 
 impl JobOwner {
-    /// Creates an owner whose claim was sent at `claimed` or later and is stored.
+    /// Creates an owner whose claim was sent at `claimed` or later and is stored. Leases that
+    /// earlier owners granted end within the `inherited` bounds after `claimed`.
     #[must_use]
     pub fn new(
         epoch: CellEpoch,
         limits: OwnerLimits,
         config: Arc<DeployedConfig>,
         zones_out: Vec<ZoneName>,
+        inherited: LeaseBounds,
         claimed: MonoTime,
     ) -> Self {
         Self {
@@ -122,7 +130,9 @@
             storing: None,
             effects: Vec::new(),
             decisions: Vec::new(),
-            authority: claimed,
+            authority: None,
+            inherited,
+            has_listing_change: true,
             sent: claimed,
             claimed,
             is_deposed: false,
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -27,6 +27,7 @@
             learnt: self.learnt_if_due(now),
             moves: self.take_moves(),
             load: self.load_if_due(now),
+            lease_bounds: self.list_lease_bounds(now),
             is_last: false,
         };
         self.storing = Some(std::mem::take(&mut self.deferred));
@@ -36,7 +37,8 @@
 
     /// Records that the latest batch is stored, and releases the effects that waited for it.
     pub fn confirm_batch(&mut self, now: MonoTime, unix_ms: u64) {
-        self.authority = self.sent;
+        self.authority = Some(self.sent);
+        self.resume_leases(now);
         for effect in self.storing.take().unwrap_or_default() {
             match effect {
                 DeferredEffect::Start { worker, task, run } => {
@@ -60,7 +62,8 @@
     /// Whether there are changes to store.
     #[must_use]
     pub fn has_changes(&self) -> bool {
-        !self.changed.is_empty()
+        self.has_listing_change
+            || !self.changed.is_empty()
             || !self.deferred.is_empty()
             || !self.forgotten.is_empty()
             || !self.leaving.is_empty()
--- a/crates/jobs/src/owner/job_owner/expiry.rs
+++ b/crates/jobs/src/owner/job_owner/expiry.rs
@@ -33,7 +33,7 @@
 
     /// Reports once that a worker with runs does not respond, and how long they wait.
     fn report_silence(&mut self, name: &WorkerName, now: MonoTime) {
-        let inherited_lease_end = self.inherited_lease_end();
+        let inherited_lease_end = self.inherited_lease_end(name);
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
@@ -50,12 +50,7 @@
         }
         silence.is_reported = true;
         let is_replaced = silence.is_replaced;
-        let lease_left_ms = match tracked.clock() {
-            Some(clock) => clock.lapses_after_ms(now),
-            None => inherited_lease_end
-                .max(tracked.unknown_leases_end)
-                .millis_since(now),
-        };
+        let lease_left_ms = tracked.lease_left_ms(inherited_lease_end, now);
         self.decisions.push(DecisionEvent::WorkerSilent {
             worker: name.clone(),
             runs: tracked.runs.len(),
@@ -71,7 +66,7 @@
     /// have completed a run before its lease ended, so only long-running runs, which never
     /// complete, are given up at once.
     fn expire_leases(&mut self, name: &WorkerName, now: MonoTime, unix_ms: u64) {
-        let inherited_lease_end = self.inherited_lease_end();
+        let inherited_lease_end = self.inherited_lease_end(name);
         let Some(tracked) = self.workers.get(name) else {
             return;
         };
@@ -96,10 +91,9 @@
         }
     }
 
-    /// When every lease granted by an earlier owner has ended: none ends later than this time
-    /// after its last stored batch.
-    fn inherited_lease_end(&self) -> MonoTime {
-        self.claimed.plus_millis(self.limits.authority_bound_ms())
+    /// When every lease has ended that an earlier owner granted to the worker.
+    pub(super) fn inherited_lease_end(&self, worker: &WorkerName) -> MonoTime {
+        self.claimed.plus_millis(self.inherited.left_ms(worker))
     }
 
     fn forget_workers(&mut self) {
--- /dev/null
+++ b/crates/jobs/src/owner/job_owner/lease_listings.rs
@@ -0,0 +1,40 @@
+//! Listing of workers that get no lease in the stored batches.
+
+use crate::owner::JobOwner;
+use crate::owner::LeaseBounds;
+use crate::worker::LeaseListing;
+use sapphirestile_core::MonoTime;
+
+impl JobOwner {
+    /// Bounds on the leases of all workers for the batch that is taken now. A worker with
+    /// runs that does not respond is listed with its own bound, and gets no lease from now
+    /// on until a batch that does not list it is stored.
+    pub(super) fn list_lease_bounds(&mut self, now: MonoTime) -> LeaseBounds {
+        self.has_listing_change = false;
+        let mut bounds = LeaseBounds::of_all(self.limits.authority_bound_ms());
+        let (inherited, claimed) = (&self.inherited, self.claimed);
+        for (name, tracked) in self.workers.iter_mut() {
+            if tracked.responds() || tracked.runs.is_empty() {
+                if tracked.lease_listing == LeaseListing::Listed {
+                    tracked.lease_listing = LeaseListing::Unlisting;
+                }
+                continue;
+            }
+            let inherited_end = claimed.plus_millis(inherited.left_ms(name));
+            let left_ms = tracked.lease_left_ms(inherited_end, now);
+            bounds.withheld.insert(name.clone(), left_ms);
+            tracked.lease_listing = LeaseListing::Listed;
+        }
+        bounds
+    }
+
+    /// Lets the workers get leases again that the batch which is stored now does not list.
+    pub(super) fn resume_leases(&mut self, now: MonoTime) {
+        for tracked in self.workers.iter_mut().map(|(_, tracked)| tracked) {
+            if tracked.lease_listing == LeaseListing::Unlisting {
+                tracked.lease_listing = LeaseListing::Unlisted;
+                tracked.next_poll = tracked.next_poll.min(now);
+            }
+        }
+    }
+}
--- a/crates/jobs/src/owner/job_owner/polling.rs
+++ b/crates/jobs/src/owner/job_owner/polling.rs
@@ -4,6 +4,7 @@
 use crate::owner::OwnerEffect;
 use crate::owner::PollRequest;
 use crate::owner::RunCause;
+use crate::worker::LeaseListing;
 use crate::worker::PollOutcome;
 use crate::worker::TrackedWorker;
 use crate::worker::WorkerSilence;
@@ -44,7 +45,6 @@
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
-        let lease_end_ms = lease_end_ms.filter(|_| !tracked.is_unresponsive());
         let Some(address) = tracked.entry.as_ref().map(|entry| entry.address) else {
             return;
         };
@@ -107,6 +107,8 @@
                     is_replaced,
                     is_reported: tracked.silence.is_some_and(|silence| silence.is_reported),
                 });
+                let is_listed = tracked.lease_listing == LeaseListing::Listed;
+                self.has_listing_change |= !is_listed && !tracked.runs.is_empty();
                 tracked.is_polling = false;
                 tracked.next_poll = now.plus_millis(POLL_RETRY_MS);
                 if is_replaced {
--- a/crates/jobs/src/owner/job_owner/requests.rs
+++ b/crates/jobs/src/owner/job_owner/requests.rs
@@ -229,10 +229,11 @@
     }
 
     /// End of a lease that is granted now, on the worker's clock in milliseconds. `None` if the
-    /// clock is not known, or if the owner's authority has ended.
+    /// worker may get none, or if the owner has no authority.
     pub(super) fn lease_end(&self, worker: &WorkerName, now: MonoTime) -> Option<u64> {
-        let clock = self.workers.get(worker)?.clock()?;
-        let authority_end = self.authority.plus_millis(self.limits.authority_ms);
+        let tracked = self.workers.get(worker)?;
+        let clock = tracked.clock().filter(|_| tracked.may_get_lease())?;
+        let authority_end = self.authority?.plus_millis(self.limits.authority_ms);
         let left_ms = authority_end.millis_since(now);
         if left_ms == 0 {
             return None;
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -12,6 +12,7 @@
 use crate::worker::EndPosition;
 use crate::worker::EndedRun;
 use crate::worker::KnownIncarnation;
+use crate::worker::LeaseListing;
 use crate::worker::PollResponse;
 use crate::worker::RunState;
 use crate::worker::RunningRun;
@@ -23,6 +24,10 @@
 /// milliseconds: it responds at once while it does.
 const KEPT_ENDS_DELAY_MS: u64 = 20;
 
+/// Delay before the next poll of a worker that responds and gets no lease, in milliseconds: it
+/// responds at once. A stored batch brings the poll forward.
+const WITHHELD_DELAY_MS: u64 = 200;
+
 impl JobOwner {
     pub(super) fn apply_response(
         &mut self,
@@ -46,6 +51,7 @@
         };
         tracked.last_response = now;
         tracked.silence = None;
+        self.has_listing_change |= tracked.lease_listing == LeaseListing::Listed;
         let unstored = response
             .ended
             .runs()
@@ -62,10 +68,12 @@
             });
         } else {
             tracked.is_polling = false;
-            tracked.next_poll = if response.ended.runs().is_empty() {
+            tracked.next_poll = if !response.ended.runs().is_empty() {
+                now.plus_millis(KEPT_ENDS_DELAY_MS)
+            } else if tracked.may_get_lease() && self.authority.is_some() {
                 now
             } else {
-                now.plus_millis(KEPT_ENDS_DELAY_MS)
+                now.plus_millis(WITHHELD_DELAY_MS)
             };
         }
         self.send_due_stops(name, now);
@@ -73,12 +81,20 @@
 
     /// Updates what is known about the incarnation that responded. If it is another than
     /// before, nothing of the earlier one is kept; the runs of that one are finished later
-    /// because the response does not list them.
+    /// because the response does not list them. Requests that were meant for an earlier one
+    /// may have granted the longest lease, since its clock was another.
     fn note_incarnation(&mut self, name: &WorkerName, response: &PollResponse, now: MonoTime) {
-        let inherited_ms = self.limits.lease_max_ms;
+        let inherited_lease_end = self.inherited_lease_end(name);
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
+        let lease_max_ms = self.limits.lease_max_ms;
+        let inherited_ms = if tracked.runs_only(response.incarnation) {
+            let left_ms = tracked.lease_left_ms(inherited_lease_end, now);
+            left_ms.min(lease_max_ms)
+        } else {
+            lease_max_ms
+        };
         match &mut tracked.known {
             Some(known) if known.incarnation() == response.incarnation => {
                 known.clock.update(response.clock_ms, now);
--- /dev/null
+++ b/crates/jobs/src/worker/lease_listing.rs
@@ -0,0 +1,15 @@
+//! Whether the batches of an owner list a worker as one without new leases.
+
+/// Whether the owner's batches list a worker as one to which it grants no lease. What is
+/// stored must hold, so the owner grants a lease only while no batch that may be the latest
+/// stored one lists the worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LeaseListing {
+    /// No batch lists the worker, and leases may be granted.
+    #[default]
+    Unlisted,
+    /// The latest batch lists the worker.
+    Listed,
+    /// The latest batch no longer lists the worker, and is not known to be stored.
+    Unlisting,
+}
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -7,6 +7,7 @@
 use crate::spec::ResourceVector;
 use crate::spec::TaskIdentity;
 use crate::worker::KnownIncarnation;
+use crate::worker::LeaseListing;
 use crate::worker::RunEntry;
 use crate::worker::WorkerBreaker;
 use crate::worker::WorkerClock;
@@ -60,6 +61,8 @@
     /// are not extended during it: a poll that arrives late would keep runs alive that the
     /// owner knows nothing about.
     pub silence: Option<WorkerSilence>,
+    /// Whether the stored batches list the worker as one that gets no lease.
+    pub lease_listing: LeaseListing,
     /// Earliest time of the next poll.
     pub next_poll: MonoTime,
     /// When a run last completed on the worker, or the worker was first known.
@@ -90,6 +93,7 @@
             poll_sent: MonoTime::default(),
             poll_address: None,
             silence: None,
+            lease_listing: LeaseListing::default(),
             next_poll: MonoTime::default(),
             last_completion: now,
             breaker: WorkerBreaker::default(),
@@ -154,6 +158,38 @@
         }
     }
 
+    /// Whether a lease may be granted: the worker responds, and no batch that may be the
+    /// latest stored one lists it as a worker that gets no lease.
+    #[must_use]
+    pub fn may_get_lease(&self) -> bool {
+        self.responds() && self.lease_listing == LeaseListing::Unlisted
+    }
+
+    /// Whether the incarnation that responded last has responded to the latest poll with an
+    /// outcome.
+    #[must_use]
+    pub const fn responds(&self) -> bool {
+        self.known.is_some() && self.silence.is_none()
+    }
+
+    /// Time until every lease that the worker may hold has ended, in milliseconds. If it has
+    /// not responded to this owner, earlier ones granted none beyond `inherited_end`.
+    #[must_use]
+    pub fn lease_left_ms(&self, inherited_end: MonoTime, now: MonoTime) -> u64 {
+        match self.clock() {
+            Some(clock) => clock.lapses_after_ms(now),
+            None => inherited_end.max(self.unknown_leases_end).millis_since(now),
+        }
+    }
+
+    /// Whether the worker has runs, all of which were assigned to `incarnation`: then earlier
+    /// owners knew its clock.
+    #[must_use]
+    pub fn runs_only(&self, incarnation: WorkerIncarnation) -> bool {
+        let mut runs = self.runs.values();
+        !self.runs.is_empty() && runs.all(|run| run.incarnation == incarnation)
+    }
+
     /// Number of runs on the worker that belong to the same step as `task`.
     #[must_use]
     pub fn count_of_step(&self, task: &TaskIdentity) -> u32 {
--- a/crates/jobs/tests/fault_simulation/simulation/owners.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/owners.rs
@@ -10,6 +10,7 @@
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_jobs::JobSpec;
+use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::OwnerLimits;
 use sapphirestile_jobs::ResourceVector;
 use sapphirestile_jobs::WorkerEntry;
@@ -57,7 +58,15 @@
             retention_ms: 1_000_000,
         };
         let config = Arc::new(DeployedConfig::default());
-        let mut owner = JobOwner::new(CellEpoch::new(epoch), limits, config, Vec::new(), now);
+        let inherited = LeaseBounds::of_all(limits.authority_bound_ms());
+        let mut owner = JobOwner::new(
+            CellEpoch::new(epoch),
+            limits,
+            config,
+            Vec::new(),
+            inherited,
+            now,
+        );
         owner.replace_workers(self.entries(), now);
         for stored in self.store.jobs() {
             owner.restore_job(stored, now, self.now);
--- a/crates/jobs/tests/owner/incarnations.rs
+++ b/crates/jobs/tests/owner/incarnations.rs
@@ -1,16 +1,9 @@
 //! Workers that restart under their names: what is known of one incarnation says nothing of
 //! the next, which counts its ends from 1 again.
 
-use sapphirestile_jobs::Assignment;
 use sapphirestile_jobs::EndKind;
-use sapphirestile_jobs::JobIdentity;
-use sapphirestile_jobs::JobProgress;
-use sapphirestile_jobs::JobStanding;
-use sapphirestile_jobs::OccurrenceProgress;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::StartOutcome;
-use sapphirestile_jobs::StoredJob;
-use sapphirestile_jobs::TaskStage;
 use sapphirestile_jobs::WorkerEvent;
 use sapphirestile_jobs::WorkerIncarnation;
 
@@ -19,9 +12,9 @@
 use crate::owner_fixture::OwnerFixture;
 use crate::test_values::ended;
 use crate::test_values::job_spec;
+use crate::test_values::long_running_job;
 use crate::test_values::step;
 use crate::test_values::worker;
-use crate::test_values::worker_name;
 
 const JOB: &str = "aaaaaaaaaaaaaaaa";
 const TASK: &str = "aaaaaaaaaaaaaaaa.0.0.0";
@@ -177,7 +170,7 @@
     let mut fixture = OwnerFixture::claimed(vec![worker("w-1", 2_000), worker("w-2", 2_000)]);
     fixture
         .owner
-        .restore_job(long_running_job(1), fixture.time(), fixture.now);
+        .restore_job(long_running_job(JOB, 1), fixture.time(), fixture.now);
     fixture.answer("w-2", &[], &[]);
     fixture.finish_poll("w-1", PollOutcome::OtherIncarnation);
     fixture.step();
@@ -190,7 +183,7 @@
     let mut fixture = OwnerFixture::claimed(vec![worker("w-1", 2_000), worker("w-2", 2_000)]);
     fixture
         .owner
-        .restore_job(long_running_job(2), fixture.time(), fixture.now);
+        .restore_job(long_running_job(JOB, 2), fixture.time(), fixture.now);
     fixture.answer("w-2", &[], &[]);
     fixture.finish_poll("w-1", PollOutcome::OtherIncarnation);
     fixture.step();
@@ -202,7 +195,7 @@
     let mut fixture = OwnerFixture::claimed(vec![worker("w-1", 2_000), worker("w-2", 2_000)]);
     fixture
         .owner
-        .restore_job(long_running_job(1), fixture.time(), fixture.now);
+        .restore_job(long_running_job(JOB, 1), fixture.time(), fixture.now);
     fixture.answer("w-2", &[], &[]);
     let mut moved = worker("w-1", 2_000);
     moved.address.set_port(2);
@@ -226,27 +219,3 @@
     fixture.step();
     assert!(fixture.batch().is_none(), "the run was given up");
 }
-
-/// A long-running job whose task an earlier owner assigned to an incarnation of w-1.
-fn long_running_job(incarnation: u64) -> StoredJob {
-    let mut step = step(1, 1_000);
-    step.is_long_running = true;
-    let spec = job_spec(vec![step]);
-    let mut occurrence = OccurrenceProgress::new(0, &spec);
-    occurrence.steps[0].tasks[0].run = 4;
-    occurrence.steps[0].tasks[0].stage = TaskStage::Assigned(Assignment {
-        worker: worker_name("w-1"),
-        incarnation: WorkerIncarnation::from_unix_ms(incarnation),
-    });
-    let progress = JobProgress {
-        standing: JobStanding::Running,
-        begun: 1,
-        occurrences: vec![occurrence],
-    };
-    StoredJob {
-        identity: JobIdentity::try_from(JOB).unwrap(),
-        spec,
-        progress: Some(progress),
-        is_cancelled: false,
-    }
-}
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -7,6 +7,7 @@
 mod cut_responses;
 mod incarnations;
 mod learning;
+mod lease_bounds;
 mod leases_and_restarts;
 mod moves;
 mod owner_fixture;
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -15,6 +15,7 @@
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_jobs::JobSpec;
 use sapphirestile_jobs::JobStanding;
+use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::OwnerEffect;
 use sapphirestile_jobs::OwnerLimits;
 use sapphirestile_jobs::PollOutcome;
@@ -34,6 +35,13 @@
 pub const LEASE_MAX_MS: u64 = 6_000;
 pub const AUTHORITY_MS: u64 = 12_000;
 
+const LIMITS: OwnerLimits = OwnerLimits {
+    lease_ms: LEASE_MS,
+    lease_max_ms: LEASE_MAX_MS,
+    authority_ms: AUTHORITY_MS,
+    retention_ms: 60_000,
+};
+
 /// An owner and a virtual clock. Effects of the owner are shown as lines of text.
 pub struct OwnerFixture {
     pub owner: JobOwner,
@@ -55,25 +63,28 @@
         fixture
     }
 
-    /// An owner that has just claimed its cell, with workers that have not responded.
+    /// An owner that has just claimed its cell and stored its first batch, with workers that
+    /// have not responded.
     pub fn claimed(entries: Vec<WorkerEntry>) -> Self {
-        let now = 1_000;
-        let limits = OwnerLimits {
-            lease_ms: LEASE_MS,
-            lease_max_ms: LEASE_MAX_MS,
-            authority_ms: AUTHORITY_MS,
-            retention_ms: 60_000,
-        };
+        let inherited = LeaseBounds::of_all(LIMITS.authority_bound_ms());
+        let mut fixture = Self::claimed_at(1_000, inherited, entries);
+        fixture.store();
+        fixture
+    }
+
+    /// An owner that claims its cell at `now` in milliseconds, with the bounds on the leases
+    /// of earlier owners, and has stored no batch.
+    pub fn claimed_at(now: u64, inherited: LeaseBounds, entries: Vec<WorkerEntry>) -> Self {
         let claimed = MonoTime::from_millis(now);
         let config = Arc::new(config(1));
-        let mut owner = JobOwner::new(CellEpoch::new(7), limits, config, Vec::new(), claimed);
+        let epoch = CellEpoch::new(7);
+        let mut owner = JobOwner::new(epoch, LIMITS, config, Vec::new(), inherited, claimed);
         owner.replace_workers(entries, claimed);
-        let polls = SortedTable::new();
         let mut fixture = Self {
             owner,
             now,
             advice_request: None,
-            polls,
+            polls: SortedTable::new(),
         };
         fixture.step();
         fixture
@@ -152,15 +163,23 @@
         lines
     }
 
-    /// Takes the changes to be stored; `None` if there are none or a batch is being stored.
+    /// Takes the changes to be stored; `None` if there are none or a batch is being stored. A
+    /// batch that changes no job, only the bounds on leases, is stored at once.
     pub fn batch(&mut self) -> Option<CommitBatch> {
         let now = self.time();
-        self.owner.take_batch(false, now)
+        let batch = self.owner.take_batch(false, now)?;
+        if batch.progress.is_empty() && batch.forgotten.is_empty() && batch.moves.is_empty() {
+            self.owner.confirm_batch(now, self.now);
+            return None;
+        }
+        Some(batch)
     }
 
     /// Stores the pending batch, and returns the effects that this releases.
     pub fn store(&mut self) -> Vec<String> {
-        self.batch().expect("there is a batch to store");
+        let now = self.time();
+        let batch = self.owner.take_batch(false, now);
+        batch.expect("there is a batch to store");
         let now = self.time();
         self.owner.confirm_batch(now, self.now);
         self.step()
@@ -244,4 +263,10 @@
     pub fn acknowledged(&self, worker: &str) -> Option<EndPosition> {
         self.polls.get(&worker_name(worker))?.stored_end
     }
+
+    /// End of the lease that the latest poll of a worker grants, on the worker's clock in
+    /// milliseconds; `None` if it grants none.
+    pub fn granted(&self, worker: &str) -> Option<u64> {
+        self.polls.get(&worker_name(worker))?.lease_end_ms
+    }
 }
--- a/crates/jobs/tests/owner/test_values.rs
+++ b/crates/jobs/tests/owner/test_values.rs
@@ -6,17 +6,24 @@
 use sapphirestile_core::WorkerName;
 use sapphirestile_core::ZoneName;
 use sapphirestile_jobs::AdvisorTiming;
+use sapphirestile_jobs::Assignment;
 use sapphirestile_jobs::CallerLimits;
 use sapphirestile_jobs::DeployedConfig;
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::EndedRun;
+use sapphirestile_jobs::JobIdentity;
+use sapphirestile_jobs::JobProgress;
 use sapphirestile_jobs::JobSpec;
+use sapphirestile_jobs::JobStanding;
+use sapphirestile_jobs::OccurrenceProgress;
 use sapphirestile_jobs::QueuePolicy;
 use sapphirestile_jobs::QueueTerms;
 use sapphirestile_jobs::ResourceVector;
 use sapphirestile_jobs::RunningRun;
 use sapphirestile_jobs::StepSpec;
+use sapphirestile_jobs::StoredJob;
 use sapphirestile_jobs::TaskIdentity;
+use sapphirestile_jobs::TaskStage;
 use sapphirestile_jobs::WorkerEntry;
 use sapphirestile_jobs::WorkerIncarnation;
 
@@ -124,3 +131,27 @@
         },
     }
 }
+
+/// A long-running job whose task an earlier owner assigned to an incarnation of w-1, as run 4.
+pub fn long_running_job(job: &str, incarnation: u64) -> StoredJob {
+    let mut step = step(1, 1_000);
+    step.is_long_running = true;
+    let spec = job_spec(vec![step]);
+    let mut occurrence = OccurrenceProgress::new(0, &spec);
+    occurrence.steps[0].tasks[0].run = 4;
+    occurrence.steps[0].tasks[0].stage = TaskStage::Assigned(Assignment {
+        worker: worker_name("w-1"),
+        incarnation: WorkerIncarnation::from_unix_ms(incarnation),
+    });
+    let progress = JobProgress {
+        standing: JobStanding::Running,
+        begun: 1,
+        occurrences: vec![occurrence],
+    };
+    StoredJob {
+        identity: JobIdentity::try_from(job).unwrap(),
+        spec,
+        progress: Some(progress),
+        is_cancelled: false,
+    }
+}
