Let the authority of an owner end early enough to restart lost tasks in time

Cause, three of three: the authority of an owner, which the next one has to wait out for a worker that it cannot reach, was 12 s, longer than the recovery that it bounds.

Change: 6.2 s, worked out in docs/PLATFORM.md. As it ends, polls wait a quarter of the lease that they grant at most, so that a batch that is stored just in time reaches the workers; without authority a worker that responds is polled every 200 ms (it was polled without a pause). Both limits are OwnerLimits' own.

--- a/crates/entry/src/owner/ownership_term/loading.rs
+++ b/crates/entry/src/owner/ownership_term/loading.rs
@@ -33,15 +33,6 @@
 use crate::watching::EventWatcher;
 use crate::watching::WatchUpdate;
 
-/// The lease that each poll or start grants, in milliseconds. It is longer than a
-/// daemon takes to detect a failed owner, so that running work survives a change of
-/// owner.
-const LEASE_MS: u64 = 5_000;
-
-/// How long after the latest stored batch leases may end, in milliseconds. It lets work
-/// continue while the store is unavailable for some seconds.
-const AUTHORITY_MS: u64 = 12_000;
-
 /// The minimum time between two reads of the changes of the list of workers, each of which
 /// writes its entry every second or two.
 const WORKER_LIST_INTERVAL: Duration = Duration::from_millis(200);
@@ -77,9 +68,9 @@
     let intake = retry(context, || intake_source.list())?;
     let bounds = &context.settings.bounds;
     let limits = OwnerLimits {
-        lease_ms: LEASE_MS.min(bounds.lease_max_ms),
+        lease_ms: OwnerLimits::LEASE_MS.min(bounds.lease_max_ms),
         lease_max_ms: bounds.lease_max_ms,
-        authority_ms: AUTHORITY_MS,
+        authority_ms: OwnerLimits::AUTHORITY_MS,
         retention_ms: bounds.remember_ms,
     };
     let state = context.operator_state.load();
--- a/crates/jobs/src/owner/job_owner/polling.rs
+++ b/crates/jobs/src/owner/job_owner/polling.rs
@@ -18,6 +18,10 @@
 /// milliseconds.
 const CLOSE_POLL_WAIT_MS: u64 = 350;
 
+/// Least number of polls within a lease. As the authority of the owner ends, leases become
+/// short, and a poll that waits longer would let one end just as a batch is stored.
+const POLLS_PER_LEASE: u64 = 4;
+
 /// Maximum time for which the next poll waits for ends to be stored, in milliseconds. It is
 /// bounded so that leases do not expire while the store is unavailable.
 const COMMIT_WAIT_MS: u64 = 1_200;
@@ -42,6 +46,7 @@
 
     fn poll_worker(&mut self, name: &WorkerName, now: MonoTime) {
         let lease_end_ms = self.lease_end(name, now);
+        let lease_ms = self.lease_ms(now).unwrap_or(0);
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
@@ -58,11 +63,12 @@
         let wait_ms = match (&mut tracked.known, lease_end_ms) {
             (Some(known), Some(end_ms)) => {
                 known.clock.grant(end_ms);
-                if tracked.is_polled_closely(now) {
+                let wait_ms = if tracked.is_polled_closely(now) {
                     CLOSE_POLL_WAIT_MS
                 } else {
                     POLL_WAIT_MS
-                }
+                };
+                wait_ms.min(lease_ms / POLLS_PER_LEASE)
             }
             _ => 0,
         };
--- a/crates/jobs/src/owner/job_owner/requests.rs
+++ b/crates/jobs/src/owner/job_owner/requests.rs
@@ -233,12 +233,15 @@
     pub(super) fn lease_end(&self, worker: &WorkerName, now: MonoTime) -> Option<u64> {
         let tracked = self.workers.get(worker)?;
         let clock = tracked.clock().filter(|_| tracked.may_get_lease())?;
+        let lease_ms = self.lease_ms(now)?;
+        Some(clock.estimate(now).saturating_add(lease_ms))
+    }
+
+    /// Duration of a lease that is granted now, in milliseconds; `None` if the owner has no
+    /// authority.
+    pub(super) fn lease_ms(&self, now: MonoTime) -> Option<u64> {
         let authority_end = self.authority?.plus_millis(self.limits.authority_ms);
         let left_ms = authority_end.millis_since(now);
-        if left_ms == 0 {
-            return None;
-        }
-        let lease_ms = left_ms.min(self.limits.lease_ms);
-        Some(clock.estimate(now).saturating_add(lease_ms))
+        (left_ms > 0).then(|| left_ms.min(self.limits.lease_ms))
     }
 }
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -25,7 +25,7 @@
 const KEPT_ENDS_DELAY_MS: u64 = 20;
 
 /// Delay before the next poll of a worker that responds and gets no lease, in milliseconds: it
-/// responds at once. A stored batch brings the poll forward.
+/// responds at once, since nothing keeps its runs alive meanwhile.
 const WITHHELD_DELAY_MS: u64 = 200;
 
 impl JobOwner {
@@ -46,6 +46,7 @@
         }
         self.finish_missing(name, number, response, now, unix_ms);
         self.adapt_paces(name, now);
+        let has_authority = self.lease_ms(now).is_some();
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
@@ -70,7 +71,7 @@
             tracked.is_polling = false;
             tracked.next_poll = if !response.ended.runs().is_empty() {
                 now.plus_millis(KEPT_ENDS_DELAY_MS)
-            } else if tracked.may_get_lease() && self.authority.is_some() {
+            } else if has_authority && tracked.may_get_lease() {
                 now
             } else {
                 now.plus_millis(WITHHELD_DELAY_MS)
--- a/crates/jobs/src/owner/owner_limits.rs
+++ b/crates/jobs/src/owner/owner_limits.rs
@@ -18,6 +18,16 @@
 }
 
 impl OwnerLimits {
+    /// Duration of the lease that a deployed owner grants, in milliseconds. It is longer than
+    /// a daemon takes to detect a failed owner, so that runs survive a change of owner.
+    pub const LEASE_MS: u64 = 5_000;
+
+    /// Time after sending a stored batch within which all leases of a deployed owner end, in
+    /// milliseconds. A long-running task has to run again 9 s after its worker was lost, also
+    /// if the owner fails up to two seconds later. A failed owner is replaced after about two
+    /// seconds; the rest lets work continue while the store is unavailable.
+    pub const AUTHORITY_MS: u64 = 6_200;
+
     /// Longest time that the longest lease takes on a worker's clock, in milliseconds of the
     /// owner's.
     ///
--- a/crates/jobs/tests/fault_simulation/simulation/owners.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/owners.rs
@@ -52,9 +52,9 @@
         let epoch = self.store.claim(self.now);
         let now = MonoTime::from_millis(self.now);
         let limits = OwnerLimits {
-            lease_ms: 5_000,
+            lease_ms: OwnerLimits::LEASE_MS,
             lease_max_ms: 6_000,
-            authority_ms: 12_000,
+            authority_ms: OwnerLimits::AUTHORITY_MS,
             retention_ms: 1_000_000,
         };
         let config = Arc::new(DeployedConfig::default());
--- a/crates/jobs/tests/owner/leases_and_restarts.rs
+++ b/crates/jobs/tests/owner/leases_and_restarts.rs
@@ -315,3 +315,30 @@
     // Only storing this batch would renew the authority. Before that, nothing starts.
     assert!(fixture.step().is_empty());
 }
+
+/// A worker that gets no lease responds at once, so polls without a pause would follow.
+#[test]
+fn owner_without_authority_does_not_poll_in_a_tight_loop() {
+    let mut fixture = fixture_with_run();
+    fixture.step();
+    fixture.now += AUTHORITY_MS;
+    fixture.answer("w-1", &[running(TASK, 1)], &[]);
+    fixture.step();
+    let poll = fixture.latest_poll("w-1");
+    for _ in 0..5 {
+        fixture.answer("w-1", &[running(TASK, 1)], &[]);
+        fixture.step();
+    }
+    assert!(fixture.latest_poll("w-1") <= poll + 1);
+}
+
+#[test]
+fn polls_wait_no_longer_than_the_lease_that_they_grant_at_the_end_of_the_authority() {
+    let mut fixture = fixture_with_run();
+    fixture.step();
+    fixture.now += AUTHORITY_MS - 400;
+    fixture.answer("w-1", &[running(TASK, 1)], &[]);
+    fixture.step();
+    assert_eq!(fixture.granted("w-1"), Some(fixture.now + 400));
+    assert!(fixture.poll_wait_ms("w-1") <= 100);
+}
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -269,4 +269,11 @@
     pub fn granted(&self, worker: &str) -> Option<u64> {
         self.polls.get(&worker_name(worker))?.lease_end_ms
     }
+
+    /// Time for which the latest poll of a worker lets it wait for ends, in milliseconds.
+    pub fn poll_wait_ms(&self, worker: &str) -> u64 {
+        self.polls
+            .get(&worker_name(worker))
+            .map_or(0, |poll| poll.wait_ms)
+    }
 }
