Wait for entries that come back before a task is started again unasked

What callers would see: a task that completed while the store was away runs a second time after a change of owner.

A worker without an entry cannot be asked, and its runs were given up at once; entries that expired in an outage of the store are back two seconds after it.

Change: runs that can complete, of a worker without an entry, are given up 2.5 s after the claim at the earliest.

Measured: new_owner_asks_a_worker_whose_entry_comes_back_after_an_outage_of_the_store failed before (given up 100 ms after the claim).

--- a/crates/jobs/src/owner/job_owner/expiry.rs
+++ b/crates/jobs/src/owner/job_owner/expiry.rs
@@ -16,6 +16,11 @@
 /// lease of its runs has ended, in milliseconds.
 const LISTED_WAIT_MS: u64 = 8_000;
 
+/// Time after a claim within which a worker without an entry may be listed again, in
+/// milliseconds: entries that expired while the store was unavailable are back two seconds
+/// after it.
+const ENTRY_RETURN_MS: u64 = 2_500;
+
 impl JobOwner {
     /// Handles everything that is due at `now`: expired leases, stop requests to be retried,
     /// slow runs, and jobs and workers to be dropped.
@@ -78,7 +83,10 @@
             return;
         }
         let earlier_ms = now.as_millis().saturating_sub(LISTED_WAIT_MS);
-        let is_given_up = !tracked.is_listed || has_lapsed_at(MonoTime::from_millis(earlier_ms));
+        let may_be_listed_again =
+            tracked.entry.is_none() && now < self.claimed.plus_millis(ENTRY_RETURN_MS);
+        let is_gone = !tracked.is_listed && !may_be_listed_again;
+        let is_given_up = is_gone || has_lapsed_at(MonoTime::from_millis(earlier_ms));
         let ended: Vec<TaskIdentity> = tracked
             .runs
             .iter()
--- /dev/null
+++ b/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
@@ -0,0 +1,67 @@
+//! Bounds on the leases of workers that restart under their names, where workers take leases
+//! that are longer than the authority of an owner.
+
+use sapphirestile_jobs::LeaseBounds;
+use sapphirestile_jobs::OwnerLimits;
+use sapphirestile_jobs::PollOutcome;
+use sapphirestile_jobs::WorkerEntry;
+use sapphirestile_jobs::WorkerIncarnation;
+
+use crate::owner_fixture::OwnerFixture;
+use crate::test_values::job_spec;
+use crate::test_values::long_running_job;
+use crate::test_values::step;
+use crate::test_values::worker;
+use crate::test_values::worker_name;
+
+const JOB: &str = "aaaaaaaaaaaaaaaa";
+
+/// The limits of a deployment whose workers take leases of ten seconds.
+const LIMITS: OwnerLimits = OwnerLimits {
+    lease_ms: OwnerLimits::LEASE_MS,
+    lease_max_ms: 10_000,
+    authority_ms: OwnerLimits::AUTHORITY_MS,
+    retention_ms: 60_000,
+};
+
+fn owner(inherited: LeaseBounds, entries: Vec<WorkerEntry>) -> OwnerFixture {
+    let mut fixture = OwnerFixture::claimed_with(LIMITS, 20_000, inherited, entries);
+    fixture.store();
+    fixture
+}
+
+/// Time until the run at w-1, which does not respond, is given up.
+fn given_up_after(fixture: &mut OwnerFixture) -> u64 {
+    let began = fixture.now;
+    let mut polled = 0;
+    for _ in 0..200 {
+        if fixture.latest_poll("w-1") > polled {
+            polled = fixture.latest_poll("w-1");
+            fixture.finish_poll("w-1", PollOutcome::NoResponse);
+        }
+        fixture.wait(100);
+        if fixture.batch().is_some() {
+            return fixture.now - began;
+        }
+    }
+    panic!("the run was never given up");
+}
+
+/// Entries that expired in an outage of the store are back two seconds after it.
+#[test]
+fn new_owner_asks_a_worker_whose_entry_comes_back_after_an_outage_of_the_store() {
+    let mut fixture = owner(LeaseBounds::of_all(0), vec![worker("w-2", 2_000)]);
+    let time = fixture.time();
+    let now = fixture.now;
+    let mut job = long_running_job(JOB, 1);
+    job.spec.steps[0].is_long_running = false;
+    fixture.owner.restore_job(job, time, now);
+    for _ in 0..19 {
+        fixture.wait(100);
+        assert!(
+            fixture.batch().is_none(),
+            "given up {} ms after the claim, unasked",
+            fixture.now - now
+        );
+    }
+}
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -8,6 +8,7 @@
 mod incarnations;
 mod learning;
 mod lease_bounds;
+mod lease_bounds_of_restarted_workers;
 mod leases_and_restarts;
 mod moves;
 mod owner_fixture;
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -75,10 +75,20 @@
     /// An owner that claims its cell at `now` in milliseconds, with the bounds on the leases
     /// of earlier owners, and has stored no batch.
     pub fn claimed_at(now: u64, inherited: LeaseBounds, entries: Vec<WorkerEntry>) -> Self {
+        Self::claimed_with(LIMITS, now, inherited, entries)
+    }
+
+    /// The same with other limits.
+    pub fn claimed_with(
+        limits: OwnerLimits,
+        now: u64,
+        inherited: LeaseBounds,
+        entries: Vec<WorkerEntry>,
+    ) -> Self {
         let claimed = MonoTime::from_millis(now);
         let config = Arc::new(config(1));
         let epoch = CellEpoch::new(7);
-        let mut owner = JobOwner::new(epoch, LIMITS, config, Vec::new(), inherited, claimed);
+        let mut owner = JobOwner::new(epoch, limits, config, Vec::new(), inherited, claimed);
         owner.replace_workers(entries, claimed);
         let mut fixture = Self {
             owner,
