Wait for the longest lease of a worker that is listed as restarted, after a claim too

What callers would see: a task on two workers, if a late start had reached the next incarnation of a worker that the new owner cannot reach.

Change: a run that was assigned to another incarnation than the listed one makes the new owner wait for the longest lease too.

Measured: new_owner_waits_for_the_longest_lease_of_a_worker_that_is_listed_as_restarted failed before (given up after 300 ms).

--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -155,7 +155,10 @@
         }
     }
 
+    /// Adds the runs of a job that an earlier owner assigned. Orders that were meant for an
+    /// earlier incarnation may have given the longest lease to the one that is listed now.
     fn inherit_runs(&mut self, identity: JobIdentity, entry: &JobEntry, now: MonoTime) {
+        let restart_leases_end = now.plus_millis(self.limits.lease_bound_ms());
         for occurrence in &entry.progress.occurrences {
             for (step, progress) in occurrence.steps.iter().enumerate() {
                 for (index, task) in progress.tasks.iter().enumerate() {
@@ -179,12 +182,16 @@
                     let incarnation = assignment.incarnation;
                     let run =
                         Self::run_entry(task.run, incarnation, &demand, RunState::Inherited, now);
-                    let worker = self
+                    let tracked = self
                         .workers
                         .get_or_insert_with(assignment.worker.clone(), || {
                             Box::new(TrackedWorker::new(None, now))
                         });
-                    worker.add_run(task_identity, run);
+                    let entry = tracked.entry.as_ref();
+                    if entry.is_some_and(|entry| run.is_earlier_than(entry)) {
+                        tracked.unknown_leases_end = restart_leases_end;
+                    }
+                    tracked.add_run(task_identity, run);
                 }
             }
         }
--- a/crates/jobs/src/owner/job_owner/worker_list.rs
+++ b/crates/jobs/src/owner/job_owner/worker_list.rs
@@ -48,6 +48,9 @@
                 incarnation: entry.incarnation,
             });
         }
+        if tracked.shows_restart_of_inherited(&entry) {
+            tracked.unknown_leases_end = restart_leases_end;
+        }
         tracked.entry = Some(entry);
         tracked.is_listed = true;
         if is_leaving {
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -6,6 +6,7 @@
 use crate::spec::ResourceVector;
 use crate::spec::TaskIdentity;
 use crate::worker::RunState;
+use crate::worker::WorkerEntry;
 use crate::worker::WorkerIncarnation;
 use sapphirestile_core::MonoTime;
 
@@ -117,6 +118,16 @@
         was_known && says_start && self.incarnation == incarnation
     }
 
+    /// Whether the run was assigned to another incarnation than the one that has written the
+    /// entry, where both are known.
+    #[must_use]
+    pub fn is_earlier_than(&self, entry: &WorkerEntry) -> bool {
+        let unknown = WorkerIncarnation::default();
+        self.incarnation != entry.incarnation
+            && self.incarnation != unknown
+            && entry.incarnation != unknown
+    }
+
     /// Whether the run is being stopped.
     #[must_use]
     pub const fn is_ending(&self) -> bool {
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -143,6 +143,15 @@
                 .is_some_and(|known| known.incarnation() != entry.incarnation)
     }
 
+    /// Whether an entry is the first to show another incarnation than the one that a run was
+    /// assigned to by an earlier owner, before the worker has responded.
+    #[must_use]
+    pub fn shows_restart_of_inherited(&self, entry: &WorkerEntry) -> bool {
+        let is_new = self.known.is_none()
+            && self.entry.as_ref().map(|before| before.incarnation) != Some(entry.incarnation);
+        is_new && self.runs.values().any(|run| run.is_earlier_than(entry))
+    }
+
     /// Takes what was known about an incarnation that is over. The next one may have taken
     /// requests that were meant for it, with leases that end at `leases_end` at the latest.
     pub fn forget_incarnation(&mut self, leases_end: MonoTime) -> Option<KnownIncarnation> {
--- a/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
+++ b/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
@@ -47,6 +47,27 @@
     panic!("the run was never given up");
 }
 
+/// A late start may have reached the incarnation that the new owner finds in the list, with
+/// the longest lease.
+#[test]
+fn new_owner_waits_for_the_longest_lease_of_a_worker_that_is_listed_as_restarted() {
+    let mut entry = worker("w-1", 2_000);
+    entry.incarnation = WorkerIncarnation::from_unix_ms(2);
+    let mut inherited = LeaseBounds::of_all(4_000);
+    inherited.workers.insert(worker_name("w-1"), 300);
+    let mut fixture = owner(inherited, vec![entry]);
+    let time = fixture.time();
+    let now = fixture.now;
+    fixture
+        .owner
+        .restore_job(long_running_job(JOB, 1), time, now);
+    let after = given_up_after(&mut fixture);
+    assert!(
+        after >= LIMITS.lease_max_ms,
+        "given up after {after} ms; the start may have begun a lease of 10 s"
+    );
+}
+
 /// Entries that expired in an outage of the store are back two seconds after it.
 #[test]
 fn new_owner_asks_a_worker_whose_entry_comes_back_after_an_outage_of_the_store() {
