Store no shorter bound for a worker than its owner waits

What callers would see: a task on two workers, after a worker restarted under its name, responded, fell silent and its owner failed.

Change: a worker that responds is listed with its own bound while that is longer. The rows are called workers, since not all of them get no lease.

--- a/crates/jobs/src/owner/job_owner/lease_listings.rs
+++ b/crates/jobs/src/owner/job_owner/lease_listings.rs
@@ -8,22 +8,21 @@
 impl JobOwner {
     /// Bounds on the leases of all workers for the batch that is taken now. A worker with
     /// runs that does not respond is listed with its own bound, and gets no lease from now
-    /// on until a batch that does not list it is stored.
+    /// on until a batch that does not list it is stored. One that responds is listed only if
+    /// it may hold a lease that ends later than those of this owner.
     pub(super) fn list_lease_bounds(&mut self, now: MonoTime) -> LeaseBounds {
         self.has_listing_change = false;
         let mut bounds = LeaseBounds::of_all(self.limits.authority_bound_ms());
         let (inherited, claimed) = (&self.inherited, self.claimed);
         for (name, tracked) in self.workers.iter_mut() {
-            if tracked.responds() || tracked.runs.is_empty() {
-                if tracked.lease_listing == LeaseListing::Listed {
-                    tracked.lease_listing = LeaseListing::Unlisting;
-                }
-                continue;
-            }
+            let has_runs = !tracked.runs.is_empty();
+            let is_withheld = has_runs && !tracked.responds();
+            tracked.lease_listing = tracked.lease_listing.in_next_batch(is_withheld);
             let inherited_end = claimed.plus_millis(inherited.left_ms(name));
             let left_ms = tracked.lease_left_ms(inherited_end, now);
-            bounds.withheld.insert(name.clone(), left_ms);
-            tracked.lease_listing = LeaseListing::Listed;
+            if is_withheld || (has_runs && left_ms > bounds.others_ms) {
+                bounds.workers.insert(name.clone(), left_ms);
+            }
         }
         bounds
     }
--- a/crates/jobs/src/owner/lease_bounds.rs
+++ b/crates/jobs/src/owner/lease_bounds.rs
@@ -21,7 +21,7 @@
 /// let silent = WorkerName::try_from("i-1").unwrap();
 /// let other = WorkerName::try_from("i-2").unwrap();
 /// let mut bounds = LeaseBounds::of_all(6_000);
-/// bounds.withheld.insert(silent.clone(), 1_500);
+/// bounds.workers.insert(silent.clone(), 1_500);
 /// assert_eq!((bounds.left_ms(&silent), bounds.left_ms(&other)), (1_500, 6_000));
 ///
 /// let later = bounds.after(2_000);
@@ -29,10 +29,11 @@
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseBounds {
-    /// The bound of all workers that are not in `withheld`, in milliseconds.
+    /// The bound of all workers that are not in `workers`, in milliseconds.
     pub others_ms: u64,
-    /// The bounds of workers to which the owner grants no lease, in milliseconds.
-    pub withheld: SortedTable<WorkerName, u64>,
+    /// The bounds of single workers, in milliseconds. The owner grants no lease to a worker
+    /// with a bound below `others_ms`.
+    pub workers: SortedTable<WorkerName, u64>,
 }
 
 impl LeaseBounds {
@@ -41,7 +42,7 @@
     pub const fn of_all(bound_ms: u64) -> Self {
         Self {
             others_ms: bound_ms,
-            withheld: SortedTable::new(),
+            workers: SortedTable::new(),
         }
     }
 
@@ -54,17 +55,17 @@
     /// Time until every lease that the worker may hold has ended, in milliseconds.
     #[must_use]
     pub fn left_ms(&self, worker: &WorkerName) -> u64 {
-        self.withheld.get(worker).copied().unwrap_or(self.others_ms)
+        self.workers.get(worker).copied().unwrap_or(self.others_ms)
     }
 
     /// The bounds `elapsed_ms` milliseconds later, if no lease is granted meanwhile.
     #[must_use]
     pub fn after(&self, elapsed_ms: u64) -> Self {
         let left = |bound_ms: u64| bound_ms.saturating_sub(elapsed_ms);
-        let withheld = self.withheld.iter();
+        let workers = self.workers.iter();
         Self {
             others_ms: left(self.others_ms),
-            withheld: withheld
+            workers: workers
                 .map(|(worker, bound_ms)| (worker.clone(), left(*bound_ms)))
                 .collect(),
         }
--- a/crates/jobs/src/worker/lease_listing.rs
+++ b/crates/jobs/src/worker/lease_listing.rs
@@ -13,3 +13,15 @@
     /// The latest batch no longer lists the worker, and is not known to be stored.
     Unlisting,
 }
+
+impl LeaseListing {
+    /// The listing once the next batch is taken, which lists the worker or not.
+    #[must_use]
+    pub const fn in_next_batch(self, is_listed: bool) -> Self {
+        match (self, is_listed) {
+            (_, true) => Self::Listed,
+            (Self::Unlisted, false) => Self::Unlisted,
+            (Self::Listed | Self::Unlisting, false) => Self::Unlisting,
+        }
+    }
+}
--- a/crates/jobs/tests/owner/lease_bounds.rs
+++ b/crates/jobs/tests/owner/lease_bounds.rs
@@ -121,7 +121,7 @@
     let now = fixture.time();
     let batch = fixture.owner.take_batch(false, now);
     let batch = batch.expect("the worker is to be taken off the list");
-    assert!(batch.lease_bounds.withheld.is_empty());
+    assert!(batch.lease_bounds.workers.is_empty());
     fixture.answer("w-1", &[running(TASK, 4)], &[]);
     fixture.wait(300);
     assert_eq!(fixture.granted("w-1"), None, "the batch is not stored");
--- a/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
+++ b/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
@@ -68,6 +68,31 @@
     );
 }
 
+/// The owner waits for the longest lease of a restarted worker; so must the next one.
+#[test]
+fn stored_bound_of_a_worker_is_not_shorter_than_the_wait_of_its_owner() {
+    let mut fixture = owner(LeaseBounds::of_all(0), vec![worker("w-1", 2_000)]);
+    fixture.answer("w-1", &[], &[]);
+    fixture.wait(300);
+    fixture.respond_as_incarnation("w-1", 2, &[], &[]);
+    fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    let now = fixture.time();
+    let batch = fixture
+        .owner
+        .take_batch(true, now)
+        .expect("the task is assigned");
+    fixture.owner.confirm_batch(now, fixture.now);
+    let stored_ms = batch.lease_bounds.left_ms(&worker_name("w-1"));
+    let (_, tracked) = fixture.owner.workers().next().expect("there is w-1");
+    assert_eq!(tracked.runs.len(), 1, "runs at w-1");
+    let own_ms = tracked.lease_left_ms(now, now);
+    assert!(
+        stored_ms >= own_ms,
+        "the next owner waits {stored_ms} ms, this one {own_ms} ms"
+    );
+}
+
 /// Entries that expired in an outage of the store are back two seconds after it.
 #[test]
 fn new_owner_asks_a_worker_whose_entry_comes_back_after_an_outage_of_the_store() {
