Complete a gang whichever of its ends the owner learns of first

Cause: a worker restarts after a gang has completed there, so its member is missing and waits again; then the other worker reports the completion. Only members that were still assigned were completed, and a gang starts only while all its tasks wait.

Change: a completion completes all members of the same run.

Measured: gang_is_done_though_a_member_is_missing_before_another_reports_the_completion failed before (Running in place of Completed).

--- a/crates/jobs/src/owner/job_owner/gangs.rs
+++ b/crates/jobs/src/owner/job_owner/gangs.rs
@@ -113,7 +113,8 @@
     }
 
     /// Ends the other runs of a gang after one has ended. If it completed, the whole gang is
-    /// done; otherwise the others cannot make progress and are stopped.
+    /// done, whichever of its ends the owner learns of first; otherwise the others cannot make
+    /// progress and are stopped.
     pub(super) fn end_gang(
         &mut self,
         task: &TaskIdentity,
@@ -121,11 +122,11 @@
         now: MonoTime,
         unix_ms: u64,
     ) {
+        if cause.is_done() {
+            self.complete_gang(task);
+            return;
+        }
         for (worker, other) in self.gang_members(task) {
-            if cause.is_done() {
-                self.complete_member(&other);
-                continue;
-            }
             let tracked = self.workers.get(&worker);
             let run = tracked.and_then(|tracked| tracked.runs.get(&other));
             match run.map(|run| run.state) {
@@ -138,11 +139,19 @@
         }
     }
 
-    fn complete_member(&mut self, task: &TaskIdentity) {
-        let entry = self.jobs.get_mut(&task.job);
-        let progress = entry.and_then(|entry| entry.progress.task_mut(task));
-        if let Some(progress) = progress {
-            progress.stage = TaskStage::Done;
+    /// Completes all tasks of a gang, one of which has completed. The others of the same run
+    /// have completed with it, also those that were taken for lost before.
+    fn complete_gang(&mut self, task: &TaskIdentity) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let run = entry.progress.task(task).map(|progress| progress.run);
+        for index in 0..entry.spec.steps[task.step as usize].tasks {
+            let member = TaskIdentity { index, ..*task };
+            let progress = entry.progress.task_mut(&member);
+            if let Some(progress) = progress.filter(|progress| Some(progress.run) == run) {
+                progress.stage = TaskStage::Done;
+            }
         }
     }
 
--- a/crates/jobs/tests/owner/copies_and_gangs.rs
+++ b/crates/jobs/tests/owner/copies_and_gangs.rs
@@ -1,6 +1,7 @@
 //! Copies of slow runs, and gangs.
 
 use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::JobStanding;
 use sapphirestile_jobs::StartOutcome;
 
 use crate::owner_fixture::OwnerFixture;
@@ -114,3 +115,32 @@
     fixture.step();
     assert!(fixture.batch().unwrap().progress[0].1.standing.is_final());
 }
+
+/// A worker restarts after the gang has completed there, and the other reports the completion.
+#[test]
+fn gang_is_done_though_a_member_is_missing_before_another_reports_the_completion() {
+    let workers = vec![worker("w-1", 1_000), worker("w-2", 1_000)];
+    let mut fixture = OwnerFixture::with_workers(workers);
+    let mut gang = step(2, 1_000);
+    gang.is_gang = true;
+    fixture.accept(JOB, job_spec(vec![gang]));
+    fixture.step();
+    let starts = fixture.store();
+    let [one, other] = [0, 1].map(|index| format!("{JOB}.0.0.{index}"));
+    let worker_of = |task: &str| {
+        let start = starts.iter().find(|start| start.contains(task)).unwrap();
+        start.rsplit(' ').next().unwrap().to_owned()
+    };
+    let (first, second) = (worker_of(&one), worker_of(&other));
+    fixture.started(&first, &one, 1, StartOutcome::Accepted);
+    fixture.started(&second, &other, 1, StartOutcome::Accepted);
+    fixture.step();
+    fixture.respond_as_incarnation(&first, 1, &[running(&one, 1)], &[]);
+    fixture.step();
+    fixture.respond_as_incarnation(&first, 2, &[], &[]);
+    fixture.step();
+    fixture.answer(&second, &[], &[ended(1, &other, 1, EndKind::Done)]);
+    fixture.step();
+    let batch = fixture.batch().expect("the completion is to be stored");
+    assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
+}
