Simulate lost workers and owners, and bound the gap between runs

The time from the end of a long-running run to the next start is bounded now, and four cases lose workers, owners in a row and zones.

--- a/crates/jobs/tests/fault_simulation/fake_store.rs
+++ b/crates/jobs/tests/fault_simulation/fake_store.rs
@@ -8,12 +8,12 @@
 use sapphirestile_jobs::JobSpec;
 use sapphirestile_jobs::StoredJob;
 
+use crate::ownership_row::OwnershipRow;
+
 /// A store that accepts batches only from the owner with the latest epoch.
 #[derive(Debug, Default)]
 pub struct FakeStore {
-    pub epoch: u64,
-    /// Time of the latest write of an owner, in milliseconds.
-    pub last_write: u64,
+    pub row: OwnershipRow,
     pub specs: BTreeMap<JobIdentity, JobSpec>,
     pub progress: BTreeMap<JobIdentity, JobProgress>,
     pub cancelled: Vec<JobIdentity>,
@@ -24,23 +24,30 @@
 impl FakeStore {
     /// Makes the caller the owner, and returns its epoch.
     pub fn claim(&mut self, now: u64) -> u64 {
-        self.epoch += 1;
-        self.last_write = now;
-        self.epoch
+        self.write_row(self.row.epoch + 1, now);
+        self.row.epoch
     }
 
     /// Returns whether the batch was stored; false if another owner has claimed.
     pub fn commit(&mut self, epoch: u64, batch: &CommitBatch, now: u64) -> bool {
-        if epoch != self.epoch {
+        if epoch != self.row.epoch {
             return false;
         }
-        self.last_write = now;
+        self.write_row(epoch, now);
         for (identity, progress) in &batch.progress {
             self.progress.insert(*identity, progress.clone());
         }
         true
     }
 
+    fn write_row(&mut self, epoch: u64, now: u64) {
+        self.row = OwnershipRow {
+            epoch,
+            version: self.row.version + 1,
+            written: now,
+        };
+    }
+
     pub fn jobs(&self) -> Vec<StoredJob> {
         let stored = |(identity, spec): (&JobIdentity, &JobSpec)| StoredJob {
             identity: *identity,
--- a/crates/jobs/tests/fault_simulation/fake_worker.rs
+++ b/crates/jobs/tests/fault_simulation/fake_worker.rs
@@ -1,6 +1,8 @@
 //! A worker that follows the platform's protocol.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::Range;
 
 use sapphirestile_core::WorkerName;
 use sapphirestile_jobs::EndKind;
@@ -38,6 +40,7 @@
 #[derive(Debug)]
 pub struct FakeWorker {
     pub name: WorkerName,
+    pub address: SocketAddr,
     pub incarnation: u64,
     pub started_at: u64,
     pub clock_lag_percent: u64,
@@ -45,6 +48,8 @@
     /// The only daemon that can reach the worker, and until when; `None` if all can.
     pub reachable_from: Option<(usize, u64)>,
     pub down_until: u64,
+    /// When the list of workers has no entry of the worker.
+    pub unlisted: Range<u64>,
     /// The highest epoch of an owner that has called.
     token: u64,
     /// End of the lease, on the worker's clock.
@@ -59,15 +64,17 @@
 }
 
 impl FakeWorker {
-    pub fn new(name: WorkerName, clock_lag_percent: u64) -> Self {
+    pub fn new(name: WorkerName, address: SocketAddr, clock_lag_percent: u64) -> Self {
         Self {
             name,
+            address,
             incarnation: 1,
             started_at: 0,
             clock_lag_percent,
             partitioned_until: 0,
             reachable_from: None,
             down_until: 0,
+            unlisted: 0..0,
             token: 0,
             lease_end: 0,
             running: BTreeMap::new(),
@@ -84,17 +91,34 @@
 
     /// Restarts as a new incarnation without runs and without memory.
     pub fn crash(&mut self, now: u64, down_ms: u64) {
-        let restarted = Self::new(self.name.clone(), self.clock_lag_percent);
+        let restarted = Self::new(self.name.clone(), self.address, self.clock_lag_percent);
         *self = Self {
             incarnation: self.incarnation + 1,
             started_at: now,
             partitioned_until: self.partitioned_until,
             reachable_from: self.reachable_from,
             down_until: now + down_ms,
+            unlisted: now..now + down_ms,
             ..restarted
         };
     }
 
+    /// Ends for good. The entry of the worker stays in the list for a while.
+    pub fn die(&mut self, now: u64, listed_ms: u64) {
+        self.crash(now, 0);
+        self.down_until = u64::MAX;
+        self.unlisted = now + listed_ms..u64::MAX;
+    }
+
+    pub const fn is_up(&self, now: u64) -> bool {
+        now >= self.down_until
+    }
+
+    /// Whether the worker has a run that lasts until the given time or longer.
+    pub fn has_run_until(&self, end: u64) -> bool {
+        self.running.values().any(|run| run.end > end)
+    }
+
     /// Ends the runs that are finished or whose lease has expired.
     pub fn advance_time(&mut self, now: u64) {
         let has_lapsed = self.clock(now) >= self.lease_end;
--- a/crates/jobs/tests/fault_simulation/main.rs
+++ b/crates/jobs/tests/fault_simulation/main.rs
@@ -4,11 +4,19 @@
 //! A [`Simulation`] runs real owners against a [`FakeStore`] and [`FakeWorker`]s that
 //! follow the platform's protocol. Requests and responses are lost or delayed; workers are
 //! partitioned, crash and restart; owners pause, crash and are replaced; the store becomes
-//! unavailable. Invariants are asserted as events are handled.
+//! unavailable. Some cases lose workers for good, owners in a row, or a whole zone.
+//! Invariants are asserted as events are handled.
 
 mod fake_end;
 mod fake_store;
 mod fake_worker;
+mod late_restart;
+mod owner_claim;
+mod ownership_row;
+mod planned_loss;
+mod restart_watch;
+mod run_gap;
+mod seen_row;
 mod simulated_daemon;
 mod simulation;
 mod simulation_event;
@@ -27,6 +35,10 @@
 #[test_case(5; "all faults but suspended owners")]
 #[test_case(6; "suspended owners that resume without the store")]
 #[test_case(7; "workers that restart at once, dead owners and an unavailable store")]
+#[test_case(8; "a worker and the owner that die together")]
+#[test_case(9; "several owners in a row and workers that die within a lease")]
+#[test_case(10; "an owner that is cut off together with workers")]
+#[test_case(11; "a worker that dies after its first response to a new owner")]
 fn every_job_ends_and_no_task_runs_twice(faults: u32) {
     for seed in 0..SEEDS {
         let mut simulation = Simulation::new(seed, faults);
--- a/crates/jobs/tests/fault_simulation/simulation.rs
+++ b/crates/jobs/tests/fault_simulation/simulation.rs
@@ -2,11 +2,15 @@
 
 mod deliveries;
 mod faults;
+mod losses;
 mod owners;
+mod polls;
 mod requests;
+mod restarts;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -17,9 +21,13 @@
 
 use crate::fake_store::FakeStore;
 use crate::fake_worker::FakeWorker;
+use crate::planned_loss::PlannedLoss;
+use crate::restart_watch::RestartWatch;
 use crate::simulated_daemon::SimulatedDaemon;
 use crate::simulation_event::SimulationEvent;
 
+use losses::FIRST_LOSS_MS;
+
 const DAEMONS: usize = 3;
 const WORKERS: usize = 6;
 const TICK_MS: u64 = 20;
@@ -28,6 +36,10 @@
 const TIMEOUT_MS: u64 = 900;
 const OWNER_TIMEOUT_MS: u64 = 1_500;
 const HEARTBEAT_MS: u64 = 450;
+/// Interval at which daemons read the ownership row, in milliseconds.
+const ROW_READ_MS: u64 = 400;
+/// Time from the crash of a daemon to its next start, in milliseconds.
+const RESTART_MS: u64 = 500;
 /// Time for which an owner that was suspended cannot reach the store after it resumes, in
 /// milliseconds.
 const RESUME_PARTITION_MS: u64 = 12_000;
@@ -36,8 +48,21 @@
 const SUSPENSIONS: u32 = 6;
 /// The case in which workers restart before anybody notices. It is apart for the same reason.
 const RESTARTS: u32 = 7;
+/// The case in which a worker and the owner die together.
+const JOINT_LOSSES: u32 = 8;
+/// The case in which several owners in a row die within a lease, beside workers.
+const OWNER_SERIES: u32 = 9;
+/// The case in which the owner is cut off together with workers, and goes on.
+const CUT_ZONES: u32 = 10;
+/// The case in which workers answer the first poll of a new owner, and die.
+const LOSSES_AFTER_POLL: u32 = 11;
 const ATTEMPTS: u32 = 50;
+/// Share of the jobs that are long-running.
+const LONG_RUNNING_SHARE: f64 = 0.2;
+/// Share of the jobs that are long-running, in the cases with planned losses.
+const LOSSES_SHARE: f64 = 0.35;
 const WORKER_CPU_MILLI: u64 = 8_000;
+const TASK_CPU_MILLI: u64 = 1_000;
 
 /// Daemons, workers and a store, driven by events in virtual time.
 pub struct Simulation {
@@ -56,6 +81,13 @@
     acknowledged: BTreeSet<TaskIdentity>,
     /// When the latest run of each task started.
     started: BTreeMap<TaskIdentity, u64>,
+    /// Checks how soon long-running tasks run again.
+    watch: RestartWatch,
+    /// Number of further owners that die soon after their claims.
+    doomed_owners: u32,
+    /// The first worker with a long-running task that responds to an owner with a higher epoch
+    /// than this dies; `None` if none does.
+    fatal_after: Option<u64>,
     /// Requests that have an outcome, as text.
     finished_calls: BTreeSet<String>,
 }
@@ -65,7 +97,7 @@
         let mut random = StdRng::seed_from_u64(seed);
         let workers = (0..WORKERS).map(|index| {
             let name = WorkerName::try_from(format!("w-{index}")).unwrap();
-            FakeWorker::new(name, random.random_range(0..=2))
+            FakeWorker::new(name, worker_address(index), random.random_range(0..=2))
         });
         let workers = workers.collect();
         let mut simulation = Self {
@@ -80,6 +112,9 @@
             workers,
             acknowledged: BTreeSet::new(),
             started: BTreeMap::new(),
+            watch: RestartWatch::default(),
+            doomed_owners: 0,
+            fatal_after: None,
             finished_calls: BTreeSet::new(),
         };
         for daemon in 0..DAEMONS {
@@ -90,6 +125,10 @@
             simulation.schedule(index * 1_100 + 700, SimulationEvent::Fault);
         }
         simulation.schedule(12_345, SimulationEvent::Cancel);
+        if simulation.plans_losses() {
+            let after_ms = simulation.random.random_range(FIRST_LOSS_MS);
+            simulation.schedule(after_ms, SimulationEvent::Loss(PlannedLoss::Series));
+        }
         simulation
     }
 
@@ -121,6 +160,7 @@
     /// Checks the state of every job at the end: a cancelled job has ended, every task of a
     /// long-running job is running, and any other job has completed.
     pub fn check_end(&self) {
+        self.check_missed();
         for (identity, spec) in &self.store.specs {
             let progress = self.store.progress.get(identity);
             let standing = progress.map_or(JobStanding::Waiting, |progress| progress.standing);
@@ -145,11 +185,13 @@
         match event {
             SimulationEvent::Tick { daemon } => {
                 self.tick(daemon);
+                self.check_restarts();
                 self.schedule(TICK_MS, SimulationEvent::Tick { daemon });
             }
             SimulationEvent::Submit => self.submit(),
             SimulationEvent::Cancel => self.cancel(),
             SimulationEvent::Fault => self.inject_fault(),
+            SimulationEvent::Loss(loss) => self.inject_loss(loss),
             SimulationEvent::StartArrives {
                 daemon,
                 incarnation,
@@ -179,23 +221,7 @@
                 incarnation,
                 sent,
                 request,
-            } => {
-                let Some(index) = self.find_reachable(daemon, &request.worker) else {
-                    return;
-                };
-                let (outcome, acknowledged) = self.workers[index].poll(&request, self.now);
-                for ended in acknowledged {
-                    self.check_acknowledged(&ended);
-                }
-                self.send_response(SimulationEvent::PollReturns {
-                    daemon,
-                    incarnation,
-                    sent,
-                    worker: request.worker,
-                    number: request.number,
-                    outcome,
-                });
-            }
+            } => self.poll(daemon, incarnation, sent, &request),
             SimulationEvent::CommitArrives {
                 daemon,
                 incarnation,
@@ -228,3 +254,9 @@
         }
     }
 }
+
+/// Address of the worker with this number; no two workers have the same when they start.
+fn worker_address(index: usize) -> SocketAddr {
+    let port = u16::try_from(index + 1).expect("there are few workers");
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
--- a/crates/jobs/tests/fault_simulation/simulation/deliveries.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/deliveries.rs
@@ -13,6 +13,7 @@
 use crate::simulation_event::SimulationEvent;
 
 use super::END_MS;
+use super::TIMEOUT_MS;
 
 impl Simulation {
     /// Checks that a completion which a worker drops is stored, since it cannot be read again,
@@ -53,13 +54,18 @@
             .workers
             .iter()
             .position(|worker| worker.name == *name)?;
-        let worker = &self.workers[index];
+        self.is_reachable(daemon, index).then_some(index)
+    }
+
+    /// Whether the daemon can reach a worker now.
+    pub(super) fn is_reachable(&self, daemon: usize, worker: usize) -> bool {
+        let worker = &self.workers[worker];
         let is_connected = match worker.reachable_from {
             Some((only, until)) if self.now < until => only == daemon,
             _ => self.now >= self.daemons[daemon].partitioned_until,
         };
         let is_partitioned = self.now < worker.partitioned_until || !is_connected;
-        (!is_partitioned && self.now >= worker.down_until).then_some(index)
+        !is_partitioned && worker.is_up(self.now)
     }
 
     /// Handles a start request at its worker, and checks that the task runs only there.
@@ -124,10 +130,12 @@
     /// Sends a response, which may be lost.
     pub(super) fn send_response(&mut self, event: SimulationEvent) {
         let is_lost = self.injects(1) && self.random.random_bool(0.05);
-        if !is_lost {
-            let delay = self.random.random_range(1..8);
-            self.schedule(delay, event);
+        if is_lost {
+            self.watch.disturb(self.now + TIMEOUT_MS);
+            return;
         }
+        let delay = self.random.random_range(1..8);
+        self.schedule(delay, event);
     }
 
     /// Delivers an event to the process that it is for, or queues it while that is paused.
--- a/crates/jobs/tests/fault_simulation/simulation/faults.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/faults.rs
@@ -7,7 +7,6 @@
 use sapphirestile_jobs::ResourceVector;
 use sapphirestile_jobs::StepSpec;
 
-use crate::fake_worker::FakeWorker;
 use crate::simulated_daemon::SimulatedDaemon;
 use crate::simulation::Simulation;
 
@@ -15,20 +14,29 @@
 use super::DAEMONS;
 use super::END_MS;
 use super::FAULTS_END_MS;
+use super::LONG_RUNNING_SHARE;
+use super::LOSSES_SHARE;
+use super::RESTART_MS;
 use super::RESTARTS;
 use super::RESUME_PARTITION_MS;
 use super::SUSPENSIONS;
+use super::TASK_CPU_MILLI;
 use super::WORKERS;
 
 impl Simulation {
     pub(super) fn submit(&mut self) {
         let digits: u64 = self.random.random();
         let identity = JobIdentity::try_from(format!("{digits:016x}").as_str()).unwrap();
-        let is_long_running = self.random.random_bool(0.2);
+        let share = if self.plans_losses() {
+            LOSSES_SHARE
+        } else {
+            LONG_RUNNING_SHARE
+        };
+        let is_long_running = self.random.random_bool(share);
         let step = |after: Vec<u32>, tasks: u32| StepSpec {
             tasks,
             size: ResourceVector {
-                cpu_milli: 1_000,
+                cpu_milli: TASK_CPU_MILLI,
                 memory_mib: 100,
                 accelerators: 0,
             },
@@ -64,13 +72,11 @@
     /// Suspends the owner for less than a lease. After it resumes, it can reach neither the
     /// store nor any worker but one with a long-running task, which no other daemon can reach.
     pub(super) fn suspend_owner(&mut self, worker: usize, duration_ms: u64) {
-        let has_long_running =
-            |worker: &FakeWorker| worker.running.values().any(|run| run.end > END_MS);
-        let worker = self
+        let lasting = self
             .workers
             .iter()
-            .position(has_long_running)
-            .unwrap_or(worker);
+            .position(|worker| worker.has_run_until(END_MS));
+        let worker = lasting.unwrap_or(worker);
         let mut states = self.daemons.iter();
         if states.any(|state| self.now < state.partitioned_until) {
             return;
@@ -82,7 +88,9 @@
         let state = &mut self.daemons[daemon];
         state.paused_until = self.now + 3_000 + duration_ms / 4;
         state.partitioned_until = state.paused_until + RESUME_PARTITION_MS;
-        self.workers[worker].reachable_from = Some((daemon, state.partitioned_until));
+        let until = state.partitioned_until;
+        self.workers[worker].reachable_from = Some((daemon, until));
+        self.watch.disturb(until);
     }
 
     pub(super) fn inject_fault(&mut self) {
@@ -97,44 +105,54 @@
             let state = &mut self.daemons[daemon];
             if self.now >= state.paused_until {
                 state.paused_until = self.now + duration_ms;
+                self.watch.disturb(state.paused_until);
             }
         }
         if self.injects(2) && kind == 1 {
-            let state = &mut self.daemons[daemon];
-            state.owner = None;
-            state.incarnation += 1;
-            state.queued.clear();
-            state.paused_until = state.paused_until.max(self.now + 500);
+            self.crash_daemon(daemon, RESTART_MS);
         }
         if self.injects(3) && kind == 2 {
-            self.workers[worker].partitioned_until = self.now + duration_ms * 2;
+            let until = self.now + duration_ms * 2;
+            self.workers[worker].partitioned_until = until;
+            self.watch.disturb(until);
         }
         if self.injects(3) && kind == 3 {
-            let now = self.now;
-            self.workers[worker].crash(now, duration_ms);
+            self.crash_worker(worker, duration_ms);
         }
         if self.faults == RESTARTS && self.now < FAULTS_END_MS {
             self.inject_restart(kind, daemon, worker, duration_ms);
         }
         if self.injects(4) && kind <= 1 {
-            self.store.unavailable_until = self.now + duration_ms;
+            self.stop_store(duration_ms);
         }
     }
 
+    /// Ends the process of a daemon, which starts again `restart_ms` later.
+    pub(super) fn crash_daemon(&mut self, daemon: usize, restart_ms: u64) {
+        self.daemons[daemon].crash(self.now, restart_ms);
+        self.watch.disturb(self.now + restart_ms);
+    }
+
+    fn crash_worker(&mut self, worker: usize, down_ms: u64) {
+        self.workers[worker].crash(self.now, down_ms);
+        self.watch.disturb(self.now + down_ms);
+    }
+
+    fn stop_store(&mut self, duration_ms: u64) {
+        self.store.unavailable_until = self.now + duration_ms;
+        self.watch.disturb(self.now + duration_ms);
+    }
+
     /// Kills an owner, or restarts a worker before anybody notices, beside a store that is
     /// unavailable.
     fn inject_restart(&mut self, kind: u32, daemon: usize, worker: usize, duration_ms: u64) {
         if kind == 1 {
-            let state = &mut self.daemons[daemon];
-            state.owner = None;
-            state.incarnation += 1;
-            state.queued.clear();
+            self.crash_daemon(daemon, 0);
             return;
         }
         if kind >= 2 {
-            let now = self.now;
-            self.workers[worker].crash(now, duration_ms / 10);
+            self.crash_worker(worker, duration_ms / 10);
         }
-        self.store.unavailable_until = self.now + duration_ms;
+        self.stop_store(duration_ms);
     }
 }
--- a/crates/jobs/tests/fault_simulation/simulation/owners.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/owners.rs
@@ -1,6 +1,5 @@
 //! Claims of the daemons, and what their owners do with time.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use sapphirestile_core::CellEpoch;
@@ -16,11 +15,14 @@
 use sapphirestile_jobs::WorkerIncarnation;
 
 use crate::fake_worker::FakeWorker;
+use crate::owner_claim::OwnerClaim;
+use crate::seen_row::SeenRow;
 use crate::simulation::Simulation;
 use crate::simulation_event::SimulationEvent;
 
 use super::HEARTBEAT_MS;
 use super::OWNER_TIMEOUT_MS;
+use super::ROW_READ_MS;
 use super::WORKER_CPU_MILLI;
 
 impl Simulation {
@@ -32,10 +34,11 @@
             self.handle_event(daemon, event);
         }
         let is_unavailable = self.is_store_unavailable(daemon);
+        if !is_unavailable && self.now >= self.daemons[daemon].next_read {
+            self.read_row(daemon);
+        }
         if self.daemons[daemon].owner.is_none() {
-            let is_unresponsive =
-                self.now >= self.store.last_write + OWNER_TIMEOUT_MS + daemon as u64 * 40;
-            if !is_unavailable && (self.store.epoch == 0 || is_unresponsive) {
+            if !is_unavailable && self.may_claim(daemon) {
                 self.claim(daemon);
             }
             return;
@@ -47,8 +50,36 @@
         self.now < self.store.unavailable_until || self.now < self.daemons[daemon].partitioned_until
     }
 
+    /// Whether a daemon may claim now: there is no owner, or the latest one has not written for
+    /// a while. In the cases with planned losses that is what the daemon itself has read.
+    fn may_claim(&self, daemon: usize) -> bool {
+        let row = self.store.row;
+        let unchanged_since = if self.plans_losses() {
+            let seen = self.daemons[daemon].seen.filter(|seen| seen.row == row);
+            seen.map(|seen| seen.at)
+        } else {
+            Some(row.written)
+        };
+        let timeout_ms = OWNER_TIMEOUT_MS + daemon as u64 * 40;
+        row.epoch == 0 || unchanged_since.is_some_and(|since| self.now >= since + timeout_ms)
+    }
+
+    /// Lets a daemon read the ownership row.
+    fn read_row(&mut self, daemon: usize) -> SeenRow {
+        let state = &mut self.daemons[daemon];
+        state.next_read = self.now + ROW_READ_MS;
+        state.read_row(self.store.row, self.now)
+    }
+
     fn claim(&mut self, daemon: usize) {
+        let seen = self.read_row(daemon);
         let epoch = self.store.claim(self.now);
+        self.watch.record_claim(OwnerClaim {
+            daemon,
+            epoch,
+            at: self.now,
+            seen,
+        });
         let now = MonoTime::from_millis(self.now);
         let limits = OwnerLimits {
             lease_ms: 5_000,
@@ -65,13 +96,14 @@
         self.daemons[daemon].owner = Some(owner);
         self.daemons[daemon].is_committing = false;
         self.daemons[daemon].last_commit = self.now;
+        self.plan_losses_after_claim(epoch);
     }
 
     pub(super) fn entries(&self) -> Vec<WorkerEntry> {
         let entry = |worker: &FakeWorker| WorkerEntry {
             name: worker.name.clone(),
             service: "sizing".into(),
-            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            address: worker.address,
             zone: ZoneName::try_from("near-a").unwrap(),
             labels: Vec::new(),
             capacity: ResourceVector {
@@ -85,7 +117,7 @@
         let listed = self
             .workers
             .iter()
-            .filter(|worker| self.now >= worker.down_until);
+            .filter(|worker| !worker.unlisted.contains(&self.now));
         listed.map(entry).collect()
     }
 
--- a/crates/jobs/tests/fault_simulation/simulation/requests.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/requests.rs
@@ -16,7 +16,9 @@
     pub(super) fn send_request(&mut self, daemon: usize, incarnation: u64, effect: OwnerEffect) {
         let is_late = self.injects(1) && self.random.random_bool(0.05);
         let delay = if is_late {
-            self.random.random_range(2_000..12_000)
+            let delay = self.random.random_range(2_000..12_000);
+            self.watch.disturb(self.now + delay);
+            delay
         } else {
             self.random.random_range(1..8)
         };
--- a/crates/jobs/tests/fault_simulation/simulation_event.rs
+++ b/crates/jobs/tests/fault_simulation/simulation_event.rs
@@ -10,6 +10,8 @@
 use sapphirestile_jobs::StopRequest;
 use sapphirestile_jobs::TaskIdentity;
 
+use crate::planned_loss::PlannedLoss;
+
 /// An event at a point in virtual time. `daemon` and `incarnation` identify the owner that sent a
 /// request or gets a response.
 #[derive(Clone, Debug)]
@@ -74,6 +76,8 @@
     },
     /// A random fault, if the case injects any.
     Fault,
+    /// A loss that the case has planned.
+    Loss(PlannedLoss),
     Submit,
     Cancel,
 }
