--- a/crates/jobs/tests/fault_simulation/fake_worker.rs
+++ b/crates/jobs/tests/fault_simulation/fake_worker.rs
@@ -105,7 +105,9 @@
 
     /// Ends for good. The entry of the worker stays in the list for a while.
     pub fn die(&mut self, now: u64, listed_ms: u64) {
+        let incarnation = self.incarnation;
         self.crash(now, 0);
+        self.incarnation = incarnation;
         self.down_until = u64::MAX;
         self.unlisted = now + listed_ms..u64::MAX;
     }
--- a/crates/jobs/tests/fault_simulation/main.rs
+++ b/crates/jobs/tests/fault_simulation/main.rs
@@ -38,7 +38,7 @@
 #[test_case(8; "a worker and the owner that die together")]
 #[test_case(9; "several owners in a row and workers that die within a lease")]
 #[test_case(10; "an owner that is cut off together with workers")]
-#[test_case(11; "a worker that dies after its first response to a new owner")]
+#[test_case(11; "workers that die after their first response to a new owner, which dies too")]
 fn every_job_ends_and_no_task_runs_twice(faults: u32) {
     for seed in 0..SEEDS {
         let mut simulation = Simulation::new(seed, faults);
--- a/crates/jobs/tests/fault_simulation/simulation.rs
+++ b/crates/jobs/tests/fault_simulation/simulation.rs
@@ -54,7 +54,7 @@
 const OWNER_SERIES: u32 = 9;
 /// The case in which the owner is cut off together with workers, and goes on.
 const CUT_ZONES: u32 = 10;
-/// The case in which workers answer the first poll of a new owner, and die.
+/// The case in which workers respond to the first poll of a new owner and die, as it may.
 const LOSSES_AFTER_POLL: u32 = 11;
 const ATTEMPTS: u32 = 50;
 /// Share of the jobs that are long-running.
--- a/crates/jobs/tests/fault_simulation/simulation/losses.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/losses.rs
@@ -87,6 +87,7 @@
             LOSSES_AFTER_POLL => {
                 let epoch = self.store.row.epoch;
                 self.fatal_after = Some(epoch);
+                self.doomed_owners = self.random.random_range(0..=3);
                 self.lose_owner(epoch);
             }
             _ => return,
