--- a/crates/jobs/tests/fault_simulation/restart_watch.rs
+++ b/crates/jobs/tests/fault_simulation/restart_watch.rs
@@ -79,7 +79,7 @@
         self.find_missed(|_| true)
     }
 
-    /// Whether a task is missed for the first time now, so that there must be room for it.
+    /// Whether a task had to run again and has not.
     pub fn is_any_missed(&self) -> bool {
         let mut gaps = self.gaps.values().flatten();
         gaps.any(|gap| gap.missed_due.is_some())
--- a/crates/jobs/tests/fault_simulation/simulation/restarts.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/restarts.rs
@@ -45,6 +45,7 @@
             .collect()
     }
 
+    /// Checks that the workers which are up have room for another task, twice over.
     fn assert_room(&self) {
         let free_milli = |worker: &FakeWorker| {
             let used_milli = worker.running.len() as u64 * TASK_CPU_MILLI;
