Carry the bounds on leases through the fault simulation

Change: the simulated store keeps the bounds of the latest write, and a claim carries them on from when its daemon first read that write.

--- a/crates/jobs/tests/fault_simulation/fake_store.rs
+++ b/crates/jobs/tests/fault_simulation/fake_store.rs
@@ -6,14 +6,17 @@
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobProgress;
 use sapphirestile_jobs::JobSpec;
+use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::StoredJob;
 
 use crate::ownership_row::OwnershipRow;
 
 /// A store that accepts batches only from the owner with the latest epoch.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FakeStore {
     pub row: OwnershipRow,
+    /// The bounds on leases in the ownership row.
+    pub lease_bounds: LeaseBounds,
     pub specs: BTreeMap<JobIdentity, JobSpec>,
     pub progress: BTreeMap<JobIdentity, JobProgress>,
     pub cancelled: Vec<JobIdentity>,
@@ -21,9 +24,24 @@
     pub unavailable_until: u64,
 }
 
+impl Default for FakeStore {
+    fn default() -> Self {
+        Self {
+            row: OwnershipRow::default(),
+            lease_bounds: LeaseBounds::of_all(0),
+            specs: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            cancelled: Vec::new(),
+            unavailable_until: 0,
+        }
+    }
+}
+
 impl FakeStore {
-    /// Makes the caller the owner, and returns its epoch.
-    pub fn claim(&mut self, now: u64) -> u64 {
+    /// Makes the caller the owner, with the bounds on the leases of earlier owners, and
+    /// returns its epoch.
+    pub fn claim(&mut self, lease_bounds: LeaseBounds, now: u64) -> u64 {
+        self.lease_bounds = lease_bounds;
         self.write_row(self.row.epoch + 1, now);
         self.row.epoch
     }
@@ -34,6 +52,7 @@
             return false;
         }
         self.write_row(epoch, now);
+        self.lease_bounds = batch.lease_bounds.clone();
         for (identity, progress) in &batch.progress {
             self.progress.insert(*identity, progress.clone());
         }
--- a/crates/jobs/tests/fault_simulation/simulation/owners.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/owners.rs
@@ -9,7 +9,6 @@
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_jobs::JobSpec;
-use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::OwnerLimits;
 use sapphirestile_jobs::ResourceVector;
 use sapphirestile_jobs::WorkerEntry;
@@ -74,7 +73,8 @@
 
     fn claim(&mut self, daemon: usize) {
         let seen = self.read_row(daemon);
-        let epoch = self.store.claim(self.now);
+        let inherited = self.store.lease_bounds.after(self.now - seen.at);
+        let epoch = self.store.claim(inherited.clone(), self.now);
         self.watch.record_claim(OwnerClaim {
             daemon,
             epoch,
@@ -89,7 +89,6 @@
             retention_ms: 1_000_000,
         };
         let config = Arc::new(DeployedConfig::default());
-        let inherited = LeaseBounds::of_all(limits.authority_bound_ms());
         let mut owner = JobOwner::new(
             CellEpoch::new(epoch),
             limits,
