--- a/crates/daemon/tests/deployed_soak/crash_series.rs
+++ b/crates/daemon/tests/deployed_soak/crash_series.rs
@@ -49,17 +49,11 @@
         let mut now_ms = 0;
         for _ in 0..crashes {
             let first_ms = now_ms + random.random_range(0..TOGETHER_MAX_MS);
-            if random.random_bool(0.8) {
-                series.draw_power_loss(&mut random, first_ms);
-            }
+            series.draw_worker_fault(&mut random, first_ms);
             if random.random_bool(0.3) {
                 let end_ms = first_ms + random.random_range(300..DISRUPTION_MAX_MS);
-                let disruption = if random.random_bool(0.5) {
-                    CrashStep::CutLink { rank: 0 }
-                } else {
-                    CrashStep::Disrupt(SoakFault::draw_disruption(&mut random))
-                };
-                series.disrupt(first_ms, end_ms, disruption);
+                let fault = SoakFault::draw_disruption(&mut random);
+                series.disrupt(first_ms, end_ms, CrashStep::Disrupt(fault));
             }
             let survivor = random.random_range(0..DAEMONS);
             match random.random_range(0..3) {
@@ -79,6 +73,18 @@
         series
     }
 
+    /// Draws a loss of power, a cut link, or nothing.
+    fn draw_worker_fault(&mut self, random: &mut StdRng, at_ms: u64) {
+        match random.random_range(0..10) {
+            0..6 => self.draw_power_loss(random, at_ms),
+            6..9 => {
+                let end_ms = at_ms + random.random_range(300..DISRUPTION_MAX_MS);
+                self.disrupt(at_ms, end_ms, CrashStep::CutLink { rank: 0 });
+            }
+            _ => {}
+        }
+    }
+
     fn draw_power_loss(&mut self, random: &mut StdRng, lost_ms: u64) {
         let rank = random.random_range(0..RANKS);
         let return_ms = lost_ms + random.random_range(200..RETURN_MAX_MS);
--- a/crates/daemon/tests/deployed_soak/crashes.rs
+++ b/crates/daemon/tests/deployed_soak/crashes.rs
@@ -35,7 +35,7 @@
 /// The time between kills of owners, in milliseconds.
 const KILL_INTERVAL_MS: u64 = 3_000;
 
-/// How long a worker is cut off, in milliseconds: nearly until its lease ends.
+/// How long a worker is cut off, in milliseconds: until after its lease ends.
 const CUT_OFF_MS: u64 = 5_500;
 
 /// The seed of the jobs while a worker is cut off.
--- a/crates/daemon/tests/deployed_soak/soak_scenario/crash_run.rs
+++ b/crates/daemon/tests/deployed_soak/soak_scenario/crash_run.rs
@@ -1,6 +1,7 @@
 //! Crashes of daemons and workers while long-running tasks run.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::thread;
 use std::time::Duration;
 
@@ -73,7 +74,8 @@
             self.resume_or_restart();
             let runs = self.fleet.long_runs();
             let running = runs.iter().filter(|run| run.end.is_none());
-            (running.count() == LONG_TASKS).then_some(())
+            let tasks: BTreeSet<&str> = running.map(|run| run.task.as_str()).collect();
+            (tasks.len() == LONG_TASKS).then_some(())
         });
     }
 
