--- a/crates/daemon/tests/deployed_soak/crashes.rs
+++ b/crates/daemon/tests/deployed_soak/crashes.rs
@@ -4,6 +4,7 @@
 
 use test_case::test_case;
 
+use crate::SEEDS_VARIABLE;
 use crate::crash_series::CrashSeries;
 use crate::crash_step::CrashStep;
 use crate::gap_check::GapCheck;
@@ -11,11 +12,8 @@
 use crate::soak_scenario::SoakScenario;
 use crate::worker_return::WorkerReturn;
 
-/// The variable with the seeds of a run by hand.
-const SEEDS_VARIABLE: &str = "SOAK_SEEDS";
-
 /// The seeds of a run without given seeds, as in CI.
-const SEEDS_DEFAULT: &str = "600..600";
+const SEEDS_DEFAULT: &str = "605..605";
 
 /// The number of crashes of a run without given seeds, as in CI.
 const CRASHES_DEFAULT: u32 = 2;
@@ -73,7 +71,7 @@
     }
 }
 
-/// Without seeds in the environment, seed 600 with the default number of crashes.
+/// Without seeds in the environment, seed 605 with the default number of crashes.
 #[test]
 fn long_running_tasks_run_again_after_crashes() {
     let Ok(range) = std::env::var(SEEDS_VARIABLE) else {
--- a/crates/daemon/tests/deployed_soak/main.rs
+++ b/crates/daemon/tests/deployed_soak/main.rs
@@ -47,6 +47,9 @@
 
 use crate::soak_scenario::SoakScenario;
 
+/// The variable with the seeds of a run by hand.
+const SEEDS_VARIABLE: &str = "SOAK_SEEDS";
+
 /// The number of faults of a run without given seeds, as in CI.
 const FAULTS_DEFAULT: u32 = 8;
 
@@ -65,7 +68,7 @@
 /// Without seeds in the environment, seed 3 with the default number of faults.
 #[test]
 fn accepted_jobs_complete_for_seeds_of_the_environment() {
-    let given_seeds = std::env::var("SOAK_SEEDS").ok();
+    let given_seeds = std::env::var(SEEDS_VARIABLE).ok();
     let faults = given_seeds
         .as_ref()
         .map_or(FAULTS_DEFAULT, |_| FAULTS_GIVEN_SEEDS);
