Search the job protocol with reads of the head row, carried lease bounds and replaced workers

Callers saw long-running tasks stay down for 12 s after each change of owner: a new owner waits from its own claim for every worker that never responded to it, and the next one waits anew.

A daemon reads the head row, and the bound for leases of earlier owners counts from when it first read the latest write. Each batch lists the workers that get no leases, with the ticks until all leases that they may hold have ended, and a claim writes what is left of the bounds that it inherited. The process at a worker's address may be replaced by another worker, which rejects orders and so ends the runs that the earlier one must have known.

A daemon claims only after the one with the number before its own, so a process that owns again counts as another daemon. No minimum number of states is lower than before.

--- a/crates/specification/src/job_ownership.rs
+++ b/crates/specification/src/job_ownership.rs
@@ -7,7 +7,19 @@
 //! lost, or be carried out long after its sender gave up waiting. A daemon may pause for
 //! any time between two steps, and may be suspended while its clock runs on.
 //!
-//! [`JobModel`] is the model, with one task, two daemons and two workers. [`JobState`] is
+//! A new owner concludes when the leases of earlier owners have ended. A daemon that is not
+//! the owner reads the head row, and its claim is refused if the row was written since. Each
+//! write of the row carries a bound for the leases of each worker, which counts from when the
+//! next owner first read the write. The bound is the full authority of the writer, or less for
+//! a worker that the write lists: the writer grants no lease to it. A claim lists all workers
+//! with what is left of the bounds that it inherited. An owner grants leases to a worker only
+//! if neither the latest write known to be stored nor its batch in flight lists the worker.
+//!
+//! The process at the address of a worker may die and be replaced. Orders name their worker,
+//! so another worker at the address rejects them, and its answer to a poll shows that the runs
+//! are over that the earlier process must have known.
+//!
+//! [`JobModel`] is the model, with one task, three daemons and two workers. [`JobState`] is
 //! its state, [`JobAction`] a step, and [`JobBounds`] are its bounds. A [`JobMutation`]
 //! is a rule that the model can leave out. Its "look" is a poll, as the names of the
 //! mutations on the command line have it.
@@ -27,18 +39,21 @@
 mod job_state;
 mod job_store_state;
 mod job_worker;
+mod lease_bound;
 mod order_call;
 mod order_outcome;
 mod poll_call;
 mod poll_response;
 mod poll_steps;
 mod possible_actions;
+mod reachable_workers;
 mod run_assignment;
 mod run_state;
 mod store_steps;
 mod tracked_run;
 mod tracked_worker;
 mod worker_order;
+mod worker_process;
 mod worker_steps;
 
 pub use job_action::JobAction;
@@ -46,3 +61,4 @@
 pub use job_model::JobModel;
 pub use job_mutation::JobMutation;
 pub use job_state::JobState;
+pub use reachable_workers::ReachableWorkers;
--- a/crates/specification/src/job_ownership/job_action.rs
+++ b/crates/specification/src/job_ownership/job_action.rs
@@ -11,7 +11,17 @@
         /// Number of the daemon.
         daemon: u8,
     },
-    /// A daemon claims the head row and reads the stored assignment.
+    /// A daemon ends without a trace. Only if owners do not overlap.
+    EndDaemon {
+        /// Number of the daemon.
+        daemon: u8,
+    },
+    /// A daemon that is not the owner reads the head row.
+    ReadHead {
+        /// Number of the daemon.
+        daemon: u8,
+    },
+    /// A daemon claims the head row as it was read last, and reads the stored assignment.
     Claim {
         /// Number of the daemon.
         daemon: u8,
@@ -105,6 +115,12 @@
         /// Position in the sorted set of late orders.
         index: u8,
     },
+    /// The process at the address of a worker dies with its run, and another one takes the
+    /// address.
+    ReplaceProcess {
+        /// Number of the worker.
+        worker: u8,
+    },
     /// A run completes its task.
     FinishRun {
         /// Number of the run's worker.
--- a/crates/specification/src/job_ownership/job_bounds.rs
+++ b/crates/specification/src/job_ownership/job_bounds.rs
@@ -1,9 +1,10 @@
 //! Bounds of the job model.
 
 use crate::job_ownership::job_mutation::JobMutation;
+use crate::job_ownership::reachable_workers::ReachableWorkers;
 
 /// Number of daemons.
-pub(crate) const DAEMONS: usize = 2;
+pub(crate) const DAEMONS: usize = 3;
 /// Number of workers.
 pub(crate) const WORKERS: usize = 2;
 /// Maximum number of runs of the task.
@@ -17,11 +18,14 @@
 /// Maximum time from sending a stored batch to the end of a lease granted after it, in
 /// ticks.
 pub(crate) const AUTHORITY_TICKS: u8 = 1;
+/// Ticks from reading a write of the head row until every lease has ended that its writer may
+/// have granted.
+pub(crate) const BOUND_TICKS: u8 = AUTHORITY_TICKS + 1;
 
 /// Bounds of a search: how often each of the bounded actions happens, and the setting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct JobBounds {
-    /// Maximum number of claims after the first.
+    /// Maximum number of claims after the first, up to 2.
     pub claims: u8,
     /// Maximum number of ticks of the clocks.
     pub ticks: u8,
@@ -32,9 +36,15 @@
     /// Whether the task runs on the first worker in the initial state, with a batch of its
     /// owner in flight.
     pub starts_running: bool,
-    /// Whether each daemon can reach only the worker with its own number, and runs end only
-    /// by a stop or the end of their lease.
-    pub is_partitioned: bool,
+    /// Number of times that the process at the address of the first worker is replaced: first
+    /// by a stranger, then by a new incarnation of the worker.
+    pub replacements: u8,
+    /// Whether a daemon claims only after the owner before it has ended. Otherwise an owner
+    /// that pauses for good stands for one that has ended.
+    pub owners_end: bool,
+    /// Which workers each daemon can reach. If not all, runs end only by a stop or the end of
+    /// their lease.
+    pub reach: ReachableWorkers,
 }
 
 impl JobBounds {
@@ -44,7 +54,9 @@
         losses: 0,
         runs: 2,
         starts_running: false,
-        is_partitioned: false,
+        replacements: 0,
+        owners_end: false,
+        reach: ReachableWorkers::All,
     };
 
     /// Another daemon claims the jobs while an order or its answer may be lost.
@@ -75,20 +87,71 @@
         claims: 1,
         ticks: 2,
         starts_running: true,
-        is_partitioned: true,
+        reach: ReachableWorkers::One([0, 1, 1]),
+        ..Self::NONE
+    };
+
+    /// Three owners in a row, of which the last two reach only the second worker. The run of
+    /// the first owner is on the first worker.
+    pub const CHAIN: Self = Self {
+        claims: 2,
+        ticks: 3,
+        owners_end: true,
+        ..Self::UNREACHED
+    };
+
+    /// Three owners in a row, of which the second reaches the worker with the run of the first,
+    /// and the third does not.
+    pub const RELAY: Self = Self {
+        reach: ReachableWorkers::One([0, 0, 1]),
+        ..Self::CHAIN
+    };
+
+    /// Three owners in a row that reach all workers.
+    pub const CONNECTED_CHAIN: Self = Self {
+        ticks: 2,
+        reach: ReachableWorkers::All,
+        ..Self::CHAIN
+    };
+
+    /// An owner loses contact with a worker and reaches it again, and the next one never
+    /// reaches it.
+    pub const RELISTED: Self = Self {
+        losses: 1,
+        owners_end: true,
+        ..Self::UNREACHED
+    };
+
+    /// A worker dies for good while another daemon claims the jobs.
+    pub const REPLACED: Self = Self {
+        claims: 1,
+        replacements: 1,
+        ..Self::NONE
+    };
+
+    /// A worker dies, and a new incarnation of it takes its address later.
+    pub const SUCCEEDED: Self = Self {
+        ticks: 1,
+        replacements: 2,
         ..Self::NONE
     };
 
     /// Bounds that every run of the tests covers, with their names on the command line.
-    pub const SMALL: [(&'static str, Self); 4] = [
+    pub const SMALL: [(&'static str, Self); 10] = [
         ("claim", Self::CLAIM),
         ("late-claim", Self::LATE_CLAIM),
         ("lapse", Self::LAPSE),
         ("unreached", Self::UNREACHED),
+        ("chain", Self::CHAIN),
+        ("relay", Self::RELAY),
+        ("connected-chain", Self::CONNECTED_CHAIN),
+        ("relisted", Self::RELISTED),
+        ("replaced", Self::REPLACED),
+        ("succeeded", Self::SUCCEEDED),
     ];
 
     /// Larger bounds, for a longer search, with their names on the command line.
-    pub const LARGE: [(&'static str, Self); 2] = [
+    pub const LARGE: [(&'static str, Self); 4] = [
         (
             "long-lapse",
             Self {
@@ -103,6 +166,21 @@
                 ..Self::UNREACHED
             },
         ),
+        (
+            "long-chain",
+            Self {
+                ticks: 4,
+                ..Self::CHAIN
+            },
+        ),
+        (
+            "long-return",
+            Self {
+                ticks: 4,
+                reach: ReachableWorkers::One([0, 1, 0]),
+                ..Self::CHAIN
+            },
+        ),
     ];
 
     /// Bounds at which `mutation` breaks a property.
@@ -111,8 +189,17 @@
         match mutation {
             JobMutation::NoEpochCheck | JobMutation::NoHeadGuard => Self::CLAIM,
             JobMutation::NoInheritedWait
+            | JobMutation::ShortInheritedWait
+            | JobMutation::BoundFromEarlierRead
             | JobMutation::AuthorityFromAnswer
             | JobMutation::ClockStandsStill => Self::UNREACHED,
+            JobMutation::WaitAnew => Self::CHAIN,
+            JobMutation::GrantToListed
+            | JobMutation::GrantBeforeUnlisted
+            | JobMutation::GrantBeforeFirstBatch => Self::RELAY,
+            JobMutation::GrantWhileListing => Self::RELISTED,
+            JobMutation::OtherIncarnationIgnored => Self::REPLACED,
+            JobMutation::OtherIncarnationEndsStart => Self::SUCCEEDED,
             JobMutation::StartBeforeStored
             | JobMutation::SilenceAsProof
             | JobMutation::EarlierLookAsProof
--- a/crates/specification/src/job_ownership/job_daemon.rs
+++ b/crates/specification/src/job_ownership/job_daemon.rs
@@ -10,15 +10,20 @@
 use crate::job_ownership::tracked_run::TrackedRun;
 use crate::job_ownership::tracked_worker::TrackedWorker;
 
-/// State of a daemon. While it is not the owner, everything except its clock is empty.
+/// State of a daemon. While it is not the owner, everything except its clock and
+/// its latest read of the head row is empty.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobDaemon {
     /// Epoch in which it believes to be the owner; 0 if it does not.
     pub epoch: u8,
     /// Ticks by which its clock is behind the true time.
     pub clock_lag: u8,
-    /// Time of its claim, on its clock.
-    pub claimed_at: u8,
+    /// Time when it first read the latest write of the head row, on its clock; `None` if the
+    /// row was written since its latest read. A daemon that is not the owner reads the row.
+    pub read_at: Option<u8>,
+    /// When every lease has ended that earlier owners granted, by worker, on its clock. Set by
+    /// its claim.
+    pub inherited_ends: [u8; WORKERS],
     /// Time when it sent its latest batch that was stored, or of its claim, on its clock. It
     /// may grant leases that end at most `AUTHORITY_TICKS` later.
     pub authority_start: u8,
@@ -49,6 +54,29 @@
         }
     }
 
+    /// Whether it may grant leases to a worker: neither the latest write of the head row that
+    /// is known to be stored nor the batch in flight lists the worker.
+    pub(crate) fn may_grant(&self, worker: u8) -> bool {
+        let index = usize::from(worker);
+        let is_in_flight = self
+            .batch
+            .is_some_and(|batch| batch.lease_bounds[index].is_listed());
+        !self.workers[index].is_listed && !is_in_flight
+    }
+
+    /// Whether the next batch lists a worker that the latest stored one does not list.
+    pub(crate) fn has_worker_to_list(&self) -> bool {
+        let mut workers = self.workers.iter();
+        workers.any(|tracked| !tracked.is_usable() && !tracked.is_listed)
+    }
+
+    /// Whether the worker of its tracked run could get leases, but for the listing in the
+    /// latest stored batch.
+    pub(crate) fn has_worker_to_unlist(&self) -> bool {
+        let tracked = self.run.map(|run| &self.workers[usize::from(run.worker)]);
+        tracked.is_some_and(|tracked| tracked.is_usable() && tracked.is_listed)
+    }
+
     /// Puts its clock, and its estimates of the workers' clocks, one tick further behind.
     pub(crate) fn delay_clock(&mut self) {
         self.clock_lag += 1;
--- a/crates/specification/src/job_ownership/job_model.rs
+++ b/crates/specification/src/job_ownership/job_model.rs
@@ -3,12 +3,13 @@
 use crate::job_ownership::assignment_state::AssignmentState;
 use crate::job_ownership::job_action::JobAction;
 use crate::job_ownership::job_bounds::JobBounds;
+use crate::job_ownership::job_daemon::JobDaemon;
 use crate::job_ownership::job_mutation::JobMutation;
 use crate::job_ownership::job_state::JobState;
 use crate::model_step::ModelStep;
 use crate::protocol_model::ProtocolModel;
 
-/// Model with one task, two workers, two daemons and the store.
+/// Model with one task, two workers, three daemons that own the jobs in turn, and the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct JobModel {
     /// Bounds of the search.
@@ -25,9 +26,13 @@
                 pass_tick(state);
                 state.daemons[usize::from(daemon)].delay_clock();
             }
-            JobAction::Claim { daemon } => Self::claim(state, daemon),
+            JobAction::ReadHead { daemon } => Self::read_head(state, daemon),
+            JobAction::EndDaemon { daemon } => {
+                state.daemons[usize::from(daemon)] = JobDaemon::default();
+            }
+            JobAction::Claim { daemon } => self.claim(state, daemon),
             JobAction::AssignRun { daemon, worker } => self.assign_run(state, daemon, worker),
-            JobAction::SendBatch { daemon } => Self::send_batch(state, daemon),
+            JobAction::SendBatch { daemon } => self.send_batch(state, daemon),
             JobAction::ProcessBatch { daemon } => self.process_batch(state, daemon),
             JobAction::ReceiveBatchResult { daemon } => self.receive_batch_result(state, daemon),
             JobAction::DeliverStart { daemon } => {
@@ -56,6 +61,7 @@
                     self.process_order(state, order);
                 }
             }
+            JobAction::ReplaceProcess { worker } => Self::replace_process(state, worker),
             JobAction::FinishRun { worker } => Self::finish_run(state, worker),
         }
     }
@@ -90,7 +96,10 @@
             action,
             JobAction::Tick
                 | JobAction::Suspend { .. }
+                | JobAction::ReadHead { .. }
+                | JobAction::EndDaemon { .. }
                 | JobAction::Claim { .. }
+                | JobAction::ReplaceProcess { .. }
                 | JobAction::GiveUpStart { .. }
                 | JobAction::GiveUpStop { .. }
                 | JobAction::GiveUpPoll { .. }
@@ -102,7 +111,12 @@
         let owners = state.daemons.iter();
         let mut runs = owners.map(|owner| owner.assignment.run);
         let has_runs = runs.all(|run| run < self.bounds.runs);
-        has_runs && !self.bounds.is_partitioned
+        // Only a claim, which counts as a fault, replaces an owner that has ended.
+        let has_owner = state
+            .daemons
+            .iter()
+            .any(|owner| owner.epoch == state.store.epoch);
+        has_runs && (has_owner || !self.bounds.owners_end) && !self.bounds.reach.is_partitioned()
     }
 
     fn is_healed(&self, state: &JobState) -> bool {
--- a/crates/specification/src/job_ownership/job_mutation.rs
+++ b/crates/specification/src/job_ownership/job_mutation.rs
@@ -18,6 +18,28 @@
     NoLapseWait,
     /// The leases on a worker that a new owner never reached count as expired at once.
     NoInheritedWait,
+    /// The wait for leases of an earlier owner is shorter than its authority.
+    ShortInheritedWait,
+    /// That wait counts from when the claiming daemon read an earlier write of the head row
+    /// than the latest.
+    BoundFromEarlierRead,
+    /// That wait counts from the claim. No run overlaps another one, but the waits of owners
+    /// in a row add up.
+    WaitAnew,
+    /// An owner grants leases to workers that its stored batch or the one in flight lists.
+    GrantToListed,
+    /// An owner grants leases to workers that its batch in flight lists.
+    GrantWhileListing,
+    /// An owner grants leases to a worker again when it sends a batch that does not list the
+    /// worker, before the batch is stored.
+    GrantBeforeUnlisted,
+    /// An owner grants leases after its claim, before its first batch is stored.
+    GrantBeforeFirstBatch,
+    /// The answer of another worker at the address counts as no answer.
+    OtherIncarnationIgnored,
+    /// The answer of another worker at the address counts for a run whose start order was not
+    /// answered.
+    OtherIncarnationEndsStart,
     /// The time in which an owner may grant leases counts from the answer to a batch, not
     /// from when the batch was sent.
     AuthorityFromAnswer,
@@ -32,8 +54,8 @@
 }
 
 impl JobMutation {
-    /// All mutations with their names on the command line.
-    pub const ALL: [(&'static str, Self); 12] = [
+    /// The mutations that break a property, with their names on the command line.
+    pub const ALL: [(&'static str, Self); 20] = [
         ("start-before-stored", Self::StartBeforeStored),
         ("no-epoch-check", Self::NoEpochCheck),
         ("silence-as-proof", Self::SilenceAsProof),
@@ -41,6 +63,17 @@
         ("no-stop-before-look", Self::NoStopBeforeLook),
         ("no-lapse-wait", Self::NoLapseWait),
         ("no-inherited-wait", Self::NoInheritedWait),
+        ("short-inherited-wait", Self::ShortInheritedWait),
+        ("bound-from-earlier-read", Self::BoundFromEarlierRead),
+        ("grant-to-listed", Self::GrantToListed),
+        ("grant-while-listing", Self::GrantWhileListing),
+        ("grant-before-unlisted", Self::GrantBeforeUnlisted),
+        ("grant-before-first-batch", Self::GrantBeforeFirstBatch),
+        ("other-incarnation-ignored", Self::OtherIncarnationIgnored),
+        (
+            "other-incarnation-ends-start",
+            Self::OtherIncarnationEndsStart,
+        ),
         ("authority-from-answer", Self::AuthorityFromAnswer),
         ("noted-before-stored", Self::NotedBeforeStored),
         ("earlier-end-ignored", Self::EarlierEndIgnored),
--- a/crates/specification/src/job_ownership/job_state.rs
+++ b/crates/specification/src/job_ownership/job_state.rs
@@ -13,6 +13,7 @@
 use crate::job_ownership::job_daemon::JobDaemon;
 use crate::job_ownership::job_store_state::JobStoreState;
 use crate::job_ownership::job_worker::JobWorker;
+use crate::job_ownership::lease_bound::LeaseBound;
 use crate::job_ownership::run_assignment::RunAssignment;
 use crate::job_ownership::run_state::RunState;
 use crate::job_ownership::tracked_run::TrackedRun;
@@ -32,6 +33,8 @@
     pub(crate) claims: u8,
     /// Orders and polls whose sender can still give up waiting.
     pub(crate) losses: u8,
+    /// Times that the process at the first worker's address can still be replaced.
+    pub(crate) replacements: u8,
     /// Worker that each run was assigned to in the store, by run number from 1; `None`
     /// before that.
     pub(crate) assigned_workers: [Option<u8>; RUNS],
@@ -53,6 +56,7 @@
             late_orders: BoundedSet::new(),
             claims: bounds.claims,
             losses: bounds.losses,
+            replacements: bounds.replacements,
             assigned_workers: [None; RUNS],
             is_done_acknowledged: false,
             violation: None,
@@ -91,6 +95,7 @@
             assignment,
             defers_start: false,
             received_ends: [0; WORKERS],
+            lease_bounds: [LeaseBound::MayBeGranted; WORKERS],
             sent_at: 0,
             is_stored: None,
         });
--- a/crates/specification/src/job_ownership/job_store_state.rs
+++ b/crates/specification/src/job_ownership/job_store_state.rs
@@ -1,5 +1,7 @@
 //! State of the store.
 
+use crate::job_ownership::job_bounds::WORKERS;
+use crate::job_ownership::lease_bound::LeaseBound;
 use crate::job_ownership::run_assignment::RunAssignment;
 
 /// State of the store: the head row, and the assignment of the task.
@@ -9,4 +11,7 @@
     pub epoch: u8,
     /// The stored assignment.
     pub assignment: RunAssignment,
+    /// Bounds for the leases of the workers in the latest write of the head row, which is a
+    /// claim or a batch.
+    pub lease_bounds: [LeaseBound; WORKERS],
 }
--- a/crates/specification/src/job_ownership/job_worker.rs
+++ b/crates/specification/src/job_ownership/job_worker.rs
@@ -1,10 +1,13 @@
 //! State of a worker.
 
 use crate::job_ownership::ended_runs::EndedRuns;
+use crate::job_ownership::worker_process::WorkerProcess;
 
 /// State of a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobWorker {
+    /// The process at its address.
+    pub process: WorkerProcess,
     /// Highest epoch that it has seen; orders with a lower one are rejected.
     pub epoch: u8,
     /// Number of the run in progress.
--- a/crates/specification/src/job_ownership/order_outcome.rs
+++ b/crates/specification/src/job_ownership/order_outcome.rs
@@ -9,4 +9,6 @@
     Refused,
     /// The worker has seen a higher epoch and rejected the order.
     Fenced,
+    /// Another worker answered at the address and rejected the order.
+    OtherIncarnation,
 }
--- a/crates/specification/src/job_ownership/poll_response.rs
+++ b/crates/specification/src/job_ownership/poll_response.rs
@@ -1,6 +1,8 @@
 //! Response of a worker to a poll.
 
 use crate::job_ownership::ended_runs::EndedRuns;
+use crate::job_ownership::order_outcome::OrderOutcome;
+use crate::job_ownership::worker_process::WorkerProcess;
 
 /// Response of a worker to a poll.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -11,7 +13,8 @@
     pub ends: EndedRuns,
     /// Reading of the worker's clock, in ticks.
     pub clock: u8,
-    /// Whether the worker rejected the poll because it has seen a higher epoch. The owner
-    /// ignores the other fields then.
-    pub is_fenced: bool,
+    /// The process that responded.
+    pub process: WorkerProcess,
+    /// The outcome of the poll. If it was rejected, the owner ignores the other fields.
+    pub outcome: OrderOutcome,
 }
--- a/crates/specification/src/job_ownership/poll_steps.rs
+++ b/crates/specification/src/job_ownership/poll_steps.rs
@@ -1,5 +1,6 @@
 //! Steps of polls, and the owner's conclusions about workers.
 
+use crate::job_ownership::addressed_order::AddressedOrder;
 use crate::job_ownership::job_bounds::AUTHORITY_TICKS;
 use crate::job_ownership::job_bounds::LEASE_TICKS;
 use crate::job_ownership::job_daemon::JobDaemon;
@@ -7,6 +8,7 @@
 use crate::job_ownership::job_mutation::JobMutation;
 use crate::job_ownership::job_state::JobState;
 use crate::job_ownership::order_call::OrderCall;
+use crate::job_ownership::order_outcome::OrderOutcome;
 use crate::job_ownership::poll_call::PollCall;
 use crate::job_ownership::poll_response::PollResponse;
 use crate::job_ownership::run_state::RunState;
@@ -16,7 +18,7 @@
 impl JobModel {
     /// The owner sends a poll, which extends the leases if the worker answered the last one.
     pub(super) fn send_poll(self, state: &mut JobState, daemon: u8, worker: u8) {
-        let lease_end = next_lease_end(state, daemon, worker);
+        let lease_end = self.next_lease_end(state, daemon, worker);
         let owner = &mut state.daemons[usize::from(daemon)];
         let covers_run = owner
             .run
@@ -61,11 +63,23 @@
             return;
         };
         let worker = call.worker;
-        let Some(response) = call.response.filter(|response| !response.is_fenced) else {
-            *owner = owner.deposed();
+        let Some(response) = call.response else {
             return;
         };
+        if response.outcome == OrderOutcome::Fenced {
+            *owner = owner.deposed();
+            return;
+        }
+        if response.outcome == OrderOutcome::OtherIncarnation {
+            self.handle_other_incarnation(state, daemon, call);
+            return;
+        }
         let tracked = &mut owner.workers[usize::from(worker)];
+        if tracked.replace_process(response.process)
+            && let Some(batch) = &mut owner.batch
+        {
+            batch.received_ends[usize::from(worker)] = 0;
+        }
         tracked.update_clock(response.clock, now);
         let last_received = tracked.received_end;
         tracked.received_end = last_received.max(response.ends.latest);
@@ -84,6 +98,41 @@
         }
     }
 
+    /// The owner learns that the incarnation to which it sent a poll is over, and with it the
+    /// run that this incarnation must have known when the poll was sent.
+    fn handle_other_incarnation(self, state: &mut JobState, daemon: u8, call: PollCall) {
+        let owner = &mut state.daemons[usize::from(daemon)];
+        owner.workers[usize::from(call.worker)].is_unresponsive = true;
+        let Some(run) = owner.run.filter(|run| run.worker == call.worker) else {
+            return;
+        };
+        let is_ignored = self.mutation == Some(JobMutation::OtherIncarnationIgnored);
+        if call.covers_run && self.is_settled_by_poll(run.state) && !is_ignored {
+            owner.settle_run();
+        }
+        if self.mutation == Some(JobMutation::OtherIncarnationEndsStart)
+            && run.state == RunState::Starting
+        {
+            owner.settle_run();
+            Self::abandon_start(state, daemon);
+        }
+    }
+
+    /// The owner no longer waits for the outcome of its start order, which may still arrive.
+    fn abandon_start(state: &mut JobState, daemon: u8) {
+        let owner = &mut state.daemons[usize::from(daemon)];
+        let Some(call) = owner.start_call.take() else {
+            return;
+        };
+        if call.outcome.is_none() {
+            state.late_orders.insert(AddressedOrder {
+                worker: call.worker,
+                epoch: owner.epoch,
+                order: call.order,
+            });
+        }
+    }
+
     fn apply_end(self, owner: &mut JobDaemon, worker: u8, run: u8, is_done: bool) {
         let is_known = owner
             .run
@@ -99,8 +148,8 @@
     }
 
     /// Whether the owner may conclude that the lease of its tracked run has expired. For a
-    /// worker that never responded, that is when every lease of the earlier owner has
-    /// expired.
+    /// worker that never responded, that is when every lease of the earlier owners
+    /// has expired.
     pub(super) fn may_assume_expired(self, state: &JobState, daemon: u8) -> bool {
         let owner = &state.daemons[usize::from(daemon)];
         let Some(run) = owner.run else {
@@ -114,7 +163,8 @@
             let is_over = state.worker_clock(daemon, run.worker) > tracked.lease_end;
             is_over || (self.mutation == Some(JobMutation::NoLapseWait) && tracked.is_unresponsive)
         } else {
-            let is_over = state.clock_of(daemon) > owner.claimed_at + AUTHORITY_TICKS;
+            let inherited_end = owner.inherited_ends[usize::from(run.worker)];
+            let is_over = state.clock_of(daemon) >= inherited_end;
             is_over || self.mutation == Some(JobMutation::NoInheritedWait)
         }
     }
@@ -123,6 +173,24 @@
     pub(super) fn assume_expired(state: &mut JobState, daemon: u8) {
         state.daemons[usize::from(daemon)].settle_run();
     }
+
+    /// End of a lease granted now, on the worker's clock. `None` if the owner cannot be sure
+    /// to be the owner for long enough, or does not know the worker's clock, or if the worker is listed.
+    pub(super) fn next_lease_end(self, state: &JobState, daemon: u8, worker: u8) -> Option<u8> {
+        let owner = &state.daemons[usize::from(daemon)];
+        let is_granted = match self.mutation {
+            Some(JobMutation::GrantToListed | JobMutation::GrantWhileListing) => {
+                !owner.workers[usize::from(worker)].is_listed
+            }
+            _ => owner.may_grant(worker),
+        };
+        if !is_granted || !owner.workers[usize::from(worker)].has_responded {
+            return None;
+        }
+        let authority_end = owner.authority_start + AUTHORITY_TICKS;
+        let left = authority_end.saturating_sub(state.clock_of(daemon));
+        (left > 0).then(|| state.worker_clock(daemon, worker) + left.min(LEASE_TICKS))
+    }
 }
 
 fn apply_running(owner: &mut JobDaemon, worker: u8, response: &PollResponse) {
@@ -147,15 +215,3 @@
         None => {}
     }
 }
-
-/// End of a lease granted now, on the worker's clock. `None` if the owner cannot be sure
-/// to be the owner for long enough, or does not know the worker's clock.
-pub(super) fn next_lease_end(state: &JobState, daemon: u8, worker: u8) -> Option<u8> {
-    let owner = &state.daemons[usize::from(daemon)];
-    if !owner.workers[usize::from(worker)].has_responded {
-        return None;
-    }
-    let authority_end = owner.authority_start + AUTHORITY_TICKS;
-    let left = authority_end.saturating_sub(state.clock_of(daemon));
-    (left > 0).then(|| state.worker_clock(daemon, worker) + left.min(LEASE_TICKS))
-}
--- a/crates/specification/src/job_ownership/possible_actions.rs
+++ b/crates/specification/src/job_ownership/possible_actions.rs
@@ -25,10 +25,13 @@
             actions.push(JobAction::Tick);
         }
         for (worker, worker_state) in (0..).zip(&state.workers) {
-            if worker_state.running.is_some() && !self.bounds.is_partitioned {
+            if worker_state.running.is_some() && !self.bounds.reach.is_partitioned() {
                 actions.push(JobAction::FinishRun { worker });
             }
         }
+        if state.replacements > 0 {
+            actions.push(JobAction::ReplaceProcess { worker: 0 });
+        }
         let late_orders = (0..).take(state.late_orders.len());
         actions.extend(late_orders.map(|index| JobAction::DeliverLateOrder { index }));
     }
@@ -38,12 +41,23 @@
         if self.mutation == Some(JobMutation::ClockStandsStill) && state.now < self.bounds.ticks {
             actions.push(JobAction::Suspend { daemon });
         }
-        if state.claims > 0 && owner.epoch == 0 {
-            actions.push(JobAction::Claim { daemon });
+        // A process that owns again knows as little as a new one, so the daemons claim in the
+        // order of their numbers.
+        if state.claims > 0 && daemon == state.store.epoch {
+            let has_owner = state.daemons[usize::from(daemon) - 1].epoch > 0;
+            if owner.read_at.is_none() && state.now < self.bounds.ticks {
+                actions.push(JobAction::ReadHead { daemon });
+            }
+            if !self.bounds.owners_end || !has_owner {
+                actions.push(JobAction::Claim { daemon });
+            }
         }
         if owner.epoch == 0 {
             return;
         }
+        if self.bounds.owners_end && state.claims > 0 {
+            actions.push(JobAction::EndDaemon { daemon });
+        }
         actions.extend(Self::batch_action(state, daemon));
         let is_stop_pending = owner
             .run
@@ -55,7 +69,7 @@
         if self.may_assume_expired(state, daemon) {
             actions.push(JobAction::AssumeLeaseExpired { daemon });
         }
-        let is_reachable = |worker: &u8| !self.bounds.is_partitioned || *worker == daemon;
+        let is_reachable = |worker: &u8| self.bounds.reach.includes(daemon, *worker);
         for worker in (0..).take(WORKERS).filter(is_reachable) {
             self.worker_actions(state, daemon, worker, actions);
         }
@@ -95,7 +109,10 @@
 
     fn batch_action(state: &JobState, daemon: u8) -> Option<JobAction> {
         let owner = &state.daemons[usize::from(daemon)];
-        let is_due = owner.has_unsent_change || owner.authority_start < state.clock_of(daemon);
+        let is_due = owner.has_unsent_change
+            || owner.has_worker_to_unlist()
+            || (state.claims > 0 && owner.has_worker_to_list())
+            || owner.authority_start < state.clock_of(daemon);
         match owner.batch {
             None => is_due.then_some(JobAction::SendBatch { daemon }),
             Some(batch) if batch.is_stored.is_none() => Some(JobAction::ProcessBatch { daemon }),
@@ -114,11 +131,11 @@
         let tracked = &owner.workers[usize::from(worker)];
         let is_waiting = owner.assignment.state == AssignmentState::Waiting;
         let has_runs = owner.assignment.run < self.bounds.runs;
-        let is_usable = tracked.has_responded && !tracked.is_unresponsive;
-        // The workers are interchangeable before the first run, so assigning it to the first
-        // one is enough.
-        let is_candidate = worker == 0 || owner.assignment.run > 0;
-        if is_waiting && has_runs && is_usable && is_candidate && owner.run.is_none() {
+        // The workers are interchangeable before the first run if none is replaced, so
+        // assigning it to the first one is enough then.
+        let is_distinct = owner.assignment.run > 0 || self.bounds.replacements > 0;
+        let is_candidate = worker == 0 || is_distinct;
+        if is_waiting && has_runs && tracked.is_usable() && is_candidate && owner.run.is_none() {
             actions.push(JobAction::AssignRun { daemon, worker });
         }
         let tracks_run = owner
--- a/crates/specification/src/job_ownership/tracked_worker.rs
+++ b/crates/specification/src/job_ownership/tracked_worker.rs
@@ -1,6 +1,7 @@
 //! The owner's view of a worker.
 
 use crate::job_ownership::job_bounds::LEASE_MAX_TICKS;
+use crate::job_ownership::worker_process::WorkerProcess;
 
 /// What an owner knows about a worker. Ends of runs are counted from 1 by the worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -9,6 +10,11 @@
     pub has_responded: bool,
     /// Whether the latest poll got no response. Its leases are not extended then.
     pub is_unresponsive: bool,
+    /// Whether the latest write of the head row that is known to be stored lists it. It gets
+    /// no leases then.
+    pub is_listed: bool,
+    /// The incarnation that responded last.
+    pub process: WorkerProcess,
     /// Ticks by which the owner's estimate of its clock is behind.
     pub clock_lag: u8,
     /// Latest end of a lease that it may have been granted, on its clock.
@@ -22,6 +28,25 @@
 }
 
 impl TrackedWorker {
+    /// Whether the owner may grant leases to it once the head row does not list it.
+    pub(crate) const fn is_usable(&self) -> bool {
+        self.has_responded && !self.is_unresponsive
+    }
+
+    /// Removes what was known about an earlier incarnation, if `process` is another one.
+    /// Returns whether it is.
+    pub(crate) fn replace_process(&mut self, process: WorkerProcess) -> bool {
+        if self.process == process {
+            return false;
+        }
+        *self = Self {
+            is_listed: self.is_listed,
+            process,
+            ..Self::default()
+        };
+        true
+    }
+
     /// Updates the estimate from a response that showed `clock` and arrived at `now`. Before
     /// the first response, an earlier owner may have granted leases of up to the maximum
     /// duration; the poll has fenced that owner, so it can grant no more.
--- a/crates/specification/src/job_ownership/worker_steps.rs
+++ b/crates/specification/src/job_ownership/worker_steps.rs
@@ -6,9 +6,11 @@
 use crate::job_ownership::job_model::JobModel;
 use crate::job_ownership::job_mutation::JobMutation;
 use crate::job_ownership::job_state::JobState;
+use crate::job_ownership::job_worker::JobWorker;
 use crate::job_ownership::order_outcome::OrderOutcome;
 use crate::job_ownership::poll_response::PollResponse;
 use crate::job_ownership::worker_order::WorkerOrder;
+use crate::job_ownership::worker_process::WorkerProcess;
 
 /// Broken by a second run of the task while the first is running.
 const ONE_WORKER: &str = "a task runs on one worker at most";
@@ -20,7 +22,8 @@
 const END_STORED_FIRST: &str = "an acknowledged end is stored";
 
 impl JobModel {
-    /// A worker handles an order. Rejects it if the worker has seen a higher epoch.
+    /// A worker handles an order. Rejects it if the worker has seen a higher epoch, or if
+    /// another worker has its address.
     pub(super) fn process_order(self, state: &mut JobState, order: AddressedOrder) -> OrderOutcome {
         let AddressedOrder {
             worker: worker_number,
@@ -28,6 +31,9 @@
             order,
         } = order;
         let worker = &mut state.workers[usize::from(worker_number)];
+        if worker.process == WorkerProcess::Stranger {
+            return OrderOutcome::OtherIncarnation;
+        }
         if epoch < worker.epoch && self.mutation != Some(JobMutation::NoEpochCheck) {
             return OrderOutcome::Fenced;
         }
@@ -68,7 +74,8 @@
             running: worker.running,
             ends: worker.ends,
             clock: state.now,
-            is_fenced: outcome == OrderOutcome::Fenced,
+            process: worker.process,
+            outcome,
         }
     }
 
@@ -87,6 +94,17 @@
         }
     }
 
+    /// The process at the address of a worker dies, and nothing of its runs is known any more.
+    /// Another one takes the address.
+    pub(super) fn replace_process(state: &mut JobState, worker_number: u8) {
+        state.replacements -= 1;
+        let worker = &mut state.workers[usize::from(worker_number)];
+        *worker = JobWorker {
+            process: worker.process.next(),
+            ..JobWorker::default()
+        };
+    }
+
     /// The run on a worker completes the task.
     pub(super) fn finish_run(state: &mut JobState, worker_number: u8) {
         let worker = &mut state.workers[usize::from(worker_number)];
--- a/crates/specification/src/lib.rs
+++ b/crates/specification/src/lib.rs
@@ -58,6 +58,7 @@
 pub use job_ownership::JobModel;
 pub use job_ownership::JobMutation;
 pub use job_ownership::JobState;
+pub use job_ownership::ReachableWorkers;
 pub use model_step::ModelStep;
 pub use protocol_model::ProtocolModel;
 pub use request_record::AttemptPhase;
--- a/crates/specification/tests/properties_hold.rs
+++ b/crates/specification/tests/properties_hold.rs
@@ -42,10 +42,16 @@
     assert_holds(&model, states_min);
 }
 
-#[test_case(JobBounds::CLAIM, 230_000)]
-#[test_case(JobBounds::LATE_CLAIM, 310_000)]
-#[test_case(JobBounds::LAPSE, 310_000)]
-#[test_case(JobBounds::UNREACHED, 290_000)]
+#[test_case(JobBounds::CLAIM, 510_000)]
+#[test_case(JobBounds::LATE_CLAIM, 620_000)]
+#[test_case(JobBounds::LAPSE, 400_000)]
+#[test_case(JobBounds::UNREACHED, 350_000)]
+#[test_case(JobBounds::CHAIN, 65_000)]
+#[test_case(JobBounds::RELAY, 110_000)]
+#[test_case(JobBounds::CONNECTED_CHAIN, 345_000)]
+#[test_case(JobBounds::RELISTED, 50_000)]
+#[test_case(JobBounds::REPLACED, 285_000)]
+#[test_case(JobBounds::SUCCEEDED, 33_000)]
 fn job_ownership_holds(bounds: JobBounds, states_min: usize) {
     let model = JobModel {
         bounds,
