--- a/crates/specification/src/job_ownership/job_bounds.rs
+++ b/crates/specification/src/job_ownership/job_bounds.rs
@@ -114,6 +114,13 @@
         ..Self::CHAIN
     };
 
+    /// The same within fewer ticks, while a poll or an order may be lost.
+    pub const LOSSY_RELAY: Self = Self {
+        ticks: 2,
+        losses: 1,
+        ..Self::RELAY
+    };
+
     /// An owner loses contact with a worker and reaches it again, and the next one never
     /// reaches it.
     pub const RELISTED: Self = Self {
@@ -129,6 +136,16 @@
         ..Self::NONE
     };
 
+    /// A worker dies for good while three owners follow each other.
+    pub const REPLACED_CHAIN: Self = Self {
+        claims: 2,
+        ticks: 1,
+        replacements: 1,
+        starts_running: true,
+        owners_end: true,
+        ..Self::NONE
+    };
+
     /// A worker dies, and a new incarnation of it takes its address later.
     pub const SUCCEEDED: Self = Self {
         ticks: 1,
@@ -137,16 +154,18 @@
     };
 
     /// Bounds that every run of the tests covers, with their names on the command line.
-    pub const SMALL: [(&'static str, Self); 10] = [
+    pub const SMALL: [(&'static str, Self); 12] = [
         ("claim", Self::CLAIM),
         ("late-claim", Self::LATE_CLAIM),
         ("lapse", Self::LAPSE),
         ("unreached", Self::UNREACHED),
         ("chain", Self::CHAIN),
         ("relay", Self::RELAY),
+        ("lossy-relay", Self::LOSSY_RELAY),
         ("connected-chain", Self::CONNECTED_CHAIN),
         ("relisted", Self::RELISTED),
         ("replaced", Self::REPLACED),
+        ("replaced-chain", Self::REPLACED_CHAIN),
         ("succeeded", Self::SUCCEEDED),
     ];
 
--- a/crates/specification/tests/properties_hold.rs
+++ b/crates/specification/tests/properties_hold.rs
@@ -48,9 +48,11 @@
 #[test_case(JobBounds::UNREACHED, 350_000)]
 #[test_case(JobBounds::CHAIN, 65_000)]
 #[test_case(JobBounds::RELAY, 110_000)]
+#[test_case(JobBounds::LOSSY_RELAY, 130_000)]
 #[test_case(JobBounds::CONNECTED_CHAIN, 345_000)]
 #[test_case(JobBounds::RELISTED, 50_000)]
 #[test_case(JobBounds::REPLACED, 285_000)]
+#[test_case(JobBounds::REPLACED_CHAIN, 61_000)]
 #[test_case(JobBounds::SUCCEEDED, 33_000)]
 fn job_ownership_holds(bounds: JobBounds, states_min: usize) {
     let model = JobModel {
