--- a/crates/specification/src/job_ownership/job_action.rs
+++ b/crates/specification/src/job_ownership/job_action.rs
@@ -21,7 +21,8 @@
         /// Number of the daemon.
         daemon: u8,
     },
-    /// A daemon claims the head row as it was read last, and reads the stored assignment.
+    /// A daemon claims the head row as it was read last, and reads the stored assignment. If the
+    /// row was written since, the daemon reads it first, in the same step.
     Claim {
         /// Number of the daemon.
         daemon: u8,
--- a/crates/specification/src/job_ownership/job_daemon.rs
+++ b/crates/specification/src/job_ownership/job_daemon.rs
@@ -70,8 +70,8 @@
         workers.any(|tracked| !tracked.is_usable() && !tracked.is_listed)
     }
 
-    /// Whether the worker of its tracked run could get leases, but for the listing in the
-    /// latest stored batch.
+    /// Whether the worker of its tracked run would get leases if the latest stored batch did
+    /// not list it.
     pub(crate) fn has_worker_to_unlist(&self) -> bool {
         let tracked = self.run.map(|run| &self.workers[usize::from(run.worker)]);
         tracked.is_some_and(|tracked| tracked.is_usable() && tracked.is_listed)
--- a/crates/specification/src/job_ownership/poll_steps.rs
+++ b/crates/specification/src/job_ownership/poll_steps.rs
@@ -175,7 +175,8 @@
     }
 
     /// End of a lease granted now, on the worker's clock. `None` if the owner cannot be sure
-    /// to be the owner for long enough, or does not know the worker's clock, or if the worker is listed.
+    /// to be the owner for long enough, if it does not know the worker's clock, or if the
+    /// worker is listed.
     pub(super) fn next_lease_end(self, state: &JobState, daemon: u8, worker: u8) -> Option<u8> {
         let owner = &state.daemons[usize::from(daemon)];
         let is_granted = match self.mutation {
--- a/crates/specification/src/job_ownership/store_steps.rs
+++ b/crates/specification/src/job_ownership/store_steps.rs
@@ -21,7 +21,8 @@
     }
 
     /// A daemon claims the head row as it was read last, and reads the stored assignment. The
-    /// claim lists all workers, with what is left of the bounds that were read.
+    /// claim lists all workers, with what is left of the bounds that were read. A daemon that
+    /// has not read the latest write does so in the same step.
     pub(super) fn claim(self, state: &mut JobState, daemon: u8) {
         state.claims -= 1;
         state.store.epoch += 1;
