Read ownership rows of an earlier version, which have no bounds on leases

What operators would see: after an update, no daemon of the new version claims a cell, 'cannot decode a row of the cells'.

Change: a row that cannot be decoded as one of this version is read as an earlier one, with the bound of its owners' leases. Earlier daemons read the new row, since the new field comes last.

--- a/crates/entry/src/cells/cell_table.rs
+++ b/crates/entry/src/cells/cell_table.rs
@@ -10,6 +10,7 @@
 
 use crate::cells::CellHead;
 use crate::ports::StoredRow;
+use crate::store::OwnershipRow;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
 
@@ -81,7 +82,7 @@
             self.heads.insert(cell, known.clone());
             return;
         }
-        match RowCodec::decode(&row.value) {
+        match OwnershipRow::decode(&row.value) {
             Some(ownership) => {
                 let head = CellHead {
                     row: ownership,
--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -148,7 +148,7 @@
         if found.revision == self.claim.revision {
             return PartOutcome::GuardFailed;
         }
-        let stored: Option<OwnershipRow> = RowCodec::decode(&found.value);
+        let stored = OwnershipRow::decode(&found.value);
         if stored.as_ref() != Some(&row) {
             let next = stored.as_ref();
             tracing::warn!(
--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -25,7 +25,6 @@
 use crate::ports::StoreCommit;
 use crate::ports::StoredRow;
 use crate::store::OwnershipRow;
-use crate::store::RowCodec;
 use crate::store::RowKeys;
 use crate::watching::RetryBackoff;
 
@@ -211,7 +210,7 @@
 fn own_claim(cell: CellNumber, row: OwnershipRow, rows: &[StoredRow]) -> Option<OwnershipClaim> {
     let key = RowKeys::ownership(cell);
     let found = rows.iter().find(|found| found.key == key)?;
-    let stored: OwnershipRow = RowCodec::decode(&found.value)?;
+    let stored = OwnershipRow::decode(&found.value)?;
     let revision = found.revision;
     (stored == row).then_some(OwnershipClaim {
         cell,
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -5,6 +5,7 @@
 //! number of waiting jobs per queue. An [`IntakeSource`] reads specifications and
 //! cancellations as [`IntakeEvent`]s. A [`RowCodec`] encodes and decodes the values.
 
+mod earlier_ownership_row;
 mod intake_event;
 mod intake_source;
 mod ownership_row;
--- a/crates/entry/src/store/ownership_row.rs
+++ b/crates/entry/src/store/ownership_row.rs
@@ -5,6 +5,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::store::RowCodec;
+use crate::store::earlier_ownership_row::EarlierOwnershipRow;
+
 /// The row that names the owner of a cell. The owner writes it in every commit,
 /// guarded by its previous revision, so that a commit fails once another daemon has
 /// claimed it.
@@ -25,6 +28,15 @@
     /// The load of the cell, as the owner last reported it.
     pub load: CellLoad,
     /// The bounds on the leases of the cell's workers when the owner took the batch.
-    #[serde(default = "LeaseBounds::unstated")]
     pub lease_bounds: LeaseBounds,
 }
+
+impl OwnershipRow {
+    /// Decodes a row of this or of an earlier version; `None` when it is malformed. Earlier
+    /// versions read the row of this one, since the field that they lack comes last.
+    #[must_use]
+    pub fn decode(value: &[u8]) -> Option<Self> {
+        let earlier = || RowCodec::decode::<EarlierOwnershipRow>(value).map(Self::from);
+        RowCodec::decode(value).or_else(earlier)
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/rows_of_earlier_versions.rs
@@ -0,0 +1,64 @@
+//! Rows that a daemon of an earlier version has written.
+
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::MonoTime;
+use sapphirestile_entry::CellTable;
+use sapphirestile_entry::OwnershipRow;
+use sapphirestile_entry::RowKeys;
+use sapphirestile_entry::StoredRow;
+use sapphirestile_jobs::CellLoad;
+use sapphirestile_jobs::LeaseBounds;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The row of a cell as it was before it had bounds on leases.
+#[derive(Deserialize, Serialize)]
+struct EarlierRow {
+    epoch: u64,
+    daemon: Box<str>,
+    incarnation: u64,
+    write: u64,
+    is_released: bool,
+    load: CellLoad,
+}
+
+/// Otherwise no daemon of this version can claim the cell once its owner has stopped.
+#[test]
+fn row_of_an_earlier_version_is_read_with_its_longest_bound() {
+    let row = EarlierRow {
+        epoch: 7,
+        daemon: "entry-1".into(),
+        incarnation: 3,
+        write: 40,
+        is_released: true,
+        load: CellLoad::default(),
+    };
+    let stored = StoredRow {
+        key: RowKeys::ownership(CellNumber::new(0)),
+        value: postcard::to_stdvec(&row).unwrap(),
+        revision: 12,
+    };
+    let table = CellTable::default().with_rows(&[stored], MonoTime::from_millis(0));
+    let head = table.heads.get(&CellNumber::new(0));
+    let head = head.expect("the row of the earlier version can be read");
+    assert_eq!(head.row.lease_bounds, LeaseBounds::unstated());
+}
+
+/// A daemon of the earlier version must go on reading the row while it is replaced.
+#[test]
+fn row_of_this_version_can_be_read_by_an_earlier_one() {
+    let row = OwnershipRow {
+        epoch: 8,
+        daemon: "entry-2".into(),
+        incarnation: 4,
+        write: 1,
+        is_released: false,
+        load: CellLoad::default(),
+        lease_bounds: LeaseBounds::of_all(6_355),
+    };
+    let value = postcard::to_stdvec(&row).unwrap();
+    let read: EarlierRow = postcard::from_bytes(&value).unwrap();
+    assert_eq!((read.epoch, read.write), (8, 1));
+    let again: OwnershipRow = postcard::from_bytes(&value).unwrap();
+    assert_eq!(again, row);
+}
