--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -99,7 +99,7 @@
 pub use worker::EndPosition;
 pub use worker::EndedRun;
 pub use worker::KnownIncarnation;
-pub use worker::LeaseListing;
+pub use worker::LeaseGrant;
 pub use worker::PollOutcome;
 pub use worker::PollResponse;
 pub use worker::RunEntry;
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -7,7 +7,7 @@
 mod gangs;
 mod intake;
 mod learning;
-mod lease_listings;
+mod lease_grants;
 mod load_report;
 mod moves;
 mod pace_changes;
@@ -77,8 +77,8 @@
     authority: Option<MonoTime>,
     /// Bounds on the leases that earlier owners granted, as of the claim.
     inherited: LeaseBounds,
-    /// Whether the next batch lists other workers as ones that get no lease than the latest.
-    has_listing_change: bool,
+    /// Whether a worker is to get leases again, or none any more, with the next batch.
+    has_grant_change: bool,
     /// When the latest batch, or the claim, was sent.
     sent: MonoTime,
     /// When the claim was sent.
@@ -132,7 +132,7 @@
             decisions: Vec::new(),
             authority: None,
             inherited,
-            has_listing_change: true,
+            has_grant_change: true,
             sent: claimed,
             claimed,
             is_deposed: false,
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -27,7 +27,7 @@
             learnt: self.learnt_if_due(now),
             moves: self.take_moves(),
             load: self.load_if_due(now),
-            lease_bounds: self.list_lease_bounds(now),
+            lease_bounds: self.take_lease_bounds(now),
             is_last: false,
         };
         self.storing = Some(std::mem::take(&mut self.deferred));
@@ -62,7 +62,7 @@
     /// Whether there are changes to store.
     #[must_use]
     pub fn has_changes(&self) -> bool {
-        self.has_listing_change
+        self.has_grant_change
             || !self.changed.is_empty()
             || !self.deferred.is_empty()
             || !self.forgotten.is_empty()
--- a/crates/jobs/src/owner/job_owner/polling.rs
+++ b/crates/jobs/src/owner/job_owner/polling.rs
@@ -4,7 +4,7 @@
 use crate::owner::OwnerEffect;
 use crate::owner::PollRequest;
 use crate::owner::RunCause;
-use crate::worker::LeaseListing;
+use crate::worker::LeaseGrant;
 use crate::worker::PollOutcome;
 use crate::worker::TrackedWorker;
 use crate::worker::WorkerSilence;
@@ -113,8 +113,8 @@
                     is_replaced,
                     is_reported: tracked.silence.is_some_and(|silence| silence.is_reported),
                 });
-                let is_listed = tracked.lease_listing == LeaseListing::Listed;
-                self.has_listing_change |= !is_listed && !tracked.runs.is_empty();
+                let is_withheld = tracked.lease_grant == LeaseGrant::Withheld;
+                self.has_grant_change |= !is_withheld && !tracked.runs.is_empty();
                 tracked.is_polling = false;
                 tracked.next_poll = now.plus_millis(POLL_RETRY_MS);
                 if is_replaced {
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -12,7 +12,7 @@
 use crate::worker::EndPosition;
 use crate::worker::EndedRun;
 use crate::worker::KnownIncarnation;
-use crate::worker::LeaseListing;
+use crate::worker::LeaseGrant;
 use crate::worker::PollResponse;
 use crate::worker::RunState;
 use crate::worker::RunningRun;
@@ -52,7 +52,7 @@
         };
         tracked.last_response = now;
         tracked.silence = None;
-        self.has_listing_change |= tracked.lease_listing == LeaseListing::Listed;
+        self.has_grant_change |= tracked.lease_grant == LeaseGrant::Withheld;
         let unstored = response
             .ended
             .runs()
--- a/crates/jobs/src/owner/lease_bounds.rs
+++ b/crates/jobs/src/owner/lease_bounds.rs
@@ -5,7 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// The bound of an owner whose batches say nothing about leases, in milliseconds.
+/// The bound of an owner of an earlier version, in milliseconds: leases ended within 12 s of
+/// its latest stored batch, and a worker's clock may be 2.5% slow.
 const UNSTATED_BOUND_MS: u64 = 12_300;
 
 /// For each worker of a cell, the time until every lease that it may hold has ended. An
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -10,7 +10,8 @@
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::ZoneName;
 
-/// A worker whose latest response is older than this gets no new tasks, in milliseconds.
+/// A worker whose latest response is older than this gets no new tasks, in milliseconds. An
+/// older estimate of its clock could put the end of a lease beyond the authority of the owner.
 const RESPONSE_AGE_MAX_MS: u64 = 2_500;
 
 /// Load slack assumed for a worker without latency-sensitive runs. A task that interferes
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -3,7 +3,7 @@
 //! The list of workers has a [`WorkerEntry`] for each, and changes by [`WorkerEvent`]s. A
 //! [`TrackedWorker`] is what the owner knows about one: its [`RunEntry`]s, each in a
 //! [`RunState`], its [`WorkerBreaker`], its [`WorkerSilence`] while it does not respond, its
-//! [`LeaseListing`] in the stored batches, and its [`KnownIncarnation`], which has the [`WorkerClock`] and the [`EndPosition`] of the
+//! [`LeaseGrant`] in the stored batches, and its [`KnownIncarnation`], which has the [`WorkerClock`] and the [`EndPosition`] of the
 //! [`WorkerIncarnation`] that responded last. Polling a worker gives a
 //! [`PollOutcome`]; the [`PollResponse`] in it lists [`RunningRun`]s and, in an
 //! [`EndList`], [`EndedRun`]s with an [`EndKind`]. Requests to start and stop runs give a
@@ -14,7 +14,7 @@
 mod end_position;
 mod ended_run;
 mod known_incarnation;
-mod lease_listing;
+mod lease_grant;
 mod poll_outcome;
 mod poll_response;
 mod run_entry;
@@ -35,7 +35,7 @@
 pub use end_position::EndPosition;
 pub use ended_run::EndedRun;
 pub use known_incarnation::KnownIncarnation;
-pub use lease_listing::LeaseListing;
+pub use lease_grant::LeaseGrant;
 pub use poll_outcome::PollOutcome;
 pub use poll_response::PollResponse;
 pub use run_entry::RunEntry;
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -7,7 +7,7 @@
 use crate::spec::ResourceVector;
 use crate::spec::TaskIdentity;
 use crate::worker::KnownIncarnation;
-use crate::worker::LeaseListing;
+use crate::worker::LeaseGrant;
 use crate::worker::RunEntry;
 use crate::worker::WorkerBreaker;
 use crate::worker::WorkerClock;
@@ -61,8 +61,8 @@
     /// are not extended during it: a poll that arrives late would keep runs alive that the
     /// owner knows nothing about.
     pub silence: Option<WorkerSilence>,
-    /// Whether the stored batches list the worker as one that gets no lease.
-    pub lease_listing: LeaseListing,
+    /// Whether the stored bounds on leases allow to grant the worker one.
+    pub lease_grant: LeaseGrant,
     /// Earliest time of the next poll.
     pub next_poll: MonoTime,
     /// When a run last completed on the worker, or the worker was first known.
@@ -93,7 +93,7 @@
             poll_sent: MonoTime::default(),
             poll_address: None,
             silence: None,
-            lease_listing: LeaseListing::default(),
+            lease_grant: LeaseGrant::default(),
             next_poll: MonoTime::default(),
             last_completion: now,
             breaker: WorkerBreaker::default(),
@@ -167,11 +167,10 @@
         }
     }
 
-    /// Whether a lease may be granted: the worker responds, and no batch that may be the
-    /// latest stored one lists it as a worker that gets no lease.
+    /// Whether a lease may be granted: the worker responds, and the stored bounds allow it.
     #[must_use]
     pub fn may_get_lease(&self) -> bool {
-        self.responds() && self.lease_listing == LeaseListing::Unlisted
+        self.responds() && self.lease_grant == LeaseGrant::Allowed
     }
 
     /// Whether the incarnation that responded last has responded to the latest poll with an
--- a/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
+++ b/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
@@ -4,17 +4,20 @@
 use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::OwnerLimits;
 use sapphirestile_jobs::PollOutcome;
+use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::WorkerEntry;
 use sapphirestile_jobs::WorkerIncarnation;
 
 use crate::owner_fixture::OwnerFixture;
 use crate::test_values::job_spec;
 use crate::test_values::long_running_job;
+use crate::test_values::running;
 use crate::test_values::step;
 use crate::test_values::worker;
 use crate::test_values::worker_name;
 
 const JOB: &str = "aaaaaaaaaaaaaaaa";
+const TASK: &str = "aaaaaaaaaaaaaaaa.0.0.0";
 
 /// The limits of a deployment whose workers take leases of ten seconds.
 const LIMITS: OwnerLimits = OwnerLimits {
@@ -24,6 +27,9 @@
     retention_ms: 60_000,
 };
 
+/// The time within which a lost long-running task has to run again, in milliseconds.
+const RESTART_MS: u64 = 9_000;
+
 fn owner(inherited: LeaseBounds, entries: Vec<WorkerEntry>) -> OwnerFixture {
     let mut fixture = OwnerFixture::claimed_with(LIMITS, 20_000, inherited, entries);
     fixture.store();
@@ -111,3 +117,21 @@
         );
     }
 }
+
+/// The worker is new, so no request can have reached it but those of this owner.
+#[test]
+fn long_running_task_of_a_new_worker_that_is_lost_at_once_runs_again_in_time() {
+    let mut fixture = owner(LeaseBounds::of_all(0), vec![worker("w-1", 2_000)]);
+    fixture.answer("w-1", &[], &[]);
+    let mut lasting = step(1, 1_000);
+    lasting.is_long_running = true;
+    fixture.accept(JOB, job_spec(vec![lasting]));
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {TASK}#1 at w-1")]);
+    fixture.started("w-1", TASK, 1, StartOutcome::Accepted);
+    fixture.wait(200);
+    fixture.answer("w-1", &[running(TASK, 1)], &[]);
+    fixture.step();
+    let after = given_up_after(&mut fixture);
+    assert!(after <= RESTART_MS, "given up after {after} ms");
+}
