Put the HTTP library behind a panic boundary

Callers saw every connection of a daemon end after one request such as CONNECT a:1 HTTP/1.1: the HTTP library panics on a target in authority form, and a panic of any thread ends the process.

CodeScope marks whether a thread of a connection runs a handler or the library, and LibraryBody turns a panic of the library into an error while a handler reads a body.

--- a/crates/serving/src/http_port.rs
+++ b/crates/serving/src/http_port.rs
@@ -19,7 +19,9 @@
 use oxhttp::model::Response;
 use oxhttp::model::header::CONNECTION;
 
+use crate::CodeScope;
 use crate::HttpService;
+use crate::LibraryBody;
 use crate::MinTransferRate;
 use crate::MonoClock;
 use crate::PortLimits;
@@ -94,19 +96,7 @@
     let clock = MonoClock::start();
     Server::new(move |request| {
         limit_body_time(request, clock, limits.body_max_ms);
-        let guard = gate.enter();
-        let reply = if guard.is_some() {
-            service.answer(request)
-        } else {
-            service.refuse()
-        };
-        let mut response = reply.into_response();
-        if !drain_body(request) {
-            close_after(request, &mut response);
-        }
-        // `OxHTTP` drops the response, and with it the guard, after writing it.
-        response.extensions_mut().insert(Arc::new(guard));
-        response
+        CodeScope::Handler.run(|| answer(request, &*service, &gate))
     })
     .bind(address)
     .with_global_timeout(IDLE_TIMEOUT)
@@ -114,12 +104,33 @@
     .spawn()
 }
 
+/// Answers a request if the gate admits it, and refuses it otherwise.
+fn answer(
+    request: &mut Request<Body>,
+    service: &dyn HttpService,
+    gate: &Arc<RequestGate>,
+) -> Response<Body> {
+    let guard = gate.enter();
+    let reply = if guard.is_some() {
+        service.answer(request)
+    } else {
+        service.refuse()
+    };
+    let mut response = reply.into_response();
+    if !drain_body(request) {
+        close_after(request, &mut response);
+    }
+    // `OxHTTP` drops the response, and with it the guard, after writing it.
+    response.extensions_mut().insert(Arc::new(guard));
+    response
+}
+
 /// Applies the timeout and the minimum transfer rate to the body.
 fn limit_body_time(request: &mut Request<Body>, clock: MonoClock, body_max_ms: u64) {
     if request.body().len() == Some(0) {
         return;
     }
-    let body = take(request.body_mut());
+    let body = LibraryBody::new(take(request.body_mut()));
     let rate = MinTransferRate::start(clock.now(), body_max_ms);
     let reader = RateCheckedReader::new(body, rate, move || clock.now());
     *request.body_mut() = Body::from_read(reader);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,14 +9,21 @@
 //! cannot occupy its connection for long; a [`BodyError`] says why a body could not be
 //! read.
 //!
+//! A panic of the HTTP library ends one connection, a panic of a handler the process: a
+//! [`CodeScope`] marks whose code a thread runs, a [`LibraryBody`] is the boundary around
+//! the library while a handler reads a body, and [`ConnectionPanics`] counts.
+//!
 //! A [`MonoClock`] and an [`RcuValue`] for tables that request threads read are shared
 //! by the ports and the code behind them.
 
 mod body_error;
+mod code_scope;
+mod connection_panics;
 mod connection_peer;
 mod http_port;
 mod http_reply;
 mod http_service;
+mod library_body;
 mod min_transfer_rate;
 mod mono_clock;
 mod port_limits;
@@ -25,12 +32,16 @@
 mod read_body;
 mod request_gate;
 mod request_guard;
+mod scope_guard;
 
 pub use body_error::BodyError;
+pub use code_scope::CodeScope;
+pub use connection_panics::ConnectionPanics;
 pub use connection_peer::ConnectionPeer;
 pub use http_port::HttpPort;
 pub use http_reply::HttpReply;
 pub use http_service::HttpService;
+pub use library_body::LibraryBody;
 pub use min_transfer_rate::MinTransferRate;
 pub use mono_clock::MonoClock;
 pub use port_limits::PortLimits;
