--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of a daemon.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use prometheus_client::encoding::text::encode;
@@ -11,6 +12,7 @@
 use prometheus_client::registry::Registry;
 use sapphirestile_jobs::DecisionEvent;
 use sapphirestile_jobs::RunCause;
+use sapphirestile_serving::ConnectionPanics;
 
 use crate::metrics::OutcomeLabel;
 
@@ -36,6 +38,7 @@
     owned_epoch: Gauge,
     owned_cells: Gauge,
     config_version: Gauge,
+    connection_panics: Counter,
 }
 
 impl Default for EntryMetrics {
@@ -53,6 +56,7 @@
             owned_epoch: Gauge::default(),
             owned_cells: Gauge::default(),
             config_version: Gauge::default(),
+            connection_panics: Counter::default(),
             registry: Registry::default(),
         };
         registry.register("answers", "Answers to callers", metrics.answers.clone());
@@ -92,6 +96,11 @@
             "The version of the configuration in effect, 0 until there is one",
             metrics.config_version.clone(),
         );
+        registry.register(
+            "connection_panics",
+            "Connections ended by a panic of the HTTP library",
+            metrics.connection_panics.clone(),
+        );
         Self {
             registry,
             ..metrics
@@ -170,7 +179,7 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
-    /// Encodes all metrics in the `OpenMetrics` text format.
+    /// Updates the count of panics, and encodes all metrics in the `OpenMetrics` text format.
     ///
     /// # Examples
     ///
@@ -186,6 +195,10 @@
     /// ```
     #[must_use]
     pub fn text(&self) -> String {
+        let panics = ConnectionPanics::of_process().count();
+        self.connection_panics
+            .inner()
+            .store(panics, Ordering::Relaxed);
         let mut text = String::new();
         // Writing to a `String` cannot fail.
         let _ = encode(&mut text, &self.registry);
