End one connection, not the daemon, when the HTTP library panics

Callers: CONNECT a:1 HTTP/1.1, or any other method with such a target, on a port of callers, operators, readiness or metrics ended the daemon, and with it every connection and the ownership of its cells.

The panic hook now aborts only if the panic is not one of the library on a thread of a connection. Such a panic is counted in sapphirestile_connection_panics_total and logged once in ten seconds at most; the connection closes without an answer.

--- a/crates/daemon/src/bin/sapphirestiled.rs
+++ b/crates/daemon/src/bin/sapphirestiled.rs
@@ -21,6 +21,7 @@
 
 use sapphirestile_core::StepError;
 use sapphirestile_daemon::lifecycle::DaemonLifecycle;
+use sapphirestile_daemon::panics::PanicHook;
 use sapphirestile_daemon::settings::DaemonSettings;
 use sapphirestile_daemon::tryout::TryoutRun;
 use sapphirestile_entry::LogQueue;
@@ -50,7 +51,7 @@
 }
 
 fn main() -> ExitCode {
-    abort_on_panic();
+    PanicHook::install();
     configure_error_reports();
     let result = match command_line().run() {
         DaemonMode::Check(path) => check_settings(&path),
@@ -68,17 +69,6 @@
     }
 }
 
-/// Aborts the process when a thread panics, because an invariant is broken. Otherwise the
-/// work of that thread would stop while the process still claims to own its cells and
-/// tokens.
-fn abort_on_panic() {
-    let default_hook = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |panic| {
-        default_hook(panic);
-        std::process::abort();
-    }));
-}
-
 /// Reduces error reports to steps, peers and errors: source locations and backtraces would
 /// hide these, and escape sequences for colours are not wanted in JSON logs.
 fn configure_error_reports() {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`callers`] serves callers' requests;
 //! - [`cells`] claims cells, keeps their journals in the store and calls their workers;
 //! - [`colocation`] measures how much batch tasks slow down requests on the same machine;
+//! - [`panics`] decides whether a panic ends a connection or the process;
 //! - [`peers`] forwards calls to the daemon that owns a cell;
 //! - [`operators`] answers the command-line tool;
 //! - [`console`] renders the operators' pages;
@@ -32,6 +33,7 @@
 pub mod members;
 pub mod metrics;
 pub mod operators;
+pub mod panics;
 pub mod peers;
 pub mod routes;
 pub mod settings;
--- a/crates/daemon/src/metrics/daemon_metrics.rs
+++ b/crates/daemon/src/metrics/daemon_metrics.rs
@@ -13,6 +13,7 @@
 
 use crate::context::DaemonContext;
 use crate::metrics::TrafficLabels;
+use crate::serving::ConnectionPanics;
 use sapphirestile_core::ServiceName;
 use sapphirestile_routing::ByteCounters;
 use sapphirestile_routing::RouteReach;
@@ -51,6 +52,7 @@
     pub throttled_tasks: Gauge,
     /// Bytes of slowdown reports sent to the owners of cells.
     pub slowdown_bytes: Counter,
+    connection_panics: Counter,
     request_bytes: Family<TrafficLabels, Counter>,
     owned_cells: Gauge,
     revision: Gauge<u64, AtomicU64>,
@@ -73,6 +75,7 @@
             throttles: Counter::default(),
             throttled_tasks: Gauge::default(),
             slowdown_bytes: Counter::default(),
+            connection_panics: Counter::default(),
             request_bytes: Family::default(),
             owned_cells: Gauge::default(),
             revision: Gauge::default(),
@@ -94,6 +97,10 @@
         self.revision.set(context.document.load().revision().get());
         self.store_silent_ms
             .set(context.store_contact.silent_ms(context.clock.now()));
+        let panics = ConnectionPanics::of_process().count();
+        self.connection_panics
+            .inner()
+            .store(panics, Ordering::Relaxed);
         for (service, traffic) in context.traffic.rows().iter() {
             self.update_byte_counters(service, "sent", &traffic.sent);
             self.update_byte_counters(service, "received", &traffic.received);
@@ -169,6 +176,11 @@
             "Bytes of requests and answers",
             self.request_bytes.clone(),
         );
+        registry.register(
+            "connection_panics",
+            "Connections ended by a panic of the HTTP library",
+            self.connection_panics.clone(),
+        );
         registry.register("owned_cells", "Cells owned", self.owned_cells.clone());
         registry.register(
             "config_revision",
--- a/crates/daemon/tests/ports/support.rs
+++ b/crates/daemon/tests/ports/support.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::time::Duration;
@@ -106,6 +107,21 @@
     response
 }
 
+/// Sends bytes over a new connection, ends the sending side, and returns everything that the
+/// daemon sends, as text.
+pub fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("the port accepts connections");
+    stream
+        .set_read_timeout(Some(READ_TIMEOUT))
+        .expect("the read time-out can be set");
+    // The daemon may close the connection before it has read everything.
+    let _written = stream.write_all(bytes);
+    let _ended = stream.shutdown(Shutdown::Write);
+    let mut response = Vec::new();
+    let _read = stream.read_to_end(&mut response);
+    String::from_utf8_lossy(&response).into_owned()
+}
+
 /// A frame from `sender`, sealed with the key that all daemons share.
 pub fn seal_frame<B: serde::Serialize>(sender: &str, call: u64, body: B) -> Vec<u8> {
     seal_frame_with(TOKEN, sender, call, body)
