--- a/crates/daemon/src/panics/panic_hook.rs
+++ b/crates/daemon/src/panics/panic_hook.rs
@@ -2,6 +2,7 @@
 
 use std::panic::PanicHookInfo;
 
+use tracing::field::display;
 use tracing::warn;
 
 use crate::context::RepeatLimiter;
@@ -47,8 +48,8 @@
     fn record(&self, panic: &PanicHookInfo<'_>) {
         ConnectionPanics::of_process().add();
         if let Some(repeats) = self.log_limiter.try_acquire(self.clock.now()) {
-            let peer = ConnectionPeer::of_this_thread().map(|peer| peer.address());
-            warn!(?peer, repeats, %panic, "connection ended by a panic of the HTTP library");
+            let peer = ConnectionPeer::of_this_thread().map(|peer| display(peer.address()));
+            warn!(peer, repeats, %panic, "connection ended by a panic of the HTTP library");
         }
     }
 }
--- a/crates/daemon/tests/ports/odd_requests.rs
+++ b/crates/daemon/tests/ports/odd_requests.rs
@@ -8,8 +8,8 @@
 use crate::support::exchange;
 use sapphirestile_standins::fleet::FleetPlan;
 
-/// More than the connections of any port, so that each one must be released after a panic of
-/// its thread.
+/// More than the connections of the ports of readiness and metrics, so that each connection
+/// must be released after a panic of its thread.
 const PANICS: usize = 80;
 
 /// No request may end the daemon, and an invalid one must get no answer but a refusal.
