--- a/crates/daemon/tests/ports/request_forms.rs
+++ b/crates/daemon/tests/ports/request_forms.rs
@@ -1,4 +1,4 @@
-//! Requests that no client of a daemon should send.
+//! Requests that no client should send, and unusual ones.
 
 /// More than the length of a head that the HTTP library accepts.
 const OVERSIZED_BYTES: usize = 20_000;
