--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -121,7 +121,10 @@
                 Ok(CommitAnswer::Stored { revision }) => {
                     if attempts > 1 {
                         let took_ms = began.elapsed().as_millis();
-                        tracing::info!(%cell, epoch = row.epoch, attempts, took_ms, "batch stored after retries");
+                        tracing::info!(
+                            %cell, epoch = row.epoch, attempts, took_ms,
+                            "batch stored after retries"
+                        );
                     }
                     self.claim = OwnershipClaim {
                         cell,
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -2,11 +2,11 @@
 //!
 //! A [`JobOwner`] starts from the [`StoredJob`]s, its [`OwnerLimits`], and the
 //! [`LeaseBounds`] and [`LearntTables`] of the previous owner, with a [`LearntCoefficient`]
-//! for each pair of images. It emits changed state as a [`CommitBatch`], with a [`QueueCount`] for each queue and a [`JobMove`] for each job that goes to another
-//! cell, and requests to workers and to the advisor as
-//! [`OwnerEffect`]s: a [`StartRequest`], [`StopRequest`], [`PollRequest`] or
-//! [`PaceRequest`]. It reports its decisions as [`DecisionEvent`]s, with a [`RunCause`]
-//! for the end of each run.
+//! for each pair of images. It emits changed state as a [`CommitBatch`], with a
+//! [`QueueCount`] for each queue and a [`JobMove`] for each job that goes to another cell, and
+//! requests to workers and to the advisor as [`OwnerEffect`]s: a [`StartRequest`],
+//! [`StopRequest`], [`PollRequest`] or [`PaceRequest`]. It reports its decisions as
+//! [`DecisionEvent`]s, with a [`RunCause`] for the end of each run.
 
 mod commit_batch;
 mod decision_event;
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -3,8 +3,8 @@
 //! The list of workers has a [`WorkerEntry`] for each, and changes by [`WorkerEvent`]s. A
 //! [`TrackedWorker`] is what the owner knows about one: its [`RunEntry`]s, each in a
 //! [`RunState`], its [`WorkerBreaker`], its [`WorkerSilence`] while it does not respond, its
-//! [`LeaseGrant`] in the stored batches, and its [`KnownIncarnation`], which has the [`WorkerClock`] and the [`EndPosition`] of the
-//! [`WorkerIncarnation`] that responded last. Polling a worker gives a
+//! [`LeaseGrant`], and its [`KnownIncarnation`], which has the [`WorkerClock`] and the
+//! [`EndPosition`] of the [`WorkerIncarnation`] that responded last. Polling a worker gives a
 //! [`PollOutcome`]; the [`PollResponse`] in it lists [`RunningRun`]s and, in an
 //! [`EndList`], [`EndedRun`]s with an [`EndKind`]. Requests to start and stop runs give a
 //! [`StartOutcome`] or a [`StopOutcome`].
