Let the load of a cell stand until workers have responded to its new owner

What callers would see: for 0.3 s after a change of owner a cell seems to have no room, and jobs go to others.

Cause: since the first batch of an owner is sent before any worker has responded, and it replaced the load that the claim carries on.

Change: the load is reported 0.3 s after the claim at the earliest.

Measured: first_batch_of_an_owner_does_not_replace_the_load_of_the_previous_one failed before (an empty load).

--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -95,7 +95,8 @@
     /// When the learnt estimates were last put into a batch.
     learnt_batched: MonoTime,
     advice: AdviceCache,
-    /// When the load of the cell was last put into a batch.
+    /// When the load of the cell was last put into a batch, or the claim was sent: its row has
+    /// the load that the previous owner reported, which stands until workers have responded.
     load_reported: MonoTime,
     /// When a task that found no worker was last reported.
     passed_over_reported: MonoTime,
@@ -143,7 +144,7 @@
             durations: DurationEstimator::default(),
             learnt_batched: claimed,
             advice: AdviceCache::default(),
-            load_reported: MonoTime::default(),
+            load_reported: claimed,
             passed_over_reported: MonoTime::default(),
         }
     }
--- a/crates/jobs/tests/owner/batches.rs
+++ b/crates/jobs/tests/owner/batches.rs
@@ -2,6 +2,7 @@
 
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::JobStanding;
+use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::RepeatRule;
 use sapphirestile_jobs::StartOutcome;
 
@@ -110,3 +111,13 @@
     let batch = fixture.batch().unwrap();
     assert_eq!(batch.forgotten.len(), 1);
 }
+
+/// No worker has responded by then, so the cell would seem to have no room.
+#[test]
+fn first_batch_of_an_owner_does_not_replace_the_load_of_the_previous_one() {
+    let entries = vec![worker("w-1", 2_000)];
+    let mut fixture = OwnerFixture::claimed_at(1_000, LeaseBounds::of_all(0), entries);
+    let now = fixture.time();
+    let batch = fixture.owner.take_batch(true, now);
+    assert_eq!(batch.expect("the first batch is due").load, None);
+}
