--- a/crates/entry/src/cells/cell_table.rs
+++ b/crates/entry/src/cells/cell_table.rs
@@ -7,6 +7,8 @@
 use sapphirestile_core::SortedTable;
 use sapphirestile_jobs::CellLayout;
 use sapphirestile_jobs::CellLoad;
+use sapphirestile_jobs::VacancyTable;
+use sapphirestile_jobs::WorkerVacancy;
 
 use crate::cells::CellHead;
 use crate::ports::StoredRow;
@@ -57,6 +59,16 @@
         owned.map(|(cell, head)| (*cell, &head.row.load)).collect()
     }
 
+    /// The free workers of the cells that have an owner, sorted by cell.
+    #[must_use]
+    pub fn vacancies(&self, now: MonoTime) -> VacancyTable {
+        let owned = self.heads.iter().filter(|(_, head)| head.is_owned(now));
+        let reports: Vec<(CellNumber, &[WorkerVacancy])> = owned
+            .map(|(cell, head)| (*cell, &*head.row.vacancies))
+            .collect();
+        VacancyTable::new(&reports)
+    }
+
     /// The epoch of the latest claim of any cell; 0 before the first.
     #[must_use]
     pub fn highest_epoch(&self) -> u64 {
--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -132,11 +132,16 @@
             DecisionEvent::RunEnded { cause, .. } => outcome_of(*cause),
             DecisionEvent::Advised { good, .. } => return self.count_question(good.is_some()),
             DecisionEvent::JobMoved { .. } => "moved_before_start",
+            DecisionEvent::TaskTransferred {
+                is_return: true, ..
+            } => "returned_to_home",
+            DecisionEvent::TaskTransferred { .. } => "delegated_to_cell",
             DecisionEvent::PassedOver { .. }
             | DecisionEvent::WorkerRestarted { .. }
             | DecisionEvent::RunsMissing { .. }
             | DecisionEvent::WorkerSilent { .. }
             | DecisionEvent::Fenced { .. }
+            | DecisionEvent::TaskReceived { .. }
             | DecisionEvent::JobEnded { .. } => return,
         };
         self.runs.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -1,7 +1,7 @@
 //! Stores the owner's batches.
 
 mod batch_rows;
-mod job_moves;
+mod job_part;
 mod part_outcome;
 
 use std::sync::Arc;
@@ -21,6 +21,7 @@
 use crate::owner::WriteOutcome;
 use crate::owner::WriteRequest;
 use crate::owner::commit_writer::batch_rows::BatchRows;
+use crate::owner::commit_writer::job_part::JobPart;
 use crate::owner::commit_writer::part_outcome::PartOutcome;
 use crate::ports::CommitAnswer;
 use crate::ports::RowGuard;
@@ -75,13 +76,15 @@
         }
     }
 
-    /// Stores a batch, in several commits when it has more rows than one can carry.
+    /// Stores a batch, in several commits when it has more rows than one can carry. The
+    /// moves and transfers of each job have a commit of their own, after the rows that the
+    /// effects of the batch depend on.
     fn store(&mut self, batch: &CommitBatch) -> WriteOutcome {
         let mut rows = BatchRows::of(self.claim.cell, batch, &mut self.last_counts);
-        let has_moves = !batch.moves.is_empty();
+        let parts = JobPart::all_of(self.claim.cell, batch);
         loop {
             let (writes, removals) = rows.take_commit();
-            let is_released = batch.is_last && rows.is_empty() && !has_moves;
+            let is_released = batch.is_last && rows.is_empty() && parts.is_empty();
             let outcome = self.store_part((writes, removals, Vec::new()), is_released, batch);
             if outcome != PartOutcome::Stored {
                 return WriteOutcome::Deposed;
@@ -90,7 +93,29 @@
                 break;
             }
         }
-        self.store_moves(batch)
+        self.store_job_parts(parts, batch)
+    }
+
+    /// Stores the moves and transfers of a batch.
+    fn store_job_parts(&mut self, parts: Vec<JobPart>, batch: &CommitBatch) -> WriteOutcome {
+        let mut removed = batch.forgotten.clone();
+        let mut refused = Vec::new();
+        let count = parts.len();
+        for (index, part) in parts.into_iter().enumerate() {
+            let is_released = batch.is_last && index + 1 == count;
+            let rows = (part.writes, part.removals, part.guards);
+            match self.store_part(rows, is_released, batch) {
+                PartOutcome::Stored if part.is_move => removed.push(part.job),
+                PartOutcome::Stored => {}
+                PartOutcome::GuardFailed => refused.push(part.job),
+                PartOutcome::Deposed => return WriteOutcome::Deposed,
+            }
+        }
+        WriteOutcome::Stored {
+            revision: self.claim.revision,
+            removed,
+            refused,
+        }
     }
 
     /// Stores one guarded commit of a batch, whose rows are its writes, removals and further
--- a/crates/entry/src/owner/commit_writer/batch_rows.rs
+++ b/crates/entry/src/owner/commit_writer/batch_rows.rs
@@ -2,6 +2,7 @@
 
 use sapphirestile_core::CellNumber;
 use sapphirestile_jobs::CommitBatch;
+use sapphirestile_jobs::GuestRemoval;
 use sapphirestile_jobs::QueueCount;
 
 use crate::ports::RowWrite;
@@ -19,18 +20,27 @@
 }
 
 impl BatchRows {
-    /// The rows of a batch of a cell, without its moves. The counts are left out if they are
-    /// those of `last_counts`, which is updated.
+    /// The rows of a batch of a cell, without its moves and transfers. The counts are left out
+    /// if they are those of `last_counts`, which is updated. Other cells are told to end their
+    /// tasks of a job before it is stored as ended: the next owner would not tell them.
     pub fn of(
         cell: CellNumber,
         batch: &CommitBatch,
         last_counts: &mut Option<Vec<QueueCount>>,
     ) -> Self {
-        let progress = batch.progress.iter().map(|(job, progress)| RowWrite {
+        let revoked = batch.revoked.iter().map(|(job, other)| RowWrite {
+            key: RowKeys::cancellation(*other, job),
+            value: Vec::new(),
+        });
+        let mut writes: Vec<RowWrite> = revoked.collect();
+        writes.extend(batch.progress.iter().map(|(job, progress)| RowWrite {
             key: RowKeys::progress(cell, job),
             value: RowCodec::encode(progress),
-        });
-        let mut writes: Vec<RowWrite> = progress.collect();
+        }));
+        writes.extend(batch.guests.iter().map(|(job, progress)| RowWrite {
+            key: RowKeys::guest_progress(cell, job),
+            value: RowCodec::encode(progress),
+        }));
         if last_counts.as_ref() != Some(&batch.counts) {
             writes.push(RowWrite {
                 key: RowKeys::counts(cell),
@@ -50,9 +60,15 @@
                 RowKeys::home(job),
             ]
         });
+        let absorbed = batch.absorbed.iter();
+        let absorbed = absorbed.map(|(task, run)| RowKeys::returned(cell, task, *run));
+        let guests = batch
+            .forgotten_guests
+            .iter()
+            .flat_map(|removal| guest_keys(cell, removal));
         Self {
             writes,
-            removals: removals.collect(),
+            removals: removals.chain(absorbed).chain(guests).collect(),
         }
     }
 
@@ -74,3 +90,14 @@
     let rest = items.split_off(items.len().min(max));
     std::mem::replace(items, rest)
 }
+
+/// The keys of the rows of an ended job of another cell.
+fn guest_keys(cell: CellNumber, removal: &GuestRemoval) -> Vec<String> {
+    let delegated = removal.received.iter();
+    let mut keys: Vec<String> = delegated
+        .map(|(task, run)| RowKeys::delegated(cell, task, *run))
+        .collect();
+    keys.push(RowKeys::guest_progress(cell, &removal.job));
+    keys.push(RowKeys::cancellation(cell, &removal.job));
+    keys
+}
--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -21,84 +21,7 @@
                 DecisionEvent::RunEnded {
                     task, run, cause, ..
                 } if cause.is_done() => done.push(format!("{task}#{run}")),
-                DecisionEvent::RunEnded {
-                    task,
-                    run,
-                    worker,
-                    cause,
-                    age_ms,
-                } => {
-                    tracing::info!(%cell, epoch, %task, run, %worker, ?cause, age_ms, "run ended");
-                }
-                DecisionEvent::PassedOver {
-                    task,
-                    cpu_milli,
-                    census,
-                } => {
-                    tracing::info!(
-                        %cell, epoch, %task, cpu_milli,
-                        unusable = census.unusable,
-                        unsuitable = census.unsuitable,
-                        too_small = census.too_small,
-                        occupied_by_short = census.occupied_by_short,
-                        occupied_by_long = census.occupied_by_long,
-                        largest_free_cpu_milli = census.largest_free_cpu_milli,
-                        "no worker for a long-running task"
-                    );
-                }
-                DecisionEvent::WorkerRestarted {
-                    worker,
-                    stored_end,
-                    incarnation,
-                } => {
-                    let earlier_unix_ms = stored_end.incarnation.unix_ms();
-                    let (stored_end, life_unix_ms) = (stored_end.number, incarnation.unix_ms());
-                    tracing::info!(%cell, epoch, %worker, earlier_unix_ms, life_unix_ms, stored_end, "worker restarted");
-                }
-                DecisionEvent::WorkerSilent {
-                    worker,
-                    runs,
-                    is_listed,
-                    has_responded,
-                    is_replaced,
-                    lease_left_ms,
-                } => {
-                    tracing::info!(
-                        %cell, epoch, %worker, runs, is_listed, has_responded, is_replaced,
-                        lease_left_ms, "worker does not respond; its runs wait for its leases"
-                    );
-                }
-                DecisionEvent::Fenced { worker } => {
-                    tracing::warn!(%cell, epoch, %worker, "worker has seen a higher epoch");
-                }
-                DecisionEvent::RunsMissing {
-                    worker,
-                    runs,
-                    stored_end,
-                    first_end,
-                    ends,
-                } => {
-                    let life_unix_ms = stored_end.incarnation.unix_ms();
-                    let stored_end = stored_end.number;
-                    tracing::info!(%cell, epoch, %worker, life_unix_ms, runs, stored_end, first_end, ends, "runs missing in a response");
-                }
-                DecisionEvent::Advised { step, asked, good } => {
-                    tracing::info!(%cell, epoch, %step, asked, good, "advisor call ended");
-                }
-                DecisionEvent::JobMoved {
-                    job,
-                    target,
-                    age_ms,
-                } => {
-                    tracing::info!(%cell, epoch, %job, %target, age_ms, "job moves to another cell");
-                }
-                DecisionEvent::JobEnded {
-                    job,
-                    standing,
-                    age_ms,
-                } => {
-                    tracing::info!(%cell, epoch, %job, ?standing, age_ms, "job ended");
-                }
+                _ => Self::write_one(cell, epoch, decision),
             }
         }
         if !assigned.is_empty() || !done.is_empty() {
@@ -106,4 +29,104 @@
             tracing::info!(%cell, epoch, assigned, done, "tasks assigned or done");
         }
     }
+
+    /// Logs a decision that has a line of its own.
+    fn write_one(cell: CellNumber, epoch: u64, decision: &DecisionEvent) {
+        match decision {
+            DecisionEvent::Assigned { .. } => {}
+            DecisionEvent::RunEnded {
+                task,
+                run,
+                worker,
+                cause,
+                age_ms,
+            } => {
+                tracing::info!(%cell, epoch, %task, run, %worker, ?cause, age_ms, "run ended");
+            }
+            DecisionEvent::PassedOver {
+                task,
+                cpu_milli,
+                census,
+            } => {
+                tracing::info!(
+                    %cell, epoch, %task, cpu_milli,
+                    unusable = census.unusable,
+                    unsuitable = census.unsuitable,
+                    too_small = census.too_small,
+                    occupied_by_short = census.occupied_by_short,
+                    occupied_by_long = census.occupied_by_long,
+                    largest_free_cpu_milli = census.largest_free_cpu_milli,
+                    "no worker for a long-running task"
+                );
+            }
+            DecisionEvent::WorkerRestarted {
+                worker,
+                stored_end,
+                incarnation,
+            } => {
+                let earlier_unix_ms = stored_end.incarnation.unix_ms();
+                let (stored_end, life_unix_ms) = (stored_end.number, incarnation.unix_ms());
+                tracing::info!(%cell, epoch, %worker, earlier_unix_ms, life_unix_ms, stored_end, "worker restarted");
+            }
+            DecisionEvent::WorkerSilent {
+                worker,
+                runs,
+                is_listed,
+                has_responded,
+                is_replaced,
+                lease_left_ms,
+            } => {
+                tracing::info!(
+                    %cell, epoch, %worker, runs, is_listed, has_responded, is_replaced,
+                    lease_left_ms, "worker does not respond; its runs wait for its leases"
+                );
+            }
+            DecisionEvent::Fenced { worker } => {
+                tracing::warn!(%cell, epoch, %worker, "worker has seen a higher epoch");
+            }
+            DecisionEvent::RunsMissing {
+                worker,
+                runs,
+                stored_end,
+                first_end,
+                ends,
+            } => {
+                let life_unix_ms = stored_end.incarnation.unix_ms();
+                let stored_end = stored_end.number;
+                tracing::info!(%cell, epoch, %worker, life_unix_ms, runs, stored_end, first_end, ends, "runs missing in a response");
+            }
+            DecisionEvent::Advised { step, asked, good } => {
+                tracing::info!(%cell, epoch, %step, asked, good, "advisor call ended");
+            }
+            DecisionEvent::JobMoved {
+                job,
+                target,
+                age_ms,
+            } => {
+                tracing::info!(%cell, epoch, %job, %target, age_ms, "job moves to another cell");
+            }
+            DecisionEvent::TaskTransferred {
+                task,
+                run,
+                target,
+                is_return,
+                waited_ms,
+            } => {
+                tracing::info!(
+                    %cell, epoch, %task, run, %target, is_return, waited_ms,
+                    "task without a worker goes to another cell"
+                );
+            }
+            DecisionEvent::TaskReceived { task, run, from } => {
+                tracing::info!(%cell, epoch, %task, run, %from, "task came from another cell");
+            }
+            DecisionEvent::JobEnded {
+                job,
+                standing,
+                age_ms,
+            } => {
+                tracing::info!(%cell, epoch, %job, ?standing, age_ms, "job ended");
+            }
+        }
+    }
 }
--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -129,6 +129,7 @@
             is_released: false,
             load,
             lease_bounds,
+            vacancies: Vec::new(),
         };
         if let Some(claim) = self.claim(cell, revision, row) {
             self.drive(claim, claimed);
--- a/crates/entry/src/owner/ownership_term.rs
+++ b/crates/entry/src/owner/ownership_term.rs
@@ -3,6 +3,7 @@
 mod division;
 mod event_handlers;
 mod loading;
+mod stored_cell;
 
 use std::sync::Arc;
 use std::thread;
--- a/crates/entry/src/owner/ownership_term/division.rs
+++ b/crates/entry/src/owner/ownership_term/division.rs
@@ -18,7 +18,7 @@
 
 impl OwnershipTerm {
     /// Applies the latest read of the cells' rows: a new layout, and the loads of the other
-    /// cells, to which waiting jobs may move.
+    /// cells, to which waiting jobs and tasks may go.
     pub(super) fn apply_cell_table(&mut self, now: MonoTime, unix_ms: u64) {
         let table = self.context.cells.load_full();
         if table.layout != *self.division.layout() {
@@ -40,6 +40,8 @@
                 loads: &loads,
             };
             self.owner.plan_moves(self.cell, &choice, now, unix_ms);
+            let mut vacancies = table.vacancies(now);
+            self.owner.plan_transfers(self.cell, &mut vacancies, now);
         }
     }
 
--- a/crates/entry/src/owner/ownership_term/event_handlers.rs
+++ b/crates/entry/src/owner/ownership_term/event_handlers.rs
@@ -19,7 +19,9 @@
         let unix_ms = MonoClock::unix_millis();
         match event {
             OwnerEvent::Intake(WatchUpdate::Snapshot(events) | WatchUpdate::Changes(events)) => {
-                for event in events {
+                let (ended, begun): (Vec<IntakeEvent>, Vec<IntakeEvent>) =
+                    events.into_iter().partition(IntakeEvent::is_cancellation);
+                for event in begun.into_iter().chain(ended) {
                     self.handle_intake(event);
                 }
             }
@@ -41,13 +43,14 @@
             OwnerEvent::Stored(WriteOutcome::Stored {
                 revision,
                 removed,
-                refused_moves,
+                refused,
             }) => {
                 let took_ms = self.schedule.since_batch_ms(now);
                 let took = Duration::from_millis(took_ms);
                 self.context.metrics.observe_batch(took);
                 self.owner.confirm_batch(now, unix_ms);
-                self.owner.finish_moves(&refused_moves, unix_ms);
+                self.owner.finish_moves(&refused, unix_ms);
+                self.owner.finish_transfers(&refused, now, unix_ms);
                 for job in removed {
                     self.removed.insert(job, revision);
                 }
@@ -100,6 +103,8 @@
                 }
             }
             IntakeEvent::Cancelled(identity) => self.owner.cancel_job(identity, now),
+            IntakeEvent::Delegated(task) => self.owner.receive_task(*task, now, unix_ms),
+            IntakeEvent::Returned(task) => self.owner.take_back_task(task, now, unix_ms),
         }
     }
 }
--- a/crates/entry/src/owner/ownership_term/loading.rs
+++ b/crates/entry/src/owner/ownership_term/loading.rs
@@ -7,15 +7,10 @@
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
-use sapphirestile_core::SortedTable;
 use sapphirestile_jobs::FleetDivision;
-use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobOwner;
-use sapphirestile_jobs::JobProgress;
-use sapphirestile_jobs::JobSpec;
 use sapphirestile_jobs::LearntTables;
 use sapphirestile_jobs::OwnerLimits;
-use sapphirestile_jobs::StoredJob;
 use sapphirestile_jobs::WorkerEvent;
 use sapphirestile_serving::MonoClock;
 
@@ -23,7 +18,7 @@
 use crate::owner::OwnerAdapters;
 use crate::owner::OwnerEvent;
 use crate::owner::OwnershipClaim;
-use crate::ports::EventListing;
+use crate::owner::ownership_term::stored_cell::StoredCell;
 use crate::ports::EventSource;
 use crate::ports::StoreCallError;
 use crate::store::IntakeEvent;
@@ -96,19 +91,8 @@
     let layout = Arc::clone(&context.cells.load().layout);
     let mut division = FleetDivision::new(cell, layout, now);
     owner.replace_workers(division.replace(present.collect(), now), now);
-    let progress: SortedTable<JobIdentity, JobProgress> = progress
-        .rows
-        .iter()
-        .filter_map(|row| {
-            Some((
-                RowKeys::identity_of(&row.key)?,
-                RowCodec::decode(&row.value)?,
-            ))
-        })
-        .collect();
-    for stored in join_jobs(intake, &progress) {
-        owner.restore_job(stored, now, unix_ms);
-    }
+    let stored = StoredCell::join(intake.events, &progress.rows);
+    stored.restore_into(&mut owner, now, unix_ms);
     let sources = (Arc::clone(&adapters.workers), intake_source);
     watch_sources(context, sources, revisions, events);
     Some((owner, division))
@@ -129,30 +113,6 @@
     learnt
 }
 
-/// Joins the specification, the progress and the cancellation of each job.
-fn join_jobs(
-    intake: EventListing<IntakeEvent>,
-    progress: &SortedTable<JobIdentity, JobProgress>,
-) -> Vec<StoredJob> {
-    let mut specs: Vec<(JobIdentity, JobSpec)> = Vec::new();
-    let mut cancelled: SortedTable<JobIdentity, ()> = SortedTable::new();
-    for event in intake.events {
-        match event {
-            IntakeEvent::Submitted { identity, spec, .. } => specs.push((identity, spec)),
-            IntakeEvent::Cancelled(identity) => {
-                cancelled.insert(identity, ());
-            }
-        }
-    }
-    let join = |(identity, spec): (JobIdentity, JobSpec)| StoredJob {
-        identity,
-        spec,
-        progress: progress.get(&identity).cloned(),
-        is_cancelled: cancelled.contains(&identity),
-    };
-    specs.into_iter().map(join).collect()
-}
-
 /// Watches the workers and the intake for changes after the revisions of their listings.
 fn watch_sources(
     context: &Arc<EntryContext>,
--- a/crates/entry/src/owner/write_outcome.rs
+++ b/crates/entry/src/owner/write_outcome.rs
@@ -12,8 +12,9 @@
         revision: u64,
         /// The jobs that the batch removed from the cell.
         removed: Vec<JobIdentity>,
-        /// The jobs that did not move, because they were cancelled.
-        refused_moves: Vec<JobIdentity>,
+        /// The jobs that did not move, or whose tasks were not transferred, because they were
+        /// cancelled.
+        refused: Vec<JobIdentity>,
     },
     /// The batch is not stored as a whole: another daemon owns the cell now.
     Deposed,
--- a/crates/entry/src/store/earlier_ownership_row.rs
+++ b/crates/entry/src/store/earlier_ownership_row.rs
@@ -28,6 +28,7 @@
             is_released: row.is_released,
             load: row.load,
             lease_bounds: LeaseBounds::unstated(),
+            vacancies: Vec::new(),
         }
     }
 }
--- a/crates/entry/src/store/intake_event.rs
+++ b/crates/entry/src/store/intake_event.rs
@@ -1,7 +1,9 @@
 //! Requests of callers as read from the store.
 
+use sapphirestile_jobs::DelegatedTask;
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobSpec;
+use sapphirestile_jobs::ReturnedTask;
 
 /// A caller's request, as stored by any daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +17,18 @@
         /// The revision of its row.
         revision: u64,
     },
-    /// A job was cancelled.
+    /// A job was cancelled, or its home has ended it.
     Cancelled(JobIdentity),
+    /// Another cell has delegated a task to this one.
+    Delegated(Box<DelegatedTask>),
+    /// Another cell has given a task back to this one.
+    Returned(ReturnedTask),
+}
+
+impl IntakeEvent {
+    /// Whether the event ends a job. Nothing that was stored before it may be handled after.
+    #[must_use]
+    pub const fn is_cancellation(&self) -> bool {
+        matches!(self, Self::Cancelled(_))
+    }
 }
--- a/crates/entry/src/store/intake_source.rs
+++ b/crates/entry/src/store/intake_source.rs
@@ -1,4 +1,4 @@
-//! Source of callers' requests.
+//! Source of callers' requests, and of tasks that other cells transfer.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use crate::store::RowKeys;
 
 /// Reads submissions and cancellations from the intake rows, which the daemons write
-/// for callers.
+/// for callers, and the tasks that other owners transfer to the cell.
 pub struct IntakeSource {
     rows: Arc<dyn EventSource<RowChange>>,
 }
@@ -53,7 +53,13 @@
     if let Some(identity) = RowKeys::cancelled_identity_of(&row.key) {
         return Some(IntakeEvent::Cancelled(identity));
     }
-    let read = read_spec(row);
+    let read = if RowKeys::is_delegated(&row.key) {
+        RowCodec::decode(&row.value).map(|task| IntakeEvent::Delegated(Box::new(task)))
+    } else if RowKeys::is_returned(&row.key) {
+        RowCodec::decode(&row.value).map(IntakeEvent::Returned)
+    } else {
+        read_spec(row)
+    };
     if read.is_none() {
         tracing::error!(key = row.key, "cannot decode an intake row");
     }
--- a/crates/entry/src/store/ownership_row.rs
+++ b/crates/entry/src/store/ownership_row.rs
@@ -2,6 +2,7 @@
 
 use sapphirestile_jobs::CellLoad;
 use sapphirestile_jobs::LeaseBounds;
+use sapphirestile_jobs::WorkerVacancy;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -29,14 +30,25 @@
     pub load: CellLoad,
     /// The bounds on the leases of the cell's workers when the owner took the batch.
     pub lease_bounds: LeaseBounds,
+    /// The largest free workers of the cell, as the owner last reported them.
+    pub vacancies: Vec<WorkerVacancy>,
 }
 
 impl OwnershipRow {
-    /// Decodes a row of this or of an earlier version; `None` when it is malformed. Earlier
-    /// versions read the row of this one, since the field that they lack comes last.
+    /// Decodes a row of this or of an earlier version; `None` when it is malformed. Each
+    /// version has added a field at the end, which earlier ones do not read.
     #[must_use]
     pub fn decode(value: &[u8]) -> Option<Self> {
-        let earlier = || RowCodec::decode::<EarlierOwnershipRow>(value).map(Self::from);
-        RowCodec::decode(value).or_else(earlier)
+        let (earlier, rest) = RowCodec::decode_first::<EarlierOwnershipRow>(value)?;
+        let mut row = Self::from(earlier);
+        if rest.is_empty() {
+            return Some(row);
+        }
+        let (lease_bounds, rest) = RowCodec::decode_first(rest)?;
+        row.lease_bounds = lease_bounds;
+        if !rest.is_empty() {
+            row.vacancies = RowCodec::decode(rest)?;
+        }
+        Some(row)
     }
 }
--- a/crates/entry/src/store/row_codec.rs
+++ b/crates/entry/src/store/row_codec.rs
@@ -24,9 +24,14 @@
         postcard::from_bytes(value).ok()
     }
 
+    /// Decodes the first part of a value, and returns the rest; `None` when it is malformed.
+    pub fn decode_first<T: DeserializeOwned>(value: &[u8]) -> Option<(T, &[u8])> {
+        postcard::take_from_bytes(value).ok()
+    }
+
     /// Decodes only the job state, which comes first in a progress row.
     pub fn standing(value: &[u8]) -> Option<JobStanding> {
-        let (standing, _rest) = postcard::take_from_bytes(value).ok()?;
+        let (standing, _rest) = Self::decode_first(value)?;
         Some(standing)
     }
 }
--- a/crates/entry/src/store/row_keys.rs
+++ b/crates/entry/src/store/row_keys.rs
@@ -2,6 +2,7 @@
 
 use sapphirestile_core::CellNumber;
 use sapphirestile_jobs::JobIdentity;
+use sapphirestile_jobs::TaskIdentity;
 
 const CELLS: &str = "sapphirestile/cells/";
 const LAYOUT: &str = "sapphirestile/cells/layout";
@@ -12,6 +13,9 @@
 const INTAKE: &str = "sapphirestile/intake/";
 const RECORDS: &str = "sapphirestile/records/";
 const CANCELLED: &str = "/cancelled";
+const DELEGATED: &str = "/delegated/";
+const RETURNED: &str = "/returned/";
+const GUEST: &str = "/guest";
 
 /// Builds and parses the keys of rows. Rows that an owner lists or watches begin with the
 /// number of its cell.
@@ -118,6 +122,48 @@
         format!("{RECORDS}{cell}/{identity}")
     }
 
+    /// The key of a task that another cell has delegated to this one, by the number of the
+    /// transfer.
+    #[must_use]
+    pub fn delegated(cell: CellNumber, task: &TaskIdentity, run: u32) -> String {
+        let (job, rest) = (task.job, within_job(task));
+        format!("{INTAKE}{cell}/{job}{DELEGATED}{rest}.{run}")
+    }
+
+    /// The key of a task that another cell has given back to this one, by the number of the
+    /// transfer.
+    #[must_use]
+    pub fn returned(cell: CellNumber, task: &TaskIdentity, run: u32) -> String {
+        let (job, rest) = (task.job, within_job(task));
+        format!("{INTAKE}{cell}/{job}{RETURNED}{rest}.{run}")
+    }
+
+    /// The key of the progress of the tasks that other cells have delegated to this one. It is
+    /// apart from that of the job, which says how the job stands.
+    #[must_use]
+    pub fn guest_progress(cell: CellNumber, identity: &JobIdentity) -> String {
+        format!("{RECORDS}{cell}/{identity}{GUEST}")
+    }
+
+    /// Whether the key is that of a delegated task.
+    #[must_use]
+    pub fn is_delegated(key: &str) -> bool {
+        key.starts_with(INTAKE) && key.contains(DELEGATED)
+    }
+
+    /// Whether the key is that of a task that was given back.
+    #[must_use]
+    pub fn is_returned(key: &str) -> bool {
+        key.starts_with(INTAKE) && key.contains(RETURNED)
+    }
+
+    /// Parses the job identity from the key of the progress of delegated tasks.
+    #[must_use]
+    pub fn guest_identity_of(key: &str) -> Option<JobIdentity> {
+        let (_, name) = key.strip_prefix(RECORDS)?.split_once('/')?;
+        JobIdentity::try_from(name.strip_suffix(GUEST)?).ok()
+    }
+
     /// Parses the job identity from the key of a specification or of job progress.
     #[must_use]
     pub fn identity_of(key: &str) -> Option<JobIdentity> {
@@ -133,3 +179,8 @@
         JobIdentity::try_from(name.strip_suffix(CANCELLED)?).ok()
     }
 }
+
+/// A task within its job, as part of a key.
+fn within_job(task: &TaskIdentity) -> String {
+    format!("{}.{}.{}", task.occurrence, task.step, task.index)
+}
--- a/crates/entry/tests/cell_claims.rs
+++ b/crates/entry/tests/cell_claims.rs
@@ -48,6 +48,7 @@
             is_released: false,
             load: sapphirestile_jobs::CellLoad::default(),
             lease_bounds: sapphirestile_jobs::LeaseBounds::of_all(0),
+            vacancies: Vec::new(),
         },
         revision: 1,
         changed: MonoTime::from_millis(now),
--- a/crates/entry/tests/rows_of_earlier_versions.rs
+++ b/crates/entry/tests/rows_of_earlier_versions.rs
@@ -55,6 +55,7 @@
         is_released: false,
         load: CellLoad::default(),
         lease_bounds: LeaseBounds::of_all(6_355),
+        vacancies: Vec::new(),
     };
     let value = postcard::to_stdvec(&row).unwrap();
     let read: EarlierRow = postcard::from_bytes(&value).unwrap();
--- a/crates/jobs/src/division.rs
+++ b/crates/jobs/src/division.rs
@@ -4,7 +4,8 @@
 //! between two owners. A [`FleetDivision`] selects the workers of one cell from the list of
 //! all workers, and proposes the layout's next version. A [`CellLoad`] tells other daemons
 //! how much room a cell has, by a [`ServiceRoom`] for each service; a [`CellChoice`]
-//! compares them for the [`JobNeed`] of a job.
+//! compares them for the [`JobNeed`] of a job. A [`VacancyTable`] has the largest
+//! [`WorkerVacancy`]s of all cells, for single tasks that find no worker in their own.
 
 mod cell_choice;
 mod cell_layout;
@@ -13,6 +14,8 @@
 mod job_need;
 mod rack_size;
 mod service_room;
+mod vacancy_table;
+mod worker_vacancy;
 
 pub use cell_choice::CellChoice;
 pub use cell_layout::CellLayout;
@@ -21,3 +24,5 @@
 pub use job_need::JobNeed;
 pub use rack_size::RackSize;
 pub use service_room::ServiceRoom;
+pub use vacancy_table::VacancyTable;
+pub use worker_vacancy::WorkerVacancy;
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -107,6 +107,28 @@
         /// Time since the job was accepted here, in milliseconds.
         age_ms: u64,
     },
+    /// A task that found no worker goes to another cell, or back to the home of its job.
+    TaskTransferred {
+        /// Task that is transferred.
+        task: TaskIdentity,
+        /// Number of the transfer, in the sequence of the task's runs.
+        run: u32,
+        /// Cell that gets the task.
+        target: CellNumber,
+        /// Whether the task returns to the home of its job.
+        is_return: bool,
+        /// Time since the task first found no worker here, in milliseconds.
+        waited_ms: u64,
+    },
+    /// A task has come from another cell.
+    TaskReceived {
+        /// Task that waits for a worker here.
+        task: TaskIdentity,
+        /// Number of the transfer, in the sequence of the task's runs.
+        run: u32,
+        /// Cell that had the task.
+        from: CellNumber,
+    },
     /// A job has ended.
     JobEnded {
         /// Job that has ended.
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::owner::JobPlace;
 use crate::owner::WaitKey;
 use crate::planner::TaskDemand;
 use crate::progress::JobProgress;
@@ -9,6 +10,7 @@
 use crate::spec::JobSpec;
 use crate::spec::TaskIdentity;
 use sapphirestile_core::MonoTime;
+use sapphirestile_core::SortedTable;
 
 /// A job as its owner holds it in memory.
 #[derive(Clone, Debug)]
@@ -26,9 +28,36 @@
     /// Whether the job is being moved to another cell, so that none of its tasks may start
     /// here.
     pub is_moving: bool,
+    /// Where the job has its home.
+    pub place: JobPlace,
+    /// Tasks that are being transferred to another cell, so that they may not start here.
+    pub transferring: Vec<TaskIdentity>,
+    /// Tasks that the home of the job has delegated to this cell, with the number of the
+    /// transfer of each.
+    pub received: SortedTable<TaskIdentity, u32>,
 }
 
 impl JobEntry {
+    /// Creates the entry of a job that was accepted at `since`.
+    pub const fn new(
+        spec: Arc<JobSpec>,
+        progress: JobProgress,
+        place: JobPlace,
+        since: MonoTime,
+    ) -> Self {
+        Self {
+            spec,
+            progress,
+            wait_key: None,
+            since,
+            ended: None,
+            is_moving: false,
+            place,
+            transferring: Vec::new(),
+            received: SortedTable::new(),
+        }
+    }
+
     /// Tasks that can start now, ordered by occurrence, step and index. Tasks of a gang are
     /// included only while all of them wait.
     pub fn startable<'a>(
@@ -36,12 +65,18 @@
         key: &'a WaitKey,
         service: &'a str,
     ) -> impl Iterator<Item = TaskDemand<'a>> {
-        let steps = self.progress.occurrences.iter().flat_map(|occurrence| {
-            let open_steps = (0..occurrence.steps.len())
-                .filter(|&step| occurrence.is_step_open(&self.spec, step));
-            open_steps.map(move |step| (occurrence, step))
-        });
-        steps.flat_map(move |(occurrence, step)| {
+        let is_guest = self.place.is_guest();
+        let steps = self
+            .progress
+            .occurrences
+            .iter()
+            .flat_map(move |occurrence| {
+                // The home delegates tasks of open steps only, and alone knows what is done.
+                let open_steps = (0..occurrence.steps.len())
+                    .filter(move |&step| is_guest || occurrence.is_step_open(&self.spec, step));
+                open_steps.map(move |step| (occurrence, step))
+            });
+        let tasks = steps.flat_map(move |(occurrence, step)| {
             let progress = &occurrence.steps[step];
             let can_start = !self.spec.steps[step].is_gang
                 || progress
@@ -62,6 +97,7 @@
                 image: None,
                 needs_ticket: false,
             })
-        })
+        });
+        tasks.filter(|demand| !self.transferring.contains(&demand.task))
     }
 }
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -18,6 +18,7 @@
 mod results;
 mod spreading;
 mod stragglers;
+mod transfers;
 mod worker_list;
 
 use std::sync::Arc;
@@ -25,16 +26,20 @@
 use crate::advice::AdviceCache;
 use crate::owner::DecisionEvent;
 use crate::owner::DeferredEffect;
+use crate::owner::GuestRemoval;
 use crate::owner::JobEntry;
 use crate::owner::LeaseBounds;
 use crate::owner::OwnerEffect;
 use crate::owner::OwnerLimits;
+use crate::owner::TaskTransfer;
+use crate::owner::UnplacedTask;
 use crate::owner::WaitKey;
 use crate::pacing::ImageTable;
 use crate::pacing::InterferenceModel;
 use crate::planner::DurationEstimator;
 use crate::policy::DeployedConfig;
 use crate::spec::JobIdentity;
+use crate::spec::TaskIdentity;
 use crate::worker::TrackedWorker;
 use sapphirestile_core::CellEpoch;
 use sapphirestile_core::CellNumber;
@@ -65,6 +70,18 @@
     leaving: Vec<(JobIdentity, CellNumber)>,
     /// Jobs whose moves are being stored.
     moving: Vec<JobIdentity>,
+    /// Long-running tasks that found no worker in this cell.
+    unplaced: SortedTable<TaskIdentity, UnplacedTask>,
+    /// Tasks that are transferred to another cell with the next batch.
+    transfers: Vec<TaskTransfer>,
+    /// Tasks whose transfers are being stored.
+    storing_transfers: Vec<TaskTransfer>,
+    /// Ended jobs with the cells that are to end what they have of them.
+    revoked: Vec<(JobIdentity, CellNumber)>,
+    /// Tasks that came back, with the number of the transfer, whose rows the next batch deletes.
+    absorbed: Vec<(TaskIdentity, u32)>,
+    /// Ended jobs of other cells that the next batch deletes from the store.
+    forgotten_guests: Vec<GuestRemoval>,
     /// Effects that wait for the next batch.
     deferred: Vec<DeferredEffect>,
     /// Effects that wait for the batch that is being stored; `None` if none is.
@@ -127,6 +144,12 @@
             forgotten: Vec::new(),
             leaving: Vec::new(),
             moving: Vec::new(),
+            unplaced: SortedTable::new(),
+            transfers: Vec::new(),
+            storing_transfers: Vec::new(),
+            revoked: Vec::new(),
+            absorbed: Vec::new(),
+            forgotten_guests: Vec::new(),
             deferred: Vec::new(),
             storing: None,
             effects: Vec::new(),
--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -115,6 +115,7 @@
         });
         let entry = Self::run_entry(run, incarnation, demand, RunState::Planned, now);
         tracked.add_run(task, entry);
+        self.unplaced.remove(&task);
         self.changed.insert(task.job, ());
         self.decisions.push(DecisionEvent::Assigned {
             task,
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -4,9 +4,7 @@
 use crate::owner::DeferredEffect;
 use crate::owner::JobOwner;
 use crate::owner::QueueCount;
-use crate::progress::JobProgress;
 use crate::progress::JobStanding;
-use crate::spec::JobIdentity;
 use sapphirestile_core::MonoTime;
 
 impl JobOwner {
@@ -17,16 +15,31 @@
             return None;
         }
         let changed = std::mem::take(&mut self.changed);
-        let progress = changed
-            .keys()
-            .filter_map(|identity| self.progress_of(identity));
+        let (mut progress, mut guests) = (Vec::new(), Vec::new());
+        for identity in changed.keys() {
+            let Some(entry) = self.jobs.get(identity) else {
+                continue;
+            };
+            if !entry.place.is_guest() {
+                progress.push((*identity, entry.progress.clone()));
+            } else if entry.progress.has_tasks_here() {
+                guests.push((*identity, entry.progress.clone()));
+            }
+        }
+        let load = self.load_if_due(now);
         let batch = CommitBatch {
-            progress: progress.collect(),
+            progress,
+            guests,
+            forgotten_guests: std::mem::take(&mut self.forgotten_guests),
+            revoked: std::mem::take(&mut self.revoked),
+            absorbed: std::mem::take(&mut self.absorbed),
+            transfers: self.take_transfers(),
+            vacancies: load.as_ref().map_or_else(Vec::new, |_| self.vacancies(now)),
+            load,
             forgotten: std::mem::take(&mut self.forgotten),
             counts: self.count_queues(),
             learnt: self.learnt_if_due(now),
             moves: self.take_moves(),
-            load: self.load_if_due(now),
             lease_bounds: self.take_lease_bounds(now),
             is_last: false,
         };
@@ -67,6 +80,10 @@
             || !self.deferred.is_empty()
             || !self.forgotten.is_empty()
             || !self.leaving.is_empty()
+            || !self.transfers.is_empty()
+            || !self.revoked.is_empty()
+            || !self.absorbed.is_empty()
+            || !self.forgotten_guests.is_empty()
     }
 
     /// Whether a batch is being stored.
@@ -75,11 +92,6 @@
         self.storing.is_some()
     }
 
-    fn progress_of(&self, identity: &JobIdentity) -> Option<(JobIdentity, JobProgress)> {
-        let entry = self.jobs.get(identity)?;
-        Some((*identity, entry.progress.clone()))
-    }
-
     /// Number of jobs in each queue that have not started.
     fn count_queues(&self) -> Vec<QueueCount> {
         let mut counts: Vec<QueueCount> = Vec::new();
--- a/crates/jobs/src/owner/job_owner/expiry.rs
+++ b/crates/jobs/src/owner/job_owner/expiry.rs
@@ -1,6 +1,8 @@
 //! Expiry of leases, and clean-up of jobs and workers.
 
 use crate::owner::DecisionEvent;
+use crate::owner::GuestRemoval;
+use crate::owner::JobEntry;
 use crate::owner::JobOwner;
 use crate::owner::OwnerEffect;
 use crate::owner::RunCause;
@@ -139,10 +141,25 @@
                 .values()
                 .any(|tracked| tracked.runs.keys().any(|task| task.job == identity));
             if !has_runs {
-                self.jobs.remove(&identity);
                 self.changed.remove(&identity);
-                self.forgotten.push(identity);
+                if let Some(entry) = self.jobs.remove(&identity) {
+                    self.forget_rows(identity, &entry);
+                }
             }
         }
     }
+
+    /// Has the rows of a forgotten job deleted. A job of another cell that has not ended has
+    /// none: its tasks have left with them, and may come again.
+    fn forget_rows(&mut self, identity: JobIdentity, entry: &JobEntry) {
+        if !entry.place.is_guest() {
+            self.forgotten.push(identity);
+        } else if entry.progress.standing.is_final() {
+            let received = entry.received.iter();
+            self.forgotten_guests.push(GuestRemoval {
+                job: identity,
+                received: received.map(|(task, run)| (*task, *run)).collect(),
+            });
+        }
+    }
 }
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -5,6 +5,7 @@
 use crate::owner::DecisionEvent;
 use crate::owner::JobEntry;
 use crate::owner::JobOwner;
+use crate::owner::JobPlace;
 use crate::owner::StoredJob;
 use crate::owner::WaitKey;
 use crate::planner::TaskDemand;
@@ -31,16 +32,11 @@
         if self.jobs.contains(&identity) {
             return;
         }
+        let since = earlier_by(now, unix_ms.saturating_sub(stored.spec.accepted_unix_ms));
         let progress = stored.progress.unwrap_or_default();
-        let accepted_unix_ms = stored.spec.accepted_unix_ms;
-        let entry = JobEntry {
-            spec: Arc::new(stored.spec),
-            ended: progress.standing.is_final().then_some(now),
-            progress,
-            wait_key: None,
-            since: earlier_by(now, unix_ms.saturating_sub(accepted_unix_ms)),
-            is_moving: false,
-        };
+        let ended = progress.standing.is_final().then_some(now);
+        let mut entry = JobEntry::new(Arc::new(stored.spec), progress, stored.place, since);
+        entry.ended = ended;
         self.inherit_runs(identity, &entry, now);
         self.jobs.insert(identity, Box::new(entry));
         if stored.is_cancelled {
@@ -60,14 +56,8 @@
         if self.jobs.contains(&identity) {
             return;
         }
-        let entry = JobEntry {
-            spec: Arc::new(spec),
-            progress: JobProgress::default(),
-            wait_key: None,
-            since: now,
-            ended: None,
-            is_moving: false,
-        };
+        let progress = JobProgress::default();
+        let entry = JobEntry::new(Arc::new(spec), progress, JobPlace::Home, now);
         self.jobs.insert(identity, Box::new(entry));
         self.refresh_job(identity, unix_ms);
     }
@@ -102,6 +92,7 @@
             standing,
             age_ms,
         });
+        self.revoke_tasks(identity);
         self.stop_runs_of(identity, now);
     }
 
@@ -199,7 +190,7 @@
 }
 
 /// Time the given number of milliseconds before `now`, but not before the clock's origin.
-fn earlier_by(now: MonoTime, milliseconds: u64) -> MonoTime {
+pub(super) fn earlier_by(now: MonoTime, milliseconds: u64) -> MonoTime {
     MonoTime::from_millis(now.as_millis().saturating_sub(milliseconds))
 }
 
--- a/crates/jobs/src/owner/job_owner/load_report.rs
+++ b/crates/jobs/src/owner/job_owner/load_report.rs
@@ -1,15 +1,22 @@
 //! Report of a cell's load.
 
+use std::cmp::Reverse;
+
 use crate::division::CellLoad;
 use crate::division::ServiceRoom;
+use crate::division::WorkerVacancy;
 use crate::owner::JobOwner;
 use crate::spec::ResourceVector;
 use crate::worker::TrackedWorker;
+use crate::worker::WorkerEntry;
 use sapphirestile_core::MonoTime;
 
 /// Interval at which the load is reported, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 300;
 
+/// Maximum number of free workers of a service in a report, which every daemon reads.
+const VACANCIES_MAX: usize = 8;
+
 impl JobOwner {
     /// Load of the cell, if it is due to be reported.
     pub(super) fn load_if_due(&mut self, now: MonoTime) -> Option<CellLoad> {
@@ -50,6 +57,58 @@
         }
         load
     }
+
+    /// Usable workers with the most free processor time, for each service; none while there is
+    /// no other cell.
+    #[must_use]
+    pub fn vacancies(&self, now: MonoTime) -> Vec<WorkerVacancy> {
+        if self.cells <= 1 {
+            return Vec::new();
+        }
+        let scorer = self.worker_scorer(now);
+        let usable = self
+            .workers
+            .values()
+            .filter(|tracked| scorer.is_usable(tracked));
+        let vacancies = usable.filter_map(|tracked| {
+            let entry = tracked.entry.as_ref()?;
+            let free = entry.capacity.minus(tracked.used());
+            (free.cpu_milli > 0).then(|| WorkerVacancy {
+                service: entry.service.clone(),
+                free,
+                labels: kinds_of(entry).to_vec(),
+            })
+        });
+        largest_of(vacancies.collect())
+    }
+}
+
+/// Largest of the vacancies, each service apart.
+fn largest_of(mut vacancies: Vec<WorkerVacancy>) -> Vec<WorkerVacancy> {
+    let key = |vacancy: &WorkerVacancy| Reverse(vacancy.free.cpu_milli);
+    vacancies.sort_by(|one, other| {
+        let by_service = one.service.cmp(&other.service);
+        by_service.then_with(|| key(one).cmp(&key(other)))
+    });
+    let (mut largest, mut count): (Vec<WorkerVacancy>, usize) = (Vec::new(), 0);
+    for vacancy in vacancies {
+        let is_same = |last: &WorkerVacancy| last.service == vacancy.service;
+        count = if largest.last().is_some_and(is_same) {
+            count + 1
+        } else {
+            0
+        };
+        if count < VACANCIES_MAX {
+            largest.push(vacancy);
+        }
+    }
+    largest
+}
+
+/// Labels of a worker other than its rack, which is the last.
+fn kinds_of(entry: &WorkerEntry) -> &[Box<str>] {
+    let split = entry.labels.split_last();
+    split.map_or(&[][..], |(_, kinds)| kinds)
 }
 
 fn add_worker(load: &mut CellLoad, tracked: &TrackedWorker) {
@@ -70,11 +129,7 @@
     let room = &mut load.rooms[index];
     room.workers += 1;
     room.largest = larger(&room.largest, &entry.capacity);
-    let kinds = entry
-        .labels
-        .split_last()
-        .map_or(&[][..], |(_, kinds)| kinds);
-    for label in kinds {
+    for label in kinds_of(entry) {
         if let Err(at) = room.labels.binary_search(label) {
             room.labels.insert(at, label.clone());
         }
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -101,6 +101,7 @@
                 continue;
             }
             if unplaced.rules_out(&demand) {
+                self.record_unplaced(task, step, now);
                 continue;
             }
             if let Some(worker) = self.choose_worker(&demand, None, now) {
@@ -110,6 +111,7 @@
             } else {
                 self.request_advice(&demand, timing, now);
                 unplaced.record(&demand);
+                self.record_unplaced(task, step, now);
                 self.report_passed_over(&demand, now);
             }
         }
--- /dev/null
+++ b/crates/jobs/src/owner/job_owner/transfers.rs
@@ -0,0 +1,357 @@
+//! Transfers of tasks to cells that have a worker for them.
+//!
+//! A job that has begun keeps its home, where its callers' requests arrive. A long-running
+//! task that finds no worker there is delegated to another cell; if that has none either, the
+//! task returns. Only a task without a run is transferred, and one commit changes the rows of
+//! both cells, so no task is ever in two cells or in none.
+
+use std::sync::Arc;
+
+use crate::division::VacancyTable;
+use crate::owner::DecisionEvent;
+use crate::owner::DelegatedTask;
+use crate::owner::JobEntry;
+use crate::owner::JobOwner;
+use crate::owner::JobPlace;
+use crate::owner::JobTransfer;
+use crate::owner::ReturnedTask;
+use crate::owner::TaskTransfer;
+use crate::owner::UnplacedTask;
+use crate::owner::job_owner::intake::earlier_by;
+use crate::progress::JobProgress;
+use crate::progress::JobStanding;
+use crate::progress::TaskProgress;
+use crate::progress::TaskStage;
+use crate::spec::JobIdentity;
+use crate::spec::StepSpec;
+use crate::spec::TaskIdentity;
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::MonoTime;
+
+/// How long a task looks for a worker at home before it is delegated, in milliseconds.
+const DELEGATE_AFTER_MS: u64 = 300;
+
+/// How long a delegated task looks for a worker before it returns, in milliseconds. The
+/// report that brought it here is up to a second old, and a shorter task may be about to end.
+const RETURN_AFTER_MS: u64 = 1_500;
+
+/// Maximum number of tasks that are transferred for one view of the other cells.
+const TRANSFERS_PER_VIEW_MAX: usize = 32;
+
+/// Maximum number of tasks of one job that are transferred at once, as a commit carries only
+/// so many rows.
+const TRANSFERS_PER_JOB_MAX: usize = 8;
+
+/// Distance between the places at which the owners of two cells begin to look for room.
+const OWNER_OFFSET: usize = 13;
+
+impl JobOwner {
+    /// Decides which tasks without a worker are transferred to other cells. To be called once
+    /// for each view of the other cells.
+    pub fn plan_transfers(&mut self, own: CellNumber, vacancies: &mut VacancyTable, now: MonoTime) {
+        let mut due: Vec<(MonoTime, TaskIdentity)> = self
+            .unplaced
+            .iter()
+            .map(|(task, unplaced)| (unplaced.since, *task))
+            .collect();
+        due.sort_unstable();
+        for (since, task) in due {
+            if self.transfers.len() >= TRANSFERS_PER_VIEW_MAX {
+                return;
+            }
+            let Some(transfer) = self.choose_transfer(own, &task, vacancies, now) else {
+                continue;
+            };
+            self.begin_transfer(transfer, now.millis_since(since));
+        }
+    }
+
+    /// Transfer of a task that has waited long enough, if another cell has a worker for it.
+    fn choose_transfer(
+        &mut self,
+        own: CellNumber,
+        task: &TaskIdentity,
+        vacancies: &mut VacancyTable,
+        now: MonoTime,
+    ) -> Option<TaskTransfer> {
+        let Some(entry) = self.jobs.get(&task.job).filter(|entry| waits(entry, task)) else {
+            self.unplaced.remove(task);
+            return None;
+        };
+        if entry.transferring.len() >= TRANSFERS_PER_JOB_MAX {
+            return None;
+        }
+        let spec = Arc::clone(&entry.spec);
+        let (place, progress) = (entry.place, entry.progress.task(task)?);
+        let (run, checkpoint) = (progress.run + 1, progress.checkpoint.clone());
+        let received_run = entry.received.get(task).copied().unwrap_or_default();
+        let step = &spec.steps[task.step as usize];
+        let service = self.service_of(&spec.queue, &spec.terms.service);
+        let offset = usize::from(own.get()) * OWNER_OFFSET + task.index as usize;
+        let unplaced = self.unplaced.get_mut(task)?;
+        let waited_ms = now.millis_since(unplaced.since);
+        match place {
+            JobPlace::Home => {
+                if waited_ms < DELEGATE_AFTER_MS {
+                    return None;
+                }
+                let mut excluded = unplaced.declined.clone();
+                excluded.push(own);
+                let Some(target) = vacancies.take(&excluded, step, &service, offset) else {
+                    unplaced.declined.clear();
+                    return None;
+                };
+                let delegated = DelegatedTask {
+                    task: *task,
+                    run,
+                    checkpoint,
+                    home: own,
+                    spec: (*spec).clone(),
+                };
+                Some(TaskTransfer::Delegate { target, delegated })
+            }
+            JobPlace::Guest { home } => {
+                if waited_ms < RETURN_AFTER_MS || !vacancies.has_other(own, step, &service) {
+                    return None;
+                }
+                let returned = ReturnedTask {
+                    task: *task,
+                    run,
+                    checkpoint,
+                    from: own,
+                };
+                Some(TaskTransfer::Return {
+                    home,
+                    returned,
+                    received_run,
+                })
+            }
+        }
+    }
+
+    fn begin_transfer(&mut self, transfer: TaskTransfer, waited_ms: u64) {
+        let task = transfer.task();
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        entry.transferring.push(task);
+        self.decisions.push(DecisionEvent::TaskTransferred {
+            task,
+            run: transfer.run(),
+            target: transfer.target(),
+            is_return: matches!(transfer, TaskTransfer::Return { .. }),
+            waited_ms,
+        });
+        self.transfers.push(transfer);
+    }
+
+    /// Records that a task found no worker in this cell, if another cell may run it.
+    pub(super) fn record_unplaced(&mut self, task: &TaskIdentity, step: &StepSpec, now: MonoTime) {
+        if is_transferable(step) && self.cells > 1 {
+            self.unplaced
+                .get_or_insert_with(*task, || UnplacedTask::new(now));
+        }
+    }
+
+    /// Takes the transfers that the next batch stores.
+    pub(super) fn take_transfers(&mut self) -> Vec<JobTransfer> {
+        self.storing_transfers = std::mem::take(&mut self.transfers);
+        let mut jobs: Vec<JobIdentity> = self
+            .storing_transfers
+            .iter()
+            .map(|transfer| transfer.task().job)
+            .collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        jobs.into_iter()
+            .filter_map(|job| self.job_transfer(job))
+            .collect()
+    }
+
+    fn job_transfer(&self, job: JobIdentity) -> Option<JobTransfer> {
+        let entry = self.jobs.get(&job)?;
+        let of_job = |transfer: &&TaskTransfer| transfer.task().job == job;
+        let transfers = self.storing_transfers.iter().filter(of_job);
+        let transfers: Vec<TaskTransfer> = transfers.cloned().collect();
+        let mut progress = entry.progress.clone();
+        for transfer in &transfers {
+            apply_transfer(&mut progress, transfer);
+        }
+        let is_kept = !entry.place.is_guest() || progress.has_tasks_here();
+        Some(JobTransfer {
+            job,
+            place: entry.place,
+            progress: is_kept.then_some(progress),
+            transfers,
+        })
+    }
+
+    /// Records which transfers of the latest batch are stored: all but those of the jobs in
+    /// `refused`, which were cancelled meanwhile.
+    pub fn finish_transfers(&mut self, refused: &[JobIdentity], now: MonoTime, unix_ms: u64) {
+        for transfer in std::mem::take(&mut self.storing_transfers) {
+            let task = transfer.task();
+            let Some(entry) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            entry.transferring.retain(|other| *other != task);
+            if !refused.contains(&task.job) {
+                apply_transfer(&mut entry.progress, &transfer);
+                self.leave_task(&transfer, now);
+            }
+            self.refresh_job(task.job, unix_ms);
+        }
+    }
+
+    /// Updates the job of a task that has left this cell.
+    fn leave_task(&mut self, transfer: &TaskTransfer, now: MonoTime) {
+        let task = transfer.task();
+        self.unplaced.remove(&task);
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        entry.received.remove(&task);
+        match transfer {
+            TaskTransfer::Delegate { target, .. } => {
+                // The job may have failed while the transfer was being stored.
+                if entry.progress.standing.is_final() {
+                    self.revoked.push((task.job, *target));
+                }
+            }
+            TaskTransfer::Return { .. } => {
+                if !entry.progress.has_tasks_here() {
+                    entry.ended = Some(now);
+                }
+            }
+        }
+    }
+
+    /// Takes over a task that another cell has delegated. Has no effect if the task is here,
+    /// or has left since: the number of its latest transfer is higher then.
+    pub fn receive_task(&mut self, delegated: DelegatedTask, now: MonoTime, unix_ms: u64) {
+        let DelegatedTask {
+            task,
+            run,
+            checkpoint,
+            home,
+            spec,
+        } = delegated;
+        let place = JobPlace::Guest { home };
+        let entry = self.jobs.get_or_insert_with(task.job, || {
+            let progress = JobProgress::of_guest(&spec);
+            let age_ms = unix_ms.saturating_sub(spec.accepted_unix_ms);
+            let since = earlier_by(now, age_ms);
+            Box::new(JobEntry::new(Arc::new(spec), progress, place, since))
+        });
+        let is_open = entry.place == place && !entry.progress.standing.is_final();
+        if !is_open {
+            return;
+        }
+        entry
+            .progress
+            .add_occurrence_elsewhere(task.occurrence, &entry.spec, home);
+        if !accept_task(&mut entry.progress, &task, run, checkpoint) {
+            if entry.progress.task(&task).is_some_and(is_here) {
+                entry.received.get_or_insert_with(task, || run);
+            }
+            return;
+        }
+        entry.received.insert(task, run);
+        entry.ended = None;
+        self.decisions.push(DecisionEvent::TaskReceived {
+            task,
+            run,
+            from: home,
+        });
+        self.refresh_job(task.job, unix_ms);
+    }
+
+    /// Takes back a task that another cell could not place. Its row is removed with the next
+    /// batch.
+    pub fn take_back_task(&mut self, returned: ReturnedTask, now: MonoTime, unix_ms: u64) {
+        let ReturnedTask {
+            task,
+            run,
+            checkpoint,
+            from,
+        } = returned;
+        self.absorbed.push((task, run));
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let is_open = entry.place == JobPlace::Home && !entry.progress.standing.is_final();
+        if !is_open || !accept_task(&mut entry.progress, &task, run, checkpoint) {
+            return;
+        }
+        self.changed.insert(task.job, ());
+        self.unplaced
+            .get_or_insert_with(task, || UnplacedTask::new(now))
+            .declined
+            .push(from);
+        self.decisions
+            .push(DecisionEvent::TaskReceived { task, run, from });
+        self.refresh_job(task.job, unix_ms);
+    }
+
+    /// Gives up the transfers of an ended job that are not being stored, and has the other
+    /// cells end what they have of it.
+    pub(super) fn revoke_tasks(&mut self, job: JobIdentity) {
+        self.transfers.retain(|transfer| transfer.task().job != job);
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let storing = &self.storing_transfers;
+        let is_storing = |task: &TaskIdentity| storing.iter().any(|other| other.task() == *task);
+        entry.transferring.retain(is_storing);
+        if entry.place == JobPlace::Home {
+            let cells = entry.progress.other_cells().into_iter();
+            self.revoked.extend(cells.map(|cell| (job, cell)));
+        }
+    }
+}
+
+/// Whether other cells may run the tasks of a step: members of a gang need each other, and a
+/// copy may run beside a task.
+const fn is_transferable(step: &StepSpec) -> bool {
+    step.is_long_running && !step.is_gang && !step.is_speculative
+}
+
+/// Whether a task of a job that has begun waits here for a worker.
+fn waits(entry: &JobEntry, task: &TaskIdentity) -> bool {
+    let stage = entry.progress.task(task).map(|progress| &progress.stage);
+    entry.progress.standing == JobStanding::Running
+        && stage == Some(&TaskStage::Waiting)
+        && !entry.transferring.contains(task)
+}
+
+const fn is_here(progress: &TaskProgress) -> bool {
+    !matches!(progress.stage, TaskStage::Elsewhere(_))
+}
+
+/// Records in the progress of a job that a task has left.
+fn apply_transfer(progress: &mut JobProgress, transfer: &TaskTransfer) {
+    if let Some(task) = progress.task_mut(&transfer.task()) {
+        task.stage = TaskStage::Elsewhere(transfer.target());
+        task.run = transfer.run();
+    }
+}
+
+/// Records in the progress of a job that a task has come. Returns false if it was not away, or
+/// if the transfer is older than the latest one.
+fn accept_task(
+    progress: &mut JobProgress,
+    task: &TaskIdentity,
+    run: u32,
+    checkpoint: Box<str>,
+) -> bool {
+    let Some(task) = progress.task_mut(task) else {
+        return false;
+    };
+    if !matches!(task.stage, TaskStage::Elsewhere(_)) || run <= task.run {
+        return false;
+    }
+    task.stage = TaskStage::Waiting;
+    task.run = run;
+    task.checkpoint = checkpoint;
+    true
+}
--- a/crates/jobs/src/owner/stored_job.rs
+++ b/crates/jobs/src/owner/stored_job.rs
@@ -1,5 +1,6 @@
 //! A job loaded from the store.
 
+use crate::owner::JobPlace;
 use crate::progress::JobProgress;
 use crate::spec::JobIdentity;
 use crate::spec::JobSpec;
@@ -13,6 +14,8 @@
     pub spec: JobSpec,
     /// Latest stored progress; `None` if no owner has stored any.
     pub progress: Option<JobProgress>,
-    /// Whether the caller has cancelled the job.
+    /// Where the job has its home.
+    pub place: JobPlace,
+    /// Whether the job was cancelled.
     pub is_cancelled: bool,
 }
--- /dev/null
+++ b/crates/jobs/src/owner/unplaced_task.rs
@@ -0,0 +1,23 @@
+//! A task that found no worker in its cell.
+
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::MonoTime;
+
+/// A long-running task that found no worker in its cell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnplacedTask {
+    /// When the task first found none.
+    pub since: MonoTime,
+    /// Cells that have given the task back since it last ran.
+    pub declined: Vec<CellNumber>,
+}
+
+impl UnplacedTask {
+    /// Creates the record of a task that found no worker at `since`.
+    pub const fn new(since: MonoTime) -> Self {
+        Self {
+            since,
+            declined: Vec::new(),
+        }
+    }
+}
--- a/crates/jobs/src/progress/job_progress.rs
+++ b/crates/jobs/src/progress/job_progress.rs
@@ -6,7 +6,10 @@
 use crate::progress::JobStanding;
 use crate::progress::OccurrenceProgress;
 use crate::progress::TaskProgress;
+use crate::progress::TaskStage;
+use crate::spec::JobSpec;
 use crate::spec::TaskIdentity;
+use sapphirestile_core::CellNumber;
 
 /// Durable state of a job, apart from its specification.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +36,55 @@
             .get(task.index as usize)
     }
 
+    /// Progress of a job of another cell, of which no task is here.
+    #[must_use]
+    pub fn of_guest(spec: &JobSpec) -> Self {
+        Self {
+            standing: JobStanding::Running,
+            begun: spec.occurrences(),
+            occurrences: Vec::new(),
+        }
+    }
+
+    /// Adds an occurrence whose tasks are all in `cell`, unless it is there.
+    pub fn add_occurrence_elsewhere(&mut self, number: u32, spec: &JobSpec, cell: CellNumber) {
+        let is_known = |occurrence: &OccurrenceProgress| occurrence.number == number;
+        if self.occurrences.iter().any(is_known) {
+            return;
+        }
+        let mut occurrence = OccurrenceProgress::new(number, spec);
+        for task in occurrence.tasks_mut() {
+            task.stage = TaskStage::Elsewhere(cell);
+        }
+        self.occurrences.push(occurrence);
+    }
+
+    /// Whether any task that has begun or may begin is in this cell.
+    #[must_use]
+    pub fn has_tasks_here(&self) -> bool {
+        let occurrences = self.occurrences.iter();
+        let steps = occurrences.flat_map(|occurrence| &occurrence.steps);
+        let mut tasks = steps.flat_map(|step| &step.tasks);
+        tasks.any(|task| !matches!(task.stage, TaskStage::Elsewhere(_)))
+    }
+
+    /// Cells that have tasks of the job beside this one, each once.
+    #[must_use]
+    pub fn other_cells(&self) -> Vec<CellNumber> {
+        let occurrences = self.occurrences.iter();
+        let steps = occurrences.flat_map(|occurrence| &occurrence.steps);
+        let tasks = steps.flat_map(|step| &step.tasks);
+        let mut cells: Vec<CellNumber> = tasks
+            .filter_map(|task| match task.stage {
+                TaskStage::Elsewhere(cell) => Some(cell),
+                TaskStage::Waiting | TaskStage::Assigned(_) | TaskStage::Done => None,
+            })
+            .collect();
+        cells.sort_unstable();
+        cells.dedup();
+        cells
+    }
+
     /// Number of failed runs of a task.
     #[must_use]
     pub fn task_failures(&self, task: &TaskIdentity) -> usize {
--- a/crates/jobs/src/progress/occurrence_progress.rs
+++ b/crates/jobs/src/progress/occurrence_progress.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Progress of all tasks, for changing it in place.
+    pub fn tasks_mut(&mut self) -> impl Iterator<Item = &mut TaskProgress> {
+        self.steps.iter_mut().flat_map(|step| &mut step.tasks)
+    }
+
     /// Whether every task of every step is done.
     #[must_use]
     pub fn is_done(&self) -> bool {
--- a/crates/jobs/src/progress/task_stage.rs
+++ b/crates/jobs/src/progress/task_stage.rs
@@ -1,5 +1,6 @@
 //! Stage of a task.
 
+use sapphirestile_core::CellNumber;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -15,4 +16,6 @@
     Assigned(Assignment),
     /// The task is done and is not run again.
     Done,
+    /// Another cell has the task. It comes last, so that earlier rows can be read.
+    Elsewhere(CellNumber),
 }
--- a/crates/jobs/tests/fault_simulation/fake_store.rs
+++ b/crates/jobs/tests/fault_simulation/fake_store.rs
@@ -4,6 +4,7 @@
 
 use sapphirestile_jobs::CommitBatch;
 use sapphirestile_jobs::JobIdentity;
+use sapphirestile_jobs::JobPlace;
 use sapphirestile_jobs::JobProgress;
 use sapphirestile_jobs::JobSpec;
 use sapphirestile_jobs::LeaseBounds;
@@ -72,6 +73,7 @@
             identity: *identity,
             spec: spec.clone(),
             progress: self.progress.get(identity).cloned(),
+            place: JobPlace::Home,
             is_cancelled: self.cancelled.contains(identity),
         };
         self.specs.iter().map(stored).collect()
--- a/crates/jobs/tests/fault_simulation/simulation/commits.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/commits.rs
@@ -17,7 +17,7 @@
         daemon: usize,
         incarnation: u64,
         epoch: u64,
-        batch: CommitBatch,
+        batch: Box<CommitBatch>,
     ) {
         if self.is_store_unavailable(daemon) {
             let retry = SimulationEvent::CommitArrives {
--- a/crates/jobs/tests/fault_simulation/simulation/owners.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/owners.rs
@@ -166,7 +166,7 @@
         let batch = if state.is_committing {
             None
         } else {
-            owner.take_batch(is_due, now)
+            owner.take_batch(is_due, now).map(Box::new)
         };
         let epoch = owner.epoch().get();
         if is_deposed {
--- a/crates/jobs/tests/fault_simulation/simulation_event.rs
+++ b/crates/jobs/tests/fault_simulation/simulation_event.rs
@@ -67,7 +67,7 @@
         daemon: usize,
         incarnation: u64,
         epoch: u64,
-        batch: CommitBatch,
+        batch: Box<CommitBatch>,
     },
     CommitReturns {
         daemon: usize,
--- a/crates/jobs/tests/owner/learning.rs
+++ b/crates/jobs/tests/owner/learning.rs
@@ -2,6 +2,7 @@
 
 use sapphirestile_jobs::CommitBatch;
 use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::JobPlace;
 use sapphirestile_jobs::LearntCoefficient;
 use sapphirestile_jobs::LearntTables;
 use sapphirestile_jobs::RunningRun;
@@ -103,6 +104,7 @@
         identity: DESK.try_into().unwrap(),
         spec: job_spec(vec![desk()]),
         progress: Some(progress),
+        place: JobPlace::Home,
         is_cancelled: false,
     };
     fixture
--- a/crates/jobs/tests/owner/leases_and_restarts.rs
+++ b/crates/jobs/tests/owner/leases_and_restarts.rs
@@ -3,6 +3,7 @@
 use sapphirestile_jobs::Assignment;
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::JobIdentity;
+use sapphirestile_jobs::JobPlace;
 use sapphirestile_jobs::JobProgress;
 use sapphirestile_jobs::JobStanding;
 use sapphirestile_jobs::OccurrenceProgress;
@@ -196,6 +197,7 @@
         identity: JobIdentity::try_from(JOB).unwrap(),
         spec,
         progress: Some(progress),
+        place: JobPlace::Home,
         is_cancelled: false,
     }
 }
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -16,4 +16,5 @@
 mod placement;
 mod starts_and_stops;
 mod test_values;
+mod transfers;
 mod urgency;
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -178,7 +178,10 @@
     pub fn batch(&mut self) -> Option<CommitBatch> {
         let now = self.time();
         let batch = self.owner.take_batch(false, now)?;
-        if batch.progress.is_empty() && batch.forgotten.is_empty() && batch.moves.is_empty() {
+        let changes_guest = !batch.guests.is_empty() || !batch.transfers.is_empty();
+        let changes_job =
+            !batch.progress.is_empty() || !batch.forgotten.is_empty() || !batch.moves.is_empty();
+        if !changes_job && !changes_guest && batch.revoked.is_empty() {
             self.owner.confirm_batch(now, self.now);
             return None;
         }
--- a/crates/jobs/tests/owner/test_values.rs
+++ b/crates/jobs/tests/owner/test_values.rs
@@ -12,6 +12,7 @@
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::EndedRun;
 use sapphirestile_jobs::JobIdentity;
+use sapphirestile_jobs::JobPlace;
 use sapphirestile_jobs::JobProgress;
 use sapphirestile_jobs::JobSpec;
 use sapphirestile_jobs::JobStanding;
@@ -152,6 +153,7 @@
         identity: JobIdentity::try_from(job).unwrap(),
         spec,
         progress: Some(progress),
+        place: JobPlace::Home,
         is_cancelled: false,
     }
 }
--- /dev/null
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation.rs
@@ -0,0 +1,221 @@
+//! The simulation of one seed.
+
+mod deliveries;
+mod faults;
+mod owners;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sapphirestile_core::WorkerName;
+use sapphirestile_jobs::JobIdentity;
+use sapphirestile_jobs::JobSpec;
+use sapphirestile_jobs::QueueTerms;
+use sapphirestile_jobs::ResourceVector;
+use sapphirestile_jobs::StepSpec;
+use sapphirestile_jobs::TaskIdentity;
+
+use crate::cell_rows::CellRows;
+use crate::fake_worker::FakeWorker;
+use crate::shared_store::SharedStore;
+use crate::simulated_cell::SimulatedCell;
+use crate::simulation_event::SimulationEvent;
+
+const CELLS: usize = 3;
+const WORKERS_PER_CELL: usize = 4;
+const JOBS: usize = 8;
+const TASKS_PER_JOB: u32 = 5;
+const TICK_MS: u64 = 20;
+const FAULT_INTERVAL_MS: u64 = 900;
+const FAULTS_END_MS: u64 = 40_000;
+const END_MS: u64 = 70_000;
+const TIMEOUT_MS: u64 = 900;
+/// Time from the death of an owner to the claim of the next, in milliseconds.
+const CLAIM_MS: u64 = 1_900;
+const HEARTBEAT_MS: u64 = 450;
+const VIEW_MS: u64 = 400;
+/// Longest time for which a long-running task may be idle, in milliseconds.
+const IDLE_MAX_MS: u64 = 9_000;
+const WORKER_CPU_MILLI: u64 = 8_000;
+const TASK_CPU_MILLI: u64 = 1_000;
+
+/// Cells with their owners, workers and a store, driven by events in virtual time.
+pub struct CellSimulation {
+    seed: u64,
+    faults: u32,
+    random: StdRng,
+    now: u64,
+    sequence: u64,
+    /// Events by their time and, among those of one time, by their sequence number.
+    queue: BTreeMap<(u64, u64), SimulationEvent>,
+    store: SharedStore,
+    cells: Vec<SimulatedCell>,
+    /// Workers, those of cell 0 first.
+    workers: Vec<FakeWorker>,
+    /// Workers that leave.
+    leaving: BTreeSet<usize>,
+    /// When each task that has run was last seen to run.
+    last_seen: BTreeMap<TaskIdentity, u64>,
+}
+
+impl CellSimulation {
+    pub fn new(seed: u64, faults: u32) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let workers = (0..CELLS * WORKERS_PER_CELL).map(|index| {
+            let port = u16::try_from(index + 1).unwrap();
+            let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+            FakeWorker::new(worker_name(index), address, random.random_range(0..=2))
+        });
+        let workers = workers.collect();
+        let mut simulation = Self {
+            seed,
+            faults,
+            random,
+            now: 0,
+            sequence: 0,
+            queue: BTreeMap::new(),
+            store: SharedStore {
+                cells: vec![CellRows::default(); CELLS],
+            },
+            cells: (0..CELLS).map(|_| SimulatedCell::default()).collect(),
+            workers,
+            leaving: BTreeSet::new(),
+            last_seen: BTreeMap::new(),
+        };
+        for number in 0..JOBS {
+            let cell = usize::from(number % 4 == 3);
+            let rows = &mut simulation.store.cells[cell];
+            rows.specs.insert(job_identity(number), job_spec());
+        }
+        simulation.schedule(0, SimulationEvent::Tick);
+        simulation.schedule(FAULT_INTERVAL_MS, SimulationEvent::Fault);
+        simulation
+    }
+
+    /// Whether faults of this case are injected now.
+    fn injects(&self, case: u32) -> bool {
+        (self.faults == case || self.faults == 4) && self.now < FAULTS_END_MS
+    }
+
+    fn schedule(&mut self, after_ms: u64, event: SimulationEvent) {
+        self.sequence += 1;
+        self.queue
+            .insert((self.now + after_ms, self.sequence), event);
+    }
+
+    pub fn run(&mut self) {
+        while let Some(((at, _), event)) = self.queue.pop_first() {
+            if at > END_MS {
+                return;
+            }
+            self.now = at;
+            for worker in &mut self.workers {
+                worker.advance_time(at);
+            }
+            match event {
+                SimulationEvent::Tick => {
+                    for cell in 0..CELLS {
+                        self.tick(cell);
+                    }
+                    self.check_idle_tasks();
+                    self.schedule(TICK_MS, SimulationEvent::Tick);
+                }
+                SimulationEvent::Fault => self.inject_fault(),
+                event => self.deliver(event),
+            }
+        }
+    }
+
+    /// Checks that every task runs once, and none of a cancelled job.
+    pub fn check_end(&self) {
+        let mut delegated = 0;
+        for rows in &self.store.cells {
+            delegated += rows.delegated.len();
+            for (job, spec) in &rows.specs {
+                let is_cancelled = rows.cancelled.contains(job);
+                for index in 0..spec.steps[0].tasks {
+                    let task = TaskIdentity {
+                        job: *job,
+                        occurrence: 0,
+                        step: 0,
+                        index,
+                    };
+                    let runs = self.runs_of(&task);
+                    assert_eq!(
+                        runs,
+                        usize::from(!is_cancelled),
+                        "seed {} faults {}: runs of {task}: {:?}",
+                        self.seed,
+                        self.faults,
+                        rows.progress[job].task(&task),
+                    );
+                }
+            }
+        }
+        assert!(delegated > 0, "seed {}: nothing was delegated", self.seed);
+    }
+
+    /// Checks that tasks which have run are not idle for too long while nothing but workers
+    /// fails.
+    fn check_idle_tasks(&mut self) {
+        if self.faults != 0 {
+            return;
+        }
+        let running = self.workers.iter().flat_map(|worker| worker.running.keys());
+        let running: BTreeSet<TaskIdentity> = running.copied().collect();
+        let now = self.now;
+        for task in &running {
+            self.last_seen.insert(*task, now);
+        }
+        for (task, since) in &self.last_seen {
+            let idle_ms = now - since;
+            assert!(
+                idle_ms <= IDLE_MAX_MS,
+                "seed {}: {task} is idle for {idle_ms} ms at {now}",
+                self.seed
+            );
+        }
+    }
+
+    /// Number of workers that run a task.
+    fn runs_of(&self, task: &TaskIdentity) -> usize {
+        let running = |worker: &&FakeWorker| worker.running.contains_key(task);
+        self.workers.iter().filter(running).count()
+    }
+}
+
+fn worker_name(index: usize) -> WorkerName {
+    WorkerName::try_from(format!("w-{index}")).unwrap()
+}
+
+fn job_identity(number: usize) -> JobIdentity {
+    JobIdentity::try_from(&*format!("{number:016x}")).unwrap()
+}
+
+/// A job whose tasks go on until it is cancelled.
+fn job_spec() -> JobSpec {
+    JobSpec {
+        queue: "charts".into(),
+        terms: QueueTerms {
+            service: "sizing".into(),
+            priority: 0,
+            attempts: 3,
+        },
+        text: "".into(),
+        steps: vec![StepSpec {
+            tasks: TASKS_PER_JOB,
+            size: ResourceVector {
+                cpu_milli: TASK_CPU_MILLI,
+                memory_mib: 100,
+                accelerators: 0,
+            },
+            is_long_running: true,
+            ..StepSpec::default()
+        }],
+        repeat: None,
+        accepted_unix_ms: 0,
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/deliveries.rs
@@ -0,0 +1,191 @@
+//! Delivery of requests and responses, with the invariant checked at each start.
+
+use rand::Rng;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::WorkerName;
+use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::StartOutcome;
+use sapphirestile_jobs::StartRequest;
+
+use super::CellSimulation;
+use super::END_MS;
+use crate::fake_worker::FakeRun;
+use crate::simulation_event::SimulationEvent;
+use crate::store_commit::StoreCommit;
+
+impl CellSimulation {
+    pub(super) fn deliver(&mut self, event: SimulationEvent) {
+        match event {
+            SimulationEvent::CommitArrives { cell, generation } => self.commit(cell, generation),
+            SimulationEvent::StartArrives {
+                cell,
+                generation,
+                request,
+            } => self.start(cell, generation, &request),
+            SimulationEvent::StopArrives {
+                cell,
+                generation,
+                request,
+            } => {
+                let Some(index) = self.find_worker(&request.worker) else {
+                    return;
+                };
+                let outcome = self.workers[index].stop(&request, self.now);
+                self.respond(SimulationEvent::StopReturns {
+                    cell,
+                    generation,
+                    worker: request.worker,
+                    task: request.task,
+                    run: request.run,
+                    outcome,
+                });
+            }
+            SimulationEvent::PollArrives {
+                cell,
+                generation,
+                request,
+            } => {
+                let Some(index) = self.find_worker(&request.worker) else {
+                    return;
+                };
+                let (outcome, _) = self.workers[index].poll(&request, self.now);
+                self.respond(SimulationEvent::PollReturns {
+                    cell,
+                    generation,
+                    worker: request.worker,
+                    number: request.number,
+                    outcome,
+                });
+            }
+            event => self.give_response(event),
+        }
+    }
+
+    /// Index of a worker that can be reached; `None` once it has left.
+    fn find_worker(&self, name: &WorkerName) -> Option<usize> {
+        let index = self
+            .workers
+            .iter()
+            .position(|worker| worker.name == *name)?;
+        let worker = &self.workers[index];
+        let has_left = self.leaving.contains(&index) && worker.unlisted.contains(&self.now);
+        (worker.is_up(self.now) && !has_left).then_some(index)
+    }
+
+    /// Starts a run at its worker, and checks that the task runs only there.
+    fn start(&mut self, cell: usize, generation: u64, request: &StartRequest) {
+        let Some(index) = self.find_worker(&request.worker) else {
+            return;
+        };
+        let does_fail = self.random.random_bool(0.1);
+        let duration_ms = if does_fail {
+            self.random.random_range(200..3_000)
+        } else {
+            END_MS
+        };
+        let run = FakeRun {
+            run: request.run,
+            end: self.now + duration_ms,
+            kind: EndKind::Failed,
+        };
+        let outcome = self.workers[index].start(request, run, self.now);
+        if outcome == StartOutcome::Accepted {
+            let runs = self.runs_of(&request.task);
+            assert_eq!(
+                runs, 1,
+                "seed {} faults {}: {} runs on several workers at {}",
+                self.seed, self.faults, request.task, self.now
+            );
+        }
+        self.respond(SimulationEvent::StartReturns {
+            cell,
+            generation,
+            worker: request.worker.clone(),
+            task: request.task,
+            run: request.run,
+            outcome,
+        });
+    }
+
+    /// Sends a response, which may be lost.
+    fn respond(&mut self, event: SimulationEvent) {
+        if self.injects(2) && self.random.random_bool(0.05) {
+            return;
+        }
+        let delay = self.random.random_range(1..8);
+        self.schedule(delay, event);
+    }
+
+    /// Stores the next commit of a batch, and tells the owner after the last.
+    fn commit(&mut self, cell: usize, generation: u64) {
+        if self.cells[cell].generation != generation {
+            return;
+        }
+        let Some(commit) = self.cells[cell].commits.pop_front() else {
+            return;
+        };
+        let version = self.cells[cell].version;
+        let is_stored = self.store.commit(cell, version, &commit);
+        let is_stored = is_stored.expect("only the owner writes the head row while it lives");
+        let state = &mut self.cells[cell];
+        if is_stored {
+            state.version += 1;
+        } else if let StoreCommit::Transfer(transfer) = &commit {
+            state.refused.push(transfer.job);
+        }
+        if !state.commits.is_empty() {
+            self.schedule(4, SimulationEvent::CommitArrives { cell, generation });
+            return;
+        }
+        state.batch = None;
+        let refused = std::mem::take(&mut state.refused);
+        let (now, unix_ms) = (MonoTime::from_millis(self.now), self.now);
+        if let Some(owner) = &mut state.owner {
+            owner.confirm_batch(now, unix_ms);
+            owner.finish_transfers(&refused, now, unix_ms);
+        }
+    }
+
+    /// Gives a response to the owner that sent the request, if it lives.
+    fn give_response(&mut self, event: SimulationEvent) {
+        let (now, unix_ms) = (MonoTime::from_millis(self.now), self.now);
+        match event {
+            SimulationEvent::StartReturns {
+                cell,
+                generation,
+                worker,
+                task,
+                run,
+                outcome,
+            } if self.cells[cell].generation == generation => {
+                if let Some(owner) = &mut self.cells[cell].owner {
+                    owner.handle_start_outcome(&worker, &task, run, outcome, now, unix_ms);
+                }
+            }
+            SimulationEvent::StopReturns {
+                cell,
+                generation,
+                worker,
+                task,
+                run,
+                outcome,
+            } if self.cells[cell].generation == generation => {
+                if let Some(owner) = &mut self.cells[cell].owner {
+                    owner.handle_stop_outcome(&worker, &task, run, outcome, now);
+                }
+            }
+            SimulationEvent::PollReturns {
+                cell,
+                generation,
+                worker,
+                number,
+                outcome,
+            } if self.cells[cell].generation == generation => {
+                if let Some(owner) = &mut self.cells[cell].owner {
+                    owner.handle_poll_outcome(&worker, number, outcome, now, unix_ms);
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/transfer_simulation/main.rs
@@ -0,0 +1,39 @@
+//! Simulation of several cells that transfer tasks to each other, in virtual time.
+//!
+//! A [`CellSimulation`] runs a real owner for each cell against [`CellRows`] in a
+//! [`SharedStore`], and [`FakeWorker`](fake_worker::FakeWorker)s. One cell gets most jobs and
+//! loses most of its workers for good. Owners die at any point of a batch and are replaced,
+//! answers are lost, requests are late, listings are out of date, and callers cancel jobs.
+//! After each commit every task must be in one cell exactly; no task may ever run twice.
+
+mod cell_rows;
+mod cell_simulation;
+#[path = "../fault_simulation/fake_end.rs"]
+#[expect(dead_code, reason = "the simulation of one cell uses more of it")]
+mod fake_end;
+#[path = "../fault_simulation/fake_worker.rs"]
+#[expect(dead_code, reason = "the simulation of one cell uses more of it")]
+mod fake_worker;
+mod shared_store;
+mod simulated_cell;
+mod simulation_event;
+mod store_commit;
+
+use crate::cell_simulation::CellSimulation;
+use test_case::test_case;
+
+/// Number of seeds for each case.
+const SEEDS: u64 = 8;
+
+#[test_case(0; "workers that leave")]
+#[test_case(1; "owners that die at any point of a batch")]
+#[test_case(2; "late requests and lost answers")]
+#[test_case(3; "outdated listings and cancelled jobs")]
+#[test_case(4; "all faults")]
+fn every_task_is_in_one_cell_and_runs_once(faults: u32) {
+    for seed in 0..SEEDS {
+        let mut simulation = CellSimulation::new(seed, faults);
+        simulation.run();
+        simulation.check_end();
+    }
+}
