Look at a task though another service has no room for its size

Cause: a planning pass skips tasks that need at least as much as one that found no worker, and compared size, best effort and image only. Where a cell serves two services, a task without room in one kept every task of its size of the other from being looked at, in each pass in which it came first.

Change: what was unplaced is compared by service as well, in a type of its own.

Evidence: service_without_room_does_not_stop_another_one failed before, only the first task started.

--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -4,13 +4,14 @@
 //! job is computed: whether it can still meet its completion objective, as an
 //! [`UrgencyClass`], and by how much. A [`TaskDemand`] is a borrowed view of a task that
 //! can start. A [`WorkerScorer`] scores workers for it; [`UnplacedDemands`] tells which
-//! tasks need not be tried.
+//! tasks need not be tried, by an [`UnplacedSize`] for each that was.
 
 mod duration_estimator;
 mod job_urgency;
 mod placement_census;
 mod task_demand;
 mod unplaced_demands;
+mod unplaced_size;
 mod urgency_class;
 mod worker_scorer;
 
@@ -21,3 +22,5 @@
 pub use unplaced_demands::UnplacedDemands;
 pub use urgency_class::UrgencyClass;
 pub use worker_scorer::WorkerScorer;
+
+pub(crate) use unplaced_size::UnplacedSize;
--- a/crates/jobs/src/planner/unplaced_demands.rs
+++ b/crates/jobs/src/planner/unplaced_demands.rs
@@ -1,9 +1,8 @@
 //! Tasks that could not be placed.
 
 use crate::advice::StepIdentity;
-use crate::pacing::ImageNumber;
 use crate::planner::TaskDemand;
-use crate::spec::ResourceVector;
+use crate::planner::UnplacedSize;
 
 /// Tasks that could not be placed in a planning pass, to skip tasks that are at least as
 /// hard to place.
@@ -31,7 +30,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct UnplacedDemands {
-    rows: Vec<(ResourceVector, bool, Option<ImageNumber>)>,
+    sizes: Vec<UnplacedSize>,
     /// Steps whose tickets allow no suitable worker; this applies to all their tasks.
     steps: Vec<StepIdentity>,
 }
@@ -44,23 +43,17 @@
         if demand.needs_ticket {
             self.steps.push(demand.task.into());
         } else if step.required_label.is_none() && step.per_worker_max.is_none() {
-            self.rows
-                .push((step.size, step.is_best_effort, demand.image));
+            self.sizes.push(demand.into());
         }
     }
 
-    /// Whether a task cannot be placed either: it needs at least as much as a recorded one,
-    /// or the same tickets.
+    /// Whether a task cannot be placed either: it needs at least as much as a recorded one of
+    /// the same workers, or the same tickets.
     #[must_use]
     pub fn rules_out(&self, demand: &TaskDemand<'_>) -> bool {
-        let step = demand.step;
         if demand.needs_ticket && self.steps.contains(&demand.task.into()) {
             return true;
         }
-        self.rows.iter().any(|(size, is_best_effort, image)| {
-            *is_best_effort == step.is_best_effort
-                && (!is_best_effort || *image == demand.image)
-                && size.fits(&step.size)
-        })
+        self.sizes.iter().any(|size| size.is_within(demand))
     }
 }
--- /dev/null
+++ b/crates/jobs/src/planner/unplaced_size.rs
@@ -0,0 +1,37 @@
+//! Size of a task that could not be placed.
+
+use crate::pacing::ImageNumber;
+use crate::planner::TaskDemand;
+use crate::spec::ResourceVector;
+
+/// Size of a task that could not be placed, and what else decides which workers it may use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnplacedSize {
+    service: Box<str>,
+    size: ResourceVector,
+    is_best_effort: bool,
+    /// Image of a best-effort task; a worker takes it by what it adds to the others.
+    image: Option<ImageNumber>,
+}
+
+impl UnplacedSize {
+    /// Whether a task needs at least as much of the same workers.
+    pub fn is_within(&self, demand: &TaskDemand<'_>) -> bool {
+        let step = demand.step;
+        *self.service == *demand.service
+            && self.is_best_effort == step.is_best_effort
+            && (!self.is_best_effort || self.image == demand.image)
+            && self.size.fits(&step.size)
+    }
+}
+
+impl From<&TaskDemand<'_>> for UnplacedSize {
+    fn from(demand: &TaskDemand<'_>) -> Self {
+        Self {
+            service: demand.service.into(),
+            size: demand.step.size,
+            is_best_effort: demand.step.is_best_effort,
+            image: demand.image,
+        }
+    }
+}
--- a/crates/jobs/tests/owner/placement.rs
+++ b/crates/jobs/tests/owner/placement.rs
@@ -96,3 +96,28 @@
     let workers = starts(&mut fixture, vec![best_effort, step(2, 1_000)]);
     assert_eq!(workers.len(), 4);
 }
+
+/// A task that found no room in its service kept tasks of the same size of another service from
+/// being looked at, in every pass in which it came first.
+#[test]
+fn service_without_room_does_not_stop_another_one() {
+    let mut other = worker("w-2", 4_000);
+    other.service = "permits".into();
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 1_000), other]);
+    fixture.accept(JOB, job_spec(vec![step(2, 1_000)]));
+    let mut spec = job_spec(vec![step(1, 1_000)]);
+    spec.queue = "permits".into();
+    spec.terms.service = "permits".into();
+    spec.terms.priority = 2;
+    fixture.accept("bbbbbbbbbbbbbbbb", spec);
+    fixture.step();
+    let mut lines = fixture.store();
+    lines.sort();
+    assert_eq!(
+        lines,
+        [
+            "start aaaaaaaaaaaaaaaa.0.0.0#1 at w-1",
+            "start bbbbbbbbbbbbbbbb.0.0.0#1 at w-2"
+        ]
+    );
+}
