Specify how a task goes to another cell and back

Cause: the specification had no second cell, so no rule of a transfer was checked there, and the fault simulation has one cell: neither could find a task that waits in a full cell beside an empty one.

Change: a model of one long-running task, the home of its job, another cell, owners that are replaced at any point, late commits, outdated rows and a cancellation. Properties: the task is in one cell, runs in one at most, and runs again or ends.

A seventh, transfers that are stored though the job was cancelled, broke nothing in the model and was left out: the guard saves a start, the numbers and the revocation keep the rule.

--- a/crates/specification/src/check_run/list_cases.rs
+++ b/crates/specification/src/check_run/list_cases.rs
@@ -12,6 +12,8 @@
 use crate::request_record::RecordMutation;
 use crate::share_lending::ShareModel;
 use crate::share_lending::ShareMutation;
+use crate::task_transfer::TransferModel;
+use crate::task_transfer::TransferMutation;
 use crate::token_handover::TokenModel;
 use crate::token_handover::TokenMutation;
 use crate::zone_out::ZoneOutModel;
@@ -56,6 +58,8 @@
                 "small",
                 ShareModel::small(None),
             ));
+            let model = TransferModel::small(None);
+            cases.push(CheckCase::new("task-transfer", "small", model));
             cases
         }
         CaseSet::Large => {
@@ -81,6 +85,8 @@
                 "large",
                 ShareModel::large(None),
             ));
+            let model = TransferModel::large(None);
+            cases.push(CheckCase::new("task-transfer", "large", model));
             cases
         }
         CaseSet::Mutations => mutation_cases(),
@@ -141,5 +147,9 @@
         let model = ShareModel::small(Some(mutation));
         cases.push(CheckCase::new("share-lending", name, model));
     }
+    for (name, mutation) in TransferMutation::ALL {
+        let model = TransferModel::small(Some(mutation));
+        cases.push(CheckCase::new("task-transfer", name, model));
+    }
     cases
 }
--- a/crates/specification/src/lib.rs
+++ b/crates/specification/src/lib.rs
@@ -1,6 +1,6 @@
 //! Executable models of the core protocols, checked by exhaustive state-space search.
 //!
-//! Each of the six protocols implements [`ProtocolModel`]:
+//! Each of the seven protocols implements [`ProtocolModel`]:
 //!
 //! - [`OwnershipModel`]: daemons own a cell through its journal and start a task on
 //!   workers that check epochs and permits.
@@ -11,6 +11,7 @@
 //! - [`TokenModel`]: daemons hand the tokens of a runner's slots to each other.
 //! - [`RecordModel`]: a request runs at most once.
 //! - [`ShareModel`]: cells lend each other shares of a quota.
+//! - [`TransferModel`]: a task goes from one cell to another and back.
 //!
 //! [`explore_model`] visits every state that is reachable within the bounds of a model
 //! and returns a [`SearchReport`]. Each protocol also has mutations: a mutation leaves
@@ -28,6 +29,7 @@
 mod request_record;
 mod search;
 mod share_lending;
+mod task_transfer;
 mod token_handover;
 mod zone_out;
 
@@ -81,6 +83,16 @@
 pub use share_lending::ShareModel;
 pub use share_lending::ShareMutation;
 pub use share_lending::ShareState;
+pub use task_transfer::LateCommit;
+pub use task_transfer::TaskView;
+pub use task_transfer::TransferAction;
+pub use task_transfer::TransferCell;
+pub use task_transfer::TransferCommit;
+pub use task_transfer::TransferModel;
+pub use task_transfer::TransferMutation;
+pub use task_transfer::TransferOwner;
+pub use task_transfer::TransferState;
+pub use task_transfer::TransferStore;
 pub use token_handover::ClosedTotal;
 pub use token_handover::MemberStatus;
 pub use token_handover::TokenAction;
--- a/crates/specification/tests/mutations_break.rs
+++ b/crates/specification/tests/mutations_break.rs
@@ -14,6 +14,8 @@
 use sapphirestile_specification::ShareMutation;
 use sapphirestile_specification::TokenModel;
 use sapphirestile_specification::TokenMutation;
+use sapphirestile_specification::TransferModel;
+use sapphirestile_specification::TransferMutation;
 use sapphirestile_specification::ZoneOutModel;
 use sapphirestile_specification::ZoneOutMutation;
 use sapphirestile_specification::explore_model;
@@ -30,6 +32,8 @@
 const NO_LATE_START: &str = "no start later than the permit age after the zone went out";
 const WITHIN_SLOTS: &str = "requests at the runner fit its slots";
 const AT_MOST_ONCE: &str = "a request runs at most once";
+const IN_ONE_CELL: &str = "a task is in one cell";
+const RUNS_IN_ONE_CELL: &str = "a task runs in one cell at most";
 const WITHIN_QUOTA: &str = "running tasks fit the quota";
 
 fn broken_property(model: &impl ProtocolModel) -> Option<&'static str> {
@@ -135,3 +139,14 @@
     let model = ShareModel::small(Some(mutation));
     assert_eq!(broken_property(&model), Some(property));
 }
+
+#[test_case(TransferMutation::RecordFirst, IN_ONE_CELL)]
+#[test_case(TransferMutation::RowFirst, IN_ONE_CELL)]
+#[test_case(TransferMutation::NumberIgnored, IN_ONE_CELL)]
+#[test_case(TransferMutation::StartWhileTransferred, RUNS_IN_ONE_CELL)]
+#[test_case(TransferMutation::NoHeadGuard, IN_ONE_CELL)]
+#[test_case(TransferMutation::EndBeforeRevocation, "heals")]
+fn transfer_mutation_breaks_property(mutation: TransferMutation, property: &str) {
+    let model = TransferModel::small(Some(mutation));
+    assert_eq!(broken_property(&model), Some(property));
+}
--- a/crates/specification/tests/properties_hold.rs
+++ b/crates/specification/tests/properties_hold.rs
@@ -10,6 +10,7 @@
 use sapphirestile_specification::SearchVerdict;
 use sapphirestile_specification::ShareModel;
 use sapphirestile_specification::TokenModel;
+use sapphirestile_specification::TransferModel;
 use sapphirestile_specification::ZoneOutModel;
 use sapphirestile_specification::explore_model;
 use test_case::test_case;
@@ -86,3 +87,8 @@
 fn share_lending_holds() {
     assert_holds(&ShareModel::small(None), 31_000);
 }
+
+#[test]
+fn task_transfer_holds() {
+    assert_holds(&TransferModel::small(None), 72_000);
+}
