Bind a simulated start to one incarnation of the worker

A start is sent on a connection, which ends with the process; the simulation of one cell has that rule. What remains, an order that the worker itself keeps over its restart, stands in PLATFORM as not covered, and neither simulation plays it.

--- a/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
@@ -193,6 +193,7 @@
                 SimulationEvent::StartArrives {
                     cell,
                     generation,
+                    incarnation: self.incarnation_of(&request.worker),
                     request,
                 },
             ),
--- a/crates/jobs/tests/transfer_simulation/simulation_event.rs
+++ b/crates/jobs/tests/transfer_simulation/simulation_event.rs
@@ -22,6 +22,8 @@
     StartArrives {
         cell: usize,
         generation: u64,
+        /// Incarnation of the worker that the connection belongs to.
+        incarnation: u64,
         request: StartRequest,
     },
     StartReturns {
