Keep workers for long-running tasks that run again

A task of 18 processors, stopped at 10.3 s, waited in its new cell until 30.2 s: from 11 s on every cell's line says that long-running tasks occupy all workers. Tasks that had never run took each vacancy of the fleet meanwhile, 43 of them in the five seconds before.

Cause: long-running tasks make no room by themselves, and nothing was left for those that have to run again; what shorter tasks left on a worker went to the next shorter one.

Change: one worker in twelve is kept free of long-running tasks that have not run before. A task that has run and waits for a second has a worker held for it, where no shorter task starts. Only tasks that have run go to other cells.

Evidence: without the reserve, and without held workers, one test of `restarts` each fails.

--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -52,6 +52,7 @@
                     %cell, epoch, %task, cpu_milli,
                     unusable = census.unusable,
                     unsuitable = census.unsuitable,
+                    kept = census.kept,
                     too_small = census.too_small,
                     occupied_by_short = census.occupied_by_short,
                     occupied_by_long = census.occupied_by_long,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -77,6 +77,7 @@
 pub use planner::DurationEstimator;
 pub use planner::JobUrgency;
 pub use planner::PlacementCensus;
+pub use planner::SpareWorkers;
 pub use planner::TaskDemand;
 pub use planner::UnplacedDemands;
 pub use planner::UrgencyClass;
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -6,6 +6,7 @@
 use crate::owner::WaitKey;
 use crate::planner::TaskDemand;
 use crate::progress::JobProgress;
+use crate::progress::JobStanding;
 use crate::progress::TaskStage;
 use crate::spec::JobSpec;
 use crate::spec::TaskIdentity;
@@ -58,6 +59,14 @@
         }
     }
 
+    /// Whether a task of a job that has begun waits here for a worker.
+    pub fn has_waiting(&self, task: &TaskIdentity) -> bool {
+        let stage = self.progress.task(task).map(|progress| &progress.stage);
+        self.progress.standing == JobStanding::Running
+            && stage == Some(&TaskStage::Waiting)
+            && !self.transferring.contains(task)
+    }
+
     /// Tasks that can start now, ordered by occurrence, step and index. Tasks of a gang are
     /// included only while all of them wait.
     pub fn startable<'a>(
@@ -96,6 +105,7 @@
                 step: &self.spec.steps[step],
                 image: None,
                 needs_ticket: false,
+                has_run: progress.tasks[index].run > 0,
             })
         });
         tasks.filter(|demand| !self.transferring.contains(&demand.task))
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -15,6 +15,7 @@
 mod polling;
 mod requests;
 mod responses;
+mod restarts;
 mod results;
 mod spreading;
 mod stragglers;
@@ -37,6 +38,7 @@
 use crate::pacing::ImageTable;
 use crate::pacing::InterferenceModel;
 use crate::planner::DurationEstimator;
+use crate::planner::SpareWorkers;
 use crate::policy::DeployedConfig;
 use crate::spec::JobIdentity;
 use crate::spec::TaskIdentity;
@@ -70,7 +72,7 @@
     leaving: Vec<(JobIdentity, CellNumber)>,
     /// Jobs whose moves are being stored.
     moving: Vec<JobIdentity>,
-    /// Long-running tasks that found no worker in this cell.
+    /// Long-running tasks that have run before and found no worker in this cell.
     unplaced: SortedTable<TaskIdentity, UnplacedTask>,
     /// Tasks that are transferred to another cell with the next batch.
     transfers: Vec<TaskTransfer>,
@@ -101,9 +103,11 @@
     /// When the claim was sent.
     claimed: MonoTime,
     is_deposed: bool,
-    /// Whether more workers may be given latency-sensitive tasks; updated once per planning
-    /// pass and after each such assignment.
-    can_open_worker: bool,
+    /// Workers beyond those that are kept for certain tasks; updated once per planning pass
+    /// and after each assignment of such a task.
+    spare: SpareWorkers,
+    /// Workers on which only long-running tasks start, until one that waits fits there.
+    held: SortedTable<WorkerName, ()>,
     /// Number of cells, this one included.
     cells: u16,
     images: ImageTable,
@@ -160,7 +164,8 @@
             sent: claimed,
             claimed,
             is_deposed: false,
-            can_open_worker: true,
+            spare: SpareWorkers::default(),
+            held: SortedTable::new(),
             cells: 1,
             images: ImageTable::default(),
             interference: InterferenceModel::default(),
--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -52,7 +52,8 @@
             zones_out: &self.zones_out,
             interference: &self.interference,
             advice: &self.advice,
-            can_open_worker: self.can_open_worker,
+            spare: self.spare,
+            held: &self.held,
             now,
         }
     }
@@ -128,7 +129,10 @@
             run,
         });
         if demand.step.latency_target_ms.is_some() {
-            self.can_open_worker = self.has_spare_worker(now);
+            self.spare.for_latency = self.has_spare_worker(now);
+        }
+        if demand.step.is_long_running {
+            self.spare.for_first_runs = self.has_worker_for_first_runs(now);
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -169,6 +169,7 @@
                         step: step_spec,
                         image: self.image_of(step_spec),
                         needs_ticket: false,
+                        has_run: true,
                     };
                     let incarnation = assignment.incarnation;
                     let run =
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -26,7 +26,9 @@
         if self.waiting.is_empty() {
             return false;
         }
-        self.can_open_worker = self.has_spare_worker(now);
+        self.spare.for_latency = self.has_spare_worker(now);
+        self.spare.for_first_runs = self.has_worker_for_first_runs(now);
+        self.hold_workers(now);
         let keys = self.waiting_by_urgency(now);
         let mut planned = 0;
         let mut unplaced = UnplacedDemands::default();
@@ -101,7 +103,7 @@
                 continue;
             }
             if unplaced.rules_out(&demand) {
-                self.record_unplaced(task, step, now);
+                self.record_unplaced(&demand, now);
                 continue;
             }
             if let Some(worker) = self.choose_worker(&demand, None, now) {
@@ -111,7 +113,7 @@
             } else {
                 self.request_advice(&demand, timing, now);
                 unplaced.record(&demand);
-                self.record_unplaced(task, step, now);
+                self.record_unplaced(&demand, now);
                 self.report_passed_over(&demand, now);
             }
         }
@@ -137,7 +139,7 @@
         });
     }
 
-    fn demand<'a>(
+    pub(super) fn demand<'a>(
         &mut self,
         task: &TaskIdentity,
         step: &'a StepSpec,
@@ -150,6 +152,7 @@
             step,
             image: self.image_of(step),
             needs_ticket,
+            has_run: self.next_run(task) > 1,
         }
     }
 
--- /dev/null
+++ b/crates/jobs/src/owner/job_owner/restarts.rs
@@ -0,0 +1,99 @@
+//! Room for long-running tasks that have to run again.
+//!
+//! Long-running tasks make no room by themselves. When workers leave or fail, their tasks find
+//! room elsewhere only if some was left, and a large task finds it on one worker only if smaller
+//! ones do not take each part that becomes free there.
+
+use crate::owner::JobOwner;
+use crate::owner::UnplacedTask;
+use crate::planner::TaskDemand;
+use crate::spec::TaskIdentity;
+use crate::worker::TrackedWorker;
+use sapphirestile_core::MonoTime;
+use sapphirestile_core::WorkerName;
+
+/// One in this many workers is kept free of long-running tasks that have not run before, for
+/// those that have. Racks and zones that leave at once are larger parts than that; most of
+/// their tasks find room on other workers.
+const RESTART_WORKER_DIVISOR: usize = 12;
+
+/// How long a task waits before a worker is held for it, in milliseconds. Most find a worker
+/// sooner.
+const HOLD_AFTER_MS: u64 = 1_000;
+
+/// Maximum number of workers that are held at the same time.
+const HELD_WORKERS_MAX: usize = 4;
+
+impl JobOwner {
+    /// Whether more workers are free of long-running tasks than are kept for restarts. Workers
+    /// that are leaving count for the number that is kept: their tasks are about to need it.
+    pub(super) fn has_worker_for_first_runs(&self, now: MonoTime) -> bool {
+        let scorer = self.worker_scorer(now);
+        let (mut all, mut free) = (0, 0);
+        for tracked in self.workers.values() {
+            all += usize::from(tracked.is_listed);
+            free += usize::from(scorer.is_usable(tracked) && !tracked.has_long_running());
+        }
+        free > all / RESTART_WORKER_DIVISOR
+    }
+
+    /// Records that a task which has run before finds no worker.
+    pub(super) fn record_unplaced(&mut self, demand: &TaskDemand<'_>, now: MonoTime) {
+        if demand.has_run && demand.step.may_run_alone() {
+            self.unplaced
+                .get_or_insert_with(demand.task, || UnplacedTask::new(now));
+        }
+    }
+
+    /// Chooses the workers on which no other tasks start, each for a task that has waited long:
+    /// it fits there as soon as the shorter tasks have ended.
+    pub(super) fn hold_workers(&mut self, now: MonoTime) {
+        self.held.retain(|_, ()| false);
+        let jobs = &self.jobs;
+        self.unplaced.retain(|task, _| {
+            let entry = jobs.get(&task.job);
+            entry.is_some_and(|entry| entry.has_waiting(task))
+        });
+        let mut due: Vec<(MonoTime, TaskIdentity)> = self
+            .unplaced
+            .iter()
+            .filter(|(_, unplaced)| now.millis_since(unplaced.since) >= HOLD_AFTER_MS)
+            .map(|(task, unplaced)| (unplaced.since, *task))
+            .collect();
+        due.sort_unstable();
+        for (_, task) in due {
+            if self.held.len() >= HELD_WORKERS_MAX {
+                return;
+            }
+            if let Some(worker) = self.next_worker_for(&task, now) {
+                self.held.insert(worker, ());
+            }
+        }
+    }
+
+    /// Worker with the most free processor time among those that have room for the task once
+    /// their shorter tasks have ended.
+    fn next_worker_for(&mut self, task: &TaskIdentity, now: MonoTime) -> Option<WorkerName> {
+        let spec = self.jobs.get(&task.job)?.spec.clone();
+        let step = &spec.steps[task.step as usize];
+        let service = self.service_of(&spec.queue, &spec.terms.service);
+        let needs_ticket = self.advisor_timing(&spec.queue).is_some();
+        let demand = self.demand(task, step, &service, needs_ticket);
+        let scorer = self.worker_scorer(now);
+        let is_candidate = |name: &WorkerName, tracked: &TrackedWorker| {
+            scorer.is_usable(tracked)
+                && scorer.is_suitable(&demand, tracked)
+                && step.size.fits(&tracked.room_without_short_runs())
+                && !self.held.contains(name)
+        };
+        let free = |tracked: &TrackedWorker| {
+            let entry = tracked.entry.as_ref();
+            entry.map_or(0, |entry| entry.capacity.minus(tracked.used()).cpu_milli)
+        };
+        self.workers
+            .iter()
+            .filter(|(name, tracked)| is_candidate(name, tracked))
+            .max_by_key(|(_, tracked)| free(tracked))
+            .map(|(name, _)| name.clone())
+    }
+}
--- a/crates/jobs/src/owner/job_owner/stragglers.rs
+++ b/crates/jobs/src/owner/job_owner/stragglers.rs
@@ -81,6 +81,7 @@
             step,
             image: self.image_of(step),
             needs_ticket: self.advisor_timing(&spec.queue).is_some(),
+            has_run: true,
         };
         let Some(other) = self.choose_worker(&demand, None, now) else {
             return;
--- a/crates/jobs/src/owner/job_owner/transfers.rs
+++ b/crates/jobs/src/owner/job_owner/transfers.rs
@@ -1,8 +1,8 @@
 //! Transfers of tasks to cells that have a worker for them.
 //!
 //! A job that has begun keeps its home, where its callers' requests arrive. A long-running
-//! task that finds no worker there is delegated to another cell; if that has none either, the
-//! task returns. Only a task without a run is transferred, and one commit changes the rows of
+//! task that has run and finds no worker there is delegated to another cell; if that has none
+//! either, the task returns. Only a task without a run is transferred, and one commit changes the rows of
 //! both cells, so no task is ever in two cells or in none.
 
 use std::sync::Arc;
@@ -19,11 +19,9 @@
 use crate::owner::UnplacedTask;
 use crate::owner::job_owner::intake::earlier_by;
 use crate::progress::JobProgress;
-use crate::progress::JobStanding;
 use crate::progress::TaskProgress;
 use crate::progress::TaskStage;
 use crate::spec::JobIdentity;
-use crate::spec::StepSpec;
 use crate::spec::TaskIdentity;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
@@ -74,7 +72,11 @@
         vacancies: &mut VacancyTable,
         now: MonoTime,
     ) -> Option<TaskTransfer> {
-        let Some(entry) = self.jobs.get(&task.job).filter(|entry| waits(entry, task)) else {
+        let Some(entry) = self
+            .jobs
+            .get(&task.job)
+            .filter(|entry| entry.has_waiting(task))
+        else {
             self.unplaced.remove(task);
             return None;
         };
@@ -145,14 +147,6 @@
         self.transfers.push(transfer);
     }
 
-    /// Records that a task found no worker in this cell, if another cell may run it.
-    pub(super) fn record_unplaced(&mut self, task: &TaskIdentity, step: &StepSpec, now: MonoTime) {
-        if is_transferable(step) && self.cells > 1 {
-            self.unplaced
-                .get_or_insert_with(*task, || UnplacedTask::new(now));
-        }
-    }
-
     /// Takes the transfers that the next batch stores.
     pub(super) fn take_transfers(&mut self) -> Vec<JobTransfer> {
         self.storing_transfers = std::mem::take(&mut self.transfers);
@@ -310,20 +304,6 @@
     }
 }
 
-/// Whether other cells may run the tasks of a step: members of a gang need each other, and a
-/// copy may run beside a task.
-const fn is_transferable(step: &StepSpec) -> bool {
-    step.is_long_running && !step.is_gang && !step.is_speculative
-}
-
-/// Whether a task of a job that has begun waits here for a worker.
-fn waits(entry: &JobEntry, task: &TaskIdentity) -> bool {
-    let stage = entry.progress.task(task).map(|progress| &progress.stage);
-    entry.progress.standing == JobStanding::Running
-        && stage == Some(&TaskStage::Waiting)
-        && !entry.transferring.contains(task)
-}
-
 const fn is_here(progress: &TaskProgress) -> bool {
     !matches!(progress.stage, TaskStage::Elsewhere(_))
 }
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -3,12 +3,14 @@
 //! A [`DurationEstimator`] learns how long tasks run. From that, the [`JobUrgency`] of a
 //! job is computed: whether it can still meet its completion objective, as an
 //! [`UrgencyClass`], and by how much. A [`TaskDemand`] is a borrowed view of a task that
-//! can start. A [`WorkerScorer`] scores workers for it; [`UnplacedDemands`] tells which
-//! tasks need not be tried, by an [`UnplacedSize`] for each that was.
+//! can start. A [`WorkerScorer`] scores workers for it, of which [`SpareWorkers`] says how
+//! many are left for which tasks; [`UnplacedDemands`] tells which tasks need not be tried, by
+//! an [`UnplacedSize`] for each that was.
 
 mod duration_estimator;
 mod job_urgency;
 mod placement_census;
+mod spare_workers;
 mod task_demand;
 mod unplaced_demands;
 mod unplaced_size;
@@ -18,6 +20,7 @@
 pub use duration_estimator::DurationEstimator;
 pub use job_urgency::JobUrgency;
 pub use placement_census::PlacementCensus;
+pub use spare_workers::SpareWorkers;
 pub use task_demand::TaskDemand;
 pub use unplaced_demands::UnplacedDemands;
 pub use urgency_class::UrgencyClass;
--- a/crates/jobs/src/planner/placement_census.rs
+++ b/crates/jobs/src/planner/placement_census.rs
@@ -13,6 +13,8 @@
     /// Workers without the label, the service or the ticket that the task needs, or that have
     /// as many tasks of its step as they may.
     pub unsuitable: usize,
+    /// Workers that are kept for tasks that have run before.
+    pub kept: usize,
     /// Workers whose capacity is smaller than the task.
     pub too_small: usize,
     /// Workers that would have room for the task without their tasks that complete.
@@ -52,6 +54,8 @@
         self.largest_free_cpu_milli = self.largest_free_cpu_milli.max(free.cpu_milli);
         if !scorer.is_suitable(demand, worker) {
             self.unsuitable += 1;
+        } else if scorer.is_kept_from(demand, worker) {
+            self.kept += 1;
         } else if !demand.step.size.fits(&entry.capacity) {
             self.too_small += 1;
         } else if demand.step.size.fits(&worker.room_without_short_runs()) {
--- a/crates/jobs/src/planner/task_demand.rs
+++ b/crates/jobs/src/planner/task_demand.rs
@@ -17,4 +17,6 @@
     pub image: Option<ImageNumber>,
     /// Whether the task can start only with a ticket of the advisor.
     pub needs_ticket: bool,
+    /// Whether the task has had a run.
+    pub has_run: bool,
 }
--- a/crates/jobs/src/planner/unplaced_demands.rs
+++ b/crates/jobs/src/planner/unplaced_demands.rs
@@ -22,6 +22,7 @@
 ///     step: &step,
 ///     image: None,
 ///     needs_ticket: true,
+///     has_run: false,
 /// };
 /// let mut unplaced = UnplacedDemands::default();
 /// unplaced.record(&demand("5c0e7a21d94b36f8.0.1.0"));
--- a/crates/jobs/src/planner/unplaced_size.rs
+++ b/crates/jobs/src/planner/unplaced_size.rs
@@ -10,6 +10,9 @@
     service: Box<str>,
     size: ResourceVector,
     is_best_effort: bool,
+    /// Some workers are kept for long-running tasks, and some for those that have run before.
+    is_long_running: bool,
+    is_restart: bool,
     /// Image of a best-effort task; a worker takes it by what it adds to the others.
     image: Option<ImageNumber>,
 }
@@ -20,6 +23,8 @@
         let step = demand.step;
         *self.service == *demand.service
             && self.is_best_effort == step.is_best_effort
+            && self.is_long_running == step.is_long_running
+            && self.is_restart == is_restart(demand)
             && (!self.is_best_effort || self.image == demand.image)
             && self.size.fits(&step.size)
     }
@@ -31,7 +36,13 @@
             service: demand.service.into(),
             size: demand.step.size,
             is_best_effort: demand.step.is_best_effort,
+            is_long_running: demand.step.is_long_running,
+            is_restart: is_restart(demand),
             image: demand.image,
         }
     }
 }
+
+const fn is_restart(demand: &TaskDemand<'_>) -> bool {
+    demand.step.is_long_running && demand.has_run
+}
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -5,9 +5,12 @@
 use crate::pacing::BestEffortRun;
 use crate::pacing::InterferenceModel;
 use crate::pacing::ServingRun;
+use crate::planner::SpareWorkers;
 use crate::planner::TaskDemand;
 use crate::worker::TrackedWorker;
 use sapphirestile_core::MonoTime;
+use sapphirestile_core::SortedTable;
+use sapphirestile_core::WorkerName;
 use sapphirestile_core::ZoneName;
 
 /// A worker whose latest response is older than this gets no new tasks, in milliseconds. An
@@ -53,9 +56,10 @@
     pub interference: &'a InterferenceModel,
     /// Answers of the advisor, for tasks that need tickets.
     pub advice: &'a AdviceCache,
-    /// Whether a latency-sensitive task may be placed on a worker without such runs, beyond
-    /// the workers that are reserved for best-effort tasks.
-    pub can_open_worker: bool,
+    /// Workers beyond those that are kept for certain tasks.
+    pub spare: SpareWorkers,
+    /// Workers that are held for long-running tasks.
+    pub held: &'a SortedTable<WorkerName, ()>,
     /// Time of the snapshot.
     pub now: MonoTime,
 }
@@ -110,11 +114,25 @@
         ticket.is_some()
     }
 
+    /// Whether the worker is kept for tasks that have to run again: those that have not run
+    /// may not take the last workers without long-running runs, and shorter ones may not take
+    /// what becomes free on a worker that is held.
+    #[must_use]
+    pub fn is_kept_from(&self, demand: &TaskDemand<'_>, worker: &TrackedWorker) -> bool {
+        let step = demand.step;
+        if step.is_long_running {
+            return !demand.has_run && !self.spare.for_first_runs && !worker.has_long_running();
+        }
+        let name = worker.entry.as_ref().map(|entry| &entry.name);
+        !step.is_best_effort && name.is_some_and(|name| self.held.contains(name))
+    }
+
     /// Like [`score`](Self::score), without checking for a ticket.
     #[must_use]
     pub fn capacity_score(&self, demand: &TaskDemand<'_>, worker: &TrackedWorker) -> Option<i64> {
         let entry = worker.entry.as_ref()?;
-        if !self.is_usable(worker) || !is_eligible(demand, worker) {
+        let is_usable = self.is_usable(worker) && !self.is_kept_from(demand, worker);
+        if !is_usable || !is_eligible(demand, worker) {
             return None;
         }
         let step = demand.step;
@@ -143,7 +161,7 @@
         }
         let serving = worker.serving_runs();
         if serving.is_empty() {
-            return if self.can_open_worker {
+            return if self.spare.for_latency {
                 EMPTY_WORKER_COST
             } else {
                 LAST_RESORT_COST
--- a/crates/jobs/src/spec/step_spec.rs
+++ b/crates/jobs/src/spec/step_spec.rs
@@ -49,3 +49,22 @@
     /// `None` if not limited.
     pub max_unavailable: Option<u32>,
 }
+
+impl StepSpec {
+    /// Whether each task runs until the job is cancelled, and needs no other task of its step:
+    /// members of a gang need each other, and a copy may run beside a task.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_jobs::StepSpec;
+    ///
+    /// let step = StepSpec { is_long_running: true, ..StepSpec::default() };
+    /// assert!(step.may_run_alone());
+    /// assert!(!StepSpec { is_gang: true, ..step }.may_run_alone());
+    /// ```
+    #[must_use]
+    pub const fn may_run_alone(&self) -> bool {
+        self.is_long_running && !self.is_gang && !self.is_speculative
+    }
+}
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -223,6 +223,12 @@
             .any(|run| run.latency_target_ms.is_some())
     }
 
+    /// Whether any run is long-running.
+    #[must_use]
+    pub fn has_long_running(&self) -> bool {
+        self.runs.values().any(|run| run.is_long_running)
+    }
+
     /// Runs with a latency target, as the interference model sees them; those without an
     /// image are left out.
     #[must_use]
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -14,6 +14,7 @@
 mod owner_fixture;
 mod pacing;
 mod placement;
+mod restarts;
 mod starts_and_stops;
 mod test_values;
 mod transfers;
