Cancel a job at once in every cell that has tasks of it

Cause: only the owner of the home told other cells that a job had ended. If it had failed, the cells that run the job's tasks went on, and started them again, until the next owner had claimed the home and told them: about three seconds, beside a bound of three to five for a start after a cancellation.

Change: the daemon that takes the cancellation reads the job's record and writes the cancellation in every cell that it names, in the same commit. The owner of the home writes them again, as a task may have gone elsewhere in between. A cancellation that reaches a cell after its last task has left is deleted by the next owner of that cell.

--- a/crates/entry/src/frontend/job_frontend.rs
+++ b/crates/entry/src/frontend/job_frontend.rs
@@ -14,6 +14,7 @@
 
 use crate::context::EntryContext;
 use crate::frontend::CancelOutcome;
+use crate::frontend::CancellationRows;
 use crate::frontend::HomeCache;
 use crate::frontend::StateOutcome;
 use crate::frontend::SubmitOutcome;
@@ -130,8 +131,8 @@
         }
     }
 
-    /// Tries once to store the cancellation in the job's cell; `None` if the job has moved
-    /// to another cell meanwhile.
+    /// Tries once to store the cancellation in the job's cell and in those that have tasks of
+    /// it; `None` if the job has moved to another cell meanwhile.
     fn try_cancel(
         &self,
         identity: &JobIdentity,
@@ -140,6 +141,7 @@
         let Some((cell, revision)) = self.read_home(identity, deadline)? else {
             return Ok(Some(CancelOutcome::Missing));
         };
+        let record = self.read(&RowKeys::progress(cell, identity), deadline)?;
         let key = RowKeys::cancellation(cell, identity);
         let home = RowGuard {
             key: RowKeys::home(identity),
@@ -147,10 +149,7 @@
         };
         let commit = StoreCommit {
             guards: vec![home, absent(key.clone())],
-            writes: vec![RowWrite {
-                key: key.clone(),
-                value: Vec::new(),
-            }],
+            writes: CancellationRows::of(cell, identity, record.as_ref()),
             removals: Vec::new(),
         };
         match self.commit(&commit, deadline)? {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,6 +32,7 @@
 pub use context::StoreHealth;
 pub use context::StoreTimeout;
 pub use frontend::CancelOutcome;
+pub use frontend::CancellationRows;
 pub use frontend::HomeCache;
 pub use frontend::JobFrontend;
 pub use frontend::StateOutcome;
--- a/crates/entry/src/owner/ownership_term/stored_cell.rs
+++ b/crates/entry/src/owner/ownership_term/stored_cell.rs
@@ -22,6 +22,8 @@
     jobs: Vec<StoredJob>,
     delegated: Vec<DelegatedTask>,
     returned: Vec<ReturnedTask>,
+    /// Jobs that were ended here after their last task had left.
+    ended_elsewhere: Vec<JobIdentity>,
 }
 
 impl StoredCell {
@@ -53,6 +55,9 @@
             decode_progress(progress_rows, RowKeys::identity_of),
             decode_progress(progress_rows, RowKeys::guest_identity_of),
         );
+        let has_rows = |job: &JobIdentity| specs.iter().any(|(identity, _, _)| identity == job);
+        let ended_elsewhere = cancelled.keys().filter(|job| !has_rows(job));
+        cell.ended_elsewhere = ended_elsewhere.copied().collect();
         let jobs = specs.into_iter().map(|(identity, spec, place)| {
             let progress = if place.is_guest() {
                 let stored = guests.get(&identity).cloned();
@@ -83,6 +88,9 @@
         for task in self.returned {
             owner.take_back_task(task, now, unix_ms);
         }
+        for job in self.ended_elsewhere {
+            owner.forget_ended_elsewhere(job);
+        }
     }
 }
 
--- a/crates/jobs/src/owner/job_owner/transfers.rs
+++ b/crates/jobs/src/owner/job_owner/transfers.rs
@@ -10,6 +10,7 @@
 use crate::division::VacancyTable;
 use crate::owner::DecisionEvent;
 use crate::owner::DelegatedTask;
+use crate::owner::GuestRemoval;
 use crate::owner::JobEntry;
 use crate::owner::JobOwner;
 use crate::owner::JobPlace;
@@ -287,6 +288,15 @@
         self.refresh_job(task.job, unix_ms);
     }
 
+    /// Has the cancellation of a job deleted of which this cell has no task, with the next
+    /// batch: the last one had left when the job ended.
+    pub fn forget_ended_elsewhere(&mut self, job: JobIdentity) {
+        self.forgotten_guests.push(GuestRemoval {
+            job,
+            received: Vec::new(),
+        });
+    }
+
     /// Gives up the transfers of an ended job that are not being stored, and has the other
     /// cells end what they have of it.
     pub(super) fn revoke_tasks(&mut self, job: JobIdentity) {
--- a/crates/jobs/tests/owner/transfers.rs
+++ b/crates/jobs/tests/owner/transfers.rs
@@ -339,3 +339,15 @@
     );
     assert_eq!(batch.guests[0].1.standing, JobStanding::Cancelled);
 }
+
+/// Its row would be listed by every later owner.
+#[test]
+fn cancellation_that_came_after_the_last_task_had_left_is_deleted() {
+    let mut host = host();
+    host.owner.forget_ended_elsewhere(identity());
+    let now = host.time();
+    let batch = host.owner.take_batch(false, now).expect("a row is deleted");
+    assert_eq!(batch.forgotten_guests.len(), 1);
+    assert_eq!(batch.forgotten_guests[0].job, identity());
+    assert!(batch.forgotten.is_empty(), "its home keeps its rows");
+}
