Give each simulated request one outcome

The trace shows the simulation at fault: the response to a poll was handed over after the timeout of the same poll, and showed a worker as it had been before a start. A request has one outcome, as in the simulation of one cell.

--- a/crates/jobs/tests/transfer_simulation/cell_simulation.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation.rs
@@ -57,6 +57,8 @@
     workers: Vec<FakeWorker>,
     /// Workers that leave.
     leaving: BTreeSet<usize>,
+    /// Numbers of the requests that have an outcome.
+    finished_calls: BTreeSet<u64>,
     /// When each task that has run was last seen to run.
     last_seen: BTreeMap<TaskIdentity, u64>,
 }
@@ -79,10 +81,12 @@
             queue: BTreeMap::new(),
             store: SharedStore {
                 cells: vec![CellRows::default(); CELLS],
+                delegations: 0,
             },
             cells: (0..CELLS).map(|_| SimulatedCell::default()).collect(),
             workers,
             leaving: BTreeSet::new(),
+            finished_calls: BTreeSet::new(),
             last_seen: BTreeMap::new(),
         };
         for number in 0..JOBS {
@@ -131,9 +135,7 @@
 
     /// Checks that every task runs once, and none of a cancelled job.
     pub fn check_end(&self) {
-        let mut delegated = 0;
         for rows in &self.store.cells {
-            delegated += rows.delegated.len();
             for (job, spec) in &rows.specs {
                 let is_cancelled = rows.cancelled.contains(job);
                 for index in 0..spec.steps[0].tasks {
@@ -155,7 +157,8 @@
                 }
             }
         }
-        assert!(delegated > 0, "seed {}: nothing was delegated", self.seed);
+        let delegations = self.store.delegations;
+        assert!(delegations > 0, "seed {}: nothing was delegated", self.seed);
     }
 
     /// Checks that tasks which have run are not idle for too long while nothing but workers
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/deliveries.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/deliveries.rs
@@ -20,17 +20,19 @@
             SimulationEvent::StartArrives {
                 cell,
                 generation,
+                sent,
                 incarnation,
                 request,
             } => {
                 // A request is sent on a connection, which belongs to one incarnation.
                 if self.incarnation_of(&request.worker) == incarnation {
-                    self.start(cell, generation, &request);
+                    self.start(cell, generation, sent, &request);
                 }
             }
             SimulationEvent::StopArrives {
                 cell,
                 generation,
+                sent,
                 request,
             } => {
                 let Some(index) = self.find_worker(&request.worker) else {
@@ -40,6 +42,7 @@
                 self.respond(SimulationEvent::StopReturns {
                     cell,
                     generation,
+                    sent,
                     worker: request.worker,
                     task: request.task,
                     run: request.run,
@@ -49,6 +52,7 @@
             SimulationEvent::PollArrives {
                 cell,
                 generation,
+                sent,
                 request,
             } => {
                 let Some(index) = self.find_worker(&request.worker) else {
@@ -58,6 +62,7 @@
                 self.respond(SimulationEvent::PollReturns {
                     cell,
                     generation,
+                    sent,
                     worker: request.worker,
                     number: request.number,
                     outcome,
@@ -85,7 +90,7 @@
     }
 
     /// Starts a run at its worker, and checks that the task runs only there.
-    fn start(&mut self, cell: usize, generation: u64, request: &StartRequest) {
+    fn start(&mut self, cell: usize, generation: u64, sent: u64, request: &StartRequest) {
         let Some(index) = self.find_worker(&request.worker) else {
             return;
         };
@@ -112,6 +117,7 @@
         self.respond(SimulationEvent::StartReturns {
             cell,
             generation,
+            sent,
             worker: request.worker.clone(),
             task: request.task,
             run: request.run,
@@ -158,6 +164,11 @@
         }
     }
 
+    /// Whether a response or a timeout is the outcome of a request, whose sender lives.
+    fn is_outcome(&mut self, cell: usize, generation: u64, sent: u64) -> bool {
+        self.cells[cell].generation == generation && self.finished_calls.insert(sent)
+    }
+
     /// Gives a response to the owner that sent the request, if it lives.
     fn give_response(&mut self, event: SimulationEvent) {
         let (now, unix_ms) = (MonoTime::from_millis(self.now), self.now);
@@ -165,11 +176,12 @@
             SimulationEvent::StartReturns {
                 cell,
                 generation,
+                sent,
                 worker,
                 task,
                 run,
                 outcome,
-            } if self.cells[cell].generation == generation => {
+            } if self.is_outcome(cell, generation, sent) => {
                 if let Some(owner) = &mut self.cells[cell].owner {
                     owner.handle_start_outcome(&worker, &task, run, outcome, now, unix_ms);
                 }
@@ -177,11 +189,12 @@
             SimulationEvent::StopReturns {
                 cell,
                 generation,
+                sent,
                 worker,
                 task,
                 run,
                 outcome,
-            } if self.cells[cell].generation == generation => {
+            } if self.is_outcome(cell, generation, sent) => {
                 if let Some(owner) = &mut self.cells[cell].owner {
                     owner.handle_stop_outcome(&worker, &task, run, outcome, now);
                 }
@@ -189,10 +202,11 @@
             SimulationEvent::PollReturns {
                 cell,
                 generation,
+                sent,
                 worker,
                 number,
                 outcome,
-            } if self.cells[cell].generation == generation => {
+            } if self.is_outcome(cell, generation, sent) => {
                 if let Some(owner) = &mut self.cells[cell].owner {
                     owner.handle_poll_outcome(&worker, number, outcome, now, unix_ms);
                 }
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
@@ -180,11 +180,13 @@
         } else {
             self.random.random_range(1..8)
         };
+        let sent = self.sequence;
         let (timeout, arrival) = match effect {
             OwnerEffect::Start(request) => (
                 SimulationEvent::StartReturns {
                     cell,
                     generation,
+                    sent,
                     worker: request.worker.clone(),
                     task: request.task,
                     run: request.run,
@@ -193,6 +195,7 @@
                 SimulationEvent::StartArrives {
                     cell,
                     generation,
+                    sent,
                     incarnation: self.incarnation_of(&request.worker),
                     request,
                 },
@@ -201,6 +204,7 @@
                 SimulationEvent::StopReturns {
                     cell,
                     generation,
+                    sent,
                     worker: request.worker.clone(),
                     task: request.task,
                     run: request.run,
@@ -209,6 +213,7 @@
                 SimulationEvent::StopArrives {
                     cell,
                     generation,
+                    sent,
                     request,
                 },
             ),
@@ -216,6 +221,7 @@
                 SimulationEvent::PollReturns {
                     cell,
                     generation,
+                    sent,
                     worker: request.worker.clone(),
                     number: request.number,
                     outcome: PollOutcome::NoResponse,
@@ -223,6 +229,7 @@
                 SimulationEvent::PollArrives {
                     cell,
                     generation,
+                    sent,
                     request,
                 },
             ),
--- a/crates/jobs/tests/transfer_simulation/shared_store.rs
+++ b/crates/jobs/tests/transfer_simulation/shared_store.rs
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 pub struct SharedStore {
     pub cells: Vec<CellRows>,
+    /// Number of tasks that were delegated so far.
+    pub delegations: usize,
 }
 
 impl SharedStore {
@@ -77,6 +79,7 @@
             match transfer {
                 TaskTransfer::Delegate { delegated, .. } => {
                     self.cells[target].delegated.insert(key, delegated.clone());
+                    self.delegations += 1;
                 }
                 TaskTransfer::Return {
                     returned,
--- a/crates/jobs/tests/transfer_simulation/simulation_event.rs
+++ b/crates/jobs/tests/transfer_simulation/simulation_event.rs
@@ -9,7 +9,8 @@
 use sapphirestile_jobs::StopRequest;
 use sapphirestile_jobs::TaskIdentity;
 
-/// An event. Those of an owner carry its cell and generation.
+/// An event. Those of an owner carry its cell and generation, those of a request its number:
+/// whichever of its response and its timeout comes first is its outcome.
 #[derive(Clone, Debug)]
 pub enum SimulationEvent {
     Tick,
@@ -22,6 +23,7 @@
     StartArrives {
         cell: usize,
         generation: u64,
+        sent: u64,
         /// Incarnation of the worker that the connection belongs to.
         incarnation: u64,
         request: StartRequest,
@@ -29,6 +31,7 @@
     StartReturns {
         cell: usize,
         generation: u64,
+        sent: u64,
         worker: WorkerName,
         task: TaskIdentity,
         run: u32,
@@ -37,11 +40,13 @@
     StopArrives {
         cell: usize,
         generation: u64,
+        sent: u64,
         request: StopRequest,
     },
     StopReturns {
         cell: usize,
         generation: u64,
+        sent: u64,
         worker: WorkerName,
         task: TaskIdentity,
         run: u32,
@@ -50,11 +55,13 @@
     PollArrives {
         cell: usize,
         generation: u64,
+        sent: u64,
         request: PollRequest,
     },
     PollReturns {
         cell: usize,
         generation: u64,
+        sent: u64,
         worker: WorkerName,
         number: u64,
         outcome: PollOutcome,
