Expect no lease of others on a worker that no owner has known

A long-running task on a worker that was lost right after its first response was given up after 10.2 s, 9 s are allowed, where workers take leases of 10 s.

Cause: the first response of a worker was taken to come with the longest lease, which a request meant for an earlier incarnation may have granted. Where no owner of the cell has ever granted a lease, and this one has not known the worker under its name before, nobody can have sent such a request.

Change: bounds on leases keep apart that none was ever granted from that all have ended, and an owner remembers the names of the workers that have responded to it. What remains: under a later owner of the cell a new worker still counts as holding the longest lease at its first response, since the name may have been known.

--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -96,6 +96,9 @@
     authority: Option<MonoTime>,
     /// Bounds on the leases that earlier owners granted, as of the claim.
     inherited: LeaseBounds,
+    /// Every worker that has responded to this owner, also those that are gone: a worker may
+    /// come back under its name.
+    responded: SortedTable<WorkerName, ()>,
     /// Whether a worker is to get leases again, or none any more, with the next batch.
     has_grant_change: bool,
     /// When the latest batch, or the claim, was sent.
@@ -160,6 +163,7 @@
             decisions: Vec::new(),
             authority: None,
             inherited,
+            responded: SortedTable::new(),
             has_grant_change: true,
             sent: claimed,
             claimed,
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -83,9 +83,12 @@
     /// Updates what is known about the incarnation that responded. If it is another than
     /// before, nothing of the earlier one is kept; the runs of that one are finished later
     /// because the response does not list them. Requests that were meant for an earlier one
-    /// may have granted the longest lease, since its clock was another.
+    /// may have granted the longest lease, since its clock was another; none can have been sent
+    /// if no owner has known an earlier one.
     fn note_incarnation(&mut self, name: &WorkerName, response: &PollResponse, now: MonoTime) {
         let inherited_lease_end = self.inherited_lease_end(name);
+        let is_new_name = self.responded.insert(name.clone(), ()).is_none();
+        let is_first = is_new_name && self.inherited.are_none();
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
@@ -93,6 +96,8 @@
         let inherited_ms = if tracked.runs_only(response.incarnation) {
             let left_ms = tracked.lease_left_ms(inherited_lease_end, now);
             left_ms.min(lease_max_ms)
+        } else if is_first {
+            0
         } else {
             lease_max_ms
         };
--- a/crates/jobs/src/owner/lease_bounds.rs
+++ b/crates/jobs/src/owner/lease_bounds.rs
@@ -30,7 +30,8 @@
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseBounds {
-    /// The bound of all workers that are not in `workers`, in milliseconds.
+    /// The bound of all workers that are not in `workers`, in milliseconds; 0 only if no owner
+    /// has ever granted a lease.
     pub others_ms: u64,
     /// The bounds of single workers, in milliseconds. The owner grants no lease to a worker
     /// with a bound below `others_ms`.
@@ -59,13 +60,19 @@
         self.workers.get(worker).copied().unwrap_or(self.others_ms)
     }
 
+    /// Whether no owner has ever granted a lease in the cell.
+    #[must_use]
+    pub fn are_none(&self) -> bool {
+        self.others_ms == 0 && self.workers.is_empty()
+    }
+
     /// The bounds `elapsed_ms` milliseconds later, if no lease is granted meanwhile.
     #[must_use]
     pub fn after(&self, elapsed_ms: u64) -> Self {
         let left = |bound_ms: u64| bound_ms.saturating_sub(elapsed_ms);
         let workers = self.workers.iter();
         Self {
-            others_ms: left(self.others_ms),
+            others_ms: left(self.others_ms).max(self.others_ms.min(1)),
             workers: workers
                 .map(|(worker, bound_ms)| (worker.clone(), left(*bound_ms)))
                 .collect(),
--- a/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
+++ b/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
@@ -135,3 +135,30 @@
     let after = given_up_after(&mut fixture);
     assert!(after <= RESTART_MS, "given up after {after} ms");
 }
+
+/// A request of this owner that was meant for the first one may be on its way when the worker
+/// comes back.
+#[test]
+fn worker_that_comes_back_under_its_name_may_hold_the_longest_lease() {
+    let mut fixture = owner(LeaseBounds::of_all(0), vec![worker("w-1", 2_000)]);
+    fixture.answer("w-1", &[], &[]);
+    fixture.owner.replace_workers(Vec::new(), fixture.time());
+    fixture.wait(5_000);
+    assert_eq!(fixture.owner.counts().1, 0, "the owner has dropped it");
+    let mut entry = worker("w-1", 2_000);
+    entry.incarnation = WorkerIncarnation::from_unix_ms(2);
+    fixture.owner.replace_workers(vec![entry], fixture.time());
+    fixture.step();
+    fixture.respond_as_incarnation("w-1", 2, &[], &[]);
+    let now = fixture.time();
+    let (_, tracked) = fixture.owner.workers().next().expect("there is w-1");
+    assert!(tracked.lease_left_ms(now, now) >= LIMITS.lease_max_ms);
+}
+
+/// An owner whose leases have ended long ago has granted some, unlike none at all.
+#[test]
+fn bounds_that_have_passed_are_not_those_of_a_cell_without_owners() {
+    assert!(LeaseBounds::of_all(0).after(1_000).are_none());
+    let passed = LeaseBounds::of_all(LIMITS.authority_bound_ms()).after(60_000);
+    assert!(!passed.are_none());
+}
