Split the files of transfers and of tracked workers

Change: tasks that come have a file of their own, as have the runs and the room of a worker. Functions were moved, none was changed.

--- a/crates/entry/src/owner/commit_writer/job_part.rs
+++ b/crates/entry/src/owner/commit_writer/job_part.rs
@@ -16,7 +16,7 @@
 /// cancelled. One commit changes the rows of all cells, so at no time have two owners a task.
 #[derive(Clone, Debug)]
 pub struct JobPart {
-    /// The job.
+    /// The job that goes, or whose tasks go.
     pub job: JobIdentity,
     /// Whether the job leaves the cell as a whole.
     pub is_move: bool,
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -13,6 +13,7 @@
 mod pace_changes;
 mod planning;
 mod polling;
+mod received_tasks;
 mod requests;
 mod responses;
 mod restarts;
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -1,9 +1,10 @@
 //! The owner's view of a worker.
 
+mod room;
+mod runs;
+
 use std::net::SocketAddr;
 
-use crate::pacing::BestEffortRun;
-use crate::pacing::ServingRun;
 use crate::spec::ResourceVector;
 use crate::spec::TaskIdentity;
 use crate::worker::KnownIncarnation;
@@ -20,11 +21,6 @@
 /// Duration of shorter poll intervals after a change of pace, in milliseconds.
 const CLOSE_POLLING_MS: u64 = 3_000;
 
-/// Average processor use of long-running tasks, in percent of what they reserve.
-const LONG_RUNNING_USE_PERCENT: u64 = 50;
-
-const FULL_PERCENT: u64 = 100;
-
 /// A poll that got no response shows that the worker is silent now only if it was sent this
 /// recently, in milliseconds. An owner that was suspended has older ones.
 const UNANSWERED_AGE_MAX_MS: u64 = 3_500;
@@ -104,17 +100,6 @@
         }
     }
 
-    /// Adds a run, which occupies capacity from now on.
-    ///
-    /// # Panics
-    ///
-    /// If the worker already has a run of the task, since that run would be lost.
-    pub fn add_run(&mut self, task: TaskIdentity, run: RunEntry) {
-        let before = self.runs.insert(task, run);
-        assert!(before.is_none(), "worker already has a run of {task}");
-        self.recount();
-    }
-
     /// Estimate of the worker's clock; `None` until the worker has responded to this owner.
     #[must_use]
     pub fn clock(&self) -> Option<&WorkerClock> {
@@ -198,16 +183,6 @@
         !self.runs.is_empty() && runs.all(|run| run.incarnation == incarnation)
     }
 
-    /// Number of runs on the worker that belong to the same step as `task`.
-    #[must_use]
-    pub fn count_of_step(&self, task: &TaskIdentity) -> u32 {
-        let of_step = |other: &&TaskIdentity| {
-            (other.job, other.occurrence, other.step) == (task.job, task.occurrence, task.step)
-        };
-        let count = self.runs.keys().filter(of_step).count();
-        u32::try_from(count).unwrap_or(u32::MAX)
-    }
-
     /// Whether the worker has the label, such as a machine type or a rack.
     #[must_use]
     pub fn has_label(&self, label: &str) -> bool {
@@ -215,47 +190,6 @@
         entry.is_some_and(|entry| entry.labels.iter().any(|own| **own == *label))
     }
 
-    /// Whether any run has a latency target.
-    #[must_use]
-    pub fn has_latency_target(&self) -> bool {
-        self.runs
-            .values()
-            .any(|run| run.latency_target_ms.is_some())
-    }
-
-    /// Whether any run is long-running.
-    #[must_use]
-    pub fn has_long_running(&self) -> bool {
-        self.runs.values().any(|run| run.is_long_running)
-    }
-
-    /// Runs with a latency target, as the interference model sees them; those without an
-    /// image are left out.
-    #[must_use]
-    pub fn serving_runs(&self) -> Vec<ServingRun> {
-        self.runs
-            .iter()
-            .filter_map(|(task, run)| run.as_serving(*task))
-            .collect()
-    }
-
-    /// Best-effort runs that are not being stopped, as the interference model sees them;
-    /// those without an image are left out.
-    #[must_use]
-    pub fn best_effort_runs(&self, now: MonoTime) -> Vec<BestEffortRun> {
-        self.runs
-            .iter()
-            .filter_map(|(task, run)| run.as_best_effort(*task, now))
-            .collect()
-    }
-
-    /// Removes a run and frees its capacity; `None` if the worker has no run of the task.
-    pub fn remove_run(&mut self, task: &TaskIdentity) -> Option<RunEntry> {
-        let removed = self.runs.remove(task);
-        self.recount();
-        removed
-    }
-
     /// Runs that are over if another worker answers the poll with this number: those of the
     /// incarnation that has written the entry, which had the address. None if that is not the
     /// latest poll, or if the entry has another address now.
@@ -300,60 +234,4 @@
         self.pace_changed != MonoTime::default()
             && now.millis_since(self.pace_changed) <= CLOSE_POLLING_MS
     }
-
-    /// Resources reserved by the runs. Best-effort runs reserve no processor time.
-    #[must_use]
-    pub const fn used(&self) -> &ResourceVector {
-        &self.used
-    }
-
-    /// Room that long-running runs leave: what is free once all other runs have ended.
-    #[must_use]
-    pub fn room_without_short_runs(&self) -> ResourceVector {
-        let capacity = self.entry.as_ref().map(|entry| entry.capacity);
-        let lasting = self.runs.values().filter(|run| run.is_long_running);
-        let lasting = lasting.fold(ResourceVector::default(), |sum, run| {
-            sum.plus(&run.reserved())
-        });
-        capacity.unwrap_or_default().minus(&lasting)
-    }
-
-    /// Processor time that the best-effort runs use at full pace, in thousandths of a
-    /// processor.
-    #[must_use]
-    pub const fn best_effort_cpu_milli(&self) -> u64 {
-        self.best_effort_cpu_milli
-    }
-
-    /// Processor time reserved by long-running runs, in thousandths of a processor.
-    #[must_use]
-    pub const fn long_running_cpu_milli(&self) -> u64 {
-        self.long_running_cpu_milli
-    }
-
-    /// Processor time out of `capacity_milli` that further best-effort runs can use, in
-    /// thousandths of a processor: long-running runs use a part of what they reserve.
-    #[must_use]
-    pub const fn idle_cpu_milli(&self, capacity_milli: u64) -> u64 {
-        let unused_percent = FULL_PERCENT - LONG_RUNNING_USE_PERCENT;
-        let unused = self.long_running_cpu_milli * unused_percent / FULL_PERCENT;
-        let taken = self.used.cpu_milli - unused + self.best_effort_cpu_milli;
-        capacity_milli.saturating_sub(taken)
-    }
-
-    /// Computes the sums over all runs again.
-    fn recount(&mut self) {
-        let (mut used, mut best_effort, mut long_running) = (ResourceVector::default(), 0, 0);
-        for run in self.runs.values() {
-            if run.is_best_effort {
-                best_effort += run.size.cpu_milli;
-            } else if run.is_long_running {
-                long_running += run.size.cpu_milli;
-            }
-            used = used.plus(&run.reserved());
-        }
-        self.used = used;
-        self.best_effort_cpu_milli = best_effort;
-        self.long_running_cpu_milli = long_running;
-    }
 }
