--- a/crates/jobs/src/owner/job_owner/transfers.rs
+++ b/crates/jobs/src/owner/job_owner/transfers.rs
@@ -2,8 +2,8 @@
 //!
 //! A job that has begun keeps its home, where its callers' requests arrive. A long-running
 //! task that has run and finds no worker there is delegated to another cell; if that has none
-//! either, the task returns. Only a task without a run is transferred, and one commit changes the rows of
-//! both cells, so no task is ever in two cells or in none.
+//! either, the task returns. Only a task without a run is transferred, and one commit changes
+//! the rows of both cells, so no task is ever in two cells or in none.
 
 use std::sync::Arc;
 
