--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,8 @@
 //! jobs, cancellations, changes to the list of workers and the responses of workers, and
 //! decides which task starts where. It emits changed state as a [`CommitBatch`], and
 //! releases an [`OwnerEffect`] only after the batch that the effect depends on is stored.
+//! A long-running task that finds no worker in its cell is run by another cell's owner, by a
+//! [`TaskTransfer`].
 //!
 //! The owner's epoch is the fencing token at workers. Runs hold a lease that ends on the
 //! worker's clock, which a [`WorkerClock`] estimates. An assigned task is given to another
