--- a/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
+++ b/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
@@ -162,3 +162,22 @@
     let passed = LeaseBounds::of_all(LIMITS.authority_bound_ms()).after(60_000);
     assert!(!passed.are_none());
 }
+
+/// The leases of earlier owners have ended, and the worker has joined since.
+#[test]
+fn long_running_task_of_a_worker_that_is_new_to_a_later_owner_runs_again_in_time() {
+    let passed = LeaseBounds::of_all(LIMITS.authority_bound_ms()).after(60_000);
+    let mut fixture = owner(passed, vec![worker("w-1", 2_000)]);
+    fixture.answer("w-1", &[], &[]);
+    let mut lasting = step(1, 1_000);
+    lasting.is_long_running = true;
+    fixture.accept(JOB, job_spec(vec![lasting]));
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {TASK}#1 at w-1")]);
+    fixture.started("w-1", TASK, 1, StartOutcome::Accepted);
+    fixture.wait(200);
+    fixture.answer("w-1", &[running(TASK, 1)], &[]);
+    fixture.step();
+    let after = given_up_after(&mut fixture);
+    assert!(after <= RESTART_MS, "given up after {after} ms");
+}
