Keep a forgotten job until the deletion of its rows is stored

Cause: the owner dropped a job from memory when it decided to delete its rows, which the next batch did later. A listing that was read in between, as after a history that the store has dropped, showed a job that the owner did not know, and it was taken for a new one. The same held for the part of another cell's job.

The job now stays, marked as being removed, until the batch that deletes its rows is stored; nothing of it is written meanwhile. From then on the rows in a late listing are older than the deletion, which was checked before.

The new test fails on the code before ("the forgotten job starts again").

--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::owner::JobDeparture;
 use crate::owner::JobPlace;
 use crate::owner::WaitKey;
 use crate::planner::TaskDemand;
@@ -26,9 +27,8 @@
     pub since: MonoTime,
     /// When the job ended; `None` before.
     pub ended: Option<MonoTime>,
-    /// Whether the job is being moved to another cell, so that none of its tasks may start
-    /// here.
-    pub is_moving: bool,
+    /// How the job is leaving the cell; `None` while it stays.
+    pub departure: Option<JobDeparture>,
     /// Where the job has its home.
     pub place: JobPlace,
     /// Tasks that are being transferred to another cell, so that they may not start here.
@@ -52,7 +52,7 @@
             wait_key: None,
             since,
             ended: None,
-            is_moving: false,
+            departure: None,
             place,
             transferring: Vec::new(),
             received: SortedTable::new(),
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -69,6 +69,8 @@
     changed: SortedTable<JobIdentity, ()>,
     /// Ended jobs that the next batch deletes from the store.
     forgotten: Vec<JobIdentity>,
+    /// Ended jobs, of this cell or another, whose deletion is being stored.
+    forgetting: Vec<JobIdentity>,
     /// Jobs that move to another cell with the next batch, and where to.
     leaving: Vec<(JobIdentity, CellNumber)>,
     /// Jobs whose moves are being stored.
@@ -150,6 +152,7 @@
             repeating: Vec::new(),
             changed: SortedTable::new(),
             forgotten: Vec::new(),
+            forgetting: Vec::new(),
             leaving: Vec::new(),
             moving: Vec::new(),
             unplaced: SortedTable::new(),
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -2,6 +2,7 @@
 
 use crate::owner::CommitBatch;
 use crate::owner::DeferredEffect;
+use crate::owner::JobDeparture;
 use crate::owner::JobOwner;
 use crate::owner::QueueCount;
 use crate::progress::JobStanding;
@@ -20,6 +21,9 @@
             let Some(entry) = self.jobs.get(identity) else {
                 continue;
             };
+            if entry.departure == Some(JobDeparture::Removal) {
+                continue;
+            }
             if !entry.place.is_guest() {
                 progress.push((*identity, entry.progress.clone()));
             } else if entry.progress.has_tasks_here() {
@@ -43,6 +47,9 @@
             lease_bounds: self.take_lease_bounds(now),
             is_last: false,
         };
+        self.forgetting.clone_from(&batch.forgotten);
+        let guests = batch.forgotten_guests.iter();
+        self.forgetting.extend(guests.map(|removal| removal.job));
         self.storing = Some(std::mem::take(&mut self.deferred));
         self.sent = now;
         Some(batch)
@@ -50,6 +57,7 @@
 
     /// Records that the latest batch is stored, and releases the effects that waited for it.
     pub fn confirm_batch(&mut self, now: MonoTime, unix_ms: u64) {
+        self.finish_forgetting();
         self.authority = Some(self.sent);
         self.resume_leases(now);
         for effect in self.storing.take().unwrap_or_default() {
--- a/crates/jobs/src/owner/job_owner/expiry.rs
+++ b/crates/jobs/src/owner/job_owner/expiry.rs
@@ -2,7 +2,7 @@
 
 use crate::owner::DecisionEvent;
 use crate::owner::GuestRemoval;
-use crate::owner::JobEntry;
+use crate::owner::JobDeparture;
 use crate::owner::JobOwner;
 use crate::owner::OwnerEffect;
 use crate::owner::RunCause;
@@ -130,7 +130,7 @@
             .jobs
             .iter()
             .filter(|(_, entry)| {
-                let ended = entry.ended;
+                let ended = entry.ended.filter(|_| entry.departure.is_none());
                 ended.is_some_and(|ended| now.millis_since(ended) > retention_ms)
             })
             .map(|(identity, _)| *identity)
@@ -141,25 +141,43 @@
                 .values()
                 .any(|tracked| tracked.runs.keys().any(|task| task.job == identity));
             if !has_runs {
-                self.changed.remove(&identity);
-                if let Some(entry) = self.jobs.remove(&identity) {
-                    self.forget_rows(identity, &entry);
-                }
+                self.forget_job(identity);
             }
         }
     }
 
-    /// Has the rows of a forgotten job deleted. A job of another cell that has not ended has
-    /// none: its tasks have left with them, and may come again.
-    fn forget_rows(&mut self, identity: JobIdentity, entry: &JobEntry) {
+    /// Has the rows of a job deleted. The job stays until that is stored: its rows may be
+    /// listed meanwhile, and would look like those of a new job. A job of another cell that has
+    /// not ended has no rows: its tasks have left with them, and may come again.
+    fn forget_job(&mut self, identity: JobIdentity) {
+        let Some(entry) = self.jobs.get_mut(&identity) else {
+            return;
+        };
+        if entry.place.is_guest() && !entry.progress.standing.is_final() {
+            self.changed.remove(&identity);
+            self.jobs.remove(&identity);
+            return;
+        }
+        entry.departure = Some(JobDeparture::Removal);
         if !entry.place.is_guest() {
             self.forgotten.push(identity);
-        } else if entry.progress.standing.is_final() {
-            let received = entry.received.iter();
-            self.forgotten_guests.push(GuestRemoval {
-                job: identity,
-                received: received.map(|(task, run)| (*task, *run)).collect(),
-            });
+            return;
+        }
+        let received = entry.received.iter();
+        self.forgotten_guests.push(GuestRemoval {
+            job: identity,
+            received: received.map(|(task, run)| (*task, *run)).collect(),
+        });
+    }
+
+    /// Drops the jobs whose rows the latest batch has deleted.
+    pub(super) fn finish_forgetting(&mut self) {
+        for job in std::mem::take(&mut self.forgetting) {
+            let entry = self.jobs.get(&job);
+            if entry.is_some_and(|entry| entry.departure == Some(JobDeparture::Removal)) {
+                self.changed.remove(&job);
+                self.jobs.remove(&job);
+            }
         }
     }
 }
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -102,7 +102,7 @@
         let Some(entry) = self.jobs.get_mut(&identity) else {
             return;
         };
-        if entry.progress.standing.is_final() || entry.is_moving {
+        if entry.progress.standing.is_final() || entry.departure.is_some() {
             return;
         }
         begin_occurrences(entry, unix_ms);
--- a/crates/jobs/src/owner/job_owner/moves.rs
+++ b/crates/jobs/src/owner/job_owner/moves.rs
@@ -3,6 +3,7 @@
 use crate::division::CellChoice;
 use crate::division::JobNeed;
 use crate::owner::DecisionEvent;
+use crate::owner::JobDeparture;
 use crate::owner::JobMove;
 use crate::owner::JobOwner;
 use crate::owner::WaitKey;
@@ -85,7 +86,7 @@
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        entry.is_moving = true;
+        entry.departure = Some(JobDeparture::Move);
         entry.wait_key = None;
         let age_ms = now.millis_since(entry.since);
         self.waiting.remove(key);
@@ -115,7 +116,7 @@
         for job in std::mem::take(&mut self.moving) {
             if refused.contains(&job) {
                 if let Some(entry) = self.jobs.get_mut(&job) {
-                    entry.is_moving = false;
+                    entry.departure = None;
                 }
                 self.refresh_job(job, unix_ms);
                 continue;
--- a/crates/jobs/tests/owner/batches.rs
+++ b/crates/jobs/tests/owner/batches.rs
@@ -121,3 +121,31 @@
     let batch = fixture.owner.take_batch(true, now);
     assert_eq!(batch.expect("the first batch is due").load, None);
 }
+
+/// Guards against a completed job that runs once more: the rows of a job that is being deleted
+/// are listed until the deletion is stored, and would look like those of a new job.
+#[test]
+fn forgotten_job_is_not_taken_for_a_new_one_while_its_deletion_is_stored() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 9_000)]);
+    fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    fixture.store();
+    fixture.started("w-1", TASK, 1, StartOutcome::Accepted);
+    fixture.answer("w-1", &[], &[ended(1, TASK, 1, EndKind::Done)]);
+    fixture.store();
+    fixture.answer("w-1", &[], &[]);
+    fixture.wait(60_001);
+    let batch = fixture.batch().expect("the deletion is to be stored");
+    assert_eq!(batch.forgotten.len(), 1);
+    fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.answer("w-1", &[], &[]);
+    assert!(fixture.step().is_empty(), "the forgotten job starts again");
+    let now = fixture.time();
+    fixture.owner.confirm_batch(now, fixture.now);
+    assert!(fixture.step().is_empty(), "the forgotten job starts again");
+    assert!(
+        fixture.batch().is_none(),
+        "the forgotten job is stored again"
+    );
+    assert_eq!(fixture.owner.counts().0, 0, "jobs that are kept");
+}
