Let events of a job wait while its departure is being stored

The row of its return met a job that was still known and had no effect; then the job was dropped as moved.

Such events now wait in an IntakeGate until the batch is stored, and are handled in their order then; a cancellation is handled at once as well. The same covers tasks that return, or are delegated again, while their transfer is being stored, which had no effect and were then marked as away. A departure is known by the revision of its own commit: that of the batch's last commit also covered the row of a job that came back in between. The rows of a forgotten job go in one commit.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -6,7 +6,7 @@
 //! more processor time claim first. A successful claim is an [`OwnershipClaim`]. An
 //! [`OwnershipTerm`] then drives the cell: it handles [`OwnerEvent`]s, plans starts by a
 //! [`PlanSchedule`], stores batches and each [`LayoutChange`] by [`WriteRequest`]s to a
-//! [`CommitWriter`], and passes effects to an [`EffectDispatcher`], which uses
+//! [`CommitWriter`], which reports each [`RemovedJob`] to the [`IntakeGate`], and passes effects to an [`EffectDispatcher`], which uses
 //! [`WorkerCalls`] on the threads of [`ElasticPool`]s and an [`AdvisorThread`]. A
 //! [`LearntReader`] reads what the owners of other cells have learnt, and a
 //! [`DecisionLogger`] logs the decisions.
@@ -20,6 +20,7 @@
 mod effect_dispatcher;
 mod elastic_pool;
 mod free_cell;
+mod intake_gate;
 mod layout_change;
 mod learnt_reader;
 mod owner_adapters;
@@ -29,6 +30,7 @@
 mod ownership_claim;
 mod ownership_term;
 mod plan_schedule;
+mod removed_job;
 mod run_control;
 mod worker_calls;
 mod write_outcome;
@@ -39,10 +41,12 @@
 pub use claim_delay::ClaimDelay;
 pub use elastic_pool::ElasticPool;
 pub use free_cell::FreeCell;
+pub use intake_gate::IntakeGate;
 pub use owner_adapters::OwnerAdapters;
 pub use owner_election::OwnerElection;
 pub use owner_monitor::OwnerMonitor;
 pub use plan_schedule::PlanSchedule;
+pub use removed_job::RemovedJob;
 
 pub(crate) use advisor_thread::AdvisorThread;
 pub(crate) use commit_writer::CommitWriter;
--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -12,12 +12,14 @@
 use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
 use sapphirestile_jobs::CommitBatch;
+use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::QueueCount;
 
 use crate::context::EntryContext;
 use crate::owner::LayoutChange;
 use crate::owner::OwnerEvent;
 use crate::owner::OwnershipClaim;
+use crate::owner::RemovedJob;
 use crate::owner::WriteOutcome;
 use crate::owner::WriteRequest;
 use crate::owner::commit_writer::batch_rows::BatchRows;
@@ -82,40 +84,48 @@
     fn store(&mut self, batch: &CommitBatch) -> WriteOutcome {
         let mut rows = BatchRows::of(self.claim.cell, batch, &mut self.last_counts);
         let parts = JobPart::all_of(self.claim.cell, batch);
+        let mut removed = Vec::new();
         loop {
-            let (writes, removals) = rows.take_commit();
+            let (writes, removals, forgotten) = rows.take_commit();
             let is_released = batch.is_last && rows.is_empty() && parts.is_empty();
             let outcome = self.store_part((writes, removals, Vec::new()), is_released, batch);
             if outcome != PartOutcome::Stored {
                 return WriteOutcome::Deposed;
             }
+            removed.extend(forgotten.into_iter().map(|job| self.removed_now(job)));
             if rows.is_empty() {
                 break;
             }
         }
-        self.store_job_parts(parts, batch)
+        self.store_job_parts(parts, removed, batch)
     }
 
-    /// Stores the moves and transfers of a batch.
-    fn store_job_parts(&mut self, parts: Vec<JobPart>, batch: &CommitBatch) -> WriteOutcome {
-        let mut removed = batch.forgotten.clone();
+    /// A job that the latest commit has removed.
+    const fn removed_now(&self, job: JobIdentity) -> RemovedJob {
+        let revision = self.claim.revision;
+        RemovedJob { job, revision }
+    }
+
+    /// Stores the moves and transfers of a batch, which has `removed` other jobs before.
+    fn store_job_parts(
+        &mut self,
+        parts: Vec<JobPart>,
+        mut removed: Vec<RemovedJob>,
+        batch: &CommitBatch,
+    ) -> WriteOutcome {
         let mut refused = Vec::new();
         let count = parts.len();
         for (index, part) in parts.into_iter().enumerate() {
             let is_released = batch.is_last && index + 1 == count;
             let rows = (part.writes, part.removals, part.guards);
             match self.store_part(rows, is_released, batch) {
-                PartOutcome::Stored if part.is_move => removed.push(part.job),
+                PartOutcome::Stored if part.is_move => removed.push(self.removed_now(part.job)),
                 PartOutcome::Stored => {}
                 PartOutcome::GuardFailed => refused.push(part.job),
                 PartOutcome::Deposed => return WriteOutcome::Deposed,
             }
         }
-        WriteOutcome::Stored {
-            revision: self.claim.revision,
-            removed,
-            refused,
-        }
+        WriteOutcome::Stored { removed, refused }
     }
 
     /// Stores one guarded commit of a batch, whose rows are its writes, removals and further
--- a/crates/entry/src/owner/commit_writer/batch_rows.rs
+++ b/crates/entry/src/owner/commit_writer/batch_rows.rs
@@ -3,6 +3,7 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_jobs::CommitBatch;
 use sapphirestile_jobs::GuestRemoval;
+use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::QueueCount;
 
 use crate::ports::RowWrite;
@@ -13,9 +14,15 @@
 /// store accepts 32 entries in all.
 const COMMIT_ROWS_MAX: usize = 30;
 
+/// The number of rows of a job that is no longer retained.
+const FORGOTTEN_ROWS: usize = 4;
+
 /// The rows of a batch that are not stored yet.
 pub struct BatchRows {
+    cell: CellNumber,
     writes: Vec<RowWrite>,
+    /// Jobs whose rows are removed, each by one commit.
+    forgotten: Vec<JobIdentity>,
     removals: Vec<String>,
 }
 
@@ -52,14 +59,6 @@
             key: RowKeys::learnt(cell),
             value: RowCodec::encode(learnt),
         }));
-        let removals = batch.forgotten.iter().flat_map(|job| {
-            [
-                RowKeys::spec(cell, job),
-                RowKeys::cancellation(cell, job),
-                RowKeys::progress(cell, job),
-                RowKeys::home(job),
-            ]
-        });
         let absorbed = batch.absorbed.iter();
         let absorbed = absorbed.map(|(task, run)| RowKeys::returned(cell, task, *run));
         let guests = batch
@@ -67,24 +66,41 @@
             .iter()
             .flat_map(|removal| guest_keys(cell, removal));
         Self {
+            cell,
             writes,
-            removals: removals.chain(absorbed).chain(guests).collect(),
+            forgotten: batch.forgotten.clone(),
+            removals: absorbed.chain(guests).collect(),
         }
     }
 
-    /// Takes the writes and removals of the next commit.
-    pub fn take_commit(&mut self) -> (Vec<RowWrite>, Vec<String>) {
-        let writes: Vec<RowWrite> = take_front(&mut self.writes, COMMIT_ROWS_MAX);
-        let removals = take_front(&mut self.removals, COMMIT_ROWS_MAX - writes.len());
-        (writes, removals)
+    /// Takes the writes and removals of the next commit, and the jobs that it forgets.
+    pub fn take_commit(&mut self) -> (Vec<RowWrite>, Vec<String>, Vec<JobIdentity>) {
+        let writes = take_front(&mut self.writes, COMMIT_ROWS_MAX);
+        let left = COMMIT_ROWS_MAX - writes.len();
+        let forgotten = take_front(&mut self.forgotten, left / FORGOTTEN_ROWS);
+        let forgotten_keys = forgotten.iter().flat_map(|job| job_keys(self.cell, job));
+        let mut removals: Vec<String> = forgotten_keys.collect();
+        let left = left - removals.len();
+        removals.extend(take_front(&mut self.removals, left));
+        (writes, removals, forgotten)
     }
 
     /// Whether every row was taken.
     pub const fn is_empty(&self) -> bool {
-        self.writes.is_empty() && self.removals.is_empty()
+        self.writes.is_empty() && self.forgotten.is_empty() && self.removals.is_empty()
     }
 }
 
+/// The keys of the rows of a job.
+fn job_keys(cell: CellNumber, job: &JobIdentity) -> [String; FORGOTTEN_ROWS] {
+    [
+        RowKeys::spec(cell, job),
+        RowKeys::cancellation(cell, job),
+        RowKeys::progress(cell, job),
+        RowKeys::home(job),
+    ]
+}
+
 /// Removes up to `max` items from the front and returns them.
 fn take_front<T>(items: &mut Vec<T>, max: usize) -> Vec<T> {
     let rest = items.split_off(items.len().min(max));
--- a/crates/entry/src/owner/ownership_term.rs
+++ b/crates/entry/src/owner/ownership_term.rs
@@ -15,10 +15,8 @@
 use crossbeam::channel::unbounded;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
-use sapphirestile_core::SortedTable;
 use sapphirestile_jobs::DeployedConfig;
 use sapphirestile_jobs::FleetDivision;
-use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_serving::MonoClock;
 
@@ -26,6 +24,7 @@
 use crate::owner::CommitWriter;
 use crate::owner::DecisionLogger;
 use crate::owner::EffectDispatcher;
+use crate::owner::IntakeGate;
 use crate::owner::LearntReader;
 use crate::owner::OwnerAdapters;
 use crate::owner::OwnerEvent;
@@ -52,9 +51,7 @@
     cells_read: u64,
     /// When an extension of the layout was last proposed.
     layout_proposed: MonoTime,
-    /// For each job that has left the cell, the revision up to which its rows are out of
-    /// date: a listing may have been read before.
-    removed: SortedTable<JobIdentity, u64>,
+    intake: IntakeGate,
     dispatcher: EffectDispatcher,
     events: Receiver<OwnerEvent>,
     requests: Sender<WriteRequest>,
@@ -115,7 +112,7 @@
             division,
             cells_read: 0,
             layout_proposed: claimed,
-            removed: SortedTable::new(),
+            intake: IntakeGate::default(),
             dispatcher: EffectDispatcher::new(adapters, &sender),
             events,
             requests,
--- a/crates/entry/src/owner/ownership_term/event_handlers.rs
+++ b/crates/entry/src/owner/ownership_term/event_handlers.rs
@@ -40,19 +40,15 @@
                     }
                 }
             }
-            OwnerEvent::Stored(WriteOutcome::Stored {
-                revision,
-                removed,
-                refused,
-            }) => {
+            OwnerEvent::Stored(WriteOutcome::Stored { removed, refused }) => {
                 let took_ms = self.schedule.since_batch_ms(now);
                 let took = Duration::from_millis(took_ms);
                 self.context.metrics.observe_batch(took);
                 self.owner.confirm_batch(now, unix_ms);
                 self.owner.finish_moves(&refused, unix_ms);
                 self.owner.finish_transfers(&refused, now, unix_ms);
-                for job in removed {
-                    self.removed.insert(job, revision);
+                for event in self.intake.finish_departures(&removed) {
+                    self.handle_intake(event);
                 }
             }
             OwnerEvent::Learnt(others) => self.owner.merge_learnt(&others),
@@ -89,18 +85,15 @@
     }
 
     fn handle_intake(&mut self, event: IntakeEvent) {
+        let is_departing = self.owner.is_departing(&event.job());
+        let Some(event) = self.intake.admit(event, is_departing) else {
+            return;
+        };
         let now = self.context.clock.now();
         let unix_ms = MonoClock::unix_millis();
         match event {
-            IntakeEvent::Submitted {
-                identity,
-                spec,
-                revision,
-            } => {
-                let removed = self.removed.get(&identity).copied().unwrap_or(0);
-                if revision > removed {
-                    self.owner.accept_job(identity, spec, now, unix_ms);
-                }
+            IntakeEvent::Submitted { identity, spec, .. } => {
+                self.owner.accept_job(identity, spec, now, unix_ms);
             }
             IntakeEvent::Cancelled(identity) => self.owner.cancel_job(identity, now),
             IntakeEvent::Delegated(task) => self.owner.receive_task(*task, now, unix_ms),
--- /dev/null
+++ b/crates/entry/src/owner/removed_job.rs
@@ -0,0 +1,13 @@
+//! A job whose rows a batch has removed from the cell.
+
+use sapphirestile_jobs::JobIdentity;
+
+/// A job whose rows a batch has removed from the cell, because it has moved to another one or
+/// is no longer retained.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RemovedJob {
+    /// The job.
+    pub job: JobIdentity,
+    /// The revision of the removal: rows of the job up to it are out of date.
+    pub revision: u64,
+}
--- a/crates/entry/src/owner/write_outcome.rs
+++ b/crates/entry/src/owner/write_outcome.rs
@@ -2,16 +2,15 @@
 
 use sapphirestile_jobs::JobIdentity;
 
+use crate::owner::RemovedJob;
+
 /// Outcome of storing a batch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
     /// The batch is stored.
     Stored {
-        /// The revision of its last write: intake rows up to it that name a job which the
-        /// batch removed are out of date.
-        revision: u64,
         /// The jobs that the batch removed from the cell.
-        removed: Vec<JobIdentity>,
+        removed: Vec<RemovedJob>,
         /// The jobs that did not move, or whose tasks were not transferred, because they were
         /// cancelled.
         refused: Vec<JobIdentity>,
--- a/crates/entry/src/store/intake_event.rs
+++ b/crates/entry/src/store/intake_event.rs
@@ -26,6 +26,16 @@
 }
 
 impl IntakeEvent {
+    /// The job that the event is about.
+    #[must_use]
+    pub const fn job(&self) -> JobIdentity {
+        match self {
+            Self::Submitted { identity, .. } | Self::Cancelled(identity) => *identity,
+            Self::Delegated(delegated) => delegated.task.job,
+            Self::Returned(returned) => returned.task.job,
+        }
+    }
+
     /// Whether the event ends a job. Nothing that was stored before it may be handled after.
     #[must_use]
     pub const fn is_cancellation(&self) -> bool {
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -6,6 +6,7 @@
 use crate::owner::JobOwner;
 use crate::owner::QueueCount;
 use crate::progress::JobStanding;
+use crate::spec::JobIdentity;
 use sapphirestile_core::MonoTime;
 
 impl JobOwner {
@@ -94,6 +95,16 @@
             || !self.forgotten_guests.is_empty()
     }
 
+    /// Whether the batch that is being stored takes the job, or some of its tasks, out of the
+    /// cell. What the store says of the job meanwhile may be older than that or newer.
+    #[must_use]
+    pub fn is_departing(&self, job: &JobIdentity) -> bool {
+        let mut transfers = self.storing_transfers.iter();
+        self.moving.contains(job)
+            || self.forgetting.contains(job)
+            || transfers.any(|transfer| transfer.task().job == *job)
+    }
+
     /// Whether a batch is being stored.
     #[must_use]
     pub const fn is_storing(&self) -> bool {
--- a/crates/jobs/tests/owner/batches.rs
+++ b/crates/jobs/tests/owner/batches.rs
@@ -137,6 +137,7 @@
     fixture.wait(60_001);
     let batch = fixture.batch().expect("the deletion is to be stored");
     assert_eq!(batch.forgotten.len(), 1);
+    assert!(fixture.owner.is_departing(&batch.forgotten[0]));
     fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
     fixture.answer("w-1", &[], &[]);
     assert!(fixture.step().is_empty(), "the forgotten job starts again");
--- a/crates/jobs/tests/owner/moves.rs
+++ b/crates/jobs/tests/owner/moves.rs
@@ -75,7 +75,9 @@
     let mut fixture = full_cell();
     fixture.now += 400;
     plan_moves(&mut fixture);
+    assert!(!fixture.owner.is_departing(&identity(WAITING)));
     fixture.batch().expect("a move is to be stored");
+    assert!(fixture.owner.is_departing(&identity(WAITING)));
     fixture.owner.replace_workers(
         vec![worker("w-1", 2_000), worker("w-2", 4_000)],
         fixture.time(),
@@ -89,6 +91,7 @@
     fixture.step();
     let starts = fixture.store();
     assert_eq!(starts, [format!("start {RUNNING}.0.0.2#1 at w-2")]);
+    assert!(!fixture.owner.is_departing(&identity(WAITING)));
     assert_eq!(fixture.owner.counts().0, 1);
 }
 
--- a/crates/jobs/tests/owner/transfers.rs
+++ b/crates/jobs/tests/owner/transfers.rs
@@ -145,7 +145,9 @@
     let mut home = home_without_room();
     let delegated = delegate(&mut home);
     assert!(delegated.run > 1, "later than every run at home");
+    assert!(home.owner.is_departing(&identity()));
     finish(&mut home, &[]);
+    assert!(!home.owner.is_departing(&identity()));
     let mut host = host();
     receive(&mut host, &delegated);
     host.step();
