Count a job as waiting until a worker has begun a run of it

Cause: a job counted as begun when a task of it was assigned, and stayed so when the start was refused, got no answer, or was never sent. The field also said whether anything of the job may be running, for moves between cells and for its urgency.

A job now begins when a worker accepts a start, shows a run or lists an end. Moves and urgency ask whether a run was ever assigned. The record of the begin goes with the next batch and causes none. A task that goes to another cell makes its job count as begun, since the home does not learn when it starts.

waiting_jobs_are_counted_by_queue expected the fault: it took a job for begun because it was assigned. It now checks the count before and after the start is accepted. The fixture's batch() stores a batch at once that only says which jobs have begun, as it does one that only changes bounds on leases; any changed task and any end is still returned.

--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -7,7 +7,6 @@
 use crate::owner::WaitKey;
 use crate::planner::TaskDemand;
 use crate::progress::JobProgress;
-use crate::progress::JobStanding;
 use crate::progress::TaskStage;
 use crate::spec::JobSpec;
 use crate::spec::TaskIdentity;
@@ -59,11 +58,12 @@
         }
     }
 
-    /// Whether a task of a job that has begun waits here for a worker.
+    /// Whether a task that was assigned before waits here for a worker, so that its job can
+    /// leave the cell no more.
     pub fn has_waiting(&self, task: &TaskIdentity) -> bool {
-        let stage = self.progress.task(task).map(|progress| &progress.stage);
-        self.progress.standing == JobStanding::Running
-            && stage == Some(&TaskStage::Waiting)
+        let progress = self.progress.task(task);
+        !self.progress.standing.is_final()
+            && progress.is_some_and(|task| task.stage == TaskStage::Waiting && task.run > 0)
             && !self.transferring.contains(task)
     }
 
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -67,6 +67,9 @@
     repeating: Vec<JobIdentity>,
     /// Jobs whose progress changed since the latest batch.
     changed: SortedTable<JobIdentity, ()>,
+    /// Jobs that have begun since the latest batch. Their records go with the next one, which
+    /// is not sent for them alone.
+    begun: SortedTable<JobIdentity, ()>,
     /// Ended jobs that the next batch deletes from the store.
     forgotten: Vec<JobIdentity>,
     /// Ended jobs, of this cell or another, whose deletion is being stored.
@@ -151,6 +154,7 @@
             waiting: SortedTable::new(),
             repeating: Vec::new(),
             changed: SortedTable::new(),
+            begun: SortedTable::new(),
             forgotten: Vec::new(),
             forgetting: Vec::new(),
             leaving: Vec::new(),
--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -7,7 +7,6 @@
 use crate::planner::TaskDemand;
 use crate::planner::WorkerScorer;
 use crate::progress::Assignment;
-use crate::progress::JobStanding;
 use crate::progress::TaskStage;
 use crate::spec::StepSpec;
 use crate::worker::RunEntry;
@@ -94,9 +93,6 @@
         let Some(entry) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        if entry.progress.standing == JobStanding::Waiting {
-            entry.progress.standing = JobStanding::Running;
-        }
         let Some(progress) = entry.progress.task_mut(&task) else {
             return;
         };
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -16,7 +16,10 @@
         if self.storing.is_some() || (!self.has_changes() && !is_due) {
             return None;
         }
-        let changed = std::mem::take(&mut self.changed);
+        let mut changed = std::mem::take(&mut self.changed);
+        for identity in std::mem::take(&mut self.begun).keys() {
+            changed.insert(*identity, ());
+        }
         let (mut progress, mut guests) = (Vec::new(), Vec::new());
         for identity in changed.keys() {
             let Some(entry) = self.jobs.get(identity) else {
--- a/crates/jobs/src/owner/job_owner/moves.rs
+++ b/crates/jobs/src/owner/job_owner/moves.rs
@@ -7,7 +7,6 @@
 use crate::owner::JobMove;
 use crate::owner::JobOwner;
 use crate::owner::WaitKey;
-use crate::progress::JobStanding;
 use crate::spec::JobIdentity;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
@@ -61,7 +60,7 @@
                 continue;
             };
             let waited_ms = now.millis_since(entry.since);
-            if entry.progress.standing != JobStanding::Waiting || waited_ms < MOVE_AFTER_MS {
+            if waited_ms < MOVE_AFTER_MS || !entry.progress.is_untouched() {
                 continue;
             }
             let service = self.service_of(&entry.spec.queue, &entry.spec.terms.service);
--- a/crates/jobs/src/owner/job_owner/requests.rs
+++ b/crates/jobs/src/owner/job_owner/requests.rs
@@ -96,9 +96,14 @@
             return;
         };
         let is_starting = run.state == RunState::Starting;
+        if outcome == StartOutcome::Accepted {
+            if is_starting {
+                run.state = RunState::Running { poll };
+            }
+            self.note_begun(&task.job);
+            return;
+        }
         match outcome {
-            StartOutcome::Accepted if is_starting => run.state = RunState::Running { poll },
-            StartOutcome::Accepted => {}
             StartOutcome::Unknown => {
                 self.record_worker_failure(worker, now);
                 if is_starting {
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -125,6 +125,10 @@
         if tracked.known.is_some_and(|known| known.has_stored(ended)) {
             return;
         }
+        self.note_begun(&ended.task.job);
+        let Some(tracked) = self.workers.get_mut(name) else {
+            return;
+        };
         let known = tracked.runs.get(&ended.task);
         if known.is_none_or(|run| run.run != ended.run) {
             match ended.kind {
@@ -181,6 +185,7 @@
             run.state = RunState::Running { poll: number };
             run.pace_percent = running.pace_percent;
         }
+        self.note_begun(&running.task.job);
         self.store_checkpoint(&running.task, running.run, &running.checkpoint);
         let job = self.jobs.get(&running.task.job);
         let is_active = job.is_some_and(|entry| !entry.progress.standing.is_final());
--- a/crates/jobs/src/owner/job_owner/results.rs
+++ b/crates/jobs/src/owner/job_owner/results.rs
@@ -80,6 +80,18 @@
         }
     }
 
+    /// Records that a worker has begun a run of a job. An assignment does not show that: the
+    /// start may be refused, or not be sent.
+    pub(super) fn note_begun(&mut self, job: &JobIdentity) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        if entry.progress.standing == JobStanding::Waiting {
+            entry.progress.standing = JobStanding::Running;
+            self.begun.insert(*job, ());
+        }
+    }
+
     /// Records that an earlier run of a task completed, which was considered lost or has a
     /// copy: the task is done, and its other runs are stopped.
     pub(super) fn finish_by_earlier_run(
--- a/crates/jobs/src/owner/job_owner/spreading.rs
+++ b/crates/jobs/src/owner/job_owner/spreading.rs
@@ -6,7 +6,6 @@
 
 use crate::owner::JobEntry;
 use crate::owner::JobOwner;
-use crate::progress::JobStanding;
 use sapphirestile_core::MonoTime;
 
 /// Share of a cell's processor time that long-running tasks may reserve before further jobs
@@ -29,10 +28,8 @@
         now: MonoTime,
         unix_ms: u64,
     ) -> bool {
-        if self.cells <= 1
-            || entry.progress.standing != JobStanding::Waiting
-            || !entry.spec.is_long_running()
-        {
+        let is_untouched = entry.progress.is_untouched();
+        if self.cells <= 1 || !is_untouched || !entry.spec.is_long_running() {
             return false;
         }
         let accepted_ms = unix_ms.saturating_sub(entry.spec.accepted_unix_ms);
--- a/crates/jobs/src/owner/job_owner/transfers.rs
+++ b/crates/jobs/src/owner/job_owner/transfers.rs
@@ -16,6 +16,7 @@
 use crate::owner::ReturnedTask;
 use crate::owner::TaskTransfer;
 use crate::progress::JobProgress;
+use crate::progress::JobStanding;
 use crate::progress::TaskStage;
 use crate::spec::JobIdentity;
 use crate::spec::TaskIdentity;
@@ -233,8 +234,12 @@
     }
 }
 
-/// Records in the progress of a job that a task has left.
+/// Records in the progress of a job that a task has left. The job counts as begun: this cell
+/// does not learn when the task starts in the other one.
 fn apply_transfer(progress: &mut JobProgress, transfer: &TaskTransfer) {
+    if progress.standing == JobStanding::Waiting {
+        progress.standing = JobStanding::Running;
+    }
     if let Some(task) = progress.task_mut(&transfer.task()) {
         task.stage = TaskStage::Elsewhere(transfer.target());
         task.run = transfer.run();
--- a/crates/jobs/src/planner/job_urgency.rs
+++ b/crates/jobs/src/planner/job_urgency.rs
@@ -4,7 +4,6 @@
 use crate::planner::UrgencyClass;
 use crate::policy::QueuePolicy;
 use crate::progress::JobProgress;
-use crate::progress::JobStanding;
 use crate::spec::JobSpec;
 
 /// A job that takes longer than this multiple of its objective has no value any more.
@@ -55,7 +54,7 @@
             UrgencyClass::Useless
         } else if end_ms > objective_ms {
             UrgencyClass::Late
-        } else if progress.standing == JobStanding::Waiting {
+        } else if progress.is_untouched() {
             UrgencyClass::OnTime
         } else {
             UrgencyClass::StartedOnTime
--- a/crates/jobs/src/progress/job_progress.rs
+++ b/crates/jobs/src/progress/job_progress.rs
@@ -36,6 +36,16 @@
             .get(task.index as usize)
     }
 
+    /// Whether no run of the job was ever assigned to a worker, so that nothing of it can be
+    /// running. A job whose starts were all refused has not begun, and is not untouched.
+    #[must_use]
+    pub fn is_untouched(&self) -> bool {
+        let occurrences = self.occurrences.iter();
+        let steps = occurrences.flat_map(|occurrence| &occurrence.steps);
+        let mut tasks = steps.flat_map(|step| &step.tasks);
+        self.standing == JobStanding::Waiting && tasks.all(|task| task.run == 0)
+    }
+
     /// Progress of a job of another cell, of which no task is here.
     #[must_use]
     pub fn of_guest(spec: &JobSpec) -> Self {
--- a/crates/jobs/src/progress/job_standing.rs
+++ b/crates/jobs/src/progress/job_standing.rs
@@ -6,7 +6,7 @@
 /// Status of a job, as callers see it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobStanding {
-    /// No task has started yet.
+    /// No task has started yet, though one may be assigned to a worker.
     #[default]
     Waiting,
     /// A task has started.
--- a/crates/jobs/tests/owner/batches.rs
+++ b/crates/jobs/tests/owner/batches.rs
@@ -5,10 +5,13 @@
 use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::RepeatRule;
 use sapphirestile_jobs::StartOutcome;
+use sapphirestile_jobs::StopOutcome;
 
 use crate::owner_fixture::OwnerFixture;
 use crate::test_values::ended;
 use crate::test_values::job_spec;
+use crate::test_values::long_running_job;
+use crate::test_values::running;
 use crate::test_values::step;
 use crate::test_values::worker;
 
@@ -69,12 +72,77 @@
     fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
     fixture.accept("bbbbbbbbbbbbbbbb", job_spec(vec![step(1, 1_000)]));
     fixture.step();
-    let batch = fixture.batch().unwrap();
-    assert_eq!(batch.counts.len(), 1);
-    assert_eq!(
-        (&*batch.counts[0].queue, batch.counts[0].waiting),
-        ("charts", 1)
-    );
+    assert_eq!(counts(&mut fixture), [("charts".to_owned(), 2)]);
+    fixture.step();
+    fixture.started("w-1", TASK, 1, StartOutcome::Accepted);
+    assert_eq!(counts(&mut fixture), [("charts".to_owned(), 1)]);
+}
+
+/// Stores the next batch, and returns its counts of waiting jobs by queue.
+fn counts(fixture: &mut OwnerFixture) -> Vec<(String, u32)> {
+    let now = fixture.time();
+    let batch = fixture.owner.take_batch(true, now);
+    let counts = batch.expect("a batch is due").counts;
+    fixture.owner.confirm_batch(now, fixture.now);
+    let counts = counts.iter();
+    counts
+        .map(|count| (count.queue.to_string(), count.waiting))
+        .collect()
+}
+
+/// Guards against jobs that are not counted as waiting though no task has started: they were
+/// counted as begun when they were assigned, and stayed so when the start was refused.
+#[test]
+fn job_whose_start_is_refused_is_still_counted_as_waiting() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 1_000)]);
+    fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    fixture.store();
+    fixture.started("w-1", TASK, 1, StartOutcome::Unhealthy);
+    assert_eq!(counts(&mut fixture), [("charts".to_owned(), 1)]);
+}
+
+/// Guards against the same by a start that gets no answer, and is not shown by the worker.
+#[test]
+fn job_whose_start_was_lost_is_still_counted_as_waiting() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 1_000)]);
+    fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    fixture.store();
+    fixture.started("w-1", TASK, 1, StartOutcome::Unknown);
+    fixture.stopped("w-1", TASK, 1, StopOutcome::Accepted);
+    fixture.answer("w-1", &[], &[]);
+    fixture.wait(10);
+    fixture.answer("w-1", &[], &[]);
+    assert_eq!(counts(&mut fixture), [("charts".to_owned(), 1)]);
+}
+
+/// The owner may die between an assignment and the start.
+#[test]
+fn new_owner_counts_an_assigned_job_as_waiting_until_its_worker_shows_the_run() {
+    let mut fixture = OwnerFixture::claimed(vec![worker("w-1", 1_000)]);
+    let mut stored = long_running_job(JOB, 1);
+    stored.progress.as_mut().unwrap().standing = JobStanding::Waiting;
+    let now = fixture.time();
+    fixture.owner.restore_job(stored, now, fixture.now);
+    assert_eq!(counts(&mut fixture), [("charts".to_owned(), 1)]);
+    fixture.step();
+    fixture.answer("w-1", &[running(TASK, 4)], &[]);
+    assert_eq!(counts(&mut fixture), []);
+}
+
+/// The start is not stored by a batch of its own, as that would be one more call for each job.
+#[test]
+fn begun_job_is_stored_with_the_next_batch() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 1_000)]);
+    fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    fixture.store();
+    fixture.started("w-1", TASK, 1, StartOutcome::Accepted);
+    assert!(!fixture.owner.has_changes());
+    let now = fixture.time();
+    let batch = fixture.owner.take_batch(true, now).expect("a batch is due");
+    assert_eq!(batch.progress[0].1.standing, JobStanding::Running);
 }
 
 #[test]
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -13,6 +13,7 @@
 use sapphirestile_jobs::EndedRun;
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobOwner;
+use sapphirestile_jobs::JobProgress;
 use sapphirestile_jobs::JobSpec;
 use sapphirestile_jobs::JobStanding;
 use sapphirestile_jobs::LeaseBounds;
@@ -51,6 +52,8 @@
     pub advice_request: Option<AdviceRequest>,
     /// Latest poll of each worker.
     polls: SortedTable<WorkerName, PollRequest>,
+    /// Progress of each job in the latest batch that had it.
+    progress: SortedTable<JobIdentity, JobProgress>,
 }
 
 impl OwnerFixture {
@@ -95,6 +98,7 @@
             now,
             advice_request: None,
             polls: SortedTable::new(),
+            progress: SortedTable::new(),
         };
         fixture.step();
         fixture
@@ -174,13 +178,15 @@
     }
 
     /// Takes the changes to be stored; `None` if there are none or a batch is being stored. A
-    /// batch that changes no job, only the bounds on leases, is stored at once.
+    /// batch that changes no task and ends no job, only the bounds on leases and which jobs have
+    /// begun, is stored at once.
     pub fn batch(&mut self) -> Option<CommitBatch> {
         let now = self.time();
         let batch = self.owner.take_batch(false, now)?;
         let changes_guest = !batch.guests.is_empty() || !batch.transfers.is_empty();
         let changes_job =
-            !batch.progress.is_empty() || !batch.forgotten.is_empty() || !batch.moves.is_empty();
+            self.changes_task(&batch) || !batch.forgotten.is_empty() || !batch.moves.is_empty();
+        self.record_progress(&batch);
         if !changes_job && !changes_guest && batch.revoked.is_empty() {
             self.owner.confirm_batch(now, self.now);
             return None;
@@ -188,12 +194,27 @@
         Some(batch)
     }
 
+    /// Whether a batch changes a task or ends a job.
+    fn changes_task(&self, batch: &CommitBatch) -> bool {
+        batch.progress.iter().any(|(job, progress)| {
+            let before = self.progress.get(job);
+            progress.standing.is_final()
+                || before.is_none_or(|before| before.occurrences != progress.occurrences)
+        })
+    }
+
+    fn record_progress(&mut self, batch: &CommitBatch) {
+        for (job, progress) in &batch.progress {
+            self.progress.insert(*job, progress.clone());
+        }
+    }
+
     /// Stores the pending batch, and returns the effects that this releases.
     pub fn store(&mut self) -> Vec<String> {
         let now = self.time();
         let batch = self.owner.take_batch(false, now);
-        batch.expect("there is a batch to store");
-        let now = self.time();
+        let batch = batch.expect("there is a batch to store");
+        self.record_progress(&batch);
         self.owner.confirm_batch(now, self.now);
         self.step()
     }
