Send starts and leases only to the incarnation that they are meant for

Cause: an order names its worker, and a worker keeps its name when it restarts. Its next incarnation has seen no epoch and no stop, and its clock begins anew, so it carries out a start that was given up long ago, and takes the end of a lease on the earlier clock for one that is far ahead. Starts went out on any pooled or new connection; leases of polls on a new one too. The fault simulation had assumed that a late start ends with its worker, which the code did not ensure.

Orders now go out on connections on which the worker has said which incarnation it is, and a start only to its own; a connection ends with the process that accepted it. A poll carries a lease and a number of ends only on such a connection. A stop says which incarnation has accepted it, and is sent to the next one before the task is given back.

The specification has restarts in place with clocks that begin anew, and a mutation, starts on any connection, that breaks "a task runs on one worker at most". The mutation in which another worker's answer ends an unanswered start no longer broke anything, as the start is lost with its process now; it is kept as a second line and tried together with starts on any connection.

--- a/crates/jobs/src/owner/job_owner/requests.rs
+++ b/crates/jobs/src/owner/job_owner/requests.rs
@@ -65,9 +65,11 @@
         run.state = RunState::Starting;
         run.since = now;
         tracked.grant_lease(lease_end_ms);
+        let incarnation = tracked.incarnation();
         self.effects.push(OwnerEffect::Start(StartRequest {
             worker: worker.clone(),
             address,
+            incarnation,
             epoch: self.epoch,
             task: *task,
             run: number,
@@ -172,7 +174,9 @@
             return;
         }
         match outcome {
-            StopOutcome::Accepted => run.state = RunState::Stopping { poll },
+            StopOutcome::Accepted(incarnation) => {
+                run.state = RunState::Stopping { poll, incarnation };
+            }
             _ => run.stop_retry_at = now.plus_millis(STOP_RETRY_MS),
         }
     }
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -17,6 +17,7 @@
 use crate::worker::RunState;
 use crate::worker::RunningRun;
 use crate::worker::WorkerClock;
+use crate::worker::WorkerIncarnation;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
@@ -44,6 +45,7 @@
         for running in &response.running {
             self.apply_running(name, number, running, now);
         }
+        self.stop_again_after_restart(name, response.incarnation, now);
         self.finish_missing(name, number, response, now, unix_ms);
         self.adapt_paces(name, now);
         let has_authority = self.lease_ms(now).is_some();
@@ -194,6 +196,27 @@
         }
     }
 
+    /// Has runs stopped again that only an earlier incarnation was told to stop: a start that
+    /// was sent before may still reach this one, which would accept it.
+    fn stop_again_after_restart(
+        &mut self,
+        name: &WorkerName,
+        current: WorkerIncarnation,
+        now: MonoTime,
+    ) {
+        let Some(tracked) = self.workers.get_mut(name) else {
+            return;
+        };
+        for (_, run) in tracked.runs.iter_mut() {
+            if let RunState::Stopping { incarnation, .. } = run.state
+                && incarnation != current
+            {
+                run.state = RunState::StopPending;
+                run.stop_retry_at = now;
+            }
+        }
+    }
+
     /// Finishes the runs that the response must list if they existed, and does not. A response
     /// that leaves ends out need not list any run.
     fn finish_missing(
@@ -223,7 +246,7 @@
             .runs
             .iter()
             .filter(|(_, run)| match run.state {
-                RunState::Running { poll } | RunState::Stopping { poll } => number > poll,
+                RunState::Running { poll } | RunState::Stopping { poll, .. } => number > poll,
                 RunState::Inherited => true,
                 _ => false,
             })
--- a/crates/jobs/src/owner/poll_request.rs
+++ b/crates/jobs/src/owner/poll_request.rs
@@ -18,8 +18,8 @@
     pub epoch: CellEpoch,
     /// Number of the poll, which rises with each poll of the worker.
     pub number: u64,
-    /// End of the lease of all runs, on the worker's clock in milliseconds; `None` to leave
-    /// the lease as it is.
+    /// End of the lease of all runs, on the clock of the incarnation in `stored_end`, in
+    /// milliseconds, and for no other one; `None` to leave the lease as it is.
     pub lease_end_ms: Option<u64>,
     /// The incarnation named there may drop ends of runs up to this position, which are stored;
     /// `None` if it is not known which incarnation will be reached.
--- a/crates/jobs/src/owner/start_request.rs
+++ b/crates/jobs/src/owner/start_request.rs
@@ -8,6 +8,7 @@
 
 use crate::spec::JobSpec;
 use crate::spec::TaskIdentity;
+use crate::worker::WorkerIncarnation;
 
 /// Starts a run on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,6 +17,9 @@
     pub worker: WorkerName,
     /// Network address of the worker.
     pub address: SocketAddr,
+    /// Incarnation that the request is meant for, whose clock the lease refers to. No other
+    /// may get it.
+    pub incarnation: WorkerIncarnation,
     /// Epoch of the owner, as fencing token.
     pub epoch: CellEpoch,
     /// Task that the run executes.
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -110,7 +110,7 @@
     #[must_use]
     pub fn is_covered_by(&self, poll_number: u64, incarnation: WorkerIncarnation) -> bool {
         let was_known = match self.state {
-            RunState::Running { poll } | RunState::Stopping { poll } => poll_number > poll,
+            RunState::Running { poll } | RunState::Stopping { poll, .. } => poll_number > poll,
             RunState::Inherited => true,
             RunState::Planned | RunState::Starting | RunState::StopPending => false,
         };
--- a/crates/jobs/src/worker/run_state.rs
+++ b/crates/jobs/src/worker/run_state.rs
@@ -1,5 +1,7 @@
 //! State of a run on a worker.
 
+use crate::worker::WorkerIncarnation;
+
 /// State of a run on a worker, as far as the owner knows. `poll` is the number of the
 /// owner's latest poll of that worker at the time of the change: only responses to later
 /// polls are guaranteed to reflect it.
@@ -18,10 +20,12 @@
     Inherited,
     /// The run is to be stopped, and the worker has not accepted a stop request.
     StopPending,
-    /// The worker has accepted the stop request. A response to a poll after `poll` that
-    /// does not list the run proves that it has ended.
+    /// The worker has accepted the stop request. A response of the same incarnation to a poll
+    /// after `poll` that does not list the run proves that it has ended.
     Stopping {
         /// Number of the latest poll that had been sent when the state changed.
         poll: u64,
+        /// Incarnation that has accepted the request.
+        incarnation: WorkerIncarnation,
     },
 }
--- a/crates/jobs/src/worker/start_outcome.rs
+++ b/crates/jobs/src/worker/start_outcome.rs
@@ -17,7 +17,7 @@
     Refused,
     /// The worker has seen an owner with a higher epoch; nothing started.
     Fenced,
-    /// The request did not reach the worker; nothing started.
+    /// The request did not reach the incarnation that it was meant for; nothing started.
     Unsent,
     /// There was no response: the run may start now, later or never.
     Unknown,
--- a/crates/jobs/tests/fault_simulation/fake_worker.rs
+++ b/crates/jobs/tests/fault_simulation/fake_worker.rs
@@ -22,7 +22,7 @@
 use crate::fake_end::FakeEnd;
 
 /// Longest lease that a worker accepts, in milliseconds.
-const LEASE_MAX_MS: u64 = 6_000;
+pub const LEASE_MAX_MS: u64 = 6_000;
 
 /// Most ends in a response. It is low, so that the runs of the simulation exceed it.
 const ENDS_PER_RESPONSE_MAX: usize = 2;
@@ -44,6 +44,11 @@
     pub incarnation: u64,
     pub started_at: u64,
     pub clock_lag_percent: u64,
+    /// Longest lease that the worker accepts, in milliseconds.
+    pub lease_max_ms: u64,
+    /// The incarnation that the list of workers still shows, and until when; `None` if it shows
+    /// the present one.
+    pub listed_before: Option<(u64, u64)>,
     pub partitioned_until: u64,
     /// The only daemon that can reach the worker, and until when; `None` if all can.
     pub reachable_from: Option<(usize, u64)>,
@@ -71,6 +76,8 @@
             incarnation: 1,
             started_at: 0,
             clock_lag_percent,
+            lease_max_ms: LEASE_MAX_MS,
+            listed_before: None,
             partitioned_until: 0,
             reachable_from: None,
             down_until: 0,
@@ -98,11 +105,29 @@
             partitioned_until: self.partitioned_until,
             reachable_from: self.reachable_from,
             down_until: now + down_ms,
+            lease_max_ms: self.lease_max_ms,
             unlisted: now..now + down_ms,
             ..restarted
         };
     }
 
+    /// Restarts as a new incarnation within a few heartbeats: the list of workers shows no gap,
+    /// and the earlier incarnation until the new one has written its entry.
+    pub fn restart(&mut self, now: u64, down_ms: u64, listed_ms: u64) {
+        let earlier = self.incarnation;
+        self.crash(now, down_ms);
+        self.unlisted = 0..0;
+        self.listed_before = Some((earlier, now + down_ms + listed_ms));
+    }
+
+    /// Incarnation that the list of workers shows.
+    pub fn listed_incarnation(&self, now: u64) -> u64 {
+        match self.listed_before {
+            Some((earlier, until)) if now < until => earlier,
+            _ => self.incarnation,
+        }
+    }
+
     /// Ends for good. The entry of the worker stays in the list for a while.
     pub fn die(&mut self, now: u64, listed_ms: u64) {
         let incarnation = self.incarnation;
@@ -168,7 +193,7 @@
     }
 
     fn extend_lease(&mut self, end_ms: u64, now: u64) {
-        let end_max = self.clock(now) + LEASE_MAX_MS;
+        let end_max = self.clock(now) + self.lease_max_ms;
         self.lease_end = self.lease_end.max(end_ms.min(end_max));
     }
 
@@ -207,7 +232,7 @@
         {
             self.end(request.task, request.run, EndKind::Stopped, now);
         }
-        StopOutcome::Accepted
+        StopOutcome::Accepted(WorkerIncarnation::from_unix_ms(self.incarnation))
     }
 
     /// Handles a poll. Also returns the acknowledged ends, which the worker drops.
@@ -215,14 +240,14 @@
         if self.is_fenced(request.epoch.get()) {
             return (PollOutcome::Fenced, Vec::new());
         }
-        if let Some(end_ms) = request.lease_end_ms {
-            self.extend_lease(end_ms, now);
-        }
-        // A number is sent on a connection, which belongs to one incarnation.
+        // A lease and a number are sent on a connection, which belongs to one incarnation.
         let own_incarnation = WorkerIncarnation::from_unix_ms(self.incarnation);
         let own_end = request
             .stored_end
             .filter(|end| end.incarnation == own_incarnation);
+        if let Some(end_ms) = request.lease_end_ms.filter(|_| own_end.is_some()) {
+            self.extend_lease(end_ms, now);
+        }
         let stored_end = own_end.map_or(0, |end| end.number);
         let (acknowledged, kept) = std::mem::take(&mut self.ended)
             .into_iter()
--- a/crates/jobs/tests/fault_simulation/main.rs
+++ b/crates/jobs/tests/fault_simulation/main.rs
@@ -4,7 +4,8 @@
 //! A [`Simulation`] runs real owners against a [`FakeStore`] and [`FakeWorker`]s that
 //! follow the platform's protocol. Requests and responses are lost or delayed; workers are
 //! partitioned, crash and restart; owners pause, crash and are replaced; the store becomes
-//! unavailable. Some cases lose workers for good, owners in a row, or a whole zone.
+//! unavailable. Some cases lose workers for good, owners in a row, or a whole zone, or cut
+//! workers off soon after they have restarted.
 //! Invariants are asserted as events are handled.
 
 mod fake_end;
@@ -39,6 +40,7 @@
 #[test_case(9; "several owners in a row and workers that die within a lease")]
 #[test_case(10; "an owner that is cut off together with workers")]
 #[test_case(11; "workers that die after their first response to a new owner, which dies too")]
+#[test_case(12; "workers that restart under their names and are cut off soon after")]
 fn every_job_ends_and_no_task_runs_twice(faults: u32) {
     for seed in 0..SEEDS {
         let mut simulation = Simulation::new(seed, faults);
--- a/crates/jobs/tests/fault_simulation/planned_loss.rs
+++ b/crates/jobs/tests/fault_simulation/planned_loss.rs
@@ -11,6 +11,8 @@
     Owner { epoch: u64 },
     /// A worker with a long-running task dies.
     AnyWorker,
+    /// The worker is cut off for a while.
+    Cut { name: WorkerName },
     /// The worker dies.
     Worker { name: WorkerName },
     /// A worker with another name starts at the address of a dead one.
--- a/crates/jobs/tests/fault_simulation/simulation.rs
+++ b/crates/jobs/tests/fault_simulation/simulation.rs
@@ -6,6 +6,7 @@
 mod losses;
 mod owners;
 mod polls;
+mod recuts;
 mod requests;
 mod restarts;
 
@@ -54,6 +55,8 @@
 const CUT_ZONES: u32 = 10;
 /// The case in which workers respond to the first poll of a new owner and die, as it may.
 const LOSSES_AFTER_POLL: u32 = 11;
+/// The case in which workers restart under their names and are cut off soon after.
+const RECUTS: u32 = 12;
 const ATTEMPTS: u32 = 50;
 /// Share of the jobs that are long-running.
 const LONG_RUNNING_SHARE: f64 = 0.2;
@@ -92,12 +95,7 @@
 
 impl Simulation {
     pub fn new(seed: u64, faults: u32) -> Self {
-        let mut random = StdRng::seed_from_u64(seed);
-        let workers = (0..WORKERS).map(|index| {
-            let name = worker_name(index);
-            FakeWorker::new(name, worker_address(index), random.random_range(0..=2))
-        });
-        let workers = workers.collect();
+        let random = StdRng::seed_from_u64(seed);
         let mut simulation = Self {
             seed,
             faults,
@@ -107,7 +105,7 @@
             queue: BTreeMap::new(),
             store: FakeStore::default(),
             daemons: (0..DAEMONS).map(|_| SimulatedDaemon::default()).collect(),
-            workers,
+            workers: Vec::new(),
             acknowledged: BTreeSet::new(),
             started: BTreeMap::new(),
             watch: RestartWatch::default(),
@@ -115,6 +113,9 @@
             fatal_after: None,
             finished_calls: BTreeSet::new(),
         };
+        for index in 0..WORKERS {
+            simulation.add_worker(index);
+        }
         for daemon in 0..DAEMONS {
             simulation.schedule(daemon as u64, SimulationEvent::Tick { daemon });
         }
@@ -129,6 +130,18 @@
         simulation
     }
 
+    /// Adds the worker with this number.
+    pub(super) fn add_worker(&mut self, index: usize) {
+        let lag_percent = self.random.random_range(0..=2);
+        let (name, address) = (worker_name(index), worker_address(index));
+        self.push_worker(FakeWorker::new(name, address, lag_percent));
+    }
+
+    pub(super) fn push_worker(&mut self, mut worker: FakeWorker) {
+        worker.lease_max_ms = self.lease_max_ms();
+        self.workers.push(worker);
+    }
+
     /// Whether faults of this case are injected now.
     pub(super) fn injects(&self, case: u32) -> bool {
         (self.faults == case || self.faults == 5) && self.now < FAULTS_END_MS
@@ -192,9 +205,8 @@
             SimulationEvent::StartArrives {
                 daemon,
                 incarnation,
-                worker_incarnation,
                 request,
-            } => self.start(daemon, incarnation, worker_incarnation, &request),
+            } => self.start(daemon, incarnation, &request),
             SimulationEvent::StopArrives {
                 daemon,
                 incarnation,
--- a/crates/jobs/tests/fault_simulation/simulation/deliveries.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/deliveries.rs
@@ -6,6 +6,7 @@
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::TaskStage;
+use sapphirestile_jobs::WorkerIncarnation;
 
 use crate::fake_end::FakeEnd;
 use crate::fake_worker::FakeRun;
@@ -73,13 +74,13 @@
         &mut self,
         daemon: usize,
         incarnation: u64,
-        worker_incarnation: u64,
         request: &sapphirestile_jobs::StartRequest,
     ) {
         let Some(index) = self.find_reachable(daemon, &request.worker) else {
             return;
         };
-        if self.workers[index].incarnation != worker_incarnation {
+        let present = WorkerIncarnation::from_unix_ms(self.workers[index].incarnation);
+        if request.incarnation != present {
             return;
         }
         let is_long_running = request.spec.is_long_running();
@@ -90,6 +91,8 @@
         };
         let duration_ms = if is_long_running {
             END_MS
+        } else if let Some(run_ms) = self.recut_run_ms() {
+            run_ms
         } else {
             self.random.random_range(200..2_500)
         };
--- a/crates/jobs/tests/fault_simulation/simulation/losses.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/losses.rs
@@ -17,8 +17,8 @@
 use super::JOINT_LOSSES;
 use super::LOSSES_AFTER_POLL;
 use super::OWNER_SERIES;
+use super::RECUTS;
 use super::WORKERS;
-use super::worker_address;
 use super::worker_name;
 
 /// When the first series of losses begins, in milliseconds.
@@ -61,17 +61,14 @@
     pub(super) const fn plans_losses(&self) -> bool {
         matches!(
             self.faults,
-            JOINT_LOSSES | OWNER_SERIES | CUT_ZONES | LOSSES_AFTER_POLL
+            JOINT_LOSSES | OWNER_SERIES | CUT_ZONES | LOSSES_AFTER_POLL | RECUTS
         )
     }
 
     /// Adds workers, some of which can be lost for good, and plans the first series of losses.
     pub(super) fn plan_first_loss(&mut self) {
         for index in WORKERS..WORKERS + SPARE_WORKERS {
-            let name = worker_name(index);
-            let lag_percent = self.random.random_range(0..=2);
-            let spare = FakeWorker::new(name, worker_address(index), lag_percent);
-            self.workers.push(spare);
+            self.add_worker(index);
         }
         let after_ms = self.random.random_range(FIRST_LOSS_MS);
         self.schedule_loss(after_ms, PlannedLoss::Series);
@@ -82,6 +79,7 @@
             PlannedLoss::Series => self.begin_series(),
             PlannedLoss::Owner { epoch } => self.lose_owner(epoch),
             PlannedLoss::AnyWorker => self.lose_any_worker(),
+            PlannedLoss::Cut { name } => self.cut_worker(&name),
             PlannedLoss::Worker { name } => {
                 let index = self.workers.iter().position(|worker| worker.name == name);
                 self.lose_worker(index.expect("workers stay known"));
@@ -101,6 +99,7 @@
             }
             OWNER_SERIES => self.begin_owner_series(),
             CUT_ZONES => self.cut_zone(),
+            RECUTS => self.begin_recut(),
             LOSSES_AFTER_POLL => {
                 let epoch = self.store.row.epoch;
                 self.fatal_after = Some(epoch);
@@ -109,10 +108,10 @@
             }
             _ => return,
         }
-        let (interval_ms, end_ms) = if self.faults == OWNER_SERIES {
-            (LONG_SERIES_INTERVAL_MS, LONG_SERIES_END_MS)
-        } else {
-            (SERIES_INTERVAL_MS, SERIES_END_MS)
+        let (interval_ms, end_ms) = match self.faults {
+            OWNER_SERIES => (LONG_SERIES_INTERVAL_MS, LONG_SERIES_END_MS),
+            RECUTS => (SERIES_INTERVAL_MS, LONG_SERIES_END_MS),
+            _ => (SERIES_INTERVAL_MS, SERIES_END_MS),
         };
         let after_ms = self.random.random_range(interval_ms);
         if self.now + after_ms < end_ms {
@@ -220,9 +219,10 @@
         let mut workers = self.workers.iter();
         let dead = workers.find(|worker| worker.name == *dead);
         let address = dead.expect("workers stay known").address;
-        let mut newcomer = FakeWorker::new(name, address, self.random.random_range(0..=2));
+        let lag_percent = self.random.random_range(0..=2);
+        let mut newcomer = FakeWorker::new(name, address, lag_percent);
         newcomer.started_at = self.now;
-        self.workers.push(newcomer);
+        self.push_worker(newcomer);
     }
 
     /// Daemon whose owner has the latest epoch.
--- a/crates/jobs/tests/fault_simulation/simulation/owners.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/owners.rs
@@ -84,7 +84,7 @@
         let now = MonoTime::from_millis(self.now);
         let limits = OwnerLimits {
             lease_ms: OwnerLimits::LEASE_MS,
-            lease_max_ms: 6_000,
+            lease_max_ms: self.lease_max_ms(),
             authority_ms: OwnerLimits::AUTHORITY_MS,
             retention_ms: 1_000_000,
         };
@@ -120,7 +120,7 @@
                 accelerators: 0,
             },
             is_leaving: false,
-            incarnation: WorkerIncarnation::from_unix_ms(worker.incarnation),
+            incarnation: WorkerIncarnation::from_unix_ms(worker.listed_incarnation(self.now)),
         };
         let listed = self
             .workers
--- a/crates/jobs/tests/fault_simulation/simulation/requests.rs
+++ b/crates/jobs/tests/fault_simulation/simulation/requests.rs
@@ -24,11 +24,7 @@
         };
         match effect {
             OwnerEffect::Start(request) => {
-                let target = self
-                    .workers
-                    .iter()
-                    .find(|worker| worker.name == request.worker);
-                let worker_incarnation = target.map_or(0, |worker| worker.incarnation);
+                let delay = self.late_start_ms().unwrap_or(delay);
                 self.schedule(
                     TIMEOUT_MS,
                     SimulationEvent::StartReturns {
@@ -45,7 +41,6 @@
                     SimulationEvent::StartArrives {
                         daemon,
                         incarnation,
-                        worker_incarnation,
                         request,
                     },
                 );
--- a/crates/jobs/tests/fault_simulation/simulation_event.rs
+++ b/crates/jobs/tests/fault_simulation/simulation_event.rs
@@ -20,12 +20,11 @@
     Tick {
         daemon: usize,
     },
-    /// A delayed start is held by the worker itself, so it is lost when that incarnation
-    /// of the worker ends.
+    /// A start is on a connection to the incarnation of the worker that it is meant for, so it
+    /// is lost when that one ends.
     StartArrives {
         daemon: usize,
         incarnation: u64,
-        worker_incarnation: u64,
         request: StartRequest,
     },
     StopArrives {
--- a/crates/jobs/tests/owner/batches.rs
+++ b/crates/jobs/tests/owner/batches.rs
@@ -5,9 +5,9 @@
 use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::RepeatRule;
 use sapphirestile_jobs::StartOutcome;
-use sapphirestile_jobs::StopOutcome;
 
 use crate::owner_fixture::OwnerFixture;
+use crate::test_values::STOP_ACCEPTED;
 use crate::test_values::ended;
 use crate::test_values::job_spec;
 use crate::test_values::long_running_job;
@@ -110,7 +110,7 @@
     fixture.step();
     fixture.store();
     fixture.started("w-1", TASK, 1, StartOutcome::Unknown);
-    fixture.stopped("w-1", TASK, 1, StopOutcome::Accepted);
+    fixture.stopped("w-1", TASK, 1, STOP_ACCEPTED);
     fixture.answer("w-1", &[], &[]);
     fixture.wait(10);
     fixture.answer("w-1", &[], &[]);
--- a/crates/jobs/tests/owner/incarnations.rs
+++ b/crates/jobs/tests/owner/incarnations.rs
@@ -4,12 +4,14 @@
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::StartOutcome;
+use sapphirestile_jobs::StopOutcome;
 use sapphirestile_jobs::WorkerEvent;
 use sapphirestile_jobs::WorkerIncarnation;
 
 use crate::owner_fixture::AUTHORITY_MS;
 use crate::owner_fixture::LEASE_MAX_MS;
 use crate::owner_fixture::OwnerFixture;
+use crate::test_values::STOP_ACCEPTED;
 use crate::test_values::ended;
 use crate::test_values::job_spec;
 use crate::test_values::long_running_job;
@@ -219,3 +221,28 @@
     fixture.step();
     assert!(fixture.batch().is_none(), "the run was given up");
 }
+
+/// Guards against a task that runs twice: a start without an answer was stopped at the first
+/// incarnation, and reaches the second one late, which knows of no stop.
+#[test]
+fn stop_that_an_earlier_incarnation_has_accepted_is_sent_to_the_next() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 2_000)]);
+    fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {TASK}#1 at w-1")]);
+    fixture.started("w-1", TASK, 1, StartOutcome::Unknown);
+    assert_eq!(fixture.step(), [format!("stop {TASK}#1 at w-1")]);
+    fixture.stopped("w-1", TASK, 1, STOP_ACCEPTED);
+    fixture.finish_poll("w-1", PollOutcome::NoResponse);
+    fixture.wait(300);
+    fixture.respond_as_incarnation("w-1", 2, &[], &[]);
+    assert_eq!(fixture.step(), [format!("stop {TASK}#1 at w-1")]);
+    assert!(fixture.batch().is_none(), "the task was given back");
+    let second = StopOutcome::Accepted(WorkerIncarnation::from_unix_ms(2));
+    fixture.stopped("w-1", TASK, 1, second);
+    fixture.respond_as_incarnation("w-1", 2, &[], &[]);
+    fixture.step();
+    fixture.respond_as_incarnation("w-1", 2, &[], &[]);
+    fixture.step();
+    assert!(fixture.batch().is_some(), "the task waits for ever");
+}
--- a/crates/jobs/tests/owner/pacing.rs
+++ b/crates/jobs/tests/owner/pacing.rs
@@ -5,9 +5,9 @@
 use sapphirestile_jobs::LearntTables;
 use sapphirestile_jobs::RunningRun;
 use sapphirestile_jobs::StartOutcome;
-use sapphirestile_jobs::StopOutcome;
 
 use crate::owner_fixture::OwnerFixture;
+use crate::test_values::STOP_ACCEPTED;
 use crate::test_values::ended;
 use crate::test_values::job_spec;
 use crate::test_values::running;
@@ -88,7 +88,7 @@
     let mut ends = Vec::new();
     for (number, index) in (1..).zip(&stopped) {
         let task = format!("{FILL}.0.0.{index}");
-        fixture.stopped("w-1", &task, 1, StopOutcome::Accepted);
+        fixture.stopped("w-1", &task, 1, STOP_ACCEPTED);
         ends.push(ended(number, &task, 1, EndKind::Stopped));
     }
     fixture.now += 50;
--- a/crates/jobs/tests/owner/starts_and_stops.rs
+++ b/crates/jobs/tests/owner/starts_and_stops.rs
@@ -6,6 +6,7 @@
 use test_case::test_case;
 
 use crate::owner_fixture::OwnerFixture;
+use crate::test_values::STOP_ACCEPTED;
 use crate::test_values::ended;
 use crate::test_values::job_spec;
 use crate::test_values::running;
@@ -33,7 +34,7 @@
     fixture.started("w-1", TASK, 1, StartOutcome::Unknown);
     assert_eq!(fixture.step(), [format!("stop {TASK}#1 at w-1")]);
     // A response to a poll that was sent before the stop was accepted proves nothing.
-    fixture.stopped("w-1", TASK, 1, StopOutcome::Accepted);
+    fixture.stopped("w-1", TASK, 1, STOP_ACCEPTED);
     fixture.answer("w-1", &[], &[]);
     assert!(fixture.step().is_empty());
     assert!(fixture.batch().is_none());
--- a/crates/jobs/tests/owner/test_values.rs
+++ b/crates/jobs/tests/owner/test_values.rs
@@ -22,12 +22,16 @@
 use sapphirestile_jobs::ResourceVector;
 use sapphirestile_jobs::RunningRun;
 use sapphirestile_jobs::StepSpec;
+use sapphirestile_jobs::StopOutcome;
 use sapphirestile_jobs::StoredJob;
 use sapphirestile_jobs::TaskIdentity;
 use sapphirestile_jobs::TaskStage;
 use sapphirestile_jobs::WorkerEntry;
 use sapphirestile_jobs::WorkerIncarnation;
 
+/// The outcome of a stop request that the first incarnation of a worker has accepted.
+pub const STOP_ACCEPTED: StopOutcome = StopOutcome::Accepted(WorkerIncarnation::from_unix_ms(1));
+
 pub fn worker_name(text: &str) -> WorkerName {
     WorkerName::try_from(text).unwrap()
 }
--- a/crates/specification/src/job_ownership.rs
+++ b/crates/specification/src/job_ownership.rs
@@ -17,7 +17,10 @@
 //!
 //! The process at the address of a worker may die and be replaced. Orders name their worker,
 //! so another worker at the address rejects them, and its answer to a poll shows that the runs
-//! are over that the earlier process must have known.
+//! are over that the earlier process must have known. The next incarnation of the same worker
+//! accepts its orders, and its clock begins anew. So a start and what a poll carries are sent on
+//! a connection on which the incarnation has answered that they are meant for, and are lost with
+//! it; stops reach whoever is there.
 //!
 //! [`JobModel`] is the model, with one task, three daemons and two workers. [`JobState`] is
 //! its state, [`JobAction`] a step, and [`JobBounds`] are its bounds. A [`JobMutation`]
--- a/crates/specification/src/job_ownership/call_steps.rs
+++ b/crates/specification/src/job_ownership/call_steps.rs
@@ -22,6 +22,7 @@
             state,
             AddressedOrder {
                 worker: call.worker,
+                process: call.process,
                 epoch,
                 order: call.order,
             },
@@ -45,6 +46,7 @@
         if call.outcome.is_none() {
             state.late_orders.insert(AddressedOrder {
                 worker: call.worker,
+                process: call.process,
                 epoch,
                 order: call.order,
             });
@@ -60,6 +62,7 @@
         };
         let order = AddressedOrder {
             worker: call.worker,
+            process: call.process,
             epoch,
             order: call.order,
         };
@@ -81,6 +84,7 @@
         if call.response.is_none() {
             state.late_orders.insert(AddressedOrder {
                 worker: call.worker,
+                process: call.process,
                 epoch,
                 order: call.order,
             });
--- a/crates/specification/src/job_ownership/daemon_steps.rs
+++ b/crates/specification/src/job_ownership/daemon_steps.rs
@@ -124,6 +124,7 @@
         let owner = &mut state.daemons[usize::from(daemon)];
         owner.stop_call = owner.run.map(|run| OrderCall {
             worker: run.worker,
+            process: owner.workers[usize::from(run.worker)].process,
             order: WorkerOrder::Stop { run: run.run },
             outcome: None,
         });
@@ -161,12 +162,14 @@
         };
         let tracked = &mut owner.workers[usize::from(run.worker)];
         tracked.lease_end = tracked.lease_end.max(lease_end);
+        let process = tracked.process;
         owner.run = Some(TrackedRun {
             state: RunState::Starting,
             ..run
         });
         owner.start_call = Some(OrderCall {
             worker: run.worker,
+            process,
             order: WorkerOrder::Start {
                 run: run.run,
                 lease_end,
--- a/crates/specification/src/job_ownership/job_bounds.rs
+++ b/crates/specification/src/job_ownership/job_bounds.rs
@@ -39,6 +39,9 @@
     /// Number of times that the process at the address of the first worker is replaced: first
     /// by a stranger, then by a new incarnation of the worker.
     pub replacements: u8,
+    /// Whether the process of a worker is replaced by the next incarnation of the worker at once,
+    /// and not by a stranger first.
+    pub restarts: bool,
     /// Whether a daemon claims only after the owner before it has ended. Otherwise an owner
     /// that pauses for good stands for one that has ended.
     pub owners_end: bool,
@@ -55,6 +58,7 @@
         runs: 2,
         starts_running: false,
         replacements: 0,
+        restarts: false,
         owners_end: false,
         reach: ReachableWorkers::All,
     };
@@ -153,8 +157,17 @@
         ..Self::NONE
     };
 
+    /// A worker restarts under its name, and an order or its answer may be lost.
+    pub const RESTARTED: Self = Self {
+        ticks: 1,
+        losses: 1,
+        replacements: 1,
+        restarts: true,
+        ..Self::NONE
+    };
+
     /// Bounds that every run of the tests covers, with their names on the command line.
-    pub const SMALL: [(&'static str, Self); 12] = [
+    pub const SMALL: [(&'static str, Self); 13] = [
         ("claim", Self::CLAIM),
         ("late-claim", Self::LATE_CLAIM),
         ("lapse", Self::LAPSE),
@@ -167,6 +180,7 @@
         ("replaced", Self::REPLACED),
         ("replaced-chain", Self::REPLACED_CHAIN),
         ("succeeded", Self::SUCCEEDED),
+        ("restarted", Self::RESTARTED),
     ];
 
     /// Larger bounds, for a longer search, with their names on the command line.
@@ -219,6 +233,7 @@
             JobMutation::GrantWhileListing => Self::RELISTED,
             JobMutation::OtherIncarnationIgnored => Self::REPLACED,
             JobMutation::OtherIncarnationEndsStart => Self::SUCCEEDED,
+            JobMutation::StartOnAnyConnection => Self::RESTARTED,
             JobMutation::StartBeforeStored
             | JobMutation::SilenceAsProof
             | JobMutation::EarlierLookAsProof
--- a/crates/specification/src/job_ownership/job_model.rs
+++ b/crates/specification/src/job_ownership/job_model.rs
@@ -61,7 +61,7 @@
                     self.process_order(state, order);
                 }
             }
-            JobAction::ReplaceProcess { worker } => Self::replace_process(state, worker),
+            JobAction::ReplaceProcess { worker } => self.replace_process(state, worker),
             JobAction::FinishRun { worker } => Self::finish_run(state, worker),
         }
     }
--- a/crates/specification/src/job_ownership/job_mutation.rs
+++ b/crates/specification/src/job_ownership/job_mutation.rs
@@ -38,8 +38,10 @@
     /// The answer of another worker at the address counts as no answer.
     OtherIncarnationIgnored,
     /// The answer of another worker at the address counts for a run whose start order was not
-    /// answered.
+    /// answered, and the start may reach the next incarnation of its worker.
     OtherIncarnationEndsStart,
+    /// A start may reach the next incarnation of the worker that it is meant for.
+    StartOnAnyConnection,
     /// The time in which an owner may grant leases counts from the answer to a batch, not
     /// from when the batch was sent.
     AuthorityFromAnswer,
@@ -55,7 +57,7 @@
 
 impl JobMutation {
     /// The mutations that break a property, with their names on the command line.
-    pub const ALL: [(&'static str, Self); 20] = [
+    pub const ALL: [(&'static str, Self); 21] = [
         ("start-before-stored", Self::StartBeforeStored),
         ("no-epoch-check", Self::NoEpochCheck),
         ("silence-as-proof", Self::SilenceAsProof),
@@ -74,6 +76,7 @@
             "other-incarnation-ends-start",
             Self::OtherIncarnationEndsStart,
         ),
+        ("start-on-any-connection", Self::StartOnAnyConnection),
         ("authority-from-answer", Self::AuthorityFromAnswer),
         ("noted-before-stored", Self::NotedBeforeStored),
         ("earlier-end-ignored", Self::EarlierEndIgnored),
--- a/crates/specification/src/job_ownership/job_worker.rs
+++ b/crates/specification/src/job_ownership/job_worker.rs
@@ -8,6 +8,8 @@
 pub struct JobWorker {
     /// The process at its address.
     pub process: WorkerProcess,
+    /// True time at which the process started, from which its clock counts.
+    pub started_at: u8,
     /// Highest epoch that it has seen; orders with a lower one are rejected.
     pub epoch: u8,
     /// Number of the run in progress.
@@ -19,3 +21,10 @@
     /// Runs that have ended on this worker.
     pub ends: EndedRuns,
 }
+
+impl JobWorker {
+    /// Reading of its clock at the true time `now`, in ticks.
+    pub(crate) const fn clock(&self, now: u8) -> u8 {
+        now - self.started_at
+    }
+}
--- a/crates/specification/src/job_ownership/poll_steps.rs
+++ b/crates/specification/src/job_ownership/poll_steps.rs
@@ -28,8 +28,10 @@
         tracked.lease_end = tracked.lease_end.max(lease_end.unwrap_or_default());
         let acknowledged_end = self.acknowledgeable_end(*tracked);
         tracked.acknowledged_end = acknowledged_end;
+        let process = tracked.process;
         owner.poll_call = Some(PollCall {
             worker,
+            process,
             order: WorkerOrder::Poll {
                 lease_end,
                 acknowledged_end,
@@ -127,6 +129,7 @@
         if call.outcome.is_none() {
             state.late_orders.insert(AddressedOrder {
                 worker: call.worker,
+                process: call.process,
                 epoch: owner.epoch,
                 order: call.order,
             });
@@ -198,6 +201,7 @@
     let Some(run_number) = response.running else {
         return;
     };
+    let process = owner.workers[usize::from(worker)].process;
     let tracked = owner.run.as_mut();
     let tracked = tracked.filter(|run| (run.worker, run.run) == (worker, run_number));
     match tracked {
@@ -209,6 +213,7 @@
         None if owner.stop_call.is_none() => {
             owner.stop_call = Some(OrderCall {
                 worker,
+                process,
                 order: WorkerOrder::Stop { run: run_number },
                 outcome: None,
             });
--- a/crates/specification/src/job_ownership/worker_process.rs
+++ b/crates/specification/src/job_ownership/worker_process.rs
@@ -14,11 +14,12 @@
 }
 
 impl WorkerProcess {
-    /// The process that replaces this one.
-    pub(crate) const fn next(self) -> Self {
+    /// The process that replaces this one. `restarts` says whether a worker that dies is
+    /// followed by its next incarnation at once.
+    pub(crate) const fn next(self, restarts: bool) -> Self {
         match self {
-            Self::First => Self::Stranger,
-            Self::Stranger | Self::Successor => Self::Successor,
+            Self::First if !restarts => Self::Stranger,
+            Self::First | Self::Stranger | Self::Successor => Self::Successor,
         }
     }
 }
--- a/crates/specification/src/job_ownership/worker_steps.rs
+++ b/crates/specification/src/job_ownership/worker_steps.rs
@@ -27,6 +27,7 @@
     pub(super) fn process_order(self, state: &mut JobState, order: AddressedOrder) -> OrderOutcome {
         let AddressedOrder {
             worker: worker_number,
+            process,
             epoch,
             order,
         } = order;
@@ -34,6 +35,11 @@
         if worker.process == WorkerProcess::Stranger {
             return OrderOutcome::OtherIncarnation;
         }
+        let is_meant = worker.process == process;
+        let is_start = matches!(order, WorkerOrder::Start { .. });
+        if is_start && !is_meant && !self.starts_on_any_connection() {
+            return OrderOutcome::OtherIncarnation;
+        }
         if epoch < worker.epoch && self.mutation != Some(JobMutation::NoEpochCheck) {
             return OrderOutcome::Fenced;
         }
@@ -54,15 +60,26 @@
                 lease_end,
                 acknowledged_end,
             } => {
-                if let Some(lease_end) = lease_end {
+                if let Some(lease_end) = lease_end.filter(|_| is_meant) {
                     extend_lease(state, worker_number, lease_end);
                 }
-                acknowledge_ends(state, worker_number, acknowledged_end);
+                if is_meant {
+                    acknowledge_ends(state, worker_number, acknowledged_end);
+                }
                 OrderOutcome::Accepted
             }
         }
     }
 
+    /// Whether a start may reach the next incarnation of its worker. The second of the
+    /// mutations is about a rule that matters only then.
+    const fn starts_on_any_connection(self) -> bool {
+        matches!(
+            self.mutation,
+            Some(JobMutation::StartOnAnyConnection | JobMutation::OtherIncarnationEndsStart)
+        )
+    }
+
     /// Response of a worker to a poll that it handled with `outcome`.
     pub(super) fn respond_to_poll(
         state: &JobState,
@@ -73,7 +90,7 @@
         PollResponse {
             running: worker.running,
             ends: worker.ends,
-            clock: state.now,
+            clock: worker.clock(state.now),
             process: worker.process,
             outcome,
         }
@@ -83,7 +100,7 @@
     pub(super) fn end_leases(state: &mut JobState) {
         let now = state.now;
         for worker in &mut state.workers {
-            if worker.lease_end >= now {
+            if worker.lease_end >= worker.clock(now) {
                 continue;
             }
             if let Some(run) = worker.running.take() {
@@ -96,11 +113,12 @@
 
     /// The process at the address of a worker dies, and nothing of its runs is known any more.
     /// Another one takes the address.
-    pub(super) fn replace_process(state: &mut JobState, worker_number: u8) {
+    pub(super) fn replace_process(self, state: &mut JobState, worker_number: u8) {
         state.replacements -= 1;
         let worker = &mut state.workers[usize::from(worker_number)];
         *worker = JobWorker {
-            process: worker.process.next(),
+            process: worker.process.next(self.bounds.restarts),
+            started_at: state.now,
             ..JobWorker::default()
         };
     }
@@ -117,8 +135,8 @@
 
 fn start_run(state: &mut JobState, worker_number: u8, run: u8, lease_end: u8) -> OrderOutcome {
     extend_lease(state, worker_number, lease_end);
-    let now = state.now;
     let worker = &mut state.workers[usize::from(worker_number)];
+    let now = worker.clock(state.now);
     if worker.running == Some(run) {
         return OrderOutcome::Accepted;
     }
@@ -146,8 +164,8 @@
 }
 
 fn extend_lease(state: &mut JobState, worker_number: u8, lease_end: u8) {
-    let longest = state.now + LEASE_MAX_TICKS;
     let worker = &mut state.workers[usize::from(worker_number)];
+    let longest = worker.clock(state.now) + LEASE_MAX_TICKS;
     worker.lease_end = worker.lease_end.max(lease_end.min(longest));
 }
 
--- a/crates/specification/tests/properties_hold.rs
+++ b/crates/specification/tests/properties_hold.rs
@@ -55,6 +55,7 @@
 #[test_case(JobBounds::REPLACED, 285_000)]
 #[test_case(JobBounds::REPLACED_CHAIN, 61_000)]
 #[test_case(JobBounds::SUCCEEDED, 33_000)]
+#[test_case(JobBounds::RESTARTED, 30_000)]
 fn job_ownership_holds(bounds: JobBounds, states_min: usize) {
     let model = JobModel {
         bounds,
