Give a run that seems stuck more time with each attempt

A job whose task takes over four times as long as others of its queue never ended when nothing else completed on its worker: each run was stopped after the same time, and the next began anew.

Each further run may now take twice as long as the one before, up to 64 times.

--- a/crates/jobs/src/owner/job_owner/stragglers.rs
+++ b/crates/jobs/src/owner/job_owner/stragglers.rs
@@ -20,6 +20,10 @@
 /// The same, for a best-effort run, which has to share idle processor time.
 const STUCK_BEST_EFFORT_FACTOR: u64 = 8;
 
+/// Each further run of a task may take twice as long as the one before, up to this many times:
+/// the task may be longer than others of its queue, and has to complete in the end.
+const STUCK_DOUBLINGS_MAX: u32 = 6;
+
 /// A worker on which no run has completed for this long is considered stuck, in
 /// milliseconds.
 const IDLE_WORKER_MS: u64 = 1_500;
@@ -133,7 +137,8 @@
     } else {
         STUCK_FACTOR
     };
-    let late_ms = (mean_ms * factor).max(AGE_MIN_MS);
+    let doublings = run.run.saturating_sub(1).min(STUCK_DOUBLINGS_MAX);
+    let late_ms = (mean_ms * factor).max(AGE_MIN_MS) << doublings;
     let is_late = age_if_running(run, now).is_some_and(|age_ms| age_ms > late_ms);
     is_late && now.millis_since(tracked.last_completion) > IDLE_WORKER_MS
 }
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod restarts;
 mod starts_and_stops;
+mod stragglers;
 mod test_values;
 mod transfers;
 mod urgency;
