--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -21,6 +21,7 @@
 mod spreading;
 mod stragglers;
 mod transfers;
+mod unexpected_runs;
 mod worker_list;
 
 use std::sync::Arc;
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -3,9 +3,7 @@
 use crate::owner::DecisionEvent;
 use crate::owner::DeferredEffect;
 use crate::owner::JobOwner;
-use crate::owner::OwnerEffect;
 use crate::owner::RunCause;
-use crate::owner::StopRequest;
 use crate::spec::TaskIdentity;
 use crate::worker::EndKind;
 use crate::worker::EndList;
@@ -17,7 +15,6 @@
 use crate::worker::RunState;
 use crate::worker::RunningRun;
 use crate::worker::WorkerClock;
-use crate::worker::WorkerIncarnation;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
@@ -167,18 +164,9 @@
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
-        let Some(address) = tracked.entry.as_ref().map(|entry| entry.address) else {
-            return;
-        };
         let known = tracked.runs.get_mut(&running.task);
         let Some(run) = known.filter(|run| run.run == running.run) else {
-            self.effects.push(OwnerEffect::Stop(StopRequest {
-                worker: name.clone(),
-                address,
-                epoch: self.epoch,
-                task: running.task,
-                run: running.run,
-            }));
+            self.stop_unexpected(name, running, now);
             return;
         };
         run.measurement = running.measurement;
@@ -196,27 +184,6 @@
         }
     }
 
-    /// Has runs stopped again that only an earlier incarnation was told to stop: a start that
-    /// was sent before may still reach this one, which would accept it.
-    fn stop_again_after_restart(
-        &mut self,
-        name: &WorkerName,
-        current: WorkerIncarnation,
-        now: MonoTime,
-    ) {
-        let Some(tracked) = self.workers.get_mut(name) else {
-            return;
-        };
-        for (_, run) in tracked.runs.iter_mut() {
-            if let RunState::Stopping { incarnation, .. } = run.state
-                && incarnation != current
-            {
-                run.state = RunState::StopPending;
-                run.stop_retry_at = now;
-            }
-        }
-    }
-
     /// Finishes the runs that the response must list if they existed, and does not. A response
     /// that leaves ends out need not list any run.
     fn finish_missing(
--- a/crates/jobs/tests/owner/copies_and_gangs.rs
+++ b/crates/jobs/tests/owner/copies_and_gangs.rs
@@ -1,15 +1,23 @@
 //! Copies of slow runs, and gangs.
 
+use sapphirestile_jobs::Assignment;
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::JobStanding;
+use sapphirestile_jobs::OccurrenceProgress;
 use sapphirestile_jobs::StartOutcome;
+use sapphirestile_jobs::StoredJob;
+use sapphirestile_jobs::TaskStage;
+use sapphirestile_jobs::WorkerIncarnation;
 
 use crate::owner_fixture::OwnerFixture;
+use crate::test_values::STOP_ACCEPTED;
 use crate::test_values::ended;
 use crate::test_values::job_spec;
+use crate::test_values::long_running_job;
 use crate::test_values::running;
 use crate::test_values::step;
 use crate::test_values::worker;
+use crate::test_values::worker_name;
 
 const FIRST: &str = "aaaaaaaaaaaaaaaa";
 const JOB: &str = "bbbbbbbbbbbbbbbb";
@@ -144,3 +152,44 @@
     let batch = fixture.batch().expect("the completion is to be stored");
     assert_eq!(batch.progress[0].1.standing, JobStanding::Completed);
 }
+
+/// A step of 4,000 with copies whose task an earlier owner has started on w-1 as run 1 and
+/// copied to w-2 as run 2.
+fn copied_job() -> StoredJob {
+    let mut copied = step(1, 4_000);
+    copied.is_speculative = true;
+    let mut job = long_running_job(FIRST, 1);
+    job.spec = job_spec(vec![copied]);
+    let mut occurrence = OccurrenceProgress::new(0, &job.spec);
+    occurrence.steps[0].tasks[0].run = 2;
+    occurrence.steps[0].tasks[0].stage = TaskStage::Assigned(Assignment {
+        worker: worker_name("w-2"),
+        incarnation: WorkerIncarnation::from_unix_ms(1),
+    });
+    let progress = job.progress.as_mut().unwrap();
+    progress.occurrences = vec![occurrence];
+    job
+}
+
+/// Guards against a worker that is brought over its capacity: the record of a task names its
+/// latest run only, so a new owner did not count the first run of a copied task.
+#[test]
+fn new_owner_counts_a_run_beside_a_copy_until_it_has_ended() {
+    let entries = vec![worker("w-1", 16_000), worker("w-2", 4_000)];
+    let mut fixture = OwnerFixture::claimed(entries);
+    let now = fixture.time();
+    fixture.owner.restore_job(copied_job(), now, fixture.now);
+    let task = format!("{FIRST}.0.0.0");
+    fixture.answer("w-1", &[running(&task, 1)], &[]);
+    fixture.answer("w-2", &[running(&task, 2)], &[]);
+    fixture.accept(JOB, job_spec(vec![step(1, 14_000)]));
+    assert_eq!(fixture.step(), [format!("stop {task}#1 at w-1")]);
+    assert!(fixture.batch().is_none(), "w-1 has room for 12,000");
+    fixture.stopped("w-1", &task, 1, STOP_ACCEPTED);
+    fixture.answer("w-1", &[running(&task, 1)], &[]);
+    fixture.step();
+    assert!(fixture.batch().is_none(), "the run is being stopped");
+    fixture.answer("w-1", &[], &[ended(1, &task, 1, EndKind::Stopped)]);
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {JOB}.0.0.0#1 at w-1")]);
+}
