--- a/crates/jobs/src/owner/job_owner/results.rs
+++ b/crates/jobs/src/owner/job_owner/results.rs
@@ -183,7 +183,7 @@
 fn has_no_attempts_left(entry: &JobEntry, task: &TaskIdentity) -> bool {
     let step = &entry.spec.steps[task.step as usize];
     let failures = if step.is_gang {
-        entry.progress.step_failures(task)
+        entry.progress.gang_failures(task)
     } else {
         entry.progress.task_failures(task)
     };
--- a/crates/jobs/src/progress/job_progress.rs
+++ b/crates/jobs/src/progress/job_progress.rs
@@ -102,18 +102,22 @@
             .map_or(0, |progress| progress.failed_runs.len())
     }
 
-    /// Number of failed runs over all tasks of the step that `task` belongs to.
+    /// Number of failed runs of the gang that `task` belongs to. Its members share the number of
+    /// a run, so several that fail in the same run use up one attempt.
     #[must_use]
-    pub fn step_failures(&self, task: &TaskIdentity) -> usize {
+    pub fn gang_failures(&self, task: &TaskIdentity) -> usize {
         let occurrence = self
             .occurrences
             .iter()
             .find(|occurrence| occurrence.number == task.occurrence);
         let step = occurrence.and_then(|occurrence| occurrence.steps.get(task.step as usize));
-        step.map_or(0, |step| {
-            let failures = step.tasks.iter().map(|task| task.failed_runs.len());
-            failures.sum()
-        })
+        let members = step.into_iter().flat_map(|step| &step.tasks);
+        let mut failed_runs: Vec<u32> = members
+            .flat_map(|member| member.failed_runs.iter().copied())
+            .collect();
+        failed_runs.sort_unstable();
+        failed_runs.dedup();
+        failed_runs.len()
     }
 
     /// Like [`task`](Self::task), for changing it in place.
--- a/crates/jobs/tests/owner/copies_and_gangs.rs
+++ b/crates/jobs/tests/owner/copies_and_gangs.rs
@@ -193,3 +193,33 @@
     fixture.step();
     assert_eq!(fixture.store(), [format!("start {JOB}.0.0.0#1 at w-1")]);
 }
+
+/// Guards against a gang that is shown as failed though it has attempts left: each member of
+/// one failed run used up an attempt.
+#[test]
+fn members_that_fail_in_one_run_use_up_one_attempt() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 9_000)]);
+    let mut gang = step(4, 1_000);
+    gang.is_gang = true;
+    fixture.accept(JOB, job_spec(vec![gang]));
+    let tasks = [0, 1, 2, 3].map(|index| format!("{JOB}.0.0.{index}"));
+    let mut ends = Vec::new();
+    for run in 1..=2 {
+        fixture.now += 5_000;
+        fixture.answer("w-1", &[], &ends);
+        fixture.step();
+        assert_eq!(fixture.store().len(), 4, "starts of run {run}");
+        for task in &tasks {
+            fixture.started("w-1", task, run, StartOutcome::Accepted);
+            ends.push(ended(ends.len() as u64 + 1, task, run, EndKind::Failed));
+        }
+        fixture.answer("w-1", &[], &ends);
+        fixture.step();
+        let batch = fixture.batch().expect("the ends are to be stored");
+        let is_last = run == 2;
+        let standing = batch.progress[0].1.standing;
+        assert_eq!(standing == JobStanding::Failed, is_last, "after run {run}");
+        let now = fixture.time();
+        fixture.owner.confirm_batch(now, fixture.now);
+    }
+}
