Let occurrences wait until the row of their job has room

All active occurrences are in one row, which outgrew what the store takes; the batch with it was refused and repeated for ever.

An occurrence now begins only while the active ones have 10,000 tasks at most, the limit of one occurrence, or alone.

--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -24,6 +24,10 @@
 /// memory, and a part of the job's row in the store.
 const ACTIVE_OCCURRENCES_MAX: usize = 256;
 
+/// Maximum number of tasks in the active occurrences of a job, unless one occurrence alone has
+/// more. All are in one row, which the store limits to a megabyte.
+const ACTIVE_TASKS_MAX: u64 = 10_000;
+
 impl JobOwner {
     /// Adds a job that was loaded from the store, with the runs that an earlier owner
     /// assigned. Has no effect if the job is known.
@@ -195,16 +199,29 @@
     MonoTime::from_millis(now.as_millis().saturating_sub(milliseconds))
 }
 
+/// Whether the job's row has room for another active occurrence.
+fn has_room_for_occurrence(entry: &JobEntry) -> bool {
+    let active = entry.progress.occurrences.len() as u64;
+    let tasks_each: u64 = entry
+        .spec
+        .steps
+        .iter()
+        .map(|step| u64::from(step.tasks))
+        .sum();
+    let tasks = (active + 1).saturating_mul(tasks_each);
+    active == 0 || (active < ACTIVE_OCCURRENCES_MAX as u64 && tasks <= ACTIVE_TASKS_MAX)
+}
+
 fn is_next_due(entry: &JobEntry, unix_ms: u64) -> bool {
     let repeat = entry.spec.repeat;
     repeat.is_none_or(|rule| rule.due_unix_ms(entry.progress.begun) <= unix_ms)
 }
 
-/// Begins the occurrences that are due. Those beyond [`ACTIVE_OCCURRENCES_MAX`] wait for
+/// Begins the occurrences that are due. Those for which the job's row has no room wait for
 /// earlier ones to end.
 fn begin_occurrences(entry: &mut JobEntry, unix_ms: u64) {
     while entry.progress.begun < entry.spec.occurrences()
-        && entry.progress.occurrences.len() < ACTIVE_OCCURRENCES_MAX
+        && has_room_for_occurrence(entry)
         && is_next_due(entry, unix_ms)
     {
         let occurrence = OccurrenceProgress::new(entry.progress.begun, &entry.spec);
--- a/crates/jobs/tests/owner/batches.rs
+++ b/crates/jobs/tests/owner/batches.rs
@@ -218,3 +218,27 @@
     );
     assert_eq!(fixture.owner.counts().0, 0, "jobs that are kept");
 }
+
+/// Guards against a cell that stands still: the row of a job with many active occurrences
+/// outgrew what the store takes, and the batch with it was refused for ever.
+#[test]
+fn occurrences_wait_until_the_row_of_their_job_has_room() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 1_000)]);
+    let mut repeated = job_spec(vec![step(4_000, 1_000)]);
+    repeated.repeat = Some(RepeatRule {
+        first_unix_ms: 0,
+        interval_ms: 100,
+        occurrences: 120,
+    });
+    fixture.accept(JOB, repeated);
+    fixture.now += 60_000;
+    fixture.answer("w-1", &[], &[]);
+    fixture.step();
+    let batch = fixture.batch().expect("the first task is assigned");
+    let progress = &batch.progress[0].1;
+    let tasks = progress
+        .occurrences
+        .iter()
+        .flat_map(|occurrence| &occurrence.steps);
+    assert_eq!(tasks.map(|step| step.tasks.len()).sum::<usize>(), 8_000);
+}
