Take a request that is read after a pause to have arrived before it

The process notes four times a second that it runs. A request that is read within half a second after a gap of a second or more counts from the start of the gap. A submission is not stored once its caller's time is up; it then gets no answer, since an earlier attempt may have been stored.

--- a/crates/entry/src/context/entry_context.rs
+++ b/crates/entry/src/context/entry_context.rs
@@ -9,6 +9,7 @@
 
 use sapphirestile_core::MonoTime;
 use sapphirestile_serving::MonoClock;
+use sapphirestile_serving::PauseWatch;
 use sapphirestile_serving::RcuValue;
 
 use crate::cells::CellTable;
@@ -42,6 +43,8 @@
     pub metrics: EntryMetrics,
     /// The monotonic clock from which all deadlines are derived.
     pub clock: MonoClock,
+    /// Pauses of the process, during which requests may have waited at its ports.
+    pub pauses: PauseWatch,
     /// A random number that identifies this process among the daemons.
     pub incarnation: u64,
     is_stopping: AtomicBool,
@@ -63,6 +66,7 @@
             store_timeout: StoreTimeout::default(),
             metrics: EntryMetrics::default(),
             clock: MonoClock::start(),
+            pauses: PauseWatch::default(),
             incarnation,
             is_stopping: AtomicBool::new(false),
             answers_due_ms: AtomicU64::new(u64::MAX),
--- a/crates/entry/src/frontend/job_frontend.rs
+++ b/crates/entry/src/frontend/job_frontend.rs
@@ -83,6 +83,11 @@
         let started = self.now();
         let mut is_surely_not_stored = true;
         loop {
+            // The caller may have cancelled the job elsewhere since, and was told that there
+            // is none.
+            if self.now() >= deadline {
+                return SubmitOutcome::Unknown;
+            }
             match self.commit(&commit, deadline) {
                 Ok(CommitAnswer::Stored { .. }) => {
                     self.homes.insert(identity, cell);
--- a/crates/entry/src/lifecycle/entry_daemon.rs
+++ b/crates/entry/src/lifecycle/entry_daemon.rs
@@ -47,6 +47,9 @@
 /// still has to be sent.
 const SEND_TIMEOUT_MS: u64 = 400;
 
+/// The interval at which the process records that it runs.
+const PAUSE_TICK: Duration = Duration::from_millis(250);
+
 /// A daemon; `Phase` is its lifecycle phase.
 pub struct EntryDaemon<Phase> {
     context: Arc<EntryContext>,
@@ -65,6 +68,7 @@
         adapters: EntryAdapters,
     ) -> Result<Self, Report<StepError>> {
         watch_operators(&context, adapters.operators);
+        watch_pauses(&context);
         let gate = Arc::new(RequestGate::default());
         let settings = &context.settings.ports;
         let open = |address, connections, service: &Arc<dyn HttpService>| {
@@ -173,3 +177,22 @@
         }
     }
 }
+
+/// Records on a thread of its own that the process runs, until the context is dropped.
+fn watch_pauses(context: &Arc<EntryContext>) {
+    context.pauses.tick(context.clock.now());
+    let watched = Arc::downgrade(context);
+    let tick = move || {
+        while let Some(context) = watched.upgrade() {
+            if let Some(paused_ms) = context.pauses.tick(context.clock.now()) {
+                tracing::warn!(paused_ms, "the process did not run");
+            }
+            drop(context);
+            thread::sleep(PAUSE_TICK);
+        }
+    };
+    let spawned = thread::Builder::new()
+        .name("watch for pauses".to_owned())
+        .spawn(tick);
+    spawned.expect("failed to spawn the thread that watches for pauses");
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -14,7 +14,8 @@
 //! the library while a handler reads a body, and [`ConnectionPanics`] counts.
 //!
 //! A [`MonoClock`] and an [`RcuValue`] for tables that request threads read are shared
-//! by the ports and the code behind them.
+//! by the ports and the code behind them. A [`PauseWatch`] says when a request may have
+//! arrived that is read after the process was suspended.
 
 mod body_error;
 mod code_scope;
@@ -26,6 +27,7 @@
 mod library_body;
 mod min_transfer_rate;
 mod mono_clock;
+mod pause_watch;
 mod port_limits;
 mod rate_checked_reader;
 mod rcu_value;
@@ -44,6 +46,7 @@
 pub use library_body::LibraryBody;
 pub use min_transfer_rate::MinTransferRate;
 pub use mono_clock::MonoClock;
+pub use pause_watch::PauseWatch;
 pub use port_limits::PortLimits;
 pub use rate_checked_reader::RateCheckedReader;
 pub use rcu_value::RcuValue;
