--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -6,8 +6,9 @@
 //! more processor time claim first. A successful claim is an [`OwnershipClaim`]. An
 //! [`OwnershipTerm`] then drives the cell: it handles [`OwnerEvent`]s, plans starts by a
 //! [`PlanSchedule`], stores batches and each [`LayoutChange`] by [`WriteRequest`]s to a
-//! [`CommitWriter`], which reports each [`RemovedJob`] to the [`IntakeGate`], and passes effects to an [`EffectDispatcher`], which uses
-//! [`WorkerCalls`] on the threads of [`ElasticPool`]s and an [`AdvisorThread`]. A
+//! [`CommitWriter`], which reports each [`RemovedJob`] to the [`IntakeGate`], and passes
+//! effects to an [`EffectDispatcher`], which uses [`WorkerCalls`] on the threads of
+//! [`ElasticPool`]s and an [`AdvisorThread`]. A
 //! [`LearntReader`] reads what the owners of other cells have learnt, and a
 //! [`DecisionLogger`] logs the decisions.
 
