Give each scenario of the soak a folder of its own

Two tests of the soak that play the same seed at the same time shared the folder of their settings and logs. With SOAK_SEEDS=700..712 for both, a daemon started with the other's ports ("Address already in use") and another followed the other's store, so a version never came into effect.

--- a/crates/daemon/tests/deployed_soak/soak_scenario.rs
+++ b/crates/daemon/tests/deployed_soak/soak_scenario.rs
@@ -9,6 +9,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -35,6 +37,10 @@
 use crate::submission_log::SubmissionOutcome;
 
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
+
+/// Number of scenarios that were started. Tests of both kinds may play a seed at the same time,
+/// and each scenario needs a folder of its own.
+static SCENARIOS: AtomicU32 = AtomicU32::new(0);
 /// The number of daemons.
 pub const DAEMONS: usize = 3;
 
@@ -90,7 +96,8 @@
 
 impl SoakScenario {
     pub fn start(seed: u64) -> Self {
-        let folder = PathBuf::from(format!("{FOLDER}/deployed-soak-{seed}"));
+        let number = SCENARIOS.fetch_add(1, Ordering::Relaxed);
+        let folder = PathBuf::from(format!("{FOLDER}/deployed-soak-{seed}-{number}"));
         // The folder does not exist at the first run.
         let _removed = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("the folder for settings and logs can be created");
