--- a/crates/entry/src/owner/free_cell.rs
+++ b/crates/entry/src/owner/free_cell.rs
@@ -5,7 +5,7 @@
 /// A cell without an owner that a daemon may claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FreeCell {
-    /// The cell.
+    /// The cell whose ownership row the claim replaces.
     pub cell: CellNumber,
     /// The revision of its ownership row; 0 if it was never owned.
     pub revision: u64,
--- a/crates/entry/src/owner/removed_job.rs
+++ b/crates/entry/src/owner/removed_job.rs
@@ -6,7 +6,7 @@
 /// is no longer retained.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RemovedJob {
-    /// The job.
+    /// The job whose rows the intake gate takes for out of date.
     pub job: JobIdentity,
     /// The revision of the removal: rows of the job up to it are out of date.
     pub revision: u64,
