--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -244,7 +244,7 @@
         let sharing = if entry.spec.steps[task.step as usize].is_gang {
             0..entry.spec.steps[task.step as usize].tasks
         } else {
-            task.index..task.index + 1
+            task.index..task.index.saturating_add(1)
         };
         // A checkpoint of one task of a gang is valid for all, and all resume from the same one.
         for index in sharing {
--- a/crates/jobs/src/worker/worker_clock.rs
+++ b/crates/jobs/src/worker/worker_clock.rs
@@ -88,7 +88,7 @@
             .saturating_add(LAPSE_MARGIN_MS)
             .saturating_sub(self.clock_ms);
         // One more than the drift, so that the rounding of `has_lapsed` is covered.
-        let elapsed_ms = lease_ms + lease_ms / (DRIFT_DIVISOR - 1) + 1;
+        let elapsed_ms = lease_ms.saturating_add(lease_ms / (DRIFT_DIVISOR - 1) + 1);
         elapsed_ms.saturating_sub(now.millis_since(self.read_at))
     }
 }
--- /dev/null
+++ b/crates/jobs/tests/owner/odd_figures.rs
@@ -0,0 +1,91 @@
+//! Figures that no sound worker responds with.
+
+use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::EndList;
+use sapphirestile_jobs::EndedRun;
+use sapphirestile_jobs::PollOutcome;
+use sapphirestile_jobs::PollResponse;
+use sapphirestile_jobs::RunningRun;
+use sapphirestile_jobs::WorkerIncarnation;
+
+use crate::owner_fixture::OwnerFixture;
+use crate::test_values::ended;
+use crate::test_values::job_spec;
+use crate::test_values::running;
+use crate::test_values::step;
+use crate::test_values::worker;
+
+const JOB: &str = "5c0e7a21d94b36f8";
+
+/// The first worker responds with a clock, runs and ends.
+fn respond(fixture: &mut OwnerFixture, clock_ms: u64, runs: &[RunningRun], ends: &[EndedRun]) {
+    let response = PollResponse {
+        clock_ms,
+        incarnation: WorkerIncarnation::from_unix_ms(1),
+        running: runs.to_vec(),
+        ended: EndList::Complete(ends.to_vec()),
+    };
+    fixture.finish_poll("w-1", PollOutcome::Responded(response));
+}
+
+/// The first worker has odd figures, and the job runs on the other.
+fn assert_job_runs_on_the_other(fixture: &mut OwnerFixture) {
+    fixture.accept(JOB, job_spec(vec![step(8, 1_000)]));
+    fixture.step();
+    let started = fixture.store();
+    let other = started.iter().filter(|line| line.ends_with("at w-2"));
+    assert_eq!(other.count(), 4, "{started:?}");
+}
+
+fn two_workers() -> OwnerFixture {
+    OwnerFixture::with_workers(vec![worker("w-1", 4_000), worker("w-2", 4_000)])
+}
+
+/// Guards against an owner that ends when the end of a lease is worked out.
+#[test]
+fn clock_that_jumps_back_from_its_limit_ends_no_owner() {
+    let mut fixture = OwnerFixture::claimed(vec![worker("w-1", 4_000), worker("w-2", 4_000)]);
+    fixture.answer("w-2", &[], &[]);
+    respond(&mut fixture, u64::MAX, &[], &[]);
+    fixture.wait(300);
+    respond(&mut fixture, 0, &[], &[]);
+    assert_job_runs_on_the_other(&mut fixture);
+    fixture.wait(60_000);
+    assert!(fixture.owner.take_batch(true, fixture.time()).is_some());
+}
+
+/// Guards against an owner that ends when the checkpoint of a run is stored.
+#[test]
+fn run_of_a_task_beyond_the_last_ends_no_owner() {
+    let mut fixture = two_workers();
+    assert_job_runs_on_the_other(&mut fixture);
+    let mut run = running(&format!("{JOB}.0.0.{}", u32::MAX), u32::MAX);
+    run.checkpoint = "00000bb87a21d94b".into();
+    for _ in 0..3 {
+        let now = fixture.now;
+        respond(&mut fixture, now, std::slice::from_ref(&run), &[]);
+        fixture.wait(300);
+    }
+}
+
+/// Guards against an owner that ends on an end that it cannot place.
+#[test]
+fn ends_with_figures_at_their_limits_end_no_owner() {
+    for kind in [EndKind::Done, EndKind::Failed, EndKind::Lapsed] {
+        let mut fixture = two_workers();
+        assert_job_runs_on_the_other(&mut fixture);
+        let tasks = [
+            "0.0.0",
+            "0.0.4294967295",
+            "0.4294967295.0",
+            "4294967295.0.0",
+        ];
+        let ends: Vec<EndedRun> = tasks
+            .iter()
+            .map(|task| ended(u64::MAX, &format!("{JOB}.{task}"), u32::MAX, kind))
+            .collect();
+        let now = fixture.now;
+        respond(&mut fixture, now, &[], &ends);
+        fixture.wait(300);
+    }
+}
