--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -46,6 +46,7 @@
 pub use owner_adapters::OwnerAdapters;
 pub use owner_election::OwnerElection;
 pub use owner_monitor::OwnerMonitor;
+pub use ownership_term::StoredCell;
 pub use plan_schedule::PlanSchedule;
 pub use removed_job::RemovedJob;
 
--- a/crates/entry/src/owner/intake_gate.rs
+++ b/crates/entry/src/owner/intake_gate.rs
@@ -31,13 +31,28 @@
     removed: SortedTable<JobIdentity, u64>,
     /// Events that wait for the outcome of a departure, in the order in which they arrived.
     delayed: Vec<IntakeEvent>,
+    /// Jobs that the owner has not taken since it cannot read their rows.
+    unreadable: SortedTable<JobIdentity, ()>,
 }
 
 impl IntakeGate {
+    /// Creates the gate of an owner that has not taken the `unreadable` jobs of its cell. A
+    /// later listing has their rows again, and would look like new jobs.
+    #[must_use]
+    pub fn without(unreadable: SortedTable<JobIdentity, ()>) -> Self {
+        Self {
+            unreadable,
+            ..Self::default()
+        }
+    }
+
     /// Returns the event if the owner is to handle it now. `is_departing` says whether the
     /// departure of its job, or of some of its tasks, is being stored. A cancellation is
     /// handled now, and once more if the job comes back.
     pub fn admit(&mut self, event: IntakeEvent, is_departing: bool) -> Option<IntakeEvent> {
+        if self.unreadable.contains(&event.job()) {
+            return None;
+        }
         if is_departing {
             self.delayed.push(event.clone());
             return event.is_cancellation().then_some(event);
--- a/crates/entry/src/owner/ownership_term.rs
+++ b/crates/entry/src/owner/ownership_term.rs
@@ -2,6 +2,7 @@
 
 mod division;
 mod event_handlers;
+mod loaded_cell;
 mod loading;
 mod stored_cell;
 
@@ -32,6 +33,8 @@
 use crate::owner::PlanSchedule;
 use crate::owner::WriteRequest;
 
+pub use stored_cell::StoredCell;
+
 /// The interval at which the owner writes its row when there are no changes, in
 /// milliseconds.
 const HEARTBEAT_INTERVAL_MS: u64 = 450;
@@ -78,14 +81,14 @@
     ) {
         let (sender, events) = unbounded();
         let loaded = loading::load(context, adapters, &claim, claimed, &sender);
-        let Some((owner, division)) = loaded else {
+        let Some(loaded) = loaded else {
             return;
         };
         let cell = claim.cell;
-        let (jobs, workers) = owner.counts();
+        let (jobs, workers) = loaded.owner.counts();
         tracing::info!(
             %cell,
-            epoch = owner.epoch().get(),
+            epoch = loaded.owner.epoch().get(),
             jobs,
             workers,
             took_ms = context.clock.now().millis_since(claimed),
@@ -108,11 +111,11 @@
         let term = Self {
             context: Arc::clone(context),
             cell,
-            owner,
-            division,
+            owner: loaded.owner,
+            division: loaded.division,
             cells_read: 0,
             layout_proposed: claimed,
-            intake: IntakeGate::default(),
+            intake: loaded.intake,
             dispatcher: EffectDispatcher::new(adapters, &sender),
             events,
             requests,
--- a/crates/entry/src/owner/ownership_term/event_handlers.rs
+++ b/crates/entry/src/owner/ownership_term/event_handlers.rs
@@ -98,6 +98,8 @@
             IntakeEvent::Cancelled(identity) => self.owner.cancel_job(identity, now),
             IntakeEvent::Delegated(task) => self.owner.receive_task(*task, now, unix_ms),
             IntakeEvent::Returned(task) => self.owner.take_back_task(task, now, unix_ms),
+            // Its row stays for a daemon that can read it.
+            IntakeEvent::Unreadable(_) => {}
         }
     }
 }
--- a/crates/entry/src/owner/ownership_term/loading.rs
+++ b/crates/entry/src/owner/ownership_term/loading.rs
@@ -15,9 +15,11 @@
 use sapphirestile_serving::MonoClock;
 
 use crate::context::EntryContext;
+use crate::owner::IntakeGate;
 use crate::owner::OwnerAdapters;
 use crate::owner::OwnerEvent;
 use crate::owner::OwnershipClaim;
+use crate::owner::ownership_term::loaded_cell::LoadedCell;
 use crate::owner::ownership_term::stored_cell::StoredCell;
 use crate::ports::EventSource;
 use crate::ports::StoreCallError;
@@ -49,7 +51,7 @@
     claim: &OwnershipClaim,
     claimed: MonoTime,
     events: &Sender<OwnerEvent>,
-) -> Option<(JobOwner, FleetDivision)> {
+) -> Option<LoadedCell> {
     let cell = claim.cell;
     let intake_source: Arc<dyn EventSource<IntakeEvent>> = Arc::new(IntakeSource::new(
         adapters.rows.rows(&RowKeys::intake_prefix(cell)),
@@ -92,10 +94,15 @@
     let mut division = FleetDivision::new(cell, layout, now);
     owner.replace_workers(division.replace(present.collect(), now), now);
     let stored = StoredCell::join(intake.events, &progress.rows);
+    let intake_gate = IntakeGate::without(stored.unreadable().clone());
     stored.restore_into(&mut owner, now, unix_ms);
     let sources = (Arc::clone(&adapters.workers), intake_source);
     watch_sources(context, sources, revisions, events);
-    Some((owner, division))
+    Some(LoadedCell {
+        owner,
+        division,
+        intake: intake_gate,
+    })
 }
 
 /// Reads the estimates that previous owners have learnt. Without them the owner starts
--- a/crates/entry/src/owner/ownership_term/stored_cell.rs
+++ b/crates/entry/src/owner/ownership_term/stored_cell.rs
@@ -17,6 +17,9 @@
 use crate::store::RowKeys;
 
 /// The jobs of a cell, and the tasks that other cells have transferred to it.
+///
+/// A job is left out if its specification or its progress cannot be read: without progress it
+/// would begin anew beside the runs that it has. Its rows stay for a daemon that can read them.
 #[derive(Debug, Default)]
 pub struct StoredCell {
     jobs: Vec<StoredJob>,
@@ -24,15 +27,19 @@
     returned: Vec<ReturnedTask>,
     /// Jobs that were ended here after their last task had left.
     ended_elsewhere: Vec<JobIdentity>,
+    /// Jobs that are left out.
+    unreadable: SortedTable<JobIdentity, ()>,
 }
 
 impl StoredCell {
     /// Joins the specification, the progress and the cancellation of each job. A job of
     /// another cell has its specification in the rows of its tasks.
+    #[must_use]
     pub fn join(intake: Vec<IntakeEvent>, progress_rows: &[StoredRow]) -> Self {
         let mut cell = Self::default();
         let mut specs: Vec<(JobIdentity, JobSpec, JobPlace)> = Vec::new();
         let mut cancelled: SortedTable<JobIdentity, ()> = SortedTable::new();
+        let mut unreadable: Vec<JobIdentity> = Vec::new();
         for event in intake {
             match event {
                 IntakeEvent::Submitted { identity, spec, .. } => {
@@ -47,36 +54,45 @@
                     cell.delegated.push(*task);
                 }
                 IntakeEvent::Returned(task) => cell.returned.push(task),
+                IntakeEvent::Unreadable(identity) => unreadable.push(identity),
             }
         }
         // The tasks of a job of another cell have equal specifications.
         specs.dedup_by_key(|(identity, _, _)| *identity);
-        let (home, guests) = (
-            decode_progress(progress_rows, RowKeys::identity_of),
-            decode_progress(progress_rows, RowKeys::guest_identity_of),
-        );
+        let home = cell.decode_progress(progress_rows, RowKeys::identity_of);
+        let guests = cell.decode_progress(progress_rows, RowKeys::guest_identity_of);
         let has_rows = |job: &JobIdentity| specs.iter().any(|(identity, _, _)| identity == job);
         let ended_elsewhere = cancelled.keys().filter(|job| !has_rows(job));
         cell.ended_elsewhere = ended_elsewhere.copied().collect();
-        let jobs = specs.into_iter().map(|(identity, spec, place)| {
+        // A job goes on without a transfer that cannot be read.
+        for job in unreadable.into_iter().filter(|job| !has_rows(job)) {
+            cell.unreadable.insert(job, ());
+        }
+        for (identity, spec, place) in specs {
             let progress = if place.is_guest() {
                 let stored = guests.get(&identity).cloned();
                 Some(stored.unwrap_or_else(|| JobProgress::of_guest(&spec)))
             } else {
                 home.get(&identity).cloned()
             };
-            StoredJob {
+            cell.add_job(StoredJob {
                 identity,
                 spec,
                 progress,
                 place,
                 is_cancelled: cancelled.contains(&identity),
-            }
-        });
-        cell.jobs = jobs.collect();
+            });
+        }
+        cell.drop_unreadable();
         cell
     }
 
+    /// The jobs of the cell that are left out.
+    #[must_use]
+    pub const fn unreadable(&self) -> &SortedTable<JobIdentity, ()> {
+        &self.unreadable
+    }
+
     /// Adds the jobs and tasks to their new owner. Cancelled jobs take no task.
     pub fn restore_into(self, owner: &mut JobOwner, now: MonoTime, unix_ms: u64) {
         for job in self.jobs {
@@ -92,20 +108,50 @@
             owner.forget_ended_elsewhere(job);
         }
     }
-}
 
-/// Progress of the jobs whose identity `job_of` reads from the key.
-fn decode_progress(
-    rows: &[StoredRow],
-    job_of: impl Fn(&str) -> Option<JobIdentity>,
-) -> SortedTable<JobIdentity, JobProgress> {
-    let decoded = rows.iter().filter_map(|row| {
-        let identity = job_of(&row.key)?;
-        let progress = RowCodec::decode(&row.value);
-        if progress.is_none() {
-            tracing::error!(key = row.key, "cannot decode the progress of a job");
+    fn add_job(&mut self, job: StoredJob) {
+        let progress = job.progress.as_ref();
+        if progress.is_none_or(|progress| progress.fits(&job.spec)) {
+            self.jobs.push(job);
+            return;
         }
-        Some((identity, progress?))
-    });
-    decoded.collect()
+        tracing::error!(
+            job = %job.identity,
+            "progress of a job does not fit its specification"
+        );
+        self.unreadable.insert(job.identity, ());
+    }
+
+    /// Leaves out whatever is stored of the jobs that have unreadable rows.
+    fn drop_unreadable(&mut self) {
+        let unreadable = &self.unreadable;
+        self.jobs.retain(|job| !unreadable.contains(&job.identity));
+        self.delegated
+            .retain(|task| !unreadable.contains(&task.task.job));
+        self.returned
+            .retain(|task| !unreadable.contains(&task.task.job));
+        self.ended_elsewhere.retain(|job| !unreadable.contains(job));
+    }
+
+    /// Progress of the jobs whose identity `job_of` reads from the key. Those whose rows are
+    /// malformed become unreadable.
+    fn decode_progress(
+        &mut self,
+        rows: &[StoredRow],
+        job_of: impl Fn(&str) -> Option<JobIdentity>,
+    ) -> SortedTable<JobIdentity, JobProgress> {
+        let mut decoded = SortedTable::new();
+        for row in rows {
+            let Some(identity) = job_of(&row.key) else {
+                continue;
+            };
+            if let Some(progress) = RowCodec::decode(&row.value) {
+                decoded.insert(identity, progress);
+            } else {
+                tracing::error!(key = row.key, "cannot decode the progress of a job");
+                self.unreadable.insert(identity, ());
+            }
+        }
+        decoded
+    }
 }
--- a/crates/entry/src/store/intake_event.rs
+++ b/crates/entry/src/store/intake_event.rs
@@ -23,6 +23,8 @@
     Delegated(Box<DelegatedTask>),
     /// Another cell has given a task back to this one.
     Returned(ReturnedTask),
+    /// A row of a job cannot be read, as when a daemon of a later version wrote it.
+    Unreadable(JobIdentity),
 }
 
 impl IntakeEvent {
@@ -30,7 +32,9 @@
     #[must_use]
     pub const fn job(&self) -> JobIdentity {
         match self {
-            Self::Submitted { identity, .. } | Self::Cancelled(identity) => *identity,
+            Self::Submitted { identity, .. }
+            | Self::Cancelled(identity)
+            | Self::Unreadable(identity) => *identity,
             Self::Delegated(delegated) => delegated.task.job,
             Self::Returned(returned) => returned.task.job,
         }
--- a/crates/entry/src/store/intake_source.rs
+++ b/crates/entry/src/store/intake_source.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sapphirestile_jobs::DelegatedTask;
+use sapphirestile_jobs::JobSpec;
+
 use crate::ports::EventListing;
 use crate::ports::EventSource;
 use crate::ports::RowChange;
@@ -54,21 +57,28 @@
         return Some(IntakeEvent::Cancelled(identity));
     }
     let read = if RowKeys::is_delegated(&row.key) {
-        RowCodec::decode(&row.value).map(|task| IntakeEvent::Delegated(Box::new(task)))
+        read_delegated(row)
     } else if RowKeys::is_returned(&row.key) {
         RowCodec::decode(&row.value).map(IntakeEvent::Returned)
     } else {
         read_spec(row)
     };
-    if read.is_none() {
+    read.or_else(|| {
         tracing::error!(key = row.key, "cannot decode an intake row");
-    }
-    read
+        RowKeys::intake_identity_of(&row.key).map(IntakeEvent::Unreadable)
+    })
+}
+
+fn read_delegated(row: &StoredRow) -> Option<IntakeEvent> {
+    let task: DelegatedTask = RowCodec::decode(&row.value)?;
+    task.spec.check().ok()?;
+    Some(IntakeEvent::Delegated(Box::new(task)))
 }
 
 fn read_spec(row: &StoredRow) -> Option<IntakeEvent> {
     let identity = RowKeys::identity_of(&row.key)?;
-    let spec = RowCodec::decode(&row.value)?;
+    let spec: JobSpec = RowCodec::decode(&row.value)?;
+    spec.check().ok()?;
     Some(IntakeEvent::Submitted {
         identity,
         spec,
--- a/crates/entry/src/store/row_keys.rs
+++ b/crates/entry/src/store/row_keys.rs
@@ -172,6 +172,14 @@
         JobIdentity::try_from(name).ok()
     }
 
+    /// Parses the job identity from the key of any intake row.
+    #[must_use]
+    pub fn intake_identity_of(key: &str) -> Option<JobIdentity> {
+        let (_, rest) = key.strip_prefix(INTAKE)?.split_once('/')?;
+        let name = rest.split_once('/').map_or(rest, |(name, _)| name);
+        JobIdentity::try_from(name).ok()
+    }
+
     /// Parses the job identity from the key of a cancellation.
     #[must_use]
     pub fn cancelled_identity_of(key: &str) -> Option<JobIdentity> {
--- a/crates/entry/tests/intake_gate.rs
+++ b/crates/entry/tests/intake_gate.rs
@@ -95,3 +95,14 @@
     assert_eq!(gate.admit(returned.clone(), true), None);
     assert_eq!(gate.finish_departures(&[]), [returned]);
 }
+
+/// Guards against a job that runs again from its beginning: the owner has left it out as
+/// unreadable, and a later listing has its specification again.
+#[test]
+fn job_that_was_left_out_is_not_taken_for_a_new_one() {
+    let unreadable = [(job(), ())].into_iter().collect();
+    let mut gate = IntakeGate::without(unreadable);
+    assert_eq!(gate.admit(submitted(21), false), None);
+    let cancelled = IntakeEvent::Cancelled(job());
+    assert_eq!(gate.admit(cancelled, false), None);
+}
--- a/crates/jobs/src/progress/job_progress.rs
+++ b/crates/jobs/src/progress/job_progress.rs
@@ -46,6 +46,46 @@
         self.standing == JobStanding::Waiting && tasks.all(|task| task.run == 0)
     }
 
+    /// Whether the progress can be that of a job with the specification: each occurrence is
+    /// there once, with the steps and tasks that the specification has.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_jobs::JobProgress;
+    /// use sapphirestile_jobs::JobSpec;
+    /// use sapphirestile_jobs::OccurrenceProgress;
+    /// use sapphirestile_jobs::QueueTerms;
+    /// use sapphirestile_jobs::StepSpec;
+    ///
+    /// let mut spec = JobSpec {
+    ///     queue: "charts".into(),
+    ///     terms: QueueTerms { service: "sizing".into(), priority: 0, attempts: 3 },
+    ///     text: "".into(),
+    ///     steps: vec![StepSpec { tasks: 2, ..StepSpec::default() }],
+    ///     repeat: None,
+    ///     accepted_unix_ms: 0,
+    /// };
+    /// let progress = JobProgress {
+    ///     begun: 1,
+    ///     occurrences: vec![OccurrenceProgress::new(0, &spec)],
+    ///     ..JobProgress::default()
+    /// };
+    /// assert!(progress.fits(&spec));
+    /// spec.steps[0].tasks = 3;
+    /// assert!(!progress.fits(&spec));
+    /// ```
+    #[must_use]
+    pub fn fits(&self, spec: &JobSpec) -> bool {
+        let occurrences = self.occurrences.iter();
+        let mut numbers: Vec<u32> = occurrences.map(|occurrence| occurrence.number).collect();
+        numbers.sort_unstable();
+        numbers.dedup();
+        let mut occurrences = self.occurrences.iter();
+        numbers.len() == self.occurrences.len()
+            && occurrences.all(|occurrence| occurrence.has_shape_of(spec))
+    }
+
     /// Progress of a job of another cell, of which no task is here.
     #[must_use]
     pub fn of_guest(spec: &JobSpec) -> Self {
--- a/crates/jobs/src/progress/occurrence_progress.rs
+++ b/crates/jobs/src/progress/occurrence_progress.rs
@@ -29,6 +29,14 @@
         }
     }
 
+    /// Whether the occurrence has as many steps as the specification, and each step as many
+    /// tasks.
+    pub(super) fn has_shape_of(&self, spec: &JobSpec) -> bool {
+        let tasks = self.steps.iter().map(|step| step.tasks.len());
+        let expected = spec.steps.iter().map(|step| step.tasks as usize);
+        tasks.eq(expected)
+    }
+
     /// Progress of all tasks, for changing it in place.
     pub fn tasks_mut(&mut self) -> impl Iterator<Item = &mut TaskProgress> {
         self.steps.iter_mut().flat_map(|step| &mut step.tasks)
