--- a/crates/entry/src/cells/cell_table.rs
+++ b/crates/entry/src/cells/cell_table.rs
@@ -21,16 +21,20 @@
 pub struct CellTable {
     /// The assignment of racks to cells; empty before it is stored.
     pub layout: Arc<CellLayout>,
-    /// The revision of the layout's row; 0 before it is stored.
+    /// The revision of the layout; 0 before it is stored.
     pub layout_revision: u64,
     /// The ownership rows of the cells that have been claimed.
     pub heads: SortedTable<CellNumber, CellHead>,
+    /// The revisions of the rows that cannot be read, by key. A daemon of a later version may
+    /// own such a cell, or use such a layout.
+    pub unreadable: SortedTable<String, u64>,
     /// How often the rows were read.
     pub reads: u64,
 }
 
 impl CellTable {
-    /// The table after another read. Rows that cannot be decoded are left out and logged.
+    /// The table after another read. Rows that cannot be decoded are left out, and logged
+    /// once.
     #[must_use]
     pub fn with_rows(&self, rows: &[StoredRow], now: MonoTime) -> Self {
         let mut table = Self {
@@ -52,6 +56,18 @@
         (0..self.layout.cells().max(1)).map(CellNumber::new)
     }
 
+    /// Whether the row of the cell's owner is there and cannot be read.
+    #[must_use]
+    pub fn has_unreadable_head(&self, cell: CellNumber) -> bool {
+        self.unreadable.contains(&RowKeys::ownership(cell))
+    }
+
+    /// Whether the row of the layout is there and cannot be read.
+    #[must_use]
+    pub fn has_unreadable_layout(&self) -> bool {
+        self.unreadable.contains(RowKeys::layout())
+    }
+
     /// The loads of the cells that have an owner, sorted by cell.
     #[must_use]
     pub fn loads(&self, now: MonoTime) -> Vec<(CellNumber, &CellLoad)> {
@@ -77,14 +93,17 @@
     }
 
     fn set_layout(&mut self, previous: &Self, row: &StoredRow) {
-        self.layout_revision = row.revision;
+        self.layout_revision = previous.layout_revision;
         self.layout = Arc::clone(&previous.layout);
         if row.revision == previous.layout_revision {
             return;
         }
         match RowCodec::decode(&row.value) {
-            Some(layout) => self.layout = Arc::new(layout),
-            None => log_undecodable(row),
+            Some(layout) => {
+                self.layout = Arc::new(layout);
+                self.layout_revision = row.revision;
+            }
+            None => self.note_unreadable(previous, row),
         }
     }
 
@@ -103,15 +122,15 @@
                 };
                 self.heads.insert(cell, head);
             }
-            None => log_undecodable(row),
+            None => self.note_unreadable(previous, row),
         }
     }
-}
 
-fn log_undecodable(row: &StoredRow) {
-    tracing::error!(
-        key = row.key,
-        revision = row.revision,
-        "cannot decode a row of the cells"
-    );
+    fn note_unreadable(&mut self, previous: &Self, row: &StoredRow) {
+        let (key, revision) = (&row.key, row.revision);
+        if previous.unreadable.get(key) != Some(&revision) {
+            tracing::error!(key, revision, "cannot decode a row of the cells");
+        }
+        self.unreadable.insert(key.clone(), revision);
+    }
 }
--- a/crates/entry/src/owner/cell_claims.rs
+++ b/crates/entry/src/owner/cell_claims.rs
@@ -52,7 +52,8 @@
     }
 
     /// Evaluates one read of the rows. Returns the cell to be claimed, or `None` if all have
-    /// owners. `is_own` says whether this daemon owns a cell.
+    /// owners. `is_own` says whether this daemon owns a cell. A cell whose row cannot be read
+    /// is left to daemons that can.
     pub fn observe(
         &mut self,
         table: &CellTable,
@@ -61,7 +62,7 @@
     ) -> Option<FreeCell> {
         let mut free = Vec::new();
         for cell in table.numbers() {
-            if is_own(cell) {
+            if is_own(cell) || table.has_unreadable_head(cell) {
                 self.monitors.remove(&cell);
                 self.free_since.remove(&cell);
                 continue;
--- a/crates/entry/src/owner/ownership_term/division.rs
+++ b/crates/entry/src/owner/ownership_term/division.rs
@@ -30,7 +30,7 @@
             return;
         }
         self.cells_read = table.reads;
-        if self.cell == LAYOUT_CELL {
+        if self.cell == LAYOUT_CELL && !table.has_unreadable_layout() {
             self.propose_layout(&table, now);
         }
         let loads = table.loads(now);
