--- a/crates/jobs/src/owner/job_owner/polling.rs
+++ b/crates/jobs/src/owner/job_owner/polling.rs
@@ -96,6 +96,12 @@
             return;
         };
         let is_replaced = outcome == PollOutcome::OtherIncarnation;
+        let outcome = match outcome {
+            PollOutcome::Responded(response) if tracked.is_unattributed(&response) => {
+                PollOutcome::NoResponse
+            }
+            outcome => outcome,
+        };
         match outcome {
             PollOutcome::Responded(response) => {
                 self.apply_response(name, number, &response, now, unix_ms);
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -9,6 +9,7 @@
 use crate::spec::TaskIdentity;
 use crate::worker::KnownIncarnation;
 use crate::worker::LeaseGrant;
+use crate::worker::PollResponse;
 use crate::worker::RunEntry;
 use crate::worker::WorkerBreaker;
 use crate::worker::WorkerClock;
@@ -115,6 +116,15 @@
         known.or(listed).unwrap_or_default()
     }
 
+    /// Whether a response is not known to be the worker's: it does not say its incarnation,
+    /// which the worker has said before. The answer to another request looks so, and lists no
+    /// runs.
+    #[must_use]
+    pub fn is_unattributed(&self, response: &PollResponse) -> bool {
+        let unknown = WorkerIncarnation::default();
+        response.incarnation == unknown && self.incarnation() != unknown
+    }
+
     /// Whether an entry is the first of another incarnation than the known one. An old entry
     /// that arrives late is not, nor is one that does not say when the worker started.
     #[must_use]
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -11,7 +11,7 @@
 mod lease_bounds_of_restarted_workers;
 mod leases_and_restarts;
 mod moves;
-mod odd_figures;
+mod odd_responses;
 mod owner_fixture;
 mod pacing;
 mod placement;
--- a/crates/jobs/tests/owner/odd_figures.rs
+++ b/crates/jobs/tests/owner/odd_responses.rs
@@ -1,4 +1,4 @@
-//! Figures that no sound worker responds with.
+//! Responses that no sound worker gives.
 
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::EndList;
@@ -6,6 +6,7 @@
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::PollResponse;
 use sapphirestile_jobs::RunningRun;
+use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::WorkerIncarnation;
 
 use crate::owner_fixture::OwnerFixture;
@@ -68,6 +69,25 @@
     }
 }
 
+/// Guards against runs that start again beside themselves: the answer to an order, which lists no
+/// runs, was taken for that of an incarnation without any.
+#[test]
+fn answer_that_does_not_say_its_incarnation_gives_up_no_run() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 4_000)]);
+    fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    let task = format!("{JOB}.0.0.0");
+    assert_eq!(fixture.store(), [format!("start {task}#1 at w-1")]);
+    fixture.started("w-1", &task, 1, StartOutcome::Accepted);
+    let run = running(&task, 1);
+    fixture.answer("w-1", std::slice::from_ref(&run), &[]);
+    fixture.wait(300);
+    fixture.respond_as_incarnation("w-1", 0, &[], &[]);
+    assert!(fixture.wait(300).is_empty());
+    fixture.answer("w-1", &[run], &[]);
+    assert!(fixture.batch().is_none(), "the run was given up");
+}
+
 /// Guards against an owner that ends on an end that it cannot place.
 #[test]
 fn ends_with_figures_at_their_limits_end_no_owner() {
