--- a/crates/daemon/src/bin/sapphirestiled.rs
+++ b/crates/daemon/src/bin/sapphirestiled.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use bpaf::OptionParser;
 use bpaf::Parser;
@@ -34,6 +35,9 @@
 /// in time.
 const EXIT_INCOMPLETE: u8 = 3;
 
+/// The longest time that the end of a process waits for its last log lines to be written.
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// The mode that the command line selects.
 #[derive(Clone)]
 enum DaemonMode {
@@ -152,23 +156,28 @@
 /// SIGHUP for changed settings during startup would terminate the process.
 fn serve_deployed() -> Result<bool, Report<StepError>> {
     let mut signals = install_signal_handlers()?;
-    init_deployed_log();
+    let log = init_deployed_log();
     let serving = DeployedDaemon::start(DeployedDaemon::read_settings()?)?;
     wait_for_stop(&mut signals);
-    Ok(serving.drain().finish())
+    let is_complete = serving.drain().finish();
+    // Nothing is left to do if the platform does not read the last lines in time.
+    let _flushed = log.flush(LOG_FLUSH_TIMEOUT);
+    Ok(is_complete)
 }
 
 /// Logs to standard output, where the platform reads logs, through a queue, so that no
 /// thread waits for the reader.
-fn init_deployed_log() {
+fn init_deployed_log() -> LogQueue {
+    let log = LogQueue::to(std::io::stdout());
     tracing_subscriber::fmt()
         .json()
-        .with_writer(LogQueue::to(std::io::stdout()))
+        .with_writer(log.clone())
         .with_env_filter(
             tracing_subscriber::EnvFilter::from_default_env()
                 .add_directive(tracing::Level::INFO.into()),
         )
         .init();
+    log
 }
 
 fn install_signal_handlers() -> Result<Signals, Report<StepError>> {
--- a/crates/entry/src/logging/log_queue.rs
+++ b/crates/entry/src/logging/log_queue.rs
@@ -1,10 +1,12 @@
 //! Bounded queue between the daemon's threads and the log output.
 
 use std::io::Write;
+use std::iter::once;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
 
 use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
@@ -14,6 +16,7 @@
 
 use crate::logging::LogLimiter;
 use crate::logging::LogLine;
+use crate::logging::log_entry::LogEntry;
 
 /// The capacity of the queue, in lines.
 const QUEUE_LINES_MAX: usize = 2_048;
@@ -39,7 +42,7 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct LogQueue {
-    lines: Sender<Vec<u8>>,
+    lines: Sender<LogEntry>,
     limiter: Arc<LogLimiter>,
     dropped: Arc<AtomicU64>,
     clock: MonoClock,
@@ -74,9 +77,29 @@
         self.dropped.load(Ordering::Acquire)
     }
 
+    /// Waits until all lines that were queued so far are written, at most for about `timeout`.
+    /// Returns whether they are. Without it a process that ends loses its last lines.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use sapphirestile_entry::LogQueue;
+    ///
+    /// let queue = LogQueue::to(Vec::new());
+    /// assert!(queue.flush(Duration::from_secs(10)));
+    /// ```
+    #[must_use]
+    pub fn flush(&self, timeout: Duration) -> bool {
+        let (reply, written) = bounded(1);
+        let sent = self.lines.send_timeout(LogEntry::Flush(reply), timeout);
+        sent.is_ok() && written.recv_timeout(timeout).is_ok()
+    }
+
     pub(crate) fn push(&self, line: Vec<u8>) {
         let is_within_limit = self.limiter.try_acquire(self.clock.now());
-        if !is_within_limit || self.lines.try_send(line).is_err() {
+        if !is_within_limit || self.lines.try_send(LogEntry::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::AcqRel);
         }
     }
@@ -92,10 +115,15 @@
 
 /// Writes queued lines, several at once when more are pending. Output errors are
 /// ignored, since there is nowhere else to report them.
-fn write_lines(queue: &Receiver<Vec<u8>>, mut output: impl Write, dropped: &AtomicU64) {
-    for mut text in queue {
-        for line in queue.try_iter() {
-            text.extend(line);
+fn write_lines(queue: &Receiver<LogEntry>, mut output: impl Write, dropped: &AtomicU64) {
+    for first in queue {
+        let mut text = Vec::new();
+        let mut flushes = Vec::new();
+        for entry in once(first).chain(queue.try_iter()) {
+            match entry {
+                LogEntry::Line(line) => text.extend(line),
+                LogEntry::Flush(reply) => flushes.push(reply),
+            }
         }
         let dropped_lines = dropped.swap(0, Ordering::AcqRel);
         if dropped_lines > 0 {
@@ -105,5 +133,9 @@
             text.extend(report.into_bytes());
         }
         let _ = output.write_all(&text).and_then(|()| output.flush());
+        for reply in flushes {
+            // Whoever waited may have given up.
+            let _heard = reply.send(());
+        }
     }
 }
--- a/crates/entry/tests/logging/main.rs
+++ b/crates/entry/tests/logging/main.rs
@@ -1,5 +1,6 @@
 //! Tests logging while the output is stalled.
 
+mod shared_output;
 mod stalled_output;
 
 use std::io::Write;
@@ -9,12 +10,14 @@
 use sapphirestile_entry::LogQueue;
 use tracing_subscriber::fmt::MakeWriter;
 
+use crate::shared_output::SharedOutput;
 use crate::stalled_output::StalledOutput;
 
 /// Enough rounds to fill the queue within the rate limit.
 const ROUNDS: usize = 5;
 const ROUND_INTERVAL: Duration = Duration::from_secs(1);
 const LINES_PER_ROUND: usize = 700;
+const LINES_BEFORE_FLUSH: usize = 100;
 const POLLS_MAX: u32 = 400;
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -88,3 +91,25 @@
         count(&output.text())
     );
 }
+
+/// A process that ended lost its last lines, which say how it ended.
+#[test]
+fn lines_before_a_flush_are_written_when_it_ends() {
+    let output = SharedOutput::default();
+    let queue = LogQueue::to(output.clone());
+    for _ in 0..LINES_BEFORE_FLUSH {
+        log(&queue, "a line\n");
+    }
+    assert!(queue.flush(Duration::from_secs(60)));
+    assert_eq!(count(&output.text()), (LINES_BEFORE_FLUSH, 0));
+}
+
+/// A platform that no longer reads the log must not keep the process from ending.
+#[test]
+fn a_flush_of_a_stalled_output_gives_up() {
+    let output = StalledOutput::default();
+    let queue = LogQueue::to(output.clone());
+    log(&queue, "first\n");
+    output.wait_until_stalled();
+    assert!(!queue.flush(Duration::from_millis(10)));
+}
