--- a/crates/daemon/src/lifecycle/daemon_lifecycle.rs
+++ b/crates/daemon/src/lifecycle/daemon_lifecycle.rs
@@ -31,6 +31,7 @@
 use crate::lifecycle::start_steps::open_store;
 use crate::lifecycle::start_steps::register;
 use crate::peers::PeerServer;
+use crate::serving::PlannedStop;
 use crate::serving::RequestGate;
 use crate::settings::DaemonSettings;
 use sapphirestile_core::StepError;
@@ -43,6 +44,12 @@
 /// that it is not ready and moves its callers.
 const UNREADY_SERVING_TIME: Duration = Duration::from_millis(1_500);
 
+/// The longest time to wait at the very end until no more requests arrive at a port.
+const QUIET_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The longest time to wait at the very end until the requests at a port are answered.
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A daemon; `Phase` is the phase of its life cycle.
 pub struct DaemonLifecycle<Phase> {
     phase: Phase,
@@ -66,8 +73,9 @@
         let context = Arc::new(new_context(settings, identity, store, token_events));
         let gate = Arc::new(RequestGate::default());
         let admission = Arc::new(AdmissionState::default());
+        let operators_gate = Arc::new(RequestGate::default());
         let callers = open_callers(&context, &gate, &admission)?;
-        let operators = open_operators(&context)?;
+        let operators = open_operators(&context, &operators_gate)?;
         let addresses = DaemonAddresses {
             callers: callers.address(),
             operators: operators.address(),
@@ -79,6 +87,7 @@
                 context,
                 addresses,
                 gate,
+                operators_gate,
                 admission,
                 peers,
                 tokens,
@@ -98,6 +107,7 @@
             context,
             addresses,
             gate,
+            operators_gate,
             admission,
             peers,
             tokens,
@@ -121,6 +131,7 @@
                 context,
                 addresses,
                 gate,
+                operators_gate,
                 ports,
                 stop,
             },
@@ -148,6 +159,7 @@
         let ServingPhase {
             context,
             gate,
+            operators_gate,
             ports,
             stop,
             ..
@@ -158,6 +170,7 @@
             phase: DrainingPhase {
                 context,
                 gate,
+                operators_gate,
                 ports,
                 stop,
             },
@@ -167,39 +180,46 @@
 
 impl DaemonLifecycle<DrainingPhase> {
     /// Waits until all cells are released and all requests in flight are answered, at
-    /// most for `drain_max_ms` of the settings, then hands over the daemon's tokens,
-    /// removes its registration and stops its threads. Returns whether all cells were
-    /// released and all requests answered in time.
+    /// most for `drain_max_ms` of the settings, then hands over the daemon's tokens, removes
+    /// its registration, answers what still arrives and stops its threads. Returns whether
+    /// all cells were released and all requests answered in time.
     #[must_use]
     pub fn finish(self) -> bool {
         let DrainingPhase {
             context,
             gate,
+            operators_gate,
             ports,
             stop,
         } = self.phase;
         let limit_ms = context.settings.limits.drain_max_ms;
         let drain_started = context.clock.now();
         thread::sleep(UNREADY_SERVING_TIME);
+        let callers_stop = PlannedStop::begin(gate);
         let elapsed_ms = || context.clock.now().millis_since(drain_started);
         while !context.cells.load().is_empty() && elapsed_ms() < limit_ms {
             thread::sleep(DRAIN_POLL_INTERVAL);
         }
-        gate.close();
+        let callers_stop = callers_stop.refuse();
         let remaining = Duration::from_millis(limit_ms.saturating_sub(elapsed_ms()));
-        let emptied = gate.wait_idle(remaining);
+        let emptied = callers_stop.wait_answered(remaining);
         hand_over_tokens(&context);
         remove_registration(&context);
+        let operators_stop = PlannedStop::begin(operators_gate).refuse();
+        let operators = operators_stop.finish(QUIET_TIMEOUT, LAST_ANSWERS_TIMEOUT);
+        let callers = callers_stop.finish(QUIET_TIMEOUT, LAST_ANSWERS_TIMEOUT);
         let released = context.cells.load().is_empty();
         info!(
             step = "drain",
             peer = "own process",
             emptied,
             released,
+            ?callers,
+            ?operators,
             "ended"
         );
         drop(stop);
         drop(ports);
-        emptied && released
+        emptied && released && callers.is_complete() && operators.is_complete()
     }
 }
--- a/crates/daemon/src/lifecycle/draining_phase.rs
+++ b/crates/daemon/src/lifecycle/draining_phase.rs
@@ -13,6 +13,7 @@
 pub struct DrainingPhase {
     pub(super) context: Arc<DaemonContext>,
     pub(super) gate: Arc<RequestGate>,
+    pub(super) operators_gate: Arc<RequestGate>,
     pub(super) ports: [HttpPort; 2],
     pub(super) stop: Sender<()>,
 }
--- a/crates/daemon/src/lifecycle/http_ports.rs
+++ b/crates/daemon/src/lifecycle/http_ports.rs
@@ -36,16 +36,18 @@
     )
 }
 
-/// Opens the operators' port. It has a gate of its own that is never closed, so that
-/// operators are answered while the daemon drains.
-pub(super) fn open_operators(context: &Arc<DaemonContext>) -> Result<HttpPort, Report<StepError>> {
+/// Opens the operators' port. It has a gate of its own that is closed last, so that operators
+/// are answered while the daemon drains.
+pub(super) fn open_operators(
+    context: &Arc<DaemonContext>,
+    gate: &Arc<RequestGate>,
+) -> Result<HttpPort, Report<StepError>> {
     let service: Arc<dyn HttpService> = Arc::new(OperatorService::new(Arc::clone(context)));
-    let gate = Arc::new(RequestGate::default());
     HttpPort::open(
         context.settings.node.operators,
         port_limits(context, OPERATOR_CONNECTIONS_MAX),
         &service,
-        &gate,
+        gate,
     )
 }
 
--- a/crates/daemon/src/lifecycle/serving_phase.rs
+++ b/crates/daemon/src/lifecycle/serving_phase.rs
@@ -14,6 +14,7 @@
     pub(super) context: Arc<DaemonContext>,
     pub(super) addresses: DaemonAddresses,
     pub(super) gate: Arc<RequestGate>,
+    pub(super) operators_gate: Arc<RequestGate>,
     pub(super) ports: [HttpPort; 2],
     pub(super) stop: Sender<()>,
 }
--- a/crates/daemon/src/lifecycle/starting_phase.rs
+++ b/crates/daemon/src/lifecycle/starting_phase.rs
@@ -18,6 +18,7 @@
     pub(super) context: Arc<DaemonContext>,
     pub(super) addresses: DaemonAddresses,
     pub(super) gate: Arc<RequestGate>,
+    pub(super) operators_gate: Arc<RequestGate>,
     pub(super) admission: Arc<AdmissionState>,
     pub(super) peers: PeerSockets,
     pub(super) tokens: Receiver<TokenEvent>,
--- a/crates/entry/src/lifecycle/entry_daemon.rs
+++ b/crates/entry/src/lifecycle/entry_daemon.rs
@@ -8,6 +8,7 @@
 use sapphirestile_jobs::OperatorEvent;
 use sapphirestile_serving::HttpPort;
 use sapphirestile_serving::HttpService;
+use sapphirestile_serving::PlannedStop;
 use sapphirestile_serving::PortLimits;
 use sapphirestile_serving::RequestGate;
 
@@ -20,6 +21,7 @@
 use crate::ports::EventSource;
 use crate::watching::EventWatcher;
 use crate::watching::WatchUpdate;
+use sapphirestile_core::MonoTime;
 use sapphirestile_core::StepError;
 
 /// The maximum number of connections on the callers' port.
@@ -34,9 +36,12 @@
 /// The time within which a request body must arrive, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 
+/// The share of the shutdown grace period after which an answer ends its connection, in
+/// percent. By then callers that connect again reach other daemons.
+const SEND_AWAY_PERCENT: u64 = 50;
+
 /// The share of the shutdown grace period during which a daemon keeps serving, in
-/// percent. Meanwhile callers are asked to close their connections and reconnect to
-/// other daemons.
+/// percent.
 const DRAIN_PERCENT: u64 = 70;
 
 /// The share of the shutdown grace period by which every request has its answer, in
@@ -124,24 +129,32 @@
 }
 
 impl EntryDaemon<DrainingPhase> {
-    /// Keeps serving for most of the grace period, then refuses new requests and waits for
-    /// those in flight. Returns whether every request was answered.
+    /// Keeps serving for most of the grace period, then refuses new requests and waits until
+    /// all that were read are answered. Returns whether they are.
     #[must_use]
     pub fn finish(self) -> bool {
         let Self { context, phase } = self;
         let grace_ms = context.settings.bounds.grace_ms;
-        let drain_end = phase
-            .drain_started
-            .plus_millis(grace_ms * DRAIN_PERCENT / 100);
-        let left_ms = drain_end.millis_since(context.clock.now());
-        thread::sleep(Duration::from_millis(left_ms));
-        phase.gate.close();
+        let time_left = |end: MonoTime| {
+            let left_ms = end.millis_since(context.clock.now());
+            Duration::from_millis(left_ms)
+        };
+        let after = |percent| phase.drain_started.plus_millis(grace_ms * percent / 100);
+        thread::sleep(time_left(after(SEND_AWAY_PERCENT)));
+        let stop = PlannedStop::begin(phase.gate);
+        thread::sleep(time_left(after(DRAIN_PERCENT)));
+        let stop = stop.refuse();
         let end = phase.answers_due.plus_millis(SEND_TIMEOUT_MS);
-        let left_ms = end.millis_since(context.clock.now());
-        let is_empty = phase.gate.wait_idle(Duration::from_millis(left_ms));
+        let report = stop.finish(time_left(phase.answers_due), time_left(end));
         let has_released = phase.election.is_finished();
-        tracing::info!(is_empty, has_released, "stopped");
-        is_empty
+        tracing::info!(
+            read = report.read,
+            refused = report.refused,
+            unanswered = report.unanswered,
+            has_released,
+            "stopped"
+        );
+        report.is_complete()
     }
 }
 
--- a/crates/serving/src/http_port.rs
+++ b/crates/serving/src/http_port.rs
@@ -104,21 +104,22 @@
     .spawn()
 }
 
-/// Answers a request if the gate admits it, and refuses it otherwise.
+/// Answers a request if the gate admits it, and refuses it otherwise. During a planned stop
+/// the answer ends its connection.
 fn answer(
     request: &mut Request<Body>,
     service: &dyn HttpService,
     gate: &Arc<RequestGate>,
 ) -> Response<Body> {
     let guard = gate.enter();
-    let reply = if guard.is_some() {
+    let reply = if guard.is_admitted() {
         service.answer(request)
     } else {
         service.refuse()
     };
     let mut response = reply.into_response();
-    if !drain_body(request) {
-        close_after(request, &mut response);
+    if !drain_body(request) || gate.sends_away() {
+        close_after(request);
     }
     // `OxHTTP` drops the response, and with it the guard, after writing it.
     response.extensions_mut().insert(Arc::new(guard));
@@ -145,11 +146,11 @@
     read.is_ok_and(|length| length < DRAIN_MAX_BYTES)
 }
 
-/// Closes the connection after the answer. The body is replaced by an empty one, since
-/// `OxHTTP` would otherwise send an error of its own instead of the answer.
-fn close_after(request: &mut Request<Body>, response: &mut Response<Body>) {
+/// Ends the connection after the answer. `OxHTTP` looks for this header of the request, and
+/// writes none of that name itself. The body is replaced by an empty one, since `OxHTTP` would
+/// otherwise send an error of its own instead of the answer to a body that was not read whole.
+fn close_after(request: &mut Request<Body>) {
     *request.body_mut() = Body::empty();
     let close = HeaderValue::from_static("close");
-    request.headers_mut().insert(CONNECTION, close.clone());
-    response.headers_mut().insert(CONNECTION, close);
+    request.headers_mut().insert(CONNECTION, close);
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -3,8 +3,9 @@
 //! An [`HttpPort`] serves an [`HttpService`] with one thread per connection, within its
 //! [`PortLimits`]; a [`ConnectionPeer`] is the address of the peer. Each request passes
 //! the [`RequestGate`], which counts the requests in flight with a [`RequestGuard`]
-//! each. Once closed it admits no more, so that a planned stop can wait for the last
-//! answer. Services answer with an [`HttpReply`]. A body is read through a
+//! each, also those that it refuses once it is closed. A [`PlannedStop`] goes from
+//! [`SendingAway`] callers to [`Refusing`] them, waits for the last answer and ends with a
+//! [`StopReport`]. Services answer with an [`HttpReply`]. A body is read through a
 //! [`RateCheckedReader`] that enforces a [`MinTransferRate`], so that a slow sender
 //! cannot occupy its connection for long; a [`BodyError`] says why a body could not be
 //! read.
@@ -28,13 +29,17 @@
 mod min_transfer_rate;
 mod mono_clock;
 mod pause_watch;
+mod planned_stop;
 mod port_limits;
 mod rate_checked_reader;
 mod rcu_value;
 mod read_body;
+mod refusing;
 mod request_gate;
 mod request_guard;
 mod scope_guard;
+mod sending_away;
+mod stop_report;
 
 pub use body_error::BodyError;
 pub use code_scope::CodeScope;
@@ -47,9 +52,13 @@
 pub use min_transfer_rate::MinTransferRate;
 pub use mono_clock::MonoClock;
 pub use pause_watch::PauseWatch;
+pub use planned_stop::PlannedStop;
 pub use port_limits::PortLimits;
 pub use rate_checked_reader::RateCheckedReader;
 pub use rcu_value::RcuValue;
 pub use read_body::read_body;
+pub use refusing::Refusing;
 pub use request_gate::RequestGate;
 pub use request_guard::RequestGuard;
+pub use sending_away::SendingAway;
+pub use stop_report::StopReport;
--- /dev/null
+++ b/crates/serving/src/refusing.rs
@@ -0,0 +1,6 @@
+//! Last phase of a planned stop.
+
+/// Phase of a [`PlannedStop`](crate::PlannedStop) in which requests are refused, and each
+/// refusal ends its connection.
+#[derive(Debug)]
+pub struct Refusing;
--- a/crates/serving/src/request_guard.rs
+++ b/crates/serving/src/request_guard.rs
@@ -8,11 +8,18 @@
 #[derive(Debug)]
 pub struct RequestGuard {
     gate: Arc<RequestGate>,
+    is_admitted: bool,
 }
 
 impl RequestGuard {
-    pub(crate) const fn new(gate: Arc<RequestGate>) -> Self {
-        Self { gate }
+    pub(crate) const fn new(gate: Arc<RequestGate>, is_admitted: bool) -> Self {
+        Self { gate, is_admitted }
+    }
+
+    /// Whether the request is to be served; otherwise it is to be refused.
+    #[must_use]
+    pub const fn is_admitted(&self) -> bool {
+        self.is_admitted
     }
 }
 
