--- a/crates/clients/src/http/http_client.rs
+++ b/crates/clients/src/http/http_client.rs
@@ -149,11 +149,25 @@
         &self,
         step: &'static str,
         request: &CallRequest<'_>,
+    ) -> Result<DownloadOutcome, Report<CallError>> {
+        self.download_within(step, request, DOWNLOAD_MAX)
+    }
+
+    /// Like [`download`](Self::download), and the whole call takes `total` at most.
+    ///
+    /// # Errors
+    ///
+    /// See [`HttpClient::download`].
+    pub fn download_within(
+        &self,
+        step: &'static str,
+        request: &CallRequest<'_>,
+        total: Duration,
     ) -> Result<DownloadOutcome, Report<CallError>> {
         let sender = self.prepare(step, request)?;
         let method = sender.method().clone();
         let response = sender
-            .send_and_download(self.limits.timeout, DOWNLOAD_MAX)
+            .send_and_download(self.limits.timeout, total.min(DOWNLOAD_MAX))
             .map_err(|error| self.send_error(step, error))?;
         self.read_response(step, &method, response)
     }
--- a/crates/entry/src/context/entry_context.rs
+++ b/crates/entry/src/context/entry_context.rs
@@ -18,6 +18,7 @@
 use crate::context::StoreTimeout;
 use crate::metrics::EntryMetrics;
 use crate::ports::CommitAnswer;
+use crate::ports::ListTimeouts;
 use crate::ports::RowListing;
 use crate::ports::StoreCallError;
 use crate::ports::StoreCommit;
@@ -127,14 +128,21 @@
         self.call_store(limit, |timeout| self.store.read(key, timeout))
     }
 
-    /// Lists rows. Each wait for the next bytes of the answer takes the adaptive timeout at
-    /// most, and at most `limit`.
+    /// Lists rows within `timeouts`. Each wait for the next bytes of the answer takes the
+    /// adaptive timeout at most.
     ///
     /// # Errors
     ///
     /// The same errors as those of the [`StorePort`].
-    pub fn list_rows(&self, prefix: &str, limit: Duration) -> Result<RowListing, StoreCallError> {
-        self.call_store(limit, |pause_max| self.store.list(prefix, pause_max))
+    pub fn list_rows(
+        &self,
+        prefix: &str,
+        timeouts: ListTimeouts,
+    ) -> Result<RowListing, StoreCallError> {
+        let ListTimeouts { pause, total } = timeouts;
+        self.call_store(pause.min(total), |pause| {
+            self.store.list(prefix, ListTimeouts { pause, total })
+        })
     }
 
     /// Commits rows within the adaptive timeout, but at most `limit`.
--- a/crates/entry/src/frontend/job_frontend.rs
+++ b/crates/entry/src/frontend/job_frontend.rs
@@ -20,6 +20,7 @@
 use crate::frontend::SubmitOutcome;
 use crate::frontend::WaitingOutcome;
 use crate::ports::CommitAnswer;
+use crate::ports::ListTimeouts;
 use crate::ports::RowGuard;
 use crate::ports::RowWrite;
 use crate::ports::StoreCallError;
@@ -206,8 +207,11 @@
     #[must_use]
     pub fn waiting(&self, queue: &str, deadline: MonoTime) -> WaitingOutcome {
         loop {
-            let timeout = self.timeout(deadline);
-            match self.context.list_rows(RowKeys::counts_prefix(), timeout) {
+            let timeouts = ListTimeouts {
+                pause: self.timeout(deadline),
+                total: self.time_left(deadline).min(self.listing_max()),
+            };
+            match self.context.list_rows(RowKeys::counts_prefix(), timeouts) {
                 Ok(listing) => {
                     let counts = listing.rows.iter().map(|row| count_of(row, queue));
                     return WaitingOutcome::Counted(counts.sum());
@@ -240,10 +244,20 @@
     }
 
     fn timeout(&self, deadline: MonoTime) -> Duration {
+        CALL_TIMEOUT.min(self.time_left(deadline))
+    }
+
+    /// The longest time of a listing, which a planned stop may overtake.
+    fn listing_max(&self) -> Duration {
+        Duration::from_millis(self.context.settings.bounds.grace_ms / 2)
+    }
+
+    /// The time until the answer has to be ready.
+    fn time_left(&self, deadline: MonoTime) -> Duration {
         let deadline = self.context.answer_deadline(deadline);
         let left_ms = deadline.millis_since(self.now());
         let left_ms = left_ms.saturating_sub(ANSWER_MARGIN_MS);
-        CALL_TIMEOUT.min(Duration::from_millis(left_ms.max(1)))
+        Duration::from_millis(left_ms.max(1))
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -62,6 +62,7 @@
 pub use ports::CommitAnswer;
 pub use ports::EventListing;
 pub use ports::EventSource;
+pub use ports::ListTimeouts;
 pub use ports::RowChange;
 pub use ports::RowGuard;
 pub use ports::RowListing;
--- a/crates/entry/src/owner/learnt_reader.rs
+++ b/crates/entry/src/owner/learnt_reader.rs
@@ -10,6 +10,7 @@
 
 use crate::context::EntryContext;
 use crate::owner::OwnerEvent;
+use crate::ports::ListTimeouts;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
 
@@ -54,7 +55,10 @@
     if context.cells.load().layout.cells() <= 1 {
         return Vec::new();
     }
-    let listing = match context.list_rows(RowKeys::learnt_prefix(), PAUSE_MAX) {
+    let listing = match context.list_rows(
+        RowKeys::learnt_prefix(),
+        ListTimeouts::each_pause(PAUSE_MAX),
+    ) {
         Ok(listing) => listing,
         Err(fault) => {
             tracing::warn!(cell = %own, %fault, "cannot read the learnt estimates of other cells");
--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -20,6 +20,7 @@
 use crate::owner::OwnershipClaim;
 use crate::owner::OwnershipTerm;
 use crate::ports::CommitAnswer;
+use crate::ports::ListTimeouts;
 use crate::ports::RowGuard;
 use crate::ports::StoreCallError;
 use crate::ports::StoreCommit;
@@ -66,9 +67,10 @@
 
     fn run(mut self) {
         while !self.context.is_stopping() {
-            let result = self
-                .context
-                .list_rows(RowKeys::cells_prefix(), CALL_TIMEOUT);
+            let result = self.context.list_rows(
+                RowKeys::cells_prefix(),
+                ListTimeouts::each_pause(CALL_TIMEOUT),
+            );
             if let Ok(listing) = result {
                 let now = self.context.clock.now();
                 self.context
--- a/crates/entry/src/owner/ownership_term/loading.rs
+++ b/crates/entry/src/owner/ownership_term/loading.rs
@@ -20,6 +20,7 @@
 use crate::owner::OwnershipClaim;
 use crate::owner::ownership_term::stored_cell::StoredCell;
 use crate::ports::EventSource;
+use crate::ports::ListTimeouts;
 use crate::ports::StoreCallError;
 use crate::store::IntakeEvent;
 use crate::store::IntakeSource;
@@ -56,9 +57,10 @@
     ));
     let workers = retry(context, || adapters.workers.list())?;
     let progress = retry(context, || {
-        context
-            .store
-            .list(&RowKeys::progress_prefix(cell), PAGE_PAUSE_MAX)
+        context.store.list(
+            &RowKeys::progress_prefix(cell),
+            ListTimeouts::each_pause(PAGE_PAUSE_MAX),
+        )
     })?;
     let intake = retry(context, || intake_source.list())?;
     let bounds = &context.settings.bounds;
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -1,6 +1,6 @@
 //! Ports to external systems.
 //!
-//! A [`StorePort`] keeps rows: a [`StoreCommit`] of [`RowWrite`]s guarded by
+//! A [`StorePort`] keeps rows, which it lists within [`ListTimeouts`]: a [`StoreCommit`] of [`RowWrite`]s guarded by
 //! [`RowGuard`]s ends in a [`CommitAnswer`], and a [`StoreCallError`] says what is known
 //! about a failed call. An [`EventSource`] lists and watches events of one kind; a
 //! [`RowWatchPort`] creates those of rows. A
@@ -10,6 +10,7 @@
 mod commit_answer;
 mod event_listing;
 mod event_source;
+mod list_timeouts;
 mod row_change;
 mod row_guard;
 mod row_listing;
@@ -25,6 +26,7 @@
 pub use commit_answer::CommitAnswer;
 pub use event_listing::EventListing;
 pub use event_source::EventSource;
+pub use list_timeouts::ListTimeouts;
 pub use row_change::RowChange;
 pub use row_guard::RowGuard;
 pub use row_listing::RowListing;
--- a/crates/entry/src/ports/store_port.rs
+++ b/crates/entry/src/ports/store_port.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::ports::CommitAnswer;
+use crate::ports::ListTimeouts;
 use crate::ports::RowListing;
 use crate::ports::StoreCallError;
 use crate::ports::StoreCommit;
@@ -18,13 +19,12 @@
     /// [`StoreCallError`] when there is no complete answer within `timeout`.
     fn read(&self, key: &str, timeout: Duration) -> Result<Option<StoredRow>, StoreCallError>;
 
-    /// Lists the rows whose keys begin with `prefix`. `pause_max` limits each wait for the
-    /// next bytes of the answer.
+    /// Lists the rows whose keys begin with `prefix`.
     ///
     /// # Errors
     ///
-    /// [`StoreCallError`] when there is no complete answer.
-    fn list(&self, prefix: &str, pause_max: Duration) -> Result<RowListing, StoreCallError>;
+    /// [`StoreCallError`] when there is no complete answer within `timeouts`.
+    fn list(&self, prefix: &str, timeouts: ListTimeouts) -> Result<RowListing, StoreCallError>;
 
     /// Changes several rows, or none.
     ///
