--- a/crates/daemon/tests/deployed_soak/main.rs
+++ b/crates/daemon/tests/deployed_soak/main.rs
@@ -14,7 +14,11 @@
 //! `SOAK_SEEDS=4..50 cargo test -p sapphirestile-daemon --test deployed_soak environment`
 //! runs the given seeds, each with more faults.
 //!
-//! In a second kind of scenario long-running jobs run to the end. A `CrashSeries` takes the
+//! In another kind, seeded too, callers use each connection until the daemon ends it, while the
+//! daemons are stopped in turn, reloaded and given configurations, before stores that are good,
+//! slow or silent.
+//!
+//! In a third kind of scenario long-running jobs run to the end. A `CrashSeries` takes the
 //! power of workers, which return under their names, under other names or never, and kills
 //! the daemons that own their cells, one or several in a row, beside faults of the first kind.
 //! `SOAK_SEEDS=600..650 cargo test -p sapphirestile-daemon --test deployed_soak long_running`
@@ -24,6 +28,7 @@
 //! Without given seeds, as in CI, only the order is checked: no task runs at two workers, in
 //! whichever of their lives, and every long-running task runs again before the end.
 
+mod channel_caller;
 mod config_log;
 mod crash_series;
 mod crash_step;
@@ -31,6 +36,7 @@
 mod disturbance_log;
 mod gap_check;
 mod long_run_gap;
+mod overlapping_stops;
 mod planned_stop;
 mod soak_caller;
 mod soak_daemon;
--- a/crates/daemon/tests/deployed_soak/soak_daemon.rs
+++ b/crates/daemon/tests/deployed_soak/soak_daemon.rs
@@ -3,6 +3,7 @@
 use std::fs::File;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::os::unix::process::CommandExt;
 use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
@@ -14,6 +15,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
@@ -28,6 +31,9 @@
 /// The variable with the path of a deployed daemon's settings.
 const SETTINGS_VARIABLE: &str = "SAPPHIRESTILE_SETTINGS";
 
+/// The interval at which a test looks whether a process has started or ended.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A daemon process that can be restarted with the same settings and addresses.
 pub struct SoakDaemon {
     settings: PathBuf,
@@ -84,8 +90,27 @@
         }
     }
 
+    /// The path of the log, which the processes with these settings append to.
+    pub fn log_path(&self) -> PathBuf {
+        self.settings.with_extension("log")
+    }
+
+    /// Waits until the process accepts callers.
+    pub fn wait_for_start(&self) {
+        while TcpStream::connect(self.callers).is_err() {
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Waits until the process has ended.
+    pub fn wait_for_end(&mut self) {
+        while self.is_running() {
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
     fn log_length(&self) -> u64 {
-        let log = std::fs::metadata(self.settings.with_extension("log"));
+        let log = std::fs::metadata(self.log_path());
         log.map_or(0, |log| log.len())
     }
 
@@ -117,8 +142,10 @@
             }
         }
         self.log_start_bytes = self.log_length();
-        let log = self.settings.with_extension("log");
-        let log = File::options().create(true).append(true).open(log);
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_path());
         let log = log.expect("the log file can be opened");
         let errors = log
             .try_clone()
