--- a/crates/clients/src/http/http_client.rs
+++ b/crates/clients/src/http/http_client.rs
@@ -155,6 +155,19 @@
 
     /// Like [`download`](Self::download), and the whole call takes `total` at most.
     ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use sapphirestile_clients::http::CallRequest;
+    /// use sapphirestile_clients::http::HttpClient;
+    ///
+    /// fn answers(client: &HttpClient, total: Duration) -> bool {
+    ///     client.download_within("read", &CallRequest::get("/rows"), total).is_ok()
+    /// }
+    /// ```
+    ///
     /// # Errors
     ///
     /// See [`HttpClient::download`].
--- a/crates/clients/tests/calls/slow_transfers.rs
+++ b/crates/clients/tests/calls/slow_transfers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sapphirestile_clients::http::CallError;
 use sapphirestile_clients::http::CallLimits;
 use sapphirestile_clients::http::CallRequest;
 use sapphirestile_clients::http::DownloadOutcome;
@@ -45,6 +46,20 @@
     assert_eq!(response.body, body.as_bytes());
 }
 
+/// A listing without a bound of the whole outlived the process that asked for it.
+#[test]
+fn a_download_that_takes_longer_than_its_whole_time_fails() {
+    let peer = slow_peer(&"x".repeat(RESPONSE_MAX_BYTES));
+    let limits = CallLimits {
+        timeout: TIMEOUT,
+        response_max_bytes: RESPONSE_MAX_BYTES,
+    };
+    let client = HttpClient::new(peer.address(), limits);
+    let outcome = client.download_within("test", &CallRequest::get("/path"), TIMEOUT);
+    let error = outcome.expect_err("the download is cut");
+    assert_eq!(*error.current_context(), CallError::Unknown);
+}
+
 #[test]
 fn a_list_of_vms_that_takes_longer_than_the_timeout_is_read() {
     let peer =
--- a/crates/daemon/tests/deployed_soak/channel_caller.rs
+++ b/crates/daemon/tests/deployed_soak/channel_caller.rs
@@ -17,7 +17,7 @@
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// Bounds a test that fails; no check depends on it.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// The pause before the next attempt to connect.
 const CONNECT_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/daemon/tests/deployed_soak/main.rs
+++ b/crates/daemon/tests/deployed_soak/main.rs
@@ -28,6 +28,7 @@
 //! Without given seeds, as in CI, only the order is checked: no task runs at two workers, in
 //! whichever of their lives, and every long-running task runs again before the end.
 
+mod busy_daemon;
 mod channel_caller;
 mod config_log;
 mod crash_series;
--- a/crates/daemon/tests/deployed_soak/overlapping_stops.rs
+++ b/crates/daemon/tests/deployed_soak/overlapping_stops.rs
@@ -1,17 +1,12 @@
 //! Callers on open connections through a series of overlapping stops, reloads and changes of
 //! the configuration.
 
-use std::net::Ipv4Addr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::thread;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
-use nix::sys::signal::Signal;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -19,24 +14,19 @@
 use sapphirestile_platform_standins::StoreStandin;
 use sapphirestile_platform_standins::open_port;
 use sapphirestile_serving::HttpService;
-use sapphirestile_test_support::FaultProxy;
 use sapphirestile_test_support::ProxyMode;
 use serde_json::Value;
 use test_case::test_case;
 
+use crate::busy_daemon::BusyDaemon;
+use crate::busy_daemon::CALLERS_PER_DAEMON;
 use crate::channel_caller::ChannelCaller;
 use crate::config_log::ConfigLog;
-use crate::soak_daemon::SoakDaemon;
 
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
 const DAEMONS: usize = 3;
-const CALLERS_PER_DAEMON: u64 = 8;
 const ROUNDS: u64 = 3;
 
-/// The longest time that the slowest caller thinks between two requests, in milliseconds: its
-/// connection may be open and idle through most of a stop.
-const THINK_MAX_MS: u64 = 3_000;
-
 /// The longest pause between two steps, in milliseconds: a stop takes several of them.
 const PAUSE_MAX_MS: u64 = 700;
 
@@ -51,10 +41,7 @@
 #[test_case(1, 80; "seed 1")]
 #[test_case(2, 90; "seed 2")]
 fn each_request_that_a_stopping_daemon_has_read_is_answered(seed: u64, subnet: u8) {
-    let folder = PathBuf::from(format!("{FOLDER}/overlapping-stops-{seed}"));
-    // The folder does not exist at the first run.
-    let _removed = std::fs::remove_dir_all(&folder);
-    std::fs::create_dir_all(&folder).expect("the folder for settings and logs can be created");
+    let folder = empty_folder(seed);
     let mut random = StdRng::seed_from_u64(seed);
     let mut configs = ConfigLog::new(seed, DAEMONS);
     let store = Arc::new(StoreStandin::default());
@@ -62,84 +49,49 @@
     store.put(SiteBodies::CONFIG_KEY, &config);
     let service: Arc<dyn HttpService> = store.clone();
     let store_port = open_port(&service);
-    let links: Vec<FaultProxy> = (0..DAEMONS)
-        .map(|_| FaultProxy::start(store_port.address()))
-        .collect();
-    let mut daemons: Vec<SoakDaemon> = (subnet..)
-        .zip(&links)
-        .map(|(second, link)| {
-            let address = Ipv4Addr::new(127, second, 0, 1);
-            SoakDaemon::start(&folder, &format!("entry-{second}"), address, link.address())
-        })
-        .collect();
-    let is_over = Arc::new(AtomicBool::new(false));
-    let rotation: Vec<Arc<AtomicBool>> = (0..DAEMONS).map(|_| Arc::default()).collect();
-    let callers: Vec<Vec<JoinHandle<ChannelCaller>>> = daemons
-        .iter()
-        .zip(&rotation)
-        .map(|(daemon, is_in_rotation)| spawn_callers(daemon, is_in_rotation, &is_over))
+    let mut daemons: Vec<BusyDaemon> = (subnet..)
+        .take(DAEMONS)
+        .map(|second| BusyDaemon::start(&folder, second, store_port.address()))
         .collect();
     for round in 0..ROUNDS {
-        for ((daemon, link), is_in_rotation) in daemons.iter_mut().zip(&links).zip(&rotation) {
-            daemon.wait_for_start();
-            is_in_rotation.store(true, Ordering::Release);
+        for daemon in &mut daemons {
+            daemon.enter_rotation();
             pause(&mut random);
             for version in configs.draw() {
                 store.put(SiteBodies::CONFIG_KEY, &version);
             }
-            daemon.reload();
-            link.set_mode(STORE_MODES[random.random_range(0..STORE_MODES.len())]);
-            daemon.signal(Signal::SIGTERM);
-            is_in_rotation.store(false, Ordering::Release);
+            let mode = STORE_MODES[random.random_range(0..STORE_MODES.len())];
+            daemon.reload_and_stop(mode);
         }
-        for (daemon, link) in daemons.iter_mut().zip(&links) {
+        for daemon in &mut daemons {
             daemon.wait_for_end();
-            link.restore();
             if round + 1 < ROUNDS {
-                daemon.resume_or_restart();
+                daemon.restart();
             }
         }
     }
-    is_over.store(true, Ordering::Release);
-    for (daemon, callers) in daemons.iter().zip(callers) {
-        let callers: Vec<ChannelCaller> = callers
-            .into_iter()
-            .map(|caller| caller.join().expect("no answer is cut"))
-            .collect();
-        assert_answered(daemon.log_path(), &callers);
+    for daemon in daemons {
+        let log = daemon.log_path();
+        assert_answered(&log, &daemon.into_callers());
     }
 }
 
+fn empty_folder(seed: u64) -> PathBuf {
+    let folder = PathBuf::from(format!("{FOLDER}/overlapping-stops-{seed}"));
+    // The folder does not exist at the first run.
+    let _removed = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("the folder for settings and logs can be created");
+    folder
+}
+
 fn pause(random: &mut StdRng) {
     let pause_ms = random.random_range(0..PAUSE_MAX_MS);
     thread::sleep(Duration::from_millis(pause_ms));
 }
 
-fn spawn_callers(
-    daemon: &SoakDaemon,
-    is_in_rotation: &Arc<AtomicBool>,
-    is_over: &Arc<AtomicBool>,
-) -> Vec<JoinHandle<ChannelCaller>> {
-    let address = daemon.callers();
-    (0..CALLERS_PER_DAEMON)
-        .map(|number| {
-            let is_in_rotation = Arc::clone(is_in_rotation);
-            let is_over = Arc::clone(is_over);
-            let think_max_ms = THINK_MAX_MS * number / CALLERS_PER_DAEMON;
-            thread::spawn(move || {
-                let mut caller = ChannelCaller::new(address, number, think_max_ms);
-                while !is_over.load(Ordering::Acquire) {
-                    caller.use_one_channel(&is_in_rotation);
-                }
-                caller
-            })
-        })
-        .collect()
-}
-
 /// Checks that the callers have an answer for each request that the daemon read in its lives.
-fn assert_answered(log: PathBuf, callers: &[ChannelCaller]) {
-    let stops = stop_lines(&log);
+fn assert_answered(log: &Path, callers: &[ChannelCaller]) {
+    let stops = stop_lines(log);
     let lives = usize::try_from(ROUNDS).expect("the rounds are few");
     assert_eq!(stops.len(), lives, "{}: lives with a stop", log.display());
     let total = |name: &str| -> u64 {
--- a/crates/entry/tests/logging/main.rs
+++ b/crates/entry/tests/logging/main.rs
@@ -100,7 +100,7 @@
     for _ in 0..LINES_BEFORE_FLUSH {
         log(&queue, "a line\n");
     }
-    assert!(queue.flush(Duration::from_secs(60)));
+    assert!(queue.flush(Duration::from_mins(1)));
     assert_eq!(count(&output.text()), (LINES_BEFORE_FLUSH, 0));
 }
 
--- a/crates/serving/src/planned_stop.rs
+++ b/crates/serving/src/planned_stop.rs
@@ -1,5 +1,6 @@
 //! Planned stop of the ports behind a gate.
 
+use std::marker::PhantomData;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -41,7 +42,7 @@
 #[derive(Debug)]
 pub struct PlannedStop<Phase> {
     gate: Arc<RequestGate>,
-    _phase: Phase,
+    phase: PhantomData<Phase>,
 }
 
 impl PlannedStop<SendingAway> {
@@ -49,8 +50,10 @@
     #[must_use]
     pub fn begin(gate: Arc<RequestGate>) -> Self {
         gate.send_away();
-        let _phase = SendingAway;
-        Self { gate, _phase }
+        Self {
+            gate,
+            phase: PhantomData,
+        }
     }
 
     /// Refuses further requests.
@@ -59,7 +62,7 @@
         self.gate.close();
         PlannedStop {
             gate: self.gate,
-            _phase: Refusing,
+            phase: PhantomData,
         }
     }
 }
--- a/crates/serving/src/refusing.rs
+++ b/crates/serving/src/refusing.rs
@@ -3,4 +3,4 @@
 /// Phase of a [`PlannedStop`](crate::PlannedStop) in which requests are refused, and each
 /// refusal ends its connection.
 #[derive(Debug)]
-pub struct Refusing;
+pub enum Refusing {}
--- a/crates/serving/src/sending_away.rs
+++ b/crates/serving/src/sending_away.rs
@@ -3,4 +3,4 @@
 /// Phase of a [`PlannedStop`](crate::PlannedStop) in which requests are served, and each
 /// answer ends its connection.
 #[derive(Debug)]
-pub struct SendingAway;
+pub enum SendingAway {}
--- a/crates/serving/tests/planned_stop.rs
+++ b/crates/serving/tests/planned_stop.rs
@@ -33,7 +33,7 @@
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// Bounds a test that fails; no check depends on it.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// Reports each refusal that it begins, and waits for permission to end it.
 struct HeldRefusals {
@@ -54,8 +54,9 @@
     }
 }
 
-fn open(service: Arc<dyn HttpService>, gate: &Arc<RequestGate>) -> HttpPort {
+fn open(service: impl HttpService, gate: &Arc<RequestGate>) -> HttpPort {
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let service: Arc<dyn HttpService> = Arc::new(service);
     HttpPort::open(any_port, LIMITS, &service, gate).expect("there is a free port")
 }
 
@@ -96,7 +97,7 @@
         release: Mutex::new(released),
     };
     let gate = Arc::new(RequestGate::default());
-    let port = open(Arc::new(service), &gate);
+    let port = open(service, &gate);
     let mut stream = open_stream(port.address());
     stream.write_all(REQUEST).expect("the connection is open");
     assert!(read_answer(&mut stream).starts_with("http/1.1 200"));
@@ -123,7 +124,7 @@
     };
     release.send(()).expect("the service lives");
     let gate = Arc::new(RequestGate::default());
-    let port = open(Arc::new(service), &gate);
+    let port = open(service, &gate);
     let mut stream = open_stream(port.address());
     let stop = PlannedStop::begin(Arc::clone(&gate));
     let _refusing = refuses.then(|| stop.refuse());
@@ -151,7 +152,7 @@
 #[test]
 fn each_request_that_was_read_through_a_stop_has_its_answer() {
     let gate = Arc::new(RequestGate::default());
-    let port = open(Arc::new(QuickAnswers), &gate);
+    let port = open(QuickAnswers, &gate);
     let address = port.address();
     let (answered, first_answers) = channel();
     let callers: Vec<JoinHandle<u64>> = (0..CALLERS)
