--- a/crates/entry/src/frontend/cancel_outcome.rs
+++ b/crates/entry/src/frontend/cancel_outcome.rs
@@ -5,8 +5,10 @@
 pub enum CancelOutcome {
     /// The cancellation is stored, or the job had already ended.
     Cancelled,
-    /// The store has no such job.
-    Missing,
+    /// The store has no such job, and the cancellation keeps it from ever being stored.
+    NeverRuns,
+    /// Nothing was stored, since many jobs that are not stored are being cancelled.
+    Refused,
     /// The store did not confirm the cancellation before the deadline.
     Unknown,
 }
--- a/crates/entry/src/frontend/job_frontend.rs
+++ b/crates/entry/src/frontend/job_frontend.rs
@@ -1,5 +1,6 @@
 //! Handles the requests of callers.
 
+mod job_cancellations;
 mod job_homes;
 
 use std::sync::Arc;
@@ -13,18 +14,18 @@
 use sapphirestile_jobs::QueueCount;
 
 use crate::context::EntryContext;
-use crate::frontend::CancelOutcome;
-use crate::frontend::CancellationRows;
 use crate::frontend::HomeCache;
 use crate::frontend::StateOutcome;
 use crate::frontend::SubmitOutcome;
 use crate::frontend::WaitingOutcome;
+use crate::frontend::WritePace;
 use crate::ports::CommitAnswer;
 use crate::ports::RowGuard;
 use crate::ports::RowWrite;
 use crate::ports::StoreCallError;
 use crate::ports::StoreCommit;
 use crate::ports::StoredRow;
+use crate::store::HomeRow;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
 
@@ -46,14 +47,18 @@
 pub struct JobFrontend {
     context: Arc<EntryContext>,
     homes: HomeCache,
+    early_cancellations: WritePace,
 }
 
 impl JobFrontend {
     /// Creates the front end of a daemon.
     #[must_use]
     pub fn new(context: Arc<EntryContext>) -> Self {
-        let homes = HomeCache::default();
-        Self { context, homes }
+        Self {
+            context,
+            homes: HomeCache::default(),
+            early_cancellations: WritePace::default(),
+        }
     }
 
     /// Stores a job. A job that is already stored is left as it is, so submitting a job
@@ -71,7 +76,7 @@
             writes: vec![
                 RowWrite {
                     key: RowKeys::home(identity),
-                    value: RowCodec::encode(&cell),
+                    value: HomeRow::stored(cell).encode(),
                 },
                 RowWrite {
                     key: RowKeys::spec(cell, identity),
@@ -83,8 +88,8 @@
         let started = self.now();
         let mut is_surely_not_stored = true;
         loop {
-            // The caller may have cancelled the job elsewhere since, and was told that there
-            // is none.
+            // The caller may have cancelled the job since at a daemon of an earlier version,
+            // which leaves no mark of that.
             if self.now() >= deadline {
                 return SubmitOutcome::Unknown;
             }
@@ -93,7 +98,7 @@
                     self.homes.insert(identity, cell);
                     return SubmitOutcome::Accepted;
                 }
-                Ok(CommitAnswer::Refused { .. }) => return SubmitOutcome::Accepted,
+                Ok(CommitAnswer::Refused { rows }) => return outcome_of_refusal(&rows),
                 Err(StoreCallError::NotDone) => {}
                 Err(_) => is_surely_not_stored = false,
             }
@@ -112,67 +117,12 @@
         }
     }
 
-    /// Stores the cancellation of a job, unless the job has ended. Retries until
-    /// `deadline`, when the caller stops waiting.
-    #[must_use]
-    pub fn cancel(&self, identity: &JobIdentity, deadline: MonoTime) -> CancelOutcome {
-        match self.state(identity, deadline) {
-            StateOutcome::Known(standing) if standing.is_final() => CancelOutcome::Cancelled,
-            StateOutcome::Known(_) => self.store_cancellation(identity, deadline),
-            StateOutcome::Missing => CancelOutcome::Missing,
-            StateOutcome::Unknown => CancelOutcome::Unknown,
-        }
-    }
-
-    fn store_cancellation(&self, identity: &JobIdentity, deadline: MonoTime) -> CancelOutcome {
-        loop {
-            if let Ok(Some(outcome)) = self.try_cancel(identity, deadline) {
-                return outcome;
-            }
-            if self.is_too_late(deadline) {
-                return CancelOutcome::Unknown;
-            }
-            thread::sleep(Duration::from_millis(RETRY_DELAY_MS));
-        }
-    }
-
-    /// Tries once to store the cancellation in the job's cell and in those that have tasks of
-    /// it; `None` if the job has moved to another cell meanwhile.
-    fn try_cancel(
-        &self,
-        identity: &JobIdentity,
-        deadline: MonoTime,
-    ) -> Result<Option<CancelOutcome>, StoreCallError> {
-        let Some((cell, revision)) = self.read_home(identity, deadline)? else {
-            return Ok(Some(CancelOutcome::Missing));
-        };
-        let record = self.read(&RowKeys::progress(cell, identity), deadline)?;
-        let key = RowKeys::cancellation(cell, identity);
-        let home = RowGuard {
-            key: RowKeys::home(identity),
-            revision,
-        };
-        let commit = StoreCommit {
-            guards: vec![home, absent(key.clone())],
-            writes: CancellationRows::of(cell, identity, record.as_ref()),
-            removals: Vec::new(),
-        };
-        match self.commit(&commit, deadline)? {
-            CommitAnswer::Stored { .. } => Ok(Some(CancelOutcome::Cancelled)),
-            CommitAnswer::Refused { rows } => {
-                let is_cancelled = rows.iter().any(|row| row.key == key && row.revision > 0);
-                Ok(is_cancelled.then_some(CancelOutcome::Cancelled))
-            }
-        }
-    }
-
     /// Reads the state of a job. Retries until `deadline`, when the caller stops waiting.
     #[must_use]
     pub fn state(&self, identity: &JobIdentity, deadline: MonoTime) -> StateOutcome {
         loop {
             match self.read_state(identity, deadline) {
-                Ok(Some(standing)) => return StateOutcome::Known(standing),
-                Ok(None) => return StateOutcome::Missing,
+                Ok(outcome) => return outcome,
                 Err(_) if self.is_too_late(deadline) => return StateOutcome::Unknown,
                 Err(_) => thread::sleep(Duration::from_millis(RETRY_DELAY_MS)),
             }
@@ -183,22 +133,29 @@
         &self,
         identity: &JobIdentity,
         deadline: MonoTime,
-    ) -> Result<Option<JobStanding>, StoreCallError> {
+    ) -> Result<StateOutcome, StoreCallError> {
         let known = self.homes.get(identity);
         if let Some(cell) = known
             && let Some(row) = self.read(&RowKeys::progress(cell, identity), deadline)?
         {
-            return Ok(RowCodec::standing(&row.value));
+            let standing = RowCodec::standing(&row.value);
+            return Ok(standing.map_or(StateOutcome::Missing, StateOutcome::Known));
         }
-        let Some((cell, _)) = self.read_home(identity, deadline)? else {
-            return Ok(None);
+        let Some((home, _)) = self.read_home(identity, deadline)? else {
+            return Ok(StateOutcome::Missing);
         };
+        if home.is_cancelled_early {
+            return Ok(StateOutcome::CancelledEarly);
+        }
+        let cell = home.cell;
         if known == Some(cell) {
-            return Ok(Some(JobStanding::Waiting));
+            return Ok(StateOutcome::Known(JobStanding::Waiting));
         }
         let row = self.read(&RowKeys::progress(cell, identity), deadline)?;
         let standing = row.and_then(|row| RowCodec::standing(&row.value));
-        Ok(Some(standing.unwrap_or(JobStanding::Waiting)))
+        Ok(StateOutcome::Known(
+            standing.unwrap_or(JobStanding::Waiting),
+        ))
     }
 
     /// Reads how many jobs of a queue have not started, as the owners last stored it; 0 for a
@@ -252,6 +209,18 @@
     RowGuard { key, revision: 0 }
 }
 
+/// What a submission is told if the job has a home row already.
+fn outcome_of_refusal(rows: &[StoredRow]) -> SubmitOutcome {
+    match rows.iter().find_map(|row| HomeRow::decode(&row.value)) {
+        Some(home) if home.is_cancelled_early => SubmitOutcome::CancelledEarly,
+        Some(_) => SubmitOutcome::Accepted,
+        None => {
+            tracing::error!("the store refused a submission without showing its home row");
+            SubmitOutcome::Unknown
+        }
+    }
+}
+
 fn count_of(row: &StoredRow, queue: &str) -> u32 {
     let counts: Vec<QueueCount> = RowCodec::decode(&row.value).unwrap_or_default();
     counts
--- /dev/null
+++ b/crates/entry/src/frontend/job_frontend/job_cancellations.rs
@@ -0,0 +1,116 @@
+//! Cancellations of jobs.
+
+use std::thread;
+use std::time::Duration;
+
+use sapphirestile_core::CellNumber;
+use sapphirestile_core::MonoTime;
+use sapphirestile_jobs::JobIdentity;
+
+use crate::frontend::CancelOutcome;
+use crate::frontend::CancellationRows;
+use crate::frontend::JobFrontend;
+use crate::frontend::StateOutcome;
+use crate::frontend::job_frontend::RETRY_DELAY_MS;
+use crate::frontend::job_frontend::absent;
+use crate::ports::CommitAnswer;
+use crate::ports::RowGuard;
+use crate::ports::StoreCallError;
+use crate::ports::StoreCommit;
+use crate::store::EarlyCancellation;
+use crate::store::RowKeys;
+
+impl JobFrontend {
+    /// Stores the cancellation of a job, unless the job has ended. Retries until
+    /// `deadline`, when the caller stops waiting.
+    ///
+    /// That of a job which is not stored is stored as well: a submission that got no answer
+    /// may still be carried out.
+    #[must_use]
+    pub fn cancel(&self, identity: &JobIdentity, deadline: MonoTime) -> CancelOutcome {
+        match self.state(identity, deadline) {
+            StateOutcome::Known(standing) if standing.is_final() => CancelOutcome::Cancelled,
+            StateOutcome::CancelledEarly => CancelOutcome::NeverRuns,
+            StateOutcome::Missing => self.cancel_early(identity, deadline),
+            StateOutcome::Known(_) => self.store_cancellation(identity, deadline),
+            StateOutcome::Unknown => CancelOutcome::Unknown,
+        }
+    }
+
+    /// Stores the cancellation of a job that was not stored a moment ago.
+    fn cancel_early(&self, identity: &JobIdentity, deadline: MonoTime) -> CancelOutcome {
+        match self.try_cancel_early(identity, deadline) {
+            Ok(Some(outcome)) => outcome,
+            Ok(None) | Err(_) => self.store_cancellation(identity, deadline),
+        }
+    }
+
+    fn store_cancellation(&self, identity: &JobIdentity, deadline: MonoTime) -> CancelOutcome {
+        loop {
+            if let Ok(Some(outcome)) = self.try_cancel(identity, deadline) {
+                return outcome;
+            }
+            if self.is_too_late(deadline) {
+                return CancelOutcome::Unknown;
+            }
+            thread::sleep(Duration::from_millis(RETRY_DELAY_MS));
+        }
+    }
+
+    /// Tries once to store the cancellation in the job's cell and in those that have tasks of
+    /// it; `None` if the job was stored or has moved to another cell meanwhile.
+    fn try_cancel(
+        &self,
+        identity: &JobIdentity,
+        deadline: MonoTime,
+    ) -> Result<Option<CancelOutcome>, StoreCallError> {
+        let Some((home, revision)) = self.read_home(identity, deadline)? else {
+            return self.try_cancel_early(identity, deadline);
+        };
+        if home.is_cancelled_early {
+            return Ok(Some(CancelOutcome::NeverRuns));
+        }
+        let cell = home.cell;
+        let record = self.read(&RowKeys::progress(cell, identity), deadline)?;
+        let key = RowKeys::cancellation(cell, identity);
+        let home = RowGuard {
+            key: RowKeys::home(identity),
+            revision,
+        };
+        let commit = StoreCommit {
+            guards: vec![home, absent(key.clone())],
+            writes: CancellationRows::of(cell, identity, record.as_ref()),
+            removals: Vec::new(),
+        };
+        match self.commit(&commit, deadline)? {
+            CommitAnswer::Stored { .. } => Ok(Some(CancelOutcome::Cancelled)),
+            CommitAnswer::Refused { rows } => {
+                let is_cancelled = rows.iter().any(|row| row.key == key && row.revision > 0);
+                Ok(is_cancelled.then_some(CancelOutcome::Cancelled))
+            }
+        }
+    }
+
+    /// Tries once to store the cancellation of a job that is not stored; `None` if it was
+    /// stored meanwhile, or if the cell has another row at the cancellation's key.
+    fn try_cancel_early(
+        &self,
+        identity: &JobIdentity,
+        deadline: MonoTime,
+    ) -> Result<Option<CancelOutcome>, StoreCallError> {
+        let Some(delay) = self.early_cancellations.take_turn(self.now()) else {
+            return Ok(Some(CancelOutcome::Refused));
+        };
+        thread::sleep(delay);
+        let commit = EarlyCancellation::commit(self.draw_cell(), identity);
+        let answer = self.commit(&commit, deadline)?;
+        let is_stored = matches!(answer, CommitAnswer::Stored { .. });
+        Ok(is_stored.then_some(CancelOutcome::NeverRuns))
+    }
+
+    /// Draws a cell for a row that needs no worker.
+    fn draw_cell(&self) -> CellNumber {
+        let cells = self.context.cells.load().layout.cells().max(1);
+        CellNumber::new(rand::random_range(0..cells))
+    }
+}
--- a/crates/entry/src/frontend/job_frontend/job_homes.rs
+++ b/crates/entry/src/frontend/job_frontend/job_homes.rs
@@ -8,7 +8,7 @@
 
 use crate::frontend::JobFrontend;
 use crate::ports::StoreCallError;
-use crate::store::RowCodec;
+use crate::store::HomeRow;
 use crate::store::RowKeys;
 
 impl JobFrontend {
@@ -33,21 +33,22 @@
         )
     }
 
-    /// Reads which cell has a job, with the revision of that row; `None` if there is no such
-    /// job.
+    /// Reads the home row of a job, with its revision; `None` if there is none.
     pub(super) fn read_home(
         &self,
         identity: &JobIdentity,
         deadline: MonoTime,
-    ) -> Result<Option<(CellNumber, u64)>, StoreCallError> {
+    ) -> Result<Option<(HomeRow, u64)>, StoreCallError> {
         let Some(row) = self.read(&RowKeys::home(identity), deadline)? else {
             return Ok(None);
         };
-        let Some(cell) = RowCodec::decode(&row.value) else {
+        let Some(home) = HomeRow::decode(&row.value) else {
             tracing::error!(job = %identity, "cannot decode which cell has the job");
             return Err(StoreCallError::Unknown);
         };
-        self.homes.insert(identity, cell);
-        Ok(Some((cell, row.revision)))
+        if !home.is_cancelled_early {
+            self.homes.insert(identity, home.cell);
+        }
+        Ok(Some((home, row.revision)))
     }
 }
--- a/crates/entry/src/frontend/state_outcome.rs
+++ b/crates/entry/src/frontend/state_outcome.rs
@@ -9,6 +9,8 @@
     Known(JobStanding),
     /// The store has no such job.
     Missing,
+    /// The store has no such job and never will: it was cancelled before it was stored.
+    CancelledEarly,
     /// The store did not answer before the deadline.
     Unknown,
 }
--- a/crates/entry/src/frontend/submit_outcome.rs
+++ b/crates/entry/src/frontend/submit_outcome.rs
@@ -7,6 +7,8 @@
     Accepted,
     /// The job was not stored and will not be; the caller may retry later.
     Refused,
+    /// The job was cancelled before it was stored, and never will be.
+    CancelledEarly,
     /// The job may or may not be stored; submitting it again is safe.
     Unknown,
 }
--- a/crates/entry/src/owner/commit_writer/job_part.rs
+++ b/crates/entry/src/owner/commit_writer/job_part.rs
@@ -9,6 +9,7 @@
 
 use crate::ports::RowGuard;
 use crate::ports::RowWrite;
+use crate::store::HomeRow;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
 
@@ -48,7 +49,7 @@
             writes: vec![
                 RowWrite {
                     key: RowKeys::home(job),
-                    value: RowCodec::encode(&target),
+                    value: HomeRow::stored(target).encode(),
                 },
                 RowWrite {
                     key: RowKeys::spec(target, job),
--- a/crates/entry/src/owner/intake_gate.rs
+++ b/crates/entry/src/owner/intake_gate.rs
@@ -55,9 +55,10 @@
     }
 
     fn is_current(&self, event: &IntakeEvent) -> bool {
-        let IntakeEvent::Submitted {
+        let (IntakeEvent::Submitted {
             identity, revision, ..
-        } = event
+        }
+        | IntakeEvent::CancelledEarly { identity, revision }) = event
         else {
             return true;
         };
--- a/crates/entry/src/owner/ownership_term/event_handlers.rs
+++ b/crates/entry/src/owner/ownership_term/event_handlers.rs
@@ -96,6 +96,9 @@
                 self.owner.accept_job(identity, spec, now, unix_ms);
             }
             IntakeEvent::Cancelled(identity) => self.owner.cancel_job(identity, now),
+            IntakeEvent::CancelledEarly { identity, .. } => {
+                self.owner.retain_cancellation(identity, now);
+            }
             IntakeEvent::Delegated(task) => self.owner.receive_task(*task, now, unix_ms),
             IntakeEvent::Returned(task) => self.owner.take_back_task(task, now, unix_ms),
         }
--- a/crates/entry/src/owner/ownership_term/stored_cell.rs
+++ b/crates/entry/src/owner/ownership_term/stored_cell.rs
@@ -22,6 +22,8 @@
     jobs: Vec<StoredJob>,
     delegated: Vec<DelegatedTask>,
     returned: Vec<ReturnedTask>,
+    /// Jobs that were cancelled before they were stored.
+    cancelled_early: Vec<JobIdentity>,
     /// Jobs that were ended here after their last task had left.
     ended_elsewhere: Vec<JobIdentity>,
 }
@@ -41,6 +43,9 @@
                 IntakeEvent::Cancelled(identity) => {
                     cancelled.insert(identity, ());
                 }
+                IntakeEvent::CancelledEarly { identity, .. } => {
+                    cell.cancelled_early.push(identity);
+                }
                 IntakeEvent::Delegated(task) => {
                     let place = JobPlace::Guest { home: task.home };
                     specs.push((task.task.job, task.spec.clone(), place));
@@ -88,6 +93,9 @@
         for task in self.returned {
             owner.take_back_task(task, now, unix_ms);
         }
+        for job in self.cancelled_early {
+            owner.retain_cancellation(job, now);
+        }
         for job in self.ended_elsewhere {
             owner.forget_ended_elsewhere(job);
         }
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -6,12 +6,16 @@
 //! cancellations as [`IntakeEvent`]s. A [`RowCodec`] encodes and decodes the values.
 
 mod earlier_ownership_row;
+mod early_cancellation;
+mod home_row;
 mod intake_event;
 mod intake_source;
 mod ownership_row;
 mod row_codec;
 mod row_keys;
 
+pub use early_cancellation::EarlyCancellation;
+pub use home_row::HomeRow;
 pub use intake_event::IntakeEvent;
 pub use intake_source::IntakeSource;
 pub use ownership_row::OwnershipRow;
--- a/crates/entry/src/store/intake_event.rs
+++ b/crates/entry/src/store/intake_event.rs
@@ -19,6 +19,13 @@
     },
     /// A job was cancelled, or its home has ended it.
     Cancelled(JobIdentity),
+    /// A job was cancelled before it was stored, and never will be.
+    CancelledEarly {
+        /// The identity of the job.
+        identity: JobIdentity,
+        /// The revision of the cancellation's row.
+        revision: u64,
+    },
     /// Another cell has delegated a task to this one.
     Delegated(Box<DelegatedTask>),
     /// Another cell has given a task back to this one.
@@ -30,7 +37,9 @@
     #[must_use]
     pub const fn job(&self) -> JobIdentity {
         match self {
-            Self::Submitted { identity, .. } | Self::Cancelled(identity) => *identity,
+            Self::Submitted { identity, .. }
+            | Self::Cancelled(identity)
+            | Self::CancelledEarly { identity, .. } => *identity,
             Self::Delegated(delegated) => delegated.task.job,
             Self::Returned(returned) => returned.task.job,
         }
@@ -39,6 +48,6 @@
     /// Whether the event ends a job. Nothing that was stored before it may be handled after.
     #[must_use]
     pub const fn is_cancellation(&self) -> bool {
-        matches!(self, Self::Cancelled(_))
+        matches!(self, Self::Cancelled(_) | Self::CancelledEarly { .. })
     }
 }
--- a/crates/entry/src/store/intake_source.rs
+++ b/crates/entry/src/store/intake_source.rs
@@ -3,11 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sapphirestile_jobs::JobIdentity;
+
 use crate::ports::EventListing;
 use crate::ports::EventSource;
 use crate::ports::RowChange;
 use crate::ports::StoreCallError;
 use crate::ports::StoredRow;
+use crate::store::EarlyCancellation;
 use crate::store::IntakeEvent;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
@@ -51,7 +54,7 @@
         return None;
     };
     if let Some(identity) = RowKeys::cancelled_identity_of(&row.key) {
-        return Some(IntakeEvent::Cancelled(identity));
+        return Some(read_cancellation(identity, row));
     }
     let read = if RowKeys::is_delegated(&row.key) {
         RowCodec::decode(&row.value).map(|task| IntakeEvent::Delegated(Box::new(task)))
@@ -66,6 +69,16 @@
     read
 }
 
+fn read_cancellation(identity: JobIdentity, row: &StoredRow) -> IntakeEvent {
+    if EarlyCancellation::is_early(&row.value) {
+        return IntakeEvent::CancelledEarly {
+            identity,
+            revision: row.revision,
+        };
+    }
+    IntakeEvent::Cancelled(identity)
+}
+
 fn read_spec(row: &StoredRow) -> Option<IntakeEvent> {
     let identity = RowKeys::identity_of(&row.key)?;
     let spec = RowCodec::decode(&row.value)?;
--- a/crates/entry/tests/intake_gate.rs
+++ b/crates/entry/tests/intake_gate.rs
@@ -75,6 +75,20 @@
     assert_eq!(delayed, [submitted(23), cancelled]);
 }
 
+/// Guards against a job whose home row is removed: the owner takes an early cancellation that
+/// it has removed for a new one, and removes what it finds there after its retention.
+#[test]
+fn early_cancellation_that_was_read_before_its_removal_is_out_of_date() {
+    let early = |revision| IntakeEvent::CancelledEarly {
+        identity: job(),
+        revision,
+    };
+    let mut gate = IntakeGate::default();
+    assert!(gate.finish_departures(&removed(20)).is_empty());
+    assert_eq!(gate.admit(early(11), false), None);
+    assert_eq!(gate.admit(early(21), false), Some(early(21)));
+}
+
 /// Guards against a task that is in no cell: it returns before its transfer is known to be
 /// stored.
 #[test]
--- a/crates/entry/tests/rows_of_earlier_versions.rs
+++ b/crates/entry/tests/rows_of_earlier_versions.rs
@@ -3,6 +3,7 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_entry::CellTable;
+use sapphirestile_entry::HomeRow;
 use sapphirestile_entry::OwnershipRow;
 use sapphirestile_entry::RowKeys;
 use sapphirestile_entry::StoredRow;
@@ -22,6 +23,17 @@
     load: CellLoad,
 }
 
+/// Otherwise a daemon of one version does not find the jobs that one of another has stored.
+#[test]
+fn home_rows_of_both_versions_can_be_read_by_either() {
+    let cell = CellNumber::new(300);
+    let earlier = postcard::to_stdvec(&cell).unwrap();
+    assert_eq!(HomeRow::decode(&earlier), Some(HomeRow::stored(cell)));
+    assert_eq!(HomeRow::stored(cell).encode(), earlier);
+    let cancelled = HomeRow::cancelled_early(cell).encode();
+    assert_eq!(postcard::from_bytes(&cancelled), Ok(cell));
+}
+
 /// Otherwise no daemon of this version can claim the cell once its owner has stopped.
 #[test]
 fn row_of_an_earlier_version_is_read_with_its_longest_bound() {
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -66,6 +66,22 @@
         self.refresh_job(identity, unix_ms);
     }
 
+    /// Keeps the cancellation of a job that was never stored, until its retention ends and its
+    /// rows are deleted. Has no effect if the job is known.
+    pub fn retain_cancellation(&mut self, identity: JobIdentity, now: MonoTime) {
+        if self.jobs.contains(&identity) {
+            return;
+        }
+        let progress = JobProgress {
+            standing: JobStanding::Cancelled,
+            ..JobProgress::default()
+        };
+        let spec = Arc::new(JobSpec::without_steps());
+        let mut entry = JobEntry::new(spec, progress, JobPlace::Home, now);
+        entry.ended = Some(now);
+        self.jobs.insert(identity, Box::new(entry));
+    }
+
     /// Cancels a job: none of its tasks starts any more, and its runs are stopped. Has no
     /// effect if the job is not known or has ended.
     pub fn cancel_job(&mut self, identity: JobIdentity, now: MonoTime) {
--- a/crates/jobs/src/spec/job_spec.rs
+++ b/crates/jobs/src/spec/job_spec.rs
@@ -39,6 +39,31 @@
 }
 
 impl JobSpec {
+    /// The specification of a job of which only its cancellation is known.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_jobs::JobSpec;
+    ///
+    /// assert!(JobSpec::without_steps().steps.is_empty());
+    /// ```
+    #[must_use]
+    pub fn without_steps() -> Self {
+        Self {
+            queue: Box::default(),
+            terms: QueueTerms {
+                service: Box::default(),
+                priority: 0,
+                attempts: 0,
+            },
+            text: Box::default(),
+            steps: Vec::new(),
+            repeat: None,
+            accepted_unix_ms: 0,
+        }
+    }
+
     /// Checks the rules that the types of the fields do not enforce.
     ///
     /// # Errors
--- a/crates/jobs/tests/owner/batches.rs
+++ b/crates/jobs/tests/owner/batches.rs
@@ -1,6 +1,7 @@
 //! Batches, and effects that wait for them.
 
 use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobStanding;
 use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::RepeatRule;
@@ -180,6 +181,20 @@
     assert_eq!(batch.forgotten.len(), 1);
 }
 
+/// Guards against rows of early cancellations that stay in the store for ever.
+#[test]
+fn cancellation_of_a_job_that_was_never_stored_is_dropped_after_its_retention() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 9_000)]);
+    let job = JobIdentity::try_from(JOB).unwrap();
+    let now = fixture.time();
+    fixture.owner.retain_cancellation(job, now);
+    assert!(fixture.batch().is_none());
+    fixture.wait(60_001);
+    let batch = fixture.batch().unwrap();
+    assert_eq!(batch.forgotten, [job]);
+    assert_eq!(batch.progress, []);
+}
+
 /// No worker has responded by then, so the cell would seem to have no room.
 #[test]
 fn first_batch_of_an_owner_does_not_replace_the_load_of_the_previous_one() {
