--- a/crates/entry/src/store/intake_event.rs
+++ b/crates/entry/src/store/intake_event.rs
@@ -19,6 +19,13 @@
     },
     /// A job was cancelled, or its home has ended it.
     Cancelled(JobIdentity),
+    /// A job was cancelled before it was stored, and never will be.
+    CancelledEarly {
+        /// The identity of the job.
+        identity: JobIdentity,
+        /// The revision of the cancellation's row.
+        revision: u64,
+    },
     /// Another cell has delegated a task to this one.
     Delegated(Box<DelegatedTask>),
     /// Another cell has given a task back to this one.
@@ -34,6 +41,7 @@
         match self {
             Self::Submitted { identity, .. }
             | Self::Cancelled(identity)
+            | Self::CancelledEarly { identity, .. }
             | Self::Unreadable(identity) => *identity,
             Self::Delegated(delegated) => delegated.task.job,
             Self::Returned(returned) => returned.task.job,
@@ -43,6 +51,6 @@
     /// Whether the event ends a job. Nothing that was stored before it may be handled after.
     #[must_use]
     pub const fn is_cancellation(&self) -> bool {
-        matches!(self, Self::Cancelled(_))
+        matches!(self, Self::Cancelled(_) | Self::CancelledEarly { .. })
     }
 }
--- a/crates/entry/src/store/intake_source.rs
+++ b/crates/entry/src/store/intake_source.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sapphirestile_jobs::DelegatedTask;
+use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobSpec;
 
 use crate::ports::EventListing;
@@ -11,6 +12,7 @@
 use crate::ports::RowChange;
 use crate::ports::StoreCallError;
 use crate::ports::StoredRow;
+use crate::store::EarlyCancellation;
 use crate::store::IntakeEvent;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
@@ -54,7 +56,7 @@
         return None;
     };
     if let Some(identity) = RowKeys::cancelled_identity_of(&row.key) {
-        return Some(IntakeEvent::Cancelled(identity));
+        return Some(read_cancellation(identity, row));
     }
     let read = if RowKeys::is_delegated(&row.key) {
         read_delegated(row)
@@ -75,6 +77,16 @@
     Some(IntakeEvent::Delegated(Box::new(task)))
 }
 
+fn read_cancellation(identity: JobIdentity, row: &StoredRow) -> IntakeEvent {
+    if EarlyCancellation::is_early(&row.value) {
+        return IntakeEvent::CancelledEarly {
+            identity,
+            revision: row.revision,
+        };
+    }
+    IntakeEvent::Cancelled(identity)
+}
+
 fn read_spec(row: &StoredRow) -> Option<IntakeEvent> {
     let identity = RowKeys::identity_of(&row.key)?;
     let spec: JobSpec = RowCodec::decode(&row.value)?;
