--- a/crates/entry/src/cells/cell_table.rs
+++ b/crates/entry/src/cells/cell_table.rs
@@ -7,8 +7,8 @@
 use sapphirestile_core::SortedTable;
 use sapphirestile_jobs::CellLayout;
 use sapphirestile_jobs::CellLoad;
+use sapphirestile_jobs::CellReport;
 use sapphirestile_jobs::VacancyTable;
-use sapphirestile_jobs::WorkerVacancy;
 
 use crate::cells::CellHead;
 use crate::ports::StoredRow;
@@ -63,8 +63,12 @@
     #[must_use]
     pub fn vacancies(&self, now: MonoTime) -> VacancyTable {
         let owned = self.heads.iter().filter(|(_, head)| head.is_owned(now));
-        let reports: Vec<(CellNumber, &[WorkerVacancy])> = owned
-            .map(|(cell, head)| (*cell, &*head.row.vacancies))
+        let reports: Vec<CellReport<'_>> = owned
+            .map(|(cell, head)| CellReport {
+                cell: *cell,
+                vacancies: &head.row.vacancies,
+                age_ms: now.millis_since(head.changed),
+            })
             .collect();
         VacancyTable::new(&reports)
     }
--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -137,6 +137,7 @@
             } => "returned_to_home",
             DecisionEvent::TaskTransferred { .. } => "delegated_to_cell",
             DecisionEvent::PassedOver { .. }
+            | DecisionEvent::TaskDelayed { .. }
             | DecisionEvent::WorkerRestarted { .. }
             | DecisionEvent::RunsMissing { .. }
             | DecisionEvent::WorkerSilent { .. }
--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -118,6 +118,27 @@
                     "task without a worker goes to another cell"
                 );
             }
+            DecisionEvent::TaskDelayed {
+                task,
+                cpu_milli,
+                waited_ms,
+                tasks,
+                is_guest,
+                is_transferring,
+                declined,
+                census,
+            } => {
+                tracing::info!(
+                    %cell, epoch, %task, cpu_milli, waited_ms, tasks, is_guest, is_transferring,
+                    declined,
+                    cells = census.cells,
+                    cells_with_room = census.cells_with_room,
+                    largest_free_cpu_milli = census.largest_free_cpu_milli,
+                    newest_ms = census.newest_ms,
+                    oldest_ms = census.oldest_ms,
+                    "task waits for a worker of another cell"
+                );
+            }
             DecisionEvent::TaskReceived { task, run, from } => {
                 tracing::info!(%cell, epoch, %task, run, %from, "task came from another cell");
             }
--- a/crates/jobs/src/division.rs
+++ b/crates/jobs/src/division.rs
@@ -10,19 +10,23 @@
 mod cell_choice;
 mod cell_layout;
 mod cell_load;
+mod cell_report;
 mod fleet_division;
 mod job_need;
 mod rack_size;
 mod service_room;
+mod vacancy_census;
 mod vacancy_table;
 mod worker_vacancy;
 
 pub use cell_choice::CellChoice;
 pub use cell_layout::CellLayout;
 pub use cell_load::CellLoad;
+pub use cell_report::CellReport;
 pub use fleet_division::FleetDivision;
 pub use job_need::JobNeed;
 pub use rack_size::RackSize;
 pub use service_room::ServiceRoom;
+pub use vacancy_census::VacancyCensus;
 pub use vacancy_table::VacancyTable;
 pub use worker_vacancy::WorkerVacancy;
--- a/crates/jobs/src/division/vacancy_table.rs
+++ b/crates/jobs/src/division/vacancy_table.rs
@@ -2,6 +2,8 @@
 
 use sapphirestile_core::CellNumber;
 
+use crate::division::CellReport;
+use crate::division::VacancyCensus;
 use crate::division::WorkerVacancy;
 use crate::spec::StepSpec;
 
@@ -10,18 +12,46 @@
 #[derive(Clone, Debug, Default)]
 pub struct VacancyTable {
     rows: Vec<(CellNumber, WorkerVacancy)>,
+    /// Age of the report of each cell, in milliseconds.
+    ages: Vec<(CellNumber, u64)>,
 }
 
 impl VacancyTable {
     /// Creates the table from the reports of the cells.
     #[must_use]
-    pub fn new(reports: &[(CellNumber, &[WorkerVacancy])]) -> Self {
-        let rows = reports.iter().flat_map(|(cell, vacancies)| {
-            let vacancies = vacancies.iter();
-            vacancies.map(|vacancy| (*cell, vacancy.clone()))
+    pub fn new(reports: &[CellReport<'_>]) -> Self {
+        let rows = reports.iter().flat_map(|report| {
+            let vacancies = report.vacancies.iter();
+            vacancies.map(|vacancy| (report.cell, vacancy.clone()))
         });
+        let ages = reports.iter().map(|report| (report.cell, report.age_ms));
         Self {
             rows: rows.collect(),
+            ages: ages.collect(),
+        }
+    }
+
+    /// What the reports of cells other than `own` say of room for a task of the step.
+    #[must_use]
+    pub fn census(&self, own: CellNumber, step: &StepSpec, service: &str) -> VacancyCensus {
+        let others = self.rows.iter().filter(|(cell, _)| *cell != own);
+        let of_service = others.filter(|(_, vacancy)| *vacancy.service == *service);
+        let largest = of_service.map(|(_, vacancy)| vacancy.free.cpu_milli).max();
+        let ages = || {
+            let others = self.ages.iter().filter(|(cell, _)| *cell != own);
+            others.map(|(_, age_ms)| *age_ms)
+        };
+        let has_room = |cell: CellNumber| {
+            let mut rows = self.rows.iter().filter(|(other, _)| *other == cell);
+            rows.any(|(_, vacancy)| vacancy.fits(step, service))
+        };
+        let cells = self.ages.iter().map(|(cell, _)| *cell);
+        VacancyCensus {
+            cells: ages().count(),
+            cells_with_room: cells.filter(|cell| *cell != own && has_room(*cell)).count(),
+            largest_free_cpu_milli: largest.unwrap_or_default(),
+            newest_ms: ages().min().unwrap_or_default(),
+            oldest_ms: ages().max().unwrap_or_default(),
         }
     }
 
@@ -41,6 +71,7 @@
     ///
     /// ```
     /// use sapphirestile_core::CellNumber;
+    /// use sapphirestile_jobs::CellReport;
     /// use sapphirestile_jobs::ResourceVector;
     /// use sapphirestile_jobs::StepSpec;
     /// use sapphirestile_jobs::VacancyTable;
@@ -53,7 +84,8 @@
     ///     labels: Vec::new(),
     /// };
     /// let cell = CellNumber::new(4);
-    /// let mut table = VacancyTable::new(&[(cell, std::slice::from_ref(&vacancy))]);
+    /// let vacancies = std::slice::from_ref(&vacancy);
+    /// let mut table = VacancyTable::new(&[CellReport { cell, vacancies, age_ms: 0 }]);
     /// let step = StepSpec { size: size(2_000), ..StepSpec::default() };
     /// assert_eq!(table.take(&[], &step, "sizing", 7), Some(cell));
     /// assert_eq!(table.take(&[], &step, "sizing", 7), None, "too little is left");
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -4,6 +4,7 @@
 use sapphirestile_core::WorkerName;
 
 use crate::advice::StepIdentity;
+use crate::division::VacancyCensus;
 use crate::owner::RunCause;
 use crate::planner::PlacementCensus;
 use crate::progress::JobStanding;
@@ -120,6 +121,25 @@
         /// Time since the task first found no worker here, in milliseconds.
         waited_ms: u64,
     },
+    /// The task that has waited longest for a worker, or for one in another cell.
+    TaskDelayed {
+        /// Task that waits.
+        task: TaskIdentity,
+        /// Processor time that the task needs, in thousandths of a processor.
+        cpu_milli: u64,
+        /// Time since the task first found no worker here, in milliseconds.
+        waited_ms: u64,
+        /// Number of tasks that wait here like this one.
+        tasks: usize,
+        /// Whether the home of its job is another cell.
+        is_guest: bool,
+        /// Whether its transfer is being stored.
+        is_transferring: bool,
+        /// Number of cells that have given the task back since it last ran.
+        declined: usize,
+        /// What the other cells report.
+        census: VacancyCensus,
+    },
     /// A task has come from another cell.
     TaskReceived {
         /// Task that waits for a worker here.
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -131,6 +131,8 @@
     load_reported: MonoTime,
     /// When a task that found no worker was last reported.
     passed_over_reported: MonoTime,
+    /// When a task that waits for a transfer was last reported.
+    delay_reported: MonoTime,
 }
 
 impl JobOwner {
@@ -187,6 +189,7 @@
             advice: AdviceCache::default(),
             load_reported: claimed,
             passed_over_reported: MonoTime::default(),
+            delay_reported: MonoTime::default(),
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/transfers.rs
+++ b/crates/jobs/src/owner/job_owner/transfers.rs
@@ -40,6 +40,10 @@
 /// Distance between the places at which the owners of two cells begin to look for room.
 const OWNER_OFFSET: usize = 13;
 
+/// How long a task waits before it is reported, in milliseconds, and the shortest time between
+/// two reports.
+const DELAY_INTERVAL_MS: u64 = 1_000;
+
 impl JobOwner {
     /// Decides which tasks without a worker are transferred to other cells. To be called once
     /// for each view of the other cells.
@@ -52,13 +56,45 @@
         due.sort_unstable();
         for (since, task) in due {
             if self.transfers.len() >= TRANSFERS_PER_VIEW_MAX {
-                return;
+                break;
             }
             let Some(transfer) = self.choose_transfer(own, &task, vacancies, now) else {
                 continue;
             };
             self.begin_transfer(transfer, now.millis_since(since));
         }
+        self.report_delayed(own, vacancies, now);
+    }
+
+    /// Reports the task that has waited longest, at most one in an interval.
+    fn report_delayed(&mut self, own: CellNumber, vacancies: &VacancyTable, now: MonoTime) {
+        if now.millis_since(self.delay_reported) < DELAY_INTERVAL_MS {
+            return;
+        }
+        let longest = self.unplaced.iter().min_by_key(|(_, task)| task.since);
+        let Some((task, unplaced)) = longest else {
+            return;
+        };
+        let waited_ms = now.millis_since(unplaced.since);
+        let Some(entry) = self.jobs.get(&task.job) else {
+            return;
+        };
+        if waited_ms < DELAY_INTERVAL_MS {
+            return;
+        }
+        let step = &entry.spec.steps[task.step as usize];
+        let service = self.service_of(&entry.spec.queue, &entry.spec.terms.service);
+        self.decisions.push(DecisionEvent::TaskDelayed {
+            task: *task,
+            cpu_milli: step.size.cpu_milli,
+            waited_ms,
+            tasks: self.unplaced.len(),
+            is_guest: entry.place.is_guest(),
+            is_transferring: entry.transferring.contains(task),
+            declined: unplaced.declined.len(),
+            census: vacancies.census(own, step, &service),
+        });
+        self.delay_reported = now;
     }
 
     /// Transfer of a task that has waited long enough, if another cell has a worker for it.
--- a/crates/jobs/tests/owner/transfers.rs
+++ b/crates/jobs/tests/owner/transfers.rs
@@ -1,7 +1,9 @@
 //! Transfers of tasks between cells.
 
 use sapphirestile_core::CellNumber;
+use sapphirestile_jobs::CellReport;
 use sapphirestile_jobs::CommitBatch;
+use sapphirestile_jobs::DecisionEvent;
 use sapphirestile_jobs::DelegatedTask;
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::JobIdentity;
@@ -11,6 +13,7 @@
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::TaskStage;
 use sapphirestile_jobs::TaskTransfer;
+use sapphirestile_jobs::VacancyCensus;
 use sapphirestile_jobs::VacancyTable;
 use sapphirestile_jobs::WorkerVacancy;
 
@@ -90,7 +93,11 @@
         free: idle.capacity,
         labels: vec!["a".into()],
     };
-    VacancyTable::new(&[(cell, std::slice::from_ref(&vacancy))])
+    VacancyTable::new(&[CellReport {
+        cell,
+        vacancies: std::slice::from_ref(&vacancy),
+        age_ms: 40,
+    }])
 }
 
 /// Lets the owner of a cell plan transfers, and takes the batch that has them.
@@ -265,6 +272,43 @@
     assert!(host.batch().is_none(), "started again");
 }
 
+/// Nothing told why a task waited 17 s: every other cell was full, or its report was missing.
+#[test]
+fn task_that_waits_is_reported_with_what_the_other_cells_report() {
+    let mut home = home_without_room();
+    let report = |home: &mut OwnerFixture, wait_ms| {
+        home.now += wait_ms;
+        home.step();
+        let _ = home.owner.take_decisions();
+        plan(home, HOME, HOME);
+        let decisions = home.owner.take_decisions().into_iter();
+        let delays = decisions.filter_map(|decision| match decision {
+            DecisionEvent::TaskDelayed {
+                waited_ms, census, ..
+            } => Some((waited_ms, census)),
+            _ => None,
+        });
+        delays.collect::<Vec<_>>()
+    };
+    assert_eq!(report(&mut home, 400), [], "most find a worker sooner");
+    assert_eq!(
+        report(&mut home, 700),
+        [(1_100, VacancyCensus::default())],
+        "no cell but its own has a report"
+    );
+    assert_eq!(report(&mut home, 900), [], "one a second at most");
+    let step = &long_running_job().steps[0];
+    let census = vacancies(OTHER).census(HOME, step, "sizing");
+    let with_room = VacancyCensus {
+        cells: 1,
+        cells_with_room: 1,
+        largest_free_cpu_milli: 4_000,
+        newest_ms: 40,
+        oldest_ms: 40,
+    };
+    assert_eq!(census, with_room);
+}
+
 /// A cell that the report showed as free may be full when the task arrives.
 #[test]
 fn task_that_finds_no_room_returns_and_goes_elsewhere() {
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
@@ -7,6 +7,7 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::ZoneName;
+use sapphirestile_jobs::CellReport;
 use sapphirestile_jobs::DeployedConfig;
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_jobs::JobPlace;
@@ -21,7 +22,6 @@
 use sapphirestile_jobs::VacancyTable;
 use sapphirestile_jobs::WorkerEntry;
 use sapphirestile_jobs::WorkerIncarnation;
-use sapphirestile_jobs::WorkerVacancy;
 
 use super::CELLS;
 use super::CellSimulation;
@@ -132,9 +132,14 @@
     }
 
     fn vacancies(&self) -> VacancyTable {
-        let reports: Vec<(CellNumber, &[WorkerVacancy])> = (0..)
+        let reports: Vec<CellReport<'_>> = (0..)
             .map(CellNumber::new)
-            .zip(self.store.cells.iter().map(|rows| &*rows.vacancies))
+            .zip(&self.store.cells)
+            .map(|(cell, rows)| CellReport {
+                cell,
+                vacancies: &rows.vacancies,
+                age_ms: 0,
+            })
             .collect();
         VacancyTable::new(&reports)
     }
