--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -114,17 +114,22 @@
         ticket.is_some()
     }
 
-    /// Whether the worker is kept for tasks that have to run again: those that have not run
-    /// may not take the last workers without long-running runs, and shorter ones may not take
-    /// what becomes free on a worker that is held.
+    /// Whether the worker is kept for long-running tasks that have to run again: those that
+    /// have not run may not take the last workers without long-running runs, and only those
+    /// that have may take what becomes free on a worker that is held.
     #[must_use]
     pub fn is_kept_from(&self, demand: &TaskDemand<'_>, worker: &TrackedWorker) -> bool {
         let step = demand.step;
-        if step.is_long_running {
-            return !demand.has_run && !self.spare.for_first_runs && !worker.has_long_running();
+        if step.is_long_running && demand.has_run {
+            return false;
         }
+        let is_last = !self.spare.for_first_runs && !worker.has_long_running();
+        (step.is_long_running && is_last) || (!step.is_best_effort && self.is_held(worker))
+    }
+
+    fn is_held(&self, worker: &TrackedWorker) -> bool {
         let name = worker.entry.as_ref().map(|entry| &entry.name);
-        !step.is_best_effort && name.is_some_and(|name| self.held.contains(name))
+        name.is_some_and(|name| self.held.contains(name))
     }
 
     /// Like [`score`](Self::score), without checking for a ticket.
--- a/crates/jobs/tests/owner/restarts.rs
+++ b/crates/jobs/tests/owner/restarts.rs
@@ -13,6 +13,8 @@
 
 const LASTING: &str = "aaaaaaaaaaaaaaaa";
 const SHORT: &str = "bbbbbbbbbbbbbbbb";
+const FIRST: &str = "cccccccccccccccc";
+const OTHER: &str = "dddddddddddddddd";
 
 /// Splits a line of a start into the task and the worker.
 fn start_of(line: &str) -> (String, String) {
@@ -133,3 +135,51 @@
     fixture.step();
     assert_eq!(fixture.store(), [format!("start {task}#2 at {other}")]);
 }
+
+/// A worker was held for a long-running task that waited, but smaller ones that had never run
+/// took each part that its shorter tasks left.
+#[test]
+fn first_runs_leave_a_worker_to_a_long_running_task_that_waits() {
+    let workers = vec![worker("w-1", 2_000), worker("w-2", 3_000)];
+    let mut fixture = OwnerFixture::with_workers(workers);
+    let lasting = |cpu_milli| {
+        let mut step = step(1, cpu_milli);
+        step.is_long_running = true;
+        job_spec(vec![step])
+    };
+    let mut place = |job, spec, worker: &str| {
+        fixture.accept(job, spec);
+        fixture.step();
+        let starts = fixture.store();
+        for line in &starts {
+            let (task, at) = start_of(line);
+            assert_eq!(at, worker);
+            fixture.started(&at, &task, 1, StartOutcome::Accepted);
+        }
+        start_of(&starts[0]).0
+    };
+    let other = place(OTHER, lasting(1_000), "w-2");
+    place(SHORT, job_spec(vec![step(2, 1_000)]), "w-2");
+    let task = place(LASTING, lasting(2_000), "w-1");
+    leave(&mut fixture, "w-1", 2_000, &task);
+    fixture.step();
+    assert!(fixture.batch().is_some(), "the end is stored");
+    let now = fixture.time();
+    fixture.owner.confirm_batch(now, fixture.now);
+    fixture.accept(FIRST, lasting(1_000));
+    // The two short tasks end one after the other.
+    fixture.now += 1_100;
+    let short = |index: u32| format!("{SHORT}.0.0.{index}");
+    let first = ended(1, &short(0), 1, EndKind::Done);
+    let runs = [running(&other, 1), running(&short(1), 1)];
+    fixture.answer("w-2", &runs, std::slice::from_ref(&first));
+    fixture.step();
+    let starts = fixture.store();
+    assert!(starts.is_empty(), "the worker is held, got {starts:?}");
+    fixture.now += 100;
+    fixture.step();
+    let second = ended(2, &short(1), 1, EndKind::Done);
+    fixture.answer("w-2", &runs[..1], &[first, second]);
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {task}#2 at w-2")]);
+}
