--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -99,6 +99,23 @@
             DecisionEvent::Advised { step, asked, good } => {
                 tracing::info!(%cell, epoch, %step, asked, good, "advisor call ended");
             }
+            DecisionEvent::JobEnded {
+                job,
+                standing,
+                age_ms,
+            } => {
+                tracing::info!(%cell, epoch, %job, ?standing, age_ms, "job ended");
+            }
+            DecisionEvent::JobMoved { .. }
+            | DecisionEvent::TaskTransferred { .. }
+            | DecisionEvent::TaskDelayed { .. }
+            | DecisionEvent::TaskReceived { .. } => Self::write_move(cell, epoch, decision),
+        }
+    }
+
+    /// Logs that a job or a task goes to another cell, or waits for one.
+    fn write_move(cell: CellNumber, epoch: u64, decision: &DecisionEvent) {
+        match decision {
             DecisionEvent::JobMoved {
                 job,
                 target,
@@ -142,13 +159,7 @@
             DecisionEvent::TaskReceived { task, run, from } => {
                 tracing::info!(%cell, epoch, %task, run, %from, "task came from another cell");
             }
-            DecisionEvent::JobEnded {
-                job,
-                standing,
-                age_ms,
-            } => {
-                tracing::info!(%cell, epoch, %job, ?standing, age_ms, "job ended");
-            }
+            _ => {}
         }
     }
 }
