--- a/crates/entry/src/cells/cell_table.rs
+++ b/crates/entry/src/cells/cell_table.rs
@@ -8,6 +8,7 @@
 use sapphirestile_jobs::CellLayout;
 use sapphirestile_jobs::CellLoad;
 use sapphirestile_jobs::CellReport;
+use sapphirestile_jobs::RestartNeed;
 use sapphirestile_jobs::VacancyTable;
 
 use crate::cells::CellHead;
@@ -73,6 +74,17 @@
         VacancyTable::new(&reports)
     }
 
+    /// The long-running tasks of other cells that have to run again and find no worker, as the
+    /// owners of these cells have reported them.
+    #[must_use]
+    pub fn restarts_elsewhere(&self, own: CellNumber, now: MonoTime) -> Vec<RestartNeed> {
+        let owned = self.heads.iter().filter(|(_, head)| head.is_owned(now));
+        let others = owned.filter(|(cell, _)| **cell != own);
+        others
+            .flat_map(|(_, head)| head.row.restarts.iter().cloned())
+            .collect()
+    }
+
     /// The epoch of the latest claim of any cell; 0 before the first.
     #[must_use]
     pub fn highest_epoch(&self) -> u64 {
--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -130,6 +130,7 @@
             load,
             lease_bounds,
             vacancies: Vec::new(),
+            restarts: Vec::new(),
         };
         if let Some(claim) = self.claim(cell, revision, row) {
             self.drive(claim, claimed);
--- a/crates/entry/src/owner/ownership_claim.rs
+++ b/crates/entry/src/owner/ownership_claim.rs
@@ -32,15 +32,16 @@
     /// The row with the next write number, the bounds on leases of a batch, and its load if
     /// there is a new one.
     pub fn next_row(&self, is_released: bool, batch: &CommitBatch) -> OwnershipRow {
-        let (load, vacancies) = match &batch.load {
-            Some(load) => (load, &batch.vacancies),
-            None => (&self.row.load, &self.row.vacancies),
+        let (load, vacancies, restarts) = match &batch.load {
+            Some(load) => (load, &batch.vacancies, &batch.restarts),
+            None => (&self.row.load, &self.row.vacancies, &self.row.restarts),
         };
         OwnershipRow {
             write: self.row.write + 1,
             is_released,
             load: load.clone(),
             vacancies: vacancies.clone(),
+            restarts: restarts.clone(),
             lease_bounds: batch.lease_bounds.clone(),
             daemon: self.row.daemon.clone(),
             ..self.row
--- a/crates/entry/src/store/earlier_ownership_row.rs
+++ b/crates/entry/src/store/earlier_ownership_row.rs
@@ -29,6 +29,7 @@
             load: row.load,
             lease_bounds: LeaseBounds::unstated(),
             vacancies: Vec::new(),
+            restarts: Vec::new(),
         }
     }
 }
--- a/crates/entry/src/store/ownership_row.rs
+++ b/crates/entry/src/store/ownership_row.rs
@@ -2,6 +2,7 @@
 
 use sapphirestile_jobs::CellLoad;
 use sapphirestile_jobs::LeaseBounds;
+use sapphirestile_jobs::RestartNeed;
 use sapphirestile_jobs::WorkerVacancy;
 use serde::Deserialize;
 use serde::Serialize;
@@ -32,6 +33,9 @@
     pub lease_bounds: LeaseBounds,
     /// The largest free workers of the cell, as the owner last reported them.
     pub vacancies: Vec<WorkerVacancy>,
+    /// The long-running tasks of the cell that have to run again and find no worker, as the
+    /// owner last reported them.
+    pub restarts: Vec<RestartNeed>,
 }
 
 impl OwnershipRow {
@@ -46,8 +50,13 @@
         }
         let (lease_bounds, rest) = RowCodec::decode_first(rest)?;
         row.lease_bounds = lease_bounds;
+        if rest.is_empty() {
+            return Some(row);
+        }
+        let (vacancies, rest) = RowCodec::decode_first(rest)?;
+        row.vacancies = vacancies;
         if !rest.is_empty() {
-            row.vacancies = RowCodec::decode(rest)?;
+            row.restarts = RowCodec::decode(rest)?;
         }
         Some(row)
     }
--- a/crates/entry/tests/cell_claims.rs
+++ b/crates/entry/tests/cell_claims.rs
@@ -49,6 +49,7 @@
             load: sapphirestile_jobs::CellLoad::default(),
             lease_bounds: sapphirestile_jobs::LeaseBounds::of_all(0),
             vacancies: Vec::new(),
+            restarts: Vec::new(),
         },
         revision: 1,
         changed: MonoTime::from_millis(now),
--- a/crates/entry/tests/rows_of_earlier_versions.rs
+++ b/crates/entry/tests/rows_of_earlier_versions.rs
@@ -8,6 +8,9 @@
 use sapphirestile_entry::StoredRow;
 use sapphirestile_jobs::CellLoad;
 use sapphirestile_jobs::LeaseBounds;
+use sapphirestile_jobs::ResourceVector;
+use sapphirestile_jobs::RestartNeed;
+use sapphirestile_jobs::WorkerVacancy;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -22,6 +25,33 @@
     load: CellLoad,
 }
 
+/// The row of a cell as it was before it had tasks that wait to run again.
+#[derive(Deserialize, Serialize)]
+struct RowWithVacancies {
+    earlier: EarlierRow,
+    lease_bounds: LeaseBounds,
+    vacancies: Vec<WorkerVacancy>,
+}
+
+fn restart_need() -> RestartNeed {
+    RestartNeed {
+        service: "sizing".into(),
+        size: ResourceVector {
+            cpu_milli: 20_000,
+            ..ResourceVector::default()
+        },
+        required_label: None,
+    }
+}
+
+fn stored(cell: u16, row: &impl Serialize) -> StoredRow {
+    StoredRow {
+        key: RowKeys::ownership(CellNumber::new(cell)),
+        value: postcard::to_stdvec(row).unwrap(),
+        revision: 12,
+    }
+}
+
 /// Otherwise no daemon of this version can claim the cell once its owner has stopped.
 #[test]
 fn row_of_an_earlier_version_is_read_with_its_longest_bound() {
@@ -33,11 +63,7 @@
         is_released: true,
         load: CellLoad::default(),
     };
-    let stored = StoredRow {
-        key: RowKeys::ownership(CellNumber::new(0)),
-        value: postcard::to_stdvec(&row).unwrap(),
-        revision: 12,
-    };
+    let stored = stored(0, &row);
     let table = CellTable::default().with_rows(&[stored], MonoTime::from_millis(0));
     let head = table.heads.get(&CellNumber::new(0));
     let head = head.expect("the row of the earlier version can be read");
@@ -56,6 +82,7 @@
         load: CellLoad::default(),
         lease_bounds: LeaseBounds::of_all(6_355),
         vacancies: Vec::new(),
+        restarts: vec![restart_need()],
     };
     let value = postcard::to_stdvec(&row).unwrap();
     let read: EarlierRow = postcard::from_bytes(&value).unwrap();
@@ -63,3 +90,45 @@
     let again: OwnershipRow = postcard::from_bytes(&value).unwrap();
     assert_eq!(again, row);
 }
+
+/// Daemons of both versions own cells while the earlier one is replaced.
+#[test]
+fn tasks_that_wait_to_run_again_are_read_beside_a_row_without_them() {
+    let earlier = RowWithVacancies {
+        earlier: EarlierRow {
+            epoch: 7,
+            daemon: "entry-1".into(),
+            incarnation: 3,
+            write: 40,
+            is_released: false,
+            load: CellLoad::default(),
+        },
+        lease_bounds: LeaseBounds::of_all(1),
+        vacancies: vec![WorkerVacancy::default()],
+    };
+    let row = OwnershipRow {
+        epoch: 8,
+        daemon: "entry-2".into(),
+        incarnation: 4,
+        write: 1,
+        is_released: false,
+        load: CellLoad::default(),
+        lease_bounds: LeaseBounds::of_all(1),
+        vacancies: vec![WorkerVacancy::default()],
+        restarts: vec![restart_need()],
+    };
+    let now = MonoTime::from_millis(0);
+    let rows = [stored(0, &earlier), stored(1, &row)];
+    let table = CellTable::default().with_rows(&rows, now);
+    assert_eq!(table.heads.len(), 2);
+    let elsewhere = |cell| table.restarts_elsewhere(CellNumber::new(cell), now);
+    assert_eq!(elsewhere(0), [restart_need()]);
+    assert_eq!(elsewhere(1), []);
+    let value = postcard::to_stdvec(&row).unwrap();
+    let read: RowWithVacancies = postcard::from_bytes(&value).unwrap();
+    assert_eq!(
+        read.vacancies.len(),
+        1,
+        "the earlier version reads its part"
+    );
+}
--- a/crates/jobs/src/division.rs
+++ b/crates/jobs/src/division.rs
@@ -5,7 +5,8 @@
 //! all workers, and proposes the layout's next version. A [`CellLoad`] tells other daemons
 //! how much room a cell has, by a [`ServiceRoom`] for each service; a [`CellChoice`]
 //! compares them for the [`JobNeed`] of a job. A [`VacancyTable`] has the largest
-//! [`WorkerVacancy`]s of all cells, for single tasks that find no worker in their own.
+//! [`WorkerVacancy`]s of all cells, for single tasks that find no worker in their own; a
+//! [`RestartNeed`] tells all cells of one for which none has a worker.
 
 mod cell_choice;
 mod cell_layout;
@@ -14,6 +15,7 @@
 mod fleet_division;
 mod job_need;
 mod rack_size;
+mod restart_need;
 mod service_room;
 mod vacancy_census;
 mod vacancy_table;
@@ -26,6 +28,7 @@
 pub use fleet_division::FleetDivision;
 pub use job_need::JobNeed;
 pub use rack_size::RackSize;
+pub use restart_need::RestartNeed;
 pub use service_room::ServiceRoom;
 pub use vacancy_census::VacancyCensus;
 pub use vacancy_table::VacancyTable;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -44,6 +44,7 @@
 pub use division::FleetDivision;
 pub use division::JobNeed;
 pub use division::RackSize;
+pub use division::RestartNeed;
 pub use division::ServiceRoom;
 pub use division::VacancyCensus;
 pub use division::VacancyTable;
--- a/crates/jobs/src/owner/commit_batch.rs
+++ b/crates/jobs/src/owner/commit_batch.rs
@@ -1,6 +1,7 @@
 //! Changes to be stored.
 
 use crate::division::CellLoad;
+use crate::division::RestartNeed;
 use crate::division::WorkerVacancy;
 use crate::owner::GuestRemoval;
 use crate::owner::JobMove;
@@ -41,6 +42,8 @@
     pub load: Option<CellLoad>,
     /// Largest free workers of the cell, which belong to the load.
     pub vacancies: Vec<WorkerVacancy>,
+    /// Long-running tasks that have to run again and find no worker, which belong to the load.
+    pub restarts: Vec<RestartNeed>,
     /// Bounds on the leases of all workers when the batch was taken.
     pub lease_bounds: LeaseBounds,
     /// Whether the owner releases its ownership with this batch.
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -27,6 +27,7 @@
 use std::sync::Arc;
 
 use crate::advice::AdviceCache;
+use crate::division::RestartNeed;
 use crate::owner::DecisionEvent;
 use crate::owner::DeferredEffect;
 use crate::owner::GuestRemoval;
@@ -118,6 +119,11 @@
     spare: SpareWorkers,
     /// Workers on which only long-running tasks start, until one that waits fits there.
     held: SortedTable<WorkerName, ()>,
+    /// Long-running tasks of any cell that have to run again and find no worker; updated once
+    /// per planning pass.
+    restarts: Vec<RestartNeed>,
+    /// Those of the other cells, by their latest reports.
+    restarts_elsewhere: Vec<RestartNeed>,
     /// Number of cells, this one included.
     cells: u16,
     images: ImageTable,
@@ -181,6 +187,8 @@
             is_deposed: false,
             spare: SpareWorkers::default(),
             held: SortedTable::new(),
+            restarts: Vec::new(),
+            restarts_elsewhere: Vec::new(),
             cells: 1,
             images: ImageTable::default(),
             interference: InterferenceModel::default(),
@@ -224,6 +232,11 @@
         self.cells = cells;
     }
 
+    /// Sets which long-running tasks of other cells have to run again and find no worker.
+    pub fn set_restarts_elsewhere(&mut self, restarts: Vec<RestartNeed>) {
+        self.restarts_elsewhere = restarts;
+    }
+
     /// Takes the effects that were released since the latest call.
     #[must_use]
     pub fn take_effects(&mut self) -> Vec<OwnerEffect> {
--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -53,6 +53,7 @@
             advice: &self.advice,
             spare: self.spare,
             held: &self.held,
+            restarts: &self.restarts,
             now,
         }
     }
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -43,6 +43,9 @@
             absorbed: std::mem::take(&mut self.absorbed),
             transfers: self.take_transfers(),
             vacancies: load.as_ref().map_or_else(Vec::new, |_| self.vacancies(now)),
+            restarts: load
+                .as_ref()
+                .map_or_else(Vec::new, |_| self.restart_needs(now)),
             load,
             forgotten: std::mem::take(&mut self.forgotten),
             counts: self.count_queues(),
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -29,6 +29,8 @@
         self.spare.for_latency = self.has_spare_worker(now);
         self.spare.for_first_runs = self.has_worker_for_first_runs(now);
         self.hold_workers(now);
+        self.restarts = self.restart_needs(now);
+        self.restarts.extend_from_slice(&self.restarts_elsewhere);
         let keys = self.waiting_by_urgency(now);
         let mut planned = 0;
         let mut unplaced = UnplacedDemands::default();
--- a/crates/jobs/src/owner/job_owner/restarts.rs
+++ b/crates/jobs/src/owner/job_owner/restarts.rs
@@ -4,6 +4,9 @@
 //! room elsewhere only if some was left, and a large task finds it on one worker only if smaller
 //! ones do not take each part that becomes free there.
 
+use std::ops::RangeInclusive;
+
+use crate::division::RestartNeed;
 use crate::owner::JobOwner;
 use crate::owner::UnplacedTask;
 use crate::planner::TaskDemand;
@@ -24,7 +27,44 @@
 /// Maximum number of workers that are held at the same time.
 const HELD_WORKERS_MAX: usize = 4;
 
+/// How long a task has waited for first runs to wait for it, in milliseconds. One that waits
+/// longer may fit on no worker of the fleet, and new tasks do not wait for it for ever.
+const PRECEDENCE_MS: RangeInclusive<u64> = 1_000..=30_000;
+
+/// Maximum number of tasks that wait in a report, which every daemon reads.
+const RESTART_NEEDS_MAX: usize = 8;
+
 impl JobOwner {
+    /// Needs of the tasks of this cell that have to run again and have found no worker for
+    /// long, the longest first.
+    #[must_use]
+    pub fn restart_needs(&self, now: MonoTime) -> Vec<RestartNeed> {
+        let due = self.unplaced.iter().filter(|(_, unplaced)| {
+            let waited_ms = now.millis_since(unplaced.since);
+            PRECEDENCE_MS.contains(&waited_ms)
+        });
+        let mut due: Vec<(MonoTime, TaskIdentity)> = due
+            .map(|(task, unplaced)| (unplaced.since, *task))
+            .collect();
+        due.sort_unstable();
+        let needs = due.iter().filter_map(|(_, task)| self.restart_need(task));
+        needs.take(RESTART_NEEDS_MAX).collect()
+    }
+
+    /// Need of a task, unless it runs or is about to leave.
+    fn restart_need(&self, task: &TaskIdentity) -> Option<RestartNeed> {
+        let entry = self.jobs.get(&task.job)?;
+        if !entry.has_waiting(task) {
+            return None;
+        }
+        let step = &entry.spec.steps[task.step as usize];
+        Some(RestartNeed {
+            service: self.service_of(&entry.spec.queue, &entry.spec.terms.service),
+            size: step.size,
+            required_label: step.required_label.clone(),
+        })
+    }
+
     /// Whether more workers are free of long-running tasks than are kept for restarts. Workers
     /// that are leaving count for the number that is kept: their tasks are about to need it.
     pub(super) fn has_worker_for_first_runs(&self, now: MonoTime) -> bool {
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -2,6 +2,7 @@
 
 use crate::advice::AdviceCache;
 use crate::advice::StepIdentity;
+use crate::division::RestartNeed;
 use crate::pacing::BestEffortRun;
 use crate::pacing::InterferenceModel;
 use crate::pacing::ServingRun;
@@ -60,6 +61,8 @@
     pub spare: SpareWorkers,
     /// Workers that are held for long-running tasks.
     pub held: &'a SortedTable<WorkerName, ()>,
+    /// Long-running tasks of any cell that have to run again and find no worker.
+    pub restarts: &'a [RestartNeed],
     /// Time of the snapshot.
     pub now: MonoTime,
 }
@@ -115,8 +118,9 @@
     }
 
     /// Whether the worker is kept for long-running tasks that have to run again: those that
-    /// have not run may not take the last workers without long-running runs, and only those
-    /// that have may take what becomes free on a worker that is held.
+    /// have not run may not take the last workers without long-running runs, nor any while one
+    /// that could run there waits, and only those that have run may take what becomes free on
+    /// a worker that is held.
     #[must_use]
     pub fn is_kept_from(&self, demand: &TaskDemand<'_>, worker: &TrackedWorker) -> bool {
         let step = demand.step;
@@ -124,7 +128,18 @@
             return false;
         }
         let is_last = !self.spare.for_first_runs && !worker.has_long_running();
-        (step.is_long_running && is_last) || (!step.is_best_effort && self.is_held(worker))
+        let is_kept = is_last || self.is_awaited(worker);
+        (step.is_long_running && is_kept) || (!step.is_best_effort && self.is_held(worker))
+    }
+
+    /// Whether a task that has to run again waits, here or in another cell, and could run on
+    /// the worker. Nothing makes room from long-running runs, so what becomes free is left
+    /// until it is enough.
+    fn is_awaited(&self, worker: &TrackedWorker) -> bool {
+        let Some(entry) = &worker.entry else {
+            return false;
+        };
+        self.restarts.iter().any(|need| need.could_run_on(entry))
     }
 
     fn is_held(&self, worker: &TrackedWorker) -> bool {
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -14,6 +14,7 @@
 mod owner_fixture;
 mod pacing;
 mod placement;
+mod restart_precedence;
 mod restarts;
 mod starts_and_stops;
 mod stragglers;
--- /dev/null
+++ b/crates/jobs/tests/owner/restart_precedence.rs
@@ -0,0 +1,119 @@
+//! First runs of long-running tasks beside those that have to run again.
+
+use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::RestartNeed;
+
+use crate::owner_fixture::OwnerFixture;
+use crate::restarts::FIRST;
+use crate::restarts::LASTING;
+use crate::restarts::lasting;
+use crate::restarts::leave;
+use crate::restarts::place;
+use crate::restarts::store_end;
+use crate::test_values::ended;
+use crate::test_values::running;
+use crate::test_values::step;
+use crate::test_values::worker;
+
+const SMALL: [&str; 3] = ["1111111111111111", "2222222222222222", "3333333333333333"];
+
+/// A worker with a run of each of three jobs, and one that has left with a larger run, which
+/// waits for more than a second. Another job waits for its first run.
+fn restart_and_first_run() -> (OwnerFixture, String) {
+    let workers = vec![worker("w-1", 2_000), worker("w-2", 3_000)];
+    let mut fixture = OwnerFixture::with_workers(workers);
+    for job in SMALL {
+        place(&mut fixture, job, lasting(1_000), "w-2");
+    }
+    let task = place(&mut fixture, LASTING, lasting(2_000), "w-1");
+    leave(&mut fixture, "w-1", 2_000, &task);
+    store_end(&mut fixture);
+    fixture.accept(FIRST, lasting(1_000));
+    fixture.now += 1_100;
+    fixture.step();
+    (fixture, task)
+}
+
+/// Cancels one of the small jobs and lets its run end.
+fn end_small(fixture: &mut OwnerFixture, ended_jobs: usize) {
+    fixture.cancel(SMALL[ended_jobs - 1]);
+    fixture.step();
+    let task = |job: &str| format!("{job}.0.0.0");
+    let (gone, left) = SMALL.split_at(ended_jobs);
+    let left: Vec<_> = left.iter().map(|job| running(&task(job), 1)).collect();
+    let gone: Vec<_> = (1..)
+        .zip(gone)
+        .map(|(number, job)| ended(number, &task(job), 1, EndKind::Stopped))
+        .collect();
+    fixture.answer("w-2", &left, &gone);
+    fixture.step();
+}
+
+/// The fleet was full. Each part that became free went to tasks that had never run, and larger
+/// ones that had been stopped waited 20 s and more.
+#[test]
+fn first_runs_leave_what_becomes_free_to_a_larger_task_that_runs_again() {
+    let (mut fixture, task) = restart_and_first_run();
+    end_small(&mut fixture, 1);
+    let starts = fixture.store();
+    assert!(
+        starts.is_empty(),
+        "too little for the larger, got {starts:?}"
+    );
+    fixture.now += 100;
+    end_small(&mut fixture, 2);
+    assert_eq!(fixture.store(), [format!("start {task}#2 at w-2")]);
+}
+
+/// A task that fits nowhere, as the large workers are gone, would keep all others waiting.
+#[test]
+fn first_runs_do_not_wait_for_ever_for_a_task_that_runs_again() {
+    let (mut fixture, _) = restart_and_first_run();
+    end_small(&mut fixture, 1);
+    fixture.store();
+    fixture.now += 30_000;
+    for _ in 0..2 {
+        fixture.step();
+        fixture.answer("w-2", &[], &[]);
+    }
+    fixture.step();
+    let starts = fixture.store();
+    assert!(
+        starts.contains(&format!("start {FIRST}.0.0.0#1 at w-2")),
+        "got {starts:?}"
+    );
+}
+
+/// New tasks of one cell took the room that the stopped tasks of a full one waited for.
+#[test]
+fn first_runs_wait_for_a_task_of_another_cell_that_runs_again() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 3_000)]);
+    fixture.owner.set_cells(2);
+    let need = |cpu_milli| RestartNeed {
+        service: "sizing".into(),
+        size: step(1, cpu_milli).size,
+        required_label: None,
+    };
+    fixture.accept(FIRST, lasting(1_000));
+    fixture.now += 2_100;
+    fixture.answer("w-1", &[], &[]);
+    fixture.owner.set_restarts_elsewhere(vec![need(2_000)]);
+    fixture.step();
+    assert!(fixture.batch().is_none(), "it could run on w-1");
+    fixture.owner.set_restarts_elsewhere(vec![need(4_000)]);
+    fixture.step();
+    assert_eq!(fixture.store().len(), 1, "that one could not");
+}
+
+/// Owners of other cells cannot leave room to a task of which they do not know.
+#[test]
+fn task_that_finds_no_worker_to_run_again_is_reported() {
+    let (mut fixture, _) = restart_and_first_run();
+    let now = fixture.time();
+    let needs = fixture.owner.restart_needs(now);
+    let sizes: Vec<u64> = needs.iter().map(|need| need.size.cpu_milli).collect();
+    assert_eq!(sizes, [2_000]);
+    let batch = fixture.owner.take_batch(true, now).expect("a batch");
+    assert!(batch.load.is_some());
+    assert_eq!(batch.restarts, needs);
+}
--- a/crates/jobs/tests/owner/restarts.rs
+++ b/crates/jobs/tests/owner/restarts.rs
@@ -1,6 +1,7 @@
 //! Room for long-running tasks that have to run again.
 
 use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::JobSpec;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::WorkerEvent;
 
@@ -11,13 +12,19 @@
 use crate::test_values::step;
 use crate::test_values::worker;
 
-const LASTING: &str = "aaaaaaaaaaaaaaaa";
+pub const LASTING: &str = "aaaaaaaaaaaaaaaa";
 const SHORT: &str = "bbbbbbbbbbbbbbbb";
-const FIRST: &str = "cccccccccccccccc";
+pub const FIRST: &str = "cccccccccccccccc";
 const OTHER: &str = "dddddddddddddddd";
 
+pub fn lasting(cpu_milli: u64) -> JobSpec {
+    let mut step = step(1, cpu_milli);
+    step.is_long_running = true;
+    job_spec(vec![step])
+}
+
 /// Splits a line of a start into the task and the worker.
-fn start_of(line: &str) -> (String, String) {
+pub fn start_of(line: &str) -> (String, String) {
     let rest = line.strip_prefix("start ").expect("a start");
     let (task, at) = rest.split_once('#').expect("a run");
     let (_, worker) = at.split_once(" at ").expect("a worker");
@@ -25,7 +32,7 @@
 }
 
 /// Lets a worker leave, whose only run is stopped.
-fn leave(fixture: &mut OwnerFixture, name: &str, cpu_milli: u64, task: &str) {
+pub fn leave(fixture: &mut OwnerFixture, name: &str, cpu_milli: u64, task: &str) {
     let mut entry = worker(name, cpu_milli);
     entry.is_leaving = true;
     let now = fixture.time();
@@ -36,6 +43,26 @@
     fixture.answer(name, &[], &[ended(1, task, 1, EndKind::Stopped)]);
 }
 
+/// Accepts a job whose tasks all start on the worker, and returns the first of them.
+pub fn place(fixture: &mut OwnerFixture, job: &str, spec: JobSpec, worker: &str) -> String {
+    fixture.accept(job, spec);
+    fixture.step();
+    let starts = fixture.store();
+    for line in &starts {
+        let (task, at) = start_of(line);
+        assert_eq!(at, worker);
+        fixture.started(&at, &task, 1, StartOutcome::Accepted);
+    }
+    start_of(&starts[0]).0
+}
+
+pub fn store_end(fixture: &mut OwnerFixture) {
+    fixture.step();
+    assert!(fixture.batch().is_some(), "the end is stored");
+    let now = fixture.time();
+    fixture.owner.confirm_batch(now, fixture.now);
+}
+
 /// Long-running tasks make no room by themselves. If they took every worker, none of them could
 /// run again when one leaves.
 #[test]
@@ -147,25 +174,11 @@
         step.is_long_running = true;
         job_spec(vec![step])
     };
-    let mut place = |job, spec, worker: &str| {
-        fixture.accept(job, spec);
-        fixture.step();
-        let starts = fixture.store();
-        for line in &starts {
-            let (task, at) = start_of(line);
-            assert_eq!(at, worker);
-            fixture.started(&at, &task, 1, StartOutcome::Accepted);
-        }
-        start_of(&starts[0]).0
-    };
-    let other = place(OTHER, lasting(1_000), "w-2");
-    place(SHORT, job_spec(vec![step(2, 1_000)]), "w-2");
-    let task = place(LASTING, lasting(2_000), "w-1");
+    let other = place(&mut fixture, OTHER, lasting(1_000), "w-2");
+    place(&mut fixture, SHORT, job_spec(vec![step(2, 1_000)]), "w-2");
+    let task = place(&mut fixture, LASTING, lasting(2_000), "w-1");
     leave(&mut fixture, "w-1", 2_000, &task);
-    fixture.step();
-    assert!(fixture.batch().is_some(), "the end is stored");
-    let now = fixture.time();
-    fixture.owner.confirm_batch(now, fixture.now);
+    store_end(&mut fixture);
     fixture.accept(FIRST, lasting(1_000));
     // The two short tasks end one after the other.
     fixture.now += 1_100;
--- a/crates/jobs/tests/transfer_simulation/cell_rows.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_rows.rs
@@ -8,6 +8,7 @@
 use sapphirestile_jobs::JobProgress;
 use sapphirestile_jobs::JobSpec;
 use sapphirestile_jobs::LeaseBounds;
+use sapphirestile_jobs::RestartNeed;
 use sapphirestile_jobs::ReturnedTask;
 use sapphirestile_jobs::TaskIdentity;
 use sapphirestile_jobs::WorkerVacancy;
@@ -20,6 +21,7 @@
     pub version: u64,
     pub lease_bounds: LeaseBounds,
     pub vacancies: Vec<WorkerVacancy>,
+    pub restarts: Vec<RestartNeed>,
     pub specs: BTreeMap<JobIdentity, JobSpec>,
     pub progress: BTreeMap<JobIdentity, JobProgress>,
     pub guests: BTreeMap<JobIdentity, JobProgress>,
@@ -35,6 +37,7 @@
             version: 0,
             lease_bounds: LeaseBounds::of_all(0),
             vacancies: Vec::new(),
+            restarts: Vec::new(),
             specs: BTreeMap::new(),
             progress: BTreeMap::new(),
             guests: BTreeMap::new(),
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
@@ -16,6 +16,7 @@
 use sapphirestile_jobs::OwnerLimits;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::ResourceVector;
+use sapphirestile_jobs::RestartNeed;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StopOutcome;
 use sapphirestile_jobs::StoredJob;
@@ -144,9 +145,18 @@
         VacancyTable::new(&reports)
     }
 
+    fn restarts_elsewhere(&self, cell: usize) -> Vec<RestartNeed> {
+        let others = self.store.cells.iter().enumerate();
+        let others = others.filter(|(other, _)| *other != cell);
+        others
+            .flat_map(|(_, rows)| rows.restarts.iter().cloned())
+            .collect()
+    }
+
     /// Lets an owner handle the time and sends what it requests.
     fn drive(&mut self, cell: usize) {
         let (entries, mut vacancies) = (self.entries(cell), self.vacancies());
+        let restarts = self.restarts_elsewhere(cell);
         let (now, unix_ms) = (MonoTime::from_millis(self.now), self.now);
         let number = CellNumber::new(u16::try_from(cell).unwrap());
         let state = &mut self.cells[cell];
@@ -160,6 +170,7 @@
         owner.poll_due_workers(now);
         if unix_ms >= state.next_view {
             state.next_view = unix_ms + VIEW_MS;
+            owner.set_restarts_elsewhere(restarts);
             owner.plan_transfers(number, &mut vacancies, now);
         }
         let effects = owner.take_effects();
--- a/crates/jobs/tests/transfer_simulation/shared_store.rs
+++ b/crates/jobs/tests/transfer_simulation/shared_store.rs
@@ -52,6 +52,7 @@
         rows.lease_bounds = batch.lease_bounds.clone();
         if batch.load.is_some() {
             rows.vacancies.clone_from(&batch.vacancies);
+            rows.restarts.clone_from(&batch.restarts);
         }
         rows.progress.extend(batch.progress.iter().cloned());
         rows.guests.extend(batch.guests.iter().cloned());
