--- a/crates/jobs/src/owner/job_owner/restarts.rs
+++ b/crates/jobs/src/owner/job_owner/restarts.rs
@@ -24,9 +24,12 @@
 /// sooner.
 const HOLD_AFTER_MS: u64 = 1_000;
 
-/// Maximum number of workers that are held at the same time.
+/// Maximum number of workers that are held at the same time for tasks of this cell.
 const HELD_WORKERS_MAX: usize = 4;
 
+/// Maximum number of workers that are held at the same time for tasks of any cell.
+const HELD_FOR_ANY_CELL_MAX: usize = 8;
+
 /// How long a task has waited for first runs to wait for it, in milliseconds. One that waits
 /// longer may fit on no worker of the fleet, and new tasks do not wait for it for ever.
 const PRECEDENCE_MS: RangeInclusive<u64> = 1_000..=30_000;
@@ -103,12 +106,34 @@
         due.sort_unstable();
         for (_, task) in due {
             if self.held.len() >= HELD_WORKERS_MAX {
-                return;
+                break;
             }
             if let Some(worker) = self.next_worker_for(&task, now) {
                 self.held.insert(worker, ());
             }
         }
+        self.hold_workers_for_others(now);
+    }
+
+    /// Holds workers for tasks of other cells. They learn of what is free only from reports,
+    /// and shorter tasks of this cell would have taken it by then.
+    fn hold_workers_for_others(&mut self, now: MonoTime) {
+        for need in &self.restarts_elsewhere {
+            if self.held.len() >= HELD_FOR_ANY_CELL_MAX {
+                return;
+            }
+            let scorer = self.worker_scorer(now);
+            let is_candidate = |name: &WorkerName, tracked: &TrackedWorker| {
+                let entry = tracked.entry.as_ref();
+                scorer.is_usable(tracked)
+                    && entry.is_some_and(|entry| need.could_run_on(entry))
+                    && need.size.fits(&tracked.room_without_short_runs())
+                    && !self.held.contains(name)
+            };
+            if let Some(worker) = self.freest_worker(is_candidate) {
+                self.held.insert(worker, ());
+            }
+        }
     }
 
     /// Worker with the most free processor time among those that have room for the task once
@@ -126,6 +151,14 @@
                 && step.size.fits(&tracked.room_without_short_runs())
                 && !self.held.contains(name)
         };
+        self.freest_worker(is_candidate)
+    }
+
+    /// Worker with the most free processor time of those that pass.
+    fn freest_worker(
+        &self,
+        is_candidate: impl Fn(&WorkerName, &TrackedWorker) -> bool,
+    ) -> Option<WorkerName> {
         let free = |tracked: &TrackedWorker| {
             let entry = tracked.entry.as_ref();
             entry.map_or(0, |entry| entry.capacity.minus(tracked.used()).cpu_milli)
--- a/crates/jobs/tests/owner/restart_precedence.rs
+++ b/crates/jobs/tests/owner/restart_precedence.rs
@@ -1,7 +1,9 @@
 //! First runs of long-running tasks beside those that have to run again.
 
 use sapphirestile_jobs::EndKind;
+use sapphirestile_jobs::EndedRun;
 use sapphirestile_jobs::RestartNeed;
+use sapphirestile_jobs::StartOutcome;
 
 use crate::owner_fixture::OwnerFixture;
 use crate::restarts::FIRST;
@@ -11,6 +13,7 @@
 use crate::restarts::place;
 use crate::restarts::store_end;
 use crate::test_values::ended;
+use crate::test_values::job_spec;
 use crate::test_values::running;
 use crate::test_values::step;
 use crate::test_values::worker;
@@ -117,3 +120,39 @@
     assert!(batch.load.is_some());
     assert_eq!(batch.restarts, needs);
 }
+
+/// Whenever a worker had room for a stopped task of a full cell, short tasks took it before the
+/// next report, so that the task never went there.
+#[test]
+fn short_tasks_leave_a_worker_to_a_task_of_another_cell_that_runs_again() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 2_000)]);
+    fixture.owner.set_cells(2);
+    fixture.accept(SMALL[0], job_spec(vec![step(6, 1_000)]));
+    fixture.step();
+    let short = |index: u32| format!("{}.0.0.{index}", SMALL[0]);
+    assert_eq!(fixture.store().len(), 2);
+    for index in 0..2 {
+        fixture.started("w-1", &short(index), 1, StartOutcome::Accepted);
+    }
+    let need = RestartNeed {
+        service: "sizing".into(),
+        size: step(1, 2_000).size,
+        required_label: None,
+    };
+    fixture.owner.set_restarts_elsewhere(vec![need]);
+    let ends = |count: u32| -> Vec<EndedRun> {
+        let end = |index| ended(u64::from(index) + 1, &short(index), 1, EndKind::Done);
+        (0..count).map(end).collect()
+    };
+    for count in 1..=2 {
+        fixture.now += 100;
+        fixture.step();
+        let left: Vec<_> = (count..2).map(|index| running(&short(index), 1)).collect();
+        fixture.answer("w-1", &left, &ends(count));
+        fixture.step();
+        let starts = fixture.store();
+        assert!(starts.is_empty(), "the worker is held, got {starts:?}");
+    }
+    let vacancies = fixture.owner.vacancies(fixture.time());
+    assert_eq!(vacancies[0].free.cpu_milli, 2_000, "the other cell is told");
+}
