--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -99,6 +99,23 @@
             DecisionEvent::Advised { step, asked, good } => {
                 tracing::info!(%cell, epoch, %step, asked, good, "advisor call ended");
             }
+            DecisionEvent::JobEnded {
+                job,
+                standing,
+                age_ms,
+            } => {
+                tracing::info!(%cell, epoch, %job, ?standing, age_ms, "job ended");
+            }
+            DecisionEvent::JobMoved { .. }
+            | DecisionEvent::TaskTransferred { .. }
+            | DecisionEvent::TaskDelayed { .. }
+            | DecisionEvent::TaskReceived { .. } => Self::write_move(cell, epoch, decision),
+        }
+    }
+
+    /// Logs that a job or a task goes to another cell, or waits for one.
+    fn write_move(cell: CellNumber, epoch: u64, decision: &DecisionEvent) {
+        match decision {
             DecisionEvent::JobMoved {
                 job,
                 target,
@@ -118,16 +135,31 @@
                     "task without a worker goes to another cell"
                 );
             }
+            DecisionEvent::TaskDelayed {
+                task,
+                cpu_milli,
+                waited_ms,
+                tasks,
+                is_guest,
+                is_transferring,
+                declined,
+                census,
+            } => {
+                tracing::info!(
+                    %cell, epoch, %task, cpu_milli, waited_ms, tasks, is_guest, is_transferring,
+                    declined,
+                    cells = census.cells,
+                    cells_with_room = census.cells_with_room,
+                    largest_free_cpu_milli = census.largest_free_cpu_milli,
+                    newest_ms = census.newest_ms,
+                    oldest_ms = census.oldest_ms,
+                    "task waits for a worker of another cell"
+                );
+            }
             DecisionEvent::TaskReceived { task, run, from } => {
                 tracing::info!(%cell, epoch, %task, run, %from, "task came from another cell");
             }
-            DecisionEvent::JobEnded {
-                job,
-                standing,
-                age_ms,
-            } => {
-                tracing::info!(%cell, epoch, %job, ?standing, age_ms, "job ended");
-            }
+            _ => {}
         }
     }
 }
--- a/crates/jobs/src/owner/job_owner/restarts.rs
+++ b/crates/jobs/src/owner/job_owner/restarts.rs
@@ -4,6 +4,9 @@
 //! room elsewhere only if some was left, and a large task finds it on one worker only if smaller
 //! ones do not take each part that becomes free there.
 
+use std::ops::RangeInclusive;
+
+use crate::division::RestartNeed;
 use crate::owner::JobOwner;
 use crate::owner::UnplacedTask;
 use crate::planner::TaskDemand;
@@ -21,10 +24,50 @@
 /// sooner.
 const HOLD_AFTER_MS: u64 = 1_000;
 
-/// Maximum number of workers that are held at the same time.
+/// Maximum number of workers that are held at the same time for tasks of this cell.
 const HELD_WORKERS_MAX: usize = 4;
 
+/// Maximum number of workers that are held at the same time for tasks of any cell.
+const HELD_FOR_ANY_CELL_MAX: usize = 8;
+
+/// How long a task has waited for first runs to wait for it, in milliseconds. One that waits
+/// longer may fit on no worker of the fleet, and new tasks do not wait for it for ever.
+const PRECEDENCE_MS: RangeInclusive<u64> = 1_000..=30_000;
+
+/// Maximum number of tasks that wait in a report, which every daemon reads.
+const RESTART_NEEDS_MAX: usize = 8;
+
 impl JobOwner {
+    /// Needs of the tasks of this cell that have to run again and have found no worker for
+    /// long, the longest first.
+    #[must_use]
+    pub fn restart_needs(&self, now: MonoTime) -> Vec<RestartNeed> {
+        let due = self.unplaced.iter().filter(|(_, unplaced)| {
+            let waited_ms = now.millis_since(unplaced.since);
+            PRECEDENCE_MS.contains(&waited_ms)
+        });
+        let mut due: Vec<(MonoTime, TaskIdentity)> = due
+            .map(|(task, unplaced)| (unplaced.since, *task))
+            .collect();
+        due.sort_unstable();
+        let needs = due.iter().filter_map(|(_, task)| self.restart_need(task));
+        needs.take(RESTART_NEEDS_MAX).collect()
+    }
+
+    /// Need of a task, unless it runs or is about to leave.
+    fn restart_need(&self, task: &TaskIdentity) -> Option<RestartNeed> {
+        let entry = self.jobs.get(&task.job)?;
+        if !entry.has_waiting(task) {
+            return None;
+        }
+        let step = &entry.spec.steps[task.step as usize];
+        Some(RestartNeed {
+            service: self.service_of(&entry.spec.queue, &entry.spec.terms.service),
+            size: step.size,
+            required_label: step.required_label.clone(),
+        })
+    }
+
     /// Whether more workers are free of long-running tasks than are kept for restarts. Workers
     /// that are leaving count for the number that is kept: their tasks are about to need it.
     pub(super) fn has_worker_for_first_runs(&self, now: MonoTime) -> bool {
@@ -63,12 +106,34 @@
         due.sort_unstable();
         for (_, task) in due {
             if self.held.len() >= HELD_WORKERS_MAX {
-                return;
+                break;
             }
             if let Some(worker) = self.next_worker_for(&task, now) {
                 self.held.insert(worker, ());
             }
         }
+        self.hold_workers_for_others(now);
+    }
+
+    /// Holds workers for tasks of other cells. They learn of what is free only from reports,
+    /// and shorter tasks of this cell would have taken it by then.
+    fn hold_workers_for_others(&mut self, now: MonoTime) {
+        for need in &self.restarts_elsewhere {
+            if self.held.len() >= HELD_FOR_ANY_CELL_MAX {
+                return;
+            }
+            let scorer = self.worker_scorer(now);
+            let is_candidate = |name: &WorkerName, tracked: &TrackedWorker| {
+                let entry = tracked.entry.as_ref();
+                scorer.is_usable(tracked)
+                    && entry.is_some_and(|entry| need.could_run_on(entry))
+                    && need.size.fits(&tracked.room_without_short_runs())
+                    && !self.held.contains(name)
+            };
+            if let Some(worker) = self.freest_worker(is_candidate) {
+                self.held.insert(worker, ());
+            }
+        }
     }
 
     /// Worker with the most free processor time among those that have room for the task once
@@ -86,6 +151,14 @@
                 && step.size.fits(&tracked.room_without_short_runs())
                 && !self.held.contains(name)
         };
+        self.freest_worker(is_candidate)
+    }
+
+    /// Worker with the most free processor time of those that pass.
+    fn freest_worker(
+        &self,
+        is_candidate: impl Fn(&WorkerName, &TrackedWorker) -> bool,
+    ) -> Option<WorkerName> {
         let free = |tracked: &TrackedWorker| {
             let entry = tracked.entry.as_ref();
             entry.map_or(0, |entry| entry.capacity.minus(tracked.used()).cpu_milli)
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -15,6 +15,7 @@
 mod owner_fixture;
 mod pacing;
 mod placement;
+mod restart_precedence;
 mod restarts;
 mod starts_and_stops;
 mod stragglers;
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
@@ -7,6 +7,7 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::ZoneName;
+use sapphirestile_jobs::CellReport;
 use sapphirestile_jobs::DeployedConfig;
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_jobs::JobPlace;
@@ -15,13 +16,13 @@
 use sapphirestile_jobs::OwnerLimits;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::ResourceVector;
+use sapphirestile_jobs::RestartNeed;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StopOutcome;
 use sapphirestile_jobs::StoredJob;
 use sapphirestile_jobs::VacancyTable;
 use sapphirestile_jobs::WorkerEntry;
 use sapphirestile_jobs::WorkerIncarnation;
-use sapphirestile_jobs::WorkerVacancy;
 
 use super::CELLS;
 use super::CellSimulation;
@@ -132,16 +133,30 @@
     }
 
     fn vacancies(&self) -> VacancyTable {
-        let reports: Vec<(CellNumber, &[WorkerVacancy])> = (0..)
+        let reports: Vec<CellReport<'_>> = (0..)
             .map(CellNumber::new)
-            .zip(self.store.cells.iter().map(|rows| &*rows.vacancies))
+            .zip(&self.store.cells)
+            .map(|(cell, rows)| CellReport {
+                cell,
+                vacancies: &rows.vacancies,
+                age_ms: 0,
+            })
             .collect();
         VacancyTable::new(&reports)
     }
 
+    fn restarts_elsewhere(&self, cell: usize) -> Vec<RestartNeed> {
+        let others = self.store.cells.iter().enumerate();
+        let others = others.filter(|(other, _)| *other != cell);
+        others
+            .flat_map(|(_, rows)| rows.restarts.iter().cloned())
+            .collect()
+    }
+
     /// Lets an owner handle the time and sends what it requests.
     fn drive(&mut self, cell: usize) {
         let (entries, mut vacancies) = (self.entries(cell), self.vacancies());
+        let restarts = self.restarts_elsewhere(cell);
         let (now, unix_ms) = (MonoTime::from_millis(self.now), self.now);
         let number = CellNumber::new(u16::try_from(cell).unwrap());
         let state = &mut self.cells[cell];
@@ -155,6 +170,7 @@
         owner.poll_due_workers(now);
         if unix_ms >= state.next_view {
             state.next_view = unix_ms + VIEW_MS;
+            owner.set_restarts_elsewhere(restarts);
             owner.plan_transfers(number, &mut vacancies, now);
         }
         let effects = owner.take_effects();
