--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -137,6 +137,8 @@
             } => "returned_to_home",
             DecisionEvent::TaskTransferred { .. } => "delegated_to_cell",
             DecisionEvent::PassedOver { .. }
+            | DecisionEvent::JobWaits { .. }
+            | DecisionEvent::StopRequested { .. }
             | DecisionEvent::WorkerRestarted { .. }
             | DecisionEvent::RunsMissing { .. }
             | DecisionEvent::WorkerSilent { .. }
--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -43,22 +43,17 @@
             } => {
                 tracing::info!(%cell, epoch, %task, run, %worker, ?cause, age_ms, "run ended");
             }
-            DecisionEvent::PassedOver {
+            DecisionEvent::StopRequested {
                 task,
-                cpu_milli,
-                census,
+                run,
+                worker,
+                cause,
+                age_ms,
             } => {
-                tracing::info!(
-                    %cell, epoch, %task, cpu_milli,
-                    unusable = census.unusable,
-                    unsuitable = census.unsuitable,
-                    kept = census.kept,
-                    too_small = census.too_small,
-                    occupied_by_short = census.occupied_by_short,
-                    occupied_by_long = census.occupied_by_long,
-                    largest_free_cpu_milli = census.largest_free_cpu_milli,
-                    "no worker for a long-running task"
-                );
+                tracing::info!(%cell, epoch, %task, run, %worker, ?cause, age_ms, "stop requested");
+            }
+            DecisionEvent::JobWaits { .. } | DecisionEvent::PassedOver { .. } => {
+                Self::write_wait(cell, epoch, decision);
             }
             DecisionEvent::WorkerRestarted {
                 worker,
@@ -130,4 +125,51 @@
             }
         }
     }
+
+    /// Logs why a task waits.
+    fn write_wait(cell: CellNumber, epoch: u64, decision: &DecisionEvent) {
+        match decision {
+            DecisionEvent::JobWaits {
+                task,
+                age_ms,
+                idle_ms,
+                class,
+                waiting,
+                census,
+            } => {
+                tracing::info!(
+                    %cell, epoch, %task, age_ms, idle_ms, ?class, waiting,
+                    unusable = census.unusable,
+                    unsuitable = census.unsuitable,
+                    kept = census.kept,
+                    too_small = census.too_small,
+                    occupied_by_short = census.occupied_by_short,
+                    occupied_by_long = census.occupied_by_long,
+                    little_memory = census.little_memory,
+                    little_idle_cpu = census.little_idle_cpu,
+                    high_latency = census.high_latency,
+                    interference = census.interference,
+                    "job waits with nothing running"
+                );
+            }
+            DecisionEvent::PassedOver {
+                task,
+                cpu_milli,
+                census,
+            } => {
+                tracing::info!(
+                    %cell, epoch, %task, cpu_milli,
+                    unusable = census.unusable,
+                    unsuitable = census.unsuitable,
+                    kept = census.kept,
+                    too_small = census.too_small,
+                    occupied_by_short = census.occupied_by_short,
+                    occupied_by_long = census.occupied_by_long,
+                    largest_free_cpu_milli = census.largest_free_cpu_milli,
+                    "no worker for a long-running task"
+                );
+            }
+            _ => {}
+        }
+    }
 }
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -5,7 +5,9 @@
 
 use crate::advice::StepIdentity;
 use crate::owner::RunCause;
+use crate::owner::StopCause;
 use crate::planner::PlacementCensus;
+use crate::planner::UrgencyClass;
 use crate::progress::JobStanding;
 use crate::spec::JobIdentity;
 use crate::spec::TaskIdentity;
@@ -37,6 +39,34 @@
         /// Time since the run was assigned or its start was sent, in milliseconds.
         age_ms: u64,
     },
+    /// A worker is asked to stop a run.
+    StopRequested {
+        /// Task that the run executes.
+        task: TaskIdentity,
+        /// Number of the run.
+        run: u32,
+        /// Worker of the run.
+        worker: WorkerName,
+        /// Why the run is stopped.
+        cause: StopCause,
+        /// Time since the run was assigned or its start was sent, in milliseconds.
+        age_ms: u64,
+    },
+    /// The job that has waited longest with nothing running found no worker.
+    JobWaits {
+        /// First task of the job that can start.
+        task: TaskIdentity,
+        /// Time since the job was accepted, in milliseconds.
+        age_ms: u64,
+        /// Time since the job was accepted or its latest run ended, in milliseconds.
+        idle_ms: u64,
+        /// Whether the job can still meet its objective.
+        class: UrgencyClass,
+        /// Number of jobs with nothing running and a task that can start.
+        waiting: usize,
+        /// Why no worker can take the task.
+        census: PlacementCensus,
+    },
     /// A long-running task that could start found no worker.
     PassedOver {
         /// Task that waits.
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -24,6 +24,8 @@
     pub wait_key: Option<WaitKey>,
     /// When the job was accepted.
     pub since: MonoTime,
+    /// When the job was accepted, or its latest run here ended.
+    pub idle_since: MonoTime,
     /// When the job ended; `None` before.
     pub ended: Option<MonoTime>,
     /// How the job is leaving the cell; `None` while it stays.
@@ -50,6 +52,7 @@
             progress,
             wait_key: None,
             since,
+            idle_since: since,
             ended: None,
             departure: None,
             place,
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -22,6 +22,7 @@
 mod stragglers;
 mod transfers;
 mod unexpected_runs;
+mod waiting_report;
 mod worker_list;
 
 use std::sync::Arc;
@@ -131,6 +132,8 @@
     load_reported: MonoTime,
     /// When a task that found no worker was last reported.
     passed_over_reported: MonoTime,
+    /// When the job that has waited longest was last reported.
+    longest_wait_reported: MonoTime,
 }
 
 impl JobOwner {
@@ -187,6 +190,7 @@
             advice: AdviceCache::default(),
             load_reported: claimed,
             passed_over_reported: MonoTime::default(),
+            longest_wait_reported: MonoTime::default(),
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/gangs.rs
+++ b/crates/jobs/src/owner/job_owner/gangs.rs
@@ -2,6 +2,7 @@
 
 use crate::owner::JobOwner;
 use crate::owner::RunCause;
+use crate::owner::StopCause;
 use crate::planner::TaskDemand;
 use crate::progress::JobProgress;
 use crate::progress::TaskStage;
@@ -133,7 +134,7 @@
                 Some(RunState::Planned) => {
                     self.finish_run(&worker, &other, RunCause::Withdrawn, now, unix_ms);
                 }
-                Some(_) => self.stop_run(&worker, &other, now),
+                Some(_) => self.stop_run(&worker, &other, StopCause::GangBroken, now),
                 None => {}
             }
         }
--- a/crates/jobs/src/owner/job_owner/pace_changes.rs
+++ b/crates/jobs/src/owner/job_owner/pace_changes.rs
@@ -3,6 +3,7 @@
 use crate::owner::JobOwner;
 use crate::owner::OwnerEffect;
 use crate::owner::PaceRequest;
+use crate::owner::StopCause;
 use crate::pacing::PaceAction;
 use crate::pacing::PacePlan;
 use crate::spec::TaskIdentity;
@@ -46,7 +47,7 @@
     /// Stops a run so that it goes on at another worker. Until the measurements reflect that,
     /// no other run is stopped for them.
     fn move_run(&mut self, name: &WorkerName, task: &TaskIdentity, now: MonoTime) {
-        self.stop_run(name, task, now);
+        self.stop_run(name, task, StopCause::Interference, now);
         if let Some(tracked) = self.workers.get_mut(name) {
             tracked.pace_changed = now;
         }
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -29,10 +29,15 @@
         self.spare.for_latency = self.has_spare_worker(now);
         self.spare.for_first_runs = self.has_worker_for_first_runs(now);
         self.hold_workers(now);
-        let keys = self.waiting_by_urgency(now);
+        let ended_early = self.plan_by_urgency(now, unix_ms);
+        self.report_longest_wait(now);
+        ended_early
+    }
+
+    fn plan_by_urgency(&mut self, now: MonoTime, unix_ms: u64) -> bool {
         let mut planned = 0;
         let mut unplaced = UnplacedDemands::default();
-        for key in keys {
+        for key in self.waiting_by_urgency(now) {
             planned += self.plan_job(&key, now, unix_ms, &mut unplaced);
             if planned >= STARTS_PER_PASS_MAX {
                 return true;
--- a/crates/jobs/src/owner/job_owner/requests.rs
+++ b/crates/jobs/src/owner/job_owner/requests.rs
@@ -5,6 +5,7 @@
 use crate::owner::OwnerEffect;
 use crate::owner::RunCause;
 use crate::owner::StartRequest;
+use crate::owner::StopCause;
 use crate::owner::StopRequest;
 use crate::spec::JobIdentity;
 use crate::spec::TaskIdentity;
@@ -109,7 +110,7 @@
             StartOutcome::Unknown => {
                 self.record_worker_failure(worker, now);
                 if is_starting {
-                    self.stop_run(worker, task, now);
+                    self.stop_run(worker, task, StopCause::StartUnknown, now);
                 }
             }
             StartOutcome::TooLate | StartOutcome::NoTicket => {
@@ -191,14 +192,20 @@
             .map(|(name, task)| (name.clone(), *task))
             .collect();
         for (worker, task) in runs {
-            self.stop_run(&worker, &task, now);
+            self.stop_run(&worker, &task, StopCause::JobEnded, now);
         }
     }
 
     /// Requests that a run stops. A planned run is not stopped here: its start is withheld
     /// when its batch is stored. An inherited run on a worker that is not listed yet is stopped
     /// once the worker is.
-    pub(super) fn stop_run(&mut self, worker: &WorkerName, task: &TaskIdentity, now: MonoTime) {
+    pub(super) fn stop_run(
+        &mut self,
+        worker: &WorkerName,
+        task: &TaskIdentity,
+        cause: StopCause,
+        now: MonoTime,
+    ) {
         let Some(tracked) = self.workers.get_mut(worker) else {
             return;
         };
@@ -210,6 +217,13 @@
         }
         run.state = RunState::StopPending;
         run.stop_retry_at = now;
+        self.decisions.push(DecisionEvent::StopRequested {
+            task: *task,
+            run: run.run,
+            worker: worker.clone(),
+            cause,
+            age_ms: now.millis_since(run.since),
+        });
         self.send_due_stops(worker, now);
     }
 
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -4,6 +4,7 @@
 use crate::owner::DeferredEffect;
 use crate::owner::JobOwner;
 use crate::owner::RunCause;
+use crate::owner::StopCause;
 use crate::spec::TaskIdentity;
 use crate::worker::EndKind;
 use crate::worker::EndList;
@@ -178,7 +179,7 @@
         let job = self.jobs.get(&running.task.job);
         let is_active = job.is_some_and(|entry| !entry.progress.standing.is_final());
         if !is_active {
-            self.stop_run(name, &running.task, now);
+            self.stop_run(name, &running.task, StopCause::JobEnded, now);
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/results.rs
+++ b/crates/jobs/src/owner/job_owner/results.rs
@@ -40,6 +40,7 @@
         let Some(entry) = self.jobs.get_mut(&task.job) else {
             return;
         };
+        entry.idle_since = now;
         let step = &entry.spec.steps[task.step as usize];
         let (is_gang, is_speculative) = (step.is_gang, step.is_speculative);
         let Some(progress) = entry.progress.task_mut(task) else {
--- a/crates/jobs/src/owner/job_owner/stragglers.rs
+++ b/crates/jobs/src/owner/job_owner/stragglers.rs
@@ -1,6 +1,7 @@
 //! Handling of stragglers: runs that take far longer than others.
 
 use crate::owner::JobOwner;
+use crate::owner::StopCause;
 use crate::planner::TaskDemand;
 use crate::spec::TaskIdentity;
 use crate::worker::RunEntry;
@@ -52,7 +53,7 @@
             self.copy_run(&worker, &task, now);
         }
         for (worker, task) in stuck {
-            self.stop_run(&worker, &task, now);
+            self.stop_run(&worker, &task, StopCause::Stuck, now);
             if let Some(tracked) = self.workers.get_mut(&worker) {
                 tracked.breaker.trip(now);
             }
@@ -113,7 +114,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for worker in running {
-            self.stop_run(&worker, task, now);
+            self.stop_run(&worker, task, StopCause::CopyDone, now);
         }
     }
 }
--- a/crates/jobs/src/owner/job_owner/unexpected_runs.rs
+++ b/crates/jobs/src/owner/job_owner/unexpected_runs.rs
@@ -1,8 +1,10 @@
 //! Runs that a worker has although it should not, and runs that its next incarnation must not
 //! begin.
 
+use crate::owner::DecisionEvent;
 use crate::owner::JobOwner;
 use crate::owner::OwnerEffect;
+use crate::owner::StopCause;
 use crate::owner::StopRequest;
 use crate::planner::TaskDemand;
 use crate::spec::TaskIdentity;
@@ -31,6 +33,13 @@
         if let Some(entry) = entry
             && !tracked.runs.contains(&task)
         {
+            self.decisions.push(DecisionEvent::StopRequested {
+                task,
+                run: running.run,
+                worker: name.clone(),
+                cause: StopCause::Unexpected,
+                age_ms: 0,
+            });
             tracked.add_run(task, entry);
             return;
         }
--- /dev/null
+++ b/crates/jobs/src/owner/job_owner/waiting_report.rs
@@ -0,0 +1,81 @@
+//! Reports of jobs that wait long with nothing running.
+
+use crate::owner::DecisionEvent;
+use crate::owner::JobOwner;
+use crate::owner::WaitKey;
+use crate::planner::JobUrgency;
+use crate::planner::PlacementCensus;
+use crate::spec::TaskIdentity;
+use sapphirestile_core::MonoTime;
+
+/// Shortest time between two reports, in milliseconds.
+const REPORT_INTERVAL_MS: u64 = 1_000;
+
+/// A job is reported once it has had nothing running for this long, in milliseconds.
+const REPORT_AFTER_MS: u64 = 2_000;
+
+impl JobOwner {
+    /// Reports the job that has waited longest with nothing running, at most once in an
+    /// interval.
+    pub(super) fn report_longest_wait(&mut self, now: MonoTime) {
+        if now.millis_since(self.longest_wait_reported) < REPORT_INTERVAL_MS {
+            return;
+        }
+        let mut waiting = 0;
+        let mut longest: Option<(MonoTime, WaitKey, TaskIdentity)> = None;
+        for key in self.waiting.keys() {
+            let Some(entry) = self.jobs.get(&key.job) else {
+                continue;
+            };
+            if entry.progress.may_be_running() {
+                continue;
+            }
+            let Some(demand) = entry.startable(key, "").next() else {
+                continue;
+            };
+            waiting += 1;
+            if longest.is_none_or(|(since, _, _)| entry.idle_since < since) {
+                longest = Some((entry.idle_since, *key, demand.task));
+            }
+        }
+        let Some((since, key, task)) = longest else {
+            return;
+        };
+        let idle_ms = now.millis_since(since);
+        if idle_ms >= REPORT_AFTER_MS {
+            self.longest_wait_reported = now;
+            self.report_wait(&key, &task, idle_ms, waiting, now);
+        }
+    }
+
+    fn report_wait(
+        &mut self,
+        key: &WaitKey,
+        task: &TaskIdentity,
+        idle_ms: u64,
+        waiting: usize,
+        now: MonoTime,
+    ) {
+        let Some(entry) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let spec = entry.spec.clone();
+        let age_ms = now.millis_since(entry.since);
+        let queue = self.config.queues.get(&spec.queue);
+        let urgency = JobUrgency::of(&spec, &entry.progress, queue, &self.durations, age_ms);
+        let service = self.service_of(&spec.queue, &spec.terms.service);
+        let needs_ticket = self.advisor_timing(&spec.queue).is_some();
+        let step = &spec.steps[task.step as usize];
+        let demand = self.demand(task, step, &service, needs_ticket);
+        let workers = self.workers.values().map(|tracked| &**tracked);
+        let census = PlacementCensus::of(&demand, &self.worker_scorer(now), workers);
+        self.decisions.push(DecisionEvent::JobWaits {
+            task: *task,
+            age_ms,
+            idle_ms,
+            class: urgency.class,
+            waiting,
+            census,
+        });
+    }
+}
--- a/crates/jobs/src/owner/job_owner/worker_list.rs
+++ b/crates/jobs/src/owner/job_owner/worker_list.rs
@@ -2,6 +2,7 @@
 
 use crate::owner::DecisionEvent;
 use crate::owner::JobOwner;
+use crate::owner::StopCause;
 use crate::spec::TaskIdentity;
 use crate::worker::TrackedWorker;
 use crate::worker::WorkerEntry;
@@ -71,7 +72,7 @@
             .map(|(task, _)| *task)
             .collect();
         for task in moving {
-            self.stop_run(name, &task, now);
+            self.stop_run(name, &task, StopCause::WorkerLeaving, now);
         }
     }
 }
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -10,6 +10,7 @@
 mod duration_estimator;
 mod job_urgency;
 mod placement_census;
+mod room_refusal;
 mod spare_workers;
 mod task_demand;
 mod unplaced_demands;
@@ -20,6 +21,7 @@
 pub use duration_estimator::DurationEstimator;
 pub use job_urgency::JobUrgency;
 pub use placement_census::PlacementCensus;
+pub use room_refusal::RoomRefusal;
 pub use spare_workers::SpareWorkers;
 pub use task_demand::TaskDemand;
 pub use unplaced_demands::UnplacedDemands;
--- a/crates/jobs/src/planner/placement_census.rs
+++ b/crates/jobs/src/planner/placement_census.rs
@@ -1,7 +1,9 @@
 //! Why a task found no worker.
 
+use crate::planner::RoomRefusal;
 use crate::planner::TaskDemand;
 use crate::planner::WorkerScorer;
+use crate::spec::ResourceVector;
 use crate::worker::TrackedWorker;
 
 /// How many workers a task could not be placed on, by the first reason that applies.
@@ -21,6 +23,14 @@
     pub occupied_by_short: usize,
     /// Workers whose long-running tasks leave no room for it.
     pub occupied_by_long: usize,
+    /// Workers without memory for a best-effort task.
+    pub little_memory: usize,
+    /// Workers without the idle processor time that a best-effort task can use.
+    pub little_idle_cpu: usize,
+    /// Workers where a latency is too near its target for a best-effort task.
+    pub high_latency: usize,
+    /// Workers where a best-effort task is expected to slow a run beside it too much.
+    pub interference: usize,
     /// Largest free processor time of a usable worker, in thousandths of a processor.
     pub largest_free_cpu_milli: u64,
 }
@@ -58,10 +68,33 @@
             self.kept += 1;
         } else if !demand.step.size.fits(&entry.capacity) {
             self.too_small += 1;
+        } else if demand.step.is_best_effort {
+            self.count_best_effort(demand, scorer, worker, &free);
         } else if demand.step.size.fits(&worker.room_without_short_runs()) {
             self.occupied_by_short += 1;
         } else {
             self.occupied_by_long += 1;
         }
     }
+
+    fn count_best_effort(
+        &mut self,
+        demand: &TaskDemand<'_>,
+        scorer: &WorkerScorer<'_>,
+        worker: &TrackedWorker,
+        free: &ResourceVector,
+    ) {
+        if !demand.reserved().fits(free) {
+            self.little_memory += 1;
+            return;
+        }
+        let capacity = free.cpu_milli + worker.used().cpu_milli;
+        let count = match scorer.best_effort_score(demand, capacity, worker) {
+            Ok(_) => return,
+            Err(RoomRefusal::Processors) => &mut self.little_idle_cpu,
+            Err(RoomRefusal::Latency) => &mut self.high_latency,
+            Err(RoomRefusal::Interference) => &mut self.interference,
+        };
+        *count += 1;
+    }
 }
--- a/crates/jobs/src/planner/task_demand.rs
+++ b/crates/jobs/src/planner/task_demand.rs
@@ -1,6 +1,7 @@
 //! Demand of a task that can start.
 
 use crate::pacing::ImageNumber;
+use crate::spec::ResourceVector;
 use crate::spec::StepSpec;
 use crate::spec::TaskIdentity;
 
@@ -20,3 +21,15 @@
     /// Whether the task has had a run.
     pub has_run: bool,
 }
+
+impl TaskDemand<'_> {
+    /// Resources that the task reserves: a best-effort task reserves no processor time.
+    #[must_use]
+    pub const fn reserved(&self) -> ResourceVector {
+        let mut size = self.step.size;
+        if self.step.is_best_effort {
+            size.cpu_milli = 0;
+        }
+        size
+    }
+}
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -5,6 +5,7 @@
 use crate::pacing::BestEffortRun;
 use crate::pacing::InterferenceModel;
 use crate::pacing::ServingRun;
+use crate::planner::RoomRefusal;
 use crate::planner::SpareWorkers;
 use crate::planner::TaskDemand;
 use crate::worker::TrackedWorker;
@@ -136,16 +137,12 @@
             return None;
         }
         let step = demand.step;
-        let mut need = step.size;
-        if step.is_best_effort {
-            need.cpu_milli = 0;
-        }
-        if !need.fits(&entry.capacity.minus(worker.used())) {
+        if !demand.reserved().fits(&entry.capacity.minus(worker.used())) {
             return None;
         }
         let capacity = entry.capacity.cpu_milli.max(1);
         if step.is_best_effort {
-            return self.best_effort_score(demand, capacity, worker);
+            return self.best_effort_score(demand, capacity, worker).ok();
         }
         let free = capacity.saturating_sub(worker.used().cpu_milli);
         let mixing_cost = self.mixing_cost(demand, worker);
@@ -179,20 +176,23 @@
         serving.iter().map(cost).sum()
     }
 
-    fn best_effort_score(
+    /// Score of a worker for a best-effort task that its memory would do for, or why it has no
+    /// room.
+    pub(super) fn best_effort_score(
         &self,
         demand: &TaskDemand<'_>,
         capacity: u64,
         worker: &TrackedWorker,
-    ) -> Option<i64> {
+    ) -> Result<i64, RoomRefusal> {
         let idle = worker.idle_cpu_milli(capacity);
-        let idle = idle.checked_sub(demand.step.size.cpu_milli)?;
+        let idle = idle.checked_sub(demand.step.size.cpu_milli);
+        let idle = idle.ok_or(RoomRefusal::Processors)?;
         let serving = worker.serving_runs();
         if serving
             .iter()
             .any(|run| run.percent() > HIGH_LATENCY_PERCENT)
         {
-            return None;
+            return Err(RoomRefusal::Latency);
         }
         let mut neighbours = worker.best_effort_runs(self.now);
         if let Some(image) = demand.image {
@@ -203,7 +203,10 @@
             .map(|serving| self.interference.slack(serving, &neighbours));
         let slack = slacks.min_by(f64::total_cmp).unwrap_or(EMPTY_WORKER_SLACK);
         let score = data_rack_bonus(demand, worker) + scaled(slack);
-        (slack >= 0.0).then(|| score + share_of(idle, capacity) / FREE_CPU_DIVISOR)
+        if slack < 0.0 {
+            return Err(RoomRefusal::Interference);
+        }
+        Ok(score + share_of(idle, capacity) / FREE_CPU_DIVISOR)
     }
 }
 
--- a/crates/jobs/src/progress/job_progress.rs
+++ b/crates/jobs/src/progress/job_progress.rs
@@ -46,6 +46,18 @@
         self.standing == JobStanding::Waiting && tasks.all(|task| task.run == 0)
     }
 
+    /// Whether a task is assigned to a worker or to another cell, so that it may be running.
+    #[must_use]
+    pub fn may_be_running(&self) -> bool {
+        let occurrences = self.occurrences.iter();
+        let steps = occurrences.flat_map(|occurrence| &occurrence.steps);
+        let mut tasks = steps.flat_map(|step| &step.tasks);
+        tasks.any(|task| match task.stage {
+            TaskStage::Assigned(_) | TaskStage::Elsewhere(_) => true,
+            TaskStage::Waiting | TaskStage::Done => false,
+        })
+    }
+
     /// Progress of a job of another cell, of which no task is here.
     #[must_use]
     pub fn of_guest(spec: &JobSpec) -> Self {
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -20,3 +20,4 @@
 mod test_values;
 mod transfers;
 mod urgency;
+mod waiting_reports;
