--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -16,6 +16,7 @@
 mod deferred_effect;
 mod delegated_task;
 mod guest_removal;
+mod job_age;
 mod job_departure;
 mod job_entry;
 mod job_move;
@@ -65,6 +66,7 @@
 pub use task_transfer::TaskTransfer;
 
 pub(crate) use deferred_effect::DeferredEffect;
+pub(crate) use job_age::JobAge;
 pub(crate) use job_departure::JobDeparture;
 pub(crate) use job_entry::JobEntry;
 pub(crate) use unplaced_task::UnplacedTask;
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::owner::JobAge;
 use crate::owner::JobDeparture;
 use crate::owner::JobPlace;
 use crate::owner::WaitKey;
@@ -22,10 +23,10 @@
     pub progress: JobProgress,
     /// Key in the waiting list; `None` while no task can start.
     pub wait_key: Option<WaitKey>,
-    /// When the job was accepted.
-    pub since: MonoTime,
-    /// When the job was accepted, or its latest run here ended.
-    pub idle_since: MonoTime,
+    /// Time since the job was accepted.
+    pub age: JobAge,
+    /// Time since the job was accepted or its latest run here ended.
+    pub idle: JobAge,
     /// When the job ended; `None` before.
     pub ended: Option<MonoTime>,
     /// How the job is leaving the cell; `None` while it stays.
@@ -40,19 +41,19 @@
 }
 
 impl JobEntry {
-    /// Creates the entry of a job that was accepted at `since`.
+    /// Creates the entry of a job of the given age.
     pub const fn new(
         spec: Arc<JobSpec>,
         progress: JobProgress,
         place: JobPlace,
-        since: MonoTime,
+        age: JobAge,
     ) -> Self {
         Self {
             spec,
             progress,
             wait_key: None,
-            since,
-            idle_since: since,
+            age,
+            idle: age,
             ended: None,
             departure: None,
             place,
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::owner::DecisionEvent;
+use crate::owner::JobAge;
 use crate::owner::JobEntry;
 use crate::owner::JobOwner;
 use crate::owner::JobPlace;
@@ -36,10 +37,11 @@
         if self.jobs.contains(&identity) {
             return;
         }
-        let since = earlier_by(now, unix_ms.saturating_sub(stored.spec.accepted_unix_ms));
+        let age_ms = unix_ms.saturating_sub(stored.spec.accepted_unix_ms);
+        let age = JobAge::new(age_ms, now);
         let progress = stored.progress.unwrap_or_default();
         let ended = progress.standing.is_final().then_some(now);
-        let mut entry = JobEntry::new(Arc::new(stored.spec), progress, stored.place, since);
+        let mut entry = JobEntry::new(Arc::new(stored.spec), progress, stored.place, age);
         entry.ended = ended;
         self.inherit_runs(identity, &entry, now);
         self.jobs.insert(identity, Box::new(entry));
@@ -61,7 +63,12 @@
             return;
         }
         let progress = JobProgress::default();
-        let entry = JobEntry::new(Arc::new(spec), progress, JobPlace::Home, now);
+        let entry = JobEntry::new(
+            Arc::new(spec),
+            progress,
+            JobPlace::Home,
+            JobAge::new(0, now),
+        );
         self.jobs.insert(identity, Box::new(entry));
         self.refresh_job(identity, unix_ms);
     }
@@ -84,7 +91,7 @@
         };
         entry.progress.standing = standing;
         entry.ended = Some(now);
-        let age_ms = now.millis_since(entry.since);
+        let age_ms = entry.age.millis(now);
         if let Some(key) = entry.wait_key.take() {
             self.waiting.remove(&key);
         }
@@ -194,11 +201,6 @@
     }
 }
 
-/// Time the given number of milliseconds before `now`, but not before the clock's origin.
-pub(super) fn earlier_by(now: MonoTime, milliseconds: u64) -> MonoTime {
-    MonoTime::from_millis(now.as_millis().saturating_sub(milliseconds))
-}
-
 /// Whether the job's row has room for another active occurrence.
 fn has_room_for_occurrence(entry: &JobEntry) -> bool {
     let active = entry.progress.occurrences.len() as u64;
--- a/crates/jobs/src/owner/job_owner/moves.rs
+++ b/crates/jobs/src/owner/job_owner/moves.rs
@@ -59,7 +59,7 @@
             let Some(entry) = self.jobs.get(&key.job) else {
                 continue;
             };
-            let waited_ms = now.millis_since(entry.since);
+            let waited_ms = entry.age.millis(now);
             if waited_ms < MOVE_AFTER_MS || !entry.progress.is_untouched() {
                 continue;
             }
@@ -87,7 +87,7 @@
         };
         entry.departure = Some(JobDeparture::Move);
         entry.wait_key = None;
-        let age_ms = now.millis_since(entry.since);
+        let age_ms = entry.age.millis(now);
         self.waiting.remove(key);
         self.leaving.push((key.job, target));
         self.decisions.push(DecisionEvent::JobMoved {
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -1,6 +1,7 @@
 //! Planning of the next starts.
 
 use crate::owner::DecisionEvent;
+use crate::owner::JobEntry;
 use crate::owner::JobOwner;
 use crate::owner::WaitKey;
 use crate::planner::JobUrgency;
@@ -35,9 +36,10 @@
     }
 
     fn plan_by_urgency(&mut self, now: MonoTime, unix_ms: u64) -> bool {
+        let keys = self.waiting_by_urgency(now);
         let mut planned = 0;
         let mut unplaced = UnplacedDemands::default();
-        for key in self.waiting_by_urgency(now) {
+        for key in keys {
             planned += self.plan_job(&key, now, unix_ms, &mut unplaced);
             if planned >= STARTS_PER_PASS_MAX {
                 return true;
@@ -50,16 +52,7 @@
     fn waiting_by_urgency(&self, now: MonoTime) -> Vec<WaitKey> {
         let urgency = |key: &WaitKey| {
             let entry = self.jobs.get(&key.job)?;
-            let queue = self.config.queues.get(&entry.spec.queue);
-            let age_ms = now.millis_since(entry.since);
-            let progress = &entry.progress;
-            Some(JobUrgency::of(
-                &entry.spec,
-                progress,
-                queue,
-                &self.durations,
-                age_ms,
-            ))
+            Some(self.urgency_of(entry, now))
         };
         let mut keys: Vec<(Option<JobUrgency>, WaitKey)> = self
             .waiting
@@ -70,6 +63,13 @@
         keys.into_iter().map(|(_, key)| key).collect()
     }
 
+    /// Urgency of a job at this time.
+    pub(super) fn urgency_of(&self, entry: &JobEntry, now: MonoTime) -> JobUrgency {
+        let queue = self.config.queues.get(&entry.spec.queue);
+        let age_ms = entry.age.millis(now);
+        JobUrgency::of(&entry.spec, &entry.progress, queue, &self.durations, age_ms)
+    }
+
     fn plan_job(
         &mut self,
         key: &WaitKey,
--- a/crates/jobs/src/owner/job_owner/received_tasks.rs
+++ b/crates/jobs/src/owner/job_owner/received_tasks.rs
@@ -5,12 +5,12 @@
 use crate::owner::DecisionEvent;
 use crate::owner::DelegatedTask;
 use crate::owner::GuestRemoval;
+use crate::owner::JobAge;
 use crate::owner::JobEntry;
 use crate::owner::JobOwner;
 use crate::owner::JobPlace;
 use crate::owner::ReturnedTask;
 use crate::owner::UnplacedTask;
-use crate::owner::job_owner::intake::earlier_by;
 use crate::progress::JobProgress;
 use crate::progress::TaskProgress;
 use crate::progress::TaskStage;
@@ -33,8 +33,8 @@
         let entry = self.jobs.get_or_insert_with(task.job, || {
             let progress = JobProgress::of_guest(&spec);
             let age_ms = unix_ms.saturating_sub(spec.accepted_unix_ms);
-            let since = earlier_by(now, age_ms);
-            Box::new(JobEntry::new(Arc::new(spec), progress, place, since))
+            let age = JobAge::new(age_ms, now);
+            Box::new(JobEntry::new(Arc::new(spec), progress, place, age))
         });
         let is_open = entry.place == place && !entry.progress.standing.is_final();
         if !is_open {
--- a/crates/jobs/src/owner/job_owner/results.rs
+++ b/crates/jobs/src/owner/job_owner/results.rs
@@ -1,6 +1,7 @@
 //! Effect of ended runs on their tasks and jobs.
 
 use crate::owner::DecisionEvent;
+use crate::owner::JobAge;
 use crate::owner::JobEntry;
 use crate::owner::JobOwner;
 use crate::owner::RunCause;
@@ -40,7 +41,7 @@
         let Some(entry) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        entry.idle_since = now;
+        entry.idle = JobAge::new(0, now);
         let step = &entry.spec.steps[task.step as usize];
         let (is_gang, is_speculative) = (step.is_gang, step.is_speculative);
         let Some(progress) = entry.progress.task_mut(task) else {
--- a/crates/jobs/src/owner/job_owner/spreading.rs
+++ b/crates/jobs/src/owner/job_owner/spreading.rs
@@ -33,7 +33,7 @@
             return false;
         }
         let accepted_ms = unix_ms.saturating_sub(entry.spec.accepted_unix_ms);
-        let waited_ms = now.millis_since(entry.since).max(accepted_ms);
+        let waited_ms = entry.age.millis(now).max(accepted_ms);
         waited_ms < SPREAD_WAIT_MS && self.exceeds_long_running_share(entry, now)
     }
 
--- a/crates/jobs/src/owner/job_owner/waiting_report.rs
+++ b/crates/jobs/src/owner/job_owner/waiting_report.rs
@@ -3,7 +3,6 @@
 use crate::owner::DecisionEvent;
 use crate::owner::JobOwner;
 use crate::owner::WaitKey;
-use crate::planner::JobUrgency;
 use crate::planner::PlacementCensus;
 use crate::spec::TaskIdentity;
 use sapphirestile_core::MonoTime;
@@ -22,7 +21,7 @@
             return;
         }
         let mut waiting = 0;
-        let mut longest: Option<(MonoTime, WaitKey, TaskIdentity)> = None;
+        let mut longest: Option<(u64, WaitKey, TaskIdentity)> = None;
         for key in self.waiting.keys() {
             let Some(entry) = self.jobs.get(&key.job) else {
                 continue;
@@ -34,14 +33,14 @@
                 continue;
             };
             waiting += 1;
-            if longest.is_none_or(|(since, _, _)| entry.idle_since < since) {
-                longest = Some((entry.idle_since, *key, demand.task));
+            let idle_ms = entry.idle.millis(now);
+            if longest.is_none_or(|(longest_ms, _, _)| idle_ms > longest_ms) {
+                longest = Some((idle_ms, *key, demand.task));
             }
         }
-        let Some((since, key, task)) = longest else {
+        let Some((idle_ms, key, task)) = longest else {
             return;
         };
-        let idle_ms = now.millis_since(since);
         if idle_ms >= REPORT_AFTER_MS {
             self.longest_wait_reported = now;
             self.report_wait(&key, &task, idle_ms, waiting, now);
@@ -60,9 +59,8 @@
             return;
         };
         let spec = entry.spec.clone();
-        let age_ms = now.millis_since(entry.since);
-        let queue = self.config.queues.get(&spec.queue);
-        let urgency = JobUrgency::of(&spec, &entry.progress, queue, &self.durations, age_ms);
+        let age_ms = entry.age.millis(now);
+        let urgency = self.urgency_of(entry, now);
         let service = self.service_of(&spec.queue, &spec.terms.service);
         let needs_ticket = self.advisor_timing(&spec.queue).is_some();
         let step = &spec.steps[task.step as usize];
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -15,6 +15,7 @@
 mod pacing;
 mod placement;
 mod restarts;
+mod restored_jobs;
 mod starts_and_stops;
 mod stragglers;
 mod test_values;
