--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -110,6 +110,7 @@
                 image: None,
                 needs_ticket: false,
                 has_run: progress.tasks[index].run > 0,
+                is_overdue: false,
             })
         });
         tasks.filter(|demand| !self.transferring.contains(&demand.task))
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -10,6 +10,7 @@
 mod lease_grants;
 mod load_report;
 mod moves;
+mod overdue;
 mod pace_changes;
 mod planning;
 mod polling;
@@ -132,6 +133,8 @@
     load_reported: MonoTime,
     /// When a task that found no worker was last reported.
     passed_over_reported: MonoTime,
+    /// When a job that is not overdue last waited with nothing running; the default if never.
+    new_waited: MonoTime,
     /// When the job that has waited longest was last reported.
     longest_wait_reported: MonoTime,
 }
@@ -190,6 +193,7 @@
             advice: AdviceCache::default(),
             load_reported: claimed,
             passed_over_reported: MonoTime::default(),
+            new_waited: MonoTime::default(),
             longest_wait_reported: MonoTime::default(),
         }
     }
--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -154,6 +154,7 @@
             has_checkpoints: step.has_checkpoints,
             is_speculative: step.is_speculative,
             has_copy: false,
+            is_overdue: demand.is_overdue,
             latency_target_ms: step.latency_target_ms,
             image: demand.image,
             state,
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -181,6 +181,7 @@
                         image: self.image_of(step_spec),
                         needs_ticket: false,
                         has_run: true,
+                        is_overdue: false,
                     };
                     let incarnation = assignment.incarnation;
                     let run =
--- /dev/null
+++ b/crates/jobs/src/owner/job_owner/overdue.rs
@@ -0,0 +1,159 @@
+//! Jobs that have waited too long with nothing running.
+//!
+//! The order by urgency puts jobs that will be late behind all that can still be on time, and
+//! best-effort tasks get only what is idle. Under lasting load either could keep an accepted
+//! job waiting for ever, though its caller still wants the result. So a job becomes overdue
+//! after a while: one of its tasks is placed before all others, where it does least harm. While
+//! newer jobs wait for their first run too, overdue runs are limited to a share.
+
+use std::cmp::Reverse;
+
+use crate::owner::JobEntry;
+use crate::owner::JobOwner;
+use crate::owner::WaitKey;
+use crate::owner::job_owner::planning::STARTS_PER_PASS_MAX;
+use crate::planner::TaskDemand;
+use crate::planner::UnplacedDemands;
+use crate::spec::StepSpec;
+use crate::spec::TaskIdentity;
+use sapphirestile_core::MonoTime;
+
+/// A job of this age is overdue while it has nothing running, in milliseconds. For a repeated
+/// job the time since its latest run counts.
+const WAIT_MAX_MS: u64 = 5_000;
+
+/// While newer jobs have nothing running, there is one overdue run for this many workers.
+const OVERDUE_SHARE_DIVISOR: usize = 8;
+
+/// Time without a newer job that has nothing running after which overdue runs are not limited,
+/// in milliseconds.
+const NEW_GONE_MS: u64 = 2_000;
+
+impl JobOwner {
+    /// Assigns one task, or one gang, of each overdue job, those that have waited longest first.
+    /// Returns the number of assigned tasks.
+    pub(super) fn plan_overdue(&mut self, now: MonoTime) -> usize {
+        let mut planned = 0;
+        let mut unplaced = UnplacedDemands::default();
+        for key in self.overdue_jobs(now) {
+            if planned >= STARTS_PER_PASS_MAX || !self.has_place_for_overdue(now) {
+                break;
+            }
+            planned += self.plan_overdue_job(&key, now, &mut unplaced);
+        }
+        planned
+    }
+
+    /// Records whether a job waits that has nothing running and is not overdue. Repeated jobs do
+    /// not count: they wait at each of their times, and come first by urgency.
+    pub(super) fn note_new_waits(&mut self, now: MonoTime) {
+        let is_new = |key: &WaitKey| {
+            let entry = self.jobs.get(&key.job);
+            entry.is_some_and(|entry| {
+                let is_once = entry.spec.repeat.is_none();
+                is_once && has_nothing_running(entry) && !is_overdue(entry, now)
+            })
+        };
+        if self.waiting.keys().any(is_new) {
+            self.new_waited = now;
+        }
+    }
+
+    fn overdue_jobs(&self, now: MonoTime) -> Vec<WaitKey> {
+        let mut overdue: Vec<(Reverse<u64>, WaitKey)> = self
+            .waiting
+            .keys()
+            .filter_map(|key| {
+                let entry = self.jobs.get(&key.job)?;
+                is_overdue(entry, now).then_some((Reverse(entry.idle.millis(now)), *key))
+            })
+            .collect();
+        overdue.sort_unstable();
+        overdue.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Whether another overdue run may start. Newer jobs leave a share to the overdue ones while
+    /// they have nothing running themselves; otherwise these come before the second task of any.
+    fn has_place_for_overdue(&self, now: MonoTime) -> bool {
+        if now.millis_since(self.new_waited) >= NEW_GONE_MS {
+            return true;
+        }
+        let counts = self.workers.values().map(|tracked| tracked.overdue_runs());
+        counts.sum::<usize>() < self.workers.len().div_ceil(OVERDUE_SHARE_DIVISOR)
+    }
+
+    fn plan_overdue_job(
+        &mut self,
+        key: &WaitKey,
+        now: MonoTime,
+        unplaced: &mut UnplacedDemands,
+    ) -> usize {
+        let Some(entry) = self.jobs.get(&key.job) else {
+            return 0;
+        };
+        let spec = entry.spec.clone();
+        let service = self.service_of(&spec.queue, &spec.terms.service);
+        let timing = self.advisor_timing(&spec.queue);
+        let tasks: Vec<TaskIdentity> = entry
+            .startable(key, &service)
+            .map(|demand| demand.task)
+            .collect();
+        let startable: Vec<(TaskIdentity, &StepSpec)> = tasks
+            .iter()
+            .map(|task| (*task, &spec.steps[task.step as usize]))
+            .collect();
+        let mut rest: &[(TaskIdentity, &StepSpec)] = &startable;
+        while !rest.is_empty() {
+            let mut demands = self.members(rest, &service, timing.is_some());
+            rest = &rest[demands.len()..];
+            for demand in &mut demands {
+                demand.is_overdue = true;
+            }
+            let planned = self.place_overdue(&demands, unplaced, now);
+            if planned > 0 {
+                self.refresh_waiting(key);
+                return planned;
+            }
+            self.request_advice(&demands[0], timing, now);
+        }
+        0
+    }
+
+    /// Places the first task of a step, or the whole step if it is a gang. Returns the number of
+    /// assigned tasks.
+    fn place_overdue(
+        &mut self,
+        demands: &[TaskDemand<'_>],
+        unplaced: &mut UnplacedDemands,
+        now: MonoTime,
+    ) -> usize {
+        let first = &demands[0];
+        if first.step.is_gang {
+            return self.plan_gang(demands, now);
+        }
+        if unplaced.rules_out(first) {
+            return 0;
+        }
+        let Some(worker) = self.choose_worker(first, None, now) else {
+            unplaced.record(first);
+            return 0;
+        };
+        let run = self.next_run(&first.task);
+        self.assign(&worker, first, run, now);
+        1
+    }
+}
+
+/// Whether the job has nothing running. Workers are held for long-running tasks instead.
+fn has_nothing_running(entry: &JobEntry) -> bool {
+    !entry.spec.is_long_running() && !entry.progress.may_be_running()
+}
+
+fn is_overdue(entry: &JobEntry, now: MonoTime) -> bool {
+    let waiting = if entry.spec.repeat.is_some() {
+        entry.idle
+    } else {
+        entry.age
+    };
+    has_nothing_running(entry) && waiting.millis(now) >= WAIT_MAX_MS
+}
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -14,7 +14,7 @@
 
 /// Number of assigned tasks at which a planning pass ends, so that the first starts are not
 /// delayed by the last.
-const STARTS_PER_PASS_MAX: usize = 64;
+pub(super) const STARTS_PER_PASS_MAX: usize = 64;
 
 /// Shortest time between two reports of tasks that found no worker, in milliseconds.
 const PASSED_OVER_INTERVAL_MS: u64 = 1_000;
@@ -36,8 +36,9 @@
     }
 
     fn plan_by_urgency(&mut self, now: MonoTime, unix_ms: u64) -> bool {
+        self.note_new_waits(now);
         let keys = self.waiting_by_urgency(now);
-        let mut planned = 0;
+        let mut planned = self.plan_overdue(now);
         let mut unplaced = UnplacedDemands::default();
         for key in keys {
             planned += self.plan_job(&key, now, unix_ms, &mut unplaced);
@@ -158,11 +159,12 @@
             image: self.image_of(step),
             needs_ticket,
             has_run: self.next_run(task) > 1,
+            is_overdue: false,
         }
     }
 
     /// Demands of the first task and of those after it that belong to the same gang.
-    fn members<'a>(
+    pub(super) fn members<'a>(
         &mut self,
         startable: &[(TaskIdentity, &'a StepSpec)],
         service: &'a str,
@@ -191,7 +193,7 @@
     }
 
     /// Removes a job from the waiting list if none of its tasks can start any more.
-    fn refresh_waiting(&mut self, key: &WaitKey) {
+    pub(super) fn refresh_waiting(&mut self, key: &WaitKey) {
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return;
         };
--- a/crates/jobs/src/owner/job_owner/stragglers.rs
+++ b/crates/jobs/src/owner/job_owner/stragglers.rs
@@ -87,6 +87,7 @@
             image: self.image_of(step),
             needs_ticket: self.advisor_timing(&spec.queue).is_some(),
             has_run: true,
+            is_overdue: false,
         };
         let Some(other) = self.choose_worker(&demand, None, now) else {
             return;
--- a/crates/jobs/src/owner/job_owner/unexpected_runs.rs
+++ b/crates/jobs/src/owner/job_owner/unexpected_runs.rs
@@ -74,6 +74,7 @@
             image: self.image_of(step),
             needs_ticket: false,
             has_run: true,
+            is_overdue: false,
         };
         let state = RunState::StopPending;
         Some(Self::run_entry(
--- a/crates/jobs/src/planner/unplaced_demands.rs
+++ b/crates/jobs/src/planner/unplaced_demands.rs
@@ -23,6 +23,7 @@
 ///     image: None,
 ///     needs_ticket: true,
 ///     has_run: false,
+///     is_overdue: false,
 /// };
 /// let mut unplaced = UnplacedDemands::default();
 /// unplaced.record(&demand("5c0e7a21d94b36f8.0.1.0"));
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -1,11 +1,11 @@
 //! Scoring of workers for a task.
 
+mod best_effort;
+
 use crate::advice::AdviceCache;
 use crate::advice::StepIdentity;
-use crate::pacing::BestEffortRun;
 use crate::pacing::InterferenceModel;
 use crate::pacing::ServingRun;
-use crate::planner::RoomRefusal;
 use crate::planner::SpareWorkers;
 use crate::planner::TaskDemand;
 use crate::worker::TrackedWorker;
@@ -18,10 +18,6 @@
 /// older estimate of its clock could put the end of a lease beyond the authority of the owner.
 const RESPONSE_AGE_MAX_MS: u64 = 2_500;
 
-/// Load slack assumed for a worker without latency-sensitive runs. A task that interferes
-/// little scores higher elsewhere, which leaves such workers to tasks that interfere much.
-const EMPTY_WORKER_SLACK: f64 = 0.15;
-
 /// Cost of placing a latency-sensitive task on a worker without such runs, compared with
 /// the costs of mixing it with runs of other jobs.
 const EMPTY_WORKER_COST: i64 = 1;
@@ -38,13 +34,6 @@
 /// Bonus of a worker on the rack that holds the data of the step.
 const DATA_RACK_BONUS: i64 = 100 * SCORE_SCALE;
 
-/// Divisor for the score of free processor time, which counts less than load slack.
-const FREE_CPU_DIVISOR: i64 = 4;
-
-/// A worker with a latency above this share of its target gets no best-effort tasks, in
-/// percent.
-const HIGH_LATENCY_PERCENT: u64 = 70;
-
 /// Score of the whole processor time of a worker.
 const SCORE_SCALE: i64 = 10_000;
 
@@ -142,7 +131,7 @@
         }
         let capacity = entry.capacity.cpu_milli.max(1);
         if step.is_best_effort {
-            return self.best_effort_score(demand, capacity, worker).ok();
+            return self.score_of_best_effort(demand, capacity, worker);
         }
         let free = capacity.saturating_sub(worker.used().cpu_milli);
         let mixing_cost = self.mixing_cost(demand, worker);
@@ -175,39 +164,6 @@
         };
         serving.iter().map(cost).sum()
     }
-
-    /// Score of a worker for a best-effort task that its memory would do for, or why it has no
-    /// room.
-    pub(super) fn best_effort_score(
-        &self,
-        demand: &TaskDemand<'_>,
-        capacity: u64,
-        worker: &TrackedWorker,
-    ) -> Result<i64, RoomRefusal> {
-        let idle = worker.idle_cpu_milli(capacity);
-        let idle = idle.checked_sub(demand.step.size.cpu_milli);
-        let idle = idle.ok_or(RoomRefusal::Processors)?;
-        let serving = worker.serving_runs();
-        if serving
-            .iter()
-            .any(|run| run.percent() > HIGH_LATENCY_PERCENT)
-        {
-            return Err(RoomRefusal::Latency);
-        }
-        let mut neighbours = worker.best_effort_runs(self.now);
-        if let Some(image) = demand.image {
-            neighbours.push(BestEffortRun::at_full_pace(demand, image));
-        }
-        let slacks = serving
-            .iter()
-            .map(|serving| self.interference.slack(serving, &neighbours));
-        let slack = slacks.min_by(f64::total_cmp).unwrap_or(EMPTY_WORKER_SLACK);
-        let score = data_rack_bonus(demand, worker) + scaled(slack);
-        if slack < 0.0 {
-            return Err(RoomRefusal::Interference);
-        }
-        Ok(score + share_of(idle, capacity) / FREE_CPU_DIVISOR)
-    }
 }
 
 /// Bonus of a worker on the rack that holds the data of the step. Tasks on other racks
@@ -247,11 +203,3 @@
     let total = i64::try_from(total).unwrap_or(i64::MAX);
     part.saturating_mul(SCORE_SCALE) / total
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    reason = "a load is between -1 and 1"
-)]
-fn scaled(load: f64) -> i64 {
-    (load * 10_000.0) as i64
-}
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -17,6 +17,10 @@
 /// A run paused for longer than this is better restarted elsewhere, in milliseconds.
 const PAUSED_MAX_MS: u64 = 1_000;
 
+/// An overdue run is given another worker only after this pause, in milliseconds. Moved at once
+/// it would be stopped and started for ever, since no worker has room for it without throttling.
+const OVERDUE_PAUSED_MAX_MS: u64 = 5_000;
+
 const MILLI: f64 = 1_000.0;
 
 /// A run that occupies capacity of a worker.
@@ -42,6 +46,8 @@
     pub is_speculative: bool,
     /// Whether a second run of the task was started.
     pub has_copy: bool,
+    /// Whether the run was placed because its job had waited too long.
+    pub is_overdue: bool,
     /// Upper limit for the latency that callers of the run see, in milliseconds; `None` if
     /// it serves no callers.
     pub latency_target_ms: Option<u64>,
@@ -92,19 +98,29 @@
         if !self.is_best_effort || self.is_ending() {
             return None;
         }
-        let is_young = now.millis_since(self.since) <= RESTART_LOSS_MAX_MS;
-        let is_stalled =
-            self.pace_percent == 0 && now.millis_since(self.pace_changed) >= PAUSED_MAX_MS;
         Some(BestEffortRun {
             task,
             image: self.image?,
             processors: processors(self.size.cpu_milli),
             used_processors: processors(self.measurement),
             pace_percent: self.pace_percent,
-            can_move: self.has_checkpoints || is_young || is_stalled,
+            can_move: self.can_move(now),
+            is_overdue: self.is_overdue,
         })
     }
 
+    /// Whether the run can go on at another worker at little loss.
+    fn can_move(&self, now: MonoTime) -> bool {
+        let paused_ms = (self.pace_percent == 0).then(|| now.millis_since(self.pace_changed));
+        if self.is_overdue {
+            let is_stalled = paused_ms.is_some_and(|paused| paused >= OVERDUE_PAUSED_MAX_MS);
+            return self.has_checkpoints && is_stalled;
+        }
+        let is_young = now.millis_since(self.since) <= RESTART_LOSS_MAX_MS;
+        let is_stalled = paused_ms.is_some_and(|paused| paused >= PAUSED_MAX_MS);
+        self.has_checkpoints || is_young || is_stalled
+    }
+
     /// Whether a poll with this number, answered at an address that only `incarnation` had
     /// before, must have shown the run if it still existed.
     #[must_use]
--- a/crates/jobs/src/worker/tracked_worker/runs.rs
+++ b/crates/jobs/src/worker/tracked_worker/runs.rs
@@ -43,6 +43,12 @@
         self.runs.values().any(|run| run.is_long_running)
     }
 
+    /// Number of runs that were placed because their jobs had waited too long.
+    #[must_use]
+    pub fn overdue_runs(&self) -> usize {
+        self.runs.values().filter(|run| run.is_overdue).count()
+    }
+
     /// Runs with a latency target, as the interference model sees them; those without an
     /// image are left out.
     #[must_use]
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -11,6 +11,8 @@
 mod lease_bounds_of_restarted_workers;
 mod leases_and_restarts;
 mod moves;
+mod overdue_jobs;
+mod overdue_paces;
 mod owner_fixture;
 mod pacing;
 mod placement;
