--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -138,6 +138,8 @@
             DecisionEvent::TaskTransferred { .. } => "delegated_to_cell",
             DecisionEvent::PassedOver { .. }
             | DecisionEvent::TaskDelayed { .. }
+            | DecisionEvent::JobWaits { .. }
+            | DecisionEvent::StopRequested { .. }
             | DecisionEvent::WorkerRestarted { .. }
             | DecisionEvent::RunsMissing { .. }
             | DecisionEvent::WorkerSilent { .. }
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -10,6 +10,7 @@
 mod lease_grants;
 mod load_report;
 mod moves;
+mod overdue;
 mod pace_changes;
 mod planning;
 mod polling;
@@ -22,6 +23,7 @@
 mod stragglers;
 mod transfers;
 mod unexpected_runs;
+mod waiting_report;
 mod worker_list;
 
 use std::sync::Arc;
@@ -139,6 +141,10 @@
     passed_over_reported: MonoTime,
     /// When a task that waits for a transfer was last reported.
     delay_reported: MonoTime,
+    /// When a job that is not overdue last waited with nothing running; the default if never.
+    new_waited: MonoTime,
+    /// When the job that has waited longest was last reported.
+    longest_wait_reported: MonoTime,
 }
 
 impl JobOwner {
@@ -198,6 +204,8 @@
             load_reported: claimed,
             passed_over_reported: MonoTime::default(),
             delay_reported: MonoTime::default(),
+            new_waited: MonoTime::default(),
+            longest_wait_reported: MonoTime::default(),
         }
     }
 
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -1,6 +1,7 @@
 //! Planning of the next starts.
 
 use crate::owner::DecisionEvent;
+use crate::owner::JobEntry;
 use crate::owner::JobOwner;
 use crate::owner::WaitKey;
 use crate::planner::JobUrgency;
@@ -13,7 +14,7 @@
 
 /// Number of assigned tasks at which a planning pass ends, so that the first starts are not
 /// delayed by the last.
-const STARTS_PER_PASS_MAX: usize = 64;
+pub(super) const STARTS_PER_PASS_MAX: usize = 64;
 
 /// Shortest time between two reports of tasks that found no worker, in milliseconds.
 const PASSED_OVER_INTERVAL_MS: u64 = 1_000;
@@ -31,8 +32,15 @@
         self.hold_workers(now);
         self.restarts = self.restart_needs(now);
         self.restarts.extend_from_slice(&self.restarts_elsewhere);
+        let ended_early = self.plan_by_urgency(now, unix_ms);
+        self.report_longest_wait(now);
+        ended_early
+    }
+
+    fn plan_by_urgency(&mut self, now: MonoTime, unix_ms: u64) -> bool {
+        self.note_new_waits(now);
         let keys = self.waiting_by_urgency(now);
-        let mut planned = 0;
+        let mut planned = self.plan_overdue(now);
         let mut unplaced = UnplacedDemands::default();
         for key in keys {
             planned += self.plan_job(&key, now, unix_ms, &mut unplaced);
@@ -47,16 +55,7 @@
     fn waiting_by_urgency(&self, now: MonoTime) -> Vec<WaitKey> {
         let urgency = |key: &WaitKey| {
             let entry = self.jobs.get(&key.job)?;
-            let queue = self.config.queues.get(&entry.spec.queue);
-            let age_ms = now.millis_since(entry.since);
-            let progress = &entry.progress;
-            Some(JobUrgency::of(
-                &entry.spec,
-                progress,
-                queue,
-                &self.durations,
-                age_ms,
-            ))
+            Some(self.urgency_of(entry, now))
         };
         let mut keys: Vec<(Option<JobUrgency>, WaitKey)> = self
             .waiting
@@ -67,6 +66,13 @@
         keys.into_iter().map(|(_, key)| key).collect()
     }
 
+    /// Urgency of a job at this time.
+    pub(super) fn urgency_of(&self, entry: &JobEntry, now: MonoTime) -> JobUrgency {
+        let queue = self.config.queues.get(&entry.spec.queue);
+        let age_ms = entry.age.millis(now);
+        JobUrgency::of(&entry.spec, &entry.progress, queue, &self.durations, age_ms)
+    }
+
     fn plan_job(
         &mut self,
         key: &WaitKey,
@@ -155,11 +161,12 @@
             image: self.image_of(step),
             needs_ticket,
             has_run: self.next_run(task) > 1,
+            is_overdue: false,
         }
     }
 
     /// Demands of the first task and of those after it that belong to the same gang.
-    fn members<'a>(
+    pub(super) fn members<'a>(
         &mut self,
         startable: &[(TaskIdentity, &'a StepSpec)],
         service: &'a str,
@@ -188,7 +195,7 @@
     }
 
     /// Removes a job from the waiting list if none of its tasks can start any more.
-    fn refresh_waiting(&mut self, key: &WaitKey) {
+    pub(super) fn refresh_waiting(&mut self, key: &WaitKey) {
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return;
         };
--- a/crates/jobs/src/owner/job_owner/stragglers.rs
+++ b/crates/jobs/src/owner/job_owner/stragglers.rs
@@ -1,6 +1,7 @@
 //! Handling of stragglers: runs that take far longer than others.
 
 use crate::owner::JobOwner;
+use crate::owner::StopCause;
 use crate::planner::TaskDemand;
 use crate::spec::TaskIdentity;
 use crate::worker::RunEntry;
@@ -52,7 +53,7 @@
             self.copy_run(&worker, &task, now);
         }
         for (worker, task) in stuck {
-            self.stop_run(&worker, &task, now);
+            self.stop_run(&worker, &task, StopCause::Stuck, now);
             if let Some(tracked) = self.workers.get_mut(&worker) {
                 tracked.breaker.trip(now);
             }
@@ -86,6 +87,7 @@
             image: self.image_of(step),
             needs_ticket: self.advisor_timing(&spec.queue).is_some(),
             has_run: true,
+            is_overdue: false,
         };
         let Some(other) = self.choose_worker(&demand, None, now) else {
             return;
@@ -113,7 +115,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for worker in running {
-            self.stop_run(&worker, task, now);
+            self.stop_run(&worker, task, StopCause::CopyDone, now);
         }
     }
 }
