--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -84,7 +84,7 @@
             ..JobProgress::default()
         };
         let spec = Arc::new(JobSpec::without_steps());
-        let mut entry = JobEntry::new(spec, progress, JobPlace::Home, now);
+        let mut entry = JobEntry::new(spec, progress, JobPlace::Home, JobAge::new(0, now));
         entry.ended = Some(now);
         self.jobs.insert(identity, Box::new(entry));
     }
