--- a/crates/jobs/src/owner/job_owner/overdue.rs
+++ b/crates/jobs/src/owner/job_owner/overdue.rs
@@ -3,8 +3,9 @@
 //! The order by urgency puts jobs that will be late behind all that can still be on time, and
 //! best-effort tasks get only what is idle. Under lasting load either could keep an accepted
 //! job waiting for ever, though its caller still wants the result. So a job becomes overdue
-//! after a while: one of its tasks is placed before all others, where it does least harm. While
-//! newer jobs wait for their first run too, overdue runs are limited to a share.
+//! after a while: one of its tasks is placed before all others, if need be on processors that
+//! other best-effort tasks use. While newer jobs wait for their first run too, overdue runs are
+//! limited to a share.
 
 use std::cmp::Reverse;
 
@@ -18,9 +19,12 @@
 use crate::spec::TaskIdentity;
 use sapphirestile_core::MonoTime;
 
-/// A job of this age is overdue while it has nothing running, in milliseconds. For a repeated
-/// job the time since its latest run counts.
-const WAIT_MAX_MS: u64 = 5_000;
+/// Age from which a job can be overdue, in milliseconds.
+const AGE_MIN_MS: u64 = 5_000;
+
+/// Time for which an overdue job has had nothing running, in milliseconds. A step that has just
+/// become possible, or a task that was moved from a worker, waits for its turn by urgency first.
+const IDLE_MIN_MS: u64 = 1_000;
 
 /// While newer jobs have nothing running, there is one overdue run for this many workers.
 const OVERDUE_SHARE_DIVISOR: usize = 8;
@@ -44,14 +48,15 @@
         planned
     }
 
-    /// Records whether a job waits that has nothing running and is not overdue. Repeated jobs do
-    /// not count: they wait at each of their times, and come first by urgency.
+    /// Records whether a job waits that has nothing running and is too young to be overdue.
+    /// Repeated jobs do not count: they wait at each of their times.
     pub(super) fn note_new_waits(&mut self, now: MonoTime) {
         let is_new = |key: &WaitKey| {
             let entry = self.jobs.get(&key.job);
             entry.is_some_and(|entry| {
                 let is_once = entry.spec.repeat.is_none();
-                is_once && has_nothing_running(entry) && !is_overdue(entry, now)
+                let is_young = entry.age.millis(now) < AGE_MIN_MS;
+                is_once && has_nothing_running(entry) && is_young
             })
         };
         if self.waiting.keys().any(is_new) {
@@ -149,11 +154,11 @@
     !entry.spec.is_long_running() && !entry.progress.may_be_running()
 }
 
+/// Whether the job has waited too long. A repeated job waits at each of its times, and comes
+/// first by urgency.
 fn is_overdue(entry: &JobEntry, now: MonoTime) -> bool {
-    let waiting = if entry.spec.repeat.is_some() {
-        entry.idle
-    } else {
-        entry.age
-    };
-    has_nothing_running(entry) && waiting.millis(now) >= WAIT_MAX_MS
+    entry.spec.repeat.is_none()
+        && has_nothing_running(entry)
+        && entry.age.millis(now) >= AGE_MIN_MS
+        && entry.idle.millis(now) >= IDLE_MIN_MS
 }
--- a/crates/jobs/src/owner/job_owner/restarts.rs
+++ b/crates/jobs/src/owner/job_owner/restarts.rs
@@ -30,6 +30,10 @@
 /// Maximum number of workers that are held at the same time for tasks of any cell.
 const HELD_FOR_ANY_CELL_MAX: usize = 8;
 
+/// One in this many workers at most is held for tasks of other cells, so that shorter tasks
+/// find room in a small cell too.
+const HELD_FOR_OTHERS_DIVISOR: usize = 8;
+
 /// How long a task has waited for first runs to wait for it, in milliseconds. One that waits
 /// longer may fit on no worker of the fleet, and new tasks do not wait for it for ever.
 const PRECEDENCE_MS: RangeInclusive<u64> = 1_000..=30_000;
@@ -118,8 +122,10 @@
     /// Holds workers for tasks of other cells. They learn of what is free only from reports,
     /// and shorter tasks of this cell would have taken it by then.
     fn hold_workers_for_others(&mut self, now: MonoTime) {
+        let share = self.workers.len().div_ceil(HELD_FOR_OTHERS_DIVISOR);
+        let held_max = HELD_FOR_ANY_CELL_MAX.min(self.held.len() + share);
         for need in &self.restarts_elsewhere {
-            if self.held.len() >= HELD_FOR_ANY_CELL_MAX {
+            if self.held.len() >= held_max {
                 return;
             }
             let scorer = self.worker_scorer(now);
--- a/crates/jobs/src/pacing/best_effort_run.rs
+++ b/crates/jobs/src/pacing/best_effort_run.rs
@@ -21,8 +21,6 @@
     pub pace_percent: u32,
     /// Whether the run can be moved to another worker at little loss.
     pub can_move: bool,
-    /// Whether the run was placed because its job had waited too long.
-    pub is_overdue: bool,
 }
 
 impl BestEffortRun {
@@ -38,7 +36,6 @@
             used_processors: 0.0,
             pace_percent: 100,
             can_move: true,
-            is_overdue: demand.is_overdue,
         }
     }
 }
--- a/crates/jobs/src/pacing/pace_plan.rs
+++ b/crates/jobs/src/pacing/pace_plan.rs
@@ -102,8 +102,7 @@
     }
 
     /// Speeds up the throttled run with the least interference, if all latencies are predicted
-    /// to stay low. Otherwise a paused overdue run goes on at the least pace whatever is
-    /// predicted: it is slowed down again if a latency rises.
+    /// to stay low.
     fn speed_up(&self) -> Vec<PaceAction> {
         let throttled = self
             .best_effort
@@ -123,7 +122,7 @@
         let next = PACES.iter().find(|&&pace| pace > run.pace_percent);
         let percent = next.copied().unwrap_or(FULL_PERCENT);
         if !self.can_run_at(run, percent) {
-            return self.resume_overdue();
+            return Vec::new();
         }
         vec![PaceAction::Pace {
             task: run.task,
@@ -131,16 +130,6 @@
         }]
     }
 
-    fn resume_overdue(&self) -> Vec<PaceAction> {
-        let mut runs = self.best_effort.iter();
-        let paused = runs.find(|run| run.is_overdue && run.pace_percent == 0);
-        let resume = |run: &BestEffortRun| PaceAction::Pace {
-            task: run.task,
-            percent: PACES[0],
-        };
-        paused.map(resume).into_iter().collect()
-    }
-
     /// Whether all latencies are predicted to stay low with a run at the given pace.
     fn can_run_at(&self, run: &BestEffortRun, percent: u32) -> bool {
         let mut after: Vec<BestEffortRun> = self.best_effort.to_vec();
--- a/crates/jobs/src/planner/task_demand.rs
+++ b/crates/jobs/src/planner/task_demand.rs
@@ -20,8 +20,8 @@
     pub needs_ticket: bool,
     /// Whether the task has had a run.
     pub has_run: bool,
-    /// Whether the job has waited too long with nothing running, so that the task is placed
-    /// where it does least harm rather than not at all.
+    /// Whether the job has waited too long with nothing running, so that the task may share
+    /// processor time that is not idle.
     pub is_overdue: bool,
 }
 
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -151,7 +151,7 @@
         }
         let capacity = entry.capacity.cpu_milli.max(1);
         if step.is_best_effort {
-            return self.score_of_best_effort(demand, capacity, worker);
+            return self.score_or_share(demand, capacity, worker);
         }
         let free = capacity.saturating_sub(worker.used().cpu_milli);
         let mixing_cost = self.mixing_cost(demand, worker);
--- a/crates/jobs/src/planner/worker_scorer/best_effort.rs
+++ b/crates/jobs/src/planner/worker_scorer/best_effort.rs
@@ -21,23 +21,17 @@
 /// percent.
 const HIGH_LATENCY_PERCENT: u64 = 70;
 
-/// Share of the target from which a latency is over it, in percent.
-const TARGET_PERCENT: u64 = 100;
-
 /// Bonus of a worker that has room for an overdue task like for any other.
 const ROOM_BONUS: i64 = 1_000 * SCORE_SCALE;
 
-/// Cost of a worker with a latency over its target, where an overdue task would be paused.
-const OVER_TARGET_COST: i64 = 10 * SCORE_SCALE;
-
 /// Cost of each overdue run that a worker has, which spreads them.
 const OVERDUE_RUN_COST: i64 = SCORE_SCALE;
 
 impl WorkerScorer<'_> {
     /// Score of a worker for a best-effort task that its memory would do for; `None` if the
-    /// task cannot start there. An overdue one can, beyond what is idle or predicted to be
-    /// tolerable: pacing keeps latencies low beside it.
-    pub(super) fn score_of_best_effort(
+    /// task cannot start there. An overdue one can share processor time that is not idle, but
+    /// only where it slows no latency-sensitive run.
+    pub(super) fn score_or_share(
         &self,
         demand: &TaskDemand<'_>,
         capacity: u64,
@@ -48,28 +42,7 @@
             return score;
         }
         let with_room = score.map(|score| score + ROOM_BONUS);
-        Some(with_room.unwrap_or_else(|| self.least_harm_score(demand, capacity, worker)))
-    }
-
-    /// Score of a worker that has no room for an overdue task, the higher the less harm the task
-    /// does.
-    fn least_harm_score(
-        &self,
-        demand: &TaskDemand<'_>,
-        capacity: u64,
-        worker: &TrackedWorker,
-    ) -> i64 {
-        let idle = worker.idle_cpu_milli(capacity);
-        let missing = demand.step.size.cpu_milli.saturating_sub(idle);
-        let serving = worker.serving_runs();
-        let is_over_target = serving.iter().any(|run| run.percent() > TARGET_PERCENT);
-        let overdue_runs = i64::try_from(worker.overdue_runs()).unwrap_or(i64::MAX / SCORE_SCALE);
-        let overdue_cost = overdue_runs * OVERDUE_RUN_COST;
-        let over_target_cost = if is_over_target { OVER_TARGET_COST } else { 0 };
-        data_rack_bonus(demand, worker) + scaled(self.lowest_slack(demand, &serving, worker))
-            - share_of(missing, capacity) / FREE_CPU_DIVISOR
-            - over_target_cost
-            - overdue_cost
+        with_room.or_else(|| share_score(demand, capacity, worker))
     }
 
     /// Score of a worker for a best-effort task that its memory would do for, or why it has no
@@ -116,6 +89,20 @@
     }
 }
 
+/// Score of a worker without idle processor time for an overdue task; `None` if it has
+/// latency-sensitive runs.
+fn share_score(demand: &TaskDemand<'_>, capacity: u64, worker: &TrackedWorker) -> Option<i64> {
+    if worker.has_latency_target() {
+        return None;
+    }
+    let idle = worker.idle_cpu_milli(capacity);
+    let missing = demand.step.size.cpu_milli.saturating_sub(idle);
+    let overdue_runs = i64::try_from(worker.overdue_runs()).unwrap_or(i64::MAX / SCORE_SCALE);
+    let overdue_cost = overdue_runs * OVERDUE_RUN_COST;
+    let missing_cost = share_of(missing, capacity) / FREE_CPU_DIVISOR;
+    Some(data_rack_bonus(demand, worker) - missing_cost - overdue_cost)
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     reason = "a load is between -1 and 1"
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -17,10 +17,6 @@
 /// A run paused for longer than this is better restarted elsewhere, in milliseconds.
 const PAUSED_MAX_MS: u64 = 1_000;
 
-/// An overdue run is given another worker only after this pause, in milliseconds. Moved at once
-/// it would be stopped and started for ever, since no worker has room for it without throttling.
-const OVERDUE_PAUSED_MAX_MS: u64 = 5_000;
-
 const MILLI: f64 = 1_000.0;
 
 /// A run that occupies capacity of a worker.
@@ -98,29 +94,19 @@
         if !self.is_best_effort || self.is_ending() {
             return None;
         }
+        let is_young = now.millis_since(self.since) <= RESTART_LOSS_MAX_MS;
+        let is_stalled =
+            self.pace_percent == 0 && now.millis_since(self.pace_changed) >= PAUSED_MAX_MS;
         Some(BestEffortRun {
             task,
             image: self.image?,
             processors: processors(self.size.cpu_milli),
             used_processors: processors(self.measurement),
             pace_percent: self.pace_percent,
-            can_move: self.can_move(now),
-            is_overdue: self.is_overdue,
+            can_move: self.has_checkpoints || is_young || is_stalled,
         })
     }
 
-    /// Whether the run can go on at another worker at little loss.
-    fn can_move(&self, now: MonoTime) -> bool {
-        let paused_ms = (self.pace_percent == 0).then(|| now.millis_since(self.pace_changed));
-        if self.is_overdue {
-            let is_stalled = paused_ms.is_some_and(|paused| paused >= OVERDUE_PAUSED_MAX_MS);
-            return self.has_checkpoints && is_stalled;
-        }
-        let is_young = now.millis_since(self.since) <= RESTART_LOSS_MAX_MS;
-        let is_stalled = paused_ms.is_some_and(|paused| paused >= PAUSED_MAX_MS);
-        self.has_checkpoints || is_young || is_stalled
-    }
-
     /// Whether a poll with this number, answered at an address that only `incarnation` had
     /// before, must have shown the run if it still existed.
     #[must_use]
--- a/crates/jobs/tests/owner/restart_precedence.rs
+++ b/crates/jobs/tests/owner/restart_precedence.rs
@@ -156,3 +156,23 @@
     let vacancies = fixture.owner.vacancies(fixture.time());
     assert_eq!(vacancies[0].free.cpu_milli, 2_000, "the other cell is told");
 }
+
+/// Tasks of other cells kept every worker of a small cell, so that its own jobs never began.
+#[test]
+fn short_tasks_find_room_in_a_small_cell_while_tasks_of_others_wait() {
+    let names = ["w-1", "w-2", "w-3", "w-4"];
+    let workers = names.iter().map(|name| worker(name, 2_000)).collect();
+    let mut fixture = OwnerFixture::with_workers(workers);
+    fixture.owner.set_cells(2);
+    let need = RestartNeed {
+        service: "sizing".into(),
+        size: step(1, 2_000).size,
+        required_label: None,
+    };
+    fixture
+        .owner
+        .set_restarts_elsewhere(vec![need; names.len()]);
+    fixture.accept(SMALL[0], job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    assert_eq!(fixture.store().len(), 1);
+}
