--- a/crates/entry/tests/intake_gate.rs
+++ b/crates/entry/tests/intake_gate.rs
@@ -75,8 +75,7 @@
     assert_eq!(delayed, [submitted(23), cancelled]);
 }
 
-/// Guards against a job whose home row is removed: the owner takes an early cancellation that
-/// it has removed for a new one, and removes what it finds there after its retention.
+/// Guards against an owner that removes a later job's home row at the end of the retention.
 #[test]
 fn early_cancellation_that_was_read_before_its_removal_is_out_of_date() {
     let early = |revision| IntakeEvent::CancelledEarly {
@@ -110,8 +109,7 @@
     assert_eq!(gate.finish_departures(&[]), [returned]);
 }
 
-/// Guards against a job that runs again from its beginning: the owner has left it out as
-/// unreadable, and a later listing has its specification again.
+/// Guards against a job that was left out as unreadable and runs after a later listing.
 #[test]
 fn job_that_was_left_out_is_not_taken_for_a_new_one() {
     let unreadable = [(job(), ())].into_iter().collect();
--- a/crates/entry/tests/unreadable_cells.rs
+++ b/crates/entry/tests/unreadable_cells.rs
@@ -55,8 +55,7 @@
     assert_eq!(CellClaims::of(&name).observe(&table, |_| false, NOW), None);
 }
 
-/// Guards against workers that change their cell: an extension replaces the row at the revision
-/// of the layout that it extends.
+/// Guards against workers that change their cell as a layout is replaced that was not read.
 #[test]
 fn layout_that_cannot_be_read_is_not_the_one_that_an_extension_replaces() {
     let malformed = row(RowKeys::layout(), MALFORMED, 7);
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -25,7 +25,8 @@
     pub wait_key: Option<WaitKey>,
     /// Time since the job was accepted.
     pub age: JobAge,
-    /// Time since the job was accepted or its latest run here ended.
+    /// Time since the latest run here ended; since the job was accepted if this owner knows of
+    /// no run that did.
     pub idle: JobAge,
     /// When the job ended; `None` before.
     pub ended: Option<MonoTime>,
--- a/crates/jobs/tests/owner/odd_responses.rs
+++ b/crates/jobs/tests/owner/odd_responses.rs
@@ -69,8 +69,7 @@
     }
 }
 
-/// Guards against runs that start again beside themselves: the answer to an order, which lists no
-/// runs, was taken for that of an incarnation without any.
+/// Guards against runs that start again beside themselves after the answer to another request.
 #[test]
 fn answer_that_does_not_say_its_incarnation_gives_up_no_run() {
     let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 4_000)]);
--- a/crates/jobs/tests/owner/restart_precedence.rs
+++ b/crates/jobs/tests/owner/restart_precedence.rs
@@ -52,8 +52,7 @@
     fixture.step();
 }
 
-/// The fleet was full. Each part that became free went to tasks that had never run, and larger
-/// ones that had been stopped waited 20 s and more.
+/// Each part of a full fleet that became free went to tasks that had never run.
 #[test]
 fn first_runs_leave_what_becomes_free_to_a_larger_task_that_runs_again() {
     let (mut fixture, task) = restart_and_first_run();
@@ -121,8 +120,7 @@
     assert_eq!(batch.restarts, needs);
 }
 
-/// Whenever a worker had room for a stopped task of a full cell, short tasks took it before the
-/// next report, so that the task never went there.
+/// Short tasks took the room for a stopped task of a full cell before a report showed it.
 #[test]
 fn short_tasks_leave_a_worker_to_a_task_of_another_cell_that_runs_again() {
     let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 2_000)]);
