Keep the age of a job that comes from another cell

What callers saw: an accepted job could wait longer than the bound on waiting, because each cell that it came to before it had begun took it for new, and its 5 s began again. A job that moved every few seconds was overdue nowhere, and its objective began again as well, so it came behind jobs that were really younger.

Cause: `accept_job` gave every job the age 0, though its row says when it was accepted, and `restore_job` counts from that.

Change: the age counts from the acceptance in both. What a job waits before it may move on counts from when this owner got it, or an old job would go from cell to cell at once.

Evidence: the first test failed before the change (the newer job started). The second passed before, since the age began anew, and fails if moves go by the age. The fixture of the owner's tests now says when a job was accepted, where the test does not: the test of urgency that took an acceptance at 0 ms for one now is as strict as before.

Left: on a machine whose time of day has jumped ahead, jobs that come in meanwhile count as older by as much, as restored ones already did.

--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -135,7 +135,7 @@
         job: JobIdentity,
         /// Cell that the job moves to.
         target: CellNumber,
-        /// Time since the job was accepted here, in milliseconds.
+        /// Time since the job was accepted, in milliseconds.
         age_ms: u64,
     },
     /// A task that found no worker goes to another cell, or back to the home of its job.
--- a/crates/jobs/src/owner/job_age.rs
+++ b/crates/jobs/src/owner/job_age.rs
@@ -19,6 +19,11 @@
         }
     }
 
+    /// Time at `now` since the age was taken down here, in milliseconds.
+    pub const fn known_for_ms(&self, now: MonoTime) -> u64 {
+        now.millis_since(self.known)
+    }
+
     /// The age at `now`, in milliseconds.
     pub const fn millis(&self, now: MonoTime) -> u64 {
         self.known_age_ms
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -51,7 +51,8 @@
         self.refresh_job(identity, unix_ms);
     }
 
-    /// Adds a new job. Has no effect if the job is known.
+    /// Adds a job that was handed in, or has come from another cell before it has begun: its
+    /// age counts from its acceptance all the same. Has no effect if the job is known.
     pub fn accept_job(
         &mut self,
         identity: JobIdentity,
@@ -62,13 +63,10 @@
         if self.jobs.contains(&identity) {
             return;
         }
+        let age_ms = unix_ms.saturating_sub(spec.accepted_unix_ms);
+        let age = JobAge::new(age_ms, now);
         let progress = JobProgress::default();
-        let entry = JobEntry::new(
-            Arc::new(spec),
-            progress,
-            JobPlace::Home,
-            JobAge::new(0, now),
-        );
+        let entry = JobEntry::new(Arc::new(spec), progress, JobPlace::Home, age);
         self.jobs.insert(identity, Box::new(entry));
         self.refresh_job(identity, unix_ms);
     }
--- a/crates/jobs/src/owner/job_owner/moves.rs
+++ b/crates/jobs/src/owner/job_owner/moves.rs
@@ -12,7 +12,8 @@
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
 
-/// How long a job waits for its first start before it may move, in milliseconds.
+/// How long a job waits under an owner for its first start before it may move, in milliseconds.
+/// In every cell that it comes to it waits that long.
 const MOVE_AFTER_MS: u64 = 300;
 
 /// Maximum number of jobs that move for one view of the other cells: the view does not show
@@ -59,7 +60,7 @@
             let Some(entry) = self.jobs.get(&key.job) else {
                 continue;
             };
-            let waited_ms = entry.age.millis(now);
+            let waited_ms = entry.age.known_for_ms(now);
             if waited_ms < MOVE_AFTER_MS || !entry.progress.is_untouched() {
                 continue;
             }
--- a/crates/jobs/tests/owner/moves.rs
+++ b/crates/jobs/tests/owner/moves.rs
@@ -69,6 +69,33 @@
     assert_eq!(moves, [(identity(WAITING), OTHER)]);
 }
 
+#[test]
+fn old_job_that_has_just_come_does_not_move_on_at_once() {
+    let mut fixture = full_cell();
+    fixture.now += 60_000;
+    fixture.answer("w-1", &[], &[]);
+    let come = "eeeeeeeeeeeeeeee";
+    let accepted_unix_ms = fixture.now - 30_000;
+    let spec = JobSpec {
+        accepted_unix_ms,
+        ..job_spec(vec![step(1, 1_000)])
+    };
+    fixture.accept(come, spec);
+    let moves = |fixture: &mut OwnerFixture| {
+        plan_moves(fixture);
+        let batch = fixture.batch().expect("moves are to be stored");
+        let moves = batch.moves.iter().map(|job_move| job_move.job);
+        moves.collect::<Vec<JobIdentity>>()
+    };
+    assert_eq!(moves(&mut fixture), [identity(WAITING)]);
+    let now = fixture.time();
+    fixture.owner.confirm_batch(now, fixture.now);
+    fixture.owner.finish_moves(&[], fixture.now);
+    fixture.now += 400;
+    fixture.answer("w-1", &[], &[]);
+    assert_eq!(moves(&mut fixture), [identity(come)]);
+}
+
 /// A job that both owners held would run in both cells.
 #[test]
 fn nothing_of_a_moving_job_starts_and_it_is_gone_afterwards() {
--- a/crates/jobs/tests/owner/overdue_jobs.rs
+++ b/crates/jobs/tests/owner/overdue_jobs.rs
@@ -106,6 +106,21 @@
     assert_eq!(started_tasks(&mut fixture), [format!("{OLD}.0.0.0")]);
 }
 
+#[test]
+fn job_that_moved_before_it_began_gets_its_turn_by_its_age() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 1_000)]);
+    fixture.now += 2 * TURN_MS;
+    fixture.answer("w-1", &[], &[]);
+    let accepted = fixture.now - TURN_MS;
+    fixture.accept(OLD, accepted_at(accepted, vec![step(1, 1_000)]));
+    let urgent = JobSpec {
+        queue: "urgent".into(),
+        ..accepted_at(fixture.now, vec![step(1, 1_000)])
+    };
+    fixture.accept(NEW, urgent);
+    assert_eq!(started_tasks(&mut fixture), [format!("{OLD}.0.0.0")]);
+}
+
 /// A worker with a latency-sensitive run, which a task of the image `resize` is known to add
 /// `load` to, and a best-effort job of that image.
 fn beside_latency_sensitive_run(latency_ms: u64, load: f64) -> OwnerFixture {
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -120,8 +120,12 @@
         self.step()
     }
 
-    pub fn accept(&mut self, job: &str, spec: JobSpec) {
+    /// A job comes in, which was accepted now unless it says when.
+    pub fn accept(&mut self, job: &str, mut spec: JobSpec) {
         let identity = JobIdentity::try_from(job).unwrap();
+        if spec.accepted_unix_ms == 0 {
+            spec.accepted_unix_ms = self.now;
+        }
         let now = self.time();
         self.owner.accept_job(identity, spec, now, self.now);
     }
