Start an overdue task at a low pace where measured latencies are low

Where every worker has a latency-sensitive run, an overdue best-effort task found none as long as interference was expected, or no processor time was idle for all of its size.

Cause: an overdue task shared processors only on a worker without latency-sensitive runs, and elsewhere a prediction decided. While nothing is placed beside a run, no measurement can show that the prediction is wrong, and the load that a job had before is kept for as long as its workers measure no latency. So the wait had no end, however empty the fleet was.

Change: if there is no other worker, an overdue task starts where each latency-sensitive run has a measured latency of at most 30% of its target, or none for 3 s, as the only best-effort run there, at a pace of 30%. Pace plans take it from there as any other run: it is sped up while latencies are low and stay so by what was learnt from it, and moved or paused when one rises above 80%. For 2 s after such a move nothing starts like this on that worker.

The tests that forbid a start beside a latency of 75%, or of 40% with interference expected, stand as they were.

The tests beside latency-sensitive runs have their own file now, with nothing changed in them.

--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -4,6 +4,7 @@
 use crate::owner::DeferredEffect;
 use crate::owner::JobOwner;
 use crate::pacing::ImageNumber;
+use crate::pacing::PacePlan;
 use crate::planner::TaskDemand;
 use crate::planner::WorkerScorer;
 use crate::progress::Assignment;
@@ -16,7 +17,7 @@
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::WorkerName;
 
-/// Initial pace of a run, in percent of its full speed.
+/// Initial pace of a run at its worker, in percent of its full speed.
 const FULL_PACE_PERCENT: u32 = 100;
 
 /// One in this many workers is kept free of latency-sensitive runs, for best-effort tasks,
@@ -88,6 +89,7 @@
         now: MonoTime,
     ) {
         let task = demand.task;
+        let start_percent = self.start_percent(worker, demand, now);
         let Some(tracked) = self.workers.get_mut(worker) else {
             return;
         };
@@ -111,7 +113,8 @@
             worker: worker.clone(),
             incarnation,
         });
-        let entry = Self::run_entry(run, incarnation, demand, RunState::Planned, now);
+        let mut entry = Self::run_entry(run, incarnation, demand, RunState::Planned, now);
+        entry.start_percent = start_percent;
         tracked.add_run(task, entry);
         self.unplaced.remove(&task);
         self.changed.insert(task.job, ());
@@ -133,6 +136,18 @@
         }
     }
 
+    /// Pace at which a run of the task starts on the worker, in percent of its full speed.
+    fn start_percent(&self, worker: &WorkerName, demand: &TaskDemand<'_>, now: MonoTime) -> u32 {
+        let scorer = self.worker_scorer(now);
+        let tracked = self.workers.get(worker);
+        let is_slow = tracked.is_some_and(|tracked| scorer.starts_slowly(demand, tracked));
+        if is_slow {
+            PacePlan::LOWEST_PERCENT
+        } else {
+            FULL_PACE_PERCENT
+        }
+    }
+
     pub(super) fn image_of(&mut self, step: &StepSpec) -> Option<ImageNumber> {
         let image = step.image.as_ref()?;
         Some(self.images.number(image))
@@ -161,6 +176,7 @@
             state,
             since: now,
             stop_retry_at: now,
+            start_percent: FULL_PACE_PERCENT,
             pace_percent: FULL_PACE_PERCENT,
             pace_changed: now,
             measurement: 0,
--- a/crates/jobs/src/owner/job_owner/pace_changes.rs
+++ b/crates/jobs/src/owner/job_owner/pace_changes.rs
@@ -53,6 +53,16 @@
         }
     }
 
+    /// Slows down a run that has just begun, if it has to start at a low pace.
+    pub(super) fn set_start_pace(&mut self, name: &WorkerName, task: &TaskIdentity, now: MonoTime) {
+        let tracked = self.workers.get(name);
+        let run = tracked.and_then(|tracked| tracked.runs.get(task));
+        let limit = run.filter(|run| run.start_percent < run.pace_percent);
+        if let Some(percent) = limit.map(|run| run.start_percent) {
+            self.set_pace(name, task, percent, now);
+        }
+    }
+
     fn set_pace(&mut self, name: &WorkerName, task: &TaskIdentity, percent: u32, now: MonoTime) {
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
--- a/crates/jobs/src/owner/job_owner/requests.rs
+++ b/crates/jobs/src/owner/job_owner/requests.rs
@@ -102,6 +102,7 @@
         if outcome == StartOutcome::Accepted {
             if is_starting {
                 run.state = RunState::Running { poll };
+                self.set_start_pace(worker, task, now);
             }
             self.note_begun(&task.job);
             return;
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -173,6 +173,7 @@
         if is_inherited || run.state == RunState::Starting {
             run.state = RunState::Running { poll: number };
             run.pace_percent = running.pace_percent;
+            self.set_start_pace(name, &running.task, now);
         }
         self.note_begun(&running.task.job);
         self.store_checkpoint(&running.task, running.run, &running.checkpoint);
--- a/crates/jobs/src/pacing/pace_plan.rs
+++ b/crates/jobs/src/pacing/pace_plan.rs
@@ -20,7 +20,7 @@
 const EXPLAINED_SHARE: f64 = 0.5;
 
 /// Steps in which the pace of a run is raised again, in percent.
-const PACES: [u32; 3] = [30, 60, FULL_PERCENT];
+const PACES: [u32; 3] = [PacePlan::LOWEST_PERCENT, 60, FULL_PERCENT];
 
 const FULL_PERCENT: u32 = 100;
 
@@ -40,6 +40,9 @@
 }
 
 impl PacePlan<'_> {
+    /// Lowest pace at which a run works, in percent of its full speed.
+    pub const LOWEST_PERCENT: u32 = 30;
+
     /// Actions to take now; empty if no pace has to change.
     #[must_use]
     pub fn actions(&self) -> Vec<PaceAction> {
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -1,6 +1,7 @@
 //! Scoring of workers for a task.
 
 mod best_effort;
+mod slow_start;
 
 use crate::advice::AdviceCache;
 use crate::advice::StepIdentity;
--- a/crates/jobs/src/planner/worker_scorer/best_effort.rs
+++ b/crates/jobs/src/planner/worker_scorer/best_effort.rs
@@ -29,8 +29,8 @@
 
 impl WorkerScorer<'_> {
     /// Score of a worker for a best-effort task that its memory would do for; `None` if the
-    /// task cannot start there. An overdue one can share processor time that is not idle, but
-    /// only where it slows no latency-sensitive run.
+    /// task cannot start there. An overdue one can share processor time that is not idle where
+    /// no latency-sensitive run is, and start at a low pace where all latencies are low.
     pub(super) fn score_or_share(
         &self,
         demand: &TaskDemand<'_>,
@@ -42,7 +42,24 @@
             return score;
         }
         let with_room = score.map(|score| score + ROOM_BONUS);
-        with_room.or_else(|| share_score(demand, capacity, worker))
+        with_room
+            .or_else(|| share_score(demand, capacity, worker))
+            .or_else(|| self.slow_start_score(demand, capacity, worker))
+    }
+
+    /// Whether a run of the task on the worker has to start at a low pace: it is expected to
+    /// slow latency-sensitive runs there.
+    pub(crate) fn starts_slowly(&self, demand: &TaskDemand<'_>, worker: &TrackedWorker) -> bool {
+        let capacity = worker
+            .entry
+            .as_ref()
+            .map_or(0, |entry| entry.capacity.cpu_milli);
+        demand.is_overdue
+            && demand.step.is_best_effort
+            && worker.has_latency_target()
+            && self
+                .best_effort_score(demand, capacity.max(1), worker)
+                .is_err()
     }
 
     /// Score of a worker for a best-effort task that its memory would do for, or why it has no
@@ -72,7 +89,7 @@
     }
 
     /// Load that the latency-sensitive runs are expected to tolerate beside the task.
-    fn lowest_slack(
+    pub(super) fn lowest_slack(
         &self,
         demand: &TaskDemand<'_>,
         serving: &[ServingRun],
@@ -107,6 +124,6 @@
     clippy::cast_possible_truncation,
     reason = "a load is between -1 and 1"
 )]
-fn scaled(load: f64) -> i64 {
+pub(super) fn scaled(load: f64) -> i64 {
     (load * 10_000.0) as i64
 }
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -55,6 +55,8 @@
     pub since: MonoTime,
     /// When the next stop request is due, while none was accepted.
     pub stop_retry_at: MonoTime,
+    /// Pace that the run gets once its worker has it, in percent of its full speed.
+    pub start_percent: u32,
     /// Pace that the run is limited to, in percent of its full speed.
     pub pace_percent: u32,
     /// When the pace was last changed, or the run was assigned.
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -12,6 +12,7 @@
 mod leases_and_restarts;
 mod moves;
 mod odd_responses;
+mod overdue_beside_latency;
 mod overdue_jobs;
 mod owner_fixture;
 mod pacing;
--- /dev/null
+++ b/crates/jobs/tests/owner/overdue_beside_latency.rs
@@ -0,0 +1,141 @@
+//! Overdue tasks beside latency-sensitive runs.
+
+use sapphirestile_jobs::LearntCoefficient;
+use sapphirestile_jobs::LearntTables;
+use sapphirestile_jobs::RunningRun;
+use sapphirestile_jobs::StartOutcome;
+use sapphirestile_jobs::StepSpec;
+use test_case::test_case;
+
+use crate::owner_fixture::OwnerFixture;
+use crate::test_values::STOP_ACCEPTED;
+use crate::test_values::accepted_at;
+use crate::test_values::fill_step;
+use crate::test_values::running;
+use crate::test_values::step;
+use crate::test_values::worker;
+
+const OLD: &str = "aaaaaaaaaaaaaaaa";
+const NEW: &str = "bbbbbbbbbbbbbbbb";
+const DESK: &str = "dddddddddddddddd";
+const TARGET_MS: u64 = 100;
+
+/// A worker with a latency-sensitive run, which a task of the image `resize` is known to add
+/// `load` to, and a best-effort job of that image.
+fn beside_latency_sensitive_run(latency_ms: u64, load: f64) -> OwnerFixture {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 10_000)]);
+    fixture.owner.restore_learnt(&LearntTables {
+        coefficients: vec![LearntCoefficient {
+            best_effort: "resize".into(),
+            serving: "desk".into(),
+            load,
+            measurements: 10,
+        }],
+        lowest_ms: vec![("desk".into(), 20)],
+        ..LearntTables::default()
+    });
+    let desk = StepSpec {
+        is_long_running: true,
+        latency_target_ms: Some(TARGET_MS),
+        image: Some("desk".into()),
+        ..step(1, 2_000)
+    };
+    fixture.accept(DESK, accepted_at(fixture.now, vec![desk]));
+    assert_eq!(fixture.started_tasks().len(), 1);
+    fixture.started("w-1", &desk_task(), 1, StartOutcome::Accepted);
+    fixture.wait(500);
+    fixture.answer("w-1", &[desk_run(latency_ms)], &[]);
+    let fill = StepSpec {
+        is_best_effort: true,
+        has_checkpoints: true,
+        image: Some("resize".into()),
+        ..step(1, 1_000)
+    };
+    fixture.accept(OLD, accepted_at(fixture.now, vec![fill]));
+    fixture
+}
+
+fn desk_task() -> String {
+    format!("{DESK}.0.0.0")
+}
+
+fn desk_run(latency_ms: u64) -> RunningRun {
+    RunningRun {
+        measurement: latency_ms,
+        ..running(&desk_task(), 1)
+    }
+}
+
+#[test_case(75, 0.0; "a latency near its target")]
+#[test_case(40, 0.9; "expected interference")]
+fn overdue_task_is_not_placed_beside_a_run_that_it_would_slow(latency_ms: u64, load: f64) {
+    let mut fixture = beside_latency_sensitive_run(latency_ms, load);
+    for _ in 0..120 {
+        fixture.wait(500);
+        fixture.answer("w-1", &[desk_run(latency_ms)], &[]);
+        let starts = fixture.started_tasks();
+        assert!(starts.is_empty(), "got {starts:?}");
+    }
+}
+
+/// Lets the worker show the latency, and its best-effort runs, every half second. Returns what
+/// the owner asks it to do.
+fn show_latency(
+    fixture: &mut OwnerFixture,
+    latency_ms: u64,
+    fills: &[&str],
+    polls: usize,
+) -> Vec<String> {
+    let mut lines = Vec::new();
+    for _ in 0..polls {
+        lines.extend(fixture.wait(500));
+        let fills = fills.iter().map(|task| running(task, 1));
+        let mut shown: Vec<RunningRun> = fills.collect();
+        shown.push(desk_run(latency_ms));
+        fixture.answer("w-1", &shown, &[]);
+        lines.extend(fixture.step());
+        if fixture.batch().is_some() {
+            let now = fixture.time();
+            fixture.owner.confirm_batch(now, fixture.now);
+            lines.extend(fixture.step());
+        }
+    }
+    lines
+}
+
+/// The same with a low latency, expected interference and a second such job.
+fn two_beside_latency_sensitive_run() -> OwnerFixture {
+    let mut fixture = beside_latency_sensitive_run(25, 0.9);
+    let second = StepSpec {
+        image: Some("resize".into()),
+        ..fill_step()
+    };
+    fixture.accept(NEW, accepted_at(fixture.now, vec![second]));
+    fixture
+}
+
+#[test_case(0; "no latency while nobody calls")]
+#[test_case(25; "a low latency")]
+fn overdue_task_gets_a_turn_at_a_low_pace_where_measured_latency_is_low(latency_ms: u64) {
+    let mut fixture = two_beside_latency_sensitive_run();
+    let lines = show_latency(&mut fixture, latency_ms, &[], 18);
+    let fill = format!("{OLD}.0.0.0");
+    assert_eq!(lines, [format!("start {fill}#1 at w-1")]);
+    fixture.started("w-1", &fill, 1, StartOutcome::Accepted);
+    assert_eq!(fixture.step(), [format!("pace {fill}#1 30")]);
+}
+
+#[test]
+fn overdue_task_leaves_a_worker_where_the_latency_rises_and_no_other_comes_at_once() {
+    let mut fixture = two_beside_latency_sensitive_run();
+    assert_eq!(show_latency(&mut fixture, 25, &[], 18).len(), 1);
+    let fill = format!("{OLD}.0.0.0");
+    fixture.started("w-1", &fill, 1, StartOutcome::Accepted);
+    let lines = show_latency(&mut fixture, 85, &[&fill], 2);
+    let expected = [format!("pace {fill}#1 30"), format!("stop {fill}#1 at w-1")];
+    assert_eq!(lines, expected);
+    fixture.stopped("w-1", &fill, 1, STOP_ACCEPTED);
+    assert!(show_latency(&mut fixture, 25, &[], 3).is_empty());
+    let again = show_latency(&mut fixture, 25, &[], 2);
+    assert_eq!(again, [format!("start {NEW}.0.0.0#1 at w-1")]);
+}
--- a/crates/jobs/tests/owner/overdue_jobs.rs
+++ b/crates/jobs/tests/owner/overdue_jobs.rs
@@ -4,54 +4,28 @@
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobPlace;
 use sapphirestile_jobs::JobSpec;
-use sapphirestile_jobs::LearntCoefficient;
-use sapphirestile_jobs::LearntTables;
 use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::RepeatRule;
 use sapphirestile_jobs::RunningRun;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StepSpec;
 use sapphirestile_jobs::StoredJob;
-use test_case::test_case;
 
 use crate::owner_fixture::OwnerFixture;
+use crate::test_values::accepted_at;
 use crate::test_values::ended;
-use crate::test_values::job_spec;
+use crate::test_values::fill_step;
 use crate::test_values::running;
 use crate::test_values::step;
 use crate::test_values::worker;
 
 const OLD: &str = "aaaaaaaaaaaaaaaa";
 const NEW: &str = "bbbbbbbbbbbbbbbb";
-const DESK: &str = "dddddddddddddddd";
 /// Time by which a job has something running, in milliseconds: the bound of 5 s, and the run
 /// that occupies the worker then.
 const TURN_MS: u64 = 7_000;
 /// Time that each short task takes, in milliseconds.
 const RUN_MS: u64 = 1_000;
-const TARGET_MS: u64 = 100;
-
-fn accepted_at(unix_ms: u64, steps: Vec<StepSpec>) -> JobSpec {
-    JobSpec {
-        accepted_unix_ms: unix_ms,
-        ..job_spec(steps)
-    }
-}
-
-/// Stores what is planned, and returns the tasks that start.
-fn started_tasks(fixture: &mut OwnerFixture) -> Vec<String> {
-    let mut lines = fixture.step();
-    if fixture.batch().is_some() {
-        let now = fixture.time();
-        fixture.owner.confirm_batch(now, fixture.now);
-        lines.extend(fixture.step());
-    }
-    let tasks = lines.iter().filter_map(|line| {
-        let run = line.strip_prefix("start ")?;
-        Some(run.split_once('#')?.0.to_owned())
-    });
-    tasks.collect()
-}
 
 #[test]
 fn job_too_late_to_be_of_use_gets_its_turn_while_newer_jobs_keep_arriving() {
@@ -61,7 +35,7 @@
         "0000000000000000",
         accepted_at(accepted, vec![step(1, 1_000)]),
     );
-    let mut occupied = started_tasks(&mut fixture).pop();
+    let mut occupied = fixture.started_tasks().pop();
     fixture.accept(OLD, accepted_at(accepted, vec![step(1, 1_000)]));
     // Too late for its objective of 3 s before the worker is free.
     fixture.now += 3_000;
@@ -77,7 +51,7 @@
             accepted_at(fixture.now, vec![step(1, 1_000)]),
         );
         fixture.answer("w-1", &[], &ends);
-        occupied = started_tasks(&mut fixture).pop();
+        occupied = fixture.started_tasks().pop();
         if occupied.as_ref().is_some_and(|task| task.starts_with(OLD)) {
             break;
         }
@@ -103,7 +77,7 @@
     let now = fixture.time();
     fixture.owner.restore_job(stored, now, fixture.now);
     fixture.accept(NEW, accepted_at(fixture.now, vec![step(1, 1_000)]));
-    assert_eq!(started_tasks(&mut fixture), [format!("{OLD}.0.0.0")]);
+    assert_eq!(fixture.started_tasks(), [format!("{OLD}.0.0.0")]);
 }
 
 #[test]
@@ -118,72 +92,7 @@
         ..accepted_at(fixture.now, vec![step(1, 1_000)])
     };
     fixture.accept(NEW, urgent);
-    assert_eq!(started_tasks(&mut fixture), [format!("{OLD}.0.0.0")]);
-}
-
-/// A worker with a latency-sensitive run, which a task of the image `resize` is known to add
-/// `load` to, and a best-effort job of that image.
-fn beside_latency_sensitive_run(latency_ms: u64, load: f64) -> OwnerFixture {
-    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 10_000)]);
-    fixture.owner.restore_learnt(&LearntTables {
-        coefficients: vec![LearntCoefficient {
-            best_effort: "resize".into(),
-            serving: "desk".into(),
-            load,
-            measurements: 10,
-        }],
-        lowest_ms: vec![("desk".into(), 20)],
-        ..LearntTables::default()
-    });
-    let desk = StepSpec {
-        is_long_running: true,
-        latency_target_ms: Some(TARGET_MS),
-        image: Some("desk".into()),
-        ..step(1, 2_000)
-    };
-    fixture.accept(DESK, accepted_at(fixture.now, vec![desk]));
-    assert_eq!(started_tasks(&mut fixture).len(), 1);
-    fixture.started("w-1", &desk_task(), 1, StartOutcome::Accepted);
-    fixture.wait(500);
-    fixture.answer("w-1", &[desk_run(latency_ms)], &[]);
-    let fill = StepSpec {
-        is_best_effort: true,
-        has_checkpoints: true,
-        image: Some("resize".into()),
-        ..step(1, 1_000)
-    };
-    fixture.accept(OLD, accepted_at(fixture.now, vec![fill]));
-    fixture
-}
-
-fn desk_task() -> String {
-    format!("{DESK}.0.0.0")
-}
-
-fn desk_run(latency_ms: u64) -> RunningRun {
-    RunningRun {
-        measurement: latency_ms,
-        ..running(&desk_task(), 1)
-    }
-}
-
-#[test_case(75, 0.0; "a latency near its target")]
-#[test_case(40, 0.9; "expected interference")]
-fn overdue_task_is_not_placed_beside_a_run_that_it_would_slow(latency_ms: u64, load: f64) {
-    let mut fixture = beside_latency_sensitive_run(latency_ms, load);
-    for _ in 0..120 {
-        fixture.wait(500);
-        fixture.answer("w-1", &[desk_run(latency_ms)], &[]);
-        let starts = started_tasks(&mut fixture);
-        assert!(starts.is_empty(), "got {starts:?}");
-    }
-}
-
-fn fill_step() -> StepSpec {
-    StepSpec {
-        is_best_effort: true,
-        ..step(1, 1_000)
-    }
+    assert_eq!(fixture.started_tasks(), [format!("{OLD}.0.0.0")]);
 }
 
 #[test]
@@ -217,11 +126,11 @@
     let end = ended(1, &first, 1, EndKind::Done);
     fixture.answer("w-1", &[], std::slice::from_ref(&end));
     let newer = format!("{NEW}.0.0.0");
-    assert_eq!(started_tasks(&mut fixture), std::slice::from_ref(&newer));
+    assert_eq!(fixture.started_tasks(), std::slice::from_ref(&newer));
     fixture.started("w-1", &newer, 1, StartOutcome::Accepted);
     fixture.wait(1_000);
     fixture.answer("w-1", &[running(&newer, 1)], &[end]);
-    assert_eq!(started_tasks(&mut fixture), [format!("{OLD}.0.1.0")]);
+    assert_eq!(fixture.started_tasks(), [format!("{OLD}.0.1.0")]);
 }
 
 #[test]
@@ -250,7 +159,7 @@
     for job in [stored(NEW, repeated), stored(OLD, old)] {
         fixture.owner.restore_job(job, now, fixture.now);
     }
-    assert_eq!(started_tasks(&mut fixture), [format!("{OLD}.0.0.0")]);
+    assert_eq!(fixture.started_tasks(), [format!("{OLD}.0.0.0")]);
 }
 
 /// Lets the worker show its runs, and takes up those that start.
@@ -258,7 +167,7 @@
     fixture.wait(500);
     let shown: Vec<RunningRun> = runs.iter().map(|task| running(task, 1)).collect();
     fixture.answer("w-1", &shown, &[]);
-    for task in started_tasks(fixture) {
+    for task in fixture.started_tasks() {
         fixture.started("w-1", &task, 1, StartOutcome::Accepted);
         runs.push(task);
     }
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -314,4 +314,19 @@
             .get(&worker_name(worker))
             .map_or(0, |poll| poll.wait_ms)
     }
+
+    /// Stores what is planned, and returns the tasks that start.
+    pub fn started_tasks(&mut self) -> Vec<String> {
+        let mut lines = self.step();
+        if self.batch().is_some() {
+            let now = self.time();
+            self.owner.confirm_batch(now, self.now);
+            lines.extend(self.step());
+        }
+        let tasks = lines.iter().filter_map(|line| {
+            let run = line.strip_prefix("start ")?;
+            Some(run.split_once('#')?.0.to_owned())
+        });
+        tasks.collect()
+    }
 }
--- a/crates/jobs/tests/owner/test_values.rs
+++ b/crates/jobs/tests/owner/test_values.rs
@@ -161,3 +161,19 @@
         is_cancelled: false,
     }
 }
+
+/// A job that was accepted at this time.
+pub fn accepted_at(unix_ms: u64, steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        accepted_unix_ms: unix_ms,
+        ..job_spec(steps)
+    }
+}
+
+/// A step with one best-effort task.
+pub fn fill_step() -> StepSpec {
+    StepSpec {
+        is_best_effort: true,
+        ..step(1, 1_000)
+    }
+}
