Let a repeated job become overdue after each of its times

What callers saw: one time of a scheduled job could have nothing running for as long as no worker had room for it, while single jobs got a turn after 5 s.

Cause: repeated jobs were left out of the overdue ones, because by its age one is overdue at the moment that it is due. So urgency alone decided, which neither shares busy processors nor starts anything beside a latency-sensitive run where interference is expected.

Change: the 5 s of a repeated job count from when the oldest of its active occurrences was due, and so does its place among the overdue jobs. It still does not count among the younger jobs that limit the overdue ones to a share.

Evidence: the new test failed before (nothing started up to 6.5 s after the due time). With the age of the job in its place, this test and the one that a job which is just due does not come before one that has waited both fail.

--- a/crates/jobs/src/owner/job_owner/overdue.rs
+++ b/crates/jobs/src/owner/job_owner/overdue.rs
@@ -36,10 +36,10 @@
 impl JobOwner {
     /// Assigns one task, or one gang, of each overdue job, those that have waited longest first.
     /// Returns the number of assigned tasks.
-    pub(super) fn plan_overdue(&mut self, now: MonoTime) -> usize {
+    pub(super) fn plan_overdue(&mut self, now: MonoTime, unix_ms: u64) -> usize {
         let mut planned = 0;
         let mut unplaced = UnplacedDemands::default();
-        for key in self.overdue_jobs(now) {
+        for key in self.overdue_jobs(now, unix_ms) {
             if planned >= STARTS_PER_PASS_MAX || !self.has_place_for_overdue(now) {
                 break;
             }
@@ -64,13 +64,14 @@
         }
     }
 
-    fn overdue_jobs(&self, now: MonoTime) -> Vec<WaitKey> {
+    fn overdue_jobs(&self, now: MonoTime, unix_ms: u64) -> Vec<WaitKey> {
         let mut overdue: Vec<(Reverse<u64>, WaitKey)> = self
             .waiting
             .keys()
             .filter_map(|key| {
                 let entry = self.jobs.get(&key.job)?;
-                is_overdue(entry, now).then_some((Reverse(entry.idle.millis(now)), *key))
+                let wait_ms = overdue_wait_ms(entry, now, unix_ms)?;
+                Some((Reverse(wait_ms), *key))
             })
             .collect();
         overdue.sort_unstable();
@@ -154,11 +155,22 @@
     !entry.spec.is_long_running() && !entry.progress.may_be_running()
 }
 
-/// Whether the job has waited too long. A repeated job waits at each of its times, and comes
-/// first by urgency.
-fn is_overdue(entry: &JobEntry, now: MonoTime) -> bool {
-    entry.spec.repeat.is_none()
-        && has_nothing_running(entry)
-        && entry.age.millis(now) >= AGE_MIN_MS
-        && entry.idle.millis(now) >= IDLE_MIN_MS
+/// How long the job has had nothing running, in milliseconds, if that is too long.
+fn overdue_wait_ms(entry: &JobEntry, now: MonoTime, unix_ms: u64) -> Option<u64> {
+    let age_ms = turn_age_ms(entry, now, unix_ms);
+    let idle_ms = entry.idle.millis(now).min(age_ms);
+    let is_overdue = has_nothing_running(entry) && age_ms >= AGE_MIN_MS && idle_ms >= IDLE_MIN_MS;
+    is_overdue.then_some(idle_ms)
+}
+
+/// Time since the job was accepted, in milliseconds; for a repeated one since the oldest of its
+/// active occurrences was due.
+fn turn_age_ms(entry: &JobEntry, now: MonoTime, unix_ms: u64) -> u64 {
+    let age_ms = entry.age.millis(now);
+    let oldest = entry.progress.occurrences.first();
+    let Some((rule, occurrence)) = entry.spec.repeat.zip(oldest) else {
+        return age_ms;
+    };
+    let due_unix_ms = rule.due_unix_ms(occurrence.number);
+    age_ms.min(unix_ms.saturating_sub(due_unix_ms))
 }
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -40,7 +40,7 @@
     fn plan_by_urgency(&mut self, now: MonoTime, unix_ms: u64) -> bool {
         self.note_new_waits(now);
         let keys = self.waiting_by_urgency(now);
-        let mut planned = self.plan_overdue(now);
+        let mut planned = self.plan_overdue(now, unix_ms);
         let mut unplaced = UnplacedDemands::default();
         for key in keys {
             planned += self.plan_job(&key, now, unix_ms, &mut unplaced);
--- a/crates/jobs/tests/owner/overdue_jobs.rs
+++ b/crates/jobs/tests/owner/overdue_jobs.rs
@@ -162,6 +162,36 @@
     assert_eq!(fixture.started_tasks(), [format!("{OLD}.0.0.0")]);
 }
 
+#[test]
+fn repeated_job_gets_its_turn_a_while_after_each_of_its_times() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 1_000)]);
+    let mut runs = Vec::new();
+    fixture.accept(NEW, accepted_at(fixture.now, vec![fill_step()]));
+    take_up(&mut fixture, &mut runs);
+    let mut repeated = accepted_at(fixture.now, vec![fill_step()]);
+    repeated.repeat = Some(RepeatRule {
+        first_unix_ms: fixture.now + 4_000,
+        interval_ms: 20_000,
+        occurrences: 2,
+    });
+    let first_due = fixture.now + 4_000;
+    fixture.accept(OLD, repeated);
+    for due in [first_due, first_due + 20_000] {
+        while fixture.now < due + 4_500 {
+            take_up(&mut fixture, &mut runs);
+        }
+        assert_eq!(runs.len(), 1, "shares too early: {runs:?}");
+        while fixture.now < due + 6_500 {
+            take_up(&mut fixture, &mut runs);
+        }
+        assert_eq!(runs.len(), 2, "{runs:?}");
+        let repeated_task = runs.remove(0);
+        let end = ended(due, &repeated_task, 1, EndKind::Done);
+        fixture.wait(500);
+        fixture.answer("w-1", &[running(&runs[0], 1)], &[end]);
+    }
+}
+
 /// Lets the worker show its runs, and takes up those that start.
 fn take_up(fixture: &mut OwnerFixture, runs: &mut Vec<String>) {
     fixture.wait(500);
