Give a run at a low pace more time until it is taken for stuck

What callers saw: a task that was slowed down to spare its neighbours could be stopped and begin anew again and again, and each stop kept its sound worker from new tasks for a while.

Cause: a run is taken for stuck after eight times the average of its queue, whatever its pace. At 30% a sound run reaches that after 2.4 times the average. The stop trips the breaker of the worker as well. Pace plans could bring this about before; an overdue task that starts at 30% makes it frequent.

Change: the time counts at the pace of the run. A paused run gets no more than before, since it is better restarted elsewhere.

The new test failed before the change with a stop.

--- a/crates/jobs/src/owner/job_owner/stragglers.rs
+++ b/crates/jobs/src/owner/job_owner/stragglers.rs
@@ -32,6 +32,8 @@
 /// Runs younger than this are never stragglers, in milliseconds.
 const AGE_MIN_MS: u64 = 800;
 
+const FULL_PERCENT: u64 = 100;
+
 impl JobOwner {
     /// Starts copies of slow runs, and stops those that appear stuck.
     pub(super) fn handle_stragglers(&mut self, now: MonoTime) {
@@ -133,6 +135,15 @@
     run.is_speculative && !run.has_copy && age_ms.is_some_and(|age_ms| age_ms > late_ms)
 }
 
+/// Time that a run needs at its pace for what takes `full_ms` at full speed. A paused run gets no
+/// more: it is better restarted elsewhere.
+const fn at_pace(run: &RunEntry, full_ms: u64) -> u64 {
+    if run.pace_percent == 0 {
+        return full_ms;
+    }
+    full_ms.saturating_mul(FULL_PERCENT) / run.pace_percent as u64
+}
+
 fn is_stuck(tracked: &TrackedWorker, run: &RunEntry, mean_ms: u64, now: MonoTime) -> bool {
     let factor = if run.is_best_effort {
         STUCK_BEST_EFFORT_FACTOR
@@ -140,7 +151,7 @@
         STUCK_FACTOR
     };
     let doublings = run.run.saturating_sub(1).min(STUCK_DOUBLINGS_MAX);
-    let late_ms = (mean_ms * factor).max(AGE_MIN_MS) << doublings;
+    let late_ms = at_pace(run, (mean_ms * factor).max(AGE_MIN_MS) << doublings);
     let is_late = age_if_running(run, now).is_some_and(|age_ms| age_ms > late_ms);
     is_late && now.millis_since(tracked.last_completion) > IDLE_WORKER_MS
 }
--- a/crates/jobs/tests/owner/overdue_beside_latency.rs
+++ b/crates/jobs/tests/owner/overdue_beside_latency.rs
@@ -139,3 +139,19 @@
     let again = show_latency(&mut fixture, 25, &[], 2);
     assert_eq!(again, [format!("start {NEW}.0.0.0#1 at w-1")]);
 }
+
+#[test]
+fn overdue_task_at_a_low_pace_is_not_taken_for_stuck() {
+    let mut fixture = beside_latency_sensitive_run(25, 1.2);
+    let durations_ms = vec![("charts".into(), 500.0)];
+    fixture.owner.restore_learnt(&LearntTables {
+        durations_ms,
+        ..LearntTables::default()
+    });
+    assert_eq!(show_latency(&mut fixture, 25, &[], 18).len(), 1);
+    let fill = format!("{OLD}.0.0.0");
+    fixture.started("w-1", &fill, 1, StartOutcome::Accepted);
+    // At full pace a run would be stopped after 8 times the average of 500 ms.
+    let lines = show_latency(&mut fixture, 25, &[&fill], 16);
+    assert_eq!(lines, [format!("pace {fill}#1 30")]);
+}
