Play the bound on waits in virtual time

Eight cases play an owner with four to eight workers, each of which has a latency-sensitive run: interference that is expected and not there, latencies that are high all the time on half of the workers, gangs, repeated jobs, owners that end in a row, jobs that come from other cells, interference that is not expected, and tasks with much memory. From 8 s after the traffic on no job may have nothing running for 3 s, and no latency-sensitive run may be over its target for 2 s because of others.

--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -25,4 +25,5 @@
 mod test_values;
 mod transfers;
 mod urgency;
+mod wait_simulation;
 mod waiting_reports;
--- a/crates/jobs/tests/owner/overdue_beside_latency.rs
+++ b/crates/jobs/tests/owner/overdue_beside_latency.rs
@@ -93,12 +93,7 @@
         let mut shown: Vec<RunningRun> = fills.collect();
         shown.push(desk_run(latency_ms));
         fixture.answer("w-1", &shown, &[]);
-        lines.extend(fixture.step());
-        if fixture.batch().is_some() {
-            let now = fixture.time();
-            fixture.owner.confirm_batch(now, fixture.now);
-            lines.extend(fixture.step());
-        }
+        lines.extend(fixture.step_and_store());
     }
     lines
 }
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -315,14 +315,32 @@
             .map_or(0, |poll| poll.wait_ms)
     }
 
-    /// Stores what is planned, and returns the tasks that start.
-    pub fn started_tasks(&mut self) -> Vec<String> {
+    /// Plans and polls, stores what is planned, and returns the effects of both.
+    pub fn step_and_store(&mut self) -> Vec<String> {
         let mut lines = self.step();
         if self.batch().is_some() {
             let now = self.time();
             self.owner.confirm_batch(now, self.now);
             lines.extend(self.step());
         }
+        lines
+    }
+
+    /// Sets what an earlier owner stored of the progress of a job.
+    pub fn restore_progress(&mut self, job: JobIdentity, progress: Option<JobProgress>) {
+        if let Some(progress) = progress {
+            self.progress.insert(job, progress);
+        }
+    }
+
+    /// What is stored of the progress of a job; `None` if nothing is.
+    pub fn stored_progress(&self, job: &JobIdentity) -> Option<&JobProgress> {
+        self.progress.get(job)
+    }
+
+    /// Stores what is planned, and returns the tasks that start.
+    pub fn started_tasks(&mut self) -> Vec<String> {
+        let lines = self.step_and_store();
         let tasks = lines.iter().filter_map(|line| {
             let run = line.strip_prefix("start ")?;
             Some(run.split_once('#')?.0.to_owned())
