Say in the report of a wait how often the task ran and was moved

The line `job waits with nothing running` said since when the job has had nothing running, and not whether it never ran, was stopped again and again to spare its neighbours, or only waits for the share of the overdue jobs. It gives the number of the task's latest run, which earlier owners count too, how often this owner moved a run of the job, and whether the share is used up. Without the count of moves the test fails with 0 for 1.

--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -165,12 +165,15 @@
                 task,
                 age_ms,
                 idle_ms,
+                runs,
+                moves,
+                is_limited,
                 class,
                 waiting,
                 census,
             } => {
                 tracing::info!(
-                    %cell, epoch, %task, age_ms, idle_ms, ?class, waiting,
+                    %cell, epoch, %task, age_ms, idle_ms, runs, moves, is_limited, ?class, waiting,
                     unusable = census.unusable,
                     unsuitable = census.unsuitable,
                     kept = census.kept,
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -61,6 +61,12 @@
         age_ms: u64,
         /// Time since the job was accepted or its latest run ended, in milliseconds.
         idle_ms: u64,
+        /// Number of the latest run of the task, also under earlier owners; 0 if it had none.
+        runs: u32,
+        /// Number of runs of the job that this owner has stopped because they slowed others.
+        moves: u32,
+        /// Whether no further overdue job gets a run now, because newer jobs wait as well.
+        is_limited: bool,
         /// Whether the job can still meet its objective.
         class: UrgencyClass,
         /// Number of jobs with nothing running and a task that can start.
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -28,6 +28,8 @@
     /// Time since the latest run here ended; since the job was accepted if this owner knows of
     /// no run that did.
     pub idle: JobAge,
+    /// Number of runs that this owner has stopped because they slowed others.
+    pub moves: u32,
     /// When the job ended; `None` before.
     pub ended: Option<MonoTime>,
     /// How the job is leaving the cell; `None` while it stays.
@@ -55,6 +57,7 @@
             wait_key: None,
             age,
             idle: age,
+            moves: 0,
             ended: None,
             departure: None,
             place,
--- a/crates/jobs/src/owner/job_owner/overdue.rs
+++ b/crates/jobs/src/owner/job_owner/overdue.rs
@@ -80,7 +80,7 @@
 
     /// Whether another overdue run may start. Newer jobs leave a share to the overdue ones while
     /// they have nothing running themselves; otherwise these come before the second task of any.
-    fn has_place_for_overdue(&self, now: MonoTime) -> bool {
+    pub(super) fn has_place_for_overdue(&self, now: MonoTime) -> bool {
         if now.millis_since(self.new_waited) >= NEW_GONE_MS {
             return true;
         }
--- a/crates/jobs/src/owner/job_owner/pace_changes.rs
+++ b/crates/jobs/src/owner/job_owner/pace_changes.rs
@@ -51,6 +51,9 @@
         if let Some(tracked) = self.workers.get_mut(name) {
             tracked.pace_changed = now;
         }
+        if let Some(entry) = self.jobs.get_mut(&task.job) {
+            entry.moves = entry.moves.saturating_add(1);
+        }
     }
 
     /// Slows down a run that has just begun, if it has to start at a low pace.
--- a/crates/jobs/src/owner/job_owner/waiting_report.rs
+++ b/crates/jobs/src/owner/job_owner/waiting_report.rs
@@ -60,6 +60,8 @@
         };
         let spec = entry.spec.clone();
         let age_ms = entry.age.millis(now);
+        let moves = entry.moves;
+        let runs = entry.progress.task(task).map_or(0, |progress| progress.run);
         let urgency = self.urgency_of(entry, now);
         let service = self.service_of(&spec.queue, &spec.terms.service);
         let needs_ticket = self.advisor_timing(&spec.queue).is_some();
@@ -67,10 +69,14 @@
         let demand = self.demand(task, step, &service, needs_ticket);
         let workers = self.workers.values().map(|tracked| &**tracked);
         let census = PlacementCensus::of(&demand, &self.worker_scorer(now), workers);
+        let is_limited = !self.has_place_for_overdue(now);
         self.decisions.push(DecisionEvent::JobWaits {
             task: *task,
             age_ms,
             idle_ms,
+            runs,
+            moves,
+            is_limited,
             class: urgency.class,
             waiting,
             census,
--- a/crates/jobs/tests/owner/overdue_beside_latency.rs
+++ b/crates/jobs/tests/owner/overdue_beside_latency.rs
@@ -1,5 +1,6 @@
 //! Overdue tasks beside latency-sensitive runs.
 
+use sapphirestile_jobs::DecisionEvent;
 use sapphirestile_jobs::LearntCoefficient;
 use sapphirestile_jobs::LearntTables;
 use sapphirestile_jobs::RunningRun;
@@ -150,3 +151,26 @@
     let lines = show_latency(&mut fixture, 25, &[&fill], 16);
     assert_eq!(lines, [format!("pace {fill}#1 30")]);
 }
+
+#[test]
+fn report_of_a_wait_says_how_often_the_task_ran_and_was_moved() {
+    let mut fixture = beside_latency_sensitive_run(25, 0.9);
+    assert_eq!(show_latency(&mut fixture, 25, &[], 18).len(), 1);
+    let fill = format!("{OLD}.0.0.0");
+    fixture.started("w-1", &fill, 1, StartOutcome::Accepted);
+    assert_eq!(show_latency(&mut fixture, 85, &[&fill], 2).len(), 2);
+    fixture.stopped("w-1", &fill, 1, STOP_ACCEPTED);
+    assert!(show_latency(&mut fixture, 85, &[], 12).is_empty());
+    let decisions = fixture.owner.take_decisions();
+    let latest = decisions.iter().rev().find_map(|decision| match decision {
+        DecisionEvent::JobWaits {
+            task,
+            runs,
+            moves,
+            is_limited,
+            ..
+        } => Some((task.to_string(), *runs, *moves, *is_limited)),
+        _ => None,
+    });
+    assert_eq!(latest, Some((fill, 1, 1, false)));
+}
