--- a/crates/jobs/tests/owner/overdue_beside_latency.rs
+++ b/crates/jobs/tests/owner/overdue_beside_latency.rs
@@ -24,6 +24,11 @@
 /// A worker with a latency-sensitive run, which a task of the image `resize` is known to add
 /// `load` to, and a best-effort job of that image.
 fn beside_latency_sensitive_run(latency_ms: u64, load: f64) -> OwnerFixture {
+    beside_run_of_image(20, latency_ms, load)
+}
+
+/// The same where the lowest latency seen for the image of that run is known.
+fn beside_run_of_image(lowest_ms: u64, latency_ms: u64, load: f64) -> OwnerFixture {
     let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 10_000)]);
     fixture.owner.restore_learnt(&LearntTables {
         coefficients: vec![LearntCoefficient {
@@ -32,7 +37,7 @@
             load,
             measurements: 10,
         }],
-        lowest_ms: vec![("desk".into(), 20)],
+        lowest_ms: vec![("desk".into(), lowest_ms)],
         ..LearntTables::default()
     });
     let desk = StepSpec {
@@ -99,6 +104,19 @@
     lines
 }
 
+#[test_case(40, 48, 1; "hardly more than without load")]
+#[test_case(40, 52, 0; "with load")]
+#[test_case(52, 55, 0; "near the target without load")]
+fn overdue_task_gets_a_turn_where_latency_is_as_without_load(
+    lowest_ms: u64,
+    latency_ms: u64,
+    starts: usize,
+) {
+    let mut fixture = beside_run_of_image(lowest_ms, latency_ms, 0.9);
+    let lines = show_latency(&mut fixture, latency_ms, &[], 18);
+    assert_eq!(lines.len(), starts, "{lines:?}");
+}
+
 /// The same with a low latency, expected interference and a second such job.
 fn two_beside_latency_sensitive_run() -> OwnerFixture {
     let mut fixture = beside_latency_sensitive_run(25, 0.9);
