--- a/crates/jobs/src/owner/job_owner/pace_changes.rs
+++ b/crates/jobs/src/owner/job_owner/pace_changes.rs
@@ -51,6 +51,19 @@
         if let Some(tracked) = self.workers.get_mut(name) {
             tracked.pace_changed = now;
         }
+        if let Some(entry) = self.jobs.get_mut(&task.job) {
+            entry.moves = entry.moves.saturating_add(1);
+        }
+    }
+
+    /// Slows down a run that has just begun, if it has to start at a low pace.
+    pub(super) fn set_start_pace(&mut self, name: &WorkerName, task: &TaskIdentity, now: MonoTime) {
+        let tracked = self.workers.get(name);
+        let run = tracked.and_then(|tracked| tracked.runs.get(task));
+        let limit = run.filter(|run| run.start_percent < run.pace_percent);
+        if let Some(percent) = limit.map(|run| run.start_percent) {
+            self.set_pace(name, task, percent, now);
+        }
     }
 
     fn set_pace(&mut self, name: &WorkerName, task: &TaskIdentity, percent: u32, now: MonoTime) {
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -120,8 +120,12 @@
         self.step()
     }
 
-    pub fn accept(&mut self, job: &str, spec: JobSpec) {
+    /// A job comes in, which was accepted now unless it says when.
+    pub fn accept(&mut self, job: &str, mut spec: JobSpec) {
         let identity = JobIdentity::try_from(job).unwrap();
+        if spec.accepted_unix_ms == 0 {
+            spec.accepted_unix_ms = self.now;
+        }
         let now = self.time();
         self.owner.accept_job(identity, spec, now, self.now);
     }
@@ -310,4 +314,37 @@
             .get(&worker_name(worker))
             .map_or(0, |poll| poll.wait_ms)
     }
+
+    /// Plans and polls, stores what is planned, and returns the effects of both.
+    pub fn step_and_store(&mut self) -> Vec<String> {
+        let mut lines = self.step();
+        if self.batch().is_some() {
+            let now = self.time();
+            self.owner.confirm_batch(now, self.now);
+            lines.extend(self.step());
+        }
+        lines
+    }
+
+    /// Sets what an earlier owner stored of the progress of a job.
+    pub fn restore_progress(&mut self, job: JobIdentity, progress: Option<JobProgress>) {
+        if let Some(progress) = progress {
+            self.progress.insert(job, progress);
+        }
+    }
+
+    /// What is stored of the progress of a job; `None` if nothing is.
+    pub fn stored_progress(&self, job: &JobIdentity) -> Option<&JobProgress> {
+        self.progress.get(job)
+    }
+
+    /// Stores what is planned, and returns the tasks that start.
+    pub fn started_tasks(&mut self) -> Vec<String> {
+        let lines = self.step_and_store();
+        let tasks = lines.iter().filter_map(|line| {
+            let run = line.strip_prefix("start ")?;
+            Some(run.split_once('#')?.0.to_owned())
+        });
+        tasks.collect()
+    }
 }
