Deny no job whose rows cannot be read

What callers saw: the state of a job whose progress row this version cannot read was "pending" at first and 410 ("there is no such job") once the daemon knew the cell of the job. A home row that cannot be read kept the caller until its time was up. A cell whose count of waiting jobs cannot be read counted as 0. A DELETE stored the cancellation in the home of the job only, though each cell may have tasks of it when its progress cannot be read.

Cause: reading a row had two outcomes, a value or none, and a row that cannot be decoded was taken for one that is not there. A later version that runs beside this one during a rolling update writes such rows.

CancellationRows::of returns None for a record that it cannot read; its test reads the same rows as before.

--- a/crates/entry/src/frontend/cancel_outcome.rs
+++ b/crates/entry/src/frontend/cancel_outcome.rs
@@ -9,6 +9,8 @@
     NeverRuns,
     /// Nothing was stored, since many jobs that are not stored are being cancelled.
     Refused,
+    /// Nothing was stored, since the store has a row of the job that this version cannot read.
+    Unreadable,
     /// The store did not confirm the cancellation before the deadline.
     Unknown,
 }
--- a/crates/entry/src/frontend/job_frontend.rs
+++ b/crates/entry/src/frontend/job_frontend.rs
@@ -1,5 +1,6 @@
 //! Handles the requests of callers.
 
+mod home_reading;
 mod job_cancellations;
 mod job_homes;
 
@@ -19,6 +20,7 @@
 use crate::frontend::SubmitOutcome;
 use crate::frontend::WaitingOutcome;
 use crate::frontend::WritePace;
+use crate::frontend::job_frontend::home_reading::HomeReading;
 use crate::ports::CommitAnswer;
 use crate::ports::ListTimeouts;
 use crate::ports::RowGuard;
@@ -139,11 +141,12 @@
         if let Some(cell) = known
             && let Some(row) = self.read(&RowKeys::progress(cell, identity), deadline)?
         {
-            let standing = RowCodec::standing(&row.value);
-            return Ok(standing.map_or(StateOutcome::Missing, StateOutcome::Known));
+            return Ok(state_of(&row));
         }
-        let Some((home, _)) = self.read_home(identity, deadline)? else {
-            return Ok(StateOutcome::Missing);
+        let home = match self.read_home(identity, deadline)? {
+            HomeReading::Missing => return Ok(StateOutcome::Missing),
+            HomeReading::Unreadable => return Ok(StateOutcome::Unreadable),
+            HomeReading::Found { home, .. } => home,
         };
         if home.is_cancelled_early {
             return Ok(StateOutcome::CancelledEarly);
@@ -153,10 +156,8 @@
             return Ok(StateOutcome::Known(JobStanding::Waiting));
         }
         let row = self.read(&RowKeys::progress(cell, identity), deadline)?;
-        let standing = row.and_then(|row| RowCodec::standing(&row.value));
-        Ok(StateOutcome::Known(
-            standing.unwrap_or(JobStanding::Waiting),
-        ))
+        let waiting = StateOutcome::Known(JobStanding::Waiting);
+        Ok(row.map_or(waiting, |row| state_of(&row)))
     }
 
     /// Reads how many jobs of a queue have not started, as the owners last stored it; 0 for a
@@ -171,7 +172,8 @@
             match self.context.list_rows(RowKeys::counts_prefix(), timeouts) {
                 Ok(listing) => {
                     let counts = listing.rows.iter().map(|row| count_of(row, queue));
-                    return WaitingOutcome::Counted(counts.sum());
+                    let sum: Option<u32> = counts.sum();
+                    return sum.map_or(WaitingOutcome::Unreadable, WaitingOutcome::Counted);
                 }
                 Err(_) if self.is_too_late(deadline) => return WaitingOutcome::Unknown,
                 Err(_) => thread::sleep(Duration::from_millis(RETRY_DELAY_MS)),
@@ -235,10 +237,22 @@
     }
 }
 
-fn count_of(row: &StoredRow, queue: &str) -> u32 {
-    let counts: Vec<QueueCount> = RowCodec::decode(&row.value).unwrap_or_default();
-    counts
-        .iter()
-        .find(|count| *count.queue == *queue)
-        .map_or(0, |count| count.waiting)
+/// What a caller learns from the row of a job's progress.
+fn state_of(row: &StoredRow) -> StateOutcome {
+    let standing = RowCodec::standing(&row.value);
+    if standing.is_none() {
+        tracing::error!(key = row.key, "cannot decode how a job stands");
+    }
+    standing.map_or(StateOutcome::Unreadable, StateOutcome::Known)
+}
+
+/// The number of waiting jobs of a queue in the row of a cell; `None` if it cannot be read.
+fn count_of(row: &StoredRow, queue: &str) -> Option<u32> {
+    let counts: Option<Vec<QueueCount>> = RowCodec::decode(&row.value);
+    if counts.is_none() {
+        tracing::error!(key = row.key, "cannot decode the counts of a cell");
+    }
+    let counts = counts?;
+    let count = counts.iter().find(|count| *count.queue == *queue);
+    Some(count.map_or(0, |count| count.waiting))
 }
--- a/crates/entry/src/frontend/job_frontend/job_cancellations.rs
+++ b/crates/entry/src/frontend/job_frontend/job_cancellations.rs
@@ -13,10 +13,13 @@
 use crate::frontend::StateOutcome;
 use crate::frontend::job_frontend::RETRY_DELAY_MS;
 use crate::frontend::job_frontend::absent;
+use crate::frontend::job_frontend::home_reading::HomeReading;
 use crate::ports::CommitAnswer;
 use crate::ports::RowGuard;
+use crate::ports::RowWrite;
 use crate::ports::StoreCallError;
 use crate::ports::StoreCommit;
+use crate::ports::StoredRow;
 use crate::store::EarlyCancellation;
 use crate::store::RowKeys;
 
@@ -32,7 +35,9 @@
             StateOutcome::Known(standing) if standing.is_final() => CancelOutcome::Cancelled,
             StateOutcome::CancelledEarly => CancelOutcome::NeverRuns,
             StateOutcome::Missing => self.cancel_early(identity, deadline),
-            StateOutcome::Known(_) => self.store_cancellation(identity, deadline),
+            StateOutcome::Known(_) | StateOutcome::Unreadable => {
+                self.store_cancellation(identity, deadline)
+            }
             StateOutcome::Unknown => CancelOutcome::Unknown,
         }
     }
@@ -64,8 +69,10 @@
         identity: &JobIdentity,
         deadline: MonoTime,
     ) -> Result<Option<CancelOutcome>, StoreCallError> {
-        let Some((home, revision)) = self.read_home(identity, deadline)? else {
-            return self.try_cancel_early(identity, deadline);
+        let (home, revision) = match self.read_home(identity, deadline)? {
+            HomeReading::Missing => return self.try_cancel_early(identity, deadline),
+            HomeReading::Unreadable => return Ok(Some(CancelOutcome::Unreadable)),
+            HomeReading::Found { home, revision } => (home, revision),
         };
         if home.is_cancelled_early {
             return Ok(Some(CancelOutcome::NeverRuns));
@@ -79,7 +86,7 @@
         };
         let commit = StoreCommit {
             guards: vec![home, absent(key.clone())],
-            writes: CancellationRows::of(cell, identity, record.as_ref()),
+            writes: self.cancellation_rows(cell, identity, record.as_ref()),
             removals: Vec::new(),
         };
         match self.commit(&commit, deadline)? {
@@ -91,6 +98,19 @@
         }
     }
 
+    /// The rows that cancel a job of `home`, whose progress was last stored as `record`. Where
+    /// that cannot be read, any cell may have tasks of the job.
+    fn cancellation_rows(
+        &self,
+        home: CellNumber,
+        identity: &JobIdentity,
+        record: Option<&StoredRow>,
+    ) -> Vec<RowWrite> {
+        let rows = CancellationRows::of(home, identity, record);
+        let cells = self.context.cells.load().numbers();
+        rows.unwrap_or_else(|| CancellationRows::in_cells(home, identity, cells))
+    }
+
     /// Tries once to store the cancellation of a job that is not stored; `None` if it was
     /// stored meanwhile, or if the cell has another row at the cancellation's key.
     fn try_cancel_early(
--- a/crates/entry/src/frontend/job_frontend/job_homes.rs
+++ b/crates/entry/src/frontend/job_frontend/job_homes.rs
@@ -7,6 +7,7 @@
 use sapphirestile_jobs::JobSpec;
 
 use crate::frontend::JobFrontend;
+use crate::frontend::job_frontend::home_reading::HomeReading;
 use crate::ports::StoreCallError;
 use crate::store::HomeRow;
 use crate::store::RowKeys;
@@ -33,22 +34,23 @@
         )
     }
 
-    /// Reads the home row of a job, with its revision; `None` if there is none.
+    /// Reads the home row of a job.
     pub(super) fn read_home(
         &self,
         identity: &JobIdentity,
         deadline: MonoTime,
-    ) -> Result<Option<(HomeRow, u64)>, StoreCallError> {
+    ) -> Result<HomeReading, StoreCallError> {
         let Some(row) = self.read(&RowKeys::home(identity), deadline)? else {
-            return Ok(None);
+            return Ok(HomeReading::Missing);
         };
         let Some(home) = HomeRow::decode(&row.value) else {
             tracing::error!(job = %identity, "cannot decode which cell has the job");
-            return Err(StoreCallError::Unknown);
+            return Ok(HomeReading::Unreadable);
         };
         if !home.is_cancelled_early {
             self.homes.insert(identity, home.cell);
         }
-        Ok(Some((home, row.revision)))
+        let revision = row.revision;
+        Ok(HomeReading::Found { home, revision })
     }
 }
--- a/crates/entry/src/frontend/state_outcome.rs
+++ b/crates/entry/src/frontend/state_outcome.rs
@@ -11,6 +11,8 @@
     Missing,
     /// The store has no such job and never will: it was cancelled before it was stored.
     CancelledEarly,
+    /// The store has a row of the job that this version cannot read. Another daemon may.
+    Unreadable,
     /// The store did not answer before the deadline.
     Unknown,
 }
--- a/crates/entry/src/frontend/waiting_outcome.rs
+++ b/crates/entry/src/frontend/waiting_outcome.rs
@@ -5,6 +5,8 @@
 pub enum WaitingOutcome {
     /// The number of jobs that the owner last stored.
     Counted(u32),
+    /// The store has a count that this version cannot read.
+    Unreadable,
     /// The store did not answer before the deadline.
     Unknown,
 }
--- a/crates/entry/tests/cancellation_rows.rs
+++ b/crates/entry/tests/cancellation_rows.rs
@@ -47,7 +47,7 @@
         value: postcard::to_stdvec(&progress).unwrap(),
         revision: 9,
     };
-    let rows = CancellationRows::of(HOME, &job, Some(&record));
+    let rows = CancellationRows::of(HOME, &job, Some(&record)).unwrap();
     let keys: Vec<String> = rows.into_iter().map(|row| row.key).collect();
     let expected = [2, 4, 7].map(|cell| RowKeys::cancellation(CellNumber::new(cell), &job));
     assert_eq!(keys, expected);
