Let the runs of jobs that cannot be read go on, and store their ends

What callers would see: an owner that cannot read the rows of a job (written by a later version, or damaged) leaves the job out. It then stopped the job's runs as unknown ones, and acknowledged their ends to the workers though no record held them. The next owner that could read the job started tasks again that were done (TWICE), and the work of a live job was thrown away.

Cause: the owner did not know which jobs it had left out, so that their runs looked like runs without a job.

Now the owner is told. The runs go on under their leases until the job is cancelled. Their ends are written as rows of their own beside the progress, in the batch before the acknowledgement; an owner that reads the job applies them as if the worker had listed them, and removes the rows with or after the batch that has the progress. Rows of earlier kinds are unchanged, and earlier versions pass over the new ones. Not acknowledging was ruled out: the number stands for all ends before it, and a worker lists 500 and answers at once while it has any. A worker with such a run, whose size is not known, gets no other task unless its service enforces its capacity. Stored bounds on leases count any worker of such a cell as one with runs.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -48,6 +48,7 @@
 pub use metrics::EntryMetrics;
 pub use metrics::MetricsService;
 pub use metrics::OutcomeLabel;
+pub use owner::BatchRows;
 pub use owner::CellClaims;
 pub use owner::ClaimDecision;
 pub use owner::ClaimDelay;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -40,6 +40,7 @@
 pub use cell_claims::CellClaims;
 pub use claim_decision::ClaimDecision;
 pub use claim_delay::ClaimDelay;
+pub use commit_writer::BatchRows;
 pub use elastic_pool::ElasticPool;
 pub use free_cell::FreeCell;
 pub use intake_gate::IntakeGate;
--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -22,7 +22,6 @@
 use crate::owner::RemovedJob;
 use crate::owner::WriteOutcome;
 use crate::owner::WriteRequest;
-use crate::owner::commit_writer::batch_rows::BatchRows;
 use crate::owner::commit_writer::job_part::JobPart;
 use crate::owner::commit_writer::part_outcome::PartOutcome;
 use crate::ports::CommitAnswer;
@@ -36,6 +35,8 @@
 use crate::store::RowKeys;
 use crate::watching::RetryBackoff;
 
+pub use batch_rows::BatchRows;
+
 /// The upper bound of the timeout of one commit.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/crates/entry/src/owner/commit_writer/batch_rows.rs
+++ b/crates/entry/src/owner/commit_writer/batch_rows.rs
@@ -29,7 +29,8 @@
 impl BatchRows {
     /// The rows of a batch of a cell, without its moves and transfers. The counts are left out
     /// if they are those of `last_counts`, which is updated. Other cells are told to end their
-    /// tasks of a job before it is stored as ended: the next owner would not tell them.
+    /// tasks of a job before it is stored as ended: the next owner would not tell them. Ends
+    /// that were applied are removed once the progress of their jobs is stored.
     pub fn of(
         cell: CellNumber,
         batch: &CommitBatch,
@@ -48,6 +49,10 @@
             key: RowKeys::guest_progress(cell, job),
             value: RowCodec::encode(progress),
         }));
+        writes.extend(batch.unapplied_ends.iter().map(|end| RowWrite {
+            key: RowKeys::unapplied_end(cell, &end.ended.task, end.ended.run),
+            value: RowCodec::encode(end),
+        }));
         if last_counts.as_ref() != Some(&batch.counts) {
             writes.push(RowWrite {
                 key: RowKeys::counts(cell),
@@ -61,6 +66,8 @@
         }));
         let absorbed = batch.absorbed.iter();
         let absorbed = absorbed.map(|(task, run)| RowKeys::returned(cell, task, *run));
+        let applied = batch.applied_ends.iter();
+        let applied = applied.map(|(task, run)| RowKeys::unapplied_end(cell, task, *run));
         let guests = batch
             .forgotten_guests
             .iter()
@@ -69,7 +76,7 @@
             cell,
             writes,
             forgotten: batch.forgotten.clone(),
-            removals: absorbed.chain(guests).collect(),
+            removals: absorbed.chain(applied).chain(guests).collect(),
         }
     }
 
@@ -86,6 +93,7 @@
     }
 
     /// Whether every row was taken.
+    #[must_use]
     pub const fn is_empty(&self) -> bool {
         self.writes.is_empty() && self.forgotten.is_empty() && self.removals.is_empty()
     }
--- a/crates/entry/src/owner/ownership_term/event_handlers.rs
+++ b/crates/entry/src/owner/ownership_term/event_handlers.rs
@@ -85,6 +85,10 @@
     }
 
     fn handle_intake(&mut self, event: IntakeEvent) {
+        // The intake admits nothing of a job that was left out.
+        if let IntakeEvent::Cancelled(job) = &event {
+            self.owner.cancel_left_out(job);
+        }
         let is_departing = self.owner.is_departing(&event.job());
         let Some(event) = self.intake.admit(event, is_departing) else {
             return;
--- a/crates/entry/src/owner/ownership_term/stored_cell.rs
+++ b/crates/entry/src/owner/ownership_term/stored_cell.rs
@@ -10,6 +10,7 @@
 use sapphirestile_jobs::JobSpec;
 use sapphirestile_jobs::ReturnedTask;
 use sapphirestile_jobs::StoredJob;
+use sapphirestile_jobs::UnappliedEnd;
 
 use crate::ports::StoredRow;
 use crate::store::IntakeEvent;
@@ -18,8 +19,9 @@
 
 /// The jobs of a cell, and the tasks that other cells have transferred to it.
 ///
-/// A job is left out if its specification or its progress cannot be read: without progress it
-/// would begin anew beside the runs that it has. Its rows stay for a daemon that can read them.
+/// A job is left out if its specification, its progress or the end of a run cannot be read:
+/// without them it would begin anew beside the runs that it has. Its rows stay for a daemon that
+/// can read them.
 #[derive(Debug, Default)]
 pub struct StoredCell {
     jobs: Vec<StoredJob>,
@@ -29,8 +31,12 @@
     cancelled_early: Vec<JobIdentity>,
     /// Jobs that were ended here after their last task had left.
     ended_elsewhere: Vec<JobIdentity>,
+    /// Ends of runs that an owner stored which had left out their jobs.
+    ends: Vec<UnappliedEnd>,
     /// Jobs that are left out.
     unreadable: SortedTable<JobIdentity, ()>,
+    /// Those of them that were not cancelled.
+    left_out: Vec<JobIdentity>,
 }
 
 impl StoredCell {
@@ -66,6 +72,7 @@
         specs.dedup_by_key(|(identity, _, _)| *identity);
         let home = cell.decode_progress(progress_rows, RowKeys::identity_of);
         let guests = cell.decode_progress(progress_rows, RowKeys::guest_identity_of);
+        cell.decode_ends(progress_rows);
         let has_rows = |job: &JobIdentity| specs.iter().any(|(identity, _, _)| identity == job);
         let ended_elsewhere = cancelled.keys().filter(|job| !has_rows(job));
         cell.ended_elsewhere = ended_elsewhere.copied().collect();
@@ -89,6 +96,9 @@
             });
         }
         cell.drop_unreadable();
+        let unreadable = cell.unreadable.keys();
+        let left_out = unreadable.filter(|job| !cancelled.contains(job));
+        cell.left_out = left_out.copied().collect();
         cell
     }
 
@@ -98,11 +108,18 @@
         &self.unreadable
     }
 
-    /// Adds the jobs and tasks to their new owner. Cancelled jobs take no task.
+    /// Adds the jobs and tasks to their new owner. Cancelled jobs take no task. Runs of the jobs
+    /// that are left out go on.
     pub fn restore_into(self, owner: &mut JobOwner, now: MonoTime, unix_ms: u64) {
         for job in self.jobs {
             owner.restore_job(job, now, unix_ms);
         }
+        for job in self.left_out {
+            owner.leave_out(job);
+        }
+        for end in &self.ends {
+            owner.apply_stored_end(end, now, unix_ms);
+        }
         for task in self.delegated {
             owner.receive_task(task, now, unix_ms);
         }
@@ -139,6 +156,23 @@
         self.returned
             .retain(|task| !unreadable.contains(&task.task.job));
         self.ended_elsewhere.retain(|job| !unreadable.contains(job));
+        self.ends
+            .retain(|end| !unreadable.contains(&end.ended.task.job));
+    }
+
+    /// Reads the ends of runs. Jobs of which one is malformed become unreadable.
+    fn decode_ends(&mut self, rows: &[StoredRow]) {
+        for row in rows {
+            let Some(identity) = RowKeys::ended_identity_of(&row.key) else {
+                continue;
+            };
+            if let Some(end) = RowCodec::decode(&row.value) {
+                self.ends.push(end);
+            } else {
+                tracing::error!(key = row.key, "cannot decode the end of a run");
+                self.unreadable.insert(identity, ());
+            }
+        }
     }
 
     /// Progress of the jobs whose identity `job_of` reads from the key. Those whose rows are
--- a/crates/entry/src/store/row_keys.rs
+++ b/crates/entry/src/store/row_keys.rs
@@ -16,6 +16,7 @@
 const DELEGATED: &str = "/delegated/";
 const RETURNED: &str = "/returned/";
 const GUEST: &str = "/guest";
+const ENDED: &str = "/ended/";
 
 /// Builds and parses the keys of rows. Rows that an owner lists or watches begin with the
 /// number of its cell.
@@ -145,6 +146,22 @@
         format!("{RECORDS}{cell}/{identity}{GUEST}")
     }
 
+    /// The key of the end of a run of a job that an owner has left out. It is listed with the
+    /// progress of the jobs.
+    #[must_use]
+    pub fn unapplied_end(cell: CellNumber, task: &TaskIdentity, run: u32) -> String {
+        let (job, rest) = (task.job, within_job(task));
+        format!("{RECORDS}{cell}/{job}{ENDED}{rest}.{run}")
+    }
+
+    /// Parses the job identity from the key of the end of a run.
+    #[must_use]
+    pub fn ended_identity_of(key: &str) -> Option<JobIdentity> {
+        let (_, rest) = key.strip_prefix(RECORDS)?.split_once('/')?;
+        let (name, _) = rest.split_once(ENDED)?;
+        JobIdentity::try_from(name).ok()
+    }
+
     /// Whether the key is that of a delegated task.
     #[must_use]
     pub fn is_delegated(key: &str) -> bool {
--- a/crates/entry/tests/stored_cell.rs
+++ b/crates/entry/tests/stored_cell/cell_rows.rs
@@ -1,4 +1,4 @@
-//! What a new owner takes from the rows of its cell.
+//! Rows of a cell, and the owner that starts from them.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +17,6 @@
 use sapphirestile_entry::StoredCell;
 use sapphirestile_entry::StoredRow;
 use sapphirestile_jobs::Assignment;
-use sapphirestile_jobs::DelegatedTask;
 use sapphirestile_jobs::DeployedConfig;
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobOwner;
@@ -33,9 +32,9 @@
 use sapphirestile_jobs::WorkerIncarnation;
 use serde::Serialize;
 
-const CELL: CellNumber = CellNumber::new(0);
-const NOW: MonoTime = MonoTime::from_millis(1_000);
-const LIMITS: OwnerLimits = OwnerLimits {
+pub const CELL: CellNumber = CellNumber::new(0);
+pub const NOW: MonoTime = MonoTime::from_millis(1_000);
+pub const LIMITS: OwnerLimits = OwnerLimits {
     lease_ms: 5_000,
     lease_max_ms: 6_000,
     authority_ms: 6_200,
@@ -43,7 +42,7 @@
 };
 
 /// The first byte of a longer number, whose rest is missing.
-const MALFORMED: [u8; 1] = [0xff];
+pub const MALFORMED: [u8; 1] = [0xff];
 
 /// A listing of rows that a test has chosen.
 struct FixedRows(Vec<StoredRow>);
@@ -65,15 +64,15 @@
     }
 }
 
-fn job() -> JobIdentity {
+pub fn job() -> JobIdentity {
     JobIdentity::try_from("5c0e7a21d94b36f8").unwrap()
 }
 
-fn task() -> TaskIdentity {
+pub fn task() -> TaskIdentity {
     TaskIdentity::try_from("5c0e7a21d94b36f8.0.0.0").unwrap()
 }
 
-fn spec() -> JobSpec {
+pub fn spec() -> JobSpec {
     JobSpec {
         queue: "charts".into(),
         text: "".into(),
@@ -92,7 +91,7 @@
 }
 
 /// The progress of a job whose first task was assigned.
-fn begun(spec: &JobSpec) -> JobProgress {
+pub fn begun(spec: &JobSpec) -> JobProgress {
     let mut occurrence = OccurrenceProgress::new(0, spec);
     let assignment = Assignment {
         worker: WorkerName::try_from("w-1").unwrap(),
@@ -107,7 +106,7 @@
     }
 }
 
-fn row(key: String, value: impl Into<Vec<u8>>) -> StoredRow {
+pub fn row(key: String, value: impl Into<Vec<u8>>) -> StoredRow {
     StoredRow {
         key,
         value: value.into(),
@@ -115,101 +114,29 @@
     }
 }
 
-fn encoded(value: &impl Serialize) -> Vec<u8> {
+pub fn encoded(value: &impl Serialize) -> Vec<u8> {
     postcard::to_stdvec(value).unwrap()
 }
 
 /// The intake events that an owner reads from the rows.
-fn read(rows: Vec<StoredRow>) -> Vec<IntakeEvent> {
+pub fn read(rows: Vec<StoredRow>) -> Vec<IntakeEvent> {
     let source = IntakeSource::new(Arc::new(FixedRows(rows)));
     source.list().unwrap().events
 }
 
-fn new_owner() -> JobOwner {
+pub fn new_owner() -> JobOwner {
     let config = Arc::new(DeployedConfig::default());
     let bounds = LeaseBounds::of_all(0);
     JobOwner::new(CellEpoch::new(2), LIMITS, config, Vec::new(), bounds, NOW)
 }
 
 /// The number of jobs that a new owner takes from the rows of its cell.
-fn jobs_of_owner(intake: Vec<StoredRow>, progress: &[StoredRow]) -> usize {
+pub fn jobs_of_owner(intake: Vec<StoredRow>, progress: &[StoredRow]) -> usize {
     let mut owner = new_owner();
     StoredCell::join(read(intake), progress).restore_into(&mut owner, NOW, 0);
     owner.counts().0
 }
 
-fn spec_row() -> StoredRow {
+pub fn spec_row() -> StoredRow {
     row(RowKeys::spec(CELL, &job()), encoded(&spec()))
 }
-
-#[test]
-fn job_with_readable_rows_is_taken() {
-    let progress = row(RowKeys::progress(CELL, &job()), encoded(&begun(&spec())));
-    assert_eq!(jobs_of_owner(vec![spec_row()], &[progress]), 1);
-}
-
-/// Guards against a job that runs again from its beginning.
-#[test]
-fn job_whose_progress_cannot_be_read_is_not_begun_anew() {
-    let progress = row(RowKeys::progress(CELL, &job()), MALFORMED);
-    assert_eq!(jobs_of_owner(vec![spec_row()], &[progress]), 0);
-}
-
-/// Guards against a row that ends each daemon which claims the cell.
-#[test]
-fn job_whose_progress_is_that_of_another_specification_is_not_taken() {
-    let mut larger = spec();
-    larger.steps.push(StepSpec {
-        tasks: 1,
-        ..StepSpec::default()
-    });
-    let progress = row(RowKeys::progress(CELL, &job()), encoded(&begun(&larger)));
-    assert_eq!(jobs_of_owner(vec![spec_row()], &[progress]), 0);
-}
-
-/// Guards against a task that runs again although its first run is unknown.
-#[test]
-fn delegated_task_whose_progress_cannot_be_read_is_not_begun_anew() {
-    let delegated = DelegatedTask {
-        task: task(),
-        run: 3,
-        checkpoint: "".into(),
-        home: CellNumber::new(1),
-        spec: spec(),
-    };
-    let intake = row(RowKeys::delegated(CELL, &task(), 3), encoded(&delegated));
-    let progress = row(RowKeys::guest_progress(CELL, &job()), MALFORMED);
-    assert_eq!(jobs_of_owner(vec![intake], &[progress]), 0);
-}
-
-/// Guards against a job that stops for a task which another cell gives back.
-#[test]
-fn job_goes_on_without_a_transfer_that_cannot_be_read() {
-    let returned = row(RowKeys::returned(CELL, &task(), 3), MALFORMED);
-    assert_eq!(jobs_of_owner(vec![spec_row(), returned], &[]), 1);
-}
-
-/// Guards against a cancelled job that runs once a daemon can read it.
-#[test]
-fn cancellation_of_a_job_whose_specification_cannot_be_read_is_kept() {
-    let intake = vec![
-        row(RowKeys::spec(CELL, &job()), MALFORMED),
-        row(RowKeys::cancellation(CELL, &job()), []),
-    ];
-    let mut owner = new_owner();
-    StoredCell::join(read(intake), &[]).restore_into(&mut owner, NOW, 0);
-    let batch = owner.take_batch(true, NOW).expect("a batch is due");
-    assert!(batch.forgotten_guests.is_empty());
-}
-
-/// Guards against a row whose tasks take more memory than there is.
-#[test]
-fn job_whose_specification_no_caller_could_submit_is_not_taken() {
-    let mut huge = spec();
-    huge.steps[0].tasks = u32::MAX;
-    let events = read(vec![row(RowKeys::spec(CELL, &job()), encoded(&huge))]);
-    let submitted = events
-        .iter()
-        .any(|event| matches!(event, IntakeEvent::Submitted { .. }));
-    assert!(!submitted, "{events:?}");
-}
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -38,6 +38,7 @@
 mod stop_request;
 mod stored_job;
 mod task_transfer;
+mod unapplied_end;
 mod unplaced_task;
 mod wait_key;
 
@@ -64,6 +65,7 @@
 pub use stop_request::StopRequest;
 pub use stored_job::StoredJob;
 pub use task_transfer::TaskTransfer;
+pub use unapplied_end::UnappliedEnd;
 
 pub(crate) use deferred_effect::DeferredEffect;
 pub(crate) use job_age::JobAge;
--- a/crates/jobs/src/owner/commit_batch.rs
+++ b/crates/jobs/src/owner/commit_batch.rs
@@ -9,6 +9,7 @@
 use crate::owner::LearntTables;
 use crate::owner::LeaseBounds;
 use crate::owner::QueueCount;
+use crate::owner::UnappliedEnd;
 use crate::progress::JobProgress;
 use crate::spec::JobIdentity;
 use crate::spec::TaskIdentity;
@@ -36,6 +37,10 @@
     /// Tasks that other cells have given back, with the number of the transfer of each, whose
     /// rows are to be deleted.
     pub absorbed: Vec<(TaskIdentity, u32)>,
+    /// Ends of runs of jobs that were left out, to be stored for an owner that can read them.
+    pub unapplied_ends: Vec<UnappliedEnd>,
+    /// Such ends that were applied, by task and run, whose rows are to be deleted.
+    pub applied_ends: Vec<(TaskIdentity, u32)>,
     /// Tasks to be transferred to or from other cells.
     pub transfers: Vec<JobTransfer>,
     /// Load of the cell; `None` if it was reported recently.
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -8,6 +8,7 @@
 mod intake;
 mod learning;
 mod lease_grants;
+mod left_out_jobs;
 mod load_report;
 mod moves;
 mod overdue;
@@ -38,6 +39,7 @@
 use crate::owner::OwnerEffect;
 use crate::owner::OwnerLimits;
 use crate::owner::TaskTransfer;
+use crate::owner::UnappliedEnd;
 use crate::owner::UnplacedTask;
 use crate::owner::WaitKey;
 use crate::pacing::ImageTable;
@@ -64,6 +66,13 @@
     config: Arc<DeployedConfig>,
     zones_out: Vec<ZoneName>,
     jobs: SortedTable<JobIdentity, Box<JobEntry>>,
+    /// Jobs of the cell whose rows cannot be read, unless they were cancelled.
+    left_out: SortedTable<JobIdentity, ()>,
+    /// Ends of their runs that the next batch stores, by task and run.
+    unapplied_ends: SortedTable<(TaskIdentity, u32), UnappliedEnd>,
+    /// Ends that an earlier owner stored and this one has applied, whose rows the next batch
+    /// deletes.
+    applied_ends: Vec<(TaskIdentity, u32)>,
     workers: SortedTable<WorkerName, Box<TrackedWorker>>,
     /// Jobs with a task that can start.
     waiting: SortedTable<WaitKey, ()>,
@@ -165,6 +174,9 @@
             config,
             zones_out,
             jobs: SortedTable::new(),
+            left_out: SortedTable::new(),
+            unapplied_ends: SortedTable::new(),
+            applied_ends: Vec::new(),
             workers: SortedTable::new(),
             waiting: SortedTable::new(),
             repeating: Vec::new(),
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -41,6 +41,11 @@
             forgotten_guests: std::mem::take(&mut self.forgotten_guests),
             revoked: std::mem::take(&mut self.revoked),
             absorbed: std::mem::take(&mut self.absorbed),
+            unapplied_ends: std::mem::take(&mut self.unapplied_ends)
+                .values()
+                .cloned()
+                .collect(),
+            applied_ends: std::mem::take(&mut self.applied_ends),
             transfers: self.take_transfers(),
             vacancies: load.as_ref().map_or_else(Vec::new, |_| self.vacancies(now)),
             restarts: load
@@ -98,6 +103,7 @@
             || !self.transfers.is_empty()
             || !self.revoked.is_empty()
             || !self.absorbed.is_empty()
+            || !self.applied_ends.is_empty()
             || !self.forgotten_guests.is_empty()
     }
 
--- a/crates/jobs/src/owner/job_owner/lease_grants.rs
+++ b/crates/jobs/src/owner/job_owner/lease_grants.rs
@@ -9,13 +9,15 @@
     /// Bounds on the leases of all workers for the batch that is taken now. A worker with
     /// runs that does not respond is listed with its own bound, and gets no lease from now
     /// on until a batch that does not list it is stored. One that responds is listed only if
-    /// it may hold a lease that ends later than those of this owner.
+    /// it may hold a lease that ends later than those of this owner. Any worker may have runs of
+    /// a job that was left out.
     pub(super) fn take_lease_bounds(&mut self, now: MonoTime) -> LeaseBounds {
         self.has_grant_change = false;
         let mut bounds = LeaseBounds::of_all(self.limits.authority_bound_ms());
         let (inherited, claimed) = (&self.inherited, self.claimed);
+        let may_have_unknown_runs = !self.left_out.is_empty();
         for (name, tracked) in self.workers.iter_mut() {
-            let has_runs = !tracked.runs.is_empty();
+            let has_runs = may_have_unknown_runs || !tracked.runs.is_empty();
             let is_withheld = has_runs && !tracked.responds();
             tracked.lease_grant = tracked.lease_grant.in_next_batch(is_withheld);
             let inherited_end = claimed.plus_millis(inherited.left_ms(name));
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -37,6 +37,7 @@
         unix_ms: u64,
     ) {
         self.note_incarnation(name, response, now);
+        self.note_unknown_load(name, response);
         for ended in response.ended.runs() {
             self.apply_end(name, ended, now, unix_ms);
         }
@@ -115,7 +116,8 @@
         tracked.known = Some(KnownIncarnation::new(response.incarnation, clock));
     }
 
-    /// Finishes a run that the worker reports as ended, unless that end was handled before.
+    /// Finishes a run that the worker reports as ended, unless that end was handled before. If
+    /// the job was left out, the end is stored as it is.
     fn apply_end(&mut self, name: &WorkerName, ended: &EndedRun, now: MonoTime, unix_ms: u64) {
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
@@ -123,12 +125,28 @@
         if tracked.known.is_some_and(|known| known.has_stored(ended)) {
             return;
         }
-        self.note_begun(&ended.task.job);
-        let Some(tracked) = self.workers.get_mut(name) else {
+        if self.is_left_out(&ended.task.job) {
+            self.keep_end(name, ended);
             return;
-        };
-        let known = tracked.runs.get(&ended.task);
-        if known.is_none_or(|run| run.run != ended.run) {
+        }
+        self.finish_ended(name, ended, now, unix_ms);
+    }
+
+    /// Finishes a run that a worker has reported as ended, to this owner or to an earlier one.
+    pub(super) fn finish_ended(
+        &mut self,
+        name: &WorkerName,
+        ended: &EndedRun,
+        now: MonoTime,
+        unix_ms: u64,
+    ) {
+        self.note_begun(&ended.task.job);
+        let tracked = self.workers.get_mut(name);
+        let tracked = tracked.filter(|tracked| {
+            let known = tracked.runs.get(&ended.task);
+            known.is_some_and(|run| run.run == ended.run)
+        });
+        let Some(tracked) = tracked else {
             match ended.kind {
                 EndKind::Done => {
                     self.finish_by_earlier_run(name, &ended.task, ended.run, now, unix_ms);
@@ -137,7 +155,7 @@
                 _ => {}
             }
             return;
-        }
+        };
         match ended.kind {
             EndKind::Done => {
                 tracked.breaker.record_success();
@@ -152,7 +170,7 @@
     }
 
     /// Updates a run that the worker reports as running, and stops a run that it should not
-    /// have.
+    /// have. A run of a job that was left out goes on.
     fn apply_running(
         &mut self,
         name: &WorkerName,
@@ -163,6 +181,9 @@
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
+        if self.left_out.contains(&running.task.job) {
+            return;
+        }
         let known = tracked.runs.get_mut(&running.task);
         let Some(run) = known.filter(|run| run.run == running.run) else {
             self.stop_unexpected(name, running, now);
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -59,7 +59,7 @@
 
 impl WorkerScorer<'_> {
     /// Whether a worker may be given any task: it is listed, responsive, not leaving, not
-    /// excluded by its breaker and not in a drained zone.
+    /// excluded by its breaker and not in a drained zone, and it is known what its runs take.
     #[must_use]
     pub fn is_usable(&self, worker: &TrackedWorker) -> bool {
         let Some(entry) = &worker.entry else {
@@ -69,6 +69,7 @@
             && !entry.is_leaving
             && worker.known.is_some()
             && !worker.is_unresponsive()
+            && !worker.has_unknown_load
             && self.now.millis_since(worker.last_response) <= RESPONSE_AGE_MAX_MS
             && worker.breaker.admits_tasks(self.now)
             && !self.zones_out.contains(&entry.zone)
--- a/crates/jobs/src/worker/end_kind.rs
+++ b/crates/jobs/src/worker/end_kind.rs
@@ -1,7 +1,10 @@
 //! How a run ended.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndKind {
     /// The run completed its task.
     Done,
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -68,6 +68,9 @@
     pub breaker: WorkerBreaker,
     /// When the pace of one of its runs was last changed; the default if never.
     pub pace_changed: MonoTime,
+    /// Whether the worker has runs of which it is not known what they take, and does not
+    /// enforce its capacity.
+    pub has_unknown_load: bool,
     used: ResourceVector,
     best_effort_cpu_milli: u64,
     long_running_cpu_milli: u64,
@@ -95,6 +98,7 @@
             last_completion: now,
             breaker: WorkerBreaker::default(),
             pace_changed: MonoTime::default(),
+            has_unknown_load: false,
             used: ResourceVector::default(),
             best_effort_cpu_milli: 0,
             long_running_cpu_milli: 0,
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -10,6 +10,7 @@
 mod lease_bounds;
 mod lease_bounds_of_restarted_workers;
 mod leases_and_restarts;
+mod left_out_jobs;
 mod moves;
 mod odd_responses;
 mod overdue_jobs;
--- a/crates/jobs/tests/owner/test_values.rs
+++ b/crates/jobs/tests/owner/test_values.rs
@@ -141,9 +141,13 @@
 pub fn long_running_job(job: &str, incarnation: u64) -> StoredJob {
     let mut step = step(1, 1_000);
     step.is_long_running = true;
-    let spec = job_spec(vec![step]);
+    restored_job(job, job_spec(vec![step]), 4, incarnation)
+}
+
+/// A job whose first task an earlier owner assigned to an incarnation of w-1, as `run`.
+pub fn restored_job(job: &str, spec: JobSpec, run: u32, incarnation: u64) -> StoredJob {
     let mut occurrence = OccurrenceProgress::new(0, &spec);
-    occurrence.steps[0].tasks[0].run = 4;
+    occurrence.steps[0].tasks[0].run = run;
     occurrence.steps[0].tasks[0].stage = TaskStage::Assigned(Assignment {
         worker: worker_name("w-1"),
         incarnation: WorkerIncarnation::from_unix_ms(incarnation),
