Keep the owner alive over a run of a job whose steps are gone

What callers would see: a daemon ends, since a panic of its own code ends the process. The next owner is not hit: it does not track the run.

Cause: the owner looked up the step of a run that it tracks by index in the job of that name. A run that a worker shows for the first time while the deletion of its job is being stored is tracked, to be stopped; the job is then dropped. If a caller cancels the identity again, it is kept without steps; if one submits it again, with other steps. The next checkpoint of the run, or its end, was an index out of bounds.

Now such a run is ended without an effect on the job. Both tests failed before (index out of bounds in responses.rs and in results.rs).

--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -263,8 +263,11 @@
         let Some(entry) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let sharing = if entry.spec.steps[task.step as usize].is_gang {
-            0..entry.spec.steps[task.step as usize].tasks
+        let Some(step) = entry.spec.steps.get(task.step as usize) else {
+            return;
+        };
+        let sharing = if step.is_gang {
+            0..step.tasks
         } else {
             task.index..task.index.saturating_add(1)
         };
--- a/crates/jobs/src/owner/job_owner/results.rs
+++ b/crates/jobs/src/owner/job_owner/results.rs
@@ -42,7 +42,10 @@
             return;
         };
         entry.idle = JobAge::new(0, now);
-        let step = &entry.spec.steps[task.step as usize];
+        // A job that was forgotten may have come back with other steps.
+        let Some(step) = entry.spec.steps.get(task.step as usize) else {
+            return;
+        };
         let (is_gang, is_speculative) = (step.is_gang, step.is_speculative);
         let Some(progress) = entry.progress.task_mut(task) else {
             return;
--- a/crates/jobs/tests/owner/odd_responses.rs
+++ b/crates/jobs/tests/owner/odd_responses.rs
@@ -3,6 +3,7 @@
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::EndList;
 use sapphirestile_jobs::EndedRun;
+use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::PollResponse;
 use sapphirestile_jobs::RunningRun;
@@ -108,3 +109,54 @@
         fixture.wait(300);
     }
 }
+
+/// An owner with a worker that has a run of a job which was forgotten while the run was unknown.
+/// The caller has cancelled the forgotten job again.
+fn with_run_of_a_forgotten_job() -> OwnerFixture {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 4_000)]);
+    fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.cancel(JOB);
+    fixture.store();
+    fixture.answer("w-1", &[], &[]);
+    fixture.wait(60_001);
+    let batch = fixture.batch().expect("the deletion is to be stored");
+    assert_eq!(batch.forgotten.len(), 1);
+    fixture.answer("w-1", &[run_with_checkpoint()], &[]);
+    let now = fixture.time();
+    fixture.owner.confirm_batch(now, fixture.now);
+    let identity = JobIdentity::try_from(JOB).unwrap();
+    fixture.owner.retain_cancellation(identity, now);
+    fixture.step();
+    fixture
+}
+
+fn run_with_checkpoint() -> RunningRun {
+    RunningRun {
+        checkpoint: "0000".into(),
+        ..running(&format!("{JOB}.0.0.0"), 1)
+    }
+}
+
+/// Guards against an owner that ends on a run of a job whose steps are no longer known.
+#[test]
+fn run_of_a_forgotten_job_that_was_cancelled_again_ends_no_owner() {
+    let mut fixture = with_run_of_a_forgotten_job();
+    fixture.answer("w-1", &[run_with_checkpoint()], &[]);
+    fixture.step();
+    let end = ended(1, &format!("{JOB}.0.0.0"), 1, EndKind::Stopped);
+    fixture.answer("w-1", &[], &[end]);
+    fixture.step();
+    let (_, tracked) = fixture.owner.workers().next().unwrap();
+    assert!(tracked.runs.is_empty(), "the run takes room for ever");
+}
+
+/// The same, for a run whose end is the next that is heard of it.
+#[test]
+fn end_of_a_run_of_a_forgotten_job_that_was_cancelled_again_ends_no_owner() {
+    let mut fixture = with_run_of_a_forgotten_job();
+    let end = ended(1, &format!("{JOB}.0.0.0"), 1, EndKind::Stopped);
+    fixture.answer("w-1", &[], &[end]);
+    fixture.step();
+    let (_, tracked) = fixture.owner.workers().next().unwrap();
+    assert!(tracked.runs.is_empty(), "the run takes room for ever");
+}
