Measure the wait of a queued start with the clock that counts suspensions

A start that has waited for a thread for longer than 400 ms is not sent, since what it was planned from may have changed. The wait was measured by Instant, which stands still on Linux while a VM is suspended: a start that was queued before a suspension of seconds went out after it. The worker still refuses it once its lease or its token has passed, so no rule is known to have been broken by it; a task of a job that was cancelled, or in a zone that was taken out meanwhile, could start for a moment.

StartWindow now takes the time of MonoClock (CLOCK_BOOTTIME), like leases and ownership do. That Instant stands still is by its documentation; no test here can suspend a VM, and the old code had no decision that a test could ask.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -60,6 +60,7 @@
 pub use owner::OwnerMonitor;
 pub use owner::PlanSchedule;
 pub use owner::RemovedJob;
+pub use owner::StartWindow;
 pub use owner::StoredCell;
 pub use ports::AdvicePort;
 pub use ports::CommitAnswer;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -33,6 +33,7 @@
 mod plan_schedule;
 mod removed_job;
 mod run_control;
+mod start_window;
 mod worker_calls;
 mod write_outcome;
 mod write_request;
@@ -50,6 +51,7 @@
 pub use ownership_term::StoredCell;
 pub use plan_schedule::PlanSchedule;
 pub use removed_job::RemovedJob;
+pub use start_window::StartWindow;
 
 pub(crate) use advisor_thread::AdvisorThread;
 pub(crate) use commit_writer::CommitWriter;
--- a/crates/entry/src/owner/worker_calls.rs
+++ b/crates/entry/src/owner/worker_calls.rs
@@ -3,23 +3,19 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
-use std::time::Instant;
 
 use crossbeam::channel::Sender;
 use sapphirestile_jobs::PollRequest;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StartRequest;
+use sapphirestile_serving::MonoClock;
 
 use crate::owner::ElasticPool;
 use crate::owner::OwnerEvent;
 use crate::owner::RunControl;
+use crate::owner::StartWindow;
 use crate::ports::WorkerPort;
 
-/// How long a start may be queued behind others. A start that waited longer is not
-/// sent, since the state it was planned from may have changed.
-const START_WAIT_MAX: Duration = Duration::from_millis(400);
-
 /// The maximum number of concurrent polls. Each poll blocks until a run ends at its
 /// worker; more workers than this are polled in turn.
 const POLL_THREADS_MAX: usize = 400;
@@ -33,6 +29,7 @@
 pub struct WorkerCalls {
     port: Arc<dyn WorkerPort>,
     events: Sender<OwnerEvent>,
+    clock: MonoClock,
     polls: ElasticPool,
     starts: ElasticPool,
     controls: ElasticPool,
@@ -46,6 +43,7 @@
         Self {
             port,
             events,
+            clock: MonoClock::start(),
             polls: ElasticPool::new("poll worker", POLL_THREADS_MAX),
             starts: ElasticPool::new("start at worker", REQUEST_THREADS_MAX),
             controls: ElasticPool::new("control runs", REQUEST_THREADS_MAX),
@@ -60,9 +58,10 @@
 
     /// Queues a start.
     pub fn start(&self, request: StartRequest) {
-        let queued = Instant::now();
+        let clock = self.clock;
+        let window = StartWindow::begin(clock.now());
         self.run(&self.starts, move |port| {
-            Some(send_start(port, request, queued))
+            Some(send_start(port, request, || window.is_open(clock.now())))
         });
     }
 
@@ -105,11 +104,15 @@
     }
 }
 
-fn send_start(port: &dyn WorkerPort, request: StartRequest, queued: Instant) -> OwnerEvent {
-    let outcome = if queued.elapsed() > START_WAIT_MAX {
-        StartOutcome::Unsent
-    } else {
+fn send_start(
+    port: &dyn WorkerPort,
+    request: StartRequest,
+    is_in_time: impl Fn() -> bool,
+) -> OwnerEvent {
+    let outcome = if is_in_time() {
         port.start(&request)
+    } else {
+        StartOutcome::Unsent
     };
     OwnerEvent::Started {
         outcome,
