Take no task over whose run number leaves none for the next

What callers would see: a stored row with the highest run number ends each daemon that claims the cell, one after the other: the number of the next run overflows, and the check that it exceeds the latest one panics. A damaged row is enough; no sound owner counts so far.

The progress of such a job does not fit its specification, so that the job is left out as one that cannot be read, and a transfer with such a number is an unreadable one. Numbers up to half of the range are taken over; owners count on from there.

Both tests failed before the change (the job and both transfers were taken).

--- a/crates/entry/src/store/intake_source.rs
+++ b/crates/entry/src/store/intake_source.rs
@@ -6,6 +6,8 @@
 use sapphirestile_jobs::DelegatedTask;
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobSpec;
+use sapphirestile_jobs::ReturnedTask;
+use sapphirestile_jobs::TaskProgress;
 
 use crate::ports::EventListing;
 use crate::ports::EventSource;
@@ -61,7 +63,7 @@
     let read = if RowKeys::is_delegated(&row.key) {
         read_delegated(row)
     } else if RowKeys::is_returned(&row.key) {
-        RowCodec::decode(&row.value).map(IntakeEvent::Returned)
+        read_returned(row)
     } else {
         read_spec(row)
     };
@@ -74,7 +76,12 @@
 fn read_delegated(row: &StoredRow) -> Option<IntakeEvent> {
     let task: DelegatedTask = RowCodec::decode(&row.value)?;
     task.spec.check().ok()?;
-    Some(IntakeEvent::Delegated(Box::new(task)))
+    (task.run <= TaskProgress::STORED_RUN_MAX).then(|| IntakeEvent::Delegated(Box::new(task)))
+}
+
+fn read_returned(row: &StoredRow) -> Option<IntakeEvent> {
+    let task: ReturnedTask = RowCodec::decode(&row.value)?;
+    (task.run <= TaskProgress::STORED_RUN_MAX).then_some(IntakeEvent::Returned(task))
 }
 
 fn read_cancellation(identity: JobIdentity, row: &StoredRow) -> IntakeEvent {
--- a/crates/entry/tests/stored_cell/main.rs
+++ b/crates/entry/tests/stored_cell/main.rs
@@ -8,6 +8,7 @@
 use sapphirestile_entry::RowKeys;
 use sapphirestile_entry::StoredCell;
 use sapphirestile_jobs::DelegatedTask;
+use sapphirestile_jobs::ReturnedTask;
 use sapphirestile_jobs::StepSpec;
 
 use crate::cell_rows::CELL;
@@ -95,3 +96,36 @@
         .any(|event| matches!(event, IntakeEvent::Submitted { .. }));
     assert!(!submitted, "{events:?}");
 }
+
+/// Guards against a row that ends each daemon which claims the cell.
+#[test]
+fn job_whose_runs_leave_no_number_for_the_next_is_not_taken() {
+    let mut progress = begun(&spec());
+    progress.occurrences[0].steps[0].tasks[1].run = u32::MAX;
+    let row = row(RowKeys::progress(CELL, &job()), encoded(&progress));
+    assert_eq!(jobs_of_owner(vec![spec_row()], &[row]), 0);
+}
+
+/// The same, for tasks that other cells transfer.
+#[test]
+fn transfer_whose_run_leaves_no_number_for_the_next_is_not_taken() {
+    let delegated = DelegatedTask {
+        task: task(),
+        run: u32::MAX,
+        checkpoint: "".into(),
+        home: CellNumber::new(1),
+        spec: spec(),
+    };
+    let returned = ReturnedTask {
+        task: task(),
+        run: u32::MAX,
+        checkpoint: "".into(),
+        from: CellNumber::new(1),
+    };
+    let rows = vec![
+        row(RowKeys::delegated(CELL, &task(), 3), encoded(&delegated)),
+        row(RowKeys::returned(CELL, &task(), 3), encoded(&returned)),
+    ];
+    let unreadable = IntakeEvent::Unreadable(job());
+    assert_eq!(read(rows), [unreadable.clone(), unreadable]);
+}
--- a/crates/jobs/src/progress/job_progress.rs
+++ b/crates/jobs/src/progress/job_progress.rs
@@ -47,7 +47,8 @@
     }
 
     /// Whether the progress can be that of a job with the specification: each occurrence is
-    /// there once, with the steps and tasks that the specification has.
+    /// there once, with the steps and tasks that the specification has, and each task can run
+    /// again.
     ///
     /// # Examples
     ///
@@ -83,7 +84,9 @@
         numbers.dedup();
         let mut occurrences = self.occurrences.iter();
         numbers.len() == self.occurrences.len()
-            && occurrences.all(|occurrence| occurrence.has_shape_of(spec))
+            && occurrences.all(|occurrence| {
+                occurrence.has_shape_of(spec) && occurrence.has_run_numbers_left()
+            })
     }
 
     /// Whether a task is assigned to a worker or to another cell, so that it may be running.
--- a/crates/jobs/src/progress/occurrence_progress.rs
+++ b/crates/jobs/src/progress/occurrence_progress.rs
@@ -37,6 +37,12 @@
         tasks.eq(expected)
     }
 
+    /// Whether the numbers of the latest runs leave enough for further runs.
+    pub(super) fn has_run_numbers_left(&self) -> bool {
+        let mut tasks = self.steps.iter().flat_map(|step| &step.tasks);
+        tasks.all(|task| task.run <= TaskProgress::STORED_RUN_MAX)
+    }
+
     /// Progress of all tasks, for changing it in place.
     pub fn tasks_mut(&mut self) -> impl Iterator<Item = &mut TaskProgress> {
         self.steps.iter_mut().flat_map(|step| &mut step.tasks)
--- a/crates/jobs/src/progress/task_progress.rs
+++ b/crates/jobs/src/progress/task_progress.rs
@@ -21,6 +21,10 @@
 }
 
 impl TaskProgress {
+    /// The highest number of a run that an owner takes over from the store. Those of its own
+    /// runs follow, and have to fit as well.
+    pub const STORED_RUN_MAX: u32 = u32::MAX / 2;
+
     /// Records that a run has failed. Returns whether that was not known.
     pub fn record_failure(&mut self, run: u32) -> bool {
         let is_new = !self.failed_runs.contains(&run);
