Give the test of a slow count rows that are counts

The test of a count that a planned stop overtakes wrote 400 rows of "[]", which is no count but the head of a list of 91 rows. The rows are now those of cells in which no job waits. The number of rows, the delays and what is asserted are as before; all three tests of planned_stop pass.

--- a/crates/daemon/tests/deployed_soak/planned_stop.rs
+++ b/crates/daemon/tests/deployed_soak/planned_stop.rs
@@ -31,6 +31,9 @@
 const STATUS_OK: u16 = 200;
 const STATUS_NO_ANSWER: u16 = 504;
 
+/// The row of a cell in which no job waits: a list of length 0.
+const NO_COUNTS: &str = "\0";
+
 /// The rows of counts in the store, which lists two a page.
 const COUNT_ROWS: u32 = 400;
 
@@ -84,7 +87,7 @@
     let store = Arc::new(StoreStandin::default());
     store.put(SiteBodies::CONFIG_KEY, &SiteBodies::config_version(1, 0));
     for cell in 0..COUNT_ROWS {
-        store.put(&format!("{}{cell:04}", RowKeys::counts_prefix()), "[]");
+        store.put(&format!("{}{cell:04}", RowKeys::counts_prefix()), NO_COUNTS);
     }
     let service: Arc<dyn HttpService> = store.clone();
     let store_port = open_port(&service);
