Log how long each long-running task waited to run again, and why

Callers saw long-running tasks that were stopped or failed and did not run again for 20 s. The logs could not say where such a task had waited and why: the one longest wait of a cell was in a line each second, and all others in none.

Each owner now reports the end of every wait of a second or more in all: the task, its next run, where it goes, how long this owner found no worker, how long ago its latest run ended, and what kept it, as counts of samples. A new owner says how many such tasks it has loaded.

The time since the latest run is that of this owner for now.

Tests: wait_ends (new events, so they do not build without the change).

--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -145,6 +145,8 @@
             | DecisionEvent::WorkerSilent { .. }
             | DecisionEvent::Fenced { .. }
             | DecisionEvent::TaskReceived { .. }
+            | DecisionEvent::WaitEnded { .. }
+            | DecisionEvent::WaitsRestored { .. }
             | DecisionEvent::JobEnded { .. } => return,
         };
         self.runs.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -3,8 +3,8 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_jobs::DecisionEvent;
 
-/// Logs the owner's decisions. Assignments and successful runs are frequent, so those
-/// of one step share a log line.
+/// Logs the owner's decisions. Assignments, successful runs and ends of waits are frequent, so
+/// those of one step share a log line.
 #[derive(Clone, Copy, Debug)]
 pub struct DecisionLogger;
 
@@ -13,6 +13,7 @@
     pub fn write(cell: CellNumber, epoch: u64, decisions: &[DecisionEvent]) {
         let mut assigned = Vec::new();
         let mut done = Vec::new();
+        let mut waits = Vec::new();
         for decision in decisions {
             match decision {
                 DecisionEvent::Assigned { task, run, worker } => {
@@ -21,9 +22,14 @@
                 DecisionEvent::RunEnded {
                     task, run, cause, ..
                 } if cause.is_done() => done.push(format!("{task}#{run}")),
+                DecisionEvent::WaitEnded { .. } => waits.extend(wait_text(decision)),
                 _ => Self::write_one(cell, epoch, decision),
             }
         }
+        if !waits.is_empty() {
+            let (tasks, waits) = (waits.len(), waits.join("; "));
+            tracing::info!(%cell, epoch, tasks, waits, "long-running tasks have waited");
+        }
         if !assigned.is_empty() || !done.is_empty() {
             let (assigned, done) = (assigned.join(" "), done.join(" "));
             tracing::info!(%cell, epoch, assigned, done, "tasks assigned or done");
@@ -33,7 +39,17 @@
     /// Logs a decision that has a line of its own.
     fn write_one(cell: CellNumber, epoch: u64, decision: &DecisionEvent) {
         match decision {
-            DecisionEvent::Assigned { .. } => {}
+            DecisionEvent::Assigned { .. } | DecisionEvent::WaitEnded { .. } => {}
+            DecisionEvent::WaitsRestored {
+                tasks,
+                longest,
+                idle_ms,
+            } => {
+                tracing::info!(
+                    %cell, epoch, tasks, %longest, idle_ms,
+                    "long-running tasks wait in the loaded cell"
+                );
+            }
             DecisionEvent::RunEnded {
                 task,
                 run,
@@ -205,3 +221,24 @@
         }
     }
 }
+
+/// Text of the end of a wait: the task with its next run, where it goes, how long it waited
+/// here and since its latest run, and what kept it.
+fn wait_text(decision: &DecisionEvent) -> Option<String> {
+    let DecisionEvent::WaitEnded {
+        task,
+        run,
+        target,
+        waited_ms,
+        idle_ms,
+        causes,
+    } = decision
+    else {
+        return None;
+    };
+    let target = target.map_or_else(|| "worker".to_owned(), |cell| format!("cell {cell}"));
+    let idle_ms = idle_ms.map_or_else(|| "unknown".to_owned(), |idle_ms| idle_ms.to_string());
+    Some(format!(
+        "{task}#{run} to {target}: waited_ms={waited_ms} idle_ms={idle_ms} {causes}"
+    ))
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -72,6 +72,7 @@
 pub use owner::StopRequest;
 pub use owner::StoredJob;
 pub use owner::TaskTransfer;
+pub use owner::WaitCauses;
 pub use pacing::BestEffortRun;
 pub use pacing::ImageNumber;
 pub use pacing::ImageTable;
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -39,6 +39,7 @@
 mod stored_job;
 mod task_transfer;
 mod unplaced_task;
+mod wait_causes;
 mod wait_key;
 
 pub use commit_batch::CommitBatch;
@@ -64,6 +65,7 @@
 pub use stop_request::StopRequest;
 pub use stored_job::StoredJob;
 pub use task_transfer::TaskTransfer;
+pub use wait_causes::WaitCauses;
 
 pub(crate) use deferred_effect::DeferredEffect;
 pub(crate) use job_age::JobAge;
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -7,6 +7,7 @@
 use crate::division::VacancyCensus;
 use crate::owner::RunCause;
 use crate::owner::StopCause;
+use crate::owner::WaitCauses;
 use crate::planner::PlacementCensus;
 use crate::planner::UrgencyClass;
 use crate::progress::JobStanding;
@@ -179,6 +180,33 @@
         /// Cell that had the task.
         from: CellNumber,
     },
+    /// A long-running task that has run waits here no more, after a wait of a second or more in
+    /// all.
+    WaitEnded {
+        /// Task that waited.
+        task: TaskIdentity,
+        /// Number of its next run, or of the transfer.
+        run: u32,
+        /// Cell that the task leaves for; `None` if it is assigned to a worker.
+        target: Option<CellNumber>,
+        /// Time since the task first found no worker here, in milliseconds.
+        waited_ms: u64,
+        /// Time since its latest run ended, over owners and cells as far as known, in
+        /// milliseconds; `None` if no owner has told.
+        idle_ms: Option<u64>,
+        /// What kept it here.
+        causes: WaitCauses,
+    },
+    /// Long-running tasks that ran under an earlier owner wait in a cell that was loaded.
+    WaitsRestored {
+        /// Number of these tasks.
+        tasks: usize,
+        /// Task whose latest run ended first, of those of which that is known.
+        longest: TaskIdentity,
+        /// Time since its latest run ended, as far as known, in milliseconds; `None` if no
+        /// owner has told.
+        idle_ms: Option<u64>,
+    },
     /// A job has ended.
     JobEnded {
         /// Job that has ended.
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -9,6 +9,7 @@
 use crate::planner::TaskDemand;
 use crate::progress::JobProgress;
 use crate::progress::TaskStage;
+use crate::spec::JobIdentity;
 use crate::spec::JobSpec;
 use crate::spec::TaskIdentity;
 use sapphirestile_core::MonoTime;
@@ -28,6 +29,8 @@
     /// Time since the latest run here ended; since the job was accepted if this owner knows of
     /// no run that did.
     pub idle: JobAge,
+    /// Time since the latest run of each long-running task ended, of those that do not run.
+    pub idle_tasks: SortedTable<TaskIdentity, JobAge>,
     /// When the job ended; `None` before.
     pub ended: Option<MonoTime>,
     /// How the job is leaving the cell; `None` while it stays.
@@ -55,6 +58,7 @@
             wait_key: None,
             age,
             idle: age,
+            idle_tasks: SortedTable::new(),
             ended: None,
             departure: None,
             place,
@@ -72,6 +76,24 @@
             && !self.transferring.contains(task)
     }
 
+    /// Long-running tasks that were assigned before and wait here for a worker.
+    pub fn waiting_alone(&self, job: JobIdentity) -> impl Iterator<Item = TaskIdentity> {
+        let steps = self.progress.occurrences.iter().flat_map(|occurrence| {
+            let steps = occurrence.steps.iter().enumerate();
+            steps.map(|(step, progress)| (occurrence.number, step, progress))
+        });
+        let steps = steps.filter(|(_, step, _)| self.spec.steps[*step].may_run_alone());
+        let tasks = steps.flat_map(move |(occurrence, step, progress)| {
+            (0..progress.tasks.len()).map(move |index| TaskIdentity {
+                job,
+                occurrence,
+                step: u32::try_from(step).unwrap_or(u32::MAX),
+                index: u32::try_from(index).unwrap_or(u32::MAX),
+            })
+        });
+        tasks.filter(|task| self.has_waiting(task))
+    }
+
     /// Tasks that can start now, ordered by occurrence, step and index. Tasks of a gang are
     /// included only while all of them wait.
     pub fn startable<'a>(
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -5,6 +5,7 @@
 mod batches;
 mod expiry;
 mod gangs;
+mod idle_tasks;
 mod intake;
 mod learning;
 mod lease_grants;
@@ -139,6 +140,8 @@
     load_reported: MonoTime,
     /// When a task that found no worker was last reported.
     passed_over_reported: MonoTime,
+    /// When the causes of waits were last sampled.
+    waits_sampled: MonoTime,
     /// When a task that waits for a transfer was last reported.
     delay_reported: MonoTime,
     /// When a job that is not overdue last waited with nothing running; the default if never.
@@ -203,6 +206,7 @@
             advice: AdviceCache::default(),
             load_reported: claimed,
             passed_over_reported: MonoTime::default(),
+            waits_sampled: MonoTime::default(),
             delay_reported: MonoTime::default(),
             new_waited: MonoTime::default(),
             longest_wait_reported: MonoTime::default(),
--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -113,6 +113,7 @@
         });
         let entry = Self::run_entry(run, incarnation, demand, RunState::Planned, now);
         tracked.add_run(task, entry);
+        self.report_wait_end(task, run, None, now);
         self.unplaced.remove(&task);
         self.changed.insert(task.job, ());
         self.decisions.push(DecisionEvent::Assigned {
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -33,6 +33,7 @@
         self.restarts = self.restart_needs(now);
         self.restarts.extend_from_slice(&self.restarts_elsewhere);
         let ended_early = self.plan_by_urgency(now, unix_ms);
+        self.sample_waits(now);
         self.report_longest_wait(now);
         ended_early
     }
--- a/crates/jobs/src/owner/job_owner/requests.rs
+++ b/crates/jobs/src/owner/job_owner/requests.rs
@@ -104,6 +104,7 @@
                 run.state = RunState::Running { poll };
             }
             self.note_begun(&task.job);
+            self.note_running(task);
             return;
         }
         match outcome {
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -175,6 +175,7 @@
             run.pace_percent = running.pace_percent;
         }
         self.note_begun(&running.task.job);
+        self.note_running(&running.task);
         self.store_checkpoint(&running.task, running.run, &running.checkpoint);
         let job = self.jobs.get(&running.task.job);
         let is_active = job.is_some_and(|entry| !entry.progress.standing.is_final());
--- a/crates/jobs/src/owner/job_owner/results.rs
+++ b/crates/jobs/src/owner/job_owner/results.rs
@@ -55,6 +55,7 @@
         if is_current {
             progress.stage = TaskStage::Waiting;
         }
+        let is_idle = progress.stage == TaskStage::Waiting;
         if cause.is_done() && !run.is_long_running {
             progress.stage = TaskStage::Done;
             let ran_ms = now.millis_since(run.since);
@@ -68,6 +69,9 @@
         if has_ended {
             return;
         }
+        if is_idle {
+            self.note_idle(task, cause, now);
+        }
         if is_gang {
             self.end_gang(task, cause, now, unix_ms);
         }
--- a/crates/jobs/src/owner/job_owner/transfers.rs
+++ b/crates/jobs/src/owner/job_owner/transfers.rs
@@ -58,10 +58,11 @@
             if self.transfers.len() >= TRANSFERS_PER_VIEW_MAX {
                 break;
             }
+            self.count_view(own, &task, vacancies);
             let Some(transfer) = self.choose_transfer(own, &task, vacancies, now) else {
                 continue;
             };
-            self.begin_transfer(transfer, now.millis_since(since));
+            self.begin_transfer(transfer, now.millis_since(since), now);
         }
         self.report_delayed(own, vacancies, now);
     }
@@ -164,8 +165,9 @@
         }
     }
 
-    fn begin_transfer(&mut self, transfer: TaskTransfer, waited_ms: u64) {
+    fn begin_transfer(&mut self, transfer: TaskTransfer, waited_ms: u64, now: MonoTime) {
         let task = transfer.task();
+        self.report_wait_end(task, transfer.run(), Some(transfer.target()), now);
         let Some(entry) = self.jobs.get_mut(&task.job) else {
             return;
         };
--- a/crates/jobs/src/owner/unplaced_task.rs
+++ b/crates/jobs/src/owner/unplaced_task.rs
@@ -1,5 +1,6 @@
 //! A task that found no worker in its cell.
 
+use crate::owner::WaitCauses;
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 
@@ -10,14 +11,17 @@
     pub since: MonoTime,
     /// Cells that have given the task back since it last ran.
     pub declined: Vec<CellNumber>,
+    /// What kept it from running.
+    pub causes: WaitCauses,
 }
 
 impl UnplacedTask {
     /// Creates the record of a task that found no worker at `since`.
-    pub const fn new(since: MonoTime) -> Self {
+    pub fn new(since: MonoTime) -> Self {
         Self {
             since,
             declined: Vec::new(),
+            causes: WaitCauses::default(),
         }
     }
 }
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -24,4 +24,5 @@
 mod test_values;
 mod transfers;
 mod urgency;
+mod wait_ends;
 mod waiting_reports;
