Hold workers for tasks that have waited for over 30 s

Callers saw a long-running task that had run stay idle for good in a fleet that was nearly full. An owner reports a task to the other cells only while it has waited for 1 to 30 s, as first runs must not wait for one that fits nowhere for longer. After that no other cell held a worker for it either, and its short tasks took all that became free, so no report ever showed room: a wait that no rule ended.

Owners now report such late tasks in a list of their own, behind what earlier versions read, and the others hold workers for them, after those of the first list and within the same limits. First runs do not wait for them.

Evidence: the transfer simulation now plays tasks of several sizes whose runs end beside short jobs that arrive all the time, and checks that a task which has run is not idle for over 9 s while one worker of any cell has had room for it beside its long-running tasks for 3 s. Two tests of owners failed without the change: no worker was held, and the task was in no report.

--- a/crates/entry/src/cells/cell_table.rs
+++ b/crates/entry/src/cells/cell_table.rs
@@ -91,14 +91,22 @@
     }
 
     /// The long-running tasks of other cells that have to run again and find no worker, as the
-    /// owners of these cells have reported them.
+    /// owners of these cells have reported them: those for which first runs wait, and those
+    /// for which they do not any more.
     #[must_use]
-    pub fn restarts_elsewhere(&self, own: CellNumber, now: MonoTime) -> Vec<RestartNeed> {
-        let owned = self.heads.iter().filter(|(_, head)| head.is_owned(now));
-        let others = owned.filter(|(cell, _)| **cell != own);
-        others
-            .flat_map(|(_, head)| head.row.restarts.iter().cloned())
-            .collect()
+    pub fn restarts_elsewhere(
+        &self,
+        own: CellNumber,
+        now: MonoTime,
+    ) -> (Vec<RestartNeed>, Vec<RestartNeed>) {
+        let (mut restarts, mut late) = (Vec::new(), Vec::new());
+        for (cell, head) in self.heads.iter() {
+            if *cell != own && head.is_owned(now) {
+                restarts.extend_from_slice(&head.row.restarts);
+                late.extend_from_slice(&head.row.late_restarts);
+            }
+        }
+        (restarts, late)
     }
 
     /// The epoch of the latest claim of any cell; 0 before the first.
--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -133,6 +133,7 @@
             lease_bounds,
             vacancies: Vec::new(),
             restarts: Vec::new(),
+            late_restarts: Vec::new(),
         };
         if let Some(claim) = self.claim(cell, revision, row) {
             self.drive(claim, claimed);
--- a/crates/entry/src/owner/ownership_claim.rs
+++ b/crates/entry/src/owner/ownership_claim.rs
@@ -32,20 +32,17 @@
     /// The row with the next write number, the bounds on leases of a batch, and its load if
     /// there is a new one.
     pub fn next_row(&self, is_released: bool, batch: &CommitBatch) -> OwnershipRow {
-        let (load, vacancies, restarts) = match &batch.load {
-            Some(load) => (load, &batch.vacancies, &batch.restarts),
-            None => (&self.row.load, &self.row.vacancies, &self.row.restarts),
-        };
-        OwnershipRow {
-            write: self.row.write + 1,
-            is_released,
-            load: load.clone(),
-            vacancies: vacancies.clone(),
-            restarts: restarts.clone(),
-            lease_bounds: batch.lease_bounds.clone(),
-            daemon: self.row.daemon.clone(),
-            ..self.row
+        let mut row = self.row.clone();
+        row.write += 1;
+        row.is_released = is_released;
+        row.lease_bounds = batch.lease_bounds.clone();
+        if let Some(load) = &batch.load {
+            row.load.clone_from(load);
+            row.vacancies.clone_from(&batch.vacancies);
+            row.restarts.clone_from(&batch.restarts);
+            row.late_restarts.clone_from(&batch.late_restarts);
         }
+        row
     }
 
     /// The store write of a cell's row.
--- a/crates/entry/src/owner/ownership_term/division.rs
+++ b/crates/entry/src/owner/ownership_term/division.rs
@@ -33,8 +33,8 @@
         if self.cell == LAYOUT_CELL && !table.has_unreadable_layout() {
             self.propose_layout(&table, now);
         }
-        let restarts = table.restarts_elsewhere(self.cell, now);
-        self.owner.set_restarts_elsewhere(restarts);
+        let (restarts, late) = table.restarts_elsewhere(self.cell, now);
+        self.owner.set_restarts_elsewhere(restarts, late);
         let loads = table.loads(now);
         if loads.len() > 1 {
             let choice = CellChoice {
--- a/crates/entry/src/store/earlier_ownership_row.rs
+++ b/crates/entry/src/store/earlier_ownership_row.rs
@@ -30,6 +30,7 @@
             lease_bounds: LeaseBounds::unstated(),
             vacancies: Vec::new(),
             restarts: Vec::new(),
+            late_restarts: Vec::new(),
         }
     }
 }
--- a/crates/entry/src/store/ownership_row.rs
+++ b/crates/entry/src/store/ownership_row.rs
@@ -36,6 +36,8 @@
     /// The long-running tasks of the cell that have to run again and find no worker, as the
     /// owner last reported them.
     pub restarts: Vec<RestartNeed>,
+    /// Those that have waited for so long that first runs do not wait for them any more.
+    pub late_restarts: Vec<RestartNeed>,
 }
 
 impl OwnershipRow {
@@ -55,8 +57,13 @@
         }
         let (vacancies, rest) = RowCodec::decode_first(rest)?;
         row.vacancies = vacancies;
+        if rest.is_empty() {
+            return Some(row);
+        }
+        let (restarts, rest) = RowCodec::decode_first(rest)?;
+        row.restarts = restarts;
         if !rest.is_empty() {
-            row.restarts = RowCodec::decode(rest)?;
+            row.late_restarts = RowCodec::decode(rest)?;
         }
         Some(row)
     }
--- a/crates/entry/tests/rows_of_earlier_versions.rs
+++ b/crates/entry/tests/rows_of_earlier_versions.rs
@@ -34,6 +34,13 @@
     vacancies: Vec<WorkerVacancy>,
 }
 
+/// The row of a cell as it was before it told late tasks from others.
+#[derive(Deserialize, Serialize)]
+struct RowWithRestarts {
+    with_vacancies: RowWithVacancies,
+    restarts: Vec<RestartNeed>,
+}
+
 fn restart_need() -> RestartNeed {
     RestartNeed {
         service: "sizing".into(),
@@ -95,6 +102,7 @@
         lease_bounds: LeaseBounds::of_all(6_355),
         vacancies: Vec::new(),
         restarts: vec![restart_need()],
+        late_restarts: Vec::new(),
     };
     let value = postcard::to_stdvec(&row).unwrap();
     let read: EarlierRow = postcard::from_bytes(&value).unwrap();
@@ -128,14 +136,15 @@
         lease_bounds: LeaseBounds::of_all(1),
         vacancies: vec![WorkerVacancy::default()],
         restarts: vec![restart_need()],
+        late_restarts: Vec::new(),
     };
     let now = MonoTime::from_millis(0);
     let rows = [stored(0, &earlier), stored(1, &row)];
     let table = CellTable::default().with_rows(&rows, now);
     assert_eq!(table.heads.len(), 2);
     let elsewhere = |cell| table.restarts_elsewhere(CellNumber::new(cell), now);
-    assert_eq!(elsewhere(0), [restart_need()]);
-    assert_eq!(elsewhere(1), []);
+    assert_eq!(elsewhere(0).0, [restart_need()]);
+    assert_eq!(elsewhere(1).0, []);
     let value = postcard::to_stdvec(&row).unwrap();
     let read: RowWithVacancies = postcard::from_bytes(&value).unwrap();
     assert_eq!(
@@ -144,3 +153,48 @@
         "the earlier version reads its part"
     );
 }
+
+/// Otherwise tasks that have waited for long are lost from the reports while one version
+/// replaces the other, or the whole row is.
+#[test]
+fn late_tasks_are_read_beside_a_row_without_them() {
+    let earlier = RowWithRestarts {
+        with_vacancies: RowWithVacancies {
+            earlier: EarlierRow {
+                epoch: 7,
+                daemon: "entry-1".into(),
+                incarnation: 3,
+                write: 40,
+                is_released: false,
+                load: CellLoad::default(),
+            },
+            lease_bounds: LeaseBounds::of_all(1),
+            vacancies: Vec::new(),
+        },
+        restarts: vec![restart_need()],
+    };
+    let row = OwnershipRow {
+        epoch: 8,
+        daemon: "entry-2".into(),
+        incarnation: 4,
+        write: 1,
+        is_released: false,
+        load: CellLoad::default(),
+        lease_bounds: LeaseBounds::of_all(1),
+        vacancies: Vec::new(),
+        restarts: Vec::new(),
+        late_restarts: vec![restart_need()],
+    };
+    let now = MonoTime::from_millis(0);
+    let rows = [stored(0, &earlier), stored(1, &row)];
+    let table = CellTable::default().with_rows(&rows, now);
+    let elsewhere = |cell| table.restarts_elsewhere(CellNumber::new(cell), now);
+    assert_eq!(elsewhere(0), (Vec::new(), vec![restart_need()]));
+    assert_eq!(elsewhere(1), (vec![restart_need()], Vec::new()));
+    let value = postcard::to_stdvec(&row).unwrap();
+    let read: RowWithRestarts = postcard::from_bytes(&value).unwrap();
+    assert!(
+        read.restarts.is_empty(),
+        "the earlier version reads its part"
+    );
+}
--- a/crates/jobs/src/owner/commit_batch.rs
+++ b/crates/jobs/src/owner/commit_batch.rs
@@ -42,8 +42,11 @@
     pub load: Option<CellLoad>,
     /// Largest free workers of the cell, which belong to the load.
     pub vacancies: Vec<WorkerVacancy>,
-    /// Long-running tasks that have to run again and find no worker, which belong to the load.
+    /// Long-running tasks that have to run again and find no worker, and for which first runs
+    /// wait, which belong to the load.
     pub restarts: Vec<RestartNeed>,
+    /// Those for which first runs do not wait any more, which belong to the load.
+    pub late_restarts: Vec<RestartNeed>,
     /// Bounds on the leases of all workers when the batch was taken.
     pub lease_bounds: LeaseBounds,
     /// Whether the owner releases its ownership with this batch.
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -127,6 +127,8 @@
     restarts: Vec<RestartNeed>,
     /// Those of the other cells, by their latest reports.
     restarts_elsewhere: Vec<RestartNeed>,
+    /// Those of the other cells for which first runs do not wait any more.
+    late_restarts_elsewhere: Vec<RestartNeed>,
     /// Number of cells, this one included.
     cells: u16,
     images: ImageTable,
@@ -198,6 +200,7 @@
             held: SortedTable::new(),
             restarts: Vec::new(),
             restarts_elsewhere: Vec::new(),
+            late_restarts_elsewhere: Vec::new(),
             cells: 1,
             images: ImageTable::default(),
             interference: InterferenceModel::default(),
@@ -244,9 +247,11 @@
         self.cells = cells;
     }
 
-    /// Sets which long-running tasks of other cells have to run again and find no worker.
-    pub fn set_restarts_elsewhere(&mut self, restarts: Vec<RestartNeed>) {
+    /// Sets which long-running tasks of other cells have to run again and find no worker:
+    /// those for which first runs wait, and those for which they do not any more.
+    pub fn set_restarts_elsewhere(&mut self, restarts: Vec<RestartNeed>, late: Vec<RestartNeed>) {
         self.restarts_elsewhere = restarts;
+        self.late_restarts_elsewhere = late;
     }
 
     /// Takes the effects that were released since the latest call.
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -46,6 +46,9 @@
             restarts: load
                 .as_ref()
                 .map_or_else(Vec::new, |_| self.restart_needs(now)),
+            late_restarts: load
+                .as_ref()
+                .map_or_else(Vec::new, |_| self.late_restart_needs(now)),
             load,
             forgotten: std::mem::take(&mut self.forgotten),
             counts: self.count_queues(),
--- a/crates/jobs/src/owner/job_owner/restarts.rs
+++ b/crates/jobs/src/owner/job_owner/restarts.rs
@@ -43,13 +43,24 @@
 
 impl JobOwner {
     /// Needs of the tasks of this cell that have to run again and have found no worker for
-    /// long, the longest first.
+    /// long, the longest first. First runs wait for them.
     #[must_use]
     pub fn restart_needs(&self, now: MonoTime) -> Vec<RestartNeed> {
-        let due = self.unplaced.iter().filter(|(_, unplaced)| {
-            let waited_ms = now.millis_since(unplaced.since);
-            PRECEDENCE_MS.contains(&waited_ms)
-        });
+        self.needs_waiting(now, |waited_ms| PRECEDENCE_MS.contains(&waited_ms))
+    }
+
+    /// Needs of the tasks that wait for so long that first runs do not wait for them any more,
+    /// the longest first.
+    #[must_use]
+    pub fn late_restart_needs(&self, now: MonoTime) -> Vec<RestartNeed> {
+        self.needs_waiting(now, |waited_ms| waited_ms > *PRECEDENCE_MS.end())
+    }
+
+    fn needs_waiting(&self, now: MonoTime, is_due: impl Fn(u64) -> bool) -> Vec<RestartNeed> {
+        let due = self
+            .unplaced
+            .iter()
+            .filter(|(_, unplaced)| is_due(now.millis_since(unplaced.since)));
         let mut due: Vec<(MonoTime, TaskIdentity)> = due
             .map(|(task, unplaced)| (unplaced.since, *task))
             .collect();
@@ -120,11 +131,13 @@
     }
 
     /// Holds workers for tasks of other cells. They learn of what is free only from reports,
-    /// and shorter tasks of this cell would have taken it by then.
+    /// and shorter tasks of this cell would have taken it by then. Those for which first runs do
+    /// not wait any more come last.
     fn hold_workers_for_others(&mut self, now: MonoTime) {
         let share = self.workers.len().div_ceil(HELD_FOR_OTHERS_DIVISOR);
         let held_max = HELD_FOR_ANY_CELL_MAX.min(self.held.len() + share);
-        for need in &self.restarts_elsewhere {
+        let late = &self.late_restarts_elsewhere;
+        for need in self.restarts_elsewhere.iter().chain(late) {
             if self.held.len() >= held_max {
                 return;
             }
--- a/crates/jobs/tests/owner/restart_precedence.rs
+++ b/crates/jobs/tests/owner/restart_precedence.rs
@@ -99,10 +99,14 @@
     fixture.accept(FIRST, lasting(1_000));
     fixture.now += 2_100;
     fixture.answer("w-1", &[], &[]);
-    fixture.owner.set_restarts_elsewhere(vec![need(2_000)]);
+    fixture
+        .owner
+        .set_restarts_elsewhere(vec![need(2_000)], Vec::new());
     fixture.step();
     assert!(fixture.batch().is_none(), "it could run on w-1");
-    fixture.owner.set_restarts_elsewhere(vec![need(4_000)]);
+    fixture
+        .owner
+        .set_restarts_elsewhere(vec![need(4_000)], Vec::new());
     fixture.step();
     assert_eq!(fixture.store().len(), 1, "that one could not");
 }
@@ -137,7 +141,7 @@
         size: step(1, 2_000).size,
         required_label: None,
     };
-    fixture.owner.set_restarts_elsewhere(vec![need]);
+    fixture.owner.set_restarts_elsewhere(vec![need], Vec::new());
     let ends = |count: u32| -> Vec<EndedRun> {
         let end = |index| ended(u64::from(index) + 1, &short(index), 1, EndKind::Done);
         (0..count).map(end).collect()
@@ -169,8 +173,46 @@
     };
     fixture
         .owner
-        .set_restarts_elsewhere(vec![need; names.len()]);
+        .set_restarts_elsewhere(vec![need; names.len()], Vec::new());
     fixture.accept(SMALL[0], job_spec(vec![step(1, 1_000)]));
     fixture.step();
     assert_eq!(fixture.store().len(), 1);
 }
+
+/// Nothing was held for a task that had waited for half a minute, so that short tasks kept it
+/// from every worker of the other cells for ever.
+#[test]
+fn worker_is_held_for_a_task_of_another_cell_that_has_waited_for_very_long() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 2_000)]);
+    fixture.owner.set_cells(2);
+    fixture.accept(SMALL[0], job_spec(vec![step(2, 1_000)]));
+    let need = RestartNeed {
+        service: "sizing".into(),
+        size: step(1, 2_000).size,
+        required_label: None,
+    };
+    fixture.owner.set_restarts_elsewhere(Vec::new(), vec![need]);
+    fixture.step();
+    assert!(fixture.batch().is_none(), "the worker is held");
+    fixture.accept(FIRST, lasting(1_000));
+    fixture.now += 2_100;
+    fixture.answer("w-1", &[], &[]);
+    fixture.owner.set_restarts_elsewhere(Vec::new(), Vec::new());
+    fixture.step();
+    assert!(!fixture.store().is_empty());
+}
+
+/// Owners of other cells did not learn of it any more.
+#[test]
+fn task_that_has_waited_for_very_long_is_reported_as_late() {
+    let (mut fixture, _) = restart_and_first_run();
+    assert!(fixture.owner.late_restart_needs(fixture.time()).is_empty());
+    fixture.now += 30_000;
+    let now = fixture.time();
+    assert!(fixture.owner.restart_needs(now).is_empty());
+    let late = fixture.owner.late_restart_needs(now);
+    let sizes: Vec<u64> = late.iter().map(|need| need.size.cpu_milli).collect();
+    assert_eq!(sizes, [2_000]);
+    let batch = fixture.owner.take_batch(true, now).expect("a batch");
+    assert_eq!(batch.late_restarts, late);
+}
--- a/crates/jobs/tests/transfer_simulation/cell_simulation.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation.rs
@@ -2,7 +2,9 @@
 
 mod deliveries;
 mod faults;
+mod jobs;
 mod owners;
+mod restart_check;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -12,10 +14,6 @@
 use rand::rngs::StdRng;
 use sapphirestile_core::WorkerName;
 use sapphirestile_jobs::JobIdentity;
-use sapphirestile_jobs::JobSpec;
-use sapphirestile_jobs::QueueTerms;
-use sapphirestile_jobs::ResourceVector;
-use sapphirestile_jobs::StepSpec;
 use sapphirestile_jobs::TaskIdentity;
 
 use crate::cell_rows::CellRows;
@@ -23,11 +21,11 @@
 use crate::shared_store::SharedStore;
 use crate::simulated_cell::SimulatedCell;
 use crate::simulation_event::SimulationEvent;
+use crate::task_mixture::TaskMixture;
 
 const CELLS: usize = 3;
 const WORKERS_PER_CELL: usize = 4;
 const JOBS: usize = 8;
-const TASKS_PER_JOB: u32 = 5;
 const TICK_MS: u64 = 20;
 const FAULT_INTERVAL_MS: u64 = 900;
 const FAULTS_END_MS: u64 = 40_000;
@@ -40,12 +38,12 @@
 /// Longest time for which a long-running task may be idle, in milliseconds.
 const IDLE_MAX_MS: u64 = 9_000;
 const WORKER_CPU_MILLI: u64 = 8_000;
-const TASK_CPU_MILLI: u64 = 1_000;
 
 /// Cells with their owners, workers and a store, driven by events in virtual time.
 pub struct CellSimulation {
     seed: u64,
     faults: u32,
+    mixture: TaskMixture,
     random: StdRng,
     now: u64,
     sequence: u64,
@@ -61,10 +59,25 @@
     finished_calls: BTreeSet<u64>,
     /// When each task that has run was last seen to run.
     last_seen: BTreeMap<TaskIdentity, u64>,
+    /// Since when a worker, by its index, has had room for a task that is idle.
+    room_since: BTreeMap<(TaskIdentity, usize), u64>,
+    /// When something failed last other than by the end of a run or a worker that leaves.
+    disturbed: u64,
+    /// Number of short jobs so far.
+    short_jobs: usize,
 }
 
 impl CellSimulation {
     pub fn new(seed: u64, faults: u32) -> Self {
+        Self::of(seed, faults, TaskMixture::EQUAL)
+    }
+
+    /// A simulation in which no requests are late or lost, and workers do not change at random.
+    pub fn with_mixture(seed: u64, mixture: TaskMixture) -> Self {
+        Self::of(seed, 0, mixture)
+    }
+
+    fn of(seed: u64, faults: u32, mixture: TaskMixture) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
         let workers = (0..CELLS * WORKERS_PER_CELL).map(|index| {
             let port = u16::try_from(index + 1).unwrap();
@@ -75,6 +88,7 @@
         let mut simulation = Self {
             seed,
             faults,
+            mixture,
             random,
             now: 0,
             sequence: 0,
@@ -88,11 +102,19 @@
             leaving: BTreeSet::new(),
             finished_calls: BTreeSet::new(),
             last_seen: BTreeMap::new(),
+            room_since: BTreeMap::new(),
+            disturbed: 0,
+            short_jobs: 0,
         };
         for number in 0..JOBS {
-            let cell = usize::from(number % 4 == 3);
+            let cell = if mixture.has_ending_runs {
+                number % CELLS
+            } else {
+                usize::from(number % 4 == 3)
+            };
+            let spec = simulation.job_spec(number);
             let rows = &mut simulation.store.cells[cell];
-            rows.specs.insert(job_identity(number), job_spec());
+            rows.specs.insert(job_identity(number), spec);
         }
         simulation.schedule(0, SimulationEvent::Tick);
         simulation.schedule(FAULT_INTERVAL_MS, SimulationEvent::Fault);
@@ -124,7 +146,12 @@
                     for cell in 0..CELLS {
                         self.tick(cell);
                     }
-                    self.check_idle_tasks();
+                    if self.mixture.has_ending_runs {
+                        self.check_restarts();
+                        self.accept_short_job();
+                    } else {
+                        self.check_idle_tasks();
+                    }
                     self.schedule(TICK_MS, SimulationEvent::Tick);
                 }
                 SimulationEvent::Fault => self.inject_fault(),
@@ -198,27 +225,12 @@
     JobIdentity::try_from(&*format!("{number:016x}")).unwrap()
 }
 
-/// A job whose tasks go on until it is cancelled.
-fn job_spec() -> JobSpec {
-    JobSpec {
-        queue: "charts".into(),
-        terms: QueueTerms {
-            service: "sizing".into(),
-            priority: 0,
-            attempts: 3,
-        },
-        text: "".into(),
-        steps: vec![StepSpec {
-            tasks: TASKS_PER_JOB,
-            size: ResourceVector {
-                cpu_milli: TASK_CPU_MILLI,
-                memory_mib: 100,
-                accelerators: 0,
-            },
-            is_long_running: true,
-            ..StepSpec::default()
-        }],
-        repeat: None,
-        accepted_unix_ms: 0,
-    }
+/// Labels of a worker, the rack last.
+fn worker_labels(index: usize) -> Vec<Box<str>> {
+    let kind = if index % WORKERS_PER_CELL == WORKERS_PER_CELL - 1 {
+        "large"
+    } else {
+        "small"
+    };
+    vec![kind.into(), "r1".into()]
 }
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/deliveries.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/deliveries.rs
@@ -6,9 +6,11 @@
 use sapphirestile_jobs::EndKind;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StartRequest;
+use sapphirestile_jobs::TaskIdentity;
 
 use super::CellSimulation;
 use super::END_MS;
+use super::jobs::is_short;
 use crate::fake_worker::FakeRun;
 use crate::simulation_event::SimulationEvent;
 use crate::store_commit::StoreCommit;
@@ -94,16 +96,11 @@
         let Some(index) = self.find_worker(&request.worker) else {
             return;
         };
-        let does_fail = self.random.random_bool(0.1);
-        let duration_ms = if does_fail {
-            self.random.random_range(200..3_000)
-        } else {
-            END_MS
-        };
+        let (duration_ms, kind) = self.next_end(&request.task);
         let run = FakeRun {
             run: request.run,
             end: self.now + duration_ms,
-            kind: EndKind::Failed,
+            kind,
         };
         let outcome = self.workers[index].start(request, run, self.now);
         if outcome == StartOutcome::Accepted {
@@ -125,6 +122,24 @@
         });
     }
 
+    /// Duration of a run, and how it ends.
+    fn next_end(&mut self, task: &TaskIdentity) -> (u64, EndKind) {
+        if is_short(&task.job) {
+            return (self.random.random_range(300..2_000), EndKind::Done);
+        }
+        if self.mixture.has_ending_runs {
+            let duration_ms = self.random.random_range(2_000..40_000);
+            return (duration_ms, EndKind::Broken);
+        }
+        let does_fail = self.random.random_bool(0.1);
+        let duration_ms = if does_fail {
+            self.random.random_range(200..3_000)
+        } else {
+            END_MS
+        };
+        (duration_ms, EndKind::Failed)
+    }
+
     /// Sends a response, which may be lost.
     fn respond(&mut self, event: SimulationEvent) {
         if self.injects(2) && self.random.random_bool(0.05) {
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/faults.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/faults.rs
@@ -1,5 +1,7 @@
 //! Faults.
 
+use std::ops::Range;
+
 use rand::Rng;
 
 use super::CELLS;
@@ -18,6 +20,9 @@
 /// Least number of workers, which have room for all tasks.
 const PRESENT_MIN: usize = 6;
 
+/// When owners die in a row, in milliseconds.
+const OWNER_DEATHS: [Range<u64>; 2] = [8_000..16_000, 24_000..32_000];
+
 /// When the workers of cell 0 begin to leave, in milliseconds.
 const FIRST_LEAVE_MS: u64 = 6_000;
 
@@ -30,6 +35,11 @@
         if self.injects(1) && self.random.random_bool(0.4) {
             self.end_owner();
         }
+        let are_dying = OWNER_DEATHS.iter().any(|span| span.contains(&self.now));
+        if self.mixture.has_dying_owners && are_dying && self.random.random_bool(0.7) {
+            self.disturbed = self.now;
+            self.end_owner();
+        }
         if self.injects(3) && self.random.random_bool(0.15) {
             self.cancel_job();
         }
@@ -58,6 +68,7 @@
         } else if self.random.random_bool(0.1) {
             let worker = 2 * WORKERS_PER_CELL + self.random.random_range(0..WORKERS_PER_CELL);
             self.workers[worker].crash(self.now, 700);
+            self.disturbed = self.now;
         }
     }
 
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
@@ -31,6 +31,7 @@
 use super::VIEW_MS;
 use super::WORKER_CPU_MILLI;
 use super::WORKERS_PER_CELL;
+use super::worker_labels;
 use crate::cell_rows::CellRows;
 use crate::simulation_event::SimulationEvent;
 use crate::store_commit::StoreCommit;
@@ -119,7 +120,7 @@
                 service: "sizing".into(),
                 address: worker.address,
                 zone: ZoneName::try_from("near-a").unwrap(),
-                labels: Vec::new(),
+                labels: worker_labels(index),
                 capacity: ResourceVector {
                     cpu_milli: WORKER_CPU_MILLI,
                     memory_mib: 64_000,
@@ -145,18 +146,22 @@
         VacancyTable::new(&reports)
     }
 
-    fn restarts_elsewhere(&self, cell: usize) -> Vec<RestartNeed> {
-        let others = self.store.cells.iter().enumerate();
-        let others = others.filter(|(other, _)| *other != cell);
-        others
-            .flat_map(|(_, rows)| rows.restarts.iter().cloned())
-            .collect()
+    /// Tasks of other cells for which first runs wait, and those for which they do not any more.
+    fn restarts_elsewhere(&self, cell: usize) -> (Vec<RestartNeed>, Vec<RestartNeed>) {
+        let (mut restarts, mut late) = (Vec::new(), Vec::new());
+        for (other, rows) in self.store.cells.iter().enumerate() {
+            if other != cell {
+                restarts.extend_from_slice(&rows.restarts);
+                late.extend_from_slice(&rows.late_restarts);
+            }
+        }
+        (restarts, late)
     }
 
     /// Lets an owner handle the time and sends what it requests.
     fn drive(&mut self, cell: usize) {
         let (entries, mut vacancies) = (self.entries(cell), self.vacancies());
-        let restarts = self.restarts_elsewhere(cell);
+        let (restarts, late) = self.restarts_elsewhere(cell);
         let (now, unix_ms) = (MonoTime::from_millis(self.now), self.now);
         let number = CellNumber::new(u16::try_from(cell).unwrap());
         let state = &mut self.cells[cell];
@@ -170,7 +175,7 @@
         owner.poll_due_workers(now);
         if unix_ms >= state.next_view {
             state.next_view = unix_ms + VIEW_MS;
-            owner.set_restarts_elsewhere(restarts);
+            owner.set_restarts_elsewhere(restarts, late);
             owner.plan_transfers(number, &mut vacancies, now);
         }
         let effects = owner.take_effects();
--- a/crates/jobs/tests/transfer_simulation/main.rs
+++ b/crates/jobs/tests/transfer_simulation/main.rs
@@ -4,7 +4,9 @@
 //! [`SharedStore`], and [`FakeWorker`](fake_worker::FakeWorker)s. One cell gets most jobs and
 //! loses most of its workers for good. Owners die at any point of a batch and are replaced,
 //! answers are lost, requests are late, listings are out of date, and callers cancel jobs.
-//! After each commit every task must be in one cell exactly; no task may ever run twice.
+//! After each commit every task must be in one cell exactly; no task may ever run twice. With
+//! tasks of several sizes beside short ones, a task that has run must begin again within a
+//! bound while a worker of any cell has room for it.
 
 mod cell_rows;
 mod cell_simulation;
@@ -18,8 +20,12 @@
 mod simulated_cell;
 mod simulation_event;
 mod store_commit;
+mod task_mixture;
+
+use std::ops::Range;
 
 use crate::cell_simulation::CellSimulation;
+use crate::task_mixture::TaskMixture;
 use test_case::test_case;
 
 /// Number of seeds for each case.
@@ -37,3 +43,22 @@
         simulation.check_end();
     }
 }
+
+#[test_case(TaskMixture::SIZES; "several sizes in cells with little room")]
+#[test_case(TaskMixture::SHORT_JOBS; "short jobs that take what is free")]
+fn task_that_has_run_begins_again_while_a_worker_has_room(mixture: TaskMixture) {
+    for seed in seeds() {
+        CellSimulation::with_mixture(seed, mixture).run();
+    }
+}
+
+/// Seeds of a case; `RESTART_SEEDS=first..end` sets others.
+fn seeds() -> Range<u64> {
+    let given = std::env::var("RESTART_SEEDS");
+    let Ok(text) = given else {
+        return 0..SEEDS;
+    };
+    let (first, end) = text.split_once("..").expect("RESTART_SEEDS is first..end");
+    let number = |text: &str| text.parse::<u64>().expect("a seed is a number");
+    number(first)..number(end)
+}
--- a/crates/jobs/tests/transfer_simulation/shared_store.rs
+++ b/crates/jobs/tests/transfer_simulation/shared_store.rs
@@ -53,6 +53,7 @@
         if batch.load.is_some() {
             rows.vacancies.clone_from(&batch.vacancies);
             rows.restarts.clone_from(&batch.restarts);
+            rows.late_restarts.clone_from(&batch.late_restarts);
         }
         rows.progress.extend(batch.progress.iter().cloned());
         rows.guests.extend(batch.guests.iter().cloned());
--- /dev/null
+++ b/crates/jobs/tests/transfer_simulation/task_mixture.rs
@@ -0,0 +1,46 @@
+//! What the jobs of a simulation are like.
+
+/// What the jobs of a simulation are like.
+#[expect(clippy::struct_excessive_bools, reason = "a case may have any of them")]
+#[derive(Clone, Copy, Debug)]
+pub struct TaskMixture {
+    /// Processor time of a task of each job, in thousandths of a processor; the jobs go through
+    /// the list again and again.
+    pub sizes: &'static [u64],
+    pub tasks_per_job: u32,
+    /// Whether some jobs need a label, and some allow one task on each worker.
+    pub has_limits: bool,
+    /// Whether short jobs arrive all the time in all cells.
+    pub has_short_jobs: bool,
+    /// Whether runs of long-running tasks end by themselves after some seconds.
+    pub has_ending_runs: bool,
+    /// Whether one owner of a cell after the other dies for some seconds.
+    pub has_dying_owners: bool,
+}
+
+impl TaskMixture {
+    /// Equal tasks that go on until their job is cancelled.
+    pub const EQUAL: Self = Self {
+        sizes: &[1_000],
+        tasks_per_job: 5,
+        has_limits: false,
+        has_short_jobs: false,
+        has_ending_runs: false,
+        has_dying_owners: false,
+    };
+
+    /// Tasks of several sizes, whose runs end, in a fleet that has little room left once some
+    /// workers have gone.
+    pub const SIZES: Self = Self {
+        sizes: &[1_000, 6_000, 2_000, 3_000],
+        tasks_per_job: 4,
+        has_ending_runs: true,
+        ..Self::EQUAL
+    };
+
+    /// The same with short jobs that take what is free.
+    pub const SHORT_JOBS: Self = Self {
+        has_short_jobs: true,
+        ..Self::SIZES
+    };
+}
