Let the wait of a long-running task go on over cells and owners

Callers saw long-running tasks that had run stay idle for 20 s and more. A task that found no worker counted its wait anew in each cell and under each owner. Workers are held for it, other cells learn of it, and first runs wait for it only after it has waited for a second; a task that went to and fro between full cells, or whose owners died, never or late got there. And one that fits nowhere kept first runs off for 30 s under each owner.

A task now has the time since its latest run ended. The rows of transfers carry it behind what earlier versions read, and the head row has it for the sixteen tasks that have waited longest, for the next owner, who adds the age of the row. Holding, reports, precedence and the order of transfers go by the whole wait; how long a task tries one cell goes by the wait there. Times are durations, so clocks of machines are not compared. What passes while a row is on its way is lost.

The check counts the loss of an owner as a disturbance for 4 s, as the rule for a full fleet does. The simulation now restores learnt durations: without them new owners took short tasks for stuck and paused their workers for seconds.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -87,6 +87,7 @@
 pub use store::IntakeSource;
 pub use store::OwnershipRow;
 pub use store::RowKeys;
+pub use store::TransferRow;
 pub use watching::EventWatcher;
 pub use watching::RetryBackoff;
 pub use watching::WatchUpdate;
--- a/crates/entry/src/owner/commit_writer/job_part.rs
+++ b/crates/entry/src/owner/commit_writer/job_part.rs
@@ -12,6 +12,7 @@
 use crate::store::HomeRow;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
+use crate::store::TransferRow;
 
 /// The rows by which a job, or some of its tasks, go to other cells, unless the job was
 /// cancelled. One commit changes the rows of all cells, so at no time have two owners a task.
@@ -80,7 +81,7 @@
             match transfer {
                 TaskTransfer::Delegate { target, delegated } => writes.push(RowWrite {
                     key: RowKeys::delegated(*target, &delegated.task, delegated.run),
-                    value: RowCodec::encode(delegated),
+                    value: TransferRow::encode_delegated(delegated),
                 }),
                 TaskTransfer::Return {
                     home,
@@ -89,7 +90,7 @@
                 } => {
                     writes.push(RowWrite {
                         key: RowKeys::returned(*home, &returned.task, returned.run),
-                        value: RowCodec::encode(returned),
+                        value: TransferRow::encode_returned(returned),
                     });
                     removals.push(RowKeys::delegated(cell, &returned.task, *received_run));
                 }
--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -167,8 +167,13 @@
                     "task waits for a worker of another cell"
                 );
             }
-            DecisionEvent::TaskReceived { task, run, from } => {
-                tracing::info!(%cell, epoch, %task, run, %from, "task came from another cell");
+            DecisionEvent::TaskReceived {
+                task,
+                run,
+                from,
+                idle_ms,
+            } => {
+                tracing::info!(%cell, epoch, %task, run, %from, idle_ms, "task came from another cell");
             }
             _ => {}
         }
--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -10,6 +10,7 @@
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::SortedTable;
 use sapphirestile_jobs::CellLoad;
+use sapphirestile_jobs::IdleTask;
 use sapphirestile_jobs::LeaseBounds;
 
 use crate::cells::CellHead;
@@ -134,6 +135,7 @@
             vacancies: Vec::new(),
             restarts: Vec::new(),
             late_restarts: Vec::new(),
+            idle_tasks: inherited_idle_tasks(head, claimed),
         };
         if let Some(claim) = self.claim(cell, revision, row) {
             self.drive(claim, claimed);
@@ -211,6 +213,20 @@
     }
 }
 
+/// The tasks that waited under the previous owner, which have waited on since its row `head`
+/// was written.
+fn inherited_idle_tasks(head: Option<&CellHead>, claimed: MonoTime) -> Vec<IdleTask> {
+    let Some(head) = head else {
+        return Vec::new();
+    };
+    let elapsed_ms = claimed.millis_since(head.changed);
+    let later = |idle: &IdleTask| IdleTask {
+        idle_ms: idle.idle_ms.saturating_add(elapsed_ms),
+        ..*idle
+    };
+    head.row.idle_tasks.iter().map(later).collect()
+}
+
 /// The claim, if an earlier call whose answer was lost has stored it.
 fn own_claim(cell: CellNumber, row: OwnershipRow, rows: &[StoredRow]) -> Option<OwnershipClaim> {
     let key = RowKeys::ownership(cell);
--- a/crates/entry/src/owner/ownership_claim.rs
+++ b/crates/entry/src/owner/ownership_claim.rs
@@ -41,6 +41,7 @@
             row.vacancies.clone_from(&batch.vacancies);
             row.restarts.clone_from(&batch.restarts);
             row.late_restarts.clone_from(&batch.late_restarts);
+            row.idle_tasks.clone_from(&batch.idle_tasks);
         }
         row
     }
--- a/crates/entry/src/owner/ownership_term/loading.rs
+++ b/crates/entry/src/owner/ownership_term/loading.rs
@@ -98,6 +98,7 @@
     let stored = StoredCell::join(intake.events, &progress.rows);
     let intake_gate = IntakeGate::without(stored.unreadable().clone());
     stored.restore_into(&mut owner, now, unix_ms);
+    owner.restore_idle_tasks(&claim.row.idle_tasks, claimed);
     owner.report_restored_waits(now);
     let sources = (Arc::clone(&adapters.workers), intake_source);
     watch_sources(context, sources, revisions, events);
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -13,6 +13,7 @@
 mod ownership_row;
 mod row_codec;
 mod row_keys;
+mod transfer_row;
 
 pub use early_cancellation::EarlyCancellation;
 pub use home_row::HomeRow;
@@ -20,5 +21,6 @@
 pub use intake_source::IntakeSource;
 pub use ownership_row::OwnershipRow;
 pub use row_keys::RowKeys;
+pub use transfer_row::TransferRow;
 
 pub(crate) use row_codec::RowCodec;
--- a/crates/entry/src/store/earlier_ownership_row.rs
+++ b/crates/entry/src/store/earlier_ownership_row.rs
@@ -31,6 +31,7 @@
             vacancies: Vec::new(),
             restarts: Vec::new(),
             late_restarts: Vec::new(),
+            idle_tasks: Vec::new(),
         }
     }
 }
--- a/crates/entry/src/store/intake_source.rs
+++ b/crates/entry/src/store/intake_source.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sapphirestile_jobs::DelegatedTask;
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobSpec;
 
@@ -16,6 +15,7 @@
 use crate::store::IntakeEvent;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
+use crate::store::TransferRow;
 
 /// Reads submissions and cancellations from the intake rows, which the daemons write
 /// for callers, and the tasks that other owners transfer to the cell.
@@ -61,7 +61,7 @@
     let read = if RowKeys::is_delegated(&row.key) {
         read_delegated(row)
     } else if RowKeys::is_returned(&row.key) {
-        RowCodec::decode(&row.value).map(IntakeEvent::Returned)
+        TransferRow::decode_returned(&row.value).map(IntakeEvent::Returned)
     } else {
         read_spec(row)
     };
@@ -72,7 +72,7 @@
 }
 
 fn read_delegated(row: &StoredRow) -> Option<IntakeEvent> {
-    let task: DelegatedTask = RowCodec::decode(&row.value)?;
+    let task = TransferRow::decode_delegated(&row.value)?;
     task.spec.check().ok()?;
     Some(IntakeEvent::Delegated(Box::new(task)))
 }
--- a/crates/entry/src/store/ownership_row.rs
+++ b/crates/entry/src/store/ownership_row.rs
@@ -1,6 +1,7 @@
 //! The row that names the owner of a cell.
 
 use sapphirestile_jobs::CellLoad;
+use sapphirestile_jobs::IdleTask;
 use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::RestartNeed;
 use sapphirestile_jobs::WorkerVacancy;
@@ -38,6 +39,8 @@
     pub restarts: Vec<RestartNeed>,
     /// Those that have waited for so long that first runs do not wait for them any more.
     pub late_restarts: Vec<RestartNeed>,
+    /// The tasks of the cell that have waited longest to run again, for the next owner.
+    pub idle_tasks: Vec<IdleTask>,
 }
 
 impl OwnershipRow {
@@ -62,8 +65,13 @@
         }
         let (restarts, rest) = RowCodec::decode_first(rest)?;
         row.restarts = restarts;
+        if rest.is_empty() {
+            return Some(row);
+        }
+        let (late_restarts, rest) = RowCodec::decode_first(rest)?;
+        row.late_restarts = late_restarts;
         if !rest.is_empty() {
-            row.late_restarts = RowCodec::decode(rest)?;
+            row.idle_tasks = RowCodec::decode(rest)?;
         }
         Some(row)
     }
--- a/crates/entry/tests/cell_claims.rs
+++ b/crates/entry/tests/cell_claims.rs
@@ -51,6 +51,7 @@
             vacancies: Vec::new(),
             restarts: Vec::new(),
             late_restarts: Vec::new(),
+            idle_tasks: Vec::new(),
         },
         revision: 1,
         changed: MonoTime::from_millis(now),
--- a/crates/entry/tests/intake_gate.rs
+++ b/crates/entry/tests/intake_gate.rs
@@ -104,6 +104,7 @@
         run: 5,
         checkpoint: "".into(),
         from: CellNumber::new(2),
+        idle_ms: 0,
     });
     assert_eq!(gate.admit(returned.clone(), true), None);
     assert_eq!(gate.finish_departures(&[]), [returned]);
--- a/crates/entry/tests/rows_of_earlier_versions.rs
+++ b/crates/entry/tests/rows_of_earlier_versions.rs
@@ -7,10 +7,16 @@
 use sapphirestile_entry::OwnershipRow;
 use sapphirestile_entry::RowKeys;
 use sapphirestile_entry::StoredRow;
+use sapphirestile_entry::TransferRow;
 use sapphirestile_jobs::CellLoad;
+use sapphirestile_jobs::DelegatedTask;
+use sapphirestile_jobs::IdleTask;
+use sapphirestile_jobs::JobSpec;
 use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::ResourceVector;
 use sapphirestile_jobs::RestartNeed;
+use sapphirestile_jobs::ReturnedTask;
+use sapphirestile_jobs::TaskIdentity;
 use sapphirestile_jobs::WorkerVacancy;
 use serde::Deserialize;
 use serde::Serialize;
@@ -41,6 +47,13 @@
     restarts: Vec<RestartNeed>,
 }
 
+/// The row of a cell as it was before it had the time for which tasks have waited.
+#[derive(Deserialize, Serialize)]
+struct RowWithLateRestarts {
+    with_restarts: RowWithRestarts,
+    late_restarts: Vec<RestartNeed>,
+}
+
 fn restart_need() -> RestartNeed {
     RestartNeed {
         service: "sizing".into(),
@@ -103,6 +116,7 @@
         vacancies: Vec::new(),
         restarts: vec![restart_need()],
         late_restarts: Vec::new(),
+        idle_tasks: Vec::new(),
     };
     let value = postcard::to_stdvec(&row).unwrap();
     let read: EarlierRow = postcard::from_bytes(&value).unwrap();
@@ -137,6 +151,7 @@
         vacancies: vec![WorkerVacancy::default()],
         restarts: vec![restart_need()],
         late_restarts: Vec::new(),
+        idle_tasks: Vec::new(),
     };
     let now = MonoTime::from_millis(0);
     let rows = [stored(0, &earlier), stored(1, &row)];
@@ -184,6 +199,7 @@
         vacancies: Vec::new(),
         restarts: Vec::new(),
         late_restarts: vec![restart_need()],
+        idle_tasks: Vec::new(),
     };
     let now = MonoTime::from_millis(0);
     let rows = [stored(0, &earlier), stored(1, &row)];
@@ -198,3 +214,68 @@
         "the earlier version reads its part"
     );
 }
+
+fn delegated(idle_ms: u64) -> DelegatedTask {
+    DelegatedTask {
+        task: TaskIdentity::try_from("aaaaaaaaaaaaaaaa.0.0.0").unwrap(),
+        run: 3,
+        checkpoint: "a".into(),
+        home: CellNumber::new(2),
+        spec: JobSpec::without_steps(),
+        idle_ms,
+    }
+}
+
+/// Otherwise a task is in no cell whose transfer one version stored and another reads.
+#[test]
+fn rows_of_transfers_of_both_versions_can_be_read_by_either() {
+    let earlier = postcard::to_stdvec(&delegated(7_000)).unwrap();
+    let without = TransferRow::decode_delegated(&earlier);
+    assert_eq!(without, Some(delegated(0)));
+    let row = TransferRow::encode_delegated(&delegated(7_000));
+    assert_eq!(postcard::from_bytes(&row), Ok(delegated(0)));
+    assert_eq!(TransferRow::decode_delegated(&row), Some(delegated(7_000)));
+    let returned = ReturnedTask {
+        task: delegated(0).task,
+        run: 4,
+        checkpoint: "".into(),
+        from: CellNumber::new(1),
+        idle_ms: 300,
+    };
+    let row = TransferRow::encode_returned(&returned);
+    assert_eq!(TransferRow::decode_returned(&row), Some(returned.clone()));
+    let earlier = postcard::to_stdvec(&returned).unwrap();
+    let without = TransferRow::decode_returned(&earlier).map(|task| task.idle_ms);
+    assert_eq!(without, Some(0));
+    assert_eq!(TransferRow::decode_returned(&earlier[..2]), None);
+}
+
+/// Otherwise waits begin anew while one version replaces the other, or the row is lost.
+#[test]
+fn waits_are_read_behind_what_earlier_versions_read() {
+    let idle = IdleTask {
+        task: delegated(0).task,
+        idle_ms: 12_000,
+    };
+    let row = OwnershipRow {
+        epoch: 8,
+        daemon: "entry-2".into(),
+        incarnation: 4,
+        write: 1,
+        is_released: false,
+        load: CellLoad::default(),
+        lease_bounds: LeaseBounds::of_all(1),
+        vacancies: Vec::new(),
+        restarts: Vec::new(),
+        late_restarts: vec![restart_need()],
+        idle_tasks: vec![idle],
+    };
+    let value = postcard::to_stdvec(&row).unwrap();
+    assert_eq!(OwnershipRow::decode(&value), Some(row.clone()));
+    let earlier: RowWithLateRestarts = postcard::from_bytes(&value).unwrap();
+    assert_eq!(earlier.late_restarts, row.late_restarts);
+    let value = postcard::to_stdvec(&earlier).unwrap();
+    let read = OwnershipRow::decode(&value).expect("the earlier row is read");
+    assert!(read.idle_tasks.is_empty());
+    assert_eq!(read.late_restarts, row.late_restarts);
+}
--- a/crates/entry/tests/stored_cell.rs
+++ b/crates/entry/tests/stored_cell.rs
@@ -176,6 +176,7 @@
         checkpoint: "".into(),
         home: CellNumber::new(1),
         spec: spec(),
+        idle_ms: 0,
     };
     let intake = row(RowKeys::delegated(CELL, &task(), 3), encoded(&delegated));
     let progress = row(RowKeys::guest_progress(CELL, &job()), MALFORMED);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -53,6 +53,7 @@
 pub use owner::DecisionEvent;
 pub use owner::DelegatedTask;
 pub use owner::GuestRemoval;
+pub use owner::IdleTask;
 pub use owner::JobMove;
 pub use owner::JobOwner;
 pub use owner::JobPlace;
--- a/crates/jobs/src/owner/commit_batch.rs
+++ b/crates/jobs/src/owner/commit_batch.rs
@@ -4,6 +4,7 @@
 use crate::division::RestartNeed;
 use crate::division::WorkerVacancy;
 use crate::owner::GuestRemoval;
+use crate::owner::IdleTask;
 use crate::owner::JobMove;
 use crate::owner::JobTransfer;
 use crate::owner::LearntTables;
@@ -47,6 +48,8 @@
     pub restarts: Vec<RestartNeed>,
     /// Those for which first runs do not wait any more, which belong to the load.
     pub late_restarts: Vec<RestartNeed>,
+    /// Tasks that have waited longest to run again, which belong to the load.
+    pub idle_tasks: Vec<IdleTask>,
     /// Bounds on the leases of all workers when the batch was taken.
     pub lease_bounds: LeaseBounds,
     /// Whether the owner releases its ownership with this batch.
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -158,7 +158,8 @@
         task: TaskIdentity,
         /// Processor time that the task needs, in thousandths of a processor.
         cpu_milli: u64,
-        /// Time since the task first found no worker here, in milliseconds.
+        /// Time since its latest run ended, over owners and cells as far as known, in
+        /// milliseconds.
         waited_ms: u64,
         /// Number of tasks that wait here like this one.
         tasks: usize,
@@ -179,6 +180,8 @@
         run: u32,
         /// Cell that had the task.
         from: CellNumber,
+        /// Time since its latest run ended when it left that cell, in milliseconds.
+        idle_ms: u64,
     },
     /// A long-running task that has run waits here no more, after a wait of a second or more in
     /// all.
--- a/crates/jobs/src/owner/delegated_task.rs
+++ b/crates/jobs/src/owner/delegated_task.rs
@@ -21,4 +21,8 @@
     pub home: CellNumber,
     /// Specification of the job.
     pub spec: JobSpec,
+    /// Time since the latest run of the task ended, as far as its owners have told, in
+    /// milliseconds. It is stored behind what earlier versions read.
+    #[serde(skip)]
+    pub idle_ms: u64,
 }
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -49,6 +49,9 @@
             late_restarts: load
                 .as_ref()
                 .map_or_else(Vec::new, |_| self.late_restart_needs(now)),
+            idle_tasks: load
+                .as_ref()
+                .map_or_else(Vec::new, |_| self.idle_tasks(now)),
             load,
             forgotten: std::mem::take(&mut self.forgotten),
             counts: self.count_queues(),
--- a/crates/jobs/src/owner/job_owner/idle_tasks.rs
+++ b/crates/jobs/src/owner/job_owner/idle_tasks.rs
@@ -1,7 +1,10 @@
 //! Long-running tasks that have run and do not run now.
 
+use std::cmp::Reverse;
+
 use crate::division::VacancyTable;
 use crate::owner::DecisionEvent;
+use crate::owner::IdleTask;
 use crate::owner::JobAge;
 use crate::owner::JobOwner;
 use crate::owner::RunCause;
@@ -13,6 +16,9 @@
 /// The shortest wait whose end is reported, in milliseconds.
 const REPORTED_WAIT_MS: u64 = 1_000;
 
+/// Maximum number of tasks of which the next owner learns for how long they have waited.
+const REPORTED_TASKS_MAX: usize = 16;
+
 /// Interval at which the causes of waits are sampled, in milliseconds.
 const SAMPLE_INTERVAL_MS: u64 = 300;
 
@@ -52,6 +58,50 @@
         Some(idle.millis(now))
     }
 
+    /// Time for which a task without a worker has waited, over owners and cells as far as known,
+    /// in milliseconds.
+    pub(super) fn waited_in_all_ms(&self, task: &TaskIdentity, now: MonoTime) -> u64 {
+        let unplaced = self.unplaced.get(task);
+        let here_ms = unplaced.map_or(0, |unplaced| now.millis_since(unplaced.since));
+        here_ms.max(self.idle_ms(task, now).unwrap_or_default())
+    }
+
+    /// Tasks that found no worker, with the time for which each has waited in all, the longest
+    /// first.
+    pub(super) fn unplaced_by_wait(&self, now: MonoTime) -> Vec<(u64, TaskIdentity)> {
+        let mut waits: Vec<(u64, TaskIdentity)> = self
+            .unplaced
+            .keys()
+            .map(|task| (self.waited_in_all_ms(task, now), *task))
+            .collect();
+        waits.sort_unstable_by_key(|(waited_ms, task)| (Reverse(*waited_ms), *task));
+        waits
+    }
+
+    /// Tasks that found no worker and have waited longest, which the next owner learns of.
+    #[must_use]
+    pub fn idle_tasks(&self, now: MonoTime) -> Vec<IdleTask> {
+        let longest = self.unplaced_by_wait(now).into_iter();
+        let longest = longest.take(REPORTED_TASKS_MAX);
+        longest
+            .map(|(idle_ms, task)| IdleTask { task, idle_ms })
+            .collect()
+    }
+
+    /// Takes over for how long tasks have waited under the earlier owner. To be called once the
+    /// jobs are restored.
+    pub fn restore_idle_tasks(&mut self, idle_tasks: &[IdleTask], now: MonoTime) {
+        for idle in idle_tasks {
+            let Some(entry) = self.jobs.get_mut(&idle.task.job) else {
+                continue;
+            };
+            if entry.has_waiting(&idle.task) {
+                let age = JobAge::new(idle.idle_ms, now);
+                entry.idle_tasks.insert(idle.task, age);
+            }
+        }
+    }
+
     /// Reports how many tasks wait that had run under an earlier owner. To be called once the
     /// cell is loaded.
     pub fn report_restored_waits(&mut self, now: MonoTime) {
@@ -104,23 +154,12 @@
             return;
         }
         self.waits_sampled = now;
-        for task in self.longest_unplaced() {
+        let longest = self.unplaced_by_wait(now).into_iter();
+        for (_, task) in longest.take(SAMPLED_TASKS_MAX) {
             self.sample_wait(&task, now);
         }
     }
 
-    /// Tasks that have found no worker for longest.
-    fn longest_unplaced(&self) -> Vec<TaskIdentity> {
-        let mut tasks: Vec<(MonoTime, TaskIdentity)> = self
-            .unplaced
-            .iter()
-            .map(|(task, unplaced)| (unplaced.since, *task))
-            .collect();
-        tasks.sort_unstable();
-        tasks.truncate(SAMPLED_TASKS_MAX);
-        tasks.into_iter().map(|(_, task)| task).collect()
-    }
-
     /// Counts the view among those that a waiting task has met.
     pub(super) fn count_view(
         &mut self,
--- a/crates/jobs/src/owner/job_owner/received_tasks.rs
+++ b/crates/jobs/src/owner/job_owner/received_tasks.rs
@@ -28,6 +28,7 @@
             checkpoint,
             home,
             spec,
+            idle_ms,
         } = delegated;
         let place = JobPlace::Guest { home };
         let entry = self.jobs.get_or_insert_with(task.job, || {
@@ -50,11 +51,13 @@
             return;
         }
         entry.received.insert(task, run);
+        entry.idle_tasks.insert(task, JobAge::new(idle_ms, now));
         entry.ended = None;
         self.decisions.push(DecisionEvent::TaskReceived {
             task,
             run,
             from: home,
+            idle_ms,
         });
         self.refresh_job(task.job, unix_ms);
     }
@@ -67,6 +70,7 @@
             run,
             checkpoint,
             from,
+            idle_ms,
         } = returned;
         self.absorbed.push((task, run));
         let Some(entry) = self.jobs.get_mut(&task.job) else {
@@ -76,13 +80,18 @@
         if !is_open || !accept_task(&mut entry.progress, &task, run, checkpoint) {
             return;
         }
+        entry.idle_tasks.insert(task, JobAge::new(idle_ms, now));
         self.changed.insert(task.job, ());
         self.unplaced
             .get_or_insert_with(task, || UnplacedTask::new(now))
             .declined
             .push(from);
-        self.decisions
-            .push(DecisionEvent::TaskReceived { task, run, from });
+        self.decisions.push(DecisionEvent::TaskReceived {
+            task,
+            run,
+            from,
+            idle_ms,
+        });
         self.refresh_job(task.job, unix_ms);
     }
 
--- a/crates/jobs/src/owner/job_owner/restarts.rs
+++ b/crates/jobs/src/owner/job_owner/restarts.rs
@@ -20,8 +20,8 @@
 /// their tasks find room on other workers.
 const RESTART_WORKER_DIVISOR: usize = 12;
 
-/// How long a task waits before a worker is held for it, in milliseconds. Most find a worker
-/// sooner.
+/// How long a task waits in all before a worker is held for it, in milliseconds. Most find a
+/// worker sooner.
 const HOLD_AFTER_MS: u64 = 1_000;
 
 /// Maximum number of workers that are held at the same time for tasks of this cell.
@@ -34,7 +34,7 @@
 /// find room in a small cell too.
 const HELD_FOR_OTHERS_DIVISOR: usize = 8;
 
-/// How long a task has waited for first runs to wait for it, in milliseconds. One that waits
+/// How long a task has waited in all for first runs to wait for it, in milliseconds. One that waits
 /// longer may fit on no worker of the fleet, and new tasks do not wait for it for ever.
 const PRECEDENCE_MS: RangeInclusive<u64> = 1_000..=30_000;
 
@@ -57,15 +57,9 @@
     }
 
     fn needs_waiting(&self, now: MonoTime, is_due: impl Fn(u64) -> bool) -> Vec<RestartNeed> {
-        let due = self
-            .unplaced
-            .iter()
-            .filter(|(_, unplaced)| is_due(now.millis_since(unplaced.since)));
-        let mut due: Vec<(MonoTime, TaskIdentity)> = due
-            .map(|(task, unplaced)| (unplaced.since, *task))
-            .collect();
-        due.sort_unstable();
-        let needs = due.iter().filter_map(|(_, task)| self.restart_need(task));
+        let due = self.unplaced_by_wait(now).into_iter();
+        let due = due.filter(|(waited_ms, _)| is_due(*waited_ms));
+        let needs = due.filter_map(|(_, task)| self.restart_need(&task));
         needs.take(RESTART_NEEDS_MAX).collect()
     }
 
@@ -112,13 +106,8 @@
             let entry = jobs.get(&task.job);
             entry.is_some_and(|entry| entry.has_waiting(task))
         });
-        let mut due: Vec<(MonoTime, TaskIdentity)> = self
-            .unplaced
-            .iter()
-            .filter(|(_, unplaced)| now.millis_since(unplaced.since) >= HOLD_AFTER_MS)
-            .map(|(task, unplaced)| (unplaced.since, *task))
-            .collect();
-        due.sort_unstable();
+        let due = self.unplaced_by_wait(now).into_iter();
+        let due = due.take_while(|(waited_ms, _)| *waited_ms >= HOLD_AFTER_MS);
         for (_, task) in due {
             if self.held.len() >= HELD_WORKERS_MAX {
                 break;
--- a/crates/jobs/src/owner/job_owner/transfers.rs
+++ b/crates/jobs/src/owner/job_owner/transfers.rs
@@ -48,13 +48,7 @@
     /// Decides which tasks without a worker are transferred to other cells. To be called once
     /// for each view of the other cells.
     pub fn plan_transfers(&mut self, own: CellNumber, vacancies: &mut VacancyTable, now: MonoTime) {
-        let mut due: Vec<(MonoTime, TaskIdentity)> = self
-            .unplaced
-            .iter()
-            .map(|(task, unplaced)| (unplaced.since, *task))
-            .collect();
-        due.sort_unstable();
-        for (since, task) in due {
+        for (_, task) in self.unplaced_by_wait(now) {
             if self.transfers.len() >= TRANSFERS_PER_VIEW_MAX {
                 break;
             }
@@ -62,7 +56,7 @@
             let Some(transfer) = self.choose_transfer(own, &task, vacancies, now) else {
                 continue;
             };
-            self.begin_transfer(transfer, now.millis_since(since), now);
+            self.begin_transfer(transfer, now);
         }
         self.report_delayed(own, vacancies, now);
     }
@@ -72,11 +66,12 @@
         if now.millis_since(self.delay_reported) < DELAY_INTERVAL_MS {
             return;
         }
-        let longest = self.unplaced.iter().min_by_key(|(_, task)| task.since);
-        let Some((task, unplaced)) = longest else {
+        let Some((waited_ms, task)) = self.unplaced_by_wait(now).first().copied() else {
+            return;
+        };
+        let Some(unplaced) = self.unplaced.get(&task) else {
             return;
         };
-        let waited_ms = now.millis_since(unplaced.since);
         let Some(entry) = self.jobs.get(&task.job) else {
             return;
         };
@@ -86,12 +81,12 @@
         let step = &entry.spec.steps[task.step as usize];
         let service = self.service_of(&entry.spec.queue, &entry.spec.terms.service);
         self.decisions.push(DecisionEvent::TaskDelayed {
-            task: *task,
+            task,
             cpu_milli: step.size.cpu_milli,
             waited_ms,
             tasks: self.unplaced.len(),
             is_guest: entry.place.is_guest(),
-            is_transferring: entry.transferring.contains(task),
+            is_transferring: entry.transferring.contains(&task),
             declined: unplaced.declined.len(),
             census: vacancies.census(own, step, &service),
         });
@@ -124,6 +119,7 @@
         let step = &spec.steps[task.step as usize];
         let service = self.service_of(&spec.queue, &spec.terms.service);
         let offset = usize::from(own.get()) * OWNER_OFFSET + task.index as usize;
+        let idle_ms = self.waited_in_all_ms(task, now);
         let unplaced = self.unplaced.get_mut(task)?;
         let waited_ms = now.millis_since(unplaced.since);
         match place {
@@ -143,6 +139,7 @@
                     checkpoint,
                     home: own,
                     spec: (*spec).clone(),
+                    idle_ms,
                 };
                 Some(TaskTransfer::Delegate { target, delegated })
             }
@@ -155,6 +152,7 @@
                     run,
                     checkpoint,
                     from: own,
+                    idle_ms,
                 };
                 Some(TaskTransfer::Return {
                     home,
@@ -165,8 +163,10 @@
         }
     }
 
-    fn begin_transfer(&mut self, transfer: TaskTransfer, waited_ms: u64, now: MonoTime) {
+    fn begin_transfer(&mut self, transfer: TaskTransfer, now: MonoTime) {
         let task = transfer.task();
+        let unplaced = self.unplaced.get(&task);
+        let waited_ms = unplaced.map_or(0, |unplaced| now.millis_since(unplaced.since));
         self.report_wait_end(task, transfer.run(), Some(transfer.target()), now);
         let Some(entry) = self.jobs.get_mut(&task.job) else {
             return;
@@ -240,6 +240,7 @@
             return;
         };
         entry.received.remove(&task);
+        entry.idle_tasks.remove(&task);
         match transfer {
             TaskTransfer::Delegate { target, .. } => {
                 // The job may have failed while the transfer was being stored.
--- a/crates/jobs/src/owner/returned_task.rs
+++ b/crates/jobs/src/owner/returned_task.rs
@@ -18,4 +18,8 @@
     pub checkpoint: Box<str>,
     /// Cell that gives the task back.
     pub from: CellNumber,
+    /// Time since the latest run of the task ended, as far as its owners have told, in
+    /// milliseconds. It is stored behind what earlier versions read.
+    #[serde(skip)]
+    pub idle_ms: u64,
 }
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod batches;
 mod breaker;
+mod carried_waits;
 mod copies_and_gangs;
 mod cut_responses;
 mod incarnations;
--- a/crates/jobs/tests/owner/transfers.rs
+++ b/crates/jobs/tests/owner/transfers.rs
@@ -320,6 +320,7 @@
         run: delegated.run + 1,
         checkpoint: "".into(),
         from: OTHER,
+        idle_ms: 0,
     };
     let now = home.time();
     home.owner.take_back_task(returned.clone(), now, home.now);
--- a/crates/jobs/tests/transfer_simulation/cell_rows.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_rows.rs
@@ -4,9 +4,11 @@
 use std::collections::BTreeSet;
 
 use sapphirestile_jobs::DelegatedTask;
+use sapphirestile_jobs::IdleTask;
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobProgress;
 use sapphirestile_jobs::JobSpec;
+use sapphirestile_jobs::LearntTables;
 use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::RestartNeed;
 use sapphirestile_jobs::ReturnedTask;
@@ -23,6 +25,8 @@
     pub vacancies: Vec<WorkerVacancy>,
     pub restarts: Vec<RestartNeed>,
     pub late_restarts: Vec<RestartNeed>,
+    pub idle_tasks: Vec<IdleTask>,
+    pub learnt: Option<LearntTables>,
     pub specs: BTreeMap<JobIdentity, JobSpec>,
     pub progress: BTreeMap<JobIdentity, JobProgress>,
     pub guests: BTreeMap<JobIdentity, JobProgress>,
@@ -40,6 +44,8 @@
             vacancies: Vec::new(),
             restarts: Vec::new(),
             late_restarts: Vec::new(),
+            idle_tasks: Vec::new(),
+            learnt: None,
             specs: BTreeMap::new(),
             progress: BTreeMap::new(),
             guests: BTreeMap::new(),
--- a/crates/jobs/tests/transfer_simulation/cell_simulation.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod jobs;
 mod owners;
+mod reports;
 mod restart_check;
 
 use std::collections::BTreeMap;
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/faults.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/faults.rs
@@ -23,6 +23,9 @@
 /// When owners die in a row, in milliseconds.
 const OWNER_DEATHS: [Range<u64>; 2] = [8_000..16_000, 24_000..32_000];
 
+/// How long a fleet that is nearly full is disturbed by the loss of an owner, in milliseconds.
+const OWNER_LOSS_MS: u64 = 4_000;
+
 /// When the workers of cell 0 begin to leave, in milliseconds.
 const FIRST_LEAVE_MS: u64 = 6_000;
 
@@ -37,7 +40,7 @@
         }
         let are_dying = OWNER_DEATHS.iter().any(|span| span.contains(&self.now));
         if self.mixture.has_dying_owners && are_dying && self.random.random_bool(0.7) {
-            self.disturbed = self.now;
+            self.disturbed = self.now + OWNER_LOSS_MS;
             self.end_owner();
         }
         if self.injects(3) && self.random.random_bool(0.15) {
@@ -68,7 +71,7 @@
         } else if self.random.random_bool(0.1) {
             let worker = 2 * WORKERS_PER_CELL + self.random.random_range(0..WORKERS_PER_CELL);
             self.workers[worker].crash(self.now, 700);
-            self.disturbed = self.now;
+            self.disturbed = self.disturbed.max(self.now);
         }
     }
 
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
@@ -7,7 +7,6 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::ZoneName;
-use sapphirestile_jobs::CellReport;
 use sapphirestile_jobs::DeployedConfig;
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_jobs::JobPlace;
@@ -16,11 +15,9 @@
 use sapphirestile_jobs::OwnerLimits;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::ResourceVector;
-use sapphirestile_jobs::RestartNeed;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StopOutcome;
 use sapphirestile_jobs::StoredJob;
-use sapphirestile_jobs::VacancyTable;
 use sapphirestile_jobs::WorkerEntry;
 use sapphirestile_jobs::WorkerIncarnation;
 
@@ -66,6 +63,9 @@
         let epoch = CellEpoch::new(epoch);
         let mut owner = JobOwner::new(epoch, limits, config, Vec::new(), inherited, now);
         owner.set_cells(u16::try_from(CELLS).unwrap());
+        if let Some(learnt) = &rows.learnt {
+            owner.restore_learnt(learnt);
+        }
         owner.replace_workers(self.entries(cell), now);
         restore(&mut owner, &self.store.cells[cell], now, self.now);
         let state = &mut self.cells[cell];
@@ -133,31 +133,6 @@
         listed.map(entry).collect()
     }
 
-    fn vacancies(&self) -> VacancyTable {
-        let reports: Vec<CellReport<'_>> = (0..)
-            .map(CellNumber::new)
-            .zip(&self.store.cells)
-            .map(|(cell, rows)| CellReport {
-                cell,
-                vacancies: &rows.vacancies,
-                age_ms: 0,
-            })
-            .collect();
-        VacancyTable::new(&reports)
-    }
-
-    /// Tasks of other cells for which first runs wait, and those for which they do not any more.
-    fn restarts_elsewhere(&self, cell: usize) -> (Vec<RestartNeed>, Vec<RestartNeed>) {
-        let (mut restarts, mut late) = (Vec::new(), Vec::new());
-        for (other, rows) in self.store.cells.iter().enumerate() {
-            if other != cell {
-                restarts.extend_from_slice(&rows.restarts);
-                late.extend_from_slice(&rows.late_restarts);
-            }
-        }
-        (restarts, late)
-    }
-
     /// Lets an owner handle the time and sends what it requests.
     fn drive(&mut self, cell: usize) {
         let (entries, mut vacancies) = (self.entries(cell), self.vacancies());
@@ -293,4 +268,5 @@
     for returned in rows.returned.values() {
         owner.take_back_task(returned.clone(), now, unix_ms);
     }
+    owner.restore_idle_tasks(&rows.idle_tasks, now);
 }
--- a/crates/jobs/tests/transfer_simulation/main.rs
+++ b/crates/jobs/tests/transfer_simulation/main.rs
@@ -46,6 +46,8 @@
 
 #[test_case(TaskMixture::SIZES; "several sizes in cells with little room")]
 #[test_case(TaskMixture::SHORT_JOBS; "short jobs that take what is free")]
+#[test_case(TaskMixture::LIMITS; "labels and limits per worker")]
+#[test_case(TaskMixture::ALL; "owners that die in a row")]
 fn task_that_has_run_begins_again_while_a_worker_has_room(mixture: TaskMixture) {
     for seed in seeds() {
         CellSimulation::with_mixture(seed, mixture).run();
--- a/crates/jobs/tests/transfer_simulation/shared_store.rs
+++ b/crates/jobs/tests/transfer_simulation/shared_store.rs
@@ -54,6 +54,10 @@
             rows.vacancies.clone_from(&batch.vacancies);
             rows.restarts.clone_from(&batch.restarts);
             rows.late_restarts.clone_from(&batch.late_restarts);
+            rows.idle_tasks.clone_from(&batch.idle_tasks);
+        }
+        if batch.learnt.is_some() {
+            rows.learnt.clone_from(&batch.learnt);
         }
         rows.progress.extend(batch.progress.iter().cloned());
         rows.guests.extend(batch.guests.iter().cloned());
--- a/crates/jobs/tests/transfer_simulation/task_mixture.rs
+++ b/crates/jobs/tests/transfer_simulation/task_mixture.rs
@@ -43,4 +43,16 @@
         has_short_jobs: true,
         ..Self::SIZES
     };
+
+    /// The same with labels and limits per worker.
+    pub const LIMITS: Self = Self {
+        has_limits: true,
+        ..Self::SHORT_JOBS
+    };
+
+    /// The same with owners that die.
+    pub const ALL: Self = Self {
+        has_dying_owners: true,
+        ..Self::LIMITS
+    };
 }
