Report the need of a task for a second after it has left

Callers saw a long-running task that had run stay idle although a worker of another cell was held for it. A guest without a worker goes home when a third cell reports room, and its home sends it on. From the decision to leave until the home had reported it, 0.7 s in the simulation, no report named it: the third cell let the worker go, and its short tasks took it. The task then waited at home for the same again. The same holds for a task that goes from its home straight to the cell with room.

An owner now reports the need of a task that leaves for a second more, unless it comes back before that. Meanwhile two workers of a cell may be held for the one task, within the limits that hold for all.

The test of the report failed without the change.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -15,6 +15,7 @@
 mod decision_event;
 mod deferred_effect;
 mod delegated_task;
+mod departing_need;
 mod guest_removal;
 mod idle_task;
 mod job_age;
@@ -70,6 +71,7 @@
 pub use wait_causes::WaitCauses;
 
 pub(crate) use deferred_effect::DeferredEffect;
+pub(crate) use departing_need::DepartingNeed;
 pub(crate) use job_age::JobAge;
 pub(crate) use job_departure::JobDeparture;
 pub(crate) use job_entry::JobEntry;
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -33,6 +33,7 @@
 use crate::division::RestartNeed;
 use crate::owner::DecisionEvent;
 use crate::owner::DeferredEffect;
+use crate::owner::DepartingNeed;
 use crate::owner::GuestRemoval;
 use crate::owner::JobEntry;
 use crate::owner::LeaseBounds;
@@ -85,6 +86,8 @@
     moving: Vec<JobIdentity>,
     /// Long-running tasks that have run before and found no worker in this cell.
     unplaced: SortedTable<TaskIdentity, UnplacedTask>,
+    /// Needs of tasks that were lately transferred to other cells.
+    departing: Vec<DepartingNeed>,
     /// Tasks that are transferred to another cell with the next batch.
     transfers: Vec<TaskTransfer>,
     /// Tasks whose transfers are being stored.
@@ -180,6 +183,7 @@
             leaving: Vec::new(),
             moving: Vec::new(),
             unplaced: SortedTable::new(),
+            departing: Vec::new(),
             transfers: Vec::new(),
             storing_transfers: Vec::new(),
             revoked: Vec::new(),
--- a/crates/jobs/src/owner/job_owner/received_tasks.rs
+++ b/crates/jobs/src/owner/job_owner/received_tasks.rs
@@ -53,6 +53,7 @@
         entry.received.insert(task, run);
         entry.idle_tasks.insert(task, JobAge::new(idle_ms, now));
         entry.ended = None;
+        self.note_arrived(&task);
         self.decisions.push(DecisionEvent::TaskReceived {
             task,
             run,
@@ -82,6 +83,7 @@
         }
         entry.idle_tasks.insert(task, JobAge::new(idle_ms, now));
         self.changed.insert(task.job, ());
+        self.note_arrived(&task);
         self.unplaced
             .get_or_insert_with(task, || UnplacedTask::new(now))
             .declined
--- a/crates/jobs/src/owner/job_owner/restarts.rs
+++ b/crates/jobs/src/owner/job_owner/restarts.rs
@@ -7,6 +7,7 @@
 use std::ops::RangeInclusive;
 
 use crate::division::RestartNeed;
+use crate::owner::DepartingNeed;
 use crate::owner::JobOwner;
 use crate::owner::UnplacedTask;
 use crate::planner::TaskDemand;
@@ -38,6 +39,10 @@
 /// longer may fit on no worker of the fleet, and new tasks do not wait for it for ever.
 const PRECEDENCE_MS: RangeInclusive<u64> = 1_000..=30_000;
 
+/// How long the need of a task is reported once it leaves, in milliseconds: until its next cell
+/// has given it a worker or reports it. Workers that are held for it would be lost meanwhile.
+const DEPARTING_MS: u64 = 1_000;
+
 /// Maximum number of tasks that wait in a report, which every daemon reads.
 const RESTART_NEEDS_MAX: usize = 8;
 
@@ -60,9 +65,33 @@
         let due = self.unplaced_by_wait(now).into_iter();
         let due = due.filter(|(waited_ms, _)| is_due(*waited_ms));
         let needs = due.filter_map(|(_, task)| self.restart_need(&task));
+        let departing = self.departing.iter().filter(|departing| {
+            now.millis_since(departing.since) < DEPARTING_MS && is_due(departing.waited_ms)
+        });
+        let needs = needs.chain(departing.map(|departing| departing.need.clone()));
         needs.take(RESTART_NEEDS_MAX).collect()
     }
 
+    /// Records the need of a task that is about to leave.
+    pub(super) fn note_departing(&mut self, task: &TaskIdentity, now: MonoTime) {
+        self.departing
+            .retain(|departing| now.millis_since(departing.since) < DEPARTING_MS);
+        let waited_ms = self.waited_in_all_ms(task, now);
+        if let Some(need) = self.restart_need(task) {
+            self.departing.push(DepartingNeed {
+                task: *task,
+                need,
+                waited_ms,
+                since: now,
+            });
+        }
+    }
+
+    /// Forgets that a task has left, as it has come.
+    pub(super) fn note_arrived(&mut self, task: &TaskIdentity) {
+        self.departing.retain(|departing| departing.task != *task);
+    }
+
     /// Need of a task, unless it runs or is about to leave.
     fn restart_need(&self, task: &TaskIdentity) -> Option<RestartNeed> {
         let entry = self.jobs.get(&task.job)?;
--- a/crates/jobs/src/owner/job_owner/transfers.rs
+++ b/crates/jobs/src/owner/job_owner/transfers.rs
@@ -165,6 +165,7 @@
 
     fn begin_transfer(&mut self, transfer: TaskTransfer, now: MonoTime) {
         let task = transfer.task();
+        self.note_departing(&task, now);
         let unplaced = self.unplaced.get(&task);
         let waited_ms = unplaced.map_or(0, |unplaced| now.millis_since(unplaced.since));
         self.report_wait_end(task, transfer.run(), Some(transfer.target()), now);
--- a/crates/jobs/tests/owner/carried_waits.rs
+++ b/crates/jobs/tests/owner/carried_waits.rs
@@ -154,3 +154,16 @@
     assert_eq!(needs(&host), 0);
     assert_eq!(host.owner.late_restart_needs(host.time()).len(), 1);
 }
+
+/// The workers that other cells held for it were let go before its next cell had reported it,
+/// and short tasks took them.
+#[test]
+fn need_of_a_task_is_reported_while_it_is_on_its_way() {
+    let (mut home, _) = home_and_transfer();
+    assert_eq!(needs(&home), 1);
+    home.now += 900;
+    home.step();
+    assert_eq!(needs(&home), 1);
+    home.now += 100;
+    assert_eq!(needs(&home), 0);
+}
--- a/crates/jobs/tests/transfer_simulation/main.rs
+++ b/crates/jobs/tests/transfer_simulation/main.rs
@@ -54,6 +54,13 @@
     }
 }
 
+/// A guest went home, as a third cell had room; the worker there was held for it no more before
+/// its home had reported it.
+#[test]
+fn worker_stays_held_while_a_task_goes_home() {
+    CellSimulation::with_mixture(42, TaskMixture::ALL).run();
+}
+
 /// Seeds of a case; `RESTART_SEEDS=first..end` sets others.
 fn seeds() -> Range<u64> {
     let given = std::env::var("RESTART_SEEDS");
