Report free workers with labels, memory or accelerators that larger ones lack

Callers saw long-running tasks that had run wait in a full cell although another had a worker for them. An owner reported the eight free workers of a service with the most processor time and no other. A worker with the label, the memory or the accelerator that a task needs is not among them when eight others have more processors free, so the task never left its cell: a wait that no rule ended. Lines of waiting tasks on a large site, which show a free worker that is large enough and no cell with room, fit that; that it was the cause there is suspected only.

The report now also has two workers with more free memory and two with more accelerators than any of the eight, and the largest one with each label that is still missing: sixteen a service at most. A need that only one worker meets by two of these at once may still be missing.

--- a/crates/jobs/src/division.rs
+++ b/crates/jobs/src/division.rs
@@ -18,6 +18,7 @@
 mod restart_need;
 mod service_room;
 mod vacancy_census;
+mod vacancy_selection;
 mod vacancy_table;
 mod worker_vacancy;
 
@@ -33,3 +34,5 @@
 pub use vacancy_census::VacancyCensus;
 pub use vacancy_table::VacancyTable;
 pub use worker_vacancy::WorkerVacancy;
+
+pub(crate) use vacancy_selection::VacancySelection;
--- a/crates/jobs/src/owner/job_owner/load_report.rs
+++ b/crates/jobs/src/owner/job_owner/load_report.rs
@@ -1,22 +1,19 @@
 //! Report of a cell's load.
 
-use std::cmp::Reverse;
-
 use crate::division::CellLoad;
 use crate::division::ServiceRoom;
+use crate::division::VacancySelection;
 use crate::division::WorkerVacancy;
 use crate::owner::JobOwner;
 use crate::spec::ResourceVector;
 use crate::worker::TrackedWorker;
 use crate::worker::WorkerEntry;
 use sapphirestile_core::MonoTime;
+use sapphirestile_core::SortedTable;
 
 /// Interval at which the load is reported, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 300;
 
-/// Maximum number of free workers of a service in a report, which every daemon reads.
-const VACANCIES_MAX: usize = 8;
-
 impl JobOwner {
     /// Load of the cell, if it is due to be reported.
     pub(super) fn load_if_due(&mut self, now: MonoTime) -> Option<CellLoad> {
@@ -58,8 +55,8 @@
         load
     }
 
-    /// Usable workers with the most free processor time, for each service; none while there is
-    /// no other cell.
+    /// Usable workers with the most free processor time, and some that have what these lack, for
+    /// each service; none while there is no other cell.
     #[must_use]
     pub fn vacancies(&self, now: MonoTime) -> Vec<WorkerVacancy> {
         if self.cells <= 1 {
@@ -79,30 +76,14 @@
                 labels: kinds_of(entry).to_vec(),
             })
         });
-        largest_of(vacancies.collect())
-    }
-}
-
-/// Largest of the vacancies, each service apart.
-fn largest_of(mut vacancies: Vec<WorkerVacancy>) -> Vec<WorkerVacancy> {
-    let key = |vacancy: &WorkerVacancy| Reverse(vacancy.free.cpu_milli);
-    vacancies.sort_by(|one, other| {
-        let by_service = one.service.cmp(&other.service);
-        by_service.then_with(|| key(one).cmp(&key(other)))
-    });
-    let (mut largest, mut count): (Vec<WorkerVacancy>, usize) = (Vec::new(), 0);
-    for vacancy in vacancies {
-        let is_same = |last: &WorkerVacancy| last.service == vacancy.service;
-        count = if largest.last().is_some_and(is_same) {
-            count + 1
-        } else {
-            0
-        };
-        if count < VACANCIES_MAX {
-            largest.push(vacancy);
+        let mut services: SortedTable<Box<str>, Vec<WorkerVacancy>> = SortedTable::new();
+        for vacancy in vacancies {
+            let of_service = services.get_or_insert_with(vacancy.service.clone(), Vec::new);
+            of_service.push(vacancy);
         }
+        let selected = services.values().cloned().map(VacancySelection::of);
+        selected.flatten().collect()
     }
-    largest
 }
 
 /// Labels of a worker other than its rack, which is the last.
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -25,5 +25,6 @@
 mod test_values;
 mod transfers;
 mod urgency;
+mod vacancies;
 mod wait_ends;
 mod waiting_reports;
