--- a/crates/entry/src/store/earlier_ownership_row.rs
+++ b/crates/entry/src/store/earlier_ownership_row.rs
@@ -30,6 +30,8 @@
             lease_bounds: LeaseBounds::unstated(),
             vacancies: Vec::new(),
             restarts: Vec::new(),
+            late_restarts: Vec::new(),
+            idle_tasks: Vec::new(),
         }
     }
 }
--- a/crates/entry/src/store/intake_source.rs
+++ b/crates/entry/src/store/intake_source.rs
@@ -3,10 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sapphirestile_jobs::DelegatedTask;
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::JobSpec;
-use sapphirestile_jobs::ReturnedTask;
 use sapphirestile_jobs::TaskProgress;
 
 use crate::ports::EventListing;
@@ -18,6 +16,7 @@
 use crate::store::IntakeEvent;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
+use crate::store::TransferRow;
 
 /// Reads submissions and cancellations from the intake rows, which the daemons write
 /// for callers, and the tasks that other owners transfer to the cell.
@@ -74,13 +73,13 @@
 }
 
 fn read_delegated(row: &StoredRow) -> Option<IntakeEvent> {
-    let task: DelegatedTask = RowCodec::decode(&row.value)?;
+    let task = TransferRow::decode_delegated(&row.value)?;
     task.spec.check().ok()?;
     (task.run <= TaskProgress::STORED_RUN_MAX).then(|| IntakeEvent::Delegated(Box::new(task)))
 }
 
 fn read_returned(row: &StoredRow) -> Option<IntakeEvent> {
-    let task: ReturnedTask = RowCodec::decode(&row.value)?;
+    let task = TransferRow::decode_returned(&row.value)?;
     (task.run <= TaskProgress::STORED_RUN_MAX).then_some(IntakeEvent::Returned(task))
 }
 
--- a/crates/entry/src/store/ownership_row.rs
+++ b/crates/entry/src/store/ownership_row.rs
@@ -1,6 +1,7 @@
 //! The row that names the owner of a cell.
 
 use sapphirestile_jobs::CellLoad;
+use sapphirestile_jobs::IdleTask;
 use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::RestartNeed;
 use sapphirestile_jobs::WorkerVacancy;
@@ -36,6 +37,10 @@
     /// The long-running tasks of the cell that have to run again and find no worker, as the
     /// owner last reported them.
     pub restarts: Vec<RestartNeed>,
+    /// Those that have waited for so long that first runs do not wait for them any more.
+    pub late_restarts: Vec<RestartNeed>,
+    /// The tasks of the cell that have waited longest to run again, for the next owner.
+    pub idle_tasks: Vec<IdleTask>,
 }
 
 impl OwnershipRow {
@@ -55,8 +60,18 @@
         }
         let (vacancies, rest) = RowCodec::decode_first(rest)?;
         row.vacancies = vacancies;
+        if rest.is_empty() {
+            return Some(row);
+        }
+        let (restarts, rest) = RowCodec::decode_first(rest)?;
+        row.restarts = restarts;
+        if rest.is_empty() {
+            return Some(row);
+        }
+        let (late_restarts, rest) = RowCodec::decode_first(rest)?;
+        row.late_restarts = late_restarts;
         if !rest.is_empty() {
-            row.restarts = RowCodec::decode(rest)?;
+            row.idle_tasks = RowCodec::decode(rest)?;
         }
         Some(row)
     }
--- a/crates/entry/tests/stored_cell/main.rs
+++ b/crates/entry/tests/stored_cell/main.rs
@@ -59,6 +59,7 @@
         checkpoint: "".into(),
         home: CellNumber::new(1),
         spec: spec(),
+        idle_ms: 0,
     };
     let intake = row(RowKeys::delegated(CELL, &task(), 3), encoded(&delegated));
     let progress = row(RowKeys::guest_progress(CELL, &job()), MALFORMED);
@@ -115,12 +116,14 @@
         checkpoint: "".into(),
         home: CellNumber::new(1),
         spec: spec(),
+        idle_ms: 0,
     };
     let returned = ReturnedTask {
         task: task(),
         run: u32::MAX,
         checkpoint: "".into(),
         from: CellNumber::new(1),
+        idle_ms: 0,
     };
     let rows = vec![
         row(RowKeys::delegated(CELL, &task(), 3), encoded(&delegated)),
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -5,6 +5,7 @@
 mod batches;
 mod expiry;
 mod gangs;
+mod idle_tasks;
 mod intake;
 mod learning;
 mod lease_grants;
@@ -33,6 +34,7 @@
 use crate::division::RestartNeed;
 use crate::owner::DecisionEvent;
 use crate::owner::DeferredEffect;
+use crate::owner::DepartingNeed;
 use crate::owner::GuestRemoval;
 use crate::owner::JobEntry;
 use crate::owner::LeaseBounds;
@@ -93,6 +95,8 @@
     moving: Vec<JobIdentity>,
     /// Long-running tasks that have run before and found no worker in this cell.
     unplaced: SortedTable<TaskIdentity, UnplacedTask>,
+    /// Needs of tasks that were lately transferred to other cells.
+    departing: Vec<DepartingNeed>,
     /// Tasks that are transferred to another cell with the next batch.
     transfers: Vec<TaskTransfer>,
     /// Tasks whose transfers are being stored.
@@ -135,6 +139,8 @@
     restarts: Vec<RestartNeed>,
     /// Those of the other cells, by their latest reports.
     restarts_elsewhere: Vec<RestartNeed>,
+    /// Those of the other cells for which first runs do not wait any more.
+    late_restarts_elsewhere: Vec<RestartNeed>,
     /// Number of cells, this one included.
     cells: u16,
     images: ImageTable,
@@ -148,6 +154,8 @@
     load_reported: MonoTime,
     /// When a task that found no worker was last reported.
     passed_over_reported: MonoTime,
+    /// When the causes of waits were last sampled.
+    waits_sampled: MonoTime,
     /// When a task that waits for a transfer was last reported.
     delay_reported: MonoTime,
     /// When a job that is not overdue last waited with nothing running; the default if never.
@@ -187,6 +195,7 @@
             leaving: Vec::new(),
             moving: Vec::new(),
             unplaced: SortedTable::new(),
+            departing: Vec::new(),
             transfers: Vec::new(),
             storing_transfers: Vec::new(),
             revoked: Vec::new(),
@@ -207,6 +216,7 @@
             held: SortedTable::new(),
             restarts: Vec::new(),
             restarts_elsewhere: Vec::new(),
+            late_restarts_elsewhere: Vec::new(),
             cells: 1,
             images: ImageTable::default(),
             interference: InterferenceModel::default(),
@@ -215,6 +225,7 @@
             advice: AdviceCache::default(),
             load_reported: claimed,
             passed_over_reported: MonoTime::default(),
+            waits_sampled: MonoTime::default(),
             delay_reported: MonoTime::default(),
             new_waited: MonoTime::default(),
             longest_wait_reported: MonoTime::default(),
@@ -252,9 +263,11 @@
         self.cells = cells;
     }
 
-    /// Sets which long-running tasks of other cells have to run again and find no worker.
-    pub fn set_restarts_elsewhere(&mut self, restarts: Vec<RestartNeed>) {
+    /// Sets which long-running tasks of other cells have to run again and find no worker:
+    /// those for which first runs wait, and those for which they do not any more.
+    pub fn set_restarts_elsewhere(&mut self, restarts: Vec<RestartNeed>, late: Vec<RestartNeed>) {
         self.restarts_elsewhere = restarts;
+        self.late_restarts_elsewhere = late;
     }
 
     /// Takes the effects that were released since the latest call.
--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -116,6 +116,7 @@
         let mut entry = Self::run_entry(run, incarnation, demand, RunState::Planned, now);
         entry.start_percent = start_percent;
         tracked.add_run(task, entry);
+        self.report_wait_end(task, run, None, now);
         self.unplaced.remove(&task);
         self.changed.insert(task.job, ());
         self.decisions.push(DecisionEvent::Assigned {
--- a/crates/jobs/src/owner/job_owner/batches.rs
+++ b/crates/jobs/src/owner/job_owner/batches.rs
@@ -51,6 +51,12 @@
             restarts: load
                 .as_ref()
                 .map_or_else(Vec::new, |_| self.restart_needs(now)),
+            late_restarts: load
+                .as_ref()
+                .map_or_else(Vec::new, |_| self.late_restart_needs(now)),
+            idle_tasks: load
+                .as_ref()
+                .map_or_else(Vec::new, |_| self.idle_tasks(now)),
             load,
             forgotten: std::mem::take(&mut self.forgotten),
             counts: self.count_queues(),
--- a/crates/jobs/src/owner/job_owner/requests.rs
+++ b/crates/jobs/src/owner/job_owner/requests.rs
@@ -105,6 +105,7 @@
                 self.set_start_pace(worker, task, now);
             }
             self.note_begun(&task.job);
+            self.note_running(task);
             return;
         }
         match outcome {
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -197,6 +197,7 @@
             self.set_start_pace(name, &running.task, now);
         }
         self.note_begun(&running.task.job);
+        self.note_running(&running.task);
         self.store_checkpoint(&running.task, running.run, &running.checkpoint);
         let job = self.jobs.get(&running.task.job);
         let is_active = job.is_some_and(|entry| !entry.progress.standing.is_final());
--- a/crates/jobs/src/owner/job_owner/restarts.rs
+++ b/crates/jobs/src/owner/job_owner/restarts.rs
@@ -7,6 +7,7 @@
 use std::ops::RangeInclusive;
 
 use crate::division::RestartNeed;
+use crate::owner::DepartingNeed;
 use crate::owner::JobOwner;
 use crate::owner::UnplacedTask;
 use crate::planner::TaskDemand;
@@ -20,8 +21,8 @@
 /// their tasks find room on other workers.
 const RESTART_WORKER_DIVISOR: usize = 12;
 
-/// How long a task waits before a worker is held for it, in milliseconds. Most find a worker
-/// sooner.
+/// How long a task waits in all before a worker is held for it, in milliseconds. Most find a
+/// worker sooner.
 const HOLD_AFTER_MS: u64 = 1_000;
 
 /// Maximum number of workers that are held at the same time for tasks of this cell.
@@ -34,30 +35,63 @@
 /// find room in a small cell too.
 const HELD_FOR_OTHERS_DIVISOR: usize = 8;
 
-/// How long a task has waited for first runs to wait for it, in milliseconds. One that waits
+/// How long a task has waited in all for first runs to wait for it, in milliseconds. One that waits
 /// longer may fit on no worker of the fleet, and new tasks do not wait for it for ever.
 const PRECEDENCE_MS: RangeInclusive<u64> = 1_000..=30_000;
 
+/// How long the need of a task is reported once it leaves, in milliseconds: until its next cell
+/// has given it a worker or reports it. Workers that are held for it would be lost meanwhile.
+const DEPARTING_MS: u64 = 1_000;
+
 /// Maximum number of tasks that wait in a report, which every daemon reads.
 const RESTART_NEEDS_MAX: usize = 8;
 
 impl JobOwner {
     /// Needs of the tasks of this cell that have to run again and have found no worker for
-    /// long, the longest first.
+    /// long, the longest first. First runs wait for them.
     #[must_use]
     pub fn restart_needs(&self, now: MonoTime) -> Vec<RestartNeed> {
-        let due = self.unplaced.iter().filter(|(_, unplaced)| {
-            let waited_ms = now.millis_since(unplaced.since);
-            PRECEDENCE_MS.contains(&waited_ms)
+        self.needs_waiting(now, |waited_ms| PRECEDENCE_MS.contains(&waited_ms))
+    }
+
+    /// Needs of the tasks that wait for so long that first runs do not wait for them any more,
+    /// the longest first.
+    #[must_use]
+    pub fn late_restart_needs(&self, now: MonoTime) -> Vec<RestartNeed> {
+        self.needs_waiting(now, |waited_ms| waited_ms > *PRECEDENCE_MS.end())
+    }
+
+    fn needs_waiting(&self, now: MonoTime, is_due: impl Fn(u64) -> bool) -> Vec<RestartNeed> {
+        let due = self.unplaced_by_wait(now).into_iter();
+        let due = due.filter(|(waited_ms, _)| is_due(*waited_ms));
+        let needs = due.filter_map(|(_, task)| self.restart_need(&task));
+        let departing = self.departing.iter().filter(|departing| {
+            now.millis_since(departing.since) < DEPARTING_MS && is_due(departing.waited_ms)
         });
-        let mut due: Vec<(MonoTime, TaskIdentity)> = due
-            .map(|(task, unplaced)| (unplaced.since, *task))
-            .collect();
-        due.sort_unstable();
-        let needs = due.iter().filter_map(|(_, task)| self.restart_need(task));
+        let needs = needs.chain(departing.map(|departing| departing.need.clone()));
         needs.take(RESTART_NEEDS_MAX).collect()
     }
 
+    /// Records the need of a task that is about to leave.
+    pub(super) fn note_departing(&mut self, task: &TaskIdentity, now: MonoTime) {
+        self.departing
+            .retain(|departing| now.millis_since(departing.since) < DEPARTING_MS);
+        let waited_ms = self.waited_in_all_ms(task, now);
+        if let Some(need) = self.restart_need(task) {
+            self.departing.push(DepartingNeed {
+                task: *task,
+                need,
+                waited_ms,
+                since: now,
+            });
+        }
+    }
+
+    /// Forgets that a task has left, as it has come.
+    pub(super) fn note_arrived(&mut self, task: &TaskIdentity) {
+        self.departing.retain(|departing| departing.task != *task);
+    }
+
     /// Need of a task, unless it runs or is about to leave.
     fn restart_need(&self, task: &TaskIdentity) -> Option<RestartNeed> {
         let entry = self.jobs.get(&task.job)?;
@@ -101,13 +135,8 @@
             let entry = jobs.get(&task.job);
             entry.is_some_and(|entry| entry.has_waiting(task))
         });
-        let mut due: Vec<(MonoTime, TaskIdentity)> = self
-            .unplaced
-            .iter()
-            .filter(|(_, unplaced)| now.millis_since(unplaced.since) >= HOLD_AFTER_MS)
-            .map(|(task, unplaced)| (unplaced.since, *task))
-            .collect();
-        due.sort_unstable();
+        let due = self.unplaced_by_wait(now).into_iter();
+        let due = due.take_while(|(waited_ms, _)| *waited_ms >= HOLD_AFTER_MS);
         for (_, task) in due {
             if self.held.len() >= HELD_WORKERS_MAX {
                 break;
@@ -120,11 +149,13 @@
     }
 
     /// Holds workers for tasks of other cells. They learn of what is free only from reports,
-    /// and shorter tasks of this cell would have taken it by then.
+    /// and shorter tasks of this cell would have taken it by then. Those for which first runs do
+    /// not wait any more come last.
     fn hold_workers_for_others(&mut self, now: MonoTime) {
         let share = self.workers.len().div_ceil(HELD_FOR_OTHERS_DIVISOR);
         let held_max = HELD_FOR_ANY_CELL_MAX.min(self.held.len() + share);
-        for need in &self.restarts_elsewhere {
+        let late = &self.late_restarts_elsewhere;
+        for need in self.restarts_elsewhere.iter().chain(late) {
             if self.held.len() >= held_max {
                 return;
             }
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod batches;
 mod breaker;
+mod carried_waits;
 mod copies_and_gangs;
 mod cut_responses;
 mod incarnations;
@@ -27,5 +28,7 @@
 mod test_values;
 mod transfers;
 mod urgency;
+mod vacancies;
+mod wait_ends;
 mod wait_simulation;
 mod waiting_reports;
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/owners.rs
@@ -7,7 +7,6 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_core::ZoneName;
-use sapphirestile_jobs::CellReport;
 use sapphirestile_jobs::DeployedConfig;
 use sapphirestile_jobs::JobOwner;
 use sapphirestile_jobs::JobPlace;
@@ -16,11 +15,9 @@
 use sapphirestile_jobs::OwnerLimits;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::ResourceVector;
-use sapphirestile_jobs::RestartNeed;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StopOutcome;
 use sapphirestile_jobs::StoredJob;
-use sapphirestile_jobs::VacancyTable;
 use sapphirestile_jobs::WorkerEntry;
 use sapphirestile_jobs::WorkerIncarnation;
 
@@ -31,6 +28,7 @@
 use super::VIEW_MS;
 use super::WORKER_CPU_MILLI;
 use super::WORKERS_PER_CELL;
+use super::worker_labels;
 use crate::cell_rows::CellRows;
 use crate::simulation_event::SimulationEvent;
 use crate::store_commit::StoreCommit;
@@ -65,6 +63,9 @@
         let epoch = CellEpoch::new(epoch);
         let mut owner = JobOwner::new(epoch, limits, config, Vec::new(), inherited, now);
         owner.set_cells(u16::try_from(CELLS).unwrap());
+        if let Some(learnt) = &rows.learnt {
+            owner.restore_learnt(learnt);
+        }
         owner.replace_workers(self.entries(cell), now);
         restore(&mut owner, &self.store.cells[cell], now, self.now);
         let state = &mut self.cells[cell];
@@ -119,7 +120,7 @@
                 service: "sizing".into(),
                 address: worker.address,
                 zone: ZoneName::try_from("near-a").unwrap(),
-                labels: Vec::new(),
+                labels: worker_labels(index),
                 capacity: ResourceVector {
                     cpu_milli: WORKER_CPU_MILLI,
                     memory_mib: 64_000,
@@ -132,31 +133,10 @@
         listed.map(entry).collect()
     }
 
-    fn vacancies(&self) -> VacancyTable {
-        let reports: Vec<CellReport<'_>> = (0..)
-            .map(CellNumber::new)
-            .zip(&self.store.cells)
-            .map(|(cell, rows)| CellReport {
-                cell,
-                vacancies: &rows.vacancies,
-                age_ms: 0,
-            })
-            .collect();
-        VacancyTable::new(&reports)
-    }
-
-    fn restarts_elsewhere(&self, cell: usize) -> Vec<RestartNeed> {
-        let others = self.store.cells.iter().enumerate();
-        let others = others.filter(|(other, _)| *other != cell);
-        others
-            .flat_map(|(_, rows)| rows.restarts.iter().cloned())
-            .collect()
-    }
-
     /// Lets an owner handle the time and sends what it requests.
     fn drive(&mut self, cell: usize) {
         let (entries, mut vacancies) = (self.entries(cell), self.vacancies());
-        let restarts = self.restarts_elsewhere(cell);
+        let (restarts, late) = self.restarts_elsewhere(cell);
         let (now, unix_ms) = (MonoTime::from_millis(self.now), self.now);
         let number = CellNumber::new(u16::try_from(cell).unwrap());
         let state = &mut self.cells[cell];
@@ -170,7 +150,7 @@
         owner.poll_due_workers(now);
         if unix_ms >= state.next_view {
             state.next_view = unix_ms + VIEW_MS;
-            owner.set_restarts_elsewhere(restarts);
+            owner.set_restarts_elsewhere(restarts, late);
             owner.plan_transfers(number, &mut vacancies, now);
         }
         let effects = owner.take_effects();
@@ -288,4 +268,5 @@
     for returned in rows.returned.values() {
         owner.take_back_task(returned.clone(), now, unix_ms);
     }
+    owner.restore_idle_tasks(&rows.idle_tasks, now);
 }
