--- a/crates/entry/src/metrics/entry_metrics.rs
+++ b/crates/entry/src/metrics/entry_metrics.rs
@@ -143,6 +143,7 @@
             | DecisionEvent::WorkerRestarted { .. }
             | DecisionEvent::RunsMissing { .. }
             | DecisionEvent::WorkerSilent { .. }
+            | DecisionEvent::RunsGivenUp { .. }
             | DecisionEvent::Fenced { .. }
             | DecisionEvent::TaskReceived { .. }
             | DecisionEvent::JobEnded { .. } => return,
--- a/crates/entry/src/owner/decision_logger.rs
+++ b/crates/entry/src/owner/decision_logger.rs
@@ -64,18 +64,8 @@
                 let (stored_end, life_unix_ms) = (stored_end.number, incarnation.unix_ms());
                 tracing::info!(%cell, epoch, %worker, earlier_unix_ms, life_unix_ms, stored_end, "worker restarted");
             }
-            DecisionEvent::WorkerSilent {
-                worker,
-                runs,
-                is_listed,
-                has_responded,
-                is_replaced,
-                lease_left_ms,
-            } => {
-                tracing::info!(
-                    %cell, epoch, %worker, runs, is_listed, has_responded, is_replaced,
-                    lease_left_ms, "worker does not respond; its runs wait for its leases"
-                );
+            DecisionEvent::WorkerSilent { .. } | DecisionEvent::RunsGivenUp { .. } => {
+                Self::write_silence(cell, epoch, decision);
             }
             DecisionEvent::Fenced { worker } => {
                 tracing::warn!(%cell, epoch, %worker, "worker has seen a higher epoch");
@@ -108,6 +98,39 @@
         }
     }
 
+    /// Logs that a worker does not respond, or that its runs are given up.
+    fn write_silence(cell: CellNumber, epoch: u64, decision: &DecisionEvent) {
+        match decision {
+            DecisionEvent::WorkerSilent {
+                worker,
+                runs,
+                is_listed,
+                has_responded,
+                is_replaced,
+                lease_left_ms,
+            } => {
+                tracing::info!(
+                    %cell, epoch, %worker, runs, is_listed, has_responded, is_replaced,
+                    lease_left_ms, "worker does not respond; its runs wait for its leases"
+                );
+            }
+            DecisionEvent::RunsGivenUp {
+                worker,
+                runs,
+                kept,
+                is_listed,
+                response_age_ms,
+                poll_age_ms,
+            } => {
+                tracing::info!(
+                    %cell, epoch, %worker, runs, kept, is_listed, response_age_ms, poll_age_ms,
+                    "runs of a silent worker are given up"
+                );
+            }
+            _ => {}
+        }
+    }
+
     /// Logs that a job or a task goes to another cell, or waits for one.
     fn write_move(cell: CellNumber, epoch: u64, decision: &DecisionEvent) {
         match decision {
--- a/crates/entry/src/watching/event_watcher.rs
+++ b/crates/entry/src/watching/event_watcher.rs
@@ -16,6 +16,9 @@
 /// configuration has to take effect.
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
+/// How much longer than that a read of changes may take without being logged.
+const SLOW_READ: Duration = Duration::from_millis(500);
+
 /// Lists and watches a source of events on its own thread.
 pub struct EventWatcher<E> {
     context: Arc<EntryContext>,
@@ -70,6 +73,7 @@
             self.context.record_store_result(&result);
             let is_continuing = match result {
                 Ok((update, revision)) => {
+                    self.log_slow_read(after, started);
                     after = Some(revision);
                     backoff.reset();
                     let is_continuing = update.is_none_or(&mut handle);
@@ -99,6 +103,14 @@
         }
     }
 
+    /// Logs a read that took longer than a watch waits: its answer was slow to arrive.
+    fn log_slow_read(&self, after: Option<u64>, started: Instant) {
+        if started.elapsed() > WATCH_WAIT + SLOW_READ {
+            let (source, took_ms) = (self.source.name(), elapsed_ms(started));
+            tracing::info!(source, after, took_ms, "slow read of changes");
+        }
+    }
+
     fn next(&self, after: Option<u64>) -> Result<(Option<WatchUpdate<E>>, u64), StoreCallError> {
         let Some(after) = after else {
             let listing = self.source.list()?;
--- a/crates/jobs/src/owner/decision_event.rs
+++ b/crates/jobs/src/owner/decision_event.rs
@@ -102,6 +102,21 @@
         /// Time until every lease that it may hold has ended, in milliseconds.
         lease_left_ms: u64,
     },
+    /// Runs of a worker that does not respond are given up, since its leases have ended.
+    RunsGivenUp {
+        /// Worker that does not respond.
+        worker: WorkerName,
+        /// Number of runs that are given up.
+        runs: usize,
+        /// Number of runs that are kept, since they may have completed.
+        kept: usize,
+        /// Whether the worker is in the list.
+        is_listed: bool,
+        /// Time since the worker last responded, in milliseconds.
+        response_age_ms: u64,
+        /// Time since the latest poll without a response was sent, in milliseconds.
+        poll_age_ms: u64,
+    },
     /// A worker has refused a request because it has seen a higher epoch.
     Fenced {
         /// Worker that refused.
--- a/crates/jobs/src/owner/job_owner/expiry.rs
+++ b/crates/jobs/src/owner/job_owner/expiry.rs
@@ -96,6 +96,18 @@
             .filter(|(_, run)| is_given_up || run.is_long_running)
             .map(|(task, _)| *task)
             .collect();
+        if ended.is_empty() {
+            return;
+        }
+        let poll_sent = tracked.silence.map(|silence| silence.poll_sent);
+        self.decisions.push(DecisionEvent::RunsGivenUp {
+            worker: name.clone(),
+            runs: ended.len(),
+            kept: tracked.runs.len() - ended.len(),
+            is_listed: tracked.is_listed,
+            response_age_ms: now.millis_since(tracked.last_response),
+            poll_age_ms: now.millis_since(poll_sent.unwrap_or_default()),
+        });
         for task in ended {
             self.finish_run(name, &task, RunCause::Lapsed, now, unix_ms);
         }
