Let owners copy the configuration, and others read the copy

Callers of the region without the store got 502 and 504, and jobs of theirs ran twice or went on after their cancellation: every daemon watches the whole configuration, and a version of 846 KB for 76 daemons takes 4.6 s of the link between the regions, through which owners reach half of their workers.

Only the owners of cells watch the document now. Each stores a compressed copy of a new version under a key that names its revision, and reports in its ownership row, which every daemon reads, which version is copied and up to which revision of the store no later one exists. Another daemon relies on the copies once four daemons follow the document within 3 s of the store, and reads it itself again once fewer than two do. Deployments with fewer than four cells read as before. The row is extended at its end; earlier versions read it.

--- a/crates/entry/src/cells/cell_table.rs
+++ b/crates/entry/src/cells/cell_table.rs
@@ -13,6 +13,7 @@
 
 use crate::cells::CellHead;
 use crate::ports::StoredRow;
+use crate::store::DocumentReport;
 use crate::store::OwnershipRow;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
@@ -101,6 +102,16 @@
             .collect()
     }
 
+    /// What the owners of the cells report about the operators' document, each with the number
+    /// of its process.
+    #[must_use]
+    pub fn document_reports(&self, now: MonoTime) -> Vec<(u64, DocumentReport)> {
+        let owned = self.heads.values().filter(|head| head.is_owned(now));
+        owned
+            .map(|head| (head.row.incarnation, head.row.document))
+            .collect()
+    }
+
     /// The epoch of the latest claim of any cell; 0 before the first.
     #[must_use]
     pub fn highest_epoch(&self) -> u64 {
--- a/crates/entry/src/context/entry_context.rs
+++ b/crates/entry/src/context/entry_context.rs
@@ -16,6 +16,7 @@
 use crate::context::OperatorState;
 use crate::context::StoreHealth;
 use crate::context::StoreTimeout;
+use crate::copies::DocumentCopies;
 use crate::metrics::EntryMetrics;
 use crate::ports::CommitAnswer;
 use crate::ports::ListTimeouts;
@@ -36,6 +37,8 @@
     pub operator_state: RcuValue<OperatorState>,
     /// The cells and their owners, as last read.
     pub cells: RcuValue<CellTable>,
+    /// Copies of the operators' document.
+    pub copies: DocumentCopies,
     /// Since when calls to the store have failed.
     pub store_health: StoreHealth,
     /// The adaptive timeout of calls to the store.
@@ -63,6 +66,7 @@
             store,
             operator_state: RcuValue::new(OperatorState::default()),
             cells: RcuValue::new(CellTable::default()),
+            copies: DocumentCopies::default(),
             store_health: StoreHealth::default(),
             store_timeout: StoreTimeout::default(),
             metrics: EntryMetrics::default(),
--- /dev/null
+++ b/crates/entry/src/copies/copy_source.rs
@@ -0,0 +1,95 @@
+//! Source of the copies of the operators' document.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::context::EntryContext;
+use crate::ports::EventListing;
+use crate::ports::EventSource;
+use crate::ports::RowChange;
+use crate::ports::StoreCallError;
+use crate::ports::StoredRow;
+use crate::store::DocumentCopy;
+use crate::store::RowKeys;
+
+/// The timeout of a read of a copy.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The wait after a read that found no copy: a later version has replaced it, and will be
+/// reported.
+const MISSING_WAIT: Duration = Duration::from_millis(200);
+
+/// Reads each new version of the operators' document from its copy, as a change of the
+/// document itself.
+pub struct CopySource {
+    context: Arc<EntryContext>,
+    document_key: Box<str>,
+}
+
+impl CopySource {
+    /// Creates the source of copies of the document with the key `document_key`.
+    #[must_use]
+    pub fn new(context: Arc<EntryContext>, document_key: &str) -> Self {
+        Self {
+            context,
+            document_key: document_key.into(),
+        }
+    }
+
+    /// Reads the copy of a version; `None` if there is none, or it cannot be read.
+    fn read(&self, revision: u64) -> Result<Option<StoredRow>, StoreCallError> {
+        let started = Instant::now();
+        let key = RowKeys::document_copy(revision);
+        let Some(row) = self.context.store.read(&key, READ_TIMEOUT)? else {
+            return Ok(None);
+        };
+        let Some(value) = DocumentCopy::decode(&row.value) else {
+            tracing::error!(revision, "cannot decode a copy of the document");
+            return Ok(None);
+        };
+        tracing::info!(
+            revision,
+            bytes = value.len(),
+            copied_bytes = row.value.len(),
+            took = ?started.elapsed(),
+            "read a copy of the document"
+        );
+        Ok(Some(StoredRow {
+            key: self.document_key.to_string(),
+            value,
+            revision,
+        }))
+    }
+}
+
+impl EventSource<RowChange> for CopySource {
+    fn name(&self) -> &'static str {
+        "copies"
+    }
+
+    fn list(&self) -> Result<EventListing<RowChange>, StoreCallError> {
+        self.watch(0, Duration::ZERO)
+    }
+
+    fn watch(&self, after: u64, wait: Duration) -> Result<EventListing<RowChange>, StoreCallError> {
+        let copies = &self.context.copies;
+        if copies.wanted().is_none() {
+            copies.wait(wait);
+        }
+        let mut events = Vec::new();
+        if let Some(revision) = copies.wanted() {
+            match self.read(revision)? {
+                Some(row) => {
+                    copies.record_taken(revision);
+                    events.push(RowChange::Written(row));
+                }
+                None => copies.wait(MISSING_WAIT),
+            }
+        }
+        Ok(EventListing {
+            events,
+            revision: after,
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/copies/direct_source.rs
@@ -0,0 +1,106 @@
+//! Source of the operators' rows.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::context::EntryContext;
+use crate::copies::CopyPublisher;
+use crate::ports::EventListing;
+use crate::ports::EventSource;
+use crate::ports::RowChange;
+use crate::ports::StoreCallError;
+use crate::ports::StoredRow;
+
+/// Lists and watches the operators' rows, without their document while this daemon relies on
+/// copies of it.
+pub struct DirectSource {
+    context: Arc<EntryContext>,
+    /// All rows of the operators.
+    rows: Arc<dyn EventSource<RowChange>>,
+    /// The rows beside the document.
+    others: Arc<dyn EventSource<RowChange>>,
+    /// The key of the document.
+    document_key: Box<str>,
+    /// Whether the latest changes were read without the document.
+    has_left_out: AtomicBool,
+    /// The latest version whose copying was begun; 0 before the first.
+    begun: AtomicU64,
+}
+
+impl DirectSource {
+    /// Creates the source from all rows of the operators and those beside the document with
+    /// the key `document_key`.
+    #[must_use]
+    pub fn new(
+        context: Arc<EntryContext>,
+        rows: Arc<dyn EventSource<RowChange>>,
+        others: Arc<dyn EventSource<RowChange>>,
+        document_key: &str,
+    ) -> Self {
+        Self {
+            context,
+            rows,
+            others,
+            document_key: document_key.into(),
+            has_left_out: AtomicBool::default(),
+            begun: AtomicU64::default(),
+        }
+    }
+
+    /// Records the version that the changes contain, and copies it for others.
+    fn record(&self, listing: &EventListing<RowChange>) {
+        let written = |change: &RowChange| match change {
+            RowChange::Written(row) if *row.key == *self.document_key => Some(row.clone()),
+            _ => None,
+        };
+        let version: Option<StoredRow> = listing.events.iter().filter_map(written).next_back();
+        let copies = &self.context.copies;
+        let revision = version.as_ref().map(|row| row.revision);
+        copies.record_read(revision, listing.revision);
+        let Some(version) = version.filter(|_| copies.publishes()) else {
+            return;
+        };
+        let revision = version.revision;
+        if self.begun.fetch_max(revision, Ordering::AcqRel) < revision {
+            CopyPublisher::spawn(Arc::clone(&self.context), version);
+        }
+    }
+
+    /// Whether this daemon has to copy a version that it read before it owned a cell.
+    fn has_to_copy(&self) -> bool {
+        let copies = &self.context.copies;
+        let read = copies.read();
+        let is_begun = self.begun.load(Ordering::Acquire) >= read;
+        copies.publishes() && copies.report().copied < read && !is_begun
+    }
+}
+
+impl EventSource<RowChange> for DirectSource {
+    fn name(&self) -> &str {
+        self.rows.name()
+    }
+
+    fn list(&self) -> Result<EventListing<RowChange>, StoreCallError> {
+        self.has_left_out.store(false, Ordering::Release);
+        let listing = self.rows.list()?;
+        self.record(&listing);
+        Ok(listing)
+    }
+
+    fn watch(&self, after: u64, wait: Duration) -> Result<EventListing<RowChange>, StoreCallError> {
+        if self.context.copies.is_relied_on() {
+            self.has_left_out.store(true, Ordering::Release);
+            return self.others.watch(after, wait);
+        }
+        if self.has_left_out.load(Ordering::Acquire) || self.has_to_copy() {
+            // The changes after that revision may lack the document.
+            return Err(StoreCallError::HistoryGone);
+        }
+        let listing = self.rows.watch(after, wait)?;
+        self.record(&listing);
+        Ok(listing)
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod cells;
 mod context;
+mod copies;
 mod frontend;
 mod lifecycle;
 mod logging;
@@ -31,6 +32,10 @@
 pub use context::OperatorState;
 pub use context::StoreHealth;
 pub use context::StoreTimeout;
+pub use copies::CopySource;
+pub use copies::DirectSource;
+pub use copies::DocumentCopies;
+pub use copies::ReadingPolicy;
 pub use frontend::CancelOutcome;
 pub use frontend::CancellationRows;
 pub use frontend::HomeCache;
@@ -81,6 +86,8 @@
 pub use settings::PortSettings;
 pub use settings::SettingsError;
 pub use settings::TargetSettings;
+pub use store::DocumentCopy;
+pub use store::DocumentReport;
 pub use store::EarlyCancellation;
 pub use store::HomeRow;
 pub use store::IntakeEvent;
--- a/crates/entry/src/lifecycle/entry_adapters.rs
+++ b/crates/entry/src/lifecycle/entry_adapters.rs
@@ -12,6 +12,8 @@
 pub struct EntryAdapters {
     /// Source of the operators' configuration and zone states.
     pub operators: Arc<dyn EventSource<OperatorEvent>>,
+    /// Source of the versions of the configuration that this daemon reads from copies.
+    pub copies: Arc<dyn EventSource<OperatorEvent>>,
     /// The adapters that only owners of cells use.
     pub owner: OwnerAdapters,
     /// The HTTP service on the callers' port.
--- a/crates/entry/src/lifecycle/entry_daemon.rs
+++ b/crates/entry/src/lifecycle/entry_daemon.rs
@@ -72,7 +72,8 @@
         context: Arc<EntryContext>,
         adapters: EntryAdapters,
     ) -> Result<Self, Report<StepError>> {
-        watch_operators(&context, adapters.operators);
+        watch_operators(&context, adapters.operators, None);
+        watch_operators(&context, adapters.copies, Some(0));
         watch_pauses(&context);
         let gate = Arc::new(RequestGate::default());
         let settings = &context.settings.ports;
@@ -158,10 +159,15 @@
     }
 }
 
-fn watch_operators(context: &Arc<EntryContext>, source: Arc<dyn EventSource<OperatorEvent>>) {
+/// Follows a source of the operators' changes, from a listing or after a revision.
+fn watch_operators(
+    context: &Arc<EntryContext>,
+    source: Arc<dyn EventSource<OperatorEvent>>,
+    after: Option<u64>,
+) {
     let watcher = EventWatcher::new(Arc::clone(context), source);
     let context = Arc::clone(context);
-    watcher.spawn(None, move |update| {
+    watcher.spawn(after, move |update| {
         match update {
             WatchUpdate::Snapshot(events) => {
                 context.update_operator_state(|state| state.with_listing(&events));
--- a/crates/entry/src/owner/commit_writer.rs
+++ b/crates/entry/src/owner/commit_writer.rs
@@ -137,7 +137,8 @@
         batch: &CommitBatch,
     ) -> PartOutcome {
         let cell = self.claim.cell;
-        let row = self.claim.next_row(is_released, batch);
+        let document = self.context.copies.report();
+        let row = self.claim.next_row(is_released, batch, document);
         writes.push(OwnershipClaim::write_of(cell, &row));
         guards.push(self.claim.guard());
         let commit = StoreCommit {
--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -14,6 +14,8 @@
 
 use crate::cells::CellHead;
 use crate::context::EntryContext;
+use crate::copies::PUBLISHERS_TO_BEGIN;
+use crate::copies::ReadingPolicy;
 use crate::owner::CellClaims;
 use crate::owner::ClaimDelay;
 use crate::owner::OwnerAdapters;
@@ -41,6 +43,7 @@
     context: Arc<EntryContext>,
     adapters: OwnerAdapters,
     claims: CellClaims,
+    reading: ReadingPolicy,
     /// The threads that drive the cells of this daemon.
     terms: SortedTable<CellNumber, JoinHandle<()>>,
 }
@@ -57,6 +60,7 @@
             claims: CellClaims::of(&context.settings.node.name),
             context,
             adapters,
+            reading: ReadingPolicy::default(),
             terms: SortedTable::new(),
         };
         thread::Builder::new()
@@ -77,6 +81,7 @@
                     .cells
                     .update(|table| table.with_rows(&listing.rows, now));
                 self.claim_next(now);
+                self.observe_copies(listing.revision, now);
             }
             thread::sleep(READ_INTERVAL);
         }
@@ -89,6 +94,23 @@
         }
     }
 
+    /// Decides from the owners' reports whether this daemon relies on copies of the
+    /// operators' document. A version that another daemon has copied need not be copied again.
+    fn observe_copies(&mut self, revision: u64, now: MonoTime) {
+        let copies = &self.context.copies;
+        let table = self.context.cells.load();
+        let reports = table.document_reports(now);
+        let read = copies.read();
+        let reported = reports.iter().map(|(_, report)| report.copied);
+        if let Some(known) = reported.filter(|copied| *copied <= read).max() {
+            copies.record_copied(known);
+        }
+        let latest = self.reading.observe(&reports, revision, now);
+        let is_owner = !self.terms.is_empty();
+        let publishes = is_owner && table.heads.len() >= PUBLISHERS_TO_BEGIN;
+        copies.decide(is_owner, publishes, latest);
+    }
+
     /// Claims one of the cells without an owner, if there is one.
     fn claim_next(&mut self, now: MonoTime) {
         self.terms.retain(|_, term| !term.is_finished());
@@ -133,6 +155,7 @@
             lease_bounds,
             vacancies: Vec::new(),
             restarts: Vec::new(),
+            document: self.context.copies.report(),
         };
         if let Some(claim) = self.claim(cell, revision, row) {
             self.drive(claim, claimed);
--- a/crates/entry/src/owner/ownership_claim.rs
+++ b/crates/entry/src/owner/ownership_claim.rs
@@ -5,6 +5,7 @@
 
 use crate::ports::RowGuard;
 use crate::ports::RowWrite;
+use crate::store::DocumentReport;
 use crate::store::OwnershipRow;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
@@ -29,9 +30,14 @@
         }
     }
 
-    /// The row with the next write number, the bounds on leases of a batch, and its load if
-    /// there is a new one.
-    pub fn next_row(&self, is_released: bool, batch: &CommitBatch) -> OwnershipRow {
+    /// The row with the next write number, the bounds on leases of a batch, its load if
+    /// there is a new one, and a report about the operators' document.
+    pub fn next_row(
+        &self,
+        is_released: bool,
+        batch: &CommitBatch,
+        document: DocumentReport,
+    ) -> OwnershipRow {
         let (load, vacancies, restarts) = match &batch.load {
             Some(load) => (load, &batch.vacancies, &batch.restarts),
             None => (&self.row.load, &self.row.vacancies, &self.row.restarts),
@@ -44,6 +50,7 @@
             restarts: restarts.clone(),
             lease_bounds: batch.lease_bounds.clone(),
             daemon: self.row.daemon.clone(),
+            document,
             ..self.row
         }
     }
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -5,6 +5,8 @@
 //! number of waiting jobs per queue. An [`IntakeSource`] reads specifications and
 //! cancellations as [`IntakeEvent`]s. A [`RowCodec`] encodes and decodes the values.
 
+mod document_copy;
+mod document_report;
 mod earlier_ownership_row;
 mod early_cancellation;
 mod home_row;
@@ -14,6 +16,8 @@
 mod row_codec;
 mod row_keys;
 
+pub use document_copy::DocumentCopy;
+pub use document_report::DocumentReport;
 pub use early_cancellation::EarlyCancellation;
 pub use home_row::HomeRow;
 pub use intake_event::IntakeEvent;
--- a/crates/entry/src/store/earlier_ownership_row.rs
+++ b/crates/entry/src/store/earlier_ownership_row.rs
@@ -4,6 +4,7 @@
 use sapphirestile_jobs::LeaseBounds;
 use serde::Deserialize;
 
+use crate::store::DocumentReport;
 use crate::store::OwnershipRow;
 
 /// The ownership row of a cell as it was before it had bounds on leases. The encoding does
@@ -30,6 +31,7 @@
             lease_bounds: LeaseBounds::unstated(),
             vacancies: Vec::new(),
             restarts: Vec::new(),
+            document: DocumentReport::default(),
         }
     }
 }
--- a/crates/entry/src/store/ownership_row.rs
+++ b/crates/entry/src/store/ownership_row.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::store::DocumentReport;
 use crate::store::RowCodec;
 use crate::store::earlier_ownership_row::EarlierOwnershipRow;
 
@@ -36,6 +37,8 @@
     /// The long-running tasks of the cell that have to run again and find no worker, as the
     /// owner last reported them.
     pub restarts: Vec<RestartNeed>,
+    /// What the owning daemon knows about the operators' document.
+    pub document: DocumentReport,
 }
 
 impl OwnershipRow {
@@ -55,8 +58,13 @@
         }
         let (vacancies, rest) = RowCodec::decode_first(rest)?;
         row.vacancies = vacancies;
+        if rest.is_empty() {
+            return Some(row);
+        }
+        let (restarts, rest) = RowCodec::decode_first(rest)?;
+        row.restarts = restarts;
         if !rest.is_empty() {
-            row.restarts = RowCodec::decode(rest)?;
+            row.document = RowCodec::decode(rest)?;
         }
         Some(row)
     }
--- a/crates/entry/src/store/row_keys.rs
+++ b/crates/entry/src/store/row_keys.rs
@@ -4,6 +4,7 @@
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::TaskIdentity;
 
+const DOCUMENTS: &str = "sapphirestile/documents/";
 const CELLS: &str = "sapphirestile/cells/";
 const LAYOUT: &str = "sapphirestile/cells/layout";
 const OWNERSHIP: &str = "sapphirestile/cells/head-";
@@ -62,6 +63,12 @@
         Some(CellNumber::new(number))
     }
 
+    /// The key of the copy of the operators' document at a revision.
+    #[must_use]
+    pub fn document_copy(revision: u64) -> String {
+        format!("{DOCUMENTS}{revision}")
+    }
+
     /// The key of the row that counts the waiting jobs of a cell per queue.
     #[must_use]
     pub fn counts(cell: CellNumber) -> String {
--- a/crates/entry/tests/cell_claims.rs
+++ b/crates/entry/tests/cell_claims.rs
@@ -50,6 +50,7 @@
             lease_bounds: sapphirestile_jobs::LeaseBounds::of_all(0),
             vacancies: Vec::new(),
             restarts: Vec::new(),
+            document: sapphirestile_entry::DocumentReport::default(),
         },
         revision: 1,
         changed: MonoTime::from_millis(now),
--- a/crates/entry/tests/rows_of_earlier_versions.rs
+++ b/crates/entry/tests/rows_of_earlier_versions.rs
@@ -3,6 +3,7 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_entry::CellTable;
+use sapphirestile_entry::DocumentReport;
 use sapphirestile_entry::HomeRow;
 use sapphirestile_entry::OwnershipRow;
 use sapphirestile_entry::RowKeys;
@@ -95,6 +96,7 @@
         lease_bounds: LeaseBounds::of_all(6_355),
         vacancies: Vec::new(),
         restarts: vec![restart_need()],
+        document: DocumentReport::default(),
     };
     let value = postcard::to_stdvec(&row).unwrap();
     let read: EarlierRow = postcard::from_bytes(&value).unwrap();
@@ -128,6 +130,7 @@
         lease_bounds: LeaseBounds::of_all(1),
         vacancies: vec![WorkerVacancy::default()],
         restarts: vec![restart_need()],
+        document: DocumentReport::default(),
     };
     let now = MonoTime::from_millis(0);
     let rows = [stored(0, &earlier), stored(1, &row)];
@@ -144,3 +147,54 @@
         "the earlier version reads its part"
     );
 }
+
+/// The row of a cell as it was before it had a report about the operators' document.
+#[derive(Deserialize, Serialize)]
+struct RowWithRestarts {
+    earlier: RowWithVacancies,
+    restarts: Vec<RestartNeed>,
+}
+
+/// Daemons of both versions own cells while the earlier one is replaced.
+#[test]
+fn reports_about_the_document_are_read_beside_a_row_without_them() {
+    let earlier = RowWithRestarts {
+        earlier: RowWithVacancies {
+            earlier: EarlierRow {
+                epoch: 7,
+                daemon: "entry-1".into(),
+                incarnation: 3,
+                write: 40,
+                is_released: false,
+                load: CellLoad::default(),
+            },
+            lease_bounds: LeaseBounds::of_all(1),
+            vacancies: vec![WorkerVacancy::default()],
+        },
+        restarts: vec![restart_need()],
+    };
+    let report = DocumentReport {
+        copied: 12,
+        followed: 900,
+    };
+    let row = OwnershipRow {
+        epoch: 8,
+        daemon: "entry-2".into(),
+        incarnation: 4,
+        write: 1,
+        is_released: false,
+        load: CellLoad::default(),
+        lease_bounds: LeaseBounds::of_all(1),
+        vacancies: vec![WorkerVacancy::default()],
+        restarts: vec![restart_need()],
+        document: report,
+    };
+    let now = MonoTime::from_millis(0);
+    let rows = [stored(0, &earlier), stored(1, &row)];
+    let table = CellTable::default().with_rows(&rows, now);
+    let reports = [(3, DocumentReport::default()), (4, report)];
+    assert_eq!(table.document_reports(now), reports);
+    let value = postcard::to_stdvec(&row).unwrap();
+    let read: RowWithRestarts = postcard::from_bytes(&value).unwrap();
+    assert_eq!(read.restarts, row.restarts);
+}
