--- a/crates/entry/src/owner/ownership_claim.rs
+++ b/crates/entry/src/owner/ownership_claim.rs
@@ -5,6 +5,7 @@
 
 use crate::ports::RowGuard;
 use crate::ports::RowWrite;
+use crate::store::DocumentReport;
 use crate::store::OwnershipRow;
 use crate::store::RowCodec;
 use crate::store::RowKeys;
@@ -29,13 +30,19 @@
         }
     }
 
-    /// The row with the next write number, the bounds on leases of a batch, and its load if
-    /// there is a new one.
-    pub fn next_row(&self, is_released: bool, batch: &CommitBatch) -> OwnershipRow {
+    /// The row with the next write number, the bounds on leases of a batch, its load if
+    /// there is a new one, and a report about the operators' document.
+    pub fn next_row(
+        &self,
+        is_released: bool,
+        batch: &CommitBatch,
+        document: DocumentReport,
+    ) -> OwnershipRow {
         let mut row = self.row.clone();
         row.write += 1;
         row.is_released = is_released;
         row.lease_bounds = batch.lease_bounds.clone();
+        row.document = document;
         if let Some(load) = &batch.load {
             row.load.clone_from(load);
             row.vacancies.clone_from(&batch.vacancies);
--- a/crates/entry/src/store/ownership_row.rs
+++ b/crates/entry/src/store/ownership_row.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::store::DocumentReport;
 use crate::store::RowCodec;
 use crate::store::earlier_ownership_row::EarlierOwnershipRow;
 
@@ -41,6 +42,8 @@
     pub late_restarts: Vec<RestartNeed>,
     /// The tasks of the cell that have waited longest to run again, for the next owner.
     pub idle_tasks: Vec<IdleTask>,
+    /// What the owning daemon knows about the operators' document.
+    pub document: DocumentReport,
 }
 
 impl OwnershipRow {
@@ -70,8 +73,13 @@
         }
         let (late_restarts, rest) = RowCodec::decode_first(rest)?;
         row.late_restarts = late_restarts;
+        if rest.is_empty() {
+            return Some(row);
+        }
+        let (idle_tasks, rest) = RowCodec::decode_first(rest)?;
+        row.idle_tasks = idle_tasks;
         if !rest.is_empty() {
-            row.idle_tasks = RowCodec::decode(rest)?;
+            row.document = RowCodec::decode(rest)?;
         }
         Some(row)
     }
--- a/crates/entry/tests/cell_claims.rs
+++ b/crates/entry/tests/cell_claims.rs
@@ -52,6 +52,7 @@
             restarts: Vec::new(),
             late_restarts: Vec::new(),
             idle_tasks: Vec::new(),
+            document: sapphirestile_entry::DocumentReport::default(),
         },
         revision: 1,
         changed: MonoTime::from_millis(now),
--- a/crates/entry/tests/rows_of_earlier_versions.rs
+++ b/crates/entry/tests/rows_of_earlier_versions.rs
@@ -3,6 +3,7 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 use sapphirestile_entry::CellTable;
+use sapphirestile_entry::DocumentReport;
 use sapphirestile_entry::HomeRow;
 use sapphirestile_entry::OwnershipRow;
 use sapphirestile_entry::RowKeys;
@@ -117,6 +118,7 @@
         restarts: vec![restart_need()],
         late_restarts: Vec::new(),
         idle_tasks: Vec::new(),
+        document: DocumentReport::default(),
     };
     let value = postcard::to_stdvec(&row).unwrap();
     let read: EarlierRow = postcard::from_bytes(&value).unwrap();
@@ -152,6 +154,7 @@
         restarts: vec![restart_need()],
         late_restarts: Vec::new(),
         idle_tasks: Vec::new(),
+        document: DocumentReport::default(),
     };
     let now = MonoTime::from_millis(0);
     let rows = [stored(0, &earlier), stored(1, &row)];
@@ -200,6 +203,7 @@
         restarts: Vec::new(),
         late_restarts: vec![restart_need()],
         idle_tasks: Vec::new(),
+        document: DocumentReport::default(),
     };
     let now = MonoTime::from_millis(0);
     let rows = [stored(0, &earlier), stored(1, &row)];
@@ -269,6 +273,7 @@
         restarts: Vec::new(),
         late_restarts: vec![restart_need()],
         idle_tasks: vec![idle],
+        document: DocumentReport::default(),
     };
     let value = postcard::to_stdvec(&row).unwrap();
     assert_eq!(OwnershipRow::decode(&value), Some(row.clone()));
@@ -279,3 +284,64 @@
     assert!(read.idle_tasks.is_empty());
     assert_eq!(read.late_restarts, row.late_restarts);
 }
+
+/// The row of a cell as it was before it had a report about the operators' document.
+#[derive(Deserialize, Serialize)]
+struct RowWithIdleTasks {
+    with_late_restarts: RowWithLateRestarts,
+    idle_tasks: Vec<IdleTask>,
+}
+
+/// Daemons of both versions own cells while the earlier one is replaced.
+#[test]
+fn reports_about_the_document_are_read_beside_a_row_without_them() {
+    let with_vacancies = RowWithVacancies {
+        earlier: EarlierRow {
+            epoch: 7,
+            daemon: "entry-1".into(),
+            incarnation: 3,
+            write: 40,
+            is_released: false,
+            load: CellLoad::default(),
+        },
+        lease_bounds: LeaseBounds::of_all(1),
+        vacancies: vec![WorkerVacancy::default()],
+    };
+    let earlier = RowWithIdleTasks {
+        with_late_restarts: RowWithLateRestarts {
+            with_restarts: RowWithRestarts {
+                with_vacancies,
+                restarts: vec![restart_need()],
+            },
+            late_restarts: Vec::new(),
+        },
+        idle_tasks: Vec::new(),
+    };
+    let report = DocumentReport {
+        copied: 12,
+        followed: 900,
+    };
+    let row = OwnershipRow {
+        epoch: 8,
+        daemon: "entry-2".into(),
+        incarnation: 4,
+        write: 1,
+        is_released: false,
+        load: CellLoad::default(),
+        lease_bounds: LeaseBounds::of_all(1),
+        vacancies: vec![WorkerVacancy::default()],
+        restarts: vec![restart_need()],
+        late_restarts: vec![restart_need()],
+        idle_tasks: Vec::new(),
+        document: report,
+    };
+    let now = MonoTime::from_millis(0);
+    let rows = [stored(0, &earlier), stored(1, &row)];
+    let table = CellTable::default().with_rows(&rows, now);
+    let reports = [(3, DocumentReport::default()), (4, report)];
+    assert_eq!(table.document_reports(now), reports);
+    let value = postcard::to_stdvec(&row).unwrap();
+    let read: RowWithIdleTasks = postcard::from_bytes(&value).unwrap();
+    let with_restarts = read.with_late_restarts.with_restarts;
+    assert_eq!(with_restarts.restarts, row.restarts);
+}
