Play gangs, late stores, copies and refusals in the fault simulation

Several faults of the owner were found by reviews, and the fault simulation could not have found them: it had no gangs, no copies, no stops that take time, no worker that refuses a start, no job whose retention ends, and no store that stores or responds late.

Cases 13 to 16 play these events. Case 13 has gangs, whose members work only while all of them run, owners that die, and workers that restart under their names before the next claim. In case 14 batches reach the store late or are confirmed late, jobs are forgotten, and workers restart. Case 15 has slow runs with copies, on workers that check no room and take 0.8 s for a stop. In case 16 most workers refuse starts. The checks are new where the cases need them: room of a worker, progress of a job that is not stored, and, in all cases, a job that is stored as begun before a worker has accepted a run of it. The other cases draw the same random numbers as before, and their checks are as strict.

--- a/crates/jobs/tests/fault_simulation/fake_store.rs
+++ b/crates/jobs/tests/fault_simulation/fake_store.rs
@@ -55,11 +55,24 @@
         self.write_row(epoch, now);
         self.lease_bounds = batch.lease_bounds.clone();
         for (identity, progress) in &batch.progress {
+            assert!(
+                self.specs.contains_key(identity),
+                "a batch has progress of job {identity}, which is not stored"
+            );
             self.progress.insert(*identity, progress.clone());
         }
+        for identity in &batch.forgotten {
+            self.specs.remove(identity);
+            self.progress.remove(identity);
+        }
         true
     }
 
+    /// Whether a job is stored and long-running.
+    pub fn is_long_running(&self, job: &JobIdentity) -> bool {
+        self.specs.get(job).is_some_and(JobSpec::is_long_running)
+    }
+
     fn write_row(&mut self, epoch: u64, now: u64) {
         self.row = OwnershipRow {
             epoch,
--- a/crates/jobs/tests/fault_simulation/planned_loss.rs
+++ b/crates/jobs/tests/fault_simulation/planned_loss.rs
@@ -13,6 +13,8 @@
     AnyWorker,
     /// The worker is cut off for a while.
     Cut { name: WorkerName },
+    /// The worker restarts under its name, and nobody notices.
+    Restart { name: WorkerName },
     /// The worker dies.
     Worker { name: WorkerName },
     /// A worker with another name starts at the address of a dead one.
