Start no overdue task beside latency-sensitive runs while newer jobs wait

Now such a start needs that no younger job waits with nothing running, or has for 2 s, as the share of overdue runs does. The new test failed without the condition (a start while newer jobs wait).

--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -55,6 +55,7 @@
             spare: self.spare,
             held: &self.held,
             restarts: &self.restarts,
+            has_new_waits: self.has_new_waits(now),
             now,
         }
     }
--- a/crates/jobs/src/owner/job_owner/overdue.rs
+++ b/crates/jobs/src/owner/job_owner/overdue.rs
@@ -81,13 +81,19 @@
     /// Whether another overdue run may start. Newer jobs leave a share to the overdue ones while
     /// they have nothing running themselves; otherwise these come before the second task of any.
     pub(super) fn has_place_for_overdue(&self, now: MonoTime) -> bool {
-        if now.millis_since(self.new_waited) >= NEW_GONE_MS {
+        if !self.has_new_waits(now) {
             return true;
         }
         let counts = self.workers.values().map(|tracked| tracked.overdue_runs());
         counts.sum::<usize>() < self.workers.len().div_ceil(OVERDUE_SHARE_DIVISOR)
     }
 
+    /// Whether a job that is too young to be overdue waits with nothing running, or has until
+    /// just now.
+    pub(super) fn has_new_waits(&self, now: MonoTime) -> bool {
+        now.millis_since(self.new_waited) < NEW_GONE_MS
+    }
+
     fn plan_overdue_job(
         &mut self,
         key: &WaitKey,
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -54,6 +54,8 @@
     pub held: &'a SortedTable<WorkerName, ()>,
     /// Long-running tasks of any cell that have to run again and find no worker.
     pub restarts: &'a [RestartNeed],
+    /// Whether jobs that are too young to be overdue wait with nothing running.
+    pub has_new_waits: bool,
     /// Time of the snapshot.
     pub now: MonoTime,
 }
--- a/crates/jobs/src/planner/worker_scorer/slow_start.rs
+++ b/crates/jobs/src/planner/worker_scorer/slow_start.rs
@@ -45,6 +45,10 @@
         capacity: u64,
         worker: &TrackedWorker,
     ) -> Option<i64> {
+        // Under load the processors are better used by jobs that can still be on time.
+        if self.has_new_waits {
+            return None;
+        }
         // Without an image the run could not be slowed down or moved.
         let has_image = demand.image.is_some();
         let pace_percent = u64::from(PacePlan::LOWEST_PERCENT);
--- a/crates/jobs/tests/owner/overdue_beside_latency.rs
+++ b/crates/jobs/tests/owner/overdue_beside_latency.rs
@@ -192,3 +192,18 @@
     });
     assert_eq!(latest, Some((fill, 1, 1, false)));
 }
+
+/// Guards the jobs that can still be on time: under load they need the processors.
+#[test]
+fn overdue_task_does_not_start_beside_latency_sensitive_runs_while_newer_jobs_wait() {
+    let mut fixture = beside_latency_sensitive_run(25, 0.9);
+    for number in 0..10 {
+        let newer = format!("{number:016x}");
+        let too_large = step(1, 100_000);
+        fixture.accept(&newer, accepted_at(fixture.now, vec![too_large]));
+        let lines = show_latency(&mut fixture, 25, &[], 4);
+        assert!(lines.is_empty(), "got {lines:?}");
+    }
+    let lines = show_latency(&mut fixture, 25, &[], 18);
+    assert_eq!(lines, [format!("start {OLD}.0.0.0#1 at w-1")]);
+}
