Do not take waits for copies for answers of the store

While the store refused every call, the readiness port went on saying that the daemon was ready most of the time, and the log said again and again that the store answered. The watcher of copies waits on a channel and returns nothing without any call; its watcher recorded that as an answer of the store, each 1.5 s, and so reset the time for which the store had failed.

The source of copies now records the reads that it makes, and its watcher records nothing. The test was seen failing before the fix: the daemon became ready again while the store refused.

--- a/crates/entry/src/copies/copy_source.rs
+++ b/crates/entry/src/copies/copy_source.rs
@@ -41,7 +41,9 @@
     fn read(&self, revision: u64) -> Result<Option<StoredRow>, StoreCallError> {
         let started = Instant::now();
         let key = RowKeys::document_copy(revision);
-        let Some(row) = self.context.store.read(&key, READ_TIMEOUT)? else {
+        let result = self.context.store.read(&key, READ_TIMEOUT);
+        self.context.record_store_result(&result);
+        let Some(row) = result? else {
             return Ok(None);
         };
         let Some(value) = DocumentCopy::decode(&row.value) else {
--- a/crates/entry/src/lifecycle/entry_daemon.rs
+++ b/crates/entry/src/lifecycle/entry_daemon.rs
@@ -18,7 +18,6 @@
 use crate::lifecycle::ServingPhase;
 use crate::metrics::MetricsService;
 use crate::owner::OwnerElection;
-use crate::ports::EventSource;
 use crate::watching::EventWatcher;
 use crate::watching::WatchUpdate;
 use sapphirestile_core::MonoTime;
@@ -72,8 +71,10 @@
         context: Arc<EntryContext>,
         adapters: EntryAdapters,
     ) -> Result<Self, Report<StepError>> {
-        watch_operators(&context, adapters.operators, None);
-        watch_operators(&context, adapters.copies, Some(0));
+        let operators = EventWatcher::new(Arc::clone(&context), adapters.operators);
+        watch_operators(&context, operators, None);
+        let copies = EventWatcher::new(Arc::clone(&context), adapters.copies);
+        watch_operators(&context, copies.without_records(), Some(0));
         watch_pauses(&context);
         let gate = Arc::new(RequestGate::default());
         let settings = &context.settings.ports;
@@ -162,10 +163,9 @@
 /// Follows a source of the operators' changes, from a listing or after a revision.
 fn watch_operators(
     context: &Arc<EntryContext>,
-    source: Arc<dyn EventSource<OperatorEvent>>,
+    watcher: EventWatcher<OperatorEvent>,
     after: Option<u64>,
 ) {
-    let watcher = EventWatcher::new(Arc::clone(context), source);
     let context = Arc::clone(context);
     watcher.spawn(after, move |update| {
         match update {
--- a/crates/entry/src/watching/event_watcher.rs
+++ b/crates/entry/src/watching/event_watcher.rs
@@ -25,6 +25,8 @@
     source: Arc<dyn EventSource<E>>,
     /// The minimum time between two calls that found changes.
     interval: Duration,
+    /// Whether each result is that of a call to the store.
+    reads_store: bool,
 }
 
 impl<E: Send + 'static> EventWatcher<E> {
@@ -35,9 +37,18 @@
             context,
             source,
             interval: Duration::ZERO,
+            reads_store: true,
         }
     }
 
+    /// Records no results as those of calls to the store: the source does that itself, and
+    /// has results without a call.
+    #[must_use]
+    pub const fn without_records(mut self) -> Self {
+        self.reads_store = false;
+        self
+    }
+
     /// Sets the minimum time between two calls that found changes. Changes that come more
     /// often are read together, which saves calls.
     #[must_use]
@@ -70,7 +81,9 @@
         loop {
             let started = Instant::now();
             let result = self.next(after);
-            self.context.record_store_result(&result);
+            if self.reads_store {
+                self.context.record_store_result(&result);
+            }
             let is_continuing = match result {
                 Ok((update, revision)) => {
                     self.log_slow_read(after, started);
