List no whole configuration while a daemon reads copies

When the store had forgotten the changes that a watch asks for, every daemon listed all rows of the operators at once, the document of up to a megabyte among them, though it read copies: all daemons of a region through one link, the overload that the copies are there to avoid.

While it relies on copies a daemon now lists the rows beside the document. A listing keeps the configuration in effect and replaces the zones. The test was seen failing before the fix: the other rows were never listed.

--- a/crates/entry/src/copies/direct_source.rs
+++ b/crates/entry/src/copies/direct_source.rs
@@ -84,8 +84,12 @@
     }
 
     fn list(&self) -> Result<EventListing<RowChange>, StoreCallError> {
-        self.has_left_out.store(false, Ordering::Release);
+        if self.context.copies.is_relied_on() {
+            self.has_left_out.store(true, Ordering::Release);
+            return self.others.list();
+        }
         let listing = self.rows.list()?;
+        self.has_left_out.store(false, Ordering::Release);
         self.record(&listing);
         Ok(listing)
     }
