Leave the copies of the configuration without listing it again, and in time

Daemons that stopped relying on copies, or became owners, listed all rows of the operators: after an outage of the store of more than 1.6 s, in which no cell counts as owned, all daemons listed a document of up to a megabyte at once, although nothing was new. And a daemon whose listings of the ownership rows failed, or which was busy for seconds with a claim, made no decision and relied for ever on the copies of before: no version reached it.

What an owner reports says up to where no later version exists. A daemon that knows the reported version keeps that revision, and goes on from there with a watch of all rows; it lists only what the store has forgotten. It does not report what others have followed as its own. A decision to rely on copies ends after 2 s without another one, is made before a claim, and whether the daemon is an owner is set after the claim. A version taken from a copy now counts as known like one that was read, so there is one state less.

--- a/crates/entry/src/copies/direct_source.rs
+++ b/crates/entry/src/copies/direct_source.rs
@@ -69,6 +69,29 @@
         }
     }
 
+    fn relies_on_copies(&self) -> bool {
+        let now = self.context.clock.now();
+        self.context.copies.is_relied_on(now)
+    }
+
+    /// Sets whether the changes are read without the document.
+    fn set_left_out(&self, relies: bool) {
+        if self.has_left_out.swap(relies, Ordering::AcqRel) != relies {
+            let is_owner = self.context.copies.is_owner();
+            tracing::info!(relies, is_owner, "reading of the document changes");
+        }
+    }
+
+    /// Up to where all changes are known, the document's too, if those of the other rows are
+    /// known up to `after`.
+    fn known(&self, after: u64) -> u64 {
+        if self.has_left_out.load(Ordering::Acquire) {
+            after.min(self.context.copies.covered())
+        } else {
+            after
+        }
+    }
+
     /// Whether this daemon has to copy a version that it read before it owned a cell.
     fn has_to_copy(&self) -> bool {
         let copies = &self.context.copies;
@@ -84,26 +107,26 @@
     }
 
     fn list(&self) -> Result<EventListing<RowChange>, StoreCallError> {
-        if self.context.copies.is_relied_on() {
-            self.has_left_out.store(true, Ordering::Release);
+        if self.relies_on_copies() {
+            self.set_left_out(true);
             return self.others.list();
         }
         let listing = self.rows.list()?;
-        self.has_left_out.store(false, Ordering::Release);
+        self.set_left_out(false);
         self.record(&listing);
         Ok(listing)
     }
 
     fn watch(&self, after: u64, wait: Duration) -> Result<EventListing<RowChange>, StoreCallError> {
-        if self.context.copies.is_relied_on() {
-            self.has_left_out.store(true, Ordering::Release);
+        if self.relies_on_copies() {
+            self.set_left_out(true);
             return self.others.watch(after, wait);
         }
-        if self.has_left_out.load(Ordering::Acquire) || self.has_to_copy() {
-            // The changes after that revision may lack the document.
+        if self.has_to_copy() {
             return Err(StoreCallError::HistoryGone);
         }
-        let listing = self.rows.watch(after, wait)?;
+        let listing = self.rows.watch(self.known(after), wait)?;
+        self.set_left_out(false);
         self.record(&listing);
         Ok(listing)
     }
--- a/crates/entry/src/copies/own_progress.rs
+++ b/crates/entry/src/copies/own_progress.rs
@@ -6,10 +6,12 @@
 /// knows to be copied. All are revisions of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OwnProgress {
-    /// The latest version that was read; 0 before the first.
+    /// The latest version that is known; 0 before the first.
     pub read: u64,
-    /// Up to where no later version than that exists.
+    /// Up to where this daemon has read all changes itself.
     pub seen: u64,
+    /// Up to where no version was missed, by what owners report too.
+    pub covered: u64,
     /// What is reported to the other daemons.
     pub report: DocumentReport,
 }
@@ -21,6 +23,7 @@
         Self {
             read: read.map_or(self.read, |read| read.max(self.read)),
             seen: seen.max(self.seen),
+            covered: seen.max(self.covered),
             ..self
         }
         .with_followed()
@@ -32,6 +35,13 @@
         self.with_followed()
     }
 
+    /// The progress with the report of an owner whose version is known here. What others
+    /// have followed is not reported as followed by this daemon.
+    pub fn with_report(mut self, report: DocumentReport) -> Self {
+        self.covered = self.covered.max(report.followed);
+        self.with_copied(report.copied)
+    }
+
     /// Without a copy of the version that was read, others have not followed the document.
     const fn with_followed(mut self) -> Self {
         if self.read != 0 && self.report.copied == self.read {
--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -80,8 +80,10 @@
                 self.context
                     .cells
                     .update(|table| table.with_rows(&listing.rows, now));
-                self.claim_next(now);
+                // A claim may take seconds.
                 self.observe_copies(listing.revision, now);
+                self.claim_next(now);
+                self.set_role();
             }
             thread::sleep(READ_INTERVAL);
         }
@@ -100,15 +102,18 @@
         let copies = &self.context.copies;
         let table = self.context.cells.load();
         let reports = table.document_reports(now);
-        let read = copies.read();
-        let reported = reports.iter().map(|(_, report)| report.copied);
-        if let Some(known) = reported.filter(|copied| *copied <= read).max() {
-            copies.record_copied(known);
+        for (_, report) in &reports {
+            copies.record_report(*report);
         }
-        let latest = self.reading.observe(&reports, revision, now);
+        copies.decide(self.reading.observe(&reports, revision, now), now);
+    }
+
+    /// Sets whether this daemon copies the operators' document for others.
+    fn set_role(&self) {
         let is_owner = !self.terms.is_empty();
-        let publishes = is_owner && table.heads.len() >= PUBLISHERS_TO_BEGIN;
-        copies.decide(is_owner, publishes, latest);
+        let cells = self.context.cells.load().heads.len();
+        let publishes = is_owner && cells >= PUBLISHERS_TO_BEGIN;
+        self.context.copies.set_role(is_owner, publishes);
     }
 
     /// Claims one of the cells without an owner, if there is one.
