Read the configuration itself when its copy cannot be read

A copy that was malformed or missing was read four to five times a second for ever, and the version never came into effect at a daemon that relies on copies. Beside daemons of another version the same would happen with a format that they do not know.

After five reads that find no readable copy of a version, a daemon no longer relies on copies until a later version is copied, and reads this one itself. The key of a copy names its format.

--- a/crates/entry/src/copies.rs
+++ b/crates/entry/src/copies.rs
@@ -13,6 +13,7 @@
 mod copy_source;
 mod direct_source;
 mod document_copies;
+mod missed_reads;
 mod own_progress;
 mod reading_policy;
 mod seen_revisions;
--- a/crates/entry/src/copies/copy_source.rs
+++ b/crates/entry/src/copies/copy_source.rs
@@ -1,10 +1,13 @@
 //! Source of the copies of the operators' document.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::context::EntryContext;
+use crate::copies::missed_reads::MissedReads;
 use crate::ports::EventListing;
 use crate::ports::EventSource;
 use crate::ports::RowChange;
@@ -18,13 +21,18 @@
 
 /// The wait after a read that found no copy: a later version has replaced it, and will be
 /// reported.
-const MISSING_WAIT: Duration = Duration::from_millis(200);
+const MISSING_WAIT: Duration = Duration::from_millis(400);
+
+/// The number of reads that find no readable copy of a version before this daemon reads the
+/// document itself.
+const MISSING_MAX: u64 = 5;
 
 /// Reads each new version of the operators' document from its copy, as a change of the
 /// document itself.
 pub struct CopySource {
     context: Arc<EntryContext>,
     document_key: Box<str>,
+    missed: Mutex<MissedReads>,
 }
 
 impl CopySource {
@@ -34,7 +42,25 @@
         Self {
             context,
             document_key: document_key.into(),
+            missed: Mutex::default(),
+        }
+    }
+
+    /// Waits after a read that found no readable copy of a version, or gives the copy up.
+    fn miss(&self, revision: u64) {
+        let copies = &self.context.copies;
+        let mut missed = self.missed.lock().unwrap_or_else(PoisonError::into_inner);
+        let reads = missed.count(revision);
+        drop(missed);
+        if reads < MISSING_MAX {
+            copies.wait(MISSING_WAIT);
+            return;
         }
+        tracing::error!(
+            revision,
+            "no readable copy of the document; reading it itself"
+        );
+        copies.record_unreadable(revision);
     }
 
     /// Reads the copy of a version; `None` if there is none, or it cannot be read.
@@ -86,7 +112,7 @@
                     copies.record_taken(revision);
                     events.push(RowChange::Written(row));
                 }
-                None => copies.wait(MISSING_WAIT),
+                None => self.miss(revision),
             }
         }
         Ok(EventListing {
--- a/crates/entry/src/copies/document_copies.rs
+++ b/crates/entry/src/copies/document_copies.rs
@@ -22,6 +22,8 @@
 pub struct DocumentCopies {
     /// The latest version that is copied; 0 while too few owners follow the document.
     wanted: AtomicU64,
+    /// The latest version whose copy cannot be read; 0 if there is none.
+    unreadable: AtomicU64,
     /// Until when the latest decision holds, in milliseconds of the daemon's clock.
     decided_until_ms: AtomicU64,
     is_owner: AtomicBool,
@@ -37,6 +39,7 @@
         let (wake, woken) = bounded(1);
         Self {
             wanted: AtomicU64::default(),
+            unreadable: AtomicU64::default(),
             decided_until_ms: AtomicU64::default(),
             is_owner: AtomicBool::default(),
             publishes: AtomicBool::default(),
@@ -49,12 +52,13 @@
 
 impl DocumentCopies {
     /// Whether this daemon relies on copies. An owner does not: it reads the document itself,
-    /// and takes a copy that arrives earlier. Without decisions reliance ends.
+    /// and takes a copy that arrives earlier. Reliance ends without decisions, and with a copy
+    /// that cannot be read, until a later one can be.
     #[must_use]
     pub fn is_relied_on(&self, now: MonoTime) -> bool {
         let decided_until_ms = self.decided_until_ms.load(Ordering::Acquire);
         let is_decided = now.as_millis() < decided_until_ms;
-        is_decided && self.wanted.load(Ordering::Acquire) > 0 && !self.is_owner()
+        is_decided && self.wanted.load(Ordering::Acquire) > self.unreadable() && !self.is_owner()
     }
 
     /// Whether this daemon owns a cell.
@@ -98,7 +102,17 @@
     #[must_use]
     pub fn wanted(&self) -> Option<u64> {
         let wanted = self.wanted.load(Ordering::Acquire);
-        (wanted > self.read()).then_some(wanted)
+        let known = self.read().max(self.unreadable());
+        (wanted > known).then_some(wanted)
+    }
+
+    /// Records that the copy of a version cannot be read.
+    pub fn record_unreadable(&self, revision: u64) {
+        self.unreadable.fetch_max(revision, Ordering::AcqRel);
+    }
+
+    fn unreadable(&self) -> u64 {
+        self.unreadable.load(Ordering::Acquire)
     }
 
     /// Records that a version was read from a copy.
--- a/crates/entry/src/store/row_keys.rs
+++ b/crates/entry/src/store/row_keys.rs
@@ -4,7 +4,7 @@
 use sapphirestile_jobs::JobIdentity;
 use sapphirestile_jobs::TaskIdentity;
 
-const DOCUMENTS: &str = "sapphirestile/documents/";
+const DOCUMENTS: &str = "sapphirestile/documents/deflate/";
 const CELLS: &str = "sapphirestile/cells/";
 const LAYOUT: &str = "sapphirestile/cells/layout";
 const OWNERSHIP: &str = "sapphirestile/cells/head-";
@@ -63,7 +63,8 @@
         Some(CellNumber::new(number))
     }
 
-    /// The key of the copy of the operators' document at a revision.
+    /// The key of the copy of the operators' document at a revision. It names the format, so
+    /// that a daemon of another version takes no copy that it cannot read.
     #[must_use]
     pub fn document_copy(revision: u64) -> String {
         format!("{DOCUMENTS}{revision}")
