Read a copy of the configuration for as long as its bytes arrive

The read of a copy had a total limit of 3 s. On a link over which a copy takes longer, it was begun anew for ever, and the version never came into effect. And a copy too large for an answer made the watcher of copies list them, as if that replaced all rows of the operators: no zone would have counted as out of service.

The copy is now read with a limit on pauses, as listings are; keys have a fixed width, so that no key begins with another. A copy that is too large counts as one that cannot be read.

--- a/crates/entry/src/copies/copy_source.rs
+++ b/crates/entry/src/copies/copy_source.rs
@@ -10,14 +10,15 @@
 use crate::copies::missed_reads::MissedReads;
 use crate::ports::EventListing;
 use crate::ports::EventSource;
+use crate::ports::ListTimeouts;
 use crate::ports::RowChange;
 use crate::ports::StoreCallError;
 use crate::ports::StoredRow;
 use crate::store::DocumentCopy;
 use crate::store::RowKeys;
 
-/// The timeout of a read of a copy.
-const READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// The longest wait for the next bytes of a copy, which may be large for its link.
+const READ_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// The wait after a read that found no copy: a later version has replaced it, and will be
 /// reported.
@@ -63,13 +64,23 @@
         copies.record_unreadable(revision);
     }
 
+    /// Reads a row, which may take long as long as it goes on. One that is too large counts as
+    /// missing.
+    fn read_row(&self, key: &str) -> Result<Option<StoredRow>, StoreCallError> {
+        let timeouts = ListTimeouts::each_pause(READ_PAUSE);
+        let result = self.context.store.list(key, timeouts);
+        self.context.record_store_result(&result);
+        match result {
+            Ok(listing) => Ok(listing.rows.into_iter().find(|row| row.key == key)),
+            Err(StoreCallError::AnswerTooLarge) => Ok(None),
+            Err(fault) => Err(fault),
+        }
+    }
+
     /// Reads the copy of a version; `None` if there is none, or it cannot be read.
     fn read(&self, revision: u64) -> Result<Option<StoredRow>, StoreCallError> {
         let started = Instant::now();
-        let key = RowKeys::document_copy(revision);
-        let result = self.context.store.read(&key, READ_TIMEOUT);
-        self.context.record_store_result(&result);
-        let Some(row) = result? else {
+        let Some(row) = self.read_row(&RowKeys::document_copy(revision))? else {
             return Ok(None);
         };
         let Some(value) = DocumentCopy::decode(&row.value) else {
--- a/crates/entry/src/store/row_keys.rs
+++ b/crates/entry/src/store/row_keys.rs
@@ -64,10 +64,11 @@
     }
 
     /// The key of the copy of the operators' document at a revision. It names the format, so
-    /// that a daemon of another version takes no copy that it cannot read.
+    /// that a daemon of another version takes no copy that it cannot read. No key begins with
+    /// another one.
     #[must_use]
     pub fn document_copy(revision: u64) -> String {
-        format!("{DOCUMENTS}{revision}")
+        format!("{DOCUMENTS}{revision:020}")
     }
 
     /// The key of the row that counts the waiting jobs of a cell per queue.
