Leave the copies of the configuration within half a second

A daemon that no longer relies on copies noticed it only after its watch of the other rows of the operators, up to 1.5 s later, of the time in which a version has to be in effect. That watch now waits for 500 ms at most. The test was seen failing before the fix, with a wait of 1.5 s.

--- a/crates/entry/src/copies/direct_source.rs
+++ b/crates/entry/src/copies/direct_source.rs
@@ -14,6 +14,10 @@
 use crate::ports::StoreCallError;
 use crate::ports::StoredRow;
 
+/// How long a watch of the rows beside the document waits at most. The document is watched
+/// again only after it.
+const OTHERS_WAIT: Duration = Duration::from_millis(500);
+
 /// Lists and watches the operators' rows, without their document while this daemon relies on
 /// copies of it.
 pub struct DirectSource {
@@ -120,7 +124,7 @@
     fn watch(&self, after: u64, wait: Duration) -> Result<EventListing<RowChange>, StoreCallError> {
         if self.relies_on_copies() {
             self.set_left_out(true);
-            return self.others.watch(after, wait);
+            return self.others.watch(after, wait.min(OTHERS_WAIT));
         }
         if self.has_to_copy() {
             return Err(StoreCallError::HistoryGone);
--- a/crates/entry/tests/document_sources.rs
+++ b/crates/entry/tests/document_sources.rs
@@ -1,10 +1,12 @@
 //! How a daemon reads the operators' document and its copies.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use sapphirestile_entry::CommitAnswer;
 use sapphirestile_entry::CopySource;
+use sapphirestile_entry::DirectSource;
 use sapphirestile_entry::DocumentCopy;
 use sapphirestile_entry::EntryContext;
 use sapphirestile_entry::EntrySettings;
@@ -80,6 +82,28 @@
     }
 }
 
+/// A source without rows, which records the waits of its watches.
+#[derive(Default)]
+struct RecordedWaits(Mutex<Vec<Duration>>);
+
+impl EventSource<RowChange> for RecordedWaits {
+    fn name(&self) -> &'static str {
+        "rows"
+    }
+
+    fn list(&self) -> Result<EventListing<RowChange>, StoreCallError> {
+        self.watch(0, Duration::ZERO)
+    }
+
+    fn watch(&self, after: u64, wait: Duration) -> Result<EventListing<RowChange>, StoreCallError> {
+        self.0.lock().unwrap().push(wait);
+        Ok(EventListing {
+            events: Vec::new(),
+            revision: after,
+        })
+    }
+}
+
 /// A daemon that relies on a copy in the store.
 fn context(store: SlowStore) -> Arc<EntryContext> {
     let settings = EntrySettings::try_from(SETTINGS).unwrap();
@@ -118,3 +142,18 @@
     };
     assert_eq!(listing, Ok(nothing));
 }
+
+#[test]
+fn a_long_watch_of_other_rows_does_not_delay_leaving_the_copies() {
+    let context = context(SlowStore {
+        longest: Duration::ZERO,
+        fault: None,
+    });
+    let rows = Arc::new(RecordedWaits::default());
+    let others = Arc::new(RecordedWaits::default());
+    let source = DirectSource::new(context, rows, others.clone(), DOCUMENT_KEY);
+    let result = source.watch(3, Duration::from_millis(1_500));
+    assert!(result.is_ok());
+    let waits = others.0.lock().unwrap();
+    assert_eq!(*waits, [Duration::from_millis(500)]);
+}
