Go on storing a copy of the configuration for as long as it is needed

After 20 calls without success, about 7 s, an owner gave up storing a copy, and as the version counted as begun, nothing tried again: the other daemons had to read the document themselves until the next version. The same after a thread that could not be created.

An owner now calls until the copy is stored, by itself or another owner, a later version is known, or the daemon stops; after 20 calls each 2 s. Without a thread the version is read and tried again after a second; that was not shown by a test. A version whose copy an owner has read already is not copied once more.

--- a/crates/entry/src/copies/copy_publisher.rs
+++ b/crates/entry/src/copies/copy_publisher.rs
@@ -17,9 +17,11 @@
 /// The timeout of a call that stores a copy.
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The maximum number of calls that store a copy. If all fail, the other daemons do not rely
-/// on this one any more.
-const CALLS_MAX: u32 = 20;
+/// The number of calls that store a copy with the delays of an ordinary retry.
+const QUICK_CALLS: u32 = 20;
+
+/// The delay after each further call.
+const LATER_DELAY: Duration = Duration::from_secs(2);
 
 /// Stores a copy of one version of the operators' document.
 ///
@@ -33,14 +35,15 @@
 }
 
 impl CopyPublisher {
-    /// Stores a copy on a thread of its own.
-    pub fn spawn(context: Arc<EntryContext>, version: StoredRow) {
+    /// Stores a copy on a thread of its own. Returns whether there is one.
+    pub fn spawn(context: Arc<EntryContext>, version: StoredRow) -> bool {
         let spawned = thread::Builder::new()
             .name("copy document".to_owned())
             .spawn(move || Self::new(context, &version).run());
-        if let Err(error) = spawned {
+        if let Err(error) = &spawned {
             tracing::error!(%error, "failed to spawn the thread that copies the document");
         }
+        spawned.is_ok()
     }
 
     fn new(context: Arc<EntryContext>, version: &StoredRow) -> Self {
@@ -73,24 +76,31 @@
         }
     }
 
+    /// Calls until the copy is stored, by this daemon or another one, or a later version is
+    /// known.
     fn run(self) {
         let mut backoff = RetryBackoff::default();
-        for _ in 0..CALLS_MAX {
-            if self.context.is_stopping() || self.context.copies.read() > self.revision {
-                return;
-            }
+        let mut calls = 0;
+        while !self.is_over() {
             let started = Instant::now();
             let result = self.context.store.commit(&self.commit, STORE_TIMEOUT);
             self.context.record_store_result(&result);
-            match result {
-                Ok(CommitAnswer::Stored { .. }) => {
-                    self.context.copies.record_copied(self.revision);
-                    return;
-                }
-                Ok(CommitAnswer::Refused { .. }) => return,
-                Err(_) => thread::sleep(backoff.remaining_delay(started.elapsed())),
+            if let Ok(CommitAnswer::Stored { .. }) = result {
+                self.context.copies.record_copied(self.revision);
+                return;
+            }
+            calls += 1;
+            if calls < QUICK_CALLS {
+                thread::sleep(backoff.remaining_delay(started.elapsed()));
+            } else {
+                thread::sleep(LATER_DELAY);
             }
         }
-        tracing::error!(revision = self.revision, "cannot copy the document");
+    }
+
+    fn is_over(&self) -> bool {
+        let copies = &self.context.copies;
+        let is_copied = copies.report().copied >= self.revision;
+        self.context.is_stopping() || copies.read() > self.revision || is_copied
     }
 }
--- a/crates/entry/src/copies/direct_source.rs
+++ b/crates/entry/src/copies/direct_source.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use crate::context::EntryContext;
@@ -18,6 +19,9 @@
 /// again only after it.
 const OTHERS_WAIT: Duration = Duration::from_millis(500);
 
+/// The delay after a thread could not be created. The version is read again after it.
+const SPAWN_DELAY: Duration = Duration::from_secs(1);
+
 /// Lists and watches the operators' rows, without their document while this daemon relies on
 /// copies of it.
 pub struct DirectSource {
@@ -68,8 +72,13 @@
             return;
         };
         let revision = version.revision;
-        if self.begun.fetch_max(revision, Ordering::AcqRel) < revision {
-            CopyPublisher::spawn(Arc::clone(&self.context), version);
+        let is_copied = copies.report().copied >= revision;
+        if is_copied || self.begun.fetch_max(revision, Ordering::AcqRel) >= revision {
+            return;
+        }
+        if !CopyPublisher::spawn(Arc::clone(&self.context), version) {
+            thread::sleep(SPAWN_DELAY);
+            self.begun.store(0, Ordering::Release);
         }
     }
 
