Use copies of the configuration only where there is time for them

A configuration that comes by a copy is in effect up to 2.35 s after it was written, and a daemon notices only after 3 s that owners no longer follow. Where the platform allows less, a version that way would be late, although reading it directly need not be.

The settings now say within what time a configuration has to be in effect (bounds.config-apply-ms, optional and checked). Daemons store and use copies only if that is 4,000 ms or more. The test of the whole path was seen failing while the decision did not regard the bound.

--- a/crates/entry/src/owner/owner_election.rs
+++ b/crates/entry/src/owner/owner_election.rs
@@ -105,14 +105,17 @@
         for (_, report) in &reports {
             copies.record_report(*report);
         }
-        copies.decide(self.reading.observe(&reports, revision, now), now);
+        let latest = self.reading.observe(&reports, revision, now);
+        let allows_copies = self.context.settings.bounds.allows_copies();
+        copies.decide(latest.filter(|_| allows_copies), now);
     }
 
     /// Sets whether this daemon copies the operators' document for others.
     fn set_role(&self) {
         let is_owner = !self.terms.is_empty();
         let cells = self.context.cells.load().heads.len();
-        let publishes = is_owner && cells >= PUBLISHERS_TO_BEGIN;
+        let allows_copies = self.context.settings.bounds.allows_copies();
+        let publishes = allows_copies && is_owner && cells >= PUBLISHERS_TO_BEGIN;
         self.context.copies.set_role(is_owner, publishes);
     }
 
