--- a/crates/entry/src/copies/direct_source.rs
+++ b/crates/entry/src/copies/direct_source.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use crate::context::EntryContext;
@@ -14,6 +15,13 @@
 use crate::ports::StoreCallError;
 use crate::ports::StoredRow;
 
+/// How long a watch of the rows beside the document waits at most. The document is watched
+/// again only after it.
+const OTHERS_WAIT: Duration = Duration::from_millis(500);
+
+/// The delay after a thread could not be created. The version is read again after it.
+const SPAWN_DELAY: Duration = Duration::from_secs(1);
+
 /// Lists and watches the operators' rows, without their document while this daemon relies on
 /// copies of it.
 pub struct DirectSource {
@@ -64,8 +72,36 @@
             return;
         };
         let revision = version.revision;
-        if self.begun.fetch_max(revision, Ordering::AcqRel) < revision {
-            CopyPublisher::spawn(Arc::clone(&self.context), version);
+        let is_copied = copies.report().copied >= revision;
+        if is_copied || self.begun.fetch_max(revision, Ordering::AcqRel) >= revision {
+            return;
+        }
+        if !CopyPublisher::spawn(Arc::clone(&self.context), version) {
+            thread::sleep(SPAWN_DELAY);
+            self.begun.store(0, Ordering::Release);
+        }
+    }
+
+    fn relies_on_copies(&self) -> bool {
+        let now = self.context.clock.now();
+        self.context.copies.is_relied_on(now)
+    }
+
+    /// Sets whether the changes are read without the document.
+    fn set_left_out(&self, relies: bool) {
+        if self.has_left_out.swap(relies, Ordering::AcqRel) != relies {
+            let is_owner = self.context.copies.is_owner();
+            tracing::info!(relies, is_owner, "reading of the document changes");
+        }
+    }
+
+    /// Up to where all changes are known, the document's too, if those of the other rows are
+    /// known up to `after`.
+    fn known(&self, after: u64) -> u64 {
+        if self.has_left_out.load(Ordering::Acquire) {
+            after.min(self.context.copies.covered())
+        } else {
+            after
         }
     }
 
@@ -84,22 +120,26 @@
     }
 
     fn list(&self) -> Result<EventListing<RowChange>, StoreCallError> {
-        self.has_left_out.store(false, Ordering::Release);
+        if self.relies_on_copies() {
+            self.set_left_out(true);
+            return self.others.list();
+        }
         let listing = self.rows.list()?;
+        self.set_left_out(false);
         self.record(&listing);
         Ok(listing)
     }
 
     fn watch(&self, after: u64, wait: Duration) -> Result<EventListing<RowChange>, StoreCallError> {
-        if self.context.copies.is_relied_on() {
-            self.has_left_out.store(true, Ordering::Release);
-            return self.others.watch(after, wait);
+        if self.relies_on_copies() {
+            self.set_left_out(true);
+            return self.others.watch(after, wait.min(OTHERS_WAIT));
         }
-        if self.has_left_out.load(Ordering::Acquire) || self.has_to_copy() {
-            // The changes after that revision may lack the document.
+        if self.has_to_copy() {
             return Err(StoreCallError::HistoryGone);
         }
-        let listing = self.rows.watch(after, wait)?;
+        let listing = self.rows.watch(self.known(after), wait)?;
+        self.set_left_out(false);
         self.record(&listing);
         Ok(listing)
     }
