Count a run that is slowed down only for the load that this removes

Found by a review, by reading: a run that is slowed down before it is moved was counted as gone, though it keeps 30% of its load. A plan ended too early, so that several such runs on one worker were slowed and moved one after the other, in rounds of 650 ms and more, while a latency beside them stayed over its target.

The new test failed before (one run slowed where two have to be).

--- a/crates/jobs/src/pacing/pace_plan.rs
+++ b/crates/jobs/src/pacing/pace_plan.rs
@@ -28,7 +28,8 @@
 ///
 /// When a latency is too high, the runs that contribute most to it are stopped, to be
 /// restarted on another worker, or paused if they would lose their work. A task that has had
-/// many runs is slowed down first, since it might never end otherwise. Once all latencies are low, one run at a time is sped up again.
+/// many runs is slowed down first, since it might never end otherwise. Once all latencies are
+/// low, one run at a time is sped up again.
 #[derive(Clone, Copy, Debug)]
 pub struct PacePlan<'a> {
     /// Interference between the images.
@@ -94,8 +95,9 @@
             if is_explained && removed_load >= excess_load {
                 break;
             }
-            removed_load += added_load;
-            actions.push(slow_down_action(run, is_explained));
+            let action = slow_down_action(run, is_explained);
+            removed_load += added_load * removed_share(&action, run);
+            actions.push(action);
         }
         actions
     }
@@ -146,6 +148,14 @@
     }
 }
 
+/// Share of the load that a run adds which an action removes.
+fn removed_share(action: &PaceAction, run: &BestEffortRun) -> f64 {
+    match action {
+        PaceAction::Pace { percent, .. } => 1.0 - f64::from(*percent) / f64::from(run.pace_percent),
+        PaceAction::Move(_) => 1.0,
+    }
+}
+
 const fn slow_down_action(run: &BestEffortRun, is_explained: bool) -> PaceAction {
     let percent = if !run.can_move || !is_explained {
         0
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -18,6 +18,7 @@
 mod overdue_beside_latency;
 mod overdue_jobs;
 mod owner_fixture;
+mod pace_plans;
 mod pacing;
 mod placement;
 mod restart_precedence;
