Count what is being stopped for a worker that does not enforce its capacity

Now every listed run of a job that is not held keeps such a worker from new tasks.

The new test failed before (the waiting task was assigned). Services that enforce their capacity are not concerned.

--- a/crates/jobs/src/owner/job_owner/left_out_jobs.rs
+++ b/crates/jobs/src/owner/job_owner/left_out_jobs.rs
@@ -46,16 +46,16 @@
     }
 
     /// Records whether a worker has runs that take an unknown part of its capacity, which it
-    /// does not enforce.
+    /// does not enforce: those of jobs that are not held here, also while they are being stopped.
     pub(super) fn note_unknown_load(&mut self, name: &WorkerName, response: &PollResponse) {
         let mut running = response.running.iter();
-        let has_left_out = running.any(|run| self.is_left_out(&run.task.job));
+        let has_foreign = running.any(|run| !self.jobs.contains(&run.task.job));
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
         let service = tracked.entry.as_ref().map(|entry| &entry.service);
         let policy = service.and_then(|service| self.config.services.get(service));
-        let has_unknown = has_left_out && !policy.is_some_and(|policy| policy.enforces_capacity);
+        let has_unknown = has_foreign && !policy.is_some_and(|policy| policy.enforces_capacity);
         // A response that leaves ends out need not list every run.
         tracked.has_unknown_load = match response.ended {
             EndList::Complete(_) => has_unknown,
--- a/crates/jobs/tests/owner/left_out_jobs.rs
+++ b/crates/jobs/tests/owner/left_out_jobs.rs
@@ -124,6 +124,17 @@
     assert_eq!(fixture.store(), [START_OF_OTHER]);
 }
 
+/// Guards against a worker that is given more than it has room for: what is being stopped counts.
+#[test]
+fn worker_that_still_runs_a_cancelled_job_which_was_left_out_gets_no_task() {
+    let mut fixture = fixture_with_unknown_load(false);
+    fixture.owner.cancel_left_out(&identity(LEFT_OUT));
+    fixture.wait(1_000);
+    fixture.answer("w-1", &[running(TASK, 3)], &[]);
+    fixture.step();
+    assert!(fixture.batch().is_none(), "nothing is assigned");
+}
+
 /// Guards against workers that stand idle.
 #[test]
 fn worker_that_enforces_its_capacity_gets_tasks_beside_a_run_of_unknown_size() {
