--- a/crates/entry/src/frontend/job_frontend/home_reading.rs
+++ b/crates/entry/src/frontend/job_frontend/home_reading.rs
@@ -9,7 +9,7 @@
     Missing,
     /// It is there, and this version cannot read it.
     Unreadable,
-    /// The row.
+    /// It was read.
     Found {
         /// What the row says.
         home: HomeRow,
