Let tasks that wait in full cells reach new room sooner

Callers saw long-running tasks without a run for 2.3 to 2.6 s after the first report of room, by four transfers, on a large deployment whose whole fleet had been full; after 3 s of room such a task counts as lost.

Cause: a guest kept to a full cell for 1.5 s however new the report of room elsewhere, and at home it waited 0.3 s anew, as if its run had just ended. And each guest of a cell went home for the same vacancy.

A guest now goes home after 0.3 s for room that was reported since it came, and takes it from the view, so that one vacancy sends one task home. It still stays 1.5 s while a worker of its cell has room beside its shorter tasks. At home a task that was given back goes on as soon as a pass over the workers has found none. A guest stays 0.3 s at least, and the cell that gave a task back is left out as before, which bounds the transfers of a task.

The simulation of transfers has a case: eight full cells, 64 tasks, and the workers of two cells come back. Reports have their age there now.

--- a/crates/jobs/src/division/vacancy_table.rs
+++ b/crates/jobs/src/division/vacancy_table.rs
@@ -96,12 +96,46 @@
         step: &StepSpec,
         service: &str,
         offset: usize,
+    ) -> Option<CellNumber> {
+        self.take_newer(excluded, step, service, offset, u64::MAX)
+    }
+
+    /// Takes room like [`take`](Self::take), but only of cells whose report is younger than
+    /// `age_max_ms`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sapphirestile_core::CellNumber;
+    /// use sapphirestile_jobs::CellReport;
+    /// use sapphirestile_jobs::StepSpec;
+    /// use sapphirestile_jobs::VacancyTable;
+    /// use sapphirestile_jobs::WorkerVacancy;
+    ///
+    /// let vacancies = [WorkerVacancy::default()];
+    /// let cell = CellNumber::new(4);
+    /// let mut table = VacancyTable::new(&[CellReport { cell, vacancies: &vacancies, age_ms: 70 }]);
+    /// let step = StepSpec::default();
+    /// assert_eq!(table.take_newer(&[], &step, "", 0, 70), None, "it is as old");
+    /// assert_eq!(table.take_newer(&[], &step, "", 0, 71), Some(cell));
+    /// ```
+    pub fn take_newer(
+        &mut self,
+        excluded: &[CellNumber],
+        step: &StepSpec,
+        service: &str,
+        offset: usize,
+        age_max_ms: u64,
     ) -> Option<CellNumber> {
         let count = self.rows.len();
         let places = (0..count).map(|place| (place + offset) % count);
+        let is_newer = |cell: &CellNumber| {
+            let mut ages = self.ages.iter();
+            ages.any(|(other, age_ms)| other == cell && *age_ms < age_max_ms)
+        };
         let fits = |place: &usize| {
             let (cell, vacancy) = &self.rows[*place];
-            !excluded.contains(cell) && vacancy.fits(step, service)
+            !excluded.contains(cell) && vacancy.fits(step, service) && is_newer(cell)
         };
         let place = places.into_iter().find(fits)?;
         let (cell, vacancy) = &mut self.rows[place];
--- a/crates/jobs/src/owner/job_owner/restarts.rs
+++ b/crates/jobs/src/owner/job_owner/restarts.rs
@@ -122,7 +122,8 @@
     pub(super) fn record_unplaced(&mut self, demand: &TaskDemand<'_>, now: MonoTime) {
         if demand.has_run && demand.step.may_run_alone() {
             self.unplaced
-                .get_or_insert_with(demand.task, || UnplacedTask::new(now));
+                .get_or_insert_with(demand.task, || UnplacedTask::new(now))
+                .is_refused = true;
         }
     }
 
@@ -141,7 +142,8 @@
             if self.held.len() >= HELD_WORKERS_MAX {
                 break;
             }
-            if let Some(worker) = self.next_worker_for(&task, now) {
+            let held = self.held.clone();
+            if let Some(worker) = self.next_worker_for(&task, |name| !held.contains(name), now) {
                 self.held.insert(worker, ());
             }
         }
@@ -173,9 +175,23 @@
         }
     }
 
+    /// Whether a worker has room for the task once its shorter tasks have ended.
+    pub(super) fn has_worker_beside_short_runs(
+        &mut self,
+        task: &TaskIdentity,
+        now: MonoTime,
+    ) -> bool {
+        self.next_worker_for(task, |_| true, now).is_some()
+    }
+
     /// Worker with the most free processor time among those that have room for the task once
-    /// their shorter tasks have ended.
-    fn next_worker_for(&mut self, task: &TaskIdentity, now: MonoTime) -> Option<WorkerName> {
+    /// their shorter tasks have ended, of those that are open to it.
+    fn next_worker_for(
+        &mut self,
+        task: &TaskIdentity,
+        is_open: impl Fn(&WorkerName) -> bool,
+        now: MonoTime,
+    ) -> Option<WorkerName> {
         let spec = self.jobs.get(&task.job)?.spec.clone();
         let step = &spec.steps[task.step as usize];
         let service = self.service_of(&spec.queue, &spec.terms.service);
@@ -186,7 +202,7 @@
             scorer.is_usable(tracked)
                 && scorer.is_suitable(&demand, tracked)
                 && step.size.fits(&tracked.room_without_short_runs())
-                && !self.held.contains(name)
+                && is_open(name)
         };
         self.freest_worker(is_candidate)
     }
--- a/crates/jobs/src/owner/job_owner/transfers.rs
+++ b/crates/jobs/src/owner/job_owner/transfers.rs
@@ -23,12 +23,16 @@
 use sapphirestile_core::CellNumber;
 use sapphirestile_core::MonoTime;
 
-/// How long a task looks for a worker at home before it is delegated, in milliseconds.
+/// How long a task looks for a worker at home before it is delegated, in milliseconds. One that
+/// another cell has given back is delegated as soon as it has found none.
 const DELEGATE_AFTER_MS: u64 = 300;
 
-/// How long a delegated task looks for a worker before it returns, in milliseconds. The
-/// report that brought it here is up to a second old, and a shorter task may be about to end.
-const RETURN_AFTER_MS: u64 = 1_500;
+/// How long a delegated task looks for a worker before it returns, in milliseconds. It then
+/// returns for room that another cell has reported since it came.
+const RETURN_AFTER_MS: u64 = 300;
+
+/// The same while a worker would have room once its shorter tasks have ended.
+const RETURN_FROM_OCCUPIED_AFTER_MS: u64 = 1_500;
 
 /// Maximum number of tasks that are transferred for one view of the other cells.
 const TRANSFERS_PER_VIEW_MAX: usize = 32;
@@ -120,11 +124,13 @@
         let service = self.service_of(&spec.queue, &spec.terms.service);
         let offset = usize::from(own.get()) * OWNER_OFFSET + task.index as usize;
         let idle_ms = self.waited_in_all_ms(task, now);
+        let is_occupied = self.has_worker_beside_short_runs(task, now);
         let unplaced = self.unplaced.get_mut(task)?;
         let waited_ms = now.millis_since(unplaced.since);
         match place {
             JobPlace::Home => {
-                if waited_ms < DELEGATE_AFTER_MS {
+                let has_returned = !unplaced.declined.is_empty() && unplaced.is_refused;
+                if waited_ms < DELEGATE_AFTER_MS && (is_occupied || !has_returned) {
                     return None;
                 }
                 let mut excluded = unplaced.declined.clone();
@@ -144,9 +150,15 @@
                 Some(TaskTransfer::Delegate { target, delegated })
             }
             JobPlace::Guest { home } => {
-                if waited_ms < RETURN_AFTER_MS || !vacancies.has_other(own, step, &service) {
+                let return_after_ms = if is_occupied {
+                    RETURN_FROM_OCCUPIED_AFTER_MS
+                } else {
+                    RETURN_AFTER_MS
+                };
+                if waited_ms < return_after_ms {
                     return None;
                 }
+                vacancies.take_newer(&[own], step, &service, offset, waited_ms)?;
                 let returned = ReturnedTask {
                     task: *task,
                     run,
--- a/crates/jobs/src/owner/unplaced_task.rs
+++ b/crates/jobs/src/owner/unplaced_task.rs
@@ -9,6 +9,8 @@
 pub struct UnplacedTask {
     /// When the task first found none.
     pub since: MonoTime,
+    /// Whether a pass over the workers of this cell has found none.
+    pub is_refused: bool,
     /// Cells that have given the task back since it last ran.
     pub declined: Vec<CellNumber>,
     /// What kept it from running.
@@ -20,6 +22,7 @@
     pub fn new(since: MonoTime) -> Self {
         Self {
             since,
+            is_refused: false,
             declined: Vec::new(),
             causes: WaitCauses::default(),
         }
--- a/crates/jobs/tests/owner/transfers.rs
+++ b/crates/jobs/tests/owner/transfers.rs
@@ -337,6 +337,47 @@
     assert_eq!(batch.transfers[0].transfers[0].run(), returned.run + 1);
 }
 
+/// It waited as long again as after its run, while the room that it came home for was taken.
+#[test]
+fn task_that_was_given_back_goes_on_at_once() {
+    let mut home = home_without_room();
+    let delegated = delegate(&mut home);
+    finish(&mut home, &[]);
+    let returned = ReturnedTask {
+        task: delegated.task,
+        run: delegated.run + 1,
+        checkpoint: "".into(),
+        from: OTHER,
+        idle_ms: 900,
+    };
+    let now = home.time();
+    home.owner.take_back_task(returned, now, home.now);
+    home.batch().expect("the return is to be stored");
+    home.owner.confirm_batch(now, home.now);
+    let third = CellNumber::new(2);
+    assert!(plan(&mut home, HOME, third).is_none(), "not tried at home");
+    home.now += 20;
+    home.step();
+    assert!(plan(&mut home, HOME, third).is_some());
+}
+
+/// It kept to a full cell for long, while others took the new room.
+#[test]
+fn guest_without_a_worker_goes_home_for_newer_room() {
+    let mut host = host();
+    host.owner.replace_workers(Vec::new(), host.time());
+    let mut home = home_without_room();
+    let delegated = delegate(&mut home);
+    receive(&mut host, &delegated);
+    host.step();
+    host.now += 30;
+    host.step();
+    assert!(plan(&mut host, OTHER, HOME).is_none(), "reported earlier");
+    host.now += 400;
+    host.step();
+    assert!(plan(&mut host, OTHER, HOME).is_some());
+}
+
 /// The cell that took the task would give it back as often as it came.
 #[test]
 fn task_stays_while_no_other_cell_has_room() {
--- a/crates/jobs/tests/transfer_simulation/cell_rows.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_rows.rs
@@ -21,6 +21,8 @@
     pub epoch: u64,
     /// Number of the latest write of the head row.
     pub version: u64,
+    /// When the rows were written last, in milliseconds.
+    pub written: u64,
     pub lease_bounds: LeaseBounds,
     pub vacancies: Vec<WorkerVacancy>,
     pub restarts: Vec<RestartNeed>,
@@ -40,6 +42,7 @@
         Self {
             epoch: 0,
             version: 0,
+            written: 0,
             lease_bounds: LeaseBounds::of_all(0),
             vacancies: Vec::new(),
             restarts: Vec::new(),
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/deliveries.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/deliveries.rs
@@ -127,6 +127,9 @@
         if is_short(&task.job) {
             return (self.random.random_range(300..2_000), EndKind::Done);
         }
+        if self.mixture.has_returning_workers {
+            return (END_MS, EndKind::Failed);
+        }
         if self.mixture.has_ending_runs {
             let duration_ms = self.random.random_range(2_000..40_000);
             return (duration_ms, EndKind::Broken);
@@ -162,6 +165,7 @@
         let is_stored = is_stored.expect("only the owner writes the head row while it lives");
         let state = &mut self.cells[cell];
         if is_stored {
+            self.store.cells[cell].written = self.now;
             state.version += 1;
         } else if let StoreCommit::Transfer(transfer) = &commit {
             state.refused.push(transfer.job);
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/restart_check.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/restart_check.rs
@@ -21,6 +21,12 @@
     /// Checks that no task that has run is idle for too long while a worker has room for it
     /// beside its long-running tasks.
     pub(super) fn check_restarts(&mut self) {
+        self.note_room();
+        self.check_waits();
+    }
+
+    /// Records since when a worker has had room for each task that is idle.
+    pub(super) fn note_room(&mut self) {
         let running: BTreeSet<TaskIdentity> = self
             .workers
             .iter()
@@ -44,7 +50,6 @@
             }
         }
         self.room_since = room_since;
-        self.check_waits();
     }
 
     fn check_waits(&self) {
--- a/crates/jobs/tests/transfer_simulation/main.rs
+++ b/crates/jobs/tests/transfer_simulation/main.rs
@@ -31,6 +31,9 @@
 /// Number of seeds for each case.
 const SEEDS: u64 = 8;
 
+/// Longest time for which a task may search while a worker has room for it, in milliseconds.
+const SEARCH_MAX_MS: u64 = 2_500;
+
 #[test_case(0; "workers that leave")]
 #[test_case(1; "owners that die at any point of a batch")]
 #[test_case(2; "late requests and lost answers")]
@@ -54,6 +57,15 @@
     }
 }
 
+#[test]
+fn tasks_that_wait_in_full_cells_find_new_room_of_a_few_cells() {
+    for seed in seeds() {
+        let mut simulation = CellSimulation::with_mixture(seed, TaskMixture::RETURNING_WORKERS);
+        simulation.run();
+        simulation.check_longest_search(SEARCH_MAX_MS);
+    }
+}
+
 /// A guest went home, as a third cell had room; the worker there was held for it no more before
 /// its home had reported it.
 #[test]
--- a/crates/jobs/tests/transfer_simulation/task_mixture.rs
+++ b/crates/jobs/tests/transfer_simulation/task_mixture.rs
@@ -16,6 +16,10 @@
     pub has_ending_runs: bool,
     /// Whether one owner of a cell after the other dies for some seconds.
     pub has_dying_owners: bool,
+    pub cells: usize,
+    pub jobs: usize,
+    /// Whether half of the workers leave, and those of two cells come back after long waits.
+    pub has_returning_workers: bool,
 }
 
 impl TaskMixture {
@@ -27,6 +31,9 @@
         has_short_jobs: false,
         has_ending_runs: false,
         has_dying_owners: false,
+        cells: 3,
+        jobs: 8,
+        has_returning_workers: false,
     };
 
     /// Tasks of several sizes, whose runs end, in a fleet that has little room left once some
@@ -50,7 +57,17 @@
         ..Self::SHORT_JOBS
     };
 
-    /// The same with owners that die.
+    /// Tasks of several sizes that wait in many full cells until a part of them gets room.
+    pub const RETURNING_WORKERS: Self = Self {
+        sizes: &[3_000, 4_000, 2_000, 5_000],
+        tasks_per_job: 2,
+        cells: 8,
+        jobs: 32,
+        has_returning_workers: true,
+        ..Self::EQUAL
+    };
+
+    /// Several sizes, short jobs and limits, with owners that die.
     pub const ALL: Self = Self {
         has_dying_owners: true,
         ..Self::LIMITS
