--- /dev/null
+++ b/review/standins-3/src/scenes/waiting_first_run.rs
@@ -0,0 +1,133 @@
+//! A new task that lasts waits with room for it, since another task waits for which there is
+//! none.
+
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use sapphirestile_platform_standins::SiteBodies;
+use serde_json::json;
+
+use crate::Verdict;
+use crate::caller;
+use crate::record::Record;
+use crate::scenes::wait_until;
+use crate::site::Site;
+
+/// How long a runner serves on after it has reported that it drains, in seconds:
+/// `drain-timeout-ms` and a little longer.
+const DRAIN_S: f64 = 3.0;
+
+/// The calm before the new submission, in seconds: more than the 4 s of the rule, and more than
+/// `stable-ms`.
+const CALM_S: f64 = 7.0;
+
+/// A task that lasts has to run from 6 s after its last run on, within 3 s. A new one is given
+/// both here.
+const WAIT_MAX_S: f64 = 9.0;
+
+const MARGIN_S: f64 = 0.1;
+
+/// How long the new task is waited for, in seconds.
+const WATCHED_S: f64 = 40.0;
+
+/// What a runner has, and what the tasks ask for, in thousandths of a core.
+const RUNNER_CPU: u64 = 4_000;
+const SMALL_CPU: u64 = 1_500;
+const LARGE_CPU: u64 = 3_000;
+const NEW_CPU: u64 = 500;
+
+const SMALL: &str = "00000000000000d0";
+const LARGE: &str = "00000000000000d1";
+const NEW: &str = "00000000000000d2";
+
+pub fn waiting_first_run(folder: &Path, has_trouble: bool) -> Verdict {
+    let Ok(record) = Record::create(folder) else {
+        return Verdict::CouldNotRun;
+    };
+    let Some(site) = Site::start("waiting-first-run", &record) else {
+        return Verdict::CouldNotRun;
+    };
+    thread::sleep(Duration::from_secs(2));
+    let runner_of = |job: &str| {
+        let _ = site.workers.running();
+        let runs = site.workers.long_runs();
+        let mut current = runs.into_iter().filter(|run| run.end.is_none());
+        current
+            .find(|run| run.task.starts_with(job))
+            .map(|run| run.worker)
+    };
+    let post = |job: &str, cpu: u64| {
+        let body = json!({
+            "spec": "stay",
+            "steps": [{"count": 1, "cpu": cpu, "mem-mb": 100, "long-running": true}],
+        });
+        let answer = caller::send(
+            site.daemons[0].callers,
+            "POST",
+            &format!("/charts/{job}"),
+            &body.to_string(),
+        );
+        let shown = caller::shown(&answer);
+        record.line(&format!(
+            "POST {job}, one task that lasts, of {cpu}: {shown}"
+        ));
+        answer.is_some_and(|answer| answer.0 == 200)
+    };
+    for (job, cpu) in [(SMALL, SMALL_CPU), (LARGE, LARGE_CPU)] {
+        if !post(job, cpu) {
+            return Verdict::CouldNotRun;
+        }
+        thread::sleep(Duration::from_secs(1));
+    }
+    let (Some(small_runner), Some(large_runner)) = (runner_of(SMALL), runner_of(LARGE)) else {
+        return Verdict::CouldNotRun;
+    };
+    record.line(&format!(
+        "{SMALL} runs on {small_runner}, {LARGE} on {large_runner}"
+    ));
+    if small_runner == large_runner {
+        return Verdict::CouldNotRun;
+    }
+    let index = usize::from(large_runner == "i-1");
+    let key = SiteBodies::worker_key(&large_runner);
+    let leaves = record.now();
+    if has_trouble {
+        let address = site.worker_ways[index].address();
+        site.store
+            .put(&key, &SiteBodies::leaving_worker_entry(address, "r1-1"));
+        record.line(&format!("{large_runner} reports that it drains"));
+        wait_until(&record, leaves + DRAIN_S);
+        site.workers.lose_power(index);
+        site.worker_ways[index].set_down(true);
+        site.store.remove(&key);
+        record.line(&format!("{large_runner} has left"));
+    }
+    wait_until(&record, leaves + DRAIN_S + CALM_S);
+    if !post(NEW, NEW_CPU) {
+        return Verdict::CouldNotRun;
+    }
+    let accepted = record.now();
+    record.line(&format!(
+        "room on {small_runner}: {} of {RUNNER_CPU}; {LARGE} runs on {:?}",
+        RUNNER_CPU - SMALL_CPU,
+        runner_of(LARGE)
+    ));
+    while runner_of(NEW).is_none() && record.now() < accepted + WATCHED_S {
+        thread::sleep(Duration::from_millis(20));
+    }
+    let waited = record.now() - accepted;
+    let runner = runner_of(NEW);
+    record.line(&format!(
+        "{NEW} runs on {runner:?}, {waited:.1} s after its acceptance"
+    ));
+    record.line(&format!(
+        "GET {NEW}: {}",
+        site.state(0, &format!("/charts/{NEW}"))
+    ));
+    if waited > WAIT_MAX_S + MARGIN_S {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
--- /dev/null
+++ b/review/standins-3/src/site.rs
@@ -0,0 +1,168 @@
+//! A small deployment: a store, workers, and three daemons.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use oxhttp::model::Body;
+use oxhttp::model::Request;
+use sapphirestile_platform_standins::SiteBodies;
+use sapphirestile_platform_standins::StoreStandin;
+use sapphirestile_platform_standins::WorkerFleet;
+use sapphirestile_platform_standins::free_address;
+use sapphirestile_platform_standins::open_port;
+use sapphirestile_serving::HttpPort;
+use sapphirestile_serving::HttpReply;
+use sapphirestile_serving::HttpService;
+
+use crate::caller;
+use crate::channel_proxy::ChannelProxy;
+use crate::daemon::Daemon;
+use crate::record::Record;
+
+pub const HOST: &str = "desk.example";
+
+const DAEMONS: u8 = 3;
+const WORKERS: usize = 2;
+
+/// How long the store takes for an answer, as the pages say.
+const STORE_ANSWER: Duration = Duration::from_millis(4);
+
+/// How long the start may take.
+const START_MAX: Duration = Duration::from_secs(20);
+
+/// The store, which takes 4 ms for an answer.
+struct TimedStore(Arc<StoreStandin>);
+
+impl HttpService for TimedStore {
+    fn answer(&self, request: &mut Request<Body>) -> HttpReply {
+        thread::sleep(STORE_ANSWER);
+        self.0.answer(request)
+    }
+
+    fn refuse(&self) -> HttpReply {
+        self.0.refuse()
+    }
+}
+
+pub struct Site {
+    pub daemons: Vec<Daemon>,
+    pub store: Arc<StoreStandin>,
+    pub workers: Arc<WorkerFleet>,
+    /// The way of each daemon to the store.
+    pub store_ways: Vec<ChannelProxy>,
+    /// The way of all daemons to each worker.
+    pub worker_ways: Vec<ChannelProxy>,
+    _ports: Vec<HttpPort>,
+    folder: PathBuf,
+}
+
+impl Site {
+    /// Starts the deployment and waits until each daemon is ready and has served a job.
+    pub fn start(scene: &str, record: &Record) -> Option<Self> {
+        Self::start_with(scene, record, &SiteBodies::config_version(3, 0))
+    }
+
+    /// The same with a configuration.
+    pub fn start_with(scene: &str, record: &Record, config: &str) -> Option<Self> {
+        let folder = std::env::temp_dir().join(format!("review-{scene}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).ok()?;
+        let store = Arc::new(StoreStandin::default());
+        let workers = WorkerFleet::new(WORKERS);
+        let service: Arc<dyn HttpService> = Arc::new(TimedStore(Arc::clone(&store)));
+        let store_port = open_port(&service);
+        let store_address = store_port.address();
+        let mut ports = vec![store_port];
+        let mut worker_ways = Vec::new();
+        for index in 0..WORKERS {
+            let service: Arc<dyn HttpService> = Arc::new(workers.worker(index));
+            let port = open_port(&service);
+            let way = ChannelProxy::start(port.address());
+            let key = SiteBodies::worker_key(&format!("i-{index}"));
+            store.put(&key, &SiteBodies::worker_entry(way.address()));
+            ports.push(port);
+            worker_ways.push(way);
+        }
+        store.put(SiteBodies::CONFIG_KEY, config);
+        let mut site = Self {
+            daemons: Vec::new(),
+            store,
+            workers,
+            store_ways: Vec::new(),
+            worker_ways,
+            _ports: ports,
+            folder,
+        };
+        for number in 0..DAEMONS {
+            let way = ChannelProxy::start(store_address);
+            let host = Ipv4Addr::new(127, 0, 0, 21 + number);
+            let addresses = [(); 3].map(|()| free_address(host));
+            let name = format!("front-near-a-{}", number + 1);
+            let daemon = site.start_daemon(&name, addresses, way.address())?;
+            site.daemons.push(daemon);
+            site.store_ways.push(way);
+        }
+        site.wait_until_served(record).then_some(site)
+    }
+
+    fn start_daemon(
+        &self,
+        name: &str,
+        addresses: [SocketAddr; 3],
+        store: SocketAddr,
+    ) -> Option<Daemon> {
+        Daemon::start(Path::new(&self.folder), name, "near-a", addresses, store).ok()
+    }
+
+    fn wait_until_served(&self, record: &Record) -> bool {
+        let end = Instant::now() + START_MAX;
+        for (index, daemon) in self.daemons.iter().enumerate() {
+            while caller::send(daemon.ready, "GET", "/-/ready", "").is_none_or(|it| it.0 != 200) {
+                if Instant::now() > end {
+                    record.line(&format!("{} is not ready", daemon.name));
+                    return false;
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+            let job = format!("/charts/00000000000000a{index}");
+            let body = SiteBodies::two_steps("30");
+            let answer = caller::send(daemon.callers, "POST", &job, &body);
+            record.line(&format!(
+                "{} POST {job}: {}",
+                daemon.name,
+                caller::shown(&answer)
+            ));
+            while !self.state(index, &job).contains("completed") {
+                if Instant::now() > end {
+                    record.line(&format!("{job} did not complete"));
+                    return false;
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+        }
+        record.line("each daemon is ready and has served a job");
+        true
+    }
+
+    /// What a daemon says of a job.
+    pub fn state(&self, daemon: usize, job: &str) -> String {
+        let answer = caller::send(self.daemons[daemon].callers, "GET", job, "");
+        caller::shown(&answer)
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.daemons.clear();
+        if std::env::var("KEEP_LOGS").is_err() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        } else {
+            println!("logs: {}", self.folder.display());
+        }
+    }
+}
