--- a/review/standins-3/src/channel_proxy.rs
+++ b/review/standins-3/src/channel_proxy.rs
@@ -13,6 +13,10 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
+
+/// How often a proxy with all its channels looks whether one was closed.
+const FULL_INTERVAL: Duration = Duration::from_millis(5);
 
 #[derive(Default)]
 struct ProxyState {
@@ -34,6 +38,12 @@
 
 impl ChannelProxy {
     pub fn start(target: SocketAddr) -> Self {
+        Self::start_with_limit(target, usize::MAX)
+    }
+
+    /// Starts a proxy that has at most `channels_max` channels open. Further ones wait in the
+    /// queue of new channels until one is closed.
+    pub fn start_with_limit(target: SocketAddr, channels_max: usize) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind a free loopback port");
         let address = listener
             .local_addr()
@@ -41,8 +51,13 @@
         let state = Arc::new(ProxyState::default());
         let shared = Arc::clone(&state);
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                relay(stream, target, &shared);
+            loop {
+                while shared.open.load(Ordering::SeqCst) >= channels_max {
+                    thread::sleep(FULL_INTERVAL);
+                }
+                if let Ok((stream, _)) = listener.accept() {
+                    relay(stream, target, &shared);
+                }
             }
         });
         Self { address, state }
@@ -52,6 +67,11 @@
         self.address
     }
 
+    /// The number of channels that are open.
+    pub fn open_channels(&self) -> usize {
+        self.state.open.load(Ordering::SeqCst)
+    }
+
     /// Lets all open channels go silent, and returns how many there are.
     pub fn silence_open_channels(&self) -> usize {
         let next = self.state.next.load(Ordering::SeqCst);
--- a/review/standins-3/src/daemon.rs
+++ b/review/standins-3/src/daemon.rs
@@ -53,6 +53,15 @@
     }
 }
 
+impl Daemon {
+    /// Sends a signal to the process, by the name that `kill` has for it.
+    pub fn signal(&self, name: &str) -> bool {
+        let process = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &process]).status();
+        sent.is_ok_and(|status| status.success())
+    }
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -31,6 +31,7 @@
         "cancelled-run" => scenes::cancelled_run(folder, has_trouble),
         "changed-kind" => scenes::changed_kind(folder, has_trouble),
         "waiting-first-run" => scenes::waiting_first_run(folder, has_trouble),
+        "kept-channels" => scenes::kept_channels(folder, has_trouble),
         "zone-out" => scenes::zone_out(folder, has_trouble),
         _ => Verdict::CouldNotRun,
     };
--- a/review/standins-3/src/scenes.rs
+++ b/review/standins-3/src/scenes.rs
@@ -2,12 +2,14 @@
 
 mod cancelled_run;
 mod changed_kind;
+mod kept_channels;
 mod stale_configuration;
 mod waiting_first_run;
 mod zone_out;
 
 pub use cancelled_run::cancelled_run;
 pub use changed_kind::changed_kind;
+pub use kept_channels::kept_channels;
 pub use stale_configuration::stale_configuration;
 pub use waiting_first_run::waiting_first_run;
 pub use zone_out::zone_out;
--- a/review/standins-3/src/site.rs
+++ b/review/standins-3/src/site.rs
@@ -30,23 +30,38 @@
 const DAEMONS: u8 = 3;
 const WORKERS: usize = 2;
 
+/// The channels that a runner has, as the pages say.
+const RUNNER_CHANNELS_MAX: usize = 64;
+
 /// How long the store takes for an answer, as the pages say.
 const STORE_ANSWER: Duration = Duration::from_millis(4);
 
 /// How long the start may take.
 const START_MAX: Duration = Duration::from_secs(20);
 
-/// The store, which takes 4 ms for an answer.
-struct TimedStore(Arc<StoreStandin>);
+/// The time of a request and its answer between two regions, as the pages say: 8 ms one way.
+const RUNNER_ROUND_TRIP: Duration = Duration::from_millis(16);
+
+/// A service whose answers take some time.
+struct TimedService {
+    service: Arc<dyn HttpService>,
+    time: Duration,
+}
+
+impl TimedService {
+    fn shared(service: Arc<dyn HttpService>, time: Duration) -> Arc<dyn HttpService> {
+        Arc::new(Self { service, time })
+    }
+}
 
-impl HttpService for TimedStore {
+impl HttpService for TimedService {
     fn answer(&self, request: &mut Request<Body>) -> HttpReply {
-        thread::sleep(STORE_ANSWER);
-        self.0.answer(request)
+        thread::sleep(self.time);
+        self.service.answer(request)
     }
 
     fn refuse(&self) -> HttpReply {
-        self.0.refuse()
+        self.service.refuse()
     }
 }
 
@@ -74,15 +89,15 @@
         std::fs::create_dir_all(&folder).ok()?;
         let store = Arc::new(StoreStandin::default());
         let workers = WorkerFleet::new(WORKERS);
-        let service: Arc<dyn HttpService> = Arc::new(TimedStore(Arc::clone(&store)));
+        let service = TimedService::shared(Arc::clone(&store) as _, STORE_ANSWER);
         let store_port = open_port(&service);
         let store_address = store_port.address();
         let mut ports = vec![store_port];
         let mut worker_ways = Vec::new();
         for index in 0..WORKERS {
-            let service: Arc<dyn HttpService> = Arc::new(workers.worker(index));
+            let service = TimedService::shared(Arc::new(workers.worker(index)), RUNNER_ROUND_TRIP);
             let port = open_port(&service);
-            let way = ChannelProxy::start(port.address());
+            let way = ChannelProxy::start_with_limit(port.address(), RUNNER_CHANNELS_MAX);
             let key = SiteBodies::worker_key(&format!("i-{index}"));
             store.put(&key, &SiteBodies::worker_entry(way.address()));
             ports.push(port);
@@ -100,7 +115,7 @@
         };
         for number in 0..DAEMONS {
             let way = ChannelProxy::start(store_address);
-            let host = Ipv4Addr::new(127, 0, 0, 21 + number);
+            let host = daemon_host(number);
             let addresses = [(); 3].map(|()| free_address(host));
             let name = format!("front-near-a-{}", number + 1);
             let daemon = site.start_daemon(&name, addresses, way.address())?;
@@ -156,6 +171,12 @@
     }
 }
 
+/// A loopback address of a daemon that no other scene uses at the same time.
+fn daemon_host(number: u8) -> Ipv4Addr {
+    let [.., third, fourth] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 20 + number, third, fourth.clamp(1, 254))
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         self.daemons.clear();
