Cases 13 and 15: eight runners, so that one is within the share

One of two runners is a share of 0.5; the lists allow 0.15. Case 13 now leaves the crash out there, not only the change of kind.

--- a/review/standins-3/src/scenes/changed_kind.rs
+++ b/review/standins-3/src/scenes/changed_kind.rs
@@ -14,6 +14,9 @@
 use crate::record::Record;
 use crate::site::Site;
 
+/// The runners: one of them is a share of 0.125.
+const RUNNERS: usize = 8;
+
 /// The runner that crashes.
 const RUNNER: usize = 0;
 const RUNNER_ID: &str = "i-0";
@@ -32,8 +35,8 @@
 const FIRST_KIND: &str = "a";
 const SECOND_KIND: &str = "b";
 
-/// Tasks of the job, and what each asks for: they fill both runners.
-const TASKS: u64 = 8;
+/// Tasks of the job, and what each asks for: they fill all runners.
+const TASKS: u64 = 32;
 const TASK_CPU: u64 = 1_000;
 
 const JOB: &str = "/charts/00000000000000c0";
@@ -45,7 +48,7 @@
     // The runners of the service do not guard their capacity.
     let config = SiteBodies::config_version(3, 0)
         .replace("\"admission-check\":true", "\"admission-check\":false");
-    let Some(site) = Site::start_with("changed-kind", &record, &config) else {
+    let Some(site) = Site::start_with("changed-kind", &record, &config, RUNNERS) else {
         return Verdict::CouldNotRun;
     };
     thread::sleep(Duration::from_secs(2));
@@ -67,28 +70,11 @@
         caller::shown(&answer)
     ));
     thread::sleep(Duration::from_secs(1));
-    record.line(&format!("runner {RUNNER_ID} crashes"));
-    site.workers.lose_power(RUNNER);
-    site.worker_ways[RUNNER].set_down(true);
-    thread::sleep(DOWN);
-    let born = site.workers.restore_power(RUNNER, RUNNER_ID);
-    let restored_ms = site.workers.clock_ms();
-    site.worker_ways[RUNNER].set_down(false);
-    let cpu = if has_trouble { SECOND_CPU } else { FIRST_CPU };
-    let kind = if has_trouble { SECOND_KIND } else { FIRST_KIND };
-    record.line(&format!(
-        "{RUNNER_ID} starts again, of kind {kind} with {cpu}, born {born}"
-    ));
-    thread::sleep(REGISTERED_AFTER);
-    let entry =
-        SiteBodies::restarted_worker_entry(site.worker_ways[RUNNER].address(), "r1-1", born)
-            .replace("\"cpu\":4000", &format!("\"cpu\":{cpu}"))
-            .replace(
-                &format!("\"labels\":[\"{FIRST_KIND}\""),
-                &format!("\"labels\":[\"{kind}\""),
-            );
-    record.line(&format!("the entry of {RUNNER_ID}: {entry}"));
-    site.store.put(&SiteBodies::worker_key(RUNNER_ID), &entry);
+    let (restored_ms, cpu, kind) = if has_trouble {
+        change_runner(&site, &record)
+    } else {
+        (0, FIRST_CPU, FIRST_KIND)
+    };
     thread::sleep(Duration::from_secs(6));
     let runs: Vec<LongRun> = site
         .workers
@@ -124,3 +110,30 @@
         Verdict::Held
     }
 }
+
+/// Lets the runner crash and start again as another kind. Returns when its new life began, and
+/// what it has and is.
+fn change_runner(site: &Site, record: &Record) -> (u64, u64, &'static str) {
+    record.line(&format!("runner {RUNNER_ID} crashes"));
+    site.workers.lose_power(RUNNER);
+    site.worker_ways[RUNNER].set_down(true);
+    thread::sleep(DOWN);
+    let born = site.workers.restore_power(RUNNER, RUNNER_ID);
+    let restored_ms = site.workers.clock_ms();
+    site.worker_ways[RUNNER].set_down(false);
+    let (cpu, kind) = (SECOND_CPU, SECOND_KIND);
+    record.line(&format!(
+        "{RUNNER_ID} starts again, of kind {kind} with {cpu}, born {born}"
+    ));
+    thread::sleep(REGISTERED_AFTER);
+    let entry =
+        SiteBodies::restarted_worker_entry(site.worker_ways[RUNNER].address(), "r1-1", born)
+            .replace("\"cpu\":4000", &format!("\"cpu\":{cpu}"))
+            .replace(
+                &format!("\"labels\":[\"{FIRST_KIND}\""),
+                &format!("\"labels\":[\"{kind}\""),
+            );
+    record.line(&format!("the entry of {RUNNER_ID}: {entry}"));
+    site.store.put(&SiteBodies::worker_key(RUNNER_ID), &entry);
+    (restored_ms, cpu, kind)
+}
--- a/review/standins-3/src/scenes/waiting_first_run.rs
+++ b/review/standins-3/src/scenes/waiting_first_run.rs
@@ -14,6 +14,9 @@
 use crate::scenes::wait_until;
 use crate::site::Site;
 
+/// The runners: one of them is a share of 0.125.
+const RUNNERS: usize = 8;
+
 /// How long a runner serves on after it has reported that it drains, in seconds:
 /// `drain-timeout-ms` and a little longer.
 const DRAIN_S: f64 = 3.0;
@@ -45,7 +48,12 @@
     let Ok(record) = Record::create(folder) else {
         return Verdict::CouldNotRun;
     };
-    let Some(site) = Site::start("waiting-first-run", &record) else {
+    let Some(site) = Site::start_with(
+        "waiting-first-run",
+        &record,
+        &SiteBodies::config_version(3, 0),
+        RUNNERS,
+    ) else {
         return Verdict::CouldNotRun;
     };
     thread::sleep(Duration::from_secs(2));
@@ -57,10 +65,13 @@
             .find(|run| run.task.starts_with(job))
             .map(|run| run.worker)
     };
-    let post = |job: &str, cpu: u64| {
+    let post = |job: &str, count: usize, cpu: u64| {
         let body = json!({
             "spec": "stay",
-            "steps": [{"count": 1, "cpu": cpu, "mem-mb": 100, "long-running": true}],
+            "steps": [{
+                "count": count, "cpu": cpu, "mem-mb": 100, "long-running": true,
+                "max-per-server": 1,
+            }],
         });
         let answer = caller::send(
             site.daemons[0].callers,
@@ -70,26 +81,35 @@
         );
         let shown = caller::shown(&answer);
         record.line(&format!(
-            "POST {job}, one task that lasts, of {cpu}: {shown}"
+            "POST {job}, {count} tasks that last, of {cpu}, on a runner each: {shown}"
         ));
         answer.is_some_and(|answer| answer.0 == 200)
     };
-    for (job, cpu) in [(SMALL, SMALL_CPU), (LARGE, LARGE_CPU)] {
-        if !post(job, cpu) {
+    // The large task first, so that each small one gets another runner.
+    for (job, count, cpu) in [(LARGE, 1, LARGE_CPU), (SMALL, RUNNERS - 1, SMALL_CPU)] {
+        if !post(job, count, cpu) {
             return Verdict::CouldNotRun;
         }
         thread::sleep(Duration::from_secs(1));
     }
-    let (Some(small_runner), Some(large_runner)) = (runner_of(SMALL), runner_of(LARGE)) else {
+    let _ = site.workers.running();
+    let runs = site.workers.long_runs();
+    let mut small_runners: Vec<&str> = runs
+        .iter()
+        .filter(|run| run.end.is_none() && run.task.starts_with(SMALL))
+        .map(|run| run.worker.as_str())
+        .collect();
+    small_runners.sort_unstable();
+    let Some(large_runner) = runner_of(LARGE) else {
         return Verdict::CouldNotRun;
     };
     record.line(&format!(
-        "{SMALL} runs on {small_runner}, {LARGE} on {large_runner}"
+        "{SMALL} runs on {small_runners:?}, {LARGE} on {large_runner}"
     ));
-    if small_runner == large_runner {
+    if small_runners.len() != RUNNERS - 1 || small_runners.contains(&large_runner.as_str()) {
         return Verdict::CouldNotRun;
     }
-    let index = usize::from(large_runner == "i-1");
+    let index: usize = large_runner.trim_start_matches("i-").parse().unwrap_or(0);
     let key = SiteBodies::worker_key(&large_runner);
     let leaves = record.now();
     if has_trouble {
@@ -104,12 +124,12 @@
         record.line(&format!("{large_runner} has left"));
     }
     wait_until(&record, leaves + DRAIN_S + CALM_S);
-    if !post(NEW, NEW_CPU) {
+    if !post(NEW, 1, NEW_CPU) {
         return Verdict::CouldNotRun;
     }
     let accepted = record.now();
     record.line(&format!(
-        "room on {small_runner}: {} of {RUNNER_CPU}; {LARGE} runs on {:?}",
+        "room on each of the other runners: {} of {RUNNER_CPU}; {LARGE} runs on {:?}",
         RUNNER_CPU - SMALL_CPU,
         runner_of(LARGE)
     ));
--- a/review/standins-3/src/site.rs
+++ b/review/standins-3/src/site.rs
@@ -28,7 +28,8 @@
 pub const HOST: &str = "desk.example";
 
 const DAEMONS: u8 = 3;
-const WORKERS: usize = 2;
+/// The runners of a deployment whose scene names no other number.
+const RUNNERS: usize = 2;
 
 /// The channels that a runner has, as the pages say.
 const RUNNER_CHANNELS_MAX: usize = 64;
@@ -80,21 +81,21 @@
 impl Site {
     /// Starts the deployment and waits until each daemon is ready and has served a job.
     pub fn start(scene: &str, record: &Record) -> Option<Self> {
-        Self::start_with(scene, record, &SiteBodies::config_version(3, 0))
+        Self::start_with(scene, record, &SiteBodies::config_version(3, 0), RUNNERS)
     }
 
-    /// The same with a configuration.
-    pub fn start_with(scene: &str, record: &Record, config: &str) -> Option<Self> {
+    /// The same with a configuration and a number of runners.
+    pub fn start_with(scene: &str, record: &Record, config: &str, runners: usize) -> Option<Self> {
         let folder = std::env::temp_dir().join(format!("review-{scene}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).ok()?;
         let store = Arc::new(StoreStandin::default());
-        let workers = WorkerFleet::new(WORKERS);
+        let workers = WorkerFleet::new(runners);
         let service = TimedService::shared(Arc::clone(&store) as _, STORE_ANSWER);
         let store_port = open_port(&service);
         let store_address = store_port.address();
         let mut ports = vec![store_port];
         let mut worker_ways = Vec::new();
-        for index in 0..WORKERS {
+        for index in 0..runners {
             let service = TimedService::shared(Arc::new(workers.worker(index)), RUNNER_ROUND_TRIP);
             let port = open_port(&service);
             let way = ChannelProxy::start_with_limit(port.address(), RUNNER_CHANNELS_MAX);
