Hand out no connection of the HTTP client that may have failed

The library's pool hands out the connection that was idle longest, and a call that timed out dropped only its own; watches lost 2.4 s with each dead one.

Change: the client keeps the idle connections itself, each an agent of the library with one connection, and the rule of IdleConnections holds for them. It is the same for the store, the advisor, and between daemons.

--- a/crates/clients/src/http/http_client.rs
+++ b/crates/clients/src/http/http_client.rs
@@ -1,6 +1,8 @@
 //! The HTTP client of one peer.
 
+use std::io::ErrorKind;
 use std::time::Duration;
+use std::time::Instant;
 
 use error_stack::Report;
 use ureq::Body;
@@ -18,6 +20,7 @@
 use crate::http::PeerAddress;
 use crate::http::PeerConnections;
 use crate::http::connect_error::ConnectError;
+use crate::http::peer_connection::PeerConnection;
 use crate::http::request_sender::RequestSender;
 use crate::http::response_framing::ResponseFraming;
 use sapphirestile_core::StepError;
@@ -104,12 +107,11 @@
         step: &'static str,
         request: &CallRequest<'_>,
     ) -> Result<HttpResponse, Report<CallError>> {
-        let sender = self.prepare(step, request)?;
-        let method = sender.method().clone();
-        let response = sender
-            .send(self.limits.timeout)
-            .map_err(|error| self.send_error(step, error))?;
-        match self.read_response(step, &method, response)? {
+        let timeout = self.limits.timeout;
+        let outcome = self.exchange(step, request, |sender, connection| {
+            sender.send(connection, timeout)
+        })?;
+        match outcome {
             DownloadOutcome::Complete(response) => Ok(response),
             DownloadOutcome::TooLarge => {
                 Err(self.unknown(step, "the response body exceeds the size limit"))
@@ -177,12 +179,10 @@
         request: &CallRequest<'_>,
         total: Duration,
     ) -> Result<DownloadOutcome, Report<CallError>> {
-        let sender = self.prepare(step, request)?;
-        let method = sender.method().clone();
-        let response = sender
-            .send_and_download(self.limits.timeout, total.min(DOWNLOAD_MAX))
-            .map_err(|error| self.send_error(step, error))?;
-        self.read_response(step, &method, response)
+        let (pause, total) = (self.limits.timeout, total.min(DOWNLOAD_MAX));
+        self.exchange(step, request, |sender, connection| {
+            sender.send_and_download(connection, pause, total)
+        })
     }
 
     /// Sends a request and returns a reader of the response's lines as they arrive, or
@@ -198,7 +198,8 @@
         wait: Duration,
     ) -> Result<Option<LineReader>, Report<CallError>> {
         let sender = self.prepare(step, request)?;
-        let response = match sender.send_and_wait(self.limits.timeout, wait) {
+        let connection = self.take_connection(step)?;
+        let response = match sender.send_and_wait(&connection, self.limits.timeout, wait) {
             Ok(response) => response,
             Err(ureq::Error::Timeout(Timeout::RecvResponse)) => return Ok(None),
             Err(error) => return Err(self.send_error(step, error)),
@@ -216,10 +217,43 @@
         step: &'static str,
         request: &CallRequest<'a>,
     ) -> Result<RequestSender<'a>, Report<CallError>> {
-        RequestSender::build(&self.connections, request)
+        RequestSender::build(self.peer(), request)
             .map_err(|error| self.failed(step, Report::new(error), CallError::NotSent))
     }
 
+    fn take_connection(&self, step: &'static str) -> Result<PeerConnection, Report<CallError>> {
+        self.connections.pool().take(self.peer()).ok_or_else(|| {
+            let closed = std::io::Error::from(ErrorKind::NotConnected);
+            self.failed(step, Report::new(closed), CallError::NotSent)
+        })
+    }
+
+    /// Sends a request by `send` and reads its response. The connection is kept for other calls
+    /// if the response is complete; if there is none, the idle ones may have failed too.
+    fn exchange<'a>(
+        &'a self,
+        step: &'static str,
+        request: &CallRequest<'a>,
+        send: impl FnOnce(RequestSender<'a>, &PeerConnection) -> Result<Response<Body>, ureq::Error>,
+    ) -> Result<DownloadOutcome, Report<CallError>> {
+        let sender = self.prepare(step, request)?;
+        let method = sender.method().clone();
+        let connection = self.take_connection(step)?;
+        let started = Instant::now();
+        let result = send(sender, &connection)
+            .map_err(|error| self.send_error(step, error))
+            .and_then(|response| self.read_response(step, &method, response));
+        let pool = self.connections.pool();
+        match &result {
+            Ok(DownloadOutcome::Complete(_)) => pool.put(connection),
+            Err(report) if *report.current_context() == CallError::Unknown => {
+                pool.record_silence(started);
+            }
+            Ok(DownloadOutcome::TooLarge) | Err(_) => {}
+        }
+        result
+    }
+
     fn read_response(
         &self,
         step: &'static str,
--- a/crates/clients/src/http/peer_connections.rs
+++ b/crates/clients/src/http/peer_connections.rs
@@ -1,34 +1,18 @@
 //! The connection pool of one peer.
 
-use std::time::Duration;
-
-use ureq::Agent;
-use ureq::config::AutoHeaderValue;
+use std::sync::Arc;
 
 use crate::http::PeerAddress;
-use crate::http::peer_connector::PeerConnector;
-use crate::http::peer_resolver::PeerResolver;
+use crate::http::connection_pool::ConnectionPool;
 
 /// The maximum number of idle connections to a peer.
 const IDLE_CONNECTIONS_MAX: usize = 64;
 
-/// The maximum idle time of a connection; after that it is closed instead of reused.
-const IDLE_AGE_MAX: Duration = Duration::from_secs(10);
-
-/// The maximum size of a response head, in bytes.
-const RESPONSE_HEAD_MAX_BYTES: usize = 16 * 1024;
-
-/// The size of a connection's read buffer, which has to hold a response head.
-const INPUT_BUFFER_BYTES: usize = RESPONSE_HEAD_MAX_BYTES + 1_024;
-
-/// The size of a connection's write buffer, which has to hold a request head.
-const OUTPUT_BUFFER_BYTES: usize = 12 * 1_024;
-
 /// A pool of connections to one peer. Clones share the pool.
 #[derive(Clone, Debug)]
 pub struct PeerConnections {
     peer: PeerAddress,
-    agent: Agent,
+    pool: Arc<ConnectionPool>,
 }
 
 impl PeerConnections {
@@ -45,7 +29,7 @@
     /// ```
     #[must_use]
     pub fn new(peer: PeerAddress) -> Self {
-        Self::with_connector(peer, PeerConnector::default())
+        Self::with_pool(peer, ConnectionPool::new(IDLE_CONNECTIONS_MAX))
     }
 
     /// Creates a pool that opens one connection and never another, so that all its calls reach
@@ -63,28 +47,14 @@
     /// ```
     #[must_use]
     pub fn pinned(peer: PeerAddress) -> Self {
-        Self::with_connector(peer, PeerConnector::pinned())
+        Self::with_pool(peer, ConnectionPool::pinned())
     }
 
-    fn with_connector(peer: PeerAddress, connector: PeerConnector) -> Self {
-        let config = Agent::config_builder()
-            .proxy(None)
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .max_redirects_will_error(false)
-            .allow_non_standard_methods(true)
-            .user_agent(AutoHeaderValue::None)
-            .accept(AutoHeaderValue::None)
-            .accept_encoding(AutoHeaderValue::None)
-            .max_response_header_size(RESPONSE_HEAD_MAX_BYTES)
-            .input_buffer_size(INPUT_BUFFER_BYTES)
-            .output_buffer_size(OUTPUT_BUFFER_BYTES)
-            .max_idle_connections(IDLE_CONNECTIONS_MAX)
-            .max_idle_connections_per_host(IDLE_CONNECTIONS_MAX)
-            .max_idle_age(IDLE_AGE_MAX)
-            .build();
-        let agent = Agent::with_parts(config, connector, PeerResolver::new(peer));
-        Self { peer, agent }
+    fn with_pool(peer: PeerAddress, pool: ConnectionPool) -> Self {
+        Self {
+            peer,
+            pool: Arc::new(pool),
+        }
     }
 
     /// Returns the address of the peer.
@@ -93,7 +63,7 @@
         self.peer
     }
 
-    pub(crate) const fn agent(&self) -> &Agent {
-        &self.agent
+    pub(crate) fn pool(&self) -> &ConnectionPool {
+        &self.pool
     }
 }
--- a/crates/clients/src/http/request_sender.rs
+++ b/crates/clients/src/http/request_sender.rs
@@ -10,30 +10,24 @@
 use ureq::http::Response;
 
 use crate::http::CallRequest;
-use crate::http::PeerConnections;
+use crate::http::PeerAddress;
+use crate::http::peer_connection::PeerConnection;
 
 /// A validated request that can be sent once.
 pub(crate) struct RequestSender<'a> {
-    agent: &'a Agent,
     request: Request<&'a [u8]>,
 }
 
 impl<'a> RequestSender<'a> {
-    /// Validates a request to the peer of `connections`.
-    pub(crate) fn build(
-        connections: &'a PeerConnections,
-        request: &CallRequest<'a>,
-    ) -> Result<Self, Error> {
-        let mut builder = Request::builder().method(request.method).uri(format!(
-            "http://{}{}",
-            connections.peer(),
-            request.path
-        ));
+    /// Validates a request to `peer`.
+    pub(crate) fn build(peer: PeerAddress, request: &CallRequest<'a>) -> Result<Self, Error> {
+        let mut builder = Request::builder()
+            .method(request.method)
+            .uri(format!("http://{peer}{}", request.path));
         for header in request.headers {
             builder = builder.header(header.name, header.value);
         }
         Ok(Self {
-            agent: connections.agent(),
             request: builder.body(request.body)?,
         })
     }
@@ -44,25 +38,30 @@
     }
 
     /// Sends the request. `timeout` limits the time until the end of the response.
-    pub(crate) fn send(self, timeout: Duration) -> Result<Response<Body>, ureq::Error> {
-        let request = self
-            .agent
+    pub(crate) fn send(
+        self,
+        connection: &PeerConnection,
+        timeout: Duration,
+    ) -> Result<Response<Body>, ureq::Error> {
+        let agent = connection.agent();
+        let request = agent
             .configure_request(self.request)
             .timeout_connect(Some(connect_timeout(timeout)))
             .timeout_global(Some(timeout))
             .build();
-        run(self.agent, request)
+        run(agent, request)
     }
 
     /// Sends the request and accepts a response of any duration up to `total`, as long as
     /// no wait for its next bytes takes longer than `pause`.
     pub(crate) fn send_and_download(
         self,
+        connection: &PeerConnection,
         pause: Duration,
         total: Duration,
     ) -> Result<Response<Body>, ureq::Error> {
-        let request = self
-            .agent
+        let agent = connection.agent();
+        let request = agent
             .configure_request(self.request)
             .timeout_connect(Some(connect_timeout(pause)))
             .timeout_send_request(Some(pause))
@@ -70,18 +69,19 @@
             .timeout_per_read(Some(pause))
             .timeout_global(Some(total))
             .build();
-        run(self.agent, request)
+        run(agent, request)
     }
 
     /// Sends the request within `timeout`, then waits up to `wait` for the response head
     /// and up to `wait` for the body.
     pub(crate) fn send_and_wait(
         self,
+        connection: &PeerConnection,
         timeout: Duration,
         wait: Duration,
     ) -> Result<Response<Body>, ureq::Error> {
-        let request = self
-            .agent
+        let agent = connection.agent();
+        let request = agent
             .configure_request(self.request)
             .timeout_connect(Some(connect_timeout(timeout)))
             .timeout_send_request(Some(timeout))
@@ -89,7 +89,7 @@
             .timeout_recv_response(Some(wait))
             .timeout_recv_body(Some(wait))
             .build();
-        self.agent.run(request)
+        agent.run(request)
     }
 }
 
--- a/crates/clients/tests/calls/connection_reuse.rs
+++ b/crates/clients/tests/calls/connection_reuse.rs
@@ -15,15 +15,18 @@
 const FIRST: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
 const SECOND: &str = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond";
 
-fn client(peer: &ScriptedPeer, timeout: Duration) -> HttpClient {
-    let limits = CallLimits {
+pub fn limits(timeout: Duration) -> CallLimits {
+    CallLimits {
         timeout,
         response_max_bytes: 64,
-    };
-    HttpClient::new(peer.address(), limits)
+    }
+}
+
+fn client(peer: &ScriptedPeer, timeout: Duration) -> HttpClient {
+    HttpClient::new(peer.address(), limits(timeout))
 }
 
-fn post(client: &HttpClient, body: &str) -> Result<Vec<u8>, CallError> {
+pub fn post(client: &HttpClient, body: &str) -> Result<Vec<u8>, CallError> {
     let answer = client.call("test", &CallRequest::post_json("/", body.as_bytes()));
     answer
         .map(|answer| answer.body)
--- a/crates/clients/tests/calls/main.rs
+++ b/crates/clients/tests/calls/main.rs
@@ -8,6 +8,7 @@
 mod peer_script;
 mod runner_calls;
 mod scripted_peer;
+mod silent_connections;
 mod slow_transfers;
 mod store_calls;
 mod vm_list_caching;
--- a/crates/clients/tests/calls/peer_script.rs
+++ b/crates/clients/tests/calls/peer_script.rs
@@ -1,5 +1,7 @@
 //! One step of a scripted peer.
 
+use std::sync::Arc;
+use std::sync::Barrier;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
@@ -11,6 +13,9 @@
     RespondAndClose(Vec<u8>),
     /// Waits for a signal, writes these bytes and closes the connection.
     RespondLate(Receiver<()>, Vec<u8>),
+    /// Waits for the other requests at the barrier, writes these bytes and waits for the next
+    /// request.
+    RespondTogether(Arc<Barrier>, Vec<u8>),
     /// Writes these bytes in parts, with a pause before each, and waits for the next
     /// request.
     RespondSlowly(Vec<u8>, usize, Duration),
--- a/crates/clients/tests/calls/scripted_peer.rs
+++ b/crates/clients/tests/calls/scripted_peer.rs
@@ -88,6 +88,10 @@
                 }
                 Ok(())
             }
+            PeerScript::RespondTogether(together, bytes) => {
+                together.wait();
+                writer.write_all(&bytes)
+            }
             PeerScript::RespondLate(signal, bytes) => {
                 let _ = signal.recv();
                 let _ = writer.write_all(&bytes);
