Leave connections to a worker for its next owner

Cause: a worker has 64 connections for all daemons. Each order that found none idle opened one, and an owner kept up to 64 to each worker, also after its term, until the workers closed them after 30 s.

Change: an owner sends at most six starts and three stops or changes of pace to one worker at the same time; the others wait in a lane of the worker (CallLane) and occupy no thread. With two for polls that is eleven connections, so five owners in a row find some while the earlier ones stand still. Stops wait behind no start, polls behind no order. At the end of a term the connections to the workers of the cell are closed, those of calls under way when these end.

Ruled out: closing them at the end of a term alone. A daemon that stands still closes nothing.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -8,11 +8,13 @@
 //! [`PlanSchedule`], stores batches and each [`LayoutChange`] by [`WriteRequest`]s to a
 //! [`CommitWriter`], which reports each [`RemovedJob`] to the [`IntakeGate`], and passes
 //! effects to an [`EffectDispatcher`], which uses [`WorkerCalls`] on the threads of
-//! [`ElasticPool`]s and an [`AdvisorThread`]. A
+//! [`ElasticPool`]s and an [`AdvisorThread`]. The [`WorkerLanes`] of a worker, a [`CallLane`] for
+//! each kind of order, limit how many orders it gets at the same time. A
 //! [`LearntReader`] reads what the owners of other cells have learnt, and a
 //! [`DecisionLogger`] logs the decisions.
 
 mod advisor_thread;
+mod call_lane;
 mod cell_claims;
 mod claim_decision;
 mod claim_delay;
@@ -35,9 +37,11 @@
 mod run_control;
 mod start_window;
 mod worker_calls;
+mod worker_lanes;
 mod write_outcome;
 mod write_request;
 
+pub use call_lane::CallLane;
 pub use cell_claims::CellClaims;
 pub use claim_decision::ClaimDecision;
 pub use claim_delay::ClaimDelay;
@@ -52,6 +56,7 @@
 pub use plan_schedule::PlanSchedule;
 pub use removed_job::RemovedJob;
 pub use start_window::StartWindow;
+pub use worker_lanes::ORDERS_PER_WORKER_MAX;
 
 pub(crate) use advisor_thread::AdvisorThread;
 pub(crate) use commit_writer::CommitWriter;
@@ -64,5 +69,6 @@
 pub(crate) use ownership_term::OwnershipTerm;
 pub(crate) use run_control::RunControl;
 pub(crate) use worker_calls::WorkerCalls;
+pub(crate) use worker_lanes::WorkerLanes;
 pub(crate) use write_outcome::WriteOutcome;
 pub(crate) use write_request::WriteRequest;
--- a/crates/entry/src/owner/effect_dispatcher.rs
+++ b/crates/entry/src/owner/effect_dispatcher.rs
@@ -10,12 +10,10 @@
 use crate::owner::OwnerEvent;
 use crate::owner::RunControl;
 use crate::owner::WorkerCalls;
-use crate::ports::WorkerPort;
 
 /// Passes the effects that the owner requests to the threads that call workers and the
 /// advisor.
 pub struct EffectDispatcher {
-    port: Arc<dyn WorkerPort>,
     calls: WorkerCalls,
     advisor: AdvisorThread,
 }
@@ -23,10 +21,8 @@
 impl EffectDispatcher {
     /// Creates a dispatcher that sends the outcomes as events.
     pub fn new(adapters: &OwnerAdapters, events: &Sender<OwnerEvent>) -> Self {
-        let port = Arc::clone(&adapters.calls);
         Self {
-            calls: WorkerCalls::new(Arc::clone(&port), events.clone()),
-            port,
+            calls: WorkerCalls::new(Arc::clone(&adapters.calls), events.clone()),
             advisor: AdvisorThread::spawn(adapters.advice.clone(), events.clone()),
         }
     }
@@ -41,7 +37,7 @@
             OwnerEffect::Advise(request) => self.advisor.ask(request),
             OwnerEffect::Forget { address, .. } => {
                 if let Some(address) = address {
-                    self.port.close_connections(address);
+                    self.calls.forget(address);
                 }
             }
         }
--- a/crates/entry/src/owner/run_control.rs
+++ b/crates/entry/src/owner/run_control.rs
@@ -1,5 +1,7 @@
 //! Requests that change a run at a worker.
 
+use std::net::SocketAddr;
+
 use sapphirestile_jobs::PaceRequest;
 use sapphirestile_jobs::StopRequest;
 
@@ -11,3 +13,13 @@
     /// Change the pace of the run.
     Pace(PaceRequest),
 }
+
+impl RunControl {
+    /// The address of the worker.
+    pub const fn address(&self) -> SocketAddr {
+        match self {
+            Self::Stop(request) => request.address,
+            Self::Pace(request) => request.address,
+        }
+    }
+}
--- a/crates/entry/src/ports/worker_port.rs
+++ b/crates/entry/src/ports/worker_port.rs
@@ -25,6 +25,7 @@
     /// Reads the runs at a worker and renews their lease.
     fn poll(&self, request: &PollRequest) -> PollOutcome;
 
-    /// Closes the connections to an address whose worker has left.
+    /// Closes the connections to a worker that has left, or that another owner calls from now
+    /// on; those in use are closed when their calls end.
     fn close_connections(&self, address: SocketAddr);
 }
--- a/crates/test-support/src/fault_proxy.rs
+++ b/crates/test-support/src/fault_proxy.rs
@@ -57,4 +57,16 @@
     pub fn set_mode(&self, mode: ProxyMode) {
         self.state.set_mode(mode);
     }
+
+    /// Withholds all further data of the open connections for good, without closing them; new
+    /// ones work.
+    pub fn silence_open(&self) {
+        self.state.silence_open();
+    }
+
+    /// The number of connections that clients have not closed.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.state.open_connections()
+    }
 }
--- a/crates/test-support/src/proxy_state.rs
+++ b/crates/test-support/src/proxy_state.rs
@@ -10,6 +10,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 
 use crate::ProxyMode;
@@ -25,6 +27,11 @@
     /// Both streams of each connection, to close them when the mode becomes
     /// [`ProxyMode::Disconnected`].
     streams: Mutex<Vec<TcpStream>>,
+    /// The number of connections that were accepted; each has its place among them.
+    accepted: AtomicUsize,
+    /// Connections before this place are silent.
+    first_working: AtomicUsize,
+    open: AtomicUsize,
 }
 
 impl ProxyState {
@@ -41,6 +48,17 @@
         }
     }
 
+    /// Withholds all further data of the open connections for good; new ones work.
+    pub fn silence_open(&self) {
+        let accepted = self.accepted.load(Ordering::SeqCst);
+        self.first_working.store(accepted, Ordering::SeqCst);
+    }
+
+    /// The number of connections that the client has not closed.
+    pub fn open_connections(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
     /// Forwards one accepted connection to `target`, on two threads of its own. Closes it
     /// when the target cannot be reached.
     pub fn relay(self: &Arc<Self>, client: TcpStream, target: SocketAddr) {
@@ -66,18 +84,34 @@
             return;
         };
         self.lock_streams().extend([client_handle, server_handle]);
+        let place = self.accepted.fetch_add(1, Ordering::SeqCst);
+        self.open.fetch_add(1, Ordering::SeqCst);
         let (sender, receiver) = (Arc::clone(self), Arc::clone(self));
-        thread::spawn(move || sender.forward(client_reader, server, RelayDirection::ToTarget));
-        thread::spawn(move || receiver.forward(server_reader, client, RelayDirection::FromTarget));
+        thread::spawn(move || {
+            sender.forward(client_reader, server, RelayDirection::ToTarget, place);
+            sender.open.fetch_sub(1, Ordering::SeqCst);
+        });
+        thread::spawn(move || {
+            receiver.forward(server_reader, client, RelayDirection::FromTarget, place);
+        });
     }
 
-    fn forward(&self, mut reader: TcpStream, mut writer: TcpStream, direction: RelayDirection) {
+    fn forward(
+        &self,
+        mut reader: TcpStream,
+        mut writer: TcpStream,
+        direction: RelayDirection,
+        place: usize,
+    ) {
         let mut buffer = vec![0; BUFFER_BYTES];
         while let Ok(length) = reader.read(&mut buffer) {
             if length == 0 {
                 break;
             }
             self.wait_to_forward(direction);
+            if place < self.first_working.load(Ordering::SeqCst) {
+                continue;
+            }
             if writer.write_all(&buffer[..length]).is_err() {
                 break;
             }
