Let first runs wait only where a task that runs again gains by it

Cause: first runs of long-running tasks waited on every worker whose whole capacity was enough for a task that had to run again and found no worker, for as long as that one had waited less than 30 s. What becomes free on a worker is its capacity less the long-running runs that stay, and where that is too little, keeping it serves nobody.

Change: for each task that has to run again a cell keeps one worker from first runs, the one whose long-running runs leave the most for it, eight at most. A job that was accepted more than 6 s ago (RunHistory::Overdue) is kept from none, nor from the one worker in twelve that is left free for restarts: it has to begin within 9 s where there is room, however full the fleet is. Held workers are as before.

Ruled out: keeping only workers on which the task fits now. What parts of a full fleet become free would go to first runs one by one again (first_runs_leave_what_becomes_free_to_a_larger_task_that_runs_again).

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -87,6 +87,7 @@
 pub use planner::JobUrgency;
 pub use planner::PlacementCensus;
 pub use planner::RoomRefusal;
+pub use planner::RunHistory;
 pub use planner::SpareWorkers;
 pub use planner::TaskDemand;
 pub use planner::UnplacedDemands;
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -6,6 +6,7 @@
 use crate::owner::JobDeparture;
 use crate::owner::JobPlace;
 use crate::owner::WaitKey;
+use crate::planner::RunHistory;
 use crate::planner::TaskDemand;
 use crate::progress::JobProgress;
 use crate::progress::TaskStage;
@@ -135,7 +136,11 @@
                 step: &self.spec.steps[step],
                 image: None,
                 needs_ticket: false,
-                has_run: progress.tasks[index].run > 0,
+                history: if progress.tasks[index].run > 0 {
+                    RunHistory::Started
+                } else {
+                    RunHistory::New
+                },
                 is_overdue: false,
             })
         });
--- a/crates/jobs/src/owner/job_owner.rs
+++ b/crates/jobs/src/owner/job_owner.rs
@@ -134,10 +134,11 @@
     spare: SpareWorkers,
     /// Workers on which only long-running tasks start, until one that waits fits there.
     held: SortedTable<WorkerName, ()>,
-    /// Long-running tasks of any cell that have to run again and find no worker; updated once
-    /// per planning pass.
-    restarts: Vec<RestartNeed>,
-    /// Those of the other cells, by their latest reports.
+    /// Workers on which first runs of long-running tasks leave what becomes free to those that
+    /// have to run again; updated once per planning pass.
+    awaited: SortedTable<WorkerName, ()>,
+    /// Long-running tasks of the other cells that have to run again and find no worker, by
+    /// their latest reports.
     restarts_elsewhere: Vec<RestartNeed>,
     /// Those of the other cells for which first runs do not wait any more.
     late_restarts_elsewhere: Vec<RestartNeed>,
@@ -214,7 +215,7 @@
             is_deposed: false,
             spare: SpareWorkers::default(),
             held: SortedTable::new(),
-            restarts: Vec::new(),
+            awaited: SortedTable::new(),
             restarts_elsewhere: Vec::new(),
             late_restarts_elsewhere: Vec::new(),
             cells: 1,
--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -54,7 +54,7 @@
             advice: &self.advice,
             spare: self.spare,
             held: &self.held,
-            restarts: &self.restarts,
+            awaited: &self.awaited,
             has_new_waits: self.has_new_waits(now),
             now,
         }
--- a/crates/jobs/src/owner/job_owner/idle_tasks.rs
+++ b/crates/jobs/src/owner/job_owner/idle_tasks.rs
@@ -187,7 +187,7 @@
         let step = &spec.steps[task.step as usize];
         let service = self.service_of(&spec.queue, &spec.terms.service);
         let needs_ticket = self.advisor_timing(&spec.queue).is_some();
-        let demand = self.demand(task, step, &service, needs_ticket);
+        let demand = self.demand(task, step, &service, needs_ticket, now);
         let has_worker = self.choose_worker(&demand, None, now).is_some();
         let workers = self.workers.values().map(|tracked| &**tracked);
         let census = PlacementCensus::of(&demand, &self.worker_scorer(now), workers);
--- a/crates/jobs/src/owner/job_owner/intake.rs
+++ b/crates/jobs/src/owner/job_owner/intake.rs
@@ -9,6 +9,7 @@
 use crate::owner::JobPlace;
 use crate::owner::StoredJob;
 use crate::owner::WaitKey;
+use crate::planner::RunHistory;
 use crate::planner::TaskDemand;
 use crate::progress::JobProgress;
 use crate::progress::JobStanding;
@@ -194,7 +195,7 @@
                         step: step_spec,
                         image: self.image_of(step_spec),
                         needs_ticket: false,
-                        has_run: true,
+                        history: RunHistory::Started,
                         is_overdue: false,
                     };
                     let incarnation = assignment.incarnation;
--- a/crates/jobs/src/owner/job_owner/overdue.rs
+++ b/crates/jobs/src/owner/job_owner/overdue.rs
@@ -116,7 +116,7 @@
             .collect();
         let mut rest: &[(TaskIdentity, &StepSpec)] = &startable;
         while !rest.is_empty() {
-            let mut demands = self.members(rest, &service, timing.is_some());
+            let mut demands = self.members(rest, &service, timing.is_some(), now);
             rest = &rest[demands.len()..];
             for demand in &mut demands {
                 demand.is_overdue = true;
--- a/crates/jobs/src/owner/job_owner/planning.rs
+++ b/crates/jobs/src/owner/job_owner/planning.rs
@@ -30,8 +30,7 @@
         self.spare.for_latency = self.has_spare_worker(now);
         self.spare.for_first_runs = self.has_worker_for_first_runs(now);
         self.hold_workers(now);
-        self.restarts = self.restart_needs(now);
-        self.restarts.extend_from_slice(&self.restarts_elsewhere);
+        self.await_restarts(now);
         let ended_early = self.plan_by_urgency(now, unix_ms);
         self.sample_waits(now);
         self.report_longest_wait(now);
@@ -98,11 +97,12 @@
         let mut planned = 0;
         let mut gang: Option<(u32, u32)> = None;
         for (index, (task, step)) in startable.iter().enumerate() {
-            let demand = self.demand(task, step, &service, timing.is_some());
+            let demand = self.demand(task, step, &service, timing.is_some(), now);
             if step.is_gang {
                 if gang.replace((task.occurrence, task.step)) != Some((task.occurrence, task.step))
                 {
-                    let members = self.members(&startable[index..], &service, timing.is_some());
+                    let members =
+                        self.members(&startable[index..], &service, timing.is_some(), now);
                     let placed = self.plan_gang(&members, now);
                     if placed == 0 {
                         self.request_advice(&demand, timing, now);
@@ -154,6 +154,7 @@
         step: &'a StepSpec,
         service: &'a str,
         needs_ticket: bool,
+        now: MonoTime,
     ) -> TaskDemand<'a> {
         TaskDemand {
             task: *task,
@@ -161,7 +162,7 @@
             step,
             image: self.image_of(step),
             needs_ticket,
-            has_run: self.next_run(task) > 1,
+            history: self.history_of(task, now),
             is_overdue: false,
         }
     }
@@ -172,6 +173,7 @@
         startable: &[(TaskIdentity, &'a StepSpec)],
         service: &'a str,
         needs_ticket: bool,
+        now: MonoTime,
     ) -> Vec<TaskDemand<'a>> {
         let Some((first, _)) = startable.first() else {
             return Vec::new();
@@ -180,7 +182,7 @@
             .iter()
             .take_while(|(task, _)| (task.occurrence, task.step) == (first.occurrence, first.step));
         of_gang
-            .map(|(task, step)| self.demand(task, step, service, needs_ticket))
+            .map(|(task, step)| self.demand(task, step, service, needs_ticket, now))
             .collect()
     }
 
--- a/crates/jobs/src/owner/job_owner/restarts.rs
+++ b/crates/jobs/src/owner/job_owner/restarts.rs
@@ -10,7 +10,9 @@
 use crate::owner::DepartingNeed;
 use crate::owner::JobOwner;
 use crate::owner::UnplacedTask;
+use crate::planner::RunHistory;
 use crate::planner::TaskDemand;
+use crate::spec::ResourceVector;
 use crate::spec::TaskIdentity;
 use crate::worker::TrackedWorker;
 use sapphirestile_core::MonoTime;
@@ -28,6 +30,9 @@
 /// Maximum number of workers that are held at the same time for tasks of this cell.
 const HELD_WORKERS_MAX: usize = 4;
 
+/// Maximum number of workers on which first runs leave what becomes free.
+const AWAITED_WORKERS_MAX: usize = 8;
+
 /// Maximum number of workers that are held at the same time for tasks of any cell.
 const HELD_FOR_ANY_CELL_MAX: usize = 8;
 
@@ -39,6 +44,10 @@
 /// longer may fit on no worker of the fleet, and new tasks do not wait for it for ever.
 const PRECEDENCE_MS: RangeInclusive<u64> = 1_000..=30_000;
 
+/// How long a job has been accepted at most while its first runs wait for tasks that have to run
+/// again, in milliseconds. A job with room for it is to begin within nine seconds.
+const FIRST_RUN_WAIT_MAX_MS: u64 = 6_000;
+
 /// How long the need of a task is reported once it leaves, in milliseconds: until its next cell
 /// has given it a worker or reports it. Workers that are held for it would be lost meanwhile.
 const DEPARTING_MS: u64 = 1_000;
@@ -120,7 +129,7 @@
 
     /// Records that a task which has run before finds no worker.
     pub(super) fn record_unplaced(&mut self, demand: &TaskDemand<'_>, now: MonoTime) {
-        if demand.has_run && demand.step.may_run_alone() {
+        if demand.history == RunHistory::Started && demand.step.may_run_alone() {
             self.unplaced
                 .get_or_insert_with(demand.task, || UnplacedTask::new(now))
                 .is_refused = true;
@@ -150,6 +159,43 @@
         self.hold_workers_for_others(now);
     }
 
+    /// Chooses the workers on which first runs of long-running tasks leave what becomes free,
+    /// one for each task of any cell that waits: the one that is closest to having room for it.
+    /// Nothing makes room from long-running runs, so what they leave has to add up there; on
+    /// other workers first runs take nothing that would be of use.
+    pub(super) fn await_restarts(&mut self, now: MonoTime) {
+        self.awaited.retain(|_, ()| false);
+        let own = self.restart_needs(now);
+        for need in own.iter().chain(&self.restarts_elsewhere) {
+            if self.awaited.len() >= AWAITED_WORKERS_MAX {
+                return;
+            }
+            let scorer = self.worker_scorer(now);
+            let is_candidate = |name: &WorkerName, tracked: &TrackedWorker| {
+                let entry = tracked.entry.as_ref();
+                scorer.is_usable(tracked)
+                    && entry.is_some_and(|entry| need.could_run_on(entry))
+                    && !self.awaited.contains(name)
+            };
+            if let Some(worker) = self.closest_worker(&need.size, is_candidate) {
+                self.awaited.insert(worker, ());
+            }
+        }
+    }
+
+    /// Whether a task has run before, and if not, how long its job has waited.
+    pub(super) fn history_of(&self, task: &TaskIdentity, now: MonoTime) -> RunHistory {
+        if self.next_run(task) > 1 {
+            return RunHistory::Started;
+        }
+        let entry = self.jobs.get(&task.job);
+        if entry.is_some_and(|entry| entry.age.millis(now) <= FIRST_RUN_WAIT_MAX_MS) {
+            RunHistory::New
+        } else {
+            RunHistory::Overdue
+        }
+    }
+
     /// Holds workers for tasks of other cells. They learn of what is free only from reports,
     /// and shorter tasks of this cell would have taken it by then. Those for which first runs do
     /// not wait any more come last.
@@ -196,7 +242,7 @@
         let step = &spec.steps[task.step as usize];
         let service = self.service_of(&spec.queue, &spec.terms.service);
         let needs_ticket = self.advisor_timing(&spec.queue).is_some();
-        let demand = self.demand(task, step, &service, needs_ticket);
+        let demand = self.demand(task, step, &service, needs_ticket, now);
         let scorer = self.worker_scorer(now);
         let is_candidate = |name: &WorkerName, tracked: &TrackedWorker| {
             scorer.is_usable(tracked)
@@ -207,6 +253,22 @@
         self.freest_worker(is_candidate)
     }
 
+    /// Worker whose long-running runs leave the most of what a task needs, of those that pass.
+    fn closest_worker(
+        &self,
+        size: &ResourceVector,
+        is_candidate: impl Fn(&WorkerName, &TrackedWorker) -> bool,
+    ) -> Option<WorkerName> {
+        self.workers
+            .iter()
+            .filter(|(name, tracked)| is_candidate(name, tracked))
+            .max_by_key(|(_, tracked)| {
+                let room = tracked.room_without_short_runs();
+                (size.fits(&room), room.cpu_milli, room.memory_mib)
+            })
+            .map(|(name, _)| name.clone())
+    }
+
     /// Worker with the most free processor time of those that pass.
     fn freest_worker(
         &self,
--- a/crates/jobs/src/owner/job_owner/stragglers.rs
+++ b/crates/jobs/src/owner/job_owner/stragglers.rs
@@ -2,6 +2,7 @@
 
 use crate::owner::JobOwner;
 use crate::owner::StopCause;
+use crate::planner::RunHistory;
 use crate::planner::TaskDemand;
 use crate::spec::TaskIdentity;
 use crate::worker::RunEntry;
@@ -88,7 +89,7 @@
             step,
             image: self.image_of(step),
             needs_ticket: self.advisor_timing(&spec.queue).is_some(),
-            has_run: true,
+            history: RunHistory::Started,
             is_overdue: false,
         };
         let Some(other) = self.choose_worker(&demand, None, now) else {
--- a/crates/jobs/src/owner/job_owner/unexpected_runs.rs
+++ b/crates/jobs/src/owner/job_owner/unexpected_runs.rs
@@ -6,6 +6,7 @@
 use crate::owner::OwnerEffect;
 use crate::owner::StopCause;
 use crate::owner::StopRequest;
+use crate::planner::RunHistory;
 use crate::planner::TaskDemand;
 use crate::spec::TaskIdentity;
 use crate::worker::RunEntry;
@@ -73,7 +74,7 @@
             step,
             image: self.image_of(step),
             needs_ticket: false,
-            has_run: true,
+            history: RunHistory::Started,
             is_overdue: false,
         };
         let state = RunState::StopPending;
--- a/crates/jobs/src/owner/job_owner/waiting_report.rs
+++ b/crates/jobs/src/owner/job_owner/waiting_report.rs
@@ -66,7 +66,7 @@
         let service = self.service_of(&spec.queue, &spec.terms.service);
         let needs_ticket = self.advisor_timing(&spec.queue).is_some();
         let step = &spec.steps[task.step as usize];
-        let demand = self.demand(task, step, &service, needs_ticket);
+        let demand = self.demand(task, step, &service, needs_ticket, now);
         let workers = self.workers.values().map(|tracked| &**tracked);
         let census = PlacementCensus::of(&demand, &self.worker_scorer(now), workers);
         let is_limited = !self.has_place_for_overdue(now);
--- a/crates/jobs/src/planner/task_demand.rs
+++ b/crates/jobs/src/planner/task_demand.rs
@@ -1,6 +1,7 @@
 //! Demand of a task that can start.
 
 use crate::pacing::ImageNumber;
+use crate::planner::RunHistory;
 use crate::spec::ResourceVector;
 use crate::spec::StepSpec;
 use crate::spec::TaskIdentity;
@@ -18,8 +19,8 @@
     pub image: Option<ImageNumber>,
     /// Whether the task can start only with a ticket of the advisor.
     pub needs_ticket: bool,
-    /// Whether the task has had a run.
-    pub has_run: bool,
+    /// Whether the task has run before.
+    pub history: RunHistory,
     /// Whether the job has waited too long with nothing running, so that the task may share
     /// processor time that is not idle.
     pub is_overdue: bool,
--- a/crates/jobs/src/planner/unplaced_demands.rs
+++ b/crates/jobs/src/planner/unplaced_demands.rs
@@ -10,6 +10,7 @@
 /// # Examples
 ///
 /// ```
+/// use sapphirestile_jobs::RunHistory;
 /// use sapphirestile_jobs::StepSpec;
 /// use sapphirestile_jobs::TaskDemand;
 /// use sapphirestile_jobs::TaskIdentity;
@@ -22,7 +23,7 @@
 ///     step: &step,
 ///     image: None,
 ///     needs_ticket: true,
-///     has_run: false,
+///     history: RunHistory::New,
 ///     is_overdue: false,
 /// };
 /// let mut unplaced = UnplacedDemands::default();
--- a/crates/jobs/src/planner/unplaced_size.rs
+++ b/crates/jobs/src/planner/unplaced_size.rs
@@ -1,6 +1,7 @@
 //! Size of a task that could not be placed.
 
 use crate::pacing::ImageNumber;
+use crate::planner::RunHistory;
 use crate::planner::TaskDemand;
 use crate::spec::ResourceVector;
 
@@ -12,7 +13,8 @@
     is_best_effort: bool,
     /// Some workers are kept for long-running tasks, and some for those that have run before.
     is_long_running: bool,
-    is_restart: bool,
+    /// Whether a long-running task has run before; `None` for other tasks.
+    history: Option<RunHistory>,
     /// Image of a best-effort task; a worker takes it by what it adds to the others.
     image: Option<ImageNumber>,
 }
@@ -24,7 +26,7 @@
         *self.service == *demand.service
             && self.is_best_effort == step.is_best_effort
             && self.is_long_running == step.is_long_running
-            && self.is_restart == is_restart(demand)
+            && self.history == long_running_history(demand)
             && (!self.is_best_effort || self.image == demand.image)
             && self.size.fits(&step.size)
     }
@@ -37,12 +39,12 @@
             size: demand.step.size,
             is_best_effort: demand.step.is_best_effort,
             is_long_running: demand.step.is_long_running,
-            is_restart: is_restart(demand),
+            history: long_running_history(demand),
             image: demand.image,
         }
     }
 }
 
-const fn is_restart(demand: &TaskDemand<'_>) -> bool {
-    demand.step.is_long_running && demand.has_run
+fn long_running_history(demand: &TaskDemand<'_>) -> Option<RunHistory> {
+    demand.step.is_long_running.then_some(demand.history)
 }
--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -5,9 +5,9 @@
 
 use crate::advice::AdviceCache;
 use crate::advice::StepIdentity;
-use crate::division::RestartNeed;
 use crate::pacing::InterferenceModel;
 use crate::pacing::ServingRun;
+use crate::planner::RunHistory;
 use crate::planner::SpareWorkers;
 use crate::planner::TaskDemand;
 use crate::worker::TrackedWorker;
@@ -52,8 +52,9 @@
     pub spare: SpareWorkers,
     /// Workers that are held for long-running tasks.
     pub held: &'a SortedTable<WorkerName, ()>,
-    /// Long-running tasks of any cell that have to run again and find no worker.
-    pub restarts: &'a [RestartNeed],
+    /// Workers on which what becomes free is left to long-running tasks of any cell that have
+    /// to run again and find no worker.
+    pub awaited: &'a SortedTable<WorkerName, ()>,
     /// Whether jobs that are too young to be overdue wait with nothing running.
     pub has_new_waits: bool,
     /// Time of the snapshot.
@@ -112,33 +113,20 @@
     }
 
     /// Whether the worker is kept for long-running tasks that have to run again: those that
-    /// have not run may not take the last workers without long-running runs, nor any while one
-    /// that could run there waits, and only those that have run may take what becomes free on
-    /// a worker that is held.
+    /// have not run may not take the last workers without long-running runs, nor those that are
+    /// awaited, unless they have waited for long themselves, and only those that have run may
+    /// take what becomes free on a worker that is held.
     #[must_use]
     pub fn is_kept_from(&self, demand: &TaskDemand<'_>, worker: &TrackedWorker) -> bool {
         let step = demand.step;
-        if step.is_long_running && demand.has_run {
+        if step.is_long_running && demand.history == RunHistory::Started {
             return false;
         }
+        let yields = step.is_long_running && demand.history.yields_to_restarts();
         let is_last = !self.spare.for_first_runs && !worker.has_long_running();
-        let is_kept = is_last || self.is_awaited(worker);
-        (step.is_long_running && is_kept) || (!step.is_best_effort && self.is_held(worker))
-    }
-
-    /// Whether a task that has to run again waits, here or in another cell, and could run on
-    /// the worker. Nothing makes room from long-running runs, so what becomes free is left
-    /// until it is enough.
-    fn is_awaited(&self, worker: &TrackedWorker) -> bool {
-        let Some(entry) = &worker.entry else {
-            return false;
-        };
-        self.restarts.iter().any(|need| need.could_run_on(entry))
-    }
-
-    fn is_held(&self, worker: &TrackedWorker) -> bool {
-        let name = worker.entry.as_ref().map(|entry| &entry.name);
-        name.is_some_and(|name| self.held.contains(name))
+        let is_kept = is_last || is_among(self.awaited, worker);
+        let is_held = is_among(self.held, worker);
+        (yields && is_kept) || (!step.is_best_effort && is_held)
     }
 
     /// Like [`score`](Self::score), without checking for a ticket.
@@ -201,6 +189,11 @@
     }
 }
 
+fn is_among(names: &SortedTable<WorkerName, ()>, worker: &TrackedWorker) -> bool {
+    let entry = worker.entry.as_ref();
+    entry.is_some_and(|entry| names.contains(&entry.name))
+}
+
 fn is_eligible(demand: &TaskDemand<'_>, worker: &TrackedWorker) -> bool {
     let Some(entry) = &worker.entry else {
         return false;
--- a/crates/jobs/tests/owner/restart_precedence.rs
+++ b/crates/jobs/tests/owner/restart_precedence.rs
@@ -11,6 +11,7 @@
 use crate::restarts::lasting;
 use crate::restarts::leave;
 use crate::restarts::place;
+use crate::restarts::start_of;
 use crate::restarts::store_end;
 use crate::test_values::ended;
 use crate::test_values::job_spec;
@@ -216,3 +217,110 @@
     let batch = fixture.owner.take_batch(true, now).expect("a batch");
     assert_eq!(batch.late_restarts, late);
 }
+
+/// Lets each worker answer that what it runs goes on.
+fn go_on(fixture: &mut OwnerFixture, runs: &[(String, String)]) {
+    for (task, at) in runs {
+        fixture.answer(at, &[running(task, 1)], &[]);
+    }
+    fixture.step();
+}
+
+/// Guards against a new job that waits for half a minute with room on every worker: a larger
+/// task had to run again, which fitted on none of them beside the runs that stay there.
+#[test]
+fn first_run_starts_beside_a_task_that_fits_nowhere() {
+    let names = ["w-1", "w-2", "w-3", "w-4"];
+    let workers = names.iter().map(|name| worker(name, 4_000)).collect();
+    let mut fixture = OwnerFixture::with_workers(workers);
+    let started = |fixture: &mut OwnerFixture, job, spec| -> Vec<(String, String)> {
+        fixture.accept(job, spec);
+        fixture.step();
+        let starts = fixture.store();
+        let runs: Vec<_> = starts.iter().map(|line| start_of(line)).collect();
+        for (task, at) in &runs {
+            fixture.started(at, task, 1, StartOutcome::Accepted);
+        }
+        runs
+    };
+    let (large, leaving) = started(&mut fixture, LASTING, lasting(3_000)).remove(0);
+    let mut small = step(3, 1_500);
+    small.is_long_running = true;
+    small.per_worker_max = Some(1);
+    let small_runs = started(&mut fixture, SMALL[0], job_spec(vec![small]));
+    assert_eq!(small_runs.len(), 3);
+    leave(&mut fixture, &leaving, 4_000, &large);
+    store_end(&mut fixture);
+    fixture.now += 1_100;
+    go_on(&mut fixture, &small_runs);
+    assert_eq!(fixture.owner.restart_needs(fixture.time()).len(), 1);
+    fixture.accept(FIRST, lasting(500));
+    fixture.step();
+    let starts = fixture.store();
+    assert_eq!(starts.len(), 1, "got {starts:?}");
+    assert_eq!(start_of(&starts[0]).0, format!("{FIRST}.0.0.0"));
+}
+
+/// Guards against the same on the only worker that comes into question for the larger task: it
+/// is kept for a while, and a new job has to begin within nine seconds.
+#[test]
+fn first_run_waits_for_six_seconds_at_most() {
+    let (mut fixture, _) = restart_and_first_run();
+    end_small(&mut fixture, 1);
+    let left = SMALL[1..]
+        .iter()
+        .map(|job| running(&format!("{job}.0.0.0"), 1));
+    let left: Vec<_> = left.collect();
+    let first_end = [ended(
+        1,
+        &format!("{}.0.0.0", SMALL[0]),
+        1,
+        EndKind::Stopped,
+    )];
+    fixture.store();
+    for waited_ms in [2_000, 4_000] {
+        fixture.now += 2_000;
+        fixture.answer("w-2", &left, &first_end);
+        fixture.step();
+        assert!(fixture.batch().is_none(), "after {waited_ms} ms");
+    }
+    fixture.now += 2_000;
+    fixture.answer("w-2", &left, &first_end);
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {FIRST}.0.0.0#1 at w-2")]);
+}
+
+/// Guards against new jobs that never begin on the workers that are kept free for tasks that
+/// have to run again.
+#[test]
+fn first_run_takes_a_worker_that_is_kept_once_it_has_waited_long() {
+    let names: Vec<String> = (0..12).map(|number| format!("w-{number}")).collect();
+    let workers = names.iter().map(|name| worker(name, 1_000)).collect();
+    let mut fixture = OwnerFixture::with_workers(workers);
+    let mut wide = step(11, 1_000);
+    wide.is_long_running = true;
+    fixture.accept(LASTING, job_spec(vec![wide]));
+    fixture.step();
+    let starts = fixture.store();
+    let runs: Vec<_> = starts.iter().map(|line| start_of(line)).collect();
+    assert_eq!(runs.len(), 11);
+    for (task, at) in &runs {
+        fixture.started(at, task, 1, StartOutcome::Accepted);
+    }
+    let is_last = |name: &&String| runs.iter().all(|(_, at)| at != *name);
+    let last = names.iter().find(is_last).unwrap();
+    fixture.accept(FIRST, lasting(1_000));
+    for waited_ms in [2_000, 4_000] {
+        fixture.now += 2_000;
+        fixture.answer(last, &[], &[]);
+        go_on(&mut fixture, &runs);
+        assert!(fixture.batch().is_none(), "after {waited_ms} ms");
+    }
+    fixture.now += 2_100;
+    fixture.answer(last, &[], &[]);
+    go_on(&mut fixture, &runs);
+    assert_eq!(
+        fixture.store(),
+        [format!("start {FIRST}.0.0.0#1 at {last}")]
+    );
+}
