Give a restarted worker tasks only by its own entry

Cause: resources and labels come from the list of workers, the incarnation from the answer to a poll, and nothing compared the two. A restarted worker answers before its entry is new.

Change: a worker whose entry was written by another incarnation than the one that responds is not usable until both agree: no tasks, no copies, no members of gangs, no report of its room to other cells. Where one of them does not say its incarnation, nothing changes.

Five tests let a restarted worker respond and expected starts without a new entry, which is the fault. They list the new incarnation first now and check what they checked before.

--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -63,7 +63,8 @@
 
 impl WorkerScorer<'_> {
     /// Whether a worker may be given any task: it is listed, responsive, not leaving, not
-    /// excluded by its breaker and not in a drained zone, and it is known what its runs take.
+    /// excluded by its breaker and not in a drained zone, and it is known what it has and what
+    /// its runs take.
     #[must_use]
     pub fn is_usable(&self, worker: &TrackedWorker) -> bool {
         let Some(entry) = &worker.entry else {
@@ -72,6 +73,7 @@
         worker.is_listed
             && !entry.is_leaving
             && worker.known.is_some()
+            && !worker.has_outdated_entry()
             && !worker.is_unresponsive()
             && !worker.has_unknown_load
             && self.now.millis_since(worker.last_response) <= RESPONSE_AGE_MAX_MS
--- a/crates/jobs/src/worker/tracked_worker.rs
+++ b/crates/jobs/src/worker/tracked_worker.rs
@@ -129,6 +129,20 @@
         response.incarnation == unknown && self.incarnation() != unknown
     }
 
+    /// Whether the entry was written by another incarnation than the one that responds. That one
+    /// may have other resources and labels, and writes its own entry some time after its start.
+    #[must_use]
+    pub fn has_outdated_entry(&self) -> bool {
+        let unknown = WorkerIncarnation::default();
+        let listed = self.entry.as_ref().map(|entry| entry.incarnation);
+        let listed = listed.filter(|listed| *listed != unknown);
+        let known = self.known.map(|known| known.incarnation());
+        let known = known.filter(|known| *known != unknown);
+        listed
+            .zip(known)
+            .is_some_and(|(listed, known)| listed != known)
+    }
+
     /// Whether an entry is the first of another incarnation than the known one. An old entry
     /// that arrives late is not, nor is one that does not say when the worker started.
     #[must_use]
--- a/crates/jobs/tests/owner/advice.rs
+++ b/crates/jobs/tests/owner/advice.rs
@@ -151,5 +151,6 @@
     fixture.step();
     allow_worker(&mut fixture, "w-1", "c81e");
     fixture.respond_as_incarnation("w-1", 2, &[], &[]);
+    fixture.list_incarnation("w-1", 2);
     assert_eq!(fixture.step(), ["ask aaaaaaaaaaaaaaaa.0.0 about w-1"]);
 }
--- a/crates/jobs/tests/owner/incarnations.rs
+++ b/crates/jobs/tests/owner/incarnations.rs
@@ -38,6 +38,7 @@
 
 /// The later task completes as the first run of the second incarnation.
 fn complete_later_task(fixture: &mut OwnerFixture) {
+    fixture.list_incarnation("w-1", 2);
     fixture.accept(LATER_JOB, job_spec(vec![step(1, 1_000)]));
     fixture.step();
     assert_eq!(fixture.store(), [format!("start {LATER_TASK}#1 at w-1")]);
@@ -246,3 +247,34 @@
     fixture.step();
     assert!(fixture.batch().is_some(), "the task waits for ever");
 }
+
+/// Guards against a worker that gets more than it has, or a task whose label it lacks: after a
+/// restart it was of another kind, and got tasks by the entry of the incarnation before.
+#[test]
+fn restarted_worker_gets_tasks_only_by_its_own_entry() {
+    let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 4_000)]);
+    fixture.wait(300);
+    fixture.respond_as_incarnation("w-1", 2, &[], &[]);
+    fixture.accept(JOB, job_spec(vec![step(4, 1_000)]));
+    fixture.step();
+    assert!(fixture.batch().is_none(), "its resources are not known");
+    let mut entry = worker("w-1", 2_000);
+    entry.incarnation = WorkerIncarnation::from_unix_ms(2);
+    let now = fixture.time();
+    fixture
+        .owner
+        .apply_worker_event(WorkerEvent::Present(entry), now);
+    fixture.step();
+    assert_eq!(fixture.store().len(), 2);
+}
+
+/// An entry that does not say when its worker started is used as it is.
+#[test]
+fn worker_whose_entry_says_no_incarnation_gets_tasks() {
+    let mut entry = worker("w-1", 2_000);
+    entry.incarnation = WorkerIncarnation::default();
+    let mut fixture = OwnerFixture::with_workers(vec![entry]);
+    fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
+    fixture.step();
+    assert_eq!(fixture.store(), [format!("start {TASK}#1 at w-1")]);
+}
--- a/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
+++ b/crates/jobs/tests/owner/lease_bounds_of_restarted_workers.rs
@@ -81,6 +81,7 @@
     fixture.answer("w-1", &[], &[]);
     fixture.wait(300);
     fixture.respond_as_incarnation("w-1", 2, &[], &[]);
+    fixture.list_incarnation("w-1", 2);
     fixture.accept(JOB, job_spec(vec![step(1, 1_000)]));
     fixture.step();
     let now = fixture.time();
--- a/crates/jobs/tests/owner/leases_and_restarts.rs
+++ b/crates/jobs/tests/owner/leases_and_restarts.rs
@@ -176,6 +176,7 @@
     fixture.step();
     assert!(fixture.batch().is_none(), "the run is still listed");
     fixture.respond_as_incarnation("w-1", 2, &[], &[]);
+    fixture.list_incarnation("w-1", 2);
     fixture.step();
     assert_eq!(fixture.store(), [format!("start {TASK}#2 at w-1")]);
 }
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -26,6 +26,7 @@
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StopOutcome;
 use sapphirestile_jobs::WorkerEntry;
+use sapphirestile_jobs::WorkerEvent;
 use sapphirestile_jobs::WorkerIncarnation;
 
 use crate::test_values::config;
@@ -262,6 +263,24 @@
         self.respond(worker, incarnation, running, ends);
     }
 
+    /// An incarnation of the worker, numbered from 1, lists itself as the one before did.
+    pub fn list_incarnation(&mut self, worker: &str, incarnation: u64) {
+        let name = worker_name(worker);
+        let mut entry = self.entry_of(&name).expect("the worker is listed");
+        entry.incarnation = WorkerIncarnation::from_unix_ms(incarnation);
+        let now = self.time();
+        self.owner
+            .apply_worker_event(WorkerEvent::Present(entry), now);
+    }
+
+    fn entry_of(&self, name: &WorkerName) -> Option<WorkerEntry> {
+        let mut entries = self.owner.workers();
+        entries.find_map(|(other, tracked)| {
+            let entry = tracked.entry.as_ref();
+            entry.filter(|_| other == name).cloned()
+        })
+    }
+
     fn respond(&mut self, worker: &str, incarnation: u64, running: &[RunningRun], ended: EndList) {
         let response = PollResponse {
             clock_ms: self.now,
