Play new long-running jobs beside tasks without room in the simulation

The transfer simulation had no job that arrives later, so a task that fits nowhere beside one that does was never played. Small long-running jobs arrive in any cell now, and each must begin within nine seconds while two workers of its home have had room for it for three.

--- a/crates/jobs/tests/transfer_simulation/cell_simulation.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation.rs
@@ -59,7 +59,7 @@
     leaving: BTreeSet<usize>,
     /// Numbers of the requests that have an outcome.
     finished_calls: BTreeSet<u64>,
-    /// When each task that has run was last seen to run.
+    /// When each task that has run was last seen to run, or when its job arrived later.
     last_seen: BTreeMap<TaskIdentity, u64>,
     /// Since when a worker, by its index, has had room for a task that is idle.
     room_since: BTreeMap<(TaskIdentity, usize), u64>,
@@ -69,6 +69,8 @@
     longest_search_ms: u64,
     /// Number of short jobs so far.
     short_jobs: usize,
+    /// Number of long-running jobs so far that arrived later.
+    late_jobs: usize,
 }
 
 impl CellSimulation {
@@ -112,6 +114,7 @@
             disturbed: 0,
             longest_search_ms: 0,
             short_jobs: 0,
+            late_jobs: 0,
         };
         for number in 0..mixture.jobs {
             let cell = if mixture.has_ending_runs || mixture.has_returning_workers {
@@ -165,6 +168,7 @@
                     } else if self.mixture.has_ending_runs {
                         self.check_restarts();
                         self.accept_short_job();
+                        self.accept_late_job();
                     } else {
                         self.check_idle_tasks();
                     }
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/jobs.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/jobs.rs
@@ -6,6 +6,7 @@
 use sapphirestile_jobs::QueueTerms;
 use sapphirestile_jobs::ResourceVector;
 use sapphirestile_jobs::StepSpec;
+use sapphirestile_jobs::TaskIdentity;
 
 use super::CellSimulation;
 use super::job_identity;
@@ -19,6 +20,18 @@
 /// Jobs whose tasks need a worker with a label, of which each cell has one.
 const LABELLED_JOB: usize = 3;
 
+/// Number of the first long-running job that arrives later, between the others and the short.
+const FIRST_LATE: usize = 500;
+
+/// Maximum number of long-running jobs that arrive later.
+const LATE_JOBS_MAX: usize = 24;
+
+/// When the first of them arrives, after some workers have left, in milliseconds.
+const LATE_JOBS_FROM_MS: u64 = 12_000;
+
+/// Size of their tasks, in thousandths of a processor.
+const LATE_TASK_CPU_MILLI: u64 = 200;
+
 /// Job of which each worker may run one task.
 const LIMITED_JOB: usize = 2;
 
@@ -68,6 +81,41 @@
         };
         self.store.cells[cell].specs.insert(job, spec);
     }
+
+    /// Lets a small long-running job arrive now and then in any cell.
+    pub(super) fn accept_late_job(&mut self) {
+        let is_due = self.mixture.has_late_jobs
+            && self.now >= LATE_JOBS_FROM_MS
+            && self.late_jobs < LATE_JOBS_MAX;
+        if !is_due || !self.random.random_bool(0.02) {
+            return;
+        }
+        let cell = self.random.random_range(0..self.mixture.cells);
+        let job = job_identity(FIRST_LATE + self.late_jobs);
+        self.late_jobs += 1;
+        let step = StepSpec {
+            tasks: 1,
+            is_long_running: true,
+            ..step_of(LATE_TASK_CPU_MILLI)
+        };
+        let spec = JobSpec {
+            accepted_unix_ms: self.now,
+            ..spec_of(step)
+        };
+        self.store.cells[cell].specs.insert(job, spec);
+        let task = TaskIdentity {
+            job,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        self.last_seen.insert(task, self.now);
+    }
+}
+
+/// Whether a long-running job arrived later than the others.
+pub(super) fn is_late(job: &JobIdentity) -> bool {
+    *job >= job_identity(FIRST_LATE) && !is_short(job)
 }
 
 /// Whether the tasks of a job complete by themselves.
--- a/crates/jobs/tests/transfer_simulation/cell_simulation/restart_check.rs
+++ b/crates/jobs/tests/transfer_simulation/cell_simulation/restart_check.rs
@@ -9,6 +9,8 @@
 use super::CellSimulation;
 use super::IDLE_MAX_MS;
 use super::WORKER_CPU_MILLI;
+use super::WORKERS_PER_CELL;
+use super::jobs::is_late;
 use super::worker_labels;
 
 /// How long a worker must have had room for a task without a break, in milliseconds.
@@ -59,6 +61,9 @@
         for ((task, worker), since) in &self.room_since {
             let idle_ms = self.now - self.last_seen[task];
             let room_ms = self.now - since;
+            if is_late(&task.job) && self.workers_with_long_room(task) < 2 {
+                continue;
+            }
             assert!(
                 idle_ms <= IDLE_MAX_MS || room_ms < ROOM_MS,
                 "seed {}: {task} is idle for {idle_ms} ms at {}, worker {worker} has had room \
@@ -70,6 +75,19 @@
         }
     }
 
+    /// Number of workers of the task's home that have had room for it long enough. The jobs of
+    /// the simulation do not move.
+    fn workers_with_long_room(&self, task: &TaskIdentity) -> usize {
+        let is_home = |worker: usize| {
+            let rows = &self.store.cells[worker / WORKERS_PER_CELL];
+            rows.specs.contains_key(&task.job)
+        };
+        let rooms = self.room_since.iter().filter(|((other, worker), since)| {
+            other == task && is_home(*worker) && self.now - **since >= ROOM_MS
+        });
+        rooms.count()
+    }
+
     fn step_of(&self, task: &TaskIdentity) -> &StepSpec {
         let mut rows = self.store.cells.iter();
         let spec = rows.find_map(|rows| rows.specs.get(&task.job));
--- a/crates/jobs/tests/transfer_simulation/main.rs
+++ b/crates/jobs/tests/transfer_simulation/main.rs
@@ -6,7 +6,8 @@
 //! answers are lost, requests are late, listings are out of date, and callers cancel jobs.
 //! After each commit every task must be in one cell exactly; no task may ever run twice. With
 //! tasks of several sizes beside short ones, a task that has run must begin again within a
-//! bound while a worker of any cell has room for it.
+//! bound while a worker of any cell has room for it, and one of a job that came later must begin
+//! within that bound while two workers have.
 
 mod cell_rows;
 mod cell_simulation;
@@ -51,6 +52,7 @@
 #[test_case(TaskMixture::SHORT_JOBS; "short jobs that take what is free")]
 #[test_case(TaskMixture::LIMITS; "labels and limits per worker")]
 #[test_case(TaskMixture::ALL; "owners that die in a row")]
+#[test_case(TaskMixture::LATE_JOBS; "new jobs beside larger tasks without room")]
 fn task_that_has_run_begins_again_while_a_worker_has_room(mixture: TaskMixture) {
     for seed in seeds() {
         CellSimulation::with_mixture(seed, mixture).run();
--- a/crates/jobs/tests/transfer_simulation/task_mixture.rs
+++ b/crates/jobs/tests/transfer_simulation/task_mixture.rs
@@ -12,6 +12,8 @@
     pub has_limits: bool,
     /// Whether short jobs arrive all the time in all cells.
     pub has_short_jobs: bool,
+    /// Whether small long-running jobs arrive later.
+    pub has_late_jobs: bool,
     /// Whether runs of long-running tasks end by themselves after some seconds.
     pub has_ending_runs: bool,
     /// Whether one owner of a cell after the other dies for some seconds.
@@ -29,6 +31,7 @@
         tasks_per_job: 5,
         has_limits: false,
         has_short_jobs: false,
+        has_late_jobs: false,
         has_ending_runs: false,
         has_dying_owners: false,
         cells: 3,
@@ -45,7 +48,15 @@
         ..Self::EQUAL
     };
 
-    /// The same with short jobs that take what is free.
+    /// Small long-running jobs that arrive while larger tasks have no room. The sizes of these
+    /// leave a part of each worker free.
+    pub const LATE_JOBS: Self = Self {
+        sizes: &[2_500, 6_500, 2_500, 3_500],
+        has_late_jobs: true,
+        ..Self::SIZES
+    };
+
+    /// Tasks of several sizes with short jobs that take what is free.
     pub const SHORT_JOBS: Self = Self {
         has_short_jobs: true,
         ..Self::SIZES
