Order a pace again whose order had no good answer

What callers would have seen: a best-effort run that was to be slowed down or paused slows its neighbour on, or a paused one is never released.

Cause: the new pace is recorded when its order goes out, and a failure was only logged.

Change: a failure that is still about the latest pace marks the run, and the pace is ordered again when the worker next responds to a poll.

Evidence: pace_whose_order_was_lost_is_ordered_again fails without the repetition and passes with it.

--- a/crates/entry/src/owner/owner_event.rs
+++ b/crates/entry/src/owner/owner_event.rs
@@ -4,6 +4,7 @@
 use sapphirestile_jobs::AdviceOutcome;
 use sapphirestile_jobs::AdviceRequest;
 use sapphirestile_jobs::LearntTables;
+use sapphirestile_jobs::PaceRequest;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::StartOutcome;
 use sapphirestile_jobs::StopOutcome;
@@ -47,6 +48,8 @@
         /// The outcome.
         outcome: StopOutcome,
     },
+    /// A change of pace was not accepted, as far as is known.
+    PaceFailed(PaceRequest),
     /// The outcome of a request to the advisor.
     Advised {
         /// The step and the workers that the request was about.
--- a/crates/entry/src/owner/ownership_term/event_handlers.rs
+++ b/crates/entry/src/owner/ownership_term/event_handlers.rs
@@ -70,6 +70,7 @@
             } => self
                 .owner
                 .handle_stop_outcome(&worker, &task, run, outcome, now),
+            OwnerEvent::PaceFailed(request) => self.owner.handle_pace_failure(&request),
             OwnerEvent::Advised { request, outcome } => {
                 self.owner.handle_advice_outcome(&request, &outcome, now);
             }
--- a/crates/entry/src/owner/worker_calls.rs
+++ b/crates/entry/src/owner/worker_calls.rs
@@ -183,16 +183,17 @@
             run: request.run,
         }),
         RunControl::Pace(request) => {
-            if !port.pace(&request) {
-                tracing::warn!(
-                    task = %request.task,
-                    run = request.run,
-                    worker = %request.worker,
-                    percent = request.percent,
-                    "worker did not accept a change of pace"
-                );
+            if port.pace(&request) {
+                return None;
             }
-            None
+            tracing::warn!(
+                task = %request.task,
+                run = request.run,
+                worker = %request.worker,
+                percent = request.percent,
+                "worker did not accept a change of pace"
+            );
+            Some(OwnerEvent::PaceFailed(request))
         }
     }
 }
--- a/crates/jobs/src/owner/job_owner/assigning.rs
+++ b/crates/jobs/src/owner/job_owner/assigning.rs
@@ -192,6 +192,7 @@
             stop_retry_at: now,
             start_percent: FULL_PACE_PERCENT,
             pace_percent: FULL_PACE_PERCENT,
+            is_pace_lost: false,
             pace_changed: now,
             measurement: 0,
         }
--- a/crates/jobs/src/owner/job_owner/pace_changes.rs
+++ b/crates/jobs/src/owner/job_owner/pace_changes.rs
@@ -66,6 +66,45 @@
         }
     }
 
+    /// Handles that an order to change the pace of a run was not accepted, as far as is known.
+    /// Unless the pace has changed since, it is ordered again once the worker responds.
+    pub fn handle_pace_failure(&mut self, request: &PaceRequest) {
+        let tracked = self.workers.get_mut(&request.worker);
+        let run = tracked.and_then(|tracked| tracked.runs.get_mut(&request.task));
+        if let Some(run) =
+            run.filter(|run| run.run == request.run && run.pace_percent == request.percent)
+        {
+            run.is_pace_lost = true;
+        }
+    }
+
+    /// Orders the paces again that are not known to have been accepted by a worker, which
+    /// responds now.
+    pub(super) fn repeat_paces(&mut self, name: &WorkerName, now: MonoTime) {
+        let Some(tracked) = self.workers.get_mut(name) else {
+            return;
+        };
+        let Some(address) = tracked.entry.as_ref().map(|entry| entry.address) else {
+            return;
+        };
+        for (task, run) in tracked.runs.iter_mut() {
+            let is_running = matches!(run.state, RunState::Running { .. });
+            if !is_running || !std::mem::take(&mut run.is_pace_lost) {
+                continue;
+            }
+            run.pace_changed = now;
+            tracked.pace_changed = now;
+            self.effects.push(OwnerEffect::Pace(PaceRequest {
+                worker: name.clone(),
+                address,
+                epoch: self.epoch,
+                task: *task,
+                run: run.run,
+                percent: run.pace_percent,
+            }));
+        }
+    }
+
     fn set_pace(&mut self, name: &WorkerName, task: &TaskIdentity, percent: u32, now: MonoTime) {
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
@@ -81,6 +120,7 @@
             return;
         }
         run.pace_percent = percent;
+        run.is_pace_lost = false;
         run.pace_changed = now;
         tracked.pace_changed = now;
         self.effects.push(OwnerEffect::Pace(PaceRequest {
--- a/crates/jobs/src/owner/job_owner/responses.rs
+++ b/crates/jobs/src/owner/job_owner/responses.rs
@@ -46,6 +46,7 @@
         }
         self.stop_again_after_restart(name, response.incarnation, now);
         self.finish_missing(name, number, response, now, unix_ms);
+        self.repeat_paces(name, now);
         self.adapt_paces(name, now);
         let has_authority = self.lease_ms(now).is_some();
         let Some(tracked) = self.workers.get_mut(name) else {
--- a/crates/jobs/src/worker/run_entry.rs
+++ b/crates/jobs/src/worker/run_entry.rs
@@ -62,6 +62,8 @@
     pub start_percent: u32,
     /// Pace that the run is limited to, in percent of its full speed.
     pub pace_percent: u32,
+    /// Whether the latest order to change the pace had no good answer, so that it is repeated.
+    pub is_pace_lost: bool,
     /// When the pace was last changed, or the run was assigned.
     pub pace_changed: MonoTime,
     /// Latest measured value: a latency or processor time, as in a
--- a/crates/jobs/tests/owner/owner_fixture.rs
+++ b/crates/jobs/tests/owner/owner_fixture.rs
@@ -1,5 +1,6 @@
 //! An owner whose workers, advisor and store are played by the test.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use sapphirestile_core::CellEpoch;
@@ -19,6 +20,7 @@
 use sapphirestile_jobs::LeaseBounds;
 use sapphirestile_jobs::OwnerEffect;
 use sapphirestile_jobs::OwnerLimits;
+use sapphirestile_jobs::PaceRequest;
 use sapphirestile_jobs::PollOutcome;
 use sapphirestile_jobs::PollRequest;
 use sapphirestile_jobs::PollResponse;
@@ -240,6 +242,18 @@
             .handle_stop_outcome(&worker, &task, run, outcome, now);
     }
 
+    /// An order to change a pace has no answer.
+    pub fn pace_failed(&mut self, worker: &str, task: &str, run: u32, percent: u32) {
+        self.owner.handle_pace_failure(&PaceRequest {
+            worker: worker_name(worker),
+            address: SocketAddr::from(([127, 0, 0, 1], 8_000)),
+            epoch: self.owner.epoch(),
+            task: task_identity(task),
+            run,
+            percent,
+        });
+    }
+
     /// The worker responds to its latest poll.
     pub fn answer(&mut self, worker: &str, running: &[RunningRun], ended: &[EndedRun]) {
         self.respond_as_incarnation(worker, 1, running, ended);
--- a/crates/jobs/tests/owner/pacing.rs
+++ b/crates/jobs/tests/owner/pacing.rs
@@ -23,6 +23,10 @@
 /// A worker with a run that serves callers and four best-effort runs of an image that is
 /// known to disturb it.
 fn disturbed_fixture() -> OwnerFixture {
+    fixture_with_fills(true)
+}
+
+fn fixture_with_fills(have_checkpoints: bool) -> OwnerFixture {
     let mut fixture = OwnerFixture::with_workers(vec![worker("w-1", 10_000)]);
     fixture.owner.restore_learnt(&LearntTables {
         coefficients: vec![LearntCoefficient {
@@ -40,7 +44,7 @@
     desk.image = Some("desk".into());
     let mut fill = step(4, 1_000);
     fill.is_best_effort = true;
-    fill.has_checkpoints = true;
+    fill.has_checkpoints = have_checkpoints;
     fill.image = Some("resize".into());
     for (job, step) in [(DESK, desk), (FILL, fill)] {
         let tasks = step.tasks;
@@ -107,3 +111,41 @@
         "{last:?}"
     );
 }
+
+/// Guards against a run that slows its neighbour for ever: the order to slow it down was lost on
+/// a connection that had failed, and the owner took it for slowed down.
+#[test]
+fn pace_whose_order_was_lost_is_ordered_again() {
+    let mut fixture = fixture_with_fills(false);
+    // Runs without checkpoints that have worked for some time are not moved.
+    for _ in 0..10 {
+        fixture.now += 1_000;
+        fixture.answer("w-1", &runs(20, &[0, 1, 2, 3]), &[]);
+        fixture.step();
+    }
+    fixture.answer("w-1", &runs(HIGH_MS, &[0, 1, 2, 3]), &[]);
+    let paces = fixture.step();
+    let first = paces.first().expect("a run is slowed down").clone();
+    let (task, percent) = pace_of(&first);
+    fixture.now += 300;
+    fixture.answer("w-1", &runs(HIGH_MS, &[0, 1, 2, 3]), &[]);
+    assert!(
+        !fixture.step().contains(&first),
+        "the order may be on its way"
+    );
+    fixture.pace_failed("w-1", &task, 1, percent);
+    fixture.answer("w-1", &runs(HIGH_MS, &[0, 1, 2, 3]), &[]);
+    assert_eq!(fixture.step(), [first]);
+    // What fails after a later change says nothing about that one.
+    fixture.pace_failed("w-1", &task, 1, percent + 1);
+    fixture.answer("w-1", &runs(HIGH_MS, &[0, 1, 2, 3]), &[]);
+    assert!(fixture.step().is_empty());
+}
+
+/// The task and the percentage of a line of a change of pace.
+fn pace_of(line: &str) -> (String, u32) {
+    let rest = line.strip_prefix("pace ").expect("a pace");
+    let (task, rest) = rest.split_once('#').expect("a run");
+    let (_, percent) = rest.split_once(' ').expect("a percentage");
+    (task.to_owned(), percent.parse().expect("a number"))
+}
