Soak daemons with silent connections and few connections to workers

A fourth kind of the soak of real processes: open connections to workers, to the store or to both go silent, daemons stand still one after the other, and a worker has 64 connections.

--- a/crates/daemon/tests/deployed_soak/main.rs
+++ b/crates/daemon/tests/deployed_soak/main.rs
@@ -27,10 +27,17 @@
 //! bounds are in wall-clock time, which a loaded machine may exceed.
 //! Without given seeds, as in CI, only the order is checked: no task runs at two workers, in
 //! whichever of their lives, and every long-running task runs again before the end.
+//!
+//! In a fourth kind connections go silent without being closed, or belong to daemons that stand
+//! still, while workers have few. After each fault a long-running job is cancelled and another
+//! one begins. `SOAK_SEEDS=800..849 cargo test -p sapphirestile-daemon --test deployed_soak
+//! connections` checks that within 3.9 and 9 s of wall-clock time.
 
 mod busy_daemon;
 mod channel_caller;
 mod config_log;
+mod connection_fault;
+mod connections;
 mod crash_series;
 mod crash_step;
 mod crashes;
--- a/crates/daemon/tests/deployed_soak/soak_caller.rs
+++ b/crates/daemon/tests/deployed_soak/soak_caller.rs
@@ -42,6 +42,13 @@
         Some(status)
     }
 
+    /// Cancels a job at a daemon. Returns the HTTP status, or `None` without a complete
+    /// response within the timeout.
+    pub fn cancel(&self, daemon: usize, job: &str) -> Option<u16> {
+        let (status, _) = self.call(daemon, "DELETE", &format!("/charts/{job}"), "")?;
+        Some(status)
+    }
+
     /// Asks a daemon for the waiting jobs of the queue that only `version` of the
     /// configuration has. Returns the HTTP status, or `None` without a complete response
     /// within the timeout.
--- a/crates/daemon/tests/deployed_soak/soak_scenario.rs
+++ b/crates/daemon/tests/deployed_soak/soak_scenario.rs
@@ -1,5 +1,6 @@
 //! The daemons, stand-ins and faults of one seed.
 
+mod connection_run;
 mod crash_run;
 mod final_checks;
 mod gap_checks;
--- a/crates/daemon/tests/deployed_soak/soak_worker.rs
+++ b/crates/daemon/tests/deployed_soak/soak_worker.rs
@@ -13,6 +13,9 @@
 
 use crate::worker_return::WorkerReturn;
 
+/// The maximum number of connections of a worker, for all daemons.
+const CONNECTIONS_MAX: usize = 64;
+
 /// A worker that can lose its power, behind a link that can fail by itself, with its entry
 /// in the store.
 pub struct SoakWorker {
@@ -41,7 +44,7 @@
         let service: Arc<dyn HttpService> = Arc::new(fleet.worker(index));
         let port = open_port(&service);
         let power = FaultProxy::start(port.address());
-        let link = FaultProxy::start(power.address());
+        let link = FaultProxy::start_with_limit(power.address(), CONNECTIONS_MAX);
         let name = format!("i-{index}");
         let entry = SiteBodies::worker_entry_on_rack(link.address(), rack);
         store.put(&SiteBodies::worker_key(&name), &entry);
@@ -77,6 +80,11 @@
         self.link.set_mode(mode);
     }
 
+    /// Lets the open connections of all daemons to the worker go silent; new ones work.
+    pub fn silence_link(&self) {
+        self.link.silence_open();
+    }
+
     /// Takes the worker's power. Its entry stays until [`Self::remove_lost_entry`].
     pub fn lose_power(&mut self) {
         self.power.disconnect();
--- a/crates/test-support/src/fault_proxy.rs
+++ b/crates/test-support/src/fault_proxy.rs
@@ -4,10 +4,14 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use crate::ProxyMode;
 use crate::proxy_state::ProxyState;
 
+/// How often a proxy that has all its connections looks whether one was closed.
+const FULL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Forwards TCP connections to a target and simulates the network fault of its
 /// [`ProxyMode`]. Its threads and its port last until the process ends.
 pub struct FaultProxy {
@@ -23,6 +27,17 @@
     /// When the port cannot be bound.
     #[must_use]
     pub fn start(target: SocketAddr) -> Self {
+        Self::start_with_limit(target, usize::MAX)
+    }
+
+    /// Starts a proxy that has at most `connections_max` connections open. Further ones wait in
+    /// the listener's queue until one is closed.
+    ///
+    /// # Panics
+    ///
+    /// When the port cannot be bound.
+    #[must_use]
+    pub fn start_with_limit(target: SocketAddr, connections_max: usize) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind a free loopback port");
         let address = listener
             .local_addr()
@@ -30,8 +45,13 @@
         let state = Arc::new(ProxyState::default());
         let shared = Arc::clone(&state);
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                shared.relay(stream, target);
+            loop {
+                while shared.open_connections() >= connections_max {
+                    thread::sleep(FULL_INTERVAL);
+                }
+                if let Ok((stream, _)) = listener.accept() {
+                    shared.relay(stream, target);
+                }
             }
         });
         Self { address, state }
