--- a/crates/entry/src/owner/worker_calls.rs
+++ b/crates/entry/src/owner/worker_calls.rs
@@ -61,7 +61,7 @@
 
     /// Queues a poll.
     pub fn poll(&self, request: PollRequest) {
-        // The worker has connections from now on.
+        // Adds the worker, whose connections are closed at the end of the term.
         let _ = self.lanes(request.address);
         let call = self.prepare(request.address, |port| Some(send_poll(port, request)));
         self.polls.run(call);
--- a/crates/jobs/src/owner/job_entry.rs
+++ b/crates/jobs/src/owner/job_entry.rs
@@ -136,6 +136,7 @@
                 step: &self.spec.steps[step],
                 image: None,
                 needs_ticket: false,
+                // Whether a first run is overdue is decided when it is planned.
                 history: if progress.tasks[index].run > 0 {
                     RunHistory::Started
                 } else {
--- a/crates/jobs/src/owner/job_owner/pace_changes.rs
+++ b/crates/jobs/src/owner/job_owner/pace_changes.rs
@@ -81,31 +81,30 @@
     /// Orders the paces again that are not known to have been accepted by a worker, which
     /// responds now.
     pub(super) fn repeat_paces(&mut self, name: &WorkerName, now: MonoTime) {
-        let Some(tracked) = self.workers.get_mut(name) else {
-            return;
-        };
-        let Some(address) = tracked.entry.as_ref().map(|entry| entry.address) else {
+        let Some(tracked) = self.workers.get(name) else {
             return;
         };
-        for (task, run) in tracked.runs.iter_mut() {
-            let is_running = matches!(run.state, RunState::Running { .. });
-            if !is_running || !std::mem::take(&mut run.is_pace_lost) {
-                continue;
-            }
-            run.pace_changed = now;
-            tracked.pace_changed = now;
-            self.effects.push(OwnerEffect::Pace(PaceRequest {
-                worker: name.clone(),
-                address,
-                epoch: self.epoch,
-                task: *task,
-                run: run.run,
-                percent: run.pace_percent,
-            }));
+        let lost: Vec<(TaskIdentity, u32)> = tracked
+            .runs
+            .iter()
+            .filter(|(_, run)| run.is_pace_lost)
+            .map(|(task, run)| (*task, run.pace_percent))
+            .collect();
+        for (task, percent) in lost {
+            self.order_pace(name, &task, percent, now);
         }
     }
 
+    /// Orders another pace of a run, unless it has that pace.
     fn set_pace(&mut self, name: &WorkerName, task: &TaskIdentity, percent: u32, now: MonoTime) {
+        let tracked = self.workers.get(name);
+        let run = tracked.and_then(|tracked| tracked.runs.get(task));
+        if run.is_some_and(|run| run.pace_percent != percent) {
+            self.order_pace(name, task, percent, now);
+        }
+    }
+
+    fn order_pace(&mut self, name: &WorkerName, task: &TaskIdentity, percent: u32, now: MonoTime) {
         let Some(tracked) = self.workers.get_mut(name) else {
             return;
         };
@@ -115,8 +114,7 @@
         let Some(run) = tracked.runs.get_mut(task) else {
             return;
         };
-        let is_running = matches!(run.state, RunState::Running { .. });
-        if !is_running || run.pace_percent == percent {
+        if !matches!(run.state, RunState::Running { .. }) {
             return;
         }
         run.pace_percent = percent;
