Leave workers of the reserve that shorter tasks use to them

Since a job that had waited 6 s for its first run took any of the workers that are left free for restarts.

Change: it takes one that runs nothing.

--- a/crates/jobs/src/planner/worker_scorer.rs
+++ b/crates/jobs/src/planner/worker_scorer.rs
@@ -116,19 +116,21 @@
 
     /// Whether the worker is kept for long-running tasks that have to run again: those that
     /// have not run may not take the last workers without long-running runs, nor those that are
-    /// awaited, unless they have waited for long themselves, and only those that have run may
-    /// take what becomes free on a worker that is held.
+    /// awaited, and only those that have run may take what becomes free on a worker that is
+    /// held. First runs that have waited for long are kept only from last workers that shorter
+    /// tasks use, and from those that are held.
     #[must_use]
     pub fn is_kept_from(&self, demand: &TaskDemand<'_>, worker: &TrackedWorker) -> bool {
         let step = demand.step;
         if step.is_long_running && demand.history == RunHistory::Started {
             return false;
         }
-        let yields = step.is_long_running && demand.history.yields_to_restarts();
+        let yields = demand.history.yields_to_restarts();
         let is_last = !self.spare.for_first_runs && !worker.has_long_running();
-        let is_kept = is_last || is_among(self.awaited, worker);
+        let is_last_kept = is_last && (yields || !worker.runs.is_empty());
+        let is_kept = is_last_kept || (yields && is_among(self.awaited, worker));
         let is_held = is_among(self.held, worker);
-        (yields && is_kept) || (!step.is_best_effort && is_held)
+        (step.is_long_running && is_kept) || (!step.is_best_effort && is_held)
     }
 
     /// Like [`score`](Self::score), without checking for a ticket.
--- a/crates/jobs/tests/owner/restart_precedence.rs
+++ b/crates/jobs/tests/owner/restart_precedence.rs
@@ -290,10 +290,8 @@
     assert_eq!(fixture.store(), [format!("start {FIRST}.0.0.0#1 at w-2")]);
 }
 
-/// Guards against new jobs that never begin on the workers that are kept free for tasks that
-/// have to run again.
-#[test]
-fn first_run_takes_a_worker_that_is_kept_once_it_has_waited_long() {
+/// Twelve workers, eleven of which run a long-running task, and the name of the last one.
+fn fixture_with_last_worker() -> (OwnerFixture, Vec<(String, String)>, String) {
     let names: Vec<String> = (0..12).map(|number| format!("w-{number}")).collect();
     let workers = names.iter().map(|name| worker(name, 1_000)).collect();
     let mut fixture = OwnerFixture::with_workers(workers);
@@ -307,20 +305,51 @@
     for (task, at) in &runs {
         fixture.started(at, task, 1, StartOutcome::Accepted);
     }
-    let is_last = |name: &&String| runs.iter().all(|(_, at)| at != *name);
-    let last = names.iter().find(is_last).unwrap();
+    let is_last = |name: &String| runs.iter().all(|(_, at)| at != name);
+    let last = names.into_iter().find(is_last).unwrap();
+    (fixture, runs, last)
+}
+
+/// Guards against new jobs that never begin on the workers that are kept free for tasks that
+/// have to run again.
+#[test]
+fn first_run_takes_a_worker_that_is_kept_once_it_has_waited_long() {
+    let (mut fixture, runs, last) = fixture_with_last_worker();
     fixture.accept(FIRST, lasting(1_000));
     for waited_ms in [2_000, 4_000] {
         fixture.now += 2_000;
-        fixture.answer(last, &[], &[]);
+        fixture.answer(&last, &[], &[]);
         go_on(&mut fixture, &runs);
         assert!(fixture.batch().is_none(), "after {waited_ms} ms");
     }
     fixture.now += 2_100;
-    fixture.answer(last, &[], &[]);
+    fixture.answer(&last, &[], &[]);
     go_on(&mut fixture, &runs);
     assert_eq!(
         fixture.store(),
         [format!("start {FIRST}.0.0.0#1 at {last}")]
     );
 }
+
+/// Guards against long-running tasks that crowd out shorter ones on the workers that are kept
+/// for tasks that have to run again.
+#[test]
+fn first_run_leaves_a_worker_that_is_kept_to_the_shorter_tasks_that_use_it() {
+    let (mut fixture, runs, last) = fixture_with_last_worker();
+    fixture.accept(SMALL[0], job_spec(vec![step(1, 400)]));
+    fixture.step();
+    assert_eq!(fixture.store().len(), 1);
+    let short = format!("{}.0.0.0", SMALL[0]);
+    fixture.started(&last, &short, 1, StartOutcome::Accepted);
+    fixture.accept(FIRST, lasting(500));
+    for _ in 0..4 {
+        fixture.now += 2_000;
+        fixture.answer(&last, &[running(&short, 1)], &[]);
+        go_on(&mut fixture, &runs);
+        assert!(fixture.batch().is_none());
+    }
+    fixture.answer(&last, &[], &[ended(1, &short, 1, EndKind::Done)]);
+    go_on(&mut fixture, &runs);
+    let starts = fixture.store();
+    assert_eq!(starts, [format!("start {FIRST}.0.0.0#1 at {last}")]);
+}
